Lay out the workspace and settle the shared types

Cause: the parts are to be built side by side, so the words they exchange have to stand first.

Change: one package a peer, the pure cores apart from the daemons, lints for all in the workspace. `sageshed-types` holds keys and arenas, the verdict and the closed set of reasons, the account of a refusal, rules as data, what endpoints say, claims and the messages between our own processes.

Ruled out: claims and orders as types of their own packages; entry, control and the checker all need them and would have to depend on each other.

--- /dev/null
+++ b/crates/sageshed-callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: callers, over HTTP.
--- /dev/null
+++ b/crates/sageshed-decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions of an entry process: rules, admission, routing and retries.
--- /dev/null
+++ b/crates/sageshed-disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: durable log and snapshots.
--- /dev/null
+++ b/crates/sageshed-engines/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: model engines.
--- /dev/null
+++ b/crates/sageshed-operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: operators, the port and its client.
--- /dev/null
+++ b/crates/sageshed-place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure placement: memory ledger, loads and moves.
--- /dev/null
+++ b/crates/sageshed-quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure replicated log: election, replication, membership change and snapshots.
--- /dev/null
+++ b/crates/sageshed-services/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: plain services.
--- /dev/null
+++ b/crates/sageshed-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated control state and the commands that change it.
--- /dev/null
+++ b/crates/sageshed-types/src/arena.rs
@@ -0,0 +1,120 @@
+//! Names turned into small `Copy` keys, and storage indexed by them.
+//!
+//! Names travel between processes as strings, since each process fills its own arena in its own
+//! order. Inside a process the request path handles only keys: comparing two models is comparing
+//! two `u32`.
+
+use std::{collections, fmt, hash, marker};
+
+/// A key of an arena: a small number with a type of its own.
+pub trait Key: Copy + Eq + hash::Hash + fmt::Debug {
+    /// Makes a key of its position in the arena.
+    fn from_index(index: usize) -> Self;
+
+    /// The position in the arena.
+    fn index(self) -> usize;
+}
+
+/// Declares key types, one for each kind of thing that has a name.
+macro_rules! keys {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u32);
+
+        impl Key for $name {
+            fn from_index(index: usize) -> Self {
+                Self(u32::try_from(index).expect("an arena holds fewer than 2^32 names"))
+            }
+
+            fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+    )*};
+}
+
+keys! {
+    /// A model or an adapter: both are named in a request's `model` member.
+    ModelKey,
+    /// A plain service.
+    ServiceKey,
+    /// An endpoint: a model engine, or one instance of a plain service.
+    EndpointKey,
+    /// A pool of engines.
+    PoolKey,
+    /// An availability zone.
+    ZoneKey,
+    /// A caller, known by its bearer token.
+    CallerKey,
+    /// A class of requests.
+    ClassKey,
+}
+
+/// Distinct names, each with its key in the order they came.
+#[derive(Debug, Clone)]
+pub struct Names<K> {
+    names: Vec<String>,
+    keys: collections::HashMap<String, u32>,
+    kind: marker::PhantomData<K>,
+}
+
+impl<K> Default for Names<K> {
+    fn default() -> Self {
+        Self {
+            names: Vec::new(),
+            keys: collections::HashMap::new(),
+            kind: marker::PhantomData,
+        }
+    }
+}
+
+impl<K: Key> Names<K> {
+    /// The key of `name`, made now if the name is new.
+    pub fn intern(&mut self, name: &str) -> K {
+        if let Some(key) = self.get(name) {
+            return key;
+        }
+        let key = K::from_index(self.names.len());
+        self.names.push(name.to_owned());
+        self.keys.insert(
+            name.to_owned(),
+            u32::try_from(key.index()).unwrap_or(u32::MAX),
+        );
+        key
+    }
+
+    /// The key of `name`, if it was interned.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<K> {
+        self.keys
+            .get(name)
+            .map(|index| K::from_index(*index as usize))
+    }
+
+    /// The name behind `key`, which must come from this arena.
+    #[must_use]
+    pub fn name(&self, key: K) -> &str {
+        &self.names[key.index()]
+    }
+
+    /// How many names there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether there is no name.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
+    /// Every key with its name, in order of interning.
+    pub fn iter(&self) -> impl Iterator<Item = (K, &str)> {
+        self.names
+            .iter()
+            .enumerate()
+            .map(|(i, name)| (K::from_index(i), name.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/sageshed-types/src/lib.rs
@@ -0,0 +1,19 @@
+//! Types that every other package shares.
+//!
+//! Nothing in this package does I/O or reads a clock. It holds the words in which the packages talk
+//! to each other: keys and arenas ([`arena`]), the verdict about a request ([`verdict`]), the
+//! account of a refusal ([`refusal`]), rules as data ([`rules`]), what endpoints say of themselves
+//! ([`endpoints`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
+//! repeated ([`claims`]), what happened to one request ([`account`]) and the messages between the
+//! system's own processes ([`messages`]).
+
+pub mod account;
+pub mod arena;
+pub mod catalog;
+pub mod claims;
+pub mod endpoints;
+pub mod messages;
+pub mod refusal;
+pub mod rules;
+pub mod time;
+pub mod verdict;
--- /dev/null
+++ b/crates/sageshed-types/src/time.rs
@@ -0,0 +1,56 @@
+//! Points in time and spans, in milliseconds, as the pure packages see them.
+
+use std::{ops, time};
+
+use serde::{Deserialize, Serialize};
+
+/// A point on one process's monotonic clock, in milliseconds since that process started.
+///
+/// Never compared between processes.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Instant(pub u64);
+
+/// A span of time in milliseconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Instant {
+    /// The span since `earlier`, or zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<Millis> for Instant {
+    type Output = Self;
+
+    fn add(self, span: Millis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl ops::Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl From<Millis> for time::Duration {
+    fn from(span: Millis) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+impl From<time::Duration> for Millis {
+    fn from(span: time::Duration) -> Self {
+        Self(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/sageshed-types/src/verdict.rs
@@ -0,0 +1,162 @@
+//! Whether a request may have run.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// What is known of a request that got no full answer.
+///
+/// `NotRun` is a promise: no endpoint has run the request and none will. Whatever cannot be promised
+/// is `MayHaveRun`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// No endpoint ran it and none will.
+    #[display("not_run")]
+    NotRun,
+    /// Bytes of it went to an endpoint and the outcome is unknown.
+    #[display("may_have_run")]
+    MayHaveRun,
+    /// An endpoint ran it.
+    #[display("ran")]
+    Ran,
+}
+
+impl Verdict {
+    /// The verdict over two tries of one request: the one that promises less about not running.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        self.max(other)
+    }
+}
+
+/// Why a request was refused or given up on. A closed set: operators find each in the rules guide.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The request itself is not valid.
+    #[display("bad_request")]
+    BadRequest,
+    /// No bearer token, or one that belongs to no caller.
+    #[display("unauthorized")]
+    Unauthorized,
+    /// The body or the head is larger than the limit.
+    #[display("too_large")]
+    TooLarge,
+    /// The request did not arrive whole in time.
+    #[display("request_timeout")]
+    RequestTimeout,
+    /// No such path, or the path does not take this method.
+    #[display("not_found")]
+    NotFound,
+    /// No model, adapter or service of that name is offered.
+    #[display("unknown_model")]
+    UnknownModel,
+    /// A rule refuses it.
+    #[display("rule_refused")]
+    RuleRefused,
+    /// A rule's limit is used up.
+    #[display("rule_limit")]
+    RuleLimit,
+    /// The caller's own limit is used up.
+    #[display("caller_limit")]
+    CallerLimit,
+    /// No endpoint that may serve it is known, or none has the model and none can load it in time.
+    #[display("no_route")]
+    NoRoute,
+    /// The queue of its class is full.
+    #[display("queue_full")]
+    QueueFull,
+    /// It could not have been finished by its deadline.
+    #[display("deadline_unmeetable")]
+    DeadlineUnmeetable,
+    /// Its deadline passed while it ran.
+    #[display("deadline_passed")]
+    DeadlinePassed,
+    /// The endpoint failed, and no other try was allowed or left.
+    #[display("endpoint_failed")]
+    EndpointFailed,
+    /// The endpoint answered with an error of its own.
+    #[display("endpoint_refused")]
+    EndpointRefused,
+    /// This entry process cannot confirm that its configuration is in force.
+    #[display("not_confirmed")]
+    NotConfirmed,
+    /// The control group could not record the claim of a request that may not be repeated.
+    #[display("claim_unavailable")]
+    ClaimUnavailable,
+    /// A request with the same idempotency key is running or has run.
+    #[display("duplicate")]
+    Duplicate,
+    /// The same idempotency key came with other content.
+    #[display("key_reused")]
+    KeyReused,
+    /// This entry process is shutting down.
+    #[display("draining")]
+    Draining,
+    /// This entry process serves as many requests as it is set to.
+    #[display("too_many_requests_open")]
+    TooManyOpen,
+    /// A fault inside the system.
+    #[display("internal")]
+    Internal,
+}
+
+impl Reason {
+    /// The HTTP status of an answer that refuses for this reason.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Unauthorized => 401,
+            Self::RuleRefused => 403,
+            Self::NotFound | Self::UnknownModel => 404,
+            Self::RequestTimeout => 408,
+            Self::Duplicate => 409,
+            Self::TooLarge => 413,
+            Self::KeyReused => 422,
+            Self::RuleLimit | Self::CallerLimit | Self::QueueFull => 429,
+            Self::Internal => 500,
+            Self::EndpointFailed | Self::EndpointRefused => 502,
+            Self::NoRoute
+            | Self::DeadlineUnmeetable
+            | Self::NotConfirmed
+            | Self::ClaimUnavailable
+            | Self::Draining
+            | Self::TooManyOpen => 503,
+            Self::DeadlinePassed => 504,
+        }
+    }
+
+    /// A short title for people, the same for every refusal with this reason.
+    #[must_use]
+    pub fn title(self) -> &'static str {
+        match self {
+            Self::BadRequest => "The request is not valid",
+            Self::Unauthorized => "The caller is not known",
+            Self::TooLarge => "The request is too large",
+            Self::RequestTimeout => "The request did not arrive in time",
+            Self::NotFound => "There is nothing at this path",
+            Self::UnknownModel => "No model or service of this name is offered",
+            Self::RuleRefused => "A rule refuses the request",
+            Self::RuleLimit => "A rule's limit is used up",
+            Self::CallerLimit => "The caller's limit is used up",
+            Self::NoRoute => "No endpoint can serve the request",
+            Self::QueueFull => "The queue is full",
+            Self::DeadlineUnmeetable => "The request could not be finished in time",
+            Self::DeadlinePassed => "The request was not finished in time",
+            Self::EndpointFailed => "The endpoint failed",
+            Self::EndpointRefused => "The endpoint refused the request",
+            Self::NotConfirmed => "The configuration in force cannot be confirmed here",
+            Self::ClaimUnavailable => "The request cannot be recorded as run once",
+            Self::Duplicate => "The request was received before",
+            Self::KeyReused => "The idempotency key belongs to another request",
+            Self::Draining => "This entry process is shutting down",
+            Self::TooManyOpen => "Too many requests are open",
+            Self::Internal => "The system failed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/sageshed-vms/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer: our own processes, rmp-serde over HTTP.
--- /dev/null
+++ b/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model-checked specifications over the pure crates.
--- /dev/null
+++ b/src/bin/sageshed/main.rs
@@ -0,0 +1,2 @@
+//! The command line.
+fn main() {}
--- /dev/null
+++ b/src/sageshed/lib.rs
@@ -0,0 +1,1 @@
+//! What the commands and daemons do.
