--- a/crates/sageshed-types/src/arena.rs
+++ b/crates/sageshed-types/src/arena.rs
@@ -54,7 +54,7 @@
 /// Distinct names, each with its key in the order they came.
 #[derive(Debug, Clone)]
 pub struct Names<K> {
-    names: Vec<String>,
+    by_index: Vec<String>,
     keys: collections::HashMap<String, u32>,
     kind: marker::PhantomData<K>,
 }
@@ -75,8 +75,8 @@
         if let Some(key) = self.get(name) {
             return key;
         }
-        let key = K::from_index(self.names.len());
-        self.names.push(name.to_owned());
+        let key = K::from_index(self.by_index.len());
+        self.by_index.push(name.to_owned());
         self.keys.insert(
             name.to_owned(),
             u32::try_from(key.index()).unwrap_or(u32::MAX),
@@ -95,19 +95,19 @@
     /// The name behind `key`, which must come from this arena.
     #[must_use]
     pub fn name(&self, key: K) -> &str {
-        &self.names[key.index()]
+        &self.by_index[key.index()]
     }
 
     /// How many names there are.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.names.len()
+        self.by_index.len()
     }
 
     /// Whether there is no name.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.names.is_empty()
+        self.by_index.is_empty()
     }
 
     /// Every key with its name, in order of interning.
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -3,22 +3,22 @@
 //! | path | from, to | request | answer |
 //! |---|---|---|---|
 //! | `/vms/sync` | any, any | [`SyncReq`] | [`SyncResp`] |
-//! | `/vms/claim` | entry, control | [`claims::Claim`] | [`Routed`] of [`claims::ClaimOutcome`] |
-//! | `/vms/settle` | entry, control | [`claims::Settle`] | [`Routed`] of `()` |
+//! | `/vms/claim` | entry, control | [`crate::claims::Claim`] | [`Routed`] of [`crate::claims::ClaimOutcome`] |
+//! | `/vms/settle` | entry, control | [`crate::claims::Settle`] | [`Routed`] of `()` |
 //! | `/vms/replicate` | control, control | [`Envelope`] | empty |
 //! | `/vms/explain` | control, entry | request id | `Option<`[`account::Account`]`>` |
 
 use serde::{Deserialize, Serialize};
 
-use crate::{account, catalog, claims, endpoints, rules, time};
+use crate::{account, catalog, endpoints, rules, time};
 
 /// The path of each message.
 pub mod paths {
     /// Takes [`super::SyncReq`].
     pub const SYNC: &str = "/vms/sync";
-    /// Takes [`super::claims::Claim`].
+    /// Takes [`crate::claims::Claim`].
     pub const CLAIM: &str = "/vms/claim";
-    /// Takes [`super::claims::Settle`].
+    /// Takes [`crate::claims::Settle`].
     pub const SETTLE: &str = "/vms/settle";
     /// Takes [`super::Envelope`].
     pub const REPLICATE: &str = "/vms/replicate";
