--- a/crates/sageshed-types/src/arena.rs
+++ b/crates/sageshed-types/src/arena.rs
@@ -62,7 +62,7 @@
 impl<K> Default for Names<K> {
     fn default() -> Self {
         Self {
-            names: Vec::new(),
+            by_index: Vec::new(),
             keys: collections::HashMap::new(),
             kind: marker::PhantomData,
         }
@@ -112,7 +112,7 @@
 
     /// Every key with its name, in order of interning.
     pub fn iter(&self) -> impl Iterator<Item = (K, &str)> {
-        self.names
+        self.by_index
             .iter()
             .enumerate()
             .map(|(i, name)| (K::from_index(i), name.as_str()))
