--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -3,7 +3,7 @@
 //! Nothing in this package does I/O or reads a clock. It holds the words in which the packages talk
 //! to each other: keys and arenas ([`arena`]), the verdict about a request ([`verdict`]), the
 //! account of a refusal ([`refusal`]), rules as data ([`rules`]), what endpoints say of themselves
-//! ([`endpoints`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
+//! ([`endpoints`]), how a sending to one of them fails ([`fault`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
 //! repeated ([`claims`]), what happened to one request ([`account`]) and the messages between the
 //! system's own processes ([`messages`]).
 
@@ -12,6 +12,7 @@
 pub mod catalog;
 pub mod claims;
 pub mod endpoints;
+pub mod fault;
 pub mod messages;
 pub mod refusal;
 pub mod rules;
