Name the membership and the relay of configuration in the heartbeat

Cause: an entry process that counts grants against an old list of voters can be granted a stale lease by voters that were removed without learning it. With the newest membership of any granter in hand it cannot: consecutive memberships differ by one voter, so every majority of one holds a voter whose log has the next. Ruled out: the applied membership in place of the newest in the log; the voter that acknowledged the change may not have applied it yet. Change: the grant names membership, index, term and disk generation; entry processes pass committed configuration on to each other. Not run: no behaviour yet.

--- a/crates/sageshed-types/src/fault.rs
+++ b/crates/sageshed-types/src/fault.rs
@@ -8,7 +8,9 @@
 ///
 /// A fault alone does not say whether the request ran: an endpoint's own answer may, so a
 /// [`crate::verdict::Verdict`] stands beside it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// No connection was made: nothing listens there, or the address is of no use.
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -92,14 +92,22 @@
     pub control: Option<ControlPart>,
     /// The newest revision in force at the answerer.
     pub revision: rules::Revision,
+    /// The committed configuration, if the answerer's is newer than the asker's. Entry processes
+    /// pass it on too, so that it reaches those that no control process can reach.
+    pub config: Option<ConfigUpdate>,
+    /// Whether the answerer has heard, within a heartbeat or two, a leader that itself hears a
+    /// majority of the voters.
+    pub hears_leader: bool,
 }
 
 /// What a control process says to an entry process about the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ControlPart {
-    /// The voters of the control group by VM, as this process has applied them.
-    pub voters: Vec<String>,
-    /// Whether this process is a voter that may grant leases now.
+    /// The newest membership in this process's log, committed or not.
+    pub membership: Membership,
+    /// The disk generation of this process: a grant counts only for this one.
+    pub generation: u64,
+    /// Whether this process may grant leases now: it is a voter of `membership`.
     pub grants: bool,
     /// The lease granted, counted from when the asker sent the request, in milliseconds.
     pub lease: time::Millis,
@@ -107,8 +115,6 @@
     /// entry process that has this revision or a later one in force: a change that a majority holds
     /// is thereby known to at least one of any majority that grants.
     pub required: rules::Revision,
-    /// The committed configuration, if it is newer than the asker's.
-    pub config: Option<ConfigUpdate>,
     /// Who leads, if known.
     pub leader: Option<String>,
     /// The term of that leader.
@@ -117,6 +123,26 @@
     pub draining: Vec<String>,
 }
 
+/// The voters of the control group as one log entry sets them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Term of the entry.
+    pub term: u64,
+    /// Index of the entry.
+    pub index: u64,
+    /// The voters.
+    pub voters: Vec<Voter>,
+}
+
+/// A voter: a VM with one generation of its disk.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Voter {
+    /// The VM's name.
+    pub vm: String,
+    /// The disk generation.
+    pub generation: u64,
+}
+
 /// Committed configuration on its way to an entry process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
