--- /dev/null
+++ b/crates/sageshed-decide/src/rules.rs
@@ -0,0 +1,1 @@
+//! Rules compiled to keys.
