Let the processes of the VMs call each other

Cause: the daemons need one way to exchange the typed messages. Ruled out: repeating a call here; only its maker knows whether it may. Not run: its contract test comes with the daemons that use it.

--- /dev/null
+++ b/crates/sageshed-vms/src/client.rs
@@ -0,0 +1,168 @@
+//! Calls to another process of the system.
+
+use std::{
+    io::{self, Read},
+    time,
+};
+
+use derive_more::{Display, Error};
+use serde::{Serialize, de};
+
+use crate::codec;
+
+/// How long a connection may take to be made.
+const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(400);
+
+/// Idle connections kept to one address.
+const IDLE_PER_ADDRESS: usize = 4;
+
+/// A call that brought no answer.
+#[derive(Debug, Display, Error)]
+pub enum CallError {
+    /// Nobody listens there: the process is down, and not a byte went out.
+    #[display("{address} refuses connections")]
+    Refused {
+        /// Whom we called.
+        address: String,
+    },
+    /// No connection came about in time; not a byte went out.
+    #[display("{address} cannot be reached")]
+    Unreachable {
+        /// Whom we called.
+        address: String,
+    },
+    /// The message went out at least in part and no whole answer came.
+    #[display("{address} did not answer: {problem}")]
+    NoAnswer {
+        /// Whom we called.
+        address: String,
+        /// What the connection showed.
+        problem: String,
+    },
+    /// It answered with an HTTP error.
+    #[display("{address} answered with status {status}: {problem}")]
+    Status {
+        /// Whom we called.
+        address: String,
+        /// The status.
+        status: u16,
+        /// The start of its body.
+        problem: String,
+    },
+    /// The message or its answer could not be coded.
+    #[display("{_0}")]
+    Codec(codec::CodecError),
+}
+
+/// A client for all addresses; cheap to clone, and clones share their connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    agent: ureq::Agent,
+    token: String,
+}
+
+impl Client {
+    /// A client that shows `token` with each call.
+    #[must_use]
+    pub fn new(token: &str) -> Self {
+        let agent = ureq::AgentBuilder::new()
+            .timeout_connect(CONNECT_LIMIT)
+            .max_idle_connections_per_host(IDLE_PER_ADDRESS)
+            .max_idle_connections(IDLE_PER_ADDRESS * 64)
+            .redirects(0)
+            .user_agent("sageshed")
+            .build();
+        Self {
+            agent,
+            token: token.to_owned(),
+        }
+    }
+
+    /// Sends `message` to `path` at `address` and reads the answer, all within `limit`.
+    pub fn call<M: Serialize, A: de::DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: &M,
+        limit: time::Duration,
+    ) -> Result<A, CallError> {
+        let body = codec::encode(message).map_err(CallError::Codec)?;
+        let answer = self.post(address, path, &body, limit)?;
+        codec::decode(&answer).map_err(CallError::Codec)
+    }
+
+    fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: &[u8],
+        limit: time::Duration,
+    ) -> Result<Vec<u8>, CallError> {
+        let answer = self
+            .agent
+            .post(&format!("http://{address}{path}"))
+            .set(crate::TOKEN_HEADER, &self.token)
+            .set("Content-Type", "application/msgpack")
+            .timeout(limit)
+            .send_bytes(body)
+            .map_err(|e| classify(address, e))?;
+        read_whole(answer).map_err(|e| no_answer(address, &e))
+    }
+}
+
+fn read_whole(answer: ureq::Response) -> io::Result<Vec<u8>> {
+    let mut buf = Vec::new();
+    answer
+        .into_reader()
+        .take(crate::BODY_LIMIT)
+        .read_to_end(&mut buf)?;
+    Ok(buf)
+}
+
+fn classify(address: &str, error: ureq::Error) -> CallError {
+    let address = address.to_owned();
+    match error {
+        ureq::Error::Status(status, answer) => {
+            let problem = answer.into_string().unwrap_or_default();
+            CallError::Status {
+                address,
+                status,
+                problem,
+            }
+        }
+        ureq::Error::Transport(t) if t.kind() == ureq::ErrorKind::ConnectionFailed => {
+            if is_refused(&t) {
+                CallError::Refused { address }
+            } else {
+                CallError::Unreachable { address }
+            }
+        }
+        ureq::Error::Transport(t) if t.kind() == ureq::ErrorKind::Dns => {
+            CallError::Unreachable { address }
+        }
+        ureq::Error::Transport(t) => CallError::NoAnswer {
+            address,
+            problem: t.to_string(),
+        },
+    }
+}
+
+fn is_refused(transport: &ureq::Transport) -> bool {
+    let mut source = std::error::Error::source(transport);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>()
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
+fn no_answer(address: &str, error: &io::Error) -> CallError {
+    CallError::NoAnswer {
+        address: address.to_owned(),
+        problem: error.to_string(),
+    }
+}
