Read the daemons' settings from TOML and check them as a whole

Serde stops at the first wrong value, so an operator would mend a settings file one start at a time. Each file is parsed once into TOML's own tables, which keep the place of every key, and each section and each member of a list is deserialised on its own: one run shows every section that needs mending, with file, line and key. The policies of routing and placement stay plain tables until their packages have them.

--- /dev/null
+++ b/src/sageshed/entry/accounts.rs
@@ -0,0 +1,40 @@
+//! The accounts of the latest requests, for `sageshed explain`.
+
+use std::collections;
+
+use sageshed_types::account;
+
+/// Accounts kept for a while, the oldest dropped first.
+#[derive(Debug)]
+pub struct Accounts {
+    max: usize,
+    order: collections::VecDeque<String>,
+    by_id: collections::HashMap<String, account::Account>,
+}
+
+impl Accounts {
+    /// Room for `max` accounts; each takes about 1 KiB.
+    #[must_use]
+    pub fn new(max: usize) -> Self {
+        Self { max, order: collections::VecDeque::new(), by_id: collections::HashMap::new() }
+    }
+
+    /// Keeps the account of a request that has ended.
+    pub fn keep(&mut self, account: account::Account) {
+        let id = account.request_id.clone();
+        if self.by_id.insert(id.clone(), account).is_none() {
+            self.order.push_back(id);
+        }
+        while self.order.len() > self.max {
+            if let Some(oldest) = self.order.pop_front() {
+                self.by_id.remove(&oldest);
+            }
+        }
+    }
+
+    /// The account of a request, if it is still kept.
+    #[must_use]
+    pub fn get(&self, request_id: &str) -> Option<&account::Account> {
+        self.by_id.get(request_id)
+    }
+}
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -1,1 +1,3 @@
 //! What the commands and daemons do.
+
+pub mod settings;
--- /dev/null
+++ b/src/sageshed/settings/mod.rs
@@ -0,0 +1,21 @@
+//! Settings of the daemons: TOML files, checked as a whole before anything starts.
+//!
+//! Each process has a file of its own, which names a second one, `common`, that all VMs share. The
+//! keys are listed in `docs/operators/settings.md`. Reading goes on past what is wrong, so that one
+//! run of `sageshed config check` shows an operator every section that needs mending, each with
+//! file, line and key.
+
+mod address;
+mod checks;
+mod common;
+mod limits;
+mod load;
+mod problem;
+mod process;
+mod reader;
+
+pub use common::{Claims, Common, ControlGroup, Lease, Operator, Placement, Routing, Service, Vm};
+pub use limits::Limits;
+pub use load::{Settings, common, control, entry, load};
+pub use problem::{Problem, Problems};
+pub use process::{Control, ControlListen, Entry, EntryListen, Format, Level, Log, Shutdown};
