Tell a caller's own mark from the one that the method gives

A rule may lift the mark of a POST to a plain service, but never the mark that the caller set: it is a promise to the caller. One flag could not tell the two apart. Also look names up on the decider itself.

--- a/crates/sageshed-decide/src/decider.rs
+++ b/crates/sageshed-decide/src/decider.rs
@@ -70,6 +70,30 @@
         &self.names
     }
 
+    /// The caller whose token has this SHA-256 (lower-case hexadecimal).
+    #[must_use]
+    pub fn caller_by_token_hash(&self, hash: &str) -> Option<arena::CallerKey> {
+        self.names.caller_by_token_hash(hash)
+    }
+
+    /// The class of this name.
+    #[must_use]
+    pub fn class(&self, name: &str) -> Option<arena::ClassKey> {
+        self.names.classes.get(name)
+    }
+
+    /// The model or adapter on offer under this name.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<event::Target> {
+        self.names.model(name)
+    }
+
+    /// The plain service on offer under this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<event::Target> {
+        self.names.service(name)
+    }
+
     /// Puts rules in force.
     pub fn install_rules(&mut self, set: rules::RuleSet) {
         self.rules = set;
--- a/crates/sageshed-decide/src/event.rs
+++ b/crates/sageshed-decide/src/event.rs
@@ -38,8 +38,12 @@
     pub prompt_tokens: u32,
     /// The most tokens that the answer may have; 0 if that is not known.
     pub max_tokens: u32,
-    /// Whether the caller marked it as one that may not be repeated.
+    /// Whether it is one that may not be repeated: the caller marked it so, or it is a `POST` to a
+    /// plain service and the caller did not say otherwise.
     pub not_repeatable: bool,
+    /// Whether [`Self::not_repeatable`] comes from the method alone. Only then may a rule lift it;
+    /// a caller's own mark always holds.
+    pub not_repeatable_by_default: bool,
     /// Time from its arrival that the caller gives it, in milliseconds.
     pub deadline: Option<time::Millis>,
     /// A hash of the first part of the prompt, for requests that share it; 0: none.
