Take callers' requests over HTTP on a loop of our own

rouille holds streamed bodies back; tiny_http has no read timeout, answers 400 and 431 without our account, and cannot tell that a waiting caller left. Both were ruled out, and so were the usual servers, which bring an async runtime.

The caller side is a small loop over std::net, one thread a connection with a small stack and a bound on their number; httparse parses heads and chunk sizes. Framing is judged strictly, sizes and times are bounded over the whole of what they name, and every refusal, also of bytes that cannot be parsed, is a problem document with an account.

--- /dev/null
+++ b/crates/sageshed-callers/src/body.rs
@@ -0,0 +1,157 @@
+//! Reading the body of a request, by length or by chunks.
+
+use std::time;
+
+use sageshed_types::{refusal, verdict};
+
+use crate::{
+    head, limits,
+    link::{self, Fill},
+};
+
+/// The longest line with a chunk's size and extensions, in bytes.
+const CHUNK_LINE: usize = 1024;
+
+/// The most that may follow the last chunk, in bytes.
+const TRAILER: usize = 8 * 1024;
+
+/// Why there is no whole body.
+#[derive(Debug)]
+pub(crate) enum Cut {
+    /// The caller gets this refusal.
+    Refused(refusal::Refusal),
+    /// The connection broke: nobody is there to refuse.
+    Broken,
+}
+
+impl From<refusal::Refusal> for Cut {
+    fn from(refusal: refusal::Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// Reads one body. All of it has to come before `until`.
+#[derive(Debug)]
+pub(crate) struct Reader<'c> {
+    pub(crate) link: &'c link::Link,
+    pub(crate) input: &'c mut link::Input,
+    pub(crate) limits: &'c limits::Limits,
+    pub(crate) until: time::Instant,
+}
+
+impl Reader<'_> {
+    /// Reads a body of `length` bytes.
+    pub(crate) fn by_length(&mut self, length: u64) -> Result<Vec<u8>, Cut> {
+        let length = within_limit(self.limits, length)?;
+        while self.input.buf.len() < length {
+            self.fill()?;
+        }
+        Ok(self.input.take(length))
+    }
+
+    /// Reads a chunked body. Trailers are checked and dropped.
+    pub(crate) fn by_chunks(&mut self) -> Result<Vec<u8>, Cut> {
+        let mut body = Vec::new();
+        loop {
+            let size = self.chunk_size()?;
+            if size == 0 {
+                self.trailer()?;
+                return Ok(body);
+            }
+            let total = (body.len() as u64).saturating_add(size);
+            let size = within_limit(self.limits, total)? - body.len();
+            self.chunk(size, &mut body)?;
+        }
+    }
+
+    fn chunk_size(&mut self) -> Result<u64, Cut> {
+        loop {
+            match httparse::parse_chunk_size(&self.input.buf) {
+                Ok(httparse::Status::Complete((line, size))) => {
+                    self.input.consume(line);
+                    return Ok(size);
+                }
+                Ok(httparse::Status::Partial) if self.input.buf.len() < CHUNK_LINE => {
+                    self.fill()?;
+                }
+                Ok(httparse::Status::Partial) => {
+                    return Err(head::bad("the line with a chunk's size does not end").into());
+                }
+                Err(_) => return Err(head::bad("a chunk's size is not a number").into()),
+            }
+        }
+    }
+
+    /// Takes a chunk of `size` bytes and the line end after it.
+    fn chunk(&mut self, size: usize, body: &mut Vec<u8>) -> Result<(), Cut> {
+        let framed = size + 2;
+        while self.input.buf.len() < framed {
+            self.fill()?;
+        }
+        if &self.input.buf[size..framed] != b"\r\n" {
+            return Err(head::bad("a chunk is longer than its size says").into());
+        }
+        body.extend_from_slice(&self.input.buf[..size]);
+        self.input.consume(framed);
+        Ok(())
+    }
+
+    fn trailer(&mut self) -> Result<(), Cut> {
+        loop {
+            let mut slots = [httparse::EMPTY_HEADER; 16];
+            match httparse::parse_headers(&self.input.buf, &mut slots) {
+                Ok(httparse::Status::Complete((len, _))) => {
+                    self.input.consume(len);
+                    return Ok(());
+                }
+                Ok(httparse::Status::Partial) if self.input.buf.len() < TRAILER => {
+                    self.fill()?;
+                }
+                Ok(httparse::Status::Partial) => {
+                    return Err(head::with_status(
+                        431,
+                        verdict::Reason::TooLarge,
+                        format!("what follows the last chunk is larger than {TRAILER} bytes"),
+                    )
+                    .into());
+                }
+                Err(e) => {
+                    let detail = format!("what follows the last chunk cannot be parsed: {e}");
+                    return Err(head::bad(detail).into());
+                }
+            }
+        }
+    }
+
+    fn fill(&mut self) -> Result<(), Cut> {
+        match self.input.fill(self.link, self.until) {
+            Fill::More => Ok(()),
+            Fill::Broken => Err(Cut::Broken),
+            Fill::Eof => Err(head::bad("the connection ended inside the body").into()),
+            Fill::TimedOut => Err(refusal::Refusal::not_run(
+                verdict::Reason::RequestTimeout,
+                format!(
+                    "the body did not arrive within {} ms",
+                    self.limits.body_timeout.as_millis()
+                ),
+            )
+            .into()),
+        }
+    }
+}
+
+/// The length of a body as a size in memory, or the refusal of one over the limit.
+pub(crate) fn within_limit(
+    limits: &limits::Limits,
+    length: u64,
+) -> Result<usize, refusal::Refusal> {
+    usize::try_from(length)
+        .ok()
+        .filter(|&length| length <= limits.body_bytes)
+        .ok_or_else(|| {
+            refusal::Refusal::not_run(
+                verdict::Reason::TooLarge,
+                format!("the body is larger than {} bytes", limits.body_bytes),
+            )
+        })
+}
--- /dev/null
+++ b/crates/sageshed-callers/src/limits.rs
@@ -0,0 +1,44 @@
+//! Bounds on what callers can make the process hold.
+
+use std::time;
+
+/// The stack of a connection's thread, in bytes, unless settings say otherwise.
+pub const STACK_BYTES: usize = 192 * 1024;
+
+/// Bounds on sizes, times and numbers. Each is enforced over the whole of what it names, not over
+/// each read: a caller that sends a byte a second gains nothing by it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest request line and headers together, in bytes.
+    pub head_bytes: usize,
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// From the first byte of a request to the end of its headers.
+    pub head_timeout: time::Duration,
+    /// From the end of the headers to the end of the body.
+    pub body_timeout: time::Duration,
+    /// How long a connection may stay open without a request.
+    pub idle_timeout: time::Duration,
+    /// How long the caller may take to accept one piece of an answer: a chunk of a stream, or 64 KiB
+    /// of a whole answer.
+    pub write_timeout: time::Duration,
+    /// How many connections may be open at once. Each holds a thread.
+    pub connections: usize,
+    /// The stack of a connection's thread, in bytes. The handler runs on it.
+    pub stack_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: time::Duration::from_secs(10),
+            body_timeout: time::Duration::from_secs(30),
+            idle_timeout: time::Duration::from_mins(1),
+            write_timeout: time::Duration::from_secs(20),
+            connections: 4_000,
+            stack_bytes: STACK_BYTES,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sageshed-callers/src/link.rs
@@ -0,0 +1,260 @@
+//! One caller's connection: reads with a deadline, writes with a bound.
+
+use std::{
+    io::{self, Read, Write},
+    net,
+    sync::atomic,
+    time,
+};
+
+/// How much is read at once, in bytes. On the stack of the connection's thread.
+const READ_BYTES: usize = 8 * 1024;
+
+/// The largest piece of an answer that the write timeout covers, in bytes.
+const PIECE_BYTES: usize = 64 * 1024;
+
+/// A buffer larger than this, in bytes, is not kept between two requests.
+const KEPT_BYTES: usize = 16 * 1024;
+
+/// How long a connection that this side closes is read on, so that the caller gets the answer.
+const LINGER: time::Duration = time::Duration::from_secs(1);
+
+/// A socket, shared between its thread and the server's table of connections.
+#[derive(Debug)]
+pub(crate) struct Link {
+    stream: net::TcpStream,
+    /// Whether its thread waits for the first byte of a request.
+    idle: atomic::AtomicBool,
+}
+
+/// What came of waiting for bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fill {
+    /// There are more than before.
+    More,
+    /// The caller closed its side.
+    Eof,
+    /// The deadline passed.
+    TimedOut,
+    /// The connection broke.
+    Broken,
+}
+
+/// What was read away without waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Discarded {
+    /// Some bytes.
+    Bytes,
+    /// None have come.
+    Nothing,
+    /// The caller has closed, or the connection broke.
+    Ended,
+}
+
+/// The caller cannot be written to: it left, or it does not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Unwritable;
+
+impl Link {
+    /// Takes over an accepted socket.
+    pub(crate) fn new(stream: net::TcpStream, write_timeout: time::Duration) -> io::Result<Self> {
+        // Without this a chunk would wait for the acknowledgement of the one before it.
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(write_timeout))?;
+        Ok(Self {
+            stream,
+            idle: atomic::AtomicBool::new(true),
+        })
+    }
+
+    /// Writes all of `bytes`, allowing `timeout` for each [`PIECE_BYTES`].
+    pub(crate) fn write(&self, bytes: &[u8], timeout: time::Duration) -> Result<(), Unwritable> {
+        bytes
+            .chunks(PIECE_BYTES)
+            .try_for_each(|piece| self.write_piece(piece, timeout))
+    }
+
+    /// A caller that takes a byte at a time would restart the socket's own timeout with each byte
+    /// and hold the thread for good, so the time over the whole piece is bounded too.
+    fn write_piece(&self, mut piece: &[u8], timeout: time::Duration) -> Result<(), Unwritable> {
+        let started = time::Instant::now();
+        while !piece.is_empty() {
+            match (&self.stream).write(piece) {
+                Ok(0) => return Err(Unwritable),
+                Ok(n) => piece = &piece[n..],
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(Unwritable),
+            }
+            if !piece.is_empty() && started.elapsed() >= timeout {
+                return Err(Unwritable);
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the caller has closed or reset the connection. Does not block.
+    pub(crate) fn is_gone(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        if self.stream.set_nonblocking(false).is_err() {
+            return true;
+        }
+        match peeked {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(
+                e.kind(),
+                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+            ),
+        }
+    }
+
+    /// Notes whether the thread waits for the first byte of a request.
+    pub(crate) fn set_idle(&self, idle: bool) {
+        self.idle.store(idle, atomic::Ordering::SeqCst);
+    }
+
+    /// Whether the thread waits for the first byte of a request.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.idle.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Reads away what has come. Does not block.
+    pub(crate) fn discard(&self) -> Discarded {
+        if self.stream.set_nonblocking(true).is_err() {
+            return Discarded::Ended;
+        }
+        let read = (&self.stream).read(&mut [0; READ_BYTES]);
+        if self.stream.set_nonblocking(false).is_err() {
+            return Discarded::Ended;
+        }
+        match read {
+            Ok(0) => Discarded::Ended,
+            Ok(_) => Discarded::Bytes,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Discarded::Nothing,
+            Err(_) => Discarded::Ended,
+        }
+    }
+
+    /// Ends this side's output.
+    pub(crate) fn stop_writing(&self) {
+        if let Err(e) = self.stream.shutdown(net::Shutdown::Write) {
+            log::debug!(error:% = e; "callers: connection was closed already");
+        }
+    }
+
+    /// Wakes the thread of an idle connection, which then sees the end of input.
+    pub(crate) fn stop_reading(&self) {
+        if let Err(e) = self.stream.shutdown(net::Shutdown::Read) {
+            log::debug!(error:% = e; "callers: idle connection was closed already");
+        }
+    }
+
+    /// Closes the connection at once.
+    pub(crate) fn close(&self) {
+        if let Err(e) = self.stream.shutdown(net::Shutdown::Both) {
+            log::debug!(error:% = e; "callers: connection was closed already");
+        }
+    }
+
+    /// Ends the answers, then reads on for a short time until the caller closes too.
+    ///
+    /// Closing a socket with unread input makes the kernel send a reset, which can destroy an answer
+    /// that the caller has not read yet: a caller that was told 413 in the middle of its upload would
+    /// see a broken connection and no account. Reading the rest away prevents the reset.
+    pub(crate) fn close_gently(&self) {
+        if self.stream.shutdown(net::Shutdown::Write).is_err() {
+            return;
+        }
+        let until = time::Instant::now() + LINGER;
+        let mut sink = [0; READ_BYTES];
+        while let Some(left) = remaining(until) {
+            if self.stream.set_read_timeout(Some(left)).is_err() {
+                return;
+            }
+            match (&self.stream).read(&mut sink) {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+/// Bytes that came from a caller and are not used yet.
+#[derive(Debug, Default)]
+pub(crate) struct Input {
+    /// What is not used yet.
+    pub(crate) buf: Vec<u8>,
+    timeout: Option<time::Duration>,
+}
+
+impl Input {
+    /// Waits for more bytes, at the longest until `until`.
+    pub(crate) fn fill(&mut self, link: &Link, until: time::Instant) -> Fill {
+        let Some(left) = remaining(until) else {
+            return Fill::TimedOut;
+        };
+        self.fill_within(link, left)
+    }
+
+    /// Waits for more bytes, at the longest for `left`.
+    pub(crate) fn fill_within(&mut self, link: &Link, left: time::Duration) -> Fill {
+        if self.timeout != Some(left) {
+            if link.stream.set_read_timeout(Some(left)).is_err() {
+                return Fill::Broken;
+            }
+            self.timeout = Some(left);
+        }
+        let mut chunk = [0; READ_BYTES];
+        // A read with a timeout is not restarted after a signal handler ran. Taken for a failure,
+        // the signal that begins a graceful shutdown would cut a connection.
+        let read = loop {
+            match (&link.stream).read(&mut chunk) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                read => break read,
+            }
+        };
+        match read {
+            Ok(0) => Fill::Eof,
+            Ok(n) => {
+                self.buf.extend_from_slice(&chunk[..n]);
+                Fill::More
+            }
+            Err(e) => failed_read(&e),
+        }
+    }
+
+    /// Drops the first `count` bytes.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.buf.drain(..count);
+    }
+
+    /// Takes the first `count` bytes out.
+    pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
+        let rest = self.buf.split_off(count);
+        std::mem::replace(&mut self.buf, rest)
+    }
+
+    /// Gives back memory that a large request needed.
+    pub(crate) fn shrink(&mut self) {
+        if self.buf.capacity() > KEPT_BYTES {
+            self.buf.shrink_to(KEPT_BYTES);
+        }
+    }
+}
+
+fn failed_read(e: &io::Error) -> Fill {
+    match e.kind() {
+        // The socket's own timeout shows as either, by platform.
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Fill::TimedOut,
+        _ => Fill::Broken,
+    }
+}
+
+/// The time until `until`, or none if it has passed. Never zero: a socket takes zero for "no timeout".
+fn remaining(until: time::Instant) -> Option<time::Duration> {
+    until
+        .checked_duration_since(time::Instant::now())
+        .filter(|left| !left.is_zero())
+}
--- /dev/null
+++ b/crates/sageshed-callers/src/reply.rs
@@ -0,0 +1,341 @@
+//! The answer to one request: whole, refused or streamed.
+
+use std::{
+    fmt::Write as _,
+    sync::{self, atomic},
+    time,
+};
+
+use derive_more::{Display, Error};
+use sageshed_types::refusal;
+
+use crate::{link, problem};
+
+/// An answer this large, in bytes, is not copied behind its head but written after it.
+const COPIED_BYTES: usize = 64 * 1024;
+
+/// What an answer begins with.
+#[derive(Debug, Clone, Copy)]
+pub struct Head<'a> {
+    /// Sent as `Sageshed-Request-Id`.
+    pub request_id: &'a str,
+    /// HTTP status, 200 to 599.
+    pub status: u16,
+    /// `Content-Type`; none is sent if it is empty.
+    pub content_type: &'a str,
+    /// Further headers. Those about framing and connection are left out, and so is one that holds
+    /// a control character: it could start an answer of its own.
+    pub headers: &'a [(&'a str, &'a str)],
+}
+
+/// The caller left before the answer was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("writing to the caller: it has left or does not read")]
+pub struct CallerGone;
+
+/// Proof that a request was answered. Only [`Reply`] and [`Stream`] make one.
+#[derive(Debug)]
+#[must_use = "hand it back from Handler::handle"]
+pub struct Sent {
+    whole: bool,
+}
+
+impl Sent {
+    /// Whether the last byte was handed to the connection. It does not prove that the caller read it.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.whole
+    }
+}
+
+/// The state of one answer, kept by the connection.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) link: sync::Arc<link::Link>,
+    pub(crate) draining: sync::Arc<atomic::AtomicBool>,
+    pub(crate) write_timeout: time::Duration,
+    pub(crate) manner: Manner,
+    pub(crate) progress: Progress,
+}
+
+/// What an answer needs to know of its request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Manner {
+    /// Whether the caller speaks HTTP/1.0.
+    pub(crate) old: bool,
+    /// Whether the request was a HEAD, whose answer has no body.
+    pub(crate) head_only: bool,
+    /// Whether the connection is kept for another request.
+    pub(crate) keep: bool,
+}
+
+impl Manner {
+    /// For a request that was not understood: HTTP/1.1, and the connection ends.
+    pub(crate) const LAST: Self = Self {
+        old: false,
+        head_only: false,
+        keep: false,
+    };
+}
+
+/// How far an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// No byte of it went out.
+    Unanswered,
+    /// Some did.
+    Begun,
+    /// The caller is past reading.
+    Gone,
+}
+
+impl Exchange {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), CallerGone> {
+        if self.progress == Progress::Gone {
+            return Err(CallerGone);
+        }
+        self.progress = Progress::Begun;
+        if self.link.write(bytes, self.write_timeout).is_err() {
+            self.progress = Progress::Gone;
+            self.manner.keep = false;
+            return Err(CallerGone);
+        }
+        Ok(())
+    }
+
+    /// Connections melt away while the process drains: each answer is then the last on its own.
+    fn settle_keep(&mut self) {
+        if self.draining.load(atomic::Ordering::Relaxed) {
+            self.manner.keep = false;
+        }
+    }
+
+    fn head(&self, head: &Head<'_>, framing: &str) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status));
+        push(&mut text, "Sageshed-Request-Id", head.request_id);
+        if !head.content_type.is_empty() {
+            push(&mut text, "Content-Type", head.content_type);
+        }
+        for (name, value) in head.headers {
+            if !is_own(name) {
+                push(&mut text, name, value);
+            }
+        }
+        text.push_str(framing);
+        match (self.manner.keep, self.manner.old) {
+            (false, _) => text.push_str("Connection: close\r\n"),
+            (true, true) => text.push_str("Connection: keep-alive\r\n"),
+            (true, false) => {}
+        }
+        text.push_str("\r\n");
+        text.into_bytes()
+    }
+}
+
+/// The way to answer one request.
+#[derive(Debug)]
+pub struct Reply<'c> {
+    pub(crate) ex: &'c mut Exchange,
+}
+
+impl<'c> Reply<'c> {
+    /// Whether the caller has closed its connection. Cheap, does not block; for a handler that
+    /// waits.
+    ///
+    /// The end of the caller's input counts as gone. A caller might close only its sending half and
+    /// read on, but nothing tells that from one that has left, usual clients never do it, and running
+    /// a model for nobody costs others their answers. While the next request of the same connection
+    /// waits unread, the answer is "no": the end behind it cannot be seen yet.
+    #[must_use]
+    pub fn caller_gone(&self) -> bool {
+        self.ex.progress == Progress::Gone || self.ex.link.is_gone()
+    }
+
+    /// Answers with a whole body.
+    pub fn whole(self, head: &Head<'_>, body: &[u8]) -> Sent {
+        let ex = self.ex;
+        ex.settle_keep();
+        let bodiless = matches!(head.status, 204 | 304);
+        let framing = if bodiless {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
+        let mut bytes = ex.head(head, &framing);
+        let body = if bodiless || ex.manner.head_only {
+            &[]
+        } else {
+            body
+        };
+        let written = if body.len() <= COPIED_BYTES {
+            bytes.extend_from_slice(body);
+            ex.write(&bytes)
+        } else {
+            ex.write(&bytes).and_then(|()| ex.write(body))
+        };
+        Sent {
+            whole: written.is_ok(),
+        }
+    }
+
+    /// Refuses, with the account as the body.
+    pub fn refusal(self, request_id: &str, refusal: &refusal::Refusal) -> Sent {
+        let owned = problem::headers(refusal);
+        let headers: Vec<_> = owned
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect();
+        let head = Head {
+            request_id,
+            status: refusal.status,
+            content_type: problem::CONTENT_TYPE,
+            headers: &headers,
+        };
+        self.whole(&head, &problem::body(request_id, refusal))
+    }
+
+    /// Begins a streamed answer: the head goes out at once.
+    ///
+    /// After it no refusal can be sent, so begin when the first bytes are at hand. If the caller has
+    /// left, the first [`Stream::send`] says so.
+    #[must_use]
+    pub fn stream(self, head: &Head<'_>) -> Stream<'c> {
+        let ex = self.ex;
+        ex.settle_keep();
+        // HTTP/1.0 has no chunks: there the end of the connection ends the body.
+        let framing = if ex.manner.old {
+            ex.manner.keep = false;
+            ""
+        } else {
+            "Transfer-Encoding: chunked\r\n"
+        };
+        let bytes = ex.head(head, framing);
+        let stream = Stream { ex, ended: false };
+        if stream.ex.write(&bytes).is_err() {
+            log::debug!("callers: caller left before its stream began");
+        }
+        stream
+    }
+}
+
+/// A streamed answer under way.
+///
+/// Dropped without [`Stream::finish`], it is aborted.
+#[derive(Debug)]
+pub struct Stream<'c> {
+    ex: &'c mut Exchange,
+    ended: bool,
+}
+
+impl Stream<'_> {
+    /// Sends one chunk at once. An empty one is left out: it would mean the end.
+    pub fn send(&mut self, bytes: &[u8]) -> Result<(), CallerGone> {
+        if self.ex.progress == Progress::Gone {
+            return Err(CallerGone);
+        }
+        if bytes.is_empty() || self.ex.manner.head_only {
+            return Ok(());
+        }
+        if self.ex.manner.old {
+            return self.ex.write(bytes);
+        }
+        let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
+        framed.extend_from_slice(bytes);
+        framed.extend_from_slice(b"\r\n");
+        self.ex.write(&framed)
+    }
+
+    /// Whether the caller has closed its connection, as [`Reply::caller_gone`].
+    #[must_use]
+    pub fn caller_gone(&self) -> bool {
+        self.ex.progress == Progress::Gone || self.ex.link.is_gone()
+    }
+
+    /// Ends the answer: the caller has it whole.
+    pub fn finish(mut self) -> Sent {
+        self.ended = true;
+        let written = if self.ex.manner.old || self.ex.manner.head_only {
+            self.ex.write(b"")
+        } else {
+            self.ex.write(b"0\r\n\r\n")
+        };
+        Sent {
+            whole: written.is_ok(),
+        }
+    }
+
+    /// Ends the connection in the middle of the answer, so that the caller cannot take what it has
+    /// for the whole.
+    ///
+    /// In HTTP/1.1 the last chunk is missing, which every client reports. HTTP/1.0 has no such mark:
+    /// there only the content can tell, for example a missing `[DONE]`.
+    pub fn abort(self) -> Sent {
+        drop(self);
+        Sent { whole: false }
+    }
+}
+
+impl Drop for Stream<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.ex.manner.keep = false;
+        }
+    }
+}
+
+/// Whether this package writes the header itself.
+fn is_own(name: &str) -> bool {
+    const OWN: [&str; 6] = [
+        "connection",
+        "content-length",
+        "content-type",
+        "keep-alive",
+        "sageshed-request-id",
+        "transfer-encoding",
+    ];
+    OWN.iter().any(|own| name.eq_ignore_ascii_case(own))
+}
+
+/// Adds a header, unless it holds a control character: a line end in a value that came from an
+/// endpoint would let that endpoint write headers, or a whole answer, of its own.
+fn push(text: &mut String, name: &str, value: &str) {
+    let safe = |part: &str| part.chars().all(|c| c == '\t' || !c.is_control());
+    let named = !name.is_empty() && !name.contains([':', ' ', '\t']);
+    if !named || !safe(name) || !safe(value) {
+        log::warn!(name; "callers: header with control characters left out");
+        return;
+    }
+    write!(text, "{name}: {value}\r\n").expect("a string takes all text");
+}
+
+/// The reason phrase of a status. Clients ignore it; people read it.
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        414 => "URI Too Long",
+        417 => "Expectation Failed",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Other",
+    }
+}
--- /dev/null
+++ b/crates/sageshed-callers/src/request.rs
@@ -0,0 +1,102 @@
+//! A request as a caller sent it, with the headers that the system knows already typed.
+
+use std::{net, time};
+
+use sageshed_types::time as types_time;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), or that the sender of the
+/// next request sets anew.
+const NOT_FORWARDED: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// One whole request.
+#[derive(Debug)]
+pub struct Request {
+    /// The method, as sent: methods are case-sensitive.
+    pub method: String,
+    /// The path, still percent-encoded. Begins with `/`, or is `*`.
+    pub path: String,
+    /// What follows the `?`, still percent-encoded.
+    pub query: Option<String>,
+    /// The token of `Authorization: Bearer`.
+    pub bearer: Option<String>,
+    /// `Idempotency-Key`.
+    pub idempotency_key: Option<String>,
+    /// `Sageshed-Repeatable`: `yes` or `no`.
+    pub repeatable: Option<bool>,
+    /// `Sageshed-Deadline-Ms`: time left when the caller sent it, in milliseconds.
+    pub deadline: Option<types_time::Millis>,
+    /// `Sageshed-Class`.
+    pub class: Option<String>,
+    /// `Content-Type`, as sent.
+    pub content_type: Option<String>,
+    /// Every header, in the order sent.
+    pub headers: Vec<Header>,
+    /// The body, with any chunked coding taken off.
+    pub body: Vec<u8>,
+    /// When the first byte was read. Deadlines count from here.
+    pub received: time::Instant,
+    /// The other end of the connection: the platform's balancer, as a rule.
+    pub peer: net::SocketAddr,
+}
+
+/// One header.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    /// The name, as sent: an ASCII token.
+    pub name: String,
+    /// The value without surrounding white space. Not always UTF-8.
+    pub value: Vec<u8>,
+}
+
+impl Request {
+    /// The first header called `name`, in any case, if its value is UTF-8.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|header| header.name.eq_ignore_ascii_case(name))?;
+        str::from_utf8(&found.value).ok()
+    }
+
+    /// The headers to pass on to a plain service.
+    ///
+    /// Left out are those of the connection, those named by a `Connection` header, those that the
+    /// next sender sets anew, and `Authorization`: the caller's token is meant for this system, and
+    /// a service that sees it could act as the caller.
+    pub fn forwarded(&self) -> impl Iterator<Item = &Header> {
+        self.headers
+            .iter()
+            .filter(|header| !self.stays_here(&header.name))
+    }
+
+    fn stays_here(&self, name: &str) -> bool {
+        let fixed = NOT_FORWARDED
+            .iter()
+            .any(|kept| name.eq_ignore_ascii_case(kept));
+        fixed || self.is_connection_option(name)
+    }
+
+    fn is_connection_option(&self, name: &str) -> bool {
+        self.headers
+            .iter()
+            .filter(|header| header.name.eq_ignore_ascii_case("connection"))
+            .filter_map(|header| str::from_utf8(&header.value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|option| option.trim().eq_ignore_ascii_case(name))
+    }
+}
