Add the replicated log as a pure state machine

A node that doesn't find itself among the voters grants no vote unless the candidate's log holds a later membership. The stricter rule was ruled out: a learner whose promotion is committed but has not reached it may be the one vote that is missing once a second VM is lost.

--- /dev/null
+++ b/crates/sageshed-quorum/src/election.rs
@@ -0,0 +1,252 @@
+//! Elections: pre-vote, vote, and the leader's knowledge that it still is one.
+
+use std::collections;
+
+use sageshed_types::time;
+
+use crate::{event, log, message, node, output, state};
+
+impl node::Node {
+    /// The instant until which no other leader can have been elected, on this node's clock.
+    ///
+    /// None unless this node leads and has committed an entry of its own term, without which it
+    /// doesn't know all that earlier leaders have committed. Compare with the clock at the moment
+    /// of the decision, not with that of the last event. Until then what is applied here may be
+    /// read, or a lease granted that ends by then, without asking anybody.
+    #[must_use]
+    pub fn has_quorum_until(&self) -> Option<time::Instant> {
+        let state::Role::Leader(leader) = &self.state.role else {
+            return None;
+        };
+        if self.state.commit < leader.term_start {
+            return None;
+        }
+        let end = self.quorum_heard()? + self.cfg.election_timeout;
+        Some(time::Instant(end.0.saturating_sub(self.cfg.drift_margin.0)))
+    }
+
+    /// When the latest round began that a majority of voters has answered.
+    fn quorum_heard(&self) -> Option<time::Instant> {
+        let membership = self.state.log.membership();
+        let answered = |id: &log::NodeId| {
+            if *id == self.cfg.id {
+                Some(self.timers.now)
+            } else {
+                self.timers.answered.get(id).copied()
+            }
+        };
+        let mut instants: Vec<_> = membership.voters.iter().map(answered).collect();
+        instants.sort_unstable_by(|a, b| b.cmp(a));
+        instants.get(membership.majority() - 1).copied().flatten()
+    }
+
+    /// When this node, as leader, has to step down for want of answers.
+    pub(crate) fn quorum_deadline(&self) -> time::Instant {
+        let since = self
+            .quorum_heard()
+            .unwrap_or_default()
+            .max(self.timers.led_since);
+        since + self.cfg.election_timeout
+    }
+
+    pub(crate) fn election_timeout(&mut self, out: &mut output::Output) {
+        if self.is_leader() {
+            return;
+        }
+        self.state.leader = None;
+        self.state.heard_leader = false;
+        self.state.role = state::Role::Follower;
+        self.restart_election_timer();
+        let voter = self.state.log.membership().voters.contains(&self.cfg.id);
+        if !voter || self.state.removed {
+            return;
+        }
+        if self.cfg.guards.pre_vote {
+            self.ask_pre_votes(out);
+        } else {
+            self.ask_votes(out);
+        }
+    }
+
+    fn ask_pre_votes(&mut self, out: &mut output::Output) {
+        let granted = collections::BTreeSet::from([self.cfg.id]);
+        self.state.role = state::Role::PreCandidate { granted };
+        self.ask(message::Body::PreVote, out);
+        self.count_pre_votes(out);
+    }
+
+    fn ask_votes(&mut self, out: &mut output::Output) {
+        let term = self.state.hard.term.next();
+        self.state.hard = log::HardState {
+            term,
+            voted_for: Some(self.cfg.id),
+        };
+        out.hard_state(self.state.hard);
+        let granted = collections::BTreeSet::from([self.cfg.id]);
+        self.state.role = state::Role::Candidate { granted };
+        self.ask(message::Body::Vote, out);
+        self.count_votes(out);
+    }
+
+    fn ask(&self, body: fn(message::Candidacy) -> message::Body, out: &mut output::Output) {
+        let log = &self.state.log;
+        let candidacy = message::Candidacy {
+            last: log.last(),
+            membership: log.membership_index(),
+        };
+        for voter in &log.membership().voters {
+            if *voter != self.cfg.id {
+                self.send(*voter, body(candidacy), out);
+            }
+        }
+    }
+
+    /// `term` is the candidate's present one; it asks about the next.
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        from: log::NodeId,
+        term: log::Term,
+        candidacy: message::Candidacy,
+        out: &mut output::Output,
+    ) {
+        let (index, committed) = self.state.log.membership_at(self.state.commit);
+        let removed = *index > candidacy.membership && !committed.contains(from);
+        let granted = !removed
+            && term >= self.state.hard.term
+            && !self.must_not_vote()
+            && self.may_vote_for(candidacy);
+        self.send(from, message::Body::PreVoteReply { granted, removed }, out);
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        from: log::NodeId,
+        term: log::Term,
+        candidacy: message::Candidacy,
+        out: &mut output::Output,
+    ) {
+        // Not even the term is taken over: it would make the leader step down, which every message
+        // of a removed node, or of one that was cut off, could then do.
+        if self.must_not_vote() {
+            return;
+        }
+        if term > self.state.hard.term {
+            self.follow(term, None, out);
+        }
+        if term < self.state.hard.term {
+            self.send(from, message::Body::Stale, out);
+            return;
+        }
+        let free = self
+            .state
+            .hard
+            .voted_for
+            .is_none_or(|voted_for| voted_for == from);
+        let granted = free && self.may_vote_for(candidacy);
+        if granted {
+            self.state.hard.voted_for = Some(from);
+            out.hard_state(self.state.hard);
+            self.restart_election_timer();
+        }
+        self.send(from, message::Body::VoteReply { granted }, out);
+    }
+
+    /// A leader counts on this node: it leads itself, or has heard one within the timeout.
+    fn must_not_vote(&self) -> bool {
+        let heard = self.state.heard_leader
+            && self.timers.now.since(self.timers.heard) < self.cfg.election_timeout;
+        self.cfg.guards.stickiness && (heard || self.is_leader())
+    }
+
+    /// Whether the candidate's log holds all that this one does, and this node is a voter in it.
+    fn may_vote_for(&self, candidacy: message::Candidacy) -> bool {
+        let log = &self.state.log;
+        let voter = log.membership().voters.contains(&self.cfg.id)
+            || candidacy.membership > log.membership_index();
+        let up_to_date = candidacy.last >= log.last() || !self.cfg.guards.up_to_date;
+        voter && up_to_date
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        from: log::NodeId,
+        grants: bool,
+        removed: bool,
+        out: &mut output::Output,
+    ) {
+        let state::Role::PreCandidate { granted } = &mut self.state.role else {
+            return;
+        };
+        if removed {
+            self.state.removed = true;
+            self.state.role = state::Role::Follower;
+            return;
+        }
+        if grants {
+            granted.insert(from);
+            self.count_pre_votes(out);
+        }
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        from: log::NodeId,
+        grants: bool,
+        out: &mut output::Output,
+    ) {
+        let state::Role::Candidate { granted } = &mut self.state.role else {
+            return;
+        };
+        if grants {
+            granted.insert(from);
+            self.count_votes(out);
+        }
+    }
+
+    fn count_pre_votes(&mut self, out: &mut output::Output) {
+        let state::Role::PreCandidate { granted } = &self.state.role else {
+            return;
+        };
+        if self
+            .state
+            .log
+            .membership()
+            .has_majority(|id| granted.contains(&id))
+        {
+            self.ask_votes(out);
+        }
+    }
+
+    fn count_votes(&mut self, out: &mut output::Output) {
+        let state::Role::Candidate { granted } = &self.state.role else {
+            return;
+        };
+        if self
+            .state
+            .log
+            .membership()
+            .has_majority(|id| granted.contains(&id))
+        {
+            self.lead(out);
+        }
+    }
+
+    fn lead(&mut self, out: &mut output::Output) {
+        let next = self.state.log.last().index.next();
+        self.state.role = state::Role::Leader(state::Leader {
+            peers: collections::BTreeMap::new(),
+            round: 0,
+            term_start: next,
+            reads: collections::VecDeque::new(),
+        });
+        self.state.leader = Some(self.cfg.id);
+        self.timers.led_since = self.timers.now;
+        self.timers.answered.clear();
+        out.push(event::Action::BecameLeader {
+            term: self.state.hard.term,
+        });
+        self.append(log::EntryData::Noop, out);
+        self.heartbeat_due(out);
+        self.count_matches(out);
+    }
+}
--- /dev/null
+++ b/crates/sageshed-quorum/src/heartbeat.rs
@@ -0,0 +1,127 @@
+//! Heartbeats: rounds that confirm the leader, and reads that wait for one.
+
+use crate::{event, log, message, node, output, state};
+
+impl node::Node {
+    pub(crate) fn heartbeat_due(&mut self, out: &mut output::Output) {
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return;
+        };
+        for peer in leader.peers.values_mut() {
+            let patience = if peer.snapshot {
+                self.cfg.snapshot_retry_heartbeats
+            } else {
+                self.cfg.append_retry_heartbeats
+            };
+            peer.unanswered += u32::from(peer.in_flight > 0);
+            if peer.unanswered > patience {
+                peer.restart_at(peer.matched.next());
+            }
+        }
+        self.begin_round(out);
+    }
+
+    /// Begins a round of heartbeats.
+    fn begin_round(&mut self, out: &mut output::Output) {
+        let started = self.timers.now;
+        self.timers.heartbeat_due = started + self.cfg.heartbeat_interval;
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return;
+        };
+        leader.round += 1;
+        let round = message::Round {
+            number: leader.round,
+            started,
+        };
+        for (to, peer) in &leader.peers {
+            let commit = self.state.commit.min(peer.matched);
+            let body = message::Body::Heartbeat { round, commit };
+            let message = message::Message {
+                to: *to,
+                term: self.state.hard.term,
+                body,
+            };
+            out.push(event::Action::Send { to: *to, message });
+        }
+    }
+
+    pub(crate) fn on_heartbeat_reply(
+        &mut self,
+        from: log::NodeId,
+        round: message::Round,
+        out: &mut output::Output,
+    ) {
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get_mut(&from) else {
+            return;
+        };
+        peer.round = peer.round.max(round.number);
+        let answered = self.timers.answered.entry(from).or_insert(round.started);
+        *answered = round.started.max(*answered);
+        self.answer_reads(out);
+    }
+
+    /// Takes a read that came after all that is committed now.
+    ///
+    /// The commit index is only known to be up to date once an entry of this leader's own term is
+    /// committed, and the leader only to be the latest once a majority answers a later heartbeat.
+    pub(crate) fn read_index(&mut self, ticket: u64, out: &mut output::Output) {
+        let index = self.state.commit;
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return self.reject(ticket, event::Reason::NotLeader, out);
+        };
+        if index < leader.term_start {
+            return self.reject(ticket, event::Reason::NotReady, out);
+        }
+        if !self.cfg.guards.read_round {
+            return out.push(event::Action::ReadReady { ticket, index });
+        }
+        leader.reads.push_back(state::Read {
+            ticket,
+            index,
+            round: None,
+        });
+    }
+
+    /// Begins one round for all reads of this step.
+    pub(crate) fn confirm_reads(&mut self, out: &mut output::Output) {
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return;
+        };
+        let next = leader.round + 1;
+        let mut waits = false;
+        for read in leader.reads.iter_mut().filter(|read| read.round.is_none()) {
+            read.round = Some(next);
+            waits = true;
+        }
+        if waits {
+            self.begin_round(out);
+            self.answer_reads(out);
+        }
+    }
+
+    fn answer_reads(&mut self, out: &mut output::Output) {
+        let state::Role::Leader(leader) = &mut self.state.role else {
+            return;
+        };
+        let membership = self.state.log.membership();
+        let heard = |id: log::NodeId, round: u64| {
+            id == self.cfg.id
+                || leader
+                    .peers
+                    .get(&id)
+                    .is_some_and(|peer| peer.round >= round)
+        };
+        while let Some(read) = leader.reads.front() {
+            let confirmed = |round| membership.has_majority(|id| heard(id, round));
+            if !read.round.is_some_and(confirmed) {
+                return;
+            }
+            let (ticket, index) = (read.ticket, read.index);
+            out.push(event::Action::ReadReady { ticket, index });
+            leader.reads.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sageshed-quorum/src/output.rs
@@ -0,0 +1,59 @@
+//! Gathers what one step wants done.
+
+use std::mem;
+
+use crate::{event, log};
+
+/// The write and the actions of one step.
+///
+/// All that a step changes on disk goes into one write, which comes before every other action. That
+/// is always safe, and makes one sync serve all events that came in together.
+#[derive(Debug, Default)]
+pub(crate) struct Output {
+    write: log::Write,
+    actions: Vec<event::Action>,
+}
+
+impl Output {
+    pub(crate) fn push(&mut self, action: event::Action) {
+        self.actions.push(action);
+    }
+
+    pub(crate) fn hard_state(&mut self, hard_state: log::HardState) {
+        self.write.hard_state = Some(hard_state);
+    }
+
+    pub(crate) fn entry(&mut self, entry: log::Entry) {
+        self.write.entries.push(entry);
+    }
+
+    pub(crate) fn truncate(&mut self, from: log::Index) {
+        self.write.entries.retain(|entry| entry.index < from);
+        let earlier = self
+            .write
+            .truncate_from
+            .map_or(from, |earlier| earlier.min(from));
+        self.write.truncate_from = Some(earlier);
+    }
+
+    /// A received snapshot. `contradicts` if the log at its index is another one.
+    pub(crate) fn snapshot(&mut self, snapshot: log::Snapshot, contradicts: bool) {
+        if contradicts {
+            self.truncate(snapshot.index.next());
+        }
+        self.write
+            .entries
+            .retain(|entry| entry.index > snapshot.index);
+        self.write.snapshot = Some(snapshot);
+    }
+
+    pub(crate) fn finish(mut self, sync_first: bool) -> Vec<event::Action> {
+        if self.write.is_empty() {
+            return self.actions;
+        }
+        let persist = event::Action::Persist(mem::take(&mut self.write));
+        let place = if sync_first { 0 } else { self.actions.len() };
+        self.actions.insert(place, persist);
+        self.actions
+    }
+}
--- /dev/null
+++ b/crates/sageshed-quorum/src/status.rs
@@ -0,0 +1,94 @@
+//! What operators see of a node.
+
+use std::collections;
+
+use sageshed_types::time;
+use serde::{Deserialize, Serialize};
+
+use crate::{log, node, state};
+
+/// What a node is doing in its term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// A voter that follows a leader or waits for one.
+    Follower,
+    /// It asks whether it would be elected.
+    PreCandidate,
+    /// It asks for votes.
+    Candidate,
+    /// It leads.
+    Leader,
+    /// It receives the log and doesn't vote.
+    Learner,
+    /// It is no member: not added yet, or removed.
+    Outside,
+}
+
+/// One node's view of the group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The node.
+    pub id: log::NodeId,
+    /// What it is doing.
+    pub role: Role,
+    /// Its term.
+    pub term: log::Term,
+    /// Who leads, as far as it knows.
+    pub leader: Option<log::NodeId>,
+    /// The last entry it knows to be committed, and has given out to be applied.
+    pub commit: log::Index,
+    /// Its last entry.
+    pub last: log::Index,
+    /// The last entry that its snapshot covers, or zero.
+    pub snapshot: log::Index,
+    /// The membership in force.
+    pub membership: log::Membership,
+    /// For a leader: the last entry known to be on each other member's disk.
+    pub matched: collections::BTreeMap<log::NodeId, log::Index>,
+    /// For a leader: see [`node::Node::has_quorum_until`].
+    pub quorum_until: Option<time::Instant>,
+}
+
+impl node::Node {
+    /// What operators see of this node.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let state = &self.state;
+        Status {
+            id: self.cfg.id,
+            role: self.role(),
+            term: state.hard.term,
+            leader: state.leader,
+            commit: state.commit,
+            last: state.log.last().index,
+            snapshot: state.log.base().index,
+            membership: state.log.membership().clone(),
+            matched: self.matched(),
+            quorum_until: self.has_quorum_until(),
+        }
+    }
+
+    fn role(&self) -> Role {
+        let membership = self.state.log.membership();
+        match &self.state.role {
+            state::Role::Leader(_) => Role::Leader,
+            state::Role::Candidate { .. } => Role::Candidate,
+            state::Role::PreCandidate { .. } => Role::PreCandidate,
+            state::Role::Follower if membership.voters.contains(&self.cfg.id) => Role::Follower,
+            state::Role::Follower if membership.learners.contains(&self.cfg.id) => Role::Learner,
+            state::Role::Follower => Role::Outside,
+        }
+    }
+
+    fn matched(&self) -> collections::BTreeMap<log::NodeId, log::Index> {
+        match &self.state.role {
+            state::Role::Leader(leader) => leader
+                .peers
+                .iter()
+                .map(|(id, peer)| (*id, peer.matched))
+                .collect(),
+            _ => collections::BTreeMap::new(),
+        }
+    }
+}
