Count memory by the engines' own word and plan within the store's budget

Placement had its interface only.

The planner gives routes first, then replaces versions, then adds copies by demand.

--- /dev/null
+++ b/crates/sageshed-place/src/budget.rs
@@ -0,0 +1,57 @@
+//! The weight store's budget: loads a second and loads at once.
+
+use sageshed_types::{endpoints, time};
+
+use crate::{engine, ledger, policy};
+
+/// Loads that may be saved up while none is wanted.
+const SAVED_UP: f64 = 2.0;
+
+/// What the store still takes on.
+#[derive(Debug, Clone, Default)]
+pub struct Budget {
+    tokens: f64,
+    at_once: u32,
+    under_way: u32,
+    refilled: Option<time::Instant>,
+}
+
+impl Budget {
+    /// Reckons anew what may be loaded now.
+    pub fn refill(&mut self, now: time::Instant, ledger: &ledger::Ledger, policy: &policy::Policy) {
+        let most = policy.store_loads_per_second.max(SAVED_UP);
+        let earned = match self.refilled.replace(now) {
+            Some(before) => now.since(before).0 as f64 / 1_000.0 * policy.store_loads_per_second,
+            None => most,
+        };
+        self.tokens = (self.tokens + earned).min(most);
+        self.at_once = policy.store_loads_at_once;
+        self.under_way = ledger.engines().iter().map(loads_on).sum();
+    }
+
+    /// Whether a load may begin.
+    #[must_use]
+    pub fn allows(&self) -> bool {
+        self.tokens >= 1.0 && self.under_way < self.at_once
+    }
+
+    /// Counts a load that begins.
+    pub fn spend(&mut self) {
+        self.tokens -= 1.0;
+        self.under_way += 1;
+    }
+}
+
+/// Loads under way on one engine: orders of unknown fate, and models shown as loading.
+fn loads_on(engine: &engine::Engine) -> u32 {
+    let pending = engine
+        .pending()
+        .filter(|task| matches!(task, engine::Task::Load { .. }))
+        .count();
+    let unordered = engine
+        .held
+        .iter()
+        .filter(|held| held.phase == endpoints::Phase::Loading && !engine.awaits(held.model))
+        .count();
+    u32::try_from(pending + unordered).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/sageshed-place/src/planner/baselines.rs
@@ -0,0 +1,96 @@
+//! The planners to measure against.
+
+use sageshed_types::{
+    arena::{EndpointKey, Key, ModelKey},
+    endpoints,
+};
+
+use crate::planner;
+
+use planner::{Attempt, Planner};
+
+impl Planner<'_> {
+    /// Loads what requests wait for and takes off what was asked for least recently, the last route
+    /// too.
+    pub(super) fn on_demand(&mut self) {
+        let asked = |p: &Self, m: &ModelKey| {
+            let estimate = p.src.demand.of(*m);
+            estimate.waiting > 0
+                || estimate
+                    .asked
+                    .is_some_and(|t| p.src.now.since(t) <= p.src.policy.plan_interval_ms)
+        };
+        let wanted: Vec<ModelKey> = (0..self.routes.len())
+            .map(ModelKey::from_index)
+            .filter(|m| self.copies(*m) == 0 && asked(self, m))
+            .collect();
+        for model in wanted {
+            self.load_on_demand(model);
+        }
+    }
+
+    fn load_on_demand(&mut self, model: ModelKey) -> Attempt {
+        let need_mib = self.memory(model);
+        if let Some(base) = self.offer(model).base
+            && self.copies(base) == 0
+        {
+            return self.load_on_demand(base);
+        }
+        if let Some(key) = self.roomiest(model, need_mib) {
+            return self.load(key, model, "it was asked for");
+        }
+        if self.await_room(model, need_mib) {
+            return Attempt::Waiting;
+        }
+        let suitable = self
+            .keys()
+            .filter(|key| self.suits(*key, model) && self.has_base(*key, model));
+        let oldest = suitable
+            .filter_map(|key| self.least_recent(key, model).map(|found| (found, key)))
+            .min_by_key(|((asked, ..), key)| (*asked, *key));
+        let Some(((_, evicted, version), key)) = oldest else {
+            return Attempt::Impossible;
+        };
+        self.evict(key, evicted, version)
+    }
+
+    /// The copy on `key` asked for least recently that no adapter sits on: when, which, version.
+    fn least_recent(&self, key: EndpointKey, keep: ModelKey) -> Option<(u64, ModelKey, u32)> {
+        let base = self.offer(keep).base;
+        let engine = self.engine(key);
+        let held = engine.held.iter().filter(|held| {
+            held.phase == endpoints::Phase::Ready
+                && Some(held.model) != base
+                && !engine.unloads(held.model, held.version)
+                && !self.src.ledger.carries_adapter(engine, held.model)
+        });
+        held.map(|held| {
+            let asked = self.src.demand.of(held.model).asked;
+            (asked.map_or(0, |t| t.0 + 1), held.model, held.version)
+        })
+        .min()
+    }
+
+    fn evict(&mut self, key: EndpointKey, model: ModelKey, version: u32) -> Attempt {
+        if let Some(routes) = self.routes.get_mut(model.index()) {
+            routes.retain(|k| *k != key);
+        }
+        let task = crate::engine::Task::Unload { model, version };
+        self.propose(key, model, task, "it was asked for least recently")
+    }
+
+    /// Gives each model a route, then fills the memory with copies in turn; follows no demand.
+    pub(super) fn even(&mut self) {
+        self.reach();
+        let mut models: Vec<ModelKey> = self.src.ranking.to_vec();
+        models.sort_by_key(|m| self.copies(*m));
+        for model in models {
+            if !self.src.budget.allows() || self.copies(model) == 0 {
+                continue;
+            }
+            if let Some(key) = self.roomiest(model, self.memory(model)) {
+                self.load(key, model, "memory is free");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sageshed-place/src/planner/capacity.rs
@@ -0,0 +1,191 @@
+//! Copies by demand, and copies in a second availability zone.
+
+use std::cmp;
+
+use sageshed_types::arena::{EndpointKey, Key, ModelKey};
+
+use crate::planner;
+
+use planner::{Attempt, Planner};
+
+/// Models that one plan tries to give another copy.
+const ATTEMPTS: usize = 32;
+
+/// Engines without room that are looked at closely for one load, those with most to gain first.
+const CLOSE_LOOKS: usize = 8;
+
+/// Slots' worth of unserved demand below which nothing is done.
+const NEGLIGIBLE: f64 = 0.01;
+
+/// A load that demand speaks for.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    key: EndpointKey,
+    /// Slots' worth of requests served in time on top.
+    gain: f64,
+}
+
+impl Planner<'_> {
+    /// Gives more copies to the models that are asked for most beyond what their copies serve.
+    pub(super) fn capacity(&mut self) {
+        let mut lacking: Vec<(f64, ModelKey)> = (0..self.routes.len())
+            .map(ModelKey::from_index)
+            .filter(|m| !self.routes[m.index()].is_empty())
+            .map(|m| (self.unserved(m), m))
+            .filter(|(unserved, _)| *unserved > NEGLIGIBLE)
+            .collect();
+        lacking.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, model) in lacking.into_iter().take(ATTEMPTS) {
+            if !self.src.budget.allows() {
+                return;
+            }
+            self.add_copy(model);
+        }
+    }
+
+    /// Slots' worth of `model`'s demand that its copies can't serve in time.
+    fn unserved(&self, model: ModelKey) -> f64 {
+        let copies = self.copies(model);
+        let share = self.slots_wanted(model) / copies.max(1) as f64;
+        let routes = self.routes[model.index()].iter();
+        routes
+            .map(|key| {
+                let most = planner::TARGET_BUSY * f64::from(self.engine(*key).slots);
+                let busy = self.busy[key.index()];
+                share * (1.0 - (most / busy.max(most)))
+            })
+            .sum()
+    }
+
+    fn add_copy(&mut self, model: ModelKey) -> Attempt {
+        let need_mib = self.memory(model);
+        if self.await_room(model, need_mib) {
+            return Attempt::Waiting;
+        }
+        let candidates = self.candidates(model);
+        let with_room = candidates
+            .iter()
+            .find(|c| self.room(c.key) >= need_mib + self.claimed[c.key.index()]);
+        if let Some(found) = with_room
+            && self.completions(model, found.gain) > self.src.policy.move_cost
+        {
+            return self.load(found.key, model, "demand exceeds its copies");
+        }
+        self.displace(model, need_mib, &candidates)
+    }
+
+    /// The engines where a copy of `model` would bring something, best first.
+    fn candidates(&self, model: ModelKey) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> = self
+            .keys()
+            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
+            .map(|key| Candidate {
+                key,
+                gain: self.gain(key, model),
+            })
+            .filter(|c| c.gain > NEGLIGIBLE)
+            .collect();
+        candidates.sort_by(|a, b| {
+            let zones = || {
+                let new_zone = |c: &Candidate| self.is_new_zone(c.key, model);
+                new_zone(b).cmp(&new_zone(a))
+            };
+            b.gain
+                .total_cmp(&a.gain)
+                .then_with(zones)
+                .then(a.key.cmp(&b.key))
+        });
+        candidates
+    }
+
+    /// Slots' worth of requests served in time on top with a copy of `model` on `key`.
+    fn gain(&self, key: EndpointKey, model: ModelKey) -> f64 {
+        let wanted = self.slots_wanted(model);
+        let copies = self.copies(model) as f64;
+        let share = wanted / (copies + 1.0);
+        let less = share - wanted / copies.max(1.0);
+        let relieved: f64 = self.routes[model.index()]
+            .iter()
+            .map(|k| self.served_change(*k, less))
+            .sum();
+        self.served_change(key, share) + relieved
+    }
+
+    /// Turns slots' worth of requests into completions until the horizon, the load once made.
+    fn completions(&self, model: ModelKey, slots: f64) -> f64 {
+        let policy = self.src.policy;
+        let load_ms = self.offer(model).model.load_ms;
+        let span_ms = policy.horizon_ms.0.saturating_sub(load_ms.0) as f64;
+        slots * span_ms / self.src.demand.of(model).service_ms.max(1.0)
+    }
+
+    /// Takes copies of less use off an engine, if that pays.
+    fn displace(&mut self, model: ModelKey, need_mib: u64, candidates: &[Candidate]) -> Attempt {
+        let policy = self.src.policy;
+        let mut best: Option<(f64, planner::room::Clearance)> = None;
+        for candidate in candidates.iter().take(CLOSE_LOOKS) {
+            let Some(clearance) = self.clearance(candidate.key, model, need_mib) else {
+                continue;
+            };
+            let moves = 1.0 + clearance.spares.len() as f64;
+            let net = candidate.gain - clearance.loss * (1.0 + policy.hysteresis);
+            let worth = self.completions(model, net) - policy.move_cost * moves;
+            let better = best.as_ref().is_none_or(|(known, _)| worth > *known);
+            if worth > 0.0 && better {
+                best = Some((worth, clearance));
+            }
+        }
+        let Some((_, clearance)) = best else {
+            return Attempt::Impossible;
+        };
+        self.claimed[clearance.key.index()] += need_mib;
+        self.clear(&clearance, "it makes way for a model in greater demand")
+    }
+
+    /// Uses free memory so that each model has `min_replicas` copies, and copies in two
+    /// availability zones if the policy says so. Nothing is displaced for it.
+    pub(super) fn spread(&mut self) {
+        let ranking = self.src.ranking;
+        let wanting = ranking.iter().filter(|m| self.wants_spread(**m));
+        let wanting: Vec<ModelKey> = wanting.copied().collect();
+        for model in wanting.into_iter().take(ATTEMPTS) {
+            if !self.src.budget.allows() {
+                return;
+            }
+            let few = self.copies(model) < self.src.policy.min_replicas as usize;
+            let need_mib = self.memory(model);
+            let found = self
+                .keys()
+                .filter(|key| {
+                    self.room(*key) >= need_mib + self.claimed[key.index()]
+                        && self.suits(*key, model)
+                        && self.has_base(*key, model)
+                        && (few || self.is_new_zone(*key, model))
+                })
+                .max_by_key(|key| {
+                    (
+                        self.is_new_zone(*key, model),
+                        self.room(*key),
+                        cmp::Reverse(*key),
+                    )
+                });
+            if let Some(key) = found {
+                self.load(key, model, "it is alone in its availability zone");
+            }
+        }
+    }
+
+    fn wants_spread(&self, model: ModelKey) -> bool {
+        let routes = &self.routes[model.index()];
+        let Some(first) = routes.first() else {
+            return false;
+        };
+        if !self.coming[model.index()].is_empty() {
+            return false;
+        }
+        let zone = self.engine(*first).zone;
+        let alone = routes.iter().all(|key| self.engine(*key).zone == zone);
+        routes.len() < self.src.policy.min_replicas as usize
+            || self.src.policy.spread_zones && alone
+    }
+}
--- /dev/null
+++ b/crates/sageshed-place/src/planner/room.rs
@@ -0,0 +1,287 @@
+//! Room for a load: which copies make way.
+
+use sageshed_types::{
+    arena::{EndpointKey, Key, ModelKey},
+    endpoints,
+};
+
+use crate::{engine::Task, planner};
+
+use planner::{Attempt, Planner};
+
+/// A copy that may be taken off an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Spare {
+    pub(super) model: ModelKey,
+    pub(super) version: u32,
+    pub(super) memory_mib: u64,
+    /// Slots' worth of requests that would no longer be served in time.
+    pub(super) loss: f64,
+}
+
+/// Copies that together make room on an engine.
+#[derive(Debug, Clone)]
+pub(super) struct Clearance {
+    pub(super) key: EndpointKey,
+    pub(super) spares: Vec<Spare>,
+    pub(super) loss: f64,
+}
+
+impl Planner<'_> {
+    /// Takes spare copies off one engine so that `model` fits.
+    pub(super) fn make_room(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
+        if self.await_room(model, need_mib) {
+            return Attempt::Waiting;
+        }
+        let clearances = self
+            .keys()
+            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
+            .filter_map(|key| self.clearance(key, model, need_mib));
+        let best = clearances.min_by(|a, b| {
+            a.loss
+                .total_cmp(&b.loss)
+                .then(a.spares.len().cmp(&b.spares.len()))
+        });
+        match best {
+            Some(clearance) => self.clear(&clearance, "it makes way for a model without a route"),
+            None => Attempt::Impossible,
+        }
+    }
+
+    /// Whether unloads under way on some engine will make room for `model`; claims it if so.
+    pub(super) fn await_room(&mut self, model: ModelKey, need_mib: u64) -> bool {
+        let found = self.keys().find(|key| {
+            let engine = self.engine(*key);
+            let freed = self.freed_mib(*key);
+            freed > 0
+                && self.room(*key) + freed >= need_mib + self.claimed[key.index()]
+                && !engine.leaving
+                && self.src.ledger.is_fresh(self.src.now, engine)
+                && self.src.ledger.admits(engine, model)
+                && !engine.has_or_awaits(model)
+                && self.has_base(*key, model)
+        });
+        if let Some(key) = found {
+            self.claimed[key.index()] += need_mib;
+        }
+        found.is_some()
+    }
+
+    /// Memory on `key` that unloads under way will free, in MiB.
+    fn freed_mib(&self, key: EndpointKey) -> u64 {
+        let engine = self.engine(key);
+        engine
+            .held
+            .iter()
+            .filter(|held| {
+                held.phase == endpoints::Phase::Unloading
+                    || engine.unloads(held.model, held.version)
+            })
+            .map(|held| held.memory_mib)
+            .sum()
+    }
+
+    /// The cheapest copies to take off `key` so that `need_mib` are free, if there are enough.
+    pub(super) fn clearance(
+        &self,
+        key: EndpointKey,
+        model: ModelKey,
+        need_mib: u64,
+    ) -> Option<Clearance> {
+        let room = self.room(key)
+            + self
+                .freed_mib(key)
+                .saturating_sub(self.claimed[key.index()]);
+        let mut missing = need_mib.saturating_sub(room);
+        let mut clearance = Clearance {
+            key,
+            spares: Vec::new(),
+            loss: 0.0,
+        };
+        let keep = self.offer(model).base;
+        let mut spares = self.spares(key, keep);
+        spares.sort_by(|a, b| {
+            a.loss
+                .total_cmp(&b.loss)
+                .then(b.memory_mib.cmp(&a.memory_mib))
+        });
+        for spare in spares {
+            if missing == 0 {
+                break;
+            }
+            missing = missing.saturating_sub(spare.memory_mib);
+            clearance.loss += spare.loss;
+            clearance.spares.push(spare);
+        }
+        (missing == 0).then_some(clearance)
+    }
+
+    /// The copies on `key` that may go: not the last route, not pinned, not `keep`. A base goes only
+    /// if every adapter on it here may; it comes out after them.
+    fn spares(&self, key: EndpointKey, keep: Option<ModelKey>) -> Vec<Spare> {
+        let engine = self.engine(key);
+        let single: Vec<Spare> = engine
+            .held
+            .iter()
+            .filter(|held| held.phase == endpoints::Phase::Ready && Some(held.model) != keep)
+            .filter(|held| !engine.unloads(held.model, held.version))
+            .filter(|held| !self.is_pinned(held.model, key))
+            .filter(|held| self.stays_reachable(key, held.model, held.version))
+            .map(|held| Spare {
+                model: held.model,
+                version: held.version,
+                memory_mib: held.memory_mib,
+                loss: self.loss(key, held.model),
+            })
+            .collect();
+        let may_go = |spare: &Spare| {
+            let adapters = engine.held.iter().map(|held| held.model);
+            let awaited = engine.pending().filter_map(planner::loaded);
+            adapters
+                .filter(|m| self.sits_on(*m, spare.model))
+                .all(|m| single.iter().any(|s| s.model == m))
+                && awaited.into_iter().all(|m| !self.sits_on(m, spare.model))
+        };
+        let mut spares: Vec<Spare> = single.iter().filter(|s| may_go(s)).copied().collect();
+        let losses: Vec<f64> = spares
+            .iter()
+            .map(|s| s.loss + self.loss_on_top(s.model, &single))
+            .collect();
+        for (spare, loss) in spares.iter_mut().zip(losses) {
+            spare.loss = loss;
+        }
+        spares
+    }
+
+    /// The loss of the adapters on `base`, which go before it.
+    fn loss_on_top(&self, base: ModelKey, spares: &[Spare]) -> f64 {
+        let adapters = spares.iter().filter(|s| self.sits_on(s.model, base));
+        adapters.map(|s| s.loss).sum()
+    }
+
+    fn sits_on(&self, adapter: ModelKey, base: ModelKey) -> bool {
+        let offer = self.src.ledger.offer(adapter);
+        offer.is_some_and(|offer| offer.base == Some(base))
+    }
+
+    /// Whether `model` has a route besides this copy. One that is not on offer needs none.
+    fn stays_reachable(&self, key: EndpointKey, model: ModelKey, version: u32) -> bool {
+        let Some(routes) = self.routes.get(model.index()) else {
+            return true;
+        };
+        routes.iter().any(|k| *k != key) || self.engine(key).serves_besides(model, version)
+    }
+
+    /// Slots' worth of requests that would no longer be served in time without the copy on `key`.
+    pub(super) fn loss(&self, key: EndpointKey, model: ModelKey) -> f64 {
+        let Some(routes) = self.routes.get(model.index()) else {
+            return 0.0;
+        };
+        let copies = self.copies(model);
+        if !routes.contains(&key) || copies < 2 {
+            return 0.0;
+        }
+        let wanted = self.slots_wanted(model);
+        let less = wanted / copies as f64;
+        let more = wanted / (copies - 1) as f64 - less;
+        let here = self.served_change(key, -less);
+        let elsewhere: f64 = routes
+            .iter()
+            .filter(|k| **k != key)
+            .map(|k| self.served_change(*k, more))
+            .sum();
+        (-here - elsewhere).max(0.0)
+    }
+
+    /// How the slots that serve in time on `key` change when `change` is added to its load.
+    pub(super) fn served_change(&self, key: EndpointKey, change: f64) -> f64 {
+        let most = planner::TARGET_BUSY * f64::from(self.engine(key).slots);
+        let before = self.busy[key.index()];
+        (before + change).min(most) - before.min(most)
+    }
+
+    /// Proposes the unloads of `clearance` that may begin now: adapters before their base.
+    pub(super) fn clear(&mut self, clearance: &Clearance, reason: &'static str) -> Attempt {
+        let mut begun = Attempt::Impossible;
+        let mut order = Vec::new();
+        for spare in &clearance.spares {
+            order.extend(self.adapters_on(clearance.key, spare.model));
+            order.push((spare.model, spare.version));
+        }
+        for (model, version) in order {
+            if self.unload(clearance.key, model, version, reason) == Attempt::Begun {
+                begun = Attempt::Begun;
+            }
+        }
+        begun
+    }
+
+    fn adapters_on(&self, key: EndpointKey, base: ModelKey) -> Vec<(ModelKey, u32)> {
+        let held = self.engine(key).held.iter();
+        held.filter(|held| self.sits_on(held.model, base))
+            .map(|held| (held.model, held.version))
+            .collect()
+    }
+
+    /// Makes a copy elsewhere of a model whose only route is in the way of `model`, so that the
+    /// next plans find a spare copy here.
+    pub(super) fn move_away(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
+        let mut best: Option<(u64, u64, ModelKey, EndpointKey)> = None;
+        let suitable: Vec<EndpointKey> = self
+            .keys()
+            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
+            .collect();
+        for key in suitable {
+            let keep = self.offer(model).base;
+            let spare: u64 = self.spares(key, keep).iter().map(|s| s.memory_mib).sum();
+            let missing = need_mib.saturating_sub(self.room(key) + spare);
+            for (moved, memory_mib) in self.movable(key, keep) {
+                if !self.coming[moved.index()].is_empty() {
+                    return Attempt::Waiting;
+                }
+                let Some(to) = self.roomiest(moved, memory_mib) else {
+                    continue;
+                };
+                let rank = (missing.saturating_sub(memory_mib), memory_mib);
+                if best.is_none_or(|(left, mib, _, _)| rank < (left, mib)) {
+                    best = Some((rank.0, rank.1, moved, to));
+                }
+            }
+        }
+        match best {
+            Some((_, _, moved, to)) => self.load(to, moved, "it makes way for a model elsewhere"),
+            None => Attempt::Impossible,
+        }
+    }
+
+    /// The models on `key` with their only route there, each with the memory that it and its
+    /// adapters here take, in MiB.
+    fn movable(&self, key: EndpointKey, keep: Option<ModelKey>) -> Vec<(ModelKey, u64)> {
+        let engine = self.engine(key);
+        let held = engine.held.iter().filter(|held| {
+            held.phase == endpoints::Phase::Ready
+                && Some(held.model) != keep
+                && !self.is_pinned(held.model, key)
+                && self
+                    .routes
+                    .get(held.model.index())
+                    .is_some_and(|r| *r == [key])
+        });
+        held.map(|held| {
+            let on_top: u64 = engine
+                .held
+                .iter()
+                .filter(|other| self.sits_on(other.model, held.model))
+                .map(|other| other.memory_mib)
+                .sum();
+            (held.model, held.memory_mib + on_top)
+        })
+        .collect()
+    }
+
+    /// Whether an unload is under way on `key`.
+    pub(super) fn is_clearing(&self, key: EndpointKey) -> bool {
+        let mut pending = self.engine(key).pending();
+        pending.any(|task| matches!(task, Task::Unload { .. }))
+    }
+}
--- /dev/null
+++ b/crates/sageshed-place/src/planner/versions.rs
@@ -0,0 +1,119 @@
+//! Replacement of outdated versions, and the operators' pins.
+//!
+//! The new version is loaded beside the old one where both fit, else on another engine, and the old
+//! one goes once the model has another route. A single copy on an engine without room, with room
+//! nowhere else, is left as it is and said to be so: an outdated answer is better than none. One
+//! copy of a model is replaced at a time.
+
+use sageshed_types::{
+    arena::{EndpointKey, Key, ModelKey},
+    endpoints,
+};
+
+use crate::planner;
+
+use planner::{Attempt, Planner};
+
+impl Planner<'_> {
+    /// Replaces outdated copies.
+    pub(super) fn versions(&mut self) {
+        for index in 0..self.routes.len() {
+            let model = ModelKey::from_index(index);
+            let outdated = self.outdated(model);
+            if outdated.is_empty() || !self.coming[index].is_empty() {
+                continue;
+            }
+            if self.replace(model, &outdated) == Attempt::Impossible {
+                self.report_problem(
+                    model,
+                    "an outdated version stays: no room for the new one beside it or elsewhere",
+                );
+            }
+        }
+    }
+
+    /// The copies of `model` that serve another version than the one wanted.
+    fn outdated(&self, model: ModelKey) -> Vec<(EndpointKey, u32)> {
+        let wanted = self.offer(model).model.version;
+        let routes = self.routes[model.index()].iter();
+        routes
+            .flat_map(|key| {
+                let held = self.engine(*key).held.iter();
+                held.filter(|held| {
+                    held.model == model
+                        && held.version != wanted
+                        && held.phase == endpoints::Phase::Ready
+                })
+                .map(|held| (*key, held.version))
+            })
+            .collect()
+    }
+
+    fn replace(&mut self, model: ModelKey, outdated: &[(EndpointKey, u32)]) -> Attempt {
+        if outdated.iter().any(|(key, _)| self.is_clearing(*key)) {
+            return Attempt::Waiting;
+        }
+        if self.is_current_somewhere(model) {
+            return self.drop_outdated(model, outdated);
+        }
+        let need_mib = self.memory(model);
+        let beside = outdated.iter().map(|(key, _)| *key).find(|key| {
+            self.open[key.index()]
+                && self.room(*key) >= need_mib
+                && self.has_base(*key, model)
+                && !self.engine(*key).awaits(model)
+        });
+        if let Some(key) = beside.or_else(|| self.roomiest(model, need_mib)) {
+            return self.load(key, model, "a newer version is wanted");
+        }
+        if outdated.len() > 1 {
+            return self.drop_outdated(model, outdated);
+        }
+        self.make_room(model, need_mib)
+    }
+
+    fn is_current_somewhere(&self, model: ModelKey) -> bool {
+        let wanted = self.offer(model).model.version;
+        let mut routes = self.routes[model.index()].iter();
+        routes.any(|key| {
+            self.engine(*key).held.iter().any(|held| {
+                held.model == model
+                    && held.version == wanted
+                    && held.phase == endpoints::Phase::Ready
+            })
+        })
+    }
+
+    /// Takes the first outdated copy off that may go.
+    fn drop_outdated(&mut self, model: ModelKey, outdated: &[(EndpointKey, u32)]) -> Attempt {
+        for (key, version) in outdated {
+            if self.unload(*key, model, *version, "a newer version is wanted") == Attempt::Begun {
+                return Attempt::Begun;
+            }
+        }
+        Attempt::Waiting
+    }
+
+    /// Loads what the operators have pinned.
+    pub(super) fn pins(&mut self) {
+        for (model, key) in self.src.pins {
+            let need_mib = self.memory(*model);
+            if !self.suits(*key, *model) || !self.has_base(*key, *model) {
+                continue;
+            }
+            if self.room(*key) >= need_mib {
+                self.load(*key, *model, "it is pinned there");
+                continue;
+            }
+            if self.is_clearing(*key) {
+                continue;
+            }
+            match self.clearance(*key, *model, need_mib) {
+                Some(clearance) => {
+                    self.clear(&clearance, "it makes way for a pinned model");
+                }
+                None => self.report_problem(*model, "no room where it is pinned"),
+            }
+        }
+    }
+}
