Keep the control group's state as a pure function of its commands

Cause: rules, claims on requests that run at most once, and orders to engines have to survive the loss of a VM, and every replica has to come to the same state. Nothing held them yet.

The shared types of claims and orders derive Hash, and Holder derives Ord, so that a model checker and the table of claims can use them.

Ruled out: stamping a claim's retention with the clock at the moment it is settled. The replicated clock stands still while there is no leader, and the first reading after an outage would forget the claim at once; the next reading stamps it. Ruled out too: granting a claim whose holder has given it back or is gone; nobody would settle it. Holding settings' bounds in each process: replicas would part, so bounds are part of the state.

--- /dev/null
+++ b/crates/sageshed-state/src/codec.rs
@@ -0,0 +1,87 @@
+//! Bytes of commands and of the whole state: a format version, then rmp-serde with named fields.
+//!
+//! Fields are named so that a later build may add one with a serde default and still read what an
+//! earlier build wrote. A change that defaults cannot bridge raises [`FORMAT`], and a build that
+//! meets a format it does not know refuses rather than guesses.
+
+use derive_more::{Display, Error};
+use serde::{Serialize, de};
+
+use crate::{command, control};
+
+/// The format that this build writes, in the first four bytes, least significant first.
+pub const FORMAT: u32 = 1;
+
+const HEAD_LEN: usize = size_of::<u32>();
+
+/// Why bytes cannot be written or read.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// A value could not be written.
+    #[display("cannot write the control state or a command: {source}")]
+    Write {
+        /// The codec's error.
+        source: rmp_serde::encode::Error,
+    },
+    /// The bytes end before the format version does.
+    #[display("cannot read the control state or a command: {len} bytes hold no format version")]
+    Short {
+        /// How many bytes there are.
+        len: usize,
+    },
+    /// Another format.
+    #[display(
+        "cannot read format {found} of the control state, this build reads {FORMAT}: run the build that wrote it, or a later one"
+    )]
+    Format {
+        /// The format found.
+        found: u32,
+    },
+    /// The bytes are not what they should be.
+    #[display("cannot read the control state or a command: {source}")]
+    Read {
+        /// The codec's error.
+        source: rmp_serde::decode::Error,
+    },
+}
+
+impl control::ControlState {
+    /// The state as bytes, for a snapshot.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
+        write(self)
+    }
+
+    /// The state from the bytes of a snapshot.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
+        read(bytes)
+    }
+}
+
+impl command::Command {
+    /// The command as bytes, for a log entry.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
+        write(self)
+    }
+
+    /// The command from the bytes of a log entry.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
+        read(bytes)
+    }
+}
+
+fn write<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    let mut buf = FORMAT.to_le_bytes().to_vec();
+    rmp_serde::encode::write_named(&mut buf, value).map_err(|source| Error::Write { source })?;
+    Ok(buf)
+}
+
+fn read<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    let (head, body) = bytes
+        .split_first_chunk::<HEAD_LEN>()
+        .ok_or(Error::Short { len: bytes.len() })?;
+    let found = u32::from_le_bytes(*head);
+    if found != FORMAT {
+        return Err(Error::Format { found });
+    }
+    rmp_serde::from_slice(body).map_err(|source| Error::Read { source })
+}
--- /dev/null
+++ b/crates/sageshed-state/src/control.rs
@@ -0,0 +1,205 @@
+//! The whole of the replicated control state.
+
+use std::collections;
+
+use sageshed_types::endpoints;
+use serde::{Deserialize, Serialize};
+
+use crate::{change_ids, claim_table, command, order_table, rule_log};
+
+/// Bounds of the state.
+///
+/// Replicas with other bounds would come to other states by the same commands, so they are no
+/// setting: production takes the default, tests take less. They travel inside snapshots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Limits {
+    /// Of the claims.
+    pub claims: claim_table::Limits,
+    /// Accepted changes of the rules that are kept whole.
+    pub history: usize,
+    /// Change ids that are remembered, for rules and drains each.
+    pub change_ids: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            claims: claim_table::Limits::default(),
+            history: 1_024,
+            change_ids: 100_000,
+        }
+    }
+}
+
+/// The replicated control state.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    applied: u64,
+    rules: rule_log::RuleLog,
+    claims: claim_table::ClaimTable,
+    orders: order_table::OrderTable,
+    pins: collections::BTreeMap<String, collections::BTreeSet<command::Place>>,
+    draining: collections::BTreeSet<String>,
+    drain_ids: change_ids::ChangeIds<bool>,
+}
+
+impl Default for ControlState {
+    fn default() -> Self {
+        Self::new(Limits::default())
+    }
+}
+
+impl ControlState {
+    /// The state before any command.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            applied: 0,
+            rules: rule_log::RuleLog::new(limits.history, limits.change_ids),
+            claims: claim_table::ClaimTable::new(limits.claims),
+            orders: order_table::OrderTable::default(),
+            pins: collections::BTreeMap::new(),
+            draining: collections::BTreeSet::new(),
+            drain_ids: change_ids::ChangeIds::new(limits.change_ids),
+        }
+    }
+
+    /// The log index of the last command applied.
+    #[must_use]
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The rules.
+    #[must_use]
+    pub fn rules(&self) -> &rule_log::RuleLog {
+        &self.rules
+    }
+
+    /// The claims.
+    #[must_use]
+    pub fn claims(&self) -> &claim_table::ClaimTable {
+        &self.claims
+    }
+
+    /// The orders.
+    #[must_use]
+    pub fn orders(&self) -> &order_table::OrderTable {
+        &self.orders
+    }
+
+    /// The models that are pinned, each with its places.
+    pub fn pins(&self) -> impl Iterator<Item = (&str, &collections::BTreeSet<command::Place>)> {
+        self.pins
+            .iter()
+            .map(|(model, places)| (model.as_str(), places))
+    }
+
+    /// The entry VMs that an operator drains.
+    pub fn draining(&self) -> impl Iterator<Item = &str> {
+        self.draining.iter().map(String::as_str)
+    }
+
+    /// Applies the command at `index` of the log.
+    ///
+    /// Indexes grow, with gaps where the log holds entries that are no commands. One that is not
+    /// above the last is ignored: after a restart a log is applied on top of a snapshot that may
+    /// hold its first entries already, and an order issued twice would be loaded twice.
+    pub fn apply(&mut self, index: u64, command: command::Command) -> command::Outcome {
+        if index <= self.applied {
+            return command::Outcome::AlreadyApplied;
+        }
+        self.applied = index;
+        self.apply_anew(command)
+    }
+
+    fn apply_anew(&mut self, command: command::Command) -> command::Outcome {
+        use command::{Command, Outcome};
+        match command {
+            Command::Change(change) => Outcome::Change(self.rules.change(change)),
+            Command::Claim(claim) => match self.claims.claim(claim) {
+                claim_table::Claimed::Answer(answer) => Outcome::Claim(answer),
+                claim_table::Claimed::TooLate => Outcome::ClaimTooLate,
+            },
+            Command::Settle(settle) => Outcome::Settle(self.claims.settle(settle)),
+            Command::HolderGone {
+                vm,
+                incarnation_below,
+            } => {
+                let unknown = self.claims.holder_gone(&vm, incarnation_below);
+                Outcome::HolderGone { unknown }
+            }
+            Command::Clock { unix_ms } => self.clock(unix_ms),
+            Command::LeaderStarted { term } => {
+                let fence = self.orders.leader_started(term);
+                Outcome::LeaderStarted { fence }
+            }
+            Command::IssueOrders { term, orders } => {
+                Outcome::Issue(self.orders.issue(term, orders))
+            }
+            Command::SettleOrders(orders) => Outcome::Closed(self.orders.settle(&orders)),
+            Command::EndpointIncarnation {
+                endpoint,
+                incarnation,
+            } => self.endpoint_incarnation(&endpoint, incarnation),
+            Command::EndpointGone { endpoint } => {
+                Outcome::Closed(self.orders.endpoint_gone(&endpoint))
+            }
+            Command::DrainVm { vm, on, change_id } => {
+                Outcome::Drain(self.drain(vm, on, &change_id))
+            }
+            Command::Pin { model, place } => {
+                let changed = self.pins.entry(model).or_default().insert(place);
+                Outcome::Pin { changed }
+            }
+            Command::Unpin { model, place } => self.unpin(&model, &place),
+        }
+    }
+
+    fn clock(&mut self, unix_ms: u64) -> command::Outcome {
+        let expired = self.claims.clock(unix_ms);
+        command::Outcome::Clock {
+            unix_ms: self.claims.unix_ms(),
+            expired,
+        }
+    }
+
+    fn endpoint_incarnation(
+        &mut self,
+        endpoint: &str,
+        incarnation: endpoints::Incarnation,
+    ) -> command::Outcome {
+        let closed = self.orders.endpoint_incarnation(endpoint, incarnation);
+        command::Outcome::Closed(closed)
+    }
+
+    /// Records a drain or its end, once for each change id.
+    ///
+    /// An operator drains a VM, loses the answer, ends the drain, and the first client's resend
+    /// arrives last: taken as new it would drain the VM again, with nobody aware of it.
+    fn drain(&mut self, vm: String, on: bool, change_id: &str) -> command::DrainOutcome {
+        let content = change_ids::ContentDigest::of(&(&vm, on));
+        match self.drain_ids.seen(change_id, content) {
+            change_ids::Seen::Same(_) => return command::DrainOutcome::Recorded,
+            change_ids::Seen::Other(_) => return command::DrainOutcome::ChangeIdReused,
+            change_ids::Seen::New => self.drain_ids.remember(change_id, content, on),
+        }
+        if on {
+            self.draining.insert(vm);
+        } else {
+            self.draining.remove(&vm);
+        }
+        command::DrainOutcome::Recorded
+    }
+
+    fn unpin(&mut self, model: &str, place: &command::Place) -> command::Outcome {
+        let Some(places) = self.pins.get_mut(model) else {
+            return command::Outcome::Pin { changed: false };
+        };
+        let changed = places.remove(place);
+        if places.is_empty() {
+            self.pins.remove(model);
+        }
+        command::Outcome::Pin { changed }
+    }
+}
--- /dev/null
+++ b/crates/sageshed-state/src/edit.rs
@@ -0,0 +1,319 @@
+//! Validates edits of the rules and applies them.
+//!
+//! Only what the rules say by themselves is checked here. Whether a model, pool or caller that a
+//! rule names is offered, and whether an earlier rule shadows it, is checked against the settings
+//! before the change is proposed: settings are no part of the replicated state.
+
+use derive_more::{Display, Error};
+use sageshed_types::{refusal, rules};
+
+/// The greatest priority.
+pub const MAX_PRIORITY: u8 = 9;
+/// The greatest length of a rule id or change id, in bytes.
+pub const MAX_ID_LEN: usize = 128;
+/// The greatest number of rules in force.
+pub const MAX_RULES: usize = 10_000;
+
+/// Why an edit cannot be applied, and what to do.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Problem {
+    /// An id with characters that are not allowed, or too long, or empty.
+    #[display(
+        "the id `{id}` is not valid: use 1 to {MAX_ID_LEN} letters, digits, `-`, `_` and `.`"
+    )]
+    BadId {
+        /// The id.
+        id: String,
+    },
+    /// The id that accounts use where no rule matched.
+    #[display(
+        "the id `{}` is taken by the system: choose another",
+        refusal::DEFAULT_RULE
+    )]
+    ReservedId,
+    /// Two rules with one id.
+    #[display("a rule with the id `{id}` exists: choose another id, or withdraw that rule first")]
+    DuplicateId {
+        /// The id.
+        id: String,
+    },
+    /// No rule has this id.
+    #[display("no rule has the id `{id}`: `sageshed rules list` shows the ids")]
+    UnknownId {
+        /// The id.
+        id: String,
+    },
+    /// A rule placed relative to itself.
+    #[display("the rule `{id}` cannot be placed next to itself: name another rule")]
+    BesideItself {
+        /// The id.
+        id: String,
+    },
+    /// A priority above the greatest.
+    #[display("rule `{rule}`: `{key}` is {value}: use 0 to {MAX_PRIORITY}")]
+    Priority {
+        /// The rule.
+        rule: String,
+        /// The key.
+        key: &'static str,
+        /// The value.
+        value: u32,
+    },
+    /// A range whose least value is above its greatest.
+    #[display("rule `{rule}`: `{key}` has min {min} above max {max}: swap them")]
+    EmptyRange {
+        /// The rule.
+        rule: String,
+        /// The key.
+        key: &'static str,
+        /// The least value.
+        min: u32,
+        /// The greatest value.
+        max: u32,
+    },
+    /// A rate or burst that is not a number above its least value.
+    #[display("rule `{rule}`: `{key}` is {value}: use a finite number, {least}")]
+    BadNumber {
+        /// The rule.
+        rule: String,
+        /// The key.
+        key: &'static str,
+        /// The value as text.
+        value: String,
+        /// What is allowed.
+        least: &'static str,
+    },
+    /// A deadline of zero, which no request could meet.
+    #[display("rule `{rule}`: `deadline_ms` is 0: use 1 or more, or `refuse` to refuse")]
+    ZeroDeadline {
+        /// The rule.
+        rule: String,
+    },
+    /// An empty name, which matches nothing.
+    #[display("rule `{rule}`: `{key}` holds an empty name: give a name or leave the key out")]
+    EmptyName {
+        /// The rule.
+        rule: String,
+        /// The key.
+        key: &'static str,
+    },
+    /// More rules than the state keeps.
+    #[display("there would be {count} rules: at most {MAX_RULES} are kept, withdraw some first")]
+    TooMany {
+        /// The number there would be.
+        count: usize,
+    },
+}
+
+/// Applies `edit` to `rules`, or leaves them as they are and says what is wrong.
+pub fn apply(rules: &mut Vec<rules::Rule>, edit: &rules::Edit) -> Result<(), Problem> {
+    match edit {
+        rules::Edit::Add { rule, position } => add(rules, rule, position),
+        rules::Edit::Move { id, position } => relocate(rules, id, position),
+        rules::Edit::Withdraw { id } => withdraw(rules, id),
+        rules::Edit::ReplaceAll { rules: new } => replace_all(rules, new),
+    }
+}
+
+/// Checks the form of a rule id or a change id.
+pub fn check_id(id: &str) -> Result<(), Problem> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if id.is_empty() || id.len() > MAX_ID_LEN || !id.bytes().all(allowed) {
+        return Err(Problem::BadId { id: id.to_owned() });
+    }
+    Ok(())
+}
+
+fn add(
+    rules: &mut Vec<rules::Rule>,
+    rule: &rules::Rule,
+    position: &rules::Position,
+) -> Result<(), Problem> {
+    check_rule(rule)?;
+    if find(rules, &rule.id).is_some() {
+        return Err(Problem::DuplicateId {
+            id: rule.id.clone(),
+        });
+    }
+    check_count(rules.len() + 1)?;
+    let at = locate(rules, position)?;
+    rules.insert(at, rule.clone());
+    Ok(())
+}
+
+fn relocate(
+    rules: &mut Vec<rules::Rule>,
+    id: &str,
+    position: &rules::Position,
+) -> Result<(), Problem> {
+    let from = find(rules, id).ok_or_else(|| unknown(id))?;
+    if let rules::Position::Before(other) | rules::Position::After(other) = position {
+        if other == id {
+            return Err(Problem::BesideItself { id: id.to_owned() });
+        }
+        // Checked before the rule is taken out, so that a refused move changes nothing.
+        find(rules, other).ok_or_else(|| unknown(other))?;
+    }
+    let rule = rules.remove(from);
+    let to = locate(rules, position)?;
+    rules.insert(to, rule);
+    Ok(())
+}
+
+fn withdraw(rules: &mut Vec<rules::Rule>, id: &str) -> Result<(), Problem> {
+    let at = find(rules, id).ok_or_else(|| unknown(id))?;
+    rules.remove(at);
+    Ok(())
+}
+
+fn replace_all(rules: &mut Vec<rules::Rule>, new: &[rules::Rule]) -> Result<(), Problem> {
+    check_count(new.len())?;
+    let mut ids = std::collections::BTreeSet::new();
+    for rule in new {
+        check_rule(rule)?;
+        if !ids.insert(&rule.id) {
+            return Err(Problem::DuplicateId {
+                id: rule.id.clone(),
+            });
+        }
+    }
+    *rules = new.to_vec();
+    Ok(())
+}
+
+fn find(rules: &[rules::Rule], id: &str) -> Option<usize> {
+    rules.iter().position(|rule| rule.id == id)
+}
+
+fn unknown(id: &str) -> Problem {
+    Problem::UnknownId { id: id.to_owned() }
+}
+
+/// The index at which a rule placed so is inserted.
+fn locate(rules: &[rules::Rule], position: &rules::Position) -> Result<usize, Problem> {
+    match position {
+        rules::Position::First => Ok(0),
+        rules::Position::Last => Ok(rules.len()),
+        rules::Position::Before(id) => find(rules, id).ok_or_else(|| unknown(id)),
+        rules::Position::After(id) => find(rules, id).map(|i| i + 1).ok_or_else(|| unknown(id)),
+    }
+}
+
+fn check_count(count: usize) -> Result<(), Problem> {
+    if count > MAX_RULES {
+        return Err(Problem::TooMany { count });
+    }
+    Ok(())
+}
+
+fn check_rule(rule: &rules::Rule) -> Result<(), Problem> {
+    check_id(&rule.id)?;
+    if rule.id == refusal::DEFAULT_RULE {
+        return Err(Problem::ReservedId);
+    }
+    check_when(&rule.id, &rule.when)?;
+    check_action(&rule.id, &rule.action)?;
+    if rule.deadline_ms.is_some_and(|deadline| deadline.0 == 0) {
+        return Err(Problem::ZeroDeadline {
+            rule: rule.id.clone(),
+        });
+    }
+    Ok(())
+}
+
+fn check_when(rule: &str, when: &rules::When) -> Result<(), Problem> {
+    let lists = [
+        ("when.caller", &when.caller),
+        ("when.class", &when.class),
+        ("when.model", &when.model),
+        ("when.adapter", &when.adapter),
+        ("when.service", &when.service),
+        ("when.availability_zone", &when.availability_zone),
+    ];
+    for (key, names) in lists {
+        for name in names {
+            check_name(rule, key, name)?;
+        }
+    }
+    check_range(rule, "when.prompt_tokens", when.prompt_tokens)?;
+    check_range(rule, "when.priority", when.priority)?;
+    let bounds = when.priority.unwrap_or_default();
+    for value in [bounds.min, bounds.max].into_iter().flatten() {
+        check_priority(rule, "when.priority", value)?;
+    }
+    Ok(())
+}
+
+fn check_action(rule: &str, action: &rules::Action) -> Result<(), Problem> {
+    match action {
+        rules::Action::Route(route) => check_route(rule, route),
+        rules::Action::Refuse(_) => Ok(()),
+        rules::Action::Limit(limit) => check_limit(rule, limit),
+    }
+}
+
+fn check_route(rule: &str, route: &rules::Route) -> Result<(), Problem> {
+    for (key, name) in [
+        ("do.route.pool", &route.pool),
+        ("do.route.model", &route.model),
+    ] {
+        if let Some(name) = name {
+            check_name(rule, key, name)?;
+        }
+    }
+    match route.priority {
+        Some(priority) => check_priority(rule, "do.route.priority", priority.into()),
+        None => Ok(()),
+    }
+}
+
+/// Refuses rates that no bucket can hold. A burst below 1 would never let a request pass.
+fn check_limit(rule: &str, limit: &rules::Limit) -> Result<(), Problem> {
+    let bad = |key, value: f64, least| Problem::BadNumber {
+        rule: rule.to_owned(),
+        key,
+        value: value.to_string(),
+        least,
+    };
+    if !limit.rate.is_finite() || limit.rate <= 0.0 {
+        return Err(bad("do.limit.rate", limit.rate, "above 0"));
+    }
+    if !limit.burst.is_finite() || limit.burst < 1.0 {
+        return Err(bad("do.limit.burst", limit.burst, "1 or more"));
+    }
+    Ok(())
+}
+
+fn check_name(rule: &str, key: &'static str, name: &str) -> Result<(), Problem> {
+    if name.is_empty() {
+        return Err(Problem::EmptyName {
+            rule: rule.to_owned(),
+            key,
+        });
+    }
+    Ok(())
+}
+
+fn check_range(rule: &str, key: &'static str, range: Option<rules::Range>) -> Result<(), Problem> {
+    let rules::Range { min, max } = range.unwrap_or_default();
+    match (min, max) {
+        (Some(min), Some(max)) if min > max => Err(Problem::EmptyRange {
+            rule: rule.to_owned(),
+            key,
+            min,
+            max,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn check_priority(rule: &str, key: &'static str, value: u32) -> Result<(), Problem> {
+    if value > MAX_PRIORITY.into() {
+        return Err(Problem::Priority {
+            rule: rule.to_owned(),
+            key,
+            value,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sageshed-state/src/order_table.rs
@@ -0,0 +1,127 @@
+//! Orders to engines whose fate is not known.
+//!
+//! An order is in this table before it is sent, so that a new leader knows every order that may
+//! still be under way and counts its memory. It leaves only when a report shows its fate, or when
+//! the endpoint's incarnation that it names is over.
+//!
+//! A leader that was cut off may have proposed orders that are committed only after its successor
+//! has started. Issued then, they would load a model into memory that the successor has already
+//! given away. So orders carry the proposer's term, and one below the highest started term issues
+//! nothing.
+
+use std::collections;
+
+use sageshed_types::endpoints;
+use serde::{Deserialize, Serialize};
+
+use crate::command;
+
+/// Open orders, and the counters for new ones.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OrderTable {
+    term: u64,
+    last_fence: endpoints::Fence,
+    last_order: endpoints::OrderId,
+    open: collections::BTreeMap<endpoints::OrderId, endpoints::Order>,
+}
+
+impl OrderTable {
+    /// The highest term of a leader that has started.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// The open orders, by id.
+    pub fn open(&self) -> impl Iterator<Item = &endpoints::Order> {
+        self.open.values()
+    }
+
+    /// The open order with this id.
+    #[must_use]
+    pub fn get(&self, order: endpoints::OrderId) -> Option<&endpoints::Order> {
+        self.open.get(&order)
+    }
+
+    /// A leader of `term` has started. The fencing number given is greater than all before.
+    pub fn leader_started(&mut self, term: u64) -> endpoints::Fence {
+        self.term = self.term.max(term);
+        self.next_fence()
+    }
+
+    /// Records orders that a leader of `term` proposes, unless a later leader has started.
+    ///
+    /// An order that equals an open one is not issued again: the open one is given back. A leader
+    /// that proposes a second time, since it did not learn what came of the first, would otherwise
+    /// have two loads of one model counted, and on an engine that ignores fencing numbers run.
+    pub fn issue(
+        &mut self,
+        term: u64,
+        proposed: Vec<command::ProposedOrder>,
+    ) -> command::IssueOutcome {
+        if term < self.term {
+            return command::IssueOutcome::StaleTerm { highest: self.term };
+        }
+        self.term = term;
+        let issued = proposed.into_iter().map(|order| self.issue_one(order));
+        command::IssueOutcome::Issued(issued.collect())
+    }
+
+    /// Closes the orders named and returns those that were open.
+    pub fn settle(&mut self, orders: &[endpoints::OrderId]) -> Vec<endpoints::Order> {
+        orders
+            .iter()
+            .filter_map(|order| self.open.remove(order))
+            .collect()
+    }
+
+    /// Closes the orders to lower incarnations of `endpoint`, which refuses them.
+    pub fn endpoint_incarnation(
+        &mut self,
+        endpoint: &str,
+        incarnation: endpoints::Incarnation,
+    ) -> Vec<endpoints::Order> {
+        self.close(|order| order.endpoint == endpoint && order.incarnation < incarnation)
+    }
+
+    /// Closes all orders to `endpoint`.
+    pub fn endpoint_gone(&mut self, endpoint: &str) -> Vec<endpoints::Order> {
+        self.close(|order| order.endpoint == endpoint)
+    }
+
+    fn issue_one(&mut self, proposed: command::ProposedOrder) -> endpoints::Order {
+        if let Some(open) = self.equal_to(&proposed) {
+            return open.clone();
+        }
+        self.last_order.0 += 1;
+        let order = endpoints::Order {
+            order: self.last_order,
+            endpoint: proposed.endpoint,
+            incarnation: proposed.incarnation,
+            fence: self.next_fence(),
+            task: proposed.task,
+        };
+        self.open.insert(order.order, order.clone());
+        order
+    }
+
+    fn equal_to(&self, proposed: &command::ProposedOrder) -> Option<&endpoints::Order> {
+        self.open.values().find(|open| {
+            open.endpoint == proposed.endpoint
+                && open.incarnation == proposed.incarnation
+                && open.task == proposed.task
+        })
+    }
+
+    fn next_fence(&mut self) -> endpoints::Fence {
+        self.last_fence.0 += 1;
+        self.last_fence
+    }
+
+    fn close(&mut self, void: impl Fn(&endpoints::Order) -> bool) -> Vec<endpoints::Order> {
+        let ids = self.open.values().filter(|order| void(order));
+        let ids: Vec<_> = ids.map(|order| order.order).collect();
+        self.settle(&ids)
+    }
+}
--- /dev/null
+++ b/crates/sageshed-state/tests/claims.rs
@@ -0,0 +1,195 @@
+//! Claims on requests that run at most once.
+
+use sageshed_state::{claim_table, command};
+use sageshed_types::{claims, endpoints, time};
+
+const RETENTION: u64 = 1_000;
+const DIGEST: u64 = 7;
+
+fn limits() -> claim_table::Limits {
+    claim_table::Limits {
+        claims: 3,
+        answer_bytes: 4,
+        all_answer_bytes: 6,
+        given_back: 2,
+    }
+}
+
+fn table() -> claim_table::ClaimTable {
+    claim_table::ClaimTable::new(limits())
+}
+
+fn key(key: &str) -> claims::ClaimKey {
+    claims::ClaimKey {
+        caller: "clearflow".to_owned(),
+        key: key.to_owned(),
+    }
+}
+
+fn holder(vm: &str, incarnation: u64, request_id: &str) -> claims::Holder {
+    claims::Holder {
+        vm: vm.to_owned(),
+        incarnation: endpoints::Incarnation(incarnation),
+        request_id: request_id.to_owned(),
+    }
+}
+
+fn first() -> claims::Holder {
+    holder("vm1", 5, "r1")
+}
+
+fn second() -> claims::Holder {
+    holder("vm2", 5, "r2")
+}
+
+fn claim_of(on: &str, holder: claims::Holder, digest: u64) -> claims::Claim {
+    claims::Claim {
+        key: key(on),
+        holder,
+        digest,
+        retention: time::Millis(RETENTION),
+    }
+}
+
+fn ask(
+    table: &mut claim_table::ClaimTable,
+    on: &str,
+    holder: claims::Holder,
+) -> claim_table::Claimed {
+    table.claim(claim_of(on, holder, DIGEST))
+}
+
+fn settle(
+    table: &mut claim_table::ClaimTable,
+    on: &str,
+    holder: claims::Holder,
+    end: claims::End,
+) -> command::SettleOutcome {
+    table.settle(claims::Settle {
+        key: key(on),
+        holder,
+        end,
+    })
+}
+
+fn ran(body: &[u8]) -> claims::End {
+    claims::End::Ran {
+        answer: Some(answer(body)),
+    }
+}
+
+fn answer(body: &[u8]) -> claims::RecordedAnswer {
+    claims::RecordedAnswer {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: body.to_vec(),
+    }
+}
+
+fn granted() -> claim_table::Claimed {
+    claim_table::Claimed::Answer(claims::ClaimOutcome::Granted)
+}
+
+fn kept(answer: Option<claims::RecordedAnswer>) -> claim_table::Claimed {
+    claim_table::Claimed::Answer(claims::ClaimOutcome::Ran { answer })
+}
+
+fn running(holder: claims::Holder) -> claim_table::Claimed {
+    claim_table::Claimed::Answer(claims::ClaimOutcome::Running { holder })
+}
+
+// The answer that grants a claim is lost and the entry asks again. Told that the claim is held, it
+// would refuse a request that nobody runs.
+#[test]
+fn the_holder_that_asks_again_is_granted_again() {
+    let mut table = table();
+    assert_eq!(ask(&mut table, "k", first()), granted());
+    assert_eq!(ask(&mut table, "k", first()), granted());
+    assert_eq!(table.len(), 1);
+    let others = [holder("vm1", 6, "r1"), holder("vm1", 5, "r2"), second()];
+    for other in others {
+        assert_eq!(ask(&mut table, "k", other), running(first()));
+    }
+}
+
+#[test]
+fn the_same_key_with_other_content_is_told_so_in_every_state() {
+    let other = claim_table::Claimed::Answer(claims::ClaimOutcome::OtherContent);
+    let ends = [None, Some(ran(b"x")), Some(claims::End::Unknown)];
+    for end in ends {
+        let mut table = table();
+        ask(&mut table, "k", first());
+        if let Some(end) = end {
+            settle(&mut table, "k", first(), end);
+        }
+        assert_eq!(table.claim(claim_of("k", second(), DIGEST + 1)), other);
+        assert_eq!(table.claim(claim_of("k", first(), DIGEST + 1)), other);
+    }
+}
+
+// An entry gives up on a claim whose proposal hangs at a leader that is cut off, or its process
+// ends; then the proposal is committed. Granted, nobody would ever settle it, and each retry of the
+// caller would hear that the request is running.
+#[test]
+fn a_claim_that_comes_after_its_holder_gave_up_is_not_granted() {
+    let mut table = table();
+    settle(&mut table, "k", first(), claims::End::NotRun);
+    assert_eq!(ask(&mut table, "k", first()), claim_table::Claimed::TooLate);
+    table.holder_gone("vm2", endpoints::Incarnation(6));
+    assert_eq!(
+        ask(&mut table, "k", second()),
+        claim_table::Claimed::TooLate
+    );
+    assert!(table.is_empty());
+    assert_eq!(ask(&mut table, "k", holder("vm2", 6, "r2")), granted());
+}
+
+#[test]
+fn holders_that_gave_up_are_remembered_up_to_the_bound() {
+    let mut table = table();
+    for request_id in ["a", "b", "c"] {
+        settle(
+            &mut table,
+            "k",
+            holder("vm1", 5, request_id),
+            claims::End::NotRun,
+        );
+    }
+    let late = claim_table::Claimed::TooLate;
+    assert_eq!(ask(&mut table, "k", holder("vm1", 5, "b")), late);
+    assert_eq!(ask(&mut table, "k", holder("vm1", 5, "c")), late);
+    assert_eq!(ask(&mut table, "k", holder("vm1", 5, "a")), granted());
+}
+
+// The table is full. Forgetting the oldest claim to make room would let its request run again.
+#[test]
+fn a_full_table_refuses_new_claims_and_forgets_none() {
+    let mut table = table();
+    for on in ["a", "b", "c"] {
+        assert_eq!(ask(&mut table, on, first()), granted());
+    }
+    let full = claim_table::Claimed::Answer(claims::ClaimOutcome::Full);
+    assert_eq!(ask(&mut table, "d", second()), full);
+    assert_eq!(ask(&mut table, "a", second()), running(first()));
+    settle(&mut table, "a", first(), ran(b"x"));
+    assert_eq!(ask(&mut table, "d", second()), full);
+    table.clock(10);
+    table.clock(10 + RETENTION);
+    assert_eq!(ask(&mut table, "d", second()), granted());
+}
+
+#[test]
+fn answers_are_bounded_in_sum_and_the_room_comes_back() {
+    let mut table = table();
+    for on in ["a", "b"] {
+        ask(&mut table, on, first());
+        settle(&mut table, on, first(), ran(b"1234"));
+    }
+    assert_eq!(ask(&mut table, "a", second()), kept(Some(answer(b"1234"))));
+    assert_eq!(ask(&mut table, "b", second()), kept(None));
+    table.clock(1);
+    assert_eq!(table.clock(1 + RETENTION), 2);
+    ask(&mut table, "c", first());
+    settle(&mut table, "c", first(), ran(b"5678"));
+    assert_eq!(ask(&mut table, "c", second()), kept(Some(answer(b"5678"))));
+}
--- /dev/null
+++ b/crates/sageshed-state/tests/rules.rs
@@ -0,0 +1,307 @@
+//! Changes of the rules: races, resends, and copies brought up to date.
+
+use sageshed_state::{rule_log, update};
+use sageshed_types::{messages, rules};
+
+const KEPT_CHANGES: usize = 300;
+const KEPT_IDS: usize = 400;
+
+fn rule(id: &str) -> rules::Rule {
+    rules::Rule {
+        id: id.to_owned(),
+        when: rules::When::default(),
+        action: rules::Action::Refuse(rules::Refuse::default()),
+        not_repeatable: None,
+        deadline_ms: None,
+    }
+}
+
+fn add(rule: rules::Rule) -> rules::Edit {
+    rules::Edit::Add {
+        rule: Box::new(rule),
+        position: rules::Position::Last,
+    }
+}
+
+fn change(id: &str, base: u64, edit: rules::Edit) -> rules::Change {
+    rules::Change {
+        change_id: id.to_owned(),
+        base_revision: rules::Revision(base),
+        edit,
+        operator: "desk".to_owned(),
+    }
+}
+
+fn accepted(revision: u64) -> rules::ChangeOutcome {
+    rules::ChangeOutcome::Accepted {
+        revision: rules::Revision(revision),
+    }
+}
+
+/// The rules a, b and c at revision 3.
+fn abc() -> rule_log::RuleLog {
+    let mut log = rule_log::RuleLog::new(KEPT_CHANGES, KEPT_IDS);
+    for (base, id) in ["a", "b", "c"].into_iter().enumerate() {
+        let change = change(&format!("add-{id}"), base as u64, add(rule(id)));
+        assert_eq!(log.change(change), accepted(base as u64 + 1));
+    }
+    log
+}
+
+// An entry was away for more changes than the history keeps, though fewer than a delta may carry.
+// Sent those that are left, it would meet a gap each time it asks, and never catch up.
+#[test]
+fn a_copy_that_the_history_does_not_reach_is_sent_the_whole() {
+    let mut log = rule_log::RuleLog::new(2, KEPT_IDS);
+    for (base, id) in ["a", "b", "c"].into_iter().enumerate() {
+        log.change(change(id, base as u64, add(rule(id))));
+    }
+    let delta = log.updates_since(rules::Revision(1));
+    assert!(matches!(delta, messages::ConfigUpdate::Delta(changes) if changes.len() == 2));
+    let whole = messages::ConfigUpdate::Snapshot(log.current().clone());
+    assert_eq!(log.updates_since(rules::Revision(0)), whole);
+}
+
+/// A log at `revision` whose only rule was added and withdrawn in turn.
+fn long(revision: u64) -> rule_log::RuleLog {
+    let mut log = rule_log::RuleLog::new(KEPT_CHANGES, KEPT_IDS);
+    for base in 0..revision {
+        let edit = if base % 2 == 0 {
+            add(rule("a"))
+        } else {
+            rules::Edit::Withdraw { id: "a".to_owned() }
+        };
+        assert_eq!(
+            log.change(change(&format!("change-{base}"), base, edit)),
+            accepted(base + 1)
+        );
+    }
+    log
+}
+
+fn ids(set: &rules::RuleSet) -> String {
+    let ids: Vec<_> = set.rules.iter().map(|rule| rule.id.as_str()).collect();
+    ids.join(" ")
+}
+
+// Two operators see revision 3 and both send a change. One is accepted; the other, judged by its
+// number alone, would be put in force on top of rules that its operator never saw.
+#[test]
+fn the_second_of_two_racing_changes_is_told_what_came_between() {
+    let mut log = abc();
+    let first = change("first", 3, add(rule("d")));
+    assert_eq!(log.change(first.clone()), accepted(4));
+    let second = log.change(change("second", 3, add(rule("e"))));
+    let between = vec![rules::Accepted {
+        revision: rules::Revision(4),
+        change: first,
+    }];
+    assert_eq!(
+        second,
+        rules::ChangeOutcome::Conflict {
+            revision: rules::Revision(4),
+            between,
+        }
+    );
+    assert_eq!(ids(log.current()), "a b c d");
+}
+
+// An operator's change is accepted and the answer is lost. Others are accepted, then the operator
+// sends the change again: judged by its base revision it is a conflict with itself.
+#[test]
+fn a_change_that_is_sent_again_gets_the_first_answer() {
+    let mut log = abc();
+    let first = change("first", 3, add(rule("d")));
+    assert_eq!(log.change(first.clone()), accepted(4));
+    assert_eq!(log.change(change("next", 4, add(rule("e")))), accepted(5));
+    assert_eq!(log.change(first), accepted(4));
+    assert_eq!(ids(log.current()), "a b c d e");
+
+    let by_another = rules::Change {
+        operator: "night desk".to_owned(),
+        ..change("first", 3, add(rule("d")))
+    };
+    let others = [
+        change("first", 3, add(rule("f"))),
+        change("first", 5, add(rule("f"))),
+        change("first", 5, add(rule("d"))),
+        by_another,
+    ];
+    for other in others {
+        let label = format!("{other:?}");
+        let reused = rules::ChangeOutcome::ChangeIdReused {
+            revision: rules::Revision(4),
+        };
+        assert_eq!(log.change(other), reused, "{label}");
+    }
+    assert_eq!(log.current().revision, rules::Revision(5));
+}
+
+// The memory of change ids is full. A change that fell out of it comes again: it must not be
+// applied a second time, and is refused as a conflict.
+#[test]
+fn a_change_id_that_is_forgotten_is_a_conflict_and_not_a_second_change() {
+    let mut log = long(KEPT_IDS as u64 + 1);
+    let state = log.clone();
+    let again = log.change(change("change-0", 0, add(rule("a"))));
+    assert!(
+        matches!(again, rules::ChangeOutcome::Conflict { .. }),
+        "{again:?}"
+    );
+    assert_eq!(log, state);
+    let remembered = change("change-1", 1, rules::Edit::Withdraw { id: "a".to_owned() });
+    assert_eq!(log.change(remembered), accepted(2));
+}
+
+#[test]
+fn a_copy_is_sent_the_changes_it_lacks_or_the_whole() {
+    struct Case {
+        newest: u64,
+        have: u64,
+        delta: Option<usize>,
+    }
+    let cases = [
+        Case {
+            newest: 0,
+            have: 0,
+            delta: Some(0),
+        },
+        Case {
+            newest: 3,
+            have: 0,
+            delta: Some(3),
+        },
+        Case {
+            newest: 3,
+            have: 2,
+            delta: Some(1),
+        },
+        Case {
+            newest: 3,
+            have: 3,
+            delta: Some(0),
+        },
+        Case {
+            newest: 3,
+            have: 9,
+            delta: Some(0),
+        },
+        Case {
+            newest: 256,
+            have: 0,
+            delta: Some(256),
+        },
+        Case {
+            newest: 257,
+            have: 0,
+            delta: None,
+        },
+        Case {
+            newest: 350,
+            have: 94,
+            delta: Some(256),
+        },
+        Case {
+            newest: 350,
+            have: 93,
+            delta: None,
+        },
+    ];
+    for Case {
+        newest,
+        have,
+        delta,
+    } in cases
+    {
+        let log = long(newest);
+        let label = format!("{have} to {newest}");
+        let sent = match log.updates_since(rules::Revision(have)) {
+            messages::ConfigUpdate::Delta(changes) => Some(changes.len()),
+            messages::ConfigUpdate::Snapshot(_) => None,
+        };
+        assert_eq!(sent, delta, "{label}");
+        let mut copy = long(have).current().clone();
+        update::apply_update(&mut copy, log.updates_since(rules::Revision(have)));
+        let expected = if have > newest { long(have) } else { log };
+        assert_eq!(copy, *expected.current(), "{label}");
+    }
+}
+
+// A control process that was cut off answers an entry with what was the newest hours ago. Taken,
+// it would put withdrawn rules in force again.
+#[test]
+fn a_copy_never_goes_back() {
+    struct Case {
+        label: &'static str,
+        update: messages::ConfigUpdate,
+        updated: update::Updated,
+    }
+    let changes = |from: usize, to: usize| {
+        let log = long(9);
+        let all: Vec<_> = log.history().cloned().collect();
+        messages::ConfigUpdate::Delta(all[from..to].to_vec())
+    };
+    let whole = |at| messages::ConfigUpdate::Snapshot(long(at).current().clone());
+    let gap = update::Updated::Gap {
+        needed: rules::Revision(6),
+        came: rules::Revision(7),
+    };
+    let to = |revision| update::Updated::To(rules::Revision(revision));
+    let cases = [
+        Case {
+            label: "older whole",
+            update: whole(4),
+            updated: update::Updated::NothingNewer,
+        },
+        Case {
+            label: "same whole",
+            update: whole(5),
+            updated: update::Updated::NothingNewer,
+        },
+        Case {
+            label: "later whole",
+            update: whole(8),
+            updated: to(8),
+        },
+        Case {
+            label: "older delta",
+            update: changes(0, 4),
+            updated: update::Updated::NothingNewer,
+        },
+        Case {
+            label: "overlap",
+            update: changes(2, 7),
+            updated: to(7),
+        },
+        Case {
+            label: "gap",
+            update: changes(6, 9),
+            updated: gap,
+        },
+    ];
+    for case in cases {
+        let mut copy = long(5).current().clone();
+        let updated = update::apply_update(&mut copy, case.update);
+        assert_eq!(updated, case.updated, "{}", case.label);
+        let expected = match updated {
+            update::Updated::To(revision) => long(revision.0),
+            _ => long(5),
+        };
+        assert_eq!(copy, *expected.current(), "{}", case.label);
+    }
+}
+
+#[test]
+fn a_delta_that_does_not_fit_leaves_the_copy() {
+    let mut copy = long(5).current().clone();
+    let misfit = rules::Accepted {
+        revision: rules::Revision(6),
+        change: change("x", 5, rules::Edit::Withdraw { id: "x".to_owned() }),
+    };
+    let updated = update::apply_update(&mut copy, messages::ConfigUpdate::Delta(vec![misfit]));
+    assert!(
+        matches!(updated, update::Updated::Misfit { .. }),
+        "{updated:?}"
+    );
+    assert_eq!(copy, *long(5).current());
+}
--- a/crates/sageshed-types/src/claims.rs
+++ b/crates/sageshed-types/src/claims.rs
@@ -17,7 +17,7 @@
 }
 
 /// Who holds a claim: one arrival of a request at one entry process.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Holder {
     /// The entry VM.
     pub vm: String,
@@ -28,7 +28,7 @@
 }
 
 /// Asks for a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claim {
     /// On what.
     pub key: ClaimKey,
@@ -41,7 +41,7 @@
 }
 
 /// Says how a claimed request ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Settle {
     /// Which claim.
     pub key: ClaimKey,
@@ -52,7 +52,7 @@
 }
 
 /// How a claimed request ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// It ran. The answer is kept if it is small enough.
@@ -67,7 +67,7 @@
 }
 
 /// An answer kept for later arrivals of the same key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RecordedAnswer {
     /// HTTP status.
     pub status: u16,
@@ -78,7 +78,7 @@
 }
 
 /// What the control group says to a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimOutcome {
     /// Committed: this arrival may send the request, once.
--- a/crates/sageshed-types/src/endpoints.rs
+++ b/crates/sageshed-types/src/endpoints.rs
@@ -172,7 +172,7 @@
 }
 
 /// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Order {
     /// Names it; the endpoint carries out one order id at most once.
     pub order: OrderId,
