Start logs, take the stop, and read policies and rule files

The daemons need one way to be told to stop, logs with keys, and the real policies in the common settings in place of plain tables. A rule file is read like settings, so that its problems name file, line and key too, and is checked against what the common settings offer. The processes of the VMs show each other a token, which the common settings now name by file. Values in logs never carry control characters, since what callers send reaches them.

--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -1,3 +1,5 @@
 //! What the commands and daemons do.
 
+pub mod context;
+pub mod logs;
 pub mod settings;
--- /dev/null
+++ b/src/sageshed/logs.rs
@@ -0,0 +1,161 @@
+//! Logs: a short sentence with a fixed prefix for each part, then keys.
+//!
+//! Text for people is the default:
+//!
+//! ```text
+//! 2026-03-01T06:12:03.417Z INFO  entry: request refused request=vm1-7f rule=night reason=rule_refused
+//! ```
+//!
+//! With `format = "json"` each record is an object on a line, with `time`, `level`, `part`, `message`
+//! and the keys under `keys`.
+//!
+//! What callers send can reach a record as a value. A line break in it would let a caller write
+//! records of its own, so control characters never reach the output as they are.
+
+use std::{fmt::Write, io, path};
+
+use derive_more::{Display, Error};
+use log::kv;
+
+use crate::settings;
+
+/// Logs could not be started.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// The file could not be opened.
+    #[display("the log file {} can't be opened: {source}", file.display())]
+    File {
+        /// Which.
+        file: path::PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// Logs were started before.
+    #[display("logs were started twice: {source}")]
+    Twice {
+        /// What the log library says.
+        source: log::SetLoggerError,
+    },
+}
+
+/// Starts the logs of this process.
+pub fn start(log: &settings::Log) -> Result<(), StartError> {
+    let format = log.format;
+    let dispatch = fern::Dispatch::new()
+        .level(level(log.level))
+        .format(move |out, _, record| {
+            let now = jiff::Timestamp::now();
+            out.finish(format_args!("{}", line(format, now, record)));
+        });
+    let dispatch = match &log.file {
+        None => dispatch.chain(io::stderr()),
+        Some(file) => dispatch.chain(fern::log_file(file).map_err(|source| StartError::File {
+            file: file.clone(),
+            source,
+        })?),
+    };
+    dispatch
+        .apply()
+        .map_err(|source| StartError::Twice { source })
+}
+
+fn level(level: settings::Level) -> log::LevelFilter {
+    match level {
+        settings::Level::Error => log::LevelFilter::Error,
+        settings::Level::Warn => log::LevelFilter::Warn,
+        settings::Level::Info => log::LevelFilter::Info,
+        settings::Level::Debug => log::LevelFilter::Debug,
+        settings::Level::Trace => log::LevelFilter::Trace,
+    }
+}
+
+/// One record as it is written, without the line's end.
+#[must_use]
+pub fn line(format: settings::Format, now: jiff::Timestamp, record: &log::Record<'_>) -> String {
+    match format {
+        settings::Format::Text => text(now, record),
+        settings::Format::Json => json(now, record),
+    }
+}
+
+fn text(now: jiff::Timestamp, record: &log::Record<'_>) -> String {
+    let mut line = format!("{now:.3} {:5} ", record.level());
+    for c in record.args().to_string().chars() {
+        push(&mut line, c);
+    }
+    for (key, value) in pairs(record) {
+        line.push(' ');
+        line.push_str(&key);
+        line.push('=');
+        push_value(&mut line, &value);
+    }
+    line
+}
+
+/// Quotes a value that a reader could not tell from what follows it.
+fn push_value(line: &mut String, value: &str) {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !"\"=".contains(c);
+    if !value.is_empty() && value.chars().all(plain) {
+        line.push_str(value);
+        return;
+    }
+    line.push('"');
+    for c in value.chars() {
+        if c == '"' || c == '\\' {
+            line.push('\\');
+        }
+        push(line, c);
+    }
+    line.push('"');
+}
+
+fn push(line: &mut String, c: char) {
+    if c.is_control() {
+        write!(line, "{}", c.escape_default()).expect("a string takes every write");
+    } else {
+        line.push(c);
+    }
+}
+
+fn json(now: jiff::Timestamp, record: &log::Record<'_>) -> String {
+    let sentence = record.args().to_string();
+    let (part, message) = match sentence.split_once(": ") {
+        Some((part, message)) => (part, message),
+        None => ("", sentence.as_str()),
+    };
+    let keys: serde_json::Map<String, serde_json::Value> = pairs(record)
+        .into_iter()
+        .map(|(key, value)| (key, value.into()))
+        .collect();
+    serde_json::json!({
+        "time": format!("{now:.3}"),
+        "level": record.level().as_str(),
+        "part": part,
+        "message": message,
+        "keys": keys,
+    })
+    .to_string()
+}
+
+fn pairs(record: &log::Record<'_>) -> Vec<(String, String)> {
+    let mut pairs = Pairs::default();
+    // The visitor below never fails.
+    if record.key_values().visit(&mut pairs).is_err() {
+        pairs
+            .list
+            .push(("keys".to_owned(), "broken off".to_owned()));
+    }
+    pairs.list
+}
+
+#[derive(Default)]
+struct Pairs {
+    list: Vec<(String, String)>,
+}
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        self.list.push((key.to_string(), value.to_string()));
+        Ok(())
+    }
+}
--- a/src/sageshed/settings/checks.rs
+++ b/src/sageshed/settings/checks.rs
@@ -3,7 +3,7 @@
 //! A member of a list that could not be read is not there to be found by the others. To keep one
 //! mistake from showing as many, the checks name only what the operator wrote.
 
-use std::collections;
+use std::{collections, fs, path};
 
 use sageshed_types::{catalog, time};
 
@@ -261,6 +261,23 @@
     }
 }
 
+/// The token that our own processes show each other; empty if no file is named.
+pub(super) fn vms_token(
+    file: Option<&Located<path::PathBuf>>,
+    problems: &mut Vec<Problem>,
+) -> String {
+    let Some(Located { value: file, place }) = file else {
+        return String::new();
+    };
+    let message = match fs::read_to_string(file) {
+        Ok(text) if !text.trim().is_empty() => return text.trim().to_owned(),
+        Ok(_) => format!("{} is empty; put the token in it", file.display()),
+        Err(e) => format!("{} cannot be read: {e}", file.display()),
+    };
+    problems.push(place.problem("", message));
+    String::new()
+}
+
 fn positive(place: &Place, key: &str, span: time::Millis, problems: &mut Vec<Problem>) {
     if span.0 == 0 {
         problems.push(place.problem(key, "must be at least 1 millisecond"));
--- a/src/sageshed/settings/common.rs
+++ b/src/sageshed/settings/common.rs
@@ -2,6 +2,7 @@
 
 use std::{net, path};
 
+use sageshed_decide::settings as decide;
 use sageshed_types::{catalog, time};
 use serde::Deserialize;
 
@@ -14,6 +15,13 @@
     /// Where it was read from.
     #[serde(skip)]
     pub file: path::PathBuf,
+    /// The file that holds the token which our own processes show each other; none: any process
+    /// that reaches their ports may call. A relative one starts from the folder of the common file.
+    #[serde(default)]
+    pub vms_token_file: Option<path::PathBuf>,
+    /// What that file holds; empty if there is none.
+    #[serde(skip)]
+    pub vms_token: String,
     /// The system's own VMs.
     pub vms: Vec<Vm>,
     /// The models and adapters on offer.
@@ -41,21 +49,15 @@
     pub control: ControlGroup,
     /// How an entry process chooses among endpoints.
     #[serde(default)]
-    pub routing: Routing,
+    pub routing: decide::Policy,
     /// How the control group places models.
     #[serde(default)]
-    pub placement: Placement,
+    pub placement: sageshed_place::Policy,
     /// Bounds on callers' requests; an entry file may change single ones.
     #[serde(default)]
     pub limits: Limits,
 }
 
-/// The policy of `sageshed-decide`.
-pub type Routing = toml::Table;
-
-/// The policy of `sageshed-place`.
-pub type Placement = toml::Table;
-
 impl Common {
     /// The VM of this name.
     #[must_use]
--- a/src/sageshed/settings/load.rs
+++ b/src/sageshed/settings/load.rs
@@ -3,8 +3,8 @@
 use std::path;
 
 use super::{
-    Common, Control, ControlListen, Entry, EntryListen, Limits, Log, Problem, Problems, checks,
-    reader,
+    Common, Control, ControlListen, Entry, EntryListen, Limits, Log, Problem, Problems, RuleFile,
+    checks, reader, rule_file,
 };
 
 /// A settings file of any kind.
@@ -16,6 +16,8 @@
     Control(Box<Control>),
     /// What all VMs share.
     Common(Box<Common>),
+    /// Rules, which are no settings of a process but are checked the same way.
+    Rules(RuleFile),
 }
 
 /// What a file is, by the keys it has.
@@ -23,6 +25,7 @@
     Entry,
     Control,
     Common,
+    Rules,
 }
 
 /// Reads and checks the settings at `file`, whichever kind they are.
@@ -34,6 +37,7 @@
         Kind::Entry => entry(file).map(|it| Settings::Entry(Box::new(it))),
         Kind::Control => control(file).map(|it| Settings::Control(Box::new(it))),
         Kind::Common => common(file).map(|it| Settings::Common(Box::new(it))),
+        Kind::Rules => rule_file::read_rules(file).map(Settings::Rules),
     }
 }
 
@@ -45,6 +49,8 @@
         Kind::Control
     } else if reader.has("vm") || reader.has("common") {
         Kind::Entry
+    } else if reader.has("rules") || reader.has("do") {
+        Kind::Rules
     } else {
         Kind::Common
     }
@@ -139,6 +145,7 @@
 fn read_common(file: &path::Path, problems: &mut Vec<Problem>) -> Option<Common> {
     let source = open(file, problems)?;
     let mut reader = parse(&source, problems)?;
+    let token_file = reader.optional::<path::PathBuf>("vms_token_file");
     let vms = reader.list("vms");
     let models = reader.list("models");
     let services = reader.list("services");
@@ -163,10 +170,17 @@
     checks::claims(&claims, problems);
     checks::lease(&lease, problems);
     checks::limits(&limits.value, &limits.place, problems);
+    let token_file = token_file.map(|it| reader::Located {
+        value: beside(file, &it.value),
+        place: it.place,
+    });
+    let vms_token = checks::vms_token(token_file.as_ref(), problems);
     let control = control?;
     checks::control_group(&control, &vms, problems);
     Some(Common {
         file: file.to_owned(),
+        vms_token_file: token_file.map(|it| it.value),
+        vms_token,
         vms: values(vms),
         models: values(models),
         services: values(services),
--- a/src/sageshed/settings/mod.rs
+++ b/src/sageshed/settings/mod.rs
@@ -13,9 +13,11 @@
 mod problem;
 mod process;
 mod reader;
+mod rule_file;
 
-pub use common::{Claims, Common, ControlGroup, Lease, Operator, Placement, Routing, Service, Vm};
+pub use common::{Claims, Common, ControlGroup, Lease, Operator, Service, Vm};
 pub use limits::Limits;
 pub use load::{Settings, common, control, entry, load};
 pub use problem::{Problem, Problems};
 pub use process::{Control, ControlListen, Entry, EntryListen, Format, Level, Log, Shutdown};
+pub use rule_file::{Checked, RuleFile, parse_rules, read_rules};
--- a/src/sageshed/settings/reader.rs
+++ b/src/sageshed/settings/reader.rs
@@ -69,6 +69,14 @@
         })
     }
 
+    /// A text that was not read from a file; problems name `origin`.
+    pub fn of(origin: &path::Path, text: &str) -> Self {
+        Self {
+            file: origin.to_owned(),
+            text: text.to_owned(),
+        }
+    }
+
     /// Parses it. What is not TOML is reported alone: what else seems wrong then may follow from it.
     pub fn reader(&self) -> Result<Reader<'_>, Vec<problem::Problem>> {
         let (table, errors) = toml_de::DeTable::parse_recoverable(&self.text);
@@ -149,6 +157,17 @@
             .collect()
     }
 
+    /// The file as one value.
+    pub fn whole<T: de::DeserializeOwned>(&mut self) -> Option<Located<T>> {
+        let value = toml_de::DeValue::Table(self.table.clone());
+        self.convert("", toml::Spanned::new(0..self.source.text.len(), value))
+    }
+
+    /// The problems so far.
+    pub fn problems(self) -> Vec<problem::Problem> {
+        self.problems
+    }
+
     /// The problems, with one for each key that nobody asked for.
     pub fn finish(mut self) -> Vec<problem::Problem> {
         let top = self.top();
@@ -236,7 +255,10 @@
         return path.to_owned();
     };
     for (key, value) in table {
-        let name = format!("{path}.{}", key.get_ref());
+        let name = match path {
+            "" => key.get_ref().clone().into_owned(),
+            path => format!("{path}.{}", key.get_ref()),
+        };
         if within(span, &key.span()) {
             return name;
         }
