Test the caller side on real sockets, and see cut streams in HTTP/1.0

Three faults came up while writing them. An HTTP/1.0 caller takes an orderly close for the end of the answer, so a stream that is given up now ends in a reset; the standard library cannot ask for one, hence rustix, which was in the lock file already. Holding HTTP/1.0 streams back until they are whole was ruled out: common balancers speak it to what stands behind them. A connection that the kernel had taken just before the stop counted as idle and was ended with its request unread; it is read from once more now. A read interrupted by a signal counted as the end of the connection.

The kernel now probes silent connections and bounds unacknowledged bytes. That part has no test: it needs packets to be lost.

--- a/crates/sageshed-callers/src/connection.rs
+++ b/crates/sageshed-callers/src/connection.rs
@@ -13,6 +13,9 @@
 /// What a caller that waits for a go-ahead is sent.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// How long a connection is still read from once idle ones are to end.
+const LAST_CALL: time::Duration = time::Duration::from_millis(100);
+
 /// Everything that one connection's thread needs.
 #[derive(Debug)]
 pub(crate) struct Connection<H> {
@@ -56,7 +59,8 @@
             match next {
                 Next::Again => self.input.shrink(),
                 Next::Close => return self.link.close_gently(),
-                Next::Cut => return self.link.close(),
+                // Dropping the last hold on the socket closes it.
+                Next::Cut => return,
             }
         }
     }
@@ -83,12 +87,16 @@
             return true;
         }
         self.link.set_idle(true);
-        if self.shared.closes_idle() {
-            return false;
-        }
-        let filled = self.input.fill_within(&self.link, self.limits.idle_timeout);
+        // A connection that was accepted last may have its request on the way in already: it is not
+        // idle, only not read yet, and ending it would cut that request.
+        let patience = if self.shared.closes_idle() {
+            LAST_CALL
+        } else {
+            self.limits.idle_timeout
+        };
+        let filled = self.input.fill_within(&self.link, patience);
         self.link.set_idle(false);
-        filled == Fill::More && !self.input.buf.is_empty()
+        filled == Fill::More
     }
 
     fn read_head(&mut self, until: time::Instant) -> Result<head::Head, body::Cut> {
@@ -142,7 +150,7 @@
         }
         if head.expects_continue && self.input.buf.is_empty() && head.has_body() {
             self.link
-                .write(CONTINUE, self.limits.write_timeout)
+                .write(CONTINUE)
                 .map_err(|_unwritable| body::Cut::Broken)?;
         }
         let mut reader = body::Reader {
@@ -185,7 +193,6 @@
         reply::Exchange {
             link: sync::Arc::clone(&self.link),
             draining: sync::Arc::clone(&self.shared.draining),
-            write_timeout: self.limits.write_timeout,
             manner,
             progress: reply::Progress::Unanswered,
         }
--- a/crates/sageshed-callers/src/limits.rs
+++ b/crates/sageshed-callers/src/limits.rs
@@ -19,8 +19,8 @@
     pub body_timeout: time::Duration,
     /// How long a connection may stay open without a request.
     pub idle_timeout: time::Duration,
-    /// How long the caller may take to accept one piece of an answer: a chunk of a stream, or 64 KiB
-    /// of a whole answer.
+    /// How long a caller may accept nothing of its answer, or acknowledge nothing of it, before it
+    /// counts as gone.
     pub write_timeout: time::Duration,
     /// How many connections may be open at once. Each holds a thread.
     pub connections: usize,
--- a/crates/sageshed-callers/src/link.rs
+++ b/crates/sageshed-callers/src/link.rs
@@ -2,16 +2,21 @@
 
 use std::{
     io::{self, Read, Write},
-    net,
+    net::{Shutdown, TcpStream},
     sync::atomic,
     time,
 };
 
+use rustix::net;
+
 /// How much is read at once, in bytes. On the stack of the connection's thread.
 const READ_BYTES: usize = 8 * 1024;
 
-/// The largest piece of an answer that the write timeout covers, in bytes.
-const PIECE_BYTES: usize = 64 * 1024;
+/// A connection on which nothing comes for this long is probed by the kernel.
+const PROBE_AFTER: time::Duration = time::Duration::from_secs(10);
+
+/// The time between two probes.
+const PROBE_EVERY: time::Duration = time::Duration::from_secs(5);
 
 /// A buffer larger than this, in bytes, is not kept between two requests.
 const KEPT_BYTES: usize = 16 * 1024;
@@ -22,7 +27,7 @@
 /// A socket, shared between its thread and the server's table of connections.
 #[derive(Debug)]
 pub(crate) struct Link {
-    stream: net::TcpStream,
+    stream: TcpStream,
     /// Whether its thread waits for the first byte of a request.
     idle: atomic::AtomicBool,
 }
@@ -57,56 +62,51 @@
 
 impl Link {
     /// Takes over an accepted socket.
-    pub(crate) fn new(stream: net::TcpStream, write_timeout: time::Duration) -> io::Result<Self> {
+    pub(crate) fn new(stream: TcpStream, write_timeout: time::Duration) -> io::Result<Self> {
         // Without this a chunk would wait for the acknowledgement of the one before it.
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(write_timeout))?;
+        watch_silence(&stream, write_timeout)?;
         Ok(Self {
             stream,
             idle: atomic::AtomicBool::new(true),
         })
     }
 
-    /// Writes all of `bytes`, allowing `timeout` for each [`PIECE_BYTES`].
-    pub(crate) fn write(&self, bytes: &[u8], timeout: time::Duration) -> Result<(), Unwritable> {
-        bytes
-            .chunks(PIECE_BYTES)
-            .try_for_each(|piece| self.write_piece(piece, timeout))
-    }
-
-    /// A caller that takes a byte at a time would restart the socket's own timeout with each byte
-    /// and hold the thread for good, so the time over the whole piece is bounded too.
-    fn write_piece(&self, mut piece: &[u8], timeout: time::Duration) -> Result<(), Unwritable> {
-        let started = time::Instant::now();
-        while !piece.is_empty() {
-            match (&self.stream).write(piece) {
-                Ok(0) => return Err(Unwritable),
-                Ok(n) => piece = &piece[n..],
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Err(Unwritable),
-            }
-            if !piece.is_empty() && started.elapsed() >= timeout {
-                return Err(Unwritable);
-            }
-        }
-        Ok(())
+    /// Writes all of `bytes`. A write that makes no progress for the write timeout fails.
+    ///
+    /// The kernel wakes a blocked writer only when a third of the send buffer is free, so a caller
+    /// that reads a byte at a time makes no progress in this sense.
+    pub(crate) fn write(&self, bytes: &[u8]) -> Result<(), Unwritable> {
+        (&self.stream)
+            .write_all(bytes)
+            .map_err(|_broken_or_slow| Unwritable)
     }
 
     /// Whether the caller has closed or reset the connection. Does not block.
     pub(crate) fn is_gone(&self) -> bool {
-        if self.stream.set_nonblocking(true).is_err() {
-            return true;
+        let flags = net::RecvFlags::PEEK | net::RecvFlags::DONTWAIT;
+        match net::recv(&self.stream, &mut [0], flags) {
+            Ok((_, n)) => n == 0,
+            Err(e) => !is_nothing(e),
         }
-        let peeked = self.stream.peek(&mut [0]);
-        if self.stream.set_nonblocking(false).is_err() {
-            return true;
+    }
+
+    /// Reads away what has come. Does not block.
+    pub(crate) fn discard(&self) -> Discarded {
+        let flags = net::RecvFlags::DONTWAIT;
+        match net::recv(&self.stream, &mut [0; READ_BYTES], flags) {
+            Ok((_, 0)) => Discarded::Ended,
+            Ok(_) => Discarded::Bytes,
+            Err(e) if is_nothing(e) => Discarded::Nothing,
+            Err(_) => Discarded::Ended,
         }
-        match peeked {
-            Ok(n) => n == 0,
-            Err(e) => !matches!(
-                e.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-            ),
+    }
+
+    /// Has the connection end in a reset and not in an orderly close, once nobody holds it.
+    pub(crate) fn reset_on_close(&self) {
+        if let Err(e) = net::sockopt::set_socket_linger(&self.stream, Some(time::Duration::ZERO)) {
+            log::warn!(error:% = e; "callers: cut answer may look whole to an HTTP/1.0 caller");
         }
     }
 
@@ -120,51 +120,27 @@
         self.idle.load(atomic::Ordering::SeqCst)
     }
 
-    /// Reads away what has come. Does not block.
-    pub(crate) fn discard(&self) -> Discarded {
-        if self.stream.set_nonblocking(true).is_err() {
-            return Discarded::Ended;
-        }
-        let read = (&self.stream).read(&mut [0; READ_BYTES]);
-        if self.stream.set_nonblocking(false).is_err() {
-            return Discarded::Ended;
-        }
-        match read {
-            Ok(0) => Discarded::Ended,
-            Ok(_) => Discarded::Bytes,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Discarded::Nothing,
-            Err(_) => Discarded::Ended,
-        }
-    }
-
     /// Ends this side's output.
     pub(crate) fn stop_writing(&self) {
-        if let Err(e) = self.stream.shutdown(net::Shutdown::Write) {
+        if let Err(e) = self.stream.shutdown(Shutdown::Write) {
             log::debug!(error:% = e; "callers: connection was closed already");
         }
     }
 
     /// Wakes the thread of an idle connection, which then sees the end of input.
     pub(crate) fn stop_reading(&self) {
-        if let Err(e) = self.stream.shutdown(net::Shutdown::Read) {
+        if let Err(e) = self.stream.shutdown(Shutdown::Read) {
             log::debug!(error:% = e; "callers: idle connection was closed already");
         }
     }
 
-    /// Closes the connection at once.
-    pub(crate) fn close(&self) {
-        if let Err(e) = self.stream.shutdown(net::Shutdown::Both) {
-            log::debug!(error:% = e; "callers: connection was closed already");
-        }
-    }
-
     /// Ends the answers, then reads on for a short time until the caller closes too.
     ///
     /// Closing a socket with unread input makes the kernel send a reset, which can destroy an answer
     /// that the caller has not read yet: a caller that was told 413 in the middle of its upload would
     /// see a broken connection and no account. Reading the rest away prevents the reset.
     pub(crate) fn close_gently(&self) {
-        if self.stream.shutdown(net::Shutdown::Write).is_err() {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
         let until = time::Instant::now() + LINGER;
@@ -244,6 +220,25 @@
     }
 }
 
+/// Has the kernel find out when the other end is silent for good.
+///
+/// Something between the two ends may lose track of a connection: then no close ever arrives, a
+/// handler that waits would wait for nobody, and the small chunks of a stream would vanish into the
+/// send buffer one by one. Probes and a bound on unacknowledged bytes turn both into an error.
+fn watch_silence(stream: &TcpStream, write_timeout: time::Duration) -> io::Result<()> {
+    let bound = u32::try_from(write_timeout.as_millis()).unwrap_or(u32::MAX);
+    net::sockopt::set_socket_keepalive(stream, true)?;
+    net::sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    net::sockopt::set_tcp_keepintvl(stream, PROBE_EVERY)?;
+    net::sockopt::set_tcp_user_timeout(stream, bound)?;
+    Ok(())
+}
+
+/// Whether a read that does not wait found that there is nothing to read yet.
+fn is_nothing(e: rustix::io::Errno) -> bool {
+    e == rustix::io::Errno::AGAIN || e == rustix::io::Errno::INTR
+}
+
 fn failed_read(e: &io::Error) -> Fill {
     match e.kind() {
         // The socket's own timeout shows as either, by platform.
--- a/crates/sageshed-callers/src/overflow.rs
+++ b/crates/sageshed-callers/src/overflow.rs
@@ -3,7 +3,7 @@
 //! One thread answers them all. It waits for the first bytes of each before it answers, since a
 //! client that gets an answer before it has asked reports a fault of the connection and loses the
 //! account. It then reads on for a short time, so that the kernel does not reset the connection over
-//! unread input. Nothing here blocks; a connection past this thread's own bound is closed.
+//! unread input. Nothing here blocks, as a refusal fits the empty send buffer of a new socket; a connection past this thread's own bound is closed.
 
 use std::{
     io,
@@ -27,9 +27,6 @@
 /// How long one connection is kept at most.
 const PATIENCE: time::Duration = time::Duration::from_secs(1);
 
-/// The longest that writing a refusal may block. It fits the empty send buffer of a new socket.
-const WRITE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
-
 /// Hands connections to the refusing thread.
 #[derive(Debug)]
 pub(crate) struct Sender {
@@ -110,7 +107,6 @@
         let mut ex = reply::Exchange {
             link: sync::Arc::clone(&self.link),
             draining: sync::Arc::default(),
-            write_timeout: WRITE_TIMEOUT,
             manner: reply::Manner::LAST,
             progress: reply::Progress::Unanswered,
         };
--- a/crates/sageshed-callers/src/problem.rs
+++ b/crates/sageshed-callers/src/problem.rs
@@ -21,20 +21,21 @@
     detail: &'a str,
     request_id: &'a str,
     verdict: verdict::Verdict,
+    #[serde(serialize_with = "displayed")]
     reason: verdict::Reason,
     rule: Option<&'a str>,
     revision: u64,
     retry_after_ms: Option<u64>,
-    error: Error<'a>,
+    error: Error,
 }
 
 /// The member that `OpenAI` clients read.
 #[derive(Debug, serde::Serialize)]
-struct Error<'a> {
+struct Error {
     message: String,
     r#type: &'static str,
+    #[serde(serialize_with = "displayed")]
     code: verdict::Reason,
-    param: Option<&'a str>,
 }
 
 /// The event that ends a stream with an account.
@@ -48,10 +49,11 @@
 struct EventError<'a> {
     message: String,
     r#type: &'static str,
+    #[serde(serialize_with = "displayed")]
     code: verdict::Reason,
-    param: Option<&'a str>,
     request_id: &'a str,
     verdict: verdict::Verdict,
+    #[serde(serialize_with = "displayed")]
     reason: verdict::Reason,
     rule: Option<&'a str>,
     revision: u64,
@@ -76,7 +78,6 @@
             message: message(refusal),
             r#type: error_type(refusal.reason),
             code: refusal.reason,
-            param: None,
         },
     };
     json(&problem)
@@ -92,7 +93,6 @@
             message: message(refusal),
             r#type: error_type(refusal.reason),
             code: refusal.reason,
-            param: None,
             request_id,
             verdict: refusal.verdict,
             reason: refusal.reason,
@@ -115,6 +115,9 @@
         headers.push(("Retry-After", span.0.div_ceil(1000).to_string()));
         headers.push(("retry-after-ms", span.0.to_string()));
     }
+    if refusal.status == 401 {
+        headers.push(("WWW-Authenticate", "Bearer".to_owned()));
+    }
     match retry(refusal) {
         Retry::Never => headers.push(("x-should-retry", "false".to_owned())),
         Retry::Later => headers.push(("x-should-retry", "true".to_owned())),
@@ -161,6 +164,16 @@
     )
 }
 
+/// Writes a reason as it is displayed everywhere else, so that `type`, `code` and `reason` agree and
+/// can be searched for.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde calls it with a reference"
+)]
+fn displayed<S: serde::Serializer>(reason: &verdict::Reason, out: S) -> Result<S::Ok, S::Error> {
+    out.collect_str(reason)
+}
+
 /// Writes one of this package's own bodies: structs with string keys, which always serialise.
 pub(crate) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("structs with string keys always serialise")
--- a/crates/sageshed-callers/src/reply.rs
+++ b/crates/sageshed-callers/src/reply.rs
@@ -3,7 +3,6 @@
 use std::{
     fmt::Write as _,
     sync::{self, atomic},
-    time,
 };
 
 use derive_more::{Display, Error};
@@ -53,7 +52,6 @@
 pub(crate) struct Exchange {
     pub(crate) link: sync::Arc<link::Link>,
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
-    pub(crate) write_timeout: time::Duration,
     pub(crate) manner: Manner,
     pub(crate) progress: Progress,
 }
@@ -95,7 +93,7 @@
             return Err(CallerGone);
         }
         self.progress = Progress::Begun;
-        if self.link.write(bytes, self.write_timeout).is_err() {
+        if self.link.write(bytes).is_err() {
             self.progress = Progress::Gone;
             self.manner.keep = false;
             return Err(CallerGone);
@@ -180,11 +178,22 @@
 
     /// Refuses, with the account as the body.
     pub fn refusal(self, request_id: &str, refusal: &refusal::Refusal) -> Sent {
+        self.refusal_with(request_id, refusal, &[])
+    }
+
+    /// As [`Reply::refusal`], with further headers: a 405 needs an `Allow`, for example.
+    pub fn refusal_with(
+        self,
+        request_id: &str,
+        refusal: &refusal::Refusal,
+        further: &[(&str, &str)],
+    ) -> Sent {
         let owned = problem::headers(refusal);
-        let headers: Vec<_> = owned
+        let mut headers: Vec<_> = owned
             .iter()
             .map(|(name, value)| (*name, value.as_str()))
             .collect();
+        headers.extend_from_slice(further);
         let head = Head {
             request_id,
             status: refusal.status,
@@ -267,8 +276,8 @@
     /// Ends the connection in the middle of the answer, so that the caller cannot take what it has
     /// for the whole.
     ///
-    /// In HTTP/1.1 the last chunk is missing, which every client reports. HTTP/1.0 has no such mark:
-    /// there only the content can tell, for example a missing `[DONE]`.
+    /// In HTTP/1.1 the last chunk is missing, which every client reports. In HTTP/1.0 an orderly close
+    /// means that the answer is whole, so there the connection is reset.
     pub fn abort(self) -> Sent {
         drop(self);
         Sent { whole: false }
@@ -277,8 +286,12 @@
 
 impl Drop for Stream<'_> {
     fn drop(&mut self) {
-        if !self.ended {
-            self.ex.manner.keep = false;
+        if self.ended {
+            return;
+        }
+        self.ex.manner.keep = false;
+        if self.ex.manner.old {
+            self.ex.link.reset_on_close();
         }
     }
 }
--- /dev/null
+++ b/crates/sageshed-callers/tests/connections.rs
@@ -0,0 +1,334 @@
+//! The life of connections: reuse, bounds, panics and shutdown.
+
+mod support;
+
+use std::{
+    sync::{Mutex, mpsc},
+    time::Duration,
+};
+
+use sageshed_callers::limits;
+use support::{Client, OK, PATIENCE, echo, start, wait_for};
+
+struct Case {
+    name: &'static str,
+    input: &'static [u8],
+    bodies: &'static [&'static str],
+    /// Whether the connection stays open afterwards.
+    kept: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "two requests at once",
+        input: b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b?c=d HTTP/1.1\r\nHost: h\r\n\r\n",
+        bodies: &["GET /a|", "GET /b?c=d|"],
+        kept: true,
+    },
+    Case {
+        name: "a length, then another request",
+        input: b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyzGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+        bodies: &["POST /a|xyz", "GET /b|"],
+        kept: true,
+    },
+    Case {
+        name: "chunks with extension and trailer, then another request",
+        input: b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n\
+                 3;e=1\r\nxyz\r\n1\r\n!\r\n0\r\nT: u\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+        bodies: &["POST /a|xyz!", "GET /b|"],
+        kept: true,
+    },
+    Case {
+        name: "the same length twice",
+        input: b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+        bodies: &["POST /a|x"],
+        kept: true,
+    },
+    Case {
+        name: "a POST without a body",
+        input: b"POST /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        bodies: &["POST /a|"],
+        kept: true,
+    },
+    Case {
+        name: "an absolute target",
+        input: b"GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
+        bodies: &["GET /a|"],
+        kept: true,
+    },
+    Case {
+        name: "close on wish",
+        input: b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        bodies: &["GET /a|"],
+        kept: false,
+    },
+    Case {
+        name: "HTTP/1.0 closes",
+        input: b"GET /a HTTP/1.0\r\n\r\n",
+        bodies: &["GET /a|"],
+        kept: false,
+    },
+    Case {
+        name: "HTTP/1.0 keeps on wish",
+        input: b"GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+        bodies: &["GET /a|"],
+        kept: true,
+    },
+];
+
+#[test]
+fn requests_on_one_connection_are_answered_in_order() {
+    let server = start(limits::Limits::default(), echo);
+    for case in CASES {
+        let mut client = Client::connect(&server);
+        client.send(case.input);
+        for body in case.bodies {
+            let answer = client.answer().expect(case.name);
+            assert_eq!(
+                (answer.status, answer.text().as_str()),
+                (200, *body),
+                "{}",
+                case.name
+            );
+            assert_eq!(answer.header("Sageshed-Request-Id"), Some("r-1"));
+        }
+        if case.kept {
+            assert_eq!(client.get("/again").text(), "GET /again|", "{}", case.name);
+        } else {
+            assert!(client.at_end(), "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_caller_that_waits_for_a_go_ahead_gets_it() {
+    let server = start(limits::Limits::default(), echo);
+    let mut client = Client::connect(&server);
+    client.send(b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    assert_eq!(
+        client.head().as_deref(),
+        Some("HTTP/1.1 100 Continue\r\n\r\n")
+    );
+    client.send(b"ok");
+    assert_eq!(client.answer().expect("an answer").text(), "POST /|ok");
+}
+
+#[test]
+fn an_answer_to_head_has_a_length_and_no_body() {
+    let server = start(limits::Limits::default(), echo);
+    let mut client = Client::connect(&server);
+    client.send(b"HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    let head = client.head().expect("an answer");
+    assert!(head.contains("Content-Length: 7\r\n"), "{head}");
+    assert_eq!(client.get("/next").text(), "GET /next|");
+}
+
+#[test]
+fn known_headers_come_typed_and_the_rest_can_be_forwarded() {
+    let server = start(limits::Limits::default(), |req, reply| {
+        let mut names: Vec<_> = req.forwarded().map(|header| header.name.as_str()).collect();
+        names.sort_unstable();
+        let seen = format!(
+            "{:?} {:?} {:?} {:?} {:?} {:?} {names:?}",
+            req.bearer,
+            req.idempotency_key,
+            req.repeatable,
+            req.deadline.map(|ms| ms.0),
+            req.class,
+            req.content_type,
+        );
+        reply.whole(&OK, seen.as_bytes())
+    });
+    let mut client = Client::connect(&server);
+    client.send(
+        b"GET / HTTP/1.1\r\nHost: h\r\nauthorization: bearer t k\r\nIdempotency-Key: k\r\n\
+          Sageshed-Repeatable: No\r\nSageshed-Deadline-Ms: 1500\r\nSageshed-Class: callout\r\n\
+          Content-Type: text/x\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n",
+    );
+    assert_eq!(
+        client.answer().expect("an answer").text(),
+        r#"Some("t k") Some("k") Some(false) Some(1500) Some("callout") Some("text/x") ["#
+            .to_owned()
+            + r#""Content-Type", "Idempotency-Key", "Sageshed-Class", "Sageshed-Deadline-Ms", "#
+            + r#""Sageshed-Repeatable", "X-End"]"#,
+    );
+}
+
+/// An endpoint answers with a header value that holds a line end. Copied as it is, the rest of the
+/// value would be read by the caller as headers, or as an answer to its next request.
+#[test]
+fn a_header_with_a_line_end_is_left_out() {
+    let server = start(limits::Limits::default(), |_, reply| {
+        let headers = [
+            ("X-Bad", "a\r\nX-Forged: 1"),
+            ("X-Good", "b"),
+            ("Content-Length", "99"),
+        ];
+        let head = sageshed_callers::reply::Head {
+            headers: &headers,
+            ..OK
+        };
+        reply.whole(&head, b"body")
+    });
+    let answer = Client::connect(&server).get("/");
+    assert_eq!(answer.header("X-Forged"), None);
+    assert_eq!(answer.header("X-Good"), Some("b"));
+    assert_eq!(answer.text(), "body");
+}
+
+/// The callout desk's entry has as many connections as it can hold. One more caller must hear why
+/// it is turned away and when to come back, before it has sent its whole request, and find a place
+/// once another has left.
+#[test]
+fn a_connection_past_the_bound_is_refused_with_an_account() {
+    let limits = limits::Limits {
+        connections: 2,
+        ..limits::Limits::default()
+    };
+    let server = start(limits, echo);
+    let mut kept = [Client::connect(&server), Client::connect(&server)];
+    for client in &mut kept {
+        assert_eq!(client.get("/").status, 200);
+    }
+    let mut third = Client::connect(&server);
+    let answer = third.get("/");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.json()["reason"], "too_many_requests_open");
+    assert_eq!(answer.json()["verdict"], "not_run");
+    assert_eq!(answer.header("Retry-After"), Some("1"));
+    assert_eq!(answer.header("x-should-retry"), Some("true"));
+    assert!(third.at_end());
+    assert_eq!(server.connections_open(), 2);
+    assert_eq!(kept[0].get("/").status, 200);
+
+    let [first, _second] = kept;
+    drop(first);
+    wait_for("a free place", || server.connections_open() == 1);
+    assert_eq!(Client::connect(&server).get("/").status, 200);
+}
+
+/// A fault in the daemon panics on one request. Its caller would see a broken connection and no
+/// cause; what the handler had done by then is unknown, so a client must not repeat it by itself.
+#[test]
+fn a_handler_that_panics_is_accounted_for() {
+    let server = start(limits::Limits::default(), |req, reply| {
+        assert!(req.path != "/panic", "on purpose");
+        echo(req, reply)
+    });
+    let answer = Client::connect(&server).get("/panic");
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.json()["reason"], "internal");
+    assert_eq!(answer.json()["verdict"], "may_have_run");
+    assert_eq!(answer.header("x-should-retry"), Some("false"));
+    assert_eq!(Client::connect(&server).get("/").status, 200);
+    assert_eq!(server.wait(PATIENCE), 0, "a connection is still counted");
+}
+
+/// An entry process shuts down while a job sheet is being drafted. The caller must get it whole, a
+/// caller whose connection only stands open must not keep the process alive, and nobody new is
+/// taken.
+#[test]
+fn shutting_down_cuts_no_request() {
+    let (begun_tx, begun_rx) = mpsc::channel();
+    let (go_tx, go_rx) = mpsc::channel();
+    let go_rx = Mutex::new(go_rx);
+    let server = start(limits::Limits::default(), move |req, reply| {
+        if req.path == "/slow" {
+            begun_tx.send(()).expect("the test waits");
+            go_rx
+                .lock()
+                .expect("one user")
+                .recv()
+                .expect("the test says go");
+        }
+        echo(req, reply)
+    });
+    let mut idle = Client::connect(&server);
+    assert_eq!(idle.get("/").status, 200);
+    let mut busy = Client::connect(&server);
+    busy.send(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    begun_rx
+        .recv_timeout(PATIENCE)
+        .expect("the request is handled");
+
+    server.stop_accepting();
+    server.close_idle();
+    assert!(idle.at_end(), "the idle connection is still open");
+    std::net::TcpStream::connect(server.local_addr()).expect_err("nobody listens");
+    wait_for("the end of all but one", || server.connections_open() == 1);
+
+    go_tx.send(()).expect("the handler waits");
+    let answer = busy.answer().expect("the answer came whole");
+    assert_eq!(answer.text(), "GET /slow|");
+    assert_eq!(answer.header("Connection"), Some("close"));
+    drop(busy);
+    assert_eq!(server.wait(PATIENCE), 0);
+}
+
+/// The kernel takes a caller's connection and its request while the process is still busy with
+/// earlier ones. Closing the listening socket then would reset it: a request in flight is cut by a
+/// graceful shutdown.
+#[test]
+fn connections_taken_by_the_kernel_are_served_after_the_stop() {
+    let server = start(limits::Limits::default(), echo);
+    let mut clients: Vec<_> = (0..50).map(|_| Client::connect(&server)).collect();
+    for client in &mut clients {
+        client.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    server.stop_accepting();
+    server.close_idle();
+    for client in &mut clients {
+        assert_eq!(client.answer().expect("an answer").text(), "GET /a|");
+    }
+}
+
+#[test]
+fn after_drain_each_answer_is_the_last() {
+    let server = start(limits::Limits::default(), echo);
+    let mut client = Client::connect(&server);
+    assert_eq!(client.get("/").header("Connection"), None);
+    server.drain();
+    assert_eq!(client.get("/").header("Connection"), Some("close"));
+    assert!(client.at_end());
+    assert_eq!(Client::connect(&server).get("/").status, 200);
+}
+
+#[test]
+fn a_silent_connection_is_closed() {
+    let limits = limits::Limits {
+        idle_timeout: Duration::from_millis(50),
+        ..limits::Limits::default()
+    };
+    let server = start(limits, echo);
+    assert!(Client::connect(&server).at_end());
+}
+
+/// A connection's thread has a small stack. A body of brackets only must not overflow it: that would
+/// end the whole process, and every request in it.
+#[test]
+fn deep_json_does_not_overflow_the_stack() {
+    let server = start(limits::Limits::default(), |req, reply| {
+        let parsed = sageshed_callers::openai::Completion::parse(
+            sageshed_callers::openai::Api::Chat,
+            &req.body,
+        );
+        let whole = serde_json::from_slice::<serde_json::Value>(&req.body);
+        reply.whole(
+            &OK,
+            format!("{} {}", parsed.is_ok(), whole.is_ok()).as_bytes(),
+        )
+    });
+    let deep = format!(
+        "{{\"model\":\"m\",\"messages\":[{{\"a\":{}",
+        "[".repeat(1_000_000)
+    );
+    let mut client = Client::connect(&server);
+    client.send(
+        format!(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{deep}",
+            deep.len()
+        )
+        .as_bytes(),
+    );
+    assert_eq!(client.answer().expect("an answer").text(), "false false");
+}
