Test refusals in the middle of an upload and past the bound

An account that reaches nobody is no account: a refusal sent while the body is on its way, and one to a connection that has not asked yet, each have a test now, as have endless chunk lines and trailers. A connection past the bound is given two seconds to ask.

--- a/crates/sageshed-callers/examples/measure.rs
+++ b/crates/sageshed-callers/examples/measure.rs
@@ -37,13 +37,11 @@
 
 impl handler::Handler for Measured {
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
-        match route::Route::parse(&req.method, &req.path) {
-            route::Route::Healthz => self.stream(reply),
-            _ => {
-                self.answered.fetch_add(1, atomic::Ordering::Relaxed);
-                complete(&req, reply)
-            }
+        if route::Route::parse(&req.method, &req.path) == route::Route::Healthz {
+            return self.stream(reply);
         }
+        self.answered.fetch_add(1, atomic::Ordering::Relaxed);
+        complete(&req, reply)
     }
 
     fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
--- a/crates/sageshed-callers/src/overflow.rs
+++ b/crates/sageshed-callers/src/overflow.rs
@@ -25,7 +25,7 @@
 const TICK: time::Duration = time::Duration::from_millis(5);
 
 /// How long one connection is kept at most.
-const PATIENCE: time::Duration = time::Duration::from_secs(1);
+const PATIENCE: time::Duration = time::Duration::from_secs(2);
 
 /// Hands connections to the refusing thread.
 #[derive(Debug)]
--- a/crates/sageshed-callers/tests/bad_requests.rs
+++ b/crates/sageshed-callers/tests/bad_requests.rs
@@ -159,8 +159,11 @@
     name: &'static str,
     head: String,
     status: u16,
+    reason: &'static str,
 }
 
+const CHUNKED: &str = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 #[test]
 fn a_large_head_says_which_part_is_too_large() {
     let server = start(limits(), echo);
@@ -169,11 +172,13 @@
             name: "a path without end",
             head: format!("GET /{}", "a".repeat(600)),
             status: 414,
+            reason: "too_large",
         },
         Large {
             name: "headers without end",
             head: format!("GET / HTTP/1.1\r\nHost: h\r\nA: {}", "a".repeat(600)),
             status: 431,
+            reason: "too_large",
         },
         Large {
             name: "a whole head over the limit",
@@ -182,11 +187,25 @@
                 "a".repeat(600)
             ),
             status: 431,
+            reason: "too_large",
+        },
+        Large {
+            name: "a line with a chunk's size without end",
+            head: format!("{CHUNKED}1;{}", "a".repeat(2_000)),
+            status: 400,
+            reason: "bad_request",
+        },
+        Large {
+            name: "headers after the last chunk without end",
+            head: format!("{CHUNKED}0\r\nA: {}", "a".repeat(9_000)),
+            status: 431,
+            reason: "too_large",
         },
         Large {
             name: "many headers",
             head: format!("GET / HTTP/1.1\r\nHost: h\r\n{}\r\n", "a:\r\n".repeat(110)),
             status: 431,
+            reason: "too_large",
         },
     ];
     for case in cases {
@@ -194,7 +213,25 @@
         client.send(case.head.as_bytes());
         let answer = client.answer().expect(case.name);
         assert_eq!(answer.status, case.status, "{}", case.name);
-        assert_eq!(answer.json()["reason"], "too_large", "{}", case.name);
+        assert_eq!(answer.json()["reason"], case.reason, "{}", case.name);
+    }
+}
+
+/// A lodge uploads a listing that is too large. The entry refuses it by its head, while the body is
+/// still on its way. If the entry closed at once, the kernel would reset the connection over the
+/// unread bytes, and the lodge would see a broken connection in place of the account.
+#[test]
+fn a_refusal_in_the_middle_of_an_upload_arrives() {
+    let server = start(limits(), echo);
+    for _ in 0..20 {
+        let mut client = Client::connect(&server);
+        client.send(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+        for _ in 0..100 {
+            client.send(&[b'x'; 10_000]);
+        }
+        let answer = client.answer().expect("an answer");
+        assert_eq!(answer.status, 413);
+        assert_eq!(answer.json()["reason"], "too_large");
     }
 }
 
--- a/crates/sageshed-callers/tests/connections.rs
+++ b/crates/sageshed-callers/tests/connections.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    io,
     sync::{Mutex, mpsc},
     time::Duration,
 };
@@ -207,6 +208,30 @@
     assert_eq!(Client::connect(&server).get("/").status, 200);
 }
 
+/// A client library opens a connection past the bound and looks at it before it asks. Bytes that come
+/// before the request look like a fault of the connection, and the account in them is lost.
+#[test]
+fn a_connection_past_the_bound_is_refused_only_once_it_asks() {
+    let limits = limits::Limits {
+        connections: 0,
+        ..limits::Limits::default()
+    };
+    let server = start(limits, echo);
+    let mut client = Client::connect(&server);
+    let glance = Duration::from_millis(100);
+    client
+        .stream
+        .set_read_timeout(Some(glance))
+        .expect("a socket");
+    let early = client.stream.peek(&mut [0]);
+    assert_eq!(early.map_err(|e| e.kind()), Err(io::ErrorKind::WouldBlock));
+    client
+        .stream
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a socket");
+    assert_eq!(client.get("/").status, 503);
+}
+
 /// A fault in the daemon panics on one request. Its caller would see a broken connection and no
 /// cause; what the handler had done by then is unknown, so a client must not repeat it by itself.
 #[test]
