Add the command line

One subcommand a file, with its arguments beside its exec. The two daemons only check their settings and start their logs so far.

--- /dev/null
+++ b/src/bin/sageshed/commands/entry.rs
@@ -0,0 +1,27 @@
+//! `sageshed entry`: runs an entry process.
+
+use std::path;
+
+use gumdrop::Options;
+use sageshed::{context, logs, settings};
+
+use crate::failure::Failure;
+
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(required, meta = "FILE", help = "the settings of this process")]
+    config: String,
+}
+
+/// Runs until it is told to stop.
+pub(crate) fn exec(_cx: &context::Context, args: &Args) -> Result<(), Failure> {
+    let settings = settings::entry(path::Path::new(&args.config))
+        .map_err(|problems| Failure::Problems(problems.to_string()))?;
+    logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    Err(Failure::Refused(
+        "the entry process is not built yet".to_owned(),
+    ))
+}
--- /dev/null
+++ b/src/bin/sageshed/commands/explain.rs
@@ -0,0 +1,83 @@
+//! `sageshed explain`: what happened to one request.
+
+use std::fmt::Write;
+
+use gumdrop::Options;
+use sageshed_types::account;
+
+use crate::{failure, failure::Failure, globals, table};
+
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(free, required, help = "the id, from the answer's Sageshed-Request-Id")]
+    request_id: String,
+}
+
+/// Prints it.
+pub(crate) fn exec(globals: &globals::Globals, args: &Args) -> Result<(), Failure> {
+    let account = globals.client()?.explain(&args.request_id)?;
+    if globals.json {
+        return failure::print_json(&account);
+    }
+    failure::print(&text(&account))
+}
+
+fn text(account: &account::Account) -> String {
+    let mut text = String::new();
+    let mut row = |name: &str, value: String| {
+        writeln!(text, "{name:14} {value}").expect("a string takes every write");
+    };
+    row("request", account.request_id.clone());
+    row("caller", table::or_dash(account.caller.as_deref()));
+    row("class", table::or_dash(account.class.as_deref()));
+    row("target", table::or_dash(account.target.as_deref()));
+    let rule = table::or_dash(account.rule.as_deref());
+    row("rule", format!("{rule} at revision {}", account.revision));
+    row("not repeatable", table::yes(account.not_repeatable));
+    row("deadline", format!("{} ms", account.deadline.0));
+    row(
+        "waited",
+        format!("{} ms before it was first sent", account.queued.0),
+    );
+    for candidate in &account.candidates {
+        let outcome = match &candidate.passed_over {
+            Some(why) => format!("passed over: {why}"),
+            None => "taken".to_owned(),
+        };
+        let estimate = candidate.estimate.0;
+        row(
+            "candidate",
+            format!("{}, {estimate} ms, {outcome}", candidate.endpoint),
+        );
+    }
+    for sent in &account.tries {
+        let started = sent.started.0;
+        row(
+            "sent",
+            format!(
+                "{started} ms to {}: {}, {}",
+                sent.endpoint, sent.verdict, sent.outcome
+            ),
+        );
+    }
+    row("end", end(&account.end));
+    row("took", format!("{} ms", account.took.0));
+    text
+}
+
+fn end(end: &account::End) -> String {
+    match end {
+        account::End::Open => "still under way".to_owned(),
+        account::End::Answered { status, bytes } => {
+            format!("answered with status {status} and {bytes} bytes")
+        }
+        account::End::CallerGone => "the caller went away first".to_owned(),
+        account::End::Refused(refusal) => format!(
+            "refused as {} ({}): {}",
+            refusal.reason, refusal.verdict, refusal.detail
+        ),
+    }
+}
--- /dev/null
+++ b/src/bin/sageshed/commands/status.rs
@@ -0,0 +1,69 @@
+//! `sageshed status`: the control group, the VMs and the endpoints.
+
+use gumdrop::Options;
+use sageshed_types::messages;
+
+use crate::{commands::endpoints, failure, failure::Failure, globals, table};
+
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+/// Prints it.
+pub(crate) fn exec(globals: &globals::Globals, _args: &Args) -> Result<(), Failure> {
+    let status = globals.client()?.status()?;
+    if globals.json {
+        return failure::print_json(&status);
+    }
+    failure::print(&text(&status))
+}
+
+fn text(status: &messages::Status) -> String {
+    let head = format!(
+        "answered by {}, leader {} in term {}, rules at revision {}\n",
+        status.answered_by,
+        table::or_dash(status.leader.as_deref()),
+        status.term,
+        status.revision
+    );
+    let voters: Vec<Vec<String>> = status
+        .voters
+        .iter()
+        .map(|it| {
+            vec![
+                it.vm.clone(),
+                it.standing.clone(),
+                it.generation.to_string(),
+                it.lag.map_or_else(|| "-".to_owned(), |lag| lag.to_string()),
+            ]
+        })
+        .collect();
+    let vms: Vec<Vec<String>> = status.vms.iter().map(vm).collect();
+    [
+        head,
+        table::text(&["CONTROL", "STANDING", "GENERATION", "LAG"], &voters),
+        table::text(
+            &["VM", "ROLE", "REVISION", "READY", "DRAINING", "SILENT MS"],
+            &vms,
+        ),
+        endpoints::text(&status.endpoints),
+    ]
+    .join("\n")
+}
+
+fn vm(vm: &messages::VmStatus) -> Vec<String> {
+    let role = match vm.process.role {
+        messages::Role::Entry => "entry",
+        messages::Role::Control => "control",
+    };
+    vec![
+        vm.process.vm.clone(),
+        role.to_owned(),
+        vm.revision.to_string(),
+        table::yes(vm.ready),
+        table::yes(vm.draining),
+        vm.silent.0.to_string(),
+    ]
+}
