Test the peers against a scripted engine and the stand-ins

The test of the load tool found that a swapped answer of the stand-in carried the caller's own mark, so a caller could not have told; it now carries another's. Its server writes the end of a stream in one piece with the last event, since a busy machine could otherwise part them for longer than the client waits before it gives up on using the connection again.

--- /dev/null
+++ b/crates/sageshed-services/tests/client.rs
@@ -0,0 +1,131 @@
+//! Requests to a stand-in service.
+
+use std::time::Duration;
+
+use sageshed_engines::{classify, connection, transport};
+use sageshed_services::client;
+use sageshed_test_support::{config, fault, standin};
+use sageshed_types::{fault::Fault, verdict::Verdict};
+
+const LIMIT: Duration = Duration::from_secs(1);
+
+fn service() -> standin::Standin {
+    let cfg = config::Config {
+        time_scale: 50.0,
+        endpoints: vec![config::Endpoint::service("s1", "dispatch")],
+        ..config::Config::default()
+    };
+    standin::Standin::start(cfg).expect("a stand-in")
+}
+
+fn send(
+    address: &str,
+    method: &str,
+    headers: &[(String, String)],
+    body: Option<&[u8]>,
+) -> Result<(u16, serde_json::Value), classify::CallError> {
+    let transport = transport::Transport::new(transport::Settings::default());
+    let answer = client::Client::new(transport).send(&client::Call {
+        address,
+        method,
+        path: "/crews/7?urgent=1",
+        headers,
+        body,
+        request_id: "r1",
+        fresh: true,
+        limits: connection::Limits {
+            first_byte: LIMIT,
+            gap: LIMIT,
+            total: Duration::from_secs(20),
+        },
+    })?;
+    let status = answer.status;
+    let body = answer.body.read_all(100_000)?;
+    Ok((status, serde_json::from_slice(&body).expect("JSON")))
+}
+
+#[test]
+fn method_path_headers_and_body_arrive_as_they_were() {
+    struct Case {
+        method: &'static str,
+        body: Option<&'static [u8]>,
+    }
+    let cases = [
+        Case {
+            method: "GET",
+            body: None,
+        },
+        Case {
+            method: "DELETE",
+            body: None,
+        },
+        Case {
+            method: "POST",
+            body: Some(b"send two crews"),
+        },
+        Case {
+            method: "PUT",
+            body: Some(b""),
+        },
+    ];
+    let standin = service();
+    let headers = [("X-Member".to_owned(), "lodge 4".to_owned())];
+    for case in cases {
+        let (status, seen) =
+            send(&standin.address("s1"), case.method, &headers, case.body).expect("an answer");
+        let body = String::from_utf8_lossy(case.body.unwrap_or_default());
+        assert_eq!(status, 200);
+        assert_eq!(seen["method"], case.method);
+        assert_eq!(seen["path"], "/crews/7?urgent=1");
+        assert_eq!(seen["body"], body.as_ref());
+        assert_eq!(seen["request_id"], "r1");
+        let passed = serde_json::json!(["X-Member", "lodge 4"]);
+        let headers = seen["headers"].as_array().expect("headers");
+        assert!(headers.contains(&passed), "{}: {headers:?}", case.method);
+    }
+}
+
+/// A dispatch sends two crews. The service failed after it had done its work, the failure was taken
+/// for one before, and the dispatch was sent again. Only a refused connection says `not run`.
+#[test]
+fn a_service_that_fails_may_have_run() {
+    struct Case {
+        fault: fault::Fault,
+        expected: (Fault, Verdict),
+    }
+    let of = |fault, expected, verdict| Case {
+        fault,
+        expected: (expected, verdict),
+    };
+    let cases = [
+        of(fault::Fault::Refuse, Fault::ConnectRefused, Verdict::NotRun),
+        of(
+            fault::Fault::Silent,
+            Fault::NoFirstByte,
+            Verdict::MayHaveRun,
+        ),
+        of(
+            fault::Fault::Cut { after: 0 },
+            Fault::Cut,
+            Verdict::MayHaveRun,
+        ),
+        of(
+            fault::Fault::Stall { after: 0 },
+            Fault::Stalled,
+            Verdict::MayHaveRun,
+        ),
+        of(fault::Fault::Swap, Fault::Corrupt, Verdict::MayHaveRun),
+    ];
+    for case in cases {
+        let standin = service();
+        let address = standin.address("s1");
+        standin.fault("s1", case.fault, None);
+        if case.fault == fault::Fault::Refuse {
+            while std::net::TcpStream::connect(&address).is_ok() {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        let e = send(&address, "POST", &[], Some(b"send a crew")).expect_err("a failure");
+        assert_eq!((e.fault, e.verdict), case.expected, "{:?}", case.fault);
+    }
+}
--- a/crates/sageshed-test-support/src/engine.rs
+++ b/crates/sageshed-test-support/src/engine.rs
@@ -18,6 +18,9 @@
 pub(crate) const LOOK: Duration = Duration::from_millis(20);
 /// The id of a request that came without one.
 const NO_ID: &str = "none";
+/// The id and the mark in an answer that is another request's.
+const OTHER_REQUEST: &str = "of-another-request";
+const OTHER_MARK: &str = "of-another-caller";
 
 /// The members of a completion's body that matter here.
 #[derive(Debug, Deserialize)]
@@ -126,7 +129,7 @@
         return Ok(After::Close);
     }
     if running.fault == fault::Fault::Swap {
-        "of-another-request".clone_into(&mut running.request_id);
+        OTHER_REQUEST.clone_into(&mut running.request_id);
     }
     if body.stream {
         running.stream(conn, &run, from)
@@ -179,11 +182,12 @@
             "{}-{}-{}",
             self.engine.cfg.name, self.incarnation, state.stats.runs
         );
-        let named = match self.fault {
-            fault::Fault::Swap => "of-another-request",
-            _ => &self.request_id,
+        let mark = answer_text::mark_of(prompt);
+        let (named, mark) = match self.fault {
+            fault::Fault::Swap => (OTHER_REQUEST, OTHER_MARK),
+            _ => (self.request_id.as_str(), mark),
         };
-        let tokens = answer_text::tokens(named, answer_text::mark_of(prompt), &id, count.max(2));
+        let tokens = answer_text::tokens(named, mark, &id, count.max(2));
         let run = endpoint::Run {
             id,
             tokens: sync::Arc::new(tokens),
@@ -257,8 +261,7 @@
         if let Some(after) = self.stops_at(conn, run.tokens.len()) {
             return Ok(after);
         }
-        conn.chunk(b"data: [DONE]\n\n")?;
-        conn.chunk(b"")?;
+        conn.last_chunk(b"data: [DONE]\n\n")?;
         self.finish();
         Ok(After::Keep)
     }
--- a/crates/sageshed-test-support/src/http.rs
+++ b/crates/sageshed-test-support/src/http.rs
@@ -133,15 +133,23 @@
         self.writer.write_all(&out)
     }
 
-    /// Writes one chunk; an empty one ends the body.
+    /// Writes one chunk.
     ///
     /// # Errors
     ///
     /// The system's.
     pub fn chunk(&mut self, data: &[u8]) -> io::Result<()> {
-        let mut out = format!("{:x}\r\n", data.len()).into_bytes();
-        out.extend_from_slice(data);
-        out.extend_from_slice(b"\r\n");
+        self.writer.write_all(&framed(data))
+    }
+
+    /// Writes one chunk and the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// The system's.
+    pub fn last_chunk(&mut self, data: &[u8]) -> io::Result<()> {
+        let mut out = framed(data);
+        out.extend(framed(b""));
         self.writer.write_all(&out)
     }
 
@@ -151,6 +159,13 @@
     }
 }
 
+fn framed(data: &[u8]) -> Vec<u8> {
+    let mut out = format!("{:x}\r\n", data.len()).into_bytes();
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
 fn head_of(status: u16, headers: &[(&str, &str)], framing: (&str, &str)) -> Vec<u8> {
     let mut head = format!("HTTP/1.1 {status} Status\r\n");
     for (name, value) in headers.iter().chain([&framing]) {
