--- a/crates/sageshed-place/src/demand.rs
+++ b/crates/sageshed-place/src/demand.rs
@@ -139,6 +139,9 @@
 }
 
 /// The weight of a window of `span_ms` in a mean with the time constant `constant`.
+///
+/// The first-order form of `1 - exp(-span / constant)`. The exponential itself differs in its last
+/// digit from one build to the next, which is enough to make two control processes plan apart.
 fn weight(span_ms: f64, constant: time::Millis) -> f64 {
-    1.0 - (-span_ms / constant.0.max(1) as f64).exp()
+    span_ms / (span_ms + constant.0.max(1) as f64)
 }
--- a/crates/sageshed-place/src/planner/reach.rs
+++ b/crates/sageshed-place/src/planner/reach.rs
@@ -57,7 +57,7 @@
             let model = lacking[at];
             let attempt = self.give_route(model);
             if attempt == Attempt::Impossible {
-                self.report_problem(model, "no engine that may hold it can make room");
+                self.report_problem(model, "no engine that takes orders now can make room");
             }
         }
     }
