Test limits within an answer and what follows on silence

Going on, cancelling and ordering take a fresh connection, and a call is not sent again by the library without telling.

--- a/crates/sageshed-engines/tests/connections.rs
+++ b/crates/sageshed-engines/tests/connections.rs
@@ -1,9 +1,10 @@
 //! Which connection a request takes, and what becomes of it.
 
-use std::time::Duration;
+use std::{net, sync::mpsc, thread, time::Duration};
 
-use sageshed_test_support::{answer_text, fault, relay};
-use sageshed_types::{fault::Fault, verdict::Verdict};
+use sageshed_engines::{client, connection, orders, transport};
+use sageshed_test_support::{answer_text, fault, http, relay};
+use sageshed_types::{endpoints, fault::Fault, verdict::Verdict};
 
 mod common;
 
@@ -124,3 +125,100 @@
         assert_eq!(client.transport().idle(), case.idle, "{:?}", case.fault);
     }
 }
+
+/// A stream stops, and what should help does not: going on, cancelling and moving the model are all
+/// put on the other connections to the engine, which went silent with it.
+#[test]
+fn what_follows_on_silence_takes_a_fresh_connection() {
+    let standin = common::engine();
+    let relay =
+        relay::Relay::start(standin.address("e1").parse().expect("an address")).expect("a relay");
+    let address = relay.address().to_string();
+    let client = common::client(LONG);
+    standin.fault("e1", fault::Fault::Stall { after: 3 }, Some(1));
+    let mut call = common::call(&address, "r1", true);
+    let (run, mut events) = common::stream(&client, &call).expect("a stream");
+    for id in ["r2", "r3"] {
+        common::answer(&client, &common::call(&address, id, false)).expect("an answer");
+    }
+    relay.lose_track();
+    common::read(&mut events, &mut String::new()).expect_err("the stream stops");
+    assert_eq!(client.transport().idle(), 1);
+
+    call.resume = Some(client::Resume { from: 3, run: &run });
+    let (_, mut rest) = common::stream(&client, &call).expect("the rest");
+    common::read(&mut rest, &mut String::new()).expect("the rest is whole");
+    client.cancel(&address, "r1").expect("the engine confirms");
+    let order = endpoints::Order {
+        order: endpoints::OrderId(1),
+        endpoint: "e1".to_owned(),
+        incarnation: standin.identity("e1").incarnation,
+        fence: endpoints::Fence(1),
+        task: endpoints::Task::ChangeRole {
+            pool: "other".to_owned(),
+        },
+    };
+    assert_eq!(client.order(&address, &order), orders::Sent::Accepted);
+    assert_eq!(
+        client.transport().idle(),
+        1,
+        "the silent one was not touched"
+    );
+}
+
+/// A call runs twice and is accounted for once. The engine took it on a connection that was used
+/// before and closed without an answer; the HTTP library takes that for an idle timeout and sends
+/// the call again on a new connection, without telling.
+#[test]
+fn a_call_is_never_sent_again_in_silence() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            let mut conn = http::Connection::new(socket?)?;
+            for answered in [true, false] {
+                let Some(req) = conn.read_request()? else {
+                    break;
+                };
+                let _sent = tx.send(req.path);
+                if answered {
+                    conn.respond(200, &[], b"ok")?;
+                }
+            }
+        }
+        std::io::Result::Ok(())
+    });
+    let transport = transport::Transport::new(transport::Settings {
+        max_idle_age: LONG,
+        ..transport::Settings::default()
+    });
+    let get = |path| {
+        transport.exchange(&transport::Request {
+            method: "GET",
+            address: &address,
+            path,
+            headers: &[],
+            body: None,
+            request_id: "r1",
+            id_optional: true,
+            fresh: false,
+            limits: connection::Limits {
+                first_byte: common::LIMIT,
+                gap: common::LIMIT,
+                total: common::LIMIT,
+            },
+        })
+    };
+    get("/1")
+        .and_then(|answer| answer.body.read_all(100))
+        .expect("an answer");
+    let e = get("/2").expect_err("closed without an answer");
+    assert_eq!(
+        (e.fault, e.verdict),
+        (Fault::SendFailed, Verdict::MayHaveRun)
+    );
+    get("/3").expect("an answer");
+    let paths: Vec<String> = rx.iter().take(3).collect();
+    assert_eq!(paths, ["/1", "/2", "/3"]);
+}
--- a/crates/sageshed-engines/tests/faults.rs
+++ b/crates/sageshed-engines/tests/faults.rs
@@ -32,6 +32,9 @@
     server: Server,
     #[serde(default)]
     sends: Vec<String>,
+    /// Sent when every limit has passed.
+    #[serde(default)]
+    sends_late: Vec<String>,
     #[serde(default)]
     streaming: bool,
     connect_limit_ns: Option<u64>,
@@ -56,11 +59,11 @@
     let case: Case = toml::from_str(&text)?;
     let listener = net::TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?.to_string();
-    let (server, sends) = (case.server, case.sends.clone());
+    let (server, sends, late) = (case.server, case.sends.clone(), case.sends_late.clone());
     if server == Server::Absent {
         drop(listener);
     } else {
-        thread::spawn(move || serve(&listener, server, &sends));
+        thread::spawn(move || serve(&listener, server, &sends, &late));
     }
     let found = ask(&case, &address).err().map(|e| Failure {
         fault: e.fault.to_string(),
@@ -110,7 +113,7 @@
     Ok(())
 }
 
-fn serve(listener: &net::TcpListener, server: Server, sends: &[String]) {
+fn serve(listener: &net::TcpListener, server: Server, sends: &[String], late: &[String]) {
     let (mut socket, _) = listener.accept().expect("a connection");
     // Head and body of the request come in two writes.
     let mut request = Vec::new();
@@ -124,6 +127,12 @@
     for bytes in sends {
         socket.write_all(bytes.as_bytes()).expect("to write");
     }
+    if !late.is_empty() {
+        thread::sleep(3 * LIMIT);
+    }
+    for bytes in late {
+        let _gone = socket.write_all(bytes.as_bytes());
+    }
     if server == Server::Hold {
         let _closed = socket.read(&mut buf);
     }
