--- a/crates/sageshed-decide/src/event.rs
+++ b/crates/sageshed-decide/src/event.rs
@@ -6,6 +6,7 @@
 //! request. After it, after a try that ended with [`TryOutcome::Done`] and after
 //! [`Event::CallerGone`] the request is forgotten, and later events about it change nothing.
 
+pub use sageshed_types::fault::Fault;
 use sageshed_types::{arena, endpoints, refusal, time, verdict};
 
 /// A request, by a number that the daemon chooses and uses once in the life of its process.
@@ -117,27 +118,6 @@
     },
 }
 
-/// What went wrong with a try.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Fault {
-    /// Nothing listens there.
-    ConnectRefused,
-    /// The connection was not made in time.
-    ConnectTimeout,
-    /// The request could not be written whole.
-    SendFailed,
-    /// Nothing came within the limit for the first byte.
-    NoFirstByte,
-    /// The answer began and then nothing more came.
-    Stalled,
-    /// The connection closed before the answer was whole.
-    Cut,
-    /// The answer made no sense.
-    Corrupt,
-    /// The endpoint answered with an error of its own: 429 or 5xx.
-    Status(u16),
-}
-
 /// What to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/sageshed-decide/src/health.rs
+++ b/crates/sageshed-decide/src/health.rs
@@ -101,7 +101,7 @@
 
     /// A try sent at `sent` was answered.
     pub fn succeeded(&mut self, now: time::Instant, sent: time::Instant) {
-        if sent < self.since() {
+        if self.is_before_state(sent) {
             return;
         }
         self.record(false);
@@ -120,7 +120,7 @@
         policy: &settings::Policy,
         random: &mut random::Random,
     ) -> bool {
-        if sent < self.since() {
+        if self.is_before_state(sent) {
             return false;
         }
         self.record(true);
@@ -132,11 +132,12 @@
         true
     }
 
-    fn since(&self) -> time::Instant {
+    /// Whether a try was sent before the last change of state. One that was sent in the same
+    /// millisecond as an ejection was sent before it: after it nothing is sent for a while.
+    fn is_before_state(&self, sent: time::Instant) -> bool {
         match self.state {
-            State::Good { since } | State::Returning { since } | State::Ejected { since, .. } => {
-                since
-            }
+            State::Good { since } => sent < since,
+            State::Returning { since } | State::Ejected { since, .. } => sent <= since,
         }
     }
 
--- /dev/null
+++ b/crates/sageshed-decide/tests/admission.rs
@@ -0,0 +1,374 @@
+//! Admission, queues, cold models, claims and the shares of several entry processes.
+
+mod common;
+
+use sageshed_decide::{event, settings};
+use sageshed_types::{arena, endpoints, time};
+
+const URGENT: Option<arena::ClassKey> = Some(arena::ClassKey(0));
+const IDLE: Option<arena::ClassKey> = Some(arena::ClassKey(2));
+
+fn one_engine() -> common::Bench {
+    common::Bench::with_engines(common::settings(), &["e1"])
+}
+
+#[test]
+fn queue_goes_by_priority_then_deadline() {
+    let mut bench = one_engine();
+    let (running, _) = bench.arrive(|_| {});
+    let (idle, told) = bench.arrive(|f| f.class = IDLE);
+    assert!(common::queued(&told, idle));
+    let (late, _) = bench.arrive(|f| f.deadline = Some(time::Millis(9_000)));
+    let (soon, _) = bench.arrive(|f| f.deadline = Some(time::Millis(8_000)));
+    let mut busy = running;
+    for next in [soon, late, idle] {
+        let actions = bench.done(busy);
+        assert!(
+            common::sent_to(&actions, next).is_some(),
+            "{next:?} is next: {actions:?}"
+        );
+        busy = next;
+    }
+}
+
+#[test]
+fn urgent_requests_have_slots_above_the_bound() {
+    let mut bench = common::Bench::new(common::settings());
+    bench.report(common::report("e1", 1, 4, &["sort"]));
+    for _ in 0..4 {
+        bench.arrive(|_| {});
+    }
+    let (usual, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, usual), "queue");
+    let (urgent, actions) = bench.arrive(|f| f.class = URGENT);
+    assert_eq!(common::told(&actions, urgent), "send");
+}
+
+/// What a user would see: every request of a council is refused while one pub's machine floods the
+/// same class. The flood filled the queue of the class, and whoever came after found it full.
+#[test]
+fn flooding_caller_gives_way() {
+    let mut bench = one_engine();
+    bench.arrive(|_| {});
+    let flood = (0..4).map(|_| bench.arrive(|_| {}).0).collect::<Vec<_>>();
+    let (more, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, more), "queue_full not_run");
+    let refusal = common::refused(&actions, more).expect("refused");
+    assert!(refusal.retry_after.is_some_and(|span| span.0 > 0));
+    let (other, actions) = bench.arrive(|f| f.caller = arena::CallerKey(1));
+    assert_eq!(common::told(&actions, other), "queue");
+    assert_eq!(common::told(&actions, flood[3]), "queue_full not_run");
+}
+
+struct Unmeetable {
+    learned: u64,
+    busy: bool,
+    deadline: u64,
+    told: &'static str,
+    comes_back: bool,
+}
+
+#[test]
+fn unmeetable_deadlines_are_refused_at_once() {
+    let cases = [
+        Unmeetable {
+            learned: 1_000,
+            busy: false,
+            deadline: 1_500,
+            told: "send",
+            comes_back: false,
+        },
+        Unmeetable {
+            learned: 1_000,
+            busy: false,
+            deadline: 900,
+            told: "deadline_unmeetable not_run",
+            comes_back: false,
+        },
+        Unmeetable {
+            learned: 1_000,
+            busy: true,
+            deadline: 1_500,
+            told: "deadline_unmeetable not_run",
+            comes_back: true,
+        },
+        Unmeetable {
+            learned: 1_000,
+            busy: true,
+            deadline: 4_000,
+            told: "queue",
+            comes_back: false,
+        },
+        // Nothing was learned: a refusal must not rest on a guess.
+        Unmeetable {
+            learned: 0,
+            busy: true,
+            deadline: 100,
+            told: "queue",
+            comes_back: false,
+        },
+    ];
+    for case in cases {
+        let mut bench = one_engine();
+        if case.learned > 0 {
+            bench.teach(case.learned);
+            bench.report(common::report("e1", 2, 1, &["sort"]));
+        }
+        if case.busy {
+            bench.arrive(|_| {});
+        }
+        let (req, actions) = bench.arrive(|f| f.deadline = Some(time::Millis(case.deadline)));
+        assert_eq!(
+            common::told(&actions, req),
+            case.told,
+            "deadline {}",
+            case.deadline
+        );
+        let back = common::refused(&actions, req).and_then(|r| r.retry_after);
+        assert_eq!(
+            back.is_some(),
+            case.comes_back,
+            "coming back helps only if a queue was the cause"
+        );
+    }
+}
+
+/// What a user would see: a request waits out its whole deadline and is refused only then, while the
+/// slot it was given in the end was lost to others. It could have been refused when it became
+/// hopeless.
+#[test]
+fn waiting_requests_are_shed_when_they_become_hopeless() {
+    let mut bench = one_engine();
+    bench.teach(1_000);
+    bench.report(common::report("e1", 2, 1, &["sort"]));
+    bench.arrive(|_| {});
+    let (req, actions) = bench.arrive(|f| f.deadline = Some(time::Millis(3_500)));
+    assert!(common::queued(&actions, req));
+    assert_eq!(common::told(&bench.tick_after(100), req), "");
+    assert_eq!(
+        common::told(&bench.tick_after(1_000), req),
+        "deadline_unmeetable not_run"
+    );
+}
+
+/// What a user would see: a model answers nothing but `deadline_unmeetable` for good, with all its
+/// engines idle. A burst had taught a service time above the deadline, so every request was refused,
+/// so no answer could ever correct it.
+#[test]
+fn wrong_estimate_is_put_right() {
+    let mut bench = one_engine();
+    bench.teach(20_000);
+    bench.report(common::report("e1", 2, 1, &["sort"]));
+    bench.pass(1_000);
+    let (first, actions) = bench.arrive(|_| {});
+    assert_eq!(
+        common::told(&actions, first),
+        "send",
+        "the last one was sent 21 s ago"
+    );
+    bench.done(first);
+    let (second, actions) = bench.arrive(|_| {});
+    assert_eq!(
+        common::told(&actions, second),
+        "deadline_unmeetable not_run"
+    );
+    bench.pass(2_000);
+    bench.report(common::report("e1", 3, 1, &["sort"]));
+    let (third, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, third), "send");
+}
+
+#[test]
+fn cold_model_is_waited_for_or_refused_at_once() {
+    for (deadline, known, told, back) in [
+        (10_000, true, "queue", None),
+        (3_200, true, "no_route not_run", Some(3_500)),
+        (10_000, false, "no_route not_run", Some(3_000)),
+    ] {
+        let mut bench = common::Bench::new(common::settings());
+        if known {
+            bench.report(common::report("e1", 1, 1, &["draft"]));
+        }
+        let (req, actions) = bench.arrive(|f| f.deadline = Some(time::Millis(deadline)));
+        assert_eq!(common::told(&actions, req), told);
+        let refusal = common::refused(&actions, req);
+        assert_eq!(refusal.and_then(|r| r.retry_after), back.map(time::Millis));
+        let demand = bench.decider.demand();
+        assert_eq!((demand[0].model.as_str(), demand[0].arrived), ("sort", 1));
+        let waits = u32::from(told == "queue");
+        assert_eq!((demand[0].waiting, demand[0].unserved), (waits, 1 - waits));
+        if waits == 1 {
+            let actions = bench.report(common::report("e1", 2, 1, &["sort"]));
+            assert!(
+                common::sent_to(&actions, req).is_some(),
+                "sent when the load is done"
+            );
+            assert!(bench.decider.demand().is_empty());
+        }
+    }
+}
+
+#[test]
+fn load_that_is_seen_shortens_the_wait() {
+    let mut bench = common::Bench::new(common::settings());
+    let mut report = common::report("e1", 1, 1, &["sort"]);
+    report.resident[0].phase = endpoints::Phase::Loading;
+    bench.report(report);
+    bench.pass(2_500);
+    let (req, actions) = bench.arrive(|f| f.deadline = Some(time::Millis(2_000)));
+    assert_eq!(common::told(&actions, req), "queue");
+}
+
+#[test]
+fn adapter_is_served_where_it_is_resident() {
+    let mut bench = common::Bench::new(common::settings());
+    bench.report(common::report("base", 1, 4, &["sort"]));
+    bench.report(common::report("both", 1, 4, &["sort", "sort-leith"]));
+    let target = bench.facts("sort-leith").target;
+    let (req, actions) = bench.arrive(|f| f.target = target);
+    let endpoint = common::sent_to(&actions, req).expect("sent");
+    assert_eq!(bench.decider.endpoint_name(endpoint), "both");
+}
+
+/// What a user would see: two crews at one manhole. A request that may not be repeated was sent
+/// before its claim was recorded, while another entry process sent the same one.
+#[test]
+fn nothing_is_sent_before_its_claim() {
+    let mut bench = one_engine();
+    let once = |f: &mut event::Facts| f.not_repeatable = true;
+    let (req, actions) = bench.arrive(once);
+    assert_eq!(common::told(&actions, req), "claim");
+    assert_eq!(common::told(&bench.tick_after(50), req), "");
+    let actions = bench.step(event::Event::Claimed(req));
+    assert_eq!(common::told(&actions, req), "send");
+    let (waits, _) = bench.arrive(once);
+    let actions = bench.step(event::Event::Claimed(waits));
+    assert_eq!(common::told(&actions, waits), "queue");
+    let (denied, _) = bench.arrive(once);
+    bench.step(event::Event::ClaimDenied(denied));
+    assert_eq!(bench.step(event::Event::Claimed(denied)), Vec::new());
+    let (silent, _) = bench.arrive(once);
+    assert_eq!(
+        common::told(&bench.tick_after(20_000), silent),
+        "claim_unavailable not_run"
+    );
+}
+
+#[test]
+fn caller_that_goes_frees_its_slot() {
+    let mut bench = one_engine();
+    let (gone, _) = bench.arrive(|_| {});
+    let (next, _) = bench.arrive(|_| {});
+    let actions = bench.step(event::Event::CallerGone(gone));
+    assert_eq!(common::told(&actions, gone), "cancel");
+    assert_eq!(common::told(&actions, next), "send");
+    assert_eq!(bench.done(gone), Vec::new(), "its end is no news");
+    assert_eq!(bench.decider.gauges().in_flight, 1);
+}
+
+#[test]
+fn late_answer_is_waited_for_but_not_without_end() {
+    for (not_repeatable, waits) in [(false, 12_500), (true, 20_000)] {
+        let mut bench = one_engine();
+        let (req, _) = bench.arrive(|f| f.not_repeatable = not_repeatable);
+        bench.step(event::Event::Claimed(req));
+        assert_eq!(common::told(&bench.tick_after(waits - 1), req), "");
+        let actions = bench.tick_after(1);
+        assert_eq!(
+            common::told(&actions, req),
+            "cancel, deadline_passed may_have_run"
+        );
+    }
+}
+
+/// What a user would see: answers slow down on one engine after another while others stand idle.
+/// Seven entry processes saw the same late report of free slots, and each filled all of them.
+#[test]
+fn entry_processes_share_the_free_slots() {
+    let mut sent = 0;
+    for seed in 0..7 {
+        let mut settings = common::settings();
+        settings.entries = 7;
+        settings.classes[1].queue = 64;
+        let mut decider = sageshed_decide::decider::Decider::new(settings, seed);
+        let mut report = common::report("e1", 1, 64, &["sort"]);
+        report.running = 32;
+        decider.step(
+            time::Instant(0),
+            event::Event::Report(Box::new(report), time::Millis(0)),
+        );
+        for id in 0..32 {
+            let facts = common::facts(event::ReqId(id), arena::ModelKey(0));
+            let actions = decider.step(time::Instant(1), event::Event::Arrived(facts));
+            sent += usize::from(common::sent_to(&actions, event::ReqId(id)).is_some());
+        }
+    }
+    // Each has its even share of all 64 slots in any case: 9.
+    assert!(
+        (32..=7 * 9).contains(&sent),
+        "32 slots were free, {sent} were sent"
+    );
+}
+
+#[test]
+fn prefix_goes_to_the_same_endpoint_everywhere() {
+    let names = ["e1", "e2", "e3", "e4", "e5"];
+    let mut reversed = names;
+    reversed.reverse();
+    for prefix in 1..20 {
+        let chosen = [names, reversed].map(|order| {
+            let mut bench = common::Bench::with_engines(common::settings(), &order);
+            let (req, actions) = bench.arrive(|f| f.prefix = prefix);
+            let endpoint = common::sent_to(&actions, req).expect("sent");
+            bench.decider.endpoint_name(endpoint).to_owned()
+        });
+        assert_eq!(chosen[0], chosen[1], "prefix {prefix}");
+    }
+}
+
+#[test]
+fn account_names_the_candidates() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["e1", "e2"]);
+    let mut leaving = common::report("e2", 2, 1, &["sort"]);
+    leaving.leaving = true;
+    bench.report(leaving);
+    let (req, _) = bench.arrive(|_| {});
+    let account = bench.decider.account(req).expect("known");
+    assert_eq!(account.rule.as_deref(), Some("default"));
+    assert_eq!(account.class, "usual");
+    let why = account
+        .candidates
+        .iter()
+        .map(|c| (c.endpoint.as_str(), c.passed_over.as_deref()));
+    assert_eq!(
+        why.collect::<Vec<_>>(),
+        [("e1", None), ("e2", Some("it is leaving"))]
+    );
+    bench.done(req);
+    assert!(
+        bench.decider.account(req).is_some(),
+        "known for a while after its end"
+    );
+}
+
+#[test]
+fn policy_refuses_unknown_keys() {
+    let known = toml::from_str::<settings::Policy>("retry_share = 0.2\nrouting = 'random'");
+    assert_eq!(known.expect("valid").routing, settings::Routing::Random);
+    let error = toml::from_str::<settings::Policy>("retry_shar = 0.2").expect_err("a typing error");
+    assert!(error.to_string().contains("retry_shar"));
+}
+
+#[test]
+fn names_are_looked_up() {
+    let bench = one_engine();
+    let decider = &bench.decider;
+    assert_eq!(
+        decider.caller_by_token_hash("hash-of-council"),
+        Some(arena::CallerKey(1))
+    );
+    assert_eq!(decider.caller_by_token_hash("other"), None);
+    assert_eq!(decider.class("idle"), IDLE);
+    let endpoint = decider.endpoint("e1").expect("heard");
+    assert_eq!(decider.endpoint_address(endpoint), "127.0.0.1:2");
+}
--- /dev/null
+++ b/crates/sageshed-decide/tests/common/mod.rs
@@ -0,0 +1,255 @@
+//! Settings, reports and requests for the tests.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use sageshed_decide::{decider, event, settings};
+use sageshed_types::{arena, catalog, endpoints, refusal, rules, time};
+
+pub fn class(name: &str, priority: u8, deadline: u64, queue: u32) -> catalog::Class {
+    catalog::Class {
+        name: name.to_owned(),
+        priority,
+        deadline_ms: time::Millis(deadline),
+        queue,
+    }
+}
+
+pub fn caller(name: &str, class: &str) -> catalog::Caller {
+    catalog::Caller {
+        name: name.to_owned(),
+        token_sha256: format!("hash-of-{name}"),
+        class: class.to_owned(),
+        rate: None,
+        burst: None,
+    }
+}
+
+pub fn model(name: &str, base: Option<&str>) -> catalog::Model {
+    catalog::Model {
+        name: name.to_owned(),
+        base: base.map(str::to_owned),
+        version: 1,
+        memory_mib: 1_000,
+        pools: Vec::new(),
+        critical: false,
+        load_ms: time::Millis(3_000),
+    }
+}
+
+/// Classes `urgent`, `usual` and `idle`, callers `pub` and `council`, model `sort` with the adapter
+/// `sort-leith`, model `draft`, service `dispatch`; one entry process.
+pub fn settings() -> settings::Settings {
+    settings::Settings {
+        vm: "entry-1".to_owned(),
+        availability_zone: "az1".to_owned(),
+        entries: 1,
+        classes: vec![
+            class("urgent", 9, 10_000, 4),
+            class("usual", 5, 10_000, 4),
+            class("idle", 1, 60_000, 4),
+        ],
+        callers: vec![caller("pub", "usual"), caller("council", "usual")],
+        models: vec![
+            model("sort", None),
+            model("sort-leith", Some("sort")),
+            model("draft", None),
+        ],
+        services: vec!["dispatch".to_owned()],
+        policy: settings::Policy {
+            in_flight_per_slot: 1.0,
+            ..settings::Policy::default()
+        },
+    }
+}
+
+pub fn report(name: &str, sequence: u64, slots: u32, models: &[&str]) -> endpoints::Report {
+    let resident = models.iter().map(|model| endpoints::Resident {
+        model: (*model).to_owned(),
+        version: 1,
+        phase: endpoints::Phase::Ready,
+        memory_mib: 1_000,
+    });
+    endpoints::Report {
+        identity: endpoints::Identity {
+            endpoint: name.to_owned(),
+            incarnation: endpoints::Incarnation(1),
+            address: format!("127.0.0.1:{}", name.len()),
+            availability_zone: "az1".to_owned(),
+            kind: endpoints::Kind::Engine {
+                pool: "callout".to_owned(),
+                memory_mib: 10_000,
+                accelerators: 1,
+            },
+            slots,
+            checks_fence: true,
+        },
+        sequence,
+        age_ms: time::Millis(0),
+        running: 0,
+        waiting: 0,
+        tokens_per_second: 0,
+        resident: resident.collect(),
+        orders: Vec::new(),
+        leaving: false,
+    }
+}
+
+pub fn service_report(name: &str, sequence: u64, slots: u32) -> endpoints::Report {
+    let mut report = report(name, sequence, slots, &[]);
+    report.identity.kind = endpoints::Kind::Service {
+        service: "dispatch".to_owned(),
+    };
+    report
+}
+
+/// A plain request of the first caller for a model.
+pub fn facts(id: event::ReqId, model: arena::ModelKey) -> event::Facts {
+    event::Facts {
+        id,
+        caller: arena::CallerKey(0),
+        class: None,
+        target: event::Target::Model(model),
+        streaming: false,
+        prompt_tokens: 100,
+        max_tokens: 0,
+        not_repeatable: false,
+        not_repeatable_by_default: false,
+        deadline: None,
+        prefix: 0,
+    }
+}
+
+/// A decider with a clock, and the requests that it is given.
+pub struct Bench {
+    pub decider: decider::Decider,
+    pub now: time::Instant,
+    next: u64,
+}
+
+impl Bench {
+    pub fn new(settings: settings::Settings) -> Self {
+        Self {
+            decider: decider::Decider::new(settings, 7),
+            now: time::Instant(1_000),
+            next: 0,
+        }
+    }
+
+    /// With endpoints of one slot each that hold `sort` and its adapter.
+    pub fn with_engines(settings: settings::Settings, names: &[&str]) -> Self {
+        let mut bench = Self::new(settings);
+        for name in names {
+            bench.report(report(name, 1, 1, &["sort", "sort-leith"]));
+        }
+        bench
+    }
+
+    pub fn step(&mut self, event: event::Event) -> Vec<event::Action> {
+        self.decider.step(self.now, event)
+    }
+
+    pub fn pass(&mut self, span: u64) {
+        self.now = self.now + time::Millis(span);
+    }
+
+    pub fn tick_after(&mut self, span: u64) -> Vec<event::Action> {
+        self.pass(span);
+        self.step(event::Event::Tick)
+    }
+
+    pub fn report(&mut self, report: endpoints::Report) -> Vec<event::Action> {
+        self.step(event::Event::Report(Box::new(report), time::Millis(0)))
+    }
+
+    pub fn facts(&mut self, target: &str) -> event::Facts {
+        self.next += 1;
+        let decider = &self.decider;
+        let target = decider.model(target).or_else(|| decider.service(target));
+        event::Facts {
+            target: target.expect("a target of the settings"),
+            ..facts(event::ReqId(self.next), arena::ModelKey(0))
+        }
+    }
+
+    /// A request as `change` makes it of the usual one for `sort`.
+    pub fn arrive(
+        &mut self,
+        change: impl Fn(&mut event::Facts),
+    ) -> (event::ReqId, Vec<event::Action>) {
+        let mut facts = self.facts("sort");
+        change(&mut facts);
+        (facts.id, self.step(event::Event::Arrived(facts)))
+    }
+
+    pub fn done(&mut self, req: event::ReqId) -> Vec<event::Action> {
+        let outcome = event::TryOutcome::Done { tokens: 0 };
+        self.step(event::Event::Ended { req, outcome })
+    }
+
+    pub fn fail(
+        &mut self,
+        req: event::ReqId,
+        verdict: sageshed_types::verdict::Verdict,
+        fault: event::Fault,
+    ) -> Vec<event::Action> {
+        let outcome = event::TryOutcome::Failed { verdict, fault };
+        self.step(event::Event::Ended { req, outcome })
+    }
+
+    /// Teaches the decider that `sort` takes `span` milliseconds.
+    pub fn teach(&mut self, span: u64) {
+        for _ in 0..8 {
+            let (req, actions) = self.arrive(|_| {});
+            assert!(
+                sent_to(&actions, req).is_some(),
+                "there is room: {actions:?}"
+            );
+            self.pass(span);
+            self.done(req);
+        }
+    }
+
+    pub fn install(&mut self, revision: u64, rules: Vec<rules::Rule>) -> bool {
+        self.decider.install_rules(rules::RuleSet {
+            revision: rules::Revision(revision),
+            rules,
+        })
+    }
+}
+
+/// Where a request was sent by these actions.
+pub fn sent_to(actions: &[event::Action], req: event::ReqId) -> Option<arena::EndpointKey> {
+    actions.iter().find_map(|action| match action {
+        event::Action::Send {
+            req: r, endpoint, ..
+        } if *r == req => Some(*endpoint),
+        _ => None,
+    })
+}
+
+/// How a request was refused by these actions.
+pub fn refused(actions: &[event::Action], req: event::ReqId) -> Option<&refusal::Refusal> {
+    actions.iter().find_map(|action| match action {
+        event::Action::Refuse { req: r, refusal } if *r == req => Some(refusal),
+        _ => None,
+    })
+}
+
+pub fn queued(actions: &[event::Action], req: event::ReqId) -> bool {
+    actions.contains(&event::Action::Queue { req })
+}
+
+/// What a table row expects of a request.
+pub fn told(actions: &[event::Action], req: event::ReqId) -> String {
+    let words = actions.iter().filter_map(|action| match action {
+        event::Action::Send { req: r, .. } if *r == req => Some("send".to_owned()),
+        event::Action::Claim { req: r } if *r == req => Some("claim".to_owned()),
+        event::Action::Queue { req: r } if *r == req => Some("queue".to_owned()),
+        event::Action::Cancel { req: r, .. } if *r == req => Some("cancel".to_owned()),
+        event::Action::Refuse { req: r, refusal } if *r == req => {
+            Some(format!("{} {}", refusal.reason, refusal.verdict))
+        }
+        _ => None,
+    });
+    words.collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/crates/sageshed-decide/tests/faults.rs
@@ -0,0 +1,350 @@
+//! Failing, leaving and restarted endpoints: retries, verdicts, ejection and return.
+
+mod common;
+
+use sageshed_decide::event;
+use sageshed_types::{endpoints, time, verdict};
+
+const NOT_RUN: verdict::Verdict = verdict::Verdict::NotRun;
+const MAY_HAVE_RUN: verdict::Verdict = verdict::Verdict::MayHaveRun;
+
+struct Failure {
+    not_repeatable: bool,
+    /// Whether it is streamed and its first token was passed on.
+    begun: bool,
+    verdict: verdict::Verdict,
+    fault: event::Fault,
+    told: &'static str,
+}
+
+const REFUSED: event::Fault = event::Fault::ConnectRefused;
+const CUT: event::Fault = event::Fault::Cut;
+
+const FAILURES: &[Failure] = &[
+    Failure {
+        not_repeatable: false,
+        begun: false,
+        verdict: MAY_HAVE_RUN,
+        fault: CUT,
+        told: "send",
+    },
+    Failure {
+        not_repeatable: false,
+        begun: false,
+        verdict: NOT_RUN,
+        fault: REFUSED,
+        told: "send",
+    },
+    // The caller has part of one run already: a second one must not be spliced to it.
+    Failure {
+        not_repeatable: false,
+        begun: true,
+        verdict: MAY_HAVE_RUN,
+        fault: CUT,
+        told: "endpoint_failed may_have_run",
+    },
+    // Not a byte went out: the holder of the claim may send it again.
+    Failure {
+        not_repeatable: true,
+        begun: false,
+        verdict: NOT_RUN,
+        fault: REFUSED,
+        told: "send",
+    },
+    Failure {
+        not_repeatable: true,
+        begun: false,
+        verdict: MAY_HAVE_RUN,
+        fault: event::Fault::NoFirstByte,
+        told: "endpoint_failed may_have_run",
+    },
+    // Once a connection stood, `NotRun` is not believed.
+    Failure {
+        not_repeatable: true,
+        begun: false,
+        verdict: NOT_RUN,
+        fault: CUT,
+        told: "endpoint_failed may_have_run",
+    },
+    Failure {
+        not_repeatable: true,
+        begun: false,
+        verdict: NOT_RUN,
+        fault: event::Fault::Status(500),
+        told: "endpoint_failed may_have_run",
+    },
+    Failure {
+        not_repeatable: true,
+        begun: false,
+        verdict: NOT_RUN,
+        fault: event::Fault::Status(429),
+        told: "send",
+    },
+];
+
+/// What a user would see: two crews at one manhole, or half of one answer followed by half of
+/// another. A try failed in a way that leaves open whether it ran, and the request was sent again.
+#[test]
+fn only_what_cannot_run_twice_is_sent_again() {
+    for case in FAILURES {
+        let mut bench = common::Bench::with_engines(common::settings(), &["e1", "e2"]);
+        let (req, mut actions) = bench.arrive(|f| {
+            f.not_repeatable = case.not_repeatable;
+            f.streaming = case.begun;
+        });
+        if case.not_repeatable {
+            actions = bench.step(event::Event::Claimed(req));
+        }
+        let first = common::sent_to(&actions, req).expect("sent");
+        if case.begun {
+            bench.step(event::Event::FirstToken { req });
+        }
+        let actions = bench.fail(req, case.verdict, case.fault);
+        let what = format!(
+            "{:?} {:?}, not repeatable: {}",
+            case.verdict, case.fault, case.not_repeatable
+        );
+        assert_eq!(common::told(&actions, req), case.told, "{what}");
+        assert_ne!(
+            common::sent_to(&actions, req),
+            Some(first),
+            "another endpoint: {what}"
+        );
+        if let Some(refusal) = common::refused(&actions, req) {
+            assert_eq!(
+                refusal.retry_after.is_some(),
+                !case.not_repeatable,
+                "{what}"
+            );
+        }
+    }
+}
+
+/// What a user would see: a refusal says `not_run`, the caller sends the dispatch again, and it runs
+/// twice. Of two tries the first may have run, and the last one's verdict alone was told.
+#[test]
+fn refusal_carries_the_worst_verdict_of_all_tries() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["e1", "e2"]);
+    let (req, _) = bench.arrive(|_| {});
+    bench.fail(req, MAY_HAVE_RUN, CUT);
+    let actions = bench.fail(req, NOT_RUN, REFUSED);
+    assert_eq!(common::told(&actions, req), "endpoint_failed may_have_run");
+}
+
+/// What a user would see: one engine fails and soon all are slow. Every failed request was sent up
+/// to three times, which tripled the load on the engines that were left.
+#[test]
+fn retries_are_a_share_of_traffic() {
+    let mut settings = common::settings();
+    settings.policy.retry_burst = 3.0;
+    settings.policy.eject_after_failures = 1_000;
+    settings.policy.eject_failure_share = 2.0;
+    let mut bench = common::Bench::new(settings);
+    for name in ["e1", "e2", "e3"] {
+        bench.report(common::report(name, 1, 8, &["sort"]));
+    }
+    let (mut first, mut again) = (0, 0);
+    for _ in 0..200 {
+        let (req, mut actions) = bench.arrive(|_| {});
+        first += 1;
+        while common::sent_to(&actions, req).is_some() {
+            actions = bench.fail(req, MAY_HAVE_RUN, CUT);
+            again += u32::from(common::sent_to(&actions, req).is_some());
+        }
+        assert!(common::refused(&actions, req).is_some());
+    }
+    assert_eq!(
+        (first, again),
+        (200, 22),
+        "the burst of 3, and a tenth of 199: the first found the budget full"
+    );
+}
+
+#[test]
+fn no_try_after_the_deadline() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["e1", "e2"]);
+    let (req, _) = bench.arrive(|f| f.deadline = Some(time::Millis(500)));
+    bench.pass(500);
+    let actions = bench.fail(req, NOT_RUN, REFUSED);
+    assert_eq!(common::told(&actions, req), "endpoint_failed not_run");
+}
+
+/// A bench in which `bad` has failed `times` times and `good` has not.
+fn with_failures(times: usize, fault: event::Fault) -> common::Bench {
+    let mut settings = common::settings();
+    settings.policy.retry_share = 0.0;
+    settings.policy.retry_burst = 0.0;
+    let mut bench = common::Bench::new(settings);
+    bench.report(common::report("bad", 1, 8, &["sort"]));
+    let sent = (0..times)
+        .map(|_| bench.arrive(|_| {}).0)
+        .collect::<Vec<_>>();
+    for req in sent {
+        bench.fail(req, MAY_HAVE_RUN, fault);
+    }
+    bench.report(common::report("good", 1, 64, &["sort"]));
+    bench
+}
+
+/// How many of ten requests now go to `bad`; they stay there.
+fn sent_to_bad(bench: &mut common::Bench) -> usize {
+    bench.report(common::report("bad", bench.now.0, 8, &["sort"]));
+    bench.report(common::report("good", bench.now.0, 64, &["sort"]));
+    let sent = (0..10).filter(|_| {
+        let (req, actions) = bench.arrive(|_| {});
+        let endpoint = common::sent_to(&actions, req).expect("sent");
+        bench.decider.endpoint_name(endpoint) == "bad"
+    });
+    sent.count()
+}
+
+#[test]
+fn failing_endpoint_is_ejected() {
+    for (times, fault, ejected) in [
+        (2, CUT, false),
+        (3, CUT, true),
+        (1, REFUSED, true),
+        (8, event::Fault::Status(429), false),
+    ] {
+        let mut bench = with_failures(times, fault);
+        bench.pass(300);
+        assert_eq!(
+            bench.decider.gauges().ejected,
+            usize::from(ejected),
+            "{times} x {fault:?}"
+        );
+        assert_eq!(sent_to_bad(&mut bench) == 0, ejected, "{times} x {fault:?}");
+    }
+}
+
+/// What a user would see: an engine that restarts gets a full load at once, times out, and is thrown
+/// out again, for minutes. It came back with all its slots instead of a few.
+#[test]
+fn return_is_slow_and_a_failure_ends_it() {
+    let mut bench = with_failures(3, CUT);
+    bench.tick_after(2_600);
+    assert_eq!(sent_to_bad(&mut bench), 1, "one request to begin with");
+    let mut bench = with_failures(3, CUT);
+    bench.tick_after(2_600);
+    bench.tick_after(10_000);
+    assert!(sent_to_bad(&mut bench) > 1, "its full share after the ramp");
+
+    let mut bench = with_failures(3, CUT);
+    bench.tick_after(2_600);
+    bench.report(common::report("bad", 2, 8, &["sort"]));
+    let mut gone = common::report("good", 2, 64, &["sort"]);
+    gone.leaving = true;
+    bench.report(gone);
+    let (req, _) = bench.arrive(|_| {});
+    bench.fail(req, MAY_HAVE_RUN, CUT);
+    assert_eq!(
+        bench.decider.gauges().ejected,
+        1,
+        "one failure is enough while it returns"
+    );
+}
+
+/// What a user would see: an engine is back within seconds of a crash and stays unused for minutes.
+/// Its crash failed all that was in flight there, and each failure doubled the time it was kept out.
+#[test]
+fn one_crash_is_one_ejection() {
+    let mut bench = with_failures(8, CUT);
+    bench.tick_after(2_600);
+    assert_eq!(
+        bench.decider.gauges().ejected,
+        0,
+        "2 s and a quarter, not 2 s doubled five times"
+    );
+}
+
+#[test]
+fn ejected_endpoint_is_used_when_no_other_is_left() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["e1"]);
+    let (req, _) = bench.arrive(|_| {});
+    bench.fail(req, NOT_RUN, REFUSED);
+    assert_eq!(bench.decider.gauges().ejected, 1);
+    let (req, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, req), "send");
+}
+
+struct Away {
+    what: &'static str,
+    make: fn(&mut common::Bench),
+}
+
+const AWAY: &[Away] = &[
+    Away {
+        what: "leaving",
+        make: |bench| {
+            let mut report = common::report("e1", 2, 8, &["sort"]);
+            report.leaving = true;
+            bench.report(report);
+            bench.report(common::report("e1", 3, 8, &["sort"]));
+        },
+    },
+    Away {
+        what: "silent by the daemon's word",
+        make: |bench| {
+            let endpoint = bench.decider.endpoint("e1").expect("heard");
+            bench.step(event::Event::EndpointSilent(endpoint));
+        },
+    },
+    Away {
+        what: "silent by the age of its report",
+        make: |bench| {
+            bench.pass(7_000);
+            bench.report(common::report("e2", 2, 8, &["sort"]));
+        },
+    },
+    Away {
+        what: "restarted without the model",
+        make: |bench| {
+            let mut report = common::report("e1", 1, 8, &["draft"]);
+            report.identity.incarnation = endpoints::Incarnation(2);
+            bench.report(report);
+            // A report of the earlier start, overtaken by the news.
+            bench.report(common::report("e1", 9, 8, &["sort"]));
+        },
+    },
+    Away {
+        what: "unloaded, with an older report arriving late",
+        make: |bench| {
+            bench.report(common::report("e1", 5, 8, &["draft"]));
+            bench.report(common::report("e1", 4, 8, &["sort"]));
+        },
+    },
+];
+
+/// What a user would see: requests fail on an engine that said seconds ago that it would go. It was
+/// still given new work, or a late report made it look present again.
+#[test]
+fn endpoint_that_is_away_gets_no_new_work() {
+    for case in AWAY {
+        let mut bench = common::Bench::new(common::settings());
+        bench.report(common::report("e1", 1, 8, &["sort"]));
+        bench.report(common::report("e2", 1, 8, &["sort"]));
+        (case.make)(&mut bench);
+        for _ in 0..8 {
+            let (req, actions) = bench.arrive(|_| {});
+            let endpoint = common::sent_to(&actions, req).expect("sent");
+            assert_eq!(bench.decider.endpoint_name(endpoint), "e2", "{}", case.what);
+        }
+    }
+}
+
+/// What a user would see: a restarted engine stands half idle until this process restarts too. The
+/// requests lost with its earlier start were still counted against its slots, or their ends were
+/// taken off the count of the new ones.
+#[test]
+fn restart_frees_the_slots_of_the_earlier_start() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["e1"]);
+    let (lost, _) = bench.arrive(|_| {});
+    let mut report = common::report("e1", 1, 1, &["sort"]);
+    report.identity.incarnation = endpoints::Incarnation(2);
+    bench.report(report);
+    let (req, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, req), "send");
+    bench.fail(lost, MAY_HAVE_RUN, CUT);
+    let gauges = bench.decider.gauges();
+    assert_eq!((gauges.in_flight, gauges.ejected), (1, 0));
+}
