--- a/src/sageshed/settings/checks.rs
+++ b/src/sageshed/settings/checks.rs
@@ -5,6 +5,7 @@
 
 use std::{collections, fs, path};
 
+use sageshed_decide::settings as decide;
 use sageshed_types::{catalog, time};
 
 use super::{
@@ -200,6 +201,29 @@
     }
 }
 
+pub(super) fn policies(
+    routing: &Located<decide::Policy>,
+    placement: &Located<sageshed_place::Policy>,
+    problems: &mut Vec<Problem>,
+) {
+    if routing.value.max_attempts == 0 {
+        let message = "must be at least 1, or no request is ever sent";
+        problems.push(routing.place.problem("max_attempts", message));
+    }
+    let Located { value, place } = placement;
+    if value.store_loads_at_once == 0 {
+        let message = "must be at least 1, or no model is ever loaded";
+        problems.push(place.problem("store_loads_at_once", message));
+    }
+    if !(value.store_loads_per_second.is_finite() && value.store_loads_per_second > 0.0) {
+        let message = "must be more than 0, or no model is ever loaded";
+        problems.push(place.problem("store_loads_per_second", message));
+    }
+    if !(value.move_cost.is_finite() && value.move_cost >= 0.0) {
+        problems.push(place.problem("move_cost", "must be 0 or more"));
+    }
+}
+
 pub(super) fn limits(limits: &Limits, place: &Place, problems: &mut Vec<Problem>) {
     let sizes = [
         ("head_bytes", limits.head_bytes),
--- a/src/sageshed/settings/common.rs
+++ b/src/sageshed/settings/common.rs
@@ -9,52 +9,38 @@
 use super::{Limits, address};
 
 /// The common file, checked.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct Common {
     /// Where it was read from.
-    #[serde(skip)]
     pub file: path::PathBuf,
     /// The file that holds the token which our own processes show each other; none: any process
     /// that reaches their ports may call. A relative one starts from the folder of the common file.
-    #[serde(default)]
     pub vms_token_file: Option<path::PathBuf>,
     /// What that file holds; empty if there is none.
-    #[serde(skip)]
     pub vms_token: String,
     /// The system's own VMs.
     pub vms: Vec<Vm>,
     /// The models and adapters on offer.
-    #[serde(default)]
     pub models: Vec<catalog::Model>,
     /// The plain services on offer.
-    #[serde(default)]
     pub services: Vec<Service>,
     /// The classes of requests.
-    #[serde(default)]
     pub classes: Vec<catalog::Class>,
     /// Who may ask.
-    #[serde(default)]
     pub callers: Vec<catalog::Caller>,
     /// Who may change rules.
-    #[serde(default)]
     pub operators: Vec<Operator>,
     /// Claims on requests that may not be repeated.
-    #[serde(default)]
     pub claims: Claims,
     /// The lease of the configuration in force.
-    #[serde(default)]
     pub lease: Lease,
     /// The control group.
     pub control: ControlGroup,
     /// How an entry process chooses among endpoints.
-    #[serde(default)]
     pub routing: decide::Policy,
     /// How the control group places models.
-    #[serde(default)]
     pub placement: sageshed_place::Policy,
     /// Bounds on callers' requests; an entry file may change single ones.
-    #[serde(default)]
     pub limits: Limits,
 }
 
--- a/src/sageshed/settings/load.rs
+++ b/src/sageshed/settings/load.rs
@@ -169,6 +169,7 @@
     checks::operators(&operators, problems);
     checks::claims(&claims, problems);
     checks::lease(&lease, problems);
+    checks::policies(&routing, &placement, problems);
     checks::limits(&limits.value, &limits.place, problems);
     let token_file = token_file.map(|it| reader::Located {
         value: beside(file, &it.value),
