--- a/crates/sageshed-callers/src/reply.rs
+++ b/crates/sageshed-callers/src/reply.rs
@@ -149,6 +149,14 @@
         self.ex.progress == Progress::Gone || self.ex.link.is_gone()
     }
 
+    /// A look at the connection for another thread, while this one is blocked elsewhere.
+    #[must_use]
+    pub fn watch(&self) -> Watch {
+        Watch {
+            link: sync::Arc::clone(&self.ex.link),
+        }
+    }
+
     /// Answers with a whole body.
     pub fn whole(self, head: &Head<'_>, body: &[u8]) -> Sent {
         let ex = self.ex;
@@ -227,6 +235,20 @@
     }
 }
 
+/// A look at a caller's connection from another thread.
+#[derive(Debug, Clone)]
+pub struct Watch {
+    link: sync::Arc<link::Link>,
+}
+
+impl Watch {
+    /// As [`Reply::caller_gone`].
+    #[must_use]
+    pub fn caller_gone(&self) -> bool {
+        self.link.is_gone()
+    }
+}
+
 /// A streamed answer under way.
 ///
 /// Dropped without [`Stream::finish`], it is aborted.
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -6,6 +6,7 @@
 //! | `/vms/claim` | entry, control | [`crate::claims::Claim`] | [`Routed`] of [`crate::claims::ClaimOutcome`] |
 //! | `/vms/settle` | entry, control | [`crate::claims::Settle`] | [`Routed`] of `()` |
 //! | `/vms/replicate` | control, control | [`Envelope`] | empty |
+//! | `/vms/hello` | control, control | [`Hello`] | [`Hello`] |
 //! | `/vms/explain` | control, entry | request id | `Option<`[`account::Account`]`>` |
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,8 @@
     pub const SETTLE: &str = "/vms/settle";
     /// Takes [`super::Envelope`].
     pub const REPLICATE: &str = "/vms/replicate";
+    /// Takes [`super::Hello`].
+    pub const HELLO: &str = "/vms/hello";
     /// Takes a request id.
     pub const EXPLAIN: &str = "/vms/explain";
 }
@@ -103,11 +106,11 @@
 /// What a control process says to an entry process about the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ControlPart {
-    /// The newest membership in this process's log, committed or not.
-    pub membership: Membership,
+    /// The voters by the newest membership in this process's log, committed or not.
+    pub voters: Vec<Voter>,
     /// The disk generation of this process: a grant counts only for this one.
     pub generation: u64,
-    /// Whether this process may grant leases now: it is a voter of `membership`.
+    /// Whether this process may grant leases now: it is one of `voters`.
     pub grants: bool,
     /// The lease granted, counted from when the asker sent the request, in milliseconds.
     pub lease: time::Millis,
@@ -123,17 +126,6 @@
     pub draining: Vec<String>,
 }
 
-/// The voters of the control group as one log entry sets them.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Membership {
-    /// Term of the entry.
-    pub term: u64,
-    /// Index of the entry.
-    pub index: u64,
-    /// The voters.
-    pub voters: Vec<Voter>,
-}
-
 /// A voter: a VM with one generation of its disk.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Voter {
@@ -196,6 +188,18 @@
     pub messages: Vec<Vec<u8>>,
 }
 
+/// What control processes tell each other while one of them is not a member of the group: at the
+/// very first start, and when a disk was lost.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender, as a voter it is or would be.
+    pub from: Voter,
+    /// The voters that the group was formed with; empty if the sender knows of no group.
+    pub formed: Vec<Voter>,
+    /// Whether the sender was started to form a new group.
+    pub forming: bool,
+}
+
 /// What `sageshed status` shows, gathered by one control process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/sageshed-vms/src/server.rs
+++ b/crates/sageshed-vms/src/server.rs
@@ -17,6 +17,13 @@
 pub enum Answer {
     /// A message, coded.
     Message(Vec<u8>),
+    /// JSON, for one who is no process of ours.
+    Json {
+        /// HTTP status.
+        status: u16,
+        /// The body.
+        body: String,
+    },
     /// No such path here.
     NotFound,
     /// The message could not be read.
@@ -37,6 +44,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Answers the message `body` that came to `path`.
     fn handle(&self, path: &str, body: &[u8]) -> Answer;
+
+    /// Whether `path` is open to those who do not know the group's token, as endpoints.
+    fn is_open(&self, path: &str) -> bool {
+        let _ = path;
+        false
+    }
 }
 
 /// The port could not be opened.
@@ -100,7 +113,8 @@
 }
 
 fn respond<H: Handler>(req: &rouille::Request, token: &str, handler: &H) -> rouille::Response {
-    if !token.is_empty() && req.header(crate::TOKEN_HEADER) != Some(token) {
+    let open = token.is_empty() || handler.is_open(&req.url());
+    if !open && req.header(crate::TOKEN_HEADER) != Some(token) {
         return rouille::Response::text("the group's token is missing or wrong")
             .with_status_code(401);
     }
@@ -109,6 +123,9 @@
     };
     match handler.handle(&req.url(), &body) {
         Answer::Message(body) => rouille::Response::from_data("application/msgpack", body),
+        Answer::Json { status, body } => {
+            rouille::Response::from_data("application/json", body).with_status_code(status)
+        }
         Answer::NotFound => rouille::Response::text("no such path").with_status_code(404),
         Answer::Bad(e) => rouille::Response::text(e.to_string()).with_status_code(400),
     }
--- a/src/bin/sageshed/commands/control.rs
+++ b/src/bin/sageshed/commands/control.rs
@@ -3,7 +3,7 @@
 use std::path;
 
 use gumdrop::Options;
-use sageshed::{context, logs, settings};
+use sageshed::{context, control, logs, settings};
 
 use crate::failure::Failure;
 
@@ -14,14 +14,23 @@
 
     #[options(required, meta = "FILE", help = "the settings of this process")]
     config: String,
+
+    #[options(
+        no_short,
+        help = "form a new control group with the other initial voters, if there is none yet"
+    )]
+    new_group: bool,
 }
 
 /// Runs until it is told to stop.
-pub(crate) fn exec(_cx: &context::Context, args: &Args) -> Result<(), Failure> {
+pub(crate) fn exec(cx: &context::Context, args: &Args) -> Result<(), Failure> {
     let settings = settings::control(path::Path::new(&args.config))
         .map_err(|problems| Failure::Problems(problems.to_string()))?;
     logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
-    Err(Failure::Refused(
-        "the control process is not built yet".to_owned(),
-    ))
+    cx.watch_signals()
+        .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
+    let options = control::Options {
+        new_group: args.new_group,
+    };
+    control::run(cx, settings, options).map_err(|e| Failure::Refused(e.to_string()))
 }
--- a/src/bin/sageshed/commands/entry.rs
+++ b/src/bin/sageshed/commands/entry.rs
@@ -3,7 +3,7 @@
 use std::path;
 
 use gumdrop::Options;
-use sageshed::{context, logs, settings};
+use sageshed::{context, entry, logs, settings};
 
 use crate::failure::Failure;
 
@@ -17,11 +17,11 @@
 }
 
 /// Runs until it is told to stop.
-pub(crate) fn exec(_cx: &context::Context, args: &Args) -> Result<(), Failure> {
+pub(crate) fn exec(cx: &context::Context, args: &Args) -> Result<(), Failure> {
     let settings = settings::entry(path::Path::new(&args.config))
         .map_err(|problems| Failure::Problems(problems.to_string()))?;
     logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
-    Err(Failure::Refused(
-        "the entry process is not built yet".to_owned(),
-    ))
+    cx.watch_signals()
+        .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
+    entry::run(cx, settings).map_err(|e| Failure::Refused(e.to_string()))
 }
--- a/src/sageshed/context.rs
+++ b/src/sageshed/context.rs
@@ -1,16 +1,13 @@
 //! What a command is given besides its arguments: the way it is told to stop.
 
 use std::{
-    io, process,
+    io,
     sync::{self, Arc},
     thread, time,
 };
 
 use signal_hook::{consts, iterator};
 
-/// Exit status after a second interrupt, as shells count it.
-const INTERRUPTED: i32 = 130;
-
 /// The context of one run of the program.
 #[derive(Debug, Clone, Default)]
 pub struct Context {
@@ -21,17 +18,14 @@
 impl Context {
     /// Lets SIGTERM and SIGINT ask for a stop.
     ///
-    /// A second SIGINT ends the process at once: an operator at a terminal who presses the key again
-    /// does not want to wait for requests in flight. A second SIGTERM changes nothing, since service
-    /// managers send it more than once.
+    /// The first asks for a graceful stop, a second one for a stop at once: an operator who signals
+    /// again does not want to wait for requests in flight. The daemon says what it cuts.
     pub fn watch_signals(&self) -> io::Result<()> {
         let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
         let stop = self.stop.clone();
         let watch = move || {
             for signal in signals.forever() {
-                if signal == consts::SIGINT && stop.is_asked() {
-                    process::exit(INTERRUPTED);
-                }
+                log::info!(signal; "signal received");
                 stop.ask();
             }
         };
@@ -50,27 +44,34 @@
 
 #[derive(Debug, Default)]
 struct Shared {
-    asked: sync::Mutex<bool>,
+    /// How many times.
+    asked: sync::Mutex<u32>,
     change: sync::Condvar,
 }
 
 impl Stop {
     /// Asks for the stop.
     pub fn ask(&self) {
-        *self.lock() = true;
+        *self.lock() += 1;
         self.shared.change.notify_all();
     }
 
     /// Whether it was asked for.
     #[must_use]
     pub fn is_asked(&self) -> bool {
-        *self.lock()
+        *self.lock() > 0
+    }
+
+    /// Whether it was asked for again.
+    #[must_use]
+    pub fn is_asked_again(&self) -> bool {
+        *self.lock() > 1
     }
 
     /// Waits until it is asked for.
     pub fn wait(&self) {
         let asked = self.lock();
-        let waited = self.shared.change.wait_while(asked, |asked| !*asked);
+        let waited = self.shared.change.wait_while(asked, |asked| *asked == 0);
         drop(waited);
     }
 
@@ -81,15 +82,15 @@
         let waited = self
             .shared
             .change
-            .wait_timeout_while(asked, limit, |asked| !*asked);
+            .wait_timeout_while(asked, limit, |asked| *asked == 0);
         match waited {
-            Ok((asked, _)) => *asked,
-            Err(poisoned) => *poisoned.into_inner().0,
+            Ok((asked, _)) => *asked > 0,
+            Err(poisoned) => *poisoned.into_inner().0 > 0,
         }
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, bool> {
-        // A flag is whole whatever a panicking holder was about.
+    fn lock(&self) -> sync::MutexGuard<'_, u32> {
+        // A count is whole whatever a panicking holder was about.
         self.shared
             .asked
             .lock()
--- /dev/null
+++ b/src/sageshed/control/links.rs
@@ -0,0 +1,126 @@
+//! Sends the log's messages to the other control processes.
+//!
+//! One thread for each, so that a VM that does not answer holds up nobody else. Messages may be
+//! lost: the log sends again what matters. So a full queue drops, and a failed call drops its batch.
+
+use std::{
+    collections,
+    sync::{self, mpsc},
+    thread, time,
+};
+
+use sageshed_quorum::{log, message};
+use sageshed_types::messages;
+
+use super::shared;
+
+/// Messages that may wait for one VM.
+const QUEUE: usize = 1_024;
+
+/// Messages that go in one call.
+const BATCH: usize = 64;
+
+/// How long one call may take. Long enough for a snapshot of the state at its bounds.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// How long a call without a snapshot may take: about one election timeout, past which the message
+/// is of no use.
+const SHORT_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Bodies above this size get the long limit, in bytes.
+const LARGE: usize = 256 * 1024;
+
+/// The threads that send.
+#[derive(Debug)]
+pub struct Links {
+    by_vm: collections::BTreeMap<u32, mpsc::SyncSender<Vec<u8>>>,
+}
+
+impl Links {
+    /// Starts a thread for each other control VM in the settings.
+    #[must_use]
+    pub fn start(shared: &sync::Arc<shared::Shared>, client: &sageshed_vms::Client) -> Self {
+        let own = &shared.process.vm;
+        let others = shared
+            .settings
+            .common
+            .vms
+            .iter()
+            .filter(|vm| vm.name != *own);
+        let mut by_vm = collections::BTreeMap::new();
+        for vm in others {
+            let Some(address) = vm.control else { continue };
+            let (tx, rx) = mpsc::sync_channel(QUEUE);
+            let link = Link {
+                to: vm.name.clone(),
+                address: address.to_string(),
+                client: client.clone(),
+                shared: sync::Arc::clone(shared),
+            };
+            let name = format!("link-{}", vm.name);
+            let spawned = thread::Builder::new()
+                .name(name)
+                .spawn(move || link.run(&rx));
+            if let Err(e) = spawned {
+                ::log::error!(vm = vm.name.as_str(), error:% = e; "control: no thread for a link");
+                continue;
+            }
+            by_vm.insert(vm.number, tx);
+        }
+        Self { by_vm }
+    }
+
+    /// Sends `message`, if there is room.
+    pub fn send(&self, to: log::NodeId, message: &message::Message) {
+        let Some(tx) = self.by_vm.get(&to.vm) else {
+            return;
+        };
+        match sageshed_vms::encode(message) {
+            Ok(bytes) => drop(tx.try_send(bytes)),
+            Err(e) => ::log::error!(error:% = e; "control: message not sent"),
+        }
+    }
+}
+
+struct Link {
+    to: String,
+    address: String,
+    client: sageshed_vms::Client,
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl Link {
+    fn run(&self, rx: &mpsc::Receiver<Vec<u8>>) {
+        let mut reachable = true;
+        while let Ok(first) = rx.recv() {
+            let mut batch = vec![first];
+            batch.extend(rx.try_iter().take(BATCH - 1));
+            let result = self.call(batch);
+            if let Err(e) = &result
+                && reachable
+            {
+                ::log::warn!(vm = self.to.as_str(), error:% = e; "control: link is down");
+            } else if result.is_ok() && !reachable {
+                ::log::info!(vm = self.to.as_str(); "control: link is up");
+            }
+            reachable = result.is_ok();
+        }
+    }
+
+    fn call(&self, batch: Vec<Vec<u8>>) -> Result<(), sageshed_vms::CallError> {
+        let size: usize = batch.iter().map(Vec::len).sum();
+        let limit = if size > LARGE {
+            CALL_LIMIT
+        } else {
+            SHORT_LIMIT
+        };
+        let envelope = messages::Envelope {
+            from: self.shared.process.vm.clone(),
+            generation: self.shared.node.generation,
+            to: self.to.clone(),
+            messages: batch,
+        };
+        self.client
+            .call(&self.address, messages::paths::REPLICATE, &envelope, limit)
+    }
+}
--- /dev/null
+++ b/src/sageshed/control/run.rs
@@ -0,0 +1,400 @@
+//! Starting and stopping a control process.
+
+use std::{
+    sync::{self, atomic, mpsc},
+    thread, time,
+};
+
+use derive_more::{Display, Error, From};
+use sageshed_disk::{error as disk, folder, vacant};
+use sageshed_engines::{client, transport};
+use sageshed_quorum::{config, log, node, status};
+use sageshed_state::control;
+use sageshed_types::{endpoints, messages, rules};
+
+use super::{driver, formation, inputs, links, operators, placing, roster, shared, vms};
+use crate::{clock, context, directory, locks, settings};
+
+/// Threads that take calls of other processes. A claim holds one until it is committed.
+const VMS_THREADS: usize = 64;
+
+/// Connections of operators that are open at once.
+const OPERATORS_CONNECTIONS: usize = 64;
+
+/// How long an operator's connection may take to bring its request and read the answer.
+const OPERATORS_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Between two hellos of a process that waits to be added.
+const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// How often the main thread looks for a signal.
+const SIGNAL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// How a control process is started.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// Forms a new group with the other initial voters, if there is none yet.
+    pub new_group: bool,
+}
+
+/// A control process that could not start, or had to stop.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// The data folder.
+    #[display("cannot use the data folder: {_0}")]
+    Disk(disk::Error),
+    /// The port for other processes.
+    #[display("{_0}")]
+    Vms(sageshed_vms::StartError),
+    /// The port for operators.
+    #[display("{_0}")]
+    Operators(sageshed_operators::server::ListenError),
+    /// The replicated state on disk.
+    #[display("cannot read the snapshot in the data folder: {_0}")]
+    State(sageshed_state::codec::Error),
+    /// The clock went back.
+    #[display(
+        "the clock of this VM is behind an earlier start of its disk: set it right and start again"
+    )]
+    #[from(skip)]
+    ClockBehind,
+}
+
+/// Runs a control process until it is told to stop.
+pub fn run(
+    cx: &context::Context,
+    settings: settings::Control,
+    options: Options,
+) -> Result<(), StartError> {
+    let found = open(&settings)?;
+    let process = Process::start(settings, options, found.node())?;
+    let watching = process.watch(cx.clone());
+    let result = process.drive(found);
+    process
+        .shared
+        .stopping
+        .store(true, atomic::Ordering::Relaxed);
+    drop(watching.join());
+    ::log::info!("control: stopped");
+    result
+}
+
+/// What was found in the data folder.
+enum Found {
+    /// A generation, with what it holds.
+    Member(Box<folder::Folder>, log::Restored),
+    /// Nothing yet. The node is what this disk would be.
+    Vacant(vacant::Vacant, log::NodeId),
+}
+
+impl Found {
+    fn node(&self) -> log::NodeId {
+        match self {
+            Self::Member(folder, _) => folder.node(),
+            Self::Vacant(_, node) => *node,
+        }
+    }
+}
+
+fn open(settings: &settings::Control) -> Result<Found, StartError> {
+    let number = settings.vm.number;
+    let generation = clock::unix_ms();
+    match folder::Folder::open(&settings.data, number)? {
+        folder::Opened::Ready(folder, restored) => Ok(Found::Member(folder, restored)),
+        folder::Opened::Fresh(vacant) => {
+            ::log::info!(generation; "control: fresh disk");
+            Ok(Found::Vacant(
+                vacant,
+                log::NodeId {
+                    vm: number,
+                    generation,
+                },
+            ))
+        }
+        folder::Opened::Lost { damage, vacant } => {
+            ::log::error!(damage:% = damage;
+                "control: data is damaged and set aside, this disk starts anew");
+            join(vacant, generation)
+        }
+    }
+}
+
+/// Starts a generation that waits to be added.
+fn join(vacant: vacant::Vacant, generation: u64) -> Result<Found, StartError> {
+    start(
+        vacant,
+        vacant::Start::New {
+            unix_ms: generation,
+        },
+    )
+}
+
+fn start(vacant: vacant::Vacant, start: vacant::Start) -> Result<Found, StartError> {
+    match vacant.start_generation(start)? {
+        folder::Opened::Ready(folder, restored) => Ok(Found::Member(folder, restored)),
+        folder::Opened::Fresh(vacant) | folder::Opened::Lost { vacant, .. } => {
+            drop(vacant);
+            Err(StartError::Disk(disk::Error::Failed))
+        }
+    }
+}
+
+struct Process {
+    shared: sync::Arc<shared::Shared>,
+    client: sageshed_vms::Client,
+    inputs: inputs::Inputs,
+    rx: sync::Mutex<Option<mpsc::Receiver<inputs::Input>>>,
+    placing_tx: mpsc::Sender<placing::Input>,
+    placing_rx: sync::Mutex<Option<mpsc::Receiver<placing::Input>>>,
+    _vms: sageshed_vms::Server,
+    _operators: sageshed_operators::server::Server,
+}
+
+impl Process {
+    /// Opens the ports. They answer from the start: a fresh process must hear hellos, and an
+    /// operator must be able to see one that waits.
+    fn start(
+        settings: settings::Control,
+        options: Options,
+        node: log::NodeId,
+    ) -> Result<Self, StartError> {
+        let shared = sync::Arc::new(publish(settings, options, node));
+        let client = sageshed_vms::Client::new(&shared.settings.common.vms_token);
+        let (inputs, rx) = inputs::Inputs::new();
+        let (placing_tx, placing_rx) = mpsc::channel();
+        let port = vms::Port {
+            shared: sync::Arc::clone(&shared),
+            inputs: inputs.clone(),
+            placing: placing_tx.clone(),
+        };
+        let listen = shared.settings.listen;
+        let token = &shared.settings.common.vms_token;
+        let vms = sageshed_vms::Server::start(
+            &listen.vms.to_string(),
+            token,
+            VMS_THREADS,
+            sync::Arc::new(port),
+        )?;
+        let desk = operators::Desk {
+            shared: sync::Arc::clone(&shared),
+            inputs: inputs.clone(),
+            client: client.clone(),
+        };
+        let operators = sageshed_operators::server::start(
+            sync::Arc::new(desk),
+            sageshed_operators::server::Options {
+                listen: listen.operators,
+                tokens: tokens(&shared.settings.common),
+                connections: OPERATORS_CONNECTIONS,
+                timeout: OPERATORS_TIMEOUT,
+            },
+        )?;
+        ::log::info!(vm = shared.process.vm.as_str(), vms:% = vms.address(),
+            operators:% = operators.address(); "control: listens");
+        Ok(Self {
+            shared,
+            client,
+            inputs,
+            rx: sync::Mutex::new(Some(rx)),
+            placing_tx,
+            placing_rx: sync::Mutex::new(Some(placing_rx)),
+            _vms: vms,
+            _operators: operators,
+        })
+    }
+
+    fn watch(&self, cx: context::Context) -> thread::JoinHandle<()> {
+        let shared = sync::Arc::clone(&self.shared);
+        thread::spawn(move || {
+            while !shared.is_stopping() {
+                if cx.stop.wait_timeout(SIGNAL_INTERVAL) {
+                    ::log::info!("control: told to stop");
+                    shared.stopping.store(true, atomic::Ordering::Relaxed);
+                }
+            }
+        })
+    }
+
+    fn drive(&self, found: Found) -> Result<(), StartError> {
+        let (folder, restored) = match found {
+            Found::Member(folder, restored) => (folder, restored),
+            Found::Vacant(vacant, node) => match self.settle(vacant, node)? {
+                Some(Found::Member(folder, restored)) => (folder, restored),
+                Some(Found::Vacant(..)) | None => return Ok(()),
+            },
+        };
+        if folder.node() != self.shared.node {
+            return Err(StartError::ClockBehind);
+        }
+        // On disk by now: others write it down on our word.
+        let formed = restored
+            .membership
+            .voters
+            .iter()
+            .map(|id| self.shared.voter(*id));
+        *locks::write(&self.shared.formed) = formed.collect();
+        self.place();
+        self.announce_while_outside();
+        self.driver(folder, restored)?
+            .run()
+            .map_err(StartError::Disk)
+    }
+
+    /// Finds out what a fresh disk is to be, and starts its generation.
+    fn settle(
+        &self,
+        vacant: vacant::Vacant,
+        node: log::NodeId,
+    ) -> Result<Option<Found>, StartError> {
+        match formation::settle(&self.shared, &self.client) {
+            formation::Part::Founder(membership) => {
+                ::log::info!(members:? = membership; "control: group formed");
+                let generation = node.generation;
+                start(
+                    vacant,
+                    vacant::Start::First {
+                        generation,
+                        membership,
+                    },
+                )
+                .map(Some)
+            }
+            formation::Part::Joiner => {
+                ::log::info!("control: waits to be added by the leader");
+                join(vacant, node.generation).map(Some)
+            }
+            formation::Part::Stopped => Ok(None),
+        }
+    }
+
+    fn driver(
+        &self,
+        folder: Box<folder::Folder>,
+        restored: log::Restored,
+    ) -> Result<driver::Driver, StartError> {
+        let base = restored
+            .snapshot
+            .as_ref()
+            .map_or(log::Index::default(), |it| it.index);
+        if let Some(snapshot) = &restored.snapshot {
+            let state = control::ControlState::from_bytes(&snapshot.data)?;
+            *locks::write(&self.shared.state) = state;
+        }
+        let work = driver::Work::restored(base, &restored.entries);
+        let node = node::Node::new(self.config(), restored, clock::unix_ms());
+        let rx = locks::lock(&self.rx)
+            .take()
+            .expect("the driver is made once");
+        Ok(driver::Driver {
+            shared: sync::Arc::clone(&self.shared),
+            node,
+            folder,
+            links: links::Links::start(&self.shared, &self.client),
+            placing: self.placing_tx.clone(),
+            rx,
+            work,
+        })
+    }
+
+    fn config(&self) -> config::Config {
+        let group = &self.shared.settings.common.control;
+        let mut cfg = config::Config::new(self.shared.node);
+        cfg.election_timeout = group.election_timeout_ms;
+        cfg.heartbeat_interval = group.heartbeat_ms;
+        cfg
+    }
+
+    fn place(&self) {
+        let rx = locks::lock(&self.placing_rx)
+            .take()
+            .expect("the placing thread is started once");
+        let common = &self.shared.settings.common;
+        let policy = common.placement.clone();
+        let placing = placing::Placing {
+            shared: sync::Arc::clone(&self.shared),
+            inputs: self.inputs.clone(),
+            client: client::Client::new(transport::Settings::default()),
+            plan_interval: policy.plan_interval_ms.into(),
+            placement: sageshed_place::Placement::new(sageshed_place::Settings {
+                models: common.models.clone(),
+                policy,
+            }),
+            tx: self.placing_tx.clone(),
+            rx,
+        };
+        let spawned = thread::Builder::new()
+            .name("placing".to_owned())
+            .spawn(|| placing.run());
+        if let Err(e) = spawned {
+            ::log::error!(error:% = e; "control: no thread for placement");
+        }
+    }
+
+    /// Tells the others of this process while it is no member, so that the leader adds it.
+    fn announce_while_outside(&self) {
+        let (shared, client) = (sync::Arc::clone(&self.shared), self.client.clone());
+        thread::spawn(move || {
+            while !shared.is_stopping() {
+                let own = shared.voter(shared.node);
+                let is_voter = locks::read(&shared.view).voters.contains(&own);
+                if !is_voter {
+                    formation::announce(&shared, &client);
+                }
+                thread::sleep(ANNOUNCE_INTERVAL);
+            }
+        });
+    }
+}
+
+fn publish(settings: settings::Control, options: Options, node: log::NodeId) -> shared::Shared {
+    let incarnation = endpoints::Incarnation(clock::unix_ms());
+    let process = messages::Process {
+        vm: settings.vm.name.clone(),
+        role: messages::Role::Control,
+        incarnation,
+    };
+    shared::Shared {
+        process,
+        clock: clock::Clock::start(),
+        node,
+        state: sync::RwLock::new(control::ControlState::default()),
+        view: sync::RwLock::new(shared::View {
+            status: outside(node),
+            voters: Vec::new(),
+            required: rules::Revision::default(),
+            committed: std::collections::BTreeMap::new(),
+            disk_full: false,
+        }),
+        roster: sync::RwLock::new(roster::Roster::default()),
+        directory: sync::Mutex::new(directory::Directory::new(incarnation)),
+        models: sync::RwLock::new(Vec::new()),
+        formed: sync::RwLock::new(Vec::new()),
+        forming: options.new_group,
+        stopping: atomic::AtomicBool::new(false),
+        settings,
+    }
+}
+
+/// The status of a node before its log is running.
+fn outside(id: log::NodeId) -> status::Status {
+    status::Status {
+        id,
+        role: status::Role::Outside,
+        term: log::Term::default(),
+        leader: None,
+        commit: log::Index::default(),
+        last: log::Index::default(),
+        snapshot: log::Index::default(),
+        membership: log::Membership::default(),
+        matched: std::collections::BTreeMap::new(),
+        quorum_until: None,
+    }
+}
+
+fn tokens(common: &settings::Common) -> sageshed_operators::tokens::Tokens {
+    let none = sageshed_operators::tokens::Tokens::default();
+    common
+        .operators
+        .iter()
+        .fold(none, |tokens, it| tokens.with(&it.name, &it.token_sha256))
+}
--- /dev/null
+++ b/src/sageshed/control/shared.rs
@@ -0,0 +1,141 @@
+//! What the driver publishes and other threads read.
+
+use std::{
+    collections,
+    sync::{self, atomic},
+};
+
+use sageshed_quorum::{log, status};
+use sageshed_state::control;
+use sageshed_types::{endpoints, messages, rules, time};
+
+use super::roster;
+use crate::{clock, directory, locks, settings};
+
+/// Revisions whose time of commit is remembered.
+const COMMITS_KEPT: usize = 4_096;
+
+/// Shared by all threads of a control process.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: settings::Control,
+    /// This start.
+    pub process: messages::Process,
+    /// This process's clock.
+    pub clock: clock::Clock,
+    /// This process as a member of the group.
+    pub node: log::NodeId,
+    /// The replicated state as applied here. Written by the driver alone.
+    pub state: sync::RwLock<control::ControlState>,
+    /// What the log says of itself. Written by the driver alone.
+    pub view: sync::RwLock<View>,
+    /// Processes that were heard.
+    pub roster: sync::RwLock<roster::Roster>,
+    /// Endpoints that were heard of.
+    pub directory: sync::Mutex<directory::Directory>,
+    /// What the placing thread shows operators.
+    pub models: sync::RwLock<Vec<messages::ModelStatus>>,
+    /// The voters that the group was formed with, once known.
+    pub formed: sync::RwLock<Vec<messages::Voter>>,
+    /// Whether this process was started to form a new group.
+    pub forming: bool,
+    /// Set when the process is to stop.
+    pub stopping: atomic::AtomicBool,
+}
+
+/// What the log says of itself.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Role, term, leader, members.
+    pub status: status::Status,
+    /// The voters by the newest membership in the log, committed or not.
+    pub voters: Vec<messages::Voter>,
+    /// The newest revision that the log may hold, committed or not.
+    pub required: rules::Revision,
+    /// When each of the latest revisions was seen committed here.
+    pub committed: collections::BTreeMap<rules::Revision, time::Instant>,
+    /// The disk has no room: nothing is accepted here.
+    pub disk_full: bool,
+}
+
+impl View {
+    /// Notes that `revision` is committed.
+    pub fn note_commit(&mut self, revision: rules::Revision, now: time::Instant) {
+        self.committed.entry(revision).or_insert(now);
+        while self.committed.len() > COMMITS_KEPT {
+            self.committed.pop_first();
+        }
+    }
+}
+
+impl Shared {
+    /// The name of the VM with this number.
+    #[must_use]
+    pub fn vm_name(&self, number: u32) -> Option<&str> {
+        let vms = &self.settings.common.vms;
+        vms.iter()
+            .find(|vm| vm.number == number)
+            .map(|vm| vm.name.as_str())
+    }
+
+    /// The number of the VM with this name.
+    #[must_use]
+    pub fn vm_number(&self, name: &str) -> Option<u32> {
+        self.settings.common.vm(name).map(|vm| vm.number)
+    }
+
+    /// A member as messages name it. A VM that the settings no longer have gets its number as name.
+    #[must_use]
+    pub fn voter(&self, id: log::NodeId) -> messages::Voter {
+        let name = self.vm_name(id.vm);
+        messages::Voter {
+            vm: name.map_or_else(|| format!("#{}", id.vm), str::to_owned),
+            generation: id.generation,
+        }
+    }
+
+    /// A member as the log names it.
+    #[must_use]
+    pub fn node_id(&self, voter: &messages::Voter) -> Option<log::NodeId> {
+        let vm = self.vm_number(&voter.vm)?;
+        Some(log::NodeId {
+            vm,
+            generation: voter.generation,
+        })
+    }
+
+    /// Who leads, by VM, if a leader is known. This process counts only while it has its majority.
+    #[must_use]
+    pub fn leader(&self) -> Option<String> {
+        let view = locks::read(&self.view);
+        let leader = view.status.leader?;
+        if leader == self.node && !self.leads_now(&view) {
+            return None;
+        }
+        Some(self.voter(leader).vm)
+    }
+
+    /// Whether this process leads and has heard a majority lately enough to know.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.leads_now(&locks::read(&self.view))
+    }
+
+    fn leads_now(&self, view: &View) -> bool {
+        let until = view.status.quorum_until;
+        view.status.role == status::Role::Leader && until.is_some_and(|t| self.clock.now() < t)
+    }
+
+    /// Every report, for operators.
+    #[must_use]
+    pub fn reports(&self) -> Vec<endpoints::Report> {
+        locks::lock(&self.directory).all(self.clock.now())
+    }
+
+    /// Whether the process is to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/sageshed/control/vms.rs
@@ -0,0 +1,195 @@
+//! The port for the system's other processes.
+
+use std::sync::{self, mpsc};
+
+use sageshed_quorum::log;
+use sageshed_state::command;
+use sageshed_types::{claims, messages, time};
+use sageshed_vms::Answer;
+
+use super::{
+    formation,
+    inputs::{self, Fate, Input, Reply},
+    placing, roster, shared,
+};
+use crate::{directory, locks};
+
+/// Takes calls of other processes.
+#[derive(Debug)]
+pub struct Port {
+    /// What this process publishes.
+    pub shared: sync::Arc<shared::Shared>,
+    /// To the driver.
+    pub inputs: inputs::Inputs,
+    /// To the placing thread.
+    pub placing: mpsc::Sender<placing::Input>,
+}
+
+impl sageshed_vms::Handler for Port {
+    fn handle(&self, path: &str, body: &[u8]) -> Answer {
+        use messages::paths;
+        match path {
+            paths::REPLICATE => with(body, |envelope| self.replicate(&envelope)),
+            paths::SYNC => with(body, |req| self.sync(req)),
+            paths::CLAIM => with(body, |claim| self.claim(claim)),
+            paths::SETTLE => with(body, |settle| self.settle(settle)),
+            paths::HELLO => with(body, |hello| self.hello(&hello)),
+            _ => Answer::NotFound,
+        }
+    }
+}
+
+fn with<M, A>(body: &[u8], handle: impl FnOnce(M) -> A) -> Answer
+where
+    M: serde::de::DeserializeOwned,
+    A: serde::Serialize,
+{
+    match sageshed_vms::decode(body) {
+        Ok(message) => Answer::message(&handle(message)),
+        Err(e) => Answer::Bad(e),
+    }
+}
+
+impl Port {
+    /// Hands the messages of another member to the driver.
+    fn replicate(&self, envelope: &messages::Envelope) {
+        if envelope.to != self.shared.process.vm {
+            ::log::warn!(to = envelope.to.as_str(); "control: message for another VM dropped");
+            return;
+        }
+        let Some(vm) = self.shared.vm_number(&envelope.from) else {
+            ::log::warn!(from = envelope.from.as_str(); "control: message of an unknown VM dropped");
+            return;
+        };
+        let from = log::NodeId {
+            vm,
+            generation: envelope.generation,
+        };
+        for bytes in &envelope.messages {
+            match sageshed_vms::decode(bytes) {
+                Ok(message) => self.inputs.offer(Input::Message { from, message }),
+                Err(e) => ::log::warn!(error:% = e; "control: message dropped"),
+            }
+        }
+    }
+
+    /// Answers a heartbeat: what the sender needs to know of the configuration, and its lease.
+    fn sync(&self, mut req: messages::SyncReq) -> messages::SyncResp {
+        let now = self.shared.clock.now();
+        let arrival = locks::write(&self.shared.roster).heard(now, &req);
+        if arrival == roster::Arrival::New && req.from.role == messages::Role::Entry {
+            self.new_start(&req.from);
+        }
+        self.take_reports(now, std::mem::take(&mut req.reports));
+        self.take_demand(&req.from.vm, std::mem::take(&mut req.demand));
+        self.answer(&req)
+    }
+
+    /// A later start of an entry process: what the earlier one had under way is settled by nobody.
+    fn new_start(&self, process: &messages::Process) {
+        ::log::info!(vm = process.vm.as_str(), incarnation:% = process.incarnation;
+            "control: entry process heard");
+        if self.shared.leads() {
+            let gone = command::Command::HolderGone {
+                vm: process.vm.clone(),
+                incarnation_below: process.incarnation,
+            };
+            self.inputs.offer(Input::Submit {
+                command: Box::new(gone),
+                reply: Reply::Nobody,
+            });
+        }
+    }
+
+    fn take_reports(&self, now: time::Instant, reports: Vec<sageshed_types::endpoints::Report>) {
+        for report in reports {
+            let offer = locks::lock(&self.shared.directory).offer(now, report.clone(), false);
+            if offer == directory::Offer::Newest {
+                drop(self.placing.send(placing::Input::Report(Box::new(report))));
+            }
+        }
+    }
+
+    fn take_demand(&self, vm: &str, demand: Vec<messages::Demand>) {
+        if !demand.is_empty() {
+            let from_vm = vm.to_owned();
+            drop(
+                self.placing
+                    .send(placing::Input::Demand { from_vm, demand }),
+            );
+        }
+    }
+
+    fn answer(&self, req: &messages::SyncReq) -> messages::SyncResp {
+        // The leader is read before the lease is made up: a process that was frozen in between
+        // grants nothing new by it, since a lease counts from when the asker sent its request.
+        let leader = self.shared.leader();
+        let state = locks::read(&self.shared.state);
+        let rules = state.rules();
+        let revision = rules.current().revision;
+        let config = (revision > req.revision).then(|| rules.updates_since(req.revision));
+        let draining = state.draining().map(str::to_owned).collect();
+        drop(state);
+        let hears_leader = leader.is_some();
+        messages::SyncResp {
+            from: self.shared.process.clone(),
+            reports: Vec::new(),
+            directory: locks::lock(&self.shared.directory).mark(),
+            control: Some(self.control_part(leader, draining)),
+            revision,
+            config,
+            hears_leader,
+        }
+    }
+
+    /// The lease. The view is read as one: a revision in the log is published in it before the
+    /// entry is acknowledged, so a grant made after the acknowledgement names that revision.
+    fn control_part(&self, leader: Option<String>, draining: Vec<String>) -> messages::ControlPart {
+        let view = locks::read(&self.shared.view);
+        let own = self.shared.voter(self.shared.node);
+        messages::ControlPart {
+            grants: view.voters.contains(&own),
+            voters: view.voters.clone(),
+            generation: own.generation,
+            lease: self.shared.settings.common.lease.length_ms,
+            required: view.required,
+            leader,
+            term: view.status.term.0,
+            draining,
+        }
+    }
+
+    fn claim(&self, claim: claims::Claim) -> messages::Routed<claims::ClaimOutcome> {
+        match self.inputs.commit(command::Command::Claim(claim)) {
+            Fate::Applied(Some(outcome)) => match *outcome {
+                command::Outcome::Claim(outcome) => messages::Routed::Done(outcome),
+                // Its holder gave it back before, or a later start of it is known.
+                _ => messages::Routed::Unknown,
+            },
+            other => self.routed(&other),
+        }
+    }
+
+    fn settle(&self, settle: claims::Settle) -> messages::Routed<()> {
+        match self.inputs.commit(command::Command::Settle(settle)) {
+            Fate::Applied(_) => messages::Routed::Done(()),
+            other => self.routed(&other),
+        }
+    }
+
+    fn routed<T>(&self, fate: &Fate) -> messages::Routed<T> {
+        match fate {
+            Fate::NotDone(_) => messages::Routed::NotLeader {
+                leader: self.shared.leader(),
+            },
+            Fate::Applied(_) | Fate::Unknown => messages::Routed::Unknown,
+        }
+    }
+
+    fn hello(&self, hello: &messages::Hello) -> messages::Hello {
+        if let Some(id) = self.shared.node_id(&hello.from) {
+            self.inputs.offer(Input::Joiner(id));
+        }
+        formation::hello(&self.shared)
+    }
+}
--- a/src/sageshed/directory.rs
+++ b/src/sageshed/directory.rs
@@ -47,7 +47,11 @@
     /// An empty directory of one start of a process.
     #[must_use]
     pub fn new(incarnation: endpoints::Incarnation) -> Self {
-        Self { incarnation, version: 0, records: collections::HashMap::new() }
+        Self {
+            incarnation,
+            version: 0,
+            records: collections::HashMap::new(),
+        }
     }
 
     /// Takes a report, heard straight from its endpoint or passed on by another process.
@@ -66,7 +70,15 @@
         self.version += 1;
         let version = self.version;
         let name = name.clone();
-        self.records.insert(name, Record { report, heard: now, first_hand, version });
+        self.records.insert(
+            name,
+            Record {
+                report,
+                heard: now,
+                first_hand,
+                version,
+            },
+        );
         Offer::Newest
     }
 
@@ -77,8 +89,15 @@
         now: time::Instant,
         mark: messages::DirectoryMark,
     ) -> (Vec<endpoints::Report>, messages::DirectoryMark) {
-        let seen = if mark.incarnation == self.incarnation { mark.version } else { 0 };
-        let news = self.records.values().filter(|r| r.first_hand && r.version > seen);
+        let seen = if mark.incarnation == self.incarnation {
+            mark.version
+        } else {
+            0
+        };
+        let news = self
+            .records
+            .values()
+            .filter(|r| r.first_hand && r.version > seen);
         let reports = news.map(|r| aged(r, now)).collect();
         (reports, self.mark())
     }
@@ -86,7 +105,10 @@
     /// Where a reader stands that has read all.
     #[must_use]
     pub fn mark(&self) -> messages::DirectoryMark {
-        messages::DirectoryMark { incarnation: self.incarnation, version: self.version }
+        messages::DirectoryMark {
+            incarnation: self.incarnation,
+            version: self.version,
+        }
     }
 
     /// Every report, each with its age brought up to date, by name of the endpoint.
@@ -97,6 +119,12 @@
         reports
     }
 
+    /// The newest report of an endpoint, as it came.
+    #[must_use]
+    pub fn get(&self, endpoint: &str) -> Option<&endpoints::Report> {
+        self.records.get(endpoint).map(|record| &record.report)
+    }
+
     /// Forgets endpoints that were not heard of for `silence`, and names them.
     pub fn forget_silent(&mut self, now: time::Instant, silence: time::Millis) -> Vec<String> {
         let gone = |r: &Record| now.since(r.heard) > silence;
--- a/src/sageshed/entry/accounts.rs
+++ b/src/sageshed/entry/accounts.rs
@@ -16,7 +16,11 @@
     /// Room for `max` accounts; each takes about 1 KiB.
     #[must_use]
     pub fn new(max: usize) -> Self {
-        Self { max, order: collections::VecDeque::new(), by_id: collections::HashMap::new() }
+        Self {
+            max,
+            order: collections::VecDeque::new(),
+            by_id: collections::HashMap::new(),
+        }
     }
 
     /// Keeps the account of a request that has ended.
@@ -37,4 +41,16 @@
     pub fn get(&self, request_id: &str) -> Option<&account::Account> {
         self.by_id.get(request_id)
     }
+
+    /// How many are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether none is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
 }
--- a/src/sageshed/entry/freshness.rs
+++ b/src/sageshed/entry/freshness.rs
@@ -14,9 +14,12 @@
 //! with it; so once the leases granted before the commit have run out, a process holds a majority of
 //! leases only if it has the change. How long that takes is the length of a lease.
 //!
-//! Which voters? The newest membership that any granter has in its log, by term and index. Memberships
-//! that follow each other differ by one voter, so a majority of one always holds a voter whose log has
-//! the next: voters that were removed, and were never told, cannot grant on their own.
+//! Which majority? Each granter names the voters by the newest membership in its log, committed or
+//! not, and the granters have to be a majority of the voters that *each* of them names. Memberships
+//! that follow each other differ by one voter, so a majority of one always holds a voter whose log
+//! has the next: voters that were removed without learning it cannot grant among themselves. Taking
+//! only the newest membership named would not do, since an uncommitted one, left behind by a leader
+//! that was cut off, can be newer than the one that the group went on with, and two voters apart.
 //!
 //! Leases are judged on the monotonic clock at the moment of each decision, less a margin for drift
 //! between the clocks of two VMs. A process that was frozen finds its leases run out.
@@ -61,7 +64,7 @@
 #[derive(Debug)]
 struct Grant {
     generation: u64,
-    membership: messages::Membership,
+    voters: Vec<messages::Voter>,
     grants: bool,
     required: rules::Revision,
     until: time::Instant,
@@ -130,7 +133,7 @@
         let length = time::Millis(part.lease.0.saturating_sub(self.settings.drift_margin.0));
         let grant = Grant {
             generation: part.generation,
-            membership: part.membership.clone(),
+            voters: part.voters.clone(),
             grants: part.grants,
             required: part.required,
             until: sent + length,
@@ -144,13 +147,20 @@
 
     /// Another entry process was heard.
     pub fn heard(&mut self, now: time::Instant, vm: &str, hears_leader: bool) {
-        self.peers.insert(vm.to_owned(), Peer { heard: now, hears_leader });
+        self.peers.insert(
+            vm.to_owned(),
+            Peer {
+                heard: now,
+                hears_leader,
+            },
+        );
     }
 
     /// Whether this process heard a leader that hears its voters, within a few heartbeats.
     #[must_use]
     pub fn hears_leader(&self, now: time::Instant) -> bool {
-        self.leader_heard.is_some_and(|heard| self.is_recent(now, heard))
+        self.leader_heard
+            .is_some_and(|heard| self.is_recent(now, heard))
     }
 
     /// Whether this process may serve with `revision` at `now`.
@@ -167,37 +177,51 @@
     }
 
     fn confirmed(&self, now: time::Instant, revision: rules::Revision) -> Result<(), Doubt> {
-        let valid = |grant: &Grant| now < grant.until;
-        let Some(newest) = self
+        let granters = self
             .grants
             .values()
-            .filter(|grant| valid(grant))
-            .map(|grant| &grant.membership)
-            .max_by_key(|m| (m.term, m.index))
-        else {
-            return Err(Doubt::LeasesLapsed);
-        };
-        let granting = newest.voters.iter().filter_map(|voter| {
-            let grant = self.grants.get(&voter.vm)?;
-            (grant.grants && valid(grant) && grant.generation == voter.generation).then_some(grant)
-        });
+            .filter(|grant| grant.grants && now < grant.until);
+        let mut doubt = Some(Doubt::LeasesLapsed);
+        for granter in granters {
+            match self.majority_of(&granter.voters, now, revision) {
+                Ok(()) => doubt = doubt.filter(|doubt| *doubt != Doubt::LeasesLapsed),
+                Err(Doubt::LeasesLapsed) => return Err(Doubt::LeasesLapsed),
+                Err(other) => doubt = Some(other),
+            }
+        }
+        doubt.map_or(Ok(()), Err)
+    }
+
+    /// Whether a majority of `voters` grants now, and requires no later revision.
+    fn majority_of(
+        &self,
+        voters: &[messages::Voter],
+        now: time::Instant,
+        revision: rules::Revision,
+    ) -> Result<(), Doubt> {
         let (mut granted, mut current) = (0, 0);
-        for grant in granting {
-            granted += 1;
-            current += usize::from(grant.required <= revision);
+        for voter in voters {
+            let Some(grant) = self.grants.get(&voter.vm) else {
+                continue;
+            };
+            if grant.grants && now < grant.until && grant.generation == voter.generation {
+                granted += 1;
+                current += usize::from(grant.required <= revision);
+            }
         }
-        let majority = newest.voters.len() / 2 + 1;
-        if current >= majority {
-            Ok(())
-        } else if granted >= majority {
-            Err(Doubt::Behind)
-        } else {
-            Err(Doubt::LeasesLapsed)
+        let majority = voters.len() / 2 + 1;
+        match (granted >= majority, current >= majority) {
+            (_, true) => Ok(()),
+            (true, false) => Err(Doubt::Behind),
+            (false, false) => Err(Doubt::LeasesLapsed),
         }
     }
 
     fn control_is_lost(&self, now: time::Instant) -> bool {
-        let recent = self.peers.values().filter(|peer| self.is_recent(now, peer.heard));
+        let recent = self
+            .peers
+            .values()
+            .filter(|peer| self.is_recent(now, peer.heard));
         let (mut heard, mut with_leader) = (1, usize::from(self.hears_leader(now)));
         for peer in recent {
             heard += 1;
--- /dev/null
+++ b/src/sageshed/entry/request.rs
@@ -0,0 +1,562 @@
+//! The life of one request, on the thread of its connection.
+//!
+//! [`Open::run`] feeds the arrival to the decider and then does what it says, one action after the
+//! other: wait, ask for a claim, send, answer. However it ends, the account is kept, the claim is
+//! settled and the decider gets its slot back.
+
+use std::{sync::mpsc, time};
+
+use sageshed_callers::reply;
+use sageshed_decide::event;
+use sageshed_engines::classify;
+use sageshed_types::{account, arena, claims, fault, refusal, time as types_time, verdict};
+
+use super::{claims as entry_claims, completion, service, shared};
+use crate::{clock, locks};
+
+/// How often a request that waits looks whether its caller has left.
+const LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// The longest wait for a claim.
+const CLAIM_LIMIT: time::Duration = time::Duration::from_secs(4);
+
+/// When a caller should ask again about a request that is still running.
+const ASK_AGAIN: types_time::Millis = types_time::Millis(1_000);
+
+/// When a caller should come back after the control group could not record a claim.
+const CLAIM_RETRY: types_time::Millis = types_time::Millis(2_000);
+
+/// What is known of a request besides the decider's facts.
+#[derive(Debug, Clone)]
+pub struct Meta {
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Of method, path and body.
+    pub digest: u64,
+    /// When its first byte was read.
+    pub received: time::Instant,
+}
+
+/// What is to be sent.
+#[derive(Debug)]
+pub enum Work {
+    /// To an engine.
+    Completion(completion::Work),
+    /// To a plain service.
+    Service(Box<service::Work>),
+}
+
+/// One sending, as the decider orders it.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The endpoint's name.
+    pub endpoint: String,
+    /// `IP:port`.
+    pub address: String,
+    /// The model to ask for.
+    pub model: Option<String>,
+    /// 0 to 9.
+    pub priority: u8,
+    /// Time left, with what it may overrun.
+    pub total: time::Duration,
+    /// How long to wait for the first byte.
+    pub first_byte: time::Duration,
+    /// Takes a connection of its own.
+    pub fresh: bool,
+}
+
+/// What came of one sending.
+#[derive(Debug)]
+pub enum Tried<'c> {
+    /// The caller has been answered.
+    Answered(reply::Sent),
+    /// It failed, and nothing went to the caller yet.
+    Failed(reply::Reply<'c>, classify::CallError),
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub struct Open<'s> {
+    /// What the process shares.
+    pub shared: &'s shared::Shared,
+    /// Its number.
+    pub req: event::ReqId,
+    /// Its id for callers, operators and endpoints.
+    pub request_id: String,
+    /// The idempotency key, if the caller gave one.
+    pub idempotency_key: Option<String>,
+    facts: event::Facts,
+    meta: Meta,
+    rx: mpsc::Receiver<event::Action>,
+    account: account::Account,
+    claim: Option<claims::Claim>,
+    answer: Option<claims::RecordedAnswer>,
+    ended: bool,
+}
+
+/// What the decider says next.
+enum Next {
+    Send(Order),
+    Claim,
+    Refuse(refusal::Refusal),
+    CallerGone,
+}
+
+impl<'s> Open<'s> {
+    /// A request that has arrived whole.
+    #[must_use]
+    pub fn new(
+        shared: &'s shared::Shared,
+        facts: event::Facts,
+        caller: String,
+        target: String,
+        meta: Meta,
+    ) -> Self {
+        let request_id = shared.request_id(facts.id);
+        let account = account::Account {
+            request_id: request_id.clone(),
+            arrived_unix_ms: clock::unix_ms(),
+            caller: Some(caller),
+            class: None,
+            target: Some(target),
+            rule: None,
+            revision: sageshed_types::rules::Revision::default(),
+            not_repeatable: facts.not_repeatable,
+            deadline: facts.deadline.unwrap_or_default(),
+            queued: types_time::Millis(0),
+            candidates: Vec::new(),
+            tries: Vec::new(),
+            end: account::End::Open,
+            took: types_time::Millis(0),
+        };
+        Self {
+            shared,
+            req: facts.id,
+            request_id,
+            idempotency_key: meta.idempotency_key.clone(),
+            facts,
+            rx: shared.waiters.enter(facts.id),
+            meta,
+            account,
+            claim: None,
+            answer: None,
+            ended: false,
+        }
+    }
+
+    /// Runs it to its end.
+    pub fn run(mut self, mut work: Work, mut reply: reply::Reply<'_>) -> reply::Sent {
+        if let Some(refusal) = self.shared.unconfirmed() {
+            return self.refuse(reply, refusal);
+        }
+        self.shared.step(event::Event::Arrived(self.facts));
+        loop {
+            match self.next(&reply) {
+                Next::Claim => match self.ask_claim() {
+                    Ok(()) => self.shared.step(event::Event::Claimed(self.req)),
+                    Err(denied) => return self.deny(reply, denied),
+                },
+                Next::Send(order) => {
+                    if let Some(refusal) = self.shared.unconfirmed() {
+                        return self.take_back(reply, refusal);
+                    }
+                    match self.send(&order, &mut work, reply) {
+                        Tried::Answered(sent) => return sent,
+                        Tried::Failed(again, e) => {
+                            self.note_failure(&order, &e);
+                            reply = again;
+                        }
+                    }
+                }
+                Next::Refuse(refusal) => return self.refuse(reply, refusal),
+                Next::CallerGone => return self.caller_gone(reply),
+            }
+        }
+    }
+
+    fn send<'c>(&mut self, order: &Order, work: &mut Work, reply: reply::Reply<'c>) -> Tried<'c> {
+        log::debug!(request = self.request_id.as_str(), endpoint = order.endpoint.as_str();
+            "entry: request sent");
+        match work {
+            Work::Completion(work) => work.send(self, order, reply),
+            Work::Service(work) => work.send(self, order, reply),
+        }
+    }
+
+    /// Waits for the decider's word on this request.
+    fn next(&self, reply: &reply::Reply<'_>) -> Next {
+        loop {
+            match self.rx.recv_timeout(LOOK) {
+                Ok(event::Action::Send {
+                    endpoint,
+                    model,
+                    priority,
+                    deadline_left,
+                    first_byte_limit,
+                    attempt,
+                    ..
+                }) => {
+                    let sending = Sending {
+                        endpoint,
+                        model,
+                        priority,
+                        deadline_left,
+                        first_byte_limit,
+                    };
+                    return Next::Send(self.order(&sending, attempt));
+                }
+                Ok(event::Action::Claim { .. }) => return Next::Claim,
+                Ok(event::Action::Refuse { refusal, .. }) => return Next::Refuse(refusal),
+                Err(_) if reply.caller_gone() => return Next::CallerGone,
+                Ok(event::Action::Queue { .. } | event::Action::Cancel { .. }) | Err(_) => {}
+            }
+        }
+    }
+
+    fn order(&self, sending: &Sending, attempt: u32) -> Order {
+        let policy = &self.shared.settings.common.routing;
+        let decider = locks::lock(&self.shared.decider);
+        let not_repeatable = self.is_not_repeatable(&decider);
+        let overrun = if not_repeatable {
+            policy.overrun_share_not_repeatable
+        } else {
+            policy.overrun_share
+        };
+        let left: time::Duration = sending.deadline_left.into();
+        Order {
+            endpoint: decider.endpoint_name(sending.endpoint).to_owned(),
+            address: decider.endpoint_address(sending.endpoint).to_owned(),
+            model: sending
+                .model
+                .map(|key| decider.names().models.name(key).to_owned()),
+            priority: sending.priority,
+            total: left.mul_f64(1.0 + overrun.max(0.0)),
+            first_byte: sending.first_byte_limit.into(),
+            fresh: not_repeatable || attempt > 1,
+        }
+    }
+
+    fn is_not_repeatable(&self, decider: &sageshed_decide::decider::Decider) -> bool {
+        decider
+            .account(self.req)
+            .map_or(self.facts.not_repeatable, |part| part.not_repeatable)
+    }
+
+    fn note_failure(&mut self, order: &Order, e: &classify::CallError) {
+        self.note_try(order, e.verdict, &e.to_string());
+        let outcome = event::TryOutcome::Failed {
+            verdict: e.verdict,
+            fault: e.fault,
+        };
+        self.shared.step(event::Event::Ended {
+            req: self.req,
+            outcome,
+        });
+    }
+
+    /// Adds a try to the account.
+    pub fn note_try(&mut self, order: &Order, verdict: verdict::Verdict, outcome: &str) {
+        self.account.tries.push(account::Try {
+            endpoint: order.endpoint.clone(),
+            started: types_time::Millis::from(self.meta.received.elapsed()),
+            verdict,
+            outcome: outcome.to_owned(),
+        });
+    }
+
+    /// Tells the decider that a try ended with an answer.
+    pub fn done(&self, outcome: event::TryOutcome) {
+        self.shared.step(event::Event::Ended {
+            req: self.req,
+            outcome,
+        });
+    }
+
+    /// The refusal that the decider has left for this request while its thread was busy, if any.
+    #[must_use]
+    pub fn pending_refusal(&self) -> Option<refusal::Refusal> {
+        self.rx.try_iter().find_map(|action| match action {
+            event::Action::Refuse { refusal, .. } => Some(refusal),
+            _ => None,
+        })
+    }
+
+    /// Keeps the answer for later arrivals of the same key.
+    pub fn record(&mut self, status: u16, content_type: &str, body: &[u8]) {
+        let fits = body.len() <= self.shared.settings.common.claims.answer_bytes;
+        if self.claim.is_some() && fits {
+            self.answer = Some(claims::RecordedAnswer {
+                status,
+                content_type: content_type.to_owned(),
+                body: body.to_vec(),
+            });
+        }
+    }
+
+    /// Ends it with an answer that went out whole, or to a caller who had left.
+    pub fn answered(&mut self, status: u16, bytes: usize, sent: &reply::Sent) {
+        let end = if sent.is_whole() {
+            account::End::Answered {
+                status,
+                bytes: bytes as u64,
+            }
+        } else {
+            account::End::CallerGone
+        };
+        let answer = self.answer.take();
+        self.end(end, claims::End::Ran { answer });
+    }
+
+    /// Ends it with a refusal.
+    pub fn refused(&mut self, refusal: &refusal::Refusal) {
+        let end = match refusal.verdict {
+            verdict::Verdict::NotRun => claims::End::NotRun,
+            verdict::Verdict::MayHaveRun => claims::End::Unknown,
+            verdict::Verdict::Ran => claims::End::Ran { answer: None },
+        };
+        self.end(account::End::Refused(refusal.clone()), end);
+    }
+
+    /// Ends it with a caller who has left; whether it ran is as the tries show.
+    pub fn left(&mut self) {
+        let tries = self.account.tries.iter().map(|it| it.verdict);
+        let verdict = tries.max().unwrap_or(verdict::Verdict::NotRun);
+        let end = match verdict {
+            verdict::Verdict::NotRun => claims::End::NotRun,
+            verdict::Verdict::MayHaveRun | verdict::Verdict::Ran => claims::End::Unknown,
+        };
+        self.end(account::End::CallerGone, end);
+    }
+
+    fn refuse(&mut self, reply: reply::Reply<'_>, mut refusal: refusal::Refusal) -> reply::Sent {
+        if refusal.rule.is_none() && refusal.revision.0 == 0 {
+            refusal.revision = locks::lock(&self.shared.config).rules.revision;
+        }
+        self.refused(&refusal);
+        reply.refusal(&self.request_id, &refusal)
+    }
+
+    /// Refuses what the decider was ready to send.
+    fn take_back(&mut self, reply: reply::Reply<'_>, refusal: refusal::Refusal) -> reply::Sent {
+        self.shared.step(event::Event::CallerGone(self.req));
+        let ran = self.account.tries.iter().map(|it| it.verdict).max();
+        let verdict = ran.map_or(refusal.verdict, |ran| refusal.verdict.and(ran));
+        self.refuse(reply, refusal::Refusal { verdict, ..refusal })
+    }
+
+    fn caller_gone(&mut self, reply: reply::Reply<'_>) -> reply::Sent {
+        self.shared.step(event::Event::CallerGone(self.req));
+        self.left();
+        // Nobody reads it; the connection ends with it.
+        let gone = refusal::Refusal::not_run(verdict::Reason::Internal, "the caller has left");
+        reply.refusal(&self.request_id, &gone)
+    }
+
+    /// Asks the control group for the right to send this request, once.
+    fn ask_claim(&mut self) -> Result<(), Denied> {
+        let key = self
+            .meta
+            .idempotency_key
+            .clone()
+            .unwrap_or_else(|| self.request_id.clone());
+        let claim = claims::Claim {
+            key: claims::ClaimKey {
+                caller: self.account.caller.clone().unwrap_or_default(),
+                key,
+            },
+            holder: claims::Holder {
+                vm: self.shared.process.vm.clone(),
+                incarnation: self.shared.process.incarnation,
+                request_id: self.request_id.clone(),
+            },
+            digest: self.meta.digest,
+            retention: self.shared.settings.common.claims.retention_ms,
+        };
+        let asked = time::Instant::now();
+        let outcome = self.shared.claims.ask(&claim, asked + self.claim_limit());
+        // From here on the claim may be committed, so it has to be settled however this ends.
+        self.claim = Some(claim);
+        match outcome {
+            Ok(claims::ClaimOutcome::Granted)
+                if asked.elapsed() <= entry_claims::GRANT_AGE_LIMIT =>
+            {
+                Ok(())
+            }
+            Ok(claims::ClaimOutcome::Granted) | Err(entry_claims::Unavailable) => {
+                Err(Denied::Unavailable)
+            }
+            Ok(claims::ClaimOutcome::Full) => {
+                self.claim = None;
+                Err(Denied::Full)
+            }
+            Ok(held) => {
+                // It is another's: nothing of ours is to be settled.
+                self.claim = None;
+                Err(Denied::Held(held))
+            }
+        }
+    }
+
+    fn claim_limit(&self) -> time::Duration {
+        let left = self.facts.deadline.map(time::Duration::from);
+        let left = left.map(|it| it.saturating_sub(self.meta.received.elapsed()));
+        left.map_or(CLAIM_LIMIT, |left| left.min(CLAIM_LIMIT))
+    }
+
+    fn deny(&mut self, reply: reply::Reply<'_>, denied: Denied) -> reply::Sent {
+        self.note_decision();
+        self.shared.step(event::Event::ClaimDenied(self.req));
+        match denied {
+            Denied::Held(claims::ClaimOutcome::Ran {
+                answer: Some(answer),
+            }) => self.replay(reply, &answer),
+            other => {
+                let refusal = other.refusal();
+                self.refuse(reply, refusal)
+            }
+        }
+    }
+
+    /// Gives the answer that an earlier arrival of the same key got.
+    fn replay(&mut self, reply: reply::Reply<'_>, answer: &claims::RecordedAnswer) -> reply::Sent {
+        let head = reply::Head {
+            request_id: &self.request_id,
+            status: answer.status,
+            content_type: &answer.content_type,
+            headers: &[("Sageshed-Replayed", "yes")],
+        };
+        let sent = reply.whole(&head, &answer.body);
+        self.answered(answer.status, answer.body.len(), &sent);
+        sent
+    }
+
+    fn note_decision(&mut self) {
+        let part = locks::lock(&self.shared.decider).account(self.req);
+        if let Some(part) = part {
+            self.account.rule = part.rule;
+            self.account.revision = part.revision;
+            self.account.class = Some(part.class);
+            self.account.not_repeatable = part.not_repeatable;
+            self.account.deadline = part.deadline;
+            self.account.queued = part.queued;
+            self.account.candidates = part.candidates;
+        }
+    }
+
+    fn end(&mut self, end: account::End, claim: claims::End) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        self.note_decision();
+        self.account.end = end;
+        self.account.took = types_time::Millis::from(self.meta.received.elapsed());
+        if let Some(held) = self.claim.take() {
+            let settle = claims::Settle {
+                key: held.key,
+                holder: held.holder,
+                end: claim,
+            };
+            self.shared.claims.settle(settle);
+        }
+        self.shared.metrics.ended(&self.account);
+        log_end(&self.account);
+        locks::lock(&self.shared.accounts).keep(self.account.clone());
+    }
+}
+
+/// A thread that panicked leaves neither a slot taken nor a claim open.
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shared.step(event::Event::CallerGone(self.req));
+            self.end(account::End::CallerGone, claims::End::Unknown);
+        }
+        self.shared.waiters.leave(self.req);
+        self.shared.watched.leave(self.req);
+    }
+}
+
+/// The decider's words for one sending.
+struct Sending {
+    endpoint: arena::EndpointKey,
+    model: Option<arena::ModelKey>,
+    priority: u8,
+    deadline_left: types_time::Millis,
+    first_byte_limit: types_time::Millis,
+}
+
+/// Why a request that may not be repeated is not sent.
+enum Denied {
+    Unavailable,
+    Full,
+    Held(claims::ClaimOutcome),
+}
+
+impl Denied {
+    fn refusal(self) -> refusal::Refusal {
+        use refusal::Refusal;
+        use verdict::{Reason, Verdict};
+        match self {
+            Self::Unavailable => Refusal::not_run(
+                Reason::ClaimUnavailable,
+                "the control group did not record in time that the request runs; it was not sent",
+            )
+            .retry_after(CLAIM_RETRY),
+            Self::Full => Refusal::not_run(
+                Reason::ClaimUnavailable,
+                "the control group keeps as many idempotency keys as it may",
+            )
+            .retry_after(CLAIM_RETRY),
+            Self::Held(claims::ClaimOutcome::OtherContent) => Refusal::not_run(
+                Reason::KeyReused,
+                "the idempotency key came before with another method, path or body",
+            ),
+            Self::Held(claims::ClaimOutcome::Ran { .. }) => Refusal::new(
+                Reason::Duplicate,
+                Verdict::Ran,
+                "the request has run; its answer was too large to keep",
+            ),
+            Self::Held(claims::ClaimOutcome::Unknown) => Refusal::new(
+                Reason::Duplicate,
+                Verdict::MayHaveRun,
+                "the request was sent before and its end is not known; it is not sent again",
+            ),
+            Self::Held(_) => Refusal::new(
+                Reason::Duplicate,
+                Verdict::MayHaveRun,
+                "the request is running; ask again with the same idempotency key for its answer",
+            )
+            .retry_after(ASK_AGAIN),
+        }
+    }
+}
+
+fn log_end(account: &account::Account) {
+    let request = account.request_id.as_str();
+    let caller = account.caller.as_deref().unwrap_or("");
+    let took = account.took.0;
+    match &account.end {
+        account::End::Answered { status, .. } => {
+            log::debug!(request, caller, status, took; "entry: request answered");
+        }
+        account::End::Refused(refusal) => {
+            let rule = refusal.rule.as_deref().unwrap_or("");
+            log::info!(request, caller, reason:% = refusal.reason, verdict:% = refusal.verdict, rule,
+                revision:% = refusal.revision, took; "entry: request refused");
+        }
+        account::End::CallerGone | account::End::Open => {
+            log::info!(request, caller, took; "entry: caller left");
+        }
+    }
+}
+
+/// The refusal of a request that an endpoint failed, where the decider was not asked again.
+#[must_use]
+pub fn endpoint_failed(fault: fault::Fault, detail: &str) -> refusal::Refusal {
+    let detail = format!("the endpoint failed ({fault}) after its answer had begun: {detail}");
+    refusal::Refusal::new(
+        verdict::Reason::EndpointFailed,
+        verdict::Verdict::MayHaveRun,
+        detail,
+    )
+}
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -1,5 +1,10 @@
 //! What the commands and daemons do.
 
+pub mod clock;
 pub mod context;
+pub mod control;
+pub mod directory;
+pub mod entry;
+pub mod locks;
 pub mod logs;
 pub mod settings;
