Let the requests of a dead engine wait for a load elsewhere

A model whose one engine had died was refused with endpoint_failed until it was loaded elsewhere: when no holder is left in good standing, bad ones are used, and the dead one was among them. An endpoint that is ejected and silent at once is now taken for gone. Using only one of the two signs was ruled out: reports cut off on our side, or one faulty request, would empty a pool.

Also: queued requests look only at their own lane when they come in, and two tests are stricter, since their guards could be taken out unseen (no try after the deadline with shedding off; priority before deadline).

--- a/crates/sageshed-decide/src/decider/dispatch.rs
+++ b/crates/sageshed-decide/src/decider/dispatch.rs
@@ -118,13 +118,13 @@
         {
             self.refuse_for_another(now, other, out);
         }
-        if self.router.fleet.holders(lane.target).is_empty() {
+        if self.router.is_cold(now, lane) {
             self.cold.entry(lane).or_insert(now);
         }
         self.set_state(req, request::State::Queued);
         self.queues.push(lane, place);
         out.push(event::Action::Queue { req });
-        self.send_waiting(now, None, out);
+        while let Progress::Moved = self.send_from(now, lane, out) {}
     }
 
     fn refuse_for_another(&mut self, now: time::Instant, req: event::ReqId, out: &mut Out) {
@@ -182,9 +182,8 @@
     /// what waits and can no longer be on time.
     pub(super) fn tick(&mut self, now: time::Instant, out: &mut Out) {
         self.router.fleet.advance(now, &self.policy);
-        let fleet = &self.router.fleet;
-        self.cold
-            .retain(|lane, _| fleet.holders(lane.target).is_empty());
+        let router = &self.router;
+        self.cold.retain(|lane, _| router.is_cold(now, *lane));
         self.give_up_overdue(now, out);
         self.send_waiting(now, None, out);
         self.shed_waiting(now, out);
@@ -244,7 +243,7 @@
     /// it.
     fn late_in(&self, now: time::Instant, lane: queue::Lane) -> Vec<(event::ReqId, Cause)> {
         let mut found = Vec::new();
-        let cold = self.router.fleet.holders(lane.target).is_empty();
+        let cold = self.router.is_cold(now, lane);
         let mut first_wait = None;
         let mut kept = 0.0;
         for place in self.queues.first(lane, usize::MAX) {
--- a/crates/sageshed-decide/src/decider/query.rs
+++ b/crates/sageshed-decide/src/decider/query.rs
@@ -85,6 +85,7 @@
             router::Standing::Failed => Some("the request failed there"),
             router::Standing::Ejected => Some("it fails too often"),
             router::Standing::Silent => Some("it has not been heard"),
+            router::Standing::Gone => Some("it fails and has not been heard"),
             router::Standing::Able if !weighed.room => Some("it is full"),
             router::Standing::Able => Some("another was drawn or scored better"),
         };
@@ -116,7 +117,7 @@
     fn waiting_cold(&self) -> std::collections::BTreeMap<event::Target, u32> {
         let mut waiting = std::collections::BTreeMap::new();
         for (lane, places) in self.queues.lanes() {
-            if self.router.fleet.holders(lane.target).is_empty() {
+            if self.router.is_cold(self.now, lane) {
                 let count = u32::try_from(places.len()).unwrap_or(u32::MAX);
                 *waiting.entry(lane.target).or_insert(0) += count;
             }
--- a/crates/sageshed-decide/src/event.rs
+++ b/crates/sageshed-decide/src/event.rs
@@ -1,10 +1,11 @@
 //! What goes into [`crate::decider::Decider::step`] and what comes out of it.
 //!
-//! For each [`Event::Arrived`] exactly one of [`Action::Send`], [`Action::Claim`],
-//! [`Action::Queue`] and [`Action::Refuse`] comes back for that request in the same step; every step
-//! may also return actions for other requests. [`Action::Refuse`] is always the last word on a
-//! request. After it, after a try that ended with [`TryOutcome::Done`] and after
-//! [`Event::CallerGone`] the request is forgotten, and later events about it change nothing.
+//! For each [`Event::Arrived`] the same step says one of [`Action::Send`], [`Action::Claim`],
+//! [`Action::Queue`] and [`Action::Refuse`] for that request; what it queues it may send in the same
+//! step. Every step may also return actions for other requests. [`Action::Refuse`] is always the
+//! last word on a request. After it, after a try that ended with [`TryOutcome::Done`] or
+//! [`TryOutcome::Refused`], and after [`Event::CallerGone`] and [`Event::ClaimDenied`] the request is
+//! forgotten, and later events about it change nothing.
 
 pub use sageshed_types::fault::Fault;
 use sageshed_types::{arena, endpoints, refusal, time, verdict};
--- a/crates/sageshed-decide/src/router.rs
+++ b/crates/sageshed-decide/src/router.rs
@@ -21,14 +21,16 @@
 //! A leaving endpoint never does, nor one where this request has failed. Ejected, silent and stale
 //! ones do not count while any other holder is left. When none is left they do: that all holders of
 //! a model look bad at once is more likely a fault of what we see (reports cut off, a faulty request
-//! that fails everywhere) than the end of all of them, and refusing everything would be worse.
+//! that fails everywhere) than the end of all of them, and refusing everything would be worse. One
+//! that is ejected and silent at once is dead, by two signs that do not depend on each other: a model
+//! held there alone counts as held nowhere, so that its requests wait for a load elsewhere.
 
 use sageshed_types::{
     arena::{self, Key},
     time,
 };
 
-use crate::{event, fleet, health, learned, names, random, settings};
+use crate::{event, fleet, health, learned, names, queue, random, settings};
 
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -86,6 +88,8 @@
     Ejected,
     /// It has not been heard of for too long.
     Silent,
+    /// It fails and has not been heard of: both signs together say that it is dead.
+    Gone,
 }
 
 /// Endpoints and what was learned of them.
@@ -178,7 +182,7 @@
                 Standing::Able => able.push(*key),
                 Standing::Ejected | Standing::Silent => doubtful.push(*key),
                 Standing::Failed => any_failed = true,
-                Standing::OtherPool | Standing::Leaving => {}
+                Standing::OtherPool | Standing::Leaving | Standing::Gone => {}
             }
         }
         match (able.is_empty(), doubtful.is_empty(), any_failed) {
@@ -189,6 +193,20 @@
         }
     }
 
+    /// Whether no endpoint that may take new work holds a target.
+    #[must_use]
+    pub fn is_cold(&self, now: time::Instant, lane: queue::Lane) -> bool {
+        let ask = Ask {
+            target: lane.target,
+            pool: lane.pool,
+            urgent: false,
+            max_tokens: 0,
+            prefix: 0,
+            failed_on: &[],
+        };
+        self.able(now, &ask).is_err()
+    }
+
     /// How an endpoint that holds the target stands for the request.
     #[must_use]
     pub fn standing(&self, now: time::Instant, ask: &Ask<'_>, key: arena::EndpointKey) -> Standing {
@@ -205,13 +223,13 @@
         if ask.failed_on.contains(&key) {
             return Standing::Failed;
         }
-        if endpoint.health.allowance(now, &self.policy) == health::Allowance::Ejected {
-            return Standing::Ejected;
-        }
-        if !endpoint.is_heard(now, &self.policy) {
-            return Standing::Silent;
+        let ejected = endpoint.health.allowance(now, &self.policy) == health::Allowance::Ejected;
+        match (ejected, endpoint.is_heard(now, &self.policy)) {
+            (false, true) => Standing::Able,
+            (true, true) => Standing::Ejected,
+            (false, false) => Standing::Silent,
+            (true, false) => Standing::Gone,
         }
-        Standing::Able
     }
 
     /// Whether this process may send one more to an endpoint.
--- a/crates/sageshed-decide/tests/admission.rs
+++ b/crates/sageshed-decide/tests/admission.rs
@@ -16,7 +16,10 @@
 fn queue_goes_by_priority_then_deadline() {
     let mut bench = one_engine();
     let (running, _) = bench.arrive(|_| {});
-    let (idle, told) = bench.arrive(|f| f.class = IDLE);
+    let (idle, told) = bench.arrive(|f| {
+        f.class = IDLE;
+        f.deadline = Some(time::Millis(7_000));
+    });
     assert!(common::queued(&told, idle));
     let (late, _) = bench.arrive(|f| f.deadline = Some(time::Millis(9_000)));
     let (soon, _) = bench.arrive(|f| f.deadline = Some(time::Millis(8_000)));
--- a/crates/sageshed-decide/tests/faults.rs
+++ b/crates/sageshed-decide/tests/faults.rs
@@ -162,11 +162,15 @@
 
 #[test]
 fn no_try_after_the_deadline() {
-    let mut bench = common::Bench::with_engines(common::settings(), &["e1", "e2"]);
-    let (req, _) = bench.arrive(|f| f.deadline = Some(time::Millis(500)));
-    bench.pass(500);
-    let actions = bench.fail(req, NOT_RUN, REFUSED);
-    assert_eq!(common::told(&actions, req), "endpoint_failed not_run");
+    for shed in [true, false] {
+        let mut settings = common::settings();
+        settings.policy.shed = shed;
+        let mut bench = common::Bench::with_engines(settings, &["e1", "e2"]);
+        let (req, _) = bench.arrive(|f| f.deadline = Some(time::Millis(500)));
+        bench.pass(500);
+        let actions = bench.fail(req, NOT_RUN, REFUSED);
+        assert_eq!(common::told(&actions, req), "endpoint_failed not_run");
+    }
 }
 
 /// A bench in which `bad` has failed `times` times and `good` has not.
@@ -267,6 +271,24 @@
     assert_eq!(common::told(&actions, req), "send");
 }
 
+/// What a user would see: a model is refused with `endpoint_failed` for as long as it takes to load it
+/// elsewhere, though there was time to wait. Its one engine had died, and since no other held the
+/// model, requests were still sent there.
+#[test]
+fn model_of_a_dead_engine_waits_for_a_load_elsewhere() {
+    let mut bench = common::Bench::with_engines(common::settings(), &["dead"]);
+    bench.report(common::report("other", 1, 1, &["draft"]));
+    let (req, _) = bench.arrive(|_| {});
+    bench.fail(req, NOT_RUN, REFUSED);
+    let dead = bench.decider.endpoint("dead").expect("heard");
+    bench.step(event::Event::EndpointSilent(dead));
+    let (req, actions) = bench.arrive(|_| {});
+    assert_eq!(common::told(&actions, req), "queue");
+    assert_eq!(bench.decider.demand()[0].waiting, 1);
+    let actions = bench.report(common::report("other", 2, 1, &["sort"]));
+    assert_eq!(common::told(&actions, req), "send");
+}
+
 struct Away {
     what: &'static str,
     make: fn(&mut common::Bench),
@@ -344,7 +366,7 @@
     bench.report(report);
     let (req, actions) = bench.arrive(|_| {});
     assert_eq!(common::told(&actions, req), "send");
-    bench.fail(lost, MAY_HAVE_RUN, CUT);
+    bench.fail(lost, NOT_RUN, REFUSED);
     let gauges = bench.decider.gauges();
     assert_eq!((gauges.in_flight, gauges.ejected), (1, 0));
 }
--- a/crates/sageshed-decide/tests/simulation.rs
+++ b/crates/sageshed-decide/tests/simulation.rs
@@ -33,12 +33,11 @@
     waiting: collections::BTreeMap<(cmp::Reverse<u8>, u64), Job>,
 }
 
-#[derive(Debug, Default, Clone, Copy)]
-struct Score {
-    arrived: u32,
-    on_time: u32,
-    urgent: u32,
-    urgent_on_time: u32,
+/// What became of a request.
+struct Fate {
+    due: u64,
+    urgent: bool,
+    on_time: Option<bool>,
 }
 
 struct World {
@@ -47,15 +46,15 @@
     services: random::Random,
     entries: Vec<decider::Decider>,
     engines: Vec<Engine>,
-    open: collections::HashMap<event::ReqId, (u64, bool)>,
-    score: Score,
+    fates: collections::HashMap<event::ReqId, Fate>,
 }
 
 fn exponential(random: &mut random::Random, mean: f64) -> f64 {
     -mean * (1.0 - random.unit()).ln()
 }
 
-fn simulate(policy: &settings::Policy, load: f64) -> Score {
+/// Gives the share of what could be answered in time that was, of all and of urgent requests.
+fn simulate(policy: &settings::Policy, load: f64) -> (f64, f64) {
     let mut settings = common::settings();
     settings.entries = u32::try_from(ENTRIES).expect("few");
     settings.classes = vec![
@@ -70,8 +69,7 @@
         services: random::Random::new(2),
         entries: (0..ENTRIES as u64).map(decider).collect(),
         engines: (0..ENGINES).map(|_| Engine::default()).collect(),
-        open: collections::HashMap::new(),
-        score: Score::default(),
+        fates: collections::HashMap::new(),
     };
     let mut arrivals = random::Random::new(1);
     let gap = SERVICE / ((ENGINES * SLOTS) as f64 * load);
@@ -103,18 +101,23 @@
             (0..ENTRIES).for_each(|entry| world.step(entry, event::Event::Tick));
         }
     }
-    world.score
+    world.score()
 }
 
 impl World {
     fn arrive(&mut self, entry: usize, urgent: bool) {
         self.serial += 1;
         let id = event::ReqId(self.serial);
-        self.open.insert(id, (self.now + DEADLINE, urgent));
-        if counts(self.now) {
-            self.score.arrived += 1;
-            self.score.urgent += u32::from(urgent);
-        }
+        let due = self.now + DEADLINE;
+        let on_time = None;
+        self.fates.insert(
+            id,
+            Fate {
+                due,
+                urgent,
+                on_time,
+            },
+        );
         let class = Some(arena::ClassKey(u32::from(!urgent)));
         let facts = event::Facts {
             class,
@@ -147,12 +150,7 @@
                     engine.running.retain(|(_, job)| job.1 != req);
                     self.start(endpoint.index());
                 }
-                event::Action::Refuse { req, .. } => {
-                    assert!(
-                        self.open.remove(&req).is_some(),
-                        "one last word for each request"
-                    );
-                }
+                event::Action::Refuse { req, .. } => self.settle(req, false),
                 event::Action::Queue { .. } | event::Action::Claim { .. } => {}
             }
         }
@@ -178,16 +176,36 @@
                 }
                 self.engines[engine].running.pop_first();
                 self.start(engine);
-                let (due, urgent) = self.open.remove(&req).expect("answered once");
-                let on_time = u32::from(counts(due - DEADLINE) && end <= due);
-                self.score.on_time += on_time;
-                self.score.urgent_on_time += on_time * u32::from(urgent);
+                self.settle(req, end <= self.fates[&req].due);
                 let outcome = event::TryOutcome::Done { tokens: 0 };
                 self.step(entry, event::Event::Ended { req, outcome });
             }
         }
     }
 
+    fn settle(&mut self, req: event::ReqId, on_time: bool) {
+        let fate = self.fates.get_mut(&req).expect("arrived");
+        assert!(
+            fate.on_time.replace(on_time).is_none(),
+            "one end for each request"
+        );
+    }
+
+    fn score(&self) -> (f64, f64) {
+        let counted = WARM_UP + DEADLINE..RUN;
+        let fates = self
+            .fates
+            .values()
+            .filter(|fate| counted.contains(&fate.due));
+        let share = |fates: Vec<&Fate>, most: f64| {
+            let on_time = fates.iter().filter(|fate| fate.on_time == Some(true));
+            on_time.count() as f64 / most.min(fates.len() as f64)
+        };
+        let capacity = (ENGINES * SLOTS) as f64 / SERVICE * (RUN - DEADLINE - WARM_UP) as f64;
+        let urgent = fates.clone().filter(|fate| fate.urgent).collect();
+        (share(fates.collect(), capacity), share(urgent, f64::MAX))
+    }
+
     fn report(&self, engine: usize) -> sageshed_types::endpoints::Report {
         let slots = u32::try_from(SLOTS).expect("few");
         let name = format!("engine-{engine}");
@@ -199,10 +217,6 @@
     }
 }
 
-fn counts(arrived: u64) -> bool {
-    (WARM_UP..RUN - DEADLINE).contains(&arrived)
-}
-
 /// What a user would see: at half again the load that the engines can carry, hardly anyone gets an
 /// answer in time, though the engines run all the time. Requests wait until their time is nearly up,
 /// then run and come late. Shedding early keeps the engines at requests that can be on time.
@@ -229,13 +243,10 @@
             },
         ),
     ];
-    let capacity = (ENGINES * SLOTS) as f64 / SERVICE * (RUN - DEADLINE - WARM_UP) as f64;
     for load in [0.8, 1.5, 3.0, 10.0] {
         let mut goodputs = Vec::new();
         for (name, policy) in &policies {
-            let score = simulate(policy, load);
-            let goodput = f64::from(score.on_time) / capacity.min(f64::from(score.arrived));
-            let urgent = f64::from(score.urgent_on_time) / f64::from(score.urgent);
+            let (goodput, urgent) = simulate(policy, load);
             println!("{load:4} x {name:26} goodput {goodput:.3}, urgent on time {urgent:.3}");
             goodputs.push((goodput, urgent));
         }
