Test five more guards of the replicated log

Taking each guard out on a scratch copy showed that no test noticed these: the vote on disk, answers from outside the membership, the lease of a new leader that has committed nothing, the bound on uncommitted entries, and replaced entries within one write. Each has a test now that fails without it.

--- a/crates/sageshed-quorum/src/replication.rs
+++ b/crates/sageshed-quorum/src/replication.rs
@@ -230,6 +230,9 @@
     }
 
     /// Applies what is newly committed, as far as this log has it.
+    ///
+    /// It has all of it, since nobody is told of more than it has acknowledged. Only where a checker
+    /// takes a guard away, or a disk has lost what it had synced, is it cut short here.
     pub(crate) fn advance_commit(&mut self, to: log::Index, out: &mut output::Output) {
         let to = to.min(self.state.log.last().index);
         if to <= self.state.commit {
--- a/crates/sageshed-quorum/tests/testsuite/main.rs
+++ b/crates/sageshed-quorum/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log: scenarios, guards taken away one by one, and random runs.
 
 mod guards;
+mod messages;
 mod random;
 mod scenarios;
 mod sim;
