Drive the real processes from a test

Cause: promises have to be shown on the processes that users run. One test so far: a plain and a streamed answer, a rule in force, a refusal with its whole account, explained.

--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,52 @@
+//! The whole path, without faults.
+
+use std::io::{BufRead, BufReader};
+
+use crate::{ask::Ask, cluster};
+
+/// What a caller, an operator and a second entry process see of one working system.
+#[test]
+fn a_request_goes_through_and_a_refusal_is_explained() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default());
+    let base = cluster.callers(0);
+    cluster.until("the engines are known", || {
+        Ask::completion(&base, "m1", 3).send().unwrap().status == 200
+    });
+
+    let plain = Ask::completion(&base, "m1", 3).send().unwrap();
+    assert!(plain.body.contains(&plain.request_id), "{}", plain.body);
+
+    let streamed = Ask::stream(&cluster.callers(1), "m1", 4).begin().unwrap();
+    let lines = BufReader::new(streamed.into_reader())
+        .lines()
+        .map(Result::unwrap);
+    let data: Vec<_> = lines.filter(|line| line.starts_with("data: ")).collect();
+    assert_eq!(data.last().map(String::as_str), Some("data: [DONE]"));
+
+    let rule = "id = \"closed\"\nwhen = { caller = [\"alpha\"] }\n\
+                do = { refuse = { reason = \"closed for tonight\", retry_after_ms = 1500 } }";
+    let added = cluster.cli(&["rules", "add", "--wait", "--rule", rule]);
+    assert!(added.status.success(), "{added:?}");
+
+    let refused = Ask::completion(&cluster.callers(2), "m1", 3)
+        .send()
+        .unwrap();
+    assert_eq!(refused.status, 403);
+    for (member, value) in [
+        ("verdict", "not_run"),
+        ("reason", "rule_refused"),
+        ("rule", "closed"),
+        ("revision", "1"),
+        ("retry_after_ms", "1500"),
+    ] {
+        assert_eq!(refused.account(member), value, "{member}");
+    }
+    assert_eq!(refused.header("retry-after"), Some("2"));
+
+    let explained = cluster.cli(&["explain", &refused.request_id]);
+    let text = String::from_utf8(explained.stdout).unwrap();
+    assert!(
+        text.contains("closed") && text.contains("rule_refused"),
+        "{text}"
+    );
+}
