Test what operators read of a change, and of half a token's hash

Two cases were missing at the port: an answer that is lost with nobody else to give it again must count as unknown, and a hash that is empty or cut short must admit nobody.

--- a/crates/sageshed-operators/tests/changes.rs
+++ b/crates/sageshed-operators/tests/changes.rs
@@ -77,6 +77,21 @@
     assert_eq!(fake.revision(), revision);
 }
 
+/// The same, and no other control process answers. Saying that nothing was done would be false.
+#[test]
+fn lost_answer_that_nobody_can_give_again_is_unknown() {
+    let fake = Fake::with([]);
+    let port = support::port(&fake, TOKEN);
+    let relay = support::answer_losing_relay(port.address());
+    let client = support::client(&[relay, support::nobody()], TOKEN);
+
+    assert_eq!(
+        seen(client.change(&add("a", 0, "night"))),
+        Expected::Unknown
+    );
+    assert_eq!(fake.revision(), Revision(1));
+}
+
 struct Ending {
     name: &'static str,
     acts: Vec<Act>,
--- a/crates/sageshed-operators/tests/port.rs
+++ b/crates/sageshed-operators/tests/port.rs
@@ -5,7 +5,7 @@
     net, time,
 };
 
-use sageshed_operators::{client, wire};
+use sageshed_operators::{client, tokens, wire};
 use sageshed_types::rules::Revision;
 
 mod support;
@@ -162,6 +162,18 @@
     assert_eq!(&buf, b"HTTP/1.1 401");
 }
 
+/// A hash that was cut short by a slip, or left empty, must admit nobody.
+#[test]
+fn part_of_a_hash_admits_nobody() {
+    let hash = tokens::sha256_hex(TOKEN);
+    for part in ["", &hash[..1], &hash[..63]] {
+        let tokens = tokens::Tokens::default().with("ailsa", part);
+        assert_eq!(tokens.find(TOKEN), None, "{part}");
+    }
+    let tokens = tokens::Tokens::default().with("ailsa", &hash);
+    assert_eq!(tokens.find(TOKEN), Some("ailsa"));
+}
+
 #[test]
 fn client_reads_what_the_port_answers() {
     let fake = Fake::with([]);
--- a/crates/sageshed-operators/tests/support/mod.rs
+++ b/crates/sageshed-operators/tests/support/mod.rs
@@ -116,6 +116,9 @@
         }
         let revision = rules::Revision(newest.0 + 1);
         self.rules.revision = revision;
+        if let rules::Edit::Add { rule, .. } = &change.edit {
+            self.rules.rules.push((**rule).clone());
+        }
         self.history.push(rules::Accepted { revision, change });
         rules::ChangeOutcome::Accepted { revision }
     }
