Move a whole family out of the way and estimate demand without its noise

A move may now take spare copies down at its goal, looks ahead for the adapters that go with a base, and one model is helped at a time; two that were helped at once took each other's copies down in turn.

The demand estimate rose fast and fell slowly in one mean and so followed the noise of single requests upwards. It is the greater of a fast and a slow mean now.

An order that an engine without fencing checks has not shown for long is told to operators, since only a restart settles it.

--- a/crates/sageshed-place/src/demand.rs
+++ b/crates/sageshed-place/src/demand.rs
@@ -1,8 +1,10 @@
 //! How much each model is asked for.
 //!
-//! The rate follows a rise within seconds and forgets a fall over a minute: a load that comes late
-//! costs requests, a copy kept too long costs only memory that nobody else has claimed yet. Slow
-//! decay is also what keeps a burst from evicting a model that pauses for less than its load time.
+//! The rate is the greater of a fast mean and a slow one: it follows a rise within seconds and
+//! forgets a fall over tens of seconds. A load that comes late costs requests, a copy kept too long
+//! costs only memory that nobody else has claimed yet; and a burst evicts no model that pauses for
+//! less than its load time. One mean that rises fast and falls slowly was tried first: it follows
+//! the noise of single requests upwards and so takes a rarely used model for a busy one.
 
 use std::collections;
 
@@ -27,6 +29,8 @@
 pub struct Estimate {
     /// Requests a second.
     pub rate: f64,
+    fast: f64,
+    slow: f64,
     /// Mean time that one request holds a slot, in milliseconds.
     pub service_ms: f64,
     /// Requests waiting at entry processes since no engine holds the model.
@@ -49,6 +53,8 @@
     fn default() -> Self {
         Self {
             rate: 0.0,
+            fast: 0.0,
+            slow: 0.0,
             service_ms: DEFAULT_SERVICE_MS,
             waiting: 0,
             asked: None,
@@ -125,8 +131,9 @@
         let decay = weight(span_ms, policy.demand_decay_ms);
         for estimate in &mut self.models {
             let seen = f64::from(estimate.arrived) * 1_000.0 / span_ms;
-            let weight = if seen > estimate.rate { rise } else { decay };
-            estimate.rate += weight * (seen - estimate.rate);
+            estimate.fast += rise * (seen - estimate.fast);
+            estimate.slow += decay * (seen - estimate.slow);
+            estimate.rate = estimate.fast.max(estimate.slow);
             estimate.arrived = 0;
             estimate.waiting = 0;
         }
--- a/crates/sageshed-place/src/placement.rs
+++ b/crates/sageshed-place/src/placement.rs
@@ -1,6 +1,6 @@
 //! Events in, actions out.
 
-use std::collections;
+use std::{collections, mem};
 
 use sageshed_types::{
     arena::{EndpointKey, Key, ModelKey},
@@ -96,6 +96,8 @@
     reasons: collections::BTreeMap<(ModelKey, EndpointKey), &'static str>,
     /// What could not be done, as last noted, so that it is noted once.
     problems: collections::BTreeMap<ModelKey, &'static str>,
+    /// Endpoints that were noted as blocked by a lost order.
+    blocked: collections::BTreeSet<EndpointKey>,
 }
 
 impl Placement {
@@ -112,6 +114,7 @@
             leading: false,
             reasons: collections::BTreeMap::new(),
             problems: collections::BTreeMap::new(),
+            blocked: collections::BTreeSet::new(),
             policy,
             ledger,
         }
@@ -257,6 +260,7 @@
         });
         let (proposals, problems) = planner.plan();
         actions.extend(self.note_problems(&problems));
+        actions.extend(self.note_blocked(now));
         self.keep_reasons(&proposals);
         if !proposals.is_empty() {
             let named = proposals.into_iter().map(|p| p.named).collect();
@@ -299,7 +303,7 @@
     fn note_problems(&mut self, problems: &[planner::Problem]) -> Vec<Action> {
         let noted: collections::BTreeMap<_, _> =
             problems.iter().map(|p| (p.model, p.reason)).collect();
-        let known = std::mem::replace(&mut self.problems, noted);
+        let known = mem::replace(&mut self.problems, noted);
         let new = self
             .problems
             .iter()
@@ -312,6 +316,27 @@
         .collect()
     }
 
+    /// Tells of engines that ignore fencing numbers and have not shown an order for long. If it was
+    /// lost, nothing but a restart of the engine settles it: only an operator can help.
+    fn note_blocked(&mut self, now: time::Instant) -> Vec<Action> {
+        let lost_after = self.policy.lost_after();
+        let lost = |open: &engine::Open| !open.seen && now.since(open.sent) > lost_after;
+        let engines = self.ledger.engines().iter();
+        let blocked: collections::BTreeSet<EndpointKey> = engines
+            .filter(|engine| !engine.checks_fence && engine.unsettled().any(lost))
+            .map(|engine| engine.key)
+            .collect();
+        let known = mem::replace(&mut self.blocked, blocked);
+        let new = self.blocked.difference(&known);
+        new.map(|key| Action::Note {
+            endpoint: Some(self.ledger.engine(*key).name.clone()),
+            model: None,
+            reason: "an order to it is lost or late; it takes no other until it restarts"
+                .to_owned(),
+        })
+        .collect()
+    }
+
     fn keep_reasons(&mut self, proposals: &[planner::Proposal]) {
         let ledger = &self.ledger;
         self.reasons
--- a/crates/sageshed-place/src/planner.rs
+++ b/crates/sageshed-place/src/planner.rs
@@ -7,7 +7,8 @@
 //!    that is the only one of its model is first made anew elsewhere.
 //! 2. [`versions`]: outdated copies are replaced one by one, each with another route up meanwhile.
 //! 3. [`capacity`]: copies by demand. Then what is left of free memory is used to have each model in
-//!    two availability zones.
+//!    two availability zones, unless a plan has something better to do: copies made for spread
+//!    while demand displaces others are the next to be displaced.
 //!
 //! Each plan is made afresh from the ledger and the demand, and only as far as the store's budget
 //! goes: what could not begin now is not worth deciding now. So one plan costs one pass over the
@@ -30,6 +31,7 @@
 
 pub mod baselines;
 pub mod capacity;
+pub mod moves;
 pub mod reach;
 pub mod room;
 pub mod versions;
@@ -114,6 +116,10 @@
     open: Vec<bool>,
     /// By engine: memory being freed that a model waits for, in MiB.
     claimed: Vec<u64>,
+    /// A model is being helped to room by moving another; see [`Self::move_away`].
+    moving: bool,
+    /// Attempts left at moving models out of the way.
+    move_attempts: usize,
     proposals: Vec<Proposal>,
     problems: Vec<Problem>,
 }
@@ -131,6 +137,8 @@
             busy: vec![0.0; engines],
             open: vec![false; engines],
             claimed: vec![0; engines],
+            moving: false,
+            move_attempts: moves::move_attempts(engines),
             proposals: Vec::new(),
             problems: Vec::new(),
         };
@@ -145,9 +153,16 @@
             policy::Baseline::Planned => {
                 self.reach();
                 self.pins();
-                self.versions();
-                self.capacity();
-                self.spread();
+                if !self.moving {
+                    self.versions();
+                    self.capacity();
+                }
+                if !self.moving
+                    && self.proposals.is_empty()
+                    && self.claimed.iter().all(|mib| *mib == 0)
+                {
+                    self.spread();
+                }
             }
             policy::Baseline::OnDemandLru => self.on_demand(),
             policy::Baseline::StaticEven => self.even(),
@@ -186,18 +201,8 @@
     }
 
     /// The offered models that are on their way to `engine`.
-    ///
-    /// A load order that no report has shown for long no longer counts as on its way (its memory
-    /// stays reserved): on an engine that ignores fencing numbers a lost order is never sent again,
-    /// and the model would wait for it for good.
     fn arriving(&self, engine: &Engine) -> Vec<ModelKey> {
-        let now = self.src.now;
-        let resend = self.src.policy.resend_after_ms.0;
-        let ordered = engine.unsettled().filter_map(|open| {
-            let lost = !open.seen && now.since(open.sent).0 > 3 * resend;
-            loaded(open.task).filter(|_| !lost)
-        });
-        let proposed = engine.proposed.iter().filter_map(|task| loaded(*task));
+        let ordered = self.under_way(engine).filter_map(loaded);
         let loading = engine
             .held
             .iter()
@@ -205,12 +210,26 @@
             .map(|held| held.model);
         let offered = self.routes.len();
         ordered
-            .chain(proposed)
             .chain(loading)
             .filter(|model| model.index() < offered)
             .collect()
     }
 
+    /// The tasks that `engine` can be expected to carry out.
+    ///
+    /// An order that no report has shown for long is no longer waited for (its memory stays
+    /// reserved): on an engine that ignores fencing numbers a lost order is never sent again, and
+    /// whoever waited for it would wait for good.
+    fn under_way<'b>(&self, engine: &'b Engine) -> impl Iterator<Item = Task> + use<'b> {
+        let now = self.src.now;
+        let lost_after = self.src.policy.lost_after();
+        let ordered = engine
+            .unsettled()
+            .filter(move |open| open.seen || now.since(open.sent) <= lost_after)
+            .map(|open| open.task);
+        ordered.chain(engine.proposed.iter().copied())
+    }
+
     fn offer(&self, model: ModelKey) -> &ledger::Offer {
         &self.src.ledger.offers()[model.index()]
     }
--- a/crates/sageshed-place/src/planner/capacity.rs
+++ b/crates/sageshed-place/src/planner/capacity.rs
@@ -62,53 +62,52 @@
         if self.await_room(model, need_mib) {
             return Attempt::Waiting;
         }
-        let candidates = self.candidates(model);
+        let mut candidates = self.candidates(model);
         let with_room = candidates
             .iter()
-            .find(|c| self.room(c.key) >= need_mib + self.claimed[c.key.index()]);
-        if let Some(found) = with_room
+            .filter(|c| self.room(c.key) >= need_mib + self.claimed[c.key.index()])
+            .min_by(|a, b| self.compare(model, a, b));
+        if let Some(found) = with_room.copied()
             && self.completions(model, found.gain) > self.src.policy.move_cost
         {
             return self.load(found.key, model, "demand exceeds its copies");
         }
+        if candidates.len() > CLOSE_LOOKS {
+            candidates.select_nth_unstable_by(CLOSE_LOOKS, |a, b| self.compare(model, a, b));
+            candidates.truncate(CLOSE_LOOKS);
+        }
         self.displace(model, need_mib, &candidates)
     }
 
-    /// The engines where a copy of `model` would bring something, best first.
+    /// The engines where a copy of `model` would bring something.
     fn candidates(&self, model: ModelKey) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> = self
-            .keys()
-            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
+        let wanted = self.slots_wanted(model);
+        let copies = self.copies(model) as f64;
+        let share = wanted / (copies + 1.0);
+        let relieved = self.relieved(model, share - wanted / copies.max(1.0));
+        self.keys()
             .map(|key| Candidate {
                 key,
-                gain: self.gain(key, model),
+                gain: self.served_change(key, share) + relieved,
             })
             .filter(|c| c.gain > NEGLIGIBLE)
-            .collect();
-        candidates.sort_by(|a, b| {
-            let zones = || {
-                let new_zone = |c: &Candidate| self.is_new_zone(c.key, model);
-                new_zone(b).cmp(&new_zone(a))
-            };
-            b.gain
-                .total_cmp(&a.gain)
-                .then_with(zones)
-                .then(a.key.cmp(&b.key))
-        });
-        candidates
+            .filter(|c| self.suits(c.key, model) && self.has_base(c.key, model))
+            .collect()
     }
 
-    /// Slots' worth of requests served in time on top with a copy of `model` on `key`.
-    fn gain(&self, key: EndpointKey, model: ModelKey) -> f64 {
-        let wanted = self.slots_wanted(model);
-        let copies = self.copies(model) as f64;
-        let share = wanted / (copies + 1.0);
-        let less = share - wanted / copies.max(1.0);
-        let relieved: f64 = self.routes[model.index()]
-            .iter()
-            .map(|k| self.served_change(*k, less))
-            .sum();
-        self.served_change(key, share) + relieved
+    /// Puts the engine first that gains most, then one in a new availability zone.
+    fn compare(&self, model: ModelKey, a: &Candidate, b: &Candidate) -> cmp::Ordering {
+        let new_zone = |c: &Candidate| self.is_new_zone(c.key, model);
+        b.gain
+            .total_cmp(&a.gain)
+            .then_with(|| new_zone(b).cmp(&new_zone(a)))
+            .then(a.key.cmp(&b.key))
+    }
+
+    /// The change on the engines that serve `model` when each gets `less` of its demand.
+    fn relieved(&self, model: ModelKey, less: f64) -> f64 {
+        let routes = self.routes[model.index()].iter();
+        routes.map(|k| self.served_change(*k, less)).sum()
     }
 
     /// Turns slots' worth of requests into completions until the horizon, the load once made.
@@ -138,10 +137,29 @@
         let Some((_, clearance)) = best else {
             return Attempt::Impossible;
         };
+        if policy.lazy_start && self.drain_ms(&clearance) > self.offer(model).model.load_ms.0 as f64
+        {
+            return Attempt::Waiting;
+        }
         self.claimed[clearance.key.index()] += need_mib;
         self.clear(&clearance, "it makes way for a model in greater demand")
     }
 
+    /// How long the copies to be taken off will keep their slots, in milliseconds: the slots that
+    /// they use over the rate at which the engine releases slots, taken as proportional to those in
+    /// use (Yang et al., IEEE Access 2021, OMO).
+    fn drain_ms(&self, clearance: &planner::room::Clearance) -> f64 {
+        let mut used = 0.0;
+        let mut released_per_ms = 0.0;
+        for spare in &clearance.spares {
+            let copies = self.copies(spare.model).max(1) as f64;
+            let slots = self.slots_wanted(spare.model) / copies;
+            used += slots;
+            released_per_ms += slots / self.src.demand.of(spare.model).service_ms.max(1.0);
+        }
+        used / f64::max(released_per_ms, f64::MIN_POSITIVE)
+    }
+
     /// Uses free memory so that each model has `min_replicas` copies, and copies in two
     /// availability zones if the policy says so. Nothing is displaced for it.
     pub(super) fn spread(&mut self) {
--- /dev/null
+++ b/crates/sageshed-place/src/planner/moves.rs
@@ -0,0 +1,176 @@
+//! Models moved out of the way of one that has no route.
+
+use std::cmp;
+
+use sageshed_types::{
+    arena::{EndpointKey, Key, ModelKey},
+    endpoints,
+};
+
+use crate::{
+    engine,
+    planner::{self, room},
+};
+
+use planner::{Attempt, Planner};
+
+/// How a model that is in the way gets a copy elsewhere.
+#[derive(Debug, Clone)]
+enum Way {
+    Load(ModelKey, EndpointKey),
+    Clear(room::Clearance),
+}
+
+/// Engines looked at closely for one model that others must move for.
+const MOVE_LOOKS: usize = 16;
+
+/// Engines looked at in all such attempts of one plan, which bounds its time in large clusters.
+const MOVE_SCANS: usize = 4_096;
+
+/// Attempts at moving models out of the way in one plan.
+pub(super) fn move_attempts(engines: usize) -> usize {
+    (MOVE_SCANS / engines.max(1)).max(1)
+}
+
+impl Planner<'_> {
+    /// Makes a copy elsewhere of a model whose only route is in the way of `model`, so that the
+    /// next plans find a spare copy here. Where that copy has no room either, spare copies make way
+    /// for it first. Longer chains of moves are not looked for.
+    ///
+    /// While one model is helped in this way, no copies make way for others: two models that both
+    /// wait for room would take each other's copies down in turn.
+    pub(super) fn move_away(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
+        if self.moving || self.move_attempts == 0 {
+            return Attempt::Waiting;
+        }
+        self.move_attempts -= 1;
+        let attempt = self.move_one(model, need_mib);
+        self.moving = attempt != Attempt::Impossible;
+        attempt
+    }
+
+    fn move_one(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
+        let mut best: Option<(u64, Way)> = None;
+        for key in self.nearly_suitable(model) {
+            for (moved, memory_mib) in self.movable(key, model, need_mib) {
+                if !self.coming[moved.index()].is_empty() || self.await_room(moved, memory_mib) {
+                    return Attempt::Waiting;
+                }
+                if best.as_ref().is_some_and(|(mib, _)| *mib <= memory_mib) {
+                    continue;
+                }
+                if let Some(way) = self.way_for(key, moved, memory_mib) {
+                    best = Some((memory_mib, way));
+                }
+            }
+        }
+        match best {
+            Some((_, Way::Load(moved, to))) => {
+                self.load(to, moved, "it makes way for a model elsewhere")
+            }
+            Some((_, Way::Clear(clearance))) => self.clear(
+                &clearance,
+                "it makes way for a model that makes way for another",
+            ),
+            None => Attempt::Impossible,
+        }
+    }
+
+    /// The engines that may take `model` but for room, those with most memory to be had first.
+    fn nearly_suitable(&self, model: ModelKey) -> Vec<EndpointKey> {
+        let keep = self.offer(model).base;
+        let mut suitable: Vec<(u64, EndpointKey)> = self
+            .keys()
+            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
+            .map(|key| (self.room(key) + self.doubled_mib(key, keep), key))
+            .collect();
+        suitable.sort_by_key(|(mib, key)| (cmp::Reverse(*mib), *key));
+        suitable.truncate(MOVE_LOOKS);
+        suitable.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Memory on `key` of copies that have another route elsewhere, in MiB. Some of them may still
+    /// carry adapters that have none.
+    fn doubled_mib(&self, key: EndpointKey, keep: Option<ModelKey>) -> u64 {
+        let held = self.engine(key).held.iter();
+        held.filter(|held| Some(held.model) != keep && self.is_doubled(key, held))
+            .map(|held| held.memory_mib)
+            .sum()
+    }
+
+    fn is_doubled(&self, key: EndpointKey, held: &engine::Held) -> bool {
+        held.phase == endpoints::Phase::Ready
+            && !self.is_pinned(held.model, key)
+            && !self.engine(key).unloads(held.model, held.version)
+            && self.stays_reachable(key, held.model, held.version)
+            && self.has_landing(key, held.model)
+    }
+
+    /// Whether the adapters that are only on `key` have room, all together, on another engine where
+    /// `base` serves. Without this look ahead the last of them would displace the first.
+    fn has_landing(&self, key: EndpointKey, base: ModelKey) -> bool {
+        let alone = self.engine(key).held.iter().filter(|held| {
+            let routes = self.routes.get(held.model.index());
+            self.sits_on(held.model, base) && routes.is_some_and(|routes| *routes == [key])
+        });
+        let need_mib: u64 = alone.map(|held| held.memory_mib).sum();
+        let mut routes = self.routes.get(base.index()).into_iter().flatten();
+        need_mib == 0 || routes.any(|k| *k != key && self.room(*k) >= need_mib)
+    }
+
+    /// How `moved` and its adapters may get a copy elsewhere.
+    fn way_for(&self, from: EndpointKey, moved: ModelKey, memory_mib: u64) -> Option<Way> {
+        if let Some(to) = self.roomiest(moved, memory_mib) {
+            return Some(Way::Load(moved, to));
+        }
+        if self.sits_on_doubled(from, moved) {
+            return None;
+        }
+        let clearances = self
+            .keys()
+            .filter(|key| self.suits(*key, moved) && self.has_base(*key, moved))
+            .filter_map(|key| self.clearance(key, moved, memory_mib))
+            .filter(|clearance| !clearance.spares.is_empty());
+        clearances
+            .min_by(|a, b| a.loss.total_cmp(&b.loss))
+            .map(Way::Clear)
+    }
+
+    /// The models on `key` of which one, moved elsewhere, helps `model` in, each with the memory
+    /// that it and its adapters here take, in MiB. If the copies that have another route would make
+    /// room enough, it is only adapters on these that stand in the way.
+    fn movable(&self, key: EndpointKey, model: ModelKey, need_mib: u64) -> Vec<(ModelKey, u64)> {
+        let keep = self.offer(model).base;
+        let had_mib = self.room(key) + self.doubled_mib(key, keep);
+        let missing_mib = need_mib.saturating_sub(had_mib);
+        let engine = self.engine(key);
+        let alone = engine.held.iter().filter(|held| {
+            let routes = self.routes.get(held.model.index());
+            held.phase == endpoints::Phase::Ready
+                && Some(held.model) != keep
+                && !self.is_pinned(held.model, key)
+                && routes.is_some_and(|routes| *routes == [key])
+        });
+        alone
+            .map(|held| (held.model, self.family_here_mib(key, held)))
+            .filter(|(moved, mib)| {
+                if missing_mib == 0 {
+                    return self.sits_on_doubled(key, *moved);
+                }
+                *mib >= missing_mib
+            })
+            .collect()
+    }
+
+    /// Memory that a copy and the adapters on it take on `key`, in MiB.
+    fn family_here_mib(&self, key: EndpointKey, copy: &engine::Held) -> u64 {
+        let held = self.engine(key).held.iter();
+        let on_top = held.filter(|other| self.sits_on(other.model, copy.model));
+        copy.memory_mib + on_top.map(|other| other.memory_mib).sum::<u64>()
+    }
+
+    fn sits_on_doubled(&self, key: EndpointKey, adapter: ModelKey) -> bool {
+        let mut held = self.engine(key).held.iter();
+        held.any(|held| self.sits_on(adapter, held.model) && self.is_doubled(key, held))
+    }
+}
--- a/crates/sageshed-place/src/planner/reach.rs
+++ b/crates/sageshed-place/src/planner/reach.rs
@@ -107,8 +107,11 @@
         if self.routes[base.index()].is_empty() {
             return Attempt::Waiting;
         }
+        if self.make_room(base, both_mib) != Attempt::Impossible {
+            return Attempt::Waiting;
+        }
         match self.move_away(model, need_mib) {
-            Attempt::Impossible => self.make_room(base, both_mib),
+            Attempt::Impossible => self.move_away(base, both_mib),
             attempt => attempt,
         }
     }
--- a/crates/sageshed-place/src/planner/room.rs
+++ b/crates/sageshed-place/src/planner/room.rs
@@ -5,7 +5,10 @@
     endpoints,
 };
 
-use crate::{engine::Task, planner};
+use crate::{
+    engine::{self, Task},
+    planner,
+};
 
 use planner::{Attempt, Planner};
 
@@ -30,7 +33,7 @@
 impl Planner<'_> {
     /// Takes spare copies off one engine so that `model` fits.
     pub(super) fn make_room(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
-        if self.await_room(model, need_mib) {
+        if self.moving || self.await_room(model, need_mib) {
             return Attempt::Waiting;
         }
         let clearances = self
@@ -67,18 +70,18 @@
         found.is_some()
     }
 
-    /// Memory on `key` that unloads under way will free, in MiB.
+    /// Memory on `key` that unloads under way will free, in MiB. Orders that count as lost free
+    /// nothing: whoever waited for them would wait for good.
     fn freed_mib(&self, key: EndpointKey) -> u64 {
         let engine = self.engine(key);
-        engine
-            .held
-            .iter()
-            .filter(|held| {
-                held.phase == endpoints::Phase::Unloading
-                    || engine.unloads(held.model, held.version)
-            })
-            .map(|held| held.memory_mib)
-            .sum()
+        let freeing: Vec<Task> = self.under_way(engine).collect();
+        let frees = |held: &&engine::Held| {
+            let (model, version) = (held.model, held.version);
+            held.phase == endpoints::Phase::Unloading
+                || freeing.contains(&Task::Unload { model, version })
+        };
+        let held = engine.held.iter().filter(frees);
+        held.map(|held| held.memory_mib).sum()
     }
 
     /// The cheapest copies to take off `key` so that `need_mib` are free, if there are enough.
@@ -159,13 +162,13 @@
         adapters.map(|s| s.loss).sum()
     }
 
-    fn sits_on(&self, adapter: ModelKey, base: ModelKey) -> bool {
+    pub(super) fn sits_on(&self, adapter: ModelKey, base: ModelKey) -> bool {
         let offer = self.src.ledger.offer(adapter);
         offer.is_some_and(|offer| offer.base == Some(base))
     }
 
     /// Whether `model` has a route besides this copy. One that is not on offer needs none.
-    fn stays_reachable(&self, key: EndpointKey, model: ModelKey, version: u32) -> bool {
+    pub(super) fn stays_reachable(&self, key: EndpointKey, model: ModelKey, version: u32) -> bool {
         let Some(routes) = self.routes.get(model.index()) else {
             return true;
         };
@@ -223,62 +226,6 @@
             .collect()
     }
 
-    /// Makes a copy elsewhere of a model whose only route is in the way of `model`, so that the
-    /// next plans find a spare copy here.
-    pub(super) fn move_away(&mut self, model: ModelKey, need_mib: u64) -> Attempt {
-        let mut best: Option<(u64, u64, ModelKey, EndpointKey)> = None;
-        let suitable: Vec<EndpointKey> = self
-            .keys()
-            .filter(|key| self.suits(*key, model) && self.has_base(*key, model))
-            .collect();
-        for key in suitable {
-            let keep = self.offer(model).base;
-            let spare: u64 = self.spares(key, keep).iter().map(|s| s.memory_mib).sum();
-            let missing = need_mib.saturating_sub(self.room(key) + spare);
-            for (moved, memory_mib) in self.movable(key, keep) {
-                if !self.coming[moved.index()].is_empty() {
-                    return Attempt::Waiting;
-                }
-                let Some(to) = self.roomiest(moved, memory_mib) else {
-                    continue;
-                };
-                let rank = (missing.saturating_sub(memory_mib), memory_mib);
-                if best.is_none_or(|(left, mib, _, _)| rank < (left, mib)) {
-                    best = Some((rank.0, rank.1, moved, to));
-                }
-            }
-        }
-        match best {
-            Some((_, _, moved, to)) => self.load(to, moved, "it makes way for a model elsewhere"),
-            None => Attempt::Impossible,
-        }
-    }
-
-    /// The models on `key` with their only route there, each with the memory that it and its
-    /// adapters here take, in MiB.
-    fn movable(&self, key: EndpointKey, keep: Option<ModelKey>) -> Vec<(ModelKey, u64)> {
-        let engine = self.engine(key);
-        let held = engine.held.iter().filter(|held| {
-            held.phase == endpoints::Phase::Ready
-                && Some(held.model) != keep
-                && !self.is_pinned(held.model, key)
-                && self
-                    .routes
-                    .get(held.model.index())
-                    .is_some_and(|r| *r == [key])
-        });
-        held.map(|held| {
-            let on_top: u64 = engine
-                .held
-                .iter()
-                .filter(|other| self.sits_on(other.model, held.model))
-                .map(|other| other.memory_mib)
-                .sum();
-            (held.model, held.memory_mib + on_top)
-        })
-        .collect()
-    }
-
     /// Whether an unload is under way on `key`.
     pub(super) fn is_clearing(&self, key: EndpointKey) -> bool {
         let mut pending = self.engine(key).pending();
--- a/crates/sageshed-place/src/policy.rs
+++ b/crates/sageshed-place/src/policy.rs
@@ -13,28 +13,30 @@
     pub store_loads_per_second: f64,
     /// Loads that the weight store serves at once at full speed (Clearflow 12, Kootenay 7).
     pub store_loads_at_once: u32,
-    /// What one load costs, in on-time completions: a load for the sake of demand is made only if
-    /// it is expected to bring more than this within [`Self::horizon_ms`]. Low for a user who
-    /// weighs attainment (Clearflow), high for one whose store is crowded (Kootenay). Loads that
-    /// give a model its first route are made whatever they cost.
+    /// What one move (a load, or the unload that makes room for it) costs, in on-time completions: a
+    /// load for the sake of demand is made only if it is expected to bring more than this within
+    /// [`Self::horizon_ms`]. Low for a user who weighs attainment (Clearflow: 2), high for one whose
+    /// store is crowded (Kootenay: 15). Loads that give a model its first route, replace a version or
+    /// follow a pin are made whatever they cost.
     pub move_cost: f64,
     /// How much more a load must bring than what it displaces, as a share: 0.2 asks for a fifth
     /// more. Keeps two models of like demand from displacing each other in turn.
     pub hysteresis: f64,
     /// Over which span the gain of a load is reckoned, in milliseconds.
     pub horizon_ms: time::Millis,
-    /// Time constant with which the demand estimate follows a rise, in milliseconds.
+    /// Time constant of the fast mean of demand, which follows a rise, in milliseconds.
     pub demand_rise_ms: time::Millis,
-    /// Time constant with which it follows a fall, in milliseconds. Long, so that a pause within a
-    /// burst evicts nothing.
+    /// Time constant of the slow mean of demand, in milliseconds. The greater of the two counts, so
+    /// that a pause within a burst evicts nothing.
     pub demand_decay_ms: time::Millis,
     /// Holders wanted of each model while memory allows.
     pub min_replicas: u32,
     /// Whether the holders of a model are put in different availability zones where memory allows.
     pub spread_zones: bool,
-    /// Delays a load that is to replace a model still in use until the slots of that model are
-    /// expected to come free within the load time, after the release rate (Yang et al., IEEE Access
-    /// 2021, OMO). Off unless the measurement speaks for it.
+    /// Puts off taking copies off an engine until their slots are expected to come free within the
+    /// load time of what replaces them, by the rate at which slots are released (Yang et al., IEEE
+    /// Access 2021, OMO). Off: simulated trials (`examples/policies.rs`) show no gain, since a load
+    /// can begin only after the unload has freed the memory, so there is nothing to overlap.
     pub lazy_start: bool,
     /// A report older than this counts as stale, in milliseconds: nothing is issued to its endpoint
     /// and its models are no routes.
@@ -45,6 +47,18 @@
     pub baseline: Baseline,
 }
 
+/// An order that no report has shown counts as lost after this many spans of resending.
+const RESENDS_TO_LOST: u64 = 3;
+
+impl Policy {
+    /// After how long an order that no report has shown is no longer waited for. Its memory stays
+    /// reserved.
+    #[must_use]
+    pub fn lost_after(&self) -> time::Millis {
+        time::Millis(self.resend_after_ms.0.saturating_mul(RESENDS_TO_LOST))
+    }
+}
+
 /// Which planner decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -66,8 +80,8 @@
             move_cost: 5.0,
             hysteresis: 0.2,
             horizon_ms: time::Millis(60_000),
-            demand_rise_ms: time::Millis(3_000),
-            demand_decay_ms: time::Millis(60_000),
+            demand_rise_ms: time::Millis(5_000),
+            demand_decay_ms: time::Millis(15_000),
             min_replicas: 1,
             spread_zones: true,
             lazy_start: false,
--- a/crates/sageshed-place/tests/faults.rs
+++ b/crates/sageshed-place/tests/faults.rs
@@ -81,6 +81,23 @@
         ],
         last: &[],
     },
+    Case {
+        name: "unfenced: a lost order is told of",
+        models: &["x"],
+        steps: &[
+            Restore(&[]),
+            Report("u", 1, 1, NONE, &[]),
+            Plan,
+            Commit,
+            Wait(60_000),
+            Report("u", 1, 2, NONE, &[]),
+            Plan,
+        ],
+        last: &[
+            "note x: no engine that takes orders now can make room",
+            "note : an order to it is lost or late; it takes no other until it restarts",
+        ],
+    },
     Case {
         name: "unfenced: the next order follows once the first is done",
         models: &["x", "y"],
--- a/crates/sageshed-place/tests/support/mod.rs
+++ b/crates/sageshed-place/tests/support/mod.rs
@@ -153,6 +153,11 @@
         !old
     }
 
+    /// The order being carried out.
+    pub fn task(&self) -> Option<&endpoints::Task> {
+        self.accepted.first().map(|(_, task)| task)
+    }
+
     /// Carries the oldest order one step on: the first step takes effect, the second ends it.
     pub fn advance(&mut self) {
         let Some((id, task)) = self.accepted.first().cloned() else {
