--- a/crates/sageshed-decide/tests/admission.rs
+++ b/crates/sageshed-decide/tests/admission.rs
@@ -313,6 +313,31 @@
     );
 }
 
+/// What a user would see: an engine is crowded while reports are cut off. Each entry process went on
+/// by the last report that it had, which gave it nearly all of the slots.
+#[test]
+fn stale_report_leaves_the_even_share() {
+    for (silence, told) in [(0, "send"), (4_000, "queue")] {
+        let mut settings = common::settings();
+        settings.entries = 2;
+        let mut bench = common::Bench::new(settings);
+        bench.report(common::report("e1", 1, 64, &["sort"]));
+        for _ in 0..32 {
+            bench.arrive(|_| {});
+        }
+        let mut report = common::report("e1", 2, 64, &["sort"]);
+        report.running = 32;
+        bench.report(report);
+        bench.pass(silence);
+        let (req, actions) = bench.arrive(|_| {});
+        assert_eq!(
+            common::told(&actions, req),
+            told,
+            "{silence} ms after the report"
+        );
+    }
+}
+
 #[test]
 fn prefix_goes_to_the_same_endpoint_everywhere() {
     let names = ["e1", "e2", "e3", "e4", "e5"];
--- a/crates/sageshed-decide/tests/faults.rs
+++ b/crates/sageshed-decide/tests/faults.rs
@@ -160,6 +160,21 @@
     );
 }
 
+/// What a user would see: one prompt that crashes engines takes down a whole pool, one engine after
+/// another, since it is sent on to each.
+#[test]
+fn tries_of_one_request_are_bounded() {
+    let names = ["e1", "e2", "e3", "e4", "e5"];
+    let mut bench = common::Bench::with_engines(common::settings(), &names);
+    let (req, mut actions) = bench.arrive(|_| {});
+    let mut tries = 0;
+    while common::sent_to(&actions, req).is_some() {
+        tries += 1;
+        actions = bench.fail(req, MAY_HAVE_RUN, CUT);
+    }
+    assert_eq!(tries, 3);
+}
+
 #[test]
 fn no_try_after_the_deadline() {
     for shed in [true, false] {
--- a/crates/sageshed-decide/tests/rules.rs
+++ b/crates/sageshed-decide/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use sageshed_decide::{event, names, rules};
+use sageshed_decide::{event, limits, names, rules};
 use sageshed_types::{rules as types_rules, time, verdict};
 
 /// A rule written as operators write it.
@@ -394,6 +394,32 @@
     );
 }
 
+/// What a user would see: an entry process that runs out of memory. A limit for each caller made a
+/// bucket for each, and none was ever dropped.
+#[test]
+fn buckets_are_bounded() {
+    let mut limits = limits::Limits::new(2);
+    let share = limits::Share::new(1.0, 1.0, 1);
+    let mut take = |now, slot| {
+        let pass = limits.take(time::Instant(now), limits::Owner::Rule(slot), share);
+        (pass == limits::Pass::Passed, limits.len())
+    };
+    assert_eq!(take(0, 1), (true, 1));
+    assert_eq!(take(500, 2), (true, 2));
+    assert_eq!(
+        take(600, 3),
+        (true, 2),
+        "both are in use: it passes without a bucket"
+    );
+    assert_eq!(take(600, 2), (false, 2), "a bucket in use is never dropped");
+    assert_eq!(
+        take(1_100, 3),
+        (true, 2),
+        "the first is full again and was dropped"
+    );
+    assert_eq!(take(1_200, 3), (false, 2));
+}
+
 #[test]
 fn refuse_new_refuses_and_drain_alone_does_not() {
     let mut bench = common::Bench::with_engines(common::settings(), &["e1"]);
