--- a/crates/sageshed-decide/src/decider.rs
+++ b/crates/sageshed-decide/src/decider.rs
@@ -2,7 +2,7 @@
 //!
 //! A request goes `Deciding -> [Claiming ->] [Queued ->] Sent -> Ended`, and back from `Sent` to
 //! `Deciding` for a retry. The steps are in the modules below: `arrive` (rules, limits, admission),
-//! `admit` (send, wait or refuse), [`dispatch`] (sending, and the queue), [`ended`] (outcomes and
+//! `admit` (send, wait or refuse), `dispatch` (sending, and the queue), `ended` (outcomes and
 //! retries) and `query` (what the daemon asks).
 //!
 //! What can't be sent waits only while it can still be on time; it is refused the moment that this
