Give a connection's thread 256 KiB of stack

The package's own tests overflow a stack of 160 KiB in a debug build and pass with 192 KiB, which left the handler next to nothing. In a release build 48 KiB suffice and 32 KiB overflow. The larger stack is address space: 2,000 open streams took 19.1 KiB resident each with 192 KiB (five runs) and 19.2 KiB with 256 KiB (one run).

--- a/crates/sageshed-callers/src/limits.rs
+++ b/crates/sageshed-callers/src/limits.rs
@@ -3,7 +3,11 @@
 use std::time;
 
 /// The stack of a connection's thread, in bytes, unless settings say otherwise.
-pub const STACK_BYTES: usize = 192 * 1024;
+///
+/// This package's tests overflow 160 KiB in a debug build and 32 KiB in a release build, and pass with
+/// 192 KiB and 48 KiB. The rest is for the handler. It costs address space only: what is not touched
+/// is not resident.
+pub const STACK_BYTES: usize = 256 * 1024;
 
 /// Bounds on sizes, times and numbers. Each is enforced over the whole of what it names, not over
 /// each read: a caller that sends a byte a second gains nothing by it.
