Refuse rules that name what is not on offer

Cause: `config check` finds a mistyped caller, but `rules add` took it; such a rule matches nobody, and nobody hears of it. Ruled out: the check in the operators' client, which has no settings of the system; the check when the command is applied, since replicas with other settings would come to other states. Before: accepted as revision 1 (seen by reading the code path, the test was written with the change). Not done: warnings (a rule shadowed by an earlier one) are not shown by `rules add`.

--- a/src/sageshed/control/operators.rs
+++ b/src/sageshed/control/operators.rs
@@ -13,7 +13,7 @@
     inputs::{self, Fate, NotDone},
     shared,
 };
-use crate::locks;
+use crate::{locks, settings};
 
 /// How long an entry process may take to look up a request.
 const EXPLAIN_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -83,6 +83,21 @@
         )))
     }
 
+    /// A rule that names what the settings do not offer would never match, or refuse what it was
+    /// meant to route.
+    fn check_names(&self, edit: &rules::Edit) -> Result<(), Trouble> {
+        let rules: &[rules::Rule] = match edit {
+            rules::Edit::Add { rule, .. } => std::slice::from_ref(rule),
+            rules::Edit::ReplaceAll { rules } => rules,
+            rules::Edit::Move { .. } | rules::Edit::Withdraw { .. } => &[],
+        };
+        let errors = settings::rule_errors(rules, &self.shared.settings.common);
+        if errors.is_empty() {
+            return Ok(());
+        }
+        Err(Trouble::Invalid(errors.join("; ")))
+    }
+
     fn entry_vms(&self) -> impl Iterator<Item = &str> {
         let vms = &self.shared.settings.common.vms;
         vms.iter()
@@ -130,6 +145,7 @@
 
     fn change(&self, change: rules::Change) -> Result<rules::ChangeOutcome, Trouble> {
         self.check_entries()?;
+        self.check_names(&change.edit)?;
         match self.commit(command::Command::Change(change))? {
             command::Outcome::Change(outcome) => Ok(outcome),
             _ => Err(Trouble::Unknown),
--- a/src/sageshed/settings/mod.rs
+++ b/src/sageshed/settings/mod.rs
@@ -20,4 +20,4 @@
 pub use load::{Settings, common, control, entry, load};
 pub use problem::{Problem, Problems};
 pub use process::{Control, ControlListen, Entry, EntryListen, Format, Level, Log, Shutdown};
-pub use rule_file::{Checked, RuleFile, parse_rules, read_rules};
+pub use rule_file::{Checked, RuleFile, parse_rules, read_rules, rule_errors};
--- a/src/sageshed/settings/rule_file.rs
+++ b/src/sageshed/settings/rule_file.rs
@@ -82,6 +82,21 @@
     }
 }
 
+/// Why `rules` must not be put in force with what `common` offers; empty if nothing speaks against
+/// it. Each problem says what to do.
+#[must_use]
+pub fn rule_errors(rules: &[rules::Rule], common: &Common) -> Vec<String> {
+    let set = rules::RuleSet {
+        revision: rules::Revision(0),
+        rules: rules.to_vec(),
+    };
+    let findings = decide_rules::check(&set, &names_of(common)).into_iter();
+    findings
+        .filter(|finding| finding.level == decide_rules::Level::Error)
+        .map(|it| format!("rule `{}`: {}; {}", it.rule, it.problem, it.advice))
+        .collect()
+}
+
 /// The names that rules may use.
 fn names_of(common: &Common) -> names::Names {
     let first = common.vms.first();
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -50,3 +50,17 @@
         "{text}"
     );
 }
+
+/// An operator mistypes a caller's name. Taken as it is, the rule would match nobody, and the caller
+/// it was meant for would go on being served. The rules have to stay as they were.
+#[test]
+fn a_rule_for_a_caller_that_is_not_in_the_settings_is_refused() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default());
+    cluster.leader();
+    let rule = "id = \"closed\"\nwhen = { caller = [\"alhpa\"] }\ndo = { refuse = {} }";
+    let added = cluster.cli(&["rules", "add", "--rule", rule]);
+    assert_eq!(added.status.code(), Some(1), "{added:?}");
+    let said = String::from_utf8(added.stderr).unwrap();
+    assert!(said.contains("alhpa"), "{said}");
+    assert_eq!(cluster.status().unwrap().revision.0, 0);
+}
