Call a reason the same in answers and in messages

Cause: `too_many_requests_open` in a caller's answer was `too_many_open` in messages and in `sageshed explain`; Display and serde each had their own word. Change: serde takes the same word.

--- a/crates/sageshed-types/src/verdict.rs
+++ b/crates/sageshed-types/src/verdict.rs
@@ -99,6 +99,7 @@
     Draining,
     /// This entry process serves as many requests as it is set to.
     #[display("too_many_requests_open")]
+    #[serde(rename = "too_many_requests_open")]
     TooManyOpen,
     /// A fault inside the system.
     #[display("internal")]
