Prove the control group with killed, frozen and cut-off processes, and mend what failed

Real processes on loopback addresses, relays that cut silently, disks deleted, damaged and torn. Four of the new tests failed on the code as it was:

- A control VM that is cut off told an operator's client that too few entry VMs are heard.
The client took that for the group's answer and asked nobody else.
Only the leader judges it now.
The first VM to lose its disk again founded a group of its own with members of the old one, and waited for ever.
A member that joined names the voters of today, and only a fresh process says that it waits to form a group.
- A control process that is cut off from the leader undid the drain of the entry process beside it with each heartbeat, and the leader's word renewed it.
Only the leader's word counts now.

--- a/src/sageshed/control/driver.rs
+++ b/src/sageshed/control/driver.rs
@@ -14,7 +14,13 @@
 //!
 //! A write that finds no room is tried again each second. Nothing after it in the list of actions is
 //! done before it succeeded, so to the group this voter is just slow; meanwhile commands are refused
-//! and other threads go on answering reads.
+//! and other threads go on answering reads. If the process is told to stop while it waits, it ends
+//! there: to go on would acknowledge what is not on disk.
+//!
+//! # Snapshots
+//!
+//! A snapshot goes to disk at once, and the log is cut behind it only some entries later: a member
+//! that is a little slow is then brought up to date from the log, and not by a whole snapshot.
 
 use std::{
     collections,
@@ -22,10 +28,11 @@
     thread, time,
 };
 
-use sageshed_disk::{error as disk, folder};
+use derive_more::{Display, Error, From};
+use sageshed_disk::{error as disk, files, folder};
 use sageshed_quorum::{event, log, node, status};
-use sageshed_state::{command, control};
-use sageshed_types::rules;
+use sageshed_state::{codec, command, control};
+use sageshed_types::{endpoints, rules, time as types_time};
 
 use super::{
     inputs::{Fate, Input, NotDone, Reply},
@@ -45,19 +52,50 @@
 /// Between two tries of a write that found no room.
 const FULL_RETRY: time::Duration = time::Duration::from_secs(1);
 
-/// Entries that stay in the log behind a new snapshot: a member that is a little slow is brought up
-/// to date from the log and not by a whole snapshot.
+/// Entries past a new snapshot after which the log is cut behind it.
 const KEPT_BEHIND_SNAPSHOT: u64 = 200;
 
+/// Entries that a learner may lack when its repair goes on. Below what the log asks of one that is
+/// promoted, so that it does not refuse.
+const REPAIR_LAG: u64 = 50;
+
+/// Between two tries of a change of membership that the log refused, in milliseconds.
+const REPAIR_RETRY_MS: types_time::Millis = types_time::Millis(200);
+
+/// Why a driver ended.
+#[derive(Debug, Display, Error, From)]
+pub enum End {
+    /// The process is to stop.
+    #[display("told to stop")]
+    Stopped,
+    /// The disk failed.
+    #[display("cannot use the data folder: {_0}")]
+    Disk(disk::Error),
+    /// Passing over the command would make this replica differ from the others for good.
+    #[display(
+        "the committed command at {index} is not understood, the others may be newer: {source}"
+    )]
+    #[from(skip)]
+    Command {
+        /// Where it is in the log.
+        index: log::Index,
+        /// What is wrong with it.
+        source: codec::Error,
+    },
+    /// A snapshot that the leader sent.
+    #[display("the leader's snapshot is not understood, it may be newer: {_0}")]
+    Snapshot(codec::Error),
+}
+
 /// Everything that the driver thread owns.
 #[derive(Debug)]
-pub struct Driver {
+pub struct Driver<F = files::Disk> {
     /// What other threads read.
     pub shared: sync::Arc<shared::Shared>,
     /// The log.
     pub node: node::Node,
     /// Its disk.
-    pub folder: Box<folder::Folder>,
+    pub folder: Box<folder::Folder<F>>,
     /// To the other members.
     pub links: links::Links,
     /// To the placing thread.
@@ -77,17 +115,25 @@
     reads: Vec<(log::Index, mpsc::Sender<Fate>)>,
     applied: log::Index,
     snapshot: log::Index,
+    /// The latest snapshot, on disk, with the log not yet cut behind it.
+    uncut: Option<log::Snapshot>,
     /// Changes of the rules in the log that are not applied yet.
     changes: collections::BTreeSet<log::Index>,
     joiner: Option<log::NodeId>,
+    /// No change of membership is proposed before.
+    repair_due: types_time::Instant,
     clock_due: u64,
     /// The term in which this process has begun to lead and not proposed so yet.
     started: Option<log::Term>,
+    /// The starts of entry processes of which the log was told in this term.
+    told: collections::BTreeMap<String, endpoints::Incarnation>,
 }
 
 #[derive(Debug)]
 enum Ticket {
     Command(Reply),
+    Started(log::Term, Reply),
+    Holders,
     Read(mpsc::Sender<Fate>),
     Membership(event::Change),
 }
@@ -130,9 +176,17 @@
     )
 }
 
-impl Driver {
-    /// Runs until the process stops. Returns an error if the disk failed.
-    pub fn run(mut self) -> Result<(), disk::Error> {
+impl<F: files::Files> Driver<F> {
+    /// Runs until the process stops.
+    pub fn run(mut self) -> Result<(), End> {
+        match self.run_on() {
+            Err(End::Stopped) => Ok(()),
+            result => result,
+        }
+    }
+
+    fn run_on(&mut self) -> Result<(), End> {
+        self.note_restored();
         self.publish();
         while !self.shared.is_stopping() {
             let inputs = self.gather();
@@ -180,19 +234,46 @@
     }
 
     fn propose(&mut self, command: &command::Command, reply: Reply) -> Option<event::Event> {
+        self.propose_as(command, Ticket::Command(reply))
+    }
+
+    fn propose_as(&mut self, command: &command::Command, ticket: Ticket) -> Option<event::Event> {
         match command.to_bytes() {
             Ok(payload) => {
-                let ticket = self.work.ticket(Ticket::Command(reply));
+                let ticket = self.work.ticket(ticket);
                 Some(event::Event::Propose { ticket, payload })
             }
             Err(e) => {
                 ::log::error!(error:% = e; "control: command not proposed");
-                answer(reply, Fate::NotDone(NotDone::Busy));
+                if let Ticket::Command(reply) = ticket {
+                    answer(reply, Fate::NotDone(NotDone::Busy));
+                }
                 None
             }
         }
     }
 
+    /// Tells the log of entry processes that were started anew: what an earlier start had claimed is
+    /// settled by nobody, and its callers would be told that it still runs for as long as claims are
+    /// kept. Whoever led when the start was heard may not have got as far, so each leader tells all
+    /// that it has heard.
+    fn tell_holders(&mut self) -> Vec<event::Event> {
+        let starts = locks::read(&self.shared.roster).entry_starts();
+        let mut events = Vec::new();
+        for (vm, incarnation) in starts {
+            if self.work.told.get(&vm) == Some(&incarnation) {
+                continue;
+            }
+            let gone = command::Command::HolderGone {
+                vm: vm.clone(),
+                incarnation_below: incarnation,
+            };
+            events.extend(self.propose_as(&gone, Ticket::Holders));
+            self.work.told.insert(vm, incarnation);
+        }
+        events
+    }
+
     /// What the leader proposes by itself: its wall clock, and the repair of the membership.
     fn own_events(&mut self) -> Vec<event::Event> {
         let mut events = Vec::new();
@@ -205,8 +286,9 @@
             // complete.
             let command = command::Command::LeaderStarted { term: term.0 };
             let reply = Reply::Placing(self.placing.clone());
-            events.extend(self.propose(&command, reply));
+            events.extend(self.propose_as(&command, Ticket::Started(term, reply)));
         }
+        events.extend(self.tell_holders());
         let now = self.shared.clock.now();
         if now.0 >= self.work.clock_due {
             self.work.clock_due = now.0 + CLOCK_INTERVAL_MS;
@@ -228,6 +310,10 @@
     /// caught up: until then a vote less would gain nothing.
     fn repair(&mut self) -> Option<event::Event> {
         let joiner = self.work.joiner?;
+        let now = self.shared.clock.now();
+        if now < self.work.repair_due {
+            return None;
+        }
         let status = self.node.status();
         let members = &status.membership;
         if members.voters.contains(&joiner) {
@@ -248,7 +334,7 @@
             .find(|id| id.vm == joiner.vm && *id != joiner);
         let change = if !members.learners.contains(&joiner) {
             event::Change::AddLearner(joiner)
-        } else if lag > KEPT_BEHIND_SNAPSHOT / 4 {
+        } else if lag > REPAIR_LAG {
             return None;
         } else if let Some(old) = old {
             event::Change::Remove(old)
@@ -260,26 +346,28 @@
             .tickets
             .values()
             .any(|it| matches!(it, Ticket::Membership(_)));
-        if pending || status.commit < status.last {
+        if pending {
             return None;
         }
+        // Refused by the log while the change before is not committed.
+        self.work.repair_due = now + REPAIR_RETRY_MS;
         let ticket = self.work.ticket(Ticket::Membership(change));
         Some(event::Event::ChangeMembership { ticket, change })
     }
 
-    fn carry_out(&mut self, actions: Vec<event::Action>) -> Result<(), disk::Error> {
+    fn carry_out(&mut self, actions: Vec<event::Action>) -> Result<(), End> {
         for action in actions {
             self.carry_out_one(action)?;
         }
         Ok(())
     }
 
-    fn carry_out_one(&mut self, action: event::Action) -> Result<(), disk::Error> {
+    fn carry_out_one(&mut self, action: event::Action) -> Result<(), End> {
         match action {
             event::Action::Persist(write) => self.persist(&write)?,
             event::Action::Send { to, message } => self.links.send(to, &message),
-            event::Action::Apply(entries) => self.apply(entries),
-            event::Action::Restore(snapshot) => self.restore(&snapshot),
+            event::Action::Apply(entries) => self.apply(entries)?,
+            event::Action::Restore(snapshot) => self.restore(&snapshot)?,
             event::Action::Compacted { index } => self.folder.compact(index)?,
             event::Action::Proposed {
                 ticket,
@@ -298,15 +386,15 @@
     }
 
     /// Writes and syncs, and publishes what the log holds now.
-    fn persist(&mut self, write: &log::Write) -> Result<(), disk::Error> {
+    fn persist(&mut self, write: &log::Write) -> Result<(), End> {
         loop {
             match self.folder.write(write) {
                 Ok(()) => break,
                 Err(e) if e.is_retryable() => self.wait_for_room(&e),
-                Err(e) => return Err(e),
+                Err(e) => return Err(e.into()),
             }
             if self.shared.is_stopping() {
-                return Ok(());
+                return Err(End::Stopped);
             }
         }
         if locks::read(&self.shared.view).disk_full {
@@ -335,15 +423,21 @@
     }
 
     fn proposed(&mut self, ticket: u64, index: log::Index, term: log::Term) {
-        if let Some(Ticket::Command(reply)) = self.work.tickets.remove(&ticket) {
-            self.work.proposed.insert(index, (term, reply));
-        }
+        let reply = match self.work.tickets.remove(&ticket) {
+            Some(Ticket::Command(reply) | Ticket::Started(_, reply)) => reply,
+            Some(Ticket::Holders | Ticket::Membership(_) | Ticket::Read(_)) | None => return,
+        };
+        self.work.proposed.insert(index, (term, reply));
     }
 
     fn rejected(&mut self, ticket: u64, reason: event::Reason) {
         match self.work.tickets.remove(&ticket) {
             Some(Ticket::Command(reply)) => answer(reply, Fate::NotDone(reason.into())),
             Some(Ticket::Read(reply)) => drop(reply.send(Fate::NotDone(reason.into()))),
+            // Without it this leader would place nothing for as long as it leads. Where it leads no
+            // longer this is put off until it does, and then there is a later term.
+            Some(Ticket::Started(term, _)) => self.work.started = Some(term),
+            Some(Ticket::Holders) => self.work.told.clear(),
             Some(Ticket::Membership(change)) => {
                 ::log::debug!(change:? = change, reason:? = reason; "control: membership unchanged");
             }
@@ -369,24 +463,25 @@
         });
     }
 
-    fn apply(&mut self, entries: Vec<log::Entry>) {
+    fn apply(&mut self, entries: Vec<log::Entry>) -> Result<(), End> {
         for entry in entries {
-            self.apply_one(entry);
+            self.apply_one(entry)?;
         }
         self.answer_reads();
+        Ok(())
     }
 
-    fn apply_one(&mut self, entry: log::Entry) {
+    fn apply_one(&mut self, entry: log::Entry) -> Result<(), End> {
         let (index, term) = (entry.index, entry.term);
-        self.work.applied = index;
         let outcome = match entry.data {
-            log::EntryData::Command(bytes) => self.apply_command(index, &bytes),
+            log::EntryData::Command(bytes) => Some(self.apply_command(index, &bytes)?),
             log::EntryData::Membership(members) => {
                 ::log::info!(index:% = index, members:? = members; "control: membership committed");
                 None
             }
             log::EntryData::Noop => None,
         };
+        self.work.applied = index;
         self.work.changes.remove(&index);
         if let Some((proposed, reply)) = self.work.proposed.remove(&index) {
             // Another term's entry stands where the proposal stood: it is gone for good.
@@ -398,23 +493,24 @@
             };
             answer(reply, fate);
         }
+        Ok(())
     }
 
-    fn apply_command(&self, index: log::Index, bytes: &[u8]) -> Option<Box<command::Outcome>> {
-        let command = match command::Command::from_bytes(bytes) {
-            Ok(command) => command,
-            Err(e) => {
-                // Passing over it would make this replica differ from the others for good.
-                ::log::error!(index:% = index, error:% = e; "control: committed command not understood, stopping");
-                self.shared
-                    .stopping
-                    .store(true, sync::atomic::Ordering::Relaxed);
-                return None;
-            }
-        };
+    fn apply_command(&self, index: log::Index, bytes: &[u8]) -> Result<Box<command::Outcome>, End> {
+        let command =
+            command::Command::from_bytes(bytes).map_err(|source| End::Command { index, source })?;
         let outcome = locks::write(&self.shared.state).apply(index.0, command);
         self.note(&outcome);
-        Some(Box::new(outcome))
+        Ok(Box::new(outcome))
+    }
+
+    /// Notes the revision of a snapshot as committed now at the latest. Without it this process would
+    /// take a change that was accepted a moment ago elsewhere for older than every lease, and tell
+    /// operators that it is in force where it is not.
+    fn note_restored(&self) {
+        let revision = locks::read(&self.shared.state).rules().current().revision;
+        let now = self.shared.clock.now();
+        locks::write(&self.shared.view).note_commit(revision, now);
     }
 
     fn note(&self, outcome: &command::Outcome) {
@@ -437,32 +533,31 @@
         );
     }
 
-    fn restore(&mut self, snapshot: &log::Snapshot) {
-        match control::ControlState::from_bytes(&snapshot.data) {
-            Ok(state) => *locks::write(&self.shared.state) = state,
-            Err(e) => {
-                ::log::error!(error:% = e; "control: snapshot not understood, stopping");
-                self.shared
-                    .stopping
-                    .store(true, sync::atomic::Ordering::Relaxed);
-                return;
-            }
-        }
+    fn restore(&mut self, snapshot: &log::Snapshot) -> Result<(), End> {
+        let state = control::ControlState::from_bytes(&snapshot.data)?;
+        *locks::write(&self.shared.state) = state;
+        self.note_restored();
+        self.send_pins();
         self.work.applied = snapshot.index;
         self.work.snapshot = snapshot.index;
+        self.work.uncut = None;
         let kept = self.work.proposed.split_off(&snapshot.index.next());
         for (_, reply) in std::mem::replace(&mut self.work.proposed, kept).into_values() {
             answer(reply, Fate::Unknown);
         }
         self.work.changes = self.work.changes.split_off(&snapshot.index.next());
         ::log::info!(index:% = snapshot.index; "control: caught up by snapshot");
+        // The leader is told next, and counts on what leases then ask for.
+        self.publish();
         self.answer_reads();
+        Ok(())
     }
 
     fn became_leader(&mut self, term: log::Term) {
         ::log::info!(term:% = term; "control: leads");
         self.work.clock_due = 0;
         self.work.started = Some(term);
+        self.work.told.clear();
     }
 
     /// Publishes what the log says of itself.
@@ -481,9 +576,13 @@
         view.required = required;
     }
 
-    fn take_snapshot(&mut self) -> Result<(), disk::Error> {
+    /// Makes a snapshot if it is time, and cuts the log behind the latest.
+    fn take_snapshot(&mut self) -> Result<(), End> {
         let after = self.shared.settings.common.control.snapshot_after;
-        if self.work.applied.0 < self.work.snapshot.0 + after + KEPT_BEHIND_SNAPSHOT {
+        if self.work.uncut.is_some() {
+            return self.cut_log(after);
+        }
+        if self.work.applied.0 < self.work.snapshot.0 + after {
             return Ok(());
         }
         let data = match locks::read(&self.shared.state).to_bytes() {
@@ -502,10 +601,22 @@
                 ::log::warn!(error:% = e; "control: no room for a snapshot");
                 return Ok(());
             }
-            Err(e) => return Err(e),
+            Err(e) => return Err(e.into()),
         }
-        self.work.snapshot = snapshot.index;
         ::log::info!(index:% = snapshot.index; "control: snapshot taken");
+        self.work.snapshot = snapshot.index;
+        self.work.uncut = Some(snapshot);
+        Ok(())
+    }
+
+    fn cut_log(&mut self, after: u64) -> Result<(), End> {
+        let kept = KEPT_BEHIND_SNAPSHOT.min(after);
+        if self.work.applied.0 < self.work.snapshot.0 + kept {
+            return Ok(());
+        }
+        let Some(snapshot) = self.work.uncut.take() else {
+            return Ok(());
+        };
         let compact = event::Event::Compact { snapshot };
         let actions = self.node.step(self.shared.clock.now(), compact);
         self.carry_out(actions)
--- a/src/sageshed/control/formation.rs
+++ b/src/sageshed/control/formation.rs
@@ -45,12 +45,22 @@
 }
 
 /// What this process says of itself.
+///
+/// One that has joined was not there when the group was formed, and names the voters of today. If it
+/// named none, then with all that were there gone one after another, and `--new-group` in all service
+/// files, the first VM to lose its disk would take the members of the group for processes that wait
+/// for one, and found another with them in which nobody answers.
 #[must_use]
 pub fn hello(shared: &shared::Shared) -> messages::Hello {
+    let mut formed = locks::read(&shared.formed).clone();
+    if formed.is_empty() {
+        formed.clone_from(&locks::read(&shared.view).voters);
+    }
+    let fresh = !shared.settled.load(atomic::Ordering::Relaxed);
     messages::Hello {
         from: shared.voter(shared.node),
-        formed: locks::read(&shared.formed).clone(),
-        forming: shared.forming,
+        formed,
+        forming: shared.forming && fresh,
     }
 }
 
--- a/src/sageshed/control/operators.rs
+++ b/src/sageshed/control/operators.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Waits until the state shows all that was committed before now.
+    fn read(&self) -> Result<(), Trouble> {
+        match self.inputs.read() {
+            Fate::Applied(_) => Ok(()),
+            other => Err(self.trouble(&other)),
+        }
+    }
+
     fn trouble(&self, fate: &Fate) -> Trouble {
         match fate {
             Fate::Applied(_) | Fate::Unknown => Trouble::Unknown,
@@ -71,7 +79,13 @@
     /// serving if it hears a majority of the entry VMs and none of them hears a leader. Were changes
     /// accepted by a leader that hears fewer, the two could go on side by side, and callers there
     /// would be served by rules that an operator here was told are gone.
+    ///
+    /// Only the leader judges it. One that is cut off hears few, and its refusal would be taken for
+    /// the group's answer.
     fn check_entries(&self) -> Result<(), Trouble> {
+        if !self.shared.leads() {
+            return Err(self.not_leader());
+        }
         let total = self.entry_vms().count();
         let heard = locks::read(&self.shared.roster).entries_heard(self.shared.clock.now());
         if total == 0 || heard > total / 2 {
@@ -127,14 +141,12 @@
 
 impl Backend for Desk {
     fn rules(&self) -> Result<rules::RuleSet, Trouble> {
-        match self.inputs.read() {
-            Fate::Applied(_) => {}
-            other => return Err(self.trouble(&other)),
-        }
+        self.read()?;
         Ok(locks::read(&self.shared.state).rules().current().clone())
     }
 
     fn history(&self, after: rules::Revision) -> Result<Vec<rules::Accepted>, Trouble> {
+        self.read()?;
         let state = locks::read(&self.shared.state);
         let history = state.rules().history();
         Ok(history
@@ -177,7 +189,7 @@
             .map(str::to_owned)
             .collect();
         let settled = lease.length_ms + lease.drift_margin_ms;
-        let lapsed = committed.is_none_or(|at| now.since(at) > settled);
+        let lapsed = committed.is_some_and(|at| now.since(at) > settled);
         let majority = confirmed.len() > self.entry_vms().count() / 2;
         Ok(wire::InForce {
             everywhere: missing.is_empty() || (lapsed && majority),
--- a/src/sageshed/control/roster.rs
+++ b/src/sageshed/control/roster.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use sageshed_types::{messages, rules, time};
+use sageshed_types::{endpoints, messages, rules, time};
 
 /// How long the word of a process counts as recent, in milliseconds: several heartbeats.
 pub const RECENT: time::Millis = time::Millis(2_000);
@@ -64,6 +64,13 @@
         self.heard.get(&key).map(|heard| heard.address.clone())
     }
 
+    /// The latest start of each entry process that was heard.
+    #[must_use]
+    pub fn entry_starts(&self) -> Vec<(String, endpoints::Incarnation)> {
+        let start = |heard: &Heard| (heard.process.vm.clone(), heard.process.incarnation);
+        self.entries().map(start).collect()
+    }
+
     /// Entry VMs that were heard lately.
     #[must_use]
     pub fn entries_heard(&self, now: time::Instant) -> usize {
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -52,6 +52,9 @@
     /// The replicated state on disk.
     #[display("cannot read the snapshot in the data folder: {_0}")]
     State(sageshed_state::codec::Error),
+    /// The replicated log.
+    #[display("{_0}")]
+    Driver(driver::End),
     /// The clock went back.
     #[display(
         "the clock of this VM is behind an earlier start of its disk: set it right and start again"
@@ -227,6 +230,7 @@
             return Err(StartError::ClockBehind);
         }
         // On disk by now: others write it down on our word.
+        self.shared.settled.store(true, atomic::Ordering::Relaxed);
         let formed = restored
             .membership
             .voters
@@ -237,7 +241,7 @@
         self.announce_while_outside();
         self.driver(folder, restored)?
             .run()
-            .map_err(StartError::Disk)
+            .map_err(StartError::Driver)
     }
 
     /// Finds out what a fresh disk is to be, and starts its generation.
@@ -370,6 +374,7 @@
         models: sync::RwLock::new(Vec::new()),
         formed: sync::RwLock::new(Vec::new()),
         forming: options.new_group,
+        settled: atomic::AtomicBool::new(false),
         stopping: atomic::AtomicBool::new(false),
         settings,
     }
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -40,6 +40,8 @@
     pub formed: sync::RwLock<Vec<messages::Voter>>,
     /// Whether this process was started to form a new group.
     pub forming: bool,
+    /// Set once the disk of this process holds a generation.
+    pub settled: atomic::AtomicBool,
     /// Set when the process is to stop.
     pub stopping: atomic::AtomicBool,
 }
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -9,7 +9,7 @@
 
 use super::{
     formation,
-    inputs::{self, Fate, Input, Reply},
+    inputs::{self, Fate, Input},
     placing, roster, shared,
 };
 use crate::{directory, locks};
@@ -78,29 +78,15 @@
         let now = self.shared.clock.now();
         let arrival = locks::write(&self.shared.roster).heard(now, &req);
         if arrival == roster::Arrival::New && req.from.role == messages::Role::Entry {
-            self.new_start(&req.from);
+            let process = &req.from;
+            ::log::info!(vm = process.vm.as_str(), incarnation:% = process.incarnation;
+                "control: entry process heard");
         }
         self.take_reports(now, std::mem::take(&mut req.reports));
         self.take_demand(&req.from.vm, std::mem::take(&mut req.demand));
         self.answer(&req)
     }
 
-    /// A later start of an entry process: what the earlier one had under way is settled by nobody.
-    fn new_start(&self, process: &messages::Process) {
-        ::log::info!(vm = process.vm.as_str(), incarnation:% = process.incarnation;
-            "control: entry process heard");
-        if self.shared.leads() {
-            let gone = command::Command::HolderGone {
-                vm: process.vm.clone(),
-                incarnation_below: process.incarnation,
-            };
-            self.inputs.offer(Input::Submit {
-                command: Box::new(gone),
-                reply: Reply::Nobody,
-            });
-        }
-    }
-
     fn take_reports(&self, now: time::Instant, reports: Vec<sageshed_types::endpoints::Report>) {
         for report in reports {
             let offer = locks::lock(&self.shared.directory).offer(now, report.clone(), false);
--- a/src/sageshed/entry/sync.rs
+++ b/src/sageshed/entry/sync.rs
@@ -188,15 +188,16 @@
         Some(part) => {
             if part.leader.as_deref() == Some(peer.vm.as_str()) {
                 shared.claims.note_leader(&peer.vm);
-            }
-            let drained = part.draining.contains(&shared.process.vm);
-            locks::lock(&shared.freshness).granted(sent, now, &peer.vm, &part);
-            if part.grants {
+                // Only the leader's word. A voter that is cut off from it knows nothing of a drain
+                // that came since; with each one's word taken as it comes, `/readyz` would change
+                // with every heartbeat, and the balancer would go on sending callers here.
+                let drained = part.draining.contains(&shared.process.vm);
                 shared
                     .stage
                     .drained
                     .store(drained, std_sync::atomic::Ordering::Relaxed);
             }
+            locks::lock(&shared.freshness).granted(sent, now, &peer.vm, &part);
         }
         None => locks::lock(&shared.freshness).heard(now, &peer.vm, resp.hears_leader),
     }
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -8,6 +8,8 @@
 use sageshed_test_support::{config, relay, standin};
 use sageshed_types::messages;
 
+use crate::ask::Ask;
+
 /// How long anything that is waited for may take. A test that reaches it has failed.
 const PATIENCE: time::Duration = time::Duration::from_secs(40);
 
@@ -28,6 +30,8 @@
     pub common: String,
     /// Lines put first in the common settings.
     pub models: String,
+    /// Lines added to the table `[control]`.
+    pub control: String,
     /// The endpoints.
     pub endpoints: Vec<config::Endpoint>,
     /// How many times faster than real the stand-ins are.
@@ -45,6 +49,7 @@
             relays: false,
             common: String::new(),
             models: model("m1", 1_000),
+            control: String::new(),
             endpoints: vec![
                 config::Endpoint::engine("e1", 10_000, &[("m1", 1_000)]),
                 config::Endpoint::engine("e2", 10_000, &[("m1", 1_000)]),
@@ -135,6 +140,20 @@
         }
     }
 
+    /// Waits until each entry process passes requests on to the model `m1` and the service `crews`.
+    pub fn wait_served(&self) {
+        for vm in 0..self.plan.vms {
+            let base = self.callers(vm);
+            let crews = Ask::service(&base, "crews", &serde_json::json!({}))
+                .with("Sageshed-Repeatable", "yes");
+            for ask in [Ask::completion(&base, "m1", 2), crews] {
+                self.until("an endpoint is known to each entry process", || {
+                    ask.send().is_ok_and(|answer| answer.status == 200)
+                });
+            }
+        }
+    }
+
     /// Whether an entry process says that it is ready.
     pub fn is_ready(&self, vm: usize) -> bool {
         let url = format!("{}/readyz", self.callers(vm));
@@ -157,6 +176,16 @@
         }
     }
 
+    /// How many VMs there are.
+    pub fn vms(&self) -> usize {
+        self.plan.vms
+    }
+
+    /// How many of them have a control process.
+    pub fn controls(&self) -> usize {
+        self.plan.controls
+    }
+
     /// Where callers reach an entry process.
     pub fn callers(&self, vm: usize) -> String {
         format!("http://{}", self.vms[vm].callers)
@@ -270,6 +299,13 @@
         self.each_link(vm, relay::Relay::cut_silently);
     }
 
+    /// Cuts the way to the control process of a VM, silently, for all other VMs. Its own calls, and
+    /// those of the entry process beside it, get through.
+    pub fn cut_way_to_control(&self, vm: usize) {
+        let ways = self.links.iter().filter(|((_, to), _)| *to == vm);
+        ways.for_each(|(_, relays)| relays[1].cut_silently());
+    }
+
     /// Ends a cut.
     pub fn heal(&self, vm: usize) {
         self.each_link(vm, relay::Relay::heal);
@@ -284,6 +320,11 @@
         }
     }
 
+    /// What the process with this part of the name, `entry` or `control`, has logged on a VM.
+    pub fn log(&self, name: &str, vm: usize) -> String {
+        fs::read_to_string(self.dir.join(format!("{name}-{vm}.log"))).unwrap_or_default()
+    }
+
     /// The end of every process's log.
     pub fn logs(&self) -> String {
         let mut text = String::new();
@@ -380,10 +421,11 @@
              [[callers]]\nname = \"alpha\"\nclass = \"usual\"\ntoken_sha256 = \"{ALPHA}\"\n\
              [[callers]]\nname = \"beta\"\nclass = \"urgent\"\ntoken_sha256 = \"{BETA}\"\n\
              [[operators]]\nname = \"op\"\ntoken_sha256 = \"{OPERATOR}\"\n\
-             {}\n[control]\ninitial_voters = [{}]\n",
+             {}\n[control]\ninitial_voters = [{}]\n{}",
             self.plan.models,
             self.plan.common,
-            voters.join(", ")
+            voters.join(", "),
+            self.plan.control,
         )
         .unwrap();
         let name = vm_name(vm);
