Add model-checked specifications of the log and of claims

Tests by example show the orders of events that somebody thought of.

Guards are taken out by name, to see that each is needed.

--- /dev/null
+++ b/spec/src/claims.rs
@@ -0,0 +1,453 @@
+//! Requests that may run at most once, over the real [`claim_table::ClaimTable`].
+//!
+//! Two entry processes get the same request under one key, the caller trying again where it likes.
+//! Commands wait at leaders and are committed at any time, in any order, or never; answers get lost
+//! and are asked for again. A process may crash and come back, be taken for dead and go on, or be
+//! frozen for longer than a claim is kept.
+//!
+//! What must hold: as long as the key is remembered, the request runs once at most; and an arrival
+//! whose caller was told "not run" never runs.
+
+use std::{collections, fmt};
+
+use sageshed_state::claim_table;
+use sageshed_types::{claims, endpoints, time};
+
+use crate::explore;
+
+/// How long a claim is kept after it is settled.
+const RETENTION: time::Millis = time::Millis(10);
+
+/// What keeps the promise, each of which can be taken out.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is one independent switch of a checker"
+)]
+#[derive(Debug, Clone, Copy)]
+pub struct Guards {
+    /// What ran when its holder went may have run. Out: it is given back.
+    pub gone_is_unknown: bool,
+    /// Time ends no running claim. Out: it is given back after a while.
+    pub no_expiry: bool,
+    /// Nothing is sent before the claim is granted.
+    pub wait: bool,
+    /// Who was told "not run" is done. Out: a late grant is sent for.
+    pub told_is_final: bool,
+    /// One sending for all grants of one arrival.
+    pub send_once: bool,
+    /// Nothing is sent for a claim that was asked for longer ago than claims are kept.
+    pub grant_age: bool,
+    /// An arrival at a process that started anew is another holder.
+    pub incarnation: bool,
+}
+
+impl Guards {
+    /// All but the one called `guard`; none if there is no such guard.
+    #[must_use]
+    pub fn without(guard: Option<&str>) -> Option<Self> {
+        let mut guards = Self {
+            gone_is_unknown: true,
+            no_expiry: true,
+            wait: true,
+            told_is_final: true,
+            send_once: true,
+            grant_age: true,
+            incarnation: true,
+        };
+        let off = match guard {
+            None => return Some(guards),
+            Some("gone_is_unknown") => &mut guards.gone_is_unknown,
+            Some("no_expiry") => &mut guards.no_expiry,
+            Some("wait") => &mut guards.wait,
+            Some("told_is_final") => &mut guards.told_is_final,
+            Some("send_once") => &mut guards.send_once,
+            Some("grant_age") => &mut guards.grant_age,
+            Some("incarnation") => &mut guards.incarnation,
+            Some(_) => return None,
+        };
+        *off = false;
+        Some(guards)
+    }
+}
+
+/// The specification.
+#[derive(Debug, Clone, Copy)]
+pub struct Claims {
+    /// The guards that are in.
+    pub guards: Guards,
+    /// Arrivals at most, over both processes.
+    pub arrivals: usize,
+}
+
+/// How far an arrival is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    /// Waits for the answer to its claim.
+    Asking,
+    /// May send.
+    Granted,
+    /// Bytes are out.
+    Sent,
+    /// Its caller was told something else than "not run".
+    Ended,
+    /// Its caller was told "not run".
+    ToldNotRun,
+    /// Its process is gone.
+    Dead,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Arrival {
+    holder: claims::Holder,
+    phase: Phase,
+    /// It asked so long ago that its claim may have been settled by others and forgotten.
+    old: bool,
+    ran: bool,
+    told_not_run: bool,
+}
+
+/// Commands that wait to be committed.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Command {
+    Claim(usize),
+    Settle(usize, End),
+    HolderGone { process: usize, below: u64 },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum End {
+    Ran,
+    NotRun,
+    Unknown,
+}
+
+/// Everything in one moment.
+#[derive(Debug, Clone, Hash)]
+pub struct State {
+    table: claim_table::ClaimTable,
+    waiting: collections::BTreeSet<Command>,
+    /// Answers under way, by arrival.
+    answers: Vec<(usize, claims::ClaimOutcome)>,
+    arrivals: Vec<Arrival>,
+    incarnations: [u64; 2],
+    /// Runs since the key was last forgotten.
+    runs: u32,
+    crashes: u32,
+    taken_for_dead: u32,
+    resends: u32,
+    clocks: u32,
+}
+
+/// One thing that happens; arrivals are counted from one.
+#[derive(Debug, Clone)]
+pub struct Event(String);
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn vm(process: usize) -> String {
+    format!("entry-{}", process + 1)
+}
+
+fn key() -> claims::ClaimKey {
+    claims::ClaimKey {
+        caller: "caller".to_owned(),
+        key: "key".to_owned(),
+    }
+}
+
+type Nexts = Vec<(Event, State)>;
+
+impl State {
+    fn push(&self, all: &mut Nexts, event: String, act: impl FnOnce(&mut Self)) {
+        let mut next = self.clone();
+        act(&mut next);
+        all.push((Event(event), next));
+    }
+
+    fn arrive(&mut self, process: usize, guards: Guards) {
+        // Without the guard a process that starts anew numbers its arrivals from one again.
+        let number = |it: &Arrival| it.holder.vm == vm(process) && it.phase != Phase::Dead;
+        let earlier = self.arrivals.iter().filter(|it| number(it)).count();
+        let request = if guards.incarnation {
+            self.arrivals.len()
+        } else {
+            earlier
+        };
+        let incarnation = if guards.incarnation {
+            self.incarnations[process]
+        } else {
+            1
+        };
+        let holder = claims::Holder {
+            vm: vm(process),
+            incarnation: endpoints::Incarnation(incarnation),
+            request_id: request.to_string(),
+        };
+        self.waiting.insert(Command::Claim(self.arrivals.len()));
+        self.arrivals.push(Arrival {
+            holder,
+            phase: Phase::Asking,
+            old: false,
+            ran: false,
+            told_not_run: false,
+        });
+    }
+
+    fn commit(&mut self, command: &Command, guards: Guards) {
+        match command {
+            Command::Claim(arrival) => self.claim(*arrival),
+            Command::Settle(arrival, end) => self.settle(*arrival, *end),
+            Command::HolderGone { process, below } => self.gone(*process, *below, guards),
+        }
+    }
+
+    fn claim(&mut self, arrival: usize) {
+        let claim = claims::Claim {
+            key: key(),
+            holder: self.arrivals[arrival].holder.clone(),
+            digest: 1,
+            retention: RETENTION,
+        };
+        if let claim_table::Claimed::Answer(answer) = self.table.claim(claim) {
+            self.answers.push((arrival, answer));
+        }
+    }
+
+    fn settle(&mut self, arrival: usize, end: End) {
+        let holder = self.arrivals[arrival].holder.clone();
+        self.settle_holder(holder, end);
+    }
+
+    fn settle_holder(&mut self, holder: claims::Holder, end: End) {
+        let end = match end {
+            End::Ran => claims::End::Ran { answer: None },
+            End::NotRun => claims::End::NotRun,
+            End::Unknown => claims::End::Unknown,
+        };
+        let key = key();
+        self.table.settle(claims::Settle { key, holder, end });
+    }
+
+    fn gone(&mut self, process: usize, below: u64, guards: Guards) {
+        let below = endpoints::Incarnation(below);
+        let name = vm(process);
+        if guards.gone_is_unknown {
+            self.table.holder_gone(&name, below);
+            return;
+        }
+        let held = self.table.get(&key()).map(|held| held.holder.clone());
+        let gone = held.filter(|it| it.vm == name && it.incarnation < below);
+        if let Some(holder) = gone {
+            self.settle_holder(holder, End::NotRun);
+        }
+    }
+
+    fn answer(&mut self, arrival: usize, outcome: &claims::ClaimOutcome, guards: Guards) {
+        let it = &mut self.arrivals[arrival];
+        let granted = *outcome == claims::ClaimOutcome::Granted;
+        it.phase = match it.phase {
+            Phase::Asking if granted => Phase::Granted,
+            Phase::Asking => Phase::Ended,
+            Phase::ToldNotRun if granted && !guards.told_is_final => Phase::Granted,
+            Phase::Sent if granted && !guards.send_once => Phase::Granted,
+            phase => phase,
+        };
+    }
+
+    fn run(&mut self, arrival: usize) {
+        self.runs += 1;
+        self.arrivals[arrival].ran = true;
+        self.arrivals[arrival].phase = Phase::Sent;
+    }
+
+    fn tell_not_run(&mut self, arrival: usize) {
+        let it = &mut self.arrivals[arrival];
+        it.phase = Phase::ToldNotRun;
+        it.told_not_run = true;
+        self.waiting.insert(Command::Settle(arrival, End::NotRun));
+    }
+
+    fn end(&mut self, arrival: usize, end: End) {
+        self.arrivals[arrival].phase = Phase::Ended;
+        self.waiting.insert(Command::Settle(arrival, end));
+    }
+
+    fn crash(&mut self, process: usize) {
+        self.crashes -= 1;
+        self.incarnations[process] += 1;
+        for it in &mut self.arrivals {
+            if it.holder.vm == vm(process) {
+                it.phase = Phase::Dead;
+            }
+        }
+        let below = self.incarnations[process];
+        self.waiting.insert(Command::HolderGone { process, below });
+    }
+
+    /// Time goes on past the retention of everything that is settled.
+    fn clock(&mut self) {
+        self.clocks -= 1;
+        // The first reading stamps what was settled, the second is past its retention.
+        let now = self.table.unix_ms() + 1;
+        self.table.clock(now);
+        let forgotten = self.table.clock(now + RETENTION.0 + 1);
+        if forgotten > 0 {
+            self.runs = 0;
+        }
+        for it in &mut self.arrivals {
+            it.old = true;
+        }
+    }
+
+    fn of_arrival(&self, number: usize, guards: Guards, all: &mut Nexts) {
+        let (it, shown) = (&self.arrivals[number], number + 1);
+        let ready = match it.phase {
+            Phase::Granted => true,
+            Phase::Asking => !guards.wait,
+            _ => false,
+        };
+        if ready && !(it.old && guards.grant_age) {
+            self.push(all, format!("arrival {shown}: sent, and runs"), |next| {
+                next.run(number);
+            });
+        }
+        match it.phase {
+            Phase::Asking => {
+                self.push(
+                    all,
+                    format!("arrival {shown}: no answer in time, caller told not run"),
+                    |next| next.tell_not_run(number),
+                );
+                if self.resends > 0 && !self.waiting.contains(&Command::Claim(number)) {
+                    self.push(all, format!("arrival {shown}: asks again"), |next| {
+                        next.resends -= 1;
+                        next.waiting.insert(Command::Claim(number));
+                    });
+                }
+            }
+            Phase::Granted => self.push(
+                all,
+                format!("arrival {shown}: not a byte sent, caller told not run"),
+                |next| next.tell_not_run(number),
+            ),
+            Phase::Sent => {
+                self.push(all, format!("arrival {shown}: answered"), |next| {
+                    next.end(number, End::Ran);
+                });
+                let event = format!("arrival {shown}: cut off, caller told may have run");
+                self.push(all, event, |next| next.end(number, End::Unknown));
+            }
+            Phase::Ended | Phase::ToldNotRun | Phase::Dead => {}
+        }
+    }
+
+    fn of_process(&self, process: usize, spec: Claims, all: &mut Nexts) {
+        let (guards, name) = (spec.guards, vm(process));
+        // The processes are alike, so the first arrival may be at the first.
+        let here = !self.arrivals.is_empty() || process == 0;
+        if here && self.arrivals.len() < spec.arrivals {
+            let number = self.arrivals.len() + 1;
+            self.push(all, format!("arrival {number} at {name}"), |next| {
+                next.arrive(process, guards);
+            });
+        }
+        if self.crashes > 0 {
+            self.push(all, format!("{name} crashes and starts anew"), |next| {
+                next.crash(process);
+            });
+        }
+        if self.taken_for_dead > 0 {
+            self.push(all, format!("{name} is taken for dead, wrongly"), |next| {
+                next.taken_for_dead -= 1;
+                let below = next.incarnations[process] + 1;
+                next.waiting.insert(Command::HolderGone { process, below });
+            });
+        }
+    }
+
+    fn of_control(&self, guards: Guards, all: &mut Nexts) {
+        for command in &self.waiting {
+            self.push(all, format!("committed: {}", shown(command)), |next| {
+                next.waiting.remove(command);
+                next.commit(command, guards);
+            });
+        }
+        for (place, (arrival, outcome)) in self.answers.iter().enumerate() {
+            let event = format!("arrival {}: answer {outcome:?}", arrival + 1);
+            self.push(all, event, |next| {
+                next.answers.remove(place);
+                next.answer(*arrival, outcome, guards);
+            });
+        }
+        if self.clocks > 0 {
+            let event = "time passes, longer than settled claims are kept".to_owned();
+            self.push(all, event, Self::clock);
+        }
+        let held = self.table.get(&key());
+        let running = held.filter(|held| held.state == claim_table::State::Running);
+        if let Some(held) = running.filter(|_| !guards.no_expiry) {
+            let holder = held.holder.clone();
+            self.push(all, "a running claim ends by time".to_owned(), |next| {
+                next.settle_holder(holder, End::NotRun);
+            });
+        }
+    }
+}
+
+fn shown(command: &Command) -> String {
+    match command {
+        Command::Claim(arrival) => format!("claim of arrival {}", arrival + 1),
+        Command::Settle(arrival, end) => format!("arrival {} ended as {end:?}", arrival + 1),
+        Command::HolderGone { process, below } => {
+            format!("{} is gone below incarnation {below}", vm(*process))
+        }
+    }
+}
+
+impl explore::Spec for Claims {
+    type State = State;
+    type Event = Event;
+
+    fn start(&self) -> State {
+        State {
+            table: claim_table::ClaimTable::new(claim_table::Limits::default()),
+            waiting: collections::BTreeSet::new(),
+            answers: Vec::new(),
+            arrivals: Vec::new(),
+            incarnations: [1, 1],
+            runs: 0,
+            crashes: 1,
+            taken_for_dead: 1,
+            resends: 1,
+            clocks: 1,
+        }
+    }
+
+    fn next(&self, state: &State) -> Nexts {
+        let mut all = Vec::new();
+        for number in 0..state.arrivals.len() {
+            state.of_arrival(number, self.guards, &mut all);
+        }
+        for process in 0..state.incarnations.len() {
+            state.of_process(process, *self, &mut all);
+        }
+        state.of_control(self.guards, &mut all);
+        all
+    }
+
+    fn broken(&self, state: &State) -> Option<String> {
+        if state.runs > 1 {
+            return Some(format!("the request ran {} times", state.runs));
+        }
+        let wrong = |it: &Arrival| it.told_not_run && it.ran;
+        let arrival = state.arrivals.iter().position(wrong)?;
+        Some(format!(
+            "arrival {} ran, and its caller was told not run",
+            arrival + 1
+        ))
+    }
+}
--- /dev/null
+++ b/spec/src/log/scenarios.rs
@@ -0,0 +1,325 @@
+//! Starts of the log's specification.
+//!
+//! Those that are deep are led there by a script, which delivers messages among some VMs until none
+//! is left and loses the others.
+
+use sageshed_quorum::{config, event, log};
+
+use super::{Budget, Promise, Scenario, id, world};
+
+/// The log's guards without the one called `guard`; none if there is no such guard.
+#[must_use]
+pub fn without(guard: Option<&str>) -> Option<config::Guards> {
+    let mut guards = config::Guards::default();
+    let off = match guard {
+        None => return Some(guards),
+        Some("generation") => &mut guards.generation,
+        Some("pre_vote") => &mut guards.pre_vote,
+        Some("check_quorum") => &mut guards.check_quorum,
+        Some("stickiness") => &mut guards.stickiness,
+        Some("up_to_date") => &mut guards.up_to_date,
+        Some("own_term_commit") => &mut guards.own_term_commit,
+        Some("single_change") => &mut guards.single_change,
+        Some("own_term_change") => &mut guards.own_term_change,
+        Some("caught_up") => &mut guards.caught_up,
+        Some("sync") => &mut guards.sync,
+        Some(_) => return None,
+    };
+    *off = false;
+    Some(guards)
+}
+
+/// A group that has just been formed.
+#[must_use]
+pub fn elections(guards: config::Guards) -> Scenario {
+    let budget = Budget {
+        elections: 2,
+        proposals: 1,
+        crashes: 1,
+        ..Budget::default()
+    };
+    scenario(formed(3, 3, guards, false).world, budget)
+}
+
+/// The same without what only spares leaders (pre-vote, stickiness), on which safety must not rest.
+/// Elections are shorter then, and one more fits in.
+#[must_use]
+pub fn bare_elections(guards: config::Guards) -> Scenario {
+    let budget = Budget {
+        elections: 2,
+        proposals: 1,
+        crashes: 1,
+        copies: 1,
+        ..Budget::default()
+    };
+    scenario(formed(3, 3, bare(guards), false).world, budget)
+}
+
+/// VM 1 leads; a command is committed by VMs 1 and 2, and VM 3 lacks it.
+#[must_use]
+pub fn lagging(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, guards, false);
+    script.elect(1, &[1, 2, 3]);
+    script.propose(1, 9, &[1, 2]);
+    let budget = Budget {
+        elections: 2,
+        disks: 1,
+        crashes: 1,
+        ..Budget::default()
+    };
+    scenario(script.world, budget)
+}
+
+/// As [`lagging`], without what only spares leaders, and with one command more.
+#[must_use]
+pub fn bare_lagging(guards: config::Guards) -> Scenario {
+    let mut scenario = lagging(bare(guards));
+    scenario.budget.proposals = 1;
+    scenario.budget.heartbeats = 1;
+    scenario
+}
+
+/// VM 3 has lost its disk and is back as a learner that has caught up; its old generation is still
+/// a voter. It is to be repaired while VM 2 loses its disk as well.
+#[must_use]
+pub fn repair(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, bare(guards), false);
+    script.elect(1, &[1, 2, 3]);
+    script.propose(1, 9, &[1, 2, 3]);
+    script.world.lose_disk(3);
+    let joiner = script.world.vms[2].node.id();
+    script.change(1, event::Change::AddLearner(joiner), &[1, 2, 3]);
+    let budget = Budget {
+        elections: 1,
+        disks: 1,
+        heartbeats: 1,
+        changes: vec![
+            event::Change::Remove(id(3, 1)),
+            event::Change::Promote(id(3, 2)),
+        ],
+        ..Budget::default()
+    };
+    Scenario {
+        restless: vec![1, 2, 3],
+        frail: vec![2],
+        ..scenario(script.world, budget)
+    }
+}
+
+/// VM 3 has just been repaired when VM 2 loses its disk: it is to be repaired in its turn, while
+/// elections go on.
+#[must_use]
+pub fn second_loss(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, bare(guards), false);
+    script.elect(1, &[1, 2, 3]);
+    script.propose(1, 9, &[1, 2, 3]);
+    script.world.lose_disk(3);
+    let joiner = script.world.vms[2].node.id();
+    script.change(1, event::Change::AddLearner(joiner), &[1, 2, 3]);
+    script.change(1, event::Change::Remove(id(3, 1)), &[1, 2, 3]);
+    // The promotion is committed by VMs 1 and 3; VM 2, which is about to be lost, lacks it.
+    script.change(1, event::Change::Promote(joiner), &[1, 3]);
+    script.world.lose_disk(2);
+    let budget = Budget {
+        elections: 2,
+        crashes: 1,
+        heartbeats: 1,
+        changes: vec![
+            event::Change::AddLearner(id(2, 2)),
+            event::Change::Remove(id(2, 1)),
+            event::Change::Promote(id(2, 2)),
+        ],
+        ..Budget::default()
+    };
+    scenario(script.world, budget)
+}
+
+/// The case of figure 8 in the Raft paper: an entry of an old term comes to be on a majority, and
+/// another VM has a later one.
+#[must_use]
+pub fn old_entry(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, bare(guards), true);
+    script.elect(1, &[1, 2, 3]);
+    script.propose(1, 9, &[]);
+    script.world.step(1, event::Event::QuorumLost);
+    script.world.step(3, event::Event::ElectionTimeout);
+    script.deliver_votes(&[2, 3]);
+    script.world.step(3, event::Event::QuorumLost);
+    script.world.step(1, event::Event::ElectionTimeout);
+    script.world.step(1, event::Event::ElectionTimeout);
+    script.deliver_votes(&[1, 2]);
+    let budget = Budget {
+        elections: 2,
+        ..Budget::default()
+    };
+    script.wake_leaders();
+    Scenario {
+        restless: vec![3],
+        frail: Vec::new(),
+        ..scenario(script.world, budget)
+    }
+}
+
+/// VM 1 leads three voters and is asked to remove the two others.
+#[must_use]
+pub fn two_changes(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, bare(guards), false);
+    script.elect(1, &[1, 2, 3]);
+    let budget = Budget {
+        elections: 1,
+        quorums: 1,
+        changes: vec![
+            event::Change::Remove(id(2, 1)),
+            event::Change::Remove(id(3, 1)),
+        ],
+        ..Budget::default()
+    };
+    scenario(script.world, budget)
+}
+
+/// Four voters and a learner. VM 1 has appended the learner's promotion and was cut off; VM 2 has
+/// been elected by VMs 3 and 4 and is asked to remove VM 1, while VMs 1, 4 and 5 are cut off from
+/// VMs 2 and 3 (Ongaro's note of 2015 on changes of one server).
+#[must_use]
+pub fn two_leaders(guards: config::Guards) -> Scenario {
+    let mut script = formed(5, 4, bare(guards), false);
+    script.elect(1, &[1, 2, 3, 4]);
+    script.change(1, event::Change::AddLearner(id(5, 1)), &[1, 2, 3, 4, 5]);
+    script.world.step(1, event::Event::HeartbeatDue);
+    script.settle(&[1, 2, 3, 4, 5]);
+    script.change(1, event::Change::Promote(id(5, 1)), &[1, 5]);
+    script.world.step(2, event::Event::ElectionTimeout);
+    script.deliver_votes(&[2, 3, 4]);
+    script.world.step(1, event::Event::QuorumLost);
+    script.world.step(1, event::Event::ElectionTimeout);
+    script.world.lose_messages();
+    script.world.apart = [1, 4, 5].into();
+    script.wake_leaders();
+    let budget = Budget {
+        elections: 1,
+        changes: vec![event::Change::Remove(id(1, 1))],
+        ..Budget::default()
+    };
+    Scenario {
+        restless: vec![1],
+        frail: Vec::new(),
+        ..scenario(script.world, budget)
+    }
+}
+
+/// VM 1 leads, VM 3 was cut off and comes back. Nothing fails any more.
+#[must_use]
+pub fn cut_off(guards: config::Guards) -> Scenario {
+    let mut script = formed(3, 3, guards, false);
+    script.elect(1, &[1, 2, 3]);
+    let budget = Budget {
+        elections: 3,
+        proposals: 1,
+        heartbeats: 1,
+        copies: 1,
+        ..Budget::default()
+    };
+    Scenario {
+        restless: vec![3],
+        frail: Vec::new(),
+        promise: Promise::NoStepDown,
+        ..scenario(script.world, budget)
+    }
+}
+
+fn bare(guards: config::Guards) -> config::Guards {
+    config::Guards {
+        pre_vote: false,
+        stickiness: false,
+        ..guards
+    }
+}
+
+fn scenario(world: world::World, budget: Budget) -> Scenario {
+    Scenario {
+        world,
+        budget,
+        restless: vec![1, 2, 3],
+        frail: vec![1, 2, 3],
+        promise: Promise::Safety,
+    }
+}
+
+/// `vms` VMs of which the first `voters` form a group.
+fn formed(vms: u32, voters: u32, guards: config::Guards, one_entry: bool) -> Script {
+    let settings = world::Settings {
+        guards,
+        one_entry,
+        voters: log::Membership::of_voters((1..=voters).map(|vm| id(vm, 1))),
+    };
+    Script {
+        world: world::World::new(vms, settings),
+    }
+}
+
+/// Leads a world to a start.
+struct Script {
+    world: world::World,
+}
+
+impl Script {
+    /// Has `vm` elected, with messages delivered among these VMs only.
+    fn elect(&mut self, vm: u32, among: &[u32]) {
+        self.world.step(vm, event::Event::ElectionTimeout);
+        self.settle(among);
+    }
+
+    fn propose(&mut self, vm: u32, command: u8, among: &[u32]) {
+        let payload = vec![command];
+        let propose = event::Event::Propose { ticket: 0, payload };
+        self.world.step(vm, propose);
+        self.settle(among);
+    }
+
+    fn change(&mut self, vm: u32, change: event::Change, among: &[u32]) {
+        let change = event::Event::ChangeMembership { ticket: 0, change };
+        self.world.step(vm, change);
+        self.settle(among);
+    }
+
+    /// What a leader sent first was lost, so it sends it again after some rounds of heartbeats; here
+    /// these rounds have been.
+    fn wake_leaders(&mut self) {
+        let vms = 1..=u32::try_from(self.world.vms.len()).unwrap_or(u32::MAX);
+        let leaders: Vec<_> = vms.filter(|vm| self.world.leads(*vm)).collect();
+        for vm in leaders {
+            for _ in 0..3 {
+                self.world.step(vm, event::Event::HeartbeatDue);
+            }
+        }
+    }
+
+    /// Delivers messages among these VMs until there is none, then loses the others.
+    fn settle(&mut self, among: &[u32]) {
+        self.deliver(among, |_| true);
+    }
+
+    /// Delivers what belongs to an election, and loses what a new leader sends.
+    fn deliver_votes(&mut self, among: &[u32]) {
+        self.deliver(among, |body| {
+            use sageshed_quorum::message::Body;
+            matches!(body, Body::Vote(_) | Body::VoteReply { .. })
+        });
+    }
+
+    fn deliver(&mut self, among: &[u32], what: fn(&sageshed_quorum::message::Body) -> bool) {
+        loop {
+            let mut network = self.world.network.iter();
+            let next = network.find(|(_, envelope)| {
+                let (from, to) = (envelope.from.vm, envelope.message.to.vm);
+                among.contains(&from) && among.contains(&to) && what(&envelope.message.body)
+            });
+            let Some((digest, _)) = next else {
+                break;
+            };
+            let digest = *digest;
+            self.world.deliver(digest, false);
+        }
+        self.world.lose_messages();
+    }
+}
--- /dev/null
+++ b/spec/src/log/world.rs
@@ -0,0 +1,395 @@
+//! VMs with nodes of the log, their disks and the messages between them.
+//!
+//! The clock stands still: timers are raised by the checker, as [`event::Event::ElectionTimeout`]
+//! and its kin allow. A message under way may be delivered at any time, in any order, or never; it
+//! is delivered once, unless there is a copy to spend. Left out, which only makes fewer things
+//! happen: answers to heartbeats (they serve reads and the clock), heartbeats that commit nothing,
+//! messages of a term that the receiver has left behind (unless they come from one who still leads
+//! in it), and messages that would change nothing. Snapshots are not made.
+
+use std::{
+    collections, fmt,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync,
+};
+
+use sageshed_quorum::{config, event, log, message, node, status};
+use sageshed_types::time;
+
+/// The clock of every node, always.
+const NOW: time::Instant = time::Instant(0);
+
+/// A message under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Envelope {
+    /// Who sent it.
+    pub from: log::NodeId,
+    /// The message.
+    pub message: message::Message,
+}
+
+impl fmt::Display for Envelope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { from, message } = self;
+        write!(f, "{from} -> {}: term {}, ", message.to, message.term)?;
+        match &message.body {
+            message::Body::Append {
+                prev,
+                entries,
+                commit,
+            } => {
+                write!(f, "append after {}/{} ", prev.index, prev.term)?;
+                for entry in entries {
+                    write!(f, "[{}] ", Shown(entry))?;
+                }
+                write!(f, "commit {commit}")
+            }
+            body => write!(f, "{body:?}"),
+        }
+    }
+}
+
+/// An entry in a few characters.
+pub struct Shown<'e>(pub &'e log::Entry);
+
+impl fmt::Debug for Shown<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for Shown<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self(entry) = self;
+        write!(f, "{}/{} ", entry.index, entry.term)?;
+        match &entry.data {
+            log::EntryData::Noop => write!(f, "noop"),
+            log::EntryData::Command(bytes) => write!(f, "command {bytes:?}"),
+            log::EntryData::Membership(members) => {
+                let voters: Vec<_> = members.voters.iter().map(ToString::to_string).collect();
+                write!(f, "voters {}", voters.join(" "))
+            }
+        }
+    }
+}
+
+/// A VM.
+#[derive(Debug, Clone)]
+pub struct Vm {
+    /// Its process.
+    pub node: sync::Arc<node::Node>,
+    /// What is synced. Between two steps it holds all that the node does but its commit index.
+    pub disk: sync::Arc<log::Restored>,
+}
+
+/// What was once promised, and whether it was kept.
+#[derive(Debug, Clone, Default, Hash)]
+pub struct Promises {
+    /// Each entry that some node applied, with the term in which it was first known as committed.
+    pub committed: Vec<(log::Entry, log::Term)>,
+    /// Who led in each term.
+    pub leaders: collections::BTreeMap<log::Term, log::NodeId>,
+    /// Terms whose leader stepped down.
+    pub stepped_down: collections::BTreeSet<log::Term>,
+    /// What was broken.
+    pub broken: Option<String>,
+}
+
+impl Promises {
+    fn apply(&mut self, node: &node::Node, entries: Vec<log::Entry>) {
+        for entry in entries {
+            let at = usize::try_from(entry.index.0).unwrap_or(usize::MAX) - 1;
+            match self.committed.get(at) {
+                None => self.committed.push((entry, node.status().term)),
+                Some((known, _)) if *known == entry => {}
+                Some((known, _)) => {
+                    let (known, entry) = (Shown(known), Shown(&entry));
+                    let id = node.id();
+                    self.broken =
+                        Some(format!("{id} applies [{entry}], and [{known}] was applied"));
+                }
+            }
+        }
+    }
+
+    /// `log` is what the new leader holds.
+    fn lead(&mut self, id: log::NodeId, term: log::Term, log: &[log::Entry]) {
+        if let Some(other) = self.leaders.insert(term, id)
+            && other != id
+        {
+            self.broken = Some(format!("{other} and {id} both lead in term {term}"));
+        }
+        let earlier = self.committed.iter().filter(|(_, known)| *known < term);
+        for (entry, known) in earlier {
+            let at = usize::try_from(entry.index.0).unwrap_or(usize::MAX) - 1;
+            if log.get(at) != Some(entry) {
+                let entry = Shown(entry);
+                self.broken = Some(format!(
+                    "{id} leads in term {term} without [{entry}], committed in term {known}"
+                ));
+            }
+        }
+    }
+}
+
+/// All VMs and what is between them.
+#[derive(Debug, Clone)]
+pub struct World {
+    /// By VM number less one.
+    pub vms: Vec<Vm>,
+    /// By digest, so that one order of sending is as good as another.
+    pub network: collections::BTreeMap<u64, sync::Arc<Envelope>>,
+    /// What must be kept.
+    pub promises: Promises,
+    /// VMs that are cut off from the others, but not from each other.
+    pub apart: sync::Arc<[u32]>,
+    settings: sync::Arc<Settings>,
+}
+
+/// What all VMs share.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Guards that are in.
+    pub guards: config::Guards,
+    /// One entry in each message, which lets more happen between them.
+    pub one_entry: bool,
+    /// The voters at the first start.
+    pub voters: log::Membership,
+}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        for vm in &self.vms {
+            vm.node.id().hash(hasher);
+            vm.node.state().hash(hasher);
+        }
+        for digest in self.network.keys() {
+            digest.hash(hasher);
+        }
+        self.promises.hash(hasher);
+    }
+}
+
+/// Up to where a step is carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Until {
+    End,
+    /// The process ends just before it would write.
+    Write,
+}
+
+impl World {
+    /// A group of VMs numbered from one. The voters have disks with the membership on them, others
+    /// empty ones.
+    #[must_use]
+    pub fn new(vms: u32, settings: Settings) -> Self {
+        let settings = sync::Arc::new(settings);
+        let vms = (1..=vms).map(|vm| {
+            let id = log::NodeId { vm, generation: 1 };
+            let voter = settings.voters.voters.contains(&id);
+            let membership = if voter {
+                settings.voters.clone()
+            } else {
+                log::Membership::default()
+            };
+            let disk = log::Restored {
+                membership,
+                ..log::Restored::default()
+            };
+            Vm {
+                node: sync::Arc::new(start(id, disk.clone(), &settings)),
+                disk: sync::Arc::new(disk),
+            }
+        });
+        Self {
+            vms: vms.collect(),
+            network: collections::BTreeMap::new(),
+            promises: Promises::default(),
+            apart: sync::Arc::default(),
+            settings,
+        }
+    }
+
+    /// The status of a VM's node.
+    #[must_use]
+    pub fn status(&self, vm: u32) -> status::Status {
+        self.vms[place(vm)].node.status()
+    }
+
+    /// Whether this VM's node leads.
+    #[must_use]
+    pub fn leads(&self, vm: u32) -> bool {
+        self.status(vm).role == status::Role::Leader
+    }
+
+    /// Hands `event` to the node of `vm` and carries out what it says.
+    pub fn step(&mut self, vm: u32, event: event::Event) {
+        self.step_until(vm, event, Until::End);
+    }
+
+    /// As [`Self::step`], but the process ends before its write and starts again from its disk.
+    /// None if nothing would have left it before: then it is like a crash before the event.
+    #[must_use]
+    pub fn crash_in(&self, vm: u32, event: event::Event) -> Option<Self> {
+        if self.settings.guards.sync {
+            return None;
+        }
+        let mut next = self.clone();
+        next.step_until(vm, event, Until::Write);
+        next.restart(vm);
+        Some(next)
+    }
+
+    /// Delivers the message with this digest, and takes it off the network unless `keep`. Whether
+    /// it changed anything.
+    pub fn deliver(&mut self, digest: u64, keep: bool) -> bool {
+        let Some(envelope) = self.network.get(&digest).cloned() else {
+            return false;
+        };
+        if !keep {
+            self.network.remove(&digest);
+        }
+        let vm = envelope.message.to.vm;
+        let before = sync::Arc::clone(&self.vms[place(vm)].node);
+        let sent = self.network.len();
+        self.step(vm, event_of(&envelope));
+        *before.state() != *self.vms[place(vm)].node.state() || self.network.len() != sent
+    }
+
+    /// The process of `vm` ends and starts again from its disk.
+    pub fn restart(&mut self, vm: u32) {
+        let settings = sync::Arc::clone(&self.settings);
+        let vm = &mut self.vms[place(vm)];
+        let disk = log::Restored::clone(&vm.disk);
+        vm.node = sync::Arc::new(start(vm.node.id(), disk, &settings));
+        self.prune();
+    }
+
+    /// `vm` loses its disk and starts under the next generation. Without that guard it takes the
+    /// membership from its settings, as at the first start, and so its old name.
+    pub fn lose_disk(&mut self, vm: u32) {
+        let settings = sync::Arc::clone(&self.settings);
+        let vm = &mut self.vms[place(vm)];
+        let mut id = vm.node.id();
+        id.generation += 1;
+        let mut disk = log::Restored::default();
+        if !settings.guards.generation {
+            disk.membership = settings.voters.clone();
+        }
+        vm.node = sync::Arc::new(start(id, disk.clone(), &settings));
+        vm.disk = sync::Arc::new(disk);
+        self.prune();
+    }
+
+    /// Forgets all messages under way: they are lost.
+    pub fn lose_messages(&mut self) {
+        self.network.clear();
+    }
+
+    fn step_until(&mut self, vm: u32, event: event::Event, until: Until) {
+        let mut node = node::Node::clone(&self.vms[place(vm)].node);
+        let actions = node.step(NOW, event);
+        let id = node.id();
+        self.vms[place(vm)].node = sync::Arc::new(node);
+        for action in actions {
+            match action {
+                event::Action::Persist(_) if until == Until::Write => return,
+                event::Action::Persist(write) => self.persist(vm, write),
+                event::Action::Send { message, .. } => self.send(id, message),
+                event::Action::Apply(entries) => {
+                    let node = sync::Arc::clone(&self.vms[place(vm)].node);
+                    self.promises.apply(&node, entries);
+                }
+                event::Action::BecameLeader { term } => {
+                    let disk = sync::Arc::clone(&self.vms[place(vm)].disk);
+                    self.promises.lead(id, term, &disk.entries);
+                }
+                event::Action::SteppedDown { term } => {
+                    self.promises.stepped_down.insert(term);
+                }
+                _ => {}
+            }
+        }
+        self.prune();
+    }
+
+    fn persist(&mut self, vm: u32, write: log::Write) {
+        let disk = sync::Arc::make_mut(&mut self.vms[place(vm)].disk);
+        if let Some(hard_state) = write.hard_state {
+            disk.hard_state = hard_state;
+        }
+        if let Some(from) = write.truncate_from {
+            disk.entries.retain(|entry| entry.index < from);
+        }
+        disk.entries.extend(write.entries);
+    }
+
+    fn send(&mut self, from: log::NodeId, message: message::Message) {
+        let idle = match &message.body {
+            message::Body::HeartbeatReply { .. } => true,
+            message::Body::Heartbeat { commit, .. } => commit.0 == 0,
+            _ => false,
+        };
+        let apart = |id: log::NodeId| self.apart.contains(&id.vm);
+        if idle || apart(from) != apart(message.to) {
+            return;
+        }
+        let envelope = Envelope { from, message };
+        let mut hasher = DefaultHasher::new();
+        envelope.hash(&mut hasher);
+        self.network
+            .insert(hasher.finish(), sync::Arc::new(envelope));
+    }
+
+    /// Takes off what can have no effect any more.
+    fn prune(&mut self) {
+        let vms = &self.vms;
+        self.network.retain(|_, envelope| {
+            let message = &envelope.message;
+            let Some(vm) = vms.get(place(message.to.vm)) else {
+                return false;
+            };
+            let status = vm.node.status();
+            let pre_vote = matches!(message.body, message::Body::PreVoteReply { .. });
+            // Such a message tells a leader that its term is over, by the answer to it.
+            let sender = vms.get(place(envelope.from.vm)).map(|vm| vm.node.status());
+            let from_leader = sender.is_some_and(|sender| {
+                sender.role == status::Role::Leader && sender.term == message.term
+            });
+            let current = pre_vote || from_leader || message.term >= status.term;
+            let waits = match message.body {
+                message::Body::PreVoteReply { .. } => status.role == status::Role::PreCandidate,
+                message::Body::VoteReply { .. } => {
+                    message.term > status.term || status.role == status::Role::Candidate
+                }
+                message::Body::Accepted { .. } | message::Body::Rejected { .. } => {
+                    message.term > status.term || status.role == status::Role::Leader
+                }
+                _ => true,
+            };
+            waits && current && message.to == vm.node.id()
+        });
+    }
+}
+
+/// The event that delivers a message.
+#[must_use]
+pub fn event_of(envelope: &Envelope) -> event::Event {
+    event::Event::Message {
+        from: envelope.from,
+        message: envelope.message.clone(),
+    }
+}
+
+fn place(vm: u32) -> usize {
+    vm as usize - 1
+}
+
+fn start(id: log::NodeId, disk: log::Restored, settings: &Settings) -> node::Node {
+    let mut cfg = config::Config::new(id);
+    cfg.guards = settings.guards;
+    if settings.one_entry {
+        cfg.max_batch_bytes = 0;
+    }
+    node::Node::new(cfg, disk, u64::from(id.vm))
+}
--- /dev/null
+++ b/spec/src/run.rs
@@ -0,0 +1,222 @@
+//! The command line, and the table of all specifications that it and the tests go by.
+
+use sageshed_quorum::config;
+
+use crate::{claims, explore, log};
+
+/// One specification with the guards that can be taken out.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// Guards without which its promise breaks.
+    pub needed: &'static [&'static str],
+    /// Guards that its promise does not rest on.
+    pub spare: &'static [&'static str],
+    /// The bound of a run on the command line.
+    pub bound: explore::Bound,
+    explore: fn(Option<&str>, explore::Bound) -> Option<explore::Report>,
+}
+
+impl Entry {
+    /// Explores, without the guard called `without` if one is named. None if there is no such guard.
+    #[must_use]
+    pub fn explore(&self, without: Option<&str>, bound: explore::Bound) -> Option<explore::Report> {
+        (self.explore)(without, bound)
+    }
+}
+
+const fn bound(depth: usize, states: usize) -> explore::Bound {
+    explore::Bound { depth, states }
+}
+
+fn log(
+    scenario: fn(config::Guards) -> log::Scenario,
+    without: Option<&str>,
+    bound: explore::Bound,
+) -> Option<explore::Report> {
+    let guards = log::scenarios::without(without)?;
+    Some(explore::explore(&scenario(guards), bound))
+}
+
+/// All specifications.
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "log-elections",
+        needed: &["sync"],
+        spare: &["check_quorum"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::elections, without, bound),
+    },
+    Entry {
+        name: "log-bare-elections",
+        needed: &["sync"],
+        spare: &["pre_vote", "stickiness"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::bare_elections, without, bound),
+    },
+    Entry {
+        name: "log-lagging",
+        needed: &["generation", "up_to_date"],
+        spare: &["pre_vote", "stickiness", "check_quorum"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::lagging, without, bound),
+    },
+    Entry {
+        name: "log-bare-lagging",
+        needed: &["generation", "up_to_date"],
+        spare: &[],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::bare_lagging, without, bound),
+    },
+    Entry {
+        name: "log-repair",
+        needed: &[],
+        spare: &["caught_up"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::repair, without, bound),
+    },
+    Entry {
+        name: "log-second-loss",
+        needed: &[],
+        spare: &["caught_up"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::second_loss, without, bound),
+    },
+    Entry {
+        name: "log-old-entry",
+        needed: &["own_term_commit"],
+        spare: &[],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::old_entry, without, bound),
+    },
+    Entry {
+        name: "log-two-changes",
+        needed: &["single_change"],
+        spare: &[],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::two_changes, without, bound),
+    },
+    Entry {
+        name: "log-two-leaders",
+        needed: &["own_term_change"],
+        spare: &[],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::two_leaders, without, bound),
+    },
+    Entry {
+        name: "log-cut-off",
+        needed: &["pre_vote", "stickiness"],
+        spare: &["check_quorum"],
+        bound: bound(40, 400_000),
+        explore: |without, bound| log(log::scenarios::cut_off, without, bound),
+    },
+    Entry {
+        name: "claims",
+        needed: &[
+            "gone_is_unknown",
+            "no_expiry",
+            "wait",
+            "told_is_final",
+            "send_once",
+            "grant_age",
+            "incarnation",
+        ],
+        spare: &[],
+        bound: bound(40, 2_000_000),
+        explore: |without, bound| {
+            let guards = claims::Guards::without(without)?;
+            let arrivals = 2;
+            Some(explore::explore(
+                &claims::Claims { guards, arrivals },
+                bound,
+            ))
+        },
+    },
+    Entry {
+        name: "claims-three",
+        needed: &[],
+        spare: &[],
+        bound: bound(40, 2_000_000),
+        explore: |without, bound| {
+            let guards = claims::Guards::without(without)?;
+            let arrivals = 3;
+            Some(explore::explore(
+                &claims::Claims { guards, arrivals },
+                bound,
+            ))
+        },
+    },
+];
+
+/// The specification called `name`.
+#[must_use]
+pub fn find(name: &str) -> Option<&'static Entry> {
+    ALL.iter().find(|entry| entry.name == name)
+}
+
+/// What the command line asks for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Options {
+    /// Which specification; all if none is named.
+    pub name: Option<String>,
+    /// The guard to take out.
+    pub without: Option<String>,
+    /// Another bound of depth.
+    pub depth: Option<usize>,
+    /// Another bound of states.
+    pub states: Option<usize>,
+}
+
+impl Options {
+    /// Reads the arguments after the program's name. The error is for people.
+    pub fn read(mut args: impl Iterator<Item = String>) -> Result<Self, String> {
+        let mut options = Self::default();
+        while let Some(arg) = args.next() {
+            let mut value = || args.next().ok_or(format!("{arg} needs a value"));
+            match arg.as_str() {
+                "--without" => options.without = Some(value()?),
+                "--depth" => options.depth = Some(number(&value()?)?),
+                "--states" => options.states = Some(number(&value()?)?),
+                name => options.name = Some(name.to_owned()),
+            }
+        }
+        Ok(options)
+    }
+
+    /// Explores what is asked for and passes each result on as text.
+    pub fn run(&self, mut print: impl FnMut(&str)) -> Result<(), String> {
+        let named = |entry: &&Entry| self.name.as_deref().is_none_or(|name| name == entry.name);
+        let entries: Vec<_> = ALL.iter().filter(named).collect();
+        if entries.is_empty() {
+            return Err(usage());
+        }
+        for entry in entries {
+            let bound = explore::Bound {
+                depth: self.depth.unwrap_or(entry.bound.depth),
+                states: self.states.unwrap_or(entry.bound.states),
+            };
+            let without = self.without.as_deref();
+            let report = entry.explore(without, bound);
+            let report = report.ok_or_else(|| format!("{}: no such guard", entry.name))?;
+            let guard = without.map_or(String::new(), |guard| format!(" without {guard}"));
+            print(&format!("{}{guard}: {report}", entry.name));
+        }
+        Ok(())
+    }
+}
+
+fn number(text: &str) -> Result<usize, String> {
+    text.parse()
+        .map_err(|e| format!("{text} is no number: {e}"))
+}
+
+fn usage() -> String {
+    let mut text =
+        "usage: sageshed-spec [NAME] [--without GUARD] [--depth N] [--states N]\n".to_owned();
+    for entry in ALL {
+        let guards: Vec<_> = entry.needed.iter().chain(entry.spare).copied().collect();
+        text += &format!("  {} (guards: {})\n", entry.name, guards.join(", "));
+    }
+    text
+}
