--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -8,12 +8,11 @@
 use derive_more::{Display, Error, From};
 use sageshed_disk::{error as disk, folder, vacant};
 use sageshed_engines::{client, transport};
-use sageshed_quorum::{config, log, node, status};
+use sageshed_quorum::{config, log, node};
 use sageshed_state::control;
-use sageshed_types::{endpoints, messages, rules};
 
-use super::{driver, formation, inputs, links, operators, placing, roster, shared, vms};
-use crate::{clock, context, directory, locks, settings};
+use super::{driver, formation, inputs, links, operators, placing, shared, vms};
+use crate::{clock, context, locks, settings};
 
 /// Threads that take calls of other processes. A claim holds one until it is committed.
 const VMS_THREADS: usize = 64;
@@ -161,7 +160,7 @@
         options: Options,
         node: log::NodeId,
     ) -> Result<Self, StartError> {
-        let shared = sync::Arc::new(publish(settings, options, node));
+        let shared = sync::Arc::new(shared::Shared::new(settings, options.new_group, node));
         let client = sageshed_vms::Client::new(&shared.settings.common.vms_token);
         let (inputs, rx) = inputs::Inputs::new();
         let (placing_tx, placing_rx) = mpsc::channel();
@@ -350,52 +349,6 @@
     }
 }
 
-fn publish(settings: settings::Control, options: Options, node: log::NodeId) -> shared::Shared {
-    let incarnation = endpoints::Incarnation(clock::unix_ms());
-    let process = messages::Process {
-        vm: settings.vm.name.clone(),
-        role: messages::Role::Control,
-        incarnation,
-    };
-    shared::Shared {
-        process,
-        clock: clock::Clock::start(),
-        node,
-        state: sync::RwLock::new(control::ControlState::default()),
-        view: sync::RwLock::new(shared::View {
-            status: outside(node),
-            voters: Vec::new(),
-            required: rules::Revision::default(),
-            committed: std::collections::BTreeMap::new(),
-            disk_full: false,
-        }),
-        roster: sync::RwLock::new(roster::Roster::default()),
-        directory: sync::Mutex::new(directory::Directory::new(incarnation)),
-        models: sync::RwLock::new(Vec::new()),
-        formed: sync::RwLock::new(Vec::new()),
-        forming: options.new_group,
-        settled: atomic::AtomicBool::new(false),
-        stopping: atomic::AtomicBool::new(false),
-        settings,
-    }
-}
-
-/// The status of a node before its log is running.
-fn outside(id: log::NodeId) -> status::Status {
-    status::Status {
-        id,
-        role: status::Role::Outside,
-        term: log::Term::default(),
-        leader: None,
-        commit: log::Index::default(),
-        last: log::Index::default(),
-        snapshot: log::Index::default(),
-        membership: log::Membership::default(),
-        matched: std::collections::BTreeMap::new(),
-        quorum_until: None,
-    }
-}
-
 fn tokens(common: &settings::Common) -> sageshed_operators::tokens::Tokens {
     let none = sageshed_operators::tokens::Tokens::default();
     common
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -62,6 +62,29 @@
 }
 
 impl View {
+    /// Of a node before its log is running.
+    fn outside(id: log::NodeId) -> Self {
+        let status = status::Status {
+            id,
+            role: status::Role::Outside,
+            term: log::Term::default(),
+            leader: None,
+            commit: log::Index::default(),
+            last: log::Index::default(),
+            snapshot: log::Index::default(),
+            membership: log::Membership::default(),
+            matched: collections::BTreeMap::new(),
+            quorum_until: None,
+        };
+        Self {
+            status,
+            voters: Vec::new(),
+            required: rules::Revision::default(),
+            committed: collections::BTreeMap::new(),
+            disk_full: false,
+        }
+    }
+
     /// Notes that `revision` is committed.
     pub fn note_commit(&mut self, revision: rules::Revision, now: time::Instant) {
         self.committed.entry(revision).or_insert(now);
@@ -72,6 +95,33 @@
 }
 
 impl Shared {
+    /// What a process with these settings starts with, before its log runs. `forming` says that it
+    /// was started to form a new group.
+    #[must_use]
+    pub fn new(settings: settings::Control, forming: bool, node: log::NodeId) -> Self {
+        let incarnation = endpoints::Incarnation(clock::unix_ms());
+        let process = messages::Process {
+            vm: settings.vm.name.clone(),
+            role: messages::Role::Control,
+            incarnation,
+        };
+        Self {
+            process,
+            clock: clock::Clock::start(),
+            node,
+            state: sync::RwLock::new(control::ControlState::default()),
+            view: sync::RwLock::new(View::outside(node)),
+            roster: sync::RwLock::new(roster::Roster::default()),
+            directory: sync::Mutex::new(directory::Directory::new(incarnation)),
+            models: sync::RwLock::new(Vec::new()),
+            formed: sync::RwLock::new(Vec::new()),
+            forming,
+            settled: atomic::AtomicBool::new(false),
+            stopping: atomic::AtomicBool::new(false),
+            settings,
+        }
+    }
+
     /// The name of the VM with this number.
     #[must_use]
     pub fn vm_name(&self, number: u32) -> Option<&str> {
