--- a/src/sageshed/control/formation.rs
+++ b/src/sageshed/control/formation.rs
@@ -49,7 +49,8 @@
 /// One that has joined was not there when the group was formed, and names the voters of today. If it
 /// named none, then with all that were there gone one after another, and `--new-group` in all service
 /// files, the first VM to lose its disk would take the members of the group for processes that wait
-/// for one, and found another with them in which nobody answers.
+/// for one. It would write down a membership that nobody had agreed on, and vote and grant by it until
+/// the leader has added it.
 #[must_use]
 pub fn hello(shared: &shared::Shared) -> messages::Hello {
     let mut formed = locks::read(&shared.formed).clone();
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -14,9 +14,6 @@
 use super::{driver, formation, inputs, links, operators, placing, shared, vms};
 use crate::{clock, context, locks, settings};
 
-/// Threads that take calls of other processes. A claim holds one until it is committed.
-const VMS_THREADS: usize = 64;
-
 /// Connections of operators that are open at once.
 const OPERATORS_CONNECTIONS: usize = 64;
 
@@ -168,13 +165,14 @@
             shared: sync::Arc::clone(&shared),
             inputs: inputs.clone(),
             placing: placing_tx.clone(),
+            waiting: atomic::AtomicUsize::new(0),
         };
         let listen = shared.settings.listen;
         let token = &shared.settings.common.vms_token;
         let vms = sageshed_vms::Server::start(
             &listen.vms.to_string(),
             token,
-            VMS_THREADS,
+            vms::THREADS,
             sync::Arc::new(port),
         )?;
         let desk = operators::Desk {
@@ -324,6 +322,7 @@
             }),
             tx: self.placing_tx.clone(),
             rx,
+            restart: false,
         };
         let spawned = thread::Builder::new()
             .name("placing".to_owned())
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -1,6 +1,6 @@
 //! The port for the system's other processes.
 
-use std::sync::{self, mpsc};
+use std::sync::{self, atomic, mpsc};
 
 use sageshed_quorum::log;
 use sageshed_state::command;
@@ -9,11 +9,22 @@
 
 use super::{
     formation,
-    inputs::{self, Fate, Input},
+    inputs::{self, Fate, Input, NotDone},
     placing, roster, shared,
 };
 use crate::{directory, locks};
 
+/// Connections of other processes that are open at once, each with a thread that takes its calls.
+pub const THREADS: usize = 1_024;
+
+/// Calls that may wait for a commit at once.
+///
+/// Each holds a thread until its command is committed, and a command is committed when the other
+/// members' acknowledgements come in, through the same threads. With all of them waiting nothing is
+/// committed until the first gives up, and heartbeats are not answered either. So some stay free, and
+/// a call past the bound is told to come again.
+const WAITING: usize = THREADS * 3 / 4;
+
 /// Takes calls of other processes.
 #[derive(Debug)]
 pub struct Port {
@@ -23,6 +34,8 @@
     pub inputs: inputs::Inputs,
     /// To the placing thread.
     pub placing: mpsc::Sender<placing::Input>,
+    /// How many calls wait for a commit.
+    pub waiting: atomic::AtomicUsize,
 }
 
 impl sageshed_vms::Handler for Port {
@@ -146,7 +159,7 @@
     }
 
     fn claim(&self, claim: claims::Claim) -> messages::Routed<claims::ClaimOutcome> {
-        match self.inputs.commit(command::Command::Claim(claim)) {
+        match self.commit(command::Command::Claim(claim)) {
             Fate::Applied(Some(outcome)) => match *outcome {
                 command::Outcome::Claim(outcome) => messages::Routed::Done(outcome),
                 // Its holder gave it back before, or a later start of it is known.
@@ -157,12 +170,24 @@
     }
 
     fn settle(&self, settle: claims::Settle) -> messages::Routed<()> {
-        match self.inputs.commit(command::Command::Settle(settle)) {
+        match self.commit(command::Command::Settle(settle)) {
             Fate::Applied(_) => messages::Routed::Done(()),
             other => self.routed(&other),
         }
     }
 
+    /// Has a command committed, unless too many calls wait for theirs.
+    fn commit(&self, command: command::Command) -> Fate {
+        let before = self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
+        let fate = if before < WAITING {
+            self.inputs.commit(command)
+        } else {
+            Fate::NotDone(NotDone::Busy)
+        };
+        self.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        fate
+    }
+
     fn routed<T>(&self, fate: &Fate) -> messages::Routed<T> {
         match fate {
             Fate::NotDone(_) => messages::Routed::NotLeader {
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -196,6 +196,11 @@
         self.vms[vm].entry
     }
 
+    /// Where the other processes reach a control process.
+    pub fn control(&self, vm: usize) -> net::SocketAddr {
+        self.vms[vm].control
+    }
+
     /// Where operators reach a control process.
     pub fn operators(&self, vm: usize) -> String {
         format!("http://{}", self.vms[vm].operators)
@@ -289,6 +294,22 @@
             .unwrap()
     }
 
+    /// Waits until a process has ended by itself, and gives its exit status.
+    pub fn wait_ended(&mut self, role: messages::Role, vm: usize) -> process::ExitStatus {
+        let end = time::Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.ended(role, vm) {
+                return status;
+            }
+            assert!(
+                time::Instant::now() < end,
+                "it does not end\n{}",
+                self.logs()
+            );
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
     /// The data folder of a control process.
     pub fn data(&self, vm: usize) -> path::PathBuf {
         self.dir.join(format!("data-{vm}"))
--- a/tests/testsuite/control_disk.rs
+++ b/tests/testsuite/control_disk.rs
@@ -86,9 +86,9 @@
 }
 
 /// Over the years every control VM loses its disk once and is repaired, with `--new-group` left in
-/// the service files. Then the first loses it again. None of the others was there when the group was
-/// formed, and all look as if they wanted to form one. The VM must join the group that there is, and
-/// not take the three for the beginning of another, with which it would wait for ever.
+/// the service files. When the first one loses it, neither of the others was there when the group was
+/// formed, and both were started to form one. The VM must join the group that there is. It took the
+/// two for processes that wait for a group, and wrote down one that nobody had agreed on.
 #[test]
 fn every_disk_is_lost_once_and_the_first_again() {
     let mut cluster = cluster::Cluster::start(cluster::Plan::default());
@@ -104,6 +104,9 @@
         });
         let revision = operator::accept(&client, &format!("round-{round}"));
         assert_eq!(revision, rules::Revision(round as u64 + 1));
+        let formed = cluster.log("control", vm);
+        let formed = formed.matches("control: group formed").count();
+        assert_eq!(formed, 1, "VM {vm} formed a group again");
     }
 }
 
--- a/tests/testsuite/control_kill.rs
+++ b/tests/testsuite/control_kill.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic, thread, time};
 
-use sageshed_types::{messages, rules};
+use sageshed_types::{claims, endpoints, messages, rules, time as types_time};
 
 use crate::{cluster, operator, watch};
 
@@ -95,3 +95,54 @@
     });
     watch.finish();
 }
+
+/// Entry processes ask for many claims at once. Each waits at the leader for the other members'
+/// acknowledgements, and these came in behind the claims: nothing was committed until the first
+/// claims gave up, with their outcome open, and heartbeats were not answered meanwhile.
+#[test]
+fn many_claims_at_once_do_not_keep_acknowledgements_out() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default());
+    let address = cluster.control(cluster.leader()).to_string();
+    let open = atomic::AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for nth in 0..200 {
+            let (address, open) = (&address, &open);
+            scope.spawn(move || claim(address, nth, open));
+        }
+    });
+    let open = open.into_inner();
+    assert_eq!(open, 0, "claims were left open");
+}
+
+/// Asks for a claim until it is granted, and counts the answers that leave it open.
+fn claim(address: &str, nth: usize, open: &atomic::AtomicUsize) {
+    let claim = claims::Claim {
+        key: claims::ClaimKey {
+            caller: "alpha".to_owned(),
+            key: format!("key-{nth}"),
+        },
+        holder: claims::Holder {
+            vm: cluster::vm_name(0),
+            incarnation: endpoints::Incarnation(u64::MAX),
+            request_id: format!("vm1.0.{nth}"),
+        },
+        digest: 1,
+        retention: types_time::Millis(60_000),
+    };
+    let client = sageshed_vms::Client::new("");
+    let limit = time::Duration::from_secs(10);
+    loop {
+        let answer: messages::Routed<claims::ClaimOutcome> = client
+            .call(address, messages::paths::CLAIM, &claim, limit)
+            .unwrap();
+        match answer {
+            messages::Routed::Done(_) => return,
+            messages::Routed::NotLeader { .. } => {
+                thread::sleep(time::Duration::from_millis(20));
+            }
+            messages::Routed::Unknown => {
+                open.fetch_add(1, atomic::Ordering::Relaxed);
+            }
+        }
+    }
+}
