Prove the request path with real processes under failure, and mend what failed

Drove entry processes with killed, cut, stalled, late and swapped answers, lost connections, leaving and crashing endpoints, shutdown, bad input and overload. Nine modules in tests/testsuite. What failed, and what was done:

- A retry under an idempotency key, refused before its claim was asked for (no route, full queue, a rule, no quorum), was told "not run" although an earlier try had run.
Seen with an entry process that was killed and started anew.
A key names the request over its retries, so such a refusal now looks for the claim first, and says "may have run" if nobody can tell.
A request without a key is told "not run" as before.
Ruled out: asking the other entry processes, which may be the ones that died.
- A stream that had passed tokens on and whose resume met a refused connection ended as "not run", and its claim was given back: a retry ran it again.
The verdicts of the two are now joined.
- The content of a keyed call did not include the service's name: the same key and body at another service got the first one's answer.
- A plain service was sent the engines' cancellation, a POST of its own to it.
- Dropping the port of the other processes waits for a second without a heartbeat, which never comes: a process told to stop stayed for good.
It is not dropped any more at the end.
- Cancellations are bounded in number and age: behind silent engines they piled up.
- A stream whose caller left while its engine stalled was ended as the engine's failure alone; the run is cancelled now.

The claim of a request moved out of request.rs into claiming.rs. The load tool reads the account in the last event of a broken stream, one level down, and stand-ins can announce the address of a relay. The test of the whole path waits for each entry process to know the endpoints: it asked the second one without, and failed once here.

--- a/crates/sageshed-test-support/src/config.rs
+++ b/crates/sageshed-test-support/src/config.rs
@@ -67,6 +67,9 @@
     /// Where it listens; port 0 lets the system choose.
     #[serde(default = "local_any")]
     pub address: String,
+    /// Where it says that it listens, if that is not where it does: a relay in front of it.
+    #[serde(default)]
+    pub announced: Option<String>,
     /// Engine or service: `kind = { engine = { pool = "p", memory_mib = 1, accelerators = 1 } }`.
     pub kind: endpoints::Kind,
     /// Requests that it runs at once.
@@ -159,6 +162,7 @@
             name: name.to_owned(),
             availability_zone: "zone".to_owned(),
             address: local_any(),
+            announced: None,
             kind,
             slots: default_slots(),
             tokens_per_second: default_rate(),
--- a/crates/sageshed-test-support/src/endpoint.rs
+++ b/crates/sageshed-test-support/src/endpoint.rs
@@ -160,7 +160,11 @@
         endpoints::Identity {
             endpoint: self.cfg.name.clone(),
             incarnation: endpoints::Incarnation(state.incarnation),
-            address: self.address.to_string(),
+            address: self
+                .cfg
+                .announced
+                .clone()
+                .unwrap_or_else(|| self.address.to_string()),
             availability_zone: self.cfg.availability_zone.clone(),
             kind,
             slots: self.cfg.slots,
--- a/crates/sageshed-test-support/src/load/client.rs
+++ b/crates/sageshed-test-support/src/load/client.rs
@@ -220,9 +220,14 @@
         })
 }
 
-/// The account in a refusal, or in the last event of a stream that failed.
+/// The account in a refusal, or in the last event of a stream that failed, which has it one level
+/// down.
 fn account(body: &serde_json::Value) -> Option<End> {
-    let reason = body["reason"].as_str()?.to_owned();
-    let verdict = body["verdict"].as_str()?.to_owned();
+    let account = match body["reason"] {
+        serde_json::Value::Null => &body["error"],
+        _ => body,
+    };
+    let reason = account["reason"].as_str()?.to_owned();
+    let verdict = account["verdict"].as_str()?.to_owned();
     Some(End::Refused { reason, verdict })
 }
--- a/src/sageshed/entry/completion.rs
+++ b/src/sageshed/entry/completion.rs
@@ -261,8 +261,11 @@
         let Some(run) = self.run.clone() else {
             return Err(Broken::Engine(e));
         };
+        if self.stream.caller_gone() {
+            return Err(Broken::CallerGone);
+        }
         let silent = matches!(e.fault, fault::Fault::Stalled | fault::Fault::Cut);
-        if !silent || self.resumes >= RESUMES || self.stream.caller_gone() {
+        if !silent || self.resumes >= RESUMES {
             return Err(Broken::Engine(e));
         }
         self.resumes += 1;
@@ -275,7 +278,12 @@
         {
             Ok(client::Streamed::Events { events, .. }) => Ok(events),
             Ok(client::Streamed::Plain(_)) => Err(Broken::Engine(e)),
-            Err(again) => Err(Broken::Engine(again)),
+            // A resume that was refused did not run, and the run that it was to go on with did: said
+            // of the request, `not_run` would be false, and its claim would be given back.
+            Err(again) => Err(Broken::Engine(classify::CallError {
+                verdict: again.verdict.and(e.verdict),
+                ..again
+            })),
         }
     }
 
--- a/src/sageshed/entry/housekeeping.rs
+++ b/src/sageshed/entry/housekeeping.rs
@@ -28,13 +28,48 @@
 /// Threads that send cancellations. A silent endpoint holds one for its limit.
 const CANCELLERS: usize = 4;
 
+/// Cancellations that wait at once. Behind silent engines they pile up; past the bound they are
+/// dropped, which costs those engines' time and no request.
+const CANCEL_QUEUE: usize = 1_024;
+
+/// Age past which a cancellation is not sent: the run is likely over.
+const CANCEL_AGE_LIMIT: time::Duration = time::Duration::from_secs(10);
+
 /// Tells an engine to stop a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Cancel {
-    /// `IP:port` of the engine.
-    pub address: String,
-    /// The run's request.
-    pub request_id: String,
+#[derive(Debug)]
+struct Cancel {
+    address: String,
+    request_id: String,
+    since: time::Instant,
+}
+
+/// Where cancellations are handed in.
+#[derive(Debug, Clone)]
+pub struct Cancels(mpsc::SyncSender<Cancel>);
+
+/// Where they come out again, for [`start_cancellers`].
+#[derive(Debug)]
+pub struct Queued(mpsc::Receiver<Cancel>);
+
+impl Cancels {
+    /// An empty queue.
+    #[must_use]
+    pub fn new() -> (Self, Queued) {
+        let (tx, rx) = mpsc::sync_channel(CANCEL_QUEUE);
+        (Self(tx), Queued(rx))
+    }
+
+    /// Has the engine at `address` told to stop the run of a request.
+    pub fn send(&self, address: String, request_id: String) {
+        let cancel = Cancel {
+            address,
+            request_id,
+            since: time::Instant::now(),
+        };
+        if self.0.try_send(cancel).is_err() {
+            log::warn!("entry: too many cancellations wait, one is dropped");
+        }
+    }
 }
 
 /// Answers that are watched for callers who leave.
@@ -130,8 +165,8 @@
 }
 
 /// Starts the threads that send cancellations.
-pub fn start_cancellers(shared: &sync::Arc<shared::Shared>, rx: mpsc::Receiver<Cancel>) {
-    let rx = sync::Arc::new(sync::Mutex::new(rx));
+pub fn start_cancellers(shared: &sync::Arc<shared::Shared>, queued: Queued) {
+    let rx = sync::Arc::new(sync::Mutex::new(queued.0));
     for _ in 0..CANCELLERS {
         let (shared, rx) = (sync::Arc::clone(shared), sync::Arc::clone(&rx));
         thread::spawn(move || send_cancels(&shared, &rx));
@@ -146,7 +181,11 @@
         let Cancel {
             address,
             request_id,
+            since,
         } = cancel;
+        if since.elapsed() > CANCEL_AGE_LIMIT {
+            continue;
+        }
         if let Err(e) = shared.engines.cancel(&address, &request_id) {
             log::debug!(request = request_id.as_str(), error:% = e; "entry: run not cancelled");
         }
--- a/src/sageshed/entry/mod.rs
+++ b/src/sageshed/entry/mod.rs
@@ -26,6 +26,7 @@
 pub mod vms;
 pub mod waiters;
 
+mod claiming;
 mod run;
 
 pub use run::{StartError, run};
--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -11,21 +11,12 @@
 use sageshed_engines::classify;
 use sageshed_types::{account, arena, claims, fault, refusal, time as types_time, verdict};
 
-use super::{claims as entry_claims, completion, service, shared};
+use super::{completion, service, shared};
 use crate::{clock, locks};
 
 /// How often a request that waits looks whether its caller has left.
 const LOOK: time::Duration = time::Duration::from_millis(50);
 
-/// The longest wait for a claim.
-const CLAIM_LIMIT: time::Duration = time::Duration::from_secs(4);
-
-/// When a caller should ask again about a request that is still running.
-const ASK_AGAIN: types_time::Millis = types_time::Millis(1_000);
-
-/// When a caller should come back after the control group could not record a claim.
-const CLAIM_RETRY: types_time::Millis = types_time::Millis(2_000);
-
 /// What is known of a request besides the decider's facts.
 #[derive(Debug, Clone)]
 pub struct Meta {
@@ -85,11 +76,11 @@
     pub request_id: String,
     /// The idempotency key, if the caller gave one.
     pub idempotency_key: Option<String>,
-    facts: event::Facts,
-    meta: Meta,
+    pub(super) facts: event::Facts,
+    pub(super) meta: Meta,
     rx: mpsc::Receiver<event::Action>,
-    account: account::Account,
-    claim: Option<claims::Claim>,
+    pub(super) account: account::Account,
+    pub(super) claim: Option<claims::Claim>,
     answer: Option<claims::RecordedAnswer>,
     ended: bool,
 }
@@ -147,7 +138,7 @@
     /// Runs it to its end.
     pub fn run(mut self, mut work: Work, mut reply: reply::Reply<'_>) -> reply::Sent {
         if let Some(refusal) = self.shared.unconfirmed() {
-            return self.refuse(reply, refusal);
+            return self.refuse_or_recall(reply, refusal);
         }
         self.shared.step(event::Event::Arrived(self.facts));
         loop {
@@ -168,7 +159,7 @@
                         }
                     }
                 }
-                Next::Refuse(refusal) => return self.refuse(reply, refusal),
+                Next::Refuse(refusal) => return self.refuse_or_recall(reply, refusal),
                 Next::CallerGone => return self.caller_gone(reply),
             }
         }
@@ -328,7 +319,11 @@
         self.end(account::End::CallerGone, end);
     }
 
-    fn refuse(&mut self, reply: reply::Reply<'_>, mut refusal: refusal::Refusal) -> reply::Sent {
+    pub(super) fn refuse(
+        &mut self,
+        reply: reply::Reply<'_>,
+        mut refusal: refusal::Refusal,
+    ) -> reply::Sent {
         if refusal.rule.is_none() && refusal.revision.0 == 0 {
             refusal.revision = locks::lock(&self.shared.config).rules.revision;
         }
@@ -352,85 +347,7 @@
         reply.refusal(&self.request_id, &gone)
     }
 
-    /// Asks the control group for the right to send this request, once.
-    fn ask_claim(&mut self) -> Result<(), Denied> {
-        let key = self
-            .meta
-            .idempotency_key
-            .clone()
-            .unwrap_or_else(|| self.request_id.clone());
-        let claim = claims::Claim {
-            key: claims::ClaimKey {
-                caller: self.account.caller.clone().unwrap_or_default(),
-                key,
-            },
-            holder: claims::Holder {
-                vm: self.shared.process.vm.clone(),
-                incarnation: self.shared.process.incarnation,
-                request_id: self.request_id.clone(),
-            },
-            digest: self.meta.digest,
-            retention: self.shared.settings.common.claims.retention_ms,
-        };
-        let asked = time::Instant::now();
-        let outcome = self.shared.claims.ask(&claim, asked + self.claim_limit());
-        // From here on the claim may be committed, so it has to be settled however this ends.
-        self.claim = Some(claim);
-        match outcome {
-            Ok(claims::ClaimOutcome::Granted)
-                if asked.elapsed() <= entry_claims::GRANT_AGE_LIMIT =>
-            {
-                Ok(())
-            }
-            Ok(claims::ClaimOutcome::Granted) | Err(entry_claims::Unavailable) => {
-                Err(Denied::Unavailable)
-            }
-            Ok(claims::ClaimOutcome::Full) => {
-                self.claim = None;
-                Err(Denied::Full)
-            }
-            Ok(held) => {
-                // It is another's: nothing of ours is to be settled.
-                self.claim = None;
-                Err(Denied::Held(held))
-            }
-        }
-    }
-
-    fn claim_limit(&self) -> time::Duration {
-        let left = self.facts.deadline.map(time::Duration::from);
-        let left = left.map(|it| it.saturating_sub(self.meta.received.elapsed()));
-        left.map_or(CLAIM_LIMIT, |left| left.min(CLAIM_LIMIT))
-    }
-
-    fn deny(&mut self, reply: reply::Reply<'_>, denied: Denied) -> reply::Sent {
-        self.note_decision();
-        self.shared.step(event::Event::ClaimDenied(self.req));
-        match denied {
-            Denied::Held(claims::ClaimOutcome::Ran {
-                answer: Some(answer),
-            }) => self.replay(reply, &answer),
-            other => {
-                let refusal = other.refusal();
-                self.refuse(reply, refusal)
-            }
-        }
-    }
-
-    /// Gives the answer that an earlier arrival of the same key got.
-    fn replay(&mut self, reply: reply::Reply<'_>, answer: &claims::RecordedAnswer) -> reply::Sent {
-        let head = reply::Head {
-            request_id: &self.request_id,
-            status: answer.status,
-            content_type: &answer.content_type,
-            headers: &[("Sageshed-Replayed", "yes")],
-        };
-        let sent = reply.whole(&head, &answer.body);
-        self.answered(answer.status, answer.body.len(), &sent);
-        sent
-    }
-
-    fn note_decision(&mut self) {
+    pub(super) fn note_decision(&mut self) {
         let part = locks::lock(&self.shared.decider).account(self.req);
         if let Some(part) = part {
             self.account.rule = part.rule;
@@ -485,52 +402,6 @@
     first_byte_limit: types_time::Millis,
 }
 
-/// Why a request that may not be repeated is not sent.
-enum Denied {
-    Unavailable,
-    Full,
-    Held(claims::ClaimOutcome),
-}
-
-impl Denied {
-    fn refusal(self) -> refusal::Refusal {
-        use refusal::Refusal;
-        use verdict::{Reason, Verdict};
-        match self {
-            Self::Unavailable => Refusal::not_run(
-                Reason::ClaimUnavailable,
-                "the control group did not record in time that the request runs; it was not sent",
-            )
-            .retry_after(CLAIM_RETRY),
-            Self::Full => Refusal::not_run(
-                Reason::ClaimUnavailable,
-                "the control group keeps as many idempotency keys as it may",
-            )
-            .retry_after(CLAIM_RETRY),
-            Self::Held(claims::ClaimOutcome::OtherContent) => Refusal::not_run(
-                Reason::KeyReused,
-                "the idempotency key came before with another method, path or body",
-            ),
-            Self::Held(claims::ClaimOutcome::Ran { .. }) => Refusal::new(
-                Reason::Duplicate,
-                Verdict::Ran,
-                "the request has run; its answer was too large to keep",
-            ),
-            Self::Held(claims::ClaimOutcome::Unknown) => Refusal::new(
-                Reason::Duplicate,
-                Verdict::MayHaveRun,
-                "the request was sent before and its end is not known; it is not sent again",
-            ),
-            Self::Held(_) => Refusal::new(
-                Reason::Duplicate,
-                Verdict::MayHaveRun,
-                "the request is running; ask again with the same idempotency key for its answer",
-            )
-            .retry_after(ASK_AGAIN),
-        }
-    }
-}
-
 fn log_end(account: &account::Account) {
     let request = account.request_id.as_str();
     let caller = account.caller.as_deref().unwrap_or("");
--- a/src/sageshed/entry/run.rs
+++ b/src/sageshed/entry/run.rs
@@ -8,8 +8,8 @@
 //! A second request to stop ends it at once and says what it cut.
 
 use std::{
-    io, net,
-    sync::{self, atomic, mpsc},
+    io, mem, net,
+    sync::{self, atomic},
     thread, time,
 };
 
@@ -25,7 +25,7 @@
 use crate::{clock, context, directory, locks, settings};
 
 /// Threads that take calls of other processes.
-const VMS_THREADS: usize = 16;
+const VMS_THREADS: usize = 256;
 
 /// How often a stopping process looks whether it is done, or told to hurry.
 const LOOK: time::Duration = time::Duration::from_millis(50);
@@ -55,7 +55,7 @@
 /// Runs an entry process until it is told to stop.
 pub fn run(cx: &context::Context, settings: settings::Entry) -> Result<(), StartError> {
     let client = sageshed_vms::Client::new(&settings.common.vms_token);
-    let (cancels, cancels_rx) = mpsc::channel();
+    let (cancels, queued) = housekeeping::Cancels::new();
     let (claims, settlements) = claims::Claims::new(client.clone(), controls(&settings));
     let shared = sync::Arc::new(share(settings, cancels, claims));
     let vms = start_vms(&shared)?;
@@ -63,7 +63,7 @@
     log::info!(vm = shared.process.vm.as_str(), callers:% = callers.local_addr(),
         vms:% = vms.address(); "entry: listens");
     heartbeats::start(&shared, &client, vms.address());
-    housekeeping::start_cancellers(&shared, cancels_rx);
+    housekeeping::start_cancellers(&shared, queued);
     let background = sync::Arc::clone(&shared);
     thread::spawn(move || housekeeping::run(&background));
     let settling = sync::Arc::clone(&shared);
@@ -73,6 +73,10 @@
     shared.stage.stopping.store(true, atomic::Ordering::Relaxed);
     drop(settling.join());
     log::info!("entry: stopped");
+    // The process ends now. Dropped, the port would wait for a moment without a heartbeat of another
+    // process, and those never pause: seen in a test, a process that had said that it stopped stayed
+    // for as long as the others ran.
+    mem::forget(vms);
     Ok(())
 }
 
@@ -121,7 +125,7 @@
 
 fn share(
     settings: settings::Entry,
-    cancels: mpsc::Sender<housekeeping::Cancel>,
+    cancels: housekeeping::Cancels,
     claims: claims::Claims,
 ) -> shared::Shared {
     let incarnation = endpoints::Incarnation(clock::unix_ms());
--- a/src/sageshed/entry/serve.rs
+++ b/src/sageshed/entry/serve.rs
@@ -144,7 +144,7 @@
             .map_or(rest.clone(), |query| format!("{rest}?{query}"));
         let meta = meta(
             req.idempotency_key.as_deref(),
-            digest(&req.method, &path, &req.body),
+            digest(&req.method, &whole_path(&req), &req.body),
             req.received,
         );
         let work = service::Work {
@@ -335,6 +335,15 @@
     }
 }
 
+/// Path and query as the caller sent them. They name the service too: an order to one service is not
+/// the same order to another.
+fn whole_path(req: &callers_request::Request) -> String {
+    match &req.query {
+        Some(query) => format!("{}?{query}", req.path),
+        None => req.path.clone(),
+    }
+}
+
 /// Tells the content of two requests under one idempotency key apart.
 fn digest(method: &str, path: &str, body: &[u8]) -> u64 {
     let mut sha = sha2::Sha256::new();
--- a/src/sageshed/entry/shared.rs
+++ b/src/sageshed/entry/shared.rs
@@ -2,13 +2,13 @@
 
 use std::{
     collections,
-    sync::{self, atomic, mpsc},
+    sync::{self, atomic},
 };
 
 use sageshed_decide::{decider, event};
 use sageshed_engines::client;
 use sageshed_state::update;
-use sageshed_types::{endpoints, messages, refusal, rules, time, verdict};
+use sageshed_types::{arena, endpoints, messages, refusal, rules, time, verdict};
 
 use super::{accounts, claims, freshness, housekeeping, metrics, waiters};
 use crate::{clock, directory, locks, settings};
@@ -43,7 +43,7 @@
     /// Claims on requests that may not be repeated.
     pub claims: claims::Claims,
     /// Cancellations on their way out.
-    pub cancels: mpsc::Sender<housekeeping::Cancel>,
+    pub cancels: housekeeping::Cancels,
     /// Answers that are watched for callers who leave.
     pub watched: housekeeping::Watched,
     /// What was asked for and not yet told to a control process, by its VM.
@@ -105,20 +105,30 @@
 
     fn cancel_what_runs(&self, actions: &[event::Action]) {
         for action in actions {
-            if let event::Action::Cancel { req, endpoint } = action {
-                let address = {
-                    let decider = locks::lock(&self.decider);
-                    decider.endpoint_address(*endpoint).to_owned()
-                };
+            if let event::Action::Cancel { req, endpoint } = action
+                && let Some(address) = self.address_to_cancel_at(*endpoint)
+            {
                 let request_id = self.request_id(*req);
-                drop(self.cancels.send(housekeeping::Cancel {
-                    address,
-                    request_id,
-                }));
+                self.cancels.send(address, request_id);
             }
         }
     }
 
+    /// Where an endpoint takes cancellations, if it does. A plain service knows nothing of them: it
+    /// would take one for a call of its own.
+    fn address_to_cancel_at(&self, endpoint: arena::EndpointKey) -> Option<String> {
+        let name = {
+            let decider = locks::lock(&self.decider);
+            decider.endpoint_name(endpoint).to_owned()
+        };
+        let directory = locks::lock(&self.directory);
+        let identity = &directory.get(&name)?.identity;
+        match identity.kind {
+            endpoints::Kind::Engine { .. } => Some(identity.address.clone()),
+            endpoints::Kind::Service { .. } => None,
+        }
+    }
+
     /// A number for a new request.
     #[must_use]
     pub fn next_req(&self) -> event::ReqId {
--- a/tests/testsuite/ask.rs
+++ b/tests/testsuite/ask.rs
@@ -1,6 +1,11 @@
 //! A caller: sends requests to entry processes and reads the answers.
 
-use std::{io::Read, time};
+use std::{
+    io::{self, BufRead as _, Read, Write as _},
+    net, time,
+};
+
+use sageshed_test_support::answer_text;
 
 use serde_json::json;
 
@@ -41,6 +46,84 @@
     }
 }
 
+/// The mark of the prompt that [`Ask::completion`] and [`Ask::stream`] send: its last word.
+const MARK: &str = "floods";
+
+/// Checks that an answer is whole and its own: plain, or the data of a stream put together.
+pub fn check_whole(answer: &Answer) -> Result<(), String> {
+    let text = |json: &serde_json::Value| {
+        let text = json["choices"][0]["text"].as_str();
+        text.unwrap_or_default().to_owned()
+    };
+    let parts = answer
+        .body
+        .lines()
+        .filter_map(|it| it.strip_prefix("data: "));
+    let parts: String = parts
+        .filter_map(|it| serde_json::from_str(it).ok())
+        .map(|it| text(&it))
+        .collect();
+    let whole = if parts.is_empty() {
+        text(&answer.json())
+    } else {
+        parts
+    };
+    answer_text::check(&whole, Some(&answer.request_id), MARK)
+}
+
+/// A streamed answer on its way in.
+pub struct Streamed {
+    /// The `Sageshed-Request-Id` header.
+    pub request_id: String,
+    lines: io::Lines<io::BufReader<Box<dyn Read + Send + Sync>>>,
+    body: String,
+}
+
+impl Streamed {
+    /// The data of the next event; none at the end. An error is a stream that broke.
+    pub fn next(&mut self) -> Result<Option<String>, String> {
+        loop {
+            let Some(line) = self.lines.next() else {
+                return Ok(None);
+            };
+            let line = line.map_err(|e| format!("{e} after {:?}", self.body.lines().last()))?;
+            self.body.push_str(&line);
+            self.body.push('\n');
+            if let Some(data) = line.strip_prefix("data: ") {
+                return Ok(Some(data.to_owned()));
+            }
+        }
+    }
+
+    /// Reads to the end and gives all that came.
+    pub fn rest(mut self) -> Result<Answer, String> {
+        while self.next()?.is_some() {}
+        Ok(Answer {
+            status: 200,
+            request_id: self.request_id,
+            body: self.body,
+            headers: Vec::new(),
+        })
+    }
+}
+
+/// Sends bytes as they are, closes this end's output and reads what comes until the other end closes.
+pub fn send_raw(base: &str, bytes: &[u8]) -> String {
+    let mut socket = connect(base);
+    // The other end may answer and close before all is written.
+    let _cut = socket.write_all(bytes);
+    let _closed = socket.shutdown(net::Shutdown::Write);
+    let mut answer = Vec::new();
+    let _cut = socket.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn connect(base: &str) -> net::TcpStream {
+    let socket = net::TcpStream::connect(base.trim_start_matches("http://")).unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    socket
+}
+
 /// A request under way to one entry process.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -123,6 +206,40 @@
         })
     }
 
+    /// Sends it for a stream, whose events are yet to be read.
+    pub fn open(&self) -> Result<Streamed, String> {
+        let resp = self.begin()?;
+        assert_eq!(resp.status(), 200, "{}", resp.into_string().unwrap());
+        Ok(Streamed {
+            request_id: resp.header("Sageshed-Request-Id").unwrap().to_owned(),
+            lines: io::BufReader::new(resp.into_reader()).lines(),
+            body: String::new(),
+        })
+    }
+
+    /// Sends it on a connection of its own, which the caller may drop at any time.
+    pub fn send_only(&self) -> net::TcpStream {
+        let mut socket = connect(&self.base);
+        socket.write_all(&self.bytes()).unwrap();
+        socket
+    }
+
+    /// The request as HTTP/1.1.
+    pub fn bytes(&self) -> Vec<u8> {
+        let head = format!("{} {} HTTP/1.1\r\nHost: entry\r\n", self.method, self.path);
+        let headers = self
+            .headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        let headers: String = headers.collect();
+        let length = self.body.len();
+        let text = format!(
+            "{head}{headers}Content-Length: {length}\r\n\r\n{}",
+            self.body
+        );
+        text.into_bytes()
+    }
+
     /// Sends it; the body of the answer is yet to be read.
     pub fn begin(&self) -> Result<ureq::Response, String> {
         let agent = ureq::AgentBuilder::new().timeout(PATIENCE).build();
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -327,6 +327,14 @@
         ways.for_each(|(_, relays)| relays[1].cut_silently());
     }
 
+    /// All connections between VMs go silent for good, and new ones work.
+    pub fn lose_track(&self) {
+        self.links
+            .values()
+            .flatten()
+            .for_each(relay::Relay::lose_track);
+    }
+
     /// Ends a cut.
     pub fn heal(&self, vm: usize) {
         self.each_link(vm, relay::Relay::heal);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,12 +4,21 @@
 //! caller, [`operator`] an operator, [`watch`] sees by which revision callers are served.
 
 mod ask;
+mod at_most_once;
+mod bad_input;
+mod callers_leaving;
 mod cluster;
 mod control_change;
 mod control_cut;
 mod control_disk;
 mod control_kill;
 mod drain;
+mod leaving;
+mod lost_connections;
 mod operator;
+mod overload;
 mod path;
+mod rules;
+mod shutdown;
 mod watch;
+mod whole_answers;
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -9,9 +9,7 @@
 fn a_request_goes_through_and_a_refusal_is_explained() {
     let cluster = cluster::Cluster::start(cluster::Plan::default());
     let base = cluster.callers(0);
-    cluster.until("the engines are known", || {
-        Ask::completion(&base, "m1", 3).send().unwrap().status == 200
-    });
+    cluster.wait_served();
 
     let plain = Ask::completion(&base, "m1", 3).send().unwrap();
     assert!(plain.body.contains(&plain.request_id), "{}", plain.body);
