--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -322,7 +322,6 @@
             }),
             tx: self.placing_tx.clone(),
             rx,
-            restart: false,
         };
         let spawned = thread::Builder::new()
             .name("placing".to_owned())
