--- a/crates/sageshed-callers/src/body.rs
+++ b/crates/sageshed-http/src/body.rs
@@ -37,12 +37,14 @@
     pub(crate) input: &'c mut link::Input,
     pub(crate) limits: &'c limits::Limits,
     pub(crate) until: time::Instant,
+    /// The largest body, in bytes.
+    pub(crate) most: usize,
 }
 
 impl Reader<'_> {
     /// Reads a body of `length` bytes.
     pub(crate) fn by_length(&mut self, length: u64) -> Result<Vec<u8>, Cut> {
-        let length = within_limit(self.limits, length)?;
+        let length = within_limit(self.most, length)?;
         while self.input.buf.len() < length {
             self.fill()?;
         }
@@ -59,7 +61,7 @@
                 return Ok(body);
             }
             let total = (body.len() as u64).saturating_add(size);
-            let size = within_limit(self.limits, total)? - body.len();
+            let size = within_limit(self.most, total)? - body.len();
             self.chunk(size, &mut body)?;
         }
     }
@@ -141,17 +143,14 @@
 }
 
 /// The length of a body as a size in memory, or the refusal of one over the limit.
-pub(crate) fn within_limit(
-    limits: &limits::Limits,
-    length: u64,
-) -> Result<usize, refusal::Refusal> {
+pub(crate) fn within_limit(most: usize, length: u64) -> Result<usize, refusal::Refusal> {
     usize::try_from(length)
         .ok()
-        .filter(|&length| length <= limits.body_bytes)
+        .filter(|&length| length <= most)
         .ok_or_else(|| {
             refusal::Refusal::not_run(
                 verdict::Reason::TooLarge,
-                format!("the body is larger than {} bytes", limits.body_bytes),
+                format!("the body is larger than {most} bytes"),
             )
         })
 }
--- a/crates/sageshed-callers/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -13,6 +13,9 @@
 /// What a caller that waits for a go-ahead is sent.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// What a caller is told of a handler that panicked.
+const FAULT: &str = "a fault inside the system stopped the request";
+
 /// How long a connection is still read from once idle ones are to end.
 const LAST_CALL: time::Duration = time::Duration::from_millis(100);
 
@@ -27,12 +30,40 @@
     pub(crate) handler: sync::Arc<H>,
 }
 
+/// What the head says of the body and the answer.
+struct Incoming {
+    framing: head::Framing,
+    /// Whether the caller waits for a go-ahead before it sends the body.
+    expects_continue: bool,
+    manner: reply::Manner,
+}
+
+impl Incoming {
+    fn of(head: &head::Head) -> Self {
+        Self {
+            framing: head.framing,
+            expects_continue: head.expects_continue,
+            manner: reply::Manner {
+                old: head.old,
+                head_only: head.method == "HEAD",
+                keep: head.keep_alive,
+            },
+        }
+    }
+
+    fn has_body(&self) -> bool {
+        self.framing != head::Framing::Length(0)
+    }
+}
+
 /// What came of waiting for a request.
 enum Arrival {
     /// A whole one, and what the answer needs to know of it.
     Whole(Box<request::Request>, reply::Manner),
     /// One that is refused; the connection ends with it.
     Refused(refusal::Refusal),
+    /// One that the handler answered by its head; the connection ends with it.
+    Answered(reply::Whole),
     /// None: the connection ends.
     Ended,
 }
@@ -54,6 +85,7 @@
             let next = match self.next() {
                 Arrival::Whole(req, manner) => self.answer(*req, manner),
                 Arrival::Refused(refusal) => self.refuse(refusal),
+                Arrival::Answered(answer) => self.answer_early(&answer),
                 Arrival::Ended => Next::Cut,
             };
             match next {
@@ -74,15 +106,37 @@
             Ok(head) => head,
             Err(cut) => return cut.into(),
         };
-        match self.read_body(&head) {
-            Ok(body) => self.whole(head, body, received),
-            Err(cut) => cut.into(),
+        let incoming = Incoming::of(&head);
+        let mut req = self.request(head, received);
+        let most = match self.admit(&req) {
+            Ok(handler::Admission::Read) => self.limits.body_bytes,
+            Ok(handler::Admission::ReadUpTo(most)) => most.min(self.limits.body_bytes),
+            Ok(handler::Admission::Answer(answer)) => return Arrival::Answered(answer),
+            Err(refusal) => return Arrival::Refused(refusal),
+        };
+        match self.read_body(&incoming, most) {
+            Ok(body) => req.body = body,
+            Err(cut) => return cut.into(),
         }
+        Arrival::Whole(req.into(), incoming.manner)
+    }
+
+    /// As with an answer, a panic must not leave the caller without a cause.
+    fn admit(&self, req: &request::Request) -> Result<handler::Admission, refusal::Refusal> {
+        let call = panic::AssertUnwindSafe(|| self.handler.admit(req));
+        panic::catch_unwind(call).map_err(|_reported_by_the_panic_hook| {
+            log::error!(peer:% = self.peer; "http: handler panicked");
+            refusal::Refusal::not_run(verdict::Reason::Internal, FAULT)
+        })
     }
 
     /// Waits between two requests. A connection that ends or stays silent here is just closed: no
     /// request was begun, so there is nothing to refuse.
     fn wait_for_first_byte(&mut self) -> bool {
+        self.fill_while_idle() && !self.shared.is_stopped()
+    }
+
+    fn fill_while_idle(&mut self) -> bool {
         if !self.input.buf.is_empty() {
             return true;
         }
@@ -144,11 +198,11 @@
         refusal::Refusal::not_run(verdict::Reason::RequestTimeout, detail)
     }
 
-    fn read_body(&mut self, head: &head::Head) -> Result<Vec<u8>, body::Cut> {
-        if let head::Framing::Length(length) = head.framing {
-            body::within_limit(&self.limits, length)?;
+    fn read_body(&mut self, incoming: &Incoming, most: usize) -> Result<Vec<u8>, body::Cut> {
+        if let head::Framing::Length(length) = incoming.framing {
+            body::within_limit(most, length)?;
         }
-        if head.expects_continue && self.input.buf.is_empty() && head.has_body() {
+        if incoming.expects_continue && self.input.buf.is_empty() && incoming.has_body() {
             self.link
                 .write(CONTINUE)
                 .map_err(|_unwritable| body::Cut::Broken)?;
@@ -158,20 +212,17 @@
             input: &mut self.input,
             limits: &self.limits,
             until: time::Instant::now() + self.limits.body_timeout,
+            most,
         };
-        match head.framing {
+        match incoming.framing {
             head::Framing::Length(length) => reader.by_length(length),
             head::Framing::Chunked => reader.by_chunks(),
         }
     }
 
-    fn whole(&self, head: head::Head, body: Vec<u8>, received: time::Instant) -> Arrival {
-        let manner = reply::Manner {
-            old: head.old,
-            head_only: head.method == "HEAD",
-            keep: head.keep_alive,
-        };
-        let req = request::Request {
+    /// The request without its body.
+    fn request(&self, head: head::Head, received: time::Instant) -> request::Request {
+        request::Request {
             method: head.method,
             path: head.path,
             query: head.query,
@@ -182,11 +233,10 @@
             class: head.known.class,
             content_type: head.known.content_type,
             headers: head.headers,
-            body,
+            body: Vec::new(),
             received,
             peer: self.peer,
-        };
-        Arrival::Whole(req.into(), manner)
+        }
     }
 
     fn exchange(&self, manner: reply::Manner) -> reply::Exchange {
@@ -212,7 +262,7 @@
     }
 
     fn panicked(&self, ex: &mut reply::Exchange) -> Next {
-        log::error!(peer:% = self.peer; "callers: handler panicked");
+        log::error!(peer:% = self.peer; "http: handler panicked");
         if ex.progress != reply::Progress::Unanswered {
             return Next::Cut;
         }
@@ -220,21 +270,27 @@
         let refusal = refusal::Refusal::new(
             verdict::Reason::Internal,
             verdict::Verdict::MayHaveRun,
-            "a fault inside the system stopped the request",
+            FAULT,
         );
         self.send_early(ex, refusal)
     }
 
     fn refuse(&self, refusal: refusal::Refusal) -> Next {
-        log::debug!(peer:% = self.peer, reason:% = refusal.reason; "callers: request refused early");
+        log::debug!(peer:% = self.peer, reason:% = refusal.reason; "http: request refused early");
         let mut ex = self.exchange(reply::Manner::LAST);
         self.send_early(&mut ex, refusal)
     }
 
+    fn answer_early(&self, answer: &reply::Whole) -> Next {
+        let mut ex = self.exchange(reply::Manner::LAST);
+        let sent = reply::Reply { ex: &mut ex }.made(answer);
+        after(&ex, &sent)
+    }
+
     fn send_early(&self, ex: &mut reply::Exchange, refusal: refusal::Refusal) -> Next {
         let stamped = self.handler.refuse_early(refusal);
         let reply = reply::Reply { ex };
-        let sent = reply.refusal(&stamped.request_id, &stamped.refusal);
+        let sent = reply.early(&stamped, &self.handler.early_body(&stamped));
         if sent.is_whole() {
             Next::Close
         } else {
--- a/crates/sageshed-callers/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -325,10 +325,3 @@
         ..refusal::Refusal::not_run(reason, detail)
     }
 }
-
-impl Head {
-    /// Whether a body follows.
-    pub(crate) fn has_body(&self) -> bool {
-        self.framing != Framing::Length(0)
-    }
-}
--- a/crates/sageshed-callers/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -1,4 +1,4 @@
-//! Bounds on what callers can make the process hold.
+//! Bounds on what the other ends can make the process hold.
 
 use std::time;
 
--- a/crates/sageshed-callers/src/link.rs
+++ b/crates/sageshed-http/src/link.rs
@@ -106,7 +106,7 @@
     /// Has the connection end in a reset and not in an orderly close, once nobody holds it.
     pub(crate) fn reset_on_close(&self) {
         if let Err(e) = net::sockopt::set_socket_linger(&self.stream, Some(time::Duration::ZERO)) {
-            log::warn!(error:% = e; "callers: cut answer may look whole to an HTTP/1.0 caller");
+            log::warn!(error:% = e; "http: cut answer may look whole to an HTTP/1.0 caller");
         }
     }
 
@@ -123,14 +123,14 @@
     /// Ends this side's output.
     pub(crate) fn stop_writing(&self) {
         if let Err(e) = self.stream.shutdown(Shutdown::Write) {
-            log::debug!(error:% = e; "callers: connection was closed already");
+            log::debug!(error:% = e; "http: connection was closed already");
         }
     }
 
     /// Wakes the thread of an idle connection, which then sees the end of input.
     pub(crate) fn stop_reading(&self) {
         if let Err(e) = self.stream.shutdown(Shutdown::Read) {
-            log::debug!(error:% = e; "callers: idle connection was closed already");
+            log::debug!(error:% = e; "http: idle connection was closed already");
         }
     }
 
--- a/crates/sageshed-callers/src/overflow.rs
+++ b/crates/sageshed-http/src/overflow.rs
@@ -3,7 +3,8 @@
 //! One thread answers them all. It waits for the first bytes of each before it answers, since a
 //! client that gets an answer before it has asked reports a fault of the connection and loses the
 //! account. It then reads on for a short time, so that the kernel does not reset the connection over
-//! unread input. Nothing here blocks, as a refusal fits the empty send buffer of a new socket; a connection past this thread's own bound is closed.
+//! unread input. Nothing here blocks, as a refusal fits the empty send buffer of a new socket; a connection
+//! past this thread's own bound is closed.
 
 use std::{
     io,
@@ -52,7 +53,7 @@
             answered: false,
         };
         if self.tx.try_send(excess).is_err() {
-            log::warn!("callers: connection past the bound closed without an account");
+            log::warn!("http: connection past the bound closed without an account");
         }
     }
 }
@@ -61,7 +62,7 @@
 pub(crate) fn start<H: handler::Handler>(handler: sync::Arc<H>) -> io::Result<Sender> {
     let (tx, rx) = mpsc::sync_channel(KEPT);
     thread::Builder::new()
-        .name("callers-refuse".to_owned())
+        .name("http-refuse".to_owned())
         .spawn(move || run(&*handler, &rx))?;
     Ok(Sender { tx })
 }
@@ -111,7 +112,7 @@
             progress: reply::Progress::Unanswered,
         };
         let reply = reply::Reply { ex: &mut ex };
-        let sent = reply.refusal(&stamped.request_id, &stamped.refusal);
+        let sent = reply.early(&stamped, &handler.early_body(&stamped));
         if sent.is_whole() {
             self.link.stop_writing();
         }
--- a/crates/sageshed-callers/src/problem.rs
+++ b/crates/sageshed-http/src/problem.rs
@@ -174,8 +174,12 @@
     out.collect_str(reason)
 }
 
-/// Writes one of this package's own bodies: structs with string keys, which always serialise.
-pub(crate) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+/// Writes a body made of structs with string keys, which always serialise.
+///
+/// # Panics
+///
+/// On what JSON has no form for, as a map whose keys are no strings.
+pub fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("structs with string keys always serialise")
 }
 
--- a/crates/sageshed-callers/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use sageshed_types::refusal;
 
-use crate::{link, problem};
+use crate::{handler, link, problem};
 
 /// An answer this large, in bytes, is not copied behind its head but written after it.
 const COPIED_BYTES: usize = 64 * 1024;
@@ -16,7 +16,7 @@
 /// What an answer begins with.
 #[derive(Debug, Clone, Copy)]
 pub struct Head<'a> {
-    /// Sent as `Sageshed-Request-Id`.
+    /// Sent as `Sageshed-Request-Id`; none is sent if it is empty.
     pub request_id: &'a str,
     /// HTTP status, 200 to 599.
     pub status: u16,
@@ -27,6 +27,17 @@
     pub headers: &'a [(&'a str, &'a str)],
 }
 
+/// A whole answer without a request id, for the ports that give none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Whole {
+    /// HTTP status, 200 to 599.
+    pub status: u16,
+    /// `Content-Type`.
+    pub content_type: &'static str,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
 /// The caller left before the answer was written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("writing to the caller: it has left or does not read")]
@@ -110,7 +121,9 @@
 
     fn head(&self, head: &Head<'_>, framing: &str) -> Vec<u8> {
         let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status));
-        push(&mut text, "Sageshed-Request-Id", head.request_id);
+        if !head.request_id.is_empty() {
+            push(&mut text, "Sageshed-Request-Id", head.request_id);
+        }
         if !head.content_type.is_empty() {
             push(&mut text, "Content-Type", head.content_type);
         }
@@ -184,6 +197,17 @@
         }
     }
 
+    /// Answers with what was made elsewhere.
+    pub fn made(self, answer: &Whole) -> Sent {
+        let head = Head {
+            request_id: "",
+            status: answer.status,
+            content_type: answer.content_type,
+            headers: &[],
+        };
+        self.whole(&head, &answer.body)
+    }
+
     /// Refuses, with the account as the body.
     pub fn refusal(self, request_id: &str, refusal: &refusal::Refusal) -> Sent {
         self.refusal_with(request_id, refusal, &[])
@@ -195,6 +219,22 @@
         request_id: &str,
         refusal: &refusal::Refusal,
         further: &[(&str, &str)],
+    ) -> Sent {
+        let body = problem::body(request_id, refusal);
+        self.refusal_as(request_id, refusal, further, &body)
+    }
+
+    /// Refuses a request that its handler did not see.
+    pub(crate) fn early(self, stamped: &handler::Stamped, body: &[u8]) -> Sent {
+        self.refusal_as(&stamped.request_id, &stamped.refusal, &[], body)
+    }
+
+    fn refusal_as(
+        self,
+        request_id: &str,
+        refusal: &refusal::Refusal,
+        further: &[(&str, &str)],
+        body: &[u8],
     ) -> Sent {
         let owned = problem::headers(refusal);
         let mut headers: Vec<_> = owned
@@ -208,7 +248,7 @@
             content_type: problem::CONTENT_TYPE,
             headers: &headers,
         };
-        self.whole(&head, &problem::body(request_id, refusal))
+        self.whole(&head, body)
     }
 
     /// Begins a streamed answer: the head goes out at once.
@@ -229,7 +269,7 @@
         let bytes = ex.head(head, framing);
         let stream = Stream { ex, ended: false };
         if stream.ex.write(&bytes).is_err() {
-            log::debug!("callers: caller left before its stream began");
+            log::debug!("http: caller left before its stream began");
         }
         stream
     }
@@ -333,7 +373,7 @@
     let safe = |part: &str| part.chars().all(|c| c == '\t' || !c.is_control());
     let named = !name.is_empty() && !name.contains([':', ' ', '\t']);
     if !named || !safe(name) || !safe(value) {
-        log::warn!(name; "callers: header with control characters left out");
+        log::warn!(name; "http: header with control characters left out");
         return;
     }
     write!(text, "{name}: {value}\r\n").expect("a string takes all text");
@@ -358,6 +398,7 @@
         413 => "Content Too Large",
         414 => "URI Too Long",
         417 => "Expectation Failed",
+        421 => "Misdirected Request",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
@@ -367,6 +408,7 @@
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
         505 => "HTTP Version Not Supported",
+        507 => "Insufficient Storage",
         _ => "Other",
     }
 }
--- a/crates/sageshed-callers/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -31,13 +31,13 @@
 #[derive(Debug, Display, Error)]
 pub enum StartError {
     /// The listening socket is not usable.
-    #[display("reading the address of the callers' listening socket")]
+    #[display("reading the address of the listening socket")]
     Address {
         /// What the system said.
         source: io::Error,
     },
     /// No thread could be started.
-    #[display("starting the thread that accepts callers")]
+    #[display("starting the thread that accepts connections")]
     Thread {
         /// What the system said.
         source: io::Error,
@@ -51,6 +51,7 @@
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
+    stopped: atomic::AtomicBool,
     open: sync::Mutex<Open>,
     ended: sync::Condvar,
 }
@@ -68,6 +69,11 @@
         self.closing_idle.load(atomic::Ordering::SeqCst)
     }
 
+    /// Whether no request is to be begun any more.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(atomic::Ordering::SeqCst)
+    }
+
     fn is_stopping(&self) -> bool {
         self.stopping.load(atomic::Ordering::SeqCst)
     }
@@ -117,7 +123,7 @@
 }
 
 impl Server {
-    /// Serves callers on `listener` until [`Server::stop_accepting`].
+    /// Serves requests on `listener` until [`Server::stop_accepting`].
     pub fn start<H: handler::Handler>(
         listener: net::TcpListener,
         limits: limits::Limits,
@@ -136,10 +142,10 @@
             overflow,
         };
         let accepting = thread::Builder::new()
-            .name("callers-accept".to_owned())
+            .name("http-accept".to_owned())
             .spawn(move || acceptor.run(&listener))
             .map_err(|source| StartError::Thread { source })?;
-        log::info!(address:% = local_addr; "callers: accepting");
+        log::info!(address:% = local_addr; "http: accepting");
         Ok(Self {
             shared,
             local_addr,
@@ -169,27 +175,47 @@
     pub fn stop_accepting(&self) {
         self.drain();
         self.shared.stopping.store(true, atomic::Ordering::SeqCst);
-        self.wake();
         let accepting = self
             .accepting
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
             .take();
-        if accepting.is_some_and(|thread| thread.join().is_err()) {
-            log::error!("callers: accepting thread panicked");
+        let Some(thread) = accepting else {
+            return;
+        };
+        // Where no connection can be made, the thread may wait for one for ever, and joining it would
+        // keep the process from ending.
+        if !self.wake() && !ends_soon(&thread) {
+            return log::warn!("http: accepting thread left to its next connection");
+        }
+        if thread.join().is_err() {
+            log::error!("http: accepting thread panicked");
         }
     }
 
+    /// Ends at once what is not under way: no connection is taken any more, no further request is
+    /// begun, and one that is being answered is the last on its connection. For a port whose peers
+    /// send what got no answer to another process.
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, atomic::Ordering::SeqCst);
+        self.stop_accepting();
+        self.close_idle();
+    }
+
     /// The accepting thread blocks until a connection comes, so one is made.
-    fn wake(&self) {
+    fn wake(&self) -> bool {
         let ip = match self.local_addr.ip() {
             net::IpAddr::V4(ip) if ip.is_unspecified() => net::Ipv4Addr::LOCALHOST.into(),
             net::IpAddr::V6(ip) if ip.is_unspecified() => net::Ipv6Addr::LOCALHOST.into(),
             ip => ip,
         };
         let address = net::SocketAddr::new(ip, self.local_addr.port());
-        if let Err(e) = net::TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
-            log::debug!(error:% = e; "callers: accepting thread needed no wake-up");
+        match net::TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
+            Ok(_) => true,
+            Err(e) => {
+                log::debug!(error:% = e; "http: accepting thread was not woken");
+                false
+            }
         }
     }
 
@@ -250,7 +276,7 @@
     fn take(&self, stream: net::TcpStream, peer: net::SocketAddr) {
         let link = match link::Link::new(stream, self.limits.write_timeout) {
             Ok(link) => sync::Arc::new(link),
-            Err(e) => return log::debug!(error:% = e; "callers: connection broke at once"),
+            Err(e) => return log::debug!(error:% = e; "http: connection broke at once"),
         };
         let place = self
             .shared
@@ -271,14 +297,14 @@
             handler: sync::Arc::clone(&self.handler),
         };
         let started = thread::Builder::new()
-            .name("callers-conn".to_owned())
+            .name("http-conn".to_owned())
             .stack_size(self.limits.stack_bytes)
             .spawn(move || {
                 connection.serve();
                 drop(place);
             });
         if let Err(e) = started {
-            log::error!(error:% = e; "callers: no thread for a connection");
+            log::error!(error:% = e; "http: no thread for a connection");
             self.refuse(link);
         }
     }
@@ -287,17 +313,26 @@
         let bound = self.limits.connections;
         let refusal = refusal::Refusal::not_run(
             verdict::Reason::TooManyOpen,
-            format!("this entry process keeps at most {bound} connections open"),
+            format!("this process keeps at most {bound} connections open"),
         )
         .retry_after(overflow::RETRY_AFTER);
         self.overflow.refuse(link, refusal);
     }
 }
 
+/// Waits for a thread that may be ending by itself, as it does after an accept that failed.
+fn ends_soon(thread: &thread::JoinHandle<()>) -> bool {
+    let until = time::Instant::now() + WAKE_TIMEOUT;
+    while !thread.is_finished() && time::Instant::now() < until {
+        thread::sleep(ACCEPT_PAUSE);
+    }
+    thread.is_finished()
+}
+
 fn pause(e: &io::Error) {
     if e.kind() == io::ErrorKind::Interrupted {
         return;
     }
-    log::warn!(error:% = e; "callers: accept failed");
+    log::warn!(error:% = e; "http: accept failed");
     thread::sleep(ACCEPT_PAUSE);
 }
--- a/crates/sageshed-callers/tests/bad_requests.rs
+++ b/crates/sageshed-http/tests/bad_requests.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use sageshed_callers::limits;
+use sageshed_http::limits;
 use support::{Client, echo, start};
 
 struct Case {
--- a/crates/sageshed-callers/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use sageshed_callers::limits;
+use sageshed_http::limits;
 use support::{Client, OK, PATIENCE, echo, listen, start, start_on, wait_for};
 
 struct Case {
@@ -165,7 +165,7 @@
             ("X-Good", "b"),
             ("Content-Length", "99"),
         ];
-        let head = sageshed_callers::reply::Head {
+        let head = sageshed_http::reply::Head {
             headers: &headers,
             ..OK
         };
@@ -334,33 +334,3 @@
     let server = start(limits, echo);
     assert!(Client::connect(&server).at_end());
 }
-
-/// A connection's thread has a small stack. A body of brackets only must not overflow it: that would
-/// end the whole process, and every request in it.
-#[test]
-fn deep_json_does_not_overflow_the_stack() {
-    let server = start(limits::Limits::default(), |req, reply| {
-        let parsed = sageshed_callers::openai::Completion::parse(
-            sageshed_callers::openai::Api::Chat,
-            &req.body,
-        );
-        let whole = serde_json::from_slice::<serde_json::Value>(&req.body);
-        reply.whole(
-            &OK,
-            format!("{} {}", parsed.is_ok(), whole.is_ok()).as_bytes(),
-        )
-    });
-    let deep = format!(
-        "{{\"model\":\"m\",\"messages\":[{{\"a\":{}",
-        "[".repeat(1_000_000)
-    );
-    let mut client = Client::connect(&server);
-    client.send(
-        format!(
-            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{deep}",
-            deep.len()
-        )
-        .as_bytes(),
-    );
-    assert_eq!(client.answer().expect("an answer").text(), "false false");
-}
--- a/crates/sageshed-callers/tests/streams.rs
+++ b/crates/sageshed-http/tests/streams.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use sageshed_callers::limits;
+use sageshed_http::limits;
 use support::{Client, OK, PATIENCE, echo, start};
 
 /// A clerk watches a draft appear. If the server held chunks back until the end, or until the next
--- a/crates/sageshed-callers/tests/support/mod.rs
+++ b/crates/sageshed-http/tests/support/mod.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use sageshed_callers::{handler, limits, reply, request, server};
+use sageshed_http::{handler, limits, reply, request, server};
 use sageshed_types::{refusal, rules};
 
 /// A test that waits longer than this has failed.
--- a/crates/sageshed-operators/src/client.rs
+++ b/crates/sageshed-operators/src/client.rs
@@ -367,7 +367,7 @@
     };
     match (problem.kind, problem.leader) {
         (wire::Kind::NotLeader, Some(leader)) if leader != address => Next::Follow(leader),
-        (wire::Kind::NotLeader | wire::Kind::NoQuorum, _) => Next::Another {
+        (wire::Kind::NotLeader | wire::Kind::NoQuorum | wire::Kind::Busy, _) => Next::Another {
             said: problem.detail,
             fate: wire::Fate::NotDone,
         },
--- a/crates/sageshed-operators/src/lib.rs
+++ b/crates/sageshed-operators/src/lib.rs
@@ -18,13 +18,13 @@
 //!
 //! # The library
 //!
-//! `rouille` supplies requests and answers; the loop around them is in `connection`, which says why.
-//! The token is checked before any byte of the body is read, and the number of open connections is
-//! bounded by [`server::Options::connections`].
+//! [`sageshed_http`] takes the connections, and says why no ready-made server does. The token is
+//! checked before any byte of the body is read, a connection carries one request, and the number of
+//! open connections is bounded by [`server::Options::connections`]. Refusals have the form of
+//! [`wire::Problem`], also those of requests that could not be read.
 
 pub mod backend;
 pub mod client;
-mod connection;
 pub mod describe;
 mod respond;
 mod route;
--- a/crates/sageshed-operators/src/respond.rs
+++ b/crates/sageshed-operators/src/respond.rs
@@ -1,6 +1,7 @@
 //! Answers of the operators' port.
 
-use sageshed_types::rules;
+use sageshed_http::reply;
+use sageshed_types::{refusal, rules, verdict};
 use serde::Serialize;
 
 use crate::{backend::Trouble, describe, wire};
@@ -9,27 +10,53 @@
 const TEXT: &str = "text/plain; version=0.0.4";
 
 /// A success with a body.
-pub(crate) fn json<T: Serialize>(body: &T) -> rouille::Response {
+pub(crate) fn json<T: Serialize>(body: &T) -> reply::Whole {
     match serde_json::to_vec(body) {
-        Ok(bytes) => rouille::Response::from_data(JSON, bytes),
+        Ok(body) => whole(200, JSON, body),
         Err(e) => {
             log::error!(error:% = e; "operators: answer could not be encoded");
-            rouille::Response::from_data(TEXT, Vec::new()).with_status_code(500)
+            whole(500, TEXT, Vec::new())
         }
     }
 }
 
 /// Plain text.
-pub(crate) fn text(body: String) -> rouille::Response {
-    rouille::Response::from_data(TEXT, body)
+pub(crate) fn text(body: String) -> reply::Whole {
+    whole(200, TEXT, body.into_bytes())
 }
 
 /// A problem.
-pub(crate) fn problem(problem: &wire::Problem) -> rouille::Response {
-    let status = problem.status;
-    let mut resp = json(problem).with_status_code(status);
-    resp.headers.clear();
-    resp.with_additional_header("Content-Type", wire::PROBLEM_TYPE)
+pub(crate) fn problem(problem: &wire::Problem) -> reply::Whole {
+    reply::Whole {
+        status: problem.status,
+        content_type: wire::PROBLEM_TYPE,
+        ..json(problem)
+    }
+}
+
+fn whole(status: u16, content_type: &'static str, body: Vec<u8>) -> reply::Whole {
+    reply::Whole {
+        status,
+        content_type,
+        body,
+    }
+}
+
+/// The problem that a refusal before or beside the backend is. Its status stays.
+pub(crate) fn early(refusal: &refusal::Refusal) -> wire::Problem {
+    let kind = match (refusal.verdict, refusal.reason) {
+        (verdict::Verdict::NotRun, verdict::Reason::TooManyOpen | verdict::Reason::Internal) => {
+            wire::Kind::Busy
+        }
+        (verdict::Verdict::NotRun, verdict::Reason::TooLarge) => wire::Kind::TooLarge,
+        (verdict::Verdict::NotRun, _) => wire::Kind::BadRequest,
+        // A panic after the handler had begun.
+        _ => wire::Kind::UnknownFate,
+    };
+    wire::Problem {
+        status: refusal.status,
+        ..wire::Problem::new(kind, refusal.detail.as_str())
+    }
 }
 
 /// The problem that a trouble of the backend is.
@@ -59,7 +86,7 @@
 }
 
 /// The answer to a change.
-pub(crate) fn outcome(base: rules::Revision, outcome: rules::ChangeOutcome) -> rouille::Response {
+pub(crate) fn outcome(base: rules::Revision, outcome: rules::ChangeOutcome) -> reply::Whole {
     let (kind, detail) = match &outcome {
         rules::ChangeOutcome::Accepted { .. } => return json(&outcome),
         rules::ChangeOutcome::Conflict { revision, between } => (
--- a/crates/sageshed-operators/src/server.rs
+++ b/crates/sageshed-operators/src/server.rs
@@ -1,19 +1,15 @@
 //! The operators' port.
 
-use std::{
-    io::{self, Read},
-    net,
-    sync::{self, atomic},
-    thread, time,
-};
+use std::{net, sync, time};
 
 use derive_more::{Display, Error};
-use sageshed_types::rules;
+use sageshed_http::{handler, limits, reply, request, server as http_server};
+use sageshed_types::{refusal, rules};
 use serde::de;
 
 use crate::{
     backend::Backend,
-    connection, respond,
+    respond,
     route::Route,
     tokens::Tokens,
     wire::{self, Kind, Problem},
@@ -21,13 +17,7 @@
 
 /// The largest body that is read, in bytes. A rule file of a thousand rules is about a quarter of
 /// it.
-const MAX_BODY: u64 = 1024 * 1024;
-/// The stack of a connection's thread, in bytes. The deepest call decodes a JSON body.
-const STACK: usize = 256 * 1024;
-/// The pause after a connection could not be accepted, for want of file descriptors as a rule.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-/// How long a stopping port waits for its own call that wakes it.
-const WAKE: time::Duration = time::Duration::from_secs(1);
+const MAX_BODY: usize = 1024 * 1024;
 
 /// How the port is set up.
 #[derive(Debug, Clone)]
@@ -36,10 +26,10 @@
     pub listen: net::SocketAddr,
     /// Who may ask.
     pub tokens: Tokens,
-    /// Connections open at once, each with a thread; more are closed at once.
+    /// Connections open at once, each with a thread; more are refused.
     pub connections: usize,
-    /// The longest time of one connection, from the first byte to the last, without the time that
-    /// the backend takes.
+    /// The longest time to the first byte of a request, from there to the end of its head, from
+    /// there to the end of its body, and without progress of the answer.
     pub timeout: time::Duration,
 }
 
@@ -70,184 +60,144 @@
 /// A running port. Dropping it stops it.
 #[derive(Debug)]
 pub struct Server {
-    address: net::SocketAddr,
-    stop: sync::Arc<atomic::AtomicBool>,
-    thread: Option<thread::JoinHandle<()>>,
+    server: http_server::Server,
 }
 
 impl Server {
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> net::SocketAddr {
-        self.address
+        self.server.local_addr()
     }
 }
 
 impl Drop for Server {
     fn drop(&mut self) {
-        self.stop.store(true, atomic::Ordering::SeqCst);
-        let Some(thread) = self.thread.take() else {
-            return;
-        };
-        // The thread waits for a connection; this one wakes it. If none can be made, the thread
-        // is left to its next connection, since joining it could wait for ever.
-        let mut address = self.address;
-        if address.ip().is_unspecified() {
-            address.set_ip(net::Ipv4Addr::LOCALHOST.into());
-        }
-        let woken = net::TcpStream::connect_timeout(&address, WAKE).is_ok();
-        if woken && thread.join().is_err() {
-            log::error!("operators: thread of the port panicked");
-        }
+        self.server.stop();
     }
 }
 
 /// Starts the port.
 pub fn start<B: Backend>(backend: sync::Arc<B>, options: Options) -> Result<Server, ListenError> {
     let listen = options.listen;
-    open(backend, options).map_err(|e| ListenError {
+    open(backend, options).map_err(|reason| ListenError {
         address: listen,
-        reason: e.to_string(),
+        reason,
     })
 }
 
-fn open<B: Backend>(backend: sync::Arc<B>, options: Options) -> io::Result<Server> {
-    let listener = net::TcpListener::bind(options.listen)?;
-    let address = listener.local_addr()?;
-    let stop = sync::Arc::new(atomic::AtomicBool::new(false));
-    let port = sync::Arc::new(Port {
+fn open<B: Backend>(backend: sync::Arc<B>, options: Options) -> Result<Server, String> {
+    let listener = net::TcpListener::bind(options.listen).map_err(|e| e.to_string())?;
+    let limits = limits(&options);
+    let port = Port {
         backend,
-        options,
-        open: atomic::AtomicUsize::new(0),
-        stop: sync::Arc::clone(&stop),
-    });
-    let thread = thread::Builder::new()
-        .name("operators".to_owned())
-        .spawn(move || Port::accept(&port, &listener))?;
-    log::info!(address:% = address; "operators: port is open");
-    Ok(Server {
-        address,
-        stop,
-        thread: Some(thread),
-    })
+        tokens: options.tokens,
+    };
+    let server = http_server::Server::start(listener, limits, sync::Arc::new(port))
+        .map_err(|e| e.to_string())?;
+    // The places are few, and a client that asks once must not hold one until it has gone idle: each
+    // answer is the last on its connection.
+    server.drain();
+    log::info!(address:% = server.local_addr(); "operators: port is open");
+    Ok(Server { server })
 }
 
-/// What the threads of a port share.
+fn limits(options: &Options) -> limits::Limits {
+    limits::Limits {
+        body_bytes: MAX_BODY,
+        head_timeout: options.timeout,
+        body_timeout: options.timeout,
+        idle_timeout: options.timeout,
+        write_timeout: options.timeout,
+        connections: options.connections,
+        ..limits::Limits::default()
+    }
+}
+
+/// The backend behind HTTP.
+#[derive(Debug)]
 struct Port<B> {
     backend: sync::Arc<B>,
-    options: Options,
-    /// Connections open now.
-    open: atomic::AtomicUsize,
-    stop: sync::Arc<atomic::AtomicBool>,
+    tokens: Tokens,
 }
 
-impl<B: Backend> Port<B> {
-    fn accept(port: &sync::Arc<Self>, listener: &net::TcpListener) {
-        loop {
-            let accepted = listener.accept();
-            if port.stop.load(atomic::Ordering::SeqCst) {
-                return;
-            }
-            match accepted {
-                Ok((stream, peer)) => Self::spawn(port, stream, peer),
-                Err(e) => {
-                    log::warn!(error:% = e; "operators: connection could not be accepted");
-                    thread::sleep(ACCEPT_PAUSE);
-                }
-            }
+impl<B: Backend> handler::Handler for Port<B> {
+    fn admit(&self, head: &request::Request) -> handler::Admission {
+        match self.check(head) {
+            Ok(()) => handler::Admission::Read,
+            Err(problem) => handler::Admission::Answer(respond::problem(&problem)),
         }
     }
 
-    fn spawn(port: &sync::Arc<Self>, stream: net::TcpStream, peer: net::SocketAddr) {
-        if port.open.fetch_add(1, atomic::Ordering::SeqCst) >= port.options.connections {
-            port.open.fetch_sub(1, atomic::Ordering::SeqCst);
-            log::warn!(peer:% = peer; "operators: too many connections, one closed");
-            return;
-        }
-        let counted = Counted(sync::Arc::clone(port));
-        let run = move || counted.0.serve(stream, peer);
-        let spawned = thread::Builder::new()
-            .name("operator".to_owned())
-            .stack_size(STACK)
-            .spawn(run);
-        if let Err(e) = spawned {
-            log::error!(error:% = e; "operators: no thread for a connection");
-        }
+    fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
+        let answer = self.answer(&req).unwrap_or_else(|problem| {
+            let (path, kind) = (req.path.as_str(), problem.kind);
+            log::info!(path, kind:% = kind; "operators: refused");
+            respond::problem(&problem)
+        });
+        reply.made(&answer)
     }
 
-    fn serve(&self, stream: net::TcpStream, peer: net::SocketAddr) {
-        let mut connection = connection::Connection::new(stream, peer, self.options.timeout);
-        let resp = match connection.head() {
-            None => return,
-            Some(Err(problem)) => respond::problem(&problem),
-            Some(Ok(head)) => self.answer(&mut connection, head),
-        };
-        if let Err(e) = connection.respond(resp) {
-            log::debug!(peer:% = peer, error:% = e; "operators: answer not taken");
+    fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
+        handler::Stamped {
+            request_id: String::new(),
+            refusal,
         }
     }
 
-    fn answer(
-        &self,
-        connection: &mut connection::Connection,
-        head: connection::Head,
-    ) -> rouille::Response {
-        let path = head.path().to_owned();
-        let route = Route::of(head.method(), &path);
-        let operator = match route {
-            route if route.is_open() => "",
-            _ => match operator(&self.options.tokens, &head) {
-                Ok(operator) => operator,
-                Err(problem) => return respond::problem(&problem),
-            },
-        };
-        let req = match connection.request(head, MAX_BODY) {
-            Ok(req) => req,
-            Err(problem) => return respond::problem(&problem),
-        };
-        let answered = dispatch(&*self.backend, operator, route, &req);
-        connection.restart(self.options.timeout);
-        answered.unwrap_or_else(|problem| {
-            let kind = problem.kind;
-            log::info!(operator, path = path.as_str(), kind:% = kind; "operators: refused");
-            respond::problem(&problem)
-        })
+    /// In the form of this port's other refusals: a client learns from it that nothing was done.
+    fn early_body(&self, stamped: &handler::Stamped) -> Vec<u8> {
+        respond::problem(&respond::early(&stamped.refusal)).body
     }
 }
 
-/// Counts a connection as open until it is dropped, also when its thread panics.
-struct Counted<B>(sync::Arc<Port<B>>);
+impl<B: Backend> Port<B> {
+    /// Whether the body may be read. Strangers are turned away before any byte of it is.
+    fn check(&self, head: &request::Request) -> Result<(), Box<Problem>> {
+        if head.header("Transfer-Encoding").is_some() {
+            return Err(bad("send the body with a Content-Length, not in chunks"));
+        }
+        self.operator(head)?;
+        let length = head.header("Content-Length");
+        let length = length.and_then(|value| value.parse::<usize>().ok());
+        if length.is_some_and(|length| length > MAX_BODY) {
+            let detail = format!("the body is longer than {MAX_BODY} bytes");
+            return Err(Box::new(Problem::new(Kind::TooLarge, detail)));
+        }
+        Ok(())
+    }
 
-impl<B> Drop for Counted<B> {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, atomic::Ordering::SeqCst);
+    fn answer(&self, req: &request::Request) -> Result<reply::Whole, Box<Problem>> {
+        let operator = self.operator(req)?;
+        let route = Route::of(&req.method, &req.path);
+        dispatch(&*self.backend, operator, route, req)
     }
-}
 
-/// Who asks. Decided before any byte of the body is read.
-fn operator<'a>(tokens: &'a Tokens, head: &connection::Head) -> Result<&'a str, Box<Problem>> {
-    let token = head
-        .field("Authorization")
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let (found, detail) = match token {
-        Some(token) => (
-            tokens.find(token.trim()),
-            "the token belongs to no operator; check it against the common settings",
-        ),
-        None => (
-            None,
-            "send the operator's token as `Authorization: Bearer TOKEN`",
-        ),
-    };
-    found.ok_or_else(|| Box::new(Problem::new(Kind::Unauthorized, detail)))
+    /// Who asks; empty on a path that is open to anyone.
+    fn operator(&self, req: &request::Request) -> Result<&str, Box<Problem>> {
+        if Route::of(&req.method, &req.path).is_open() {
+            return Ok("");
+        }
+        let (found, detail) = match &req.bearer {
+            Some(token) => (
+                self.tokens.find(token),
+                "the token belongs to no operator; check it against the common settings",
+            ),
+            None => (
+                None,
+                "send the operator's token as `Authorization: Bearer TOKEN`",
+            ),
+        };
+        found.ok_or_else(|| Box::new(Problem::new(Kind::Unauthorized, detail)))
+    }
 }
 
 fn dispatch<B: Backend>(
     backend: &B,
     operator: &str,
     route: Route<'_>,
-    req: &rouille::Request,
-) -> Result<rouille::Response, Box<Problem>> {
+    req: &request::Request,
+) -> Result<reply::Whole, Box<Problem>> {
     let trouble = |trouble| Box::new(respond::trouble(trouble));
     match route {
         Route::Rules => Ok(respond::json(&backend.rules().map_err(trouble)?)),
@@ -300,8 +250,8 @@
 fn change<B: Backend>(
     backend: &B,
     operator: &str,
-    req: &rouille::Request,
-) -> Result<rouille::Response, Box<Problem>> {
+    req: &request::Request,
+) -> Result<reply::Whole, Box<Problem>> {
     let body: wire::ChangeReq = body(req)?;
     if body.change_id.is_empty() {
         return Err(bad(
@@ -324,7 +274,7 @@
     Ok(respond::outcome(base, outcome))
 }
 
-fn explain<B: Backend>(backend: &B, id: &str) -> Result<rouille::Response, Box<Problem>> {
+fn explain<B: Backend>(backend: &B, id: &str) -> Result<reply::Whole, Box<Problem>> {
     let account = backend
         .explain(id)
         .map_err(|it| Box::new(respond::trouble(it)))?;
@@ -336,8 +286,11 @@
     })
 }
 
-fn revision(req: &rouille::Request, name: &str) -> Result<Option<rules::Revision>, Box<Problem>> {
-    let Some(text) = req.get_param(name) else {
+fn revision(req: &request::Request, name: &str) -> Result<Option<rules::Revision>, Box<Problem>> {
+    let query = req.query.as_deref().unwrap_or_default();
+    let named = |(key, text)| (key == name).then_some(text);
+    let mut found = query.split('&').filter_map(|part| part.split_once('='));
+    let Some(text) = found.find_map(named) else {
         return Ok(None);
     };
     match text.parse() {
@@ -346,14 +299,8 @@
     }
 }
 
-fn body<T: de::DeserializeOwned>(req: &rouille::Request) -> Result<T, Box<Problem>> {
-    let mut bytes = Vec::new();
-    if let Some(mut reader) = req.data() {
-        reader
-            .read_to_end(&mut bytes)
-            .map_err(|e| bad(&format!("the body broke off: {e}")))?;
-    }
-    serde_json::from_slice(&bytes).map_err(|e| bad(&format!("the body is not understood: {e}")))
+fn body<T: de::DeserializeOwned>(req: &request::Request) -> Result<T, Box<Problem>> {
+    serde_json::from_slice(&req.body).map_err(|e| bad(&format!("the body is not understood: {e}")))
 }
 
 fn bad(detail: &str) -> Box<Problem> {
--- a/crates/sageshed-operators/src/wire.rs
+++ b/crates/sageshed-operators/src/wire.rs
@@ -120,6 +120,9 @@
     /// Another process leads.
     #[display("not_leader")]
     NotLeader,
+    /// This process cannot take it now.
+    #[display("busy")]
+    Busy,
     /// No majority of the control group can be reached.
     #[display("no_quorum")]
     NoQuorum,
@@ -153,7 +156,7 @@
             Self::TooLarge => 413,
             Self::NotLeader => 421,
             Self::Invalid | Self::ChangeIdReused => 422,
-            Self::NoQuorum => 503,
+            Self::Busy | Self::NoQuorum => 503,
             Self::UnknownFate => 504,
             Self::Full => 507,
         }
@@ -176,6 +179,7 @@
             Self::BadRequest => "The request is not valid",
             Self::TooLarge => "The request is too large",
             Self::NotLeader => "Another control process leads",
+            Self::Busy => "This control process cannot take it now",
             Self::NoQuorum => "No majority of the control group can be reached",
             Self::UnknownFate => "The outcome is not known",
             Self::Invalid => "It can't be done",
--- a/crates/sageshed-operators/tests/port.rs
+++ b/crates/sageshed-operators/tests/port.rs
@@ -147,6 +147,88 @@
     }
 }
 
+/// Strangers hold every place of the port, and an operator sends a change. It gets no place. If its
+/// client took that for a lost answer, it would tell the operator that the change may have taken hold,
+/// and she would look for a change that nobody has seen.
+#[test]
+fn change_that_finds_no_place_was_not_done() {
+    let fake = Fake::with([]);
+    let port = support::port(&fake, TOKEN);
+    let mut strangers = Vec::new();
+    for _ in 0..support::CONNECTIONS {
+        let mut stream = net::TcpStream::connect(port.address()).unwrap();
+        stream
+            .write_all(b"POST /rules/changes HTTP/1.1\r\nHost: x")
+            .unwrap();
+        strangers.push(stream);
+    }
+    let client = support::client(&[port.address().to_string()], TOKEN);
+    let error = client.change(&add("a", 0, "night")).unwrap_err();
+    assert!(
+        matches!(error, client::Error::Unreachable { .. }),
+        "{error}"
+    );
+    assert!(error.to_string().contains("connections open"), "{error}");
+    assert!(fake.calls().is_empty());
+}
+
+/// Requests that never reach the backend are refused in the same form as those that do: a client
+/// reads the kind and the fate from every refusal of the port.
+#[test]
+fn unreadable_requests_are_refused_as_problems() {
+    struct Unreadable {
+        name: &'static str,
+        head: String,
+        status: u16,
+        kind: wire::Kind,
+    }
+    let cases = [
+        Unreadable {
+            name: "no HTTP",
+            head: "hello\r\n\r\n".to_owned(),
+            status: 400,
+            kind: wire::Kind::BadRequest,
+        },
+        Unreadable {
+            name: "a body in chunks",
+            head: "POST /rules/changes HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                .to_owned(),
+            status: 400,
+            kind: wire::Kind::BadRequest,
+        },
+        Unreadable {
+            name: "a head without end",
+            head: format!("GET / HTTP/1.1\r\nHost: x\r\nA: {}", "a".repeat(20_000)),
+            status: 431,
+            kind: wire::Kind::TooLarge,
+        },
+        Unreadable {
+            name: "half a body",
+            head: "POST /rules/changes HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer spade\r\n\
+                   Content-Length: 9\r\n\r\n{"
+                .to_owned(),
+            status: 408,
+            kind: wire::Kind::BadRequest,
+        },
+    ];
+    let fake = Fake::with([]);
+    let port = support::port(&fake, TOKEN);
+    for case in cases {
+        let mut stream = net::TcpStream::connect(port.address()).unwrap();
+        stream.write_all(case.head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert!(head.contains(wire::PROBLEM_TYPE), "{}: {head}", case.name);
+        let problem: wire::Problem = serde_json::from_str(body).unwrap();
+        assert_eq!(problem.status, case.status, "{}: {body}", case.name);
+        assert_eq!(problem.kind, case.kind, "{}: {body}", case.name);
+        assert_eq!(problem.fate, wire::Fate::NotDone, "{}: {body}", case.name);
+        let line = format!("HTTP/1.1 {} ", case.status);
+        assert!(head.starts_with(&line), "{}: {head}", case.name);
+    }
+}
+
 /// Without the token, the body is not waited for: the refusal comes first.
 #[test]
 fn stranger_is_refused_before_the_body_is_read() {
--- a/crates/sageshed-vms/src/lib.rs
+++ b/crates/sageshed-vms/src/lib.rs
@@ -1,7 +1,7 @@
 //! Peer: the system's own processes on other VMs.
 //!
 //! Messages ([`sageshed_types::messages`]) travel as rmp-serde bodies of HTTP POST requests. The
-//! server side is `rouille`, the client side `ureq`. Structs are written as maps, so that a process
+//! server side is [`sageshed_http`], the client side `ureq`. Structs are written as maps, so that a process
 //! of the next version may add a member that one of this version passes over: VMs are upgraded one
 //! after another.
 //!
@@ -12,6 +12,10 @@
 //! of its own and drops the connection on which a call ran out of time, so that the next call makes
 //! a new one. No call is repeated here; the callers of this package know which may be.
 //!
+//! At the other end such a connection would hold its thread, whether it went silent between two calls
+//! or between the head of a call and its body. The server limits both times ([`limits_for`]), so that
+//! silent connections cannot use up the port.
+//!
 //! # Who may call
 //!
 //! A process that knows the group's shared token may call, and no other: each request carries it in
@@ -23,7 +27,8 @@
 
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, encode};
-pub use server::{Answer, Handler, Server, StartError};
+pub use sageshed_http::limits;
+pub use server::{Answer, Handler, Server, StartError, limits_for};
 
 /// The header that carries the group's shared token.
 pub const TOKEN_HEADER: &str = "Sageshed-Group-Token";
--- a/crates/sageshed-vms/src/server.rs
+++ b/crates/sageshed-vms/src/server.rs
@@ -1,17 +1,27 @@
 //! The port on which a process takes calls of the others.
 
-use std::{
-    io::Read,
-    net,
-    sync::{self, mpsc},
-    thread,
-};
+use std::{net, sync, time};
 
 use derive_more::{Display, Error};
+use sageshed_http::{handler, limits, reply, request, server};
+use sageshed_types::refusal;
 use serde::Serialize;
 
 use crate::codec;
 
+/// The largest body of one who does not show the token, in bytes. An endpoint's report is far smaller.
+const OPEN_BODY_LIMIT: usize = 4 * 1024 * 1024;
+
+/// How long the head of a call, its body, or the acknowledgement of an answer may take.
+///
+/// The network may lose track of a connection at any byte, and the peer then sends no close: the
+/// call's thread would wait for the rest for good, and enough of them would hold the whole port. The
+/// largest body, a snapshot, takes about 2 s on a link of 1 Gbit/s.
+const ARRIVAL_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// How long a connection is kept without a call. Peers call several times a second.
+const IDLE_LIMIT: time::Duration = time::Duration::from_secs(30);
+
 /// What a handler answers.
 #[derive(Debug)]
 pub enum Answer {
@@ -40,7 +50,7 @@
     }
 }
 
-/// Takes calls. Runs on a pool of threads; a call that waits holds one.
+/// Takes calls. Runs on the thread of each connection; a call that waits holds one.
 pub trait Handler: Send + Sync + 'static {
     /// Answers the message `body` that came to `path`.
     fn handle(&self, path: &str, body: &[u8]) -> Answer;
@@ -65,77 +75,127 @@
 /// A running server; it stops taking calls when dropped.
 #[derive(Debug)]
 pub struct Server {
-    address: net::SocketAddr,
-    stop: mpsc::Sender<()>,
-    thread: Option<thread::JoinHandle<()>>,
+    server: server::Server,
 }
 
 impl Server {
-    /// Listens on `address` with `threads` threads to handle calls.
+    /// Listens on `address` with at most `connections` open at once, each with a thread.
+    ///
+    /// A peer holds one connection for each of its calls under way, and keeps some of them for the
+    /// next ones: give at least four for each process that calls.
     pub fn start<H: Handler>(
         address: &str,
         token: &str,
-        threads: usize,
+        connections: usize,
         handler: sync::Arc<H>,
     ) -> Result<Self, StartError> {
-        let token = token.to_owned();
-        let answer = move |req: &rouille::Request| respond(req, &token, handler.as_ref());
-        let server = rouille::Server::new(address, answer)
-            .map_err(|e| StartError {
-                address: address.to_owned(),
-                problem: e.to_string(),
-            })?
-            .pool_size(threads);
-        let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
-        Ok(Self {
-            address,
-            stop,
-            thread: Some(thread),
-        })
+        Self::start_within(address, token, limits_for(connections), handler)
+    }
+
+    /// As [`Server::start`], with limits other than [`limits_for`] gives.
+    pub fn start_within<H: Handler>(
+        address: &str,
+        token: &str,
+        limits: limits::Limits,
+        handler: sync::Arc<H>,
+    ) -> Result<Self, StartError> {
+        let port = sync::Arc::new(Port {
+            token: token.to_owned(),
+            handler,
+        });
+        let server = listen(address, limits, port).map_err(|problem| StartError {
+            address: address.to_owned(),
+            problem,
+        })?;
+        Ok(Self { server })
     }
 
     /// The address it listens on; the port is the system's choice where the settings said 0.
     #[must_use]
     pub fn address(&self) -> net::SocketAddr {
-        self.address
+        self.server.local_addr()
     }
 }
 
 impl Drop for Server {
     fn drop(&mut self) {
-        // The thread may have ended already, and then nobody takes the message.
-        let _ = self.stop.send(());
-        if let Some(thread) = self.thread.take() {
-            drop(thread.join());
-        }
+        self.server.stop();
+    }
+}
+
+/// The limits of a port with at most `connections` open at once.
+#[must_use]
+pub fn limits_for(connections: usize) -> limits::Limits {
+    limits::Limits {
+        body_bytes: usize::try_from(crate::BODY_LIMIT).unwrap_or(usize::MAX),
+        head_timeout: ARRIVAL_LIMIT,
+        body_timeout: ARRIVAL_LIMIT,
+        idle_timeout: IDLE_LIMIT,
+        write_timeout: ARRIVAL_LIMIT,
+        connections,
+        ..limits::Limits::default()
     }
 }
 
-fn respond<H: Handler>(req: &rouille::Request, token: &str, handler: &H) -> rouille::Response {
-    let open = token.is_empty() || handler.is_open(&req.url());
-    if !open && req.header(crate::TOKEN_HEADER) != Some(token) {
-        return rouille::Response::text("the group's token is missing or wrong")
-            .with_status_code(401);
+fn listen<H: Handler>(
+    address: &str,
+    limits: limits::Limits,
+    port: sync::Arc<Port<H>>,
+) -> Result<server::Server, String> {
+    let listener = net::TcpListener::bind(address).map_err(|e| e.to_string())?;
+    server::Server::start(listener, limits, port).map_err(|e| e.to_string())
+}
+
+/// The calls as HTTP requests.
+#[derive(Debug)]
+struct Port<H> {
+    token: String,
+    handler: sync::Arc<H>,
+}
+
+impl<H: Handler> handler::Handler for Port<H> {
+    /// Before the body is read: a snapshot's size of memory is not for strangers to fill.
+    fn admit(&self, head: &request::Request) -> handler::Admission {
+        if self.token.is_empty() || head.header(crate::TOKEN_HEADER) == Some(&self.token) {
+            return handler::Admission::Read;
+        }
+        if self.handler.is_open(&head.path) {
+            return handler::Admission::ReadUpTo(OPEN_BODY_LIMIT);
+        }
+        handler::Admission::Answer(text(401, "the group's token is missing or wrong"))
     }
-    let Some(body) = read_body(req) else {
-        return rouille::Response::text("the body did not arrive whole").with_status_code(400);
-    };
-    match handler.handle(&req.url(), &body) {
-        Answer::Message(body) => rouille::Response::from_data("application/msgpack", body),
-        Answer::Json { status, body } => {
-            rouille::Response::from_data("application/json", body).with_status_code(status)
+
+    fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
+        reply.made(&match self.handler.handle(&req.path, &req.body) {
+            Answer::Message(body) => whole(200, "application/msgpack", body),
+            Answer::Json { status, body } => whole(status, "application/json", body.into_bytes()),
+            Answer::NotFound => text(404, "no such path"),
+            Answer::Bad(e) => text(400, e.to_string()),
+        })
+    }
+
+    /// Calls have no ids; the peer's own log names the call that got the refusal.
+    fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
+        log::warn!(reason:% = refusal.reason, detail = refusal.detail.as_str(); "vms: call refused");
+        handler::Stamped {
+            request_id: String::new(),
+            refusal,
         }
-        Answer::NotFound => rouille::Response::text("no such path").with_status_code(404),
-        Answer::Bad(e) => rouille::Response::text(e.to_string()).with_status_code(400),
     }
 }
 
-fn read_body(req: &rouille::Request) -> Option<Vec<u8>> {
-    let mut buf = Vec::new();
-    req.data()?
-        .take(crate::BODY_LIMIT)
-        .read_to_end(&mut buf)
-        .ok()?;
-    Some(buf)
+fn text(status: u16, body: impl Into<String>) -> reply::Whole {
+    whole(
+        status,
+        "text/plain; charset=utf-8",
+        body.into().into_bytes(),
+    )
+}
+
+fn whole(status: u16, content_type: &'static str, body: Vec<u8>) -> reply::Whole {
+    reply::Whole {
+        status,
+        content_type,
+        body,
+    }
 }
