Find connections that went silent before an election, and bound the claims that wait

Something between two control VMs may lose track of all their open connections at once. A call on one waited for its limit of 1 s, which is the election timeout, so the leader lost its majority. The limit is half the election timeout now.

A quarter of the threads for other processes' calls may wait for commits; the test hands claims past the bound to the port.

Tests that fail no longer hang: writers stop when the test does, and a driver that does not end is waited for within bounds.

--- a/src/sageshed/control/links.rs
+++ b/src/sageshed/control/links.rs
@@ -23,9 +23,12 @@
 /// How long one call may take. Long enough for a snapshot of the state at its bounds.
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(5);
 
-/// How long a call without a snapshot may take: about one election timeout, past which the message
-/// is of no use.
-const SHORT_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// How long a call without a snapshot may take, as a part of the election timeout.
+///
+/// Something between two VMs may lose track of an open connection, and of all of them at once. A call
+/// on it waits for its limit and the next one makes a new connection. With a limit of an election
+/// timeout the leader would have lost its majority by then; with half, it has heard it in time.
+const PART_OF_ELECTION: u32 = 2;
 
 /// Bodies above this size get the long limit, in bytes.
 const LARGE: usize = 256 * 1024;
@@ -109,10 +112,11 @@
 
     fn call(&self, batch: Vec<Vec<u8>>) -> Result<(), sageshed_vms::CallError> {
         let size: usize = batch.iter().map(Vec::len).sum();
+        let election = self.shared.settings.common.control.election_timeout_ms;
         let limit = if size > LARGE {
             CALL_LIMIT
         } else {
-            SHORT_LIMIT
+            time::Duration::from(election) / PART_OF_ELECTION
         };
         let envelope = messages::Envelope {
             from: self.shared.process.vm.clone(),
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -15,15 +15,15 @@
 use crate::{directory, locks};
 
 /// Connections of other processes that are open at once, each with a thread that takes its calls.
-pub const THREADS: usize = 1_024;
+pub const THREADS: usize = 64;
 
 /// Calls that may wait for a commit at once.
 ///
 /// Each holds a thread until its command is committed, and a command is committed when the other
 /// members' acknowledgements come in, through the same threads. With all of them waiting nothing is
-/// committed until the first gives up, and heartbeats are not answered either. So some stay free, and
+/// committed until the first gives up, and heartbeats are not answered either. So most stay free, and
 /// a call past the bound is told to come again.
-const WAITING: usize = THREADS * 3 / 4;
+pub const WAITING: usize = THREADS / 4;
 
 /// Takes calls of other processes.
 #[derive(Debug)]
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -11,7 +11,7 @@
 };
 
 use sageshed::{
-    control::{driver, inputs, links, operators, placing, shared},
+    control::{driver, inputs, links, operators, placing, shared, vms},
     locks, settings,
 };
 use sageshed_disk::{files, folder, vacant};
@@ -19,6 +19,7 @@
 use sageshed_quorum::{config, log, message, node, status};
 use sageshed_state::{command, control};
 use sageshed_types::{claims, endpoints, messages, rules, time as types_time};
+use sageshed_vms::Handler as _;
 
 /// How long anything that is waited for may take. A test that reaches it has failed.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
@@ -140,6 +141,13 @@
 
     fn stop(&mut self) -> Result<(), driver::End> {
         self.shared.stopping.store(true, atomic::Ordering::Relaxed);
+        self.end()
+    }
+
+    /// Waits until the driver ends.
+    fn end(&mut self) -> Result<(), driver::End> {
+        let thread = self.thread.as_ref().unwrap();
+        until("the driver ends", || thread.is_finished());
         self.thread.take().unwrap().join().unwrap()
     }
 
@@ -244,6 +252,22 @@
     }
 }
 
+fn claim(vm: &str, incarnation: u64) -> claims::Claim {
+    claims::Claim {
+        key: claims::ClaimKey {
+            caller: "alpha".to_owned(),
+            key: "key".to_owned(),
+        },
+        holder: claims::Holder {
+            vm: vm.to_owned(),
+            incarnation: endpoints::Incarnation(incarnation),
+            request_id: format!("{vm}.{incarnation}.1"),
+        },
+        digest: 1,
+        retention: types_time::Millis(60_000),
+    }
+}
+
 fn heard(shared: &shared::Shared, vm: &str, incarnation: u64, revision: u64) {
     let req = messages::SyncReq {
         from: messages::Process {
@@ -317,7 +341,7 @@
         ..log::Write::default()
     };
     let mut running = Running::start(&[OWN], &write, |_, _| {});
-    let end = running.thread.take().unwrap().join().unwrap();
+    let end = running.end();
     let at = log::Index(1);
     assert!(
         matches!(end, Err(driver::End::Command { index, .. }) if index == at),
@@ -369,19 +393,7 @@
 #[test]
 fn a_new_leader_tells_the_log_which_entry_processes_are_gone() {
     let running = Running::alone(|shared, _| heard(shared, "vm3", 5, 0));
-    let claim = command::Command::Claim(claims::Claim {
-        key: claims::ClaimKey {
-            caller: "alpha".to_owned(),
-            key: "key".to_owned(),
-        },
-        holder: claims::Holder {
-            vm: "vm3".to_owned(),
-            incarnation: endpoints::Incarnation(4),
-            request_id: "vm3.4.1".to_owned(),
-        },
-        digest: 1,
-        retention: types_time::Millis(60_000),
-    });
+    let claim = command::Command::Claim(claim("vm3", 4));
     let fate = running.inputs.commit(claim);
     let too_late = inputs::Fate::Applied(Some(Box::new(command::Outcome::ClaimTooLate)));
     assert_eq!(fate, too_late);
@@ -448,3 +460,35 @@
     }
     assert!(cuts > 0, "no snapshot was made");
 }
+
+/// The leader gets no acknowledgements, and more claims come than may wait. The one past the bound is
+/// told at once that nothing was done: if it waited too, and those after it, no thread would be left
+/// to take the acknowledgements in.
+#[test]
+fn a_claim_past_the_bound_does_not_wait() {
+    let running = Running::alone(|_, _| {});
+    // Nobody takes out what is put in here, so whoever waits gets no answer.
+    let (inputs, _rx) = inputs::Inputs::new();
+    let port = vms::Port {
+        shared: sync::Arc::clone(&running.shared),
+        inputs,
+        placing: mpsc::channel().0,
+        waiting: atomic::AtomicUsize::new(0),
+    };
+    let body = sageshed_vms::encode(&claim("vm3", 4)).unwrap();
+    thread::scope(|scope| {
+        for _ in 0..vms::WAITING {
+            scope.spawn(|| port.handle(messages::paths::CLAIM, &body));
+        }
+        until("all wait", || {
+            port.waiting.load(atomic::Ordering::Relaxed) == vms::WAITING
+        });
+        let sageshed_vms::Answer::Message(answer) = port.handle(messages::paths::CLAIM, &body)
+        else {
+            panic!("no answer");
+        };
+        let answer: messages::Routed<claims::ClaimOutcome> = sageshed_vms::decode(&answer).unwrap();
+        let refused = matches!(answer, messages::Routed::NotLeader { .. });
+        assert!(refused, "{answer:?}");
+    });
+}
--- a/tests/testsuite/control_cut.rs
+++ b/tests/testsuite/control_cut.rs
@@ -74,6 +74,34 @@
     }
 }
 
+/// Something between the VMs loses track of every open connection: all stay open and carry nothing,
+/// and new ones work. Calls that wait too long on the old ones would cost the leader its majority, and
+/// entry processes their leases. Nobody has to be elected, and every entry process goes on.
+#[test]
+fn all_connections_between_vms_go_silent() {
+    let cluster = cluster::Cluster::start(cluster::Plan {
+        control: "election_timeout_ms = 4000\n".to_owned(),
+        ..plan(3)
+    });
+    let watch = watch::Watch::start(&cluster);
+    let client = operator::client(&cluster, &[0, 1, 2]);
+    let term = |cluster: &cluster::Cluster| {
+        cluster.leader();
+        cluster.status().unwrap().term
+    };
+    let before = term(&cluster);
+    for round in 0..2 {
+        cluster.lose_track();
+        thread::sleep(LONG);
+        let revision = operator::accept(&client, &format!("round-{round}"));
+        cluster.until("it is in force", || {
+            client.in_force(revision).unwrap().missing.is_empty()
+        });
+    }
+    assert_eq!(term(&cluster), before, "a leader was elected");
+    watch.finish();
+}
+
 /// An entry VM without a control process is cut off alone while a rule changes. The operator who
 /// waits is told its name, and that the change is in force once it cannot be serving any more, which
 /// it is not. After the cut it serves by the new rules.
--- a/tests/testsuite/control_disk.rs
+++ b/tests/testsuite/control_disk.rs
@@ -121,6 +121,7 @@
     let generation = generation_of(&cluster, vm);
     let stop = atomic::AtomicBool::new(false);
     thread::scope(|scope| {
+        let stopping = Stopping(&stop);
         for writer in 0..8 {
             let (client, count, stop) = (&client, &count, &stop);
             scope.spawn(move || {
@@ -139,10 +140,19 @@
             let now = voter(&cluster, vm);
             now.is_some_and(|now| now != generation) && is_whole(&cluster)
         });
-        stop.store(true, atomic::Ordering::Relaxed);
+        drop(stopping);
     });
 }
 
+/// Stops writers when it goes, also where the test fails: it would wait for them for ever.
+struct Stopping<'s>(&'s atomic::AtomicBool);
+
+impl Drop for Stopping<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, atomic::Ordering::Relaxed);
+    }
+}
+
 /// A control process and an entry process are away while hundreds of changes pass by, and the log
 /// that they would need is gone. Both catch up from a snapshot, and no entry process goes back.
 #[test]
