Start the ledger again when a proposal comes to nothing

Cause: the ledger reserves memory for what it has proposed. When the log refused a proposal, or its queue was full, nobody told the ledger, and while this process led the memory stayed reserved and the model was not loaded. Ruled out: taking back just that proposal; one whose fate is unknown may yet be committed. Reading the table of open orders at once; an earlier proposal may be behind it in the log. Change: the ledger stops, a new barrier is proposed, and once that is committed it starts again from the table of open orders.

--- a/src/sageshed/control/inputs.rs
+++ b/src/sageshed/control/inputs.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Has `command` committed and does not wait. Returns false if there is no room for it: then
+    /// nothing was done, and nobody will be told.
+    #[must_use]
+    pub fn submit(&self, command: command::Command, reply: Reply) -> bool {
+        let command = Box::new(command);
+        self.tx.try_send(Input::Submit { command, reply }).is_ok()
+    }
+
     /// Has `command` committed, and waits for it.
     #[must_use]
     pub fn commit(&self, command: command::Command) -> Fate {
--- a/src/sageshed/control/placing.rs
+++ b/src/sageshed/control/placing.rs
@@ -83,6 +83,8 @@
     pub tx: mpsc::Sender<Input>,
     /// From all others.
     pub rx: mpsc::Receiver<Input>,
+    /// A proposal came to nothing: the ledger starts again from the table of open orders.
+    pub restart: bool,
 }
 
 impl Placing {
@@ -98,6 +100,7 @@
             }
             if time::Instant::now() >= plan_at {
                 plan_at = time::Instant::now() + self.plan_interval;
+                self.start_again();
                 self.step(place::Event::Plan);
                 *locks::write(&self.shared.models) = self.placement.models();
             }
@@ -119,8 +122,11 @@
 
     fn decided(&mut self, fate: Fate) {
         let Fate::Applied(Some(outcome)) = fate else {
-            // Refused, so not committed; the planner proposes anew what it still wants. A fate that
-            // is unknown ends with this process's leadership, and the next leader reads the table.
+            // The ledger holds memory for what was proposed, and would hold it for as long as this
+            // process leads. It starts again from the table of open orders, behind a barrier: a
+            // proposal whose fate is open is committed before it or never.
+            self.step(place::Event::LeaderLost);
+            self.restart = true;
             return;
         };
         match *outcome {
@@ -137,6 +143,15 @@
         }
     }
 
+    /// Proposes the barrier behind which the ledger starts again, if this process still leads.
+    fn start_again(&mut self) {
+        if !std::mem::take(&mut self.restart) || !self.shared.leads() {
+            return;
+        }
+        let term = locks::read(&self.shared.view).status.term.0;
+        self.submit(command::Command::LeaderStarted { term });
+    }
+
     fn lead(&mut self) {
         let (open, pins) = {
             let state = locks::read(&self.shared.state);
@@ -170,7 +185,7 @@
         }
     }
 
-    fn carry_out(&self, action: place::Action) {
+    fn carry_out(&mut self, action: place::Action) {
         match action {
             place::Action::Propose(wanted) => self.propose(wanted),
             place::Action::SendOrder(order) => self.send(order),
@@ -192,7 +207,7 @@
         }
     }
 
-    fn propose(&self, wanted: Vec<(String, endpoints::Incarnation, endpoints::Task)>) {
+    fn propose(&mut self, wanted: Vec<(String, endpoints::Incarnation, endpoints::Task)>) {
         let orders =
             wanted
                 .into_iter()
@@ -202,12 +217,16 @@
                     task,
                 });
         let term = locks::read(&self.shared.view).status.term.0;
-        let command = Box::new(command::Command::IssueOrders {
-            term,
-            orders: orders.collect(),
-        });
+        let orders = orders.collect();
+        self.submit(command::Command::IssueOrders { term, orders });
+    }
+
+    /// Proposes a command whose outcome this thread needs.
+    fn submit(&mut self, command: command::Command) {
         let reply = Reply::Placing(self.tx.clone());
-        self.inputs.offer(inputs::Input::Submit { command, reply });
+        if !self.inputs.submit(command, reply) {
+            self.restart = true;
+        }
     }
 
     /// Sends an order on a thread of its own, since an engine may take its time to answer.
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -322,6 +322,7 @@
             }),
             tx: self.placing_tx.clone(),
             rx,
+            restart: false,
         };
         let spawned = thread::Builder::new()
             .name("placing".to_owned())
