Settle an order that another one overtook

Orders to one engine go out at once, each on a thread of its own, so the second may arrive first. An engine that checks fencing numbers then refuses the first for good. The ledger took the refusal for the order's fate but kept the order until a later one was seen; the later one had been seen already. The table of orders gave the same order back whenever the planner proposed its task anew, and it was refused again, about eight times a second: the model was never loaded. Seen with real processes, four empty engines and nine models: no entry of three models within 40 s.

An order older than the newest that the engine has accepted is settled now also if it is shown as refused. It can never run, so its memory is free. The order of sending is left as it is: an order that was overtaken costs one proposal more.

The new test fails without the change (nothing is settled).

--- a/crates/sageshed-place/src/engine.rs
+++ b/crates/sageshed-place/src/engine.rs
@@ -182,7 +182,12 @@
         }
     }
 
-    /// Removes orders that the engine will refuse since it has accepted a later one.
+    /// Removes orders that the engine refuses for good since it has accepted a later one: those that
+    /// it has not shown, and those that it shows as refused.
+    ///
+    /// Orders sent at once overtake each other. The one that was overtaken is refused, and would be
+    /// each time it is sent; left in the table it would stand for the same task proposed anew, so
+    /// that the model is never loaded.
     ///
     /// Order ids grow with fencing numbers, so they are compared in their place. An order that is
     /// missing from a full list may have been seen and pushed out of it; then an accepted order
@@ -191,17 +196,18 @@
         if !self.checks_fence {
             return Vec::new();
         }
-        let accepted = results
+        let (refused, accepted): (Vec<_>, Vec<_>) = results
             .iter()
-            .filter(|r| !matches!(r.outcome, endpoints::OrderOutcome::Refused { .. }))
-            .map(|r| r.order);
+            .partition(|r| matches!(r.outcome, endpoints::OrderOutcome::Refused { .. }));
+        let accepted = accepted.into_iter().map(|r| r.order);
         let (Some(oldest), Some(newest)) = (accepted.clone().min(), accepted.max()) else {
             return Vec::new();
         };
         let whole = results.len() < ORDERS_REPORTED;
         self.take_where(|open| {
             let id = open.order.order;
-            !open.seen && id < newest && (whole || oldest < id)
+            let never_came = !open.seen && (whole || oldest < id);
+            id < newest && (never_came || refused.iter().any(|r| r.order == id))
         })
     }
 
--- a/crates/sageshed-place/tests/faults.rs
+++ b/crates/sageshed-place/tests/faults.rs
@@ -645,3 +645,25 @@
     );
     assert_eq!((seen.resident, seen.reserved, seen.free()), (40, 0, 24));
 }
+
+/// Two orders go out to an engine at once, and the second arrives first: the engine refuses the first
+/// for its old fencing number, now and always. Kept in the table, it would be given back each time
+/// the same load is proposed, and callers of that model would find no route for good.
+#[test]
+fn an_order_that_was_overtaken_is_settled() {
+    let mut run = Run::new(&["x", "y"]);
+    run.step(Restore(&[]));
+    run.step(Report("a", 1, 1, NONE, &[]));
+    let proposed = run.step(Plan);
+    assert_eq!(proposed, ["propose load x on a", "propose load y on a"]);
+    run.step(Commit);
+    let mut report = report("a", 1, 2, &[("y", 1, Loading)], &[101, -102]);
+    report.orders[0].outcome = endpoints::OrderOutcome::Refused {
+        problem: "old fencing number".to_owned(),
+    };
+    let actions = run.placement.step(run.now, place::Event::Report(report));
+    let asked: Vec<_> = actions.into_iter().flat_map(|it| run.take(it)).collect();
+    assert_eq!(asked, ["settle 101"]);
+    run.step(Wait(3_000));
+    assert_eq!(run.step(Plan), ["propose load x on a"]);
+}
