Keep the leader when all connections between control VMs go silent at once

A heartbeat on a lost connection waited for its limit, and then the answer to it, on the other VM's lost connection, for another. At half the election timeout each the leader still lost its majority (seen: it stepped down 3.9 s after the loss, of 4 s); at a third it keeps it. The client drops all idle connections to an address once one of them brought no answer, since each would cost another limit.

A leader that has just been started or reached again waits up to 2 s for the heartbeats of a majority of the entry VMs before it refuses a change: under load an operator was refused by one that had heard its own VM only.

--- a/crates/sageshed-vms/src/client.rs
+++ b/crates/sageshed-vms/src/client.rs
@@ -1,8 +1,9 @@
 //! Calls to another process of the system.
 
 use std::{
+    collections,
     io::{self, Read},
-    time,
+    sync, time,
 };
 
 use derive_more::{Display, Error};
@@ -57,7 +58,8 @@
 /// A client for all addresses; cheap to clone, and clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
-    agent: ureq::Agent,
+    /// One for each address, with the connections to it.
+    agents: sync::Arc<sync::Mutex<collections::HashMap<String, ureq::Agent>>>,
     token: String,
 }
 
@@ -65,15 +67,8 @@
     /// A client that shows `token` with each call.
     #[must_use]
     pub fn new(token: &str) -> Self {
-        let agent = ureq::AgentBuilder::new()
-            .timeout_connect(CONNECT_LIMIT)
-            .max_idle_connections_per_host(IDLE_PER_ADDRESS)
-            .max_idle_connections(IDLE_PER_ADDRESS * 64)
-            .redirects(0)
-            .user_agent("sageshed")
-            .build();
         Self {
-            agent,
+            agents: sync::Arc::default(),
             token: token.to_owned(),
         }
     }
@@ -99,15 +94,48 @@
         limit: time::Duration,
     ) -> Result<Vec<u8>, CallError> {
         let answer = self
-            .agent
+            .agent(address)
             .post(&format!("http://{address}{path}"))
             .set(crate::TOKEN_HEADER, &self.token)
             .set("Content-Type", "application/msgpack")
             .timeout(limit)
             .send_bytes(body)
-            .map_err(|e| classify(address, e))?;
-        read_whole(answer).map_err(|e| no_answer(address, &e))
+            .map_err(|e| classify(address, e));
+        let whole =
+            answer.and_then(|answer| read_whole(answer).map_err(|e| no_answer(address, &e)));
+        if let Err(CallError::NoAnswer { .. }) = &whole {
+            self.forget(address);
+        }
+        whole
+    }
+
+    fn agent(&self, address: &str) -> ureq::Agent {
+        let mut agents = self.lock();
+        let agent = agents.entry(address.to_owned()).or_insert_with(new_agent);
+        agent.clone()
+    }
+
+    /// Drops the idle connections to an address. If one went silent the others did too, most likely,
+    /// and each would cost the next call its whole limit.
+    fn forget(&self, address: &str) {
+        self.lock().remove(address);
     }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<String, ureq::Agent>> {
+        self.agents
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn new_agent() -> ureq::Agent {
+    ureq::AgentBuilder::new()
+        .timeout_connect(CONNECT_LIMIT)
+        .max_idle_connections_per_host(IDLE_PER_ADDRESS)
+        .max_idle_connections(IDLE_PER_ADDRESS)
+        .redirects(0)
+        .user_agent("sageshed")
+        .build()
 }
 
 fn read_whole(answer: ureq::Response) -> io::Result<Vec<u8>> {
--- a/src/sageshed/control/links.rs
+++ b/src/sageshed/control/links.rs
@@ -26,9 +26,10 @@
 /// How long a call without a snapshot may take, as a part of the election timeout.
 ///
 /// Something between two VMs may lose track of an open connection, and of all of them at once. A call
-/// on it waits for its limit and the next one makes a new connection. With a limit of an election
-/// timeout the leader would have lost its majority by then; with half, it has heard it in time.
-const PART_OF_ELECTION: u32 = 2;
+/// on it waits for its limit, and the next one makes a new connection. A heartbeat of the leader then
+/// waits for one limit, and the answer to it, on the other VM's connection, for another. Both fit into
+/// the election timeout, so the leader hears its majority in time.
+const PART_OF_ELECTION: u32 = 3;
 
 /// Bodies above this size get the long limit, in bytes.
 const LARGE: usize = 256 * 1024;
--- a/src/sageshed/control/operators.rs
+++ b/src/sageshed/control/operators.rs
@@ -1,6 +1,6 @@
 //! What the operators' port asks of this process.
 
-use std::{sync, time};
+use std::{sync, thread, time};
 
 use sageshed_operators::{
     backend::{Backend, Trouble},
@@ -15,6 +15,12 @@
 };
 use crate::{locks, settings};
 
+/// How long a change waits for a majority of the entry VMs to be heard.
+const ENTRIES_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// Between two looks at which are.
+const ENTRIES_LOOK: time::Duration = time::Duration::from_millis(20);
+
 /// How long an entry process may take to look up a request.
 const EXPLAIN_LIMIT: time::Duration = time::Duration::from_secs(2);
 
@@ -81,16 +87,24 @@
     /// would be served by rules that an operator here was told are gone.
     ///
     /// Only the leader judges it. One that is cut off hears few, and its refusal would be taken for
-    /// the group's answer.
+    /// the group's answer. A process that has just been started, or reached again, and leads already
+    /// waits for heartbeats before it refuses.
     fn check_entries(&self) -> Result<(), Trouble> {
-        if !self.shared.leads() {
-            return Err(self.not_leader());
-        }
         let total = self.entry_vms().count();
-        let heard = locks::read(&self.shared.roster).entries_heard(self.shared.clock.now());
-        if total == 0 || heard > total / 2 {
-            return Ok(());
-        }
+        let end = time::Instant::now() + ENTRIES_WAIT;
+        let heard = loop {
+            if !self.shared.leads() {
+                return Err(self.not_leader());
+            }
+            let heard = locks::read(&self.shared.roster).entries_heard(self.shared.clock.now());
+            if total == 0 || heard > total / 2 {
+                return Ok(());
+            }
+            if time::Instant::now() >= end {
+                break heard;
+            }
+            thread::sleep(ENTRIES_LOOK);
+        };
         Err(Trouble::Invalid(format!(
             "only {heard} of {total} entry VMs are heard, and a change needs a majority of them; \
              see `sageshed status` and repair the VMs that are silent"
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -15,7 +15,7 @@
 use crate::{directory, locks};
 
 /// Connections of other processes that are open at once, each with a thread that takes its calls.
-pub const THREADS: usize = 64;
+pub const THREADS: usize = 1_024;
 
 /// Calls that may wait for a commit at once.
 ///
