--- /dev/null
+++ b/spec/src/orders/mod.rs
@@ -0,0 +1,500 @@
+//! Orders to engines that ignore fencing numbers, over changes of leader.
+//!
+//! Two engines have memory for one large model and a small one; three models are on offer. Two control
+//! processes lead one after the other, the earlier one unaware of it for as long as it likes. They
+//! use the real [`sageshed_place::ledger::Ledger`]; what is committed is the real
+//! [`order_table::OrderTable`]. Commands wait to be committed (those of one leader in their order),
+//! orders and reports are under way, all for as long as they like. Engines do not start anew here: an order to an earlier start is refused.
+//!
+//! What must hold: no engine is ordered to hold more than fits, and a model that could be reached
+//! stays reachable.
+
+pub mod leader;
+
+use std::{collections, fmt, rc};
+
+use sageshed_state::{command, order_table};
+use sageshed_types::endpoints;
+
+use crate::explore;
+
+/// What keeps the promise, each of which can be taken out.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is one independent switch of a checker"
+)]
+#[derive(Debug, Clone, Copy)]
+pub struct Guards {
+    /// Orders are in the table before they are sent.
+    pub commit_first: bool,
+    /// One order at once to an engine that ignores fencing numbers. Out: the engine says that it
+    /// checks them.
+    pub one_at_a_time: bool,
+    /// No order is sent twice to such an engine, which may not know it again.
+    pub no_resend: bool,
+    /// The last order to each engine stays in the table. Out: it goes when a report settles it.
+    pub keep_settled: bool,
+    /// A new leader waits for reports that show the orders it found in the table.
+    pub wait_for_restored: bool,
+    /// Orders of earlier terms are not issued. Out: they are taken for those of the present term,
+    /// and the leader that proposed them still sends them.
+    pub term: bool,
+    /// Engines carry out each order once, which is needed only where messages are doubled.
+    pub order_ids: bool,
+}
+
+impl Guards {
+    /// All of them.
+    pub const ALL: Self = Self {
+        commit_first: true,
+        one_at_a_time: true,
+        no_resend: true,
+        keep_settled: true,
+        wait_for_restored: true,
+        term: true,
+        order_ids: true,
+    };
+
+    /// All but the one called `guard`; none if there is no such guard.
+    #[must_use]
+    pub fn without(guard: Option<&str>) -> Option<Self> {
+        let mut guards = Self::ALL;
+        let off = match guard {
+            None => return Some(guards),
+            Some("commit_first") => &mut guards.commit_first,
+            Some("one_at_a_time") => &mut guards.one_at_a_time,
+            Some("no_resend") => &mut guards.no_resend,
+            Some("keep_settled") => &mut guards.keep_settled,
+            Some("wait_for_restored") => &mut guards.wait_for_restored,
+            Some("term") => &mut guards.term,
+            Some("order_ids") => &mut guards.order_ids,
+            Some(_) => return None,
+        };
+        *off = false;
+        Some(guards)
+    }
+}
+
+/// The specification.
+#[derive(Debug, Clone, Copy)]
+pub struct Orders {
+    /// The guards that are in.
+    pub guards: Guards,
+    /// What engines hold.
+    pub start: Start,
+    /// What engines can do.
+    pub engines: Engines,
+    /// Commands that get lost before they reach the log.
+    pub losses: u32,
+    /// Whether leaders also keep the rule of [`leader::Rules::reported_routes`].
+    pub reported_routes: bool,
+    /// Orders proposed at most.
+    pub proposals: u32,
+    /// Changes of leader after the first election.
+    pub elections: u32,
+}
+
+/// What engines hold at the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// The first model is on both, and either may lose it.
+    BothFull,
+    /// The first engine holds nothing and takes all orders.
+    OneEmpty,
+}
+
+/// What engines can do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Engines {
+    /// They carry out what comes. Messages are not doubled, and nothing is sent again.
+    Plain,
+    /// They carry out each order once. Messages may be doubled.
+    Knowing,
+    /// They also refuse fencing numbers lower than the highest they have seen. Orders that no report
+    /// has shown are sent again.
+    Fenced,
+}
+
+impl Orders {
+    fn says_fenced(self) -> bool {
+        self.engines == Engines::Fenced || !self.guards.one_at_a_time
+    }
+}
+
+/// A command that waits to be committed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Command {
+    Issue {
+        term: u64,
+        order: command::ProposedOrder,
+    },
+    Settle(Vec<endpoints::OrderId>),
+}
+
+/// Everything in one moment.
+#[derive(Debug, Clone, Hash)]
+pub struct State {
+    table: order_table::OrderTable,
+    leaders: [rc::Rc<leader::Leader>; 2],
+    /// By leader, in the order in which they were submitted.
+    waiting: [collections::VecDeque<Command>; 2],
+    /// Orders under way, by id.
+    network: collections::BTreeMap<u64, endpoints::Order>,
+    engines: [leader::Engine; 2],
+    /// Models that could be reached once.
+    reached: collections::BTreeSet<String>,
+    proposals: u32,
+    elections: u32,
+    copies: u32,
+    refusals: u32,
+    losses: u32,
+}
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+pub struct Event(String);
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+type Nexts = Vec<(Event, State)>;
+
+impl State {
+    fn elect(&mut self, by: usize) {
+        let term = self.table.term() + 1;
+        self.table.leader_started(term);
+        let open = self.table.open().cloned().collect();
+        let removed = self.leader(by).lead(term, open);
+        self.settle_later(by, removed);
+    }
+
+    fn settle_later(&mut self, by: usize, orders: Vec<endpoints::OrderId>) {
+        if !orders.is_empty() {
+            self.waiting[by].push_back(Command::Settle(orders));
+        }
+    }
+
+    fn leader(&mut self, by: usize) -> &mut leader::Leader {
+        rc::Rc::make_mut(&mut self.leaders[by])
+    }
+
+    fn propose(&mut self, by: usize, endpoint: &str, task: endpoints::Task, spec: Orders) -> bool {
+        let leader = &self.leaders[by];
+        let (Some(term), Some((key, keyed))) = (leader.term, leader.may_propose(endpoint, &task))
+        else {
+            return false;
+        };
+        self.leader(by).propose(key, keyed);
+        let order = command::ProposedOrder {
+            endpoint: endpoint.to_owned(),
+            incarnation: endpoints::Incarnation(1),
+            task,
+        };
+        if !spec.guards.commit_first {
+            self.send_uncommitted(by, order);
+            return true;
+        }
+        self.waiting[by].push_back(Command::Issue { term, order });
+        true
+    }
+
+    /// Without the guard: the order goes out at once, and its record is lost with the leader.
+    fn send_uncommitted(&mut self, by: usize, order: command::ProposedOrder) {
+        let id = endpoints::OrderId(1_000 + u64::from(self.proposals));
+        let order = endpoints::Order {
+            order: id,
+            endpoint: order.endpoint,
+            incarnation: order.incarnation,
+            fence: endpoints::Fence(id.0),
+            task: order.task,
+        };
+        for todo in self.leader(by).committed(&order, false) {
+            self.carry_out(by, todo);
+        }
+    }
+
+    fn carry_out(&mut self, by: usize, todo: leader::Todo) {
+        match todo {
+            leader::Todo::Send(order) => drop(self.network.insert(order.order.0, order)),
+            leader::Todo::Settle(orders) => self.settle_later(by, orders),
+        }
+    }
+
+    fn commit(&mut self, by: usize, refused: bool, spec: Orders) {
+        match self.waiting[by].pop_front() {
+            None => {}
+            Some(Command::Settle(orders)) => drop(self.table.settle(&orders)),
+            Some(Command::Issue { term, order }) => {
+                let term = if spec.guards.term {
+                    term
+                } else {
+                    self.table.term()
+                };
+                let outcome = self.table.issue(term, vec![order]);
+                let command::IssueOutcome::Issued(orders) = outcome else {
+                    return;
+                };
+                for order in orders {
+                    for todo in self.leader(by).committed(&order, refused) {
+                        self.carry_out(by, todo);
+                    }
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, id: u64, keep: bool, spec: Orders) {
+        let Some(order) = self.network.get(&id).cloned() else {
+            return;
+        };
+        if !keep {
+            self.network.remove(&id);
+        }
+        let place = leader::ENGINES
+            .iter()
+            .position(|name| *name == order.endpoint);
+        if let Some(place) = place {
+            let knows = spec.engines != Engines::Plain && spec.guards.order_ids;
+            let fenced = spec.engines == Engines::Fenced;
+            self.engines[place].run(&order, knows, fenced);
+        }
+        self.note_reached();
+    }
+
+    fn note_reached(&mut self) {
+        let held = self.engines.iter().flat_map(leader::Engine::held);
+        self.reached.extend(held.cloned());
+    }
+
+    fn push(&self, all: &mut Nexts, event: String, act: impl FnOnce(&mut Self) -> bool) {
+        let mut next = self.clone();
+        if act(&mut next) {
+            all.push((Event(event), next));
+        }
+    }
+
+    fn by_leaders(&self, spec: Orders, all: &mut Nexts) {
+        for by in 0..self.leaders.len() {
+            let name = format!("control {}", by + 1);
+            if self.elections > 0 {
+                self.push(all, format!("{name} is elected"), |next| {
+                    next.elections -= 1;
+                    next.elect(by);
+                    true
+                });
+            }
+            let deposed = self.leaders[by]
+                .term
+                .is_some_and(|term| term < self.table.term());
+            if deposed {
+                self.push(
+                    all,
+                    format!("{name} hears that it leads no longer"),
+                    |next| {
+                        next.leader(by).follow();
+                        true
+                    },
+                );
+            }
+            self.proposals_of(by, spec, all);
+            self.reports_to(by, spec, all);
+            self.resends_of(by, spec, all);
+        }
+    }
+
+    fn proposals_of(&self, by: usize, spec: Orders, all: &mut Nexts) {
+        if self.proposals == 0 || self.leaders[by].term.is_none() {
+            return;
+        }
+        let engines = match spec.start {
+            Start::BothFull => &leader::ENGINES[..],
+            Start::OneEmpty => &leader::ENGINES[..1],
+        };
+        for endpoint in engines {
+            for task in tasks() {
+                let event = format!("control {} proposes: {}", by + 1, shown(endpoint, &task));
+                self.push(all, event, |next| {
+                    next.proposals -= 1;
+                    next.propose(by, endpoint, task.clone(), spec)
+                });
+            }
+        }
+    }
+
+    fn reports_to(&self, by: usize, spec: Orders, all: &mut Nexts) {
+        for (name, engine) in leader::ENGINES.iter().zip(&self.engines) {
+            for report in engine.reports(name, spec.says_fenced()) {
+                if !self.leaders[by].is_news(&report) {
+                    continue;
+                }
+                let held: Vec<_> = report.resident.iter().map(|it| it.model.as_str()).collect();
+                let (held, number) = (held.join(" "), report.sequence);
+                let event = format!(
+                    "control {} reads report {number} of {name}: holds {held}",
+                    by + 1
+                );
+                self.push(all, event, |next| {
+                    let removed = next.leader(by).report(&report);
+                    next.settle_later(by, removed);
+                    true
+                });
+            }
+        }
+    }
+
+    fn commands_of(&self, by: usize, spec: Orders, all: &mut Nexts) {
+        let Some(command) = self.waiting[by].front() else {
+            return;
+        };
+        let what = match command {
+            Command::Issue { order, .. } => shown(&order.endpoint, &order.task),
+            Command::Settle(orders) => {
+                let ids: Vec<_> = orders.iter().map(ToString::to_string).collect();
+                format!("settled: order {}", ids.join(", "))
+            }
+        };
+        let what = format!("of control {}: {what}", by + 1);
+        self.push(all, format!("committed, {what}"), |next| {
+            next.commit(by, false, spec);
+            true
+        });
+        if self.losses > 0 {
+            self.push(
+                all,
+                format!("lost before it reached the log, {what}"),
+                |next| {
+                    next.losses -= 1;
+                    next.waiting[by].pop_front().is_some()
+                },
+            );
+        }
+        let issue = matches!(command, Command::Issue { .. });
+        if issue && self.refusals > 0 {
+            let event = format!("committed, {what}; the engine refuses the connection");
+            self.push(all, event, |next| {
+                next.refusals -= 1;
+                next.commit(by, true, spec);
+                true
+            });
+        }
+    }
+
+    fn resends_of(&self, by: usize, spec: Orders, all: &mut Nexts) {
+        let resends = spec.engines == Engines::Fenced || !spec.guards.no_resend;
+        if !resends || self.copies == 0 {
+            return;
+        }
+        for order in self.leaders[by].unseen() {
+            let event = format!("control {} sends order {} again", by + 1, order.order);
+            self.push(all, event, |next| {
+                next.copies -= 1;
+                next.network.insert(order.order.0, order).is_none()
+            });
+        }
+    }
+}
+
+fn tasks() -> impl Iterator<Item = endpoints::Task> {
+    leader::MODELS.iter().flat_map(|(model, memory_mib)| {
+        let load = endpoints::Task::Load {
+            model: (*model).to_owned(),
+            version: 1,
+            memory_mib: *memory_mib,
+            base: None,
+        };
+        let unload = endpoints::Task::Unload {
+            model: (*model).to_owned(),
+            version: 1,
+        };
+        [load, unload]
+    })
+}
+
+fn shown(endpoint: &str, task: &endpoints::Task) -> String {
+    match task {
+        endpoints::Task::Load { model, .. } => format!("load {model} on {endpoint}"),
+        endpoints::Task::Unload { model, .. } => format!("unload {model} from {endpoint}"),
+        endpoints::Task::ChangeRole { .. } => format!("change the role of {endpoint}"),
+    }
+}
+
+impl explore::Spec for Orders {
+    type State = State;
+    type Event = Event;
+
+    /// The first control process leads.
+    fn start(&self) -> State {
+        let full = leader::Engine::new(&[leader::MODELS[0].0]);
+        let first = match self.start {
+            Start::BothFull => full.clone(),
+            Start::OneEmpty => leader::Engine::new(&[]),
+        };
+        let leader = rc::Rc::new(leader::Leader::new(leader::Rules {
+            wait_for_restored: self.guards.wait_for_restored,
+            keep_settled: self.guards.keep_settled,
+            reported_routes: self.reported_routes,
+        }));
+        let mut state = State {
+            table: order_table::OrderTable::default(),
+            leaders: [rc::Rc::clone(&leader), leader],
+            waiting: Default::default(),
+            network: collections::BTreeMap::new(),
+            engines: [first, full],
+            reached: collections::BTreeSet::new(),
+            proposals: self.proposals,
+            elections: self.elections,
+            copies: 1,
+            refusals: 1,
+            losses: self.losses,
+        };
+        for by in 0..state.leaders.len() {
+            for (name, engine) in leader::ENGINES.iter().zip(state.engines.clone()) {
+                for report in engine.reports(name, self.says_fenced()) {
+                    drop(state.leader(by).report(&report));
+                }
+            }
+        }
+        state.elect(0);
+        state.note_reached();
+        state
+    }
+
+    fn next(&self, state: &State) -> Nexts {
+        let mut all = Vec::new();
+        state.by_leaders(*self, &mut all);
+        for by in 0..state.waiting.len() {
+            state.commands_of(by, *self, &mut all);
+        }
+        for (id, order) in &state.network {
+            let what = shown(&order.endpoint, &order.task);
+            state.push(&mut all, format!("order {id} arrives: {what}"), |next| {
+                next.arrive(*id, false, *self);
+                true
+            });
+            if self.engines == Engines::Knowing && state.copies > 0 {
+                let event = format!("order {id} arrives: {what} (a copy stays under way)");
+                state.push(&mut all, event, |next| {
+                    next.copies -= 1;
+                    next.arrive(*id, true, *self);
+                    true
+                });
+            }
+        }
+        all
+    }
+
+    fn broken(&self, state: &State) -> Option<String> {
+        for (name, engine) in leader::ENGINES.iter().zip(&state.engines) {
+            let (taken, held) = (engine.taken_mib(), engine.held().join(" "));
+            if taken > leader::CAPACITY_MIB {
+                return Some(format!("{name} has to hold {held}, which does not fit"));
+            }
+        }
+        let held = |model: &String| state.engines.iter().any(|it| it.held().contains(model));
+        let lost = state.reached.iter().find(|model| !held(model))?;
+        Some(format!("the last route to {lost} is gone"))
+    }
+}
