--- a/src/bin/sageshed/commands/mod.rs
+++ b/src/bin/sageshed/commands/mod.rs
@@ -33,7 +33,7 @@
     Status(status::Args),
     #[options(help = "show the endpoints and their load")]
     Endpoints(endpoints::Args),
-    #[options(help = "show where each model is")]
+    #[options(help = "show where each model is, or pin one")]
     Models(models::Args),
     #[options(help = "tell what happened to a request")]
     Explain(explain::Args),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -138,6 +138,40 @@
         out: "",
         err: "--rule:1: `rules`: missing field `do`",
     },
+    Case {
+        args: &["models", "pin", "a"],
+        status: 2,
+        out: "",
+        err: "give one of --endpoint NAME and --availability-zone NAME",
+    },
+    Case {
+        args: &["models", "unpin", "--endpoint", "e1"],
+        status: 2,
+        out: "",
+        err: "missing required",
+    },
+    Case {
+        args: &[
+            "models",
+            "pin",
+            "a",
+            "--endpoint",
+            "e1",
+            "--availability-zone",
+            "z1",
+        ],
+        status: 2,
+        out: "",
+        err: "give one of",
+    },
+    // Placement would take the pin and do nothing, and the operator would wait for a model that
+    // never comes.
+    Case {
+        args: &["models", "pin", "a", "--availability-zone", "z1", ASK],
+        status: 1,
+        out: "",
+        err: "doesn't honour pins to an availability zone yet",
+    },
     Case {
         args: &["config", "check"],
         status: 2,
--- a/tests/cli_rules.rs
+++ b/tests/cli_rules.rs
@@ -186,6 +186,24 @@
         out: "[]",
         err: "",
     },
+    Case {
+        args: &["models", "pin", "m1", "--endpoint", "e1"],
+        status: 0,
+        out: "m1 is pinned to e1\n",
+        err: "",
+    },
+    Case {
+        args: &["models", "unpin", "m1", "--endpoint", "e1", "--json"],
+        status: 0,
+        out: "{\"pin\":{\"model\":\"m1\",\"place\":{\"endpoint\":\"e1\"}},\"on\":false}",
+        err: "",
+    },
+    Case {
+        args: &["models", "unpin", "m1", "--availability-zone", "z1"],
+        status: 0,
+        out: "m1 is not pinned to z1\n",
+        err: "",
+    },
     Case {
         args: &["rules", "history", "--token", "wrong"],
         status: 1,
@@ -206,3 +224,23 @@
         assert!(seen.err.contains(case.err), "{args:?}: {}", seen.err);
     }
 }
+
+/// The operator pins a model and takes the pin back: both reach the control group as what they are.
+/// The answer to a third is lost for good, and the operator reads that sending it again does no
+/// harm.
+#[test]
+fn pins_reach_the_control_group() {
+    let fake = Fake::with([]);
+    let port = support::port(&fake, TOKEN);
+    for command in ["pin", "unpin"] {
+        let seen = sageshed(&port, &["models", command, "m1", "--endpoint", "e1"]);
+        assert_eq!(seen.status, Some(0), "{}", seen.err);
+    }
+    assert_eq!(fake.calls(), ["pin m1", "unpin m1"]);
+
+    let fake = Fake::with([(); 12].map(|()| Act::Say(Trouble::Unknown)));
+    let port = support::port(&fake, TOKEN);
+    let lost = sageshed(&port, &["models", "pin", "m1", "--endpoint", "e1"]);
+    assert_eq!(lost.status, Some(3), "{}", lost.err);
+    assert!(lost.err.contains("done twice"), "{}", lost.err);
+}
