Give control processes their figures, and gauges one way

Cause: control processes kept no figures, so an operator could not be warned of a lagging member or a full disk; entry processes wrote their gauges as text by hand beside the library. Change: one registry by opentelemetry for both roles; gauges are set when the figures are asked for; `/metrics` on the operators' port. Ruled out: observable callbacks, which would have to hold the shared state and keep it alive past the process's stop. Not run: a scrape of a running control process.

--- /dev/null
+++ b/src/sageshed/control/metrics.rs
@@ -0,0 +1,73 @@
+//! Figures of a control process.
+
+use super::shared;
+use crate::{locks, metrics};
+
+/// What a control process shows.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: metrics::Registry,
+    leads: metrics::Gauge,
+    term: metrics::Gauge,
+    revision: metrics::Gauge,
+    committed: metrics::Gauge,
+    lag: metrics::Gauge,
+    disk_full: metrics::Gauge,
+    claims: metrics::Gauge,
+    orders: metrics::Gauge,
+    entries: metrics::Gauge,
+    endpoints: metrics::Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = metrics::Registry::new();
+        Self {
+            leads: registry.gauge("sageshed_control_leads", "1 on the leader, else 0"),
+            term: registry.gauge("sageshed_control_term", "Term of the replicated log"),
+            revision: registry.gauge(
+                "sageshed_control_revision",
+                "Newest revision committed here",
+            ),
+            committed: registry.gauge("sageshed_control_committed", "Last entry committed here"),
+            lag: registry.gauge(
+                "sageshed_control_lag",
+                "On the leader: entries that a member lacks",
+            ),
+            disk_full: registry.gauge("sageshed_control_disk_full", "1 while the disk is full"),
+            claims: registry.gauge("sageshed_control_claims", "Claims kept"),
+            orders: registry.gauge("sageshed_control_orders_open", "Orders in the table"),
+            entries: registry.gauge("sageshed_control_entries_heard", "Entry VMs heard lately"),
+            endpoints: registry.gauge("sageshed_control_endpoints", "Endpoints heard of"),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Everything as text, as of now.
+    #[must_use]
+    pub fn text(&self, shared: &shared::Shared) -> String {
+        let view = locks::read(&shared.view).clone();
+        let status = &view.status;
+        self.leads.set(f64::from(u8::from(shared.leads())));
+        self.term.set(status.term.0 as f64);
+        self.committed.set(status.commit.0 as f64);
+        self.disk_full.set(f64::from(u8::from(view.disk_full)));
+        for (member, matched) in &status.matched {
+            let lag = status.last.0.saturating_sub(matched.0);
+            self.lag
+                .set_for("vm", &shared.voter(*member).vm, lag as f64);
+        }
+        let state = locks::read(&shared.state);
+        self.revision.set(state.rules().current().revision.0 as f64);
+        self.claims.set(state.claims().len() as f64);
+        self.orders.set(state.orders().open().count() as f64);
+        drop(state);
+        let now = shared.clock.now();
+        let heard = locks::read(&shared.roster).entries_heard(now);
+        self.entries.set(heard as f64);
+        self.endpoints.set(shared.reports().len() as f64);
+        self.registry.text()
+    }
+}
--- a/src/sageshed/control/mod.rs
+++ b/src/sageshed/control/mod.rs
@@ -18,6 +18,7 @@
 pub mod formation;
 pub mod inputs;
 pub mod links;
+pub mod metrics;
 pub mod operators;
 pub mod placing;
 pub mod roster;
--- a/src/sageshed/control/operators.rs
+++ b/src/sageshed/control/operators.rs
@@ -11,7 +11,7 @@
 
 use super::{
     inputs::{self, Fate, NotDone},
-    shared,
+    metrics, shared,
 };
 use crate::{locks, settings};
 
@@ -33,6 +33,8 @@
     pub inputs: inputs::Inputs,
     /// To entry processes.
     pub client: sageshed_vms::Client,
+    /// Figures.
+    pub metrics: metrics::Metrics,
 }
 
 impl Desk {
@@ -211,6 +213,10 @@
         })
     }
 
+    fn metrics(&self) -> Option<String> {
+        Some(self.metrics.text(&self.shared))
+    }
+
     fn status(&self) -> messages::Status {
         let view = locks::read(&self.shared.view).clone();
         let members = view.status.membership;
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -11,7 +11,7 @@
 use sageshed_quorum::{config, log, node};
 use sageshed_state::control;
 
-use super::{driver, formation, inputs, links, operators, placing, shared, vms};
+use super::{driver, formation, inputs, links, metrics, operators, placing, shared, vms};
 use crate::{clock, context, locks, settings};
 
 /// Connections of operators that are open at once.
@@ -179,6 +179,7 @@
             shared: sync::Arc::clone(&shared),
             inputs: inputs.clone(),
             client: client.clone(),
+            metrics: metrics::Metrics::default(),
         };
         let operators = sageshed_operators::server::start(
             sync::Arc::new(desk),
--- a/src/sageshed/entry/metrics.rs
+++ b/src/sageshed/entry/metrics.rs
@@ -3,15 +3,11 @@
 //! Histograms are kept for each caller and class. Both come from the settings, so the number of
 //! series is bounded; what a caller sends never becomes a label.
 
-use std::fmt;
-
-use opentelemetry::{KeyValue, metrics, metrics::MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
+use opentelemetry::{KeyValue, metrics as instruments};
 use sageshed_types::account;
 
 use super::shared;
-use crate::locks;
+use crate::{locks, metrics};
 
 /// Upper bounds of the buckets of times, in seconds.
 const SECONDS: [f64; 14] = [
@@ -22,20 +18,28 @@
 const NONE: &str = "none";
 
 /// What an entry process counts.
+#[derive(Debug)]
 pub struct Metrics {
-    // Dropped with the process: it collects what the instruments count.
-    _provider: SdkMeterProvider,
-    registry: prometheus::Registry,
-    took: metrics::Histogram<f64>,
-    queued: metrics::Histogram<f64>,
-    tries: metrics::Counter<u64>,
-    refused: metrics::Counter<u64>,
+    registry: metrics::Registry,
+    took: instruments::Histogram<f64>,
+    queued: instruments::Histogram<f64>,
+    tries: instruments::Counter<u64>,
+    refused: instruments::Counter<u64>,
+    now: Now,
 }
 
-impl fmt::Debug for Metrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Metrics").finish_non_exhaustive()
-    }
+/// What holds at the moment in which the figures are asked for.
+#[derive(Debug)]
+struct Now {
+    open: metrics::Gauge,
+    in_flight: metrics::Gauge,
+    queued: metrics::Gauge,
+    endpoints: metrics::Gauge,
+    ejected: metrics::Gauge,
+    leaving: metrics::Gauge,
+    retry_tokens: metrics::Gauge,
+    ready: metrics::Gauge,
+    revision: metrics::Gauge,
 }
 
 impl Default for Metrics {
@@ -46,19 +50,10 @@
 
 impl Metrics {
     /// Nothing counted yet.
-    ///
-    /// # Panics
-    ///
-    /// Never: the registry is new, so nothing in it can collide.
     #[must_use]
     pub fn new() -> Self {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sageshed");
+        let registry = metrics::Registry::new();
+        let meter = registry.meter();
         let seconds = |name, help| {
             let histogram = meter
                 .f64_histogram(name)
@@ -66,19 +61,14 @@
                 .with_unit("s");
             histogram.with_boundaries(SECONDS.to_vec()).build()
         };
+        let count = |name, help| meter.u64_counter(name).with_description(help).build();
         Self {
             took: seconds("sageshed_request", "From arrival to the end of the answer"),
             queued: seconds("sageshed_queue", "From arrival to the first sending"),
-            tries: meter
-                .u64_counter("sageshed_tries")
-                .with_description("Sendings")
-                .build(),
-            refused: meter
-                .u64_counter("sageshed_refusals")
-                .with_description("Refusals")
-                .build(),
+            tries: count("sageshed_tries", "Sendings"),
+            refused: count("sageshed_refusals", "Refusals"),
+            now: Now::new(&registry),
             registry,
-            _provider: provider,
         }
     }
 
@@ -112,42 +102,39 @@
     /// Everything as text.
     #[must_use]
     pub fn text(&self, shared: &shared::Shared) -> String {
-        let mut buf = Vec::new();
-        let families = self.registry.gather();
-        if let Err(e) = prometheus::TextEncoder::new().encode(&families, &mut buf) {
-            log::error!(error:% = e; "entry: metrics not written");
-        }
-        let mut text = String::from_utf8(buf).unwrap_or_default();
-        text.push_str(&gauges(shared));
-        text
+        self.now.set(shared);
+        self.registry.text()
     }
 }
 
-/// What the decider knows at this moment.
-fn gauges(shared: &shared::Shared) -> String {
-    use std::fmt::Write as _;
-    let gauges = locks::lock(&shared.decider).gauges();
-    let ready = shared.is_ready();
-    let revision = locks::lock(&shared.config).rules.revision;
-    let mut text = String::new();
-    let mut add = |name: &str, value: f64| {
-        writeln!(text, "# TYPE {name} gauge\n{name} {value}").expect("a string takes all text");
-    };
-    add("sageshed_requests_open", gauges.open as f64);
-    add("sageshed_requests_in_flight", gauges.in_flight as f64);
-    add("sageshed_endpoints", gauges.endpoints as f64);
-    add("sageshed_endpoints_ejected", gauges.ejected as f64);
-    add("sageshed_endpoints_leaving", gauges.leaving as f64);
-    add("sageshed_retry_tokens", gauges.retry_tokens);
-    add("sageshed_ready", f64::from(u8::from(ready)));
-    add("sageshed_revision", revision.0 as f64);
-    text.push_str("# TYPE sageshed_requests_queued gauge\n");
-    for (class, count) in &gauges.queued {
-        writeln!(
-            text,
-            "sageshed_requests_queued{{class=\"{class}\"}} {count}"
-        )
-        .expect("a string takes all text");
+impl Now {
+    fn new(registry: &metrics::Registry) -> Self {
+        Self {
+            open: registry.gauge("sageshed_requests_open", "Requests not answered yet"),
+            in_flight: registry.gauge("sageshed_requests_in_flight", "Requests at an endpoint"),
+            queued: registry.gauge("sageshed_requests_queued", "Requests that wait here"),
+            endpoints: registry.gauge("sageshed_endpoints", "Endpoints known"),
+            ejected: registry.gauge("sageshed_endpoints_ejected", "Endpoints that failed"),
+            leaving: registry.gauge("sageshed_endpoints_leaving", "Endpoints that leave"),
+            retry_tokens: registry.gauge("sageshed_retry_tokens", "Retries allowed now"),
+            ready: registry.gauge("sageshed_ready", "1 if /readyz is green, else 0"),
+            revision: registry.gauge("sageshed_revision", "Revision of the rules in force here"),
+        }
+    }
+
+    fn set(&self, shared: &shared::Shared) {
+        let gauges = locks::lock(&shared.decider).gauges();
+        self.open.set(gauges.open as f64);
+        self.in_flight.set(gauges.in_flight as f64);
+        self.endpoints.set(gauges.endpoints as f64);
+        self.ejected.set(gauges.ejected as f64);
+        self.leaving.set(gauges.leaving as f64);
+        self.retry_tokens.set(gauges.retry_tokens);
+        for (class, count) in &gauges.queued {
+            self.queued.set_for("class", class, *count as f64);
+        }
+        self.ready.set(f64::from(u8::from(shared.is_ready())));
+        let revision = locks::lock(&shared.config).rules.revision;
+        self.revision.set(revision.0 as f64);
     }
-    text
 }
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -7,4 +7,5 @@
 pub mod entry;
 pub mod locks;
 pub mod logs;
+pub mod metrics;
 pub mod settings;
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -11,7 +11,7 @@
 };
 
 use sageshed::{
-    control::{driver, inputs, links, operators, placing, shared, vms},
+    control::{driver, inputs, links, metrics, operators, placing, shared, vms},
     locks, settings,
 };
 use sageshed_disk::{files, folder, vacant};
@@ -430,6 +430,7 @@
         shared: sync::Arc::clone(&running.shared),
         inputs: running.inputs.clone(),
         client: sageshed_vms::Client::new(""),
+        metrics: metrics::Metrics::default(),
     };
     let first = rules::Revision(1);
     let early = desk.in_force(first).unwrap();
