Test that a refused retry is told of its first try

The test with the killed entry process passed with the guard taken out when the new process had heard of the service in time. A rule that closes the service between the two tries shows it each time.

--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -181,8 +181,8 @@
     assert_eq!(running.account("verdict"), "may_have_run");
     cluster.start_entry(0);
     cluster.wait_ready();
-    // Now the holder is known to be gone: nobody will learn more. The new process does not know the
-    // service at first, and must not say of the order that it was not run for want of a route.
+    // Now the holder is known to be gone: nobody will learn more. The new process may not know the
+    // service yet, and must not say of the order that it was not run for want of a route.
     let again = order(&cluster, 0, key);
     let mut answers = vec![running];
     cluster.until("the claim is known to be lost", || {
@@ -195,6 +195,45 @@
     check(&cluster, key, &answers);
 }
 
+// An order was sent and its answer lost. Before the client asks again, an operator closes the service
+// by a rule. "Refused, not run" would be true of the second try alone, and the dispatcher would send
+// another crew by telephone. An order that nobody sent is refused as not run, and leaves nothing
+// behind: once the rule is gone it runs under the same key.
+#[test]
+fn a_retry_that_is_refused_is_told_of_the_first_try() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default());
+    cluster.wait_served();
+    let cut = fault::Fault::Cut { after: 0 };
+    cluster.standin.fault(SERVICE, cut, Some(1));
+    let lost = order(&cluster, 0, "lost").send().unwrap();
+    let answered = order(&cluster, 0, "answered").send().unwrap();
+    assert_eq!(lost.account("verdict"), "may_have_run", "{}", lost.body);
+    let rule = "id = \"closed\"\nwhen = { service = [\"crews\"] }\ndo = { refuse = {} }";
+    let added = cluster.cli(&["rules", "add", "--wait", "--rule", rule]);
+    assert!(added.status.success(), "{added:?}");
+
+    let again = order(&cluster, 1, "lost").send().unwrap();
+    assert_eq!(again.account("reason"), "duplicate", "{}", again.body);
+    check(&cluster, "lost", &[lost, again]);
+    let again = order(&cluster, 1, "answered").send().unwrap();
+    assert_eq!(again.body, answered.body, "{}", again.body);
+    check(&cluster, "answered", &[answered, again]);
+
+    let first = order(&cluster, 1, "first");
+    let refused = first.send().unwrap();
+    assert_eq!(
+        refused.account("reason"),
+        "rule_refused",
+        "{}",
+        refused.body
+    );
+    let withdrawn = cluster.cli(&["rules", "withdraw", "--wait", "closed"]);
+    assert!(withdrawn.status.success(), "{withdrawn:?}");
+    let mut answers = vec![refused];
+    answers.extend(until_status(&cluster, &first, 200));
+    check(&cluster, "first", &answers);
+}
+
 // Two of three control processes are down: no claim can be recorded. An order sent all the same
 // could be sent by another entry process too, so it is refused. Without a key it was not run. With
 // one, it may be the retry of an order that was sent before the group went down, here one whose
