--- a/tests/testsuite/callers_leaving.rs
+++ b/tests/testsuite/callers_leaving.rs
@@ -29,12 +29,21 @@
     found.unwrap()
 }
 
+/// A figure of the first entry process, over all its labels.
 fn gauge(cluster: &cluster::Cluster, name: &str) -> f64 {
     let url = format!("{}/metrics", cluster.callers(0));
     let text = ureq::get(&url).call().unwrap().into_string().unwrap();
-    let values = text.lines().filter(|line| line.starts_with(name));
-    let values = values.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-    values.sum()
+    let named = |line: &&str| {
+        let rest = line.strip_prefix(name);
+        rest.is_some_and(|rest| rest.starts_with(['{', ' ']))
+    };
+    let values: Vec<f64> = text
+        .lines()
+        .filter(named)
+        .map(|line| line.rsplit(' ').next().unwrap().parse().unwrap())
+        .collect();
+    assert!(!values.is_empty(), "no {name} in {text}");
+    values.iter().sum()
 }
 
 // A clerk closes the page while the engine still writes the answer. The engine would go on for
@@ -55,7 +64,7 @@
         drop(socket);
         cluster.until("it is cancelled", || of(&cluster, "e1").cancelled == 1);
         cluster.until("the slot is free", || {
-            gauge(&cluster, "sageshed_requests_in_flight ") == 0.0
+            gauge(&cluster, "sageshed_requests_in_flight") == 0.0
         });
         let next = Ask::completion(&cluster.callers(0), "m1", 2)
             .send()
@@ -71,22 +80,22 @@
     let ask = Ask::completion(&cluster.callers(0), "m1", ENDLESS);
     let before = of(&cluster, "e1").requests;
     let mut running = Vec::new();
-    while gauge(&cluster, "sageshed_requests_queued{") == 0.0 {
+    while gauge(&cluster, "sageshed_requests_queued") == 0.0 {
         assert!(running.len() < 8, "nothing queues: {}", cluster.logs());
         running.push(ask.send_only());
         let open = running.len() as f64;
         cluster.until("it is taken in", || {
-            gauge(&cluster, "sageshed_requests_open ") >= open
+            gauge(&cluster, "sageshed_requests_open") >= open
         });
     }
     let sent = of(&cluster, "e1").requests - before;
     drop(running.pop());
     cluster.until("the queue is empty", || {
-        gauge(&cluster, "sageshed_requests_queued{") == 0.0
+        gauge(&cluster, "sageshed_requests_queued") == 0.0
     });
     drop(running);
     cluster.until("nothing is open", || {
-        gauge(&cluster, "sageshed_requests_open ") == 0.0
+        gauge(&cluster, "sageshed_requests_open") == 0.0
     });
     assert_eq!(of(&cluster, "e1").requests - before, sent);
 }
@@ -107,7 +116,7 @@
     });
     drop(socket);
     cluster.until("the caller is known to have left", || {
-        gauge(&cluster, "sageshed_requests_in_flight ") == 0.0
+        gauge(&cluster, "sageshed_requests_in_flight") == 0.0
     });
     cluster.until("it has run", || cluster.standin.runs_of_key("left") == 1);
     // The answer was taken although nobody reads it: a retry gets it.
