Let no process vouch that has not been confirmed since its start

Cause: an entry process whose leases ran out goes on while a majority of the entry VMs hears no leader. One that was cut off, then healed towards a process that had just restarted, counted that one, which knows nothing: with all control processes down it could serve by rules that an operator was told are gone. Ruled out: the revision of the other process as evidence; after a restart it is zero. Change: heartbeats between entry processes say whether the answerer was confirmed since its start; only then it counts. That it hears a leader counts in any case. Before: the new case of the table ends in ControlLost. After: LeasesLapsed; the table passes.

--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -101,6 +101,10 @@
     /// Whether the answerer has heard, within a heartbeat or two, a leader that itself hears a
     /// majority of the voters.
     pub hears_leader: bool,
+    /// Whether the answerer, an entry process, was confirmed since it started. One that was not
+    /// does not know what it missed, and vouches for nobody.
+    #[serde(default)]
+    pub was_confirmed: bool,
 }
 
 /// What a control process says to an entry process about the configuration.
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -138,6 +138,7 @@
             revision,
             config,
             hears_leader,
+            was_confirmed: false,
         }
     }
 
--- a/src/sageshed/entry/freshness.rs
+++ b/src/sageshed/entry/freshness.rs
@@ -31,7 +31,8 @@
 //! majority of all entry VMs and none of them hears a leader. The leader, for its part, accepts a
 //! change only while it hears a majority of the entry VMs. Two majorities share a VM; that one would
 //! say that it hears a leader, and passes the change on. A process that was never confirmed since it
-//! started does not serve on these grounds: it does not know what it missed.
+//! started does not serve on these grounds, nor does it count for another one: it does not know what
+//! it missed.
 
 use std::collections;
 
@@ -74,6 +75,7 @@
 struct Peer {
     heard: time::Instant,
     hears_leader: bool,
+    was_confirmed: bool,
 }
 
 /// Whether this process may serve now.
@@ -145,17 +147,24 @@
         }
     }
 
-    /// Another entry process was heard.
-    pub fn heard(&mut self, now: time::Instant, vm: &str, hears_leader: bool) {
+    /// Another entry process was heard. `was_confirmed`: since it started.
+    pub fn heard(&mut self, now: time::Instant, vm: &str, hears_leader: bool, was_confirmed: bool) {
         self.peers.insert(
             vm.to_owned(),
             Peer {
                 heard: now,
                 hears_leader,
+                was_confirmed,
             },
         );
     }
 
+    /// Whether this process was confirmed since it started.
+    #[must_use]
+    pub fn was_confirmed(&self) -> bool {
+        self.was_confirmed
+    }
+
     /// Whether this process heard a leader that hears its voters, within a few heartbeats.
     #[must_use]
     pub fn hears_leader(&self, now: time::Instant) -> bool {
@@ -224,7 +233,7 @@
             .filter(|peer| self.is_recent(now, peer.heard));
         let (mut heard, mut with_leader) = (1, usize::from(self.hears_leader(now)));
         for peer in recent {
-            heard += 1;
+            heard += usize::from(peer.was_confirmed);
             with_leader += usize::from(peer.hears_leader);
         }
         heard > self.settings.entry_vms / 2 && with_leader == 0
--- a/src/sageshed/entry/sync.rs
+++ b/src/sageshed/entry/sync.rs
@@ -199,6 +199,9 @@
             }
             locks::lock(&shared.freshness).granted(sent, now, &peer.vm, &part);
         }
-        None => locks::lock(&shared.freshness).heard(now, &peer.vm, resp.hears_leader),
+        None => {
+            let (hears_leader, was_confirmed) = (resp.hears_leader, resp.was_confirmed);
+            locks::lock(&shared.freshness).heard(now, &peer.vm, hears_leader, was_confirmed);
+        }
     }
 }
--- a/src/sageshed/entry/vms.rs
+++ b/src/sageshed/entry/vms.rs
@@ -59,6 +59,10 @@
                 update.map(messages::ConfigUpdate::Snapshot),
             )
         };
+        let (hears_leader, was_confirmed) = {
+            let freshness = locks::lock(&shared.freshness);
+            (freshness.hears_leader(now), freshness.was_confirmed())
+        };
         messages::SyncResp {
             from: shared.process.clone(),
             reports,
@@ -66,15 +70,24 @@
             control: None,
             revision,
             config,
-            hears_leader: locks::lock(&shared.freshness).hears_leader(now),
+            hears_leader,
+            was_confirmed,
         }
     }
 
     fn report(&self, body: &[u8]) -> Answer {
-        let json = |status, body: &str| Answer::Json { status, body: body.to_owned() };
+        let json = |status, body: &str| Answer::Json {
+            status,
+            body: body.to_owned(),
+        };
         let report = match reports::parse_report(body) {
             Ok(report) => report,
-            Err(e) => return json(400, &serde_json::json!({ "error": e.to_string() }).to_string()),
+            Err(e) => {
+                return json(
+                    400,
+                    &serde_json::json!({ "error": e.to_string() }).to_string(),
+                );
+            }
         };
         if self.shared.take_report(report, true) == directory::Offer::Full {
             log::error!("entry: directory of endpoints is full");
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -15,11 +15,13 @@
 enum Heard {
     /// The answer of a control process to the heartbeat sent at `sent`.
     Control(Grant),
-    /// Another entry process at `at`, and whether that hears a leader.
+    /// Another entry process at `at`, whether that hears a leader, and whether it was confirmed
+    /// since it started.
     Entry {
         at: u64,
         vm: &'static str,
         hears_leader: bool,
+        was_confirmed: bool,
     },
     /// The process decided a request at `at` by `revision`.
     Served { at: u64, revision: u64 },
@@ -60,6 +62,16 @@
         at,
         vm,
         hears_leader,
+        was_confirmed: true,
+    }
+}
+
+const fn restarted_peer(at: u64, vm: &'static str, hears_leader: bool) -> Heard {
+    Heard::Entry {
+        at,
+        vm,
+        hears_leader,
+        was_confirmed: false,
     }
 }
 
@@ -97,6 +109,34 @@
         revision: 5,
         standing: NEVER,
     },
+    // A change is in force at e1 and e2, and e3 is cut off with the rules from before. All control
+    // processes die, e2 is restarted, and e3 hears it again: callers at e3 would be served by rules
+    // that an operator was told are gone. A process that was not confirmed does not know them.
+    Case {
+        name: "a majority of entry VMs, but of processes that know nothing",
+        heard: &[
+            from("c1"),
+            from("c2"),
+            SERVED,
+            restarted_peer(9_900, "e2", false),
+        ],
+        at: 10_000,
+        revision: 5,
+        standing: LAPSED,
+    },
+    Case {
+        name: "a process that knows nothing hears a leader",
+        heard: &[
+            from("c1"),
+            from("c2"),
+            SERVED,
+            peer(9_900, "e2", false),
+            restarted_peer(9_900, "e3", true),
+        ],
+        at: 10_000,
+        revision: 5,
+        standing: LAPSED,
+    },
     Case {
         name: "one of three grants",
         heard: &[from("c1")],
@@ -380,7 +420,8 @@
             at,
             vm,
             hears_leader,
-        } => freshness.heard(Instant(*at), vm, *hears_leader),
+            was_confirmed,
+        } => freshness.heard(Instant(*at), vm, *hears_leader, *was_confirmed),
         Heard::Served { at, revision } => {
             let standing = freshness.standing(Instant(*at), Revision(*revision));
             assert_eq!(standing, Standing::Confirmed);
