Prove placement with real processes, and answer operators where moves are known

Nine stories with the real processes and stand-ins that count overcommits: the control leader killed, frozen or cut off while models are loaded, engines that restart, an order that arrives long after its leader died, a model that nobody holds, a version that is replaced, an availability zone that is lost, and what `sageshed models` shows.

Found on the way: a stand-in's load that shared the store's speed never ended (what is left was multiplied, never reaching 0), now it does. A follower answered `sageshed models` from its own ledger, which knows no orders, so moves were missing; it now names the leader, and answers itself only if there is none.

--- a/crates/sageshed-operators/src/backend.rs
+++ b/crates/sageshed-operators/src/backend.rs
@@ -23,7 +23,7 @@
     fn status(&self) -> messages::Status;
 
     /// Where each model is.
-    fn models(&self) -> Vec<messages::ModelStatus>;
+    fn models(&self) -> Result<Vec<messages::ModelStatus>, Trouble>;
 
     /// What happened to a request, if any entry process still knows.
     fn explain(&self, request_id: &str) -> Result<Option<account::Account>, Trouble>;
--- a/crates/sageshed-operators/src/server.rs
+++ b/crates/sageshed-operators/src/server.rs
@@ -212,7 +212,7 @@
             Ok(respond::json(&backend.in_force(revision).map_err(trouble)?))
         }
         Route::Status => Ok(respond::json(&backend.status())),
-        Route::Models => Ok(respond::json(&backend.models())),
+        Route::Models => Ok(respond::json(&backend.models().map_err(trouble)?)),
         Route::Endpoints => Ok(respond::json(&backend.status().endpoints)),
         Route::Explain(id) => explain(backend, id),
         Route::Drain => {
--- a/crates/sageshed-operators/tests/support/mod.rs
+++ b/crates/sageshed-operators/tests/support/mod.rs
@@ -168,8 +168,8 @@
         }
     }
 
-    fn models(&self) -> Vec<messages::ModelStatus> {
-        Vec::new()
+    fn models(&self) -> Result<Vec<messages::ModelStatus>, Trouble> {
+        Ok(Vec::new())
     }
 
     fn explain(&self, request_id: &str) -> Result<Option<account::Account>, Trouble> {
--- a/crates/sageshed-test-support/src/store.rs
+++ b/crates/sageshed-test-support/src/store.rs
@@ -12,6 +12,10 @@
 /// The steps in which a load goes on.
 const STEP: Duration = Duration::from_millis(5);
 
+/// What is left of a load that counts as nothing, in seconds. Taking off a share of what is left
+/// never gets to 0: loads that shared the store's speed went on for good.
+const NEGLIGIBLE: f64 = 1e-6;
+
 #[derive(Debug)]
 pub(crate) struct Store {
     at_once: u32,
@@ -36,10 +40,11 @@
         thread::sleep(self.wait_for_start());
         self.active.fetch_add(1, atomic::Ordering::Relaxed);
         let mut left = time.as_secs_f64();
-        while left > 0.0 {
-            let step = STEP.as_secs_f64().min(left);
+        while left > NEGLIGIBLE {
+            let speed = self.speed();
+            let step = STEP.as_secs_f64().min(left / speed);
             thread::sleep(Duration::from_secs_f64(step));
-            left -= step * self.speed();
+            left -= step * speed;
         }
         self.active.fetch_sub(1, atomic::Ordering::Relaxed);
     }
--- a/src/sageshed/control/operators.rs
+++ b/src/sageshed/control/operators.rs
@@ -249,8 +249,13 @@
         }
     }
 
-    fn models(&self) -> Vec<messages::ModelStatus> {
-        locks::read(&self.shared.models).clone()
+    /// Only the leader knows what is being moved and why. Without one, what is held is better than
+    /// nothing.
+    fn models(&self) -> Result<Vec<messages::ModelStatus>, Trouble> {
+        match self.not_leader() {
+            elsewhere @ Trouble::NotLeader { .. } => Err(elsewhere),
+            _ => Ok(locks::read(&self.shared.models).clone()),
+        }
     }
 
     /// A request id begins with the name of the entry VM that gave it.
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -478,6 +478,14 @@
         self.write(&format!("control-{vm}.toml"), &control);
     }
 
+    /// Writes the models on offer anew; processes read them at their next start.
+    pub fn set_models(&mut self, models: &str) {
+        models.clone_into(&mut self.plan.models);
+        for vm in 0..self.plan.vms {
+            self.write_settings(vm);
+        }
+    }
+
     fn write(&self, name: &str, text: &str) {
         fs::write(self.dir.join(name), text).unwrap();
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod operator;
 mod overload;
 mod path;
+mod placement;
 mod rules;
 mod shutdown;
 mod watch;
