--- /dev/null
+++ b/src/sageshed/control/driver/leading.rs
@@ -0,0 +1,131 @@
+//! What a leader proposes by itself: that it has started, the starts of entry processes, its wall
+//! clock, and the repair of the membership.
+
+use sageshed_disk::files;
+use sageshed_quorum::{event, log, status};
+use sageshed_state::command;
+use sageshed_types::time;
+
+use super::{Driver, work::Ticket};
+use crate::{clock, control::inputs::Reply, locks};
+
+/// Between two proposals of the leader's wall clock, in milliseconds.
+const CLOCK_INTERVAL_MS: u64 = 5_000;
+
+/// Entries that a learner may lack when its repair goes on. Below what the log asks of one that is
+/// promoted, so that it does not refuse.
+const REPAIR_LAG: u64 = 50;
+
+/// Between two tries of a change of membership that the log refused, in milliseconds.
+const REPAIR_RETRY_MS: time::Millis = time::Millis(200);
+
+impl<F: files::Files> Driver<F> {
+    pub(super) fn became_leader(&mut self, term: log::Term) {
+        ::log::info!(term:% = term; "control: leads");
+        self.work.clock_due = 0;
+        self.work.started = Some(term);
+        self.work.told.clear();
+    }
+
+    /// Tells the log of entry processes that were started anew: what an earlier start had claimed is
+    /// settled by nobody, and its callers would be told that it still runs for as long as claims are
+    /// kept. Whoever led when the start was heard may not have got as far, so each leader tells all
+    /// that it has heard.
+    pub(super) fn tell_holders(&mut self) -> Vec<event::Event> {
+        let starts = locks::read(&self.shared.roster).entry_starts();
+        let mut events = Vec::new();
+        for (vm, incarnation) in starts {
+            if self.work.told.get(&vm) == Some(&incarnation) {
+                continue;
+            }
+            let gone = command::Command::HolderGone {
+                vm: vm.clone(),
+                incarnation_below: incarnation,
+            };
+            events.extend(self.propose_as(&gone, Ticket::Holders));
+            self.work.told.insert(vm, incarnation);
+        }
+        events
+    }
+
+    /// What the leader proposes by itself: its wall clock, and the repair of the membership.
+    pub(super) fn own_events(&mut self) -> Vec<event::Event> {
+        let mut events = Vec::new();
+        if self.node.status().role != status::Role::Leader {
+            return events;
+        }
+        if let Some(term) = self.work.started.take() {
+            // Orders of an earlier leader may still be on their way to being committed. This
+            // command comes after all of them, so once it is applied the table of open orders is
+            // complete.
+            let command = command::Command::LeaderStarted { term: term.0 };
+            let reply = Reply::Placing(self.placing.clone());
+            events.extend(self.propose_as(&command, Ticket::Started(term, reply)));
+        }
+        events.extend(self.tell_holders());
+        let now = self.shared.clock.now();
+        if now.0 >= self.work.clock_due {
+            self.work.clock_due = now.0 + CLOCK_INTERVAL_MS;
+            let command = command::Command::Clock {
+                unix_ms: clock::unix_ms(),
+            };
+            events.extend(self.propose(&command, Reply::Nobody));
+        }
+        events.extend(self.repair());
+        events
+    }
+
+    /// The next step by which a member that came back under a new disk generation, or a new one,
+    /// gets its vote: added as a learner, then the old generation of its VM removed, then promoted
+    /// once it has caught up.
+    ///
+    /// The old generation goes before the new one is promoted, so that there are never four voters
+    /// of whom three must answer while one is known to be gone. It goes only once the learner has
+    /// caught up: until then a vote less would gain nothing.
+    pub(super) fn repair(&mut self) -> Option<event::Event> {
+        let joiner = self.work.joiner?;
+        let now = self.shared.clock.now();
+        if now < self.work.repair_due {
+            return None;
+        }
+        let status = self.node.status();
+        let members = &status.membership;
+        if members.voters.contains(&joiner) {
+            self.work.joiner = None;
+            return None;
+        }
+        let newer = members
+            .members()
+            .any(|id| id.vm == joiner.vm && id > joiner);
+        if newer {
+            self.work.joiner = None;
+            return None;
+        }
+        let matched = status.matched.get(&joiner).copied().unwrap_or_default();
+        let lag = status.last.0.saturating_sub(matched.0);
+        let old = members
+            .members()
+            .find(|id| id.vm == joiner.vm && *id != joiner);
+        let change = if !members.learners.contains(&joiner) {
+            event::Change::AddLearner(joiner)
+        } else if lag > REPAIR_LAG {
+            return None;
+        } else if let Some(old) = old {
+            event::Change::Remove(old)
+        } else {
+            event::Change::Promote(joiner)
+        };
+        let pending = self
+            .work
+            .tickets
+            .values()
+            .any(|it| matches!(it, Ticket::Membership(_)));
+        if pending {
+            return None;
+        }
+        // Refused by the log while the change before is not committed.
+        self.work.repair_due = now + REPAIR_RETRY_MS;
+        let ticket = self.work.ticket(Ticket::Membership(change));
+        Some(event::Event::ChangeMembership { ticket, change })
+    }
+}
--- a/src/sageshed/entry/sync.rs
+++ b/src/sageshed/entry/sync.rs
@@ -184,24 +184,25 @@
         shared.take_config(update);
     }
     let now = shared.clock.now();
-    match resp.control {
-        Some(part) => {
-            if part.leader.as_deref() == Some(peer.vm.as_str()) {
-                shared.claims.note_leader(&peer.vm);
-                // Only the leader's word. A voter that is cut off from it knows nothing of a drain
-                // that came since; with each one's word taken as it comes, `/readyz` would change
-                // with every heartbeat, and the balancer would go on sending callers here.
-                let drained = part.draining.contains(&shared.process.vm);
-                shared
-                    .stage
-                    .drained
-                    .store(drained, std_sync::atomic::Ordering::Relaxed);
-            }
-            locks::lock(&shared.freshness).granted(sent, now, &peer.vm, &part);
-        }
-        None => {
-            let (hears_leader, was_confirmed) = (resp.hears_leader, resp.was_confirmed);
-            locks::lock(&shared.freshness).heard(now, &peer.vm, hears_leader, was_confirmed);
-        }
+    let Some(part) = resp.control else {
+        let (hears_leader, was_confirmed) = (resp.hears_leader, resp.was_confirmed);
+        locks::lock(&shared.freshness).heard(now, &peer.vm, hears_leader, was_confirmed);
+        return;
+    };
+    if part.leader.as_deref() == Some(peer.vm.as_str()) {
+        take_from_leader(shared, peer, &part);
     }
+    locks::lock(&shared.freshness).granted(sent, now, &peer.vm, &part);
+}
+
+/// Takes in what only the leader's word counts for.
+///
+/// A voter that is cut off from it knows nothing of a drain that came since; with each one's word
+/// taken as it comes, `/readyz` would change with every heartbeat, and the balancer would go on
+/// sending callers here.
+fn take_from_leader(shared: &shared::Shared, peer: &Peer, part: &messages::ControlPart) {
+    shared.claims.note_leader(&peer.vm);
+    let drained = part.draining.contains(&shared.process.vm);
+    let flag = &shared.stage.drained;
+    flag.store(drained, std_sync::atomic::Ordering::Relaxed);
 }
