Tell a late answer from a failing endpoint, and give long answers their time

(2) the limit for the first byte was reckoned from the mean answer, and an answer that is not streamed shows its first byte at its end, so a much longer answer was cut and the engine blamed. For (2): no limit for plain answers; a silent connection would be found at the deadline only. Change: silence up to the request's own limit, at an endpoint that answered others since, is no failure; such a request ends as deadline_passed. The limit grows with the tokens that the request allows over the mean.

--- a/crates/sageshed-decide/src/decider/dispatch.rs
+++ b/crates/sageshed-decide/src/decider/dispatch.rs
@@ -37,6 +37,7 @@
     ) {
         self.weigh(now, req, Some(pick.endpoint));
         let limit = self.first_byte_limit(now, req, pick);
+        let left = self.expiry(req).since(now);
         let endpoint = self.router.fleet.get_mut(pick.endpoint);
         endpoint.set_own(now, endpoint.own + 1);
         let incarnation = endpoint.incarnation;
@@ -50,6 +51,7 @@
             incarnation,
             at: now,
             wait: pick.wait,
+            cut_by_deadline: limit >= left,
         });
         if request.attempts == 1 {
             request.queued = now.since(request.arrived);
@@ -62,22 +64,38 @@
             model: request.model(),
             priority: request.priority,
             deadline_left: request.left(now),
-            first_byte_limit: limit,
+            first_byte_limit: limit.min(left),
         });
     }
 
-    /// How long to wait for the first byte: several times what the whole answer should take, since
-    /// an answer that is not streamed shows its first byte only at its end, but not past the moment
-    /// at which the request is given up on anyway.
+    /// How long an endpoint in good order takes at most to the first byte: several times what the
+    /// whole answer should take. An answer that is not streamed shows its first byte only at its
+    /// end, so there it is several times what the longest answer that the request allows would take;
+    /// where that is not known, no limit but the request's own is right.
     fn first_byte_limit(
         &self,
         now: time::Instant,
         req: event::ReqId,
         pick: router::Pick,
     ) -> time::Millis {
-        let usual = learned::millis((pick.wait + pick.service) * self.policy.first_byte_factor);
-        let limit = usual.max(self.policy.first_byte_min_ms);
-        limit.min(self.expiry(req).since(now))
+        let Some(stretch) = self.stretch(req) else {
+            return self.expiry(req).since(now);
+        };
+        let usual = (pick.wait + pick.service * stretch) * self.policy.first_byte_factor;
+        learned::millis(usual).max(self.policy.first_byte_min_ms)
+    }
+
+    /// How much longer than the estimate the wait for the first byte may be, by the length of the
+    /// answer.
+    fn stretch(&self, req: event::ReqId) -> Option<f64> {
+        let request = self.requests.get(&req)?;
+        match request.lane.target {
+            event::Target::Model(_) if !request.facts.streaming => {
+                let learned = self.router.learned(request.lane.target);
+                learned.stretch(request.facts.max_tokens)
+            }
+            event::Target::Model(_) | event::Target::Service(_) => Some(1.0),
+        }
     }
 
     /// Notes the endpoints weighed for the first try.
--- a/crates/sageshed-decide/src/decider/ended.rs
+++ b/crates/sageshed-decide/src/decider/ended.rs
@@ -111,7 +111,9 @@
         out: &mut Out,
     ) {
         self.give_back(now, sent);
-        self.blame(now, sent, fault);
+        if !self.was_only_late(sent, fault) {
+            self.blame(now, sent, fault);
+        }
         let Some(request) = self.requests.get_mut(&req) else {
             return;
         };
@@ -125,6 +127,16 @@
         }
     }
 
+    /// Whether a try ran out of the time that its request had, at an endpoint that went on answering
+    /// others.
+    ///
+    /// Under load an endpoint answers later than was estimated. Counted as failures, these would
+    /// eject endpoints in good order at the very moment at which all of them are needed.
+    fn was_only_late(&self, sent: request::Sent, fault: event::Fault) -> bool {
+        let endpoint = self.router.fleet.get(sent.endpoint);
+        is_silence(fault) && sent.cut_by_deadline && endpoint.health.answered_since(sent.at)
+    }
+
     /// Counts a failure against the endpoint. Tries of an earlier start of it say nothing of this
     /// one.
     fn blame(&mut self, now: time::Instant, sent: request::Sent, fault: event::Fault) {
@@ -184,8 +196,13 @@
         };
         let repeatable = !request.not_repeatable || request.verdict == verdict::Verdict::NotRun;
         let endpoint = self.names.endpoints.name(sent.endpoint);
+        let overdue = is_silence(fault) && request.left(now).0 == 0;
         let cause = Cause {
-            reason: verdict::Reason::EndpointFailed,
+            reason: if overdue {
+                verdict::Reason::DeadlinePassed
+            } else {
+                verdict::Reason::EndpointFailed
+            },
             detail: format!(
                 "endpoint `{endpoint}` failed on try {}: {}; {why}",
                 request.attempts,
@@ -197,6 +214,11 @@
     }
 }
 
+/// Whether a fault is that nothing came in time.
+fn is_silence(fault: event::Fault) -> bool {
+    matches!(fault, event::Fault::NoFirstByte | event::Fault::Stalled)
+}
+
 /// The least share of the time of a try that is taken to be service, whatever wait was predicted.
 const LEAST_SERVICE: f64 = 0.25;
 
--- a/crates/sageshed-decide/src/health.rs
+++ b/crates/sageshed-decide/src/health.rs
@@ -59,6 +59,8 @@
     tries: u32,
     /// Ejections since it was last healthy through a whole ramp.
     ejections: u32,
+    /// When a try was answered last.
+    answered: Option<time::Instant>,
 }
 
 impl Health {
@@ -71,6 +73,7 @@
             window: 0,
             tries: 0,
             ejections: 0,
+            answered: None,
         }
     }
 
@@ -101,6 +104,7 @@
 
     /// A try sent at `sent` was answered.
     pub fn succeeded(&mut self, now: time::Instant, sent: time::Instant) {
+        self.answered = Some(now);
         if self.is_before_state(sent) {
             return;
         }
@@ -111,6 +115,12 @@
         }
     }
 
+    /// Whether any try was answered since `sent`.
+    #[must_use]
+    pub fn answered_since(&self, sent: time::Instant) -> bool {
+        self.answered.is_some_and(|answered| answered >= sent)
+    }
+
     /// A try sent at `sent` failed. Says whether that ejects it.
     pub fn failed(
         &mut self,
--- a/crates/sageshed-decide/src/learned.rs
+++ b/crates/sageshed-decide/src/learned.rs
@@ -17,6 +17,9 @@
 /// The least and greatest factor by which one endpoint is taken to be slower than the mean.
 const SPEED_BOUNDS: (f64, f64) = (0.25, 8.0);
 
+/// How many times the mean an answer may be long whose request sets no bound.
+const UNBOUNDED_LENGTH: f64 = 4.0;
+
 /// The least share of the mean service time that a short answer is taken to need.
 const LEAST_LENGTH: f64 = 0.1;
 
@@ -108,6 +111,17 @@
         self.service.samples >= TRUSTED_SAMPLES
     }
 
+    /// How much longer than the mean answer the longest one is that `max_tokens` allows, at least 1;
+    /// none if the mean is not known.
+    #[must_use]
+    pub fn stretch(&self, max_tokens: u32) -> Option<f64> {
+        let mean = self.tokens.mean().filter(|mean| *mean > 0.0)?;
+        if max_tokens == 0 {
+            return Some(UNBOUNDED_LENGTH);
+        }
+        Some((f64::from(max_tokens) / mean).max(1.0))
+    }
+
     /// How long an answer of at most `max_tokens` is against the mean one.
     fn length(&self, max_tokens: u32) -> f64 {
         match self.tokens.mean() {
--- a/crates/sageshed-decide/src/request.rs
+++ b/crates/sageshed-decide/src/request.rs
@@ -41,6 +41,9 @@
     pub at: time::Instant,
     /// Predicted wait inside the endpoint, in milliseconds.
     pub wait: f64,
+    /// The limit for its first byte is what the request has left, and not what an endpoint in good
+    /// order takes at most.
+    pub cut_by_deadline: bool,
 }
 
 /// An endpoint that was weighed.
--- a/crates/sageshed-decide/tests/faults.rs
+++ b/crates/sageshed-decide/tests/faults.rs
@@ -401,3 +401,75 @@
     let gauges = bench.decider.gauges();
     assert_eq!((gauges.in_flight, gauges.ejected), (1, 0));
 }
+
+/// What a user would see: a long draft is cut off and refused with `endpoint_failed`, and the engine
+/// blamed for it. Answers so far were short, and the limit for the first byte, which for an answer
+/// that is not streamed comes at its end, was reckoned from their mean.
+#[test]
+fn long_answer_gets_the_time_that_it_needs() {
+    for (max_tokens, streaming, least) in [
+        (200, false, 10_000),
+        (2, false, 2_000),
+        (0, false, 2_500),
+        (200, true, 2_000),
+    ] {
+        let mut bench = common::Bench::with_engines(common::settings(), &["e1"]);
+        for _ in 0..6 {
+            let (req, _) = bench.arrive(|f| f.max_tokens = 2);
+            bench.pass(100);
+            let outcome = event::TryOutcome::Done { tokens: 2 };
+            bench.step(event::Event::Ended { req, outcome });
+        }
+        let (_, actions) = bench.arrive(|f| {
+            f.max_tokens = max_tokens;
+            f.streaming = streaming;
+        });
+        let limit = actions.iter().find_map(|action| match action {
+            event::Action::Send {
+                first_byte_limit, ..
+            } => Some(first_byte_limit.0),
+            _ => None,
+        });
+        let limit = limit.expect("sent");
+        let what = format!("{max_tokens} tokens, streaming: {streaming}: {limit}");
+        assert!((least..least * 2).contains(&limit), "{what}");
+    }
+}
+
+/// What a user would see: under load requests are refused though engines work. Some had run out of
+/// their time at a full engine, that counted as its failures, and it was ejected when it was needed
+/// most. An engine that answers nobody is another matter.
+#[test]
+fn endpoint_that_is_only_late_is_not_ejected() {
+    for (answers_others, ejected) in [(true, 0), (false, 1)] {
+        let mut settings = common::settings();
+        settings.policy.shed = false;
+        let mut bench = common::Bench::new(settings);
+        let report = common::report("e1", 1, 4, &["sort"]);
+        bench.step(event::Event::Report(Box::new(report), time::Millis(0)));
+        for _ in 0..8 {
+            let (late, _) = bench.arrive(|f| f.deadline = Some(time::Millis(1_000)));
+            let (other, _) = bench.arrive(|_| {});
+            bench.pass(600);
+            if answers_others {
+                let outcome = event::TryOutcome::Done { tokens: 1 };
+                bench.step(event::Event::Ended {
+                    req: other,
+                    outcome,
+                });
+            }
+            bench.pass(500);
+            let actions = bench.fail(late, MAY_HAVE_RUN, event::Fault::NoFirstByte);
+            assert_eq!(
+                common::told(&actions, late),
+                "deadline_passed may_have_run",
+                "answers others: {answers_others}"
+            );
+            if bench.decider.gauges().ejected > 0 {
+                break;
+            }
+        }
+        let gauges = bench.decider.gauges();
+        assert_eq!(gauges.ejected, ejected, "answers others: {answers_others}");
+    }
+}
