--- a/examples/measure_slopes/wire.rs
+++ b/examples/measure_slopes/wire.rs
@@ -88,6 +88,7 @@
         control: None,
         revision: rules::Revision(44_000),
         config: None,
+        was_confirmed: true,
         hears_leader: true,
     };
     let (head, answer_head) = http_heads(&req, &resp)?;
--- a/src/sageshed/logs.rs
+++ b/src/sageshed/logs.rs
@@ -43,6 +43,9 @@
     let format = log.format;
     let dispatch = fern::Dispatch::new()
         .level(level(log.level))
+        // The client library logs the head of each request, and with it the group's token and the
+        // callers' keys.
+        .level_for("ureq", log::LevelFilter::Warn)
         .format(move |out, _, record| {
             let now = jiff::Timestamp::now();
             out.finish(format_args!("{}", line(format, now, record)));
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -47,6 +47,12 @@
         text.contains("closed") && text.contains("rule_refused"),
         "{text}"
     );
+
+    // The client library logged the head of each request between VMs, and the group's token in it.
+    for vm in 0..3 {
+        let log = cluster.log("entry", vm);
+        assert!(!log.contains("Sageshed-Group-Token"), "{log}");
+    }
 }
 
 /// An operator mistypes a caller's name. Taken as it is, the rule would match nobody, and the caller
