--- a/crates/sageshed-decide/src/decider.rs
+++ b/crates/sageshed-decide/src/decider.rs
@@ -19,9 +19,7 @@
 
 use sageshed_types::{refusal, rules as types_rules, time, verdict};
 
-use crate::{
-    budget, demand, event, fleet, limits, names, pressure, queue, request, router, rules, settings,
-};
+use crate::{budget, demand, event, fleet, limits, names, queue, request, router, rules, settings};
 
 pub use crate::account::{AccountPart, Gauges};
 
@@ -39,7 +37,6 @@
     budget: budget::Budget,
     router: router::Router,
     queues: queue::Queues,
-    pressure: pressure::Pressure,
     requests: collections::HashMap<event::ReqId, request::Request>,
     /// When an open request is given up on, whatever else happens.
     expiries: collections::BTreeSet<(time::Instant, event::ReqId)>,
@@ -81,7 +78,6 @@
             entries,
             rules: rules::Compiled::default(),
             queues: queue::Queues::default(),
-            pressure: pressure::Pressure::default(),
             requests: collections::HashMap::new(),
             expiries: collections::BTreeSet::new(),
             ended: collections::VecDeque::new(),
--- a/crates/sageshed-decide/src/decider/admit.rs
+++ b/crates/sageshed-decide/src/decider/admit.rs
@@ -31,10 +31,6 @@
 /// that restarts is heard of.
 const SERVICE_RETRY_AFTER: time::Millis = time::Millis(2_000);
 
-/// The least share of the slots that come free that a request is taken to get beside more urgent
-/// ones: their rate is an estimate, and one that is too high must not keep all others out.
-const LEAST_SHARE: f64 = 0.02;
-
 /// What is to be done with a request.
 pub(super) enum Admission {
     /// Send it.
@@ -181,11 +177,7 @@
         };
         let rates = able.iter().map(|key| self.router.own_rate(now, *key, &ask));
         let rate = rates.sum::<f64>().max(f64::MIN_POSITIVE);
-        let passing = self.pressure.above(now, request.priority, |lane| {
-            self.overlap(request.lane, lane, &able)
-        });
-        let left = (rate - passing).max(rate * LEAST_SHARE);
-        (self.ahead_of(request, &able) + 1.0) / left
+        (self.ahead_of(request, &able) + 1.0) / rate
     }
 
     fn ahead_of(&self, request: &request::Request, able: &[arena::EndpointKey]) -> f64 {
--- a/crates/sageshed-decide/src/decider/dispatch.rs
+++ b/crates/sageshed-decide/src/decider/dispatch.rs
@@ -53,7 +53,6 @@
             wait: pick.wait,
             cut_by_deadline: limit >= left,
         });
-        self.pressure.sent(now, request.lane, request.priority);
         if request.attempts == 1 {
             request.queued = now.since(request.arrived);
             self.budget.earn();
--- a/crates/sageshed-decide/src/lib.rs
+++ b/crates/sageshed-decide/src/lib.rs
@@ -25,7 +25,6 @@
 pub mod learned;
 pub mod limits;
 pub mod names;
-mod pressure;
 pub mod queue;
 pub mod random;
 pub mod request;
