--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -54,6 +54,8 @@
     pub first_byte: time::Duration,
     /// Takes a connection of its own.
     pub fresh: bool,
+    /// When it began, since the request arrived.
+    pub begun: types_time::Millis,
 }
 
 /// What came of one sending.
@@ -224,6 +226,7 @@
             total: left.mul_f64(1.0 + overrun.max(0.0)),
             first_byte: sending.first_byte_limit.into(),
             fresh: not_repeatable || attempt > 1,
+            begun: types_time::Millis::from(self.meta.received.elapsed()),
         }
     }
 
@@ -249,7 +252,7 @@
     pub fn note_try(&mut self, order: &Order, verdict: verdict::Verdict, outcome: &str) {
         self.account.tries.push(account::Try {
             endpoint: order.endpoint.clone(),
-            started: types_time::Millis::from(self.meta.received.elapsed()),
+            started: order.begun,
             verdict,
             outcome: outcome.to_owned(),
         });
--- a/src/sageshed/entry/run.rs
+++ b/src/sageshed/entry/run.rs
@@ -8,7 +8,7 @@
 //! A second request to stop ends it at once and says what it cut.
 
 use std::{
-    io, mem, net,
+    io, net,
     sync::{self, atomic},
     thread, time,
 };
@@ -73,10 +73,6 @@
     shared.stage.stopping.store(true, atomic::Ordering::Relaxed);
     drop(settling.join());
     log::info!("entry: stopped");
-    // The process ends now. Dropped, the port would wait for a moment without a heartbeat of another
-    // process, and those never pause: seen in a test, a process that had said that it stopped stayed
-    // for as long as the others ran.
-    mem::forget(vms);
     Ok(())
 }
 
--- a/tests/testsuite/rules.rs
+++ b/tests/testsuite/rules.rs
@@ -133,9 +133,18 @@
     assert_eq!(refusal["verdict"], "may_have_run", "{account}");
     assert_eq!(refusal["reason"], "endpoint_failed", "{account}");
 
+    // The account named the end of a try as its beginning, so that a slow engine looked like a slow
+    // queue.
+    for engine in ["e1", "e2"] {
+        let late = fault::Fault::Late { delay_ms: 400 };
+        cluster.standin.fault(engine, late, Some(1));
+    }
     let good = ask.send().unwrap();
     let account = explain(&cluster, &good.request_id);
     assert_eq!(account["end"]["answered"]["status"], 200, "{account}");
+    let started = account["tries"][0]["started"].as_u64().unwrap();
+    let took = account["took"].as_u64().unwrap();
+    assert!(started + 300 <= took, "{account}");
     let unknown = cluster.cli(&["explain", "vm3.0.0"]);
     assert!(!unknown.status.success(), "{unknown:?}");
 }
