--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -2,25 +2,7 @@
 
 use std::{net, time};
 
-use sageshed_types::time as types_time;
-
-/// Headers that concern one connection only (RFC 9110, section 7.6.1), or that the sender of the
-/// next request sets anew.
-const NOT_FORWARDED: [&str; 13] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+use sageshed_types::{headers, time as types_time};
 
 /// One whole request.
 #[derive(Debug)]
@@ -85,9 +67,8 @@
     }
 
     fn stays_here(&self, name: &str) -> bool {
-        let fixed = NOT_FORWARDED
-            .iter()
-            .any(|kept| name.eq_ignore_ascii_case(kept));
+        let is = |kept: &&str| name.eq_ignore_ascii_case(kept);
+        let fixed = is(&headers::TOKEN) || headers::OF_CONNECTION.iter().any(is);
         fixed || self.is_connection_option(name)
     }
 
--- a/crates/sageshed-services/src/filter.rs
+++ b/crates/sageshed-services/src/filter.rs
@@ -1,32 +1,13 @@
 //! Which headers are passed on between callers and services.
 
 use sageshed_engines::headers;
-
-/// Headers that belong to one connection and not to the message (RFC 9110, section 7.6.1), and those
-/// that each side of the system sets anew.
-const OWN_TO_CONNECTION: [&str; 12] = [
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// The header with the caller's token for this system. A service that got it could act as the caller.
-const TOKEN: &str = "authorization";
+use sageshed_types::headers as own;
 
 /// The headers of a caller's request that go on to the service.
 #[must_use]
 pub fn to_service(headers: &[(String, String)]) -> Vec<(&str, &str)> {
     passed(headers)
-        .filter(|(name, _)| !name.eq_ignore_ascii_case(TOKEN))
+        .filter(|(name, _)| !name.eq_ignore_ascii_case(own::TOKEN))
         .collect()
 }
 
@@ -42,7 +23,7 @@
         .map(|(name, value)| (name.as_str(), value.as_str()))
         .filter(move |(name, _)| {
             let is = |other: &&str| name.eq_ignore_ascii_case(other);
-            let own = OWN_TO_CONNECTION.iter().any(&is);
+            let own = own::OF_CONNECTION.iter().any(&is);
             let ours = is(&headers::REQUEST_ID);
             !own && !ours && !named.iter().any(&is)
         })
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod claims;
 pub mod endpoints;
 pub mod fault;
+pub mod headers;
 pub mod messages;
 pub mod refusal;
 pub mod rules;
