Hold all ports of a test cluster until the last is chosen

Cause: the harness let the four ports of one VM go before it chose those of the next, and the system gave one out again; then every process refused its settings ("is an address of VM `vm2` already") and some test, another one each time, waited in vain for readiness. Ruled out: connections of other tests on the same ports; each cluster has an address of its own.

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -100,7 +100,7 @@
         let ip = net::Ipv4Addr::new(127, 1 + high % 126, low, nth);
         let dir = env::temp_dir().join(format!("sageshed-test-{}-{nth}", process::id()));
         fs::create_dir_all(&dir).unwrap();
-        let vms: Vec<_> = (0..plan.vms).map(|_| Vm::choose(ip)).collect();
+        let vms = Vm::choose(ip, plan.vms);
         let entries = vms.iter().map(|vm| vm.entry.to_string()).collect();
         let standin = standin::Standin::start(config::Config {
             entries,
@@ -511,17 +511,22 @@
 }
 
 impl Vm {
-    /// Ports that the system chose a moment ago, on an address that nothing else uses.
-    fn choose(ip: net::Ipv4Addr) -> Self {
-        let held: Vec<_> = (0..4)
-            .map(|_| net::TcpListener::bind((ip, 0)).unwrap())
-            .collect();
-        let port = |nth: usize| held[nth].local_addr().unwrap();
-        Self {
-            entry: port(0),
-            callers: port(1),
-            control: port(2),
-            operators: port(3),
-        }
+    /// Ports that the system chose a moment ago, on an address that nothing else uses. All are held
+    /// until the last is chosen: let go one VM at a time, a port was given out again for the next,
+    /// and its processes refused their settings.
+    fn choose(ip: net::Ipv4Addr, count: usize) -> Vec<Self> {
+        let listener = || net::TcpListener::bind((ip, 0)).unwrap();
+        let held: Vec<_> = (0..count).map(|_| [(); 4].map(|()| listener())).collect();
+        let vm = |ports: &[net::TcpListener; 4]| {
+            let chosen = ports.each_ref().map(|port| port.local_addr().unwrap());
+            let [entry, callers, control, operators] = chosen;
+            Self {
+                entry,
+                callers,
+                control,
+                operators,
+            }
+        };
+        held.iter().map(vm).collect()
     }
 }
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -72,10 +72,9 @@
     let report = under_load(&cluster, || {
         thread::sleep(PAUSE);
         for endpoint in ["e1", "crews-1"] {
-            assert!(
-                of(&cluster, endpoint).requests > 0,
-                "it had no load to lose"
-            );
+            cluster.until("it has load to lose", || {
+                of(&cluster, endpoint).requests > 0
+            });
             cluster.standin.fault(endpoint, fault::Fault::Leave, None);
         }
     });
