Give the claim of an order back that sent nothing, whatever its refusal says

Cause: an order under a key that found no majority is refused as may have run, since an earlier try may have; its own claim was then settled as unknown. Ruled out: the harness; the failing run's log shows the leader of before lead again and the retries refused as duplicate. Change: a claim is settled by the tries of its own arrival.

--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -302,11 +302,19 @@
     }
 
     /// Ends it with a refusal.
+    ///
+    /// The refusal speaks for all tries under the key, the claim for this arrival alone. One that sent
+    /// nothing gives its claim back whatever the refusal says: settled as unknown, a claim that is
+    /// committed late would keep the order from ever being sent.
     pub fn refused(&mut self, refusal: &refusal::Refusal) {
+        let sent = self.account.tries.iter();
+        let may_have_run = sent
+            .map(|it| it.verdict)
+            .any(|it| it != verdict::Verdict::NotRun);
         let end = match refusal.verdict {
-            verdict::Verdict::NotRun => claims::End::NotRun,
-            verdict::Verdict::MayHaveRun => claims::End::Unknown,
             verdict::Verdict::Ran => claims::End::Ran { answer: None },
+            verdict::Verdict::MayHaveRun if may_have_run => claims::End::Unknown,
+            verdict::Verdict::MayHaveRun | verdict::Verdict::NotRun => claims::End::NotRun,
         };
         self.end(account::End::Refused(refusal.clone()), end);
     }
