Ask the decider for one fact, and count votes in one place

Each sending built the account of a request, with the names of all its candidates, to learn whether it may be repeated; the count of pre-votes and of votes stood twice; a constant and two comments still spoke of threads and of the package that HTTP has left. Change: a query of its own, one function for the majority, the names. Behaviour is as it was.

--- a/crates/sageshed-decide/src/decider/query.rs
+++ b/crates/sageshed-decide/src/decider/query.rs
@@ -61,6 +61,14 @@
         &self.router.fleet.get(endpoint).address
     }
 
+    /// Whether a request is treated as one that may not be repeated. Known as long as its account.
+    #[must_use]
+    pub fn is_not_repeatable(&self, req: event::ReqId) -> Option<bool> {
+        self.requests
+            .get(&req)
+            .map(|request| request.not_repeatable)
+    }
+
     /// What was decided about a request: while it is open, and for a while after its end.
     #[must_use]
     pub fn account(&self, req: event::ReqId) -> Option<account::AccountPart> {
--- a/crates/sageshed-quorum/src/election.rs
+++ b/crates/sageshed-quorum/src/election.rs
@@ -207,12 +207,7 @@
         let state::Role::PreCandidate { granted } = &self.state.role else {
             return;
         };
-        if self
-            .state
-            .log
-            .membership()
-            .has_majority(|id| granted.contains(&id))
-        {
+        if self.is_majority(granted) {
             self.ask_votes(out);
         }
     }
@@ -221,16 +216,16 @@
         let state::Role::Candidate { granted } = &self.state.role else {
             return;
         };
-        if self
-            .state
-            .log
-            .membership()
-            .has_majority(|id| granted.contains(&id))
-        {
+        if self.is_majority(granted) {
             self.lead(out);
         }
     }
 
+    fn is_majority(&self, granted: &collections::BTreeSet<log::NodeId>) -> bool {
+        let membership = self.state.log.membership();
+        membership.has_majority(|id| granted.contains(&id))
+    }
+
     fn lead(&mut self, out: &mut output::Output) {
         let next = self.state.log.last().index.next();
         self.state.role = state::Role::Leader(state::Leader {
--- a/crates/sageshed-types/src/refusal.rs
+++ b/crates/sageshed-types/src/refusal.rs
@@ -9,7 +9,7 @@
 
 /// Why a request was refused, and what is known of it. The body of the answer.
 ///
-/// Serialised by `sageshed-callers` as `application/problem+json` (RFC 9457).
+/// Serialised by `sageshed-http` as `application/problem+json` (RFC 9457).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// HTTP status. Equals `reason.status()` but where a rule or an endpoint chose another.
--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -232,8 +232,8 @@
 
     fn is_not_repeatable(&self, decider: &sageshed_decide::decider::Decider) -> bool {
         decider
-            .account(self.req)
-            .map_or(self.facts.not_repeatable, |part| part.not_repeatable)
+            .is_not_repeatable(self.req)
+            .unwrap_or(self.facts.not_repeatable)
     }
 
     fn note_failure(&mut self, order: &Order, e: &classify::CallError) {
--- a/src/sageshed/entry/run.rs
+++ b/src/sageshed/entry/run.rs
@@ -24,8 +24,8 @@
 };
 use crate::{clock, context, directory, locks, settings};
 
-/// Threads that take calls of other processes.
-const VMS_THREADS: usize = 256;
+/// Connections of other processes that are open at once; each has a thread.
+const VMS_CONNECTIONS: usize = 256;
 
 /// How often a stopping process looks whether it is done, or told to hurry.
 const LOOK: time::Duration = time::Duration::from_millis(50);
@@ -88,7 +88,8 @@
     };
     let address = shared.settings.listen.vms.to_string();
     let token = &shared.settings.common.vms_token;
-    let server = sageshed_vms::Server::start(&address, token, VMS_THREADS, sync::Arc::new(port))?;
+    let server =
+        sageshed_vms::Server::start(&address, token, VMS_CONNECTIONS, sync::Arc::new(port))?;
     Ok(server)
 }
 
