--- /dev/null
+++ b/crates/sageshed-fleet/src/budget.rs
@@ -0,0 +1,93 @@
+//! How many requests may be sent a second time.
+//!
+//! When a service fails a part of its requests, sending each again at once doubles the load on what
+//! is left of it. So repeats are bounded, over all entry processes together, by a share of the
+//! requests and a constant. Each entry process takes its part of both: the share of its own requests,
+//! and the constant divided by the number of entry processes.
+
+use std::collections;
+
+use sageshed_types::time;
+
+/// The part of the allowance that is used. The number of entry processes is known some hundred
+/// milliseconds late, and a repeat counts where it arrives and not where it was sent.
+const USED_SHARE: f64 = 0.6;
+
+/// What all entry processes may send again together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats on top of that.
+    pub slack: f64,
+    /// Within any span of this length.
+    pub window: time::Millis,
+}
+
+/// The repeats that one entry process sent lately, for each service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    allowance: Allowance,
+    services: collections::HashMap<String, Window>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    requests: collections::VecDeque<time::Instant>,
+    repeats: collections::VecDeque<time::Instant>,
+}
+
+impl RetryBudget {
+    /// A budget of which nothing is spent.
+    #[must_use]
+    pub fn new(allowance: Allowance) -> Self {
+        Self {
+            allowance,
+            services: collections::HashMap::new(),
+        }
+    }
+
+    /// Counts a request that a caller sent for `service`.
+    pub fn request(&mut self, now: time::Instant, service: &str) {
+        let window = self.window(now, service);
+        window.requests.push_back(now);
+    }
+
+    /// Takes one repeat out of the budget, of which `entries` processes have a part each. Returns
+    /// false, and takes nothing, where none is left.
+    pub fn spend(&mut self, now: time::Instant, service: &str, entries: usize) -> bool {
+        let Allowance { ratio, slack, .. } = self.allowance;
+        let window = self.window(now, service);
+        let own_slack = slack / entries.max(1) as f64;
+        let most = (window.requests.len() as f64 * ratio + own_slack) * USED_SHARE;
+        if (window.repeats.len() + 1) as f64 > most {
+            return false;
+        }
+        window.repeats.push_back(now);
+        true
+    }
+
+    fn window(&mut self, now: time::Instant, service: &str) -> &mut Window {
+        if !self.services.contains_key(service) {
+            let window = Window::default();
+            self.services.insert(service.to_owned(), window);
+        }
+        let window = self
+            .services
+            .get_mut(service)
+            .expect("inserted just before if it was missing");
+        forget(&mut window.requests, now, self.allowance.window);
+        forget(&mut window.repeats, now, self.allowance.window);
+        window
+    }
+}
+
+fn forget(
+    times: &mut collections::VecDeque<time::Instant>,
+    now: time::Instant,
+    span: time::Millis,
+) {
+    while times.front().is_some_and(|at| now.since(*at) > span) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -0,0 +1,541 @@
+//! Which endpoint a request goes to, whether it waits here, or is turned away.
+//!
+//! Each entry process decides for itself by what it knows: what the directory says of each endpoint,
+//! what it has sent there itself and what the endpoints said of their load in their latest answers.
+//! The measure is the estimated time until the answer, or its first event, comes.
+//!
+//! # Engines
+//!
+//! On a model engine it is the reading of prompts that runs out first, not the places: an engine
+//! reads some twenty tokens a millisecond, so a request with 1,800 tokens of its own takes a tenth of
+//! a second of the whole engine, while sixty others generate beside it. So the estimate counts tokens
+//! to be read, less those of prompt parts that the engine was sent before and still keeps.
+//!
+//! # Failing endpoints
+//!
+//! Each failure adds to a score that halves every [`FORGIVEN_HALF`]. The score lengthens the estimate,
+//! so an endpoint that fails a part of its requests gets fewer, and one that recovers comes back by
+//! itself. One that can't be reached at all is left out for a while that grows.
+
+use std::collections;
+
+use sageshed_types::{arena, arena::Key, time};
+
+use crate::{dialect, directory};
+
+/// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
+/// of the engines.
+const FIRST_RATE: f64 = 19.0;
+
+/// The part that a new measurement has in the learned rate.
+const RATE_GAIN: f64 = 0.1;
+
+/// The bounds of a learned rate, in tokens a millisecond. A slow engine is some eight times slower
+/// than the rest; a measurement beyond says something else.
+const RATE_BOUNDS: (f64, f64) = (2.0, 60.0);
+
+/// The time for an answer of a plain service, in milliseconds, until some were measured.
+const FIRST_SERVICE_MS: f64 = 30.0;
+
+/// A request to an engine costs this at least, in milliseconds: one step of its batch.
+const STEP_MS: f64 = 10.0;
+
+/// How long what an endpoint said of its load is used, in milliseconds. It weighs less with age.
+const LOAD_KEPT_MS: f64 = 1_000.0;
+
+/// In which time a failure counts half, in milliseconds.
+const FORGIVEN_HALF: f64 = 1_500.0;
+
+/// What one failure adds to the estimate, in milliseconds.
+const FAILURE_MS: f64 = 250.0;
+
+/// What a way to another availability zone adds, in milliseconds: the way there and back, and a bit
+/// so that equal endpoints are taken near by.
+const FAR_MS: f64 = 4.0;
+
+/// An endpoint that can't be reached is left out for this long at first, in milliseconds.
+const FIRST_EJECTION: time::Millis = time::Millis(300);
+
+/// And this long at the most.
+const LONGEST_EJECTION: time::Millis = time::Millis(2_000);
+
+/// How long an engine that said that it does not hold a model is not asked for it again, unless it
+/// announces itself anew.
+const DENIAL: time::Millis = time::Millis(500);
+
+/// Prompt parts that are remembered for each engine.
+const PARTS_KEPT: usize = 2_000;
+
+/// Requests that one entry process has under way at one endpoint of a plain service, in parts of its
+/// places. Some may wait there: an endpoint that is never full is idle between two answers.
+const SERVICE_FILL: f64 = 1.5;
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model, for a service of engines.
+    pub wanted: Option<&'a dialect::Wanted>,
+    /// Parts of the prompt.
+    pub parts: &'a [dialect::PromptPart],
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// Endpoints that were tried and failed.
+    pub tried: &'a [arena::EndpointKey],
+    /// What is left until nobody waits for the answer.
+    pub left: time::Millis,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// Send it there.
+    Send(Pick),
+    /// Wait for a change.
+    Wait(Missing),
+    /// It could not be answered in time: turn it away, with when there will be room.
+    TooLate {
+        /// The estimate.
+        estimate: time::Millis,
+    },
+}
+
+/// What a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// No endpoint of the service is known that takes work.
+    Endpoint,
+    /// No engine holds the model.
+    Model,
+    /// Engines hold the model, and none of them the adapter.
+    Adapter,
+    /// A place at one of the endpoints.
+    Place,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pick {
+    /// The endpoint.
+    pub key: arena::EndpointKey,
+    /// The start of it that is meant.
+    pub instance: String,
+    /// Its address.
+    pub address: std::net::SocketAddrV4,
+    /// Tokens that it has to read.
+    pub tokens: u64,
+    /// The estimated time until the answer begins.
+    pub estimate: time::Millis,
+}
+
+/// How a request at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer.
+    Answered,
+    /// The caller left, or it was given up.
+    GivenUp,
+    /// The endpoint refused it and did not run it.
+    Refused,
+    /// It does not hold what was asked for, or is another start.
+    Misdirected,
+    /// It failed.
+    Failed,
+    /// It could not be reached.
+    Unreachable,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    instance: directory::Instance,
+    /// Requests of this process that are there.
+    in_flight: u32,
+    /// Tokens in those whose answer has not begun.
+    unread: u64,
+    load: Option<(dialect::Load, time::Instant)>,
+    /// Tokens a millisecond.
+    rate: f64,
+    /// Time for an answer, in milliseconds; of plain services.
+    answer_ms: f64,
+    failures: f64,
+    failed_at: time::Instant,
+    ejection: time::Millis,
+    ejected_until: time::Instant,
+    denied: collections::HashMap<dialect::Wanted, time::Instant>,
+    parts: collections::HashMap<u64, (u64, u64)>,
+    uses: u64,
+}
+
+impl Endpoint {
+    fn new(instance: directory::Instance) -> Self {
+        Self {
+            instance,
+            in_flight: 0,
+            unread: 0,
+            load: None,
+            rate: FIRST_RATE,
+            answer_ms: FIRST_SERVICE_MS,
+            failures: 0.0,
+            failed_at: time::Instant(0),
+            ejection: time::Millis(0),
+            ejected_until: time::Instant(0),
+            denied: collections::HashMap::new(),
+            parts: collections::HashMap::new(),
+            uses: 0,
+        }
+    }
+
+    fn holds(&self, now: time::Instant, wanted: &dialect::Wanted) -> bool {
+        let denied = self.denied.get(wanted).is_some_and(|until| now < *until);
+        !denied
+            && self
+                .instance
+                .holds(&wanted.model, wanted.adapter.as_deref())
+    }
+
+    /// Tokens of a prompt that are not kept from an earlier one. What comes behind a part that is not
+    /// kept has to be read too.
+    fn unkept(&self, ask: &Ask<'_>) -> u64 {
+        let kept: u64 = ask
+            .parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id))
+            .map(|part| part.tokens)
+            .sum();
+        ask.prompt_tokens.saturating_sub(kept)
+    }
+
+    fn remember(&mut self, parts: &[dialect::PromptPart]) {
+        self.uses += 1;
+        for part in parts {
+            self.parts.insert(part.id, (part.tokens, self.uses));
+        }
+        if self.parts.len() > PARTS_KEPT {
+            let mut uses: Vec<u64> = self.parts.values().map(|(_, used)| *used).collect();
+            let middle = uses.len() / 2;
+            let (_, median, _) = uses.select_nth_unstable(middle);
+            let oldest_kept = *median;
+            self.parts.retain(|_, (_, used)| *used > oldest_kept);
+        }
+    }
+
+    fn failure_ms(&self, now: time::Instant) -> f64 {
+        let age = now.since(self.failed_at).0 as f64;
+        self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) * FAILURE_MS
+    }
+
+    fn fail(&mut self, now: time::Instant) {
+        let age = now.since(self.failed_at).0 as f64;
+        self.failures = self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) + 1.0;
+        self.failed_at = now;
+    }
+
+    fn eject(&mut self, now: time::Instant) {
+        let doubled = time::Millis(self.ejection.0 * 2);
+        self.ejection = doubled.clamp(FIRST_EJECTION, LONGEST_EJECTION);
+        self.ejected_until = now + self.ejection;
+    }
+
+    /// Requests that wait there by its own latest word, which weighs less with age.
+    fn waiting(&self, now: time::Instant) -> f64 {
+        let Some((load, at)) = self.load else {
+            return 0.0;
+        };
+        let age = now.since(at).0 as f64;
+        let weight = (1.0 - age / LOAD_KEPT_MS).max(0.0);
+        f64::from(load.waiting) * weight
+    }
+
+    /// Milliseconds until an engine has read the prompt.
+    fn engine_ms(&self, now: time::Instant, tokens: u64) -> f64 {
+        let others = self.waiting(now) * tokens as f64;
+        (self.unread as f64 + others + tokens as f64) / self.rate + STEP_MS
+    }
+
+    /// Milliseconds until a plain service has answered.
+    fn service_ms(&self, now: time::Instant) -> f64 {
+        let slots = f64::from(self.instance.slots.max(1));
+        let ahead = f64::from(self.in_flight).max(self.waiting(now));
+        let turns = 1.0 + (ahead / slots).floor();
+        // Of two that have places the emptier one is taken.
+        turns * self.answer_ms + ahead / slots
+    }
+
+    fn has_place(&self) -> bool {
+        f64::from(self.in_flight) < f64::from(self.instance.slots.max(1)) * SERVICE_FILL
+    }
+}
+
+/// What one entry process knows of the endpoints.
+#[derive(Debug)]
+pub struct Chooser {
+    availability_zone: String,
+    endpoints: Vec<Option<Endpoint>>,
+    by_id: collections::HashMap<String, arena::EndpointKey>,
+    by_service: collections::HashMap<String, Vec<arena::EndpointKey>>,
+    random: u64,
+}
+
+impl Chooser {
+    /// Knows no endpoint. `seed` is for ties.
+    #[must_use]
+    pub fn new(availability_zone: &str, seed: u64) -> Self {
+        Self {
+            availability_zone: availability_zone.to_owned(),
+            endpoints: Vec::new(),
+            by_id: collections::HashMap::new(),
+            by_service: collections::HashMap::new(),
+            random: seed | 1,
+        }
+    }
+
+    /// A random number.
+    pub fn draw(&mut self) -> u64 {
+        // Marsaglia's xorshift.
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random
+    }
+
+    /// Takes what the directory says of an endpoint.
+    pub fn know(&mut self, instance: &directory::Instance) {
+        if instance.state == directory::State::Gone {
+            return self.forget(&instance.id);
+        }
+        if let Some(key) = self.by_id.get(&instance.id).copied() {
+            if let Some(endpoint) = &mut self.endpoints[key.index()] {
+                endpoint.instance = instance.clone();
+                endpoint.denied.clear();
+            }
+            return;
+        }
+        let key = arena::EndpointKey::from_index(self.endpoints.len());
+        self.endpoints.push(Some(Endpoint::new(instance.clone())));
+        self.by_id.insert(instance.id.clone(), key);
+        let service = self.by_service.entry(instance.service.clone());
+        service.or_default().push(key);
+    }
+
+    /// An endpoint has gone. Its key is not given to another, since requests may be under way there.
+    pub fn forget(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints[key.index()].take() else {
+            return;
+        };
+        if let Some(list) = self.by_service.get_mut(&endpoint.instance.service) {
+            list.retain(|it| *it != key);
+        }
+    }
+
+    /// Whether any endpoint is known that takes work.
+    #[must_use]
+    pub fn knows_any(&self) -> bool {
+        let mut known = self.endpoints.iter().flatten();
+        known.any(|it| it.instance.is_ready())
+    }
+
+    /// How many endpoints are known, and how many of them take work now.
+    #[must_use]
+    pub fn counts(&self, now: time::Instant) -> (usize, usize) {
+        let known = self.endpoints.iter().flatten();
+        let open = known
+            .clone()
+            .filter(|it| it.instance.is_ready() && now >= it.ejected_until);
+        (known.count(), open.count())
+    }
+
+    /// Decides.
+    pub fn choose(&mut self, now: time::Instant, ask: &Ask<'_>) -> Choice {
+        let keys = match self.candidates(now, ask) {
+            Ok(keys) => keys,
+            Err(missing) => return Choice::Wait(missing),
+        };
+        let draw = self.draw();
+        let mut best: Option<(f64, arena::EndpointKey)> = None;
+        for at in 0..keys.len() {
+            let offset = usize::try_from(draw).unwrap_or(0);
+            let key = keys[(at + offset % keys.len()) % keys.len()];
+            let ms = self.estimate(now, key, ask);
+            if best.is_none_or(|(least, _)| ms < least) {
+                best = Some((ms, key));
+            }
+        }
+        match best {
+            Some((ms, key)) => self.send(key, ms, ask),
+            None => Choice::Wait(Missing::Endpoint),
+        }
+    }
+
+    /// The endpoints that can take the request now.
+    fn candidates(
+        &self,
+        now: time::Instant,
+        ask: &Ask<'_>,
+    ) -> Result<Vec<arena::EndpointKey>, Missing> {
+        let open = |key: &arena::EndpointKey| {
+            let endpoint = self.get(*key)?;
+            let takes = endpoint.instance.is_ready() && !ask.tried.contains(key);
+            (takes && now >= endpoint.ejected_until).then_some(*key)
+        };
+        let all = self.by_service.get(ask.service).ok_or(Missing::Endpoint)?;
+        let open: Vec<_> = all.iter().filter_map(open).collect();
+        if open.is_empty() {
+            return Err(Missing::Endpoint);
+        }
+        match ask.wanted {
+            Some(wanted) => self.holders(now, open, wanted),
+            None => {
+                let room =
+                    |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
+                let free: Vec<_> = open.into_iter().filter(room).collect();
+                if free.is_empty() {
+                    Err(Missing::Place)
+                } else {
+                    Ok(free)
+                }
+            }
+        }
+    }
+
+    fn holders(
+        &self,
+        now: time::Instant,
+        open: Vec<arena::EndpointKey>,
+        wanted: &dialect::Wanted,
+    ) -> Result<Vec<arena::EndpointKey>, Missing> {
+        let holds = |key: arena::EndpointKey, wanted: &dialect::Wanted| {
+            self.get(key).is_some_and(|it| it.holds(now, wanted))
+        };
+        let base = dialect::Wanted {
+            model: wanted.model.clone(),
+            adapter: None,
+        };
+        let has_model = open.iter().any(|key| holds(*key, &base));
+        let holders: Vec<_> = open.into_iter().filter(|it| holds(*it, wanted)).collect();
+        match (holders.is_empty(), has_model) {
+            (false, _) => Ok(holders),
+            (true, true) => Err(Missing::Adapter),
+            (true, false) => Err(Missing::Model),
+        }
+    }
+
+    fn estimate(&self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> f64 {
+        let Some(endpoint) = self.get(key) else {
+            return f64::INFINITY;
+        };
+        let work = if ask.wanted.is_some() {
+            endpoint.engine_ms(now, endpoint.unkept(ask))
+        } else {
+            endpoint.service_ms(now)
+        };
+        let is_far = endpoint.instance.availability_zone != self.availability_zone;
+        work + endpoint.failure_ms(now) + if is_far { FAR_MS } else { 0.0 }
+    }
+
+    fn send(&mut self, key: arena::EndpointKey, ms: f64, ask: &Ask<'_>) -> Choice {
+        let estimate = span(ms);
+        if estimate >= ask.left {
+            return Choice::TooLate { estimate };
+        }
+        let Some(endpoint) = self.get_mut(key) else {
+            return Choice::Wait(Missing::Endpoint);
+        };
+        let tokens = endpoint.unkept(ask);
+        endpoint.in_flight += 1;
+        endpoint.unread += tokens;
+        Choice::Send(Pick {
+            key,
+            instance: endpoint.instance.id.clone(),
+            address: endpoint.instance.address,
+            tokens,
+            estimate,
+        })
+    }
+
+    /// The answer of a request that was sent to `pick` has begun, `took` after it was sent.
+    pub fn began(
+        &mut self,
+        now: time::Instant,
+        pick: &Pick,
+        parts: &[dialect::PromptPart],
+        took: time::Millis,
+        load: Option<dialect::Load>,
+    ) {
+        let Some(endpoint) = self.get_mut(pick.key) else {
+            return;
+        };
+        let ahead = endpoint.unread;
+        endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
+        if let Some(load) = load {
+            endpoint.load = Some((load, now));
+        }
+        endpoint.ejection = time::Millis(0);
+        if parts.is_empty() {
+            let ms = took.0 as f64;
+            endpoint.answer_ms += RATE_GAIN * (ms.min(1_000.0) - endpoint.answer_ms);
+            return;
+        }
+        endpoint.remember(parts);
+        let reading = took.0 as f64 - STEP_MS;
+        if reading > STEP_MS {
+            let (least, most) = RATE_BOUNDS;
+            let rate = (ahead.max(pick.tokens) as f64 / reading).clamp(least, most);
+            endpoint.rate += RATE_GAIN * (rate - endpoint.rate);
+        }
+    }
+
+    /// A request that was sent to `pick` is over. `began` says whether its answer had begun.
+    pub fn ended(
+        &mut self,
+        now: time::Instant,
+        pick: &Pick,
+        wanted: Option<&dialect::Wanted>,
+        began: bool,
+        how: Ended,
+    ) {
+        let Some(endpoint) = self.get_mut(pick.key) else {
+            return;
+        };
+        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        if !began {
+            endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
+        }
+        match how {
+            Ended::Answered | Ended::GivenUp => {}
+            Ended::Failed => endpoint.fail(now),
+            Ended::Refused => endpoint.failures += 0.2,
+            Ended::Unreachable => {
+                endpoint.fail(now);
+                endpoint.eject(now);
+            }
+            Ended::Misdirected => {
+                let until = now + DENIAL;
+                match wanted {
+                    Some(wanted) => drop(endpoint.denied.insert(wanted.clone(), until)),
+                    None => endpoint.eject(now),
+                }
+            }
+        }
+    }
+
+    fn get(&self, key: arena::EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key.index())?.as_ref()
+    }
+
+    fn get_mut(&mut self, key: arena::EndpointKey) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(key.index())?.as_mut()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is cut to the range of the target"
+)]
+fn span(ms: f64) -> time::Millis {
+    time::Millis(ms.clamp(0.0, 1e9) as u64)
+}
--- /dev/null
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -0,0 +1,26 @@
+//! The pure half of a fleet whose configuration an operator replaces as a whole.
+//!
+//! A fleet is a set of services, each with endpoints that announce themselves, and routes that say
+//! which requests go where. Nothing here does I/O, reads a clock or starts a thread: time and random
+//! numbers are handed in.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`config`] | whether a configuration is valid |
+//! | [`routes`] | which route a request takes |
+//! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
+//! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
+//! | [`budget`] | whether a request may be sent a second time |
+//! | [`planner`] | which engine loads or unloads which weights and adapters |
+//!
+//! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
+//! needs to know of the protocol that callers, endpoints and operators speak.
+
+pub mod budget;
+pub mod chooser;
+pub mod config;
+pub mod dialect;
+pub mod directory;
+pub mod messages;
+pub mod planner;
+pub mod routes;
--- /dev/null
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -0,0 +1,109 @@
+//! What control and entry processes of a fleet tell each other.
+//!
+//! An entry process asks a few control processes what is new ([`WatchReq`]) and each keeps the call
+//! until there is something ([`WatchResp`]). Control processes watch each other the same way, so an
+//! announcement that one of them took is known to all within a round trip.
+
+use std::net;
+
+use sageshed_types::{document, time};
+use serde::{Deserialize, Serialize};
+
+use crate::directory;
+
+/// Paths on the port of a control process for the system's other processes.
+pub mod paths {
+    /// [`super::WatchReq`] to [`super::WatchResp`].
+    pub const WATCH: &str = "/v1/fleet/watch";
+    /// [`super::WantReq`] to [`super::WantResp`].
+    pub const WANT: &str = "/v1/fleet/want";
+}
+
+/// Who watches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Watcher {
+    /// An entry process.
+    Entry,
+    /// A control process.
+    Control,
+}
+
+/// Asks what is new.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WatchReq {
+    /// What asks.
+    pub watcher: Watcher,
+    /// Its address.
+    pub ip: net::Ipv4Addr,
+    /// The version of the configuration that it holds; zero for none.
+    pub config: u64,
+    /// Up to where it knows the directory of the one that it asks.
+    pub mark: directory::Mark,
+    /// How long the call may be kept.
+    pub patience: time::Millis,
+    /// Of a control process: the entry processes that it hears itself.
+    pub entries: Vec<net::Ipv4Addr>,
+    /// Of an entry process: what its callers asked for since its last call that was answered.
+    pub demand: Vec<Demand>,
+}
+
+/// What callers asked of one model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The service.
+    pub service: String,
+    /// The model.
+    pub model: String,
+    /// Requests that came.
+    pub requests: u32,
+    /// Prompt tokens in them.
+    pub prompt_tokens: u64,
+    /// Tokens that they may generate.
+    pub output_tokens: u64,
+    /// Requests that wait now, since no engine can take them.
+    pub waiting: u32,
+    /// Adapters of the model that were asked for.
+    pub adapters: Vec<String>,
+}
+
+/// What is new.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WatchResp {
+    /// The control processes that the answering one knows, itself included.
+    pub control: Vec<net::Ipv4Addr>,
+    /// The one that leads, if it knows.
+    pub leader: Option<net::Ipv4Addr>,
+    /// How many entry processes are there.
+    pub entries: usize,
+    /// The configuration, where it is newer.
+    pub config: Option<document::Document>,
+    /// Up to where the directory is known with this answer.
+    pub mark: directory::Mark,
+    /// What changed in it since the mark of the question.
+    pub records: Vec<directory::Record>,
+}
+
+/// Asks the leader to load an adapter for a request that waits.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WantReq {
+    /// The service.
+    pub service: String,
+    /// The model.
+    pub model: String,
+    /// The adapter of that model.
+    pub adapter: String,
+}
+
+/// What became of a [`WantReq`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WantResp {
+    /// The leader sees to it; the directory will show the outcome.
+    Taken,
+    /// This process does not lead.
+    NotLeader {
+        /// Who does, if it knows.
+        leader: Option<net::Ipv4Addr>,
+    },
+}
--- /dev/null
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -0,0 +1,313 @@
+//! The account of one engine: the orders it was given, and what it may hold at its worst.
+
+use sageshed_types::time;
+
+use crate::{config, dialect, directory};
+
+/// How long an adapter takes to arrive after the engine took the order. The slowest take 19 ms.
+const ADAPTER_ARRIVAL: time::Millis = time::Millis(25);
+
+/// Adapters on their way to one engine at once.
+const ADAPTERS_IN_TRANSIT: usize = 3;
+
+/// How long an order without an answer may still be carried out. Some were after twelve seconds.
+const UNKNOWN_FATE: time::Millis = time::Millis(13_000);
+
+/// Between two questions for a report.
+const REPORT_INTERVAL: time::Millis = time::Millis(1_000);
+
+/// Between two questions for a report while a model is dropped: nothing else tells when its memory is
+/// free, and the load that waits for it is urgent.
+const UNLOAD_INTERVAL: time::Millis = time::Millis(400);
+
+/// How long after the time for a load an engine that does not show it is asked for a report.
+const LOAD_PATIENCE: time::Millis = time::Millis(1_500);
+
+/// Where an engine takes weights from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Source {
+    /// Its host's memory.
+    Memory,
+    /// Its disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+impl Source {
+    /// What a load from there weighs against others, in engines kept busy.
+    pub(super) fn cost(self, model: &config::Model) -> f64 {
+        let span = match self {
+            Self::Memory => model.memory_load,
+            Self::Disk => model.disk_load,
+            Self::Store => model.store_load,
+        };
+        span.0 as f64 / 10_000.0
+    }
+}
+
+/// Where `instance` would take the weights of `model` from.
+pub(super) fn source(instance: &directory::Instance, model: &str) -> Source {
+    let has = |list: &[String]| list.iter().any(|it| it == model);
+    if has(&instance.in_memory) {
+        Source::Memory
+    } else if has(&instance.on_disk) {
+        Source::Disk
+    } else {
+        Source::Store
+    }
+}
+
+/// What is known of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// It is on its way.
+    Sent,
+    /// The engine carries it out, and should be done by then.
+    Accepted(time::Instant),
+    /// No answer came; it may be carried out until then.
+    Unknown(time::Instant),
+}
+
+#[derive(Debug, Clone)]
+struct Open {
+    task: dialect::Task,
+    fate: Fate,
+    from_store: bool,
+    load_time: time::Millis,
+    accepted_before: u64,
+}
+
+/// The account of one engine.
+#[derive(Debug, Default)]
+pub(super) struct Engine {
+    /// Orders that it has accepted; none until it was asked.
+    accepted: Option<u64>,
+    open: Vec<Open>,
+    asked_at: Option<time::Instant>,
+    /// It refused, or could not be reached: no order before.
+    rest_until: time::Instant,
+}
+
+impl Engine {
+    /// Closes the orders whose outcome the engine's own word shows.
+    pub(super) fn see(&mut self, now: time::Instant, instance: &directory::Instance) {
+        self.open.retain(|open| match (&open.task, open.fate) {
+            (_, Fate::Sent) => true,
+            (_, Fate::Unknown(until)) => now < until,
+            (dialect::Task::Load(model), _) => instance.resident(model).is_none(),
+            // The directory is amended when the order is taken, so only a report tells.
+            (dialect::Task::Unload(_), Fate::Accepted(_)) => true,
+            (dialect::Task::LoadAdapter(..), Fate::Accepted(_)) => true,
+            (dialect::Task::UnloadAdapter(..), Fate::Accepted(_)) => false,
+        });
+    }
+
+    /// Whether its count of orders is not known, or an order should have shown by now.
+    pub(super) fn needs_report(&self, now: time::Instant) -> bool {
+        let drops = |it: &Open| matches!(it.task, dialect::Task::Unload(_));
+        let interval = if self.open.iter().any(drops) {
+            UNLOAD_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
+        let lately = self.asked_at.is_some_and(|at| now.since(at) < interval);
+        let overdue = |it: &Open| match (it.fate, &it.task) {
+            (Fate::Accepted(by), dialect::Task::Load(_)) => now >= by + LOAD_PATIENCE,
+            (Fate::Accepted(_), dialect::Task::Unload(_)) => true,
+            (Fate::Unknown(_), _) => true,
+            _ => false,
+        };
+        let is_sending = self.open.iter().any(|it| it.fate == Fate::Sent);
+        !lately && !is_sending && (self.accepted.is_none() || self.open.iter().any(overdue))
+    }
+
+    pub(super) fn asked(&mut self, now: time::Instant) {
+        self.asked_at = Some(now);
+    }
+
+    pub(super) fn reported(&mut self, now: time::Instant, report: Option<dialect::Report>) {
+        let Some(report) = report else {
+            return;
+        };
+        self.accepted = Some(report.accepted);
+        for open in &mut self.open {
+            let is_carried_out = report.accepted > open.accepted_before;
+            if is_carried_out && matches!(open.fate, Fate::Unknown(_)) {
+                open.fate = Fate::Accepted(now + open.load_time);
+            }
+        }
+        self.open.retain(|open| match (&open.task, open.fate) {
+            (dialect::Task::Load(model), Fate::Accepted(by)) => {
+                let holds = report.models.iter().any(|it| it.model == *model);
+                // Not busy, not there and past its time: it has failed.
+                let failed = !report.is_busy && now >= by + LOAD_PATIENCE;
+                !holds && !failed
+            }
+            (dialect::Task::Unload(model), Fate::Accepted(_)) => {
+                report.is_busy || report.models.iter().any(|it| it.model == *model)
+            }
+            _ => true,
+        });
+    }
+
+    /// Takes the answer to an order. Returns whether the engine has taken it.
+    pub(super) fn answered(
+        &mut self,
+        now: time::Instant,
+        order: &dialect::Order,
+        answer: Option<dialect::OrderAnswer>,
+    ) -> bool {
+        let sent = |it: &Open| it.task == order.task && it.fate == Fate::Sent;
+        let Some(at) = self.open.iter().position(sent) else {
+            return false;
+        };
+        let load_time = self.open[at].load_time;
+        match answer {
+            Some(dialect::OrderAnswer::Accepted) => {
+                self.accepted = Some(order.accepted_before + 1);
+                let span = match order.task {
+                    dialect::Task::LoadAdapter(..) => ADAPTER_ARRIVAL,
+                    _ => load_time,
+                };
+                self.open[at].fate = Fate::Accepted(now + span);
+                true
+            }
+            Some(dialect::OrderAnswer::Done) => {
+                // Whether it has counted this one is not said.
+                self.accepted = None;
+                self.open[at].fate = Fate::Accepted(now);
+                true
+            }
+            None => {
+                self.accepted = None;
+                self.open[at].fate = Fate::Unknown(now + UNKNOWN_FATE);
+                self.rest_until = now + REPORT_INTERVAL;
+                false
+            }
+            Some(
+                dialect::OrderAnswer::Conflict
+                | dialect::OrderAnswer::Fenced
+                | dialect::OrderAnswer::OtherInstance
+                | dialect::OrderAnswer::Refused(_),
+            ) => {
+                self.accepted = None;
+                self.open.remove(at);
+                self.rest_until = now + REPORT_INTERVAL;
+                false
+            }
+        }
+    }
+
+    /// Notes an order that goes out. Returns the number of orders accepted before, or none where the
+    /// engine can take no order now.
+    pub(super) fn begin(
+        &mut self,
+        now: time::Instant,
+        task: &dialect::Task,
+        from_store: bool,
+        load_time: time::Millis,
+    ) -> Option<u64> {
+        let takes = if task.is_weights() {
+            self.takes_weights(now)
+        } else {
+            self.takes_adapters(now)
+        };
+        let accepted_before = self.accepted.filter(|_| takes)?;
+        self.open.push(Open {
+            task: task.clone(),
+            fate: Fate::Sent,
+            from_store,
+            load_time,
+            accepted_before,
+        });
+        Some(accepted_before)
+    }
+
+    /// Whether it can take an order about weights now.
+    pub(super) fn takes_weights(&self, now: time::Instant) -> bool {
+        let is_busy = self.open.iter().any(|it| it.task.is_weights());
+        self.takes_any(now) && !is_busy
+    }
+
+    /// Whether it can take an order about adapters now.
+    pub(super) fn takes_adapters(&self, now: time::Instant) -> bool {
+        let in_transit = self.open.iter().filter(|it| !it.task.is_weights()).count();
+        self.takes_any(now) && in_transit < ADAPTERS_IN_TRANSIT
+    }
+
+    fn takes_any(&self, now: time::Instant) -> bool {
+        let unsettled = |it: &Open| !matches!(it.fate, Fate::Accepted(_));
+        let is_open = self.open.iter().any(unsettled);
+        self.accepted.is_some() && !is_open && now >= self.rest_until
+    }
+
+    /// Takes out the adapters that had the time to arrive.
+    pub(super) fn take_arrived(&mut self, now: time::Instant) -> Vec<dialect::Task> {
+        let mut arrived = Vec::new();
+        self.open.retain(|open| {
+            let is_adapter = matches!(open.task, dialect::Task::LoadAdapter(..));
+            let is_there = matches!(open.fate, Fate::Accepted(by) if now >= by);
+            if is_adapter && is_there {
+                arrived.push(open.task.clone());
+            }
+            !(is_adapter && is_there)
+        });
+        arrived
+    }
+
+    /// Megabytes that it may hold.
+    pub(super) fn weights_at_worst(
+        &self,
+        instance: &directory::Instance,
+        offer: &config::EnginePool,
+    ) -> f64 {
+        let size = |name: &str| offer.models.iter().find(|it| it.name == name);
+        let mb = |name: &str| size(name).map_or(0.0, |it| it.weights_mb);
+        let adapter_mb = offer
+            .models
+            .iter()
+            .map(|it| it.adapter_mb)
+            .fold(0.0, f64::max);
+        let held: f64 = instance.models.iter().map(|it| mb(&it.model)).sum();
+        // One that is told to drop a model holds it until its requests are done.
+        let dropping = self.open.iter().filter_map(|it| match &it.task {
+            dialect::Task::Unload(model) if instance.resident(model).is_none() => Some(mb(model)),
+            dialect::Task::Load(model) if instance.resident(model).is_none() => Some(mb(model)),
+            _ => None,
+        });
+        let adapters = f64::from(offer.adapter_slots) * adapter_mb;
+        held + dropping.sum::<f64>() + adapters
+    }
+
+    /// Adapters that it may hold.
+    pub(super) fn adapters_at_worst(&self, instance: &directory::Instance) -> usize {
+        let held: usize = instance.models.iter().map(|it| it.adapters.len()).sum();
+        let coming = self.open.iter().filter(|it| {
+            matches!(&it.task, dialect::Task::LoadAdapter(model, adapter)
+                if !instance.holds(model, Some(adapter)))
+        });
+        held + coming.count()
+    }
+
+    pub(super) fn awaits(&self, model: &str, adapter: &str) -> bool {
+        self.open.iter().any(
+            |it| matches!(&it.task, dialect::Task::LoadAdapter(m, a) if m == model && a == adapter),
+        )
+    }
+
+    pub(super) fn drops(&self, model: &str) -> bool {
+        let is_drop = |it: &Open| matches!(&it.task, dialect::Task::Unload(m) if m == model);
+        self.open.iter().any(is_drop)
+    }
+
+    pub(super) fn loads(&self, model: &str) -> bool {
+        let is_load = |it: &Open| matches!(&it.task, dialect::Task::Load(m) if m == model);
+        self.open.iter().any(is_load)
+    }
+
+    /// Loads from the store under way here.
+    pub(super) fn store_loads(&self) -> usize {
+        self.open.iter().filter(|it| it.from_store).count()
+    }
+}
--- /dev/null
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -0,0 +1,560 @@
+//! Which engine loads or unloads which weights and adapters. Run by the control process that leads.
+//!
+//! # The load pattern
+//!
+//! A few models take most of the requests and many take few. Which ones these are changes within
+//! seconds, while weights take up to ten seconds from the store, which is slow and shared. So
+//!
+//! * each model keeps a copy somewhere: a rare one that has to be fetched costs its callers a load;
+//! * what is left of the memory goes to the models with the most work for each copy;
+//! * a copy moves only where the work of a model is more than its copies can bear
+//!   ([`Policy::high`]) and another can give one up ([`Policy::low`]); between the two nothing moves;
+//! * an engine that has a copy of the weights in its own memory or on its own disk goes first.
+//!
+//! # What an engine may hold
+//!
+//! An engine that is told to load more than fits crashes with all that it runs. Its memory is counted
+//! at its worst: what it said it holds, plus each load that it may still carry out, less nothing for
+//! an unload until it shows. Orders to one engine go one after the other, each with the number of
+//! orders that the engine has accepted before, so a delayed one does nothing behind a newer one.
+//!
+//! # One leader
+//!
+//! Engines that check no fence would obey two leaders. A leader that was cut off stops to order when
+//! its quorum is gone; a new one begins only [`Policy::lease`] after it was elected, and counts the
+//! store's budget as just spent by the one before.
+
+mod demand;
+mod engine;
+mod store;
+
+use std::{collections, net};
+
+use sageshed_types::time;
+
+use crate::{config, dialect, directory, messages};
+
+/// How a planner decides.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// How long after its election a leader gives its first order.
+    pub lease: time::Millis,
+    /// Over this span the store's loads are counted.
+    pub store_window: time::Millis,
+    /// Prompt tokens that one engine reads in a second.
+    pub engine_tokens_per_s: f64,
+    /// The part of an engine's reading that a copy of a model may need before another is loaded.
+    /// Queues grow fast beyond: at six tenths a request waits for one and a half others.
+    pub high: f64,
+    /// The part that the copies of a model may need after one of them is given up.
+    pub low: f64,
+    /// Loads from the store under way at once, beyond which each takes longer.
+    pub loads_at_once: usize,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            lease: time::Millis(3_000),
+            store_window: time::Millis(5_000),
+            engine_tokens_per_s: 19_000.0,
+            high: 0.45,
+            low: 0.35,
+            loads_at_once: 6,
+        }
+    }
+}
+
+/// Taken on top of a lease: timers fire late, and an order is on its way for some time.
+const LEASE_MARGIN: time::Millis = time::Millis(300);
+
+/// How long an adapter that was in use is not given up, so that the requests for it are done.
+const ADAPTER_REST: time::Millis = time::Millis(1_500);
+
+/// Wants that are kept while no engine can take them.
+const WANTS_KEPT: usize = 256;
+
+/// How long a want is kept: whoever waits asks again.
+const WANT_LIFE: time::Millis = time::Millis(1_500);
+
+/// What the planner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Give an order; the answer goes to [`Planner::answered`].
+    Order(dialect::Order),
+    /// Ask an engine for its report; it goes to [`Planner::reported`].
+    AskReport {
+        /// The start of the engine that is meant.
+        instance: String,
+        /// Where it is.
+        address: net::SocketAddrV4,
+    },
+    /// Tell the directory what an engine holds or drops by an order.
+    Amend {
+        /// The engine.
+        instance: String,
+        /// The order that it has carried out, or is about to.
+        task: dialect::Task,
+    },
+}
+
+/// A want of an adapter that is not served yet.
+#[derive(Debug, Clone)]
+struct Want {
+    req: messages::WantReq,
+    at: time::Instant,
+}
+
+/// Plans for all services with engines.
+#[derive(Debug)]
+pub struct Planner {
+    policy: Policy,
+    holder: String,
+    fence: u64,
+    /// No order before.
+    from: Option<time::Instant>,
+    engines: collections::BTreeMap<String, engine::Engine>,
+    demand: demand::Demands,
+    store: store::Store,
+    wants: Vec<Want>,
+}
+
+/// The engines of one service as they are at one moment.
+struct Pool<'a> {
+    service: &'a str,
+    offer: &'a config::EnginePool,
+    instances: Vec<&'a directory::Instance>,
+}
+
+impl Planner {
+    /// A planner that does not lead. `holder` names this process in its orders.
+    #[must_use]
+    pub fn new(policy: Policy, holder: &str) -> Self {
+        Self {
+            policy,
+            holder: holder.to_owned(),
+            fence: 0,
+            from: None,
+            engines: collections::BTreeMap::new(),
+            demand: demand::Demands::default(),
+            store: store::Store::new(policy.store_window),
+            wants: Vec::new(),
+        }
+    }
+
+    /// This process leads from now on, with a fence above that of every leader before.
+    pub fn leads(&mut self, now: time::Instant, fence: u64) {
+        let from = now + self.policy.lease + LEASE_MARGIN;
+        self.fence = fence;
+        self.from = Some(from);
+        self.engines.clear();
+        // The leader before may have begun loads up to the moment from which this one may order.
+        self.store.assume_spent(from);
+    }
+
+    /// This process leads no longer.
+    pub fn follows(&mut self) {
+        self.from = None;
+        self.wants.clear();
+    }
+
+    /// Whether it leads.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        self.from.is_some()
+    }
+
+    /// Takes what callers asked an entry process for.
+    pub fn demand(&mut self, now: time::Instant, demand: &[messages::Demand]) {
+        self.demand.add(now, demand);
+    }
+
+    /// Takes an entry's word that a request waits for an adapter.
+    pub fn want(&mut self, now: time::Instant, req: messages::WantReq) {
+        self.demand
+            .used(now, &req.service, &req.model, &req.adapter);
+        let known = self.wants.iter().any(|it| it.req == req);
+        if !known && self.wants.len() < WANTS_KEPT {
+            self.wants.push(Want { req, at: now });
+        }
+    }
+
+    /// Takes the answer to an order; none where none came in time.
+    pub fn answered(
+        &mut self,
+        now: time::Instant,
+        order: &dialect::Order,
+        answer: Option<dialect::OrderAnswer>,
+    ) -> Vec<Action> {
+        let Some(engine) = self.engines.get_mut(&order.instance) else {
+            return Vec::new();
+        };
+        let is_taken = engine.answered(now, order, answer);
+        let is_adapter_load = matches!(order.task, dialect::Task::LoadAdapter(..));
+        // Loaded adapters are shown by the tick once they had the time to arrive.
+        if is_taken && !is_adapter_load && !matches!(order.task, dialect::Task::Load(_)) {
+            return vec![amend(&order.instance, &order.task)];
+        }
+        Vec::new()
+    }
+
+    /// Takes an engine's report; none where none came.
+    pub fn reported(
+        &mut self,
+        now: time::Instant,
+        instance: &str,
+        report: Option<dialect::Report>,
+    ) {
+        if let Some(engine) = self.engines.get_mut(instance) {
+            engine.reported(now, report);
+        }
+    }
+
+    /// Decides what to do now, by the configuration and the instances that are there.
+    pub fn tick(
+        &mut self,
+        now: time::Instant,
+        config: &config::FleetConfig,
+        instances: &[&directory::Instance],
+    ) -> Vec<Action> {
+        if self.from.is_none_or(|from| now < from) {
+            return Vec::new();
+        }
+        self.see(now, instances);
+        let mut actions = self.arrived_adapters(now);
+        for service in &config.services {
+            let Some(offer) = &service.engines else {
+                continue;
+            };
+            let pool = Pool {
+                service: &service.name,
+                offer,
+                instances: instances
+                    .iter()
+                    .filter(|it| it.service == service.name && it.is_ready())
+                    .copied()
+                    .collect(),
+            };
+            actions.extend(self.ask_reports(now, &pool));
+            actions.extend(self.serve_wants(now, &pool));
+            actions.extend(self.place(now, &pool));
+        }
+        actions
+    }
+
+    /// Keeps an account of each engine that is there, and of no other.
+    fn see(&mut self, now: time::Instant, instances: &[&directory::Instance]) {
+        let present: collections::HashSet<&str> =
+            instances.iter().map(|it| it.id.as_str()).collect();
+        self.engines.retain(|id, _| present.contains(id.as_str()));
+        for instance in instances {
+            let engine = self.engines.entry(instance.id.clone()).or_default();
+            engine.see(now, instance);
+        }
+        self.wants.retain(|it| now.since(it.at) < WANT_LIFE);
+    }
+
+    fn arrived_adapters(&mut self, now: time::Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (id, engine) in &mut self.engines {
+            for task in engine.take_arrived(now) {
+                actions.push(amend(id, &task));
+            }
+        }
+        actions
+    }
+
+    fn ask_reports(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for instance in &pool.instances {
+            let Some(engine) = self.engines.get_mut(&instance.id) else {
+                continue;
+            };
+            if engine.needs_report(now) {
+                engine.asked(now);
+                actions.push(Action::AskReport {
+                    instance: instance.id.clone(),
+                    address: instance.address,
+                });
+            }
+        }
+        actions
+    }
+
+    /// Has adapters loaded for which requests wait.
+    fn serve_wants(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let wants = std::mem::take(&mut self.wants);
+        for want in wants {
+            if want.req.service != pool.service {
+                self.wants.push(want);
+                continue;
+            }
+            match self.serve_want(now, pool, &want.req) {
+                Served::Done => {}
+                Served::By(order) => {
+                    let is_eviction = matches!(order.task, dialect::Task::UnloadAdapter(..));
+                    actions.push(Action::Order(order));
+                    if is_eviction {
+                        self.wants.push(want);
+                    }
+                }
+                Served::Later => self.wants.push(want),
+            }
+        }
+        actions
+    }
+
+    fn serve_want(
+        &mut self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        req: &messages::WantReq,
+    ) -> Served {
+        let holders: Vec<&directory::Instance> = pool
+            .instances
+            .iter()
+            .filter(|it| it.resident(&req.model).is_some())
+            .copied()
+            .collect();
+        let is_there = |it: &&directory::Instance| {
+            let coming = |engine: &engine::Engine| engine.awaits(&req.model, &req.adapter);
+            it.holds(&req.model, Some(&req.adapter)) || self.engines.get(&it.id).is_some_and(coming)
+        };
+        if holders.iter().any(is_there) {
+            return Served::Done;
+        }
+        let room = |it: &&directory::Instance| {
+            let engine = self.engines.get(&it.id)?;
+            let used = engine.adapters_at_worst(it);
+            let free = (pool.offer.adapter_slots as usize).checked_sub(used + 1)?;
+            (engine.takes_adapters(now)).then_some((free, it.id.clone()))
+        };
+        let roomiest = holders.iter().filter_map(room).max();
+        let task = dialect::Task::LoadAdapter(req.model.clone(), req.adapter.clone());
+        if let Some((_, id)) = roomiest {
+            return self
+                .order(now, pool, &id, task)
+                .map_or(Served::Later, Served::By);
+        }
+        self.evict_for(now, pool, &holders)
+    }
+
+    /// Gives up the adapter that was not used for longest, on an engine that could take another.
+    fn evict_for(
+        &mut self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        holders: &[&directory::Instance],
+    ) -> Served {
+        let mut oldest: Option<(time::Instant, String, dialect::Task)> = None;
+        for instance in holders {
+            let takes = |it: &engine::Engine| it.takes_adapters(now);
+            if !self.engines.get(&instance.id).is_some_and(takes) {
+                continue;
+            }
+            for resident in &instance.models {
+                for adapter in &resident.adapters {
+                    let used = self.demand.last_use(pool.service, &resident.model, adapter);
+                    let rested = now.since(used) >= ADAPTER_REST;
+                    if rested && oldest.as_ref().is_none_or(|(at, ..)| used < *at) {
+                        let (model, name) = (resident.model.clone(), adapter.clone());
+                        let task = dialect::Task::UnloadAdapter(model, name);
+                        oldest = Some((used, instance.id.clone(), task));
+                    }
+                }
+            }
+        }
+        let Some((_, id, task)) = oldest else {
+            return Served::Later;
+        };
+        self.order(now, pool, &id, task)
+            .map_or(Served::Later, Served::By)
+    }
+
+    /// Has weights loaded and unloaded.
+    fn place(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for model in self.short_of_copies(now, pool) {
+            let Some((id, task)) = self.next_step(now, pool, model) else {
+                continue;
+            };
+            actions.extend(self.order(now, pool, &id, task).map(Action::Order));
+        }
+        actions
+    }
+
+    /// Models that need another copy, the one that needs it most first.
+    fn short_of_copies<'a>(&self, now: time::Instant, pool: &Pool<'a>) -> Vec<&'a config::Model> {
+        let mut short: Vec<(f64, &config::Model)> = Vec::new();
+        for model in &pool.offer.models {
+            let copies = self.copies(pool, &model.name);
+            let loading = self.loads_under_way(pool, &model.name);
+            let work = self.work(now, pool, &model.name);
+            let need = if copies + loading == 0 {
+                // Without a copy its callers get nothing at all.
+                10.0 + work
+            } else {
+                work / (copies + loading) as f64
+            };
+            if need > self.policy.high && loading < 2 + copies {
+                short.push((need, model));
+            }
+        }
+        short.sort_by(|a, b| b.0.total_cmp(&a.0));
+        short.into_iter().map(|(_, model)| model).collect()
+    }
+
+    /// The next order on the way to another copy of `model`: a load where there is room, else the
+    /// unload that makes room.
+    fn next_step(
+        &self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        model: &config::Model,
+    ) -> Option<(String, dialect::Task)> {
+        let loads = self
+            .engines
+            .values()
+            .map(engine::Engine::store_loads)
+            .sum::<usize>();
+        let store_is_free =
+            loads < self.policy.loads_at_once && self.store.allows(now, pool.offer.loads_per_s);
+        let mut best: Option<(f64, String, dialect::Task)> = None;
+        for instance in &pool.instances {
+            let Some(engine) = self.engines.get(&instance.id) else {
+                continue;
+            };
+            if !engine.takes_weights(now) || instance.resident(&model.name).is_some() {
+                continue;
+            }
+            let source = engine::source(instance, &model.name);
+            if source == engine::Source::Store && !store_is_free {
+                continue;
+            }
+            let room = pool.offer.weights_mb - engine.weights_at_worst(instance, pool.offer);
+            let (task, price) = if room >= model.weights_mb {
+                (dialect::Task::Load(model.name.clone()), 0.0)
+            } else {
+                match self.victim(now, pool, instance, model) {
+                    Some((victim, price)) => (dialect::Task::Unload(victim), 0.2 + price),
+                    None => continue,
+                }
+            };
+            let cost = price + source.cost(model) + self.engine_work(now, pool, instance);
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, instance.id.clone(), task));
+            }
+        }
+        best.map(|(_, id, task)| (id, task))
+    }
+
+    /// The model on `instance` that can best do with a copy less, and what its copies then bear.
+    fn victim(
+        &self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        instance: &directory::Instance,
+        wanted: &config::Model,
+    ) -> Option<(String, f64)> {
+        let mut best: Option<(String, f64)> = None;
+        for resident in &instance.models {
+            let copies = self.copies(pool, &resident.model);
+            let offered = pool.offer.models.iter().any(|it| it.name == resident.model);
+            if copies < 2 && offered || resident.model == wanted.name {
+                continue;
+            }
+            let left = copies.saturating_sub(1).max(1);
+            let after = self.work(now, pool, &resident.model) / left as f64;
+            let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
+            if after <= self.policy.low && is_better {
+                best = Some((resident.model.clone(), after));
+            }
+        }
+        best
+    }
+
+    /// Engines that hold `model` and are not told to drop it.
+    fn copies(&self, pool: &Pool<'_>, model: &str) -> usize {
+        let keeps = |it: &&&directory::Instance| {
+            let drops = |engine: &engine::Engine| engine.drops(model);
+            it.resident(model).is_some() && !self.engines.get(&it.id).is_some_and(drops)
+        };
+        pool.instances.iter().filter(keeps).count()
+    }
+
+    fn loads_under_way(&self, pool: &Pool<'_>, model: &str) -> usize {
+        let loads = |it: &&&directory::Instance| {
+            let loading = |engine: &engine::Engine| engine.loads(model);
+            it.resident(model).is_none() && self.engines.get(&it.id).is_some_and(loading)
+        };
+        pool.instances.iter().filter(loads).count()
+    }
+
+    /// Engines that the requests for `model` keep busy, as a number of engines.
+    fn work(&self, now: time::Instant, pool: &Pool<'_>, model: &str) -> f64 {
+        let tokens = self.demand.tokens_per_s(now, pool.service, model);
+        tokens / self.policy.engine_tokens_per_s
+    }
+
+    fn engine_work(
+        &self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        instance: &directory::Instance,
+    ) -> f64 {
+        let share = |it: &directory::Resident| {
+            self.work(now, pool, &it.model) / self.copies(pool, &it.model).max(1) as f64
+        };
+        instance.models.iter().map(share).sum()
+    }
+
+    /// Makes an order out of a task, if the engine can take one now.
+    fn order(
+        &mut self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        id: &str,
+        task: dialect::Task,
+    ) -> Option<dialect::Order> {
+        let instance = pool.instances.iter().find(|it| it.id == id)?;
+        let engine = self.engines.get_mut(id)?;
+        let load_time = pool
+            .offer
+            .models
+            .iter()
+            .find(|it| it.name == task.model())
+            .map_or(time::Millis(0), |it| it.store_load);
+        let from_store = matches!(task, dialect::Task::Load(_))
+            && engine::source(instance, task.model()) == engine::Source::Store;
+        let accepted_before = engine.begin(now, &task, from_store, load_time)?;
+        if from_store {
+            self.store.spend(now);
+        }
+        Some(dialect::Order {
+            instance: id.to_owned(),
+            address: instance.address,
+            task,
+            accepted_before,
+            holder: self.holder.clone(),
+            fence: self.fence,
+        })
+    }
+}
+
+/// What came of a want.
+enum Served {
+    /// The adapter is there or on its way.
+    Done,
+    /// This order serves it, or makes room for it.
+    By(dialect::Order),
+    /// No engine can take it now.
+    Later,
+}
+
+fn amend(instance: &str, task: &dialect::Task) -> Action {
+    Action::Amend {
+        instance: instance.to_owned(),
+        task: task.clone(),
+    }
+}
--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -387,6 +387,7 @@
         202 => "Accepted",
         204 => "No Content",
         304 => "Not Modified",
+        307 => "Temporary Redirect",
         400 => "Bad Request",
         401 => "Unauthorized",
         403 => "Forbidden",
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -72,7 +72,9 @@
         fixed || self.is_connection_option(name)
     }
 
-    fn is_connection_option(&self, name: &str) -> bool {
+    /// Whether a `Connection` header names `name`, so that it is not for the next server.
+    #[must_use]
+    pub fn is_connection_option(&self, name: &str) -> bool {
         self.headers
             .iter()
             .filter(|header| header.name.eq_ignore_ascii_case("connection"))
--- a/crates/sageshed-quorum/src/status.rs
+++ b/crates/sageshed-quorum/src/status.rs
@@ -46,6 +46,8 @@
     pub membership: log::Membership,
     /// For a leader: the last entry known to be on each other member's disk.
     pub matched: collections::BTreeMap<log::NodeId, log::Index>,
+    /// For a leader: when it began the latest round of heartbeats that each other member answered.
+    pub answered: collections::BTreeMap<log::NodeId, time::Instant>,
     /// For a leader: see [`node::Node::has_quorum_until`].
     pub quorum_until: Option<time::Instant>,
 }
@@ -65,6 +67,7 @@
             snapshot: state.log.base().index,
             membership: state.log.membership().clone(),
             matched: self.matched(),
+            answered: self.timers.answered.clone(),
             quorum_until: self.has_quorum_until(),
         }
     }
--- a/crates/sageshed-state/src/command.rs
+++ b/crates/sageshed-state/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands that the control group commits, and what applying each gives.
 
-use sageshed_types::{claims, endpoints, rules};
+use sageshed_types::{claims, document, endpoints, rules};
 use serde::{Deserialize, Serialize};
 
 /// One committed command. Encoded by [`crate::codec`] as the payload of a log entry.
@@ -78,6 +78,8 @@
         /// Where.
         place: Place,
     },
+    /// Replaces the configuration of the fleet, if its number is higher than that of the one held.
+    ReplaceFleet(document::Document),
 }
 
 /// An order as a leader proposes it. Its id and fencing number are assigned when it is applied.
@@ -142,6 +144,11 @@
         /// Whether it changed anything.
         changed: bool,
     },
+    /// Of [`Command::ReplaceFleet`].
+    Fleet {
+        /// The number of the configuration that is held now.
+        held: u64,
+    },
     /// The command's log index was applied before; nothing was done.
     AlreadyApplied,
 }
--- a/crates/sageshed-state/src/control.rs
+++ b/crates/sageshed-state/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use sageshed_types::endpoints;
+use sageshed_types::{document, endpoints};
 use serde::{Deserialize, Serialize};
 
 use crate::{change_ids, claim_table, command, order_table, rule_log};
@@ -41,6 +41,9 @@
     pins: collections::BTreeMap<String, collections::BTreeSet<command::Place>>,
     draining: collections::BTreeSet<String>,
     drain_ids: change_ids::ChangeIds<bool>,
+    /// The configuration of the fleet; number zero until there is one.
+    #[serde(default)]
+    fleet: document::Document,
 }
 
 impl Default for ControlState {
@@ -61,6 +64,7 @@
             pins: collections::BTreeMap::new(),
             draining: collections::BTreeSet::new(),
             drain_ids: change_ids::ChangeIds::new(limits.change_ids),
+            fleet: document::Document::default(),
         }
     }
 
@@ -95,6 +99,12 @@
             .map(|(model, places)| (model.as_str(), places))
     }
 
+    /// The configuration of the fleet; number zero until there is one.
+    #[must_use]
+    pub fn fleet(&self) -> &document::Document {
+        &self.fleet
+    }
+
     /// The entry VMs that an operator drains.
     pub fn draining(&self) -> impl Iterator<Item = &str> {
         self.draining.iter().map(String::as_str)
@@ -153,6 +163,18 @@
                 Outcome::Pin { changed }
             }
             Command::Unpin { model, place } => self.unpin(&model, &place),
+            Command::ReplaceFleet(document) => self.replace_fleet(document),
+        }
+    }
+
+    /// Only a higher number takes effect: an operator sends a change again that got no answer, and it
+    /// may come behind a later one.
+    fn replace_fleet(&mut self, document: document::Document) -> command::Outcome {
+        if document.version > self.fleet.version {
+            self.fleet = document;
+        }
+        command::Outcome::Fleet {
+            held: self.fleet.version,
         }
     }
 
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -4,13 +4,14 @@
 //! to each other: keys and arenas ([`arena`]), the verdict about a request ([`verdict`]), the
 //! account of a refusal ([`refusal`]), rules as data ([`rules`]), what endpoints say of themselves
 //! ([`endpoints`]), how a sending to one of them fails ([`fault`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
-//! repeated ([`claims`]), what happened to one request ([`account`]) and the messages between the
+//! repeated ([`claims`]), what happened to one request ([`account`]), a fleet's configuration as it was sent ([`document`]) and the messages between the
 //! system's own processes ([`messages`]).
 
 pub mod account;
 pub mod arena;
 pub mod catalog;
 pub mod claims;
+pub mod document;
 pub mod endpoints;
 pub mod fault;
 pub mod headers;
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -9,6 +9,8 @@
 //! | `/vms/hello` | control, control | [`Hello`] | [`Hello`] |
 //! | `/vms/explain` | control, entry | request id | `Option<`[`account::Account`]`>` |
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{account, catalog, endpoints, rules, time};
@@ -202,6 +204,9 @@
     pub formed: Vec<Voter>,
     /// Whether the sender was started to form a new group.
     pub forming: bool,
+    /// Addresses of control processes that the sender knows, where no list of VMs is kept.
+    #[serde(default)]
+    pub known: Vec<net::Ipv4Addr>,
 }
 
 /// What `sageshed status` shows, gathered by one control process.
--- /dev/null
+++ b/crates/sageshed-upstream/src/body.rs
@@ -0,0 +1,139 @@
+//! Where the body of an answer ends.
+
+use crate::{
+    failure::{Cause, Failure},
+    socket::{Filled, Patience, Socket},
+};
+
+/// The longest line that gives the size of a chunk, in bytes.
+const CHUNK_LINE: usize = 1024;
+
+/// How much of the body is still to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Nothing.
+    Ended,
+    /// This many bytes.
+    Length(u64),
+    /// Chunks; of the one under way this many bytes are left.
+    Chunk(u64),
+    /// A chunk's line end, then the size of the next.
+    ChunkEnd,
+    /// The size of the next chunk.
+    ChunkSize,
+    /// The lines behind the last chunk.
+    Trailer,
+    /// Everything up to the orderly end of the connection.
+    UntilClose,
+}
+
+/// What came of the body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// Some of it.
+    Bytes(Vec<u8>),
+    /// It is whole.
+    End,
+}
+
+/// Reads on until there is a piece.
+pub(crate) fn read<S: Fn() -> bool>(
+    socket: &mut Socket,
+    framing: &mut Framing,
+    patience: &Patience<'_, S>,
+) -> Result<Piece, Failure> {
+    loop {
+        if *framing == Framing::Ended {
+            return Ok(Piece::End);
+        }
+        if let Some(piece) = step(socket, framing)? {
+            return Ok(piece);
+        }
+        match socket.fill(patience).map_err(in_answer)? {
+            Filled::More => {}
+            Filled::End if *framing == Framing::UntilClose => *framing = Framing::Ended,
+            Filled::End => {
+                let detail = "the connection ended inside the body";
+                return Err(Failure::sent(Cause::ClosedInAnswer, detail));
+            }
+        }
+    }
+}
+
+fn in_answer(failure: Failure) -> Failure {
+    let cause = match failure.cause {
+        Cause::ClosedBeforeAnswer => Cause::ClosedInAnswer,
+        other => other,
+    };
+    Failure { cause, ..failure }
+}
+
+/// Takes what the buffer holds. None where more is needed.
+fn step(socket: &mut Socket, framing: &mut Framing) -> Result<Option<Piece>, Failure> {
+    loop {
+        match *framing {
+            Framing::Ended | Framing::Length(0) => {
+                *framing = Framing::Ended;
+                return Ok(Some(Piece::End));
+            }
+            Framing::Length(left) => {
+                return Ok(take(socket, left).map(|bytes| {
+                    *framing = Framing::Length(left - bytes.len() as u64);
+                    Piece::Bytes(bytes)
+                }));
+            }
+            Framing::UntilClose => return Ok(take(socket, u64::MAX).map(Piece::Bytes)),
+            Framing::Chunk(0) => *framing = Framing::ChunkEnd,
+            Framing::Chunk(left) => {
+                return Ok(take(socket, left).map(|bytes| {
+                    *framing = Framing::Chunk(left - bytes.len() as u64);
+                    Piece::Bytes(bytes)
+                }));
+            }
+            Framing::ChunkEnd => {
+                if socket.buf.len() < 2 {
+                    return Ok(None);
+                }
+                if socket.take(2) != b"\r\n" {
+                    return Err(malformed("a chunk is longer than its size"));
+                }
+                *framing = Framing::ChunkSize;
+            }
+            Framing::ChunkSize => match httparse::parse_chunk_size(&socket.buf) {
+                Ok(httparse::Status::Complete((len, size))) => {
+                    socket.take(len);
+                    *framing = match size {
+                        0 => Framing::Trailer,
+                        size => Framing::Chunk(size),
+                    };
+                }
+                Ok(httparse::Status::Partial) if socket.buf.len() < CHUNK_LINE => return Ok(None),
+                Ok(httparse::Status::Partial) | Err(_) => {
+                    return Err(malformed("a chunk has no size"));
+                }
+            },
+            Framing::Trailer => {
+                let Some(end) = socket.buf.windows(2).position(|it| it == b"\r\n") else {
+                    return Ok(None);
+                };
+                let line = socket.take(end + 2);
+                if line.len() == 2 {
+                    *framing = Framing::Ended;
+                    return Ok(Some(Piece::End));
+                }
+            }
+        }
+    }
+}
+
+fn take(socket: &mut Socket, most: u64) -> Option<Vec<u8>> {
+    if socket.buf.is_empty() {
+        return None;
+    }
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    Some(socket.take(socket.buf.len().min(most)))
+}
+
+fn malformed(detail: &str) -> Failure {
+    Failure::sent(Cause::Malformed, detail)
+}
--- /dev/null
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -0,0 +1,258 @@
+//! One request and its answer.
+
+use std::time;
+
+use crate::{
+    body::{self, Framing},
+    failure::{Cause, Failure},
+    pool,
+    socket::{Filled, Socket},
+};
+
+pub use crate::{body::Piece, socket::Patience};
+
+/// The most headers that an answer may have.
+const HEADERS: usize = 100;
+
+/// The largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// A request as it goes out.
+#[derive(Debug, Clone)]
+pub struct Request<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Every header but those of the connection and of the body's length.
+    pub headers: Vec<(&'a str, &'a [u8])>,
+    /// The body. An empty one is sent without a length where the method usually has none.
+    pub body: &'a [u8],
+}
+
+impl Request<'_> {
+    fn head(&self) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
+        for (name, value) in &self.headers {
+            head.extend_from_slice(name.as_bytes());
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(value);
+            head.extend_from_slice(b"\r\n");
+        }
+        let has_none = matches!(self.method, "GET" | "HEAD" | "DELETE" | "OPTIONS" | "TRACE");
+        if !self.body.is_empty() || !has_none {
+            let length = format!("Content-Length: {}\r\n", self.body.len());
+            head.extend_from_slice(length.as_bytes());
+        }
+        head.extend_from_slice(b"\r\n");
+        head
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// The status.
+    pub status: u16,
+    /// Its headers, as sent.
+    pub headers: Vec<(String, Vec<u8>)>,
+}
+
+impl Head {
+    /// The first header of this name, in any case, if its value is text.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(it, _)| it.eq_ignore_ascii_case(name))?;
+        str::from_utf8(&found.1).ok()
+    }
+
+    fn has_option(&self, header: &str, option: &str) -> bool {
+        self.get(header).is_some_and(|value| {
+            value
+                .split(',')
+                .any(|it| it.trim().eq_ignore_ascii_case(option))
+        })
+    }
+}
+
+/// An exchange of which the head has come.
+#[derive(Debug)]
+pub struct Exchange {
+    socket: Socket,
+    /// The head of the answer.
+    pub head: Head,
+    framing: Framing,
+    is_head_request: bool,
+    keeps: bool,
+    /// Whether the connection had carried another request before.
+    pub is_reused: bool,
+}
+
+impl Exchange {
+    /// Sends `req` and reads the head of the answer.
+    pub(crate) fn run<S: Fn() -> bool>(
+        mut socket: Socket,
+        req: &Request<'_>,
+        patience: &Patience<'_, S>,
+        is_reused: bool,
+    ) -> Result<Self, Failure> {
+        let mut bytes = req.head();
+        bytes.extend_from_slice(req.body);
+        let is_read = socket.write(&bytes, patience)?;
+        let is_head_request = req.method == "HEAD";
+        let (head, framing) = read_head(&mut socket, is_head_request, patience)?;
+        let keeps = is_read && !head.has_option("connection", "close");
+        Ok(Self {
+            socket,
+            head,
+            framing,
+            is_head_request,
+            keeps,
+            is_reused,
+        })
+    }
+
+    /// Reads on in the body.
+    ///
+    /// # Errors
+    ///
+    /// Where the body does not come whole. The connection is of no use any more.
+    pub fn read<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Result<Piece, Failure> {
+        let until_close = self.framing == Framing::UntilClose;
+        let piece = body::read(&mut self.socket, &mut self.framing, patience);
+        self.keeps = self.keeps && !until_close && piece.is_ok();
+        piece
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// Where it does not come whole, or is larger than `most` bytes.
+    pub fn read_whole<S: Fn() -> bool>(
+        &mut self,
+        most: usize,
+        patience: &Patience<'_, S>,
+    ) -> Result<Vec<u8>, Failure> {
+        let mut whole = Vec::new();
+        while let Piece::Bytes(bytes) = self.read(patience)? {
+            whole.extend(bytes);
+            if whole.len() > most {
+                let detail = format!("the answer is larger than {most} bytes");
+                return Err(Failure::sent(Cause::Malformed, detail));
+            }
+        }
+        Ok(whole)
+    }
+
+    /// Passes over this answer, which belongs to an earlier request, to the next on the connection.
+    ///
+    /// # Errors
+    ///
+    /// Where no further one comes.
+    pub fn next_answer<S: Fn() -> bool>(
+        mut self,
+        most: usize,
+        patience: &Patience<'_, S>,
+    ) -> Result<Self, Failure> {
+        self.read_whole(most, patience)?;
+        if !self.keeps {
+            let detail = "only the answer to another request came";
+            return Err(Failure::sent(Cause::ClosedBeforeAnswer, detail));
+        }
+        let (head, framing) = read_head(&mut self.socket, self.is_head_request, patience)?;
+        self.keeps = !head.has_option("connection", "close");
+        self.head = head;
+        self.framing = framing;
+        Ok(self)
+    }
+
+    /// Whether the body's length is known before it comes, and what it is.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Ended => Some(0),
+            _ => None,
+        }
+    }
+
+    /// Takes the connection out, if it may carry another request, with how long the endpoint keeps
+    /// it open.
+    pub(crate) fn into_kept(self) -> Option<(Socket, Option<time::Duration>)> {
+        let is_whole = self.framing == Framing::Ended || self.framing == Framing::Length(0);
+        if !self.keeps || !is_whole || !self.socket.is_quiet() {
+            return None;
+        }
+        let promised = self.head.get("keep-alive").and_then(pool::promised);
+        Some((self.socket, promised))
+    }
+}
+
+fn read_head<S: Fn() -> bool>(
+    socket: &mut Socket,
+    is_head_request: bool,
+    patience: &Patience<'_, S>,
+) -> Result<(Head, Framing), Failure> {
+    loop {
+        if let Some((head, framing)) = parse(socket, is_head_request)? {
+            // Says only that the body may be sent, which it is.
+            if head.status / 100 == 1 {
+                continue;
+            }
+            return Ok((head, framing));
+        }
+        if socket.buf.len() > HEAD_BYTES {
+            return Err(malformed("the head of the answer is too large"));
+        }
+        if socket.fill(patience)? == Filled::End {
+            let detail = "the connection ended before the head";
+            return Err(Failure::sent(Cause::ClosedBeforeAnswer, detail));
+        }
+    }
+}
+
+fn parse(socket: &mut Socket, is_head_request: bool) -> Result<Option<(Head, Framing)>, Failure> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS];
+    let mut raw = httparse::Response::new(&mut slots);
+    let len = match raw.parse(&socket.buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(malformed(&e.to_string())),
+    };
+    let head = Head {
+        status: raw.code.unwrap_or(0),
+        headers: raw
+            .headers
+            .iter()
+            .map(|it| (it.name.to_owned(), it.value.trim_ascii().to_vec()))
+            .collect(),
+    };
+    let framing = framing(&head, is_head_request)?;
+    socket.take(len);
+    Ok(Some((head, framing)))
+}
+
+fn framing(head: &Head, is_head_request: bool) -> Result<Framing, Failure> {
+    if is_head_request || matches!(head.status, 100..=199 | 204 | 304) {
+        return Ok(Framing::Ended);
+    }
+    let length = head.get("content-length");
+    match (head.get("transfer-encoding"), length) {
+        (Some(_), Some(_)) => Err(malformed("the answer has a length and a coding")),
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::ChunkSize),
+        (Some(_), None) => Err(malformed("the answer has an unknown coding")),
+        (None, Some(length)) => length
+            .parse()
+            .map(Framing::Length)
+            .map_err(|e| malformed(&format!("Content-Length: {e}"))),
+        (None, None) => Ok(Framing::UntilClose),
+    }
+}
+
+fn malformed(detail: &str) -> Failure {
+    Failure::sent(Cause::Malformed, detail)
+}
--- /dev/null
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -0,0 +1,175 @@
+//! A connection to an endpoint: reads and writes that end when they should.
+
+use std::{
+    io::{self, Read, Write},
+    net, time,
+};
+
+use rustix::net as sys;
+
+use crate::failure::{Cause, Failure};
+
+/// How long a read or write may block before the deadline is looked at, and whether it is still
+/// wanted. A caller that leaves is noticed within this time.
+const SLICE: time::Duration = time::Duration::from_millis(100);
+
+/// How much is read at once, in bytes.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Until when something may take, and whether it is still wanted.
+pub struct Patience<'a, S> {
+    /// When it ends.
+    pub until: time::Instant,
+    /// Asked each time [`SLICE`] has passed; true ends the wait.
+    pub stop: &'a S,
+}
+
+impl<S> std::fmt::Debug for Patience<'_, S> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Patience")
+            .field("until", &self.until)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<S: Fn() -> bool> Patience<'_, S> {
+    /// Why the wait is over, if it is.
+    fn over(&self) -> Option<Cause> {
+        if (self.stop)() {
+            return Some(Cause::Interrupted);
+        }
+        (time::Instant::now() >= self.until).then_some(Cause::Silent)
+    }
+}
+
+/// What came of reading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Filled {
+    /// More bytes.
+    More,
+    /// The orderly end of the connection.
+    End,
+}
+
+/// An open connection and what was read from it and not used yet.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    stream: net::TcpStream,
+    pub(crate) buf: Vec<u8>,
+}
+
+impl Socket {
+    pub(crate) fn connect(
+        address: net::SocketAddrV4,
+        limit: time::Duration,
+    ) -> Result<Self, Failure> {
+        let opened = net::TcpStream::connect_timeout(&address.into(), limit);
+        let stream = opened.map_err(|e| match e.kind() {
+            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => {
+                Failure::unsent(Cause::ConnectTimedOut, e)
+            }
+            _ => Failure::unsent(Cause::Refused, e),
+        })?;
+        prepare(&stream).map_err(|e| Failure::unsent(Cause::Refused, e))?;
+        Ok(Self {
+            stream,
+            buf: Vec::new(),
+        })
+    }
+
+    /// Whether nothing came since the last answer. What comes on an idle connection is its close, or
+    /// bytes that belong to no request and must not be taken for the next answer.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
+        let peeked = sys::recv(&self.stream, &mut [0], flags);
+        self.buf.is_empty() && matches!(peeked, Err(rustix::io::Errno::AGAIN))
+    }
+
+    /// Writes `bytes`. Returns false where the endpoint answers before it has read all: the rest is
+    /// then not sent, and the connection must not carry another request.
+    pub(crate) fn write<S: Fn() -> bool>(
+        &mut self,
+        bytes: &[u8],
+        patience: &Patience<'_, S>,
+    ) -> Result<bool, Failure> {
+        let mut left = bytes;
+        let mut is_sent = false;
+        while !left.is_empty() {
+            match self.stream.write(left) {
+                Ok(n) => {
+                    is_sent = is_sent || n > 0;
+                    left = &left[n..];
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_timeout(&e) && self.has_input() => return Ok(false),
+                Err(e) if is_timeout(&e) => {
+                    if let Some(cause) = patience.over() {
+                        return Err(failed(is_sent, cause, "while the request was written"));
+                    }
+                }
+                // The endpoint may have answered and then closed.
+                Err(_) if is_sent && self.has_input() => return Ok(false),
+                Err(e) => return Err(failed(is_sent, Cause::ClosedBeforeAnswer, &e.to_string())),
+            }
+        }
+        Ok(true)
+    }
+
+    fn has_input(&self) -> bool {
+        let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
+        matches!(sys::recv(&self.stream, &mut [0], flags), Ok((_, n)) if n > 0)
+    }
+
+    /// Reads more into the buffer. The request was sent.
+    pub(crate) fn fill<S: Fn() -> bool>(
+        &mut self,
+        patience: &Patience<'_, S>,
+    ) -> Result<Filled, Failure> {
+        let mut chunk = [0; READ_BYTES];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Ok(Filled::End),
+                Ok(n) => {
+                    self.buf.extend_from_slice(&chunk[..n]);
+                    return Ok(Filled::More);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_timeout(&e) => {
+                    if let Some(cause) = patience.over() {
+                        return Err(Failure::sent(cause, "while an answer was awaited"));
+                    }
+                }
+                Err(e) => return Err(Failure::sent(Cause::ClosedBeforeAnswer, e)),
+            }
+        }
+    }
+
+    /// Takes the first `count` bytes out of the buffer.
+    pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
+        let rest = self.buf.split_off(count);
+        std::mem::replace(&mut self.buf, rest)
+    }
+}
+
+fn prepare(stream: &net::TcpStream) -> io::Result<()> {
+    // Without this the body would wait for the acknowledgement of the head.
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(SLICE))?;
+    stream.set_write_timeout(Some(SLICE))
+}
+
+fn is_timeout(e: &io::Error) -> bool {
+    // The socket's own timeout shows as either, by platform.
+    matches!(
+        e.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
+
+fn failed(is_sent: bool, cause: Cause, detail: &str) -> Failure {
+    if is_sent {
+        Failure::sent(cause, detail)
+    } else {
+        Failure::unsent(cause, detail)
+    }
+}
--- a/src/bin/sageshed/commands/control.rs
+++ b/src/bin/sageshed/commands/control.rs
@@ -4,6 +4,7 @@
 
 use gumdrop::Options;
 use sageshed::{context, control, logs, settings};
+use sageshed_platform::Platform;
 
 use crate::failure::Failure;
 
@@ -24,8 +25,12 @@
 
 /// Runs until it is told to stop.
 pub(crate) fn exec(cx: &context::Context, args: &Args) -> Result<(), Failure> {
-    let settings = settings::control(path::Path::new(&args.config))
-        .map_err(|problems| Failure::Problems(problems.to_string()))?;
+    let file = path::Path::new(&args.config);
+    if settings::is_fleet(file) {
+        return exec_fleet(cx, file);
+    }
+    let settings =
+        settings::control(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
     logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
@@ -34,3 +39,13 @@
     };
     control::run(cx, settings, options).map_err(|e| Failure::Refused(e.to_string()))
 }
+
+/// Runs for a fleet.
+fn exec_fleet(cx: &context::Context, file: &path::Path) -> Result<(), Failure> {
+    let settings = settings::fleet_control(file)
+        .map_err(|problems| Failure::Problems(problems.to_string()))?;
+    logs::start(&settings.control.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    cx.watch_signals()
+        .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
+    control::run_fleet(cx, settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
+}
--- a/src/bin/sageshed/commands/entry.rs
+++ b/src/bin/sageshed/commands/entry.rs
@@ -3,7 +3,8 @@
 use std::path;
 
 use gumdrop::Options;
-use sageshed::{context, entry, logs, settings};
+use sageshed::{context, entry, gateway, logs, settings};
+use sageshed_platform::Platform;
 
 use crate::failure::Failure;
 
@@ -18,10 +19,24 @@
 
 /// Runs until it is told to stop.
 pub(crate) fn exec(cx: &context::Context, args: &Args) -> Result<(), Failure> {
-    let settings = settings::entry(path::Path::new(&args.config))
-        .map_err(|problems| Failure::Problems(problems.to_string()))?;
+    let file = path::Path::new(&args.config);
+    if settings::is_fleet(file) {
+        return exec_fleet(cx, file);
+    }
+    let settings =
+        settings::entry(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
     logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
     entry::run(cx, settings).map_err(|e| Failure::Refused(e.to_string()))
 }
+
+/// Runs in front of a fleet.
+fn exec_fleet(cx: &context::Context, file: &path::Path) -> Result<(), Failure> {
+    let settings =
+        settings::fleet_entry(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
+    logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    cx.watch_signals()
+        .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
+    gateway::run(cx, settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
+}
--- a/src/sageshed/context.rs
+++ b/src/sageshed/context.rs
@@ -21,12 +21,17 @@
     /// The first asks for a graceful stop, a second one for a stop at once: an operator who signals
     /// again does not want to wait for requests in flight. The daemon says what it cuts.
     pub fn watch_signals(&self) -> io::Result<()> {
-        let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
+        let mut signals =
+            iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])?;
         let stop = self.stop.clone();
         let watch = move || {
             for signal in signals.forever() {
                 log::info!(signal; "signal received");
-                stop.ask();
+                // Asks for a look into the settings file, which is read anew every few seconds where
+                // anything in it may change while the process runs.
+                if signal != consts::SIGHUP {
+                    stop.ask();
+                }
             }
         };
         thread::Builder::new()
--- a/src/sageshed/control/driver/applying.rs
+++ b/src/sageshed/control/driver/applying.rs
@@ -60,6 +60,8 @@
     /// take a change that was accepted a moment ago elsewhere for older than every lease, and tell
     /// operators that it is in force where it is not.
     pub(super) fn note_restored(&self) {
+        let held = locks::read(&self.shared.state).fleet().version;
+        self.shared.hub.set_config(held);
         let revision = locks::read(&self.shared.state).rules().current().revision;
         let now = self.shared.clock.now();
         locks::write(&self.shared.view).note_commit(revision, now);
@@ -73,6 +75,7 @@
                 ::log::info!(revision:% = revision; "control: rules changed");
             }
             command::Outcome::Pin { changed: true } => self.send_pins(),
+            command::Outcome::Fleet { held } => self.shared.hub.set_config(*held),
             _ => {}
         }
     }
--- a/src/sageshed/control/driver/leading.rs
+++ b/src/sageshed/control/driver/leading.rs
@@ -17,12 +17,20 @@
 const REPAIR_LAG: u64 = 50;
 
 /// Between two tries of a change of membership that the log refused, in milliseconds.
-const REPAIR_RETRY_MS: time::Millis = time::Millis(200);
+const REPAIR_RETRY_MS: time::Millis = time::Millis(50);
+
+/// How long the word of a process that wants to join counts. It says so several times a second.
+const JOINER_KEPT: time::Millis = time::Millis(2_000);
+
+/// A voter that answers nothing for this long is taken for gone once another is there to take its
+/// place. Ten rounds of heartbeats; one that comes back joins anew.
+const SILENT: time::Millis = time::Millis(1_500);
 
 impl<F: files::Files> Driver<F> {
     pub(super) fn became_leader(&mut self, term: log::Term) {
         ::log::info!(term:% = term; "control: leads");
         self.work.clock_due = 0;
+        self.work.led_since = self.shared.clock.now();
         self.work.started = Some(term);
         self.work.told.clear();
     }
@@ -75,57 +83,95 @@
         events
     }
 
-    /// The next step by which a member that came back under a new disk generation, or a new one,
-    /// gets its vote: added as a learner, then the old generation of its VM removed, then promoted
-    /// once it has caught up.
-    ///
-    /// The old generation goes before the new one is promoted, so that there are never four voters
-    /// of whom three must answer while one is known to be gone. It goes only once the learner has
-    /// caught up: until then a vote less would gain nothing.
+    /// The next step by which a process that is no voter gets its vote: one that came back under a new
+    /// disk generation, a new VM, or one that was taken out while it was silent.
     pub(super) fn repair(&mut self) -> Option<event::Event> {
-        let joiner = self.work.joiner?;
         let now = self.shared.clock.now();
-        if now < self.work.repair_due {
+        self.work
+            .joiners
+            .retain(|_, heard| now.since(*heard) < JOINER_KEPT);
+        let pending = self
+            .work
+            .tickets
+            .values()
+            .any(|it| matches!(it, Ticket::Membership(_)));
+        if pending || now < self.work.repair_due {
             return None;
         }
+        let joiners: Vec<_> = self.work.joiners.keys().copied().collect();
+        let step = joiners.into_iter().find_map(|it| self.step_for(it));
+        let change = step.or_else(|| self.lost_learner())?;
+        // Refused by the log while the change before is not committed.
+        self.work.repair_due = now + REPAIR_RETRY_MS;
+        let ticket = self.work.ticket(Ticket::Membership(change));
+        Some(event::Event::ChangeMembership { ticket, change })
+    }
+
+    /// What `joiner` needs next: added as a learner, then another taken out for it, then promoted once
+    /// it has caught up.
+    ///
+    /// The one that it replaces goes before it is promoted, so that there are never four voters of
+    /// whom three must answer while one is known to be gone. It goes only once the learner has caught
+    /// up: until then a vote less would gain nothing.
+    fn step_for(&mut self, joiner: log::NodeId) -> Option<event::Change> {
         let status = self.node.status();
         let members = &status.membership;
-        if members.voters.contains(&joiner) {
-            self.work.joiner = None;
-            return None;
-        }
         let newer = members
             .members()
             .any(|id| id.vm == joiner.vm && id > joiner);
-        if newer {
-            self.work.joiner = None;
+        if members.voters.contains(&joiner) || newer {
+            self.work.joiners.remove(&joiner);
             return None;
         }
+        if !members.learners.contains(&joiner) {
+            return Some(event::Change::AddLearner(joiner));
+        }
         let matched = status.matched.get(&joiner).copied().unwrap_or_default();
-        let lag = status.last.0.saturating_sub(matched.0);
+        if status.last.0.saturating_sub(matched.0) > REPAIR_LAG {
+            return None;
+        }
         let old = members
             .members()
             .find(|id| id.vm == joiner.vm && *id != joiner);
-        let change = if !members.learners.contains(&joiner) {
-            event::Change::AddLearner(joiner)
-        } else if lag > REPAIR_LAG {
-            return None;
-        } else if let Some(old) = old {
-            event::Change::Remove(old)
-        } else {
-            event::Change::Promote(joiner)
-        };
-        let pending = self
-            .work
-            .tickets
-            .values()
-            .any(|it| matches!(it, Ticket::Membership(_)));
-        if pending {
-            return None;
+        if let Some(old) = old {
+            return Some(event::Change::Remove(old));
         }
-        // Refused by the log while the change before is not committed.
-        self.work.repair_due = now + REPAIR_RETRY_MS;
-        let ticket = self.work.ticket(Ticket::Membership(change));
-        Some(event::Event::ChangeMembership { ticket, change })
+        let wanted = self.voters_wanted();
+        if members.voters.len() < wanted {
+            return Some(event::Change::Promote(joiner));
+        }
+        let silent = self.silent(&status, members.voters.iter().copied())?;
+        Some(event::Change::Remove(silent))
+    }
+
+    /// How many voters the group grows to. Where VMs are listed, all that join.
+    fn voters_wanted(&self) -> usize {
+        match &self.shared.settings.common.discovery {
+            Some(discovery) => 2 * discovery.tolerates + 1,
+            None => usize::MAX,
+        }
+    }
+
+    /// One of `members` that has answered nothing for [`SILENT`].
+    fn silent(
+        &self,
+        status: &status::Status,
+        mut members: impl Iterator<Item = log::NodeId>,
+    ) -> Option<log::NodeId> {
+        let now = self.shared.clock.now();
+        members.find(|id| {
+            let answered = status.answered.get(id).copied().unwrap_or_default();
+            let last = answered.max(self.work.led_since);
+            *id != self.shared.node && now.since(last) >= SILENT
+        })
+    }
+
+    /// A learner that is gone for good: messages to it would be made and dropped for ever.
+    fn lost_learner(&self) -> Option<event::Change> {
+        self.shared.settings.common.discovery.as_ref()?;
+        let status = self.node.status();
+        let learners = status.membership.learners.iter().copied();
+        let lost = learners.filter(|it| !self.work.joiners.contains_key(it));
+        self.silent(&status, lost).map(event::Change::Remove)
     }
 }
--- a/src/sageshed/control/driver/mod.rs
+++ b/src/sageshed/control/driver/mod.rs
@@ -145,7 +145,7 @@
                 Some(event::Event::ReadIndex { ticket })
             }
             Input::Joiner(id) => {
-                self.work.joiner = Some(id);
+                self.work.joiners.insert(id, self.shared.clock.now());
                 None
             }
         }
--- a/src/sageshed/control/driver/work.rs
+++ b/src/sageshed/control/driver/work.rs
@@ -21,7 +21,10 @@
     pub(super) uncut: Option<log::Snapshot>,
     /// Changes of the rules in the log that are not applied yet.
     pub(super) changes: collections::BTreeSet<log::Index>,
-    pub(super) joiner: Option<log::NodeId>,
+    /// Processes that said lately that they are no voters, and when.
+    pub(super) joiners: collections::BTreeMap<log::NodeId, time::Instant>,
+    /// When this process began to lead.
+    pub(super) led_since: time::Instant,
     /// No change of membership is proposed before.
     pub(super) repair_due: time::Instant,
     pub(super) clock_due: u64,
--- /dev/null
+++ b/src/sageshed/control/fleet/mod.rs
@@ -0,0 +1,101 @@
+//! What a control process does for a fleet whose configuration an operator replaces as a whole.
+//!
+//! The replicated log, elections and membership are those of any control process. On top of them this
+//! takes the operator's configuration and the endpoints' announcements ([`port`]), tells entry
+//! processes and the other control processes what is new ([`watch`], [`hub`]), and orders engines
+//! while this process leads ([`planning`]).
+
+pub mod hub;
+pub mod planning;
+pub mod port;
+pub mod watch;
+
+use std::{net, sync, thread};
+
+use sageshed_fleet::{dialect, planner};
+use sageshed_http::{limits, server};
+
+use super::{inputs, run::StartError, shared};
+use crate::{metrics_port, settings};
+
+/// Connections of endpoints and operators that are open at once, each with a thread.
+const CONNECTIONS: usize = 1_000;
+
+/// The stack of such a thread, in bytes.
+const STACK_BYTES: usize = 192 * 1024;
+
+/// The servers of the fleet's ports; they run for as long as this is kept.
+#[derive(Debug)]
+pub struct Ports {
+    _fleet: server::Server,
+    _metrics: Option<server::Server>,
+}
+
+/// Starts the ports and threads.
+pub(super) fn start<D: dialect::Dialect>(
+    shared: &sync::Arc<shared::Shared>,
+    inputs: &inputs::Inputs,
+    client: &sageshed_vms::Client,
+    settings: &settings::FleetControl,
+    dialect: D,
+) -> Result<Ports, StartError> {
+    let port = port::Port {
+        shared: sync::Arc::clone(shared),
+        inputs: inputs.clone(),
+        dialect,
+        port: settings.fleet_listen.port(),
+    };
+    let fleet = listen(settings.fleet_listen, sync::Arc::new(port))?;
+    let metrics = settings
+        .metrics_listen
+        .map(|address| {
+            let shared = sync::Arc::clone(shared);
+            let metrics = super::metrics::Metrics::default();
+            let text = move || metrics.text(&shared);
+            listen(address, sync::Arc::new(metrics_port::Port { text }))
+        })
+        .transpose()?;
+    spawn("planning", {
+        let shared = sync::Arc::clone(shared);
+        let policy = planner::Policy {
+            lease: settings.orders.lease_ms,
+            store_window: settings.orders.store_window_ms,
+            ..planner::Policy::default()
+        };
+        move || planning::run(&shared, dialect, policy)
+    });
+    spawn("watch-peers", {
+        let (shared, client) = (sync::Arc::clone(shared), client.clone());
+        move || watch::watch_peers(&shared, &client)
+    });
+    Ok(Ports {
+        _fleet: fleet,
+        _metrics: metrics,
+    })
+}
+
+fn listen<H: sageshed_http::handler::Handler>(
+    address: net::SocketAddr,
+    handler: sync::Arc<H>,
+) -> Result<server::Server, StartError> {
+    let limits = limits::Limits {
+        connections: CONNECTIONS,
+        stack_bytes: STACK_BYTES,
+        ..limits::Limits::default()
+    };
+    let listener = net::TcpListener::bind(address).map_err(|source| StartError::Listen {
+        address,
+        source: source.to_string(),
+    })?;
+    server::Server::start(listener, limits, handler).map_err(|source| StartError::Listen {
+        address,
+        source: source.to_string(),
+    })
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) {
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(run);
+    if let Err(e) = spawned {
+        ::log::error!(name, error:% = e; "control: no thread");
+    }
+}
--- /dev/null
+++ b/src/sageshed/control/fleet/planning.rs
@@ -0,0 +1,288 @@
+//! The thread that plans placement while this process leads, and those that carry its orders out.
+
+use std::{
+    sync::{self, mpsc},
+    thread, time as std_time,
+};
+
+use sageshed_fleet::{config, dialect, directory, messages, planner};
+use sageshed_upstream::{exchange, failure, pool};
+
+use crate::{control::shared, locks};
+
+/// Between two looks at what there is to do. A want is looked at when it comes.
+const TICK: std_time::Duration = std_time::Duration::from_millis(50);
+
+/// Inputs taken in before one look.
+const BATCH: usize = 256;
+
+/// Threads that carry out calls to engines.
+const CALLERS: usize = 6;
+
+/// How long an engine may take to answer an order or a question.
+const CALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// The largest answer of an engine, in bytes.
+const ANSWER_BYTES: usize = 256 * 1024;
+
+/// Something for the planner.
+#[derive(Debug)]
+pub enum Input {
+    /// What callers asked an entry process for.
+    Demand(Vec<messages::Demand>),
+    /// A request waits for an adapter.
+    Want(messages::WantReq),
+    /// What became of an order.
+    Answered(Box<dialect::Order>, Option<dialect::OrderAnswer>),
+    /// An engine's report, if it gave one.
+    Reported(String, Option<dialect::Report>),
+}
+
+/// What the planning thread owns.
+struct Planning<D> {
+    shared: sync::Arc<shared::Shared>,
+    dialect: D,
+    planner: planner::Planner,
+    config: Option<config::FleetConfig>,
+    term: u64,
+    calls: mpsc::Sender<planner::Action>,
+}
+
+/// Runs until the process stops.
+pub fn run<D: dialect::Dialect>(
+    shared: &sync::Arc<shared::Shared>,
+    dialect: D,
+    policy: planner::Policy,
+) {
+    let Some(inputs) = shared.hub.take_planning() else {
+        return ::log::error!("control: planning was started twice");
+    };
+    let calls = start_callers(shared, dialect);
+    let mut planning = Planning {
+        planner: planner::Planner::new(policy, &shared.process.vm),
+        shared: sync::Arc::clone(shared),
+        dialect,
+        config: None,
+        term: 0,
+        calls,
+    };
+    while !shared.is_stopping() {
+        let first = inputs.recv_timeout(TICK).ok();
+        let more = inputs.try_iter().take(BATCH);
+        let batch: Vec<_> = first.into_iter().chain(more).collect();
+        planning.take(batch);
+        planning.look();
+    }
+}
+
+impl<D: dialect::Dialect> Planning<D> {
+    fn take(&mut self, inputs: Vec<Input>) {
+        let now = self.shared.clock.now();
+        for input in inputs {
+            match input {
+                Input::Demand(demand) => self.planner.demand(now, &demand),
+                Input::Want(req) => self.planner.want(now, req),
+                Input::Reported(instance, report) => {
+                    self.planner.reported(now, &instance, report);
+                }
+                Input::Answered(order, answer) => {
+                    ::log::info!(endpoint = order.instance.as_str(), task:% = order.task,
+                        accepted_before = order.accepted_before, answer:? = answer;
+                        "control: order answered");
+                    let actions = self.planner.answered(now, &order, answer);
+                    self.carry_out(actions);
+                }
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.shared.clock.now();
+        for id in self.shared.hub.expire(now) {
+            ::log::warn!(endpoint = id.as_str(); "control: endpoint was silent for too long");
+        }
+        if !self.follow_leadership() {
+            return;
+        }
+        self.read_config();
+        let Some(config) = &self.config else {
+            return;
+        };
+        let present = self.shared.hub.present(now);
+        let present: Vec<&directory::Instance> = present.iter().collect();
+        let actions = self.planner.tick(now, config, &present);
+        self.carry_out(actions);
+    }
+
+    /// Whether this process leads. Tells the planner when that changes.
+    fn follow_leadership(&mut self) -> bool {
+        let term = locks::read(&self.shared.view).status.term.0;
+        if !self.shared.leads() {
+            self.planner.follows();
+            return false;
+        }
+        if !self.planner.is_leading() || self.term != term {
+            self.term = term;
+            self.planner.leads(self.shared.clock.now(), term);
+            ::log::info!(term; "control: plans placement");
+        }
+        true
+    }
+
+    fn read_config(&mut self) {
+        let state = locks::read(&self.shared.state);
+        let fleet = state.fleet();
+        let known = self.config.as_ref().map_or(0, |it| it.version);
+        if fleet.version == known {
+            return;
+        }
+        match self.dialect.config(fleet.text.as_bytes()) {
+            Ok(config) => self.config = Some(config),
+            Err(e) => ::log::error!(error:% = e; "control: configuration held can't be read"),
+        }
+    }
+
+    fn carry_out(&self, actions: Vec<planner::Action>) {
+        let now = self.shared.clock.now();
+        for action in actions {
+            match action {
+                planner::Action::Amend { instance, task } => {
+                    self.shared.hub.amend(now, &instance, |it| apply(it, &task));
+                }
+                action => {
+                    if self.calls.send(action).is_err() {
+                        ::log::error!("control: no thread carries out orders");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Shows in an engine's record what an order did to it.
+fn apply(instance: &mut directory::Instance, task: &dialect::Task) {
+    match task {
+        dialect::Task::Load(_) => {}
+        dialect::Task::Unload(model) => instance.models.retain(|it| it.model != *model),
+        dialect::Task::LoadAdapter(model, adapter) => {
+            for resident in instance.models.iter_mut().filter(|it| it.model == *model) {
+                if !resident.adapters.contains(adapter) {
+                    resident.adapters.push(adapter.clone());
+                }
+            }
+        }
+        dialect::Task::UnloadAdapter(model, adapter) => {
+            for resident in instance.models.iter_mut().filter(|it| it.model == *model) {
+                resident.adapters.retain(|it| it != adapter);
+            }
+        }
+    }
+}
+
+fn start_callers<D: dialect::Dialect>(
+    shared: &sync::Arc<shared::Shared>,
+    dialect: D,
+) -> mpsc::Sender<planner::Action> {
+    let (tx, rx) = mpsc::channel();
+    let rx = sync::Arc::new(sync::Mutex::new(rx));
+    let pool = pool::Pool::new(pool::Settings::default());
+    for _ in 0..CALLERS {
+        let (shared, rx, pool) = (
+            sync::Arc::clone(shared),
+            sync::Arc::clone(&rx),
+            pool.clone(),
+        );
+        let spawned = thread::Builder::new()
+            .name("orders".to_owned())
+            .spawn(move || {
+                loop {
+                    let action = locks::lock(&rx).recv();
+                    let Ok(action) = action else {
+                        return;
+                    };
+                    shared.hub.plan(call(&shared, dialect, &pool, action));
+                }
+            });
+        if let Err(e) = spawned {
+            ::log::error!(error:% = e; "control: no thread for orders");
+        }
+    }
+    tx
+}
+
+/// Carries out one call to an engine.
+fn call<D: dialect::Dialect>(
+    shared: &shared::Shared,
+    dialect: D,
+    pool: &pool::Pool,
+    action: planner::Action,
+) -> Input {
+    match action {
+        planner::Action::Order(order) => {
+            // The process may have been frozen since the order was decided.
+            let answer = if shared.leads() {
+                match exchange_with(pool, order.address, &dialect.order(&order)) {
+                    Ok((status, _)) => Some(dialect.order_answer(status)),
+                    Err(e) if !e.is_sent => Some(dialect::OrderAnswer::Refused(0)),
+                    Err(_) => None,
+                }
+            } else {
+                Some(dialect::OrderAnswer::Refused(0))
+            };
+            Input::Answered(Box::new(order), answer)
+        }
+        planner::Action::AskReport { instance, address } => {
+            let answer = exchange_with(pool, address, &dialect.ask_report(&instance));
+            let report = match answer {
+                Ok((200, body)) => match dialect.report(&body) {
+                    Ok(report) => Some(report),
+                    Err(e) => {
+                        ::log::warn!(endpoint = instance.as_str(), error:% = e; "control: report not read");
+                        None
+                    }
+                },
+                Ok((status, _)) => {
+                    ::log::info!(endpoint = instance.as_str(), status; "control: no report");
+                    None
+                }
+                Err(e) => {
+                    ::log::info!(endpoint = instance.as_str(), error:% = e; "control: no report");
+                    None
+                }
+            };
+            Input::Reported(instance, report)
+        }
+        planner::Action::Amend { instance, .. } => Input::Reported(instance, None),
+    }
+}
+
+fn exchange_with(
+    pool: &pool::Pool,
+    address: std::net::SocketAddrV4,
+    call: &dialect::OutCall,
+) -> Result<(u16, Vec<u8>), failure::Failure> {
+    let host = address.to_string();
+    let mut headers = vec![("Host", host.as_bytes())];
+    headers.extend(
+        call.headers
+            .iter()
+            .map(|(name, value)| (*name, value.as_bytes())),
+    );
+    let req = exchange::Request {
+        method: call.method,
+        target: &call.path,
+        headers,
+        body: &call.body,
+    };
+    let patience = exchange::Patience {
+        until: std_time::Instant::now() + CALL_LIMIT,
+        stop: &|| false,
+    };
+    // A connection that the engine closes in this very moment would leave the fate of an order open.
+    let max_age = std_time::Duration::from_millis(1_000);
+    let mut answer = pool.exchange(address, &req, max_age, &patience)?;
+    let status = answer.head.status;
+    let body = answer.read_whole(ANSWER_BYTES, &patience)?;
+    pool.keep(address, answer);
+    Ok((status, body))
+}
--- /dev/null
+++ b/src/sageshed/control/fleet/port.rs
@@ -0,0 +1,226 @@
+//! The port for the operator and for endpoints.
+
+use std::{net, sync};
+
+use sageshed_fleet::{dialect, directory};
+use sageshed_http::{handler, problem, reply, request};
+use sageshed_state::command;
+use sageshed_types::{document, refusal, time, verdict};
+
+use crate::{
+    control::{
+        inputs::{self, Fate},
+        shared,
+    },
+    locks,
+};
+
+/// When to come back while there is no leader or the group can't commit.
+const COME_BACK: time::Millis = time::Millis(300);
+
+/// Takes the calls of the operator and of endpoints.
+#[derive(Debug)]
+pub struct Port<D> {
+    /// What this process publishes.
+    pub shared: sync::Arc<shared::Shared>,
+    /// To the driver of the log.
+    pub inputs: inputs::Inputs,
+    /// The protocol.
+    pub dialect: D,
+    /// This port, the same on every control VM.
+    pub port: u16,
+}
+
+/// What to answer.
+enum Outcome {
+    /// Done.
+    Ok(String),
+    /// The leader answers this.
+    Elsewhere(net::Ipv4Addr),
+    /// It can't be done now; it was not done, or may have been where that does no harm.
+    Later(&'static str),
+    /// It can't be done.
+    Invalid(String),
+}
+
+impl<D: dialect::Dialect> handler::Handler for Port<D> {
+    fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
+        let call = self.dialect.control_call(&req.method, &req.path);
+        let outcome = match call {
+            Some(dialect::ControlCall::Announce { instance }) => {
+                self.announce(&instance, &req.body)
+            }
+            Some(dialect::ControlCall::Leave { instance }) => self.leave(&instance),
+            Some(dialect::ControlCall::Replace) => self.replace(&req.body),
+            Some(dialect::ControlCall::Read) => self.read(),
+            None => {
+                let detail = format!("no call {} {} is taken here", req.method, req.path);
+                let refusal = refusal::Refusal::not_run(verdict::Reason::NotFound, detail);
+                return reply.refusal("", &refusal);
+            }
+        };
+        self.answer(&req, outcome, reply)
+    }
+
+    fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
+        ::log::warn!(reason:% = refusal.reason, detail = refusal.detail.as_str(); "control: call refused");
+        handler::Stamped {
+            request_id: String::new(),
+            refusal,
+        }
+    }
+}
+
+impl<D: dialect::Dialect> Port<D> {
+    fn answer(
+        &self,
+        req: &request::Request,
+        outcome: Outcome,
+        reply: reply::Reply<'_>,
+    ) -> reply::Sent {
+        match outcome {
+            Outcome::Ok(body) => reply.made(&reply::Whole {
+                status: 200,
+                content_type: "application/json",
+                body: body.into_bytes(),
+            }),
+            Outcome::Elsewhere(leader) => {
+                let location = format!("http://{leader}:{}{}", self.port, req.path);
+                let head = reply::Head {
+                    request_id: "",
+                    status: 307,
+                    content_type: "",
+                    headers: &[("Location", &location)],
+                };
+                reply.whole(&head, b"")
+            }
+            Outcome::Later(why) => {
+                let refusal = refusal::Refusal::not_run(verdict::Reason::NotConfirmed, why)
+                    .retry_after(COME_BACK);
+                reply.refusal("", &refusal)
+            }
+            Outcome::Invalid(why) => {
+                let refusal = refusal::Refusal::not_run(verdict::Reason::BadRequest, why);
+                let head = reply::Head {
+                    request_id: "",
+                    status: refusal.status,
+                    content_type: problem::CONTENT_TYPE,
+                    headers: &[],
+                };
+                reply.whole(&head, &problem::body("", &refusal))
+            }
+        }
+    }
+
+    fn announce(&self, id: &str, body: &[u8]) -> Outcome {
+        let instance = match self.dialect.announcement(id, body) {
+            Ok(instance) => instance,
+            Err(e) => return Outcome::Invalid(e.to_string()),
+        };
+        let (service, address) = (instance.service.clone(), instance.address);
+        let (state, sequence) = (instance.state, instance.sequence);
+        let offer = self.shared.hub.announce(self.shared.clock.now(), instance);
+        match offer {
+            directory::Offer::New | directory::Offer::Changed => {
+                ::log::info!(endpoint = id, service, address:% = address, state:? = state, sequence;
+                    "control: endpoint changed");
+            }
+            directory::Offer::Stale => {
+                ::log::info!(endpoint = id, sequence; "control: late announcement ignored");
+            }
+            directory::Offer::Confirmed => {}
+        }
+        Outcome::Ok("{}".to_owned())
+    }
+
+    fn leave(&self, id: &str) -> Outcome {
+        self.shared.hub.leave(self.shared.clock.now(), id);
+        ::log::info!(endpoint = id; "control: endpoint leaves");
+        Outcome::Ok("{}".to_owned())
+    }
+
+    /// Has a configuration committed.
+    ///
+    /// It is acknowledged only while a majority is more than the control VMs that may be lost with
+    /// their disks: with three voters two would acknowledge, and both may be gone right after.
+    fn replace(&self, body: &[u8]) -> Outcome {
+        let config = match self.dialect.config(body) {
+            Ok(config) => config,
+            Err(e) => return self.refuse_config(e.to_string()),
+        };
+        if let Err(e) = config.check() {
+            return self.refuse_config(e.to_string());
+        }
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
+            return self.refuse_config("it is not UTF-8".to_owned());
+        };
+        if let Some(elsewhere) = self.elsewhere() {
+            return elsewhere;
+        }
+        if !self.is_large_enough() {
+            return Outcome::Later("too few control processes have joined to keep a change safe");
+        }
+        let version = config.version;
+        let document = document::Document { version, text };
+        match self.inputs.commit(command::Command::ReplaceFleet(document)) {
+            Fate::Applied(Some(outcome)) => {
+                ::log::info!(version, outcome:? = outcome; "control: configuration acknowledged");
+                Outcome::Ok("{}".to_owned())
+            }
+            Fate::Applied(None) | Fate::Unknown => {
+                ::log::warn!(version; "control: configuration may be in force or not");
+                Outcome::Later("it is not known whether the change was accepted")
+            }
+            Fate::NotDone(why) => {
+                ::log::warn!(version, why:? = why; "control: configuration not accepted");
+                Outcome::Later("the change can't be committed now")
+            }
+        }
+    }
+
+    fn refuse_config(&self, why: String) -> Outcome {
+        ::log::warn!(why = why.as_str(); "control: invalid configuration refused");
+        Outcome::Invalid(why)
+    }
+
+    fn is_large_enough(&self) -> bool {
+        let Some(discovery) = &self.shared.settings.common.discovery else {
+            return true;
+        };
+        let view = locks::read(&self.shared.view);
+        view.status.membership.majority() > discovery.tolerates
+    }
+
+    /// The configuration, once a majority has confirmed that this process still leads.
+    fn read(&self) -> Outcome {
+        if let Some(elsewhere) = self.elsewhere() {
+            return elsewhere;
+        }
+        match self.inputs.read() {
+            Fate::Applied(_) => {
+                let state = locks::read(&self.shared.state);
+                let fleet = state.fleet();
+                if fleet.version == 0 {
+                    return Outcome::Later("there is no configuration yet");
+                }
+                Outcome::Ok(fleet.text.clone())
+            }
+            Fate::NotDone(_) | Fate::Unknown => {
+                Outcome::Later("it can't be confirmed which configuration is the newest")
+            }
+        }
+    }
+
+    /// Where to send a call that only the leader answers, if this process is not it.
+    fn elsewhere(&self) -> Option<Outcome> {
+        if self.shared.leads() {
+            return None;
+        }
+        let own = self.shared.process.vm.as_str();
+        let leader = self.shared.leader().filter(|leader| leader != own);
+        match leader.and_then(|it| it.parse().ok()) {
+            Some(ip) => Some(Outcome::Elsewhere(ip)),
+            None => Some(Outcome::Later("no control process leads")),
+        }
+    }
+}
--- /dev/null
+++ b/src/sageshed/control/fleet/watch.rs
@@ -0,0 +1,112 @@
+//! Answers those who watch this process, and watches the other control processes.
+
+use std::{
+    collections,
+    sync::{self, atomic},
+    thread, time as std_time,
+};
+
+use sageshed_fleet::{directory, messages};
+use sageshed_types::time;
+
+use crate::{control::shared, locks};
+
+/// How long a watch is kept where nothing is new. A watcher takes a connection for lost soon after.
+const PATIENCE: time::Millis = time::Millis(800);
+
+/// Added to the patience of a call: the way there and back, and a pause of either process.
+const CALL_MARGIN: std_time::Duration = std_time::Duration::from_millis(400);
+
+/// Between two looks for control processes that are not watched yet.
+const LOOK: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Between two tries to watch one that can't be reached.
+const RETRY: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// A control process that could not be reached for this long is watched no longer, until it is heard
+/// of again.
+const LOST: std_time::Duration = std_time::Duration::from_secs(30);
+
+/// Answers one watch. Kept until there is something new.
+#[must_use]
+pub fn answer(shared: &shared::Shared, mut req: messages::WatchReq) -> messages::WatchResp {
+    let now = shared.clock.now();
+    shared.hub.heard(now, &req);
+    shared.hub.demand(std::mem::take(&mut req.demand));
+    if req.watcher == messages::Watcher::Control {
+        shared.hear_of([req.ip]);
+    }
+    req.patience = req.patience.min(PATIENCE);
+    let news = shared.hub.news(now, &req);
+    let config = (news.config > req.config).then(|| locks::read(&shared.state).fleet().clone());
+    let own = std::net::Ipv4Addr::from(shared.node.vm);
+    let peers = shared.control_peers().into_iter().map(Into::into);
+    messages::WatchResp {
+        control: peers.chain([own]).collect(),
+        leader: shared.leader().and_then(|it| it.parse().ok()),
+        entries: shared.hub.entries(),
+        config: config.filter(|it| it.version > req.config),
+        mark: news.mark,
+        records: news.records,
+    }
+}
+
+/// Watches each other control process with a thread of its own, for as long as this one runs.
+pub fn watch_peers(shared: &sync::Arc<shared::Shared>, client: &sageshed_vms::Client) {
+    let watched: sync::Arc<sync::Mutex<collections::BTreeSet<u32>>> = sync::Arc::default();
+    while !shared.is_stopping() {
+        for vm in shared.control_peers() {
+            if !locks::lock(&watched).insert(vm) {
+                continue;
+            }
+            let (shared, client) = (sync::Arc::clone(shared), client.clone());
+            let watched = sync::Arc::clone(&watched);
+            let spawned = thread::Builder::new()
+                .name("watch".to_owned())
+                .spawn(move || {
+                    watch(&shared, &client, vm);
+                    locks::lock(&watched).remove(&vm);
+                });
+            if let Err(e) = spawned {
+                ::log::error!(error:% = e; "control: no thread to watch another control process");
+            }
+        }
+        thread::sleep(LOOK);
+    }
+}
+
+fn watch(shared: &shared::Shared, client: &sageshed_vms::Client, vm: u32) {
+    let Some(address) = shared.control_address(vm) else {
+        return;
+    };
+    let address = address.to_string();
+    let limit = std_time::Duration::from(PATIENCE) + CALL_MARGIN;
+    let mut mark = directory::Mark::default();
+    let mut heard = std_time::Instant::now();
+    while !shared.stopping.load(atomic::Ordering::Relaxed) && heard.elapsed() < LOST {
+        let req = messages::WatchReq {
+            watcher: messages::Watcher::Control,
+            ip: shared.node.vm.into(),
+            // The log brings the configuration.
+            config: u64::MAX,
+            mark,
+            patience: PATIENCE,
+            entries: shared.hub.own_entries(),
+            demand: Vec::new(),
+        };
+        let answer: Result<messages::WatchResp, _> =
+            client.call(&address, messages::paths::WATCH, &req, limit);
+        match answer {
+            Ok(resp) => {
+                heard = std_time::Instant::now();
+                mark = resp.mark;
+                shared.hear_of(resp.control);
+                shared.hub.merge(shared.clock.now(), resp.records);
+            }
+            Err(e) => {
+                ::log::debug!(error:% = e; "control: another control process is not watched");
+                thread::sleep(RETRY);
+            }
+        }
+    }
+}
--- a/src/sageshed/control/formation.rs
+++ b/src/sageshed/control/formation.rs
@@ -16,7 +16,7 @@
 //! Leaving `--new-group` in a service file does no harm: a VM that lost its disk finds others that
 //! are not fresh, and one that is cut off finds nobody and waits.
 
-use std::{sync::atomic, thread, time};
+use std::{net, sync::atomic, thread, time};
 
 use sageshed_quorum::log;
 use sageshed_types::messages;
@@ -62,6 +62,7 @@
         from: shared.voter(shared.node),
         formed,
         forming: shared.forming && fresh,
+        known: locks::read(&shared.known).iter().copied().collect(),
     }
 }
 
@@ -135,19 +136,29 @@
 
 fn ask_all(shared: &shared::Shared, client: &sageshed_vms::Client) -> Vec<messages::Hello> {
     let hello = hello(shared);
-    let own = &shared.process.vm;
-    let others = shared
-        .settings
-        .common
-        .vms
-        .iter()
-        .filter(|vm| vm.name != *own);
-    let addresses = others.filter_map(|vm| vm.control);
-    let ask = |address: std::net::SocketAddr| {
+    let peers = shared.control_peers();
+    let addresses = peers.iter().filter_map(|vm| shared.control_address(*vm));
+    let ask = |address: net::SocketAddr| {
         let address = address.to_string();
-        client
-            .call(&address, messages::paths::HELLO, &hello, CALL_LIMIT)
-            .ok()
+        let answer = client.call(&address, messages::paths::HELLO, &hello, CALL_LIMIT);
+        answer.ok()
     };
-    addresses.filter_map(ask).collect()
+    // Side by side: some may be gone, and each of these takes its whole limit.
+    let answers: Vec<messages::Hello> = thread::scope(|scope| {
+        let asked: Vec<_> = addresses
+            .map(|address| scope.spawn(move || ask(address)))
+            .collect();
+        let answers = asked.into_iter().filter_map(|it| it.join().ok().flatten());
+        answers.collect()
+    });
+    for answer in &answers {
+        note(shared, answer);
+    }
+    answers
+}
+
+/// Takes note of the control processes that a hello names.
+pub fn note(shared: &shared::Shared, hello: &messages::Hello) {
+    let from = hello.from.vm.parse::<net::Ipv4Addr>().ok();
+    shared.hear_of(hello.known.iter().copied().chain(from));
 }
--- a/src/sageshed/control/links.rs
+++ b/src/sageshed/control/links.rs
@@ -38,44 +38,50 @@
 #[derive(Debug)]
 pub struct Links {
     by_vm: collections::BTreeMap<u32, mpsc::SyncSender<Vec<u8>>>,
+    shared: sync::Arc<shared::Shared>,
+    client: sageshed_vms::Client,
 }
 
 impl Links {
-    /// Starts a thread for each other control VM in the settings.
+    /// Links that are started when something is to be sent.
     #[must_use]
     pub fn start(shared: &sync::Arc<shared::Shared>, client: &sageshed_vms::Client) -> Self {
-        let own = &shared.process.vm;
-        let others = shared
-            .settings
-            .common
-            .vms
-            .iter()
-            .filter(|vm| vm.name != *own);
-        let mut by_vm = collections::BTreeMap::new();
-        for vm in others {
-            let Some(address) = vm.control else { continue };
-            let (tx, rx) = mpsc::sync_channel(QUEUE);
-            let link = Link {
-                to: vm.name.clone(),
-                address: address.to_string(),
-                client: client.clone(),
-                shared: sync::Arc::clone(shared),
-            };
-            let name = format!("link-{}", vm.name);
-            let spawned = thread::Builder::new()
-                .name(name)
-                .spawn(move || link.run(&rx));
-            if let Err(e) = spawned {
-                ::log::error!(vm = vm.name.as_str(), error:% = e; "control: no thread for a link");
-                continue;
+        Self {
+            by_vm: collections::BTreeMap::new(),
+            shared: sync::Arc::clone(shared),
+            client: client.clone(),
+        }
+    }
+
+    /// Starts the thread that sends to the VM with this number, if there is a way to it.
+    fn link(&self, vm: u32) -> Option<mpsc::SyncSender<Vec<u8>>> {
+        let (tx, rx) = mpsc::sync_channel(QUEUE);
+        let link = Link {
+            to: self.shared.vm_name(vm)?,
+            address: self.shared.control_address(vm)?.to_string(),
+            client: self.client.clone(),
+            shared: sync::Arc::clone(&self.shared),
+        };
+        let spawned = thread::Builder::new()
+            .name(format!("link-{}", link.to))
+            .spawn(move || link.run(&rx));
+        match spawned {
+            Ok(_) => Some(tx),
+            Err(e) => {
+                ::log::error!(vm, error:% = e; "control: no thread for a link");
+                None
             }
-            by_vm.insert(vm.number, tx);
         }
-        Self { by_vm }
     }
 
     /// Sends `message`, if there is room.
-    pub fn send(&self, to: log::NodeId, message: &message::Message) {
+    pub fn send(&mut self, to: log::NodeId, message: &message::Message) {
+        if !self.by_vm.contains_key(&to.vm) {
+            let Some(tx) = self.link(to.vm) else {
+                return;
+            };
+            self.by_vm.insert(to.vm, tx);
+        }
         let Some(tx) = self.by_vm.get(&to.vm) else {
             return;
         };
--- a/src/sageshed/control/mod.rs
+++ b/src/sageshed/control/mod.rs
@@ -15,6 +15,7 @@
 //! A thread that waits for a commit waits with a limit and reports the fate as unknown past it.
 
 pub mod driver;
+pub mod fleet;
 pub mod formation;
 pub mod inputs;
 pub mod links;
@@ -27,4 +28,4 @@
 
 mod run;
 
-pub use run::{Options, StartError, run};
+pub use run::{Options, StartError, run, run_fleet};
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -1,6 +1,7 @@
 //! Starting and stopping a control process.
 
 use std::{
+    net,
     sync::{self, atomic, mpsc},
     thread, time,
 };
@@ -8,10 +9,11 @@
 use derive_more::{Display, Error, From};
 use sageshed_disk::{error as disk, folder, vacant};
 use sageshed_engines::{client, transport};
+use sageshed_fleet::dialect;
 use sageshed_quorum::{config, log, node};
 use sageshed_state::control;
 
-use super::{driver, formation, inputs, links, metrics, operators, placing, shared, vms};
+use super::{driver, fleet, formation, inputs, links, metrics, operators, placing, shared, vms};
 use crate::{clock, context, locks, settings};
 
 /// Connections of operators that are open at once.
@@ -21,7 +23,7 @@
 const OPERATORS_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// Between two hellos of a process that waits to be added.
-const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// How often the main thread looks for a signal.
 const SIGNAL_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -48,6 +50,16 @@
     /// The replicated state on disk.
     #[display("cannot read the snapshot in the data folder: {_0}")]
     State(sageshed_state::codec::Error),
+    /// A port of a fleet.
+    #[display("cannot listen on {address}: {source}; is the address this VM's, and free?")]
+    #[from(skip)]
+    Listen {
+        /// Where.
+        address: net::SocketAddr,
+        /// What the system said.
+        #[error(not(source))]
+        source: String,
+    },
     /// The replicated log.
     #[display("{_0}")]
     Driver(driver::End),
@@ -67,17 +79,32 @@
 ) -> Result<(), StartError> {
     let found = open(&settings)?;
     let process = Process::start(settings, options, found.node())?;
-    let watching = process.watch(cx.clone());
-    let result = process.drive(found);
-    process
-        .shared
-        .stopping
-        .store(true, atomic::Ordering::Relaxed);
-    drop(watching.join());
-    ::log::info!("control: stopped");
-    result
+    process.finish(cx, found)
 }
 
+/// Runs a control process of a fleet until it is told to stop. It speaks `dialect` with operators and
+/// endpoints.
+pub fn run_fleet<D: dialect::Dialect>(
+    cx: &context::Context,
+    settings: settings::FleetControl,
+    dialect: D,
+) -> Result<(), StartError> {
+    let found = open(&settings.control)?;
+    let options = Options {
+        new_group: settings.discovery.bootstrap,
+    };
+    let process = Process::start(settings.control.clone(), options, found.node())?;
+    let ports = fleet::start(
+        &process.shared,
+        &process.inputs,
+        &process.client,
+        &settings,
+        dialect,
+    )?;
+    let result = process.finish(cx, found);
+    drop(ports);
+    result
+}
 /// What was found in the data folder.
 enum Found {
     /// A generation, with what it holds.
@@ -204,6 +231,19 @@
         })
     }
 
+    /// Drives the log until the process is told to stop.
+    fn finish(&self, cx: &context::Context, found: Found) -> Result<(), StartError> {
+        let watching = self.watch(cx.clone());
+        let result = self.drive(found);
+        self.shared.stopping.store(true, atomic::Ordering::Relaxed);
+        self.shared.hub.stop();
+        if watching.join().is_err() {
+            ::log::error!("control: the thread that watches for a stop panicked");
+        }
+        ::log::info!("control: stopped");
+        result
+    }
+
     fn watch(&self, cx: context::Context) -> thread::JoinHandle<()> {
         let shared = sync::Arc::clone(&self.shared);
         thread::spawn(move || {
@@ -235,7 +275,9 @@
             .iter()
             .map(|id| self.shared.voter(*id));
         *locks::write(&self.shared.formed) = formed.collect();
-        self.place();
+        if self.shared.settings.common.discovery.is_none() {
+            self.place();
+        }
         self.announce_while_outside();
         self.driver(folder, restored)?
             .run()
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -1,7 +1,7 @@
 //! What the driver publishes and other threads read.
 
 use std::{
-    collections,
+    collections, net,
     sync::{self, atomic},
 };
 
@@ -9,7 +9,7 @@
 use sageshed_state::control;
 use sageshed_types::{endpoints, messages, rules, time};
 
-use super::roster;
+use super::{fleet::hub, roster};
 use crate::{clock, directory, locks, settings};
 
 /// Revisions whose time of commit is remembered.
@@ -34,6 +34,10 @@
     pub roster: sync::RwLock<roster::Roster>,
     /// Endpoints that were heard of.
     pub directory: sync::Mutex<directory::Directory>,
+    /// Control processes that were heard of, where no list of VMs is kept.
+    pub known: sync::RwLock<collections::BTreeSet<net::Ipv4Addr>>,
+    /// What a fleet's endpoints and entry processes say.
+    pub hub: hub::Hub,
     /// What the placing thread shows operators.
     pub models: sync::RwLock<Vec<messages::ModelStatus>>,
     /// The voters that the group was formed with, once known.
@@ -74,6 +78,7 @@
             snapshot: log::Index::default(),
             membership: log::Membership::default(),
             matched: collections::BTreeMap::new(),
+            answered: collections::BTreeMap::new(),
             quorum_until: None,
         };
         Self {
@@ -113,6 +118,8 @@
             view: sync::RwLock::new(View::outside(node)),
             roster: sync::RwLock::new(roster::Roster::default()),
             directory: sync::Mutex::new(directory::Directory::new(incarnation)),
+            known: sync::RwLock::new(collections::BTreeSet::new()),
+            hub: hub::Hub::new(incarnation.0),
             models: sync::RwLock::new(Vec::new()),
             formed: sync::RwLock::new(Vec::new()),
             forming,
@@ -122,27 +129,77 @@
         }
     }
 
-    /// The name of the VM with this number.
+    /// The name of the VM with this number. Where no list of VMs is kept the name is its address, and
+    /// the number is the address as a number.
     #[must_use]
-    pub fn vm_name(&self, number: u32) -> Option<&str> {
+    pub fn vm_name(&self, number: u32) -> Option<String> {
+        if self.settings.common.discovery.is_some() {
+            return Some(net::Ipv4Addr::from(number).to_string());
+        }
         let vms = &self.settings.common.vms;
         vms.iter()
             .find(|vm| vm.number == number)
-            .map(|vm| vm.name.as_str())
+            .map(|vm| vm.name.clone())
     }
 
     /// The number of the VM with this name.
     #[must_use]
     pub fn vm_number(&self, name: &str) -> Option<u32> {
+        if self.settings.common.discovery.is_some() {
+            return name.parse::<net::Ipv4Addr>().ok().map(u32::from);
+        }
         self.settings.common.vm(name).map(|vm| vm.number)
     }
 
+    /// Where the control process on the VM with this number hears the others.
+    #[must_use]
+    pub fn control_address(&self, number: u32) -> Option<net::SocketAddr> {
+        if let Some(discovery) = &self.settings.common.discovery {
+            let ip = net::Ipv4Addr::from(number);
+            return Some(net::SocketAddrV4::new(ip, discovery.vms_port).into());
+        }
+        let vms = &self.settings.common.vms;
+        vms.iter().find(|vm| vm.number == number)?.control
+    }
+
+    /// The numbers of the other VMs with a control process, as far as they are known: by the list of
+    /// VMs, or else the seeds, the members of the group and whoever was heard.
+    #[must_use]
+    pub fn control_peers(&self) -> collections::BTreeSet<u32> {
+        let own = self.node.vm;
+        let mut peers: collections::BTreeSet<u32> = match &self.settings.common.discovery {
+            Some(discovery) => {
+                let seeds = discovery.seeds.iter().map(|seed| u32::from(*seed.ip()));
+                let known = locks::read(&self.known);
+                let members = locks::read(&self.view).status.membership.clone();
+                let members: Vec<u32> = members.members().map(|id| id.vm).collect();
+                let known = known.iter().map(|ip| u32::from(*ip));
+                seeds.chain(known).chain(members).collect()
+            }
+            None => {
+                let vms = self.settings.common.vms.iter();
+                vms.filter(|vm| vm.control.is_some())
+                    .map(|vm| vm.number)
+                    .collect()
+            }
+        };
+        peers.remove(&own);
+        peers
+    }
+
+    /// Takes note of control processes that were heard of.
+    pub fn hear_of(&self, ips: impl IntoIterator<Item = net::Ipv4Addr>) {
+        if self.settings.common.discovery.is_some() {
+            locks::write(&self.known).extend(ips);
+        }
+    }
+
     /// A member as messages name it. A VM that the settings no longer have gets its number as name.
     #[must_use]
     pub fn voter(&self, id: log::NodeId) -> messages::Voter {
         let name = self.vm_name(id.vm);
         messages::Voter {
-            vm: name.map_or_else(|| format!("#{}", id.vm), str::to_owned),
+            vm: name.unwrap_or_else(|| format!("#{}", id.vm)),
             generation: id.generation,
         }
     }
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -2,12 +2,14 @@
 
 use std::sync::{self, atomic, mpsc};
 
+use sageshed_fleet::messages as fleet;
 use sageshed_quorum::log;
 use sageshed_state::command;
 use sageshed_types::{claims, messages, time};
 use sageshed_vms::Answer;
 
 use super::{
+    fleet::watch,
     formation,
     inputs::{self, Fate, Input, NotDone},
     placing, roster, shared,
@@ -47,6 +49,8 @@
             paths::CLAIM => with(body, |claim| self.claim(claim)),
             paths::SETTLE => with(body, |settle| self.settle(settle)),
             paths::HELLO => with(body, |hello| self.hello(&hello)),
+            fleet::paths::WATCH => with(body, |req| watch::answer(&self.shared, req)),
+            fleet::paths::WANT => with(body, |req| self.want(req)),
             _ => Answer::NotFound,
         }
     }
@@ -198,10 +202,22 @@
         }
     }
 
+    /// Hands the want of an adapter to the planner, if this process leads.
+    fn want(&self, want: fleet::WantReq) -> fleet::WantResp {
+        if !self.shared.leads() {
+            let leader = self.shared.leader();
+            let leader = leader.and_then(|it| it.parse().ok());
+            return fleet::WantResp::NotLeader { leader };
+        }
+        self.shared.hub.want(want);
+        fleet::WantResp::Taken
+    }
+
     fn hello(&self, hello: &messages::Hello) -> messages::Hello {
         if let Some(id) = self.shared.node_id(&hello.from) {
             self.inputs.offer(Input::Joiner(id));
         }
+        formation::note(&self.shared, hello);
         formation::hello(&self.shared)
     }
 }
--- /dev/null
+++ b/src/sageshed/gateway/metrics.rs
@@ -0,0 +1,127 @@
+//! Figures of an entry process in front of a fleet.
+
+use std::time;
+
+use opentelemetry::{KeyValue, metrics as instruments};
+
+use super::state;
+use crate::metrics;
+
+/// Upper bounds of the buckets of times, in seconds.
+const SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With an endpoint's answer.
+    Answered,
+    /// With a refusal of this process.
+    Refused,
+    /// Its caller left.
+    CallerGone,
+}
+
+impl End {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// What an entry process counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: metrics::Registry,
+    took: instruments::Histogram<f64>,
+    ended: instruments::Counter<u64>,
+    now: Now,
+}
+
+/// What holds at the moment in which the figures are asked for.
+#[derive(Debug)]
+struct Now {
+    ready: metrics::Gauge,
+    version: metrics::Gauge,
+    entries: metrics::Gauge,
+    endpoints: metrics::Gauge,
+    open_endpoints: metrics::Gauge,
+    connections: metrics::Gauge,
+    idle: metrics::Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = metrics::Registry::new();
+        let meter = registry.meter();
+        let took = meter
+            .f64_histogram("sageshed_gateway_request")
+            .with_description("From arrival to the end of the answer")
+            .with_unit("s")
+            .with_boundaries(SECONDS.to_vec())
+            .build();
+        let ended = meter
+            .u64_counter("sageshed_gateway_requests")
+            .with_description("Requests that ended")
+            .build();
+        let gauge = |name, help| registry.gauge(name, help);
+        let now = Now {
+            ready: gauge(
+                "sageshed_gateway_ready",
+                "1 while callers are taken, else 0",
+            ),
+            version: gauge("sageshed_gateway_config", "Configuration in force here"),
+            entries: gauge(
+                "sageshed_gateway_entries",
+                "Entry processes that share budgets",
+            ),
+            endpoints: gauge("sageshed_gateway_endpoints", "Endpoints known"),
+            open_endpoints: gauge(
+                "sageshed_gateway_endpoints_open",
+                "Endpoints that take work",
+            ),
+            connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
+            idle: gauge("sageshed_gateway_idle", "Idle connections to endpoints"),
+        };
+        Self {
+            registry,
+            took,
+            ended,
+            now,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that has ended.
+    pub fn ended(&self, service: &str, priority: u8, end: End, status: u16, took: time::Duration) {
+        let of = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("priority", i64::from(priority)),
+            KeyValue::new("end", end.label()),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.ended.add(1, &of);
+        self.took.record(took.as_secs_f64(), &of[..3]);
+    }
+
+    /// Everything as text.
+    #[must_use]
+    pub fn text<D: sageshed_fleet::dialect::Dialect>(&self, shared: &state::Shared<D>) -> String {
+        let now = shared.clock.now();
+        let ((known, open), entries) =
+            shared.with_core(|core| (core.chooser.counts(now), core.entries));
+        self.now.ready.set(f64::from(u8::from(shared.is_ready())));
+        self.now.version.set(shared.version() as f64);
+        self.now.entries.set(entries as f64);
+        self.now.endpoints.set(known as f64);
+        self.now.open_endpoints.set(open as f64);
+        self.now.connections.set(shared.pool.opened() as f64);
+        self.now.idle.set(shared.pool.idle() as f64);
+        self.registry.text()
+    }
+}
--- /dev/null
+++ b/src/sageshed/gateway/mod.rs
@@ -0,0 +1,20 @@
+//! An entry process in front of a fleet whose configuration an operator replaces as a whole.
+//!
+//! It passes callers' requests on to the endpoints that the configuration allows, byte for byte, and
+//! their answers back. It keeps nothing on disk: what it knows it has from control processes
+//! ([`watch`]), and it goes on with what it knows while none of them can be reached.
+//!
+//! One thread serves one connection of a caller, and with it one request at a time ([`pass`]). It
+//! blocks while it waits for a place, a load or an answer, and looks several times a second whether
+//! the caller is still there.
+
+mod answer;
+pub mod metrics;
+mod pass;
+mod ready;
+mod refuse;
+mod run;
+pub mod state;
+mod watch;
+
+pub use run::{StartError, run};
--- /dev/null
+++ b/src/sageshed/gateway/pass.rs
@@ -0,0 +1,730 @@
+//! The life of one request, from a caller to an endpoint and back.
+//!
+//! # What may be sent again
+//!
+//! What an endpoint has certainly not run may go to another. What may have run goes to another only
+//! where the route says that it may run again, to no more endpoints than the route says, and only
+//! while the budget for repeats lasts, which all entry processes share. A request that ends without
+//! an answer is told the truth: 503 with when to come back where it was not run, 502 or 504 where it
+//! may have been.
+
+use std::{sync, time as std_time};
+
+use sageshed_fleet::{chooser, config, dialect, messages, routes};
+use sageshed_http::{handler, reply, request};
+use sageshed_types::{arena, headers, refusal, time, verdict};
+use sageshed_upstream::{exchange, failure};
+
+use super::{answer::Outlet, metrics, refuse, state};
+
+/// The largest answer that is not a stream, in bytes.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest that a request waits here before it looks again whether its caller is still there.
+const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
+
+/// How long a kept connection may have been idle for a request that must not run twice: if the
+/// endpoint closes it in that moment, the request is lost and can't be sent again.
+const YOUNG: std_time::Duration = std_time::Duration::from_millis(1_500);
+
+/// The same for a request that may be sent again.
+const KEPT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Silence for this many times the objective sends an idempotent request to another endpoint.
+const SILENT_OBJECTIVES: u64 = 3;
+
+/// The shortest silence that does, in milliseconds.
+const SHORTEST_SILENCE: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// A stream that may go on elsewhere does so after this silence between two events: callers leave a
+/// stream after two seconds of it.
+const STREAM_SILENCE: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// When a request comes back that was turned away since it can't be in time now.
+const BACK_SOON: time::Millis = time::Millis(300);
+
+/// The least that must be left for a request that waits for a load.
+const LOAD_RESERVE: time::Millis = time::Millis(500);
+
+/// The part of its objective that a request waits for a place, in hundredths.
+const PLACE_PATIENCE: u64 = 60;
+
+/// A rejection that was not a run is worth another try after this long.
+const AFTER_REJECTION: std_time::Duration = std_time::Duration::from_millis(8);
+
+/// Takes callers' requests.
+#[derive(Debug)]
+pub(super) struct Port<D> {
+    pub(super) shared: sync::Arc<state::Shared<D>>,
+}
+
+impl<D: dialect::Dialect> handler::Handler for Port<D> {
+    fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
+        let Some(routing) = self.shared.routing() else {
+            let detail = "no configuration is known here yet";
+            let refusal = refuse::not_run(verdict::Reason::NotConfirmed, detail, BACK_SOON);
+            return refuse::send(reply, "", &refusal);
+        };
+        let passing = match self.shared.dialect.passing(|name| req.header(name)) {
+            Ok(passing) => passing,
+            Err(e) => {
+                let refusal = refusal::Refusal::not_run(verdict::Reason::BadRequest, e.to_string());
+                return refuse::send(reply, "", &refusal);
+            }
+        };
+        let host = req.header("host").unwrap_or_default();
+        let Some(route) = routing.table.find(host, &req.path) else {
+            let version = routing.config.version;
+            let detail = format!("no route of configuration {version} takes this host and path");
+            let refusal = refusal::Refusal::not_run(verdict::Reason::NotFound, detail);
+            return refuse::send(reply, "", &refusal);
+        };
+        let draw = self.shared.with_core(|core| core.chooser.draw());
+        let service = routes::pick(&route.targets, draw).map_or("", |it| it.service.as_str());
+        let is_engines = routing
+            .config
+            .service(service)
+            .is_some_and(|it| it.engines.is_some());
+        Life::new(&self.shared, &req, &passing, route, service, is_engines).run(reply)
+    }
+
+    fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
+        ::log::info!(reason:% = refusal.reason, detail = refusal.detail.as_str();
+            "gateway: request refused before it was read");
+        handler::Stamped {
+            request_id: String::new(),
+            refusal,
+        }
+    }
+}
+
+/// What to do next with a request.
+enum Step {
+    /// Send it.
+    Send(chooser::Pick),
+    /// Give it up.
+    Refuse(refusal::Refusal),
+    /// Nobody waits for it any more.
+    Gone,
+}
+
+/// What came of sending a request.
+enum Sending<'c> {
+    /// It is answered.
+    Done(reply::Sent),
+    /// It goes on elsewhere.
+    Again(Outlet<'c>),
+    /// It is given up.
+    Refuse(Outlet<'c>, refusal::Refusal),
+    /// Nobody waits for it any more.
+    Gone(Outlet<'c>),
+}
+
+/// One request.
+struct Life<'a, D> {
+    shared: &'a state::Shared<D>,
+    req: &'a request::Request,
+    passing: &'a dialect::Passing,
+    route: &'a config::Route,
+    service: &'a str,
+    wanted: Option<&'a dialect::Wanted>,
+    /// When its final answer is due.
+    until: std_time::Instant,
+    tried: Vec<arena::EndpointKey>,
+    /// Endpoints that may have run it.
+    runs: u32,
+    /// Endpoints that it arrived at.
+    arrivals: u32,
+    last: String,
+}
+
+impl<'a, D: dialect::Dialect> Life<'a, D> {
+    fn new(
+        shared: &'a state::Shared<D>,
+        req: &'a request::Request,
+        passing: &'a dialect::Passing,
+        route: &'a config::Route,
+        service: &'a str,
+        is_engines: bool,
+    ) -> Self {
+        let span = passing
+            .deadline
+            .map_or(route.timeout, |it| it.min(route.timeout));
+        Self {
+            shared,
+            req,
+            passing,
+            route,
+            service,
+            wanted: passing.model.as_ref().filter(|_| is_engines),
+            until: req.received + span.into(),
+            tried: Vec::new(),
+            runs: 0,
+            arrivals: 0,
+            last: String::new(),
+        }
+    }
+
+    fn run(mut self, reply: reply::Reply<'_>) -> reply::Sent {
+        let watch = reply.watch();
+        let mut outlet = Outlet::Fresh(reply);
+        let now = self.shared.clock.now();
+        self.shared.with_core(|core| {
+            core.budget.request(now, self.service);
+            if let Some(wanted) = self.wanted {
+                core.ask(self.service, wanted, self.passing);
+            }
+        });
+        loop {
+            let pick = match self.next(&watch) {
+                Step::Send(pick) => pick,
+                Step::Refuse(refusal) => return self.refused(outlet, &refusal),
+                Step::Gone => return self.left(outlet),
+            };
+            match self.send(&pick, outlet, &watch) {
+                Sending::Done(sent) => return sent,
+                Sending::Again(back) => outlet = back,
+                Sending::Refuse(outlet, refusal) => return self.refused(outlet, &refusal),
+                Sending::Gone(outlet) => return self.left(outlet),
+            }
+        }
+    }
+
+    fn id(&self) -> &str {
+        self.passing.id.as_deref().unwrap_or_default()
+    }
+
+    fn left_ms(&self) -> time::Millis {
+        let left = self
+            .until
+            .saturating_duration_since(std_time::Instant::now());
+        left.into()
+    }
+
+    /// Chooses where to send the request next, and waits as long as that makes sense.
+    fn next(&mut self, watch: &reply::Watch) -> Step {
+        let arrived = std_time::Instant::now();
+        let mut told_waiting = false;
+        loop {
+            if watch.caller_gone() {
+                return Step::Gone;
+            }
+            let left = self.left_ms();
+            if left == time::Millis(0) {
+                return Step::Refuse(self.out_of_time());
+            }
+            let now = self.shared.clock.now();
+            let ask = chooser::Ask {
+                service: self.service,
+                wanted: self.wanted,
+                parts: &self.passing.parts,
+                prompt_tokens: self.passing.prompt_tokens,
+                tried: &self.tried,
+                left,
+            };
+            let (choice, seen) = self
+                .shared
+                .with_core(|core| (core.chooser.choose(now, &ask), core.changes()));
+            let missing = match choice {
+                chooser::Choice::Send(pick) => return self.may_send(now, pick),
+                chooser::Choice::TooLate { estimate } => {
+                    let detail = format!(
+                        "the answer would begin in {} ms, and {} ms are left",
+                        estimate.0, left.0
+                    );
+                    return Step::Refuse(self.give_up(verdict::Reason::DeadlineUnmeetable, detail));
+                }
+                chooser::Choice::Wait(missing) => missing,
+            };
+            let waited = arrived.elapsed();
+            if waited >= self.patience(missing) || left <= self.reserve(missing) {
+                return Step::Refuse(self.not_served(missing));
+            }
+            self.ask_for(now, missing, &mut told_waiting);
+            let limit = LOOK.min(left.into());
+            let _changes = self.shared.wait(seen, limit);
+        }
+    }
+
+    /// The second and each further arrival at an endpoint takes from the budget.
+    fn may_send(&mut self, now: time::Instant, pick: chooser::Pick) -> Step {
+        if self.arrivals == 0 {
+            return Step::Send(pick);
+        }
+        let allowed = self.shared.with_core(|core| {
+            let entries = core.entries;
+            core.budget.spend(now, self.service, entries)
+        });
+        if allowed {
+            return Step::Send(pick);
+        }
+        self.ended(&pick, false, chooser::Ended::GivenUp);
+        let detail = format!("{}, and no repeat is left in the budget", self.last);
+        Step::Refuse(self.give_up(verdict::Reason::EndpointFailed, detail))
+    }
+
+    /// How long to wait for what is missing.
+    fn patience(&self, missing: chooser::Missing) -> std_time::Duration {
+        let objective = self.route.objective.0;
+        match missing {
+            chooser::Missing::Model | chooser::Missing::Adapter => self.route.timeout.into(),
+            chooser::Missing::Place | chooser::Missing::Endpoint => {
+                std_time::Duration::from_millis(objective * PLACE_PATIENCE / 100)
+            }
+        }
+    }
+
+    fn reserve(&self, missing: chooser::Missing) -> time::Millis {
+        match missing {
+            chooser::Missing::Model => LOAD_RESERVE,
+            _ => time::Millis(0),
+        }
+    }
+
+    /// Lets the leader know what a request waits for.
+    fn ask_for(&self, now: time::Instant, missing: chooser::Missing, told_waiting: &mut bool) {
+        let Some(wanted) = self.wanted else {
+            return;
+        };
+        match (missing, &wanted.adapter) {
+            (chooser::Missing::Adapter, Some(adapter)) => self.want(now, wanted, adapter),
+            (chooser::Missing::Model, _) if !*told_waiting => {
+                *told_waiting = true;
+                let model = &wanted.model;
+                self.shared
+                    .with_core(|core| core.wait_for_model(self.service, model));
+            }
+            _ => {}
+        }
+    }
+
+    fn want(&self, now: time::Instant, wanted: &dialect::Wanted, adapter: &str) {
+        let want = messages::WantReq {
+            service: self.service.to_owned(),
+            model: wanted.model.clone(),
+            adapter: adapter.to_owned(),
+        };
+        if !self.shared.with_core(|core| core.says_want(now, &want)) {
+            return;
+        }
+        let Some(leader) = self.shared.leader() else {
+            return ::log::info!(request = self.id(), adapter; "gateway: adapter wanted, no leader known");
+        };
+        let port = self.shared.settings.discovery.vms_port;
+        let address = std::net::SocketAddrV4::new(leader, port).to_string();
+        let answer: Result<messages::WantResp, _> =
+            self.shared
+                .client
+                .call(&address, messages::paths::WANT, &want, LOOK * 3);
+        match answer {
+            Ok(messages::WantResp::Taken) => {
+                ::log::debug!(request = self.id(), adapter; "gateway: adapter wanted");
+            }
+            Ok(messages::WantResp::NotLeader { leader }) => self.shared.set_leader(leader),
+            Err(e) => {
+                ::log::info!(request = self.id(), adapter, error:% = e; "gateway: adapter wanted in vain");
+            }
+        }
+    }
+
+    /// Sends the request to `pick` and passes the answer on.
+    fn send<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        outlet: Outlet<'c>,
+        watch: &reply::Watch,
+    ) -> Sending<'c> {
+        let sent_at = std_time::Instant::now();
+        let stop = || watch.caller_gone();
+        let patience = exchange::Patience {
+            until: self.until.min(sent_at + self.silence()),
+            stop: &stop,
+        };
+        let resume = outlet.last_id().map(str::to_owned);
+        let answer = self.exchange(pick, resume.as_deref(), &patience);
+        let exchange = match answer.and_then(|it| self.own_answer(it, &patience)) {
+            Ok(exchange) => exchange,
+            Err(failure) => return self.failed(pick, outlet, false, &failure),
+        };
+        self.arrivals += 1;
+        self.judge(pick, exchange, outlet, sent_at, &stop)
+    }
+
+    /// How long an endpoint may be silent before the request goes elsewhere.
+    fn silence(&self) -> std_time::Duration {
+        let is_last = self.runs + 1 >= self.route.attempts;
+        if is_last || self.route.repeat != config::Repeat::Idempotent {
+            return self.route.timeout.into();
+        }
+        let objective = std_time::Duration::from(self.route.objective);
+        let factor = u32::try_from(SILENT_OBJECTIVES).unwrap_or(1);
+        (objective * factor).max(SHORTEST_SILENCE)
+    }
+
+    fn exchange<S: Fn() -> bool>(
+        &self,
+        pick: &chooser::Pick,
+        resume_behind: Option<&str>,
+        patience: &exchange::Patience<'_, S>,
+    ) -> Result<exchange::Exchange, failure::Failure> {
+        let onward = dialect::Onward {
+            instance: &pick.instance,
+            time_left: self.left_ms(),
+            urgency: Some(self.route.priority.min(9)),
+            resume_behind,
+        };
+        let set = self.shared.dialect.onward(&onward);
+        let mut list: Vec<(&str, &[u8])> = Vec::with_capacity(self.req.headers.len() + set.len());
+        for header in &self.req.headers {
+            let is_set = set
+                .iter()
+                .any(|(name, _)| header.name.eq_ignore_ascii_case(name));
+            if !is_set && self.passes_on(&header.name) {
+                list.push((&header.name, &header.value));
+            }
+        }
+        list.extend(set.iter().map(|(name, value)| (*name, value.as_bytes())));
+        let target = match &self.req.query {
+            Some(query) => format!("{}?{query}", self.req.path),
+            None => self.req.path.clone(),
+        };
+        let req = exchange::Request {
+            method: &self.req.method,
+            target: &target,
+            headers: list,
+            body: &self.req.body,
+        };
+        let max_age = if self.route.repeat.may_run_again() {
+            KEPT
+        } else {
+            YOUNG
+        };
+        self.shared
+            .pool
+            .exchange(pick.address, &req, max_age, patience)
+    }
+
+    fn passes_on(&self, name: &str) -> bool {
+        let is = |it: &&str| name.eq_ignore_ascii_case(it);
+        let of_connection = headers::OF_CONNECTION.iter().any(is) && !is(&"host");
+        !of_connection
+            && !self.req.is_connection_option(name)
+            && !self.shared.dialect.stays_here(name)
+    }
+
+    /// Passes over answers to earlier requests on the same connection.
+    fn own_answer<S: Fn() -> bool>(
+        &self,
+        mut exchange: exchange::Exchange,
+        patience: &exchange::Patience<'_, S>,
+    ) -> Result<exchange::Exchange, failure::Failure> {
+        while self.is_foreign(&exchange) {
+            ::log::warn!(request = self.id(); "gateway: answer to another request passed over");
+            exchange = exchange.next_answer(ANSWER_BYTES, patience)?;
+        }
+        Ok(exchange)
+    }
+
+    fn is_foreign(&self, exchange: &exchange::Exchange) -> bool {
+        let head = &exchange.head;
+        let answered = self.shared.dialect.answered(head.status, |it| head.get(it));
+        answered
+            .id
+            .is_some_and(|id| Some(id) != self.passing.id.as_deref())
+    }
+
+    /// Decides by the head of an answer what becomes of it.
+    fn judge<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        mut exchange: exchange::Exchange,
+        outlet: Outlet<'c>,
+        sent_at: std_time::Instant,
+        stop: &impl Fn() -> bool,
+    ) -> Sending<'c> {
+        let head = exchange.head.clone();
+        let answered = self.shared.dialect.answered(head.status, |it| head.get(it));
+        let patience = exchange::Patience {
+            until: self.until,
+            stop,
+        };
+        if answered.is_not_run {
+            if exchange.read_whole(ANSWER_BYTES, &patience).is_ok() {
+                self.shared.pool.keep(pick.address, exchange);
+            }
+            return self.rejected(pick, outlet, &answered, head.status);
+        }
+        self.runs += 1;
+        let is_success = (200..300).contains(&head.status);
+        if is_success && (!answered.is_signed || answered.is_coded) {
+            let detail = "a success that the endpoint does not vouch for";
+            return self.unusable(pick, outlet, detail.to_owned());
+        }
+        let claims_not_run = matches!(head.status, 408 | 421 | 429 | 503);
+        let may_go_elsewhere = self.route.repeat.may_run_again() && self.runs < self.route.attempts;
+        if !is_success && (claims_not_run || !answered.is_signed) {
+            let detail = format!("the endpoint answered with status {}", head.status);
+            return self.unusable(pick, outlet, detail);
+        }
+        if head.status >= 500 && may_go_elsewhere {
+            let detail = format!("the endpoint failed with status {}", head.status);
+            return self.unusable(pick, outlet, detail);
+        }
+        let is_events = head
+            .get("content-type")
+            .is_some_and(|it| it.starts_with("text/event-stream"));
+        if is_success && is_events {
+            return self.stream(pick, exchange, outlet, sent_at, stop, answered.load);
+        }
+        match exchange.read_whole(ANSWER_BYTES, &patience) {
+            Ok(body) => {
+                self.began(pick, sent_at, answered.load);
+                let failed = head.status >= 500;
+                let how = if failed {
+                    chooser::Ended::Failed
+                } else {
+                    chooser::Ended::Answered
+                };
+                self.ended(pick, true, how);
+                self.shared.pool.keep(pick.address, exchange);
+                self.note(metrics::End::Answered, head.status, sent_at);
+                Sending::Done(outlet.whole(&head, &body))
+            }
+            Err(failure) => self.failed_after_run(pick, outlet, false, &failure),
+        }
+    }
+
+    /// Passes a stream on, event by event.
+    fn stream<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        mut exchange: exchange::Exchange,
+        outlet: Outlet<'c>,
+        sent_at: std_time::Instant,
+        stop: &impl Fn() -> bool,
+        load: Option<dialect::Load>,
+    ) -> Sending<'c> {
+        let mut piece = match exchange.read(&self.stream_patience(stop)) {
+            Ok(piece) => piece,
+            Err(failure) => return self.failed_after_run(pick, outlet, false, &failure),
+        };
+        self.began(pick, sent_at, load);
+        let (mut stream, mut events) = outlet.begin(&exchange.head);
+        loop {
+            match piece {
+                exchange::Piece::Bytes(bytes) => {
+                    let whole = events.push(self.shared.dialect, &bytes);
+                    if stream.send(&whole).is_err() {
+                        self.ended(pick, true, chooser::Ended::GivenUp);
+                        return Sending::Gone(Outlet::Begun(stream, events));
+                    }
+                }
+                exchange::Piece::End => {
+                    let rest = events.take_rest();
+                    if stream.send(&rest).is_err() {
+                        ::log::info!(request = self.id(); "gateway: caller left at the end of its stream");
+                    }
+                    self.ended(pick, true, chooser::Ended::Answered);
+                    self.shared.pool.keep(pick.address, exchange);
+                    self.note(metrics::End::Answered, 200, sent_at);
+                    return Sending::Done(stream.finish());
+                }
+            }
+            piece = match exchange.read(&self.stream_patience(stop)) {
+                Ok(piece) => piece,
+                Err(failure) => {
+                    events.drop_rest();
+                    // Closed before the stream goes on elsewhere, so that the run there ends.
+                    drop(exchange);
+                    let outlet = Outlet::Begun(stream, events);
+                    return self.failed_after_run(pick, outlet, true, &failure);
+                }
+            };
+        }
+    }
+
+    fn stream_patience<'s, S: Fn() -> bool>(&self, stop: &'s S) -> exchange::Patience<'s, S> {
+        let goes_on = self.route.repeat.may_run_again() && self.runs < self.route.attempts;
+        let until = if goes_on {
+            self.until.min(std_time::Instant::now() + STREAM_SILENCE)
+        } else {
+            self.until
+        };
+        exchange::Patience { until, stop }
+    }
+
+    fn began(&self, pick: &chooser::Pick, sent_at: std_time::Instant, load: Option<dialect::Load>) {
+        let now = self.shared.clock.now();
+        let took = sent_at.elapsed().into();
+        let parts = &self.passing.parts;
+        self.shared
+            .with_core(|core| core.chooser.began(now, pick, parts, took, load));
+    }
+
+    fn ended(&self, pick: &chooser::Pick, began: bool, how: chooser::Ended) {
+        let now = self.shared.clock.now();
+        self.shared
+            .with_core(|core| core.chooser.ended(now, pick, self.wanted, began, how));
+        self.shared.place_freed();
+    }
+
+    /// The endpoint says that it has not run the request.
+    fn rejected<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        outlet: Outlet<'c>,
+        answered: &dialect::Answered<'_>,
+        status: u16,
+    ) -> Sending<'c> {
+        ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), status;
+            "gateway: endpoint rejected the request and has not run it");
+        self.last = format!(
+            "endpoint {} rejected it with status {status}",
+            pick.instance
+        );
+        if answered.is_other_instance {
+            self.ended(pick, false, chooser::Ended::Misdirected);
+        } else {
+            self.ended(pick, false, chooser::Ended::Refused);
+            self.tried.push(pick.key);
+            std::thread::sleep(AFTER_REJECTION);
+        }
+        Sending::Again(outlet)
+    }
+
+    /// An answer came that can't be passed on; the request may have run.
+    fn unusable<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        outlet: Outlet<'c>,
+        detail: String,
+    ) -> Sending<'c> {
+        let failure = failure::Failure {
+            cause: failure::Cause::Malformed,
+            is_sent: true,
+            detail,
+        };
+        self.failed_after_run(pick, outlet, false, &failure)
+    }
+
+    /// No head of an answer came.
+    fn failed<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        outlet: Outlet<'c>,
+        began: bool,
+        failure: &failure::Failure,
+    ) -> Sending<'c> {
+        if failure.cause == failure::Cause::Interrupted {
+            self.ended(pick, began, chooser::Ended::GivenUp);
+            return Sending::Gone(outlet);
+        }
+        if !failure.is_sent {
+            ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure;
+                "gateway: endpoint not reached, the request was not sent");
+            self.last = format!("endpoint {} was not reached: {failure}", pick.instance);
+            self.ended(pick, began, chooser::Ended::Unreachable);
+            self.shared.pool.forget(pick.address);
+            self.tried.push(pick.key);
+            return Sending::Again(outlet);
+        }
+        self.arrivals += 1;
+        self.runs += 1;
+        self.failed_after_run(pick, outlet, began, failure)
+    }
+
+    /// The request may have run, and no whole answer came.
+    fn failed_after_run<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        outlet: Outlet<'c>,
+        began: bool,
+        failure: &failure::Failure,
+    ) -> Sending<'c> {
+        if failure.cause == failure::Cause::Interrupted {
+            self.ended(pick, began, chooser::Ended::GivenUp);
+            return Sending::Gone(outlet);
+        }
+        ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure,
+            runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
+        self.last = format!("endpoint {} failed: {failure}", pick.instance);
+        let is_over = self.left_ms() == time::Millis(0);
+        let how = if is_over {
+            chooser::Ended::GivenUp
+        } else {
+            chooser::Ended::Failed
+        };
+        self.ended(pick, began, how);
+        self.tried.push(pick.key);
+        let goes_on = self.route.repeat.may_run_again() && self.runs < self.route.attempts;
+        // Without the id of an event nothing says where the stream would go on.
+        let can_resume = !outlet.is_begun() || outlet.last_id().is_some();
+        if goes_on && can_resume && !is_over {
+            return Sending::Again(outlet);
+        }
+        let refusal = if is_over {
+            self.out_of_time()
+        } else {
+            let detail = self.last.clone();
+            self.give_up(verdict::Reason::EndpointFailed, detail)
+        };
+        Sending::Refuse(outlet, refusal)
+    }
+
+    /// The final answer for a request whose time is over.
+    fn out_of_time(&self) -> refusal::Refusal {
+        self.give_up(
+            verdict::Reason::DeadlinePassed,
+            "its time is over".to_owned(),
+        )
+    }
+
+    fn not_served(&self, missing: chooser::Missing) -> refusal::Refusal {
+        let detail = match missing {
+            chooser::Missing::Endpoint => "no endpoint of the service can be reached now",
+            chooser::Missing::Model => "no engine holds the model, and a load would take too long",
+            chooser::Missing::Adapter => "no engine holds the adapter yet",
+            chooser::Missing::Place => "all endpoints of the service are busy",
+        };
+        self.give_up(verdict::Reason::NoRoute, detail.to_owned())
+    }
+
+    /// What a request is told that is given up. The status says truly whether it may have run.
+    fn give_up(&self, reason: verdict::Reason, detail: String) -> refusal::Refusal {
+        if self.runs == 0 {
+            return refuse::not_run(reason, detail, BACK_SOON);
+        }
+        let verdict = verdict::Verdict::MayHaveRun;
+        let reason = match reason {
+            verdict::Reason::DeadlinePassed => reason,
+            _ => verdict::Reason::EndpointFailed,
+        };
+        refusal::Refusal::new(reason, verdict, detail)
+    }
+
+    fn refused(&self, outlet: Outlet<'_>, refusal: &refusal::Refusal) -> reply::Sent {
+        ::log::info!(request = self.id(), route = self.route.name.as_str(), status = refusal.status,
+            reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
+            left_ms = self.left_ms().0; "gateway: request refused");
+        self.note(metrics::End::Refused, refusal.status, self.req.received);
+        outlet.refuse("", refusal)
+    }
+
+    fn left(&self, outlet: Outlet<'_>) -> reply::Sent {
+        ::log::info!(request = self.id(), route = self.route.name.as_str(); "gateway: caller left");
+        self.note(metrics::End::CallerGone, 0, self.req.received);
+        let detail = "the caller closed its connection";
+        let refusal = self.give_up(verdict::Reason::DeadlinePassed, detail.to_owned());
+        outlet.refuse("", &refusal)
+    }
+
+    fn note(&self, end: metrics::End, status: u16, sent_at: std_time::Instant) {
+        let took = self.req.received.elapsed();
+        let sent = sent_at.duration_since(self.req.received);
+        self.shared
+            .metrics
+            .ended(self.service, self.route.priority, end, status, took);
+        ::log::debug!(request = self.id(), route = self.route.name.as_str(), end:? = end, status,
+            took_ms = time::Millis::from(took).0, sent_ms = time::Millis::from(sent).0; "gateway: request ended");
+    }
+}
--- /dev/null
+++ b/src/sageshed/gateway/ready.rs
@@ -0,0 +1,42 @@
+//! The port on which the balancer asks whether this process takes callers.
+
+use std::sync;
+
+use sageshed_fleet::dialect;
+use sageshed_http::{handler, reply, request};
+use sageshed_types::refusal;
+
+use super::state;
+
+/// Answers every question with 200 or 503.
+#[derive(Debug)]
+pub(super) struct Port<D> {
+    pub(super) shared: sync::Arc<state::Shared<D>>,
+}
+
+impl<D: dialect::Dialect> handler::Handler for Port<D> {
+    fn handle(&self, _req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
+        let (status, text) = if self.shared.is_ready() {
+            (200, "ready\n")
+        } else if self.shared.is_stopping() {
+            (503, "stopping\n")
+        } else if self.shared.version() == 0 {
+            (503, "no configuration is known yet\n")
+        } else {
+            (503, "no endpoint is known\n")
+        };
+        reply.made(&reply::Whole {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: text.as_bytes().to_vec(),
+        })
+    }
+
+    fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
+        ::log::debug!(reason:% = refusal.reason; "gateway: question of the balancer refused");
+        handler::Stamped {
+            request_id: String::new(),
+            refusal,
+        }
+    }
+}
--- /dev/null
+++ b/src/sageshed/gateway/refuse.rs
@@ -0,0 +1,41 @@
+//! The answers of this process itself.
+
+use sageshed_http::{problem, reply};
+use sageshed_types::{refusal, time, verdict};
+
+/// Answers with a refusal. When to come back is said in fractions of a second, since a place or a load
+/// may be a few hundred milliseconds away.
+pub(super) fn send(
+    reply: reply::Reply<'_>,
+    request_id: &str,
+    refusal: &refusal::Refusal,
+) -> reply::Sent {
+    let after = refusal.retry_after.map(seconds);
+    let mut headers: Vec<(&str, &str)> = Vec::new();
+    if let Some(after) = &after {
+        headers.push(("Retry-After", after));
+    }
+    let head = reply::Head {
+        request_id,
+        status: refusal.status,
+        content_type: problem::CONTENT_TYPE,
+        headers: &headers,
+    };
+    reply.whole(&head, &problem::body(request_id, refusal))
+}
+
+fn seconds(span: time::Millis) -> String {
+    format!("{}.{:03}", span.0 / 1_000, span.0 % 1_000)
+}
+
+/// A request that no endpoint has run, and that may come back.
+pub(super) fn not_run(
+    reason: verdict::Reason,
+    detail: impl Into<String>,
+    after: time::Millis,
+) -> refusal::Refusal {
+    refusal::Refusal {
+        status: 503,
+        ..refusal::Refusal::not_run(reason, detail).retry_after(after)
+    }
+}
--- /dev/null
+++ b/src/sageshed/gateway/run.rs
@@ -0,0 +1,139 @@
+//! Starting and stopping an entry process.
+//!
+//! # Stopping
+//!
+//! The balancer needs some time to turn callers away. Until it has, connections are still taken; each
+//! answer is the last on its connection, so that callers move elsewhere by themselves. Then what is
+//! under way is finished, up to shortly before the process would be killed.
+
+use std::{net, sync, thread, time};
+
+use derive_more::{Display, Error};
+use sageshed_fleet::dialect;
+use sageshed_http::{handler, limits, server};
+
+use super::{pass, ready, state, watch};
+use crate::{context, metrics_port, settings};
+
+/// Descriptors that are not for callers: control processes, idle connections to endpoints, ports.
+const OTHER_DESCRIPTORS: usize = 400;
+
+/// Kilobytes that one connection of a caller may need: the touched part of its thread's stack, its
+/// buffers and the socket's.
+const CONNECTION_KB: usize = 128;
+
+/// Connections on which the balancer asks, at once.
+const READY_CONNECTIONS: usize = 32;
+
+/// The stack of a connection's thread, in bytes.
+const STACK_BYTES: usize = 192 * 1024;
+
+/// How long before the end of the grace period the process ends by itself.
+const LAST_MOMENT: time::Duration = time::Duration::from_millis(400);
+
+/// Between two sweeps of idle connections.
+const SWEEP: time::Duration = time::Duration::from_secs(1);
+
+/// An entry process that could not start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// A port could not be opened.
+    #[display("cannot listen on {address}: {problem}; is the address this VM's, and free?")]
+    Listen {
+        /// Where.
+        address: net::SocketAddr,
+        /// What the system said.
+        problem: String,
+    },
+}
+
+/// Runs an entry process until it is told to stop. It speaks `dialect` with callers and endpoints.
+pub fn run<D: dialect::Dialect>(
+    cx: &context::Context,
+    settings: settings::FleetEntry,
+    dialect: D,
+) -> Result<(), StartError> {
+    let listen = settings.listen;
+    let shared = sync::Arc::new(state::Shared::new(settings, dialect));
+    let ready = ready::Port {
+        shared: sync::Arc::clone(&shared),
+    };
+    let ready = start(listen.ready, ready_limits(), ready)?;
+    let port = pass::Port {
+        shared: sync::Arc::clone(&shared),
+    };
+    let callers = start(listen.callers, caller_limits(&shared.settings), port)?;
+    let metrics = listen
+        .metrics
+        .map(|address| {
+            let shown = sync::Arc::clone(&shared);
+            let text = move || shown.metrics.text(&shown);
+            start(address, ready_limits(), metrics_port::Port { text })
+        })
+        .transpose()?;
+    watch::start(&shared);
+    ::log::info!(vm = shared.settings.vm.as_str(), callers:% = callers.local_addr(),
+        ready:% = ready.local_addr(); "gateway: listens");
+    while !cx.stop.wait_timeout(SWEEP) {
+        shared.pool.sweep();
+    }
+    stop(cx, &shared, &callers);
+    drop((ready, metrics));
+    Ok(())
+}
+
+fn stop<D: dialect::Dialect>(
+    cx: &context::Context,
+    shared: &state::Shared<D>,
+    callers: &server::Server,
+) {
+    let began = time::Instant::now();
+    let shutdown = shared.settings.shutdown;
+    let grace = time::Duration::from(shutdown.grace_ms);
+    let notice = time::Duration::from(shutdown.notice_ms);
+    ::log::info!(open = callers.connections_open(); "gateway: stopping, callers are sent elsewhere");
+    shared.stopping.store(true, sync::atomic::Ordering::Relaxed);
+    callers.drain();
+    while began.elapsed() < notice && !cx.stop.is_asked_again() {
+        thread::sleep(time::Duration::from_millis(50));
+    }
+    callers.stop_accepting();
+    callers.close_idle();
+    let left = grace.saturating_sub(LAST_MOMENT + began.elapsed());
+    let cut = callers.wait(left);
+    ::log::info!(cut; "gateway: stopped");
+}
+
+fn start<H: handler::Handler>(
+    address: net::SocketAddr,
+    limits: limits::Limits,
+    handler: H,
+) -> Result<server::Server, StartError> {
+    let failed = |problem: String| StartError::Listen { address, problem };
+    let listener = net::TcpListener::bind(address).map_err(|e| failed(e.to_string()))?;
+    server::Server::start(listener, limits, sync::Arc::new(handler))
+        .map_err(|e| failed(e.to_string()))
+}
+
+fn ready_limits() -> limits::Limits {
+    limits::Limits {
+        connections: READY_CONNECTIONS,
+        stack_bytes: STACK_BYTES,
+        ..limits::Limits::default()
+    }
+}
+
+/// Each connection of a caller may hold one to an endpoint.
+fn caller_limits(settings: &settings::FleetEntry) -> limits::Limits {
+    let resources = settings.resources;
+    let by_descriptors = resources.descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2;
+    let by_memory = resources.memory_mb * 1_024 / 2 / CONNECTION_KB;
+    limits::Limits {
+        connections: by_descriptors.min(by_memory).max(READY_CONNECTIONS),
+        stack_bytes: STACK_BYTES,
+        head_bytes: 32 * 1024,
+        head_timeout: time::Duration::from_secs(5),
+        idle_timeout: time::Duration::from_secs(20),
+        ..limits::Limits::default()
+    }
+}
--- /dev/null
+++ b/src/sageshed/gateway/state.rs
@@ -0,0 +1,283 @@
+//! What the threads of an entry process share.
+
+use std::{
+    collections, net,
+    sync::{self, atomic},
+    time as std_time,
+};
+
+use sageshed_fleet::{budget, chooser, config, dialect, directory, messages, routes};
+use sageshed_types::time;
+use sageshed_upstream::pool;
+
+use super::metrics;
+use crate::{clock, locks, settings};
+
+/// A configuration in force, indexed.
+#[derive(Debug)]
+pub struct Routing {
+    /// The configuration.
+    pub config: config::FleetConfig,
+    /// Its routes.
+    pub table: routes::RouteTable,
+}
+
+/// Shared by all threads of an entry process.
+#[derive(Debug)]
+pub struct Shared<D> {
+    /// The settings.
+    pub settings: settings::FleetEntry,
+    /// The protocol of callers and endpoints.
+    pub dialect: D,
+    /// This process's clock.
+    pub clock: clock::Clock,
+    /// Connections to endpoints.
+    pub pool: pool::Pool,
+    /// To control processes.
+    pub client: sageshed_vms::Client,
+    /// What is counted.
+    pub metrics: metrics::Metrics,
+    routing: sync::RwLock<Option<sync::Arc<Routing>>>,
+    core: sync::Mutex<Core>,
+    changed: sync::Condvar,
+    /// The control process that leads, as a number; zero if none is known.
+    leader: atomic::AtomicU32,
+    /// Set when the process is to stop.
+    pub stopping: atomic::AtomicBool,
+}
+
+/// What decisions are made by.
+#[derive(Debug)]
+pub struct Core {
+    /// Chooses endpoints.
+    pub chooser: chooser::Chooser,
+    /// Allows repeats.
+    pub budget: budget::RetryBudget,
+    /// What is known of endpoints.
+    pub directory: directory::Directory,
+    /// How many entry processes there are.
+    pub entries: usize,
+    demand: collections::HashMap<(String, String), messages::Demand>,
+    wanted: collections::HashMap<messages::WantReq, time::Instant>,
+    /// Counts changes that a waiting request may wait for.
+    changes: u64,
+}
+
+/// How long a want is taken to be under way before it is said again.
+const WANT_AGAIN: time::Millis = time::Millis(250);
+
+impl<D: dialect::Dialect> Shared<D> {
+    /// What a process with these settings starts with.
+    #[must_use]
+    pub fn new(settings: settings::FleetEntry, dialect: D) -> Self {
+        let retries = settings.retries;
+        let start = clock::unix_ms();
+        let seed = start ^ (u64::from(u32::from(settings.discovery.ip)) << 32);
+        let core = Core {
+            chooser: chooser::Chooser::new(&settings.availability_zone, seed),
+            budget: budget::RetryBudget::new(budget::Allowance {
+                ratio: retries.ratio,
+                slack: retries.slack,
+                window: retries.window_ms,
+            }),
+            directory: directory::Directory::new(start),
+            entries: 1,
+            demand: collections::HashMap::new(),
+            wanted: collections::HashMap::new(),
+            changes: 0,
+        };
+        Self {
+            settings,
+            dialect,
+            clock: clock::Clock::start(),
+            pool: pool::Pool::new(pool::Settings::default()),
+            client: sageshed_vms::Client::new(""),
+            metrics: metrics::Metrics::default(),
+            routing: sync::RwLock::new(None),
+            core: sync::Mutex::new(core),
+            changed: sync::Condvar::new(),
+            leader: atomic::AtomicU32::new(0),
+            stopping: atomic::AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration in force; none until one is known.
+    #[must_use]
+    pub fn routing(&self) -> Option<sync::Arc<Routing>> {
+        locks::read(&self.routing).as_ref().map(sync::Arc::clone)
+    }
+
+    /// The number of the configuration in force; zero if none is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        let routing = locks::read(&self.routing);
+        routing.as_ref().map_or(0, |it| it.config.version)
+    }
+
+    /// Puts a configuration in force, unless one with the same or a higher number is.
+    pub fn put_in_force(&self, config: config::FleetConfig) {
+        let version = config.version;
+        let table = routes::RouteTable::new(&config.routes);
+        let routing = sync::Arc::new(Routing { config, table });
+        let mut current = locks::write(&self.routing);
+        let held = current.as_ref().map_or(0, |it| it.config.version);
+        if version <= held {
+            return;
+        }
+        let count = routing.table.len();
+        *current = Some(routing);
+        drop(current);
+        ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
+    }
+
+    /// The control process that leads, as far as is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<net::Ipv4Addr> {
+        match self.leader.load(atomic::Ordering::Relaxed) {
+            0 => None,
+            ip => Some(ip.into()),
+        }
+    }
+
+    /// Takes note of who leads.
+    pub fn set_leader(&self, leader: Option<net::Ipv4Addr>) {
+        let ip = leader.map_or(0, u32::from);
+        let before = self.leader.swap(ip, atomic::Ordering::Relaxed);
+        if before != ip {
+            let leader = leader.map(|it| it.to_string()).unwrap_or_default();
+            ::log::info!(leader; "gateway: leader changed");
+        }
+    }
+
+    /// Decides by what is known now.
+    pub fn with_core<T>(&self, decide: impl FnOnce(&mut Core) -> T) -> T {
+        decide(&mut locks::lock(&self.core))
+    }
+
+    /// Takes records of endpoints, and wakes the requests that wait for one.
+    pub fn take_records(&self, records: Vec<directory::Record>, entries: usize) {
+        let now = self.clock.now();
+        let mut core = locks::lock(&self.core);
+        core.entries = entries.max(1);
+        let mut is_news = false;
+        for record in records {
+            is_news |= self.take_record(&mut core, now, record);
+        }
+        if is_news {
+            core.changes += 1;
+            drop(core);
+            self.changed.notify_all();
+        }
+    }
+
+    fn take_record(&self, core: &mut Core, now: time::Instant, record: directory::Record) -> bool {
+        let instance = record.instance.clone();
+        match core.directory.merge(now, record) {
+            directory::Offer::Confirmed | directory::Offer::Stale => false,
+            offer @ (directory::Offer::New | directory::Offer::Changed) => {
+                core.chooser.know(&instance);
+                let state = instance.state;
+                if state == directory::State::Gone {
+                    self.pool.forget(instance.address);
+                }
+                ::log::info!(endpoint = instance.id.as_str(), offer:? = offer, state:? = state,
+                    sequence = instance.sequence; "gateway: endpoint changed");
+                true
+            }
+        }
+    }
+
+    /// Waits until something changed since `seen`, for `limit` at the most. Returns the count of
+    /// changes to wait from next.
+    #[must_use]
+    pub fn wait(&self, seen: u64, limit: std_time::Duration) -> u64 {
+        let (core, _) = self
+            .changed
+            .wait_timeout_while(locks::lock(&self.core), limit, |core| core.changes == seen)
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        core.changes
+    }
+
+    /// A place has become free: wakes the requests that wait for one.
+    pub fn place_freed(&self) {
+        self.changed.notify_all();
+    }
+
+    /// Whether the process is to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Whether the balancer may send callers here: a configuration and endpoints are known.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.version() > 0 && self.with_core(|it| it.chooser.knows_any())
+    }
+}
+
+impl Core {
+    /// The count of changes so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Counts what a caller asks for.
+    pub fn ask(&mut self, service: &str, wanted: &dialect::Wanted, passing: &dialect::Passing) {
+        let demand = self.demand_of(service, &wanted.model);
+        demand.requests += 1;
+        demand.prompt_tokens += passing.prompt_tokens;
+        demand.output_tokens += passing.output_tokens;
+        if let Some(adapter) = &wanted.adapter
+            && !demand.adapters.contains(adapter)
+        {
+            demand.adapters.push(adapter.clone());
+        }
+    }
+
+    /// Counts a request that waits for a model.
+    pub fn wait_for_model(&mut self, service: &str, model: &str) {
+        self.demand_of(service, model).waiting += 1;
+    }
+
+    fn demand_of(&mut self, service: &str, model: &str) -> &mut messages::Demand {
+        let key = (service.to_owned(), model.to_owned());
+        self.demand.entry(key).or_insert_with(|| messages::Demand {
+            service: service.to_owned(),
+            model: model.to_owned(),
+            requests: 0,
+            prompt_tokens: 0,
+            output_tokens: 0,
+            waiting: 0,
+            adapters: Vec::new(),
+        })
+    }
+
+    /// Takes out what was counted since the last time.
+    pub fn take_demand(&mut self) -> Vec<messages::Demand> {
+        self.demand.drain().map(|(_, demand)| demand).collect()
+    }
+
+    /// Puts back what could not be told.
+    pub fn put_back(&mut self, told: Vec<messages::Demand>) {
+        for it in told {
+            let demand = self.demand_of(&it.service, &it.model);
+            demand.requests += it.requests;
+            demand.prompt_tokens += it.prompt_tokens;
+            demand.output_tokens += it.output_tokens;
+            demand.waiting += it.waiting;
+            demand.adapters.extend(it.adapters);
+        }
+    }
+
+    /// Whether a want has to be said now: requests that wait for the same adapter say it once.
+    pub fn says_want(&mut self, now: time::Instant, want: &messages::WantReq) -> bool {
+        self.wanted.retain(|_, at| now.since(*at) < WANT_AGAIN);
+        if self.wanted.contains_key(want) {
+            return false;
+        }
+        self.wanted.insert(want.clone(), now);
+        true
+    }
+}
--- a/src/sageshed/settings/common.rs
+++ b/src/sageshed/settings/common.rs
@@ -20,6 +20,8 @@
     pub vms_token: String,
     /// The system's own VMs.
     pub vms: Vec<Vm>,
+    /// Set where no list of VMs is kept and processes find each other by seeds.
+    pub discovery: Option<super::Discovery>,
     /// The models and adapters on offer.
     pub models: Vec<catalog::Model>,
     /// The plain services on offer.
