--- a/src/sageshed/settings/load.rs
+++ b/src/sageshed/settings/load.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Common, Control, ControlListen, Entry, EntryListen, Limits, Log, Problem, Problems, RuleFile,
-    checks, reader, rule_file,
+    checks, fleet, reader, rule_file,
 };
 
 /// A settings file of any kind.
@@ -16,6 +16,10 @@
     Control(Box<Control>),
     /// What all VMs share.
     Common(Box<Common>),
+    /// Of an entry process that finds others by seeds.
+    FleetEntry(Box<fleet::FleetEntry>),
+    /// Of a control process that finds others by seeds.
+    FleetControl(Box<fleet::FleetControl>),
     /// Rules, which are no settings of a process but are checked the same way.
     Rules(RuleFile),
 }
@@ -25,6 +29,8 @@
     Entry,
     Control,
     Common,
+    FleetEntry,
+    FleetControl,
     Rules,
 }
 
@@ -37,6 +43,8 @@
         Kind::Entry => entry(file).map(|it| Settings::Entry(Box::new(it))),
         Kind::Control => control(file).map(|it| Settings::Control(Box::new(it))),
         Kind::Common => common(file).map(|it| Settings::Common(Box::new(it))),
+        Kind::FleetEntry => fleet_entry(file).map(|it| Settings::FleetEntry(Box::new(it))),
+        Kind::FleetControl => fleet_control(file).map(|it| Settings::FleetControl(Box::new(it))),
         Kind::Rules => rule_file::read_rules(file).map(Settings::Rules),
     }
 }
@@ -45,7 +53,11 @@
     let Ok(reader) = source.reader() else {
         return Kind::Common;
     };
-    if reader.has("data") {
+    if reader.has("discovery") && reader.has("data") {
+        Kind::FleetControl
+    } else if reader.has("discovery") {
+        Kind::FleetEntry
+    } else if reader.has("data") {
         Kind::Control
     } else if reader.has("vm") || reader.has("common") {
         Kind::Entry
@@ -70,6 +82,35 @@
     finish(problems, value)
 }
 
+/// Whether the file at `file` is of a process that finds others by seeds.
+#[must_use]
+pub fn is_fleet(file: &path::Path) -> bool {
+    let kind = reader::Source::read(file).map(|source| kind(&source));
+    matches!(kind, Ok(Kind::FleetEntry | Kind::FleetControl))
+}
+
+/// Reads and checks the settings of an entry process that finds others by seeds.
+pub fn fleet_entry(file: &path::Path) -> Result<fleet::FleetEntry, Problems> {
+    let mut problems = Vec::new();
+    let source = open(file, &mut problems);
+    let value = source.as_ref().and_then(|source| {
+        let reader = parse(source, &mut problems)?;
+        fleet::read_entry(file, reader, &mut problems)
+    });
+    finish(problems, value)
+}
+
+/// Reads and checks the settings of a control process that finds others by seeds.
+pub fn fleet_control(file: &path::Path) -> Result<fleet::FleetControl, Problems> {
+    let mut problems = Vec::new();
+    let source = open(file, &mut problems);
+    let value = source.as_ref().and_then(|source| {
+        let reader = parse(source, &mut problems)?;
+        fleet::read_control(file, reader, &mut problems)
+    });
+    finish(problems, value)
+}
+
 /// Reads and checks the settings that all VMs share.
 pub fn common(file: &path::Path) -> Result<Common, Problems> {
     let mut problems = Vec::new();
@@ -183,6 +224,7 @@
         vms_token_file: token_file.map(|it| it.value),
         vms_token,
         vms: values(vms),
+        discovery: None,
         models: values(models),
         services: values(services),
         classes: values(classes),
@@ -225,7 +267,7 @@
 }
 
 /// `path` as the settings at `file` mean it.
-fn beside(file: &path::Path, path: &path::Path) -> path::PathBuf {
+pub(super) fn beside(file: &path::Path, path: &path::Path) -> path::PathBuf {
     match file.parent() {
         Some(folder) => folder.join(path),
         None => path.to_owned(),
--- a/src/sageshed/settings/mod.rs
+++ b/src/sageshed/settings/mod.rs
@@ -8,6 +8,7 @@
 mod address;
 mod checks;
 mod common;
+mod fleet;
 mod limits;
 mod load;
 mod problem;
@@ -16,8 +17,12 @@
 mod rule_file;
 
 pub use common::{Claims, Common, ControlGroup, Lease, Operator, Service, Vm};
+pub use fleet::{
+    Discovery, FleetControl, FleetEntry, FleetEntryListen, FleetShutdown, Orders, Resources,
+    Retries,
+};
 pub use limits::Limits;
-pub use load::{Settings, common, control, entry, load};
+pub use load::{Settings, common, control, entry, fleet_control, fleet_entry, is_fleet, load};
 pub use problem::{Problem, Problems};
 pub use process::{Control, ControlListen, Entry, EntryListen, Format, Level, Log, Shutdown};
 pub use rule_file::{Checked, RuleFile, parse_rules, read_rules, rule_errors};
