Count an engine's adapters by the leader's own account

Cause: an engine announces itself every 1.2 s, and the directory took each announcement as it came.

Ruled out: late orders of an earlier leader (every order that broke it was answered by the one that gave it), weights (all were adapter loads).

Change: the planner keeps the adapters that it ordered until an unload or the loss of the model shows in a report, counts the union with what the engine says, and shows them again where an older word hid them. Weights count the latest report too, and an engine busy for an earlier leader gets no order.

--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -1,5 +1,7 @@
 //! The account of one engine: the orders it was given, and what it may hold at its worst.
 
+use std::collections;
+
 use sageshed_types::time;
 
 use crate::{config, dialect, directory};
@@ -84,6 +86,11 @@
     /// Orders that it has accepted; none until it was asked.
     accepted: Option<u64>,
     open: Vec<Open>,
+    /// Adapters that it was told to load, with when they arrive. An engine announces itself now and
+    /// then, and its word may be older than an order that it has carried out since.
+    adapters: collections::BTreeMap<(String, String), time::Instant>,
+    /// The models in its latest report.
+    reported: Vec<String>,
     asked_at: Option<time::Instant>,
     /// It refused, or could not be reached: no order before.
     rest_until: time::Instant,
@@ -98,14 +105,46 @@
             (dialect::Task::Load(model), _) => instance.resident(model).is_none(),
             // The directory is amended when the order is taken, so only a report tells.
             (dialect::Task::Unload(_), Fate::Accepted(_)) => true,
-            (dialect::Task::LoadAdapter(..), Fate::Accepted(_)) => true,
-            (dialect::Task::UnloadAdapter(..), Fate::Accepted(_)) => false,
+            (dialect::Task::LoadAdapter(..) | dialect::Task::UnloadAdapter(..), _) => true,
+        });
+        let open = &self.open;
+        self.adapters.retain(|(model, _), _| {
+            let drops = |it: &Open| matches!(&it.task, dialect::Task::Unload(m) if m == model);
+            instance.resident(model).is_some() || open.iter().any(drops)
         });
     }
 
+    /// The adapters that it has by now and that its own word does not show.
+    pub(super) fn unshown(
+        &self,
+        now: time::Instant,
+        instance: &directory::Instance,
+    ) -> Vec<dialect::Task> {
+        let mut tasks = Vec::new();
+        for ((model, adapter), arrives) in &self.adapters {
+            let is_shown = instance.holds(model, Some(adapter));
+            let drops = self.drops(model) || self.drops_adapter(model, adapter);
+            if now >= *arrives && !is_shown && !drops && instance.resident(model).is_some() {
+                tasks.push(dialect::Task::LoadAdapter(model.clone(), adapter.clone()));
+            }
+        }
+        tasks
+    }
+
+    fn drops_adapter(&self, model: &str, adapter: &str) -> bool {
+        self.open.iter().any(|it| {
+            matches!(&it.task, dialect::Task::UnloadAdapter(m, a) if m == model && a == adapter)
+        })
+    }
+
     /// Whether its count of orders is not known, or an order should have shown by now.
     pub(super) fn needs_report(&self, now: time::Instant) -> bool {
-        let drops = |it: &Open| matches!(it.task, dialect::Task::Unload(_));
+        let drops = |it: &Open| {
+            matches!(
+                it.task,
+                dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..)
+            )
+        };
         let interval = if self.open.iter().any(drops) {
             UNLOAD_INTERVAL
         } else {
@@ -114,7 +153,9 @@
         let lately = self.asked_at.is_some_and(|at| now.since(at) < interval);
         let overdue = |it: &Open| match (it.fate, &it.task) {
             (Fate::Accepted(by), dialect::Task::Load(_)) => now >= by + LOAD_PATIENCE,
-            (Fate::Accepted(_), dialect::Task::Unload(_)) => true,
+            (Fate::Accepted(_), dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..)) => {
+                true
+            }
             (Fate::Unknown(_), _) => true,
             _ => false,
         };
@@ -130,13 +171,23 @@
         let Some(report) = report else {
             return;
         };
-        self.accepted = Some(report.accepted);
+        self.reported = report.models.iter().map(|it| it.model.clone()).collect();
+        // What it is doing was ordered by an earlier leader, and shows only once it is done.
+        let is_foreign = report.is_busy && !self.open.iter().any(|it| it.task.is_weights());
+        self.accepted = (!is_foreign).then_some(report.accepted);
         for open in &mut self.open {
             let is_carried_out = report.accepted > open.accepted_before;
             if is_carried_out && matches!(open.fate, Fate::Unknown(_)) {
                 open.fate = Fate::Accepted(now + open.load_time);
             }
         }
+        let has = |model: &str, adapter: &str| {
+            let mut held = report.models.iter().filter(|it| it.model == model);
+            let pending = report.adapters_pending.iter();
+            held.any(|it| it.adapters.iter().any(|a| a == adapter))
+                || pending.into_iter().any(|(m, a)| m == model && a == adapter)
+        };
+        let adapters = &mut self.adapters;
         self.open.retain(|open| match (&open.task, open.fate) {
             (dialect::Task::Load(model), Fate::Accepted(by)) => {
                 let holds = report.models.iter().any(|it| it.model == *model);
@@ -147,6 +198,19 @@
             (dialect::Task::Unload(model), Fate::Accepted(_)) => {
                 report.is_busy || report.models.iter().any(|it| it.model == *model)
             }
+            (dialect::Task::LoadAdapter(model, adapter), Fate::Accepted(_)) => {
+                if has(model, adapter) {
+                    adapters.insert((model.clone(), adapter.clone()), now);
+                }
+                false
+            }
+            (dialect::Task::UnloadAdapter(model, adapter), Fate::Accepted(_)) => {
+                let is_there = has(model, adapter);
+                if !is_there {
+                    adapters.remove(&(model.clone(), adapter.clone()));
+                }
+                is_there
+            }
             _ => true,
         });
     }
@@ -166,17 +230,19 @@
         match answer {
             Some(dialect::OrderAnswer::Accepted) => {
                 self.accepted = Some(order.accepted_before + 1);
-                let span = match order.task {
-                    dialect::Task::LoadAdapter(..) => ADAPTER_ARRIVAL,
-                    _ => load_time,
-                };
-                self.open[at].fate = Fate::Accepted(now + span);
+                self.open[at].fate = Fate::Accepted(now + load_time);
+                if let dialect::Task::LoadAdapter(model, adapter) = &order.task {
+                    let key = (model.clone(), adapter.clone());
+                    self.adapters.insert(key, now + ADAPTER_ARRIVAL);
+                    self.open.remove(at);
+                }
                 true
             }
             Some(dialect::OrderAnswer::Done) => {
                 // Whether it has counted this one is not said.
                 self.accepted = None;
                 self.open[at].fate = Fate::Accepted(now);
+                self.done(now, at, &order.task);
                 true
             }
             None => {
@@ -199,6 +265,20 @@
         }
     }
 
+    /// Notes what an order about an adapter did at once.
+    fn done(&mut self, now: time::Instant, at: usize, task: &dialect::Task) {
+        match task {
+            dialect::Task::LoadAdapter(model, adapter) => {
+                self.adapters.insert((model.clone(), adapter.clone()), now);
+            }
+            dialect::Task::UnloadAdapter(model, adapter) => {
+                self.adapters.remove(&(model.clone(), adapter.clone()));
+            }
+            dialect::Task::Load(_) | dialect::Task::Unload(_) => return,
+        }
+        self.open.remove(at);
+    }
+
     /// Notes an order that goes out. Returns the number of orders accepted before, or none where the
     /// engine can take no order now.
     pub(super) fn begin(
@@ -232,30 +312,19 @@
 
     /// Whether it can take an order about adapters now.
     pub(super) fn takes_adapters(&self, now: time::Instant) -> bool {
-        let in_transit = self.open.iter().filter(|it| !it.task.is_weights()).count();
+        let in_transit = self.adapters.values().filter(|at| now < **at).count();
         self.takes_any(now) && in_transit < ADAPTERS_IN_TRANSIT
     }
 
     fn takes_any(&self, now: time::Instant) -> bool {
-        let unsettled = |it: &Open| !matches!(it.fate, Fate::Accepted(_));
+        let unsettled = |it: &Open| {
+            let drops_adapter = matches!(it.task, dialect::Task::UnloadAdapter(..));
+            drops_adapter || !matches!(it.fate, Fate::Accepted(_))
+        };
         let is_open = self.open.iter().any(unsettled);
         self.accepted.is_some() && !is_open && now >= self.rest_until
     }
 
-    /// Takes out the adapters that had the time to arrive.
-    pub(super) fn take_arrived(&mut self, now: time::Instant) -> Vec<dialect::Task> {
-        let mut arrived = Vec::new();
-        self.open.retain(|open| {
-            let is_adapter = matches!(open.task, dialect::Task::LoadAdapter(..));
-            let is_there = matches!(open.fate, Fate::Accepted(by) if now >= by);
-            if is_adapter && is_there {
-                arrived.push(open.task.clone());
-            }
-            !(is_adapter && is_there)
-        });
-        arrived
-    }
-
     /// Megabytes that it may hold.
     pub(super) fn weights_at_worst(
         &self,
@@ -269,25 +338,33 @@
             .iter()
             .map(|it| it.adapter_mb)
             .fold(0.0, f64::max);
-        let held: f64 = instance.models.iter().map(|it| mb(&it.model)).sum();
-        // One that is told to drop a model holds it until its requests are done.
-        let dropping = self.open.iter().filter_map(|it| match &it.task {
-            dialect::Task::Unload(model) if instance.resident(model).is_none() => Some(mb(model)),
-            dialect::Task::Load(model) if instance.resident(model).is_none() => Some(mb(model)),
-            _ => None,
-        });
+        // One that is told to drop a model holds it until its requests are done, and its own word may
+        // be older than its report.
+        let ordered = self.open.iter().filter(|it| it.task.is_weights());
+        let ordered = ordered.map(|it| it.task.model());
+        let reported = self.reported.iter().map(String::as_str);
+        let shown = instance.models.iter().map(|it| it.model.as_str());
+        let may_hold: collections::BTreeSet<&str> = shown.chain(reported).chain(ordered).collect();
+        let held: f64 = may_hold.into_iter().map(mb).sum();
         let adapters = f64::from(offer.adapter_slots) * adapter_mb;
-        held + dropping.sum::<f64>() + adapters
+        held + adapters
     }
 
     /// Adapters that it may hold.
     pub(super) fn adapters_at_worst(&self, instance: &directory::Instance) -> usize {
-        let held: usize = instance.models.iter().map(|it| it.adapters.len()).sum();
-        let coming = self.open.iter().filter(|it| {
-            matches!(&it.task, dialect::Task::LoadAdapter(model, adapter)
-                if !instance.holds(model, Some(adapter)))
-        });
-        held + coming.count()
+        let mut may_hold: collections::BTreeSet<(&str, &str)> = collections::BTreeSet::new();
+        for resident in &instance.models {
+            let adapters = resident.adapters.iter();
+            may_hold.extend(adapters.map(|it| (resident.model.as_str(), it.as_str())));
+        }
+        let told = self.adapters.keys();
+        may_hold.extend(told.map(|(model, adapter)| (model.as_str(), adapter.as_str())));
+        for open in &self.open {
+            if let dialect::Task::LoadAdapter(model, adapter) = &open.task {
+                may_hold.insert((model, adapter));
+            }
+        }
+        may_hold.len()
     }
 
     pub(super) fn awaits(&self, model: &str, adapter: &str) -> bool {
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -190,9 +190,12 @@
             return Vec::new();
         };
         let is_taken = engine.answered(now, order, answer);
-        let is_adapter_load = matches!(order.task, dialect::Task::LoadAdapter(..));
-        // Loaded adapters are shown by the tick once they had the time to arrive.
-        if is_taken && !is_adapter_load && !matches!(order.task, dialect::Task::Load(_)) {
+        let drops = matches!(
+            order.task,
+            dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..)
+        );
+        // What is loaded shows once it had the time to arrive.
+        if is_taken && drops {
             return vec![amend(&order.instance, &order.task)];
         }
         Vec::new()
@@ -221,7 +224,7 @@
             return Vec::new();
         }
         self.see(now, instances);
-        let mut actions = self.arrived_adapters(now);
+        let mut actions = self.unshown_adapters(now, instances);
         for service in &config.services {
             let Some(offer) = &service.engines else {
                 continue;
@@ -254,12 +257,19 @@
         self.wants.retain(|it| now.since(it.at) < WANT_LIFE);
     }
 
-    fn arrived_adapters(&mut self, now: time::Instant) -> Vec<Action> {
+    /// Shows the adapters that engines were told to load, once they had the time to arrive.
+    fn unshown_adapters(
+        &self,
+        now: time::Instant,
+        instances: &[&directory::Instance],
+    ) -> Vec<Action> {
         let mut actions = Vec::new();
-        for (id, engine) in &mut self.engines {
-            for task in engine.take_arrived(now) {
-                actions.push(amend(id, &task));
-            }
+        for instance in instances {
+            let Some(engine) = self.engines.get(&instance.id) else {
+                continue;
+            };
+            let unshown = engine.unshown(now, instance);
+            actions.extend(unshown.iter().map(|task| amend(&instance.id, task)));
         }
         actions
     }
