Draw election timeouts by the node too, not only by the time of its start

Cause: each voter seeded its generator with the millisecond of its start. This fits the one failover of 11.4 s that was left unexplained: its processes were started by one script.

Ruled out: slow disks (the same terms with a 1 ms sync), lost messages (votes went out and were answered within 3 ms).

Change: the node's id goes into the seed. The new test has five nodes start in one millisecond; before, all five drew 1,724 ms. The test that finds the missing guard of syncing by random runs looks through as many runs as before, from 760 on and not from 560: with other draws the runs that show it are others (22 of 12,000, the first is 813).

--- a/crates/sageshed-quorum/src/node.rs
+++ b/crates/sageshed-quorum/src/node.rs
@@ -62,8 +62,7 @@
 }
 
 impl Node {
-    /// A node with what it found on its disk. `seed` draws its timeouts and should differ between
-    /// the nodes of a group.
+    /// A node with what it found on its disk. Its timeouts are drawn by `seed` and by its id.
     ///
     /// The state machine starts from the snapshot in `restored`; entries after it come as
     /// [`event::Action::Apply`] once they are known to be committed.
@@ -91,10 +90,10 @@
             hard,
         };
         Self {
-            cfg,
             state,
             timers: Timers::default(),
-            rng: rng::SplitMix64::new(seed),
+            rng: rng::SplitMix64::of_node(cfg.id, seed),
+            cfg,
         }
     }
 
--- a/crates/sageshed-quorum/src/rng.rs
+++ b/crates/sageshed-quorum/src/rng.rs
@@ -1,5 +1,7 @@
 //! The generator from which election timeouts are drawn.
 
+use crate::log;
+
 /// A splitmix64 generator (Steele, Lea and Flood, 2014): one word of state, the same sequence for
 /// the same seed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -10,6 +12,18 @@
         Self(seed)
     }
 
+    /// The generator of one node.
+    ///
+    /// Drivers seed with the time of their start. Processes that were all killed at once start in the
+    /// same millisecond, and with the same seed they would stand for election at the same moments
+    /// again and again, each with its own vote. So the node goes into the seed too.
+    pub(crate) fn of_node(id: log::NodeId, seed: u64) -> Self {
+        let mut mixed = Self::new(u64::from(id.vm));
+        let vm = mixed.below(u64::MAX);
+        let mut mixed = Self::new(vm ^ id.generation);
+        Self::new(seed ^ mixed.below(u64::MAX))
+    }
+
     /// A number below `bound`, which must not be zero.
     pub(crate) fn below(&mut self, bound: u64) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/sageshed-quorum/tests/testsuite/guards.rs
+++ b/crates/sageshed-quorum/tests/testsuite/guards.rs
@@ -93,7 +93,7 @@
                 ..all
             },
         ),
-        (560, config::Guards { sync: false, ..all }),
+        (760, config::Guards { sync: false, ..all }),
     ];
     for (first, guards) in cases {
         let mut seeds = first..first + 200;
--- a/crates/sageshed-quorum/tests/testsuite/main.rs
+++ b/crates/sageshed-quorum/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod guards;
 mod messages;
 mod random;
+mod same_start;
 mod scenarios;
 mod sim;
