Refuse what comes in the last seconds of a stopping entry process

Cause: a stream that began before the stop has promised to keep its connection.

Ruled out: the accepting socket (it was closed 2.5 s after the signal), the balancer (the connection was made before the signal).

Change: once the balancer has had its time, a request on a kept connection is answered at once that it has not run. Paces of streams are logged at debug level.

--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -386,18 +386,15 @@
         if open.is_empty() {
             return Err(Missing::Endpoint);
         }
-        match ask.wanted {
-            Some(wanted) => self.holders(now, open, wanted),
-            None => {
-                let room =
-                    |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
-                let free: Vec<_> = open.into_iter().filter(room).collect();
-                if free.is_empty() {
-                    Err(Missing::Place)
-                } else {
-                    Ok(free)
-                }
-            }
+        if let Some(wanted) = ask.wanted {
+            return self.holders(now, open, wanted);
+        }
+        let room = |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
+        let free: Vec<_> = open.into_iter().filter(room).collect();
+        if free.is_empty() {
+            Err(Missing::Place)
+        } else {
+            Ok(free)
         }
     }
 
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -72,20 +72,27 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answered<'a> {
     /// The id of the request that it answers.
     pub id: Option<&'a str>,
-    /// Whether the endpoint vouches for it.
-    pub is_signed: bool,
-    /// Whether the endpoint says that it did not run the request and never will.
-    pub is_not_run: bool,
-    /// Whether the endpoint is not the start that was meant.
-    pub is_other_instance: bool,
+    /// What it says of the request.
+    pub word: Word,
     /// Its load, where it tells.
     pub load: Option<Load>,
-    /// Whether its body is coded, so that it is not the endpoint's own.
-    pub is_coded: bool,
+}
+
+/// What an endpoint's answer says of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// The endpoint ran it and vouches for the answer.
+    Vouched,
+    /// Nobody vouches for the answer, or its body is not as the endpoint made it.
+    Unvouched,
+    /// The endpoint did not run it and never will.
+    NotRun,
+    /// The same, since it is not the start of the endpoint that was meant, or does not hold the model.
+    Misdirected,
 }
 
 /// What an endpoint says of its load.
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -99,13 +99,12 @@
 impl Engine {
     /// Closes the orders whose outcome the engine's own word shows.
     pub(super) fn see(&mut self, now: time::Instant, instance: &directory::Instance) {
+        // Of accepted orders a load shows in the engine's word. The rest shows only in a report, since
+        // the directory is amended when such an order is taken.
         self.open.retain(|open| match (&open.task, open.fate) {
-            (_, Fate::Sent) => true,
             (_, Fate::Unknown(until)) => now < until,
-            (dialect::Task::Load(model), _) => instance.resident(model).is_none(),
-            // The directory is amended when the order is taken, so only a report tells.
-            (dialect::Task::Unload(_), Fate::Accepted(_)) => true,
-            (dialect::Task::LoadAdapter(..) | dialect::Task::UnloadAdapter(..), _) => true,
+            (dialect::Task::Load(model), Fate::Accepted(_)) => instance.resident(model).is_none(),
+            (_, Fate::Sent | Fate::Accepted(_)) => true,
         });
         let open = &self.open;
         self.adapters.retain(|(model, _), _| {
@@ -153,10 +152,8 @@
         let lately = self.asked_at.is_some_and(|at| now.since(at) < interval);
         let overdue = |it: &Open| match (it.fate, &it.task) {
             (Fate::Accepted(by), dialect::Task::Load(_)) => now >= by + LOAD_PATIENCE,
-            (Fate::Accepted(_), dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..)) => {
-                true
-            }
-            (Fate::Unknown(_), _) => true,
+            (Fate::Accepted(_), dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..))
+            | (Fate::Unknown(_), _) => true,
             _ => false,
         };
         let is_sending = self.open.iter().any(|it| it.fate == Fate::Sent);
--- a/crates/sageshed-upstream/src/body.rs
+++ b/crates/sageshed-upstream/src/body.rs
@@ -54,7 +54,7 @@
             Filled::End if *framing == Framing::UntilClose => *framing = Framing::Ended,
             Filled::End => {
                 let detail = "the connection ended inside the body";
-                return Err(Failure::sent(Cause::ClosedInAnswer, detail));
+                return Err(Failure::sent(Cause::ClosedInAnswer, &detail));
             }
         }
     }
@@ -135,5 +135,5 @@
 }
 
 fn malformed(detail: &str) -> Failure {
-    Failure::sent(Cause::Malformed, detail)
+    Failure::sent(Cause::Malformed, &detail)
 }
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -142,7 +142,7 @@
             whole.extend(bytes);
             if whole.len() > most {
                 let detail = format!("the answer is larger than {most} bytes");
-                return Err(Failure::sent(Cause::Malformed, detail));
+                return Err(Failure::sent(Cause::Malformed, &detail));
             }
         }
         Ok(whole)
@@ -161,7 +161,7 @@
         self.read_whole(most, patience)?;
         if !self.keeps {
             let detail = "only the answer to another request came";
-            return Err(Failure::sent(Cause::ClosedBeforeAnswer, detail));
+            return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
         }
         let (head, framing) = read_head(&mut self.socket, self.is_head_request, patience)?;
         self.keeps = !head.has_option("connection", "close");
@@ -210,7 +210,7 @@
         }
         if socket.fill(patience)? == Filled::End {
             let detail = "the connection ended before the head";
-            return Err(Failure::sent(Cause::ClosedBeforeAnswer, detail));
+            return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
         }
     }
 }
@@ -254,5 +254,5 @@
 }
 
 fn malformed(detail: &str) -> Failure {
-    Failure::sent(Cause::Malformed, detail)
+    Failure::sent(Cause::Malformed, &detail)
 }
--- a/crates/sageshed-upstream/src/failure.rs
+++ b/crates/sageshed-upstream/src/failure.rs
@@ -43,7 +43,7 @@
 
 impl Failure {
     /// Of a request of which no byte left.
-    pub(crate) fn unsent(cause: Cause, detail: impl ToString) -> Self {
+    pub(crate) fn unsent(cause: Cause, detail: &impl ToString) -> Self {
         Self {
             cause,
             is_sent: false,
@@ -52,7 +52,7 @@
     }
 
     /// Of a request that may have run.
-    pub(crate) fn sent(cause: Cause, detail: impl ToString) -> Self {
+    pub(crate) fn sent(cause: Cause, detail: &impl ToString) -> Self {
         Self {
             cause,
             is_sent: true,
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -66,11 +66,11 @@
         let opened = net::TcpStream::connect_timeout(&address.into(), limit);
         let stream = opened.map_err(|e| match e.kind() {
             io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => {
-                Failure::unsent(Cause::ConnectTimedOut, e)
+                Failure::unsent(Cause::ConnectTimedOut, &e)
             }
-            _ => Failure::unsent(Cause::Refused, e),
+            _ => Failure::unsent(Cause::Refused, &e),
         })?;
-        prepare(&stream).map_err(|e| Failure::unsent(Cause::Refused, e))?;
+        prepare(&stream).map_err(|e| Failure::unsent(Cause::Refused, &e))?;
         Ok(Self {
             stream,
             buf: Vec::new(),
@@ -136,10 +136,10 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) => {
                     if let Some(cause) = patience.over() {
-                        return Err(Failure::sent(cause, "while an answer was awaited"));
+                        return Err(Failure::sent(cause, &"while an answer was awaited"));
                     }
                 }
-                Err(e) => return Err(Failure::sent(Cause::ClosedBeforeAnswer, e)),
+                Err(e) => return Err(Failure::sent(Cause::ClosedBeforeAnswer, &e)),
             }
         }
     }
@@ -168,8 +168,8 @@
 
 fn failed(is_sent: bool, cause: Cause, detail: &str) -> Failure {
     if is_sent {
-        Failure::sent(cause, detail)
+        Failure::sent(cause, &detail)
     } else {
-        Failure::unsent(cause, detail)
+        Failure::unsent(cause, &detail)
     }
 }
--- a/src/bin/sageshed/commands/control.rs
+++ b/src/bin/sageshed/commands/control.rs
@@ -47,5 +47,5 @@
     logs::start(&settings.control.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
-    control::run_fleet(cx, settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
+    control::run_fleet(cx, &settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
 }
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -20,7 +20,7 @@
 const CALLERS: usize = 6;
 
 /// How long an engine may take to answer an order or a question.
-const CALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
+const CALL_LIMIT: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// The largest answer of an engine, in bytes.
 const ANSWER_BYTES: usize = 256 * 1024;
@@ -279,7 +279,7 @@
         stop: &|| false,
     };
     // A connection that the engine closes in this very moment would leave the fate of an order open.
-    let max_age = std_time::Duration::from_millis(1_000);
+    let max_age = std_time::Duration::from_secs(1);
     let mut answer = pool.exchange(address, &req, max_age, &patience)?;
     let status = answer.head.status;
     let body = answer.read_whole(ANSWER_BYTES, &patience)?;
--- a/src/sageshed/control/fleet/port.rs
+++ b/src/sageshed/control/fleet/port.rs
@@ -146,13 +146,13 @@
     fn replace(&self, body: &[u8]) -> Outcome {
         let config = match self.dialect.config(body) {
             Ok(config) => config,
-            Err(e) => return self.refuse_config(e.to_string()),
+            Err(e) => return refuse_config(e.to_string()),
         };
         if let Err(e) = config.check() {
-            return self.refuse_config(e.to_string());
+            return refuse_config(e.to_string());
         }
         let Ok(text) = String::from_utf8(body.to_vec()) else {
-            return self.refuse_config("it is not UTF-8".to_owned());
+            return refuse_config("it is not UTF-8".to_owned());
         };
         if let Some(elsewhere) = self.elsewhere() {
             return elsewhere;
@@ -178,11 +178,6 @@
         }
     }
 
-    fn refuse_config(&self, why: String) -> Outcome {
-        ::log::warn!(why = why.as_str(); "control: invalid configuration refused");
-        Outcome::Invalid(why)
-    }
-
     fn is_large_enough(&self) -> bool {
         let Some(discovery) = &self.shared.settings.common.discovery else {
             return true;
@@ -224,3 +219,8 @@
         }
     }
 }
+
+fn refuse_config(why: String) -> Outcome {
+    ::log::warn!(why = why.as_str(); "control: invalid configuration refused");
+    Outcome::Invalid(why)
+}
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -86,7 +86,7 @@
 /// endpoints.
 pub fn run_fleet<D: dialect::Dialect>(
     cx: &context::Context,
-    settings: settings::FleetControl,
+    settings: &settings::FleetControl,
     dialect: D,
 ) -> Result<(), StartError> {
     let found = open(&settings.control)?;
@@ -98,7 +98,7 @@
         &process.shared,
         &process.inputs,
         &process.client,
-        &settings,
+        settings,
         dialect,
     )?;
     let result = process.finish(cx, found);
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -167,26 +167,31 @@
     #[must_use]
     pub fn control_peers(&self) -> collections::BTreeSet<u32> {
         let own = self.node.vm;
-        let mut peers: collections::BTreeSet<u32> = match &self.settings.common.discovery {
-            Some(discovery) => {
-                let seeds = discovery.seeds.iter().map(|seed| u32::from(*seed.ip()));
-                let known = locks::read(&self.known);
-                let members = locks::read(&self.view).status.membership.clone();
-                let members: Vec<u32> = members.members().map(|id| id.vm).collect();
-                let known = known.iter().map(|ip| u32::from(*ip));
-                seeds.chain(known).chain(members).collect()
-            }
-            None => {
-                let vms = self.settings.common.vms.iter();
-                vms.filter(|vm| vm.control.is_some())
-                    .map(|vm| vm.number)
-                    .collect()
-            }
-        };
+        let mut peers = self
+            .settings
+            .common
+            .discovery
+            .as_ref()
+            .map_or_else(|| self.listed_control(), |it| self.found_control(it));
         peers.remove(&own);
         peers
     }
 
+    fn listed_control(&self) -> collections::BTreeSet<u32> {
+        let vms = self.settings.common.vms.iter();
+        let control = vms.filter(|vm| vm.control.is_some());
+        control.map(|vm| vm.number).collect()
+    }
+
+    fn found_control(&self, discovery: &settings::Discovery) -> collections::BTreeSet<u32> {
+        let seeds = discovery.seeds.iter().map(|seed| u32::from(*seed.ip()));
+        let known = locks::read(&self.known);
+        let members = locks::read(&self.view).status.membership.clone();
+        let members: Vec<u32> = members.members().map(|id| id.vm).collect();
+        let known = known.iter().map(|ip| u32::from(*ip));
+        seeds.chain(known).chain(members).collect()
+    }
+
     /// Takes note of control processes that were heard of.
     pub fn hear_of(&self, ips: impl IntoIterator<Item = net::Ipv4Addr>) {
         if self.settings.common.discovery.is_some() {
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -8,7 +8,10 @@
 //! an answer is told the truth: 503 with when to come back where it was not run, 502 or 504 where it
 //! may have been.
 
-use std::{sync, time as std_time};
+use std::{
+    sync::{self, atomic},
+    time as std_time,
+};
 
 use sageshed_fleet::{chooser, config, dialect, messages, routes};
 use sageshed_http::{handler, reply, request};
@@ -38,7 +41,7 @@
 
 /// A stream that may go on elsewhere does so after this silence between two events: callers leave a
 /// stream after two seconds of it.
-const STREAM_SILENCE: std_time::Duration = std_time::Duration::from_millis(1_000);
+const STREAM_SILENCE: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// When a request comes back that was turned away since it can't be in time now.
 const BACK_SOON: time::Millis = time::Millis(300);
@@ -65,6 +68,13 @@
             let refusal = refuse::not_run(verdict::Reason::NotConfirmed, detail, BACK_SOON);
             return refuse::send(reply, "", &refusal);
         };
+        // A stream that began before the stop has promised to keep its connection, and its caller may
+        // send the next request on it in the last moment. It would be cut by the end of the process.
+        if self.shared.refusing.load(atomic::Ordering::Relaxed) {
+            let detail = "this entry process is stopping";
+            let refusal = refuse::not_run(verdict::Reason::Draining, detail, time::Millis(0));
+            return refuse::send(reply, "", &refusal);
+        }
         let passing = match self.shared.dialect.passing(|name| req.header(name)) {
             Ok(passing) => passing,
             Err(e) => {
@@ -136,6 +146,31 @@
     /// Endpoints that it arrived at.
     arrivals: u32,
     last: String,
+    paces: Paces,
+}
+
+/// When the pieces of a stream came, for the log: a stream is late by one long pause.
+#[derive(Debug, Default)]
+struct Paces {
+    first: std_time::Duration,
+    longest: std_time::Duration,
+    last: Option<std_time::Instant>,
+}
+
+impl Paces {
+    /// The stream has begun; not for the first time where it goes on elsewhere.
+    fn begun(&mut self, received: std_time::Instant) {
+        if self.last.is_none() {
+            self.first = received.elapsed();
+        }
+    }
+
+    fn piece(&mut self) {
+        let now = std_time::Instant::now();
+        if let Some(last) = self.last.replace(now) {
+            self.longest = self.longest.max(now - last);
+        }
+    }
 }
 
 impl<'a, D: dialect::Dialect> Life<'a, D> {
@@ -162,6 +197,7 @@
             runs: 0,
             arrivals: 0,
             last: String::new(),
+            paces: Paces::default(),
         }
     }
 
@@ -237,7 +273,7 @@
                 chooser::Choice::Wait(missing) => missing,
             };
             let waited = arrived.elapsed();
-            if waited >= self.patience(missing) || left <= self.reserve(missing) {
+            if waited >= self.patience(missing) || left <= reserve(missing) {
                 return Step::Refuse(self.not_served(missing));
             }
             self.ask_for(now, missing, &mut told_waiting);
@@ -274,13 +310,6 @@
         }
     }
 
-    fn reserve(&self, missing: chooser::Missing) -> time::Millis {
-        match missing {
-            chooser::Missing::Model => LOAD_RESERVE,
-            _ => time::Millis(0),
-        }
-    }
-
     /// Lets the leader know what a request waits for.
     fn ask_for(&self, now: time::Instant, missing: chooser::Missing, told_waiting: &mut bool) {
         let Some(wanted) = self.wanted else {
@@ -448,7 +477,11 @@
             until: self.until,
             stop,
         };
-        if answered.is_not_run {
+        let is_rejected = matches!(
+            answered.word,
+            dialect::Word::NotRun | dialect::Word::Misdirected
+        );
+        if is_rejected {
             if exchange.read_whole(ANSWER_BYTES, &patience).is_ok() {
                 self.shared.pool.keep(pick.address, exchange);
             }
@@ -456,13 +489,14 @@
         }
         self.runs += 1;
         let is_success = (200..300).contains(&head.status);
-        if is_success && (!answered.is_signed || answered.is_coded) {
+        let is_vouched = answered.word == dialect::Word::Vouched;
+        if is_success && !is_vouched {
             let detail = "a success that the endpoint does not vouch for";
             return self.unusable(pick, outlet, detail.to_owned());
         }
         let claims_not_run = matches!(head.status, 408 | 421 | 429 | 503);
         let may_go_elsewhere = self.route.repeat.may_run_again() && self.runs < self.route.attempts;
-        if !is_success && (claims_not_run || !answered.is_signed) {
+        if !is_success && (claims_not_run || !is_vouched) {
             let detail = format!("the endpoint answered with status {}", head.status);
             return self.unusable(pick, outlet, detail);
         }
@@ -509,11 +543,13 @@
             Err(failure) => return self.failed_after_run(pick, outlet, false, &failure),
         };
         self.began(pick, sent_at, load);
+        self.paces.begun(self.req.received);
         let (mut stream, mut events) = outlet.begin(&exchange.head);
         loop {
             match piece {
                 exchange::Piece::Bytes(bytes) => {
                     let whole = events.push(self.shared.dialect, &bytes);
+                    self.paces.piece();
                     if stream.send(&whole).is_err() {
                         self.ended(pick, true, chooser::Ended::GivenUp);
                         return Sending::Gone(Outlet::Begun(stream, events));
@@ -527,6 +563,11 @@
                     self.ended(pick, true, chooser::Ended::Answered);
                     self.shared.pool.keep(pick.address, exchange);
                     self.note(metrics::End::Answered, 200, sent_at);
+                    ::log::debug!(request = self.id(), endpoint = pick.instance.as_str(),
+                        estimate_ms = pick.estimate.0, tokens = pick.tokens,
+                        model = self.wanted.map(|it| it.model.as_str()).unwrap_or_default(),
+                        first_ms = time::Millis::from(self.paces.first).0,
+                        pause_ms = time::Millis::from(self.paces.longest).0; "gateway: stream ended");
                     return Sending::Done(stream.finish());
                 }
             }
@@ -582,7 +623,7 @@
             "endpoint {} rejected it with status {status}",
             pick.instance
         );
-        if answered.is_other_instance {
+        if answered.word == dialect::Word::Misdirected {
             self.ended(pick, false, chooser::Ended::Misdirected);
         } else {
             self.ended(pick, false, chooser::Ended::Refused);
@@ -728,3 +769,11 @@
             took_ms = time::Millis::from(took).0, sent_ms = time::Millis::from(sent).0; "gateway: request ended");
     }
 }
+
+/// What must be left of the time for a request that waits for what is missing.
+fn reserve(missing: chooser::Missing) -> time::Millis {
+    match missing {
+        chooser::Missing::Model => LOAD_RESERVE,
+        _ => time::Millis(0),
+    }
+}
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -97,6 +97,7 @@
     while began.elapsed() < notice && !cx.stop.is_asked_again() {
         thread::sleep(time::Duration::from_millis(50));
     }
+    shared.refusing.store(true, sync::atomic::Ordering::Relaxed);
     callers.stop_accepting();
     callers.close_idle();
     let left = grace.saturating_sub(LAST_MOMENT + began.elapsed());
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -44,6 +44,9 @@
     leader: atomic::AtomicU32,
     /// Set when the process is to stop.
     pub stopping: atomic::AtomicBool,
+    /// Set when the balancer has had the time to turn callers away, and a new request might not be
+    /// done before the process ends.
+    pub refusing: atomic::AtomicBool,
 }
 
 /// What decisions are made by.
@@ -98,6 +101,7 @@
             changed: sync::Condvar::new(),
             leader: atomic::AtomicU32::new(0),
             stopping: atomic::AtomicBool::new(false),
+            refusing: atomic::AtomicBool::new(false),
         }
     }
 
