--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -359,7 +359,9 @@
         for at in 0..keys.len() {
             let offset = usize::try_from(draw).unwrap_or(0);
             let key = keys[(at + offset % keys.len()) % keys.len()];
-            let ms = self.estimate(now, key, ask);
+            // Whole milliseconds: by less than that an endpoint that failed long ago would never be
+            // chosen again while the others are idle.
+            let ms = self.estimate(now, key, ask).floor();
             if best.is_none_or(|(least, _)| ms < least) {
                 best = Some((ms, key));
             }
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -364,10 +364,11 @@
         may_hold.len()
     }
 
+    /// Whether it was told to load the adapter, and not to drop it since.
     pub(super) fn awaits(&self, model: &str, adapter: &str) -> bool {
-        self.open.iter().any(
-            |it| matches!(&it.task, dialect::Task::LoadAdapter(m, a) if m == model && a == adapter),
-        )
+        let is_load = |it: &Open| matches!(&it.task, dialect::Task::LoadAdapter(m, a) if m == model && a == adapter);
+        let key = (model.to_owned(), adapter.to_owned());
+        self.open.iter().any(is_load) || self.adapters.contains_key(&key)
     }
 
     pub(super) fn drops(&self, model: &str) -> bool {
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -71,6 +71,9 @@
 /// How long an adapter that was in use is not given up, so that the requests for it are done.
 const ADAPTER_REST: time::Millis = time::Millis(1_500);
 
+/// What a full engine weighs against an empty one, in engines kept busy: less than anything else.
+const EMPTIER: f64 = 0.01;
+
 /// Wants that are kept while no engine can take them.
 const WANTS_KEPT: usize = 256;
 
@@ -442,7 +445,8 @@
             if source == engine::Source::Store && !store_is_free {
                 continue;
             }
-            let room = pool.offer.weights_mb - engine.weights_at_worst(instance, pool.offer);
+            let used = engine.weights_at_worst(instance, pool.offer);
+            let room = pool.offer.weights_mb - used;
             let (task, price) = if room >= model.weights_mb {
                 (dialect::Task::Load(model.name.clone()), 0.0)
             } else {
@@ -451,7 +455,9 @@
                     None => continue,
                 }
             };
-            let cost = price + source.cost(model) + self.engine_work(now, pool, instance);
+            // Of engines that are equal otherwise, the emptier one.
+            let fill = EMPTIER * used / pool.offer.weights_mb;
+            let cost = price + source.cost(model) + self.engine_work(now, pool, instance) + fill;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, instance.id.clone(), task));
             }
--- /dev/null
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -0,0 +1,268 @@
+//! Which endpoint a request goes to.
+
+mod support;
+
+use sageshed_fleet::{
+    chooser::{Ask, Choice, Chooser, Ended, Missing, Pick},
+    dialect, directory,
+};
+use sageshed_types::{arena, time};
+
+const T0: time::Instant = time::Instant(100_000);
+
+fn wanted(model: &str, adapter: Option<&str>) -> dialect::Wanted {
+    dialect::Wanted {
+        model: model.to_owned(),
+        adapter: adapter.map(str::to_owned),
+    }
+}
+
+fn ask<'a>(wanted: &'a dialect::Wanted, tokens: u64) -> Ask<'a> {
+    Ask {
+        service: support::ENGINES,
+        wanted: Some(wanted),
+        parts: &[],
+        prompt_tokens: tokens,
+        tried: &[],
+        left: time::Millis(10_000),
+    }
+}
+
+fn plain<'a>() -> Ask<'a> {
+    Ask {
+        service: support::PLAIN,
+        wanted: None,
+        parts: &[],
+        prompt_tokens: 0,
+        tried: &[],
+        left: time::Millis(1_000),
+    }
+}
+
+fn sent(choice: Choice) -> Pick {
+    match choice {
+        Choice::Send(pick) => pick,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+fn two_engines() -> Chooser {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0"]));
+    chooser.know(&support::engine("e2", &["m0"]));
+    chooser
+}
+
+/// Prompts of 1,800 tokens keep an engine busy for a tenth of a second each. Twenty come at once: put
+/// on one engine the last would wait two seconds, shared out one.
+#[test]
+fn prompts_are_shared_out_by_the_tokens_that_wait() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let mut counts = [0, 0];
+    for _ in 0..20 {
+        let pick = sent(chooser.choose(T0, &ask(&m0, 1_800)));
+        counts[usize::from(pick.instance == "e2")] += 1;
+    }
+    assert_eq!(counts, [10, 10]);
+}
+
+/// A prompt whose beginning an engine has read before is read there in a part of the time.
+#[test]
+fn a_prompt_goes_to_the_engine_that_keeps_its_beginning() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let part = |id, tokens| dialect::PromptPart { id, tokens };
+    let parts = [part(1, 800), part(2, 1_000)];
+    let first = Ask {
+        parts: &parts,
+        ..ask(&m0, 1_800)
+    };
+    let pick = sent(chooser.choose(T0, &first));
+    chooser.began(T0, &pick, &parts, time::Millis(100), None);
+    chooser.ended(T0, &pick, Some(&m0), true, Ended::Answered);
+    let again = [part(1, 800), part(2, 1_000), part(3, 50)];
+    for _ in 0..3 {
+        let ask = Ask {
+            parts: &again,
+            ..ask(&m0, 1_850)
+        };
+        let next = sent(chooser.choose(T0, &ask));
+        assert_eq!(
+            (next.instance.as_str(), next.tokens),
+            (pick.instance.as_str(), 50)
+        );
+        chooser.ended(T0, &next, Some(&m0), false, Ended::GivenUp);
+    }
+    // A part behind one that is not kept has to be read too.
+    let other = [part(9, 800), part(2, 1_000)];
+    let ask = Ask {
+        parts: &other,
+        ..ask(&m0, 1_800)
+    };
+    assert_eq!(sent(chooser.choose(T0, &ask)).tokens, 1_800);
+}
+
+/// What a request waits for where it can't be sent.
+struct Case {
+    name: &'static str,
+    know: fn(&mut Chooser),
+    wanted: dialect::Wanted,
+    missing: Missing,
+}
+
+#[test]
+fn a_request_that_nobody_can_take_waits_for_what_is_missing() {
+    let leaving = |chooser: &mut Chooser| {
+        let mut engine = support::engine("e1", &["m0"]);
+        engine.state = directory::State::Leaving;
+        chooser.know(&engine);
+    };
+    let cases = [
+        Case {
+            name: "no engine at all",
+            know: |_| {},
+            wanted: wanted("m0", None),
+            missing: Missing::Endpoint,
+        },
+        Case {
+            name: "the only one leaves",
+            know: leaving,
+            wanted: wanted("m0", None),
+            missing: Missing::Endpoint,
+        },
+        Case {
+            name: "no engine holds the model",
+            know: |it| it.know(&support::engine("e1", &["m0"])),
+            wanted: wanted("m1", None),
+            missing: Missing::Model,
+        },
+        Case {
+            name: "no engine holds the adapter",
+            know: |it| it.know(&support::engine("e1", &["m0"])),
+            wanted: wanted("m0", Some("a1")),
+            missing: Missing::Adapter,
+        },
+    ];
+    for case in cases {
+        let mut chooser = Chooser::new("z1", 7);
+        (case.know)(&mut chooser);
+        let choice = chooser.choose(T0, &ask(&case.wanted, 100));
+        assert_eq!(choice, Choice::Wait(case.missing), "{}", case.name);
+    }
+}
+
+/// An engine crashes and its address refuses connections. The first request finds out and goes
+/// elsewhere; the next ones are not sent there at all, until it is tried again a little later.
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_left_out_for_a_while() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let pick = sent(chooser.choose(T0, &ask(&m0, 100)));
+    chooser.ended(T0, &pick, Some(&m0), false, Ended::Unreachable);
+    for _ in 0..5 {
+        let next = sent(chooser.choose(T0, &ask(&m0, 100)));
+        assert_ne!(next.instance, pick.instance);
+        chooser.ended(T0, &next, Some(&m0), false, Ended::GivenUp);
+    }
+    assert_eq!(chooser.counts(T0), (2, 1));
+    assert_eq!(chooser.counts(T0 + time::Millis(5_000)), (2, 2));
+}
+
+/// An engine fails four of ten requests while its health check is good. It gets fewer requests than
+/// the sound one, and its share again once it is mended.
+#[test]
+fn an_endpoint_that_fails_some_requests_gets_fewer_until_it_is_mended() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let mut share = |from: u64, fails: bool| {
+        let mut to_e1 = 0;
+        for n in 0..100 {
+            let now = T0 + time::Millis(from + n * 50);
+            let pick = sent(chooser.choose(now, &ask(&m0, 100)));
+            let is_e1 = pick.instance == "e1";
+            to_e1 += u32::from(is_e1);
+            let how = if is_e1 && fails && n % 5 < 2 {
+                Ended::Failed
+            } else {
+                Ended::Answered
+            };
+            chooser.ended(now, &pick, Some(&m0), false, how);
+        }
+        to_e1
+    };
+    let while_failing = share(0, true);
+    assert!(
+        while_failing < 30,
+        "{while_failing} of 100 went to the failing engine"
+    );
+    let later = share(20_000, false);
+    assert!(later >= 40, "{later} of 100 went to the mended engine");
+}
+
+/// An engine was told to drop a model and its announcement still names it. It answers that it does
+/// not hold it, and must not be asked for that model again at once.
+#[test]
+fn an_engine_that_says_it_lacks_a_model_is_not_asked_again_at_once() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let pick = sent(chooser.choose(T0, &ask(&m0, 100)));
+    chooser.ended(T0, &pick, Some(&m0), false, Ended::Misdirected);
+    let next = sent(chooser.choose(T0, &ask(&m0, 100)));
+    assert_ne!(next.instance, pick.instance);
+}
+
+/// Twenty prompts wait at the only engine. Another request has 300 ms left: it would be answered in
+/// two seconds, so it is turned away now and not after its time.
+#[test]
+fn what_cannot_be_in_time_is_turned_away_at_once() {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0"]));
+    let m0 = wanted("m0", None);
+    for _ in 0..20 {
+        sent(chooser.choose(T0, &ask(&m0, 1_800)));
+    }
+    let urgent = Ask {
+        left: time::Millis(300),
+        ..ask(&m0, 100)
+    };
+    let choice = chooser.choose(T0, &urgent);
+    assert!(matches!(choice, Choice::TooLate { .. }), "{choice:?}");
+}
+
+#[test]
+fn endpoints_of_a_plain_service_take_as_many_as_they_have_places_for() {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::instance("p1", support::PLAIN, &[]));
+    let mut picks = Vec::new();
+    loop {
+        match chooser.choose(T0, &plain()) {
+            Choice::Send(pick) => picks.push(pick),
+            other => {
+                assert_eq!(other, Choice::Wait(Missing::Place));
+                break;
+            }
+        }
+    }
+    assert!((4..=8).contains(&picks.len()), "{}", picks.len());
+    chooser.ended(T0, &picks[0], None, true, Ended::Answered);
+    sent(chooser.choose(T0, &plain()));
+}
+
+#[test]
+fn an_endpoint_that_was_tried_is_not_chosen_again_and_one_near_by_is_preferred() {
+    let mut chooser = Chooser::new("z1", 7);
+    let mut far = support::engine("e1", &["m0"]);
+    far.availability_zone = "z2".to_owned();
+    chooser.know(&far);
+    chooser.know(&support::engine("e2", &["m0"]));
+    let m0 = wanted("m0", None);
+    let near = sent(chooser.choose(T0, &ask(&m0, 0)));
+    assert_eq!(near.instance, "e2");
+    let tried: [arena::EndpointKey; 1] = [near.key];
+    let again = Ask {
+        tried: &tried,
+        ..ask(&m0, 0)
+    };
+    assert_eq!(sent(chooser.choose(T0, &again)).instance, "e1");
+}
--- /dev/null
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -0,0 +1,159 @@
+//! What is believed of endpoints, and how two directories agree.
+
+mod support;
+
+use sageshed_fleet::directory::{self, Directory, Offer, State};
+use sageshed_types::time;
+
+const T0: time::Instant = time::Instant(1_000);
+
+fn at(ms: u64) -> time::Instant {
+    T0 + time::Millis(ms)
+}
+
+/// An engine says that it leaves and is taken out everywhere. An announcement that it had sent
+/// before, held up by a cut of the network, arrives ten seconds later: callers must not be sent to
+/// an engine that has gone.
+#[test]
+fn a_late_announcement_does_not_bring_an_instance_back() {
+    let mut directory = Directory::new(1);
+    let mut engine = support::engine("e1", &["m0"]);
+    assert_eq!(directory.announce(T0, engine.clone()), Offer::New);
+    directory.leave(at(100), "e1");
+    engine.sequence = 9;
+    assert_eq!(directory.announce(at(10_000), engine), Offer::Stale);
+    assert!(directory.get("e1").is_none());
+}
+
+/// A control process that was just started hears first that an instance leaves, of which it knows
+/// nothing yet. The other processes still know it, so the word must be passed on.
+#[test]
+fn the_word_of_an_unknown_instance_that_it_leaves_is_passed_on() {
+    let mut fresh = Directory::new(2);
+    fresh.leave(T0, "e1");
+    let mut other = Directory::new(1);
+    other.announce(T0, support::engine("e1", &["m0"]));
+    for record in fresh.since(at(1), directory::Mark::default()) {
+        other.merge(at(1), record);
+    }
+    assert!(other.get("e1").is_none());
+}
+
+#[test]
+fn older_words_are_ignored_and_equal_ones_change_nothing() {
+    let mut directory = Directory::new(1);
+    let mut engine = support::engine("e1", &["m0"]);
+    engine.sequence = 5;
+    directory.announce(T0, engine.clone());
+    let mark = directory.mark();
+    let mut older = support::engine("e1", &["m1"]);
+    older.sequence = 4;
+    assert_eq!(directory.announce(at(10), older), Offer::Stale);
+    assert_eq!(directory.announce(at(10), engine), Offer::Confirmed);
+    assert_eq!(directory.mark(), mark);
+    let known = directory.get("e1").expect("it is there");
+    assert!(known.holds("m0", None));
+}
+
+/// Two control processes that watch each other hold different words of one instance under the same
+/// numbers. Were each to take the other's, they would exchange them for ever, and every entry process
+/// would be woken by each exchange.
+#[test]
+fn two_directories_do_not_exchange_equal_numbers_for_ever() {
+    let mut a = Directory::new(1);
+    let mut b = Directory::new(2);
+    a.announce(T0, support::engine("e1", &["m0"]));
+    b.announce(T0, support::engine("e1", &["m1"]));
+    let mut marks = (directory::Mark::default(), directory::Mark::default());
+    let mut exchanged = 0;
+    for round in 0..20 {
+        let from_a = a.since(at(round), marks.0);
+        let from_b = b.since(at(round), marks.1);
+        marks = (a.mark(), b.mark());
+        exchanged += from_a.len() + from_b.len();
+        for record in from_a {
+            b.merge(at(round), record);
+        }
+        for record in from_b {
+            a.merge(at(round), record);
+        }
+    }
+    assert_eq!(exchanged, 2);
+}
+
+/// The leader had an adapter loaded and shows it at once. The engine's next announcement goes to
+/// another control process, which has not heard of the adapter. Both must end with the same record,
+/// and a later change by the leader must still reach the other.
+#[test]
+fn changes_by_the_leader_and_announcements_elsewhere_come_together() {
+    let (mut leader, mut other) = (Directory::new(1), Directory::new(2));
+    let mut engine = support::engine("e1", &["m0"]);
+    leader.announce(T0, engine.clone());
+    other.announce(T0, engine.clone());
+    leader.amend(at(1), "e1", |it| {
+        it.models[0].adapters.push("a1".to_owned())
+    });
+    engine.sequence = 2;
+    other.announce(at(2), engine);
+    exchange(&mut leader, &mut other, at(3));
+    leader.amend(at(4), "e1", |it| {
+        it.models[0].adapters.push("a2".to_owned())
+    });
+    exchange(&mut leader, &mut other, at(5));
+    assert_eq!(leader.get("e1"), other.get("e1"));
+    let known = other.get("e1").expect("it is there");
+    assert!(known.holds("m0", Some("a2")));
+}
+
+fn exchange(a: &mut Directory, b: &mut Directory, now: time::Instant) {
+    for _ in 0..2 {
+        let from_a = a.since(now, directory::Mark::default());
+        for record in from_a {
+            b.merge(now, record);
+        }
+        let from_b = b.since(now, directory::Mark::default());
+        for record in from_b {
+            a.merge(now, record);
+        }
+    }
+}
+
+#[test]
+fn a_peer_gets_what_changed_since_its_mark_and_all_after_a_restart() {
+    let mut directory = Directory::new(1);
+    directory.announce(T0, support::engine("e1", &["m0"]));
+    let mark = directory.mark();
+    directory.announce(at(1), support::engine("e2", &["m0"]));
+    let ids = |mark| -> Vec<String> {
+        let records = directory.since(at(2), mark);
+        records.into_iter().map(|it| it.instance.id).collect()
+    };
+    assert_eq!(ids(mark), ["e2"]);
+    let of_another_start = directory::Mark {
+        start: 7,
+        change: 99,
+    };
+    assert_eq!(ids(of_another_start), ["e1", "e2"]);
+}
+
+#[test]
+fn an_instance_that_was_silent_for_long_has_gone() {
+    let mut directory = Directory::new(1);
+    directory.announce(T0, support::engine("e1", &["m0"]));
+    let silence = directory::SILENCE;
+    assert!(
+        directory
+            .expire(T0 + time::Millis(silence.0 - 1))
+            .is_empty()
+    );
+    assert_eq!(directory.expire(T0 + silence), ["e1"]);
+    let records = directory.since(T0 + silence, directory::Mark::default());
+    assert_eq!(records[0].instance.state, State::Gone);
+    let forgotten = T0 + silence + directory::GONE_KEPT;
+    assert!(directory.expire(forgotten).is_empty());
+    assert!(
+        directory
+            .since(forgotten, directory::Mark::default())
+            .is_empty()
+    );
+}
--- /dev/null
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -0,0 +1,376 @@
+//! Which engine is ordered what, by replaying what a leader sees.
+
+mod support;
+
+use std::collections;
+
+use sageshed_fleet::{
+    config, dialect,
+    dialect::{Order, OrderAnswer, Report, Task},
+    directory, messages,
+    planner::{Action, Planner, Policy},
+};
+use sageshed_types::time;
+
+/// An engine as it really is, and the leader that orders it, with time in steps of 50 ms.
+struct World {
+    planner: Planner,
+    config: config::FleetConfig,
+    now: time::Instant,
+    engines: collections::BTreeMap<String, Engine>,
+    orders: Vec<(time::Instant, Order)>,
+    /// What the engines answer to orders; none: no answer comes, and the order is carried out.
+    answers: bool,
+}
+
+struct Engine {
+    instance: directory::Instance,
+    accepted: u64,
+    /// Weights on their way, with when they are there.
+    loading: Option<(String, time::Instant)>,
+    adapters: collections::BTreeSet<(String, String)>,
+}
+
+const STEP: time::Millis = time::Millis(50);
+
+impl World {
+    fn new(engines: &[(&str, &[&str])]) -> Self {
+        let mut planner = Planner::new(Policy::default(), "10.0.0.1");
+        let now = time::Instant(100_000);
+        planner.leads(now, 4);
+        let engines = engines.iter().map(|(id, models)| {
+            let engine = Engine {
+                instance: support::engine(id, models),
+                accepted: 0,
+                loading: None,
+                adapters: collections::BTreeSet::new(),
+            };
+            ((*id).to_owned(), engine)
+        });
+        Self {
+            planner,
+            config: support::config(),
+            now,
+            engines: engines.collect(),
+            orders: Vec::new(),
+            answers: true,
+        }
+    }
+
+    fn run(&mut self, span: u64) {
+        let until = self.now + time::Millis(span);
+        while self.now < until {
+            self.now = self.now + STEP;
+            self.finish_loads();
+            let shown: Vec<_> = self
+                .engines
+                .values()
+                .map(|it| it.instance.clone())
+                .collect();
+            let shown: Vec<_> = shown.iter().collect();
+            let actions = self.planner.tick(self.now, &self.config, &shown);
+            self.carry_out(actions);
+        }
+    }
+
+    fn finish_loads(&mut self) {
+        for engine in self.engines.values_mut() {
+            let is_done = |it: &mut (String, time::Instant)| self.now >= it.1;
+            if let Some((model, _)) = engine.loading.take_if(is_done) {
+                engine.instance.models.push(support::resident(&model, &[]));
+                engine.instance.sequence += 1;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::AskReport { instance, .. } => {
+                    let report = self.engines.get(&instance).map(Engine::report);
+                    self.planner.reported(self.now, &instance, report);
+                }
+                Action::Order(order) => {
+                    self.orders.push((self.now, order.clone()));
+                    let answer = self.obey(&order);
+                    let more = self.planner.answered(self.now, &order, answer);
+                    self.carry_out(more);
+                }
+                Action::Amend { instance, task } => {
+                    let engine = self.engines.get_mut(&instance).expect("a known engine");
+                    engine.show(&task);
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, order: &Order) -> Option<OrderAnswer> {
+        let now = self.now;
+        let engine = self
+            .engines
+            .get_mut(&order.instance)
+            .expect("a known engine");
+        if order.accepted_before != engine.accepted
+            || engine.loading.is_some() && order.task.is_weights()
+        {
+            return Some(OrderAnswer::Conflict);
+        }
+        engine.accepted += 1;
+        match &order.task {
+            Task::Load(model) => {
+                engine.loading = Some((model.clone(), now + time::Millis(9_000)));
+            }
+            Task::Unload(model) => engine.instance.models.retain(|it| it.model != *model),
+            Task::LoadAdapter(model, adapter) => {
+                engine.adapters.insert((model.clone(), adapter.clone()));
+            }
+            Task::UnloadAdapter(model, adapter) => {
+                engine.adapters.remove(&(model.clone(), adapter.clone()));
+            }
+        }
+        engine.check();
+        self.answers.then_some(match order.task {
+            Task::UnloadAdapter(..) => OrderAnswer::Done,
+            _ => OrderAnswer::Accepted,
+        })
+    }
+
+    fn ask(&mut self, model: &str, tokens: u64) {
+        let demand = messages::Demand {
+            service: support::ENGINES.to_owned(),
+            model: model.to_owned(),
+            requests: 1,
+            prompt_tokens: tokens,
+            output_tokens: 0,
+            waiting: 0,
+            adapters: Vec::new(),
+        };
+        self.planner.demand(self.now, &[demand]);
+    }
+
+    fn want(&mut self, adapter: &str) {
+        let want = messages::WantReq {
+            service: support::ENGINES.to_owned(),
+            model: "m0".to_owned(),
+            adapter: adapter.to_owned(),
+        };
+        self.planner.want(self.now, want);
+    }
+
+    fn tasks(&self) -> Vec<String> {
+        let task =
+            |(_, order): &(time::Instant, Order)| format!("{} {}", order.instance, order.task);
+        self.orders.iter().map(task).collect()
+    }
+}
+
+impl Engine {
+    /// An engine crashes that is told to load more than fits.
+    fn check(&self) {
+        let held = self.instance.models.len() + usize::from(self.loading.is_some());
+        assert!(held <= 3, "weights of {held} models on room for three");
+        let adapters = self.adapters.len();
+        assert!(adapters <= 2, "{adapters} adapters on two places");
+    }
+
+    fn report(&self) -> Report {
+        let mut models = self.instance.models.clone();
+        for resident in &mut models {
+            let own = self.adapters.iter().filter(|it| it.0 == resident.model);
+            resident.adapters = own.map(|it| it.1.clone()).collect();
+        }
+        Report {
+            accepted: self.accepted,
+            is_busy: self.loading.is_some(),
+            models,
+            adapters_pending: Vec::new(),
+        }
+    }
+
+    fn show(&mut self, task: &Task) {
+        if let Task::LoadAdapter(model, adapter) = task {
+            let shown = self
+                .instance
+                .models
+                .iter_mut()
+                .find(|it| it.model == *model);
+            shown
+                .expect("it holds the model")
+                .adapters
+                .push(adapter.clone());
+        }
+    }
+
+    /// An announcement that was made before the latest adapters arrived.
+    fn announce_old(&mut self) {
+        self.instance.sequence += 1;
+        for resident in &mut self.instance.models {
+            resident.adapters.clear();
+        }
+    }
+}
+
+/// A leader was cut off and another is elected. The old one may have given orders until its lease ran
+/// out, so the new one waits for that long before its first.
+#[test]
+fn a_new_leader_orders_nothing_within_the_lease_of_the_one_before() {
+    let mut world = World::new(&[("e1", &["m0"])]);
+    let elected = world.now;
+    world.run(10_000);
+    let (first, _) = world.orders.first().expect("it orders in the end");
+    assert!(first.since(elected) > Policy::default().lease, "{first:?}");
+}
+
+/// The adapters of a model are asked for one after the other. An announcement that was made before
+/// the first arrived takes it out of the directory again. The engine has two places: a third adapter
+/// on top of two crashes it with all that it runs.
+#[test]
+fn adapters_that_an_old_announcement_hides_still_take_their_places() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"])]);
+    world.run(4_000);
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        world.want(adapter);
+        world.run(50);
+        world.engines.get_mut("e1").expect("there").announce_old();
+        world.run(2_000);
+    }
+    let loads = world
+        .tasks()
+        .iter()
+        .filter(|it| it.contains("load m0/"))
+        .count();
+    assert!(loads >= 4, "{:?}", world.tasks());
+}
+
+/// A request waits for an adapter. It is loaded where the model is, and shown to entry processes when
+/// it had the time to arrive.
+#[test]
+fn an_adapter_is_loaded_once_for_all_who_wait_for_it() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"]), ("e2", &["m1", "m3"])]);
+    world.run(4_000);
+    let before = world.orders.len();
+    world.want("a1");
+    world.run(50);
+    world.want("a1");
+    world.run(200);
+    let new: Vec<_> = world.tasks().split_off(before);
+    assert_eq!(new, ["e1 load m0/a1"]);
+    assert!(world.engines["e1"].instance.holds("m0", Some("a1")));
+}
+
+/// Demand moves to a model with one copy. The others have copies to spare, the engines have no room:
+/// a copy is given up and the model loaded in its place, without ever more on an engine than fits.
+#[test]
+fn a_model_with_more_work_than_its_copy_bears_gets_another() {
+    let mut world = World::new(&[
+        ("e1", &["m0", "m1", "m2"]),
+        ("e2", &["m0", "m1", "m2"]),
+        ("e3", &["m0", "m1", "m3"]),
+    ]);
+    for _ in 0..400 {
+        world.ask("m3", 1_000);
+        world.run(50);
+    }
+    let holders = world.engines.values();
+    let copies = holders.filter(|it| it.instance.holds("m3", None)).count();
+    assert!(copies >= 2, "{:?}", world.tasks());
+    for model in ["m0", "m1", "m2", "m3"] {
+        let held = world
+            .engines
+            .values()
+            .any(|it| it.instance.holds(model, None));
+        assert!(held, "no copy of {model} is left: {:?}", world.tasks());
+    }
+}
+
+/// Without demand nothing moves: each move costs the store and delays others.
+#[test]
+fn nothing_moves_without_demand() {
+    let mut world = World::new(&[("e1", &["m0", "m1"]), ("e2", &["m2", "m3"])]);
+    world.run(30_000);
+    assert_eq!(world.tasks(), Vec::<String>::new());
+}
+
+/// A model without any copy is loaded before anybody asks for it: its first callers would wait for
+/// the whole load.
+#[test]
+fn a_model_without_a_copy_is_loaded() {
+    let mut world = World::new(&[("e1", &["m0", "m1"]), ("e2", &["m2"])]);
+    world.run(20_000);
+    assert_eq!(world.tasks(), ["e2 load m3"]);
+}
+
+/// Five engines come back empty and could all load at once. The store begins one load a second; more
+/// in five seconds would slow down every load in the fleet.
+#[test]
+fn loads_from_the_store_stay_inside_its_budget() {
+    let engines: [(&str, &[&str]); 5] = [
+        ("e1", &[]),
+        ("e2", &[]),
+        ("e3", &[]),
+        ("e4", &[]),
+        ("e5", &[]),
+    ];
+    let mut world = World::new(&engines);
+    for _ in 0..1_200 {
+        for model in ["m0", "m1", "m2", "m3"] {
+            world.ask(model, 2_000);
+        }
+        world.run(50);
+    }
+    let loads: Vec<time::Instant> = world.orders.iter().map(|(at, _)| *at).collect();
+    assert!(loads.len() >= 5, "{:?}", world.tasks());
+    for from in &loads {
+        let within = loads
+            .iter()
+            .filter(|at| **at >= *from && at.since(*from) < time::Millis(5_000));
+        assert!(within.count() <= 5, "from {from:?}");
+    }
+}
+
+/// The answer to a load is lost on its way, and the engine carries it out. The next order must not
+/// count the memory as free.
+#[test]
+fn an_order_without_an_answer_counts_until_its_fate_is_known() {
+    let mut world = World::new(&[("e1", &["m0", "m1"]), ("e2", &["m2"])]);
+    world.answers = false;
+    for _ in 0..400 {
+        for model in ["m0", "m1", "m2", "m3"] {
+            world.ask(model, 1_000);
+        }
+        world.run(50);
+    }
+    let tasks = world.tasks();
+    assert!(tasks.iter().any(|it| it.ends_with("load m3")), "{tasks:?}");
+}
+
+/// An engine takes orders of one leader while another has just been elected. What it is busy with
+/// shows in no account of the new one, so it gets no order until it is done.
+#[test]
+fn an_engine_that_is_busy_for_an_earlier_leader_gets_no_order() {
+    let mut world = World::new(&[("e1", &["m0", "m1"])]);
+    let until = world.now + time::Millis(9_000);
+    let engine = world.engines.get_mut("e1").expect("there");
+    engine.loading = Some(("m2".to_owned(), until));
+    engine.accepted = 1;
+    world.run(8_500);
+    assert_eq!(world.tasks(), Vec::<String>::new());
+    world.run(10_000);
+    let tasks = world.tasks();
+    assert!(
+        tasks.len() <= 1,
+        "m3 fits only where another goes: {tasks:?}"
+    );
+}
+
+/// Whoever watches orders must see who gave them and behind which they stand.
+#[test]
+fn orders_name_their_holder_fence_and_what_came_before() {
+    let mut world = World::new(&[("e1", &["m0", "m1"]), ("e2", &["m2"])]);
+    world.engines.get_mut("e2").expect("there").accepted = 6;
+    world.run(20_000);
+    let (_, order) = world.orders.first().expect("m3 is loaded");
+    assert_eq!(order.holder, "10.0.0.1");
+    assert_eq!((order.fence, order.accepted_before), (4, 6));
+    assert_eq!(dialect::Task::Load("m3".to_owned()), order.task);
+}
--- /dev/null
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -0,0 +1,305 @@
+//! Exchanges with endpoints that answer well, late, wrong or not at all, over real sockets.
+
+use std::{
+    io::{Read, Write},
+    net, thread, time,
+};
+
+use sageshed_upstream::{
+    exchange::{Patience, Piece, Request},
+    failure::{Cause, Failure},
+    pool::{Pool, Settings},
+};
+
+/// What an endpoint does with one connection, request by request.
+type Script = Vec<&'static [u8]>;
+
+/// An endpoint that answers the requests of each connection by its script and then closes it.
+fn endpoint(scripts: Vec<Script>) -> net::SocketAddrV4 {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    thread::spawn(move || {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            for answer in script {
+                read_request(&mut stream);
+                stream.write_all(answer).expect("the other end reads");
+            }
+            // Closed in an orderly way, with nothing unread.
+            drop(stream.shutdown(net::Shutdown::Write));
+            drop(stream.read(&mut [0; 64]));
+        }
+    });
+    address
+}
+
+fn read_request(stream: &mut net::TcpStream) {
+    let mut seen = Vec::new();
+    let mut buf = [0; 1024];
+    while !seen.windows(4).any(|it| it == b"\r\n\r\n") {
+        match stream.read(&mut buf).expect("a request") {
+            0 => return,
+            n => seen.extend_from_slice(&buf[..n]),
+        }
+    }
+}
+
+fn get<'a>() -> Request<'a> {
+    Request {
+        method: "GET",
+        target: "/x?y=1",
+        headers: vec![("Host", b"a.example")],
+        body: b"",
+    }
+}
+
+const LONG: time::Duration = time::Duration::from_secs(20);
+
+fn ask(pool: &Pool, address: net::SocketAddrV4) -> Result<Vec<u8>, Failure> {
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let mut answer = pool.exchange(address, &get(), LONG, &patience)?;
+    let body = answer.read_whole(1_000, &patience)?;
+    pool.keep(address, answer);
+    Ok(body)
+}
+
+/// An answer as it comes, and what is made of it.
+struct Case {
+    name: &'static str,
+    answer: &'static [u8],
+    body: Result<&'static [u8], Cause>,
+    /// Whether the connection may carry another request.
+    kept: bool,
+}
+
+#[test]
+fn an_answer_counts_only_if_it_is_whole() {
+    let cases = [
+        Case {
+            name: "with a length",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: true,
+        },
+        Case {
+            name: "in chunks",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            body: Ok(b"hello"),
+            kept: true,
+        },
+        Case {
+            name: "without a body",
+            answer: b"HTTP/1.1 204 No Content\r\n\r\n",
+            body: Ok(b""),
+            kept: true,
+        },
+        Case {
+            name: "the endpoint closes",
+            answer: b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: false,
+        },
+        Case {
+            name: "up to the end of the connection",
+            answer: b"HTTP/1.1 200 OK\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: false,
+        },
+        Case {
+            name: "bytes behind the answer",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n",
+            body: Ok(b"hello"),
+            kept: false,
+        },
+        Case {
+            name: "cut in the length",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+            body: Err(Cause::ClosedInAnswer),
+            kept: false,
+        },
+        Case {
+            name: "cut in a chunk",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello",
+            body: Err(Cause::ClosedInAnswer),
+            kept: false,
+        },
+        Case {
+            name: "cut before the last chunk",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            body: Err(Cause::ClosedInAnswer),
+            kept: false,
+        },
+        Case {
+            name: "a chunk longer than its size",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n",
+            body: Err(Cause::Malformed),
+            kept: false,
+        },
+        Case {
+            name: "a length and a coding",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+            body: Err(Cause::Malformed),
+            kept: false,
+        },
+        Case {
+            name: "no HTTP",
+            answer: b"hello, who is there?\r\n\r\n",
+            body: Err(Cause::Malformed),
+            kept: false,
+        },
+        Case {
+            name: "nothing",
+            answer: b"",
+            body: Err(Cause::ClosedBeforeAnswer),
+            kept: false,
+        },
+        Case {
+            name: "a continuation first",
+            answer: b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            body: Ok(b"ok"),
+            kept: true,
+        },
+    ];
+    for case in cases {
+        let address = endpoint(vec![vec![case.answer]]);
+        let pool = Pool::new(Settings::default());
+        let body = ask(&pool, address).map_err(|e| {
+            assert!(e.is_sent, "{}: it may have run", case.name);
+            e.cause
+        });
+        assert_eq!(body, case.body.map(<[u8]>::to_vec), "{}", case.name);
+        if !case.kept {
+            assert_eq!(pool.idle(), 0, "{}", case.name);
+        }
+    }
+}
+
+/// Nobody listens: the request was certainly not run, and another endpoint may have it.
+#[test]
+fn a_refused_connection_means_that_nothing_was_sent() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    drop(listener);
+    let failure = ask(&Pool::new(Settings::default()), address).expect_err("nobody listens");
+    assert_eq!((failure.cause, failure.is_sent), (Cause::Refused, false));
+}
+
+#[test]
+fn a_kept_connection_carries_the_next_request() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let address = endpoint(vec![vec![OK, OK, OK]]);
+    let pool = Pool::new(Settings::default());
+    for _ in 0..3 {
+        assert_eq!(ask(&pool, address).expect("answered"), b"ok");
+    }
+    assert_eq!(pool.opened(), 1);
+}
+
+/// The endpoint closes a kept connection. A request that may run only once must not be put on it: it
+/// would be lost, and could not be sent again.
+#[test]
+fn a_connection_that_was_closed_meanwhile_is_not_used() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let address = endpoint(vec![vec![OK], vec![OK]]);
+    let pool = Pool::new(Settings::default());
+    assert_eq!(ask(&pool, address).expect("answered"), b"ok");
+    // The close is on its way; a request that came first would be answered by it.
+    thread::sleep(time::Duration::from_millis(100));
+    assert_eq!(ask(&pool, address).expect("answered on a new one"), b"ok");
+    assert_eq!(pool.opened(), 2);
+}
+
+/// The answer to an earlier request arrives late, where the answer to this one is expected. Whoever
+/// knows the ids passes over it, and the right one follows.
+#[test]
+fn an_answer_to_another_request_is_passed_over() {
+    let address = endpoint(vec![vec![
+        b"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew",
+    ]]);
+    let pool = Pool::new(Settings::default());
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let first = pool
+        .exchange(address, &get(), LONG, &patience)
+        .expect("an answer");
+    assert_eq!(first.head.get("id"), Some("old"));
+    let mut second = first.next_answer(1_000, &patience).expect("another");
+    assert_eq!(second.head.get("id"), Some("new"));
+    assert_eq!(second.read_whole(1_000, &patience).expect("whole"), b"new");
+}
+
+/// An endpoint goes silent. Whoever waits is told when its time is over, and at once when it is no
+/// longer wanted.
+#[test]
+fn a_silent_endpoint_ends_the_wait_in_time_and_when_nobody_waits() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    let pool = Pool::new(Settings::default());
+    let soon = Patience {
+        until: time::Instant::now() + time::Duration::from_millis(250),
+        stop: &|| false,
+    };
+    let failure = pool
+        .exchange(address, &get(), LONG, &soon)
+        .expect_err("nobody answers");
+    assert_eq!((failure.cause, failure.is_sent), (Cause::Silent, true));
+    let unwanted = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| true,
+    };
+    let failure = pool
+        .exchange(address, &get(), LONG, &unwanted)
+        .expect_err("nobody waits");
+    assert_eq!((failure.cause, failure.is_sent), (Cause::Interrupted, true));
+}
+
+/// An endpoint answers before it has read a long body, and reads on later. The rest of the body is
+/// not sent, so the connection must carry nothing else: the endpoint would take it for that rest.
+#[test]
+fn an_answer_before_the_end_of_the_request_ends_the_connection() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    let early = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let answer = b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno";
+        stream.write_all(answer).expect("the other end reads");
+        stream
+    });
+    let body = vec![b'x'; 64 << 20];
+    let req = Request {
+        method: "POST",
+        body: &body,
+        ..get()
+    };
+    let pool = Pool::new(Settings::default());
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let mut answer = pool
+        .exchange(address, &req, LONG, &patience)
+        .expect("an answer");
+    assert_eq!(answer.head.status, 413);
+    assert_eq!(
+        answer.read(&patience).expect("some"),
+        Piece::Bytes(b"no".to_vec())
+    );
+    assert_eq!(answer.read(&patience).expect("whole"), Piece::End);
+    pool.keep(address, answer);
+    assert_eq!(pool.idle(), 0);
+    drop(early.join().expect("it answered"));
+}
