--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -17,7 +17,7 @@
     }
 }
 
-fn ask<'a>(wanted: &'a dialect::Wanted, tokens: u64) -> Ask<'a> {
+fn ask(wanted: &dialect::Wanted, tokens: u64) -> Ask<'_> {
     Ask {
         service: support::ENGINES,
         wanted: Some(wanted),
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -91,13 +91,13 @@
     leader.announce(T0, engine.clone());
     other.announce(T0, engine.clone());
     leader.amend(at(1), "e1", |it| {
-        it.models[0].adapters.push("a1".to_owned())
+        it.models[0].adapters.push("a1".to_owned());
     });
     engine.sequence = 2;
     other.announce(at(2), engine);
     exchange(&mut leader, &mut other, at(3));
     leader.amend(at(4), "e1", |it| {
-        it.models[0].adapters.push("a2".to_owned())
+        it.models[0].adapters.push("a2".to_owned());
     });
     exchange(&mut leader, &mut other, at(5));
     assert_eq!(leader.get("e1"), other.get("e1"));
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -8,6 +8,7 @@
 pub struct Metrics {
     registry: metrics::Registry,
     leads: metrics::Gauge,
+    votes: metrics::Gauge,
     term: metrics::Gauge,
     revision: metrics::Gauge,
     committed: metrics::Gauge,
@@ -24,6 +25,10 @@
         let registry = metrics::Registry::new();
         Self {
             leads: registry.gauge("sageshed_control_leads", "1 on the leader, else 0"),
+            votes: registry.gauge(
+                "sageshed_control_votes",
+                "1 on a voter of the group, else 0",
+            ),
             term: registry.gauge("sageshed_control_term", "Term of the replicated log"),
             revision: registry.gauge(
                 "sageshed_control_revision",
@@ -51,6 +56,8 @@
         let view = locks::read(&shared.view).clone();
         let status = &view.status;
         self.leads.set(f64::from(u8::from(shared.leads())));
+        let is_voter = status.membership.voters.contains(&shared.node);
+        self.votes.set(f64::from(u8::from(is_voter)));
         self.term.set(status.term.0 as f64);
         self.committed.set(status.commit.0 as f64);
         self.disk_full.set(f64::from(u8::from(view.disk_full)));
--- /dev/null
+++ b/tests/fleet/configuration.rs
@@ -0,0 +1,136 @@
+//! The operator's configuration: in force everywhere, never back, read back as it was sent.
+
+use std::sync::{Arc, atomic};
+use std::thread;
+
+use crate::{
+    fleet::Fleet,
+    standin::{caller::Ask, operator},
+};
+
+fn route(name: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","kind":"idempotent","timeout_ms":3000,"latency_target_ms":300,"priority":2,"service":"plain","attempts":1}},"#
+    )
+}
+
+fn status(fleet: &Fleet, entry: usize, path: &str) -> u16 {
+    let answer = fleet.ask(entry, &Ask::new("GET", path, "look"));
+    answer.map_or(0, |it| it.status())
+}
+
+/// Callers come before the operator's first configuration. They must not be told that there is no
+/// route: nobody knows that yet.
+#[test]
+fn without_a_configuration_callers_are_told_to_come_back() {
+    let fleet = Fleet::start(3, 1);
+    fleet.until("the entry process listens", || {
+        status(&fleet, 0, "/again/x") == 503
+    });
+    assert_eq!(fleet.entries[0].ready(), 503);
+}
+
+#[test]
+fn a_configuration_is_in_force_at_every_entry_and_reads_back_as_sent() {
+    let (fleet, _engines) = Fleet::ready();
+    let config = operator::config_with(20, &route("new"));
+    fleet.replace(&config);
+    for entry in 0..2 {
+        fleet.until("the new route is served", || {
+            status(&fleet, entry, "/new/x") == 200
+        });
+        assert_eq!(status(&fleet, entry, "/never/x"), 404);
+    }
+    assert_eq!(fleet.read_back(), config);
+    fleet.replace(&operator::config(30));
+    for entry in 0..2 {
+        fleet.until("the route is gone", || {
+            status(&fleet, entry, "/new/x") == 404
+        });
+    }
+}
+
+/// An operator's call is answered late and sent again, behind a later change. It is acknowledged and
+/// changes nothing.
+#[test]
+fn an_overtaken_configuration_is_acknowledged_and_changes_nothing() {
+    let (fleet, _engines) = Fleet::ready();
+    let newest = operator::config_with(40, &route("new"));
+    fleet.replace(&newest);
+    fleet.replace(&operator::config(35));
+    fleet.replace(&operator::config(40));
+    assert_eq!(fleet.read_back(), newest);
+    for entry in 0..2 {
+        fleet.until("the new route is served", || {
+            status(&fleet, entry, "/new/x") == 200
+        });
+    }
+}
+
+#[test]
+fn an_invalid_configuration_is_refused_and_changes_nothing() {
+    let (fleet, _engines) = Fleet::ready();
+    let good = operator::config_with(50, &route("new"));
+    let cases = [
+        ("cut short", good[..good.len() - 9].to_owned()),
+        (
+            "unknown service",
+            good.replacen("\"plain\"", "\"nowhere\"", 1),
+        ),
+        (
+            "same place",
+            operator::config_with(50, &(route("new") + &route("new"))),
+        ),
+        (
+            "no time",
+            good.replacen("\"timeout_ms\":3000", "\"timeout_ms\":0", 1),
+        ),
+        (
+            "no weight",
+            good.replacen(
+                "\"service\":\"plain\"",
+                "\"weighted_clusters\":[{\"service\":\"plain\",\"weight\":0}]",
+                1,
+            ),
+        ),
+    ];
+    for (name, config) in cases {
+        for control in &fleet.control {
+            assert_eq!(Fleet::try_replace(control, &config), 400, "{name}");
+        }
+    }
+    assert_eq!(fleet.read_back(), operator::config(10));
+    assert_eq!(status(&fleet, 0, "/new/x"), 404);
+}
+
+/// Changes come one on the other while requests run. None of the requests may be cut or refused by a
+/// change that does not touch its route.
+#[test]
+fn a_storm_of_changes_cuts_no_request() {
+    let (fleet, _engines) = Fleet::ready();
+    let fleet = Arc::new(fleet);
+    let done = Arc::new(atomic::AtomicBool::new(false));
+    let (asking, stop) = (Arc::clone(&fleet), Arc::clone(&done));
+    let caller = thread::spawn(move || {
+        let mut statuses = Vec::new();
+        while !stop.load(atomic::Ordering::SeqCst) {
+            statuses.push(status(&asking, 0, "/again/x"));
+        }
+        statuses
+    });
+    for version in 100..140 {
+        fleet.replace(&operator::config_with(
+            version,
+            &route(&format!("r{version}")),
+        ));
+    }
+    done.store(true, atomic::Ordering::SeqCst);
+    let statuses = caller.join().expect("it asked");
+    assert!(statuses.iter().all(|it| *it == 200), "{statuses:?}");
+    for entry in 0..2 {
+        fleet.until("the newest is in force", || {
+            status(&fleet, entry, "/r139/x") == 200
+        });
+        assert_eq!(status(&fleet, entry, "/r138/x"), 404);
+    }
+}
--- /dev/null
+++ b/tests/fleet/fleet.rs
@@ -0,0 +1,321 @@
+//! Starts processes on loopback addresses of their own, and stops them.
+
+use std::{env, fs, net, path, process, sync::atomic, thread, time};
+
+use crate::standin::{Message, caller, engine, operator};
+
+/// How long anything that is waited for may take. A test that reaches it has failed.
+const PATIENCE: time::Duration = time::Duration::from_secs(40);
+
+/// Between two looks.
+const LOOK: time::Duration = time::Duration::from_millis(30);
+
+/// The fleets of this test binary so far.
+static FLEETS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+/// One process.
+pub struct Process {
+    pub ip: net::Ipv4Addr,
+    /// Callers or the operator.
+    pub port: u16,
+    /// The balancer's question, or the metrics of a control process.
+    ready: u16,
+    settings: path::PathBuf,
+    role: &'static str,
+    child: Option<process::Child>,
+}
+
+impl Process {
+    pub fn address(&self) -> net::SocketAddrV4 {
+        net::SocketAddrV4::new(self.ip, self.port)
+    }
+
+    /// The status of the answer to the balancer; zero if there is none.
+    pub fn ready(&self) -> u16 {
+        let to = net::SocketAddrV4::new(self.ip, self.ready);
+        operator::call(to, "GET", "/ready", "").map_or(0, |it| it.status())
+    }
+
+    /// Whether a control process is a voter by its own figures.
+    pub fn votes(&self) -> bool {
+        let to = net::SocketAddrV4::new(self.ip, self.ready);
+        let figures = operator::call(to, "GET", "/metrics", "");
+        figures.is_ok_and(|it| {
+            it.text()
+                .contains("sageshed_control_votes{otel_scope_name=\"sageshed\"} 1")
+        })
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let child = self.child.as_ref().expect("it runs");
+        let status = process::Command::new("kill")
+            .args([&format!("-{name}"), &child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "kill -{name}");
+    }
+
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().expect("it runs");
+        child.kill().expect("it can be killed");
+        child.wait().expect("it ends");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(&mut self) -> process::ExitStatus {
+        let until = time::Instant::now() + PATIENCE;
+        while self.runs() {
+            let late = time::Instant::now() >= until;
+            assert!(!late, "{} on {} does not end", self.role, self.ip);
+            thread::sleep(LOOK);
+        }
+        let mut child = self.child.take().expect("it ran");
+        child.wait().expect("it has ended")
+    }
+
+    pub fn runs(&mut self) -> bool {
+        let child = self.child.as_mut().expect("it was started");
+        child.try_wait().expect("it can be waited for").is_none()
+    }
+
+    pub fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))
+            .expect("a log file");
+        let child = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
+            .args([self.role, "--config"])
+            .arg(&self.settings)
+            .stdout(log.try_clone().expect("a second handle"))
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+}
+
+/// A fleet and the processes in front of it.
+pub struct Fleet {
+    folder: path::PathBuf,
+    net: [u8; 3],
+    vms_port: u16,
+    control_port: u16,
+    pub control: Vec<Process>,
+    pub entries: Vec<Process>,
+}
+
+impl Fleet {
+    /// Starts control and entry processes, and waits until a leader answers the operator.
+    pub fn start(control: u8, entries: u8) -> Self {
+        let number = FLEETS.fetch_add(1, atomic::Ordering::SeqCst);
+        let own = process::id();
+        let octet = |it: u32| u8::try_from(it % 250 + 1).expect("below 251");
+        let net = [127, octet(own), octet(own / 250 * 7 + number)];
+        let folder = env::temp_dir().join(format!("sageshed-fleet-{own}-{number}"));
+        fs::create_dir_all(&folder).expect("a folder for the test");
+        let first = net::Ipv4Addr::new(net[0], net[1], net[2], 11);
+        let mut fleet = Self {
+            folder,
+            net,
+            vms_port: free_port(first),
+            control_port: free_port(first),
+            control: Vec::new(),
+            entries: Vec::new(),
+        };
+        for at in 0..control {
+            let process = fleet.new_control(at, true);
+            fleet.control.push(process);
+        }
+        for at in 0..entries {
+            let process = fleet.new_entry(at);
+            fleet.entries.push(process);
+        }
+        for process in fleet.control.iter_mut().chain(&mut fleet.entries) {
+            process.start();
+        }
+        fleet
+    }
+
+    /// A fleet of two entry processes that has a configuration, two engines and two plain endpoints,
+    /// and is ready.
+    pub fn ready() -> (Self, Vec<engine::Engine>) {
+        let fleet = Self::start(3, 2);
+        fleet.replace(&operator::config(10));
+        let engines = vec![
+            fleet.engine("e1", "engines", 31, &["m1"]),
+            fleet.engine("e2", "engines", 32, &["m1"]),
+            fleet.engine("p1", "plain", 33, &[]),
+            fleet.engine("p2", "plain", 34, &[]),
+        ];
+        for entry in 0..2 {
+            for path in ["/stream/x", "/again/x"] {
+                fleet.until("an entry process serves", || {
+                    let answer = fleet.ask(entry, &caller::Ask::new("GET", path, "first"));
+                    answer.is_some_and(|it| it.status() == 200)
+                });
+            }
+        }
+        (fleet, engines)
+    }
+
+    fn ip(&self, last: u8) -> net::Ipv4Addr {
+        net::Ipv4Addr::new(self.net[0], self.net[1], self.net[2], last)
+    }
+
+    fn discovery(&self, ip: net::Ipv4Addr, bootstrap: bool) -> String {
+        let seeds: Vec<_> = (11..14)
+            .map(|last| format!("\"{}:{}\"", self.ip(last), self.control_port))
+            .collect();
+        format!(
+            "[discovery]\nip = \"{ip}\"\nseeds = [{}]\nvms_port = {}\n",
+            seeds.join(", "),
+            self.vms_port
+        ) + &if bootstrap {
+            "bootstrap = true\ntolerates = 1\n".to_owned()
+        } else {
+            "tolerates = 1\n".to_owned()
+        }
+    }
+
+    /// A control process on a VM that was not there before.
+    pub fn new_control(&self, at: u8, bootstrap: bool) -> Process {
+        let ip = self.ip(11 + at);
+        let metrics = free_port(ip);
+        let text = format!(
+            "vm = \"core-{at}\"\navailability_zone = \"z1\"\ndata = \"data-{at}\"\n[listen]\nfleet = \"{ip}:{}\"\nvms = \"{ip}:{}\"\noperators = \"{ip}:{}\"\nmetrics = \"{ip}:{metrics}\"\n{}[control]\nelection_timeout_ms = 600\nheartbeat_ms = 80\n[orders]\nlease_ms = 300\n",
+            self.control_port,
+            self.vms_port,
+            free_port(ip),
+            self.discovery(ip, bootstrap),
+        );
+        self.process("control", at, ip, self.control_port, metrics, &text)
+    }
+
+    fn new_entry(&self, at: u8) -> Process {
+        let ip = self.ip(21 + at);
+        let (port, ready) = (free_port(ip), free_port(ip));
+        let text = format!(
+            "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\n",
+            self.discovery(ip, false)
+        );
+        self.process("entry", at, ip, port, ready, &text)
+    }
+
+    fn process(
+        &self,
+        role: &'static str,
+        at: u8,
+        ip: net::Ipv4Addr,
+        port: u16,
+        ready: u16,
+        text: &str,
+    ) -> Process {
+        let settings = self.folder.join(format!("{role}-{at}.toml"));
+        fs::write(&settings, text).expect("settings are written");
+        Process {
+            ip,
+            port,
+            ready,
+            settings,
+            role,
+            child: None,
+        }
+    }
+
+    /// Takes the disk of a control process that does not run, and lets it start anew.
+    pub fn wipe(&mut self, at: u8) {
+        let data = self.folder.join(format!("data-{at}"));
+        fs::remove_dir_all(&data).expect("its data folder was there");
+        self.control[usize::from(at)] = self.new_control(at, false);
+    }
+
+    pub fn engine(&self, id: &str, service: &str, last: u8, models: &[&str]) -> engine::Engine {
+        let control = self.control.iter().map(Process::address).collect();
+        engine::Engine::start(id, service, self.ip(last), models, control)
+    }
+
+    /// One request on a connection of its own. None where no answer came.
+    pub fn ask(&self, entry: usize, ask: &caller::Ask<'_>) -> Option<Message> {
+        let mut caller = caller::Caller::connect(self.entries[entry].address()).ok()?;
+        caller.ask(ask).ok().flatten()
+    }
+
+    /// Sends a configuration to one control process after the other until one acknowledges it.
+    pub fn replace(&self, config: &str) {
+        self.until("a configuration is acknowledged", || {
+            self.control
+                .iter()
+                .any(|it| Self::try_replace(it, config) == 200)
+        });
+    }
+
+    /// The status of one try; zero if there is none.
+    pub fn try_replace(control: &Process, config: &str) -> u16 {
+        let answer = operator::call(control.address(), "POST", "/config/replace", config);
+        answer.map_or(0, |it| it.status())
+    }
+
+    /// The configuration that some control process reads back.
+    pub fn read_back(&self) -> String {
+        let mut text = String::new();
+        self.until("the configuration is read back", || {
+            let mut answers = self.control.iter().filter_map(|it| {
+                let answer = operator::call(it.address(), "GET", "/config/get", "").ok()?;
+                (answer.status() == 200).then(|| answer.text())
+            });
+            answers.next().is_some_and(|it| {
+                text = it;
+                true
+            })
+        });
+        text
+    }
+
+    /// Waits until `holds`.
+    pub fn until(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let until = time::Instant::now() + PATIENCE;
+        while !holds() {
+            if time::Instant::now() >= until {
+                self.print_logs();
+                panic!("waited in vain until {what}; see {}", self.folder.display());
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn print_logs(&self) {
+        for process in self.control.iter().chain(&self.entries) {
+            let log = process.settings.with_extension("log");
+            let text = fs::read_to_string(&log).unwrap_or_default();
+            let last: Vec<&str> = text.lines().rev().take(12).collect();
+            eprintln!("--- {}", log.display());
+            for line in last.iter().rev() {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.control.iter_mut().chain(&mut self.entries) {
+            if let Some(mut child) = process.child.take() {
+                // One that has ended already needs no kill.
+                if child.kill().is_ok() {
+                    drop(child.wait());
+                }
+            }
+        }
+        if !thread::panicking() {
+            drop(fs::remove_dir_all(&self.folder));
+        }
+    }
+}
+
+/// A port that the system chooses; nobody else uses addresses of this test.
+fn free_port(ip: net::Ipv4Addr) -> u16 {
+    let listener = net::TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("bound").port()
+}
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,12 @@
+//! Whole processes in front of a fleet: real `sageshed entry` and `sageshed control`, with stand-ins
+//! for callers, endpoints and the operator.
+
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod configuration;
+mod control;
+mod endpoints;
+mod fleet;
+mod requests;
+mod stopping;
--- /dev/null
+++ b/tests/fleet/requests.rs
@@ -0,0 +1,291 @@
+//! Requests and answers pass byte for byte, and a request that ends without an answer is told the
+//! truth.
+
+use std::{net, thread, time};
+
+use crate::{
+    fleet::Fleet,
+    standin::{
+        caller::{Ask, Caller},
+        engine::{Does, Engine},
+    },
+};
+
+fn total_runs(engines: &[Engine], id: &str) -> usize {
+    engines.iter().map(|it| it.runs(id)).sum()
+}
+
+/// The text of this many events.
+fn events(count: u32) -> String {
+    let event = |n| format!("id: {n}\ndata: event {n}\n\n");
+    (1..=count).map(event).collect::<Vec<_>>().concat()
+}
+
+fn all_do(engines: &[Engine], does: Does) {
+    for engine in engines {
+        engine.does(does);
+    }
+}
+
+#[test]
+fn a_request_and_its_answer_pass_as_they_were_sent() {
+    let (fleet, engines) = Fleet::ready();
+    let ask = Ask {
+        body: "seven crews",
+        ..Ask::new("POST", "/once/a%20b?c=d&e", "id-1")
+    };
+    let answer = fleet.ask(0, &ask).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert!(answer.whole);
+    assert!(
+        answer.text().starts_with("id-1 /once/a%20b?c=d&e by p"),
+        "{}",
+        answer.text()
+    );
+    assert_eq!(answer.header("response-signature"), Some("s1.g"));
+    assert_eq!(answer.header("attempt-id"), Some("id-1"));
+    let ran = engines
+        .iter()
+        .find(|it| it.runs("id-1") == 1)
+        .expect("one ran it");
+    let seen = ran.seen(|seen| {
+        seen.ran
+            .iter()
+            .find(|it| it.header("attempt-id") == Some("id-1"))
+            .cloned()
+    });
+    let seen = seen.expect("it ran");
+    assert_eq!(
+        (seen.method(), seen.target()),
+        ("POST", "/once/a%20b?c=d&e")
+    );
+    assert_eq!(seen.text(), "seven crews");
+    assert_eq!(seen.header("host"), Some("a.example"));
+    assert_eq!(seen.header("x-kept"), Some("yes"));
+    assert_eq!(seen.header("expect-instance"), Some(ran.id()));
+    // Only the system may use another request's reservation.
+    assert_eq!(seen.header("hold"), None);
+    let left: u64 = seen
+        .header("deadline-ms")
+        .expect("what is left")
+        .parse()
+        .expect("a number");
+    assert!(
+        left <= 3_000,
+        "the route's timeout bounds what is left, and it is {left}"
+    );
+}
+
+#[test]
+fn a_stream_passes_whole() {
+    let (fleet, engines) = Fleet::ready();
+    all_do(&engines, Does::Streams(5));
+    let answer = fleet
+        .ask(0, &Ask::new("POST", "/stream/x", "s-1"))
+        .expect("an answer");
+    assert!(answer.whole);
+    let expected = events(5);
+    assert_eq!(answer.text(), expected);
+    assert_eq!(answer.header("content-type"), Some("text/event-stream"));
+}
+
+/// What the endpoints do with a request, and how it ends.
+struct Case {
+    name: &'static str,
+    does: Does,
+    path: &'static str,
+    status: u16,
+    /// How often it runs in all.
+    runs: usize,
+}
+
+/// A back end fails in some way. A submission that may run once must never run twice, and 503 is a
+/// promise that it has not run and never will: the caller sends it again by that word.
+#[test]
+fn a_request_that_ends_without_an_answer_is_told_the_truth() {
+    let (fleet, engines) = Fleet::ready();
+    let case = |name, does, path, status, runs| Case {
+        name,
+        does,
+        path,
+        status,
+        runs,
+    };
+    let cases = [
+        case("rejected, once", Does::Rejects, "/once/x", 503, 0),
+        case("rejected, again", Does::Rejects, "/again/x", 503, 0),
+        case("closed, once", Does::Closes, "/once/x", 502, 1),
+        case("closed, again", Does::Closes, "/again/x", 502, 2),
+        case("failed, once", Does::Fails(500), "/once/x", 500, 1),
+        case("failed, again", Does::Fails(500), "/again/x", 500, 2),
+        case(
+            "an unfounded 503, once",
+            Does::Fails(503),
+            "/once/x",
+            502,
+            1,
+        ),
+        case(
+            "an unfounded 429, once",
+            Does::Fails(429),
+            "/once/x",
+            502,
+            1,
+        ),
+        case(
+            "refused by the endpoint",
+            Does::Fails(404),
+            "/once/x",
+            404,
+            1,
+        ),
+        case("unsigned, once", Does::AnswersUnsigned, "/once/x", 502, 1),
+        case("unsigned, again", Does::AnswersUnsigned, "/again/x", 502, 2),
+        case("short, once", Does::AnswersShort, "/once/x", 502, 1),
+        case("short, again", Does::AnswersShort, "/again/x", 502, 2),
+        case(
+            "another's answer first",
+            Does::AnswersOtherFirst,
+            "/once/x",
+            200,
+            1,
+        ),
+        case("silent, once", Does::Hangs, "/once/x", 504, 1),
+        case(
+            "another's answer only",
+            Does::AnswersOther,
+            "/once/x",
+            504,
+            1,
+        ),
+        case("rejected stream", Does::Rejects, "/stream/x", 503, 0),
+        case("closed stream", Does::Closes, "/stream/x", 502, 1),
+        case(
+            "closed stream that resumes",
+            Does::Closes,
+            "/resumable/x",
+            502,
+            2,
+        ),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let id = format!("case-{number}");
+        all_do(&engines, case.does);
+        let answer = fleet
+            .ask(number % 2, &Ask::new("POST", case.path, &id))
+            .expect(case.name);
+        assert_eq!(
+            answer.status(),
+            case.status,
+            "{}: {}",
+            case.name,
+            answer.text()
+        );
+        assert_eq!(total_runs(&engines, &id), case.runs, "{}", case.name);
+        let vouched = answer.header("response-signature").is_some();
+        assert_eq!(
+            vouched,
+            matches!(answer.status(), 200 | 404 | 500),
+            "{}",
+            case.name
+        );
+        let comes_back = answer.header("retry-after").is_some();
+        assert_eq!(comes_back, case.status == 503, "{}", case.name);
+        // Failures are forgiven after a while, so that the next case finds endpoints to choose from.
+        all_do(&engines, Does::Answers);
+        thread::sleep(time::Duration::from_millis(700));
+    }
+}
+
+/// An engine breaks off inside an event. The caller sees each event once, in order, and the end.
+#[test]
+fn a_stream_that_breaks_off_goes_on_at_another_engine() {
+    let (fleet, engines) = Fleet::ready();
+    for (first, second) in [(0, 1), (1, 0)] {
+        engines[first].does(Does::CutsAfter(3));
+        engines[second].does(Does::Streams(6));
+        let mut number = 0;
+        fleet.until("a stream begins at the engine that breaks off", || {
+            number += 1;
+            let id = format!("r-{first}-{number}");
+            let ask = Ask::new("POST", "/resumable/x", &id);
+            let answer = fleet.ask(0, &ask).expect("an answer");
+            assert!(answer.whole, "{id}");
+            assert_eq!(answer.text(), events(6), "{id}");
+            engines[first].runs(&id) == 1 && engines[second].runs(&id) == 1
+        });
+    }
+}
+
+/// The same where the route does not allow it: what has come must not look complete.
+#[test]
+fn a_stream_that_may_not_go_on_is_cut() {
+    let (fleet, engines) = Fleet::ready();
+    all_do(&engines, Does::CutsAfter(3));
+    let answer = fleet
+        .ask(0, &Ask::new("POST", "/stream/x", "cut"))
+        .expect("an answer");
+    assert!(!answer.whole);
+    let expected = events(3);
+    assert_eq!(answer.text(), expected);
+    assert_eq!(total_runs(&engines, "cut"), 1);
+}
+
+/// A caller closes its connection, in each state of its request. The engine must not go on working
+/// for nobody.
+#[test]
+fn the_work_for_a_caller_who_left_ends() {
+    let (fleet, engines) = Fleet::ready();
+    for (id, does, path) in [
+        ("left-1", Does::Hangs, "/stream/x"),
+        ("left-2", Does::HangsAfter(2), "/stream/x"),
+        ("left-3", Does::Hangs, "/once/x"),
+    ] {
+        all_do(&engines, does);
+        let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
+        caller.send(&Ask::new("POST", path, id)).expect("sent");
+        fleet.until("it runs", || total_runs(&engines, id) == 1);
+        caller.stream.shutdown(net::Shutdown::Both).expect("open");
+        drop(caller);
+        let is_abandoned = |it: &Engine| it.seen(|seen| seen.abandoned.iter().any(|a| a == id));
+        fleet.until("the engine is left too", || {
+            engines.iter().any(is_abandoned)
+        });
+    }
+}
+
+/// An address was given to another endpoint. Its new owner refuses what is not meant for it, and the
+/// request goes to one that can serve it.
+#[test]
+fn a_request_for_an_adapter_that_nobody_holds_has_it_loaded() {
+    let (fleet, engines) = Fleet::ready();
+    let ask = Ask {
+        model: Some("m1/a2"),
+        ..Ask::new("POST", "/stream/x", "adapter")
+    };
+    let answer = fleet.ask(0, &ask).expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    let orders: Vec<String> = engines
+        .iter()
+        .flat_map(|it| it.seen(|seen| seen.orders.clone()))
+        .collect();
+    let loads = orders
+        .iter()
+        .filter(|it| it.contains("\"adapter\":\"a2\""))
+        .count();
+    assert_eq!(loads, 1, "{orders:?}");
+}
+
+/// Nobody listens at an engine's address any more. Requests go to the other one, and none is lost.
+#[test]
+fn an_engine_that_cannot_be_reached_costs_no_request() {
+    let (fleet, mut engines) = Fleet::ready();
+    drop(engines.remove(0));
+    for number in 0..20 {
+        let id = format!("gone-{number}");
+        let answer = fleet
+            .ask(number % 2, &Ask::new("POST", "/stream/x", &id))
+            .expect("an answer");
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+    }
+}
--- /dev/null
+++ b/tests/fleet/stopping.rs
@@ -0,0 +1,109 @@
+//! Signals.
+
+use std::sync::{Arc, atomic};
+use std::thread;
+
+use crate::{
+    fleet::{Fleet, Process},
+    standin::{
+        caller::{Ask, Caller},
+        engine::Does,
+    },
+};
+
+/// An entry process is told to stop while callers ask on kept connections. Each request that it takes
+/// is answered whole, and those that are sent elsewhere are told so by a closed connection, never by
+/// silence.
+#[test]
+fn a_stopping_entry_process_cuts_nothing() {
+    let (mut fleet, engines) = Fleet::ready();
+    for engine in &engines {
+        engine.does(Does::Streams(40));
+    }
+    let address = fleet.entries[0].address();
+    let stop = Arc::new(atomic::AtomicBool::new(false));
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            let stop = Arc::clone(&stop);
+            thread::spawn(move || {
+                let mut cut = Vec::new();
+                let mut number = 0;
+                while !stop.load(atomic::Ordering::SeqCst) {
+                    let Ok(mut kept) = Caller::connect(address) else {
+                        return cut;
+                    };
+                    loop {
+                        number += 1;
+                        let id = format!("c{caller}-{number}");
+                        let ask = Ask::new("POST", "/stream/x", &id);
+                        let Ok(Some(answer)) = kept.ask(&ask) else {
+                            break;
+                        };
+                        if !answer.whole {
+                            cut.push(id);
+                        }
+                        if answer.header("connection") == Some("close") {
+                            break;
+                        }
+                    }
+                }
+                cut
+            })
+        })
+        .collect();
+    fleet.until("all callers are served", || {
+        engines
+            .iter()
+            .map(|it| it.seen(|seen| seen.ran.len()))
+            .sum::<usize>()
+            > 12
+    });
+    fleet.entries[0].signal("TERM");
+    fleet.until("the balancer is told", || fleet.entries[0].ready() != 200);
+    let status = fleet.entries[0].wait();
+    stop.store(true, atomic::Ordering::SeqCst);
+    for caller in callers {
+        assert_eq!(caller.join().expect("it asked"), Vec::<String>::new());
+    }
+    assert!(status.success());
+}
+
+/// A stream that began before the stop ends long after it, and its caller sends the next request on
+/// the same connection in the last moment. It gets a whole answer: that it has not run.
+#[test]
+fn a_request_behind_a_stream_that_outlives_the_notice_is_answered() {
+    let (mut fleet, engines) = Fleet::ready();
+    for engine in &engines {
+        engine.does(Does::Streams(400));
+    }
+    let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
+    caller
+        .send(&Ask::new("POST", "/stream/x", "long"))
+        .expect("sent");
+    // With the head comes the promise to keep the connection.
+    assert!(caller.stream.peek(&mut [0]).expect("its head") > 0);
+    fleet.entries[0].signal("TERM");
+    caller
+        .send(&Ask::new("POST", "/stream/x", "behind"))
+        .expect("sent");
+    let long = caller.answer().expect("an answer").expect("whole");
+    assert!(long.whole);
+    let behind = caller.answer().expect("an answer").expect("not cut");
+    assert_eq!(behind.status(), 503);
+    assert!(behind.whole);
+    assert_eq!(engines.iter().map(|it| it.runs("behind")).sum::<usize>(), 0);
+    assert!(fleet.entries[0].wait().success());
+}
+
+/// The settings file changes and each process is told by SIGHUP. Nobody ends by it.
+#[test]
+fn a_hangup_ends_no_process() {
+    let (mut fleet, _engines) = Fleet::ready();
+    for process in fleet.control.iter().chain(&fleet.entries) {
+        process.signal("HUP");
+    }
+    let answer = fleet.ask(0, &Ask::new("GET", "/again/x", "after"));
+    assert_eq!(answer.expect("an answer").status(), 200);
+    let mut processes = fleet.control.iter_mut().chain(&mut fleet.entries);
+    assert!(processes.all(Process::runs));
+}
