Give the next busy model copies before demand reaches it

Cause: demand moves on down the order of busy models within five seconds; a load takes nine. The second model had one or two copies when it became the first, each with 0.7 to 0.8 engines of work, while the first had seven copies at 0.25. An engine reads all prompts that wait there in one step, up to 8,192 tokens, and every stream on it pauses for that long: 205 of 965 streams had a pause over 400 ms.

Change: the second and third of the busy models are provided for 0.7 of the work of the one before them; a copy bears 0.3 engines, not 0.45. The survey of a pool is made once and stands in a module of its own.

--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -376,9 +376,12 @@
         self.open.iter().any(is_drop)
     }
 
-    pub(super) fn loads(&self, model: &str) -> bool {
-        let is_load = |it: &Open| matches!(&it.task, dialect::Task::Load(m) if m == model);
-        self.open.iter().any(is_load)
+    /// The model whose weights it is told to load, if any.
+    pub(super) fn loads(&self) -> Option<&str> {
+        self.open.iter().find_map(|it| match &it.task {
+            dialect::Task::Load(model) => Some(model.as_str()),
+            _ => None,
+        })
     }
 
     /// Loads from the store under way here.
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -27,6 +27,7 @@
 mod demand;
 mod engine;
 mod store;
+mod weights;
 
 use std::{collections, net};
 
@@ -43,11 +44,15 @@
     pub store_window: time::Millis,
     /// Prompt tokens that one engine reads in a second.
     pub engine_tokens_per_s: f64,
-    /// The part of an engine's reading that a copy of a model may need before another is loaded.
-    /// Queues grow fast beyond: at six tenths a request waits for one and a half others.
+    /// The part of an engine's reading that a copy of a model may need before another is loaded. An
+    /// engine reads all prompts that wait there in one step, and all streams pause meanwhile: at three
+    /// tenths several large ones seldom meet.
     pub high: f64,
     /// The part that the copies of a model may need after one of them is given up.
     pub low: f64,
+    /// The part of the work of the model before it, in the order of their work, for which a busy model
+    /// is given copies. Demand moves on down that order within seconds, and a load takes longer.
+    pub anticipated: f64,
     /// Loads from the store under way at once, beyond which each takes longer.
     pub loads_at_once: usize,
 }
@@ -58,8 +63,9 @@
             lease: time::Millis(3_000),
             store_window: time::Millis(5_000),
             engine_tokens_per_s: 19_000.0,
-            high: 0.45,
-            low: 0.35,
+            high: 0.3,
+            low: 0.25,
+            anticipated: 0.7,
             loads_at_once: 6,
         }
     }
@@ -388,8 +394,10 @@
     /// Has weights loaded and unloaded.
     fn place(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        for model in self.short_of_copies(now, pool) {
-            let Some((id, task)) = self.next_step(now, pool, model) else {
+        for model in weights::Survey::new(self, now, pool).short_of_copies() {
+            // The order before may have changed what the next one finds.
+            let survey = weights::Survey::new(self, now, pool);
+            let Some((id, task)) = survey.next_step(model) else {
                 continue;
             };
             actions.extend(self.order(now, pool, &id, task).map(Action::Order));
@@ -397,134 +405,6 @@
         actions
     }
 
-    /// Models that need another copy, the one that needs it most first.
-    fn short_of_copies<'a>(&self, now: time::Instant, pool: &Pool<'a>) -> Vec<&'a config::Model> {
-        let mut short: Vec<(f64, &config::Model)> = Vec::new();
-        for model in &pool.offer.models {
-            let copies = self.copies(pool, &model.name);
-            let loading = self.loads_under_way(pool, &model.name);
-            let work = self.work(now, pool, &model.name);
-            let need = if copies + loading == 0 {
-                // Without a copy its callers get nothing at all.
-                10.0 + work
-            } else {
-                work / (copies + loading) as f64
-            };
-            if need > self.policy.high && loading < 2 + copies {
-                short.push((need, model));
-            }
-        }
-        short.sort_by(|a, b| b.0.total_cmp(&a.0));
-        short.into_iter().map(|(_, model)| model).collect()
-    }
-
-    /// The next order on the way to another copy of `model`: a load where there is room, else the
-    /// unload that makes room.
-    fn next_step(
-        &self,
-        now: time::Instant,
-        pool: &Pool<'_>,
-        model: &config::Model,
-    ) -> Option<(String, dialect::Task)> {
-        let loads = self
-            .engines
-            .values()
-            .map(engine::Engine::store_loads)
-            .sum::<usize>();
-        let store_is_free =
-            loads < self.policy.loads_at_once && self.store.allows(now, pool.offer.loads_per_s);
-        let mut best: Option<(f64, String, dialect::Task)> = None;
-        for instance in &pool.instances {
-            let Some(engine) = self.engines.get(&instance.id) else {
-                continue;
-            };
-            if !engine.takes_weights(now) || instance.resident(&model.name).is_some() {
-                continue;
-            }
-            let source = engine::source(instance, &model.name);
-            if source == engine::Source::Store && !store_is_free {
-                continue;
-            }
-            let used = engine.weights_at_worst(instance, pool.offer);
-            let room = pool.offer.weights_mb - used;
-            let (task, price) = if room >= model.weights_mb {
-                (dialect::Task::Load(model.name.clone()), 0.0)
-            } else {
-                match self.victim(now, pool, instance, model) {
-                    Some((victim, price)) => (dialect::Task::Unload(victim), 0.2 + price),
-                    None => continue,
-                }
-            };
-            // Of engines that are equal otherwise, the emptier one.
-            let fill = EMPTIER * used / pool.offer.weights_mb;
-            let cost = price + source.cost(model) + self.engine_work(now, pool, instance) + fill;
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, instance.id.clone(), task));
-            }
-        }
-        best.map(|(_, id, task)| (id, task))
-    }
-
-    /// The model on `instance` that can best do with a copy less, and what its copies then bear.
-    fn victim(
-        &self,
-        now: time::Instant,
-        pool: &Pool<'_>,
-        instance: &directory::Instance,
-        wanted: &config::Model,
-    ) -> Option<(String, f64)> {
-        let mut best: Option<(String, f64)> = None;
-        for resident in &instance.models {
-            let copies = self.copies(pool, &resident.model);
-            let offered = pool.offer.models.iter().any(|it| it.name == resident.model);
-            if copies < 2 && offered || resident.model == wanted.name {
-                continue;
-            }
-            let left = copies.saturating_sub(1).max(1);
-            let after = self.work(now, pool, &resident.model) / left as f64;
-            let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
-            if after <= self.policy.low && is_better {
-                best = Some((resident.model.clone(), after));
-            }
-        }
-        best
-    }
-
-    /// Engines that hold `model` and are not told to drop it.
-    fn copies(&self, pool: &Pool<'_>, model: &str) -> usize {
-        let keeps = |it: &&&directory::Instance| {
-            let drops = |engine: &engine::Engine| engine.drops(model);
-            it.resident(model).is_some() && !self.engines.get(&it.id).is_some_and(drops)
-        };
-        pool.instances.iter().filter(keeps).count()
-    }
-
-    fn loads_under_way(&self, pool: &Pool<'_>, model: &str) -> usize {
-        let loads = |it: &&&directory::Instance| {
-            let loading = |engine: &engine::Engine| engine.loads(model);
-            it.resident(model).is_none() && self.engines.get(&it.id).is_some_and(loading)
-        };
-        pool.instances.iter().filter(loads).count()
-    }
-
-    /// Engines that the requests for `model` keep busy, as a number of engines.
-    fn work(&self, now: time::Instant, pool: &Pool<'_>, model: &str) -> f64 {
-        let tokens = self.demand.tokens_per_s(now, pool.service, model);
-        tokens / self.policy.engine_tokens_per_s
-    }
-
-    fn engine_work(
-        &self,
-        now: time::Instant,
-        pool: &Pool<'_>,
-        instance: &directory::Instance,
-    ) -> f64 {
-        let share = |it: &directory::Resident| {
-            self.work(now, pool, &it.model) / self.copies(pool, &it.model).max(1) as f64
-        };
-        instance.models.iter().map(share).sum()
-    }
-
     /// Makes an order out of a task, if the engine can take one now.
     fn order(
         &mut self,
--- /dev/null
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -0,0 +1,222 @@
+//! Where weights are loaded and what makes room for them.
+
+use std::collections;
+
+use sageshed_types::time;
+
+use super::{EMPTIER, Planner, Pool, engine};
+use crate::{config, dialect, directory};
+
+/// A model with less work than this, in engines kept busy, is not taken for the next to rise.
+const BUSY: f64 = 0.15;
+
+/// A model with less than this part of the work of the one before it isn't either.
+const RUNNER_UP: f64 = 0.15;
+
+/// How far down the order of models work is anticipated.
+const ANTICIPATED_RANKS: usize = 2;
+
+/// What an unload weighs, in engines kept busy: its requests are waited for, and what was kept of its
+/// prompts is lost.
+const UNLOAD: f64 = 0.2;
+
+/// What a model without any copy weighs: more than any work.
+const NO_COPY: f64 = 10.0;
+
+/// What is known of one model at one moment.
+#[derive(Debug, Clone, Copy, Default)]
+struct Standing {
+    /// Engines that hold it and are not told to drop it.
+    copies: usize,
+    /// Engines that load it.
+    loading: usize,
+    /// Engines that its requests keep busy, as a number of engines.
+    work: f64,
+    /// Engines that it should be able to keep busy.
+    provision: f64,
+}
+
+impl Standing {
+    /// What each copy would bear with `copies` of them.
+    fn each(&self, copies: usize) -> f64 {
+        self.provision / copies.max(1) as f64
+    }
+}
+
+/// All models of one pool at one moment.
+pub(super) struct Survey<'a, 'p> {
+    planner: &'a Planner,
+    pool: &'a Pool<'p>,
+    now: time::Instant,
+    models: collections::HashMap<&'p str, Standing>,
+}
+
+impl<'a, 'p> Survey<'a, 'p> {
+    pub(super) fn new(planner: &'a Planner, now: time::Instant, pool: &'a Pool<'p>) -> Self {
+        let mut models: collections::HashMap<&'p str, Standing> = collections::HashMap::new();
+        for model in &pool.offer.models {
+            let tokens = planner.demand.tokens_per_s(now, pool.service, &model.name);
+            let work = tokens / planner.policy.engine_tokens_per_s;
+            let standing = Standing {
+                work,
+                provision: work,
+                ..Standing::default()
+            };
+            models.insert(&model.name, standing);
+        }
+        for instance in &pool.instances {
+            count(planner, instance, &mut models);
+        }
+        anticipate(planner.policy.anticipated, &mut models);
+        Self {
+            planner,
+            pool,
+            now,
+            models,
+        }
+    }
+
+    fn of(&self, model: &str) -> Standing {
+        self.models.get(model).copied().unwrap_or_default()
+    }
+
+    /// Models that need another copy, the one that needs it most first.
+    pub(super) fn short_of_copies(&self) -> Vec<&'p config::Model> {
+        let mut short: Vec<(f64, &'p config::Model)> = Vec::new();
+        for model in &self.pool.offer.models {
+            let it = self.of(&model.name);
+            let need = if it.copies + it.loading == 0 {
+                // Without a copy its callers get nothing at all.
+                NO_COPY + it.work
+            } else {
+                it.each(it.copies + it.loading)
+            };
+            if need > self.planner.policy.high && it.loading < 2 + it.copies {
+                short.push((need, model));
+            }
+        }
+        short.sort_by(|a, b| b.0.total_cmp(&a.0));
+        short.into_iter().map(|(_, model)| model).collect()
+    }
+
+    /// The next order on the way to another copy of `model`: a load where there is room, else the
+    /// unload that makes room.
+    pub(super) fn next_step(&self, model: &config::Model) -> Option<(String, dialect::Task)> {
+        let engines = &self.planner.engines;
+        let loads: usize = engines.values().map(engine::Engine::store_loads).sum();
+        let per_s = self.pool.offer.loads_per_s;
+        let store_is_free =
+            loads < self.planner.policy.loads_at_once && self.planner.store.allows(self.now, per_s);
+        let mut best: Option<(f64, String, dialect::Task)> = None;
+        for instance in &self.pool.instances {
+            let Some((cost, task)) = self.step_at(instance, model, store_is_free) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, instance.id.clone(), task));
+            }
+        }
+        best.map(|(_, id, task)| (id, task))
+    }
+
+    /// What `instance` would be told to have `model` there, and what that weighs.
+    fn step_at(
+        &self,
+        instance: &directory::Instance,
+        model: &config::Model,
+        store_is_free: bool,
+    ) -> Option<(f64, dialect::Task)> {
+        let engine = self.planner.engines.get(&instance.id)?;
+        if !engine.takes_weights(self.now) || instance.resident(&model.name).is_some() {
+            return None;
+        }
+        let source = engine::source(instance, &model.name);
+        if source == engine::Source::Store && !store_is_free {
+            return None;
+        }
+        let used = engine.weights_at_worst(instance, self.pool.offer);
+        let has_room = self.pool.offer.weights_mb - used >= model.weights_mb;
+        let (task, price) = if has_room {
+            (dialect::Task::Load(model.name.clone()), 0.0)
+        } else {
+            let (victim, after) = self.victim(instance, model)?;
+            (dialect::Task::Unload(victim), UNLOAD + after)
+        };
+        // Of engines that are equal otherwise, the emptier one.
+        let fill = EMPTIER * used / self.pool.offer.weights_mb;
+        let cost = price + source.cost(model) + self.engine_work(instance) + fill;
+        Some((cost, task))
+    }
+
+    /// The model on `instance` that can best do with a copy less, and what its copies then bear.
+    fn victim(
+        &self,
+        instance: &directory::Instance,
+        wanted: &config::Model,
+    ) -> Option<(String, f64)> {
+        let mut best: Option<(String, f64)> = None;
+        for resident in &instance.models {
+            let is_offered = self.models.contains_key(resident.model.as_str());
+            let it = self.of(&resident.model);
+            let is_last = it.copies < 2 && is_offered;
+            if is_last || resident.model == wanted.name {
+                continue;
+            }
+            let after = it.each(it.copies.saturating_sub(1));
+            let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
+            if after <= self.planner.policy.low && is_better {
+                best = Some((resident.model.clone(), after));
+            }
+        }
+        best
+    }
+
+    /// What the requests for the models on `instance` keep busy of it.
+    fn engine_work(&self, instance: &directory::Instance) -> f64 {
+        let share = |it: &directory::Resident| {
+            let standing = self.of(&it.model);
+            standing.work / standing.copies.max(1) as f64
+        };
+        instance.models.iter().map(share).sum()
+    }
+}
+
+/// Counts what `instance` holds and loads.
+fn count(
+    planner: &Planner,
+    instance: &directory::Instance,
+    models: &mut collections::HashMap<&str, Standing>,
+) {
+    let engine = planner.engines.get(&instance.id);
+    for resident in &instance.models {
+        let is_dropped = engine.is_some_and(|it| it.drops(&resident.model));
+        if let Some(standing) = models.get_mut(resident.model.as_str())
+            && !is_dropped
+        {
+            standing.copies += 1;
+        }
+    }
+    let Some(loads) = engine.and_then(engine::Engine::loads) else {
+        return;
+    };
+    if let Some(standing) = models.get_mut(loads)
+        && instance.resident(loads).is_none()
+    {
+        standing.loading += 1;
+    }
+}
+
+/// Provides the next of the busy models for a part of the work of the one before it.
+fn anticipate(part: f64, models: &mut collections::HashMap<&str, Standing>) {
+    let mut order: Vec<(f64, &str)> = models.iter().map(|(name, it)| (it.work, *name)).collect();
+    order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+    for pair in order.windows(2).take(ANTICIPATED_RANKS) {
+        let ((before, _), (work, name)) = (pair[0], pair[1]);
+        let is_next = work >= BUSY && work >= before * RUNNER_UP;
+        if let Some(standing) = models.get_mut(name)
+            && is_next
+        {
+            standing.provision = work.max(before * part);
+        }
+    }
+}
