Hold a prompt back where an engine's streams would pause for too long, and spread adapters

Cause: an engine reads every prompt that waits there in one step. Two large ones make all its streams pause for over 400 ms, and each of these is late by it.

Change: a prompt that would add a pause of over 330 ms waits here for up to 35 hundredths of its objective, or goes elsewhere; an adapter is asked for on the engine that would answer soonest where that saves over 120 ms. A change of places wakes those who wait (it did not: only changes of the directory did).

--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -66,6 +66,17 @@
 /// Prompt parts that are remembered for each engine.
 const PARTS_KEPT: usize = 2_000;
 
+/// The longest pause, in milliseconds, that a prompt may add to the streams of an engine. An engine
+/// reads all prompts that wait there in one step, and its streams pause meanwhile; callers count a
+/// stream as late by one pause of 400 ms.
+const PAUSE_MS: f64 = 330.0;
+
+/// How long an adapter takes to be there once it is asked for, in milliseconds: two calls and a load.
+const ADAPTER_MS: f64 = 45.0;
+
+/// By how much an engine without the adapter must be better than the best with it, in milliseconds.
+const WORTH_A_LOAD_MS: f64 = 120.0;
+
 /// Requests that one entry process has under way at one endpoint of a plain service, in parts of its
 /// places. Some may wait there: an endpoint that is never full is idle between two answers.
 const SERVICE_FILL: f64 = 1.5;
@@ -85,6 +96,10 @@
     pub tried: &'a [arena::EndpointKey],
     /// What is left until nobody waits for the answer.
     pub left: time::Millis,
+    /// How much longer it may wait here for an engine that reads little.
+    pub patience: time::Millis,
+    /// Whether an adapter may be loaded for it on another engine.
+    pub may_fetch: bool,
 }
 
 /// What to do with a request.
@@ -92,6 +107,11 @@
 pub enum Choice {
     /// Send it there.
     Send(Pick),
+    /// Have the adapter loaded on this engine, and ask again.
+    Fetch {
+        /// The start of the engine.
+        instance: String,
+    },
     /// Wait for a change.
     Wait(Missing),
     /// It could not be answered in time: turn it away, with when there will be room.
@@ -110,7 +130,7 @@
     Model,
     /// Engines hold the model, and none of them the adapter.
     Adapter,
-    /// A place at one of the endpoints.
+    /// A place at one of the endpoints, or an engine that reads little.
     Place,
 }
 
@@ -253,6 +273,13 @@
         (self.unread as f64 + others + tokens as f64) / self.rate + STEP_MS
     }
 
+    /// Whether reading so many tokens more would make its streams pause for too long. One prompt that
+    /// is too long by itself has to be read somewhere.
+    fn would_pause(&self, now: time::Instant, tokens: u64) -> bool {
+        let ahead = self.unread as f64 + self.waiting(now) * tokens as f64;
+        ahead > 0.0 && (ahead + tokens as f64) / self.rate > PAUSE_MS
+    }
+
     /// Milliseconds until a plain service has answered.
     fn service_ms(&self, now: time::Instant) -> f64 {
         let slots = f64::from(self.instance.slots.max(1));
@@ -350,15 +377,90 @@
 
     /// Decides.
     pub fn choose(&mut self, now: time::Instant, ask: &Ask<'_>) -> Choice {
-        let keys = match self.candidates(now, ask) {
-            Ok(keys) => keys,
+        let open = match self.open(now, ask) {
+            Ok(open) => open,
             Err(missing) => return Choice::Wait(missing),
         };
-        let draw = self.draw();
+        let Some(wanted) = ask.wanted else {
+            return self.choose_plain(now, ask, &open);
+        };
+        let base = dialect::Wanted {
+            model: wanted.model.clone(),
+            adapter: None,
+        };
+        let (with, without): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .filter(|key| self.holds(now, *key, &base))
+            .partition(|key| self.holds(now, *key, wanted));
+        if with.is_empty() && without.is_empty() {
+            return Choice::Wait(Missing::Model);
+        }
+        self.choose_engine(now, ask, &with, &without)
+    }
+
+    fn choose_plain(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask<'_>,
+        open: &[arena::EndpointKey],
+    ) -> Choice {
+        let room = |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
+        let free: Vec<_> = open.iter().copied().filter(room).collect();
+        match self.best(now, ask, &free) {
+            Some((ms, key)) => self.send(key, ms, ask),
+            None => Choice::Wait(Missing::Place),
+        }
+    }
+
+    /// Chooses among engines `with` the adapter and those `without` it, where it could be loaded.
+    fn choose_engine(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask<'_>,
+        with: &[arena::EndpointKey],
+        without: &[arena::EndpointKey],
+    ) -> Choice {
+        let calm = |list: &[arena::EndpointKey]| -> Vec<_> {
+            let is_calm = |key: &arena::EndpointKey| {
+                let endpoint = self.get(*key);
+                endpoint.is_some_and(|it| !it.would_pause(now, it.unkept(ask)))
+            };
+            list.iter().copied().filter(is_calm).collect()
+        };
+        let (calm_with, calm_without) = (calm(with), calm(without));
+        let best = self.best(now, ask, &calm_with);
+        let other = self.best(now, ask, &calm_without);
+        let fetch = other.filter(|(ms, _)| {
+            let there = best.map_or(f64::INFINITY, |(least, _)| least);
+            ask.may_fetch && ms + ADAPTER_MS + WORTH_A_LOAD_MS < there
+        });
+        if let Some(instance) = fetch.and_then(|(_, key)| self.get(key)) {
+            let instance = instance.instance.id.clone();
+            return Choice::Fetch { instance };
+        }
+        if let Some((ms, key)) = best {
+            return self.send(key, ms, ask);
+        }
+        if ask.patience > time::Millis(0) {
+            return Choice::Wait(Missing::Place);
+        }
+        match self.best(now, ask, with) {
+            Some((ms, key)) => self.send(key, ms, ask),
+            None => Choice::Wait(Missing::Adapter),
+        }
+    }
+
+    /// The one with the least estimate, and that. Of equal ones any.
+    fn best(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask<'_>,
+        keys: &[arena::EndpointKey],
+    ) -> Option<(f64, arena::EndpointKey)> {
+        let offset = usize::try_from(self.draw()).unwrap_or(0) % keys.len().max(1);
         let mut best: Option<(f64, arena::EndpointKey)> = None;
         for at in 0..keys.len() {
-            let offset = usize::try_from(draw).unwrap_or(0);
-            let key = keys[(at + offset % keys.len()) % keys.len()];
+            let key = keys[(at + offset) % keys.len()];
             // Whole milliseconds: by less than that an endpoint that failed long ago would never be
             // chosen again while the others are idle.
             let ms = self.estimate(now, key, ask).floor();
@@ -366,18 +468,11 @@
                 best = Some((ms, key));
             }
         }
-        match best {
-            Some((ms, key)) => self.send(key, ms, ask),
-            None => Choice::Wait(Missing::Endpoint),
-        }
+        best
     }
 
-    /// The endpoints that can take the request now.
-    fn candidates(
-        &self,
-        now: time::Instant,
-        ask: &Ask<'_>,
-    ) -> Result<Vec<arena::EndpointKey>, Missing> {
+    /// The endpoints of the service that take work now.
+    fn open(&self, now: time::Instant, ask: &Ask<'_>) -> Result<Vec<arena::EndpointKey>, Missing> {
         let open = |key: &arena::EndpointKey| {
             let endpoint = self.get(*key)?;
             let takes = endpoint.instance.is_ready() && !ask.tried.contains(key);
@@ -388,38 +483,11 @@
         if open.is_empty() {
             return Err(Missing::Endpoint);
         }
-        if let Some(wanted) = ask.wanted {
-            return self.holders(now, open, wanted);
-        }
-        let room = |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
-        let free: Vec<_> = open.into_iter().filter(room).collect();
-        if free.is_empty() {
-            Err(Missing::Place)
-        } else {
-            Ok(free)
-        }
+        Ok(open)
     }
 
-    fn holders(
-        &self,
-        now: time::Instant,
-        open: Vec<arena::EndpointKey>,
-        wanted: &dialect::Wanted,
-    ) -> Result<Vec<arena::EndpointKey>, Missing> {
-        let holds = |key: arena::EndpointKey, wanted: &dialect::Wanted| {
-            self.get(key).is_some_and(|it| it.holds(now, wanted))
-        };
-        let base = dialect::Wanted {
-            model: wanted.model.clone(),
-            adapter: None,
-        };
-        let has_model = open.iter().any(|key| holds(*key, &base));
-        let holders: Vec<_> = open.into_iter().filter(|it| holds(*it, wanted)).collect();
-        match (holders.is_empty(), has_model) {
-            (false, _) => Ok(holders),
-            (true, true) => Err(Missing::Adapter),
-            (true, false) => Err(Missing::Model),
-        }
+    fn holds(&self, now: time::Instant, key: arena::EndpointKey, wanted: &dialect::Wanted) -> bool {
+        self.get(key).is_some_and(|it| it.holds(now, wanted))
     }
 
     fn estimate(&self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> f64 {
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -93,6 +93,8 @@
     pub model: String,
     /// The adapter of that model.
     pub adapter: String,
+    /// The engine on which it is wanted, if any will not do.
+    pub engine: Option<String>,
 }
 
 /// What became of a [`WantReq`].
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -340,22 +340,35 @@
             let coming = |engine: &engine::Engine| engine.awaits(&req.model, &req.adapter);
             it.holds(&req.model, Some(&req.adapter)) || self.engines.get(&it.id).is_some_and(coming)
         };
-        if holders.iter().any(is_there) {
+        let is_meant = |it: &&directory::Instance| {
+            let engine = req.engine.as_ref();
+            engine.is_none_or(|id| *id == it.id)
+        };
+        if holders.iter().filter(|it| is_meant(it)).any(is_there) {
             return Served::Done;
         }
+        let is_elsewhere = holders.iter().any(is_there);
         let room = |it: &&directory::Instance| {
             let engine = self.engines.get(&it.id)?;
             let used = engine.adapters_at_worst(it);
             let free = (pool.offer.adapter_slots as usize).checked_sub(used + 1)?;
             (engine.takes_adapters(now)).then_some((free, it.id.clone()))
         };
-        let roomiest = holders.iter().filter_map(room).max();
+        let meant = holders.iter().filter(|it| is_meant(it));
+        let mut roomiest = meant.filter_map(room).max();
+        if roomiest.is_none() && !is_elsewhere {
+            roomiest = holders.iter().filter_map(room).max();
+        }
         let task = dialect::Task::LoadAdapter(req.model.clone(), req.adapter.clone());
         if let Some((_, id)) = roomiest {
             return self
                 .order(now, pool, &id, task)
                 .map_or(Served::Later, Served::By);
         }
+        if is_elsewhere {
+            // A second copy is not worth another adapter's place.
+            return Served::Done;
+        }
         self.evict_for(now, pool, &holders)
     }
 
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -25,6 +25,8 @@
         prompt_tokens: tokens,
         tried: &[],
         left: time::Millis(10_000),
+        patience: time::Millis(0),
+        may_fetch: false,
     }
 }
 
@@ -36,6 +38,8 @@
         prompt_tokens: 0,
         tried: &[],
         left: time::Millis(1_000),
+        patience: time::Millis(0),
+        may_fetch: false,
     }
 }
 
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -153,6 +153,7 @@
             service: support::ENGINES.to_owned(),
             model: "m0".to_owned(),
             adapter: adapter.to_owned(),
+            engine: None,
         };
         self.planner.want(self.now, want);
     }
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -49,6 +49,15 @@
 /// The least that must be left for a request that waits for a load.
 const LOAD_RESERVE: time::Millis = time::Millis(500);
 
+/// The part of its objective that a request waits for an engine that reads little, in hundredths.
+const CALM_PATIENCE: u64 = 35;
+
+/// How often an adapter is asked for on behalf of one request.
+const FETCHES: u32 = 3;
+
+/// How long one such question is given. An adapter is there after some 30 ms.
+const FETCH_WAIT: std_time::Duration = std_time::Duration::from_millis(80);
+
 /// The part of its objective that a request waits for a place, in hundredths.
 const PLACE_PATIENCE: u64 = 60;
 
@@ -241,6 +250,7 @@
     fn next(&mut self, watch: &reply::Watch) -> Step {
         let arrived = std_time::Instant::now();
         let mut told_waiting = false;
+        let mut fetches = 0;
         loop {
             if watch.caller_gone() {
                 return Step::Gone;
@@ -257,6 +267,10 @@
                 prompt_tokens: self.passing.prompt_tokens,
                 tried: &self.tried,
                 left,
+                patience: time::Millis::from(
+                    self.calm_patience().saturating_sub(arrived.elapsed()),
+                ),
+                may_fetch: fetches < FETCHES,
             };
             let (choice, seen) = self
                 .shared
@@ -270,15 +284,28 @@
                     );
                     return Step::Refuse(self.give_up(verdict::Reason::DeadlineUnmeetable, detail));
                 }
+                chooser::Choice::Fetch { instance } => {
+                    fetches += 1;
+                    self.want(now, instance);
+                    let _changes = self.shared.wait(seen, FETCH_WAIT.min(left.into()));
+                    continue;
+                }
                 chooser::Choice::Wait(missing) => missing,
             };
             let waited = arrived.elapsed();
             if waited >= self.patience(missing) || left <= reserve(missing) {
                 return Step::Refuse(self.not_served(missing));
             }
-            self.ask_for(now, missing, &mut told_waiting);
+            if missing == chooser::Missing::Model && !told_waiting {
+                told_waiting = true;
+                self.tell_waiting();
+            }
             let limit = LOOK.min(left.into());
             let _changes = self.shared.wait(seen, limit);
+            if missing == chooser::Missing::Adapter {
+                // The leader may have been lost with the question.
+                fetches = 0;
+            }
         }
     }
 
@@ -310,29 +337,34 @@
         }
     }
 
-    /// Lets the leader know what a request waits for.
-    fn ask_for(&self, now: time::Instant, missing: chooser::Missing, told_waiting: &mut bool) {
-        let Some(wanted) = self.wanted else {
-            return;
-        };
-        match (missing, &wanted.adapter) {
-            (chooser::Missing::Adapter, Some(adapter)) => self.want(now, wanted, adapter),
-            (chooser::Missing::Model, _) if !*told_waiting => {
-                *told_waiting = true;
-                let model = &wanted.model;
-                self.shared
-                    .with_core(|core| core.wait_for_model(self.service, model));
-            }
-            _ => {}
+    /// How long a request waits for an engine that reads little, before it makes do with any.
+    fn calm_patience(&self) -> std_time::Duration {
+        std_time::Duration::from_millis(self.route.objective.0 * CALM_PATIENCE / 100)
+    }
+
+    /// Lets the leader know of a request that waits for its model.
+    fn tell_waiting(&self) {
+        if let Some(wanted) = self.wanted {
+            self.shared
+                .with_core(|core| core.wait_for_model(self.service, &wanted.model));
         }
     }
 
-    fn want(&self, now: time::Instant, wanted: &dialect::Wanted, adapter: &str) {
+    /// Asks the leader to have the adapter of this request loaded on an engine.
+    fn want(&self, now: time::Instant, engine: String) {
+        let Some((model, adapter)) = self
+            .wanted
+            .and_then(|it| Some((it.model.clone(), it.adapter.clone()?)))
+        else {
+            return;
+        };
         let want = messages::WantReq {
             service: self.service.to_owned(),
-            model: wanted.model.clone(),
-            adapter: adapter.to_owned(),
+            model,
+            adapter,
+            engine: Some(engine),
         };
+        let adapter = want.adapter.as_str();
         if !self.shared.with_core(|core| core.says_want(now, &want)) {
             return;
         }
@@ -600,6 +632,7 @@
         let parts = &self.passing.parts;
         self.shared
             .with_core(|core| core.chooser.began(now, pick, parts, took, load));
+        self.shared.place_freed();
     }
 
     fn ended(&self, pick: &chooser::Pick, began: bool, how: chooser::Ended) {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -204,6 +204,7 @@
 
     /// A place has become free: wakes the requests that wait for one.
     pub fn place_freed(&self) {
+        locks::lock(&self.core).changes += 1;
         self.changed.notify_all();
     }
 
