Let an engine that starts again replace the one before at its address

Cause: engines that crash are back within seconds at the same address under another id.

Ruled out: late orders (the engines had none open), stale adapters (5 of 247).

Change: a first word of an instance ends the others at its address; a later one only where they were silent for 5 s, since it may be late and of a dead instance. An entry process takes a refusal that names another instance as the end of the one it meant. Two tests, red before.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -80,6 +80,8 @@
     pub word: Word,
     /// Its load, where it tells.
     pub load: Option<Load>,
+    /// The start of the endpoint that answered, where it tells.
+    pub instance: Option<&'a str>,
 }
 
 /// What an endpoint's answer says of the request.
--- a/crates/sageshed-fleet/src/directory.rs
+++ b/crates/sageshed-fleet/src/directory.rs
@@ -21,6 +21,14 @@
 /// lives.
 pub const REFRESH: time::Millis = time::Millis(2_000);
 
+/// An instance whose first word here has at most this number was just started.
+const FIRST_WORDS: u64 = 3;
+
+/// How long one instance at an address must be silent before another, whose first words were not
+/// heard, takes its place: its own words may have gone to other control processes, which pass them on
+/// every [`REFRESH`].
+const RIVAL_SILENCE: time::Millis = time::Millis(5_000);
+
 /// How long an instance may be silent before it is taken for gone. Several announcements, which may
 /// be late by seconds.
 pub const SILENCE: time::Millis = time::Millis(12_000);
@@ -171,7 +179,38 @@
 
     /// Takes an instance's own word, that came just now.
     pub fn announce(&mut self, now: time::Instant, instance: Instance) -> Offer {
-        self.offer(now, instance, None, time::Millis(0))
+        let (id, address) = (instance.id.clone(), instance.address);
+        let is_first = instance.sequence <= FIRST_WORDS;
+        let offer = self.offer(now, instance, None, time::Millis(0));
+        if offer != Offer::Stale {
+            self.replace_at(now, &id, address, is_first);
+        }
+        offer
+    }
+
+    /// Takes the other instances at `address` for gone: an engine that crashed and started again there
+    /// has another id, and its old one says nothing more.
+    ///
+    /// A word of an instance that died long ago may arrive late and must not end the one that lives
+    /// there now. So either it is among the first words of its instance, or the other was silent.
+    fn replace_at(
+        &mut self,
+        now: time::Instant,
+        id: &str,
+        address: net::SocketAddrV4,
+        is_first: bool,
+    ) {
+        let is_rival = |it: &&Entry| {
+            let other = &it.instance;
+            let is_silent = now.since(it.heard) >= RIVAL_SILENCE;
+            let is_there = other.address == address && other.state != State::Gone;
+            is_there && other.id != id && (is_first || is_silent)
+        };
+        let rivals = self.entries.values().filter(is_rival);
+        let rivals: Vec<String> = rivals.map(|it| it.instance.id.clone()).collect();
+        for rival in rivals {
+            self.gone(now, &rival);
+        }
     }
 
     /// Takes what another directory passes on.
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -157,3 +157,41 @@
             .is_empty()
     );
 }
+
+/// An engine crashes and is back two seconds later at the same address, under another id. Requests
+/// for the old one are refused there, so it must not be offered until its silence has been noticed.
+#[test]
+fn an_instance_that_starts_again_at_an_address_replaces_the_one_before() {
+    let mut directory = Directory::new(1);
+    let old = support::engine("e1", &["m0"]);
+    directory.announce(T0, old.clone());
+    let mut new = support::engine("f1", &[]);
+    new.address = old.address;
+    directory.announce(at(2_500), new);
+    assert!(directory.get("e1").is_none());
+    assert!(directory.get("f1").is_some());
+}
+
+/// An announcement of an engine that died long ago arrives late, at a control process that never knew
+/// it. The engine that lives at its address now must stay.
+#[test]
+fn a_late_word_of_an_unknown_instance_does_not_end_the_one_at_its_address() {
+    let mut directory = Directory::new(1);
+    let mut alive = support::engine("e1", &["m0"]);
+    alive.sequence = 40;
+    directory.announce(T0, alive.clone());
+    let mut dead = support::engine("f1", &[]);
+    dead.address = alive.address;
+    dead.sequence = 90;
+    directory.announce(at(1_000), dead);
+    assert!(directory.get("e1").is_some());
+    for beat in 1..=6 {
+        alive.sequence += 1;
+        directory.announce(at(1_000 + beat * 1_200), alive.clone());
+    }
+    assert!(
+        directory.get("f1").is_none(),
+        "the dead one said nothing more"
+    );
+    assert!(directory.get("e1").is_some());
+}
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -656,7 +656,11 @@
             "endpoint {} rejected it with status {status}",
             pick.instance
         );
-        if answered.word == dialect::Word::Misdirected {
+        let is_replaced = answered.instance.is_some_and(|it| it != pick.instance);
+        if answered.word == dialect::Word::Misdirected && is_replaced {
+            self.ended(pick, false, chooser::Ended::GivenUp);
+            self.shared.replaced(&pick.instance);
+        } else if answered.word == dialect::Word::Misdirected {
             self.ended(pick, false, chooser::Ended::Misdirected);
         } else {
             self.ended(pick, false, chooser::Ended::Refused);
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -174,6 +174,17 @@
         }
     }
 
+    /// Another start of an endpoint answers at the address of this one: it has gone, and what control
+    /// processes still say of it is old.
+    pub fn replaced(&self, id: &str) {
+        let now = self.clock.now();
+        let mut core = locks::lock(&self.core);
+        core.chooser.forget(id);
+        if core.directory.gone(now, id) {
+            ::log::info!(endpoint = id; "gateway: another start answers at the endpoint's address");
+        }
+    }
+
     fn take_record(&self, core: &mut Core, now: time::Instant, record: directory::Record) -> bool {
         let instance = record.instance.clone();
         match core.directory.merge(now, record) {
