Refuse a request at once whose model can't be loaded in time, and say when it will be there

Change: the nearest copy of the weights (host memory, disk, store) says how soon the model can be there. What has less time is refused at once, with that time as Retry-After; the rest waits that long and 3 s. Failures order endpoints and no longer count as time.

--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -21,7 +21,7 @@
 
 use sageshed_types::{arena, arena::Key, time};
 
-use crate::{dialect, directory};
+use crate::{config, dialect, directory};
 
 /// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
 /// of the engines.
@@ -407,7 +407,7 @@
         let room = |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_place);
         let free: Vec<_> = open.iter().copied().filter(room).collect();
         match self.best(now, ask, &free) {
-            Some((ms, key)) => self.send(key, ms, ask),
+            Some((_, key)) => self.send(now, key, ask),
             None => Choice::Wait(Missing::Place),
         }
     }
@@ -438,14 +438,14 @@
             let instance = instance.instance.id.clone();
             return Choice::Fetch { instance };
         }
-        if let Some((ms, key)) = best {
-            return self.send(key, ms, ask);
+        if let Some((_, key)) = best {
+            return self.send(now, key, ask);
         }
         if ask.patience > time::Millis(0) {
             return Choice::Wait(Missing::Place);
         }
         match self.best(now, ask, with) {
-            Some((ms, key)) => self.send(key, ms, ask),
+            Some((_, key)) => self.send(now, key, ask),
             None => Choice::Wait(Missing::Adapter),
         }
     }
@@ -463,7 +463,7 @@
             let key = keys[(at + offset) % keys.len()];
             // Whole milliseconds: by less than that an endpoint that failed long ago would never be
             // chosen again while the others are idle.
-            let ms = self.estimate(now, key, ask).floor();
+            let ms = (self.estimate(now, key, ask) + self.failures(now, key)).floor();
             if best.is_none_or(|(least, _)| ms < least) {
                 best = Some((ms, key));
             }
@@ -471,6 +471,24 @@
         best
     }
 
+    /// How soon some engine could hold `model`, which none does: by the nearest copy of its weights.
+    #[must_use]
+    pub fn load_time(&self, service: &str, model: &config::Model) -> time::Millis {
+        let engines = self.by_service.get(service).into_iter().flatten();
+        let ready = engines.filter_map(|key| Some(&self.get(*key)?.instance));
+        let has = |list: &[String]| list.contains(&model.name);
+        let near = ready.filter(|it| it.is_ready()).map(|it| {
+            if has(&it.in_memory) {
+                model.memory_load
+            } else if has(&it.on_disk) {
+                model.disk_load
+            } else {
+                model.store_load
+            }
+        });
+        near.min().unwrap_or(model.store_load)
+    }
+
     /// The endpoints of the service that take work now.
     fn open(&self, now: time::Instant, ask: &Ask<'_>) -> Result<Vec<arena::EndpointKey>, Missing> {
         let open = |key: &arena::EndpointKey| {
@@ -500,11 +518,17 @@
             endpoint.service_ms(now)
         };
         let is_far = endpoint.instance.availability_zone != self.availability_zone;
-        work + endpoint.failure_ms(now) + if is_far { FAR_MS } else { 0.0 }
+        work + if is_far { FAR_MS } else { 0.0 }
+    }
+
+    /// What the endpoint's failures count against it.
+    fn failures(&self, now: time::Instant, key: arena::EndpointKey) -> f64 {
+        self.get(key).map_or(0.0, |it| it.failure_ms(now))
     }
 
-    fn send(&mut self, key: arena::EndpointKey, ms: f64, ask: &Ask<'_>) -> Choice {
-        let estimate = span(ms);
+    fn send(&mut self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> Choice {
+        // Failures say that an answer is less likely, not that it comes later.
+        let estimate = span(self.estimate(now, key, ask));
         if estimate >= ask.left {
             return Choice::TooLate { estimate };
         }
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -46,8 +46,8 @@
 /// When a request comes back that was turned away since it can't be in time now.
 const BACK_SOON: time::Millis = time::Millis(300);
 
-/// The least that must be left for a request that waits for a load.
-const LOAD_RESERVE: time::Millis = time::Millis(500);
+/// Added to the time of a load: room has to be made first, and others may load too.
+const LOAD_SLACK: time::Millis = time::Millis(3_000);
 
 /// The part of its objective that a request waits for an engine that reads little, in hundredths.
 const CALM_PATIENCE: u64 = 35;
@@ -100,11 +100,11 @@
         };
         let draw = self.shared.with_core(|core| core.chooser.draw());
         let service = routes::pick(&route.targets, draw).map_or("", |it| it.service.as_str());
-        let is_engines = routing
+        let engines = routing
             .config
             .service(service)
-            .is_some_and(|it| it.engines.is_some());
-        Life::new(&self.shared, &req, &passing, route, service, is_engines).run(reply)
+            .and_then(|it| it.engines.as_ref());
+        Life::new(&self.shared, &req, &passing, route, service, engines).run(reply)
     }
 
     fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
@@ -147,6 +147,8 @@
     route: &'a config::Route,
     service: &'a str,
     wanted: Option<&'a dialect::Wanted>,
+    /// The model that it is for, as the configuration offers it.
+    model: Option<&'a config::Model>,
     /// When its final answer is due.
     until: std_time::Instant,
     tried: Vec<arena::EndpointKey>,
@@ -189,18 +191,22 @@
         passing: &'a dialect::Passing,
         route: &'a config::Route,
         service: &'a str,
-        is_engines: bool,
+        engines: Option<&'a config::EnginePool>,
     ) -> Self {
         let span = passing
             .deadline
             .map_or(route.timeout, |it| it.min(route.timeout));
+        let wanted = passing.model.as_ref().filter(|_| engines.is_some());
+        let offered = engines.into_iter().flat_map(|it| &it.models);
+        let mut named = offered.filter(|it| wanted.is_some_and(|wanted| wanted.model == it.name));
         Self {
             shared,
             req,
             passing,
             route,
             service,
-            wanted: passing.model.as_ref().filter(|_| is_engines),
+            wanted,
+            model: named.next(),
             until: req.received + span.into(),
             tried: Vec::new(),
             runs: 0,
@@ -293,13 +299,14 @@
                 chooser::Choice::Wait(missing) => missing,
             };
             let waited = arrived.elapsed();
-            if waited >= self.patience(missing) || left <= reserve(missing) {
-                return Step::Refuse(self.not_served(missing));
-            }
             if missing == chooser::Missing::Model && !told_waiting {
                 told_waiting = true;
                 self.tell_waiting();
             }
+            let load = self.load_time(missing);
+            if waited >= self.patience(missing, load) || left <= load {
+                return Step::Refuse(self.not_served(missing, load));
+            }
             let limit = LOOK.min(left.into());
             let _changes = self.shared.wait(seen, limit);
             if missing == chooser::Missing::Adapter {
@@ -327,16 +334,27 @@
     }
 
     /// How long to wait for what is missing.
-    fn patience(&self, missing: chooser::Missing) -> std_time::Duration {
+    fn patience(&self, missing: chooser::Missing, load: time::Millis) -> std_time::Duration {
         let objective = self.route.objective.0;
         match missing {
-            chooser::Missing::Model | chooser::Missing::Adapter => self.route.timeout.into(),
+            chooser::Missing::Model => (load + LOAD_SLACK).into(),
+            chooser::Missing::Adapter => self.route.timeout.into(),
             chooser::Missing::Place | chooser::Missing::Endpoint => {
                 std_time::Duration::from_millis(objective * PLACE_PATIENCE / 100)
             }
         }
     }
 
+    /// How long what is missing takes to be loaded; zero where it is no model.
+    fn load_time(&self, missing: chooser::Missing) -> time::Millis {
+        match (missing, self.model) {
+            (chooser::Missing::Model, Some(model)) => self
+                .shared
+                .with_core(|core| core.chooser.load_time(self.service, model)),
+            _ => time::Millis(0),
+        }
+    }
+
     /// How long a request waits for an engine that reads little, before it makes do with any.
     fn calm_patience(&self) -> std_time::Duration {
         std_time::Duration::from_millis(self.route.objective.0 * CALM_PATIENCE / 100)
@@ -757,14 +775,19 @@
         )
     }
 
-    fn not_served(&self, missing: chooser::Missing) -> refusal::Refusal {
+    fn not_served(&self, missing: chooser::Missing, load: time::Millis) -> refusal::Refusal {
         let detail = match missing {
             chooser::Missing::Endpoint => "no endpoint of the service can be reached now",
             chooser::Missing::Model => "no engine holds the model, and a load would take too long",
             chooser::Missing::Adapter => "no engine holds the adapter yet",
             chooser::Missing::Place => "all endpoints of the service are busy",
         };
-        self.give_up(verdict::Reason::NoRoute, detail.to_owned())
+        let refusal = self.give_up(verdict::Reason::NoRoute, detail.to_owned());
+        match refusal.retry_after {
+            // There will be room when the load is done, and not before.
+            Some(soon) => refusal.retry_after(soon.max(load)),
+            None => refusal,
+        }
     }
 
     /// What a request is told that is given up. The status says truly whether it may have run.
@@ -806,11 +829,3 @@
             took_ms = time::Millis::from(took).0, sent_ms = time::Millis::from(sent).0; "gateway: request ended");
     }
 }
-
-/// What must be left of the time for a request that waits for what is missing.
-fn reserve(missing: chooser::Missing) -> time::Millis {
-    match missing {
-        chooser::Missing::Model => LOAD_RESERVE,
-        _ => time::Millis(0),
-    }
-}
