Give lost orders again behind the same number, and elect sooner

Cause: an order without an answer kept its engine from further orders for 13 s, since it may be carried out late.

Ruled out: ordering something else meanwhile (memory would have to count both).

Change: once a report shows that the order was not carried out, the same order is given again behind the same number of accepted orders, so the late one does nothing; reports are asked for at once, and an engine has half a second to answer. Elections begin after 0.7 s of silence (1 s before), since no order goes out until a lease after one. Test: an_order_that_was_lost_is_given_again..., red before.

--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -69,6 +69,9 @@
     Accepted(time::Instant),
     /// No answer came; it may be carried out until then.
     Unknown(time::Instant),
+    /// No answer came, and it was not carried out when the engine last reported. The same order may be
+    /// given again: of two that stand behind the same number only one is obeyed.
+    Open(time::Instant),
 }
 
 #[derive(Debug, Clone)]
@@ -102,7 +105,7 @@
         // Of accepted orders a load shows in the engine's word. The rest shows only in a report, since
         // the directory is amended when such an order is taken.
         self.open.retain(|open| match (&open.task, open.fate) {
-            (_, Fate::Unknown(until)) => now < until,
+            (_, Fate::Unknown(until) | Fate::Open(until)) => now < until,
             (dialect::Task::Load(model), Fate::Accepted(_)) => instance.resident(model).is_none(),
             (_, Fate::Sent | Fate::Accepted(_)) => true,
         });
@@ -153,7 +156,7 @@
         let overdue = |it: &Open| match (it.fate, &it.task) {
             (Fate::Accepted(by), dialect::Task::Load(_)) => now >= by + LOAD_PATIENCE,
             (Fate::Accepted(_), dialect::Task::Unload(_) | dialect::Task::UnloadAdapter(..))
-            | (Fate::Unknown(_), _) => true,
+            | (Fate::Unknown(_) | Fate::Open(_), _) => true,
             _ => false,
         };
         let is_sending = self.open.iter().any(|it| it.fate == Fate::Sent);
@@ -174,9 +177,13 @@
         self.accepted = (!is_foreign).then_some(report.accepted);
         for open in &mut self.open {
             let is_carried_out = report.accepted > open.accepted_before;
-            if is_carried_out && matches!(open.fate, Fate::Unknown(_)) {
-                open.fate = Fate::Accepted(now + open.load_time);
-            }
+            open.fate = match open.fate {
+                Fate::Unknown(_) | Fate::Open(_) if is_carried_out => {
+                    Fate::Accepted(now + open.load_time)
+                }
+                Fate::Unknown(until) => Fate::Open(until),
+                fate => fate,
+            };
         }
         let has = |model: &str, adapter: &str| {
             let mut held = report.models.iter().filter(|it| it.model == model);
@@ -245,7 +252,8 @@
             None => {
                 self.accepted = None;
                 self.open[at].fate = Fate::Unknown(now + UNKNOWN_FATE);
-                self.rest_until = now + REPORT_INTERVAL;
+                self.asked_at = None;
+                self.rest_until = now;
                 false
             }
             Some(
@@ -262,6 +270,14 @@
         }
     }
 
+    /// An order that is to be given again, if there is one, with the number that it stands behind.
+    pub(super) fn give_again(&mut self) -> Option<(dialect::Task, u64)> {
+        let is_open = |it: &&mut Open| matches!(it.fate, Fate::Open(_));
+        let open = self.open.iter_mut().find(is_open)?;
+        open.fate = Fate::Sent;
+        Some((open.task.clone(), open.accepted_before))
+    }
+
     /// Notes what an order about an adapter did at once.
     fn done(&mut self, now: time::Instant, at: usize, task: &dialect::Task) {
         match task {
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -248,6 +248,7 @@
                     .collect(),
             };
             actions.extend(self.ask_reports(now, &pool));
+            actions.extend(self.give_again(&pool));
             actions.extend(self.serve_wants(now, &pool));
             actions.extend(self.place(now, &pool));
         }
@@ -300,6 +301,25 @@
         actions
     }
 
+    /// Gives orders again that were lost on their way.
+    fn give_again(&mut self, pool: &Pool<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for instance in &pool.instances {
+            let engine = self.engines.get_mut(&instance.id);
+            if let Some((task, accepted_before)) = engine.and_then(engine::Engine::give_again) {
+                actions.push(Action::Order(dialect::Order {
+                    instance: instance.id.clone(),
+                    address: instance.address,
+                    task,
+                    accepted_before,
+                    holder: self.holder.clone(),
+                    fence: self.fence,
+                }));
+            }
+        }
+        actions
+    }
+
     /// Has adapters loaded for which requests wait.
     fn serve_wants(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -19,8 +19,10 @@
     now: time::Instant,
     engines: collections::BTreeMap<String, Engine>,
     orders: Vec<(time::Instant, Order)>,
-    /// What the engines answer to orders; none: no answer comes, and the order is carried out.
+    /// Whether engines answer orders; they carry them out all the same.
     answers: bool,
+    /// Orders that are lost on their way from now on.
+    lost: usize,
 }
 
 struct Engine {
@@ -54,6 +56,7 @@
             engines: engines.collect(),
             orders: Vec::new(),
             answers: true,
+            lost: 0,
         }
     }
 
@@ -106,6 +109,10 @@
 
     fn obey(&mut self, order: &Order) -> Option<OrderAnswer> {
         let now = self.now;
+        if self.lost > 0 {
+            self.lost -= 1;
+            return None;
+        }
         let engine = self
             .engines
             .get_mut(&order.instance)
@@ -375,3 +382,22 @@
     assert_eq!((order.fence, order.accepted_before), (4, 6));
     assert_eq!(dialect::Task::Load("m3".to_owned()), order.task);
 }
+
+/// The order for an adapter is lost on its way, and a request waits for it. It is given again behind
+/// the same number, so that the first does nothing should it arrive after all, and not only when
+/// nothing can come of the first any more.
+#[test]
+fn an_order_that_was_lost_is_given_again_behind_the_same_number() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"]), ("e2", &["m1", "m3"])]);
+    world.run(4_000);
+    world.lost = 2;
+    world.want("a1");
+    world.run(1_000);
+    let behind: Vec<u64> = world
+        .orders
+        .iter()
+        .map(|(_, it)| it.accepted_before)
+        .collect();
+    assert_eq!(behind, [0, 0, 0], "{:?}", world.tasks());
+    assert!(world.engines["e1"].instance.holds("m0", Some("a1")));
+}
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -20,7 +20,7 @@
 const CALLERS: usize = 6;
 
 /// How long an engine may take to answer an order or a question.
-const CALL_LIMIT: std_time::Duration = std_time::Duration::from_secs(1);
+const CALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(500);
 
 /// The largest answer of an engine, in bytes.
 const ANSWER_BYTES: usize = 256 * 1024;
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -804,7 +804,8 @@
     }
 
     fn refused(&self, outlet: Outlet<'_>, refusal: &refusal::Refusal) -> reply::Sent {
-        ::log::info!(request = self.id(), route = self.route.name.as_str(), status = refusal.status,
+        let model = self.wanted.map(|it| it.model.as_str()).unwrap_or_default();
+        ::log::info!(request = self.id(), route = self.route.name.as_str(), model, status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             left_ms = self.left_ms().0; "gateway: request refused");
         self.note(metrics::End::Refused, refusal.status, self.req.received);
--- a/src/sageshed/settings/fleet.rs
+++ b/src/sageshed/settings/fleet.rs
@@ -269,8 +269,10 @@
 impl Default for Group {
     fn default() -> Self {
         Self {
-            election_timeout_ms: time::Millis(1_000),
-            heartbeat_ms: time::Millis(150),
+            // Engines get no order until a lease after an election, so each part of a second counts.
+            // Seven heartbeats fit in between.
+            election_timeout_ms: time::Millis(700),
+            heartbeat_ms: time::Millis(100),
             // A configuration of hundreds of routes has a hundred kilobytes, and the disk may be small.
             snapshot_after: 100,
         }
