Log each decision on a request as a structured line, without waiting for its reader

Cause: engineers on call have only logs and metrics. Records went to standard error by the thread of the request, so a full pipe held the request, and ordinary successes were at debug level only.

Change: records are written by a thread of their own through a bounded queue; what does not fit is counted and told. Each answer and refusal has a line with its id, route, configuration, endpoint, estimate, times and verdict; successes past 20 a second of a process are left out and counted. sageshed logs ID FILE... puts the lines of several processes about a request in order, with what was believed of its endpoints.

--- a/crates/sageshed-fleet/src/budget.rs
+++ b/crates/sageshed-fleet/src/budget.rs
@@ -56,15 +56,29 @@
     /// Takes one repeat out of the budget, of which `entries` processes have a part each. Returns
     /// false, and takes nothing, where none is left.
     pub fn spend(&mut self, now: time::Instant, service: &str, entries: usize) -> bool {
+        if self.left_for(now, service, entries) < 1.0 {
+            return false;
+        }
+        self.window(now, service).repeats.push_back(now);
+        true
+    }
+
+    /// The repeats that are left for each service.
+    pub fn left(&mut self, now: time::Instant, entries: usize) -> Vec<(String, f64)> {
+        let names: Vec<String> = self.services.keys().cloned().collect();
+        let left = names.into_iter().map(|name| {
+            let left = self.left_for(now, &name, entries);
+            (name, left)
+        });
+        left.collect()
+    }
+
+    fn left_for(&mut self, now: time::Instant, service: &str, entries: usize) -> f64 {
         let Allowance { ratio, slack, .. } = self.allowance;
         let window = self.window(now, service);
         let own_slack = slack / entries.max(1) as f64;
         let most = (window.requests.len() as f64 * ratio + own_slack) * USED_SHARE;
-        if (window.repeats.len() + 1) as f64 > most {
-            return false;
-        }
-        window.repeats.push_back(now);
-        true
+        most - window.repeats.len() as f64
     }
 
     fn window(&mut self, now: time::Instant, service: &str) -> &mut Window {
--- a/src/bin/sageshed/commands/mod.rs
+++ b/src/bin/sageshed/commands/mod.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod entry;
 mod explain;
+mod logs;
 mod models;
 mod rules;
 mod status;
@@ -37,6 +38,8 @@
     Models(models::Args),
     #[options(help = "tell what happened to a request")]
     Explain(explain::Args),
+    #[options(help = "show the lines of log files about a request")]
+    Logs(logs::Args),
     #[options(help = "check settings and rule files")]
     Config(config::Args),
     #[options(help = "let an entry VM finish its work and take no more")]
@@ -57,6 +60,7 @@
         Command::Endpoints(args) => endpoints::exec(globals, &args),
         Command::Models(args) => models::exec(globals, &args),
         Command::Explain(args) => explain::exec(globals, &args),
+        Command::Logs(args) => logs::exec(&args),
         Command::Config(args) => config::exec(globals, args),
         Command::Drain(args) => drain::exec(globals, &args),
     }
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -51,6 +51,9 @@
     endpoints: metrics::Gauge,
     open_endpoints: metrics::Gauge,
     connections: metrics::Gauge,
+    silence: metrics::Gauge,
+    waiting: metrics::Gauge,
+    repeats: metrics::Gauge,
     idle: metrics::Gauge,
 }
 
@@ -85,6 +88,15 @@
                 "Endpoints that take work",
             ),
             connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
+            silence: gauge(
+                "sageshed_gateway_control_silence",
+                "Since a control process answered",
+            ),
+            waiting: gauge("sageshed_gateway_waiting", "Requests that wait here"),
+            repeats: gauge(
+                "sageshed_gateway_repeats_left",
+                "Repeats left in the budget",
+            ),
             idle: gauge("sageshed_gateway_idle", "Idle connections to endpoints"),
         };
         Self {
@@ -115,6 +127,16 @@
         let now = shared.clock.now();
         let ((known, open), entries) =
             shared.with_core(|core| (core.chooser.counts(now), core.entries));
+        let left = shared.with_core(|core| {
+            let entries = core.entries;
+            core.budget.left(now, entries)
+        });
+        for (service, left) in left {
+            self.now.repeats.set_for("service", &service, left);
+        }
+        let waiting = shared.waiting.load(std::sync::atomic::Ordering::Relaxed);
+        self.now.waiting.set(waiting as f64);
+        self.now.silence.set(shared.silence().0 as f64 / 1_000.0);
         self.now.ready.set(f64::from(u8::from(shared.is_ready())));
         self.now.version.set(shared.version() as f64);
         self.now.entries.set(entries as f64);
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod ready;
 mod refuse;
 mod run;
+pub mod sampler;
 pub mod state;
 mod watch;
 
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -18,7 +18,7 @@
 use sageshed_types::{arena, headers, refusal, time, verdict};
 use sageshed_upstream::{exchange, failure};
 
-use super::{answer::Outlet, metrics, refuse, state};
+use super::{answer::Outlet, metrics, refuse, sampler, state};
 
 /// The largest answer that is not a stream, in bytes.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -95,6 +95,8 @@
         let Some(route) = routing.table.find(host, &req.path) else {
             let version = routing.config.version;
             let detail = format!("no route of configuration {version} takes this host and path");
+            ::log::info!(request = passing.id.as_deref().unwrap_or_default(), config = version, host,
+                path = req.path.as_str(), status = 404; "gateway: request refused, no route takes it");
             let refusal = refusal::Refusal::not_run(verdict::Reason::NotFound, detail);
             return refuse::send(reply, "", &refusal);
         };
@@ -308,7 +310,10 @@
                 return Step::Refuse(self.not_served(missing, load));
             }
             let limit = LOOK.min(left.into());
+            let waiting = &self.shared.waiting;
+            waiting.fetch_add(1, atomic::Ordering::Relaxed);
             let _changes = self.shared.wait(seen, limit);
+            waiting.fetch_sub(1, atomic::Ordering::Relaxed);
             if missing == chooser::Missing::Adapter {
                 // The leader may have been lost with the question.
                 fetches = 0;
@@ -571,7 +576,7 @@
                 };
                 self.ended(pick, true, how);
                 self.shared.pool.keep(pick.address, exchange);
-                self.note(metrics::End::Answered, head.status, sent_at);
+                self.answered(pick, head.status, sent_at);
                 Sending::Done(outlet.whole(&head, &body))
             }
             Err(failure) => self.failed_after_run(pick, outlet, false, &failure),
@@ -611,13 +616,9 @@
                         ::log::info!(request = self.id(); "gateway: caller left at the end of its stream");
                     }
                     self.ended(pick, true, chooser::Ended::Answered);
+                    let exchange_status = exchange.head.status;
                     self.shared.pool.keep(pick.address, exchange);
-                    self.note(metrics::End::Answered, 200, sent_at);
-                    ::log::debug!(request = self.id(), endpoint = pick.instance.as_str(),
-                        estimate_ms = pick.estimate.0, tokens = pick.tokens,
-                        model = self.wanted.map(|it| it.model.as_str()).unwrap_or_default(),
-                        first_ms = time::Millis::from(self.paces.first).0,
-                        pause_ms = time::Millis::from(self.paces.longest).0; "gateway: stream ended");
+                    self.answered(pick, exchange_status, sent_at);
                     return Sending::Done(stream.finish());
                 }
             }
@@ -804,29 +805,52 @@
     }
 
     fn refused(&self, outlet: Outlet<'_>, refusal: &refusal::Refusal) -> reply::Sent {
-        let model = self.wanted.map(|it| it.model.as_str()).unwrap_or_default();
-        ::log::info!(request = self.id(), route = self.route.name.as_str(), model, status = refusal.status,
+        ::log::info!(request = self.id(), route = self.route.name.as_str(),
+            config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             left_ms = self.left_ms().0; "gateway: request refused");
-        self.note(metrics::End::Refused, refusal.status, self.req.received);
+        self.note(metrics::End::Refused, refusal.status);
         outlet.refuse("", refusal)
     }
 
     fn left(&self, outlet: Outlet<'_>) -> reply::Sent {
         ::log::info!(request = self.id(), route = self.route.name.as_str(); "gateway: caller left");
-        self.note(metrics::End::CallerGone, 0, self.req.received);
+        self.note(metrics::End::CallerGone, 0);
         let detail = "the caller closed its connection";
         let refusal = self.give_up(verdict::Reason::DeadlinePassed, detail.to_owned());
         outlet.refuse("", &refusal)
     }
 
-    fn note(&self, end: metrics::End, status: u16, sent_at: std_time::Instant) {
-        let took = self.req.received.elapsed();
+    /// Notes a request that is answered, with what its endpoint was chosen by.
+    fn answered(&self, pick: &chooser::Pick, status: u16, sent_at: std_time::Instant) {
+        let took = self.note(metrics::End::Answered, status);
+        let line = self.shared.sampler.success(self.shared.clock.now());
+        if let sampler::Line::WriteAfter(left_out) = line {
+            ::log::info!(left_out; "gateway: successes left out of the log in the last second");
+        }
+        if line == sampler::Line::LeaveOut {
+            return;
+        }
         let sent = sent_at.duration_since(self.req.received);
+        ::log::info!(request = self.id(), route = self.route.name.as_str(), status,
+            config = self.shared.version(), endpoint = pick.instance.as_str(),
+            model = self.model_name(), tokens = pick.tokens, estimate_ms = pick.estimate.0,
+            runs = self.runs, sent_ms = time::Millis::from(sent).0,
+            first_ms = time::Millis::from(self.paces.first).0,
+            pause_ms = time::Millis::from(self.paces.longest).0,
+            took_ms = time::Millis::from(took).0; "gateway: request answered");
+    }
+
+    fn model_name(&self) -> &str {
+        self.wanted.map_or("", |it| it.model.as_str())
+    }
+
+    /// Counts a request that has ended. Returns how long it took.
+    fn note(&self, end: metrics::End, status: u16) -> std_time::Duration {
+        let took = self.req.received.elapsed();
         self.shared
             .metrics
             .ended(self.service, self.route.priority, end, status, took);
-        ::log::debug!(request = self.id(), route = self.route.name.as_str(), end:? = end, status,
-            took_ms = time::Millis::from(took).0, sent_ms = time::Millis::from(sent).0; "gateway: request ended");
+        took
     }
 }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -10,7 +10,7 @@
 use sageshed_types::time;
 use sageshed_upstream::pool;
 
-use super::metrics;
+use super::{metrics, sampler};
 use crate::{clock, locks, settings};
 
 /// A configuration in force, indexed.
@@ -37,11 +37,17 @@
     pub client: sageshed_vms::Client,
     /// What is counted.
     pub metrics: metrics::Metrics,
+    /// Which successes are logged.
+    pub sampler: sampler::Sampler,
     routing: sync::RwLock<Option<sync::Arc<Routing>>>,
     core: sync::Mutex<Core>,
     changed: sync::Condvar,
     /// The control process that leads, as a number; zero if none is known.
     leader: atomic::AtomicU32,
+    /// When a control process was heard last, in milliseconds on this process's clock.
+    heard: atomic::AtomicU64,
+    /// Requests that wait here for a place, a load or an endpoint.
+    pub waiting: atomic::AtomicUsize,
     /// Set when the process is to stop.
     pub stopping: atomic::AtomicBool,
     /// Set when the balancer has had the time to turn callers away, and a new request might not be
@@ -96,10 +102,13 @@
             pool: pool::Pool::new(pool::Settings::default()),
             client: sageshed_vms::Client::new(""),
             metrics: metrics::Metrics::default(),
+            sampler: sampler::Sampler::default(),
             routing: sync::RwLock::new(None),
             core: sync::Mutex::new(core),
             changed: sync::Condvar::new(),
             leader: atomic::AtomicU32::new(0),
+            heard: atomic::AtomicU64::new(0),
+            waiting: atomic::AtomicUsize::new(0),
             stopping: atomic::AtomicBool::new(false),
             refusing: atomic::AtomicBool::new(false),
         }
@@ -143,6 +152,19 @@
         }
     }
 
+    /// A control process has answered.
+    pub fn heard_control(&self) {
+        let now = self.clock.now();
+        self.heard.store(now.0, atomic::Ordering::Relaxed);
+    }
+
+    /// How old what is believed may be: the time since a control process answered.
+    #[must_use]
+    pub fn silence(&self) -> time::Millis {
+        let heard = time::Instant(self.heard.load(atomic::Ordering::Relaxed));
+        self.clock.now().since(heard)
+    }
+
     /// Takes note of who leads.
     pub fn set_leader(&self, leader: Option<net::Ipv4Addr>) {
         let ip = leader.map_or(0, u32::from);
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -149,6 +149,7 @@
     if resp.leader.is_some() {
         shared.set_leader(resp.leader);
     }
+    shared.heard_control();
     links.know(resp.control);
     shared.take_records(resp.records, resp.entries);
 }
--- a/src/sageshed/logs.rs
+++ b/src/sageshed/logs.rs
@@ -12,7 +12,12 @@
 //! What callers send can reach a record as a value. A line break in it would let a caller write
 //! records of its own, so control characters never reach the output as they are.
 
-use std::{fmt::Write, io, path};
+use std::{
+    fmt::Write,
+    io, path,
+    sync::{self, atomic, mpsc},
+    thread,
+};
 
 use derive_more::{Display, Error};
 use log::kv;
@@ -51,7 +56,7 @@
             out.finish(format_args!("{}", line(format, now, record)));
         });
     let dispatch = match &log.file {
-        None => dispatch.chain(io::stderr()),
+        None => dispatch.chain(buffered(log.output)),
         Some(file) => dispatch.chain(fern::log_file(file).map_err(|source| StartError::File {
             file: file.clone(),
             source,
@@ -62,6 +67,58 @@
         .map_err(|source| StartError::Twice { source })
 }
 
+/// Lines that may wait to be written. At some 200 bytes a line it is one megabyte.
+const WAITING_LINES: usize = 5_000;
+
+/// Writes lines by a thread of its own. Whoever reads them may stop to read, and the pipe fills: a
+/// request must not wait for that. Past the bound lines are left out, and the next that is written
+/// says how many.
+fn buffered(output: settings::Output) -> fern::Output {
+    let (tx, rx) = mpsc::sync_channel::<String>(WAITING_LINES);
+    let left_out = sync::Arc::new(atomic::AtomicU64::new(0));
+    let counted = sync::Arc::clone(&left_out);
+    let spawned = thread::Builder::new()
+        .name("logs".to_owned())
+        .spawn(move || match output {
+            settings::Output::Stderr => write_lines(&rx, &counted, io::stderr()),
+            settings::Output::Stdout => write_lines(&rx, &counted, io::stdout()),
+        });
+    if spawned.is_err() {
+        // Without the thread lines would be lost; slow ones are better.
+        return match output {
+            settings::Output::Stderr => io::stderr().into(),
+            settings::Output::Stdout => io::stdout().into(),
+        };
+    }
+    fern::Output::call(move |record| {
+        if tx.try_send(record.args().to_string()).is_err() {
+            left_out.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    })
+}
+
+fn write_lines<W: io::Write>(
+    rx: &mpsc::Receiver<String>,
+    left_out: &atomic::AtomicU64,
+    mut out: W,
+) {
+    while let Ok(line) = rx.recv() {
+        let missing = left_out.swap(0, atomic::Ordering::Relaxed);
+        let note = if missing > 0 {
+            format!("{missing} lines of the log were left out: nobody read them in time\n")
+        } else {
+            String::new()
+        };
+        // A stream that is closed has nobody to tell.
+        if writeln!(out, "{note}{line}")
+            .and_then(|()| out.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
 fn level(level: settings::Level) -> log::LevelFilter {
     match level {
         settings::Level::Error => log::LevelFilter::Error,
--- a/src/sageshed/settings/mod.rs
+++ b/src/sageshed/settings/mod.rs
@@ -24,5 +24,7 @@
 pub use limits::Limits;
 pub use load::{Settings, common, control, entry, fleet_control, fleet_entry, is_fleet, load};
 pub use problem::{Problem, Problems};
-pub use process::{Control, ControlListen, Entry, EntryListen, Format, Level, Log, Shutdown};
+pub use process::{
+    Control, ControlListen, Entry, EntryListen, Format, Level, Log, Output, Shutdown,
+};
 pub use rule_file::{Checked, RuleFile, parse_rules, read_rules, rule_errors};
--- a/src/sageshed/settings/process.rs
+++ b/src/sageshed/settings/process.rs
@@ -75,9 +75,22 @@
     pub level: Level,
     /// How a record looks.
     pub format: Format,
-    /// Where records are appended; none: standard error. A relative one starts from the folder of
+    /// Where records are appended; none: as `output` says. A relative one starts from the folder of
     /// the settings file.
     pub file: Option<path::PathBuf>,
+    /// The stream that records go to where no file is named.
+    pub output: Output,
+}
+
+/// A stream of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Output {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
 }
 
 /// How grave a record is.
--- /dev/null
+++ b/tests/fleet/explaining.rs
@@ -0,0 +1,143 @@
+//! A failure can be explained afterwards, by the logs alone.
+
+use std::process;
+
+use crate::{
+    fleet::Fleet,
+    standin::{caller::Ask, engine::Does},
+};
+
+/// How a request fails, and what its lines must say.
+struct Case {
+    name: &'static str,
+    does: Does,
+    path: &'static str,
+    model: Option<&'static str>,
+    status: u16,
+    says: &'static [&'static str],
+}
+
+/// An engineer on call has the id of a failed request and the logs, and nothing else. The lines must
+/// name what decided: the route, the configuration, the endpoint, what it did, and whether the
+/// request may have run.
+#[test]
+fn each_failed_request_is_explained_by_its_lines() {
+    let (fleet, engines) = Fleet::ready();
+    let case = |name, does, path, model, status, says| Case {
+        name,
+        does,
+        path,
+        model,
+        status,
+        says,
+    };
+    let cases = [
+        case(
+            "closed",
+            Does::Closes,
+            "/once/x",
+            None,
+            502,
+            &[
+                "may have run",
+                "closed before an answer",
+                "route=\"once\"",
+                "config=\"10\"",
+                "verdict=\"may_have_run\"",
+            ],
+        ),
+        case(
+            "rejected",
+            Does::Rejects,
+            "/once/x",
+            None,
+            503,
+            &["has not run it", "status=\"503\"", "verdict=\"not_run\""],
+        ),
+        case(
+            "failed",
+            Does::Fails(500),
+            "/stream/x",
+            Some("m1"),
+            500,
+            &[
+                "request answered",
+                "status=\"500\"",
+                "model=\"m1\"",
+                "estimate_ms",
+            ],
+        ),
+        case(
+            "unsigned",
+            Does::AnswersUnsigned,
+            "/once/x",
+            None,
+            502,
+            &["does not vouch for"],
+        ),
+        case(
+            "no such model",
+            Does::Answers,
+            "/stream/x",
+            Some("m9"),
+            503,
+            &[
+                "no engine holds the model",
+                "model=\"m9\"",
+                "verdict=\"not_run\"",
+            ],
+        ),
+        case(
+            "answered",
+            Does::Answers,
+            "/again/x",
+            None,
+            200,
+            &["request answered", "endpoint=\"p", "took_ms"],
+        ),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let id = format!("told-{number}");
+        for engine in &engines {
+            engine.does(case.does);
+        }
+        let ask = Ask {
+            model: case.model,
+            ..Ask::new("POST", case.path, &id)
+        };
+        let answer = fleet.ask(0, &ask).expect(case.name);
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        let text = || explain(&fleet, &id);
+        let tells = |text: &str| case.says.iter().all(|it| text.contains(it));
+        fleet.until("its lines are written", || tells(&text()));
+    }
+}
+
+/// What `sageshed logs` prints of a request.
+fn explain(fleet: &Fleet, id: &str) -> String {
+    let out = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
+        .args(["logs", id])
+        .args(fleet.entries.iter().map(crate::fleet::Process::log_file))
+        .output()
+        .expect("the program runs");
+    String::from_utf8_lossy(&out.stdout).into_owned()
+}
+
+/// Whoever collects the logs stops to read, and the pipe is full after some hundred lines. Requests
+/// must go on.
+#[test]
+fn a_reader_of_the_logs_who_stops_costs_no_request() {
+    let (mut fleet, _engines) = Fleet::ready();
+    fleet.entries[0].kill();
+    fleet.entries[0].start_unread();
+    fleet.until("it serves", || {
+        let answer = fleet.ask(0, &Ask::new("GET", "/again/x", "first"));
+        answer.is_some_and(|it| it.status() == 200)
+    });
+    for number in 0..1_500 {
+        let id = format!("unread-{number}");
+        // A path without a route is logged each time.
+        let ask = Ask::new("GET", "/nowhere/x", &id);
+        assert_eq!(fleet.ask(0, &ask).expect("an answer").status(), 404);
+    }
+}
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -79,11 +79,32 @@
         child.try_wait().expect("it can be waited for").is_none()
     }
 
+    /// The text of its log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.log_file()).unwrap_or_default()
+    }
+
+    pub fn log_file(&self) -> path::PathBuf {
+        self.settings.with_extension("log")
+    }
+
+    /// Starts it with its log going to somebody who does not read.
+    pub fn start_unread(&mut self) {
+        let child = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
+            .args([self.role, "--config"])
+            .arg(&self.settings)
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
     pub fn start(&mut self) {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
-            .open(self.settings.with_extension("log"))
+            .open(self.log_file())
             .expect("a log file");
         let child = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
             .args([self.role, "--config"])
@@ -197,7 +218,7 @@
         let ip = self.ip(21 + at);
         let (port, ready) = (free_port(ip), free_port(ip));
         let text = format!(
-            "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\n",
+            "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\nformat = \"json\"\noutput = \"stdout\"\n",
             self.discovery(ip, false)
         );
         self.process("entry", at, ip, port, ready, &text)
@@ -287,8 +308,8 @@
 
     fn print_logs(&self) {
         for process in self.control.iter().chain(&self.entries) {
-            let log = process.settings.with_extension("log");
-            let text = fs::read_to_string(&log).unwrap_or_default();
+            let log = process.log_file();
+            let text = process.log();
             let last: Vec<&str> = text.lines().rev().take(12).collect();
             eprintln!("--- {}", log.display());
             for line in last.iter().rev() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod control;
 mod endpoints;
+mod explaining;
 mod fleet;
 mod requests;
 mod stopping;
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -350,7 +350,7 @@
     let read = |role: &str| {
         fs::read_to_string(root().join(format!("src/sageshed/{role}/metrics.rs"))).unwrap()
     };
-    let code = read("entry") + &read("control");
+    let code = read("entry") + &read("control") + &read("gateway");
     let mut expected = collections::BTreeSet::new();
     for text in code.split('"').skip(1).step_by(2) {
         let name = |text: &str| {
