Let entry processes tell each other what they send to an engine

Cause: an engine reads all prompts that wait there in one step. What an engine says of its load comes with an answer, too late.

Ruled out: by way of control (a watch takes up to 250 ms), reports of engines (some hundred ms old).

Change: a datagram with the tokens not read yet goes out when a prompt is sent and when it is read. Each engine has a group of at most twelve entry processes, by rendezvous hashing, that are told and prefer it, so the messages of a request do not grow with the processes. Old words are forgotten after 0.9 s. Control gives the list of entry processes, by number, only where it changed.

--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -17,11 +17,11 @@
 //! so an endpoint that fails a part of its requests gets fewer, and one that recovers comes back by
 //! itself. One that can't be reached at all is left out for a while that grows.
 
-use std::collections;
+use std::{collections, net};
 
 use sageshed_types::{arena, arena::Key, time};
 
-use crate::{config, dialect, directory};
+use crate::{config, dialect, directory, neighbours};
 
 /// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
 /// of the engines.
@@ -53,6 +53,14 @@
 /// so that equal endpoints are taken near by.
 const FAR_MS: f64 = 4.0;
 
+/// What is added for an engine whose group this process is not in, in milliseconds: what others send
+/// there is not known, and these would not expect it.
+const STRANGER_MS: f64 = 40.0;
+
+/// How long another process's word on what it sent to an engine is believed. Prompts are read within
+/// that time, but for the largest.
+const UNREAD_KEPT: time::Millis = time::Millis(900);
+
 /// An endpoint that can't be reached is left out for this long at first, in milliseconds.
 const FIRST_EJECTION: time::Millis = time::Millis(300);
 
@@ -142,7 +150,7 @@
     /// The start of it that is meant.
     pub instance: String,
     /// Its address.
-    pub address: std::net::SocketAddrV4,
+    pub address: net::SocketAddrV4,
     /// Tokens that it has to read.
     pub tokens: u64,
     /// The estimated time until the answer begins.
@@ -185,6 +193,11 @@
     denied: collections::HashMap<dialect::Wanted, time::Instant>,
     parts: collections::HashMap<u64, (u64, u64)>,
     uses: u64,
+    /// Tokens that other processes sent there and that are not read yet, with when they said so.
+    others: collections::HashMap<net::Ipv4Addr, (u64, time::Instant)>,
+    /// The processes that are told what this one sends there.
+    group: Vec<net::Ipv4Addr>,
+    is_in_group: bool,
 }
 
 impl Endpoint {
@@ -203,6 +216,9 @@
             denied: collections::HashMap::new(),
             parts: collections::HashMap::new(),
             uses: 0,
+            others: collections::HashMap::new(),
+            group: Vec::new(),
+            is_in_group: true,
         }
     }
 
@@ -257,6 +273,23 @@
         self.ejected_until = now + self.ejection;
     }
 
+    fn join_group(&mut self, own: net::Ipv4Addr, entries: &[net::Ipv4Addr]) {
+        let mut group = neighbours::group(neighbours::key(&self.instance.id), entries);
+        self.is_in_group = group.contains(&own) || entries.is_empty();
+        group.retain(|it| *it != own);
+        self.group = group;
+    }
+
+    /// Tokens that wait to be read there, by this process and those that tell it.
+    fn unread_by_all(&self, now: time::Instant) -> f64 {
+        let fresh = self
+            .others
+            .values()
+            .filter(|(_, at)| now.since(*at) < UNREAD_KEPT);
+        let others: u64 = fresh.map(|(tokens, _)| *tokens).sum();
+        (self.unread + others) as f64
+    }
+
     /// Requests that wait there by its own latest word, which weighs less with age.
     fn waiting(&self, now: time::Instant) -> f64 {
         let Some((load, at)) = self.load else {
@@ -269,14 +302,14 @@
 
     /// Milliseconds until an engine has read the prompt.
     fn engine_ms(&self, now: time::Instant, tokens: u64) -> f64 {
-        let others = self.waiting(now) * tokens as f64;
-        (self.unread as f64 + others + tokens as f64) / self.rate + STEP_MS
+        let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
+        (self.unread_by_all(now) + tokens as f64) / self.rate + STEP_MS + stranger
     }
 
     /// Whether reading so many tokens more would make its streams pause for too long. One prompt that
     /// is too long by itself has to be read somewhere.
     fn would_pause(&self, now: time::Instant, tokens: u64) -> bool {
-        let ahead = self.unread as f64 + self.waiting(now) * tokens as f64;
+        let ahead = self.unread_by_all(now);
         ahead > 0.0 && (ahead + tokens as f64) / self.rate > PAUSE_MS
     }
 
@@ -300,8 +333,11 @@
     availability_zone: String,
     endpoints: Vec<Option<Endpoint>>,
     by_id: collections::HashMap<String, arena::EndpointKey>,
+    by_key: collections::HashMap<u64, arena::EndpointKey>,
     by_service: collections::HashMap<String, Vec<arena::EndpointKey>>,
     random: u64,
+    own: net::Ipv4Addr,
+    entries: Vec<net::Ipv4Addr>,
 }
 
 impl Chooser {
@@ -312,8 +348,11 @@
             availability_zone: availability_zone.to_owned(),
             endpoints: Vec::new(),
             by_id: collections::HashMap::new(),
+            by_key: collections::HashMap::new(),
             by_service: collections::HashMap::new(),
             random: seed | 1,
+            own: net::Ipv4Addr::UNSPECIFIED,
+            entries: Vec::new(),
         }
     }
 
@@ -326,6 +365,44 @@
         self.random
     }
 
+    /// Takes the list of entry processes, of which this one is `own`.
+    pub fn join_groups(&mut self, own: net::Ipv4Addr, entries: &[net::Ipv4Addr]) {
+        self.own = own;
+        self.entries = entries.to_vec();
+        for endpoint in self.endpoints.iter_mut().flatten() {
+            endpoint.join_group(own, entries);
+        }
+    }
+
+    /// Takes another process's word on what it sent to an engine. Returns whether the engine has less
+    /// to read by it.
+    pub fn hear(
+        &mut self,
+        now: time::Instant,
+        from: net::Ipv4Addr,
+        word: neighbours::Unread,
+    ) -> bool {
+        let Some(key) = self.by_key.get(&word.engine).copied() else {
+            return false;
+        };
+        let Some(endpoint) = self.get_mut(key) else {
+            return false;
+        };
+        let before = endpoint.others.insert(from, (word.tokens, now));
+        before.is_some_and(|(tokens, _)| tokens > word.tokens)
+    }
+
+    /// What to tell whom of an engine to which this process sends.
+    #[must_use]
+    pub fn word_on(&self, pick: &Pick) -> Option<(neighbours::Unread, Vec<net::Ipv4Addr>)> {
+        let endpoint = self.get(pick.key)?;
+        let word = neighbours::Unread {
+            engine: neighbours::key(&endpoint.instance.id),
+            tokens: endpoint.unread,
+        };
+        Some((word, endpoint.group.clone()))
+    }
+
     /// Takes what the directory says of an endpoint.
     pub fn know(&mut self, instance: &directory::Instance) {
         if instance.state == directory::State::Gone {
@@ -339,7 +416,10 @@
             return;
         }
         let key = arena::EndpointKey::from_index(self.endpoints.len());
-        self.endpoints.push(Some(Endpoint::new(instance.clone())));
+        let mut endpoint = Endpoint::new(instance.clone());
+        endpoint.join_group(self.own, &self.entries);
+        self.endpoints.push(Some(endpoint));
+        self.by_key.insert(neighbours::key(&instance.id), key);
         self.by_id.insert(instance.id.clone(), key);
         let service = self.by_service.entry(instance.service.clone());
         service.or_default().push(key);
@@ -350,6 +430,7 @@
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
+        self.by_key.remove(&neighbours::key(id));
         let Some(endpoint) = self.endpoints[key.index()].take() else {
             return;
         };
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`budget`] | whether a request may be sent a second time |
+//! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
 //!
 //! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
@@ -22,5 +23,6 @@
 pub mod dialect;
 pub mod directory;
 pub mod messages;
+pub mod neighbours;
 pub mod planner;
 pub mod routes;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -40,6 +40,8 @@
     pub config: u64,
     /// Up to where it knows the directory of the one that it asks.
     pub mark: directory::Mark,
+    /// The list of entry processes that it knows, by the number that came with it.
+    pub entries_known: u64,
     /// How long the call may be kept.
     pub patience: time::Millis,
     /// Of a control process: the entry processes that it hears itself.
@@ -74,8 +76,10 @@
     pub control: Vec<net::Ipv4Addr>,
     /// The one that leads, if it knows.
     pub leader: Option<net::Ipv4Addr>,
-    /// How many entry processes are there.
-    pub entries: usize,
+    /// The number of the list of entry processes: equal for equal lists.
+    pub entries_number: u64,
+    /// The entry processes, where the list is not the one that is known.
+    pub entries: Option<Vec<net::Ipv4Addr>>,
     /// The configuration, where it is newer.
     pub config: Option<document::Document>,
     /// Up to where the directory is known with this answer.
--- /dev/null
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -0,0 +1,58 @@
+//! Which entry processes tell each other what they send to an engine.
+//!
+//! An engine reads all prompts that wait there in one step, and all its streams pause meanwhile. So
+//! each entry process has to know what the others have just sent there; what the engine itself says
+//! comes with an answer, when it is too late.
+//!
+//! Were each told by each, messages would grow with the square of the entry processes. So each engine
+//! has a few of them as its group ([`group`]), chosen by hashing: these are told, and prefer it. The
+//! messages for one request are then bounded by the size of a group, however many processes there are.
+
+use std::{
+    collections::hash_map,
+    hash::{Hash, Hasher},
+    net,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Entry processes in the group of one engine. Seven serve a site of today, and all are in each group
+/// then.
+pub const GROUP: usize = 12;
+
+/// One process's word on an engine, sent by datagram whenever it changes. A lost one is made good by
+/// the next, and forgotten after a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unread {
+    /// The engine, by [`key`].
+    pub engine: u64,
+    /// Tokens that the sender has sent there and that are not read yet.
+    pub tokens: u64,
+}
+
+/// The short name of an instance in datagrams.
+#[must_use]
+pub fn key(instance: &str) -> u64 {
+    hash(&instance)
+}
+
+/// The group of an engine among `entries`: those with the highest hash of both (rendezvous hashing),
+/// so that all processes find the same group, and one that comes or goes changes it by one.
+#[must_use]
+pub fn group(engine: u64, entries: &[net::Ipv4Addr]) -> Vec<net::Ipv4Addr> {
+    let mut ranked: Vec<(u64, net::Ipv4Addr)> = entries
+        .iter()
+        .map(|entry| (hash(&(engine, *entry)), *entry))
+        .collect();
+    ranked.sort_unstable();
+    ranked.reverse();
+    ranked.truncate(GROUP);
+    ranked.into_iter().map(|(_, entry)| entry).collect()
+}
+
+/// The same on every process of one build: the standard library's hasher with its fixed keys.
+fn hash<T: Hash>(value: &T) -> u64 {
+    let mut hasher = hash_map::DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -150,13 +150,13 @@
         locks::lock(&self.inner).entries.keys().copied().collect()
     }
 
-    /// How many entry processes there are.
+    /// The entry processes that are there, in order.
     #[must_use]
-    pub fn entries(&self) -> usize {
+    pub fn entries(&self) -> Vec<net::Ipv4Addr> {
         let inner = locks::lock(&self.inner);
-        let own: collections::BTreeSet<_> = inner.entries.keys().collect();
-        let all = own.into_iter().chain(inner.entries_elsewhere.keys());
-        all.collect::<collections::BTreeSet<_>>().len()
+        let own = inner.entries.keys();
+        let all: collections::BTreeSet<_> = own.chain(inner.entries_elsewhere.keys()).collect();
+        all.into_iter().copied().collect()
     }
 
     /// Waits until something is newer than what `req` knows, for its patience at the most, and takes
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -1,7 +1,9 @@
 //! Answers those who watch this process, and watches the other control processes.
 
 use std::{
-    collections,
+    collections::{self, hash_map},
+    hash::{Hash, Hasher},
+    net,
     sync::{self, atomic},
     thread, time as std_time,
 };
@@ -39,18 +41,28 @@
     req.patience = req.patience.min(PATIENCE);
     let news = shared.hub.news(now, &req);
     let config = (news.config > req.config).then(|| locks::read(&shared.state).fleet().clone());
-    let own = std::net::Ipv4Addr::from(shared.node.vm);
+    let own = net::Ipv4Addr::from(shared.node.vm);
     let peers = shared.control_peers().into_iter().map(Into::into);
+    let entries = shared.hub.entries();
+    let entries_number = number(&entries);
     messages::WatchResp {
         control: peers.chain([own]).collect(),
         leader: shared.leader().and_then(|it| it.parse().ok()),
-        entries: shared.hub.entries(),
+        entries_number,
+        entries: (entries_number != req.entries_known).then_some(entries),
         config: config.filter(|it| it.version > req.config),
         mark: news.mark,
         records: news.records,
     }
 }
 
+/// Equal for equal lists, and hardly ever for others.
+fn number(entries: &[net::Ipv4Addr]) -> u64 {
+    let mut hasher = hash_map::DefaultHasher::new();
+    entries.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Watches each other control process with a thread of its own, for as long as this one runs.
 pub fn watch_peers(shared: &sync::Arc<shared::Shared>, client: &sageshed_vms::Client) {
     let watched: sync::Arc<sync::Mutex<collections::BTreeSet<u32>>> = sync::Arc::default();
@@ -90,6 +102,7 @@
             // The log brings the configuration.
             config: u64::MAX,
             mark,
+            entries_known: 0,
             patience: PATIENCE,
             entries: shared.hub.own_entries(),
             demand: Vec::new(),
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 mod answer;
 pub mod metrics;
+pub mod neighbours;
 mod pass;
 mod ready;
 mod refuse;
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -18,7 +18,7 @@
 use sageshed_types::{arena, headers, refusal, time, verdict};
 use sageshed_upstream::{exchange, failure};
 
-use super::{answer::Outlet, metrics, refuse, sampler, state};
+use super::{answer::Outlet, metrics, neighbours, refuse, sampler, state};
 
 /// The largest answer that is not a stream, in bytes.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -327,7 +327,7 @@
             return Step::Send(pick);
         }
         let allowed = self.shared.with_core(|core| {
-            let entries = core.entries;
+            let entries = core.entries.len();
             core.budget.spend(now, self.service, entries)
         });
         if allowed {
@@ -419,6 +419,7 @@
         watch: &reply::Watch,
     ) -> Sending<'c> {
         let sent_at = std_time::Instant::now();
+        neighbours::tell(self.shared, pick);
         let stop = || watch.caller_gone();
         let patience = exchange::Patience {
             until: self.until.min(sent_at + self.silence()),
@@ -651,6 +652,7 @@
         let parts = &self.passing.parts;
         self.shared
             .with_core(|core| core.chooser.began(now, pick, parts, took, load));
+        neighbours::tell(self.shared, pick);
         self.shared.place_freed();
     }
 
@@ -658,6 +660,9 @@
         let now = self.shared.clock.now();
         self.shared
             .with_core(|core| core.chooser.ended(now, pick, self.wanted, began, how));
+        if !began {
+            neighbours::tell(self.shared, pick);
+        }
         self.shared.place_freed();
     }
 
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -12,7 +12,7 @@
 use sageshed_fleet::dialect;
 use sageshed_http::{handler, limits, server};
 
-use super::{pass, ready, state, watch};
+use super::{neighbours, pass, ready, state, watch};
 use crate::{context, metrics_port, settings};
 
 /// Descriptors that are not for callers: control processes, idle connections to endpoints, ports.
@@ -72,6 +72,7 @@
         })
         .transpose()?;
     watch::start(&shared);
+    neighbours::start(&shared);
     ::log::info!(vm = shared.settings.vm.as_str(), callers:% = callers.local_addr(),
         ready:% = ready.local_addr(); "gateway: listens");
     while !cx.stop.wait_timeout(SWEEP) {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -6,11 +6,13 @@
     time as std_time,
 };
 
-use sageshed_fleet::{budget, chooser, config, dialect, directory, messages, routes};
+use sageshed_fleet::{
+    budget, chooser, config, dialect, directory, messages, neighbours as words, routes,
+};
 use sageshed_types::time;
 use sageshed_upstream::pool;
 
-use super::{metrics, sampler};
+use super::{metrics, neighbours, sampler};
 use crate::{clock, locks, settings};
 
 /// A configuration in force, indexed.
@@ -35,6 +37,8 @@
     pub pool: pool::Pool,
     /// To control processes.
     pub client: sageshed_vms::Client,
+    /// To other entry processes; none where the port could not be opened.
+    pub neighbours: Option<neighbours::Neighbours>,
     /// What is counted.
     pub metrics: metrics::Metrics,
     /// Which successes are logged.
@@ -64,8 +68,10 @@
     pub budget: budget::RetryBudget,
     /// What is known of endpoints.
     pub directory: directory::Directory,
-    /// How many entry processes there are.
-    pub entries: usize,
+    /// The entry processes, this one included.
+    pub entries: Vec<net::Ipv4Addr>,
+    /// The number of that list.
+    entries_number: u64,
     demand: collections::HashMap<(String, String), messages::Demand>,
     wanted: collections::HashMap<messages::WantReq, time::Instant>,
     /// Counts changes that a waiting request may wait for.
@@ -81,6 +87,14 @@
     pub fn new(settings: settings::FleetEntry, dialect: D) -> Self {
         let retries = settings.retries;
         let start = clock::unix_ms();
+        let discovery = &settings.discovery;
+        let neighbours = match neighbours::Neighbours::open(discovery.ip, discovery.vms_port) {
+            Ok(neighbours) => Some(neighbours),
+            Err(e) => {
+                ::log::warn!(error:% = e; "gateway: goes on without a word of its neighbours");
+                None
+            }
+        };
         let seed = start ^ (u64::from(u32::from(settings.discovery.ip)) << 32);
         let core = Core {
             chooser: chooser::Chooser::new(&settings.availability_zone, seed),
@@ -90,7 +104,8 @@
                 window: retries.window_ms,
             }),
             directory: directory::Directory::new(start),
-            entries: 1,
+            entries: vec![settings.discovery.ip],
+            entries_number: 0,
             demand: collections::HashMap::new(),
             wanted: collections::HashMap::new(),
             changes: 0,
@@ -101,6 +116,7 @@
             clock: clock::Clock::start(),
             pool: pool::Pool::new(pool::Settings::default()),
             client: sageshed_vms::Client::new(""),
+            neighbours,
             metrics: metrics::Metrics::default(),
             sampler: sampler::Sampler::default(),
             routing: sync::RwLock::new(None),
@@ -181,10 +197,9 @@
     }
 
     /// Takes records of endpoints, and wakes the requests that wait for one.
-    pub fn take_records(&self, records: Vec<directory::Record>, entries: usize) {
+    pub fn take_records(&self, records: Vec<directory::Record>) {
         let now = self.clock.now();
         let mut core = locks::lock(&self.core);
-        core.entries = entries.max(1);
         let mut is_news = false;
         for record in records {
             is_news |= self.take_record(&mut core, now, record);
@@ -196,6 +211,34 @@
         }
     }
 
+    /// Takes a neighbour's word, and wakes the requests that wait for an engine to have read.
+    pub fn hear(&self, from: net::Ipv4Addr, word: words::Unread) {
+        let now = self.clock.now();
+        let has_room = self.with_core(|core| core.chooser.hear(now, from, word));
+        if has_room && self.waiting.load(atomic::Ordering::Relaxed) > 0 {
+            self.place_freed();
+        }
+    }
+
+    /// The number of the list of entry processes that is known.
+    #[must_use]
+    pub fn entries_known(&self) -> u64 {
+        locks::lock(&self.core).entries_number
+    }
+
+    /// Takes the list of entry processes.
+    pub fn take_entries(&self, number: u64, entries: Vec<net::Ipv4Addr>) {
+        let mut core = locks::lock(&self.core);
+        if entries.is_empty() || core.entries_number == number {
+            return;
+        }
+        ::log::info!(count = entries.len(); "gateway: entry processes changed");
+        let own = self.settings.discovery.ip;
+        core.chooser.join_groups(own, &entries);
+        core.entries_number = number;
+        core.entries = entries;
+    }
+
     /// Another start of an endpoint answers at the address of this one: it has gone, and what control
     /// processes still say of it is old.
     pub fn replaced(&self, id: &str) {
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -123,6 +123,7 @@
         ip: discovery.ip,
         config: shared.version(),
         mark,
+        entries_known: shared.entries_known(),
         patience,
         entries: Vec::new(),
         demand,
@@ -151,7 +152,10 @@
     }
     shared.heard_control();
     links.know(resp.control);
-    shared.take_records(resp.records, resp.entries);
+    if let Some(entries) = resp.entries {
+        shared.take_entries(resp.entries_number, entries);
+    }
+    shared.take_records(resp.records);
 }
 
 impl Links {
