Avoid engines that say nothing, and take silence towards control for no end

Ruled out: overload (the other engines read little meanwhile).

Change: an engine that owes answers and sends nothing for 0.7 s, neither heads nor events, is avoided the more the longer it lasts; one that let a request's whole time pass is left out for 5 s. Silence towards control is a state of its own, ended by the next word. Tests: a dark engine is avoided within a second; a silent instance is back by its word.

--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -49,6 +49,13 @@
 /// What one failure adds to the estimate, in milliseconds.
 const FAILURE_MS: f64 = 250.0;
 
+/// An engine that owes an answer and says nothing at all for this long, in milliseconds, is suspected.
+/// An engine that only has much to read still sends events of its streams.
+const SUSPECTED_MS: f64 = 700.0;
+
+/// What each millisecond of silence beyond that adds to the estimate.
+const SILENCE_WEIGHT: f64 = 3.0;
+
 /// What a way to another availability zone adds, in milliseconds: the way there and back, and a bit
 /// so that equal endpoints are taken near by.
 const FAR_MS: f64 = 4.0;
@@ -67,6 +74,10 @@
 /// And this long at the most.
 const LONGEST_EJECTION: time::Millis = time::Millis(2_000);
 
+/// The same for one that took requests and never answered: each that finds out that it still does not
+/// costs its caller the whole time.
+const SILENT_EJECTION: time::Millis = time::Millis(5_000);
+
 /// How long an engine that said that it does not hold a model is not asked for it again, unless it
 /// announces itself anew.
 const DENIAL: time::Millis = time::Millis(500);
@@ -172,6 +183,8 @@
     Failed,
     /// It could not be reached.
     Unreachable,
+    /// It said nothing until the time of the request was over.
+    Silent,
 }
 
 #[derive(Debug)]
@@ -186,6 +199,11 @@
     rate: f64,
     /// Time for an answer, in milliseconds; of plain services.
     answer_ms: f64,
+    /// When anything came from it last.
+    word_at: time::Instant,
+    /// Requests of this process whose answer has not begun, and since when there has been one.
+    owed: u32,
+    owed_since: time::Instant,
     failures: f64,
     failed_at: time::Instant,
     ejection: time::Millis,
@@ -209,6 +227,9 @@
             load: None,
             rate: FIRST_RATE,
             answer_ms: FIRST_SERVICE_MS,
+            word_at: time::Instant(0),
+            owed: 0,
+            owed_since: time::Instant(0),
             failures: 0.0,
             failed_at: time::Instant(0),
             ejection: time::Millis(0),
@@ -261,6 +282,15 @@
         self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) * FAILURE_MS
     }
 
+    /// What its silence counts against it.
+    fn silence_ms(&self, now: time::Instant) -> f64 {
+        if self.owed == 0 {
+            return 0.0;
+        }
+        let silent = now.since(self.word_at.max(self.owed_since)).0 as f64;
+        (silent - SUSPECTED_MS).max(0.0) * SILENCE_WEIGHT
+    }
+
     fn fail(&mut self, now: time::Instant) {
         let age = now.since(self.failed_at).0 as f64;
         self.failures = self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) + 1.0;
@@ -405,7 +435,7 @@
 
     /// Takes what the directory says of an endpoint.
     pub fn know(&mut self, instance: &directory::Instance) {
-        if instance.state == directory::State::Gone {
+        if !instance.is_present() {
             return self.forget(&instance.id);
         }
         if let Some(key) = self.by_id.get(&instance.id).copied() {
@@ -604,7 +634,8 @@
 
     /// What the endpoint's failures count against it.
     fn failures(&self, now: time::Instant, key: arena::EndpointKey) -> f64 {
-        self.get(key).map_or(0.0, |it| it.failure_ms(now))
+        let against = |it: &Endpoint| it.failure_ms(now) + it.silence_ms(now);
+        self.get(key).map_or(0.0, against)
     }
 
     fn send(&mut self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> Choice {
@@ -619,6 +650,10 @@
         let tokens = endpoint.unkept(ask);
         endpoint.in_flight += 1;
         endpoint.unread += tokens;
+        if endpoint.owed == 0 {
+            endpoint.owed_since = now;
+        }
+        endpoint.owed += 1;
         Choice::Send(Pick {
             key,
             instance: endpoint.instance.id.clone(),
@@ -640,6 +675,8 @@
         let Some(endpoint) = self.get_mut(pick.key) else {
             return;
         };
+        endpoint.owed = endpoint.owed.saturating_sub(1);
+        endpoint.word_at = now;
         let ahead = endpoint.unread;
         endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
         if let Some(load) = load {
@@ -660,6 +697,13 @@
         }
     }
 
+    /// Something came from the endpoint of `pick`.
+    pub fn heard_from(&mut self, now: time::Instant, pick: &Pick) {
+        if let Some(endpoint) = self.get_mut(pick.key) {
+            endpoint.word_at = now;
+        }
+    }
+
     /// A request that was sent to `pick` is over. `began` says whether its answer had begun.
     pub fn ended(
         &mut self,
@@ -675,6 +719,10 @@
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         if !began {
             endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
+            endpoint.owed = endpoint.owed.saturating_sub(1);
+        }
+        if matches!(how, Ended::Answered | Ended::Refused | Ended::Misdirected) {
+            endpoint.word_at = now;
         }
         match how {
             Ended::Answered | Ended::GivenUp => {}
@@ -684,6 +732,13 @@
                 endpoint.fail(now);
                 endpoint.eject(now);
             }
+            Ended::Silent => {
+                endpoint.fail(now);
+                let lately = now.since(endpoint.word_at) < SILENT_EJECTION;
+                if !lately {
+                    endpoint.ejected_until = now + SILENT_EJECTION;
+                }
+            }
             Ended::Misdirected => {
                 let until = now + DENIAL;
                 match wanted {
--- a/crates/sageshed-fleet/src/directory.rs
+++ b/crates/sageshed-fleet/src/directory.rs
@@ -83,6 +83,8 @@
     Leaving,
     /// It has stopped, or says that it is about to.
     Gone,
+    /// Nothing was heard of it for long. It may be cut off from control and is back by its next word.
+    Silent,
 }
 
 impl Instance {
@@ -101,6 +103,12 @@
         adapter.is_none_or(|name| resident.adapters.iter().any(|it| it == name))
     }
 
+    /// Whether it is there, as far as is known.
+    #[must_use]
+    pub fn is_present(&self) -> bool {
+        !matches!(self.state, State::Gone | State::Silent)
+    }
+
     /// Whether it takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -324,17 +332,16 @@
     /// Takes those for gone that were silent for [`SILENCE`], and forgets the long gone. Returns the
     /// ids of the former.
     pub fn expire(&mut self, now: time::Instant) -> Vec<String> {
-        self.entries.retain(|_, entry| {
-            entry.instance.state != State::Gone || now.since(entry.heard) < GONE_KEPT
-        });
+        self.entries
+            .retain(|_, entry| entry.instance.is_present() || now.since(entry.heard) < GONE_KEPT);
         let silent: Vec<String> = self
             .entries
             .values()
-            .filter(|it| it.instance.state != State::Gone && now.since(it.heard) >= SILENCE)
+            .filter(|it| it.instance.is_present() && now.since(it.heard) >= SILENCE)
             .map(|it| it.instance.id.clone())
             .collect();
         for id in &silent {
-            self.gone(now, id);
+            self.amend(now, id, |it| it.state = State::Silent);
         }
         silent
     }
@@ -362,7 +369,7 @@
     pub fn present(&self, now: time::Instant) -> impl Iterator<Item = (&Instance, time::Millis)> {
         self.entries
             .values()
-            .filter(|entry| entry.instance.state != State::Gone)
+            .filter(|entry| entry.instance.is_present())
             .map(move |entry| (&entry.instance, now.since(entry.heard)))
     }
 
@@ -370,7 +377,7 @@
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Instance> {
         let entry = self.entries.get(id)?;
-        (entry.instance.state != State::Gone).then_some(&entry.instance)
+        entry.instance.is_present().then_some(&entry.instance)
     }
 }
 
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -270,3 +270,35 @@
     };
     assert_eq!(sent(chooser.choose(T0, &again)).instance, "e1");
 }
+
+/// An engine goes dark: it takes requests and says nothing, and no connection breaks. Callers who are
+/// sent there wait in vain. It must be suspected while the first of them still wait, and left out once
+/// one of them has waited for its whole time.
+#[test]
+fn an_engine_that_says_nothing_is_avoided() {
+    let mut chooser = two_engines();
+    let m0 = wanted("m0", None);
+    let dark = sent(chooser.choose(T0, &ask(&m0, 100)));
+    let mut now = T0;
+    for _ in 0..20 {
+        now = now + time::Millis(100);
+        let pick = sent(chooser.choose(now, &ask(&m0, 100)));
+        if pick.instance != dark.instance {
+            chooser.began(now, &pick, &[], time::Millis(20), None);
+            chooser.ended(now, &pick, Some(&m0), true, Ended::Answered);
+        } else {
+            assert!(
+                now.since(T0) < time::Millis(1_000),
+                "still sent there at {now:?}"
+            );
+        }
+    }
+    chooser.ended(
+        T0 + time::Millis(6_000),
+        &dark,
+        Some(&m0),
+        false,
+        Ended::Silent,
+    );
+    assert_eq!(chooser.counts(T0 + time::Millis(9_000)), (2, 1));
+}
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -168,8 +168,12 @@
     first: std_time::Duration,
     longest: std_time::Duration,
     last: Option<std_time::Instant>,
+    told: Option<std_time::Instant>,
 }
 
+/// How often the events of one stream tell that its endpoint lives.
+const TOLD_EVERY: std_time::Duration = std_time::Duration::from_millis(200);
+
 impl Paces {
     /// The stream has begun; not for the first time where it goes on elsewhere.
     fn begun(&mut self, received: std_time::Instant) {
@@ -178,11 +182,17 @@
         }
     }
 
-    fn piece(&mut self) {
+    /// Notes a piece. Returns whether it is time to tell that the endpoint lives.
+    fn piece(&mut self) -> bool {
         let now = std_time::Instant::now();
         if let Some(last) = self.last.replace(now) {
             self.longest = self.longest.max(now - last);
         }
+        let is_due = self.told.is_none_or(|at| now - at >= TOLD_EVERY);
+        if is_due {
+            self.told = Some(now);
+        }
+        is_due
     }
 }
 
@@ -605,7 +615,11 @@
             match piece {
                 exchange::Piece::Bytes(bytes) => {
                     let whole = events.push(self.shared.dialect, &bytes);
-                    self.paces.piece();
+                    if self.paces.piece() {
+                        let now = self.shared.clock.now();
+                        self.shared
+                            .with_core(|core| core.chooser.heard_from(now, pick));
+                    }
                     if stream.send(&whole).is_err() {
                         self.ended(pick, true, chooser::Ended::GivenUp);
                         return Sending::Gone(Outlet::Begun(stream, events));
@@ -751,10 +765,9 @@
             runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
         let is_over = self.left_ms() == time::Millis(0);
-        let how = if is_over {
-            chooser::Ended::GivenUp
-        } else {
-            chooser::Ended::Failed
+        let how = match failure.cause {
+            failure::Cause::Silent if is_over => chooser::Ended::Silent,
+            _ => chooser::Ended::Failed,
         };
         self.ended(pick, began, how);
         self.tried.push(pick.key);
