--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -697,6 +697,13 @@
         }
     }
 
+    /// Whether the endpoint of `pick` owes answers and has said nothing for too long.
+    #[must_use]
+    pub fn is_suspected(&self, now: time::Instant, pick: &Pick) -> bool {
+        let endpoint = self.get(pick.key);
+        endpoint.is_none_or(|it| it.silence_ms(now) > 0.0)
+    }
+
     /// Something came from the endpoint of `pick`.
     pub fn heard_from(&mut self, now: time::Instant, pick: &Pick) {
         if let Some(endpoint) = self.get_mut(pick.key) {
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -49,6 +49,9 @@
 /// Added to the time of a load: room has to be made first, and others may load too.
 const LOAD_SLACK: time::Millis = time::Millis(3_000);
 
+/// Added to the estimate of a request before it leaves an endpoint that says nothing at all.
+const MOVED_AFTER: std_time::Duration = std_time::Duration::from_millis(700);
+
 /// The part of its objective that a request waits for an engine that reads little, in hundredths.
 const CALM_PATIENCE: u64 = 35;
 
@@ -430,7 +433,12 @@
     ) -> Sending<'c> {
         let sent_at = std_time::Instant::now();
         neighbours::tell(self.shared, pick);
-        let stop = || watch.caller_gone();
+        let movable = self.route.repeat.may_run_again() && self.runs + 1 < self.route.attempts;
+        let expected = std_time::Duration::from(pick.estimate) + MOVED_AFTER;
+        let stop = || {
+            let is_late = movable && sent_at.elapsed() > expected;
+            watch.caller_gone() || (is_late && self.is_suspected(pick))
+        };
         let patience = exchange::Patience {
             until: self.until.min(sent_at + self.silence()),
             stop: &stop,
@@ -439,10 +447,16 @@
         let answer = self.exchange(pick, resume.as_deref(), &patience);
         let exchange = match answer.and_then(|it| self.own_answer(it, &patience)) {
             Ok(exchange) => exchange,
-            Err(failure) => return self.failed(pick, outlet, false, &failure),
+            Err(failure) => return self.failed(pick, outlet, failure, watch),
         };
         self.arrivals += 1;
-        self.judge(pick, exchange, outlet, sent_at, &stop)
+        self.judge(pick, exchange, outlet, sent_at, watch)
+    }
+
+    fn is_suspected(&self, pick: &chooser::Pick) -> bool {
+        let now = self.shared.clock.now();
+        self.shared
+            .with_core(|core| core.chooser.is_suspected(now, pick))
     }
 
     /// How long an endpoint may be silent before the request goes elsewhere.
@@ -535,8 +549,9 @@
         mut exchange: exchange::Exchange,
         outlet: Outlet<'c>,
         sent_at: std_time::Instant,
-        stop: &impl Fn() -> bool,
+        watch: &reply::Watch,
     ) -> Sending<'c> {
+        let stop = &|| watch.caller_gone();
         let head = exchange.head.clone();
         let answered = self.shared.dialect.answered(head.status, |it| head.get(it));
         let patience = exchange::Patience {
@@ -728,13 +743,19 @@
         &mut self,
         pick: &chooser::Pick,
         outlet: Outlet<'c>,
-        began: bool,
-        failure: &failure::Failure,
+        mut failure: failure::Failure,
+        watch: &reply::Watch,
     ) -> Sending<'c> {
-        if failure.cause == failure::Cause::Interrupted {
+        let began = false;
+        let is_interrupted = failure.cause == failure::Cause::Interrupted;
+        if is_interrupted && watch.caller_gone() {
             self.ended(pick, began, chooser::Ended::GivenUp);
             return Sending::Gone(outlet);
         }
+        if is_interrupted {
+            // The caller waits still: the endpoint said nothing, to this request or any other.
+            failure.cause = failure::Cause::Silent;
+        }
         if !failure.is_sent {
             ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure;
                 "gateway: endpoint not reached, the request was not sent");
@@ -746,7 +767,7 @@
         }
         self.arrivals += 1;
         self.runs += 1;
-        self.failed_after_run(pick, outlet, began, failure)
+        self.failed_after_run(pick, outlet, began, &failure)
     }
 
     /// The request may have run, and no whole answer came.
@@ -766,7 +787,7 @@
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
         let is_over = self.left_ms() == time::Millis(0);
         let how = match failure.cause {
-            failure::Cause::Silent if is_over => chooser::Ended::Silent,
+            failure::Cause::Silent if !began => chooser::Ended::Silent,
             _ => chooser::Ended::Failed,
         };
         self.ended(pick, began, how);
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -289,3 +289,23 @@
         assert_eq!(answer.status(), 200, "{}", answer.text());
     }
 }
+
+/// An engine goes dark: it takes requests and says nothing. A stream that may run again leaves it long
+/// before its time is over, and the caller gets its answer from the other engine.
+#[test]
+fn a_stream_leaves_an_engine_that_says_nothing() {
+    let (fleet, engines) = Fleet::ready();
+    engines[0].does(Does::Hangs);
+    engines[1].does(Does::Streams(3));
+    let mut number = 0;
+    fleet.until("a request was sent to the dark engine", || {
+        number += 1;
+        let id = format!("dark-{number}");
+        let answer = fleet
+            .ask(0, &Ask::new("POST", "/resumable/x", &id))
+            .expect("an answer");
+        assert_eq!(answer.status(), 200, "{id}: {}", answer.text());
+        assert_eq!(answer.text(), events(3), "{id}");
+        engines[0].runs(&id) == 1
+    });
+}
