Learn adapters from an engine's report, and let an idle last copy give way

Its directory had been cut off from the words of engines, and the adapters that the leader before had loaded stood only in the engine's report, which was not read for them. Test: a new leader loaded a third adapter onto two places (a_new_leader_counts_the_adapters..., red before). Found by a new line of the leader on what it sees.

Ruled out: late orders, the store's budget (free in all lines), lost demand (83,000 tokens a second told).

Change: reports correct the account of adapters; a last copy goes for a model without one that is asked for and has twice its work.

--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -22,6 +22,9 @@
 /// free, and the load that waits for it is urgent.
 const UNLOAD_INTERVAL: time::Millis = time::Millis(400);
 
+/// How old a report may be.
+const REPORT_AGE: time::Millis = time::Millis(1_000);
+
 /// How long after the time for a load an engine that does not show it is asked for a report.
 const LOAD_PATIENCE: time::Millis = time::Millis(1_500);
 
@@ -185,6 +188,7 @@
                 fate => fate,
             };
         }
+        self.see_adapters(now, &report);
         let has = |model: &str, adapter: &str| {
             let mut held = report.models.iter().filter(|it| it.model == model);
             let pending = report.adapters_pending.iter();
@@ -219,6 +223,24 @@
         });
     }
 
+    /// Corrects the account of adapters by a report, which may be some hundred milliseconds old. A new
+    /// leader learns by it what the one before had loaded.
+    fn see_adapters(&mut self, now: time::Instant, report: &dialect::Report) {
+        let held = report.models.iter().flat_map(|it| {
+            let adapters = it.adapters.iter();
+            adapters.map(|adapter| (it.model.clone(), adapter.clone()))
+        });
+        let there: collections::BTreeSet<(String, String)> = held
+            .chain(report.adapters_pending.iter().cloned())
+            .collect();
+        self.adapters.retain(|key, arrives| {
+            there.contains(key) || now.since(*arrives) < REPORT_AGE || now < *arrives
+        });
+        for key in there {
+            self.adapters.entry(key).or_insert(now);
+        }
+    }
+
     /// Takes the answer to an order. Returns whether the engine has taken it.
     pub(super) fn answered(
         &mut self,
@@ -243,8 +265,9 @@
                 true
             }
             Some(dialect::OrderAnswer::Done) => {
-                // Whether it has counted this one is not said.
+                // Whether it has counted this one is not said, and the next order may be urgent.
                 self.accepted = None;
+                self.asked_at = None;
                 self.open[at].fate = Fate::Accepted(now);
                 self.done(now, at, &order.task);
                 true
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -114,6 +114,25 @@
     at: time::Instant,
 }
 
+/// What a leader sees of one service, for its log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Summary {
+    /// The service.
+    pub service: String,
+    /// Engines that take work.
+    pub engines: usize,
+    /// Of these, the ones that could take an order about weights now.
+    pub free_for_orders: usize,
+    /// Models that need another copy, the one that needs it most first.
+    pub short: Vec<String>,
+    /// Whether the weight store may begin a load now.
+    pub store_is_free: bool,
+    /// Prompt tokens that callers ask for in a second.
+    pub tokens_per_s: f64,
+    /// Wants of adapters that are not served yet.
+    pub wants: usize,
+}
+
 /// Plans for all services with engines.
 #[derive(Debug)]
 pub struct Planner {
@@ -238,15 +257,7 @@
             let Some(offer) = &service.engines else {
                 continue;
             };
-            let pool = Pool {
-                service: &service.name,
-                offer,
-                instances: instances
-                    .iter()
-                    .filter(|it| it.service == service.name && it.is_ready())
-                    .copied()
-                    .collect(),
-            };
+            let pool = pool_of(service, offer, instances);
             actions.extend(self.ask_reports(now, &pool));
             actions.extend(self.give_again(&pool));
             actions.extend(self.serve_wants(now, &pool));
@@ -255,6 +266,40 @@
         actions
     }
 
+    /// What is seen now of each service with engines.
+    #[must_use]
+    pub fn summary(
+        &self,
+        now: time::Instant,
+        config: &config::FleetConfig,
+        instances: &[&directory::Instance],
+    ) -> Vec<Summary> {
+        let pools = config.services.iter().filter_map(|service| {
+            let offer = service.engines.as_ref()?;
+            Some(pool_of(service, offer, instances))
+        });
+        pools.map(|pool| self.summary_of(now, &pool)).collect()
+    }
+
+    fn summary_of(&self, now: time::Instant, pool: &Pool<'_>) -> Summary {
+        let takes = |it: &&&directory::Instance| {
+            let engine = self.engines.get(&it.id);
+            engine.is_some_and(|it| it.takes_weights(now))
+        };
+        let short = weights::Survey::new(self, now, pool).short_of_copies();
+        let models = pool.offer.models.iter();
+        let tokens = models.map(|it| self.demand.tokens_per_s(now, pool.service, &it.name));
+        Summary {
+            service: pool.service.to_owned(),
+            engines: pool.instances.len(),
+            free_for_orders: pool.instances.iter().filter(takes).count(),
+            short: short.into_iter().map(|it| it.name.clone()).collect(),
+            store_is_free: self.store.allows(now, pool.offer.loads_per_s),
+            tokens_per_s: tokens.sum(),
+            wants: self.wants.len(),
+        }
+    }
+
     /// Keeps an account of each engine that is there, and of no other.
     fn see(&mut self, now: time::Instant, instances: &[&directory::Instance]) {
         let present: collections::HashSet<&str> =
@@ -481,6 +526,19 @@
     Later,
 }
 
+fn pool_of<'a>(
+    service: &'a config::Service,
+    offer: &'a config::EnginePool,
+    instances: &[&'a directory::Instance],
+) -> Pool<'a> {
+    let own = |it: &&&directory::Instance| it.service == service.name && it.is_ready();
+    Pool {
+        service: &service.name,
+        offer,
+        instances: instances.iter().filter(own).copied().collect(),
+    }
+}
+
 fn amend(instance: &str, task: &dialect::Task) -> Action {
     Action::Amend {
         instance: instance.to_owned(),
--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -20,6 +20,9 @@
 /// prompts is lost.
 const UNLOAD: f64 = 0.2;
 
+/// A last copy goes for a model without one if it has at most this part of its work.
+const YIELDS_TO: f64 = 0.5;
+
 /// What a model without any copy weighs: more than any work.
 const NO_COPY: f64 = 10.0;
 
@@ -159,18 +162,29 @@
             let is_offered = self.models.contains_key(resident.model.as_str());
             let it = self.of(&resident.model);
             let is_last = it.copies < 2 && is_offered;
-            if is_last || resident.model == wanted.name {
+            let is_kept = is_last && !Self::yields(it, self.of(&wanted.name));
+            if is_kept || resident.model == wanted.name {
                 continue;
             }
             let after = it.each(it.copies.saturating_sub(1));
             let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
-            if after <= self.planner.policy.low && is_better {
+            if (after <= self.planner.policy.low || is_last) && is_better {
                 best = Some((resident.model.clone(), after));
             }
         }
         best
     }
 
+    /// Whether the last copy of a model may go for another one.
+    ///
+    /// When engines are lost for good there may be fewer places than models. Were each last copy kept,
+    /// the models without one could not be asked for any more. What is given up stays on the engine's
+    /// disk, from which it is back within seconds when it is asked for.
+    fn yields(it: Standing, wanted: Standing) -> bool {
+        let is_without = wanted.copies + wanted.loading == 0 && wanted.work > 0.0;
+        is_without && it.work <= wanted.work * YIELDS_TO
+    }
+
     /// What the requests for the models on `instance` keep busy of it.
     fn engine_work(&self, instance: &directory::Instance) -> f64 {
         let share = |it: &directory::Resident| {
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -196,6 +196,12 @@
     }
 
     fn show(&mut self, task: &Task) {
+        if let Task::UnloadAdapter(model, adapter) = task {
+            let shown = self.instance.models.iter_mut();
+            for resident in shown.filter(|it| it.model == *model) {
+                resident.adapters.retain(|it| it != adapter);
+            }
+        }
         if let Task::LoadAdapter(model, adapter) = task {
             let shown = self
                 .instance
@@ -401,3 +407,58 @@
     assert_eq!(behind, [0, 0, 0], "{:?}", world.tasks());
     assert!(world.engines["e1"].instance.holds("m0", Some("a1")));
 }
+
+/// Engines are lost for good, and the only one left has places for three of four models. The one
+/// without a copy is asked for. It must take the place of one that nobody asks for, or its callers are
+/// turned away for ever.
+#[test]
+fn with_fewer_places_than_models_the_one_asked_for_takes_the_place_of_an_idle_one() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"])]);
+    world.run(4_000);
+    assert_eq!(
+        world.tasks(),
+        Vec::<String>::new(),
+        "nobody asks for anything yet"
+    );
+    for _ in 0..400 {
+        world.ask("m0", 400);
+        world.ask("m3", 100);
+        world.run(50);
+    }
+    let engine = &world.engines["e1"].instance;
+    assert!(engine.holds("m3", None), "{:?}", world.tasks());
+    assert!(
+        engine.holds("m0", None),
+        "the busy one stays: {:?}",
+        world.tasks()
+    );
+    let moves = world.orders.len();
+    assert!(
+        moves <= 3,
+        "models take each other's place in turn: {:?}",
+        world.tasks()
+    );
+}
+
+/// A leader is cut off and another elected. The one before had two adapters loaded, and the engine's
+/// announcements with them went to control processes on the other side. The new leader must learn of
+/// them before it orders another: a third on two places crashes the engine.
+#[test]
+fn a_new_leader_counts_the_adapters_of_the_one_before() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"])]);
+    let engine = world.engines.get_mut("e1").expect("there");
+    engine.accepted = 2;
+    for adapter in ["a1", "a2"] {
+        engine
+            .adapters
+            .insert(("m0".to_owned(), adapter.to_owned()));
+    }
+    world.run(3_000);
+    world.want("a3");
+    world.run(3_000);
+    world.want("a3");
+    world.run(2_000);
+    let adapters = &world.engines["e1"].adapters;
+    let wanted = ("m0".to_owned(), "a3".to_owned());
+    assert!(adapters.contains(&wanted), "{:?}", world.tasks());
+}
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -13,6 +13,9 @@
 /// Between two looks at what there is to do. A want is looked at when it comes.
 const TICK: std_time::Duration = std_time::Duration::from_millis(50);
 
+/// Between two lines in the log on what a leader sees.
+const SUMMARY: std_time::Duration = std_time::Duration::from_secs(5);
+
 /// Inputs taken in before one look.
 const BATCH: usize = 256;
 
@@ -46,6 +49,7 @@
     config: Option<config::FleetConfig>,
     term: u64,
     calls: mpsc::Sender<planner::Action>,
+    told: std_time::Instant,
 }
 
 /// Runs until the process stops.
@@ -65,6 +69,7 @@
         config: None,
         term: 0,
         calls,
+        told: std_time::Instant::now(),
     };
     while !shared.is_stopping() {
         let first = inputs.recv_timeout(TICK).ok();
@@ -111,6 +116,15 @@
         let present = self.shared.hub.present(now);
         let present: Vec<&directory::Instance> = present.iter().collect();
         let actions = self.planner.tick(now, config, &present);
+        if self.told.elapsed() >= SUMMARY {
+            self.told = std_time::Instant::now();
+            for it in self.planner.summary(now, config, &present) {
+                ::log::info!(service = it.service.as_str(), engines = it.engines,
+                    free_for_orders = it.free_for_orders, short:? = it.short,
+                    store_is_free = it.store_is_free, tokens_per_s = it.tokens_per_s,
+                    wants = it.wants; "control: placement");
+            }
+        }
         self.carry_out(actions);
     }
 
