--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser.rs
@@ -117,6 +117,10 @@
     pub left: time::Millis,
     /// How much longer it may wait here for an engine that reads little.
     pub patience: time::Millis,
+    /// What is left until its answer would be late.
+    pub on_time: time::Millis,
+    /// Whether it has the time to wait on once it is late anyway.
+    pub may_be_late: bool,
     /// Whether an adapter may be loaded for it on another engine.
     pub may_fetch: bool,
 }
@@ -555,10 +559,14 @@
         if ask.patience > time::Millis(0) {
             return Choice::Wait(Missing::Place);
         }
-        match self.best(now, ask, with) {
-            Some((_, key)) => self.send(now, key, ask),
-            None => Choice::Wait(Missing::Adapter),
+        let Some((_, key)) = self.best(now, ask, with) else {
+            return Choice::Wait(Missing::Adapter);
+        };
+        // One that will be late loses nothing more by waiting, and would make others late.
+        if ask.may_be_late && span(self.estimate(now, key, ask)) > ask.on_time {
+            return Choice::Wait(Missing::Place);
         }
+        self.send(now, key, ask)
     }
 
     /// The one with the least estimate, and that. Of equal ones any.
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -26,6 +26,8 @@
         tried: &[],
         left: time::Millis(10_000),
         patience: time::Millis(0),
+        on_time: time::Millis(0),
+        may_be_late: false,
         may_fetch: false,
     }
 }
@@ -39,6 +41,8 @@
         tried: &[],
         left: time::Millis(1_000),
         patience: time::Millis(0),
+        on_time: time::Millis(0),
+        may_be_late: false,
         may_fetch: false,
     }
 }
@@ -302,3 +306,31 @@
     );
     assert_eq!(chooser.counts(T0 + time::Millis(9_000)), (2, 1));
 }
+
+/// More prompts come than the engine can read. One whose answer will be late whatever is done waits, as
+/// long as it has time: read now it would make a second one late that can still be in time.
+#[test]
+fn a_request_that_is_late_anyway_lets_others_go_first() {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0"]));
+    let m0 = wanted("m0", None);
+    for _ in 0..4 {
+        sent(chooser.choose(T0, &ask(&m0, 1_800)));
+    }
+    let late = Ask {
+        on_time: time::Millis(100),
+        may_be_late: true,
+        ..ask(&m0, 1_800)
+    };
+    assert_eq!(chooser.choose(T0, &late), Choice::Wait(Missing::Place));
+    let in_time = Ask {
+        on_time: time::Millis(900),
+        ..late
+    };
+    sent(chooser.choose(T0, &in_time));
+    let out_of_time = Ask {
+        may_be_late: false,
+        ..late
+    };
+    sent(chooser.choose(T0, &out_of_time));
+}
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -56,6 +56,8 @@
         tried: &[],
         left: time::Millis(10_000),
         patience: time::Millis(patience),
+        on_time: time::Millis(0),
+        may_be_late: false,
         may_fetch: false,
     }
 }
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -46,6 +46,10 @@
 /// When a request comes back that was turned away since it can't be in time now.
 const BACK_SOON: time::Millis = time::Millis(300);
 
+/// What must be left of the time for a late request to let others go first. Callers leave a stream of
+/// which nothing came for two seconds and more.
+const LATE_RESERVE: time::Millis = time::Millis(2_000);
+
 /// Added to the time of a load: room has to be made first, and others may load too.
 const LOAD_SLACK: time::Millis = time::Millis(3_000);
 
@@ -291,6 +295,8 @@
                 patience: time::Millis::from(
                     self.calm_patience().saturating_sub(arrived.elapsed()),
                 ),
+                on_time: self.on_time(),
+                may_be_late: left > LATE_RESERVE,
                 may_fetch: fetches < FETCHES,
             };
             let (choice, seen) = self
@@ -357,6 +363,8 @@
         match missing {
             chooser::Missing::Model => (load + LOAD_SLACK).into(),
             chooser::Missing::Adapter => self.route.timeout.into(),
+            // It waits while it has time: an engine that can read it comes free by and by.
+            chooser::Missing::Place if self.wanted.is_some() => self.route.timeout.into(),
             chooser::Missing::Place | chooser::Missing::Endpoint => {
                 std_time::Duration::from_millis(objective * PLACE_PATIENCE / 100)
             }
@@ -373,6 +381,12 @@
         }
     }
 
+    /// What is left until the answer would be late.
+    fn on_time(&self) -> time::Millis {
+        let objective = std_time::Duration::from(self.route.objective);
+        objective.saturating_sub(self.req.received.elapsed()).into()
+    }
+
     /// How long a request waits for an engine that reads little, before it makes do with any.
     fn calm_patience(&self) -> std_time::Duration {
         std_time::Duration::from_millis(self.route.objective.0 * CALM_PATIENCE / 100)
