Turn a request away once those that wait before it take longer than its time

Change: each process sees what is read of a model's prompts in two seconds and what waits before a request; one that can't be reached in its time is told at once, with when to come back.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`routes`] | which route a request takes |
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
+//! | [`backlog`] | how long what waits for an engine will wait |
 //! | [`budget`] | whether a request may be sent a second time |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
@@ -17,6 +18,7 @@
 //! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
 //! needs to know of the protocol that callers, endpoints and operators speak.
 
+pub mod backlog;
 pub mod budget;
 pub mod chooser;
 pub mod config;
--- a/src/sageshed/gateway/pass.rs
+++ b/src/sageshed/gateway/pass.rs
@@ -50,6 +50,9 @@
 /// which nothing came for two seconds and more.
 const LATE_RESERVE: time::Millis = time::Millis(2_000);
 
+/// What must be left once the requests before it are read, for a request to wait on.
+const READ_RESERVE: time::Millis = time::Millis(800);
+
 /// Added to the time of a load: room has to be made first, and others may load too.
 const LOAD_SLACK: time::Millis = time::Millis(3_000);
 
@@ -273,6 +276,17 @@
 
     /// Chooses where to send the request next, and waits as long as that makes sense.
     fn next(&mut self, watch: &reply::Watch) -> Step {
+        let mut ticket = None;
+        let step = self.next_with(watch, &mut ticket);
+        if let Some(ticket) = ticket {
+            let model = self.model_name();
+            self.shared
+                .with_core(|core| core.backlog.leave(model, ticket));
+        }
+        step
+    }
+
+    fn next_with(&mut self, watch: &reply::Watch, ticket: &mut Option<u64>) -> Step {
         let arrived = std_time::Instant::now();
         let mut told_waiting = false;
         let mut fetches = 0;
@@ -324,6 +338,15 @@
                 told_waiting = true;
                 self.tell_waiting();
             }
+            if let Some(expected) = self.hopeless(now, missing, left, ticket) {
+                let detail = format!(
+                    "those before it take {} ms, and {} ms are left",
+                    expected.0, left.0
+                );
+                let refusal = self.give_up(verdict::Reason::DeadlineUnmeetable, detail);
+                let back = expected.0.saturating_sub(left.0).max(BACK_SOON.0);
+                return Step::Refuse(refusal.retry_after(time::Millis(back)));
+            }
             let load = self.load_time(missing);
             if waited >= self.patience(missing, load) || left <= load {
                 return Step::Refuse(self.not_served(missing, load));
@@ -357,6 +380,24 @@
         Step::Refuse(self.give_up(verdict::Reason::EndpointFailed, detail))
     }
 
+    /// Whether a request that waits for an engine to have read can't be reached in its time, by those
+    /// that wait here before it. Returns how long it would take.
+    fn hopeless(
+        &self,
+        now: time::Instant,
+        missing: chooser::Missing,
+        left: time::Millis,
+        ticket: &mut Option<u64>,
+    ) -> Option<time::Millis> {
+        let wanted = self.wanted.filter(|_| missing == chooser::Missing::Place)?;
+        let expected = self.shared.with_core(|core| {
+            let tokens = self.passing.prompt_tokens;
+            let ticket = ticket.get_or_insert_with(|| core.backlog.enter(&wanted.model, tokens));
+            core.backlog.expected(now, &wanted.model, *ticket)
+        })?;
+        (expected + READ_RESERVE > left).then_some(expected)
+    }
+
     /// How long to wait for what is missing.
     fn patience(&self, missing: chooser::Missing, load: time::Millis) -> std_time::Duration {
         let objective = self.route.objective.0;
@@ -693,8 +734,13 @@
         let now = self.shared.clock.now();
         let took = sent_at.elapsed().into();
         let parts = &self.passing.parts;
-        self.shared
-            .with_core(|core| core.chooser.began(now, pick, parts, took, load));
+        self.shared.with_core(|core| {
+            core.chooser.began(now, pick, parts, took, load);
+            if let Some(wanted) = self.wanted {
+                let tokens = self.passing.prompt_tokens;
+                core.backlog.read(now, &wanted.model, tokens);
+            }
+        });
         neighbours::tell(self.shared, pick);
         self.shared.place_freed();
     }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -7,7 +7,7 @@
 };
 
 use sageshed_fleet::{
-    budget, chooser, config, dialect, directory, messages, neighbours as words, routes,
+    backlog, budget, chooser, config, dialect, directory, messages, neighbours as words, routes,
 };
 use sageshed_types::time;
 use sageshed_upstream::pool;
@@ -64,6 +64,8 @@
 pub struct Core {
     /// Chooses endpoints.
     pub chooser: chooser::Chooser,
+    /// What waits here for engines.
+    pub backlog: backlog::Backlog,
     /// Allows repeats.
     pub budget: budget::RetryBudget,
     /// What is known of endpoints.
@@ -98,6 +100,7 @@
         let seed = start ^ (u64::from(u32::from(settings.discovery.ip)) << 32);
         let core = Core {
             chooser: chooser::Chooser::new(&settings.availability_zone, seed),
+            backlog: backlog::Backlog::default(),
             budget: budget::RetryBudget::new(budget::Allowance {
                 ratio: retries.ratio,
                 slack: retries.slack,
