--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -287,14 +287,14 @@
     for _ in 0..20 {
         now = now + time::Millis(100);
         let pick = sent(chooser.choose(now, &ask(&m0, 100)));
-        if pick.instance != dark.instance {
-            chooser.began(now, &pick, &[], time::Millis(20), None);
-            chooser.ended(now, &pick, Some(&m0), true, Ended::Answered);
-        } else {
+        if pick.instance == dark.instance {
             assert!(
                 now.since(T0) < time::Millis(1_000),
                 "still sent there at {now:?}"
             );
+        } else {
+            chooser.began(now, &pick, &[], time::Millis(20), None);
+            chooser.ended(now, &pick, Some(&m0), true, Ended::Answered);
         }
     }
     chooser.ended(
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -45,12 +45,7 @@
         let mut buf = [0; LARGEST];
         while !shared.is_stopping() {
             match self.socket.recv_from(&mut buf) {
-                Ok((len, net::SocketAddr::V4(from))) => match sageshed_vms::decode(&buf[..len]) {
-                    Ok(word) => shared.hear(*from.ip(), word),
-                    Err(e) => {
-                        ::log::warn!(from:% = from, error:% = e; "gateway: datagram not read")
-                    }
-                },
+                Ok((len, net::SocketAddr::V4(from))) => take(shared, from, &buf[..len]),
                 Ok(_) => {}
                 Err(e) if is_timeout(&e) => {}
                 Err(e) => {
@@ -62,6 +57,13 @@
     }
 }
 
+fn take<D: dialect::Dialect>(shared: &state::Shared<D>, from: net::SocketAddrV4, bytes: &[u8]) {
+    match sageshed_vms::decode(bytes) {
+        Ok(word) => shared.hear(*from.ip(), word),
+        Err(e) => ::log::warn!(from:% = from, error:% = e; "gateway: datagram not read"),
+    }
+}
+
 fn is_timeout(e: &io::Error) -> bool {
     matches!(
         e.kind(),
