Take what is known of one endpoint out of the chooser

Ruled out: a generic estimate behind a trait; there are two kinds of endpoint and one user. Change: chooser/endpoint.rs with the record, its estimates and their constants. No behaviour.

--- /dev/null
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -0,0 +1,228 @@
+//! What an entry process knows of one endpoint, and what it reckons of it.
+
+use std::{collections, net};
+
+use sageshed_types::time;
+
+use super::{Ask, STEP_MS};
+use crate::{dialect, directory, neighbours};
+
+/// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
+/// of the engines.
+const FIRST_RATE: f64 = 19.0;
+
+/// The time for an answer of a plain service, in milliseconds, until some were measured.
+const FIRST_SERVICE_MS: f64 = 30.0;
+
+/// How long what an endpoint said of its load is used, in milliseconds. It weighs less with age.
+const LOAD_KEPT_MS: f64 = 1_000.0;
+
+/// In which time a failure counts half, in milliseconds.
+const FORGIVEN_HALF: f64 = 1_500.0;
+
+/// What one failure adds to the estimate, in milliseconds.
+const FAILURE_MS: f64 = 250.0;
+
+/// An engine that owes an answer and says nothing at all for this long, in milliseconds, is suspected.
+/// An engine that only has much to read still sends events of its streams.
+const SUSPECTED_MS: f64 = 700.0;
+
+/// What each millisecond of silence beyond that adds to the estimate.
+const SILENCE_WEIGHT: f64 = 3.0;
+
+/// What is added for an engine whose group this process is not in, in milliseconds: what others send
+/// there is not known, and these would not expect it.
+const STRANGER_MS: f64 = 40.0;
+
+/// How long another process's word on what it sent to an engine is believed. Prompts are read within
+/// that time, but for the largest.
+const UNREAD_KEPT: time::Millis = time::Millis(900);
+
+/// An endpoint that can't be reached is left out for this long at first, in milliseconds.
+const FIRST_EJECTION: time::Millis = time::Millis(300);
+
+/// And this long at the most.
+const LONGEST_EJECTION: time::Millis = time::Millis(2_000);
+
+/// Prompt parts that are remembered for each engine.
+const PARTS_KEPT: usize = 2_000;
+
+/// The longest pause, in milliseconds, that a prompt may add to the streams of an engine. An engine
+/// reads all prompts that wait there in one step, and its streams pause meanwhile; callers count a
+/// stream as late by one pause of 400 ms.
+const PAUSE_MS: f64 = 330.0;
+
+/// Requests that one entry process has under way at one endpoint of a plain service, in parts of its
+/// places. Some may wait there: an endpoint that is never full is idle between two answers.
+const SERVICE_FILL: f64 = 1.5;
+
+/// One start of an endpoint, with the requests that this process sent there.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub(super) instance: directory::Instance,
+    /// Requests of this process that are there.
+    pub(super) in_flight: u32,
+    /// Tokens in those whose answer has not begun.
+    pub(super) unread: u64,
+    pub(super) load: Option<(dialect::Load, time::Instant)>,
+    /// Tokens a millisecond.
+    pub(super) rate: f64,
+    /// Time for an answer, in milliseconds; of plain services.
+    pub(super) answer_ms: f64,
+    /// When anything came from it last.
+    pub(super) word_at: time::Instant,
+    /// Requests of this process whose answer has not begun, and since when there has been one.
+    pub(super) owed: u32,
+    pub(super) owed_since: time::Instant,
+    pub(super) failures: f64,
+    failed_at: time::Instant,
+    pub(super) ejection: time::Millis,
+    pub(super) ejected_until: time::Instant,
+    pub(super) denied: collections::HashMap<dialect::Wanted, time::Instant>,
+    parts: collections::HashMap<u64, (u64, u64)>,
+    uses: u64,
+    /// Tokens that other processes sent there and that are not read yet, with when they said so.
+    pub(super) others: collections::HashMap<net::Ipv4Addr, (u64, time::Instant)>,
+    /// The processes that are told what this one sends there.
+    pub(super) group: Vec<net::Ipv4Addr>,
+    is_in_group: bool,
+}
+
+impl Endpoint {
+    pub(super) fn new(instance: directory::Instance) -> Self {
+        Self {
+            instance,
+            in_flight: 0,
+            unread: 0,
+            load: None,
+            rate: FIRST_RATE,
+            answer_ms: FIRST_SERVICE_MS,
+            word_at: time::Instant(0),
+            owed: 0,
+            owed_since: time::Instant(0),
+            failures: 0.0,
+            failed_at: time::Instant(0),
+            ejection: time::Millis(0),
+            ejected_until: time::Instant(0),
+            denied: collections::HashMap::new(),
+            parts: collections::HashMap::new(),
+            uses: 0,
+            others: collections::HashMap::new(),
+            group: Vec::new(),
+            is_in_group: true,
+        }
+    }
+
+    pub(super) fn holds(&self, now: time::Instant, wanted: &dialect::Wanted) -> bool {
+        let denied = self.denied.get(wanted).is_some_and(|until| now < *until);
+        !denied
+            && self
+                .instance
+                .holds(&wanted.model, wanted.adapter.as_deref())
+    }
+
+    /// Tokens of a prompt that are not kept from an earlier one. What comes behind a part that is not
+    /// kept has to be read too.
+    pub(super) fn unkept(&self, ask: &Ask<'_>) -> u64 {
+        let kept: u64 = ask
+            .parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id))
+            .map(|part| part.tokens)
+            .sum();
+        ask.prompt_tokens.saturating_sub(kept)
+    }
+
+    pub(super) fn remember(&mut self, parts: &[dialect::PromptPart]) {
+        self.uses += 1;
+        for part in parts {
+            self.parts.insert(part.id, (part.tokens, self.uses));
+        }
+        if self.parts.len() > PARTS_KEPT {
+            let mut uses: Vec<u64> = self.parts.values().map(|(_, used)| *used).collect();
+            let middle = uses.len() / 2;
+            let (_, median, _) = uses.select_nth_unstable(middle);
+            let oldest_kept = *median;
+            self.parts.retain(|_, (_, used)| *used > oldest_kept);
+        }
+    }
+
+    pub(super) fn failure_ms(&self, now: time::Instant) -> f64 {
+        let age = now.since(self.failed_at).0 as f64;
+        self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) * FAILURE_MS
+    }
+
+    /// What its silence counts against it.
+    pub(super) fn silence_ms(&self, now: time::Instant) -> f64 {
+        if self.owed == 0 {
+            return 0.0;
+        }
+        let silent = now.since(self.word_at.max(self.owed_since)).0 as f64;
+        (silent - SUSPECTED_MS).max(0.0) * SILENCE_WEIGHT
+    }
+
+    pub(super) fn fail(&mut self, now: time::Instant) {
+        let age = now.since(self.failed_at).0 as f64;
+        self.failures = self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) + 1.0;
+        self.failed_at = now;
+    }
+
+    pub(super) fn eject(&mut self, now: time::Instant) {
+        let doubled = time::Millis(self.ejection.0 * 2);
+        self.ejection = doubled.clamp(FIRST_EJECTION, LONGEST_EJECTION);
+        self.ejected_until = now + self.ejection;
+    }
+
+    pub(super) fn join_group(&mut self, own: net::Ipv4Addr, entries: &[net::Ipv4Addr]) {
+        let mut group = neighbours::group(neighbours::key(&self.instance.id), entries);
+        self.is_in_group = group.contains(&own) || entries.is_empty();
+        group.retain(|it| *it != own);
+        self.group = group;
+    }
+
+    /// Tokens that wait to be read there, by this process and those that tell it.
+    fn unread_by_all(&self, now: time::Instant) -> f64 {
+        let fresh = self
+            .others
+            .values()
+            .filter(|(_, at)| now.since(*at) < UNREAD_KEPT);
+        let others: u64 = fresh.map(|(tokens, _)| *tokens).sum();
+        (self.unread + others) as f64
+    }
+
+    /// Requests that wait there by its own latest word, which weighs less with age.
+    fn waiting(&self, now: time::Instant) -> f64 {
+        let Some((load, at)) = self.load else {
+            return 0.0;
+        };
+        let age = now.since(at).0 as f64;
+        let weight = (1.0 - age / LOAD_KEPT_MS).max(0.0);
+        f64::from(load.waiting) * weight
+    }
+
+    /// Milliseconds until an engine has read the prompt.
+    pub(super) fn engine_ms(&self, now: time::Instant, tokens: u64) -> f64 {
+        let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
+        (self.unread_by_all(now) + tokens as f64) / self.rate + STEP_MS + stranger
+    }
+
+    /// Whether reading so many tokens more would make its streams pause for too long. One prompt that
+    /// is too long by itself has to be read somewhere.
+    pub(super) fn would_pause(&self, now: time::Instant, tokens: u64) -> bool {
+        let ahead = self.unread_by_all(now);
+        ahead > 0.0 && (ahead + tokens as f64) / self.rate > PAUSE_MS
+    }
+
+    /// Milliseconds until a plain service has answered.
+    pub(super) fn service_ms(&self, now: time::Instant) -> f64 {
+        let slots = f64::from(self.instance.slots.max(1));
+        let ahead = f64::from(self.in_flight).max(self.waiting(now));
+        let turns = 1.0 + (ahead / slots).floor();
+        // Of two that have places the emptier one is taken.
+        turns * self.answer_ms + ahead / slots
+    }
+
+    pub(super) fn has_place(&self) -> bool {
+        f64::from(self.in_flight) < f64::from(self.instance.slots.max(1)) * SERVICE_FILL
+    }
+}
--- a/crates/sageshed-fleet/src/chooser.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -13,20 +13,19 @@
 //!
 //! # Failing endpoints
 //!
-//! Each failure adds to a score that halves every [`FORGIVEN_HALF`]. The score lengthens the estimate,
-//! so an endpoint that fails a part of its requests gets fewer, and one that recovers comes back by
-//! itself. One that can't be reached at all is left out for a while that grows.
+//! Each failure adds to a score that halves every second and a half. The score lengthens the
+//! estimate, so an endpoint that fails a part of its requests gets fewer, and one that recovers comes
+//! back by itself. One that can't be reached at all is left out for a while that grows.
+
+mod endpoint;
 
 use std::{collections, net};
 
 use sageshed_types::{arena, arena::Key, time};
 
+use self::endpoint::Endpoint;
 use crate::{config, dialect, directory, neighbours};
 
-/// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
-/// of the engines.
-const FIRST_RATE: f64 = 19.0;
-
 /// The part that a new measurement has in the learned rate.
 const RATE_GAIN: f64 = 0.1;
 
@@ -34,46 +33,13 @@
 /// than the rest; a measurement beyond says something else.
 const RATE_BOUNDS: (f64, f64) = (2.0, 60.0);
 
-/// The time for an answer of a plain service, in milliseconds, until some were measured.
-const FIRST_SERVICE_MS: f64 = 30.0;
-
 /// A request to an engine costs this at least, in milliseconds: one step of its batch.
 const STEP_MS: f64 = 10.0;
 
-/// How long what an endpoint said of its load is used, in milliseconds. It weighs less with age.
-const LOAD_KEPT_MS: f64 = 1_000.0;
-
-/// In which time a failure counts half, in milliseconds.
-const FORGIVEN_HALF: f64 = 1_500.0;
-
-/// What one failure adds to the estimate, in milliseconds.
-const FAILURE_MS: f64 = 250.0;
-
-/// An engine that owes an answer and says nothing at all for this long, in milliseconds, is suspected.
-/// An engine that only has much to read still sends events of its streams.
-const SUSPECTED_MS: f64 = 700.0;
-
-/// What each millisecond of silence beyond that adds to the estimate.
-const SILENCE_WEIGHT: f64 = 3.0;
-
 /// What a way to another availability zone adds, in milliseconds: the way there and back, and a bit
 /// so that equal endpoints are taken near by.
 const FAR_MS: f64 = 4.0;
 
-/// What is added for an engine whose group this process is not in, in milliseconds: what others send
-/// there is not known, and these would not expect it.
-const STRANGER_MS: f64 = 40.0;
-
-/// How long another process's word on what it sent to an engine is believed. Prompts are read within
-/// that time, but for the largest.
-const UNREAD_KEPT: time::Millis = time::Millis(900);
-
-/// An endpoint that can't be reached is left out for this long at first, in milliseconds.
-const FIRST_EJECTION: time::Millis = time::Millis(300);
-
-/// And this long at the most.
-const LONGEST_EJECTION: time::Millis = time::Millis(2_000);
-
 /// The same for one that took requests and never answered: each that finds out that it still does not
 /// costs its caller the whole time.
 const SILENT_EJECTION: time::Millis = time::Millis(5_000);
@@ -82,24 +48,12 @@
 /// announces itself anew.
 const DENIAL: time::Millis = time::Millis(500);
 
-/// Prompt parts that are remembered for each engine.
-const PARTS_KEPT: usize = 2_000;
-
-/// The longest pause, in milliseconds, that a prompt may add to the streams of an engine. An engine
-/// reads all prompts that wait there in one step, and its streams pause meanwhile; callers count a
-/// stream as late by one pause of 400 ms.
-const PAUSE_MS: f64 = 330.0;
-
 /// How long an adapter takes to be there once it is asked for, in milliseconds: two calls and a load.
 const ADAPTER_MS: f64 = 45.0;
 
 /// By how much an engine without the adapter must be better than the best with it, in milliseconds.
 const WORTH_A_LOAD_MS: f64 = 120.0;
 
-/// Requests that one entry process has under way at one endpoint of a plain service, in parts of its
-/// places. Some may wait there: an endpoint that is never full is idle between two answers.
-const SERVICE_FILL: f64 = 1.5;
-
 /// What is asked for.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -191,176 +145,6 @@
     Silent,
 }
 
-#[derive(Debug)]
-struct Endpoint {
-    instance: directory::Instance,
-    /// Requests of this process that are there.
-    in_flight: u32,
-    /// Tokens in those whose answer has not begun.
-    unread: u64,
-    load: Option<(dialect::Load, time::Instant)>,
-    /// Tokens a millisecond.
-    rate: f64,
-    /// Time for an answer, in milliseconds; of plain services.
-    answer_ms: f64,
-    /// When anything came from it last.
-    word_at: time::Instant,
-    /// Requests of this process whose answer has not begun, and since when there has been one.
-    owed: u32,
-    owed_since: time::Instant,
-    failures: f64,
-    failed_at: time::Instant,
-    ejection: time::Millis,
-    ejected_until: time::Instant,
-    denied: collections::HashMap<dialect::Wanted, time::Instant>,
-    parts: collections::HashMap<u64, (u64, u64)>,
-    uses: u64,
-    /// Tokens that other processes sent there and that are not read yet, with when they said so.
-    others: collections::HashMap<net::Ipv4Addr, (u64, time::Instant)>,
-    /// The processes that are told what this one sends there.
-    group: Vec<net::Ipv4Addr>,
-    is_in_group: bool,
-}
-
-impl Endpoint {
-    fn new(instance: directory::Instance) -> Self {
-        Self {
-            instance,
-            in_flight: 0,
-            unread: 0,
-            load: None,
-            rate: FIRST_RATE,
-            answer_ms: FIRST_SERVICE_MS,
-            word_at: time::Instant(0),
-            owed: 0,
-            owed_since: time::Instant(0),
-            failures: 0.0,
-            failed_at: time::Instant(0),
-            ejection: time::Millis(0),
-            ejected_until: time::Instant(0),
-            denied: collections::HashMap::new(),
-            parts: collections::HashMap::new(),
-            uses: 0,
-            others: collections::HashMap::new(),
-            group: Vec::new(),
-            is_in_group: true,
-        }
-    }
-
-    fn holds(&self, now: time::Instant, wanted: &dialect::Wanted) -> bool {
-        let denied = self.denied.get(wanted).is_some_and(|until| now < *until);
-        !denied
-            && self
-                .instance
-                .holds(&wanted.model, wanted.adapter.as_deref())
-    }
-
-    /// Tokens of a prompt that are not kept from an earlier one. What comes behind a part that is not
-    /// kept has to be read too.
-    fn unkept(&self, ask: &Ask<'_>) -> u64 {
-        let kept: u64 = ask
-            .parts
-            .iter()
-            .take_while(|part| self.parts.contains_key(&part.id))
-            .map(|part| part.tokens)
-            .sum();
-        ask.prompt_tokens.saturating_sub(kept)
-    }
-
-    fn remember(&mut self, parts: &[dialect::PromptPart]) {
-        self.uses += 1;
-        for part in parts {
-            self.parts.insert(part.id, (part.tokens, self.uses));
-        }
-        if self.parts.len() > PARTS_KEPT {
-            let mut uses: Vec<u64> = self.parts.values().map(|(_, used)| *used).collect();
-            let middle = uses.len() / 2;
-            let (_, median, _) = uses.select_nth_unstable(middle);
-            let oldest_kept = *median;
-            self.parts.retain(|_, (_, used)| *used > oldest_kept);
-        }
-    }
-
-    fn failure_ms(&self, now: time::Instant) -> f64 {
-        let age = now.since(self.failed_at).0 as f64;
-        self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) * FAILURE_MS
-    }
-
-    /// What its silence counts against it.
-    fn silence_ms(&self, now: time::Instant) -> f64 {
-        if self.owed == 0 {
-            return 0.0;
-        }
-        let silent = now.since(self.word_at.max(self.owed_since)).0 as f64;
-        (silent - SUSPECTED_MS).max(0.0) * SILENCE_WEIGHT
-    }
-
-    fn fail(&mut self, now: time::Instant) {
-        let age = now.since(self.failed_at).0 as f64;
-        self.failures = self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) + 1.0;
-        self.failed_at = now;
-    }
-
-    fn eject(&mut self, now: time::Instant) {
-        let doubled = time::Millis(self.ejection.0 * 2);
-        self.ejection = doubled.clamp(FIRST_EJECTION, LONGEST_EJECTION);
-        self.ejected_until = now + self.ejection;
-    }
-
-    fn join_group(&mut self, own: net::Ipv4Addr, entries: &[net::Ipv4Addr]) {
-        let mut group = neighbours::group(neighbours::key(&self.instance.id), entries);
-        self.is_in_group = group.contains(&own) || entries.is_empty();
-        group.retain(|it| *it != own);
-        self.group = group;
-    }
-
-    /// Tokens that wait to be read there, by this process and those that tell it.
-    fn unread_by_all(&self, now: time::Instant) -> f64 {
-        let fresh = self
-            .others
-            .values()
-            .filter(|(_, at)| now.since(*at) < UNREAD_KEPT);
-        let others: u64 = fresh.map(|(tokens, _)| *tokens).sum();
-        (self.unread + others) as f64
-    }
-
-    /// Requests that wait there by its own latest word, which weighs less with age.
-    fn waiting(&self, now: time::Instant) -> f64 {
-        let Some((load, at)) = self.load else {
-            return 0.0;
-        };
-        let age = now.since(at).0 as f64;
-        let weight = (1.0 - age / LOAD_KEPT_MS).max(0.0);
-        f64::from(load.waiting) * weight
-    }
-
-    /// Milliseconds until an engine has read the prompt.
-    fn engine_ms(&self, now: time::Instant, tokens: u64) -> f64 {
-        let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
-        (self.unread_by_all(now) + tokens as f64) / self.rate + STEP_MS + stranger
-    }
-
-    /// Whether reading so many tokens more would make its streams pause for too long. One prompt that
-    /// is too long by itself has to be read somewhere.
-    fn would_pause(&self, now: time::Instant, tokens: u64) -> bool {
-        let ahead = self.unread_by_all(now);
-        ahead > 0.0 && (ahead + tokens as f64) / self.rate > PAUSE_MS
-    }
-
-    /// Milliseconds until a plain service has answered.
-    fn service_ms(&self, now: time::Instant) -> f64 {
-        let slots = f64::from(self.instance.slots.max(1));
-        let ahead = f64::from(self.in_flight).max(self.waiting(now));
-        let turns = 1.0 + (ahead / slots).floor();
-        // Of two that have places the emptier one is taken.
-        turns * self.answer_ms + ahead / slots
-    }
-
-    fn has_place(&self) -> bool {
-        f64::from(self.in_flight) < f64::from(self.instance.slots.max(1)) * SERVICE_FILL
-    }
-}
-
 /// What one entry process knows of the endpoints.
 #[derive(Debug)]
 pub struct Chooser {
