--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -17,21 +17,6 @@
     }
 }
 
-fn ask(wanted: &dialect::Wanted, tokens: u64) -> Ask<'_> {
-    Ask {
-        service: support::ENGINES,
-        wanted: Some(wanted),
-        parts: &[],
-        prompt_tokens: tokens,
-        tried: &[],
-        left: time::Millis(10_000),
-        patience: time::Millis(0),
-        on_time: time::Millis(0),
-        may_be_late: false,
-        may_fetch: false,
-    }
-}
-
 fn plain<'a>() -> Ask<'a> {
     Ask {
         service: support::PLAIN,
@@ -69,7 +54,7 @@
     let m0 = wanted("m0", None);
     let mut counts = [0, 0];
     for _ in 0..20 {
-        let pick = sent(chooser.choose(T0, &ask(&m0, 1_800)));
+        let pick = sent(chooser.choose(T0, &support::ask(&m0, 1_800)));
         counts[usize::from(pick.instance == "e2")] += 1;
     }
     assert_eq!(counts, [10, 10]);
@@ -84,7 +69,7 @@
     let parts = [part(1, 800), part(2, 1_000)];
     let first = Ask {
         parts: &parts,
-        ..ask(&m0, 1_800)
+        ..support::ask(&m0, 1_800)
     };
     let pick = sent(chooser.choose(T0, &first));
     chooser.began(T0, &pick, &parts, time::Millis(100), None);
@@ -93,7 +78,7 @@
     for _ in 0..3 {
         let ask = Ask {
             parts: &again,
-            ..ask(&m0, 1_850)
+            ..support::ask(&m0, 1_850)
         };
         let next = sent(chooser.choose(T0, &ask));
         assert_eq!(
@@ -106,7 +91,7 @@
     let other = [part(9, 800), part(2, 1_000)];
     let ask = Ask {
         parts: &other,
-        ..ask(&m0, 1_800)
+        ..support::ask(&m0, 1_800)
     };
     assert_eq!(sent(chooser.choose(T0, &ask)).tokens, 1_800);
 }
@@ -155,7 +140,7 @@
     for case in cases {
         let mut chooser = Chooser::new("z1", 7);
         (case.know)(&mut chooser);
-        let choice = chooser.choose(T0, &ask(&case.wanted, 100));
+        let choice = chooser.choose(T0, &support::ask(&case.wanted, 100));
         assert_eq!(choice, Choice::Wait(case.missing), "{}", case.name);
     }
 }
@@ -166,10 +151,10 @@
 fn an_endpoint_that_cannot_be_reached_is_left_out_for_a_while() {
     let mut chooser = two_engines();
     let m0 = wanted("m0", None);
-    let pick = sent(chooser.choose(T0, &ask(&m0, 100)));
+    let pick = sent(chooser.choose(T0, &support::ask(&m0, 100)));
     chooser.ended(T0, &pick, Some(&m0), false, Ended::Unreachable);
     for _ in 0..5 {
-        let next = sent(chooser.choose(T0, &ask(&m0, 100)));
+        let next = sent(chooser.choose(T0, &support::ask(&m0, 100)));
         assert_ne!(next.instance, pick.instance);
         chooser.ended(T0, &next, Some(&m0), false, Ended::GivenUp);
     }
@@ -187,7 +172,7 @@
         let mut to_e1 = 0;
         for n in 0..100 {
             let now = T0 + time::Millis(from + n * 50);
-            let pick = sent(chooser.choose(now, &ask(&m0, 100)));
+            let pick = sent(chooser.choose(now, &support::ask(&m0, 100)));
             let is_e1 = pick.instance == "e1";
             to_e1 += u32::from(is_e1);
             let how = if is_e1 && fails && n % 5 < 2 {
@@ -214,9 +199,9 @@
 fn an_engine_that_says_it_lacks_a_model_is_not_asked_again_at_once() {
     let mut chooser = two_engines();
     let m0 = wanted("m0", None);
-    let pick = sent(chooser.choose(T0, &ask(&m0, 100)));
+    let pick = sent(chooser.choose(T0, &support::ask(&m0, 100)));
     chooser.ended(T0, &pick, Some(&m0), false, Ended::Misdirected);
-    let next = sent(chooser.choose(T0, &ask(&m0, 100)));
+    let next = sent(chooser.choose(T0, &support::ask(&m0, 100)));
     assert_ne!(next.instance, pick.instance);
 }
 
@@ -228,11 +213,11 @@
     chooser.know(&support::engine("e1", &["m0"]));
     let m0 = wanted("m0", None);
     for _ in 0..20 {
-        sent(chooser.choose(T0, &ask(&m0, 1_800)));
+        sent(chooser.choose(T0, &support::ask(&m0, 1_800)));
     }
     let urgent = Ask {
         left: time::Millis(300),
-        ..ask(&m0, 100)
+        ..support::ask(&m0, 100)
     };
     let choice = chooser.choose(T0, &urgent);
     assert!(matches!(choice, Choice::TooLate { .. }), "{choice:?}");
@@ -265,12 +250,12 @@
     chooser.know(&far);
     chooser.know(&support::engine("e2", &["m0"]));
     let m0 = wanted("m0", None);
-    let near = sent(chooser.choose(T0, &ask(&m0, 0)));
+    let near = sent(chooser.choose(T0, &support::ask(&m0, 0)));
     assert_eq!(near.instance, "e2");
     let tried: [arena::EndpointKey; 1] = [near.key];
     let again = Ask {
         tried: &tried,
-        ..ask(&m0, 0)
+        ..support::ask(&m0, 0)
     };
     assert_eq!(sent(chooser.choose(T0, &again)).instance, "e1");
 }
@@ -282,11 +267,11 @@
 fn an_engine_that_says_nothing_is_avoided() {
     let mut chooser = two_engines();
     let m0 = wanted("m0", None);
-    let dark = sent(chooser.choose(T0, &ask(&m0, 100)));
+    let dark = sent(chooser.choose(T0, &support::ask(&m0, 100)));
     let mut now = T0;
     for _ in 0..20 {
         now = now + time::Millis(100);
-        let pick = sent(chooser.choose(now, &ask(&m0, 100)));
+        let pick = sent(chooser.choose(now, &support::ask(&m0, 100)));
         if pick.instance == dark.instance {
             assert!(
                 now.since(T0) < time::Millis(1_000),
@@ -315,12 +300,12 @@
     chooser.know(&support::engine("e1", &["m0"]));
     let m0 = wanted("m0", None);
     for _ in 0..4 {
-        sent(chooser.choose(T0, &ask(&m0, 1_800)));
+        sent(chooser.choose(T0, &support::ask(&m0, 1_800)));
     }
     let late = Ask {
         on_time: time::Millis(100),
         may_be_late: true,
-        ..ask(&m0, 1_800)
+        ..support::ask(&m0, 1_800)
     };
     assert_eq!(chooser.choose(T0, &late), Choice::Wait(Missing::Place));
     let in_time = Ask {
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -47,18 +47,11 @@
     assert!(changed.count() <= 30);
 }
 
-fn ask(wanted: &dialect::Wanted, tokens: u64, patience: u64) -> Ask<'_> {
+/// A request that waits 300 ms for an engine that reads little.
+fn waiting_ask(wanted: &dialect::Wanted, tokens: u64) -> Ask<'_> {
     Ask {
-        service: support::ENGINES,
-        wanted: Some(wanted),
-        parts: &[],
-        prompt_tokens: tokens,
-        tried: &[],
-        left: time::Millis(10_000),
-        patience: time::Millis(patience),
-        on_time: time::Millis(0),
-        may_be_late: false,
-        may_fetch: false,
+        patience: time::Millis(300),
+        ..support::ask(wanted, tokens)
     }
 }
 
@@ -81,12 +74,12 @@
     };
     assert!(!chooser.hear(T0, neighbour, word(6_000)));
     let waits = Choice::Wait(Missing::Place);
-    assert_eq!(chooser.choose(T0, &ask(&m0, 3_000, 300)), waits);
+    assert_eq!(chooser.choose(T0, &waiting_ask(&m0, 3_000)), waits);
     // It has waited for as long as makes sense.
-    let last = chooser.choose(T0, &ask(&m0, 3_000, 0));
+    let last = chooser.choose(T0, &support::ask(&m0, 3_000));
     assert!(matches!(last, Choice::Send(_)), "{last:?}");
     chooser.know(&support::engine("e2", &["m0"]));
-    let Choice::Send(pick) = chooser.choose(T0, &ask(&m0, 3_000, 300)) else {
+    let Choice::Send(pick) = chooser.choose(T0, &waiting_ask(&m0, 3_000)) else {
         panic!("e2 reads nothing");
     };
     assert_eq!(pick.instance, "e2");
@@ -110,6 +103,6 @@
         adapter: None,
     };
     let later = T0 + time::Millis(2_000);
-    let choice = chooser.choose(later, &ask(&m0, 100, 300));
+    let choice = chooser.choose(later, &waiting_ask(&m0, 100));
     assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
 }
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::net;
 
-use sageshed_fleet::{config, directory};
+use sageshed_fleet::{chooser, config, dialect, directory};
 use sageshed_types::time;
 
 /// The service of engines.
@@ -29,6 +29,22 @@
     }
 }
 
+/// A request to the engines that has ten seconds and waits for nothing.
+pub fn ask(wanted: &dialect::Wanted, tokens: u64) -> chooser::Ask<'_> {
+    chooser::Ask {
+        service: ENGINES,
+        wanted: Some(wanted),
+        parts: &[],
+        prompt_tokens: tokens,
+        tried: &[],
+        left: time::Millis(10_000),
+        patience: time::Millis(0),
+        on_time: time::Millis(0),
+        may_be_late: false,
+        may_fetch: false,
+    }
+}
+
 pub fn model(name: &str) -> config::Model {
     config::Model {
         name: name.to_owned(),
