Acknowledge nothing before the group has all its voters, and model-check growth, repair and suspended clocks

Cause: a change was acknowledged as soon as a majority was more than the losses to be borne. With two losses to be borne four of five voters were enough, and the two that are left after two lost disks elect nobody, so what was acknowledged could not be read again.

Ruled out: asking for all voters always; one that is being replaced would stop the operator, and that one is a loss already.

Change: quorum/repair.rs holds the policy of growth and repair, pure, used by the driver, the operator's port and the specifications; tenure.rs and Status::leads_at hold when a leader may order. New specifications: repair-growth, repair-wiped, repair-replaced, suspensions, each with its guards taken out.

--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -21,12 +21,13 @@
 //! # One leader
 //!
 //! Engines that check no fence would obey two leaders. A leader that was cut off stops to order when
-//! its quorum is gone; a new one begins only [`Policy::lease`] after it was elected, and counts the
+//! its quorum is gone; a new one begins only a lease after it was elected ([`tenure`]), and counts the
 //! store's budget as just spent by the one before.
 
 mod demand;
 mod engine;
 mod store;
+pub mod tenure;
 mod weights;
 
 use std::{collections, net};
@@ -71,9 +72,6 @@
     }
 }
 
-/// Taken on top of a lease: timers fire late, and an order is on its way for some time.
-const LEASE_MARGIN: time::Millis = time::Millis(300);
-
 /// How long an adapter that was in use is not given up, so that the requests for it are done.
 const ADAPTER_REST: time::Millis = time::Millis(1_500);
 
@@ -139,8 +137,8 @@
     policy: Policy,
     holder: String,
     fence: u64,
-    /// No order before.
-    from: Option<time::Instant>,
+    /// While this process leads.
+    tenure: Option<tenure::Tenure>,
     engines: collections::BTreeMap<String, engine::Engine>,
     demand: demand::Demands,
     store: store::Store,
@@ -162,7 +160,7 @@
             policy,
             holder: holder.to_owned(),
             fence: 0,
-            from: None,
+            tenure: None,
             engines: collections::BTreeMap::new(),
             demand: demand::Demands::default(),
             store: store::Store::new(policy.store_window),
@@ -172,24 +170,24 @@
 
     /// This process leads from now on, with a fence above that of every leader before.
     pub fn leads(&mut self, now: time::Instant, fence: u64) {
-        let from = now + self.policy.lease + LEASE_MARGIN;
+        let tenure = tenure::Tenure::elected(now, self.policy.lease);
         self.fence = fence;
-        self.from = Some(from);
+        self.tenure = Some(tenure);
         self.engines.clear();
         // The leader before may have begun loads up to the moment from which this one may order.
-        self.store.assume_spent(from);
+        self.store.assume_spent(tenure.from());
     }
 
     /// This process leads no longer.
     pub fn follows(&mut self) {
-        self.from = None;
+        self.tenure = None;
         self.wants.clear();
     }
 
     /// Whether it leads.
     #[must_use]
     pub fn is_leading(&self) -> bool {
-        self.from.is_some()
+        self.tenure.is_some()
     }
 
     /// Takes what callers asked an entry process for.
@@ -248,7 +246,7 @@
         config: &config::FleetConfig,
         instances: &[&directory::Instance],
     ) -> Vec<Action> {
-        if self.from.is_none_or(|from| now < from) {
+        if !self.tenure.is_some_and(|it| it.has_begun(now)) {
             return Vec::new();
         }
         self.see(now, instances);
--- a/crates/sageshed-quorum/src/status.rs
+++ b/crates/sageshed-quorum/src/status.rs
@@ -52,6 +52,32 @@
     pub quorum_until: Option<time::Instant>,
 }
 
+impl Status {
+    /// Of a node before its log is running.
+    #[must_use]
+    pub fn outside(id: log::NodeId) -> Self {
+        Self {
+            id,
+            role: Role::Outside,
+            term: log::Term::default(),
+            leader: None,
+            commit: log::Index::default(),
+            last: log::Index::default(),
+            snapshot: log::Index::default(),
+            membership: log::Membership::default(),
+            matched: collections::BTreeMap::new(),
+            answered: collections::BTreeMap::new(),
+            quorum_until: None,
+        }
+    }
+
+    /// Whether it leads at `now`, and has heard a majority lately enough to know that no other does.
+    #[must_use]
+    pub fn leads_at(&self, now: time::Instant) -> bool {
+        self.role == Role::Leader && self.quorum_until.is_some_and(|until| now < until)
+    }
+}
+
 impl node::Node {
     /// What operators see of this node.
     #[must_use]
--- a/crates/sageshed-quorum/tests/testsuite/main.rs
+++ b/crates/sageshed-quorum/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod guards;
 mod messages;
 mod random;
+mod repair;
 mod same_start;
 mod scenarios;
 mod sim;
--- /dev/null
+++ b/crates/sageshed-quorum/tests/testsuite/repair.rs
@@ -0,0 +1,179 @@
+//! What a leader does about its membership, in tables.
+
+use std::collections;
+
+use sageshed_quorum::{
+    event::Change,
+    log,
+    repair::{Policy, Seen},
+    status,
+};
+use sageshed_types::time;
+
+use crate::sim::id;
+
+const POLICY: Policy = Policy::bearing(1, 50, time::Millis(1_500));
+const NOW: time::Instant = time::Instant(10_000);
+
+struct Case {
+    name: &'static str,
+    voters: &'static [(u32, u64)],
+    learners: &'static [(u32, u64)],
+    joiners: &'static [(u32, u64)],
+    /// Entries that the learners lack.
+    lacks: u64,
+    /// VMs that answered nothing.
+    silent: &'static [u32],
+    expected: Option<Change>,
+}
+
+fn ids(of: &[(u32, u64)]) -> collections::BTreeSet<log::NodeId> {
+    of.iter()
+        .map(|(vm, generation)| id(*vm, *generation))
+        .collect()
+}
+
+/// VM 1 leads since long.
+fn status_of(case: &Case) -> status::Status {
+    let members = log::Membership {
+        voters: ids(case.voters),
+        learners: ids(case.learners),
+    };
+    let heard = members.members().filter(|it| !case.silent.contains(&it.vm));
+    let answered = heard.map(|it| (it, NOW)).collect();
+    let matched = members
+        .members()
+        .map(|it| (it, log::Index(100 - case.lacks)));
+    status::Status {
+        role: status::Role::Leader,
+        last: log::Index(100),
+        matched: matched.collect(),
+        answered,
+        membership: members.clone(),
+        ..status::Status::outside(id(1, 1))
+    }
+}
+
+#[test]
+fn the_next_change() {
+    let three: &[(u32, u64)] = &[(1, 1), (2, 1), (3, 1)];
+    let calm = Case {
+        name: "nothing to do",
+        voters: three,
+        learners: &[],
+        joiners: &[],
+        lacks: 0,
+        silent: &[],
+        expected: None,
+    };
+    let cases = [
+        Case {
+            name: "a new VM is added as a learner",
+            joiners: &[(4, 1)],
+            expected: Some(Change::AddLearner(id(4, 1))),
+            ..calm
+        },
+        Case {
+            name: "a learner that lacks much waits",
+            voters: &[(1, 1), (2, 1)],
+            learners: &[(3, 1)],
+            joiners: &[(3, 1)],
+            lacks: 51,
+            ..calm
+        },
+        Case {
+            name: "a learner that caught up gets a vote while votes are wanted",
+            voters: &[(1, 1), (2, 1)],
+            learners: &[(3, 1)],
+            joiners: &[(3, 1)],
+            lacks: 50,
+            expected: Some(Change::Promote(id(3, 1))),
+            ..calm
+        },
+        Case {
+            name: "the generation that lost its disk goes before the new one votes",
+            learners: &[(3, 2)],
+            joiners: &[(3, 2)],
+            silent: &[3],
+            expected: Some(Change::Remove(id(3, 1))),
+            ..calm
+        },
+        Case {
+            name: "the word of a generation that is replaced already comes late",
+            voters: &[(1, 1), (2, 1), (3, 2)],
+            joiners: &[(3, 1)],
+            ..calm
+        },
+        Case {
+            name: "a silent voter stays while nobody takes its place",
+            silent: &[2],
+            ..calm
+        },
+        Case {
+            name: "a silent voter gives way to a learner that caught up",
+            learners: &[(4, 1)],
+            joiners: &[(4, 1)],
+            silent: &[2],
+            expected: Some(Change::Remove(id(2, 1))),
+            ..calm
+        },
+        Case {
+            name: "a spare VM stays a learner while all voters answer",
+            learners: &[(4, 1)],
+            joiners: &[(4, 1)],
+            ..calm
+        },
+    ];
+    for case in cases.iter().chain([&calm]) {
+        let status = status_of(case);
+        let seen = Seen {
+            now: NOW,
+            led_since: time::Instant(0),
+            status: &status,
+            joiners: &ids(case.joiners),
+        };
+        assert_eq!(POLICY.next(seen), case.expected, "{}", case.name);
+    }
+}
+
+/// Of `voters` voters, whether a command may be acknowledged while the group still grows, and once it
+/// was complete.
+#[test]
+fn when_a_group_is_large_enough() {
+    struct Size {
+        tolerates: usize,
+        voters: u32,
+        growing: bool,
+        complete: bool,
+    }
+    let size = |tolerates, voters, growing, complete| Size {
+        tolerates,
+        voters,
+        growing,
+        complete,
+    };
+    let sizes = [
+        size(0, 1, true, true),
+        size(1, 1, false, false),
+        size(1, 2, false, true),
+        size(1, 3, true, true),
+        size(2, 3, false, false),
+        size(2, 4, false, true),
+        size(2, 5, true, true),
+    ];
+    for it in sizes {
+        let policy = Policy::bearing(it.tolerates, 0, time::Millis(0));
+        let members = log::Membership::of_voters((1..=it.voters).map(|vm| id(vm, 1)));
+        let what = format!("{} voters, {} losses", it.voters, it.tolerates);
+        assert_eq!(
+            policy.may_acknowledge(&members, false),
+            it.growing,
+            "{what}"
+        );
+        assert_eq!(
+            policy.may_acknowledge(&members, true),
+            it.complete,
+            "{what}"
+        );
+    }
+}
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -10,7 +10,9 @@
 //! |---|---|
 //! | [`log`] | elections, replication, lost disks and changes of membership |
 //! | [`memberships`] | which changes of membership leave two majorities without a common voter |
+//! | [`repair`] | growth and replacement of voters by the group itself, while disks are lost |
 //! | [`orders`] | orders to engines that ignore fencing numbers, over changes of leader |
+//! | [`suspensions`] | orders of two leaders whose VMs are suspended and go on |
 //! | [`claims`] | requests that may run at most once |
 //! | [`leases`] | that no entry process serves by an old configuration for longer than a lease |
 //!
@@ -23,4 +25,6 @@
 pub mod log;
 pub mod memberships;
 pub mod orders;
+pub mod repair;
 pub mod run;
+pub mod suspensions;
--- a/spec/src/log/scenarios.rs
+++ b/spec/src/log/scenarios.rs
@@ -275,6 +275,15 @@
     scenario(script.world, budget)
 }
 
+/// `vms` VMs of which the first `voters` form a group that VM 1 leads. Nothing is under way.
+#[must_use]
+pub fn leading(vms: u32, voters: u32) -> world::World {
+    let mut script = formed(vms, voters, bare(config::Guards::default()), false);
+    let all: Vec<_> = (1..=voters).collect();
+    script.elect(1, &all);
+    script.world
+}
+
 fn with_learner(guards: config::Guards) -> Script {
     let mut script = formed(4, 3, bare(guards), false);
     script.elect(3, &[1, 2, 3]);
--- a/spec/src/run.rs
+++ b/spec/src/run.rs
@@ -2,7 +2,7 @@
 
 use sageshed_quorum::config;
 
-use crate::{claims, explore, leases, log, orders};
+use crate::{claims, explore, leases, log, orders, repair, suspensions};
 
 /// One specification with the guards that can be taken out.
 #[derive(Debug, Clone, Copy)]
@@ -72,6 +72,15 @@
     Some(explore::explore(&scenario(guards), bound))
 }
 
+fn repaired(
+    start: fn(repair::Guards) -> repair::Repair,
+    without: Option<&str>,
+    bound: explore::Bound,
+) -> Option<explore::Report> {
+    let guards = repair::Guards::without(without)?;
+    Some(explore::explore(&start(guards), bound))
+}
+
 /// All specifications.
 pub const ALL: &[Entry] = &[
     Entry {
@@ -144,6 +153,41 @@
         bound: bound(40, 400_000),
         explore: |without, bound| log(log::scenarios::cut_off, without, bound),
     },
+    Entry {
+        name: "repair-growth",
+        needed: &["complete"],
+        spare: &["remove_first", "lag"],
+        bound: bound(60, 400_000),
+        explore: |without, bound| repaired(repair::growth, without, bound),
+    },
+    Entry {
+        name: "repair-wiped",
+        needed: &["remove_first"],
+        spare: &["complete", "lag"],
+        bound: bound(60, 400_000),
+        explore: |without, bound| repaired(repair::wiped, without, bound),
+    },
+    Entry {
+        name: "repair-replaced",
+        needed: &[],
+        spare: &["complete", "lag"],
+        bound: bound(60, 400_000),
+        explore: |without, bound| repaired(repair::replaced, without, bound),
+    },
+    Entry {
+        name: "suspensions",
+        needed: &["lease", "majority", "boot_clock"],
+        spare: &[],
+        bound: bound(80, 2_000_000),
+        explore: |without, bound| {
+            let guards = suspensions::Guards::without(without)?;
+            let ticks = 16;
+            Some(explore::explore(
+                &suspensions::Suspensions { guards, ticks },
+                bound,
+            ))
+        },
+    },
     Entry {
         name: "orders",
         needed: &[
--- /dev/null
+++ b/spec/src/suspensions.rs
@@ -0,0 +1,264 @@
+//! Orders of two leaders over suspensions of their VMs.
+//!
+//! Two control processes and a third voter, whose vote decides. A process believes to lead by the real
+//! [`status::Status::leads_at`] and orders within the real [`tenure::Tenure`]. Time goes on in ticks, and
+//! a VM may be suspended at any moment and resumed at any later one. The third voter answers heartbeats,
+//! and votes for the other process once it has heard none for an election timeout.
+//!
+//! What must hold: between two orders by different processes there is a lease. Engines that check no
+//! fence obey both.
+//!
+//! Left out: a process that is suspended between its last look at the clock and the sending of an
+//! order. No clock helps there; the order names the number of orders before it, and does nothing once
+//! the other leader has given one.
+
+use std::fmt;
+
+use sageshed_fleet::planner::tenure;
+use sageshed_quorum::{log, status};
+use sageshed_types::time;
+
+use crate::explore;
+
+/// One tick, in milliseconds.
+const TICK_MS: u64 = 500;
+
+/// Within this the third voter has heard its leader and votes for nobody else.
+const ELECTION_TIMEOUT: time::Millis = time::Millis(1_000);
+
+/// What must lie between orders of two leaders.
+const LEASE: time::Millis = time::Millis(1_500);
+
+/// What keeps the promise, each of which can be taken out.
+#[derive(Debug, Clone, Copy)]
+pub struct Guards {
+    /// A new leader waits for a lease before its first order.
+    pub lease: bool,
+    /// A leader orders only while it has its majority.
+    pub majority: bool,
+    /// Clocks go on while a VM is suspended.
+    pub boot_clock: bool,
+}
+
+impl Guards {
+    /// All but the one called `guard`; none if there is no such guard.
+    #[must_use]
+    pub fn without(guard: Option<&str>) -> Option<Self> {
+        let mut guards = Self {
+            lease: true,
+            majority: true,
+            boot_clock: true,
+        };
+        let off = match guard {
+            None => return Some(guards),
+            Some("lease") => &mut guards.lease,
+            Some("majority") => &mut guards.majority,
+            Some("boot_clock") => &mut guards.boot_clock,
+            Some(_) => return None,
+        };
+        *off = false;
+        Some(guards)
+    }
+}
+
+/// The specification.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspensions {
+    /// The guards that are in.
+    pub guards: Guards,
+    /// Ticks of the clock.
+    pub ticks: u64,
+}
+
+/// One of the two that may lead.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct Process {
+    is_suspended: bool,
+    /// Ticks that its clock lacks, for which it was suspended.
+    slept: u64,
+    leads: Option<Leads>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Leads {
+    /// When the latest round of heartbeats began that was answered, by its own clock.
+    round: time::Instant,
+    tenure: tenure::Tenure,
+}
+
+/// Everything in one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Ticks so far.
+    now: u64,
+    processes: [Process; 2],
+    /// Whom the third voter follows, and since which tick it has heard nothing of it.
+    follows: usize,
+    heard: u64,
+    /// Who gave the latest order, and when.
+    last: Option<(usize, u64)>,
+    broken: Option<String>,
+}
+
+/// One thing that happens.
+#[derive(Debug, Clone, Copy)]
+pub enum Event {
+    /// Time goes on.
+    Tick(u64),
+    /// A VM is suspended.
+    Suspend(usize),
+    /// It goes on.
+    Resume(usize),
+    /// The third voter answers a heartbeat.
+    Heartbeat(usize),
+    /// The third voter elects.
+    Elect(usize),
+    /// A leader gives an order.
+    Order(usize),
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tick(now) => write!(f, "{} ms", now * TICK_MS),
+            Self::Suspend(at) => write!(f, "process {at} is suspended"),
+            Self::Resume(at) => write!(f, "process {at} goes on"),
+            Self::Heartbeat(at) => write!(f, "process {at}: its heartbeat is answered"),
+            Self::Elect(at) => write!(f, "process {at} is elected"),
+            Self::Order(at) => write!(f, "process {at} gives an order"),
+        }
+    }
+}
+
+impl Suspensions {
+    /// What the clock of a process reads.
+    fn clock(state: &State, at: usize) -> time::Instant {
+        time::Instant((state.now - state.processes[at].slept) * TICK_MS)
+    }
+
+    fn ticked(&self, state: &State) -> State {
+        let mut next = state.clone();
+        next.now += 1;
+        for process in &mut next.processes {
+            process.slept += u64::from(process.is_suspended && !self.guards.boot_clock);
+        }
+        next
+    }
+
+    fn may_order(&self, state: &State, at: usize) -> bool {
+        let Some(leads) = state.processes[at].leads else {
+            return false;
+        };
+        let now = Self::clock(state, at);
+        let id = log::NodeId {
+            vm: u32::try_from(at).unwrap_or(u32::MAX),
+            generation: 1,
+        };
+        let status = status::Status {
+            role: status::Role::Leader,
+            quorum_until: Some(leads.round + ELECTION_TIMEOUT),
+            ..status::Status::outside(id)
+        };
+        let has_majority = !self.guards.majority || status.leads_at(now);
+        has_majority && (!self.guards.lease || leads.tenure.has_begun(now))
+    }
+
+    fn elect(state: &State, at: usize) -> State {
+        let now = Self::clock(state, at);
+        let mut next = state.clone();
+        next.processes[at].leads = Some(Leads {
+            round: now,
+            tenure: tenure::Tenure::elected(now, LEASE),
+        });
+        next.follows = at;
+        next.heard = state.now;
+        next
+    }
+
+    fn heartbeat(state: &State, at: usize) -> State {
+        let round = Self::clock(state, at);
+        let mut next = state.clone();
+        if let Some(leads) = &mut next.processes[at].leads {
+            leads.round = round;
+        }
+        next.heard = state.now;
+        next
+    }
+
+    /// What one of the processes that is not suspended may do.
+    fn of_process(&self, state: &State, at: usize, all: &mut Vec<(Event, State)>) {
+        let mut next = state.clone();
+        next.processes[at].is_suspended = true;
+        all.push((Event::Suspend(at), next));
+        let silent = time::Millis((state.now - state.heard) * TICK_MS);
+        if state.follows == at {
+            all.push((Event::Heartbeat(at), Self::heartbeat(state, at)));
+        } else if silent >= ELECTION_TIMEOUT {
+            all.push((Event::Elect(at), Self::elect(state, at)));
+        }
+        if self.may_order(state, at) {
+            all.push((Event::Order(at), state.ordered(at)));
+        }
+    }
+}
+
+impl State {
+    fn ordered(&self, at: usize) -> Self {
+        let mut next = self.clone();
+        if let Some((other, when)) = self.last
+            && other != at
+            && time::Millis((self.now - when) * TICK_MS) < LEASE
+        {
+            let when = when * TICK_MS;
+            next.broken = Some(format!(
+                "process {at} orders, and process {other} has ordered at {when} ms"
+            ));
+        }
+        next.last = Some((at, self.now));
+        next
+    }
+}
+
+impl explore::Spec for Suspensions {
+    type State = State;
+    type Event = Event;
+
+    /// Process 0 leads for long enough to give orders.
+    fn start(&self) -> State {
+        let mut state = State {
+            now: 0,
+            processes: [Process::default(); 2],
+            follows: 0,
+            heard: 0,
+            last: None,
+            broken: None,
+        };
+        state = Self::elect(&state, 0);
+        while state.now * TICK_MS < LEASE.0 {
+            state = self.ticked(&state);
+            state = Self::heartbeat(&state, 0);
+        }
+        state
+    }
+
+    fn next(&self, state: &State) -> Vec<(Event, State)> {
+        let mut all = Vec::new();
+        if state.now < self.ticks {
+            all.push((Event::Tick(state.now + 1), self.ticked(state)));
+        }
+        for (at, process) in state.processes.iter().enumerate() {
+            if process.is_suspended {
+                let mut next = state.clone();
+                next.processes[at].is_suspended = false;
+                all.push((Event::Resume(at), next));
+            } else {
+                self.of_process(state, at, &mut all);
+            }
+        }
+        all
+    }
+
+    fn broken(&self, state: &State) -> Option<String> {
+        state.broken.clone()
+    }
+}
--- a/spec/tests/specs/main.rs
+++ b/spec/tests/specs/main.rs
@@ -4,5 +4,7 @@
 mod leases;
 mod log;
 mod orders;
+mod repair;
 mod run;
 mod support;
+mod suspensions;
--- a/src/sageshed/control/driver/leading.rs
+++ b/src/sageshed/control/driver/leading.rs
@@ -2,7 +2,7 @@
 //! clock, and the repair of the membership.
 
 use sageshed_disk::files;
-use sageshed_quorum::{event, log, status};
+use sageshed_quorum::{event, log, repair, status};
 use sageshed_state::command;
 use sageshed_types::time;
 
@@ -12,20 +12,12 @@
 /// Between two proposals of the leader's wall clock, in milliseconds.
 const CLOCK_INTERVAL_MS: u64 = 5_000;
 
-/// Entries that a learner may lack when its repair goes on. Below what the log asks of one that is
-/// promoted, so that it does not refuse.
-const REPAIR_LAG: u64 = 50;
-
 /// Between two tries of a change of membership that the log refused, in milliseconds.
 const REPAIR_RETRY_MS: time::Millis = time::Millis(50);
 
 /// How long the word of a process that wants to join counts. It says so several times a second.
 const JOINER_KEPT: time::Millis = time::Millis(2_000);
 
-/// A voter that answers nothing for this long is taken for gone once another is there to take its
-/// place. Ten rounds of heartbeats; one that comes back joins anew.
-const SILENT: time::Millis = time::Millis(1_500);
-
 impl<F: files::Files> Driver<F> {
     pub(super) fn became_leader(&mut self, term: log::Term) {
         ::log::info!(term:% = term; "control: leads");
@@ -98,80 +90,37 @@
         if pending || now < self.work.repair_due {
             return None;
         }
-        let joiners: Vec<_> = self.work.joiners.keys().copied().collect();
-        let step = joiners.into_iter().find_map(|it| self.step_for(it));
-        let change = step.or_else(|| self.lost_learner())?;
+        let status = self.node.status();
+        let members = &status.membership;
+        self.work
+            .joiners
+            .retain(|it, _| !members.voters.contains(it) && !repair::is_outdated(members, *it));
+        let joiners = self.work.joiners.keys().copied().collect();
+        let seen = repair::Seen {
+            now,
+            led_since: self.work.led_since,
+            status: &status,
+            joiners: &joiners,
+        };
+        let policy = self.shared.repair_policy();
+        let change = policy
+            .next(seen)
+            .or_else(|| self.lost_learner(policy, seen))?;
         // Refused by the log while the change before is not committed.
         self.work.repair_due = now + REPAIR_RETRY_MS;
         let ticket = self.work.ticket(Ticket::Membership(change));
         Some(event::Event::ChangeMembership { ticket, change })
     }
 
-    /// What `joiner` needs next: added as a learner, then another taken out for it, then promoted once
-    /// it has caught up.
-    ///
-    /// The one that it replaces goes before it is promoted, so that there are never four voters of
-    /// whom three must answer while one is known to be gone. It goes only once the learner has caught
-    /// up: until then a vote less would gain nothing.
-    fn step_for(&mut self, joiner: log::NodeId) -> Option<event::Change> {
-        let status = self.node.status();
-        let members = &status.membership;
-        let newer = members
-            .members()
-            .any(|id| id.vm == joiner.vm && id > joiner);
-        if members.voters.contains(&joiner) || newer {
-            self.work.joiners.remove(&joiner);
-            return None;
-        }
-        if !members.learners.contains(&joiner) {
-            return Some(event::Change::AddLearner(joiner));
-        }
-        let matched = status.matched.get(&joiner).copied().unwrap_or_default();
-        if status.last.0.saturating_sub(matched.0) > REPAIR_LAG {
-            return None;
-        }
-        let old = members
-            .members()
-            .find(|id| id.vm == joiner.vm && *id != joiner);
-        if let Some(old) = old {
-            return Some(event::Change::Remove(old));
-        }
-        let wanted = self.voters_wanted();
-        if members.voters.len() < wanted {
-            return Some(event::Change::Promote(joiner));
-        }
-        let silent = self.silent(&status, members.voters.iter().copied())?;
-        Some(event::Change::Remove(silent))
-    }
-
-    /// How many voters the group grows to. Where VMs are listed, all that join.
-    fn voters_wanted(&self) -> usize {
-        match &self.shared.settings.common.discovery {
-            Some(discovery) => 2 * discovery.tolerates + 1,
-            None => usize::MAX,
-        }
-    }
-
-    /// One of `members` that has answered nothing for [`SILENT`].
-    fn silent(
-        &self,
-        status: &status::Status,
-        mut members: impl Iterator<Item = log::NodeId>,
-    ) -> Option<log::NodeId> {
-        let now = self.shared.clock.now();
-        members.find(|id| {
-            let answered = status.answered.get(id).copied().unwrap_or_default();
-            let last = answered.max(self.work.led_since);
-            *id != self.shared.node && now.since(last) >= SILENT
-        })
-    }
-
     /// A learner that is gone for good: messages to it would be made and dropped for ever.
-    fn lost_learner(&self) -> Option<event::Change> {
+    fn lost_learner(
+        &self,
+        policy: repair::Policy,
+        seen: repair::Seen<'_>,
+    ) -> Option<event::Change> {
         self.shared.settings.common.discovery.as_ref()?;
-        let status = self.node.status();
-        let learners = status.membership.learners.iter().copied();
-        let lost = learners.filter(|it| !self.work.joiners.contains_key(it));
-        self.silent(&status, lost).map(event::Change::Remove)
+        let learners = seen.status.membership.learners.iter().copied();
+        let lost = learners.filter(|it| !seen.joiners.contains(it));
+        policy.silent(seen, lost).map(event::Change::Remove)
     }
 }
--- a/src/sageshed/control/fleet/port.rs
+++ b/src/sageshed/control/fleet/port.rs
@@ -141,8 +141,8 @@
 
     /// Has a configuration committed.
     ///
-    /// It is acknowledged only while a majority is more than the control VMs that may be lost with
-    /// their disks: with three voters two would acknowledge, and both may be gone right after.
+    /// It is acknowledged only by a group that is large enough: with three voters two would do so, and
+    /// both may be gone right after with their disks ([`sageshed_quorum::repair`]).
     fn replace(&self, body: &[u8]) -> Outcome {
         let config = match self.dialect.config(body) {
             Ok(config) => config,
@@ -179,11 +179,11 @@
     }
 
     fn is_large_enough(&self) -> bool {
-        let Some(discovery) = &self.shared.settings.common.discovery else {
-            return true;
-        };
+        // A configuration was accepted only once the group had all its voters.
+        let was_complete = locks::read(&self.shared.state).fleet().version > 0;
         let view = locks::read(&self.shared.view);
-        view.status.membership.majority() > discovery.tolerates
+        let policy = self.shared.repair_policy();
+        policy.may_acknowledge(&view.status.membership, was_complete)
     }
 
     /// The configuration, once a majority has confirmed that this process still leads.
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -5,7 +5,7 @@
     sync::{self, atomic},
 };
 
-use sageshed_quorum::{log, status};
+use sageshed_quorum::{log, repair, status};
 use sageshed_state::control;
 use sageshed_types::{endpoints, messages, rules, time};
 
@@ -15,6 +15,14 @@
 /// Revisions whose time of commit is remembered.
 const COMMITS_KEPT: usize = 4_096;
 
+/// Entries that a learner may lack when its repair goes on. Below what the log asks of one that is
+/// promoted, so that it does not refuse.
+const REPAIR_LAG: u64 = 50;
+
+/// A voter that answers nothing for this long is taken for gone once another is there to take its
+/// place. Ten rounds of heartbeats; one that comes back joins anew.
+const SILENT: time::Millis = time::Millis(1_500);
+
 /// Shared by all threads of a control process.
 #[derive(Debug)]
 pub struct Shared {
@@ -68,21 +76,8 @@
 impl View {
     /// Of a node before its log is running.
     fn outside(id: log::NodeId) -> Self {
-        let status = status::Status {
-            id,
-            role: status::Role::Outside,
-            term: log::Term::default(),
-            leader: None,
-            commit: log::Index::default(),
-            last: log::Index::default(),
-            snapshot: log::Index::default(),
-            membership: log::Membership::default(),
-            matched: collections::BTreeMap::new(),
-            answered: collections::BTreeMap::new(),
-            quorum_until: None,
-        };
         Self {
-            status,
+            status: status::Status::outside(id),
             voters: Vec::new(),
             required: rules::Revision::default(),
             committed: collections::BTreeMap::new(),
@@ -224,7 +219,7 @@
     pub fn leader(&self) -> Option<String> {
         let view = locks::read(&self.view);
         let leader = view.status.leader?;
-        if leader == self.node && !self.leads_now(&view) {
+        if leader == self.node && !view.status.leads_at(self.clock.now()) {
             return None;
         }
         Some(self.voter(leader).vm)
@@ -233,12 +228,19 @@
     /// Whether this process leads and has heard a majority lately enough to know.
     #[must_use]
     pub fn leads(&self) -> bool {
-        self.leads_now(&locks::read(&self.view))
+        locks::read(&self.view).status.leads_at(self.clock.now())
     }
 
-    fn leads_now(&self, view: &View) -> bool {
-        let until = view.status.quorum_until;
-        view.status.role == status::Role::Leader && until.is_some_and(|t| self.clock.now() < t)
+    /// How the group is repaired. Where VMs are listed, all that join become voters.
+    #[must_use]
+    pub fn repair_policy(&self) -> repair::Policy {
+        match &self.settings.common.discovery {
+            Some(it) => repair::Policy::bearing(it.tolerates, REPAIR_LAG, SILENT),
+            None => repair::Policy {
+                wanted: usize::MAX,
+                ..repair::Policy::bearing(0, REPAIR_LAG, SILENT)
+            },
+        }
     }
 
     /// Every report, for operators.
--- a/tests/fleet/control.rs
+++ b/tests/fleet/control.rs
@@ -90,6 +90,34 @@
     fleet.replace(&config);
 }
 
+/// A group that is to bear the loss of two disks has four of its five voters when the first
+/// configuration comes. Two disks lost right after an acknowledgement would leave two of four, which
+/// elect nobody, and the configuration could never be read again. So it is acknowledged only once
+/// the fifth votes; from then on four are enough while one is being replaced.
+#[test]
+fn nothing_is_acknowledged_before_the_group_has_all_its_voters() {
+    let mut fleet = Fleet::bearing(2, 4, 0);
+    for at in 0..4 {
+        fleet.until("four vote", || fleet.control[at].votes());
+    }
+    let config = operator::config(10);
+    for _ in 0..10 {
+        for at in 0..4 {
+            assert_ne!(Fleet::try_replace(&fleet.control[at], &config), 200);
+        }
+    }
+    let mut fifth = fleet.new_control(4, true);
+    fifth.start();
+    fleet.control.push(fifth);
+    fleet.replace(&config);
+    fleet.control[1].kill();
+    let mut successor = fleet.new_control(5, false);
+    successor.start();
+    fleet.replace(&operator::config(20));
+    fleet.control.push(successor);
+    assert_eq!(fleet.read_back(), operator::config(20));
+}
+
 /// The leader is killed again and again while changes come. Each that was acknowledged holds.
 #[test]
 fn changes_hold_while_one_control_process_after_the_other_is_killed() {
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -123,6 +123,8 @@
     net: [u8; 3],
     vms_port: u16,
     control_port: u16,
+    /// Control VMs that may be lost at once with their disks.
+    tolerates: u8,
     pub control: Vec<Process>,
     pub entries: Vec<Process>,
 }
@@ -130,6 +132,12 @@
 impl Fleet {
     /// Starts control and entry processes, and waits until a leader answers the operator.
     pub fn start(control: u8, entries: u8) -> Self {
+        Self::bearing(1, control, entries)
+    }
+
+    /// As [`Self::start`], with the loss of `tolerates` control VMs to be borne at once. Three are
+    /// seeds, and found the group.
+    pub fn bearing(tolerates: u8, control: u8, entries: u8) -> Self {
         let number = FLEETS.fetch_add(1, atomic::Ordering::SeqCst);
         let own = process::id();
         let octet = |it: u32| u8::try_from(it % 250 + 1).expect("below 251");
@@ -143,6 +151,7 @@
             net,
             vms_port,
             control_port,
+            tolerates,
             control: Vec::new(),
             entries: Vec::new(),
         };
@@ -191,14 +200,12 @@
             .map(|last| format!("\"{}:{}\"", self.ip(last), self.control_port))
             .collect();
         format!(
-            "[discovery]\nip = \"{ip}\"\nseeds = [{}]\nvms_port = {}\n",
+            "[discovery]\nip = \"{ip}\"\nseeds = [{}]\nvms_port = {}\nbootstrap = {bootstrap}\n\
+             tolerates = {}\n",
             seeds.join(", "),
-            self.vms_port
-        ) + &if bootstrap {
-            "bootstrap = true\ntolerates = 1\n".to_owned()
-        } else {
-            "tolerates = 1\n".to_owned()
-        }
+            self.vms_port,
+            self.tolerates,
+        )
     }
 
     /// A control process on a VM that was not there before.
