Let copies give way under overload, and show what a leader sees of the busiest models

Cause: a copy was given up only if its model's others then had at most a quarter of an engine's work each.

Ruled out: a higher fixed limit, which moves copies in calm times too.

Change: a copy also goes if what is left has at most half the work a copy of the model that wants the place.

The test under_overload_a_copy_goes_where_it_has_most_work failed first (no order at all).

--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -78,6 +78,9 @@
 /// What a full engine weighs against an empty one, in engines kept busy: less than anything else.
 const EMPTIER: f64 = 0.01;
 
+/// Models that a summary names.
+const SUMMARY_MODELS: usize = 4;
+
 /// Wants that are kept while no engine can take them.
 const WANTS_KEPT: usize = 256;
 
@@ -123,6 +126,8 @@
     pub free_for_orders: usize,
     /// Models that need another copy, the one that needs it most first.
     pub short: Vec<String>,
+    /// The models with the most work.
+    pub busiest: Vec<Busy>,
     /// Whether the weight store may begin a load now.
     pub store_is_free: bool,
     /// Prompt tokens that callers ask for in a second.
@@ -131,6 +136,19 @@
     pub wants: usize,
 }
 
+/// A model as a leader sees it, for its log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Busy {
+    /// Its name.
+    pub model: String,
+    /// Engines that hold it and are not told to drop it.
+    pub copies: usize,
+    /// Engines that load it.
+    pub loading: usize,
+    /// Engines that its requests keep busy, as a number of engines.
+    pub work: f64,
+}
+
 /// Plans for all services with engines.
 #[derive(Debug)]
 pub struct Planner {
@@ -284,7 +302,8 @@
             let engine = self.engines.get(&it.id);
             engine.is_some_and(|it| it.takes_weights(now))
         };
-        let short = weights::Survey::new(self, now, pool).short_of_copies();
+        let survey = weights::Survey::new(self, now, pool);
+        let short = survey.short_of_copies();
         let models = pool.offer.models.iter();
         let tokens = models.map(|it| self.demand.tokens_per_s(now, pool.service, &it.name));
         Summary {
@@ -292,6 +311,7 @@
             engines: pool.instances.len(),
             free_for_orders: pool.instances.iter().filter(takes).count(),
             short: short.into_iter().map(|it| it.name.clone()).collect(),
+            busiest: survey.busiest(SUMMARY_MODELS),
             store_is_free: self.store.allows(now, pool.offer.loads_per_s),
             tokens_per_s: tokens.sum(),
             wants: self.wants.len(),
--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{EMPTIER, Planner, Pool, engine};
+use super::{Busy, EMPTIER, Planner, Pool, engine};
 use crate::{config, dialect, directory};
 
 /// A model with less work than this, in engines kept busy, is not taken for the next to rise.
@@ -23,6 +23,10 @@
 /// A last copy goes for a model without one if it has at most this part of its work.
 const YIELDS_TO: f64 = 0.5;
 
+/// A copy goes where its work is at least so many times less, once it is gone, than that of a copy of
+/// the model that takes its place. Under overload no copy has little work, and none would move.
+const GIVES_WAY: f64 = 0.5;
+
 /// What a model without any copy weighs: more than any work.
 const NO_COPY: f64 = 10.0;
 
@@ -83,6 +87,20 @@
         self.models.get(model).copied().unwrap_or_default()
     }
 
+    /// The `count` models with the most work.
+    pub(super) fn busiest(&self, count: usize) -> Vec<Busy> {
+        let models = self.models.iter().map(|(model, it)| Busy {
+            model: (*model).to_owned(),
+            copies: it.copies,
+            loading: it.loading,
+            work: it.work,
+        });
+        let mut models: Vec<Busy> = models.collect();
+        models.sort_by(|a, b| b.work.total_cmp(&a.work).then(a.model.cmp(&b.model)));
+        models.truncate(count);
+        models
+    }
+
     /// Models that need another copy, the one that needs it most first.
     pub(super) fn short_of_copies(&self) -> Vec<&'p config::Model> {
         let mut short: Vec<(f64, &'p config::Model)> = Vec::new();
@@ -157,18 +175,21 @@
         instance: &directory::Instance,
         wanted: &config::Model,
     ) -> Option<(String, f64)> {
+        let needs = self.of(&wanted.name);
+        let needed = needs.each(needs.copies + needs.loading);
         let mut best: Option<(String, f64)> = None;
         for resident in &instance.models {
             let is_offered = self.models.contains_key(resident.model.as_str());
             let it = self.of(&resident.model);
             let is_last = it.copies < 2 && is_offered;
-            let is_kept = is_last && !Self::yields(it, self.of(&wanted.name));
+            let is_kept = is_last && !Self::yields(it, needs);
             if is_kept || resident.model == wanted.name {
                 continue;
             }
             let after = it.each(it.copies.saturating_sub(1));
             let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
-            if (after <= self.planner.policy.low || is_last) && is_better {
+            let spares = after <= self.planner.policy.low || after <= needed * GIVES_WAY;
+            if (spares || is_last) && is_better {
                 best = Some((resident.model.clone(), after));
             }
         }
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -297,6 +297,29 @@
     }
 }
 
+/// Callers ask for more than all engines can read, so each copy of each model has more work than it
+/// should. One model has a single copy with four times the work of the copies of another. A copy of
+/// that one must give way, or the callers of the first are turned away while others hardly wait.
+#[test]
+fn under_overload_a_copy_goes_where_it_has_most_work() {
+    let mut world = World::new(&[
+        ("e1", &["m0", "m1", "m2"]),
+        ("e2", &["m0", "m1", "m2"]),
+        ("e3", &["m0", "m1", "m3"]),
+    ]);
+    for _ in 0..400 {
+        for (model, tokens) in [("m0", 900), ("m1", 900), ("m2", 900), ("m3", 2_000)] {
+            world.ask(model, tokens);
+        }
+        world.run(50);
+    }
+    let holders = world.engines.values();
+    let copies = holders.filter(|it| it.instance.holds("m3", None)).count();
+    assert!(copies >= 2, "{:?}", world.tasks());
+    let moves = world.orders.len();
+    assert!(moves <= 6, "copies go to and fro: {:?}", world.tasks());
+}
+
 /// Without demand nothing moves: each move costs the store and delays others.
 #[test]
 fn nothing_moves_without_demand() {
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -14,7 +14,7 @@
 const TICK: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// Between two lines in the log on what a leader sees.
-const SUMMARY: std_time::Duration = std_time::Duration::from_secs(5);
+const SUMMARY: std_time::Duration = std_time::Duration::from_secs(2);
 
 /// Inputs taken in before one look.
 const BATCH: usize = 256;
@@ -121,6 +121,7 @@
             for it in self.planner.summary(now, config, &present) {
                 ::log::info!(service = it.service.as_str(), engines = it.engines,
                     free_for_orders = it.free_for_orders, short:? = it.short,
+                    busiest:% = busiest(&it.busiest),
                     store_is_free = it.store_is_free, tokens_per_s = it.tokens_per_s,
                     wants = it.wants; "control: placement");
             }
@@ -173,6 +174,20 @@
     }
 }
 
+/// The busiest models in a few words: copies and those on their way, and the engines kept busy.
+fn busiest(models: &[planner::Busy]) -> String {
+    let models = models.iter().map(|it| {
+        let planner::Busy {
+            model,
+            copies,
+            loading,
+            work,
+        } = it;
+        format!("{model} {copies}+{loading} {work:.1}")
+    });
+    models.collect::<Vec<_>>().join(", ")
+}
+
 /// Shows in an engine's record what an order did to it.
 fn apply(instance: &mut directory::Instance, task: &dialect::Task) {
     match task {
