Let requests that wait go in order: those that can be on time first, then the urgent

Cause: all requests that waited for an engine raced for it at each change, so one that was late already took the place of one that could still be on time, and a less urgent one that of an urgent one.

Ruled out: first come first served, which makes all late once the queue is longer than the objective; strict urgency, by which late urgent ones make others late and win nothing.

Change: backlog.rs ranks those that wait for a model: on time before late, then by urgency, then by when they are late. One for an adapter holds back only its like. The time until a request's turn counts only those before it by that rank.

Tests of the order came with it; is_preceded did not exist before.

--- a/crates/sageshed-fleet/src/backlog.rs
+++ b/crates/sageshed-fleet/src/backlog.rs
@@ -1,8 +1,19 @@
-//! How long the requests that wait here for an engine will wait.
+//! In which order the requests that wait here for an engine go, and how long that will take.
 //!
-//! The load pattern: more prompts come than the engines of a model can read, for seconds. Each process
-//! sees what it reads of them in a second, and how much waits here before a request. What can't be
-//! reached in its time is turned away when that is known, with when to come back, and not at its end.
+//! The load pattern: more prompts come than the engines of a model can read, for seconds.
+//!
+//! # Order
+//!
+//! First come those that can still be on time, the urgent ones before others, and of equal ones the one
+//! that is late first. One that is late already loses nothing more by waiting, and were it first, those
+//! behind it would all be late as well. A request for an adapter goes to fewer engines than one for the
+//! bare model, so it does not hold that one back.
+//!
+//! # Time
+//!
+//! Each process sees what it reads of a model's prompts in a second, and how much waits here before a
+//! request. What can't be reached in its time is turned away when that is known, with when to come
+//! back, and not at its end.
 
 use std::collections;
 
@@ -11,10 +22,52 @@
 /// Over this span what is read is counted. Long enough for some prompts of each busy model.
 const SPAN: time::Millis = time::Millis(2_000);
 
+/// A request with less than this until its answer would be late can't be on time any more: a prompt of
+/// two thousand tokens takes an engine a tenth of a second.
+const LEAST_ANSWER: time::Millis = time::Millis(100);
+
+/// A request that waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiter {
+    /// Tokens of its prompt.
+    pub tokens: u64,
+    /// Its route's rank, zero being the most urgent.
+    pub priority: u8,
+    /// Until then its answer is on time.
+    pub on_time_until: time::Instant,
+    /// The adapter that it needs besides the model.
+    pub adapter: Option<String>,
+}
+
+/// Where a request stands among those that wait for its model; the lowest goes first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_late: bool,
+    priority: u8,
+    on_time_until: time::Instant,
+    ticket: u64,
+}
+
+impl Waiter {
+    fn rank(&self, now: time::Instant, ticket: u64) -> Rank {
+        Rank {
+            is_late: now + LEAST_ANSWER > self.on_time_until,
+            priority: self.priority,
+            on_time_until: self.on_time_until,
+            ticket,
+        }
+    }
+
+    /// Whether any engine that serves `other` would serve this one.
+    fn serves_for(&self, other: &Self) -> bool {
+        self.adapter.is_none() || self.adapter == other.adapter
+    }
+}
+
 #[derive(Debug, Default)]
 struct Queue {
-    /// Tokens of those that wait, by ticket: in the order in which they came.
-    waiting: collections::BTreeMap<u64, u64>,
+    /// Those that wait, by ticket.
+    waiting: collections::BTreeMap<u64, Waiter>,
     /// What was read lately.
     read: collections::VecDeque<(time::Instant, u64)>,
 }
@@ -27,19 +80,39 @@
 }
 
 impl Backlog {
-    /// A request with so many tokens begins to wait. Returns its ticket.
-    pub fn enter(&mut self, model: &str, tokens: u64) -> u64 {
+    /// A request begins to wait. Returns its ticket.
+    pub fn enter(&mut self, model: &str, waiter: Waiter) -> u64 {
         self.last += 1;
         let queue = self.queues.entry(model.to_owned()).or_default();
-        queue.waiting.insert(self.last, tokens);
+        queue.waiting.insert(self.last, waiter);
         self.last
     }
 
-    /// It waits no longer.
-    pub fn leave(&mut self, model: &str, ticket: u64) {
-        if let Some(queue) = self.queues.get_mut(model) {
-            queue.waiting.remove(&ticket);
-        }
+    /// Whether another request that waits for the model goes before `waiter`. One that has just come
+    /// has no ticket.
+    #[must_use]
+    pub fn is_preceded(
+        &self,
+        now: time::Instant,
+        model: &str,
+        waiter: &Waiter,
+        ticket: Option<u64>,
+    ) -> bool {
+        let Some(queue) = self.queues.get(model) else {
+            return false;
+        };
+        let own = waiter.rank(now, ticket.unwrap_or(u64::MAX));
+        let mut others = queue.waiting.iter();
+        others.any(|(at, it)| it.serves_for(waiter) && it.rank(now, *at) < own)
+    }
+
+    /// It waits no longer. Returns whether others still wait for the model.
+    pub fn leave(&mut self, model: &str, ticket: u64) -> bool {
+        let Some(queue) = self.queues.get_mut(model) else {
+            return false;
+        };
+        queue.waiting.remove(&ticket);
+        !queue.waiting.is_empty()
     }
 
     /// An engine has read a prompt that was sent from here.
@@ -62,11 +135,12 @@
         let queue = self.queues.get(model)?;
         let recent = queue.read.iter().filter(|(at, _)| now.since(*at) <= SPAN);
         let read: u64 = recent.map(|(_, tokens)| *tokens).sum();
-        let ahead: u64 = queue
+        let own = queue.waiting.get(&ticket)?.rank(now, ticket);
+        let before = queue
             .waiting
-            .range(..=ticket)
-            .map(|(_, tokens)| *tokens)
-            .sum();
+            .iter()
+            .filter(|(at, it)| it.rank(now, **at) <= own);
+        let ahead: u64 = before.map(|(_, it)| it.tokens).sum();
         (ahead * SPAN.0).checked_div(read).map(time::Millis)
     }
 
--- a/crates/sageshed-fleet/tests/backlog.rs
+++ b/crates/sageshed-fleet/tests/backlog.rs
@@ -1,10 +1,18 @@
 //! How long requests wait for an engine.
 
-use sageshed_fleet::backlog::Backlog;
+use sageshed_fleet::backlog::{Backlog, Waiter};
 use sageshed_types::time;
 
 const T0: time::Instant = time::Instant(50_000);
 
+/// Waits for the bare model, and is late in ten seconds.
+const PLAIN: Waiter = Waiter {
+    tokens: 2_000,
+    priority: 1,
+    on_time_until: time::Instant(60_000),
+    adapter: None,
+};
+
 /// Prompts of 2,000 tokens come twice as fast as the engines read them. The tenth that waits would be
 /// read after five seconds; it must be told now, and not when its five seconds are over.
 #[test]
@@ -14,7 +22,7 @@
         backlog.read(T0 + time::Millis(n * 500), "m0", 2_000);
     }
     let now = T0 + time::Millis(1_500);
-    let tickets: Vec<u64> = (0..10).map(|_| backlog.enter("m0", 2_000)).collect();
+    let tickets: Vec<u64> = (0..10).map(|_| backlog.enter("m0", PLAIN)).collect();
     assert_eq!(
         backlog.expected(now, "m0", tickets[0]),
         Some(time::Millis(500))
@@ -34,7 +42,7 @@
 #[test]
 fn nothing_is_said_where_nothing_was_read_lately() {
     let mut backlog = Backlog::default();
-    let ticket = backlog.enter("m0", 2_000);
+    let ticket = backlog.enter("m0", PLAIN);
     assert_eq!(backlog.expected(T0, "m0", ticket), None);
     backlog.read(T0, "m0", 2_000);
     assert!(backlog.expected(T0, "m0", ticket).is_some());
@@ -44,3 +52,104 @@
     );
     assert_eq!(backlog.expected(T0, "m1", ticket), None);
 }
+
+/// Four requests wait for one model, each with another reason to go before or after the others. Were
+/// they taken as they came, the one that is late already would make those behind it late.
+#[test]
+fn those_that_can_be_on_time_go_first_and_the_urgent_ones_before_others() {
+    struct Case {
+        name: &'static str,
+        first: Waiter,
+        second: Waiter,
+    }
+    let late = Waiter {
+        on_time_until: T0,
+        ..PLAIN
+    };
+    let urgent = Waiter {
+        priority: 0,
+        ..PLAIN
+    };
+    let soon_late = Waiter {
+        on_time_until: T0 + time::Millis(500),
+        ..PLAIN
+    };
+    let cases = [
+        Case {
+            name: "on time before late",
+            first: PLAIN,
+            second: late.clone(),
+        },
+        Case {
+            name: "on time before late, though less urgent",
+            first: PLAIN,
+            second: Waiter {
+                priority: 0,
+                ..late.clone()
+            },
+        },
+        Case {
+            name: "urgent before others",
+            first: urgent,
+            second: soon_late.clone(),
+        },
+        Case {
+            name: "the one that is late first",
+            first: soon_late,
+            second: PLAIN,
+        },
+    ];
+    for Case {
+        name,
+        first,
+        second,
+    } in cases
+    {
+        let mut backlog = Backlog::default();
+        let of_second = backlog.enter("m0", second.clone());
+        assert!(!backlog.is_preceded(T0, "m0", &first, None), "{name}");
+        let of_first = backlog.enter("m0", first.clone());
+        assert!(
+            !backlog.is_preceded(T0, "m0", &first, Some(of_first)),
+            "{name}"
+        );
+        assert!(
+            backlog.is_preceded(T0, "m0", &second, Some(of_second)),
+            "{name}"
+        );
+        backlog.read(T0, "m0", 2_000);
+        let time_of = |ticket| backlog.expected(T0, "m0", ticket);
+        assert!(time_of(of_first) < time_of(of_second), "{name}");
+        assert!(backlog.leave("m0", of_first), "{name}");
+        assert!(
+            !backlog.is_preceded(T0, "m0", &second, Some(of_second)),
+            "{name}"
+        );
+    }
+}
+
+/// An adapter is on one engine that is busy, and other engines hold its model. Those that wait for
+/// the bare model must not wait for the adapter's engine.
+#[test]
+fn a_request_for_an_adapter_holds_back_only_its_like() {
+    let with = |name: &str| Waiter {
+        priority: 0,
+        adapter: Some(name.to_owned()),
+        ..PLAIN
+    };
+    let mut backlog = Backlog::default();
+    backlog.enter("m0", with("a1"));
+    assert!(!backlog.is_preceded(T0, "m0", &PLAIN, None));
+    assert!(!backlog.is_preceded(T0, "m0", &with("a2"), None));
+    assert!(backlog.is_preceded(T0, "m0", &with("a1"), None));
+    assert!(!backlog.is_preceded(T0, "m1", &with("a1"), None));
+}
+
+#[test]
+fn one_that_has_just_come_goes_behind_its_equals() {
+    let mut backlog = Backlog::default();
+    let ticket = backlog.enter("m0", PLAIN);
+    assert!(backlog.is_preceded(T0, "m0", &PLAIN, None));
+    assert!(!backlog.leave("m0", ticket));
+    assert!(!backlog.is_preceded(T0, "m0", &PLAIN, None));
+}
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::atomic, time as std_time};
 
-use sageshed_fleet::{chooser, dialect, messages};
+use sageshed_fleet::{backlog, chooser, dialect, messages};
 use sageshed_http::reply;
 use sageshed_types::{time, verdict};
 
@@ -43,8 +43,12 @@
         let step = self.next_with(watch, &mut ticket);
         if let Some(ticket) = ticket {
             let model = self.model_name();
-            self.shared
+            let others_wait = self
+                .shared
                 .with_core(|core| core.backlog.leave(model, ticket));
+            if others_wait {
+                self.shared.place_freed();
+            }
         }
         step
     }
@@ -76,9 +80,19 @@
                 may_be_late: left > LATE_RESERVE,
                 may_fetch: fetches < FETCHES,
             };
-            let (choice, seen) = self
-                .shared
-                .with_core(|core| (core.chooser.choose(now, &ask), core.changes()));
+            let in_line = self.waiter(now);
+            let (choice, seen) = self.shared.with_core(|core| {
+                let is_preceded = in_line.as_ref().is_some_and(|it| {
+                    let model = self.model_name();
+                    core.backlog.is_preceded(now, model, it, *ticket)
+                });
+                let choice = if is_preceded {
+                    chooser::Choice::Wait(chooser::Missing::Place)
+                } else {
+                    core.chooser.choose(now, &ask)
+                };
+                (choice, core.changes())
+            });
             let missing = match choice {
                 chooser::Choice::Send(pick) => return self.may_send(now, pick),
                 chooser::Choice::TooLate { estimate } => {
@@ -101,7 +115,8 @@
                 told_waiting = true;
                 self.tell_waiting();
             }
-            if let Some(expected) = self.hopeless(now, missing, left, ticket) {
+            let queued = in_line.filter(|_| missing == chooser::Missing::Place);
+            if let Some(expected) = queued.and_then(|it| self.hopeless(now, it, left, ticket)) {
                 let detail = format!(
                     "those before it take {} ms, and {} ms are left",
                     expected.0, left.0
@@ -148,19 +163,29 @@
     fn hopeless(
         &self,
         now: time::Instant,
-        missing: chooser::Missing,
+        waiter: backlog::Waiter,
         left: time::Millis,
         ticket: &mut Option<u64>,
     ) -> Option<time::Millis> {
-        let wanted = self.wanted.filter(|_| missing == chooser::Missing::Place)?;
+        let model = self.model_name();
         let expected = self.shared.with_core(|core| {
-            let tokens = self.passing.prompt_tokens;
-            let ticket = ticket.get_or_insert_with(|| core.backlog.enter(&wanted.model, tokens));
-            core.backlog.expected(now, &wanted.model, *ticket)
+            let ticket = ticket.get_or_insert_with(|| core.backlog.enter(model, waiter));
+            core.backlog.expected(now, model, *ticket)
         })?;
         (expected + READ_RESERVE > left).then_some(expected)
     }
 
+    /// This request among those that wait for an engine; none where it needs no model.
+    fn waiter(&self, now: time::Instant) -> Option<backlog::Waiter> {
+        let wanted = self.wanted?;
+        Some(backlog::Waiter {
+            tokens: self.passing.prompt_tokens,
+            priority: self.route.priority,
+            on_time_until: now + self.on_time(),
+            adapter: wanted.adapter.clone(),
+        })
+    }
+
     /// How long to wait for what is missing.
     fn patience(&self, missing: chooser::Missing, load: time::Millis) -> std_time::Duration {
         let objective = self.route.objective.0;
