Tell callers to come back when those before them are read

Ruled out: no time at all, which sends callers back at once.

Change: Retry-After is the time until those that wait now are read.

--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -122,8 +122,8 @@
                     expected.0, left.0
                 );
                 let refusal = self.give_up(verdict::Reason::DeadlineUnmeetable, detail);
-                let back = expected.0.saturating_sub(left.0).max(BACK_SOON.0);
-                return Step::Refuse(refusal.retry_after(time::Millis(back)));
+                // Before those that wait now are read there is no room.
+                return Step::Refuse(refusal.retry_after(expected.max(BACK_SOON)));
             }
             let load = self.load_time(missing);
             if waited >= self.patience(missing, load) || left <= load {
