Load what callers are short of before idle models without a copy

Cause: a model without a copy went before all others even if nobody asked for it.

Ruled out: leaving idle models without a copy; their first caller would wait nine seconds and more.

Change: a model without a copy goes first only if it is asked for; else last.

The test failed first (the idle one was loaded).

--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -27,9 +27,12 @@
 /// the model that takes its place. Under overload no copy has little work, and none would move.
 const GIVES_WAY: f64 = 0.5;
 
-/// What a model without any copy weighs: more than any work.
+/// What a model without any copy weighs that callers ask for: more than any work.
 const NO_COPY: f64 = 10.0;
 
+/// The need of a model without a copy that nobody asks for, in parts of what makes a model short.
+const JUST_SHORT: f64 = 1.01;
+
 /// What is known of one model at one moment.
 #[derive(Debug, Clone, Copy, Default)]
 struct Standing {
@@ -107,8 +110,7 @@
         for model in &self.pool.offer.models {
             let it = self.of(&model.name);
             let need = if it.copies + it.loading == 0 {
-                // Without a copy its callers get nothing at all.
-                NO_COPY + it.work
+                self.need_without_copy(it)
             } else {
                 it.each(it.copies + it.loading)
             };
@@ -120,6 +122,16 @@
         short.into_iter().map(|(_, model)| model).collect()
     }
 
+    /// Without a copy its callers get nothing at all. While nobody asks for it it comes behind all that
+    /// are short: a load from the store keeps its engine from any other order for nine seconds.
+    fn need_without_copy(&self, it: Standing) -> f64 {
+        if it.work > 0.0 {
+            NO_COPY + it.work
+        } else {
+            self.planner.policy.high * JUST_SHORT
+        }
+    }
+
     /// The next order on the way to another copy of `model`: a load where there is room, else the
     /// unload that makes room.
     pub(super) fn next_step(&self, model: &config::Model) -> Option<(String, dialect::Task)> {
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -337,6 +337,22 @@
     assert_eq!(world.tasks(), ["e2 load m3"]);
 }
 
+/// One engine has room for one more model. Nobody asks for the model without a copy, and one with a
+/// single copy has more work than that bears. Were the idle one loaded first, the engine would take
+/// no other order for nine seconds.
+#[test]
+fn an_idle_model_without_a_copy_waits_for_one_that_is_short() {
+    let mut world = World::new(&[("e1", &["m0", "m1", "m2"]), ("e2", &["m1", "m2"])]);
+    for _ in 0..100 {
+        world.ask("m0", 1_000);
+        world.run(50);
+    }
+    assert_eq!(
+        world.tasks().first().map(String::as_str),
+        Some("e2 load m0")
+    );
+}
+
 /// Five engines come back empty and could all load at once. The store begins one load a second; more
 /// in five seconds would slow down every load in the fleet.
 #[test]
