Let an entry process in front of a fleet tell what happened to a request

Cause: `sageshed explain` worked only with our own interface; in front of a fleet the account of a request could be had from log files alone.

Ruled out: asking by way of control processes, as our own interface does: the id is the caller's and names no entry process, so control would have to ask all of them.

The store of accounts is shared with our own interface.

An account takes about a kilobyte, so at most 0.6 MB a process.

--- a/src/bin/sageshed/commands/explain.rs
+++ b/src/bin/sageshed/commands/explain.rs
@@ -1,12 +1,16 @@
 //! `sageshed explain`: what happened to one request.
 
-use std::fmt::Write;
+use std::{fmt::Write, io, time};
 
 use gumdrop::Options;
+use sageshed::metrics_port;
 use sageshed_types::account;
 
 use crate::{failure, failure::Failure, globals, table};
 
+/// How long an entry process may take to answer.
+const PATIENCE: time::Duration = time::Duration::from_secs(2);
+
 #[derive(Debug, Options)]
 pub(crate) struct Args {
     #[options(help = "print this help")]
@@ -14,17 +18,54 @@
 
     #[options(free, required, help = "the id, from the answer's Sageshed-Request-Id")]
     request_id: String,
+
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "ask entry processes in front of a fleet, at their metrics ports (once for each)"
+    )]
+    entry: Vec<String>,
 }
 
 /// Prints it.
 pub(crate) fn exec(globals: &globals::Globals, args: &Args) -> Result<(), Failure> {
-    let account = globals.client()?.explain(&args.request_id)?;
+    let account = if args.entry.is_empty() {
+        globals.client()?.explain(&args.request_id)?
+    } else {
+        ask_entries(&args.entry, &args.request_id)?
+    };
     if globals.json {
         return failure::print_json(&account);
     }
     failure::print(&text(&account))
 }
 
+/// Asks one entry process after the other. The id is the caller's, so it names none of them.
+fn ask_entries(entries: &[String], id: &str) -> Result<account::Account, Failure> {
+    let mut silent = Vec::new();
+    for entry in entries {
+        let url = format!("http://{entry}{}{id}", metrics_port::EXPLAIN);
+        match ureq::get(&url).timeout(PATIENCE).call() {
+            Ok(answer) => {
+                return read(answer)
+                    .map_err(|e| Failure::Unknown(format!("{entry} gave no account: {e}")));
+            }
+            Err(ureq::Error::Status(..)) => {}
+            Err(e) => silent.push(format!("{entry} gave no answer: {e}")),
+        }
+    }
+    if silent.is_empty() {
+        let text = format!("no entry process asked keeps an account of {id}");
+        return Err(Failure::Refused(text));
+    }
+    Err(Failure::Unknown(silent.join("\n")))
+}
+
+fn read(answer: ureq::Response) -> Result<account::Account, io::Error> {
+    let text = answer.into_string()?;
+    Ok(serde_json::from_str(&text)?)
+}
+
 fn text(account: &account::Account) -> String {
     let mut text = String::new();
     let mut row = |name: &str, value: String| {
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -52,7 +52,11 @@
             let shared = sync::Arc::clone(shared);
             let metrics = super::metrics::Metrics::default();
             let text = move || metrics.text(&shared);
-            listen(address, sync::Arc::new(metrics_port::Port { text }))
+            let account = |_: &str| None;
+            listen(
+                address,
+                sync::Arc::new(metrics_port::Port { text, account }),
+            )
         })
         .transpose()?;
     spawn("planning", {
--- a/src/sageshed/entry/mod.rs
+++ b/src/sageshed/entry/mod.rs
@@ -12,7 +12,6 @@
 //! - a thread that tells the decider that time goes on, and sends cancellations ([`housekeeping`]),
 //! - a thread that settles claims with the control group ([`claims`]).
 
-pub mod accounts;
 pub mod claims;
 pub mod completion;
 pub mod freshness;
--- a/src/sageshed/entry/run.rs
+++ b/src/sageshed/entry/run.rs
@@ -19,10 +19,9 @@
 use sageshed_types::{endpoints, messages, rules, time as types_time};
 
 use super::{
-    accounts, claims, freshness, housekeeping, metrics, serve, shared, sync as heartbeats, vms,
-    waiters,
+    claims, freshness, housekeeping, metrics, serve, shared, sync as heartbeats, vms, waiters,
 };
-use crate::{clock, context, directory, locks, settings};
+use crate::{accounts, clock, context, directory, locks, settings};
 
 /// Connections of other processes that are open at once; each has a thread.
 const VMS_CONNECTIONS: usize = 256;
--- a/src/sageshed/entry/shared.rs
+++ b/src/sageshed/entry/shared.rs
@@ -10,8 +10,8 @@
 use sageshed_state::update;
 use sageshed_types::{arena, endpoints, messages, refusal, rules, time, verdict};
 
-use super::{accounts, claims, freshness, housekeeping, metrics, waiters};
-use crate::{clock, directory, locks, settings};
+use super::{claims, freshness, housekeeping, metrics, waiters};
+use crate::{accounts, clock, directory, locks, settings};
 
 /// Shared by all threads of an entry process.
 #[derive(Debug)]
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -47,6 +47,8 @@
     ) -> Sending<'c> {
         let sent_at = std_time::Instant::now();
         neighbours::tell(self.shared, pick);
+        let waited = self.req.received.elapsed();
+        self.story.sent(pick, waited.into());
         let movable = self.route.repeat.may_run_again() && self.runs + 1 < self.route.attempts;
         let expected = std_time::Duration::from(pick.estimate) + MOVED_AFTER;
         let stop = || {
@@ -216,7 +218,7 @@
                 };
                 self.ended(pick, true, how);
                 self.shared.pool.keep(pick.address, exchange);
-                self.answered(pick, head.status, sent_at);
+                self.answered(pick, head.status, body.len() as u64, sent_at);
                 Sending::Done(outlet.whole(&head, &body))
             }
             Err(failure) => self.failed_after_run(pick, outlet, false, &failure),
@@ -240,10 +242,12 @@
         self.began(pick, sent_at, load);
         self.paces.begun(self.req.received);
         let (mut stream, mut events) = outlet.begin(&exchange.head);
+        let mut passed_on: u64 = 0;
         loop {
             match piece {
                 exchange::Piece::Bytes(bytes) => {
                     let whole = events.push(self.shared.dialect, &bytes);
+                    passed_on += whole.len() as u64;
                     if self.paces.piece() {
                         let now = self.shared.clock.now();
                         self.shared
@@ -256,13 +260,14 @@
                 }
                 exchange::Piece::End => {
                     let rest = events.take_rest();
+                    let bytes = passed_on + rest.len() as u64;
                     if stream.send(&rest).is_err() {
                         ::log::info!(request = self.id(); "gateway: caller left at the end of its stream");
                     }
                     self.ended(pick, true, chooser::Ended::Answered);
                     let exchange_status = exchange.head.status;
                     self.shared.pool.keep(pick.address, exchange);
-                    self.answered(pick, exchange_status, sent_at);
+                    self.answered(pick, exchange_status, bytes, sent_at);
                     return Sending::Done(stream.finish());
                 }
             }
@@ -329,6 +334,7 @@
             "endpoint {} rejected it with status {status}",
             pick.instance
         );
+        self.story.came_to(verdict::Verdict::NotRun, &self.last);
         let is_replaced = answered.instance.is_some_and(|it| it != pick.instance);
         if answered.word == dialect::Word::Misdirected && is_replaced {
             self.ended(pick, false, chooser::Ended::GivenUp);
@@ -380,6 +386,7 @@
             ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure;
                 "gateway: endpoint not reached, the request was not sent");
             self.last = format!("endpoint {} was not reached: {failure}", pick.instance);
+            self.story.came_to(verdict::Verdict::NotRun, &self.last);
             self.ended(pick, began, chooser::Ended::Unreachable);
             self.shared.pool.forget(pick.address);
             self.tried.push(pick.key);
@@ -405,6 +412,7 @@
         ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure,
             runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
+        self.story.came_to(verdict::Verdict::MayHaveRun, &self.last);
         let is_over = self.left_ms() == time::Millis(0);
         let how = match failure.cause {
             failure::Cause::Silent if !began => chooser::Ended::Silent,
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -4,7 +4,7 @@
 
 use sageshed_fleet::{chooser, dialect};
 use sageshed_http::reply;
-use sageshed_types::{refusal, time, verdict};
+use sageshed_types::{account, refusal, time, verdict};
 
 use super::{BACK_SOON, Life};
 use crate::gateway::{answer::Outlet, metrics, refuse, sampler};
@@ -50,26 +50,41 @@
         refusal::Refusal::new(reason, verdict, detail)
     }
 
-    pub(super) fn refused(&self, outlet: Outlet<'_>, refusal: &refusal::Refusal) -> reply::Sent {
+    pub(super) fn refused(
+        &mut self,
+        outlet: Outlet<'_>,
+        refusal: &refusal::Refusal,
+    ) -> reply::Sent {
         ::log::info!(request = self.id(), route = self.route.name.as_str(),
             config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             left_ms = self.left_ms().0; "gateway: request refused");
         self.note(metrics::End::Refused, refusal.status);
+        self.keep_account(account::End::Refused(refusal.clone()));
         outlet.refuse("", refusal)
     }
 
-    pub(super) fn left(&self, outlet: Outlet<'_>) -> reply::Sent {
+    pub(super) fn left(&mut self, outlet: Outlet<'_>) -> reply::Sent {
         ::log::info!(request = self.id(), route = self.route.name.as_str(); "gateway: caller left");
         self.note(metrics::End::CallerGone, 0);
+        self.keep_account(account::End::CallerGone);
         let detail = "the caller closed its connection";
         let refusal = self.give_up(verdict::Reason::DeadlinePassed, detail.to_owned());
         outlet.refuse("", &refusal)
     }
 
     /// Notes a request that is answered, with what its endpoint was chosen by.
-    pub(super) fn answered(&self, pick: &chooser::Pick, status: u16, sent_at: std_time::Instant) {
+    pub(super) fn answered(
+        &mut self,
+        pick: &chooser::Pick,
+        status: u16,
+        bytes: u64,
+        sent_at: std_time::Instant,
+    ) {
         let took = self.note(metrics::End::Answered, status);
+        let outcome = self.paces.outcome();
+        self.story.came_to(verdict::Verdict::Ran, &outcome);
+        self.keep_account(account::End::Answered { status, bytes });
         let line = self.shared.sampler.success(self.shared.clock.now());
         if let sampler::Line::WriteAfter(left_out) = line {
             ::log::info!(left_out; "gateway: successes left out of the log in the last second");
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod ending;
+mod story;
 mod waiting;
 
 use std::{
@@ -125,6 +126,7 @@
     arrivals: u32,
     last: String,
     paces: Paces,
+    story: story::Story,
 }
 
 /// When the pieces of a stream came, for the log: a stream is late by one long pause.
@@ -144,6 +146,15 @@
         }
     }
 
+    /// The paces of an answer in a few words.
+    fn outcome(&self) -> String {
+        if self.last.is_none() {
+            return "answered".to_owned();
+        }
+        let (first, longest) = (self.first.as_millis(), self.longest.as_millis());
+        format!("answered; its stream began after {first} ms, its longest pause was {longest} ms")
+    }
+
     /// Notes a piece. Returns whether it is time to tell that the endpoint lives.
     fn piece(&mut self) -> bool {
         let now = std_time::Instant::now();
@@ -187,6 +198,7 @@
             arrivals: 0,
             last: String::new(),
             paces: Paces::default(),
+            story: story::Story::default(),
         }
     }
 
--- /dev/null
+++ b/src/sageshed/gateway/pass/story.rs
@@ -0,0 +1,80 @@
+//! What happened to one request, as it goes on, for `sageshed explain`.
+
+use sageshed_fleet::{chooser, config, dialect};
+use sageshed_types::{account, rules, time, verdict};
+
+use super::Life;
+use crate::{clock, locks};
+
+/// What a try is called until something came of it.
+const UNDER_WAY: &str = "under way";
+
+/// The choices and tries of one request so far.
+#[derive(Debug, Default)]
+pub(super) struct Story {
+    chosen: Vec<account::Candidate>,
+    tries: Vec<account::Try>,
+}
+
+impl Story {
+    /// It is sent to `pick`, so long after it came.
+    pub(super) fn sent(&mut self, pick: &chooser::Pick, started: time::Millis) {
+        self.chosen.push(account::Candidate {
+            endpoint: pick.instance.clone(),
+            estimate: pick.estimate,
+            passed_over: None,
+        });
+        self.tries.push(account::Try {
+            endpoint: pick.instance.clone(),
+            started,
+            verdict: verdict::Verdict::MayHaveRun,
+            outcome: UNDER_WAY.to_owned(),
+        });
+    }
+
+    /// What came of the latest try.
+    pub(super) fn came_to(&mut self, verdict: verdict::Verdict, outcome: &str) {
+        if let Some(last) = self.tries.last_mut() {
+            last.verdict = verdict;
+            outcome.clone_into(&mut last.outcome);
+        }
+    }
+}
+
+impl<D: dialect::Dialect> Life<'_, D> {
+    /// Keeps the account of this request, which has ended.
+    pub(super) fn keep_account(&mut self, end: account::End) {
+        let took = time::Millis::from(self.req.received.elapsed());
+        let story = std::mem::take(&mut self.story);
+        let queued = story.tries.first().map_or(took, |it| it.started);
+        let span = self.until.saturating_duration_since(self.req.received);
+        let not_repeatable = matches!(
+            self.route.repeat,
+            config::Repeat::Never | config::Repeat::Stream
+        );
+        let account = account::Account {
+            request_id: self.id().to_owned(),
+            arrived_unix_ms: clock::unix_ms().saturating_sub(took.0),
+            caller: None,
+            class: Some(self.route.name.clone()),
+            target: Some(self.wanted.map_or_else(|| self.service.to_owned(), name_of)),
+            rule: Some(format!("route {}", self.route.name)),
+            revision: rules::Revision(self.shared.version()),
+            not_repeatable,
+            deadline: span.into(),
+            queued,
+            candidates: story.chosen,
+            tries: story.tries,
+            end,
+            took,
+        };
+        locks::lock(&self.shared.accounts).keep(account);
+    }
+}
+
+fn name_of(wanted: &dialect::Wanted) -> String {
+    match &wanted.adapter {
+        Some(adapter) => format!("{}/{adapter}", wanted.model),
+        None => wanted.model.clone(),
+    }
+}
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -13,7 +13,7 @@
 use sageshed_http::{handler, limits, server};
 
 use super::{neighbours, pass, ready, state, watch};
-use crate::{context, metrics_port, settings};
+use crate::{context, locks, metrics_port, settings};
 
 /// Descriptors that are not for callers: control processes, idle connections to endpoints, ports.
 const OTHER_DESCRIPTORS: usize = 400;
@@ -68,7 +68,13 @@
         .map(|address| {
             let shown = sync::Arc::clone(&shared);
             let text = move || shown.metrics.text(&shown);
-            start(address, ready_limits(), metrics_port::Port { text })
+            let known = sync::Arc::clone(&shared);
+            let account = move |id: &str| locks::lock(&known.accounts).get(id).cloned();
+            start(
+                address,
+                ready_limits(),
+                metrics_port::Port { text, account },
+            )
         })
         .transpose()?;
     watch::start(&shared);
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -13,7 +13,7 @@
 use sageshed_upstream::pool;
 
 use super::{metrics, neighbours, sampler};
-use crate::{clock, locks, settings};
+use crate::{accounts, clock, locks, settings};
 
 /// A configuration in force, indexed.
 #[derive(Debug)]
@@ -41,6 +41,8 @@
     pub neighbours: Option<neighbours::Neighbours>,
     /// What is counted.
     pub metrics: metrics::Metrics,
+    /// The accounts of the latest requests, for operators.
+    pub accounts: sync::Mutex<accounts::Accounts>,
     /// Which successes are logged.
     pub sampler: sampler::Sampler,
     routing: sync::RwLock<Option<sync::Arc<Routing>>>,
@@ -80,6 +82,10 @@
     changes: u64,
 }
 
+/// Accounts kept of past requests. Each takes about a kilobyte, and a process of today has some ten
+/// requests a second: the last minute.
+const ACCOUNTS: usize = 600;
+
 /// How long a want is taken to be under way before it is said again.
 const WANT_AGAIN: time::Millis = time::Millis(250);
 
@@ -121,6 +127,7 @@
             client: sageshed_vms::Client::new(""),
             neighbours,
             metrics: metrics::Metrics::default(),
+            accounts: sync::Mutex::new(accounts::Accounts::new(ACCOUNTS)),
             sampler: sampler::Sampler::default(),
             routing: sync::RwLock::new(None),
             core: sync::Mutex::new(core),
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -1,5 +1,6 @@
 //! What the commands and daemons do.
 
+pub mod accounts;
 pub mod clock;
 pub mod context;
 pub mod control;
--- a/tests/fleet/explaining.rs
+++ b/tests/fleet/explaining.rs
@@ -107,12 +107,51 @@
         };
         let answer = fleet.ask(0, &ask).expect(case.name);
         assert_eq!(answer.status(), case.status, "{}", case.name);
+        let account = account_of(&fleet, &id);
+        for part in ["rule ", "deadline ", "took ", "end "] {
+            assert!(account.contains(part), "{}: {account}", case.name);
+        }
         let text = || explain(&fleet, &id);
         let tells = |text: &str| case.says.iter().all(|it| text.contains(it));
         fleet.until("its lines are written", || tells(&text()));
     }
 }
 
+/// What `sageshed explain` prints of a request when it asks the live entry processes.
+fn account_of(fleet: &Fleet, id: &str) -> String {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_sageshed"));
+    command.args(["explain", id]);
+    for entry in &fleet.entries {
+        command.args(["--entry", &entry.metrics().to_string()]);
+    }
+    let out = command.output().expect("the program runs");
+    String::from_utf8_lossy(&out.stdout).into_owned()
+}
+
+/// An operator asks for the account of a request while it is still known to the entry process, which
+/// one of them it was being unknown. The account names the route, each endpoint it was sent to with
+/// what came of it, and how it ended. One that nobody has taken is said to be unknown.
+#[test]
+fn an_entry_process_tells_what_happened_to_a_request() {
+    let (fleet, engines) = Fleet::ready();
+    for engine in &engines {
+        engine.does(Does::Fails(500));
+    }
+    let answer = fleet.ask(1, &Ask::new("GET", "/again/x", "failed-1"));
+    assert_eq!(answer.expect("an answer").status(), 500);
+    for engine in &engines {
+        engine.does(Does::Answers);
+    }
+    let answer = fleet.ask(0, &Ask::new("GET", "/again/x", "answered-1"));
+    assert_eq!(answer.expect("an answer").status(), 200);
+    let failed = account_of(&fleet, "failed-1");
+    assert_eq!(failed.matches("\nsent ").count(), 2, "{failed}");
+    assert!(failed.contains("failed with status 500"), "{failed}");
+    let answered = account_of(&fleet, "answered-1");
+    assert!(answered.contains("answered with status 200"), "{answered}");
+    assert_eq!(account_of(&fleet, "never-came"), "");
+}
+
 /// What `sageshed logs` prints of a request.
 fn explain(fleet: &Fleet, id: &str) -> String {
     let out = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -20,6 +20,8 @@
     pub port: u16,
     /// The balancer's question, or the metrics of a control process.
     ready: u16,
+    /// Its figures and accounts.
+    metrics: u16,
     settings: path::PathBuf,
     role: &'static str,
     child: Option<process::Child>,
@@ -36,6 +38,11 @@
         operator::call(to, "GET", "/ready", "").map_or(0, |it| it.status())
     }
 
+    /// Where its figures and accounts are shown.
+    pub fn metrics(&self) -> net::SocketAddrV4 {
+        net::SocketAddrV4::new(self.ip, self.metrics)
+    }
+
     /// Whether a control process is a voter by its own figures.
     pub fn votes(&self) -> bool {
         let to = net::SocketAddrV4::new(self.ip, self.ready);
@@ -224,12 +231,15 @@
 
     fn new_entry(&self, at: u8) -> Process {
         let ip = self.ip(21 + at);
-        let [port, ready] = free_ports(ip, &[self.vms_port]);
+        let [port, ready, metrics] = free_ports(ip, &[self.vms_port]);
         let text = format!(
-            "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\nformat = \"json\"\noutput = \"stdout\"\n",
+            "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\nmetrics = \"{ip}:{metrics}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\nformat = \"json\"\noutput = \"stdout\"\n",
             self.discovery(ip, false)
         );
-        self.process("entry", at, ip, port, ready, &text)
+        Process {
+            metrics,
+            ..self.process("entry", at, ip, port, ready, &text)
+        }
     }
 
     fn process(
@@ -247,6 +257,7 @@
             ip,
             port,
             ready,
+            metrics: ready,
             settings,
             role,
             child: None,
