Learn how fast engines read for each model

Cause: one speed was learnt for each engine. The models of a service differ: small ones are read up to four times as fast as large ones on the same engine, so their answers made the prompts of the large ones look short.

Change: chooser/reading.rs learns the time for a token of each model, and of each engine by how much it is slower; what waits to be read is counted in microseconds, also between neighbours.

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -7,10 +7,6 @@
 use super::{Ask, STEP_MS, kept};
 use crate::{dialect, directory, neighbours};
 
-/// Tokens that an engine reads in a millisecond, until some were measured: the slowest that was told
-/// of the engines.
-const FIRST_RATE: f64 = 19.0;
-
 /// The time for an answer of a plain service, in milliseconds, until some were measured.
 const FIRST_SERVICE_MS: f64 = 30.0;
 
@@ -49,6 +45,9 @@
 /// stream as late by one pause of 400 ms.
 const PAUSE_MS: f64 = 330.0;
 
+/// Microseconds in a millisecond.
+pub(super) const MICROS: f64 = 1_000.0;
+
 /// Requests that one entry process has under way at one endpoint of a plain service, in parts of its
 /// places. Some may wait there: an endpoint that is never full is idle between two answers.
 const SERVICE_FILL: f64 = 1.5;
@@ -59,11 +58,11 @@
     pub(super) instance: directory::Instance,
     /// Requests of this process that are there.
     pub(super) in_flight: u32,
-    /// Tokens in those whose answer has not begun.
+    /// Microseconds that it takes to read those whose answer has not begun.
     pub(super) unread: u64,
     pub(super) load: Option<(dialect::Load, time::Instant)>,
-    /// Tokens a millisecond.
-    pub(super) rate: f64,
+    /// How many times as long as others it takes to read.
+    pub(super) slowness: f64,
     /// Time for an answer, in milliseconds; of plain services.
     pub(super) answer_ms: f64,
     /// When anything came from it last.
@@ -77,7 +76,7 @@
     pub(super) ejected_until: time::Instant,
     pub(super) denied: collections::HashMap<dialect::Wanted, time::Instant>,
     pub(super) kept: kept::Kept,
-    /// Tokens that other processes sent there and that are not read yet, with when they said so.
+    /// Microseconds that it takes to read what other processes sent there, with when they said so.
     pub(super) others: collections::HashMap<net::Ipv4Addr, (u64, time::Instant)>,
     /// The processes that are told what this one sends there.
     pub(super) group: Vec<net::Ipv4Addr>,
@@ -91,7 +90,7 @@
             in_flight: 0,
             unread: 0,
             load: None,
-            rate: FIRST_RATE,
+            slowness: 1.0,
             answer_ms: FIRST_SERVICE_MS,
             word_at: time::Instant(0),
             owed: 0,
@@ -157,14 +156,14 @@
         self.group = group;
     }
 
-    /// Tokens that wait to be read there, by this process and those that tell it.
+    /// Milliseconds of reading that wait there, by this process and those that tell it.
     fn unread_by_all(&self, now: time::Instant) -> f64 {
         let fresh = self
             .others
             .values()
             .filter(|(_, at)| now.since(*at) < UNREAD_KEPT);
-        let others: u64 = fresh.map(|(tokens, _)| *tokens).sum();
-        (self.unread + others) as f64
+        let others: u64 = fresh.map(|(micros, _)| *micros).sum();
+        (self.unread + others) as f64 / MICROS
     }
 
     /// Requests that wait there by its own latest word, which weighs less with age.
@@ -177,17 +176,17 @@
         f64::from(load.waiting) * weight
     }
 
-    /// Milliseconds until an engine has read the prompt.
-    pub(super) fn engine_ms(&self, now: time::Instant, tokens: u64) -> f64 {
+    /// Milliseconds until an engine has read a prompt that takes it `reading` of them.
+    pub(super) fn engine_ms(&self, now: time::Instant, reading: f64) -> f64 {
         let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
-        (self.unread_by_all(now) + tokens as f64) / self.rate + STEP_MS + stranger
+        self.unread_by_all(now) + reading + STEP_MS + stranger
     }
 
-    /// Whether reading so many tokens more would make its streams pause for too long. One prompt that
-    /// is too long by itself has to be read somewhere.
-    pub(super) fn would_pause(&self, now: time::Instant, tokens: u64) -> bool {
+    /// Whether reading for so many milliseconds more would make its streams pause for too long. One
+    /// prompt that is too long by itself has to be read somewhere.
+    pub(super) fn would_pause(&self, now: time::Instant, reading: f64) -> bool {
         let ahead = self.unread_by_all(now);
-        ahead > 0.0 && (ahead + tokens as f64) / self.rate > PAUSE_MS
+        ahead > 0.0 && ahead + reading > PAUSE_MS
     }
 
     /// Milliseconds until a plain service has answered.
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -19,6 +19,7 @@
 
 mod endpoint;
 mod kept;
+mod reading;
 
 use std::{collections, net};
 
@@ -27,12 +28,8 @@
 use self::endpoint::Endpoint;
 use crate::{config, dialect, directory, neighbours};
 
-/// The part that a new measurement has in the learned rate.
-const RATE_GAIN: f64 = 0.1;
-
-/// The bounds of a learned rate, in tokens a millisecond. A slow engine is some eight times slower
-/// than the rest; a measurement beyond says something else.
-const RATE_BOUNDS: (f64, f64) = (2.0, 60.0);
+/// The part that a new measurement has in the learned time of a plain service.
+const ANSWER_GAIN: f64 = 0.1;
 
 /// A request to an engine costs this at least, in milliseconds: one step of its batch.
 const STEP_MS: f64 = 10.0;
@@ -132,6 +129,8 @@
     pub address: net::SocketAddrV4,
     /// Tokens that it has to read.
     pub tokens: u64,
+    /// Microseconds that this is reckoned to take.
+    pub reading: u64,
     /// The estimated time until the answer begins.
     pub estimate: time::Millis,
 }
@@ -166,6 +165,7 @@
     random: u64,
     own: net::Ipv4Addr,
     entries: Vec<net::Ipv4Addr>,
+    paces: reading::Paces,
 }
 
 impl Chooser {
@@ -181,6 +181,7 @@
             random: seed | 1,
             own: net::Ipv4Addr::UNSPECIFIED,
             entries: Vec::new(),
+            paces: reading::Paces::default(),
         }
     }
 
@@ -216,8 +217,8 @@
         let Some(endpoint) = self.get_mut(key) else {
             return false;
         };
-        let before = endpoint.others.insert(from, (word.tokens, now));
-        before.is_some_and(|(tokens, _)| tokens > word.tokens)
+        let before = endpoint.others.insert(from, (word.micros, now));
+        before.is_some_and(|(micros, _)| micros > word.micros)
     }
 
     /// What to tell whom of an engine to which this process sends.
@@ -226,7 +227,7 @@
         let endpoint = self.get(pick.key)?;
         let word = neighbours::Unread {
             engine: neighbours::key(&endpoint.instance.id),
-            tokens: endpoint.unread,
+            micros: endpoint.unread,
         };
         Some((word, endpoint.group.clone()))
     }
@@ -333,7 +334,7 @@
         let calm = |list: &[arena::EndpointKey]| -> Vec<_> {
             let is_calm = |key: &arena::EndpointKey| {
                 let endpoint = self.get(*key);
-                endpoint.is_some_and(|it| !it.would_pause(now, it.unkept(ask)))
+                endpoint.is_some_and(|it| !it.would_pause(now, self.reading_ms(it, ask)))
             };
             list.iter().copied().filter(is_calm).collect()
         };
@@ -427,7 +428,7 @@
             return f64::INFINITY;
         };
         let work = if ask.wanted.is_some() {
-            endpoint.engine_ms(now, endpoint.unkept(ask))
+            endpoint.engine_ms(now, self.reading_ms(endpoint, ask))
         } else {
             endpoint.service_ms(now)
         };
@@ -435,6 +436,15 @@
         work + if is_far { FAR_MS } else { 0.0 }
     }
 
+    /// Milliseconds that the endpoint takes to read the prompt.
+    fn reading_ms(&self, endpoint: &Endpoint, ask: &Ask<'_>) -> f64 {
+        let Some(wanted) = ask.wanted else {
+            return 0.0;
+        };
+        let pace = self.paces.ms_per_token(&wanted.model);
+        endpoint.unkept(ask) as f64 * pace * endpoint.slowness
+    }
+
     /// What the endpoint's failures count against it.
     fn failures(&self, now: time::Instant, key: arena::EndpointKey) -> f64 {
         let against = |it: &Endpoint| it.failure_ms(now) + it.silence_ms(now);
@@ -447,12 +457,14 @@
         if estimate >= ask.left {
             return Choice::TooLate { estimate };
         }
+        let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
         let Some(endpoint) = self.get_mut(key) else {
             return Choice::Wait(Missing::Endpoint);
         };
         let tokens = endpoint.unkept(ask);
+        let reading = micros(reading_ms);
         endpoint.in_flight += 1;
-        endpoint.unread += tokens;
+        endpoint.unread += reading;
         if endpoint.owed == 0 {
             endpoint.owed_since = now;
         }
@@ -462,6 +474,7 @@
             instance: endpoint.instance.id.clone(),
             address: endpoint.instance.address,
             tokens,
+            reading,
             estimate,
         })
     }
@@ -481,22 +494,22 @@
         endpoint.owed = endpoint.owed.saturating_sub(1);
         endpoint.word_at = now;
         let ahead = endpoint.unread;
-        endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
+        endpoint.unread = endpoint.unread.saturating_sub(pick.reading);
         if let Some(load) = load {
             endpoint.load = Some((load, now));
         }
         endpoint.ejection = time::Millis(0);
         let Some(read) = read else {
             let ms = took.0 as f64;
-            endpoint.answer_ms += RATE_GAIN * (ms.min(1_000.0) - endpoint.answer_ms);
+            endpoint.answer_ms += ANSWER_GAIN * (ms.min(1_000.0) - endpoint.answer_ms);
             return;
         };
         endpoint.kept.remember(read.wanted, read.parts);
         let reading = took.0 as f64 - STEP_MS;
-        if reading > STEP_MS {
-            let (least, most) = RATE_BOUNDS;
-            let rate = (ahead.max(pick.tokens) as f64 / reading).clamp(least, most);
-            endpoint.rate += RATE_GAIN * (rate - endpoint.rate);
+        if reading > STEP_MS && pick.reading > 0 {
+            let factor = reading * endpoint::MICROS / ahead.max(pick.reading) as f64;
+            endpoint.slowness = reading::learn_slowness(endpoint.slowness, factor);
+            self.paces.learn(&read.wanted.model, factor);
         }
     }
 
@@ -528,7 +541,7 @@
         };
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         if !began {
-            endpoint.unread = endpoint.unread.saturating_sub(pick.tokens);
+            endpoint.unread = endpoint.unread.saturating_sub(pick.reading);
             endpoint.owed = endpoint.owed.saturating_sub(1);
         }
         if matches!(how, Ended::Answered | Ended::Refused | Ended::Misdirected) {
@@ -568,6 +581,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is cut to the range of the target"
+)]
+fn micros(ms: f64) -> u64 {
+    (ms * endpoint::MICROS).clamp(0.0, 1e12) as u64
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -26,8 +26,8 @@
 pub struct Unread {
     /// The engine, by [`key`].
     pub engine: u64,
-    /// Tokens that the sender has sent there and that are not read yet.
-    pub tokens: u64,
+    /// Microseconds that the engine takes to read what the sender has sent there and it has not read yet.
+    pub micros: u64,
 }
 
 /// The short name of an instance in datagrams.
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -137,6 +137,31 @@
     assert_eq!(tokens_of(&mut chooser, &m0).tokens, 1_000);
 }
 
+/// An engine holds a large model and a small one, which it reads three times as fast. Were one speed
+/// learnt for both, each prompt of the small one would make the next of the large one look short, and
+/// with it the pause of all streams there.
+#[test]
+fn each_model_has_its_own_speed() {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0", "m1"]));
+    let (large, small) = (wanted("m0", None), wanted("m1", None));
+    let answer = |chooser: &mut Chooser, wanted: &dialect::Wanted, took: u64| {
+        let pick = sent(chooser.choose(T0, &support::ask(wanted, 2_000)));
+        let read = Read { wanted, parts: &[] };
+        chooser.began(T0, &pick, Some(read), time::Millis(took), None);
+        chooser.ended(T0, &pick, Some(wanted), true, Ended::Answered);
+        pick.estimate
+    };
+    for _ in 0..100 {
+        answer(&mut chooser, &large, 115);
+        answer(&mut chooser, &small, 45);
+    }
+    let large = answer(&mut chooser, &large, 115);
+    let small = answer(&mut chooser, &small, 45);
+    assert!((105..=125).contains(&large.0), "{large:?}");
+    assert!((40..=55).contains(&small.0), "{small:?}");
+}
+
 /// What a request waits for where it can't be sent.
 struct Case {
     name: &'static str,
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -55,7 +55,8 @@
     }
 }
 
-/// Another entry process has just sent a prompt of 6,000 tokens to an engine. One of 3,000 on top
+/// Another entry process has just sent a prompt of 6,000 tokens to an engine, which takes 316 ms to
+/// read it. One of 3,000 on top
 /// would make all streams there pause for half a second, and each of them late. It goes to the other
 /// engine, or waits until the first is read.
 #[test]
@@ -64,15 +65,15 @@
     let neighbour = net::Ipv4Addr::new(10, 0, 1, 2);
     chooser.join_groups(net::Ipv4Addr::new(10, 0, 1, 1), &entries(7));
     chooser.know(&support::engine("e1", &["m0"]));
-    let word = |tokens| neighbours::Unread {
+    let word = |micros| neighbours::Unread {
         engine: neighbours::key("e1"),
-        tokens,
+        micros,
     };
     let m0 = dialect::Wanted {
         model: "m0".to_owned(),
         adapter: None,
     };
-    assert!(!chooser.hear(T0, neighbour, word(6_000)));
+    assert!(!chooser.hear(T0, neighbour, word(316_000)));
     let waits = Choice::Wait(Missing::Place);
     assert_eq!(chooser.choose(T0, &waiting_ask(&m0, 3_000)), waits);
     // It has waited for as long as makes sense.
@@ -95,7 +96,7 @@
     chooser.know(&support::engine("e1", &["m0"]));
     let word = neighbours::Unread {
         engine: neighbours::key("e1"),
-        tokens: 60_000,
+        micros: 3_000_000,
     };
     chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), word);
     let m0 = dialect::Wanted {
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -88,7 +88,7 @@
 
 /// Tells the neighbours after a change at the engine of `pick`.
 pub(super) fn tell<D: dialect::Dialect>(shared: &state::Shared<D>, pick: &chooser::Pick) {
-    let Some(neighbours) = shared.neighbours.as_ref().filter(|_| pick.tokens > 0) else {
+    let Some(neighbours) = shared.neighbours.as_ref().filter(|_| pick.reading > 0) else {
         return;
     };
     let word = shared.with_core(|core| core.chooser.word_on(pick));
