Let the choice of endpoints and turning away be set, to compare with baselines

Ruled out: a build of its own for each baseline, which nobody would run again.

Change: settings routing.choice (estimate, least_load, random) and routing.turn_away, with defaults that change nothing; a test of each.

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -176,6 +176,12 @@
         f64::from(load.waiting) * weight
     }
 
+    /// Requests that it runs, by its latest word or, without one, by what this process sent.
+    pub(super) fn running(&self) -> f64 {
+        let running = self.load.map_or(self.in_flight, |(load, _)| load.running);
+        f64::from(running)
+    }
+
     /// Milliseconds until an engine has read a prompt that takes it `reading` of them.
     pub(super) fn engine_ms(&self, now: time::Instant, reading: f64) -> f64 {
         let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -24,6 +24,7 @@
 use std::{collections, net};
 
 use sageshed_types::{arena, arena::Key, time};
+use serde::Deserialize;
 
 use self::endpoint::Endpoint;
 use crate::{config, dialect, directory, neighbours};
@@ -52,6 +53,39 @@
 /// By how much an engine without the adapter must be better than the best with it, in milliseconds.
 const WORTH_A_LOAD_MS: f64 = 120.0;
 
+/// How an endpoint is chosen among those that could take a request. All but [`Routing::Estimate`] are
+/// there to be compared with.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Routing {
+    /// The one whose answer is estimated to begin first.
+    #[default]
+    Estimate,
+    /// The one that runs the fewest requests by its latest word.
+    LeastLoad,
+    /// Any.
+    Random,
+}
+
+/// How a chooser decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// How an endpoint is chosen.
+    pub choice: Routing,
+    /// Whether a request that can't be answered in its time is turned away when that is known.
+    pub turn_away: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            choice: Routing::Estimate,
+            turn_away: true,
+        }
+    }
+}
+
 /// What is asked for.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -166,6 +200,7 @@
     own: net::Ipv4Addr,
     entries: Vec<net::Ipv4Addr>,
     paces: reading::Paces,
+    policy: Policy,
 }
 
 impl Chooser {
@@ -182,9 +217,17 @@
             own: net::Ipv4Addr::UNSPECIFIED,
             entries: Vec::new(),
             paces: reading::Paces::default(),
+            policy: Policy::default(),
         }
     }
 
+    /// The same with another policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// A random number.
     pub fn draw(&mut self) -> u64 {
         // Marsaglia's xorshift.
@@ -378,7 +421,7 @@
             let key = keys[(at + offset) % keys.len()];
             // Whole milliseconds: by less than that an endpoint that failed long ago would never be
             // chosen again while the others are idle.
-            let ms = (self.estimate(now, key, ask) + self.failures(now, key)).floor();
+            let ms = self.measure(now, key, ask).floor();
             if best.is_none_or(|(least, _)| ms < least) {
                 best = Some((ms, key));
             }
@@ -386,6 +429,15 @@
         best
     }
 
+    /// By what endpoints are compared; the least is taken.
+    fn measure(&self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> f64 {
+        match self.policy.choice {
+            Routing::Estimate => self.estimate(now, key, ask) + self.failures(now, key),
+            Routing::LeastLoad => self.get(key).map_or(f64::INFINITY, Endpoint::running),
+            Routing::Random => 0.0,
+        }
+    }
+
     /// How soon some engine could hold `model`, which none does: by the nearest copy of its weights.
     #[must_use]
     pub fn load_time(&self, service: &str, model: &config::Model) -> time::Millis {
@@ -454,7 +506,7 @@
     fn send(&mut self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> Choice {
         // Failures say that an answer is less likely, not that it comes later.
         let estimate = span(self.estimate(now, key, ask));
-        if estimate >= ask.left {
+        if self.policy.turn_away && estimate >= ask.left {
             return Choice::TooLate { estimate };
         }
         let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sageshed_fleet::{
-    chooser::{Ask, Choice, Chooser, Ended, Missing, Pick, Read},
+    chooser::{Ask, Choice, Chooser, Ended, Missing, Pick, Policy, Read, Routing},
     dialect, directory,
 };
 use sageshed_types::{arena, time};
@@ -60,6 +60,55 @@
     assert_eq!(counts, [10, 10]);
 }
 
+/// One engine has much to read and runs little, the other the reverse. Each way of choosing goes by its
+/// own measure; without turning away a request goes out though its answer will be too late.
+#[test]
+fn each_policy_goes_by_its_own_measure() {
+    let m0 = wanted("m0", None);
+    let chosen = |choice| {
+        let mut chooser = two_engines().with_policy(Policy {
+            choice,
+            turn_away: true,
+        });
+        let mut counts = [0, 0];
+        for _ in 0..40 {
+            let pick = sent(chooser.choose(T0, &support::ask(&m0, 1_000)));
+            let at = usize::from(pick.instance == "e2");
+            counts[at] += 1;
+            let load = dialect::Load {
+                running: [1, 9][at],
+                waiting: 0,
+                slots: 64,
+            };
+            let read = Read {
+                wanted: &m0,
+                parts: &[],
+            };
+            chooser.began(T0, &pick, Some(read), time::Millis(70), Some(load));
+            chooser.ended(T0, &pick, Some(&m0), true, Ended::Answered);
+        }
+        counts
+    };
+    let [least, most] = chosen(Routing::LeastLoad);
+    assert!(least >= 38 && most <= 2, "{least} {most}");
+    let [one, other] = chosen(Routing::Random);
+    assert!(one >= 10 && other >= 10, "{one} {other}");
+    let policy = Policy {
+        choice: Routing::Estimate,
+        turn_away: false,
+    };
+    let hopeless = Ask {
+        left: time::Millis(50),
+        ..support::ask(&m0, 9_000)
+    };
+    let turned_away = two_engines().choose(T0, &hopeless);
+    assert!(
+        matches!(turned_away, Choice::TooLate { .. }),
+        "{turned_away:?}"
+    );
+    sent(two_engines().with_policy(policy).choose(T0, &hopeless));
+}
+
 /// A prompt whose beginning an engine has read before is read there in a part of the time.
 #[test]
 fn a_prompt_goes_to_the_engine_that_keeps_its_beginning() {
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -115,7 +115,8 @@
                 told_waiting = true;
                 self.tell_waiting();
             }
-            let queued = in_line.filter(|_| missing == chooser::Missing::Place);
+            let turns_away = self.shared.settings.routing.turn_away;
+            let queued = in_line.filter(|_| turns_away && missing == chooser::Missing::Place);
             if let Some(expected) = queued.and_then(|it| self.hopeless(now, it, left, ticket)) {
                 let detail = format!(
                     "those before it take {} ms, and {} ms are left",
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -105,7 +105,8 @@
         };
         let seed = start ^ (u64::from(u32::from(settings.discovery.ip)) << 32);
         let core = Core {
-            chooser: chooser::Chooser::new(&settings.availability_zone, seed),
+            chooser: chooser::Chooser::new(&settings.availability_zone, seed)
+                .with_policy(settings.routing),
             backlog: backlog::Backlog::default(),
             budget: budget::RetryBudget::new(budget::Allowance {
                 ratio: retries.ratio,
--- a/src/sageshed/settings/fleet.rs
+++ b/src/sageshed/settings/fleet.rs
@@ -6,6 +6,7 @@
 
 use std::{net, path};
 
+use sageshed_fleet::chooser;
 use sageshed_types::time;
 use serde::Deserialize;
 
@@ -56,6 +57,8 @@
     pub resources: Resources,
     /// How often requests may be sent again.
     pub retries: Retries,
+    /// How it chooses endpoints and turns requests away.
+    pub routing: chooser::Policy,
 }
 
 /// The settings of a control process of a fleet, checked.
@@ -195,6 +198,7 @@
     let shutdown = reader.section::<FleetShutdown>("shutdown");
     let resources = reader.section::<Resources>("resources").value;
     let retries = reader.section::<Retries>("retries").value;
+    let routing = reader.section::<chooser::Policy>("routing").value;
     problems.extend(reader.finish());
     check_shutdown(&shutdown, problems);
     Some(FleetEntry {
@@ -207,6 +211,7 @@
         shutdown: shutdown.value,
         resources,
         retries,
+        routing,
     })
 }
 
