Let the last lines of a process reach its log

Cause: lines are written by a thread of their own, which ends with the process.

Ruled out: an overrun of the grace period by the process itself.

Change: logs::start gives a value that waits at its end for up to 200 ms until the queue is written.

--- a/src/bin/sageshed/commands/control.rs
+++ b/src/bin/sageshed/commands/control.rs
@@ -31,7 +31,7 @@
     }
     let settings =
         settings::control(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
-    logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    let _logs = logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
     let options = control::Options {
@@ -44,7 +44,7 @@
 fn exec_fleet(cx: &context::Context, file: &path::Path) -> Result<(), Failure> {
     let settings = settings::fleet_control(file)
         .map_err(|problems| Failure::Problems(problems.to_string()))?;
-    logs::start(&settings.control.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    let _logs = logs::start(&settings.control.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
     control::run_fleet(cx, &settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
--- a/src/bin/sageshed/commands/entry.rs
+++ b/src/bin/sageshed/commands/entry.rs
@@ -25,7 +25,7 @@
     }
     let settings =
         settings::entry(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
-    logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    let _logs = logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
     entry::run(cx, settings).map_err(|e| Failure::Refused(e.to_string()))
@@ -35,7 +35,7 @@
 fn exec_fleet(cx: &context::Context, file: &path::Path) -> Result<(), Failure> {
     let settings =
         settings::fleet_entry(file).map_err(|problems| Failure::Problems(problems.to_string()))?;
-    logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
+    let _logs = logs::start(&settings.log).map_err(|e| Failure::Refused(e.to_string()))?;
     cx.watch_signals()
         .map_err(|e| Failure::Refused(format!("cannot watch for signals: {e}")))?;
     gateway::run(cx, settings, Platform).map_err(|e| Failure::Refused(e.to_string()))
--- a/src/sageshed/logs.rs
+++ b/src/sageshed/logs.rs
@@ -16,7 +16,7 @@
     fmt::Write,
     io, path,
     sync::{self, atomic, mpsc},
-    thread,
+    thread, time,
 };
 
 use derive_more::{Display, Error};
@@ -43,9 +43,43 @@
     },
 }
 
+/// How long the end of a process waits for its last lines to be written: several times what a full
+/// queue takes, and half of what an entry process leaves of its grace period. A reader that has stopped
+/// to read must not keep the process from ending.
+const LAST_LINES: time::Duration = time::Duration::from_millis(200);
+
+/// Between two looks at whether they are.
+const LOOK: time::Duration = time::Duration::from_millis(2);
+
+/// How many lines wait to be written, and how many were left out since the last that was.
+#[derive(Debug, Default)]
+struct Queue {
+    waiting: atomic::AtomicUsize,
+    left_out: atomic::AtomicU64,
+}
+
+/// The logs of a process. Dropped at its end, it waits a little for the last lines: they say how the
+/// process has stopped, and the thread that writes them ends with the process.
+#[derive(Debug)]
+#[must_use]
+pub struct Logs {
+    queue: sync::Arc<Queue>,
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        let until = time::Instant::now() + LAST_LINES;
+        while self.queue.waiting.load(atomic::Ordering::SeqCst) > 0 && time::Instant::now() < until
+        {
+            thread::sleep(LOOK);
+        }
+    }
+}
+
 /// Starts the logs of this process.
-pub fn start(log: &settings::Log) -> Result<(), StartError> {
+pub fn start(log: &settings::Log) -> Result<Logs, StartError> {
     let format = log.format;
+    let queue = sync::Arc::new(Queue::default());
     let dispatch = fern::Dispatch::new()
         .level(level(log.level))
         // The client library logs the head of each request, and with it the group's token and the
@@ -56,7 +90,7 @@
             out.finish(format_args!("{}", line(format, now, record)));
         });
     let dispatch = match &log.file {
-        None => dispatch.chain(buffered(log.output)),
+        None => dispatch.chain(buffered(log.output, &queue)),
         Some(file) => dispatch.chain(fern::log_file(file).map_err(|source| StartError::File {
             file: file.clone(),
             source,
@@ -64,7 +98,8 @@
     };
     dispatch
         .apply()
-        .map_err(|source| StartError::Twice { source })
+        .map_err(|source| StartError::Twice { source })?;
+    Ok(Logs { queue })
 }
 
 /// Lines that may wait to be written. At some 200 bytes a line it is one megabyte.
@@ -73,10 +108,10 @@
 /// Writes lines by a thread of its own. Whoever reads them may stop to read, and the pipe fills: a
 /// request must not wait for that. Past the bound lines are left out, and the next that is written
 /// says how many.
-fn buffered(output: settings::Output) -> fern::Output {
+fn buffered(output: settings::Output, queue: &sync::Arc<Queue>) -> fern::Output {
     let (tx, rx) = mpsc::sync_channel::<String>(WAITING_LINES);
-    let left_out = sync::Arc::new(atomic::AtomicU64::new(0));
-    let counted = sync::Arc::clone(&left_out);
+    let queue = sync::Arc::clone(queue);
+    let counted = sync::Arc::clone(&queue);
     let spawned = thread::Builder::new()
         .name("logs".to_owned())
         .spawn(move || match output {
@@ -91,29 +126,26 @@
         };
     }
     fern::Output::call(move |record| {
+        queue.waiting.fetch_add(1, atomic::Ordering::SeqCst);
         if tx.try_send(record.args().to_string()).is_err() {
-            left_out.fetch_add(1, atomic::Ordering::Relaxed);
+            queue.waiting.fetch_sub(1, atomic::Ordering::SeqCst);
+            queue.left_out.fetch_add(1, atomic::Ordering::Relaxed);
         }
     })
 }
 
-fn write_lines<W: io::Write>(
-    rx: &mpsc::Receiver<String>,
-    left_out: &atomic::AtomicU64,
-    mut out: W,
-) {
+fn write_lines<W: io::Write>(rx: &mpsc::Receiver<String>, queue: &Queue, mut out: W) {
     while let Ok(line) = rx.recv() {
-        let missing = left_out.swap(0, atomic::Ordering::Relaxed);
+        let missing = queue.left_out.swap(0, atomic::Ordering::Relaxed);
         let note = if missing > 0 {
             format!("{missing} lines of the log were left out: nobody read them in time\n")
         } else {
             String::new()
         };
         // A stream that is closed has nobody to tell.
-        if writeln!(out, "{note}{line}")
-            .and_then(|()| out.flush())
-            .is_err()
-        {
+        let written = writeln!(out, "{note}{line}").and_then(|()| out.flush());
+        queue.waiting.fetch_sub(1, atomic::Ordering::SeqCst);
+        if written.is_err() {
             return;
         }
     }
--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -66,6 +66,12 @@
         assert_eq!(caller.join().expect("it asked"), Vec::<String>::new());
     }
     assert!(status.success());
+    // The last word of a process must reach its log: without it nobody can tell an end from a crash.
+    let log = fleet.entries[0].log();
+    assert!(
+        log.contains("\"stopped\""),
+        "the log ends without a word of the stop"
+    );
 }
 
 /// A stream that began before the stop ends long after it, and its caller sends the next request on
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -1,6 +1,8 @@
 //! How a record looks to people and to programs.
 
-use sageshed::{logs, settings::Format};
+use std::{env, process, thread, time};
+
+use sageshed::{logs, settings, settings::Format};
 
 struct Case {
     name: &'static str,
@@ -57,3 +59,47 @@
         assert_eq!(line(Format::Json), json, "{}", case.name);
     }
 }
+
+/// Set for a run of this binary that plays a process.
+const PLAYS: &str = "SAGESHED_TEST_WRITES_LOGS";
+
+/// Lines that the process writes; fewer than may wait.
+const LINES: usize = 4_000;
+
+/// Looks at whether the process has ended before its lines are read.
+const LOOKS: usize = 30;
+
+/// A process writes its last lines and ends. They wait for a thread of their own, which ends with the
+/// process: an engineer would find a log that breaks off as after a crash. So its end waits for them.
+#[test]
+fn the_last_lines_of_a_process_reach_its_log() {
+    if env::var_os(PLAYS).is_some() {
+        let log = settings::Log {
+            output: settings::Output::Stdout,
+            ..settings::Log::default()
+        };
+        let logs = logs::start(&log).expect("logs are started once");
+        for number in 0..LINES {
+            log::info!(number; "test: line");
+        }
+        drop(logs);
+        process::exit(0);
+    }
+    let own = env::current_exe().expect("this binary");
+    let mut child = process::Command::new(own)
+        .args(["the_last_lines_of_a_process_reach_its_log", "--nocapture"])
+        .env(PLAYS, "1")
+        .stdout(process::Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    // The pipe takes some hundred lines, the others wait. A process that does not wait for them ends.
+    for _ in 0..LOOKS {
+        if child.try_wait().expect("it is known").is_some() {
+            break;
+        }
+        thread::sleep(time::Duration::from_millis(1));
+    }
+    let out = child.wait_with_output().expect("it ends");
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(text.matches("test: line").count(), LINES);
+}
