--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -123,9 +123,14 @@
         ask.prompt_tokens.saturating_sub(kept)
     }
 
-    pub(super) fn failure_ms(&self, now: time::Instant) -> f64 {
+    /// Its failures, each of which counts less with time.
+    fn failures_now(&self, now: time::Instant) -> f64 {
         let age = now.since(self.failed_at).0 as f64;
-        self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) * FAILURE_MS
+        self.failures * 0.5_f64.powf(age / FORGIVEN_HALF)
+    }
+
+    pub(super) fn failure_ms(&self, now: time::Instant) -> f64 {
+        self.failures_now(now) * FAILURE_MS
     }
 
     /// What its silence counts against it.
@@ -138,8 +143,7 @@
     }
 
     pub(super) fn fail(&mut self, now: time::Instant) {
-        let age = now.since(self.failed_at).0 as f64;
-        self.failures = self.failures * 0.5_f64.powf(age / FORGIVEN_HALF) + 1.0;
+        self.failures = self.failures_now(now) + 1.0;
         self.failed_at = now;
     }
 
--- /dev/null
+++ b/crates/sageshed-fleet/src/planner/wants.rs
@@ -0,0 +1,132 @@
+//! Adapters that requests wait for: where each is loaded, and which one makes room.
+
+use sageshed_types::time;
+
+use super::{Action, Planner, Pool, engine};
+use crate::{dialect, directory, messages};
+
+/// How long an adapter that was in use is not given up, so that the requests for it are done.
+const ADAPTER_REST: time::Millis = time::Millis(1_500);
+
+/// A want of an adapter that is not served yet.
+#[derive(Debug, Clone)]
+pub(super) struct Want {
+    pub(super) req: messages::WantReq,
+    pub(super) at: time::Instant,
+}
+
+/// What came of a want.
+enum Served {
+    /// The adapter is there or on its way.
+    Done,
+    /// This order serves it, or makes room for it.
+    By(dialect::Order),
+    /// No engine can take it now.
+    Later,
+}
+
+impl Planner {
+    /// Has adapters loaded for which requests wait.
+    pub(super) fn serve_wants(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let wants = std::mem::take(&mut self.wants);
+        for want in wants {
+            if want.req.service != pool.service {
+                self.wants.push(want);
+                continue;
+            }
+            match self.serve_want(now, pool, &want.req) {
+                Served::Done => {}
+                Served::By(order) => {
+                    let is_eviction = matches!(order.task, dialect::Task::UnloadAdapter(..));
+                    actions.push(Action::Order(order));
+                    if is_eviction {
+                        self.wants.push(want);
+                    }
+                }
+                Served::Later => self.wants.push(want),
+            }
+        }
+        actions
+    }
+
+    fn serve_want(
+        &mut self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        req: &messages::WantReq,
+    ) -> Served {
+        let holders: Vec<&directory::Instance> = pool
+            .instances
+            .iter()
+            .filter(|it| it.resident(&req.model).is_some())
+            .copied()
+            .collect();
+        let is_there = |it: &&directory::Instance| {
+            let coming = |engine: &engine::Engine| engine.awaits(&req.model, &req.adapter);
+            it.holds(&req.model, Some(&req.adapter)) || self.engines.get(&it.id).is_some_and(coming)
+        };
+        let is_meant = |it: &&directory::Instance| {
+            let engine = req.engine.as_ref();
+            engine.is_none_or(|id| *id == it.id)
+        };
+        if holders.iter().filter(|it| is_meant(it)).any(is_there) {
+            return Served::Done;
+        }
+        let is_elsewhere = holders.iter().any(is_there);
+        let room = |it: &&directory::Instance| {
+            let engine = self.engines.get(&it.id)?;
+            let used = engine.adapters_at_worst(it);
+            let free = (pool.offer.adapter_slots as usize).checked_sub(used + 1)?;
+            (engine.takes_adapters(now)).then_some((free, it.id.clone()))
+        };
+        let meant = holders.iter().filter(|it| is_meant(it));
+        let mut roomiest = meant.filter_map(room).max();
+        if roomiest.is_none() && !is_elsewhere {
+            roomiest = holders.iter().filter_map(room).max();
+        }
+        let task = dialect::Task::LoadAdapter(req.model.clone(), req.adapter.clone());
+        if let Some((_, id)) = roomiest {
+            return self
+                .order(now, pool, &id, task)
+                .map_or(Served::Later, Served::By);
+        }
+        if is_elsewhere {
+            // A second copy is not worth another adapter's place.
+            return Served::Done;
+        }
+        self.evict_for(now, pool, &holders)
+    }
+
+    /// Gives up the adapter that was not used for longest, on an engine that could take another.
+    fn evict_for(
+        &mut self,
+        now: time::Instant,
+        pool: &Pool<'_>,
+        holders: &[&directory::Instance],
+    ) -> Served {
+        let mut oldest: Option<(time::Instant, String, dialect::Task)> = None;
+        for instance in holders {
+            let takes = |it: &engine::Engine| it.takes_adapters(now);
+            if !self.engines.get(&instance.id).is_some_and(takes) {
+                continue;
+            }
+            for resident in &instance.models {
+                for adapter in &resident.adapters {
+                    let used = self.demand.last_use(pool.service, &resident.model, adapter);
+                    let rested = now.since(used) >= ADAPTER_REST;
+                    if rested && oldest.as_ref().is_none_or(|(at, ..)| used < *at) {
+                        let (model, name) = (resident.model.clone(), adapter.clone());
+                        let task = dialect::Task::UnloadAdapter(model, name);
+                        oldest = Some((used, instance.id.clone(), task));
+                    }
+                }
+            }
+        }
+        let Some((_, id, task)) = oldest else {
+            return Served::Later;
+        };
+        self.order(now, pool, &id, task)
+            .map_or(Served::Later, Served::By)
+    }
+}
