Ask for an adapter on the engine where it was asked for first

A request asks again when anything changes before the adapter is there, and since what one model and adapter has read is kept for no other, both engines are equal to it and the second question may name the other one. Before, the part that the bare model had read broke the tie.

Ruled out: load, as it fails alone too; the planner, which serves two wants for two engines as told.

Change: a request asks for the engine that it named first.

--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -57,6 +57,9 @@
         let arrived = std_time::Instant::now();
         let mut told_waiting = false;
         let mut fetches = 0;
+        // Where the adapter was asked for first. Of engines that are equal another might be chosen the
+        // next time, and the adapter be loaded on both.
+        let mut fetched_on: Option<String> = None;
         loop {
             if watch.caller_gone() {
                 return Step::Gone;
@@ -104,7 +107,7 @@
                 }
                 chooser::Choice::Fetch { instance } => {
                     fetches += 1;
-                    self.want(now, instance);
+                    self.want(now, fetched_on.get_or_insert(instance).clone());
                     let _changes = self.shared.wait(seen, FETCH_WAIT.min(left.into()));
                     continue;
                 }
