Give no port out twice to the VMs of the driver's test

Cause: a_process_that_stops_on_a_full_disk_acknowledges_nothing failed once: its settings were refused. Each port was let go before the next was chosen, so two VMs could get one address. Ruled out: the driver; nothing had started. Change: all six are held until the last is chosen; the assertions are as they were.

--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -186,12 +186,13 @@
 
 fn settings(dir: &path::Path) -> settings::Control {
     let mut common = String::new();
-    for number in 1..=3 {
-        // Ports on which nobody listens: bound for a moment, and let go.
-        let [entry, control] = [(); 2].map(|()| {
-            let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-            listener.local_addr().unwrap()
-        });
+    // Ports on which nobody listens: bound for a moment, and let go once all are chosen. One that is let
+    // go before may be given out again, and the settings are refused for two VMs at one address.
+    let held = [(); 6].map(|()| net::TcpListener::bind("127.0.0.1:0").unwrap());
+    let ports = held.each_ref().map(|it| it.local_addr().unwrap());
+    drop(held);
+    for (number, pair) in (1..=3).zip(ports.chunks(2)) {
+        let (entry, control) = (pair[0], pair[1]);
         write!(
             common,
             "[[vms]]\nname = \"vm{number}\"\nnumber = {number}\navailability_zone = \"z1\"\n\
