Do not send an engine requests for a model that it drops

Cause: an unload waits for the requests that run, for seconds, and the engine announces the model until then. Ruled out: full engines (none had its places taken), lost orders (all were accepted). Change: the leader hides a model again as long as its unload is under way; an engine that rejects a request is not asked for that model for 500 ms, whatever it announces. A rejection by a plain service counted by the time of an older failure, so as nothing; it counts from now. Tests: each fails with its guard out of the code (not asked, not hidden).

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -16,6 +16,14 @@
 /// In which time a failure counts half, in milliseconds.
 const FORGIVEN_HALF: f64 = 1_500.0;
 
+/// What a rejection counts against an endpoint of a plain service, in failures: its request goes
+/// elsewhere at once.
+const REJECTION_WEIGHT: f64 = 0.2;
+
+/// How long an engine that rejected a request for a model is not asked for it. An unload takes as long
+/// as the requests that run, up to seconds; each that finds out costs one repeat.
+const REJECTION_REST: time::Millis = time::Millis(500);
+
 /// What one failure adds to the estimate, in milliseconds.
 const FAILURE_MS: f64 = 250.0;
 
@@ -75,6 +83,8 @@
     pub(super) ejection: time::Millis,
     pub(super) ejected_until: time::Instant,
     pub(super) denied: collections::HashMap<dialect::Wanted, time::Instant>,
+    /// Models for which it rejected requests, with until when it is not asked for them.
+    rejects: collections::HashMap<String, time::Instant>,
     pub(super) kept: kept::Kept,
     /// Microseconds that it takes to read what other processes sent there, with when they said so.
     pub(super) others: collections::HashMap<net::Ipv4Addr, (u64, time::Instant)>,
@@ -100,6 +110,7 @@
             ejection: time::Millis(0),
             ejected_until: time::Instant(0),
             denied: collections::HashMap::new(),
+            rejects: collections::HashMap::new(),
             kept: kept::Kept::default(),
             others: collections::HashMap::new(),
             group: Vec::new(),
@@ -108,8 +119,11 @@
     }
 
     pub(super) fn holds(&self, now: time::Instant, wanted: &dialect::Wanted) -> bool {
-        let denied = self.denied.get(wanted).is_some_and(|until| now < *until);
+        let is_before = |until: &time::Instant| now < *until;
+        let denied = self.denied.get(wanted).is_some_and(is_before);
+        let rejects = self.rejects.get(&wanted.model).is_some_and(is_before);
         !denied
+            && !rejects
             && self
                 .instance
                 .holds(&wanted.model, wanted.adapter.as_deref())
@@ -143,10 +157,33 @@
     }
 
     pub(super) fn fail(&mut self, now: time::Instant) {
-        self.failures = self.failures_now(now) + 1.0;
+        self.count_failure(now, 1.0);
+    }
+
+    fn count_failure(&mut self, now: time::Instant, weight: f64) {
+        self.failures = self.failures_now(now) + weight;
         self.failed_at = now;
     }
 
+    /// It rejected a request without having run it: it is full, or it drops or loads the model.
+    ///
+    /// An announcement does not lift this, as an engine that drops a model announces it until the
+    /// requests that run there are done.
+    pub(super) fn reject(&mut self, now: time::Instant, wanted: Option<&dialect::Wanted>) {
+        match wanted {
+            Some(wanted) => drop(
+                self.rejects
+                    .insert(wanted.model.clone(), now + REJECTION_REST),
+            ),
+            None => self.count_failure(now, REJECTION_WEIGHT),
+        }
+    }
+
+    /// It reads for this model.
+    pub(super) fn accept(&mut self, wanted: &dialect::Wanted) {
+        self.rejects.remove(&wanted.model);
+    }
+
     pub(super) fn eject(&mut self, now: time::Instant) {
         let doubled = time::Millis(self.ejection.0 * 2);
         self.ejection = doubled.clamp(FIRST_EJECTION, LONGEST_EJECTION);
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -451,6 +451,7 @@
             endpoint.answer_ms += ANSWER_GAIN * (ms.min(1_000.0) - endpoint.answer_ms);
             return;
         };
+        endpoint.accept(read.wanted);
         endpoint.kept.remember(read.wanted, read.parts);
         let reading = took.0 as f64 - STEP_MS;
         if reading > STEP_MS && pick.reading > 0 {
@@ -497,7 +498,7 @@
         match how {
             Ended::Answered | Ended::GivenUp => {}
             Ended::Failed => endpoint.fail(now),
-            Ended::Refused => endpoint.failures += 0.2,
+            Ended::Refused => endpoint.reject(now, wanted),
             Ended::Unreachable => {
                 endpoint.fail(now);
                 endpoint.eject(now);
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -136,6 +136,20 @@
         tasks
     }
 
+    /// The models that it has been told to drop and that its own word shows again.
+    ///
+    /// An unload waits for the requests that run, for seconds, and the engine announces the model until
+    /// then. Shown to entry processes, it went on to be sent requests for the model and rejected each:
+    /// 391 of 2,454 on a simulated day, which used up the repeats that failed requests needed.
+    pub(super) fn dropped_but_shown(&self, instance: &directory::Instance) -> Vec<dialect::Task> {
+        let dropped = self.open.iter().filter(|it| {
+            let is_dropped = matches!(it.task, dialect::Task::Unload(_));
+            let is_taken = matches!(it.fate, Fate::Accepted(_));
+            is_dropped && is_taken && instance.resident(it.task.model()).is_some()
+        });
+        dropped.map(|it| it.task.clone()).collect()
+    }
+
     fn drops_adapter(&self, model: &str, adapter: &str) -> bool {
         self.open.iter().any(|it| {
             matches!(&it.task, dialect::Task::UnloadAdapter(m, a) if m == model && a == adapter)
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -256,7 +256,7 @@
             return Vec::new();
         }
         self.see(now, instances);
-        let mut actions = self.unshown_adapters(now, instances);
+        let mut actions = self.correct(now, instances);
         for service in &config.services {
             let Some(offer) = &service.engines else {
                 continue;
@@ -318,19 +318,18 @@
         self.wants.retain(|it| now.since(it.at) < WANT_LIFE);
     }
 
-    /// Shows the adapters that engines were told to load, once they had the time to arrive.
-    fn unshown_adapters(
-        &self,
-        now: time::Instant,
-        instances: &[&directory::Instance],
-    ) -> Vec<Action> {
+    /// Corrects what engines announce by the orders that they have taken: shows adapters once they had
+    /// the time to arrive, and hides models that are on their way out.
+    fn correct(&self, now: time::Instant, instances: &[&directory::Instance]) -> Vec<Action> {
         let mut actions = Vec::new();
         for instance in instances {
             let Some(engine) = self.engines.get(&instance.id) else {
                 continue;
             };
-            let unshown = engine.unshown(now, instance);
-            actions.extend(unshown.iter().map(|task| amend(&instance.id, task)));
+            let tasks = engine.unshown(now, instance);
+            let hidden = engine.dropped_but_shown(instance);
+            let tasks = tasks.iter().chain(&hidden);
+            actions.extend(tasks.map(|task| amend(&instance.id, task)));
         }
         actions
     }
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -320,6 +320,28 @@
     assert_ne!(next.instance, pick.instance);
 }
 
+/// An engine drops a model, which takes as long as the requests that run there, and announces it until
+/// then. It rejects a request for the model, and the next callers must not each be rejected as well: the
+/// repeats that this costs are then missing for requests that failed. Its other models are asked for on.
+#[test]
+fn an_engine_that_rejects_requests_for_a_model_is_not_asked_for_it_while_it_announces_it() {
+    let mut chooser = Chooser::new("z1", 7);
+    let engine = |sequence| directory::Instance {
+        sequence,
+        ..support::engine("e1", &["m0", "m1"])
+    };
+    chooser.know(&engine(1));
+    let (m0, m1) = (wanted("m0", None), wanted("m1", None));
+    let pick = sent(chooser.choose(T0, &support::ask(&m0, 100)));
+    chooser.ended(T0, &pick, Some(&m0), false, Ended::Refused);
+    chooser.know(&engine(2));
+    let next = chooser.choose(T0, &support::ask(&m0, 100));
+    assert_eq!(next, Choice::Wait(Missing::Model));
+    sent(chooser.choose(T0, &support::ask(&m1, 100)));
+    let later = T0 + time::Millis(600);
+    sent(chooser.choose(later, &support::ask(&m0, 100)));
+}
+
 /// Twenty prompts wait at the only engine. Another request has 300 ms left: it would be answered in
 /// two seconds, so it is turned away now and not after its time.
 #[test]
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -300,6 +300,38 @@
     }
 }
 
+/// An engine is told to drop a model, and announces it until the requests that run there are done.
+/// Shown to entry processes, they would send it requests for the model, and it would reject each.
+#[test]
+fn a_model_on_its_way_out_is_hidden_though_its_engine_announces_it() {
+    let mut world = World::new(&[
+        ("e1", &["m0", "m1", "m2"]),
+        ("e2", &["m0", "m1", "m2"]),
+        ("e3", &["m0", "m1", "m3"]),
+    ]);
+    let is_unload = |(_, order): &(time::Instant, Order)| matches!(order.task, Task::Unload(_));
+    while !world.orders.iter().any(is_unload) {
+        world.ask("m3", 1_000);
+        world.run(50);
+    }
+    let (_, order) = world
+        .orders
+        .iter()
+        .find(|it| is_unload(it))
+        .cloned()
+        .expect("an unload");
+    let model = order.task.model().to_owned();
+    let mut announced = world.engines[&order.instance].instance.clone();
+    announced.models.push(support::resident(&model, &[]));
+    world.now = world.now + STEP;
+    let actions = world.planner.tick(world.now, &world.config, &[&announced]);
+    let hidden = Action::Amend {
+        instance: order.instance,
+        task: order.task,
+    };
+    assert!(actions.contains(&hidden), "{actions:?}");
+}
+
 /// Callers ask for more than all engines can read, so each copy of each model has more work than it
 /// should. One model has a single copy with four times the work of the copies of another. A copy of
 /// that one must give way, or the callers of the first are turned away while others hardly wait.
