Ask the last leader at a start whether it still leads, and let it stand first

Change: the disk names the leader of the node's term, the only one that may count on its promise; a voter that starts asks it, and is released if it does not lead or its VM has another disk generation. The former leader stands once a majority has asked. A candidate that meets another's votes tries again within a heartbeat. Only in front of a fleet: the leases of our own interface outlive the leader's process. Ruled out: a shorter election timeout (leaders lost to a slow disk or a busy core); release by a majority's word (a leader behind a cut may hold a lease that only the missing one knows of).

--- a/crates/sageshed-quorum/src/config.rs
+++ b/crates/sageshed-quorum/src/config.rs
@@ -31,6 +31,10 @@
     /// Heartbeats without an answer to a snapshot after which it is sent again. Larger, since the
     /// receiver writes and syncs the whole of it before it answers.
     pub snapshot_retry_heartbeats: u32,
+    /// Whether a node that starts again asks its last leader whether its promise still binds it, in
+    /// place of waiting for an election timeout. Off where a leader grants leases to others, as they
+    /// may outlive its process.
+    pub checks_restart: bool,
     /// See [`Guards`]. Products leave the default.
     pub guards: Guards,
 }
@@ -50,9 +54,17 @@
             promotion_lag: 64,
             append_retry_heartbeats: 2,
             snapshot_retry_heartbeats: 20,
+            checks_restart: false,
             guards: Guards::default(),
         }
     }
+
+    /// How long after a majority has asked the former leader it stands for election: its answers have
+    /// arrived by then. Also the time between two such questions. A quarter of the time between
+    /// heartbeats, which is several times the way between VMs.
+    pub(crate) fn start_delay(&self) -> time::Millis {
+        time::Millis((self.heartbeat_interval.0 / 4).max(1))
+    }
 }
 
 /// What keeps the log safe, each of which can be taken away to see that it is needed.
@@ -88,6 +100,8 @@
     pub read_round: bool,
     /// What is to be on disk is synced before any message that depends on it.
     pub sync: bool,
+    /// A node that starts again is released from its promise only by the leader that it gave it to.
+    pub restart_check: bool,
 }
 
 impl Default for Guards {
@@ -104,6 +118,7 @@
             caught_up: true,
             read_round: true,
             sync: true,
+            restart_check: true,
         }
     }
 }
--- a/crates/sageshed-quorum/src/election.rs
+++ b/crates/sageshed-quorum/src/election.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use crate::{event, log, message, node, output, state};
+use crate::{event, log, message, node, output, restart, state};
 
 impl node::Node {
     /// The instant until which no other leader can have been elected, on this node's clock.
@@ -55,6 +55,7 @@
         }
         self.state.leader = None;
         self.state.heard_leader = false;
+        self.state.start = restart::Start::Over;
         self.state.role = state::Role::Follower;
         self.restart_election_timer();
         let voter = self.state.log.membership().voters.contains(&self.cfg.id);
@@ -200,9 +201,19 @@
         if grants {
             granted.insert(from);
             self.count_votes(out);
+        } else {
+            self.stand_again_soon();
         }
     }
 
+    /// Another candidate has got votes of this term. Where just a majority of the group is up, both
+    /// then lack one, and callers would wait for a whole election timeout. The next try begins with a
+    /// pre-vote, so a candidate that can't win disturbs nobody.
+    fn stand_again_soon(&mut self) {
+        let extra = time::Millis(self.draw(self.cfg.heartbeat_interval.0.max(1)));
+        self.stand_by(self.timers.now + self.cfg.start_delay() + extra);
+    }
+
     fn count_pre_votes(&mut self, out: &mut output::Output) {
         let state::Role::PreCandidate { granted } = &self.state.role else {
             return;
--- a/crates/sageshed-quorum/src/lib.rs
+++ b/crates/sageshed-quorum/src/lib.rs
@@ -22,4 +22,5 @@
 mod output;
 mod replication;
 mod requests;
+mod restart;
 mod rng;
--- a/crates/sageshed-quorum/src/message.rs
+++ b/crates/sageshed-quorum/src/message.rs
@@ -77,6 +77,18 @@
     Snapshot(log::Snapshot),
     /// The receiver's term is over: the sender knows a later one.
     Stale,
+    /// The sender has started again and may have promised the receiver not to vote: do you lead?
+    LeaderCheck {
+        /// Drawn at the sender's start; comes back in the answer.
+        number: u64,
+    },
+    /// The answer to [`Body::LeaderCheck`].
+    LeaderCheckReply {
+        /// That of the question.
+        number: u64,
+        /// Whether the sender leads, under the name by which it was asked.
+        leads: bool,
+    },
 }
 
 /// What a candidate shows of its log.
--- a/crates/sageshed-quorum/src/node.rs
+++ b/crates/sageshed-quorum/src/node.rs
@@ -9,7 +9,8 @@
 //! A voter that hears no leader for its randomized timeout first asks whether it would be elected
 //! (pre-vote), which changes nothing at those asked. Only with a majority it raises its term and
 //! asks for votes. A node that has heard its leader within the election timeout grants neither.
-//! After a restart it can't know when that was, and waits for one timeout as if it had just been.
+//! After a restart it can't know when that was, and waits for one timeout as if it had just been,
+//! or until that leader tells it that it leads no longer (`restart`).
 //! So a node that was cut off, or removed and not told, disturbs nobody.
 //!
 //! # Leases
@@ -35,7 +36,7 @@
 
 use sageshed_types::time;
 
-use crate::{config, entries, event, log, message, output, rng, state};
+use crate::{config, entries, event, log, message, output, restart, rng, state};
 
 /// One member of the group, or a node that waits to become one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -52,6 +53,8 @@
     pub(crate) now: time::Instant,
     /// When an election starts; unknown before the first event.
     pub(crate) election_due: Option<time::Instant>,
+    /// When the last leader is asked whether it still leads.
+    pub(crate) check_due: Option<time::Instant>,
     /// When a leader was last heard.
     pub(crate) heard: time::Instant,
     pub(crate) heartbeat_due: time::Instant,
@@ -86,6 +89,7 @@
             role: state::Role::Follower,
             leader: None,
             heard_leader: hard.term > log::Term::default(),
+            start: restart::Start::Over,
             removed: false,
             hard,
         };
@@ -97,6 +101,11 @@
         }
     }
 
+    /// A number below `bound`, which must not be zero.
+    pub(crate) fn draw(&mut self, bound: u64) -> u64 {
+        self.rng.below(bound)
+    }
+
     /// Handles one event at `now`, which must not go back.
     pub fn step(&mut self, now: time::Instant, event: event::Event) -> Vec<event::Action> {
         self.step_all(now, [event])
@@ -135,7 +144,10 @@
     pub fn next_deadline(&self) -> Option<time::Instant> {
         match &self.state.role {
             state::Role::Leader(_) => Some(self.timers.heartbeat_due.min(self.quorum_deadline())),
-            _ => self.timers.election_due,
+            _ => match (self.timers.election_due, self.check_due()) {
+                (Some(election), Some(check)) => Some(election.min(check)),
+                (election, _) => election,
+            },
         }
     }
 
@@ -165,7 +177,9 @@
         self.timers.now = self.timers.now.max(now);
         if self.timers.election_due.is_none() {
             self.timers.heard = self.timers.now;
+            self.timers.check_due = Some(self.timers.now + time::Millis(1));
             self.restart_election_timer();
+            self.start_of();
         }
         if self.is_leader() && self.timers.now >= self.quorum_deadline() {
             self.lose_quorum(out);
@@ -192,13 +206,22 @@
             if now >= self.timers.heartbeat_due {
                 self.heartbeat_due(out);
             }
-        } else if self.timers.election_due.is_some_and(|due| now >= due) {
+            return;
+        }
+        self.check_leader(out);
+        if self.timers.election_due.is_some_and(|due| now >= due) {
             self.election_timeout(out);
         }
     }
 
     fn receive(&mut self, from: log::NodeId, message: message::Message, out: &mut output::Output) {
         let message::Message { to, term, body } = message;
+        if let message::Body::LeaderCheck { number } = body {
+            if to.vm == self.cfg.id.vm {
+                self.on_leader_check(from, to, number, out);
+            }
+            return;
+        }
         // A VM that lost its disk is reached under its old name too. What is said to that name
         // rests on what the lost disk held, and an answer to it would vouch for it.
         if to != self.cfg.id {
@@ -210,6 +233,10 @@
             message::Body::Append { .. }
             | message::Body::Heartbeat { .. }
             | message::Body::Snapshot(_) => self.on_leader_message(from, term, body, out),
+            message::Body::LeaderCheckReply { number, leads } => {
+                self.on_leader_check_reply(from, number, leads);
+            }
+            message::Body::LeaderCheck { .. } => {}
             message::Body::PreVoteReply { .. }
             | message::Body::VoteReply { .. }
             | message::Body::Accepted { .. }
@@ -296,6 +323,7 @@
     /// Notes that a leader was heard, which keeps this node from voting and from campaigning.
     fn hear_leader(&mut self) {
         self.state.heard_leader = true;
+        self.state.start = restart::Start::Over;
         self.state.removed = false;
         self.timers.heard = self.timers.now;
         self.restart_election_timer();
@@ -308,6 +336,9 @@
     }
 
     /// Follows `leader`, or nobody known, in `term`, which is not before the present one.
+    ///
+    /// Who leads the term is recorded as if it had got this node's vote, which it needs no more. After a
+    /// restart this names the one leader that may count on this node.
     pub(crate) fn follow(
         &mut self,
         term: log::Term,
@@ -317,10 +348,12 @@
         self.step_down(out);
         self.state.role = state::Role::Follower;
         self.state.leader = leader;
-        if term > self.state.hard.term {
+        let is_later = term > self.state.hard.term;
+        let is_recorded = leader.is_none() || self.state.hard.voted_for == leader;
+        if is_later || !is_recorded {
             self.state.hard = log::HardState {
                 term,
-                voted_for: None,
+                voted_for: leader,
             };
             out.hard_state(self.state.hard);
         }
--- a/crates/sageshed-quorum/src/state.rs
+++ b/crates/sageshed-quorum/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync::Arc};
 
-use crate::{entries, log};
+use crate::{entries, log, restart};
 
 /// All of a node but its settings, timers and generator.
 ///
@@ -20,6 +20,8 @@
     pub(crate) leader: Option<log::NodeId>,
     /// A leader may count on this node not to vote until an election timeout after it was heard.
     pub(crate) heard_leader: bool,
+    /// What matters still of the term in which it was stopped.
+    pub(crate) start: restart::Start,
     /// Others have said that this node was removed. It asks for no votes until a leader turns up.
     pub(crate) removed: bool,
 }
--- a/crates/sageshed-quorum/tests/testsuite/main.rs
+++ b/crates/sageshed-quorum/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod messages;
 mod random;
 mod repair;
+mod restart;
 mod same_start;
 mod scenarios;
 mod sim;
