Learn how fast prompts are read only while requests wait

Cause: the time that a request would wait was reckoned by what was read in the last two seconds, also while none waited. Change: the speed is taken over the time in which requests have waited without a break, 2 s at the most; below 300 ms nobody is turned away by it.

--- a/crates/sageshed-fleet/src/backlog.rs
+++ b/crates/sageshed-fleet/src/backlog.rs
@@ -22,6 +22,10 @@
 /// Over this span what is read is counted. Long enough for some prompts of each busy model.
 const SPAN: time::Millis = time::Millis(2_000);
 
+/// Requests have to wait for so long before what is read meanwhile tells a speed: the time in which an
+/// engine reads two large prompts.
+const LEAST_SPAN: time::Millis = time::Millis(300);
+
 /// A request with less than this until its answer would be late can't be on time any more: a prompt of
 /// two thousand tokens takes an engine a tenth of a second.
 const LEAST_ANSWER: time::Millis = time::Millis(100);
@@ -70,6 +74,8 @@
     waiting: collections::BTreeMap<u64, Waiter>,
     /// What was read lately.
     read: collections::VecDeque<(time::Instant, u64)>,
+    /// Since when requests have waited without a break; none while none waits.
+    busy_since: Option<time::Instant>,
 }
 
 /// What waits and what is read, for each model.
@@ -81,9 +87,10 @@
 
 impl Backlog {
     /// A request begins to wait. Returns its ticket.
-    pub fn enter(&mut self, model: &str, waiter: Waiter) -> u64 {
+    pub fn enter(&mut self, now: time::Instant, model: &str, waiter: Waiter) -> u64 {
         self.last += 1;
         let queue = self.queues.entry(model.to_owned()).or_default();
+        queue.busy_since.get_or_insert(now);
         queue.waiting.insert(self.last, waiter);
         self.last
     }
@@ -112,7 +119,11 @@
             return false;
         };
         queue.waiting.remove(&ticket);
-        !queue.waiting.is_empty()
+        let others_wait = !queue.waiting.is_empty();
+        if !others_wait {
+            queue.busy_since = None;
+        }
+        others_wait
     }
 
     /// An engine has read a prompt that was sent from here.
@@ -128,12 +139,20 @@
         }
     }
 
-    /// How long the request with this ticket will wait. None where nothing was read lately, so that
-    /// nobody can say.
+    /// How long the request with this ticket will wait. None where nothing was read while requests
+    /// waited, so that nobody can say.
+    ///
+    /// What is read while none waits says how much was asked for, not how fast engines read. Right after
+    /// a start, or when demand has moved to a model, nearly nothing was: 44 and 59 seconds were told where
+    /// six requests waited, and they were turned away.
     #[must_use]
     pub fn expected(&self, now: time::Instant, model: &str, ticket: u64) -> Option<time::Millis> {
         let queue = self.queues.get(model)?;
-        let recent = queue.read.iter().filter(|(at, _)| now.since(*at) <= SPAN);
+        let span = now.since(queue.busy_since?).min(SPAN);
+        if span < LEAST_SPAN {
+            return None;
+        }
+        let recent = queue.read.iter().filter(|(at, _)| now.since(*at) <= span);
         let read: u64 = recent.map(|(_, tokens)| *tokens).sum();
         let own = queue.waiting.get(&ticket)?.rank(now, ticket);
         let before = queue
@@ -141,7 +160,7 @@
             .iter()
             .filter(|(at, it)| it.rank(now, **at) <= own);
         let ahead: u64 = before.map(|(_, it)| it.tokens).sum();
-        (ahead * SPAN.0).checked_div(read).map(time::Millis)
+        (ahead * span.0).checked_div(read).map(time::Millis)
     }
 
     /// How many wait.
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -173,7 +173,7 @@
     ) -> Option<time::Millis> {
         let model = self.model_name();
         let expected = self.shared.with_core(|core| {
-            let ticket = ticket.get_or_insert_with(|| core.backlog.enter(model, waiter));
+            let ticket = ticket.get_or_insert_with(|| core.backlog.enter(now, model, waiter));
             core.backlog.expected(now, model, *ticket)
         })?;
         (expected + READ_RESERVE > left).then_some(expected)
