Let requests wait a moment for the first configuration of an entry process

Change: such a request waits 200 ms at the most, 256 of them at once, not for a caller that left; then it is told the truth. Each refusal before routing is logged. Ruled out: waiting as long as the caller (holds a thread each, and a group that does not come back is then told late).

--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -38,23 +38,27 @@
 
 impl<D: dialect::Dialect> handler::Handler for Port<D> {
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
-        let Some(routing) = self.shared.routing() else {
+        let watch = reply.watch();
+        let routing = self
+            .shared
+            .routing_soon(req.received, || watch.caller_gone());
+        let Some(routing) = routing else {
             let detail = "no configuration is known here yet";
             let refusal = refuse::not_run(verdict::Reason::NotConfirmed, detail, BACK_SOON);
-            return refuse::send(reply, "", &refusal);
+            return self.refuse_unrouted(&req, reply, &refusal);
         };
         // A stream that began before the stop has promised to keep its connection, and its caller may
         // send the next request on it in the last moment. It would be cut by the end of the process.
         if self.shared.refusing.load(atomic::Ordering::Relaxed) {
             let detail = "this entry process is stopping";
             let refusal = refuse::not_run(verdict::Reason::Draining, detail, time::Millis(0));
-            return refuse::send(reply, "", &refusal);
+            return self.refuse_unrouted(&req, reply, &refusal);
         }
         let passing = match self.shared.dialect.passing(|name| req.header(name)) {
             Ok(passing) => passing,
             Err(e) => {
                 let refusal = refusal::Refusal::not_run(verdict::Reason::BadRequest, e.to_string());
-                return refuse::send(reply, "", &refusal);
+                return self.refuse_unrouted(&req, reply, &refusal);
             }
         };
         let host = req.header("host").unwrap_or_default();
@@ -85,6 +89,22 @@
     }
 }
 
+impl<D: dialect::Dialect> Port<D> {
+    /// Refuses a request before a route was found for it.
+    fn refuse_unrouted(
+        &self,
+        req: &request::Request,
+        reply: reply::Reply<'_>,
+        refusal: &refusal::Refusal,
+    ) -> reply::Sent {
+        let passing = self.shared.dialect.passing(|name| req.header(name));
+        let id = passing.ok().and_then(|it| it.id).unwrap_or_default();
+        ::log::info!(request = id.as_str(), status = refusal.status, reason:% = refusal.reason,
+            detail = refusal.detail.as_str(); "gateway: request refused before it was routed");
+        refuse::send(reply, "", refusal)
+    }
+}
+
 /// What to do next with a request.
 enum Step {
     /// Send it.
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -10,9 +10,7 @@
 use sageshed_types::{time, verdict};
 
 use super::{BACK_SOON, Life, Step};
-
-/// The longest that a request waits here before it looks again whether its caller is still there.
-const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
+use crate::gateway::state::LOOK;
 
 /// What must be left of the time for a late request to let others go first. Callers leave a stream of
 /// which nothing came for two seconds and more.
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -86,6 +86,16 @@
 /// requests a second: the last minute.
 const ACCOUNTS: usize = 600;
 
+/// How long a request waits for the first configuration of this process: a third of the time of the
+/// least patient callers. A group that was stopped as a whole leads within 100 ms of its start.
+const FIRST_ROUTING: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Requests that wait for it at the most.
+const MOST_WAIT_FOR_ROUTING: usize = 256;
+
+/// The longest that a waiting request goes without a look at whether its caller is still there.
+pub const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
+
 /// How long a want is taken to be under way before it is said again.
 const WANT_AGAIN: time::Millis = time::Millis(250);
 
@@ -167,6 +177,8 @@
         let count = routing.table.len();
         *current = Some(routing);
         drop(current);
+        // Requests that came before the first one wait for it.
+        self.place_freed();
         ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
     }
 
@@ -278,6 +290,35 @@
         }
     }
 
+    /// The configuration in force, for a request that came `since` then and may be there before any is
+    /// known. None where it does not come in time, or the caller is `gone`.
+    ///
+    /// After a stop of all processes, entry processes are up some hundred milliseconds before the control
+    /// group can tell them a configuration. Refused at once, callers came back later than they could
+    /// have been served. The wait ends well before a caller of a second's patience would give up, and
+    /// few wait, since each holds a thread.
+    #[must_use]
+    pub fn routing_soon(
+        &self,
+        since: std_time::Instant,
+        gone: impl Fn() -> bool,
+    ) -> Option<sync::Arc<Routing>> {
+        let until = since + FIRST_ROUTING;
+        while !gone() {
+            let seen = self.with_core(|core| core.changes());
+            let routing = self.routing();
+            let left = until.saturating_duration_since(std_time::Instant::now());
+            let is_full = self.waiting.load(atomic::Ordering::Relaxed) >= MOST_WAIT_FOR_ROUTING;
+            if routing.is_some() || left.is_zero() || is_full {
+                return routing;
+            }
+            self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
+            let _changes = self.wait(seen, left.min(LOOK));
+            self.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        }
+        None
+    }
+
     /// Waits until something changed since `seen`, for `limit` at the most. Returns the count of
     /// changes to wait from next.
     #[must_use]
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -28,8 +28,9 @@
 /// Added to the patience of a call: the way there and back, and a pause of either process.
 const CALL_MARGIN: std_time::Duration = std_time::Duration::from_millis(400);
 
-/// Between two tries while nobody can be reached.
-const RETRY: std_time::Duration = std_time::Duration::from_millis(100);
+/// Between two tries while nobody can be reached. Processes that were stopped together come back within
+/// some ten milliseconds of each other, and each try at a closed port costs two packets.
+const RETRY: std_time::Duration = std_time::Duration::from_millis(30);
 
 /// How long a control process that could not be reached is left out while there are others.
 const AVOIDED: std_time::Duration = std_time::Duration::from_secs(2);
--- /dev/null
+++ b/tests/gateway_start.rs
@@ -0,0 +1,69 @@
+//! Requests that come before an entry process knows any configuration.
+
+use std::{
+    env, fs, process,
+    sync::{self, atomic},
+    thread, time,
+};
+
+use sageshed::{gateway::state, settings};
+use sageshed_fleet::config;
+use sageshed_platform::Platform;
+use sageshed_types::time::Millis;
+
+/// Far more than any test waits, so that only what the test does ends the waiting.
+const LONG: time::Duration = time::Duration::from_secs(600);
+
+fn started(name: &str) -> sync::Arc<state::Shared<Platform>> {
+    let text = "vm = \"edge-1\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"127.0.0.1:0\"\n\
+                ready = \"127.0.0.1:0\"\n[discovery]\nip = \"127.0.0.1\"\nseeds = [\"127.0.0.1:1\"]\n\
+                vms_port = 1\nbootstrap = false\ntolerates = 1\n";
+    let file = env::temp_dir().join(format!("sageshed-{name}-{}.toml", process::id()));
+    fs::write(&file, text).expect("settings are written");
+    let settings = settings::fleet_entry(&file);
+    fs::remove_file(&file).expect("settings are removed");
+    sync::Arc::new(state::Shared::new(settings.expect("settings"), Platform))
+}
+
+fn first_config() -> config::FleetConfig {
+    config::FleetConfig {
+        version: 3,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: config::CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_024,
+            head_timeout: Millis(3_000),
+            idle_timeout: Millis(15_000),
+        },
+    }
+}
+
+/// All processes were killed. The entry process is up again and takes a request while the control group
+/// elects its leader; the configuration comes a moment later. The request is served by it, not refused.
+#[test]
+fn a_request_that_came_before_the_first_configuration_is_routed_by_it() {
+    let shared = started("held");
+    let held = sync::Arc::clone(&shared);
+    let request = thread::spawn(move || {
+        let routing = held.routing_soon(time::Instant::now() + LONG, || false);
+        routing.map(|it| it.config.version)
+    });
+    while shared.waiting.load(atomic::Ordering::Relaxed) == 0 {
+        thread::yield_now();
+    }
+    shared.put_in_force(first_config());
+    assert_eq!(request.join().expect("a thread"), Some(3));
+    assert_eq!(shared.waiting.load(atomic::Ordering::Relaxed), 0);
+}
+
+/// The control group does not come back, or the caller does not wait: the request holds no thread for it.
+#[test]
+fn a_request_waits_no_longer_than_it_may_and_not_for_a_caller_that_left() {
+    let shared = started("past");
+    let long_ago = time::Instant::now().checked_sub(time::Duration::from_secs(5));
+    let past = shared.routing_soon(long_ago.expect("the machine is up"), || false);
+    assert!(past.is_none());
+    let left = shared.routing_soon(time::Instant::now() + LONG, || true);
+    assert!(left.is_none());
+}
