Say in the log what a request waited for

Change: the lines of answered, refused and left requests name what was waited for, arrivals, the time left and taken.

--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -58,14 +58,17 @@
         ::log::info!(request = self.id(), route = self.route.name.as_str(),
             config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
-            left_ms = self.left_ms().0; "gateway: request refused");
+            waited_for = self.waited_for_word(), arrivals = self.arrivals, left_ms = self.left_ms().0; "gateway: request refused");
         self.note(metrics::End::Refused, refusal.status);
         self.keep_account(account::End::Refused(refusal.clone()));
         outlet.refuse("", refusal)
     }
 
     pub(super) fn left(&mut self, outlet: Outlet<'_>) -> reply::Sent {
-        ::log::info!(request = self.id(), route = self.route.name.as_str(); "gateway: caller left");
+        ::log::info!(request = self.id(), route = self.route.name.as_str(),
+            model = self.model_name(), waited_for = self.waited_for_word(),
+            arrivals = self.arrivals, left_ms = self.left_ms().0,
+            took_ms = time::Millis::from(self.req.received.elapsed()).0; "gateway: caller left");
         self.note(metrics::End::CallerGone, 0);
         self.keep_account(account::End::CallerGone);
         let detail = "the caller closed its connection";
@@ -96,12 +99,23 @@
         ::log::info!(request = self.id(), route = self.route.name.as_str(), status,
             config = self.shared.version(), endpoint = pick.instance.as_str(),
             model = self.model_name(), tokens = pick.tokens, estimate_ms = pick.estimate.0,
-            runs = self.runs, sent_ms = time::Millis::from(sent).0,
+            waited_for = self.waited_for_word(), runs = self.runs, sent_ms = time::Millis::from(sent).0,
             first_ms = time::Millis::from(self.paces.first).0,
             pause_ms = time::Millis::from(self.paces.longest).0,
             took_ms = time::Millis::from(took).0; "gateway: request answered");
     }
 
+    /// What it waited for here, in a word for the log; none where it went on at once.
+    fn waited_for_word(&self) -> &'static str {
+        match self.waited_for {
+            None => "",
+            Some(chooser::Missing::Endpoint) => "endpoint",
+            Some(chooser::Missing::Model) => "model",
+            Some(chooser::Missing::Adapter) => "adapter",
+            Some(chooser::Missing::Place) => "place",
+        }
+    }
+
     pub(super) fn model_name(&self) -> &str {
         self.wanted.map_or("", |it| it.model.as_str())
     }
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -145,6 +145,8 @@
     /// Endpoints that it arrived at.
     arrivals: u32,
     last: String,
+    /// What it waits for here, or waited for last.
+    waited_for: Option<chooser::Missing>,
     paces: Paces,
     story: story::Story,
 }
@@ -217,6 +219,7 @@
             runs: 0,
             arrivals: 0,
             last: String::new(),
+            waited_for: None,
             paces: Paces::default(),
             story: story::Story::default(),
         }
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -111,6 +111,7 @@
                 }
                 chooser::Choice::Wait(missing) => missing,
             };
+            self.waited_for = Some(missing);
             let waited = arrived.elapsed();
             if missing == chooser::Missing::Model && !told_waiting {
                 told_waiting = true;
--- a/tests/gateway_start.rs
+++ b/tests/gateway_start.rs
@@ -12,7 +12,7 @@
 use sageshed_types::time::Millis;
 
 /// Far more than any test waits, so that only what the test does ends the waiting.
-const LONG: time::Duration = time::Duration::from_secs(600);
+const LONG: time::Duration = time::Duration::from_mins(10);
 
 fn started(name: &str) -> sync::Arc<state::Shared<Platform>> {
     let text = "vm = \"edge-1\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"127.0.0.1:0\"\n\
