Learn from the pauses of streams how much may wait at an engine

Cause: prompts were held back from an engine with more than 330 ms to read, since engines were seen to read all that waits in one step. Change: the bound begins at eight tenths of the pause that the route allows, grows by streams that kept theirs while their engine had much to read, and falls by those that did not, never below its beginning.

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -48,11 +48,6 @@
 /// And this long at the most.
 const LONGEST_EJECTION: time::Millis = time::Millis(2_000);
 
-/// The longest pause, in milliseconds, that a prompt may add to the streams of an engine. An engine
-/// reads all prompts that wait there in one step, and its streams pause meanwhile; callers count a
-/// stream as late by one pause of 400 ms.
-const PAUSE_MS: f64 = 330.0;
-
 /// Microseconds in a millisecond.
 pub(super) const MICROS: f64 = 1_000.0;
 
@@ -78,6 +73,8 @@
     /// Requests of this process whose answer has not begun, and since when there has been one.
     pub(super) owed: u32,
     pub(super) owed_since: time::Instant,
+    /// When it had about as much to read as its streams bear.
+    pub(super) strained_at: Option<time::Instant>,
     pub(super) failures: f64,
     failed_at: time::Instant,
     pub(super) ejection: time::Millis,
@@ -105,6 +102,7 @@
             word_at: time::Instant(0),
             owed: 0,
             owed_since: time::Instant(0),
+            strained_at: None,
             failures: 0.0,
             failed_at: time::Instant(0),
             ejection: time::Millis(0),
@@ -198,7 +196,7 @@
     }
 
     /// Milliseconds of reading that wait there, by this process and those that tell it.
-    fn unread_by_all(&self, now: time::Instant) -> f64 {
+    pub(super) fn unread_by_all(&self, now: time::Instant) -> f64 {
         let fresh = self
             .others
             .values()
@@ -229,11 +227,11 @@
         self.unread_by_all(now) + reading + STEP_MS + stranger
     }
 
-    /// Whether reading for so many milliseconds more would make its streams pause for too long. One
-    /// prompt that is too long by itself has to be read somewhere.
-    pub(super) fn would_pause(&self, now: time::Instant, reading: f64) -> bool {
+    /// Whether it would have more than `bound_ms` to read with so many milliseconds more. One prompt that
+    /// is too long by itself has to be read somewhere.
+    pub(super) fn would_pause(&self, now: time::Instant, reading: f64, bound_ms: f64) -> bool {
         let ahead = self.unread_by_all(now);
-        ahead > 0.0 && ahead + reading > PAUSE_MS
+        ahead > 0.0 && ahead + reading > bound_ms
     }
 
     /// Milliseconds until a plain service has answered.
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -20,13 +20,14 @@
 mod ask;
 mod endpoint;
 mod kept;
+mod pauses;
 mod reading;
 
 use std::{collections, net};
 
 use sageshed_types::{arena, arena::Key, time};
 
-pub use self::ask::{Ask, Choice, Ended, Missing, Pick, Policy, Read, Routing};
+pub use self::ask::{Ask, Choice, Ended, Missing, Pauses, Pick, Policy, Read, Routing};
 use self::endpoint::Endpoint;
 use crate::{config, dialect, directory, neighbours};
 
@@ -69,6 +70,7 @@
     own: net::Ipv4Addr,
     entries: Vec<net::Ipv4Addr>,
     paces: reading::Paces,
+    bounds: pauses::Bounds,
     policy: Policy,
 }
 
@@ -86,6 +88,7 @@
             own: net::Ipv4Addr::UNSPECIFIED,
             entries: Vec::new(),
             paces: reading::Paces::default(),
+            bounds: pauses::Bounds::default(),
             policy: Policy::default(),
         }
     }
@@ -243,10 +246,11 @@
         with: &[arena::EndpointKey],
         without: &[arena::EndpointKey],
     ) -> Choice {
+        let bound_ms = self.bounds.bound_ms(ask.service);
         let calm = |list: &[arena::EndpointKey]| -> Vec<_> {
             let is_calm = |key: &arena::EndpointKey| {
                 let endpoint = self.get(*key);
-                endpoint.is_some_and(|it| !it.would_pause(now, self.reading_ms(it, ask)))
+                endpoint.is_some_and(|it| !it.would_pause(now, self.reading_ms(it, ask), bound_ms))
             };
             list.iter().copied().filter(is_calm).collect()
         };
@@ -405,10 +409,15 @@
             return Choice::TooLate { estimate };
         }
         let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
+        let ahead_ms = self.get(key).map_or(0.0, |it| it.unread_by_all(now));
+        let is_strained = self.bounds.is_strain(ask.service, ahead_ms + reading_ms);
         let Some(endpoint) = self.get_mut(key) else {
             return Choice::Wait(Missing::Endpoint);
         };
         let tokens = endpoint.unkept(ask);
+        if is_strained {
+            endpoint.strained_at = Some(now);
+        }
         let reading = whole(reading_ms * endpoint::MICROS);
         endpoint.in_flight += 1;
         endpoint.unread += reading;
@@ -461,6 +470,17 @@
         }
     }
 
+    /// A stream from `pick` has ended whole.
+    pub fn paused(&mut self, now: time::Instant, pick: &Pick, pauses: Pauses) {
+        let Some(endpoint) = self.get(pick.key) else {
+            return;
+        };
+        let strained = endpoint.strained_at;
+        let is_strained = strained.is_some_and(|at| now.since(at) <= pauses.lasted);
+        let service = endpoint.instance.service.clone();
+        self.bounds.learn(&service, pauses, is_strained);
+    }
+
     /// Whether the endpoint of `pick` owes answers and has said nothing for too long.
     #[must_use]
     pub fn is_suspected(&self, now: time::Instant, pick: &Pick) -> bool {
--- a/crates/sageshed-fleet/src/config.rs
+++ b/crates/sageshed-fleet/src/config.rs
@@ -60,6 +60,9 @@
     pub timeout: time::Millis,
     /// The time to the answer, or to the first event, that is still in time.
     pub objective: time::Millis,
+    /// The longest pause between two events of its streams that is still in time; none where it streams
+    /// nothing.
+    pub pause: Option<time::Millis>,
     /// Its rank among the kinds of requests; zero is the most urgent.
     pub priority: u8,
     /// Where it goes, with the weight of each.
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sageshed_fleet::{
-    chooser::{Ask, Choice, Chooser, Ended, Missing, Pick, Policy, Read, Routing},
+    chooser::{Ask, Choice, Chooser, Ended, Missing, Pauses, Pick, Policy, Read, Routing},
     dialect, directory,
 };
 use sageshed_types::{arena, time};
@@ -342,6 +342,52 @@
     sent(chooser.choose(later, &support::ask(&m0, 100)));
 }
 
+/// How many prompts of 50 ms the only engine is given that waits for none of them.
+fn taken_at_once(chooser: &mut Chooser) -> usize {
+    let m0 = wanted("m0", None);
+    let ask = Ask {
+        patience: time::Millis(100),
+        ..support::ask(&m0, 950)
+    };
+    let mut picks = Vec::new();
+    while let Choice::Send(pick) = chooser.choose(T0, &ask) {
+        picks.push(pick);
+    }
+    for pick in &picks {
+        chooser.ended(T0, pick, Some(&m0), false, Ended::GivenUp);
+    }
+    picks.len()
+}
+
+/// Engines that read prompts piece by piece never pause their streams for long, whatever waits there.
+/// Prompts held back from them were late for nothing. Others read all that waits in one step, and a bound
+/// that has risen must fall when streams pause, but not below what is safe for any.
+#[test]
+fn what_may_wait_at_an_engine_is_learnt_from_the_pauses_of_streams() {
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0"]));
+    let m0 = wanted("m0", None);
+    let ended = |chooser: &mut Chooser, longest| {
+        let pick = sent(chooser.choose(T0, &support::ask(&m0, 100)));
+        let pauses = Pauses {
+            lasted: time::Millis(2_000),
+            longest: time::Millis(longest),
+            limit: time::Millis(400),
+        };
+        chooser.paused(T0 + time::Millis(1_000), &pick, pauses);
+        chooser.ended(T0, &pick, Some(&m0), false, Ended::Answered);
+    };
+    let at_first = taken_at_once(&mut chooser);
+    ended(&mut chooser, 170);
+    ended(&mut chooser, 170);
+    let risen = taken_at_once(&mut chooser);
+    assert!(risen > at_first, "{risen} of {at_first}");
+    for _ in 0..30 {
+        ended(&mut chooser, 900);
+    }
+    assert_eq!(taken_at_once(&mut chooser), at_first);
+}
+
 /// Twenty prompts wait at the only engine. Another request has 300 ms left: it would be answered in
 /// two seconds, so it is turned away now and not after its time.
 #[test]
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -20,6 +20,7 @@
         repeat: config::Repeat::Idempotent,
         timeout: time::Millis(5_000),
         objective: time::Millis(1_000),
+        pause: Some(time::Millis(400)),
         priority: 0,
         targets: vec![config::Target {
             service: ENGINES.to_owned(),
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -265,6 +265,7 @@
                         ::log::info!(request = self.id(); "gateway: caller left at the end of its stream");
                     }
                     self.ended(pick, true, chooser::Ended::Answered);
+                    self.tell_pause(pick);
                     let exchange_status = exchange.head.status;
                     self.shared.pool.keep(pick.address, exchange);
                     self.answered(pick, exchange_status, bytes, sent_at);
@@ -310,6 +311,23 @@
         self.shared.place_freed();
     }
 
+    /// Lets the chooser learn from the pauses of a stream that came whole.
+    fn tell_pause(&self, pick: &chooser::Pick) {
+        let Some(limit) = self.route.pause else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let (first, longest) = (self.paces.first, self.paces.longest);
+        let lasted = self.req.received.elapsed().saturating_sub(first);
+        let pauses = chooser::Pauses {
+            lasted: lasted.into(),
+            longest: longest.into(),
+            limit,
+        };
+        self.shared
+            .with_core(|core| core.chooser.paused(now, pick, pauses));
+    }
+
     pub(super) fn ended(&self, pick: &chooser::Pick, began: bool, how: chooser::Ended) {
         let now = self.shared.clock.now();
         self.shared
