Keep the room that is made on an engine for its model, and count it as a copy to come

Change: an unload begins a move: the room is kept for its model for 8 s, the load follows first, and the copy counts as on its way, also against the store's budget. Last copies go only after any spare one. Loads under way to one model are no longer limited to two more than its copies. The last second of demand weighs by how many requests came in it: single prompts of rare models were taken for a rise and got second copies.

--- a/crates/sageshed-fleet/src/planner/demand.rs
+++ b/crates/sageshed-fleet/src/planner/demand.rs
@@ -2,7 +2,8 @@
 //!
 //! Demand moves to other models within a second or two, and a load that begins late is late for all
 //! who wait for it. So the rate is the greater of that over the last second and that over the last
-//! [`SPAN_MS`]: it rises at once and falls slowly.
+//! [`SPAN_MS`]: it rises at once and falls slowly. The last second counts in full only where many
+//! requests came in it.
 
 use std::collections;
 
@@ -22,17 +23,31 @@
 /// The span that notices a rise, in milliseconds.
 const SHORT_MS: u64 = 1_000;
 
+/// Requests at which the last second weighs a half against what came before. Prompts of a rare model
+/// come singly, and one of them in a second is no rise of demand.
+const FEW_REQUESTS: f64 = 3.0;
+
+/// What was asked for in one bucket.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    requests: u32,
+    reading_us: u64,
+}
+
 #[derive(Debug, Default)]
 struct Model {
-    /// Microseconds of reading by the number of the bucket.
-    buckets: collections::VecDeque<(u64, u64)>,
+    /// By the number of the bucket.
+    buckets: collections::VecDeque<(u64, Count)>,
 }
 
 impl Model {
-    fn add(&mut self, bucket: u64, reading_us: u64) {
-        match self.buckets.back_mut() {
-            Some((last, sum)) if *last == bucket => *sum += reading_us,
-            _ => self.buckets.push_back((bucket, reading_us)),
+    fn add(&mut self, bucket: u64, more: Count) {
+        if self.buckets.back().is_none_or(|(last, _)| *last != bucket) {
+            self.buckets.push_back((bucket, Count::default()));
+        }
+        if let Some((_, count)) = self.buckets.back_mut() {
+            count.requests += more.requests;
+            count.reading_us += more.reading_us;
         }
         let oldest = bucket.saturating_sub(SPAN_MS / BUCKET_MS);
         while self.buckets.front().is_some_and(|(it, _)| *it < oldest) {
@@ -40,12 +55,25 @@
         }
     }
 
-    /// Engines kept busy over the last `span_ms`, as a number of engines.
-    fn work(&self, bucket: u64, span_ms: u64) -> f64 {
+    /// What was asked for in the last `span_ms`.
+    fn within(&self, bucket: u64, span_ms: u64) -> Count {
         let from = bucket.saturating_sub(span_ms / BUCKET_MS);
         let recent = self.buckets.iter().filter(|(it, _)| *it >= from);
-        let reading_us: u64 = recent.map(|(_, reading_us)| reading_us).sum();
-        reading_us as f64 / (span_ms as f64 * MICROS_A_MS)
+        recent.fold(Count::default(), |sum, (_, it)| Count {
+            requests: sum.requests + it.requests,
+            reading_us: sum.reading_us + it.reading_us,
+        })
+    }
+
+    /// Engines kept busy, as a number of engines.
+    fn work(&self, bucket: u64) -> f64 {
+        let each =
+            |count: Count, span_ms: u64| count.reading_us as f64 / (span_ms as f64 * MICROS_A_MS);
+        let lately = self.within(bucket, SHORT_MS);
+        let requests = f64::from(lately.requests);
+        let weight = requests / (requests + FEW_REQUESTS);
+        let rise = each(lately, SHORT_MS) * weight;
+        rise.max(each(self.within(bucket, SPAN_MS), SPAN_MS))
     }
 }
 
@@ -61,7 +89,11 @@
         for it in demand {
             let key = (it.service.clone(), it.model.clone());
             let model = self.models.entry(key).or_default();
-            model.add(now.0 / BUCKET_MS, it.reading_us);
+            let count = Count {
+                requests: it.requests,
+                reading_us: it.reading_us,
+            };
+            model.add(now.0 / BUCKET_MS, count);
             for adapter in &it.adapters {
                 self.used(now, &it.service, &it.model, adapter);
             }
@@ -82,12 +114,7 @@
     /// Engines that the requests for a model keep busy, as a number of engines.
     pub(super) fn work(&self, now: time::Instant, service: &str, model: &str) -> f64 {
         let key = (service.to_owned(), model.to_owned());
-        let Some(model) = self.models.get(&key) else {
-            return 0.0;
-        };
-        let bucket = now.0 / BUCKET_MS;
-        model
-            .work(bucket, SHORT_MS)
-            .max(model.work(bucket, SPAN_MS))
+        let model = self.models.get(&key);
+        model.map_or(0.0, |it| it.work(now.0 / BUCKET_MS))
     }
 }
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -26,6 +26,7 @@
 
 mod demand;
 mod engine;
+mod moves;
 mod store;
 pub mod tenure;
 mod wants;
@@ -148,6 +149,7 @@
     engines: collections::BTreeMap<String, engine::Engine>,
     demand: demand::Demands,
     store: store::Store,
+    moves: moves::Moves,
     wants: Vec<wants::Want>,
 }
 
@@ -170,6 +172,7 @@
             engines: collections::BTreeMap::new(),
             demand: demand::Demands::default(),
             store: store::Store::new(policy.store_window),
+            moves: moves::Moves::new(),
             wants: Vec::new(),
         }
     }
@@ -180,6 +183,7 @@
         self.fence = fence;
         self.tenure = Some(tenure);
         self.engines.clear();
+        self.moves.clear();
         // The leader before may have begun loads up to the moment from which this one may order.
         self.store.assume_spent(tenure.from());
     }
@@ -300,7 +304,7 @@
             free_for_orders: pool.instances.iter().filter(takes).count(),
             short: short.into_iter().map(|it| it.name.clone()).collect(),
             busiest: survey.busiest(SUMMARY_MODELS),
-            store_is_free: self.store.allows(now, pool.offer.loads_per_s),
+            store_is_free: self.store.allows(now, pool.offer.loads_per_s, 0),
             work: work.sum(),
             wants: self.wants.len(),
         }
@@ -372,14 +376,20 @@
 
     /// Has weights loaded and unloaded.
     fn place(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let orders = self.go_on_with_moves(now, pool);
+        let mut actions: Vec<Action> = orders.into_iter().map(Action::Order).collect();
         for model in weights::Survey::new(self, now, pool).short_of_copies() {
             // The order before may have changed what the next one finds.
             let survey = weights::Survey::new(self, now, pool);
             let Some((id, task)) = survey.next_step(model) else {
                 continue;
             };
-            actions.extend(self.order(now, pool, &id, task).map(Action::Order));
+            let makes_room = matches!(task, dialect::Task::Unload(_));
+            let order = self.order(now, pool, &id, task);
+            if order.is_some() && makes_room {
+                self.begin_move(now, id, &model.name);
+            }
+            actions.extend(order.map(Action::Order));
         }
         actions
     }
--- a/crates/sageshed-fleet/src/planner/store.rs
+++ b/crates/sageshed-fleet/src/planner/store.rs
@@ -28,8 +28,9 @@
         self.spent_until = at;
     }
 
-    /// Whether a load may begin now, where the store begins `per_s` in a second.
-    pub(super) fn allows(&self, now: time::Instant, per_s: f64) -> bool {
+    /// Whether a load may begin now, where the store begins `per_s` in a second and `kept` others are to
+    /// begin soon.
+    pub(super) fn allows(&self, now: time::Instant, per_s: f64, kept: usize) -> bool {
         if now < self.spent_until {
             return false;
         }
@@ -38,7 +39,7 @@
             .iter()
             .filter(|at| now.since(**at) <= self.window);
         let most = per_s * self.window.0 as f64 / 1_000.0;
-        (recent.count() + 1) as f64 <= most.max(1.0)
+        (recent.count() + kept + 1) as f64 <= most.max(1.0)
     }
 
     pub(super) fn spend(&mut self, now: time::Instant) {
--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{Busy, EMPTIER, Planner, Pool, engine};
+use super::{Busy, EMPTIER, Planner, Pool, engine, moves};
 use crate::{config, dialect, directory};
 
 /// A model with less work than this, in engines kept busy, is not taken for the next to rise.
@@ -27,6 +27,10 @@
 /// the model that takes its place. Under overload no copy has little work, and none would move.
 const GIVES_WAY: f64 = 0.5;
 
+/// What giving up a last copy weighs, in engines kept busy: whoever asks next waits for a load. Any
+/// spare copy that may go goes before.
+const LAST_COPY: f64 = 2.0;
+
 /// What a model without any copy weighs that callers ask for: more than any work.
 const NO_COPY: f64 = 10.0;
 
@@ -75,6 +79,10 @@
         }
         for instance in &pool.instances {
             count(planner, instance, &mut models);
+            let kept = planner.moves.get(&instance.id);
+            if let Some(standing) = kept.and_then(|it| models.get_mut(it.model.as_str())) {
+                standing.loading += 1;
+            }
         }
         anticipate(planner.policy.anticipated, &mut models);
         Self {
@@ -113,7 +121,7 @@
             } else {
                 it.each(it.copies + it.loading)
             };
-            if need > self.planner.policy.high && it.loading < 2 + it.copies {
+            if need > self.planner.policy.high {
                 short.push((need, model));
             }
         }
@@ -121,6 +129,13 @@
         short.into_iter().map(|(_, model)| model).collect()
     }
 
+    /// Whether `model` bears its work with one copy less than are there, under way or planned.
+    pub(super) fn is_needless(&self, model: &str) -> bool {
+        let it = self.of(model);
+        let less = (it.copies + it.loading).saturating_sub(1);
+        less > 0 && it.each(less) <= self.planner.policy.low
+    }
+
     /// Without a copy its callers get nothing at all. While nobody asks for it it comes behind all that
     /// are short: a load from the store keeps its engine from any other order for nine seconds.
     fn need_without_copy(&self, it: Standing) -> f64 {
@@ -134,14 +149,9 @@
     /// The next order on the way to another copy of `model`: a load where there is room, else the
     /// unload that makes room.
     pub(super) fn next_step(&self, model: &config::Model) -> Option<(String, dialect::Task)> {
-        let engines = &self.planner.engines;
-        let loads: usize = engines.values().map(engine::Engine::store_loads).sum();
-        let per_s = self.pool.offer.loads_per_s;
-        let store_is_free =
-            loads < self.planner.policy.loads_at_once && self.planner.store.allows(self.now, per_s);
         let mut best: Option<(f64, String, dialect::Task)> = None;
         for instance in &self.pool.instances {
-            let Some((cost, task)) = self.step_at(instance, model, store_is_free) else {
+            let Some((cost, task)) = self.step_at(instance, model) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -151,19 +161,38 @@
         best.map(|(_, id, task)| (id, task))
     }
 
+    /// Whether the store may begin one more load besides those for which room is kept.
+    fn store_is_free(&self, besides: &str) -> bool {
+        let engines = &self.planner.engines;
+        let loads: usize = engines.values().map(engine::Engine::store_loads).sum();
+        let kept = self.pool.instances.iter().filter(|it| {
+            let planned = self.planner.moves.get(&it.id);
+            let from_store =
+                |m: &moves::Move| engine::source(it, &m.model) == engine::Source::Store;
+            it.id != besides && planned.is_some_and(from_store)
+        });
+        let kept = kept.count();
+        let per_s = self.pool.offer.loads_per_s;
+        loads + kept < self.planner.policy.loads_at_once
+            && self.planner.store.allows(self.now, per_s, kept)
+    }
+
     /// What `instance` would be told to have `model` there, and what that weighs.
-    fn step_at(
+    pub(super) fn step_at(
         &self,
         instance: &directory::Instance,
         model: &config::Model,
-        store_is_free: bool,
     ) -> Option<(f64, dialect::Task)> {
+        let kept_for = self.planner.moves.get(&instance.id);
+        if kept_for.is_some_and(|it| it.model != model.name) {
+            return None;
+        }
         let engine = self.planner.engines.get(&instance.id)?;
         if !engine.takes_weights(self.now) || instance.resident(&model.name).is_some() {
             return None;
         }
         let source = engine::source(instance, &model.name);
-        if source == engine::Source::Store && !store_is_free {
+        if source == engine::Source::Store && !self.store_is_free(&instance.id) {
             return None;
         }
         let used = engine.weights_at_worst(instance, self.pool.offer);
@@ -197,7 +226,12 @@
             if is_kept || resident.model == wanted.name {
                 continue;
             }
-            let after = it.each(it.copies.saturating_sub(1));
+            let last = if is_last && is_offered {
+                LAST_COPY
+            } else {
+                0.0
+            };
+            let after = it.each(it.copies.saturating_sub(1)) + last;
             let is_better = best.as_ref().is_none_or(|(_, least)| after < *least);
             let spares = after <= self.planner.policy.low || after <= needed * GIVES_WAY;
             if (spares || is_last) && is_better {
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -332,6 +332,53 @@
     assert!(actions.contains(&hidden), "{actions:?}");
 }
 
+/// All callers ask for a model that no engine holds; two copies bear its work. Room is made for two, out of spare
+/// copies. Were it not counted as made for that model, each engine would drop something in the same
+/// moment, and what was dropped would be loaded again by the store that the model needs.
+#[test]
+fn room_is_made_for_as_many_copies_as_are_needed() {
+    let mut world = World::new(&[
+        ("e1", &["m0", "m1", "m2"]),
+        ("e2", &["m0", "m1", "m2"]),
+        ("e3", &["m0", "m1", "m2"]),
+        ("e4", &["m0", "m1", "m2"]),
+    ]);
+    world.run(4_000);
+    for _ in 0..400 {
+        world.ask("m3", 1_400);
+        world.run(50);
+    }
+    let unloads = world
+        .tasks()
+        .iter()
+        .filter(|it| it.contains("unload"))
+        .count();
+    assert_eq!(unloads, 2, "{:?}", world.tasks());
+    let holders = world.engines.values();
+    let copies = holders.filter(|it| it.instance.holds("m3", None)).count();
+    assert_eq!(copies, 2, "{:?}", world.tasks());
+}
+
+/// Prompts of a rare model come singly, and each keeps an engine busy for a second. One of them is no
+/// rise of demand: a copy loaded for it would take the room of a busy model.
+#[test]
+fn a_single_prompt_is_no_rise_of_demand() {
+    let mut world = World::new(&[("e1", &["m0", "m1"]), ("e2", &["m2", "m3"])]);
+    world.run(4_000);
+    world.ask("m1", ENGINE_TOKENS_PER_S);
+    world.run(4_000);
+    assert_eq!(world.tasks(), Vec::<String>::new());
+    for _ in 0..10 {
+        world.ask("m1", ENGINE_TOKENS_PER_S / 10);
+        world.run(50);
+    }
+    assert_eq!(
+        world.tasks(),
+        ["e2 load m1"],
+        "ten in half a second are one"
+    );
+}
+
 /// Callers ask for more than all engines can read, so each copy of each model has more work than it
 /// should. One model has a single copy with four times the work of the copies of another. A copy of
 /// that one must give way, or the callers of the first are turned away while others hardly wait.
