--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -368,14 +368,14 @@
     world.ask("m1", ENGINE_TOKENS_PER_S);
     world.run(4_000);
     assert_eq!(world.tasks(), Vec::<String>::new());
-    for _ in 0..10 {
+    for _ in 0..16 {
         world.ask("m1", ENGINE_TOKENS_PER_S / 10);
         world.run(50);
     }
     assert_eq!(
         world.tasks(),
         ["e2 load m1"],
-        "ten in half a second are one"
+        "sixteen in a second are one"
     );
 }
 
