Say from the logs why requests were refused, failed or late

Change: sageshed logs losses FILE... counts tries that were not served well by outcome and cause, route, model and second, as tables, JSON or SVG (plotters, its SVG part alone).

--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -372,11 +372,7 @@
         world.ask("m1", ENGINE_TOKENS_PER_S / 10);
         world.run(50);
     }
-    assert_eq!(
-        world.tasks(),
-        ["e2 load m1"],
-        "sixteen in a second are one"
-    );
+    assert_eq!(world.tasks(), ["e2 load m1"], "sixteen in a second are one");
 }
 
 /// Callers ask for more than all engines can read, so each copy of each model has more work than it
--- a/src/bin/sageshed/commands/logs.rs
+++ b/src/bin/sageshed/commands/logs.rs
@@ -4,7 +4,8 @@
 
 use gumdrop::Options;
 
-use crate::{failure, failure::Failure};
+use super::losses;
+use crate::{failure, failure::Failure, globals};
 
 /// Keys of a line that name an endpoint.
 const ENDPOINT: &str = "endpoint";
@@ -14,10 +15,23 @@
     #[options(help = "print this help")]
     help: bool,
 
-    #[options(free, help = "the id of the request, then log files in JSON")]
+    #[options(
+        free,
+        help = "the id of the request, or `losses` for all that were not served well, then log files in JSON"
+    )]
     words: Vec<String>,
+
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "with `losses`: draw them over time as SVG"
+    )]
+    svg: Option<path::PathBuf>,
 }
 
+/// Stands in place of a request's id for the account of all losses.
+const LOSSES: &str = "losses";
+
 /// One line of a log.
 #[derive(Debug)]
 struct Line {
@@ -54,11 +68,18 @@
 }
 
 /// Prints the lines about a request, and those about the endpoints that it went to.
-pub(crate) fn exec(args: &Args) -> Result<(), Failure> {
+pub(crate) fn exec(globals: &globals::Globals, args: &Args) -> Result<(), Failure> {
     let Some((request, files)) = args.words.split_first().filter(|(_, it)| !it.is_empty()) else {
-        let text = "write `sageshed logs REQUEST FILE...`, with log files in JSON";
+        let text = "write `sageshed logs REQUEST FILE...` or `sageshed logs losses FILE...`, \
+                    with log files in JSON";
         return Err(Failure::Usage(text.to_owned()));
     };
+    if request == LOSSES {
+        return losses::exec(globals, files, args.svg.as_deref());
+    }
+    if args.svg.is_some() {
+        return Err(Failure::Usage("--svg goes with `losses`".to_owned()));
+    }
     let mut lines = Vec::new();
     for file in files {
         let read = read(path::Path::new(file))
--- a/src/bin/sageshed/commands/mod.rs
+++ b/src/bin/sageshed/commands/mod.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod explain;
 mod logs;
+mod losses;
 mod models;
 mod rules;
 mod status;
@@ -38,7 +39,9 @@
     Models(models::Args),
     #[options(help = "tell what happened to a request")]
     Explain(explain::Args),
-    #[options(help = "show the lines of log files about a request")]
+    #[options(
+        help = "show the lines of log files about a request, or why requests were not served well"
+    )]
     Logs(logs::Args),
     #[options(help = "check settings and rule files")]
     Config(config::Args),
@@ -60,7 +63,7 @@
         Command::Endpoints(args) => endpoints::exec(globals, &args),
         Command::Models(args) => models::exec(globals, &args),
         Command::Explain(args) => explain::exec(globals, &args),
-        Command::Logs(args) => logs::exec(&args),
+        Command::Logs(args) => logs::exec(globals, &args),
         Command::Config(args) => config::exec(globals, args),
         Command::Drain(args) => drain::exec(globals, &args),
     }
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -58,7 +58,8 @@
         ::log::info!(request = self.id(), route = self.route.name.as_str(),
             config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
-            waited_for = self.waited_for_word(), arrivals = self.arrivals, left_ms = self.left_ms().0; "gateway: request refused");
+            waited_for = self.waited_for_word(), arrivals = self.arrivals,
+            repeat = if self.lacks_repeat { "none left" } else { "" }, left_ms = self.left_ms().0; "gateway: request refused");
         self.note(metrics::End::Refused, refusal.status);
         self.keep_account(account::End::Refused(refusal.clone()));
         outlet.refuse("", refusal)
@@ -99,7 +100,8 @@
         ::log::info!(request = self.id(), route = self.route.name.as_str(), status,
             config = self.shared.version(), endpoint = pick.instance.as_str(),
             model = self.model_name(), tokens = pick.tokens, estimate_ms = pick.estimate.0,
-            waited_for = self.waited_for_word(), runs = self.runs, sent_ms = time::Millis::from(sent).0,
+            waited_for = self.waited_for_word(), objective_ms = self.route.objective.0,
+            pause_limit_ms = self.route.pause.map_or(0, |it| it.0), runs = self.runs, sent_ms = time::Millis::from(sent).0,
             first_ms = time::Millis::from(self.paces.first).0,
             pause_ms = time::Millis::from(self.paces.longest).0,
             took_ms = time::Millis::from(took).0; "gateway: request answered");
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -145,6 +145,8 @@
     /// Endpoints that it arrived at.
     arrivals: u32,
     last: String,
+    /// It could have been sent once more, and the budget for repeats was spent.
+    lacks_repeat: bool,
     /// What it waits for here, or waited for last.
     waited_for: Option<chooser::Missing>,
     paces: Paces,
@@ -219,6 +221,7 @@
             runs: 0,
             arrivals: 0,
             last: String::new(),
+            lacks_repeat: false,
             waited_for: None,
             paces: Paces::default(),
             story: story::Story::default(),
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -157,6 +157,7 @@
             return Step::Send(pick);
         }
         self.ended(&pick, false, chooser::Ended::GivenUp);
+        self.lacks_repeat = true;
         let detail = format!("{}, and no repeat is left in the budget", self.last);
         Step::Refuse(self.give_up(verdict::Reason::EndpointFailed, detail))
     }
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -9,6 +9,7 @@
 pub mod gateway;
 pub mod locks;
 pub mod logs;
+pub mod losses;
 pub mod metrics;
 pub mod metrics_port;
 pub mod settings;
