Tell the group of an engine which beginnings of prompts it keeps

Cause: an entry process knew only what it had sent itself, a seventh of what engines keep. Change: the datagram that says that a prompt was read names its shared beginning, eight parts at most: by group, so no message more than before. Ruled out: waiting at each engine for its own list of what it keeps: an open call for each pair of entry process and engine.

--- a/crates/sageshed-fleet/src/chooser/kept.rs
+++ b/crates/sageshed-fleet/src/chooser/kept.rs
@@ -6,28 +6,11 @@
 
 use std::collections;
 
-use crate::{dialect, directory, neighbours};
+use crate::{dialect, directory, neighbours, neighbours::Reader};
 
 /// Prompt parts that are remembered for each engine.
 const PARTS: usize = 2_000;
 
-/// The model and adapter for which a part was read, by their hashes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Reader {
-    model: u64,
-    /// Of the whole name, the adapter included.
-    whole: u64,
-}
-
-impl Reader {
-    fn of(wanted: &dialect::Wanted) -> Self {
-        Self {
-            model: neighbours::key(&wanted.model),
-            whole: neighbours::hash(wanted),
-        }
-    }
-}
-
 /// The parts that one engine keeps.
 #[derive(Debug, Default)]
 pub(super) struct Kept {
@@ -47,10 +30,18 @@
 
     /// The engine has read a prompt of these parts.
     pub(super) fn remember(&mut self, wanted: &dialect::Wanted, parts: &[dialect::PromptPart]) {
-        let reader = Reader::of(wanted);
+        self.insert(Reader::of(wanted), parts.iter().map(|part| part.id));
+    }
+
+    /// It has read a beginning for another process.
+    pub(super) fn learn(&mut self, beginning: &neighbours::Beginning) {
+        self.insert(beginning.reader, beginning.parts.iter().copied());
+    }
+
+    fn insert(&mut self, reader: Reader, parts: impl Iterator<Item = u64>) {
         self.uses += 1;
         for part in parts {
-            self.parts.insert((reader, part.id), self.uses);
+            self.parts.insert((reader, part), self.uses);
         }
         if self.parts.len() > PARTS {
             self.forget_older_half();
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -124,7 +124,7 @@
         &mut self,
         now: time::Instant,
         from: net::Ipv4Addr,
-        word: neighbours::Unread,
+        word: &neighbours::Unread,
     ) -> bool {
         let Some(key) = self.by_key.get(&word.engine).copied() else {
             return false;
@@ -132,6 +132,9 @@
         let Some(endpoint) = self.get_mut(key) else {
             return false;
         };
+        if let Some(beginning) = &word.kept {
+            endpoint.kept.learn(beginning);
+        }
         let before = endpoint.others.insert(from, (word.micros, now));
         before.is_some_and(|(micros, _)| micros > word.micros)
     }
@@ -143,6 +146,7 @@
         let word = neighbours::Unread {
             engine: neighbours::key(&endpoint.instance.id),
             micros: endpoint.unread,
+            kept: None,
         };
         Some((word, endpoint.group.clone()))
     }
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -16,20 +16,73 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::dialect;
+
 /// Entry processes in the group of one engine. Seven serve a site of today, and all are in each group
 /// then.
 pub const GROUP: usize = 12;
 
 /// One process's word on an engine, sent by datagram whenever it changes. A lost one is made good by
 /// the next, and forgotten after a while.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unread {
     /// The engine, by [`key`].
     pub engine: u64,
     /// Microseconds that the engine takes to read what the sender has sent there and it has not read yet.
     pub micros: u64,
+    /// A beginning that the engine has just read for the sender, and keeps. Without the word of others a
+    /// process of seven knows a seventh of what engines keep: a quarter of all tokens that engines read
+    /// had been read before on some engine.
+    #[serde(default)]
+    pub kept: Option<Beginning>,
+}
+
+/// Parts at the beginning of a prompt that others may share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beginning {
+    /// For whom it was read.
+    pub reader: Reader,
+    /// The parts, in order.
+    pub parts: Vec<u64>,
+}
+
+/// The model and adapter for which a part was read, by their hashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Reader {
+    /// Of the model, by [`key`].
+    pub model: u64,
+    /// Of the whole name, the adapter included.
+    pub whole: u64,
 }
 
+impl Reader {
+    /// The one for `wanted`.
+    #[must_use]
+    pub fn of(wanted: &dialect::Wanted) -> Self {
+        Self {
+            model: key(&wanted.model),
+            whole: hash(wanted),
+        }
+    }
+}
+
+impl Beginning {
+    /// What of a prompt others may share: all parts but the last, which is its own or its session's. None
+    /// where that is nothing.
+    #[must_use]
+    pub fn of(wanted: &dialect::Wanted, parts: &[dialect::PromptPart]) -> Option<Self> {
+        let (_, shared) = parts.split_last()?;
+        let shared = &shared[..shared.len().min(MOST_PARTS)];
+        (!shared.is_empty()).then(|| Self {
+            reader: Reader::of(wanted),
+            parts: shared.iter().map(|it| it.id).collect(),
+        })
+    }
+}
+
+/// Parts of one beginning that are told, which bounds a datagram.
+const MOST_PARTS: usize = 8;
+
 /// The short name of an instance in datagrams.
 #[must_use]
 pub fn key(instance: &str) -> u64 {
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -68,12 +68,13 @@
     let word = |micros| neighbours::Unread {
         engine: neighbours::key("e1"),
         micros,
+        kept: None,
     };
     let m0 = dialect::Wanted {
         model: "m0".to_owned(),
         adapter: None,
     };
-    assert!(!chooser.hear(T0, neighbour, word(316_000)));
+    assert!(!chooser.hear(T0, neighbour, &word(316_000)));
     let waits = Choice::Wait(Missing::Place);
     assert_eq!(chooser.choose(T0, &waiting_ask(&m0, 3_000)), waits);
     // It has waited for as long as makes sense.
@@ -84,7 +85,7 @@
         panic!("e2 reads nothing");
     };
     assert_eq!(pick.instance, "e2");
-    assert!(chooser.hear(T0, neighbour, word(0)), "there is room again");
+    assert!(chooser.hear(T0, neighbour, &word(0)), "there is room again");
 }
 
 /// A datagram is lost, and the last word of a neighbour that was killed was that an engine has much to
@@ -97,8 +98,9 @@
     let word = neighbours::Unread {
         engine: neighbours::key("e1"),
         micros: 3_000_000,
+        kept: None,
     };
-    chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), word);
+    chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), &word);
     let m0 = dialect::Wanted {
         model: "m0".to_owned(),
         adapter: None,
@@ -107,3 +109,44 @@
     let choice = chooser.choose(later, &waiting_ask(&m0, 100));
     assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
 }
+
+/// One entry process has a long shared beginning read by an engine. A caller with the same beginning comes
+/// to another one. It must go where the beginning is kept, or it is read once more for each of the processes. What
+/// is the request's own, or was read for another model, is of no use to others.
+#[test]
+fn a_prompt_goes_where_another_entry_process_had_its_beginning_read() {
+    let part = |id, tokens| dialect::PromptPart { id, tokens };
+    let parts = [part(7, 6_000), part(8, 500)];
+    let (m0, m1) = (wanted("m0"), wanted("m1"));
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.know(&support::engine("e1", &["m0", "m1"]));
+    chooser.know(&support::engine("e2", &["m0", "m1"]));
+    let kept = neighbours::Beginning::of(&m0, &parts);
+    assert_eq!(kept.as_ref().map(|it| it.parts.clone()), Some(vec![7]));
+    assert_eq!(neighbours::Beginning::of(&m0, &parts[1..]), None);
+    let word = neighbours::Unread {
+        engine: neighbours::key("e2"),
+        micros: 0,
+        kept,
+    };
+    chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), &word);
+    let tokens = |chooser: &mut Chooser, wanted: &dialect::Wanted| {
+        let ask = Ask {
+            parts: &parts,
+            ..support::ask(wanted, 6_500)
+        };
+        match chooser.choose(T0, &ask) {
+            Choice::Send(pick) => (pick.instance, pick.tokens),
+            other => panic!("not sent: {other:?}"),
+        }
+    };
+    assert_eq!(tokens(&mut chooser, &m0), ("e2".to_owned(), 500));
+    assert_eq!(tokens(&mut chooser, &m1).1, 6_500);
+}
+
+fn wanted(model: &str) -> dialect::Wanted {
+    dialect::Wanted {
+        model: model.to_owned(),
+        adapter: None,
+    }
+}
--- a/src/bin/sageshed/commands/losses.rs
+++ b/src/bin/sageshed/commands/losses.rs
@@ -43,7 +43,9 @@
         report.answered, report.left_out
     );
     for remark in &report.remarks {
-        text.push_str(&format!("note: {remark}\n"));
+        text.push_str("note: ");
+        text.push_str(remark);
+        text.push('\n');
     }
     let causes = report.counts(|it| (it.outcome, it.cause));
     let causes = causes.into_iter().map(|((outcome, cause), tries)| {
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, sync, thread, time};
 
-use sageshed_fleet::{chooser, dialect, neighbours};
+use sageshed_fleet::{chooser, dialect, neighbours as words};
 
 use super::state;
 
@@ -29,8 +29,8 @@
 
     /// Tells the group of an engine what this process has there. A datagram may be lost; the next one
     /// says the same anew, and old words are forgotten.
-    pub fn tell(&self, word: neighbours::Unread, group: &[net::Ipv4Addr]) {
-        let bytes = match sageshed_vms::encode(&word) {
+    pub fn tell(&self, word: &words::Unread, group: &[net::Ipv4Addr]) {
+        let bytes = match sageshed_vms::encode(word) {
             Ok(bytes) => bytes,
             Err(e) => return ::log::error!(error:% = e; "gateway: neighbours are not told"),
         };
@@ -88,11 +88,28 @@
 
 /// Tells the neighbours after a change at the engine of `pick`.
 pub(super) fn tell<D: dialect::Dialect>(shared: &state::Shared<D>, pick: &chooser::Pick) {
+    tell_with(shared, pick, None);
+}
+
+/// The same after the engine has read a prompt, with the beginning of it that others may share.
+pub(super) fn tell_read<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    pick: &chooser::Pick,
+    read: chooser::Read<'_>,
+) {
+    tell_with(shared, pick, words::Beginning::of(read.wanted, read.parts));
+}
+
+fn tell_with<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    pick: &chooser::Pick,
+    kept: Option<words::Beginning>,
+) {
     let Some(neighbours) = shared.neighbours.as_ref().filter(|_| pick.reading > 0) else {
         return;
     };
     let word = shared.with_core(|core| core.chooser.word_on(pick));
     if let Some((word, group)) = word {
-        neighbours.tell(word, &group);
+        neighbours.tell(&words::Unread { kept, ..word }, &group);
     }
 }
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -307,7 +307,10 @@
                 core.backlog.read(now, &wanted.model, tokens);
             }
         });
-        neighbours::tell(self.shared, pick);
+        match read {
+            Some(read) => neighbours::tell_read(self.shared, pick, read),
+            None => neighbours::tell(self.shared, pick),
+        }
         self.shared.place_freed();
     }
 
--- a/src/sageshed/losses.rs
+++ b/src/sageshed/losses.rs
@@ -4,7 +4,7 @@
 //! so one line tells the cause. What a caller made of several tries is not in the logs, since each try
 //! has an id of its own: tries are counted, not callers.
 
-use std::collections;
+use std::{cmp, collections};
 
 use derive_more::{Display, Error};
 use serde::Serialize;
@@ -189,7 +189,7 @@
             *counts.entry(of(loss)).or_default() += 1;
         }
         let mut counts: Vec<_> = counts.into_iter().collect();
-        counts.sort_by(|a, b| b.1.cmp(&a.1));
+        counts.sort_by_key(|it| cmp::Reverse(it.1));
         counts
     }
 
