--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -59,7 +59,7 @@
 
 fn take<D: dialect::Dialect>(shared: &state::Shared<D>, from: net::SocketAddrV4, bytes: &[u8]) {
     match sageshed_vms::decode(bytes) {
-        Ok(word) => shared.hear(*from.ip(), word),
+        Ok(word) => shared.hear(*from.ip(), &word),
         Err(e) => ::log::warn!(from:% = from, error:% = e; "gateway: datagram not read"),
     }
 }
