--- a/crates/sageshed-fleet/src/planner/moves.rs
+++ b/crates/sageshed-fleet/src/planner/moves.rs
@@ -28,26 +28,28 @@
 
 impl Planner {
     /// Forgets the moves that have ended, and goes on with the others.
+    ///
+    /// One survey serves all steps: each is on an engine of its own, and the store counts the room that
+    /// is kept on every other.
     pub(super) fn go_on_with_moves(
         &mut self,
         now: time::Instant,
         pool: &Pool<'_>,
     ) -> Vec<dialect::Order> {
         self.end_moves(now, pool);
-        let open: Vec<(String, Move)> = self.moves.clone().into_iter().collect();
-        let mut orders = Vec::new();
-        for (id, open) in open {
-            let Some(instance) = pool.instances.iter().find(|it| it.id == id) else {
-                continue;
-            };
-            let model = pool.offer.models.iter().find(|it| it.name == open.model);
-            let survey = weights::Survey::new(self, now, pool);
-            let step = model.and_then(|it| survey.step_at(instance, it));
-            if let Some((_, task)) = step {
-                orders.extend(self.order(now, pool, &id, task));
-            }
-        }
+        let survey = weights::Survey::new(self, now, pool);
+        let steps = pool.instances.iter().filter_map(|instance| {
+            let kept_for = self.moves.get(&instance.id)?;
+            let mut models = pool.offer.models.iter();
+            let model = models.find(|it| it.name == kept_for.model)?;
+            let (_, task) = survey.step_at(instance, model)?;
+            Some((instance.id.clone(), task))
+        });
+        let steps: Vec<(String, dialect::Task)> = steps.collect();
+        let orders = steps.into_iter();
         orders
+            .filter_map(|(id, task)| self.order(now, pool, &id, task))
+            .collect()
     }
 
     /// Room is made on `id` for `model`.
@@ -56,29 +58,36 @@
         self.moves.insert(id, Move { model, since: now });
     }
 
+    /// Whether room is kept on `instance` for a model that the store has to give.
+    pub(super) fn keeps_for_store(&self, instance: &directory::Instance) -> bool {
+        let kept_for = self.moves.get(&instance.id);
+        kept_for.is_some_and(|it| engine::source(instance, &it.model) == engine::Source::Store)
+    }
+
     fn end_moves(&mut self, now: time::Instant, pool: &Pool<'_>) {
         let survey = weights::Survey::new(self, now, pool);
-        let ended = |(id, open): &(&String, &Move)| {
-            let Some(instance) = pool.instances.iter().find(|it| it.id == **id) else {
-                // Of another service, unless the engine is gone.
-                return !self.engines.contains_key(*id);
+        let ended = |instance: &&&directory::Instance| {
+            let Some(open) = self.moves.get(&instance.id) else {
+                return false;
             };
-            let is_loaded = instance.resident(&open.model).is_some() || self.loads(instance, open);
+            let loads = self
+                .engines
+                .get(&instance.id)
+                .and_then(engine::Engine::loads);
+            let is_loaded = loads == Some(&open.model) || instance.resident(&open.model).is_some();
             is_loaded || now.since(open.since) > KEPT || survey.is_needless(&open.model)
         };
-        let ended: Vec<String> = self
-            .moves
+        let ended: Vec<String> = pool
+            .instances
             .iter()
             .filter(ended)
-            .map(|(id, _)| id.clone())
+            .map(|it| it.id.clone())
             .collect();
         for id in ended {
             self.moves.remove(&id);
         }
-    }
-
-    fn loads(&self, instance: &directory::Instance, open: &Move) -> bool {
-        let engine = self.engines.get(&instance.id);
-        engine.and_then(engine::Engine::loads) == Some(&open.model)
+        // What an engine was to load that has gone is loaded elsewhere.
+        let engines = &self.engines;
+        self.moves.retain(|id, _| engines.contains_key(id));
     }
 }
--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{Busy, EMPTIER, Planner, Pool, engine, moves};
+use super::{Busy, EMPTIER, Planner, Pool, engine};
 use crate::{config, dialect, directory};
 
 /// A model with less work than this, in engines kept busy, is not taken for the next to rise.
@@ -63,6 +63,10 @@
     pool: &'a Pool<'p>,
     now: time::Instant,
     models: collections::HashMap<&'p str, Standing>,
+    /// Loads from the store under way.
+    store_loads: usize,
+    /// Engines on which room is kept for a model that the store has to give.
+    kept_for_store: usize,
 }
 
 impl<'a, 'p> Survey<'a, 'p> {
@@ -85,11 +89,18 @@
             }
         }
         anticipate(planner.policy.anticipated, &mut models);
+        let kept = pool.instances.iter();
         Self {
             planner,
             pool,
             now,
             models,
+            store_loads: planner
+                .engines
+                .values()
+                .map(engine::Engine::store_loads)
+                .sum(),
+            kept_for_store: kept.filter(|it| planner.keeps_for_store(it)).count(),
         }
     }
 
@@ -161,19 +172,12 @@
         best.map(|(_, id, task)| (id, task))
     }
 
-    /// Whether the store may begin one more load besides those for which room is kept.
-    fn store_is_free(&self, besides: &str) -> bool {
-        let engines = &self.planner.engines;
-        let loads: usize = engines.values().map(engine::Engine::store_loads).sum();
-        let kept = self.pool.instances.iter().filter(|it| {
-            let planned = self.planner.moves.get(&it.id);
-            let from_store =
-                |m: &moves::Move| engine::source(it, &m.model) == engine::Source::Store;
-            it.id != besides && planned.is_some_and(from_store)
-        });
-        let kept = kept.count();
+    /// Whether the store may begin a load on `instance` besides those for which room is kept elsewhere.
+    fn store_is_free(&self, instance: &directory::Instance) -> bool {
+        let own = usize::from(self.planner.keeps_for_store(instance));
+        let kept = self.kept_for_store - own;
         let per_s = self.pool.offer.loads_per_s;
-        loads + kept < self.planner.policy.loads_at_once
+        self.store_loads + kept < self.planner.policy.loads_at_once
             && self.planner.store.allows(self.now, per_s, kept)
     }
 
@@ -192,7 +196,7 @@
             return None;
         }
         let source = engine::source(instance, &model.name);
-        if source == engine::Source::Store && !self.store_is_free(&instance.id) {
+        if source == engine::Source::Store && !self.store_is_free(instance) {
             return None;
         }
         let used = engine.weights_at_worst(instance, self.pool.offer);
--- a/crates/sageshed-quorum/src/node.rs
+++ b/crates/sageshed-quorum/src/node.rs
@@ -179,7 +179,7 @@
             self.timers.heard = self.timers.now;
             self.timers.check_due = Some(self.timers.now + time::Millis(1));
             self.restart_election_timer();
-            self.start_of();
+            self.recall_start();
         }
         if self.is_leader() && self.timers.now >= self.quorum_deadline() {
             self.lose_quorum(out);
--- a/crates/sageshed-quorum/src/restart.rs
+++ b/crates/sageshed-quorum/src/restart.rs
@@ -14,10 +14,10 @@
 //! the voter waits as before.
 //!
 //! The former leader hears these questions. Once a majority has asked it stands for election after
-//! [`Config::start_delay`](crate::config::Config), by which time its answers have arrived; the others leave it that start.
+//! `Config::start_delay`, by which time its answers have arrived; the others leave it that start.
 //!
 //! This holds only while nothing that a leader has granted outlives its process, see
-//! [`Config::checks_restart`](crate::config::Config).
+//! [`checks_restart`](crate::config::Config::checks_restart).
 
 use std::collections;
 
@@ -39,8 +39,8 @@
 }
 
 impl node::Node {
-    /// What a node starts with whose disk holds `hard`.
-    pub(crate) fn start_of(&mut self) {
+    /// Finds out from what the disk holds whether a leader may count on this node.
+    pub(crate) fn recall_start(&mut self) {
         if !self.cfg.checks_restart {
             return;
         }
@@ -95,7 +95,7 @@
             asked_by.insert(from);
             if membership.has_majority(|id| asked_by.contains(&id)) {
                 self.state.start = Start::Over;
-                self.stand_by(self.timers.now + self.cfg.start_delay());
+                self.stand_at(self.timers.now + self.cfg.start_delay());
             }
         }
     }
@@ -119,11 +119,11 @@
         self.state.heard_leader = false;
         let interval = self.cfg.heartbeat_interval.0.max(2);
         let extra = time::Millis(self.draw(interval));
-        self.stand_by(self.timers.now + time::Millis(interval / 2) + extra);
+        self.stand_at(self.timers.now + time::Millis(interval / 2) + extra);
     }
 
     /// Stands for election at `due` if no leader turns up before.
-    pub(crate) fn stand_by(&mut self, due: time::Instant) {
+    pub(crate) fn stand_at(&mut self, due: time::Instant) {
         let before = self.timers.election_due.unwrap_or(due);
         self.timers.election_due = Some(before.min(due));
     }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -303,8 +303,12 @@
         since: std_time::Instant,
         gone: impl Fn() -> bool,
     ) -> Option<sync::Arc<Routing>> {
+        if let Some(routing) = self.routing() {
+            return Some(routing);
+        }
         let until = since + FIRST_ROUTING;
         while !gone() {
+            // Read before the look, so that a configuration which comes behind it ends the wait.
             let seen = self.with_core(|core| core.changes());
             let routing = self.routing();
             let left = until.saturating_duration_since(std_time::Instant::now());
