--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -125,6 +125,10 @@
     let large = r#""models":[{"name":"m9","weights_mb":5000.0,"load_s":20.0,"adapters":0,"adapter_mb":10.0},"#;
     let config = operator::config_with(11, route).replace("\"models\":[", large);
     fleet.replace(&config);
+    fleet.until("the route is in force", || {
+        let answer = fleet.ask(0, &Ask::new("POST", "/late/stream", "held"));
+        answer.is_some_and(|it| it.status() == 200)
+    });
     let address = fleet.entries[0].address();
     let waits = thread::spawn(move || {
         let ask = Ask {
