--- a/crates/sageshed-fleet/src/chooser/ask.rs
+++ b/crates/sageshed-fleet/src/chooser/ask.rs
@@ -5,7 +5,7 @@
 use sageshed_types::{arena, time};
 use serde::Deserialize;
 
-use crate::dialect;
+use crate::{dialect, directory};
 
 /// How an endpoint is chosen among those that could take a request. All but [`Routing::Estimate`] are
 /// there to be compared with.
@@ -82,7 +82,7 @@
     /// Have the adapter loaded on this engine, and ask again.
     Fetch {
         /// The start of the engine.
-        instance: String,
+        instance: directory::InstanceId,
     },
     /// Wait for a change.
     Wait(Missing),
@@ -112,7 +112,7 @@
     /// The endpoint.
     pub key: arena::EndpointKey,
     /// The start of it that is meant.
-    pub instance: String,
+    pub instance: directory::InstanceId,
     /// Its address.
     pub address: net::SocketAddrV4,
     /// Tokens that it has to read.
--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -189,7 +189,7 @@
     }
 
     pub(super) fn join_group(&mut self, own: net::Ipv4Addr, entries: &[net::Ipv4Addr]) {
-        let mut group = neighbours::group(neighbours::key(&self.instance.id), entries);
+        let mut group = neighbours::group(neighbours::instance_key(&self.instance.id), entries);
         self.is_in_group = group.contains(&own) || entries.is_empty();
         group.retain(|it| *it != own);
         self.group = group;
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -61,7 +61,7 @@
 pub struct Chooser {
     availability_zone: String,
     endpoints: Vec<Option<Endpoint>>,
-    by_id: collections::HashMap<String, arena::EndpointKey>,
+    by_id: collections::HashMap<directory::InstanceId, arena::EndpointKey>,
     by_key: collections::HashMap<u64, arena::EndpointKey>,
     by_service: collections::HashMap<String, Vec<arena::EndpointKey>>,
     random: u64,
@@ -142,7 +142,7 @@
     pub fn word_on(&self, pick: &Pick) -> Option<(neighbours::Unread, Vec<net::Ipv4Addr>)> {
         let endpoint = self.get(pick.key)?;
         let word = neighbours::Unread {
-            engine: neighbours::key(&endpoint.instance.id),
+            engine: neighbours::instance_key(&endpoint.instance.id),
             micros: endpoint.unread,
             kept: None,
         };
@@ -166,18 +166,19 @@
         let mut endpoint = Endpoint::new(instance.clone());
         endpoint.join_group(self.own, &self.entries);
         self.endpoints.push(Some(endpoint));
-        self.by_key.insert(neighbours::key(&instance.id), key);
+        self.by_key
+            .insert(neighbours::instance_key(&instance.id), key);
         self.by_id.insert(instance.id.clone(), key);
         let service = self.by_service.entry(instance.service.clone());
         service.or_default().push(key);
     }
 
     /// An endpoint has gone. Its key is not given to another, since requests may be under way there.
-    pub fn forget(&mut self, id: &str) {
+    pub fn forget(&mut self, id: &directory::InstanceId) {
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
-        self.by_key.remove(&neighbours::key(id));
+        self.by_key.remove(&neighbours::instance_key(id));
         let Some(endpoint) = self.endpoints[key.index()].take() else {
             return;
         };
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -60,9 +60,9 @@
 /// What goes to an endpoint besides what the caller sent.
 #[derive(Debug, Clone, Copy)]
 pub struct Onward<'a> {
-    /// The start of the endpoint that is meant. Any other must refuse, as one that was given the
+    /// The start of the endpoint that is meant. Another endpoint must refuse, as one that was given the
     /// address of an endpoint that has gone.
-    pub instance: &'a str,
+    pub instance: &'a directory::InstanceId,
     /// What is left of the time.
     pub time_left: time::Millis,
     /// From 0, first, to 9; none leaves it to the engine.
@@ -80,8 +80,8 @@
     pub word: Word,
     /// Its load, where it tells.
     pub load: Option<Load>,
-    /// The start of the endpoint that answered, where it tells.
-    pub instance: Option<&'a str>,
+    /// The name of the endpoint that answered, where it tells.
+    pub endpoint: Option<&'a str>,
 }
 
 /// What an endpoint's answer says of the request.
@@ -111,15 +111,15 @@
 /// A call that comes to a control process from outside.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ControlCall {
-    /// An instance announces itself.
+    /// An endpoint announces itself.
     Announce {
-        /// Its id.
-        instance: String,
+        /// Its name.
+        endpoint: String,
     },
-    /// An instance says that it stops.
+    /// An endpoint says that it stops.
     Leave {
-        /// Its id.
-        instance: String,
+        /// Its name.
+        endpoint: String,
     },
     /// The operator replaces the configuration.
     Replace,
@@ -174,7 +174,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
     /// The start of the engine that is meant.
-    pub instance: String,
+    pub instance: directory::InstanceId,
     /// Where it is.
     pub address: net::SocketAddrV4,
     /// What to do.
@@ -221,6 +221,8 @@
 /// What an engine reports of itself when asked.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
+    /// When the start that reports was born, where it says so; see [`directory::InstanceId::born`].
+    pub born: Option<u64>,
     /// Orders that it has accepted since its start.
     pub accepted: u64,
     /// Whether it carries out an order about weights.
@@ -261,7 +263,14 @@
     /// # Errors
     ///
     /// If it is not one.
-    fn announcement(&self, id: &str, body: &[u8]) -> Result<directory::Instance, Malformed>;
+    fn announcement(&self, endpoint: &str, body: &[u8]) -> Result<directory::Instance, Malformed>;
+
+    /// Reads which start of an endpoint says that it stops.
+    ///
+    /// # Errors
+    ///
+    /// If that can't be told.
+    fn leaving(&self, endpoint: &str, body: &[u8]) -> Result<directory::InstanceId, Malformed>;
 
     /// Reads a configuration, which may still be invalid by [`config::FleetConfig::check`].
     ///
@@ -277,7 +286,7 @@
     fn order_answer(&self, status: u16) -> OrderAnswer;
 
     /// The call that asks an engine for its report.
-    fn ask_report(&self, instance: &str) -> OutCall;
+    fn ask_report(&self, instance: &directory::InstanceId) -> OutCall;
 
     /// Reads a report.
     ///
--- /dev/null
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -0,0 +1,223 @@
+//! What an endpoint says of itself, and the record by which directories pass it on.
+
+use std::{cmp, fmt, net};
+
+use sageshed_types::time;
+use serde::{Deserialize, Serialize};
+
+/// Names one start of an endpoint.
+///
+/// An endpoint that crashes may start again under the name that it had. It then holds nothing, and what
+/// was sent or ordered before concerns a process that is no more, so everything that is believed of an
+/// endpoint is kept by this pair. Ordered by name, then by time of start.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct InstanceId {
+    /// The name of the endpoint, the same in each of its starts.
+    pub name: String,
+    /// When it was started, in milliseconds of Unix time by its own clock, which may jump. None where
+    /// it does not say so; its starts are then known by their names alone.
+    pub born: Option<u64>,
+}
+
+impl InstanceId {
+    /// The start at `born` of the endpoint `name`.
+    #[must_use]
+    pub fn new(name: &str, born: Option<u64>) -> Self {
+        let name = name.to_owned();
+        Self { name, born }
+    }
+}
+
+/// A start of an endpoint that does not say when it was.
+impl From<&str> for InstanceId {
+    fn from(name: &str) -> Self {
+        Self::new(name, None)
+    }
+}
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(f, "{}@{born}", self.name),
+            None => f.write_str(&self.name),
+        }
+    }
+}
+
+/// One start of an endpoint, by its own word.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its id, never used by another.
+    pub id: InstanceId,
+    /// The service that it is part of.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: net::SocketAddrV4,
+    /// Where it stands.
+    pub availability_zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// How much longer it is slow after its start.
+    pub warming: time::Millis,
+    /// Where it will be gone at short notice: how long it had left when it said so.
+    pub remaining: Option<time::Millis>,
+    /// Counts its announcements.
+    pub sequence: u64,
+    /// The models in its accelerators' memory.
+    pub models: Vec<Resident>,
+    /// Models with a copy of their weights in its host's memory.
+    pub in_memory: Vec<String>,
+    /// Models with a copy of their weights on its disk.
+    pub on_disk: Vec<String>,
+}
+
+/// A model that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resident {
+    /// The model.
+    pub model: String,
+    /// The version of its weights.
+    pub version: u64,
+    /// Its adapters there.
+    pub adapters: Vec<String>,
+}
+
+/// Whether an instance takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It will stop and takes no new work.
+    Leaving,
+    /// It has stopped, or says that it is about to.
+    Gone,
+    /// Nothing was heard of it for long. It may be cut off from control and is back by its next word.
+    Silent,
+    /// Another start of the same endpoint has taken its place.
+    Replaced,
+}
+
+impl Instance {
+    /// What is known of an instance of which nothing but its end was heard.
+    pub(super) fn gone(id: InstanceId) -> Self {
+        Self {
+            id,
+            service: String::new(),
+            address: net::SocketAddrV4::new(net::Ipv4Addr::UNSPECIFIED, 0),
+            availability_zone: String::new(),
+            slots: 0,
+            state: State::Gone,
+            warming: time::Millis(0),
+            remaining: None,
+            sequence: u64::MAX,
+            models: Vec::new(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        }
+    }
+
+    /// The model that it holds, if it does.
+    #[must_use]
+    pub fn resident(&self, model: &str) -> Option<&Resident> {
+        self.models.iter().find(|it| it.model == model)
+    }
+
+    /// Whether it holds `model`, and `adapter` of it if one is asked for.
+    #[must_use]
+    pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
+        let Some(resident) = self.resident(model) else {
+            return false;
+        };
+        adapter.is_none_or(|name| resident.adapters.iter().any(|it| it == name))
+    }
+
+    /// Whether it is there, as far as is known.
+    #[must_use]
+    pub fn is_present(&self) -> bool {
+        matches!(self.state, State::Ready | State::Leaving)
+    }
+
+    /// Whether it has ended, by its own word or that of a later start.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        matches!(self.state, State::Gone | State::Replaced)
+    }
+
+    /// Whether it takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state == State::Ready
+    }
+
+    /// Whether two words of one instance differ in more than their number.
+    pub(super) fn differs(&self, other: &Self) -> bool {
+        let warms = |it: &Self| it.warming > time::Millis(0);
+        self.state != other.state
+            || self.models != other.models
+            || self.address != other.address
+            || self.slots != other.slots
+            || self.remaining.is_some() != other.remaining.is_some()
+            || self.in_memory != other.in_memory
+            || self.on_disk != other.on_disk
+            || warms(self) != warms(other)
+    }
+}
+
+/// How far a peer knows a directory.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The start of the process that holds the directory: its counts mean nothing after another.
+    pub start: u64,
+    /// Changes of it that are known.
+    pub change: u64,
+}
+
+/// An instance as one directory passes it to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its latest word.
+    pub instance: Instance,
+    /// Counts what the leader did to it that its own word does not show yet.
+    pub amended: u64,
+    /// How old the word is.
+    pub age: time::Millis,
+}
+
+impl Record {
+    /// By which of two records of one instance is newer.
+    pub(super) fn number(&self) -> (u64, u64) {
+        (self.instance.sequence, self.amended)
+    }
+}
+
+/// What an announcement or record was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offer {
+    /// The first of its instance.
+    New,
+    /// It changes what is believed.
+    Changed,
+    /// It confirms what is believed.
+    Confirmed,
+    /// It is older than what is known, or of an instance that has ended.
+    Stale,
+    /// It is of another instance, and as many are known as are kept.
+    Full,
+}
+
+impl Offer {
+    /// Whether something is believed by it that was not before.
+    #[must_use]
+    pub fn is_news(self) -> bool {
+        matches!(self, Self::New | Self::Changed)
+    }
+}
+
+/// Which of two starts of one endpoint is the later one by their own clocks. One that says when it was
+/// started comes behind one that does not: its software is the newer one.
+pub(super) fn by_birth(a: &InstanceId, b: &InstanceId) -> cmp::Ordering {
+    a.born.cmp(&b.born)
+}
--- /dev/null
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -0,0 +1,319 @@
+//! What is believed of each endpoint, by its own announcements.
+//!
+//! Announcements come to any control process, late and out of order. Each carries a number that grows
+//! within one start of an endpoint (an [`Instance`]), so the newest word of an instance is known from the
+//! word itself, whichever way it came. An instance that says that it goes never comes back: its id is
+//! kept for [`GONE_KEPT`], longer than an announcement may be delayed. Which of several starts of one
+//! endpoint lives is decided by [`succession`].
+//!
+//! A directory counts its changes. A peer that says up to which change it knows this directory gets
+//! what came after ([`Directory::since`]).
+
+mod instance;
+mod succession;
+
+use std::{collections, net};
+
+use sageshed_types::time;
+
+pub use self::instance::{Instance, InstanceId, Mark, Offer, Record, Resident, State};
+
+/// How long the id of an instance that has ended is remembered. Announcements were seen to arrive
+/// after a cut of the network of about ten seconds; this is several times that.
+pub const GONE_KEPT: time::Millis = time::Millis(60_000);
+
+/// How often the word of an instance that says nothing new is passed on, so that others know that it
+/// lives.
+pub const REFRESH: time::Millis = time::Millis(2_000);
+
+/// An instance whose first word here has at most this number was just started.
+const FIRST_WORDS: u64 = 3;
+
+/// How long one instance must be silent before another, which may have died before it, takes its place:
+/// its own words may have gone to other control processes, which pass them on every [`REFRESH`].
+const RIVAL_SILENCE: time::Millis = time::Millis(5_000);
+
+/// How long an instance may be silent before it is taken for gone. Several announcements, which may
+/// be late by seconds.
+pub const SILENCE: time::Millis = time::Millis(12_000);
+
+/// Instances that are kept at the most: twice the endpoints of the largest fleet that is aimed for. One
+/// takes about a kilobyte, and whoever can reach the port can announce any number of them.
+pub const MOST_KEPT: usize = 20_000;
+
+#[derive(Debug, Clone)]
+struct Entry {
+    instance: Instance,
+    amended: u64,
+    heard: time::Instant,
+    changed: u64,
+    passed_on: time::Instant,
+    /// Of one that another start has replaced: since when it has spoken while the other was silent.
+    contends_since: Option<time::Instant>,
+}
+
+/// The instances that one process knows.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    start: u64,
+    change: u64,
+    entries: collections::BTreeMap<InstanceId, Entry>,
+}
+
+impl Directory {
+    /// An empty directory of the process that was started at `start`.
+    #[must_use]
+    pub fn new(start: u64) -> Self {
+        Self {
+            start,
+            ..Self::default()
+        }
+    }
+
+    /// Up to where this directory is known to whom it is shown now.
+    #[must_use]
+    pub fn mark(&self) -> Mark {
+        Mark {
+            start: self.start,
+            change: self.change,
+        }
+    }
+
+    /// Takes an instance's own word, that came just now.
+    pub fn announce(&mut self, now: time::Instant, instance: Instance) -> Offer {
+        let (id, address) = (instance.id.clone(), instance.address);
+        let is_first = instance.sequence <= FIRST_WORDS;
+        let amended = self.entries.get(&id).map_or(0, |it| it.amended);
+        let age = time::Millis(0);
+        let record = Record {
+            instance,
+            amended,
+            age,
+        };
+        let offer = self.merge(now, record);
+        if !matches!(offer, Offer::Stale | Offer::Full) {
+            self.replace_at(now, &id, address, is_first);
+        }
+        offer
+    }
+
+    /// Takes the other endpoints at `address` for gone: one that crashed and was started anew there under
+    /// another name says nothing more.
+    ///
+    /// A word of an instance that died long ago may arrive late and must not end the one that lives
+    /// there now. So either it is among the first words of its instance, or the other was silent.
+    fn replace_at(
+        &mut self,
+        now: time::Instant,
+        id: &InstanceId,
+        address: net::SocketAddrV4,
+        is_first: bool,
+    ) {
+        let is_rival = |it: &&Entry| {
+            let other = &it.instance;
+            let is_silent = now.since(it.heard) >= RIVAL_SILENCE;
+            let is_there = other.address == address && !other.has_ended();
+            is_there && other.id.name != id.name && (is_first || is_silent)
+        };
+        let rivals = self.entries.values().filter(is_rival);
+        let rivals: Vec<InstanceId> = rivals.map(|it| it.instance.id.clone()).collect();
+        for rival in rivals {
+            self.gone(now, &rival);
+        }
+    }
+
+    /// Takes what another directory passes on.
+    pub fn merge(&mut self, now: time::Instant, record: Record) -> Offer {
+        let Some(entry) = self.entries.get(&record.instance.id) else {
+            return self.first_word(now, record);
+        };
+        match entry.instance.state {
+            State::Gone => Offer::Stale,
+            State::Replaced => self.contend(now, record),
+            State::Ready | State::Leaving | State::Silent => self.update(now, record),
+        }
+    }
+
+    /// The first word of an instance.
+    fn first_word(&mut self, now: time::Instant, record: Record) -> Offer {
+        if self.entries.len() >= MOST_KEPT {
+            return Offer::Full;
+        }
+        match self.succeeds(now, &record) {
+            succession::First::Lives => self.insert(now, record),
+            succession::First::Succeeds(before) => {
+                self.replace(now, &before);
+                self.insert(now, record)
+            }
+            succession::First::Ends(current) => {
+                self.gone(now, &current);
+                Offer::Changed
+            }
+            succession::First::Contends => {
+                self.note_contender(now, record);
+                Offer::Stale
+            }
+        }
+    }
+
+    fn insert(&mut self, now: time::Instant, record: Record) -> Offer {
+        self.change += 1;
+        let entry = Entry {
+            amended: record.amended,
+            heard: heard_at(now, record.age),
+            changed: self.change,
+            passed_on: now,
+            contends_since: None,
+            instance: record.instance,
+        };
+        self.entries.insert(entry.instance.id.clone(), entry);
+        Offer::New
+    }
+
+    /// A further word of an instance that has not ended.
+    fn update(&mut self, now: time::Instant, record: Record) -> Offer {
+        let Some(entry) = self.entries.get_mut(&record.instance.id) else {
+            return Offer::Stale;
+        };
+        let known = (entry.instance.sequence, entry.amended);
+        let goes = record.instance.state == State::Gone;
+        if record.instance.sequence >= entry.instance.sequence {
+            entry.heard = entry.heard.max(heard_at(now, record.age));
+        }
+        // Two directories that hold different words under the same numbers must not exchange them for
+        // ever: only a higher number replaces what is held.
+        if record.number() <= known && !goes {
+            let is_same = record.number() == known;
+            return if is_same {
+                Offer::Confirmed
+            } else {
+                Offer::Stale
+            };
+        }
+        let is_news = entry.instance.differs(&record.instance) || record.amended > entry.amended;
+        let refresh = now.since(entry.passed_on) >= REFRESH;
+        if is_news || refresh {
+            self.change += 1;
+            entry.changed = self.change;
+            entry.passed_on = now;
+        }
+        entry.amended = entry.amended.max(record.amended);
+        entry.instance = record.instance;
+        if is_news {
+            Offer::Changed
+        } else {
+            Offer::Confirmed
+        }
+    }
+
+    /// Notes what the instance's own word does not show yet, as an adapter that the leader had it
+    /// load. Returns false where the instance is not known or has ended.
+    pub fn amend(
+        &mut self,
+        now: time::Instant,
+        id: &InstanceId,
+        amend: impl FnOnce(&mut Instance),
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if entry.instance.has_ended() {
+            return false;
+        }
+        amend(&mut entry.instance);
+        self.change += 1;
+        entry.amended += 1;
+        entry.changed = self.change;
+        entry.passed_on = now;
+        true
+    }
+
+    /// Notes that an instance has gone. Returns false where it is not known, or has ended already.
+    pub fn gone(&mut self, now: time::Instant, id: &InstanceId) -> bool {
+        self.amend(now, id, |it| it.state = State::Gone)
+    }
+
+    /// Takes an endpoint's own word that the start `id` of it goes. One without a time of birth means the
+    /// start that is known.
+    ///
+    /// It is passed on also where the instance is not known here: a control process that was just started
+    /// knows none, and others still do.
+    pub fn leave(&mut self, now: time::Instant, id: &InstanceId) {
+        let record = Record {
+            instance: Instance::gone(id.clone()),
+            amended: 0,
+            age: time::Millis(0),
+        };
+        match self.meant_by(now, &record) {
+            Some(meant) => drop(self.gone(now, &meant)),
+            None if self.entries.contains_key(id) => {}
+            None => drop(self.merge(now, record)),
+        }
+    }
+
+    /// Takes those for gone that were silent for [`SILENCE`], and forgets those that ended long ago.
+    /// Returns the ids of the former.
+    pub fn expire(&mut self, now: time::Instant) -> Vec<InstanceId> {
+        self.entries
+            .retain(|_, entry| entry.instance.is_present() || now.since(entry.heard) < GONE_KEPT);
+        let silent: Vec<InstanceId> = self
+            .entries
+            .values()
+            .filter(|it| it.instance.is_present() && now.since(it.heard) >= SILENCE)
+            .map(|it| it.instance.id.clone())
+            .collect();
+        for id in &silent {
+            self.amend(now, id, |it| it.state = State::Silent);
+        }
+        silent
+    }
+
+    /// What changed after `mark`; everything where the mark is of another start.
+    #[must_use]
+    pub fn since(&self, now: time::Instant, mark: Mark) -> Vec<Record> {
+        let from = if mark.start == self.start {
+            mark.change
+        } else {
+            0
+        };
+        self.entries
+            .values()
+            .filter(|entry| entry.changed > from)
+            .map(|entry| Record {
+                instance: entry.instance.clone(),
+                amended: entry.amended,
+                age: now.since(entry.heard),
+            })
+            .collect()
+    }
+
+    /// The instances that have not gone, with how long each was silent.
+    pub fn present(&self, now: time::Instant) -> impl Iterator<Item = (&Instance, time::Millis)> {
+        self.entries
+            .values()
+            .filter(|entry| entry.instance.is_present())
+            .map(move |entry| (&entry.instance, now.since(entry.heard)))
+    }
+
+    /// The start of the endpoint `name` that is there, if one is known.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Instance> {
+        let entry = self.current(name)?;
+        entry.instance.is_present().then_some(&entry.instance)
+    }
+
+    /// The starts that are there of endpoints that ended and were started again lately.
+    #[must_use]
+    pub fn restarted(&self) -> Vec<InstanceId> {
+        let ended = self.entries.values().filter(|it| it.instance.has_ended());
+        let names: collections::BTreeSet<&str> =
+            ended.map(|it| it.instance.id.name.as_str()).collect();
+        let there = names.into_iter().filter_map(|name| self.get(name));
+        there.map(|it| it.id.clone()).collect()
+    }
+}
+
+/// When a word that is so old now was heard.
+fn heard_at(now: time::Instant, age: time::Millis) -> time::Instant {
+    time::Instant(now.0.saturating_sub(age.0))
+}
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -98,7 +98,7 @@
     /// The adapter of that model.
     pub adapter: String,
     /// The engine on which it is wanted, if any will not do.
-    pub engine: Option<String>,
+    pub engine: Option<directory::InstanceId>,
 }
 
 /// What became of a [`WantReq`].
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::dialect;
+use crate::{dialect, directory};
 
 /// Entry processes in the group of one engine. Seven serve a site of today, and all are in each group
 /// then.
@@ -26,7 +26,7 @@
 /// the next, and forgotten after a while.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unread {
-    /// The engine, by [`key`].
+    /// The engine, by [`instance_key`].
     pub engine: u64,
     /// Microseconds that the engine takes to read what the sender has sent there and it has not read yet.
     pub micros: u64,
@@ -84,10 +84,17 @@
 /// Parts of one beginning that are told, which bounds a datagram.
 const MOST_PARTS: usize = 8;
 
-/// The short name of an instance in datagrams.
+/// The short name of a model in datagrams.
 #[must_use]
-pub fn key(instance: &str) -> u64 {
-    hash(&instance)
+pub fn key(model: &str) -> u64 {
+    hash(&model)
+}
+
+/// The short name of an instance in datagrams. Another start has another: what was sent to the one before
+/// is not read there.
+#[must_use]
+pub fn instance_key(instance: &directory::InstanceId) -> u64 {
+    hash(instance)
 }
 
 /// The group of an engine among `entries`: those with the highest hash of both (rendezvous hashing),
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -13,7 +13,7 @@
 const ADAPTERS_IN_TRANSIT: usize = 3;
 
 /// How long an order without an answer may still be carried out. Some were after twelve seconds.
-const UNKNOWN_FATE: time::Millis = time::Millis(13_000);
+pub(super) const UNKNOWN_FATE: time::Millis = time::Millis(13_000);
 
 /// Between two questions for a report.
 const REPORT_INTERVAL: time::Millis = time::Millis(1_000);
@@ -100,9 +100,19 @@
     asked_at: Option<time::Instant>,
     /// It refused, or could not be reached: no order before.
     rest_until: time::Instant,
+    /// Until then it may carry out what the start before it was ordered.
+    unsettled_until: time::Instant,
 }
 
 impl Engine {
+    /// The account of a start that may carry out orders to the start before it until then.
+    pub(super) fn following(until: time::Instant) -> Self {
+        Self {
+            unsettled_until: until,
+            ..Self::default()
+        }
+    }
+
     /// Closes the orders whose outcome the engine's own word shows.
     pub(super) fn see(&mut self, now: time::Instant, instance: &directory::Instance) {
         // Of accepted orders a load shows in the engine's word. The rest shows only in a report, since
@@ -307,6 +317,20 @@
         }
     }
 
+    /// Until when an order that it was given may still be carried out, if there is such a one.
+    pub(super) fn unsettled_until(&self, now: time::Instant) -> Option<time::Instant> {
+        let until = self.open.iter().filter_map(|it| match it.fate {
+            Fate::Sent => Some(now + UNKNOWN_FATE),
+            Fate::Unknown(until) | Fate::Open(until) => Some(until),
+            // It was at work on it when it ended.
+            Fate::Accepted(_) => None,
+        });
+        until
+            .chain([self.unsettled_until])
+            .max()
+            .filter(|until| now < *until)
+    }
+
     /// An order that is to be given again, if there is one, with the number that it stands behind.
     pub(super) fn give_again(&mut self) -> Option<(dialect::Task, u64)> {
         let is_open = |it: &&mut Open| matches!(it.fate, Fate::Open(_));
@@ -372,7 +396,8 @@
             drops_adapter || !matches!(it.fate, Fate::Accepted(_))
         };
         let is_open = self.open.iter().any(unsettled);
-        self.accepted.is_some() && !is_open && now >= self.rest_until
+        let rests = now < self.rest_until || now < self.unsettled_until;
+        self.accepted.is_some() && !is_open && !rests
     }
 
     /// Megabytes that it may hold.
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -27,6 +27,7 @@
 mod demand;
 mod engine;
 mod moves;
+mod restarts;
 mod store;
 pub mod tenure;
 mod wants;
@@ -91,14 +92,14 @@
     /// Ask an engine for its report; it goes to [`Planner::reported`].
     AskReport {
         /// The start of the engine that is meant.
-        instance: String,
+        instance: directory::InstanceId,
         /// Where it is.
         address: net::SocketAddrV4,
     },
     /// Tell the directory what an engine holds or drops by an order.
     Amend {
         /// The engine.
-        instance: String,
+        instance: directory::InstanceId,
         /// The order that it has carried out, or is about to.
         task: dialect::Task,
     },
@@ -146,11 +147,12 @@
     fence: u64,
     /// While this process leads.
     tenure: Option<tenure::Tenure>,
-    engines: collections::BTreeMap<String, engine::Engine>,
+    engines: collections::BTreeMap<directory::InstanceId, engine::Engine>,
     demand: demand::Demands,
     store: store::Store,
     moves: moves::Moves,
     wants: Vec<wants::Want>,
+    restarts: restarts::Restarts,
 }
 
 /// The engines of one service as they are at one moment.
@@ -174,6 +176,7 @@
             store: store::Store::new(policy.store_window),
             moves: moves::Moves::new(),
             wants: Vec::new(),
+            restarts: restarts::Restarts::default(),
         }
     }
 
@@ -184,6 +187,7 @@
         self.tenure = Some(tenure);
         self.engines.clear();
         self.moves.clear();
+        self.restarts.leads(tenure.from());
         // The leader before may have begun loads up to the moment from which this one may order.
         self.store.assume_spent(tenure.from());
     }
@@ -215,6 +219,11 @@
         }
     }
 
+    /// Takes the engines that are there and were started anew lately.
+    pub fn know_restarted(&mut self, restarted: Vec<directory::InstanceId>) {
+        self.restarts.know(restarted);
+    }
+
     /// Takes the answer to an order; none where none came in time.
     pub fn answered(
         &mut self,
@@ -241,11 +250,13 @@
     pub fn reported(
         &mut self,
         now: time::Instant,
-        instance: &str,
+        instance: &directory::InstanceId,
         report: Option<dialect::Report>,
     ) {
+        // A report of another start under the same name says nothing of this one.
+        let is_own = |it: &dialect::Report| it.born.is_none() || it.born == instance.born;
         if let Some(engine) = self.engines.get_mut(instance) {
-            engine.reported(now, report);
+            engine.reported(now, report.filter(is_own));
         }
     }
 
@@ -312,11 +323,16 @@
 
     /// Keeps an account of each engine that is there, and of no other.
     fn see(&mut self, now: time::Instant, instances: &[&directory::Instance]) {
-        let present: collections::HashSet<&str> =
-            instances.iter().map(|it| it.id.as_str()).collect();
-        self.engines.retain(|id, _| present.contains(id.as_str()));
+        let present: collections::HashSet<&directory::InstanceId> =
+            instances.iter().map(|it| &it.id).collect();
+        let is_there = |id: &directory::InstanceId| present.contains(id);
+        self.restarts.note_ended(now, &self.engines, is_there);
+        self.engines.retain(|id, _| is_there(id));
         for instance in instances {
-            let engine = self.engines.entry(instance.id.clone()).or_default();
+            let engine = self.engines.entry(instance.id.clone()).or_insert_with(|| {
+                let until = self.restarts.unsettled_until(&instance.id);
+                engine::Engine::following(until)
+            });
             engine.see(now, instance);
         }
         self.wants.retain(|it| now.since(it.at) < WANT_LIFE);
@@ -399,10 +415,10 @@
         &mut self,
         now: time::Instant,
         pool: &Pool<'_>,
-        id: &str,
+        id: &directory::InstanceId,
         task: dialect::Task,
     ) -> Option<dialect::Order> {
-        let instance = pool.instances.iter().find(|it| it.id == id)?;
+        let instance = pool.instances.iter().find(|it| it.id == *id)?;
         let engine = self.engines.get_mut(id)?;
         let load_time = pool
             .offer
@@ -417,7 +433,7 @@
             self.store.spend(now);
         }
         Some(dialect::Order {
-            instance: id.to_owned(),
+            instance: id.clone(),
             address: instance.address,
             task,
             accepted_before,
@@ -440,9 +456,9 @@
     }
 }
 
-fn amend(instance: &str, task: &dialect::Task) -> Action {
+fn amend(instance: &directory::InstanceId, task: &dialect::Task) -> Action {
     Action::Amend {
-        instance: instance.to_owned(),
+        instance: instance.clone(),
         task: task.clone(),
     }
 }
--- a/crates/sageshed-fleet/src/planner/moves.rs
+++ b/crates/sageshed-fleet/src/planner/moves.rs
@@ -24,7 +24,7 @@
 }
 
 /// Room kept, by engine.
-pub(super) type Moves = collections::BTreeMap<String, Move>;
+pub(super) type Moves = collections::BTreeMap<directory::InstanceId, Move>;
 
 impl Planner {
     /// Forgets the moves that have ended, and goes on with the others.
@@ -45,7 +45,7 @@
             let (_, task) = survey.step_at(instance, model)?;
             Some((instance.id.clone(), task))
         });
-        let steps: Vec<(String, dialect::Task)> = steps.collect();
+        let steps: Vec<(directory::InstanceId, dialect::Task)> = steps.collect();
         let orders = steps.into_iter();
         orders
             .filter_map(|(id, task)| self.order(now, pool, &id, task))
@@ -53,7 +53,12 @@
     }
 
     /// Room is made on `id` for `model`.
-    pub(super) fn begin_move(&mut self, now: time::Instant, id: String, model: &str) {
+    pub(super) fn begin_move(
+        &mut self,
+        now: time::Instant,
+        id: directory::InstanceId,
+        model: &str,
+    ) {
         let model = model.to_owned();
         self.moves.insert(id, Move { model, since: now });
     }
@@ -77,7 +82,7 @@
             let is_loaded = loads == Some(&open.model) || instance.resident(&open.model).is_some();
             is_loaded || now.since(open.since) > KEPT || survey.is_needless(&open.model)
         };
-        let ended: Vec<String> = pool
+        let ended: Vec<directory::InstanceId> = pool
             .instances
             .iter()
             .filter(ended)
--- a/crates/sageshed-fleet/src/planner/wants.rs
+++ b/crates/sageshed-fleet/src/planner/wants.rs
@@ -105,7 +105,7 @@
         pool: &Pool<'_>,
         holders: &[&directory::Instance],
     ) -> Served {
-        let mut oldest: Option<(time::Instant, String, dialect::Task)> = None;
+        let mut oldest: Option<(time::Instant, directory::InstanceId, dialect::Task)> = None;
         for instance in holders {
             let takes = |it: &engine::Engine| it.takes_adapters(now);
             if !self.engines.get(&instance.id).is_some_and(takes) {
--- a/crates/sageshed-fleet/src/planner/weights.rs
+++ b/crates/sageshed-fleet/src/planner/weights.rs
@@ -159,8 +159,11 @@
 
     /// The next order on the way to another copy of `model`: a load where there is room, else the
     /// unload that makes room.
-    pub(super) fn next_step(&self, model: &config::Model) -> Option<(String, dialect::Task)> {
-        let mut best: Option<(f64, String, dialect::Task)> = None;
+    pub(super) fn next_step(
+        &self,
+        model: &config::Model,
+    ) -> Option<(directory::InstanceId, dialect::Task)> {
+        let mut best: Option<(f64, directory::InstanceId, dialect::Task)> = None;
         for instance in &self.pool.instances {
             let Some((cost, task)) = self.step_at(instance, model) else {
                 continue;
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -55,7 +55,7 @@
     let mut counts = [0, 0];
     for _ in 0..20 {
         let pick = sent(chooser.choose(T0, &support::ask(&m0, 1_800)));
-        counts[usize::from(pick.instance == "e2")] += 1;
+        counts[usize::from(pick.instance.name == "e2")] += 1;
     }
     assert_eq!(counts, [10, 10]);
 }
@@ -73,7 +73,7 @@
         let mut counts = [0, 0];
         for _ in 0..40 {
             let pick = sent(chooser.choose(T0, &support::ask(&m0, 1_000)));
-            let at = usize::from(pick.instance == "e2");
+            let at = usize::from(pick.instance.name == "e2");
             counts[at] += 1;
             let load = dialect::Load {
                 running: [1, 9][at],
@@ -135,8 +135,8 @@
         };
         let next = sent(chooser.choose(T0, &ask));
         assert_eq!(
-            (next.instance.as_str(), next.tokens),
-            (pick.instance.as_str(), 50)
+            (next.instance.name.as_str(), next.tokens),
+            (pick.instance.name.as_str(), 50)
         );
         chooser.ended(T0, &next, Some(&m0), false, Ended::GivenUp);
     }
@@ -288,7 +288,7 @@
         for n in 0..100 {
             let now = T0 + time::Millis(from + n * 50);
             let pick = sent(chooser.choose(now, &support::ask(&m0, 100)));
-            let is_e1 = pick.instance == "e1";
+            let is_e1 = pick.instance.name == "e1";
             to_e1 += u32::from(is_e1);
             let how = if is_e1 && fails && n % 5 < 2 {
                 Ended::Failed
@@ -434,13 +434,13 @@
     chooser.know(&support::engine("e2", &["m0"]));
     let m0 = wanted("m0", None);
     let near = sent(chooser.choose(T0, &support::ask(&m0, 0)));
-    assert_eq!(near.instance, "e2");
+    assert_eq!(near.instance.name, "e2");
     let tried: [arena::EndpointKey; 1] = [near.key];
     let again = Ask {
         tried: &tried,
         ..support::ask(&m0, 0)
     };
-    assert_eq!(sent(chooser.choose(T0, &again)).instance, "e1");
+    assert_eq!(sent(chooser.choose(T0, &again)).instance.name, "e1");
 }
 
 /// An engine goes dark: it takes requests and says nothing, and no connection breaks. Callers who are
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -19,7 +19,7 @@
     let mut directory = Directory::new(1);
     let mut engine = support::engine("e1", &["m0"]);
     assert_eq!(directory.announce(T0, engine.clone()), Offer::New);
-    directory.leave(at(100), "e1");
+    directory.leave(at(100), &"e1".into());
     engine.sequence = 9;
     assert_eq!(directory.announce(at(10_000), engine), Offer::Stale);
     assert!(directory.get("e1").is_none());
@@ -30,7 +30,7 @@
 #[test]
 fn the_word_of_an_unknown_instance_that_it_leaves_is_passed_on() {
     let mut fresh = Directory::new(2);
-    fresh.leave(T0, "e1");
+    fresh.leave(T0, &"e1".into());
     let mut other = Directory::new(1);
     other.announce(T0, support::engine("e1", &["m0"]));
     for record in fresh.since(at(1), directory::Mark::default()) {
@@ -90,13 +90,13 @@
     let mut engine = support::engine("e1", &["m0"]);
     leader.announce(T0, engine.clone());
     other.announce(T0, engine.clone());
-    leader.amend(at(1), "e1", |it| {
+    leader.amend(at(1), &"e1".into(), |it| {
         it.models[0].adapters.push("a1".to_owned());
     });
     engine.sequence = 2;
     other.announce(at(2), engine);
     exchange(&mut leader, &mut other, at(3));
-    leader.amend(at(4), "e1", |it| {
+    leader.amend(at(4), &"e1".into(), |it| {
         it.models[0].adapters.push("a2".to_owned());
     });
     exchange(&mut leader, &mut other, at(5));
@@ -126,7 +126,7 @@
     directory.announce(at(1), support::engine("e2", &["m0"]));
     let ids = |mark| -> Vec<String> {
         let records = directory.since(at(2), mark);
-        records.into_iter().map(|it| it.instance.id).collect()
+        records.into_iter().map(|it| it.instance.id.name).collect()
     };
     assert_eq!(ids(mark), ["e2"]);
     let of_another_start = directory::Mark {
@@ -146,7 +146,7 @@
             .expire(T0 + time::Millis(silence.0 - 1))
             .is_empty()
     );
-    assert_eq!(directory.expire(T0 + silence), ["e1"]);
+    assert_eq!(directory.expire(T0 + silence), ["e1".into()]);
     let records = directory.since(T0 + silence, directory::Mark::default());
     assert_eq!(records[0].instance.state, State::Silent);
     let forgotten = T0 + silence + directory::GONE_KEPT;
@@ -203,7 +203,7 @@
     let mut directory = Directory::new(1);
     let mut engine = support::engine("e1", &["m0"]);
     directory.announce(T0, engine.clone());
-    assert_eq!(directory.expire(T0 + directory::SILENCE), ["e1"]);
+    assert_eq!(directory.expire(T0 + directory::SILENCE), ["e1".into()]);
     let mut other = Directory::new(2);
     for record in directory.since(T0 + directory::SILENCE, directory::Mark::default()) {
         other.merge(T0, record);
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -27,7 +27,7 @@
     shuffled.reverse();
     let mut members = collections::BTreeSet::new();
     for engine in 0..90_u64 {
-        let key = neighbours::key(&format!("e{engine}"));
+        let key = neighbours::instance_key(&format!("e{engine}").as_str().into());
         let group = neighbours::group(key, &entries);
         assert_eq!(group.len(), neighbours::GROUP);
         assert_eq!(group, neighbours::group(key, &shuffled));
@@ -41,7 +41,7 @@
     let before = entries(90);
     let after = entries(89);
     let changed = (0..90_u64).filter(|engine| {
-        let key = neighbours::key(&format!("e{engine}"));
+        let key = neighbours::instance_key(&format!("e{engine}").as_str().into());
         neighbours::group(key, &before) != neighbours::group(key, &after)
     });
     assert!(changed.count() <= 30);
@@ -66,7 +66,7 @@
     chooser.join_groups(net::Ipv4Addr::new(10, 0, 1, 1), &entries(7));
     chooser.know(&support::engine("e1", &["m0"]));
     let word = |micros| neighbours::Unread {
-        engine: neighbours::key("e1"),
+        engine: neighbours::instance_key(&"e1".into()),
         micros,
         kept: None,
     };
@@ -84,7 +84,7 @@
     let Choice::Send(pick) = chooser.choose(T0, &waiting_ask(&m0, 3_000)) else {
         panic!("e2 reads nothing");
     };
-    assert_eq!(pick.instance, "e2");
+    assert_eq!(pick.instance.name, "e2");
     assert!(chooser.hear(T0, neighbour, &word(0)), "there is room again");
 }
 
@@ -96,7 +96,7 @@
     chooser.join_groups(net::Ipv4Addr::new(10, 0, 1, 1), &entries(7));
     chooser.know(&support::engine("e1", &["m0"]));
     let word = neighbours::Unread {
-        engine: neighbours::key("e1"),
+        engine: neighbours::instance_key(&"e1".into()),
         micros: 3_000_000,
         kept: None,
     };
@@ -125,7 +125,7 @@
     assert_eq!(kept.as_ref().map(|it| it.parts.clone()), Some(vec![7]));
     assert_eq!(neighbours::Beginning::of(&m0, &parts[1..]), None);
     let word = neighbours::Unread {
-        engine: neighbours::key("e2"),
+        engine: neighbours::instance_key(&"e2".into()),
         micros: 0,
         kept,
     };
@@ -136,7 +136,7 @@
             ..support::ask(wanted, 6_500)
         };
         match chooser.choose(T0, &ask) {
-            Choice::Send(pick) => (pick.instance, pick.tokens),
+            Choice::Send(pick) => (pick.instance.name, pick.tokens),
             other => panic!("not sent: {other:?}"),
         }
     };
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -93,7 +93,7 @@
         for action in actions {
             match action {
                 Action::AskReport { instance, .. } => {
-                    let report = self.engines.get(&instance).map(Engine::report);
+                    let report = self.engines.get(&instance.name).map(Engine::report);
                     self.planner.reported(self.now, &instance, report);
                 }
                 Action::Order(order) => {
@@ -103,7 +103,10 @@
                     self.carry_out(more);
                 }
                 Action::Amend { instance, task } => {
-                    let engine = self.engines.get_mut(&instance).expect("a known engine");
+                    let engine = self
+                        .engines
+                        .get_mut(&instance.name)
+                        .expect("a known engine");
                     engine.show(&task);
                 }
             }
@@ -118,7 +121,7 @@
         }
         let engine = self
             .engines
-            .get_mut(&order.instance)
+            .get_mut(&order.instance.name)
             .expect("a known engine");
         if order.accepted_before != engine.accepted
             || engine.loading.is_some() && order.task.is_weights()
@@ -191,6 +194,7 @@
             resident.adapters = own.map(|it| it.1.clone()).collect();
         }
         Report {
+            born: self.instance.id.born,
             accepted: self.accepted,
             is_busy: self.loading.is_some(),
             models,
@@ -321,7 +325,7 @@
         .cloned()
         .expect("an unload");
     let model = order.task.model().to_owned();
-    let mut announced = world.engines[&order.instance].instance.clone();
+    let mut announced = world.engines[&order.instance.name].instance.clone();
     announced.models.push(support::resident(&model, &[]));
     world.now = world.now + STEP;
     let actions = world.planner.tick(world.now, &world.config, &[&announced]);
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -105,7 +105,7 @@
 pub fn instance(id: &str, service: &str, models: &[&str]) -> directory::Instance {
     let last = id.bytes().last().unwrap_or(1);
     directory::Instance {
-        id: id.to_owned(),
+        id: id.into(),
         service: service.to_owned(),
         address: net::SocketAddrV4::new(net::Ipv4Addr::new(10, 0, 0, last), 80),
         availability_zone: "z1".to_owned(),
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -10,7 +10,7 @@
 use sageshed_types::time;
 
 use super::planning;
-use crate::locks;
+use crate::{locks, sampler};
 
 /// How long an entry process counts as there after it was heard. It watches without a pause, and a
 /// watch lasts a second at the most.
@@ -19,6 +19,8 @@
 /// What is known, with a way to wait for a change of it.
 #[derive(Debug)]
 pub struct Hub {
+    /// Words of endpoints and of other processes that could not be read.
+    pub misread: sampler::Sampler,
     inner: sync::Mutex<Inner>,
     changed: sync::Condvar,
     planning_tx: mpsc::SyncSender<planning::Input>,
@@ -36,6 +38,9 @@
     is_stopping: bool,
 }
 
+/// Lines a second on words that could not be read.
+const MISREAD_LOGGED: u64 = 5;
+
 /// Inputs for planning that may wait. What entry processes report comes again.
 const PLANNING_QUEUE: usize = 4_096;
 
@@ -45,6 +50,7 @@
     pub fn new(start: u64) -> Self {
         let (planning_tx, planning_rx) = mpsc::sync_channel(PLANNING_QUEUE);
         Self {
+            misread: sampler::Sampler::new(MISREAD_LOGGED),
             inner: sync::Mutex::new(Inner {
                 directory: directory::Directory::new(start),
                 config: 0,
@@ -71,7 +77,7 @@
     }
 
     /// Takes an endpoint's word that it goes.
-    pub fn leave(&self, now: time::Instant, id: &str) {
+    pub fn leave(&self, now: time::Instant, id: &directory::InstanceId) {
         self.change(|inner| inner.directory.leave(now, id));
         self.changed.notify_all();
     }
@@ -80,7 +86,7 @@
     pub fn amend(
         &self,
         now: time::Instant,
-        id: &str,
+        id: &directory::InstanceId,
         amend: impl FnOnce(&mut directory::Instance),
     ) {
         self.change(|inner| inner.directory.amend(now, id, amend));
@@ -114,7 +120,7 @@
     }
 
     /// Takes those for gone that were silent for too long. Returns their ids.
-    pub fn expire(&self, now: time::Instant) -> Vec<String> {
+    pub fn expire(&self, now: time::Instant) -> Vec<directory::InstanceId> {
         let gone = self.change(|inner| {
             let recent = |at: &time::Instant| now.since(*at) < ENTRY_KEPT;
             inner.entries.retain(|_, at| recent(at));
@@ -189,6 +195,12 @@
         present.map(|(instance, _)| instance.clone()).collect()
     }
 
+    /// The instances that are there and followed another start of their endpoint lately.
+    #[must_use]
+    pub fn restarted(&self) -> Vec<directory::InstanceId> {
+        locks::lock(&self.inner).directory.restarted()
+    }
+
     /// Hands what callers asked for to the planning thread.
     pub fn demand(&self, demand: Vec<messages::Demand>) {
         if !demand.is_empty() {
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -38,7 +38,7 @@
     /// What became of an order.
     Answered(Box<dialect::Order>, Option<dialect::OrderAnswer>),
     /// An engine's report, if it gave one.
-    Reported(String, Option<dialect::Report>),
+    Reported(directory::InstanceId, Option<dialect::Report>),
 }
 
 /// What the planning thread owns.
@@ -91,7 +91,7 @@
                     self.planner.reported(now, &instance, report);
                 }
                 Input::Answered(order, answer) => {
-                    ::log::info!(endpoint = order.instance.as_str(), task:% = order.task,
+                    ::log::info!(endpoint:% = order.instance, task:% = order.task,
                         accepted_before = order.accepted_before, answer:? = answer;
                         "control: order answered");
                     let actions = self.planner.answered(now, &order, answer);
@@ -104,7 +104,7 @@
     fn look(&mut self) {
         let now = self.shared.clock.now();
         for id in self.shared.hub.expire(now) {
-            ::log::warn!(endpoint = id.as_str(); "control: endpoint was silent for too long");
+            ::log::warn!(endpoint:% = id; "control: endpoint was silent for too long");
         }
         if !self.follow_leadership() {
             return;
@@ -115,6 +115,7 @@
         };
         let present = self.shared.hub.present(now);
         let present: Vec<&directory::Instance> = present.iter().collect();
+        self.planner.know_restarted(self.shared.hub.restarted());
         let actions = self.planner.tick(now, config, &present);
         if self.told.elapsed() >= SUMMARY {
             self.told = std_time::Instant::now();
@@ -266,16 +267,16 @@
                 Ok((200, body)) => match dialect.report(&body) {
                     Ok(report) => Some(report),
                     Err(e) => {
-                        ::log::warn!(endpoint = instance.as_str(), error:% = e; "control: report not read");
+                        ::log::warn!(endpoint:% = instance, error:% = e; "control: report not read");
                         None
                     }
                 },
                 Ok((status, _)) => {
-                    ::log::info!(endpoint = instance.as_str(), status; "control: no report");
+                    ::log::info!(endpoint:% = instance, status; "control: no report");
                     None
                 }
                 Err(e) => {
-                    ::log::info!(endpoint = instance.as_str(), error:% = e; "control: no report");
+                    ::log::info!(endpoint:% = instance, error:% = e; "control: no report");
                     None
                 }
             };
--- a/src/sageshed/control/fleet/port.rs
+++ b/src/sageshed/control/fleet/port.rs
@@ -12,12 +12,16 @@
         inputs::{self, Fate},
         shared,
     },
-    locks,
+    locks, sampler,
 };
 
 /// When to come back while there is no leader or the group can't commit.
 const COME_BACK: time::Millis = time::Millis(300);
 
+/// The largest announcement that is read, in bytes. An engine that holds three of 500 models and copies of
+/// all of them announces some 15 KB; each is passed on to all entry processes.
+const ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+
 /// Takes the calls of the operator and of endpoints.
 #[derive(Debug)]
 pub struct Port<D> {
@@ -47,10 +51,10 @@
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
         let call = self.dialect.control_call(&req.method, &req.path);
         let outcome = match call {
-            Some(dialect::ControlCall::Announce { instance }) => {
-                self.announce(&instance, &req.body)
+            Some(dialect::ControlCall::Announce { endpoint }) => {
+                self.announce(&endpoint, &req.body)
             }
-            Some(dialect::ControlCall::Leave { instance }) => self.leave(&instance),
+            Some(dialect::ControlCall::Leave { endpoint }) => self.leave(&endpoint, &req.body),
             Some(dialect::ControlCall::Replace) => self.replace(&req.body),
             Some(dialect::ControlCall::Read) => self.read(),
             None => {
@@ -112,33 +116,65 @@
         }
     }
 
-    fn announce(&self, id: &str, body: &[u8]) -> Outcome {
-        let instance = match self.dialect.announcement(id, body) {
+    fn announce(&self, endpoint: &str, body: &[u8]) -> Outcome {
+        let read = if body.len() > ANNOUNCEMENT_BYTES {
+            Err(dialect::Malformed {
+                what: "an announcement",
+                problem: format!("{} bytes are too many", body.len()),
+            })
+        } else {
+            self.dialect.announcement(endpoint, body)
+        };
+        let instance = match read {
             Ok(instance) => instance,
-            Err(e) => return Outcome::Invalid(e.to_string()),
+            Err(e) => return self.refuse_word(endpoint, &e),
         };
-        let (service, address) = (instance.service.clone(), instance.address);
-        let (state, sequence) = (instance.state, instance.sequence);
+        let (id, service) = (instance.id.clone(), instance.service.clone());
+        let (address, state, sequence) = (instance.address, instance.state, instance.sequence);
         let offer = self.shared.hub.announce(self.shared.clock.now(), instance);
         match offer {
             directory::Offer::New | directory::Offer::Changed => {
-                ::log::info!(endpoint = id, service, address:% = address, state:? = state, sequence;
+                ::log::info!(endpoint:% = id, service, address:% = address, state:? = state, sequence;
                     "control: endpoint changed");
             }
             directory::Offer::Stale => {
-                ::log::info!(endpoint = id, sequence; "control: late announcement ignored");
+                ::log::info!(endpoint:% = id, sequence; "control: late announcement ignored");
             }
             directory::Offer::Confirmed => {}
+            directory::Offer::Full => {
+                ::log::warn!(endpoint:% = id, kept = directory::MOST_KEPT;
+                    "control: too many endpoints, one is not taken in");
+                return Outcome::Later("as many endpoints are known as are kept");
+            }
         }
         Outcome::Ok("{}".to_owned())
     }
 
-    fn leave(&self, id: &str) -> Outcome {
-        self.shared.hub.leave(self.shared.clock.now(), id);
-        ::log::info!(endpoint = id; "control: endpoint leaves");
+    fn leave(&self, endpoint: &str, body: &[u8]) -> Outcome {
+        let id = match self.dialect.leaving(endpoint, body) {
+            Ok(id) => id,
+            Err(e) => return self.refuse_word(endpoint, &e),
+        };
+        self.shared.hub.leave(self.shared.clock.now(), &id);
+        ::log::info!(endpoint:% = id; "control: endpoint leaves");
         Outcome::Ok("{}".to_owned())
     }
 
+    /// What can't be read names no endpoint, and what is believed stays. A writer that goes wrong may
+    /// send such words without end, so few of them are logged.
+    fn refuse_word(&self, endpoint: &str, e: &dialect::Malformed) -> Outcome {
+        match self.shared.hub.misread.line(self.shared.clock.now()) {
+            sampler::Line::Write => {
+                ::log::warn!(endpoint, error:% = e; "control: word of an endpoint not understood");
+            }
+            sampler::Line::WriteAfter(left_out) => {
+                ::log::warn!(endpoint, error:% = e, left_out; "control: word of an endpoint not understood");
+            }
+            sampler::Line::LeaveOut => {}
+        }
+        Outcome::Invalid(e.to_string())
+    }
+
     /// Has a configuration committed.
     ///
     /// It is acknowledged only by a group that is large enough: with three voters two would do so, and
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -18,6 +18,7 @@
     orders: metrics::Gauge,
     entries: metrics::Gauge,
     endpoints: metrics::Gauge,
+    misread: metrics::Gauge,
 }
 
 impl Default for Metrics {
@@ -44,6 +45,10 @@
             orders: registry.gauge("sageshed_control_orders_open", "Orders in the table"),
             entries: registry.gauge("sageshed_control_entries_heard", "Entry VMs heard lately"),
             endpoints: registry.gauge("sageshed_control_endpoints", "Endpoints heard of"),
+            misread: registry.gauge(
+                "sageshed_control_words_misread",
+                "Words of endpoints and of other processes that could not be read",
+            ),
             registry,
         }
     }
@@ -75,6 +80,7 @@
         let heard = locks::read(&shared.roster).entries_heard(now);
         self.entries.set(heard as f64);
         self.endpoints.set(shared.reports().len() as f64);
+        self.misread.set(shared.hub.misread.total() as f64);
         self.registry.text()
     }
 }
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -15,7 +15,6 @@
 mod ready;
 mod refuse;
 mod run;
-pub mod sampler;
 pub mod state;
 mod watch;
 
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -349,14 +349,14 @@
         answered: &dialect::Answered<'_>,
         status: u16,
     ) -> Sending<'c> {
-        ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), status;
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, status;
             "gateway: endpoint rejected the request and has not run it");
         self.last = format!(
             "endpoint {} rejected it with status {status}",
             pick.instance
         );
         self.story.came_to(verdict::Verdict::NotRun, &self.last);
-        let is_replaced = answered.instance.is_some_and(|it| it != pick.instance);
+        let is_replaced = answered.endpoint.is_some_and(|it| it != pick.instance.name);
         if answered.word == dialect::Word::Misdirected && is_replaced {
             self.ended(pick, false, chooser::Ended::GivenUp);
             self.shared.replaced(&pick.instance);
@@ -404,7 +404,7 @@
             failure.cause = failure::Cause::Silent;
         }
         if !failure.is_sent {
-            ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure;
+            ::log::info!(request = self.id(), endpoint:% = pick.instance, error:% = failure;
                 "gateway: endpoint not reached, the request was not sent");
             self.last = format!("endpoint {} was not reached: {failure}", pick.instance);
             self.story.came_to(verdict::Verdict::NotRun, &self.last);
@@ -430,7 +430,7 @@
             self.ended(pick, began, chooser::Ended::GivenUp);
             return Sending::Gone(outlet);
         }
-        ::log::info!(request = self.id(), endpoint = pick.instance.as_str(), error:% = failure,
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, error:% = failure,
             runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
         self.story.came_to(verdict::Verdict::MayHaveRun, &self.last);
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -7,7 +7,10 @@
 use sageshed_types::{account, refusal, time, verdict};
 
 use super::{BACK_SOON, Life};
-use crate::gateway::{answer::Outlet, metrics, refuse, sampler};
+use crate::{
+    gateway::{answer::Outlet, metrics, refuse},
+    sampler,
+};
 
 impl<D: dialect::Dialect> Life<'_, D> {
     /// The final answer for a request whose time is over.
@@ -89,7 +92,7 @@
         let outcome = self.paces.outcome();
         self.story.came_to(verdict::Verdict::Ran, &outcome);
         self.keep_account(account::End::Answered { status, bytes });
-        let line = self.shared.sampler.success(self.shared.clock.now());
+        let line = self.shared.sampler.line(self.shared.clock.now());
         if let sampler::Line::WriteAfter(left_out) = line {
             ::log::info!(left_out; "gateway: successes left out of the log in the last second");
         }
@@ -98,7 +101,7 @@
         }
         let sent = sent_at.duration_since(self.req.received);
         ::log::info!(request = self.id(), route = self.route.name.as_str(), status,
-            config = self.shared.version(), endpoint = pick.instance.as_str(),
+            config = self.shared.version(), endpoint:% = pick.instance,
             model = self.model_name(), tokens = pick.tokens, estimate_ms = pick.estimate.0,
             waited_for = self.waited_for_word(), objective_ms = self.route.objective.0,
             pause_limit_ms = self.route.pause.map_or(0, |it| it.0), runs = self.runs, sent_ms = time::Millis::from(sent).0,
--- a/src/sageshed/gateway/pass/story.rs
+++ b/src/sageshed/gateway/pass/story.rs
@@ -20,12 +20,12 @@
     /// It is sent to `pick`, so long after it came.
     pub(super) fn sent(&mut self, pick: &chooser::Pick, started: time::Millis) {
         self.chosen.push(account::Candidate {
-            endpoint: pick.instance.clone(),
+            endpoint: pick.instance.to_string(),
             estimate: pick.estimate,
             passed_over: None,
         });
         self.tries.push(account::Try {
-            endpoint: pick.instance.clone(),
+            endpoint: pick.instance.to_string(),
             started,
             verdict: verdict::Verdict::MayHaveRun,
             outcome: UNDER_WAY.to_owned(),
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::atomic, time as std_time};
 
-use sageshed_fleet::{backlog, chooser, dialect, messages};
+use sageshed_fleet::{backlog, chooser, dialect, directory, messages};
 use sageshed_http::reply;
 use sageshed_types::{time, verdict};
 
@@ -57,7 +57,7 @@
         let mut fetches = 0;
         // Where the adapter was asked for first. Of engines that are equal another might be chosen the
         // next time, and the adapter be loaded on both.
-        let mut fetched_on: Option<String> = None;
+        let mut fetched_on: Option<directory::InstanceId> = None;
         loop {
             if watch.caller_gone() {
                 return Step::Gone;
@@ -238,7 +238,7 @@
     }
 
     /// Asks the leader to have the adapter of this request loaded on an engine.
-    fn want(&self, now: time::Instant, engine: String) {
+    fn want(&self, now: time::Instant, engine: directory::InstanceId) {
         let Some((model, adapter)) = self
             .wanted
             .and_then(|it| Some((it.model.clone(), it.adapter.clone()?)))
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -12,8 +12,8 @@
 use sageshed_types::time;
 use sageshed_upstream::pool;
 
-use super::{metrics, neighbours, sampler};
-use crate::{accounts, clock, locks, settings};
+use super::{metrics, neighbours};
+use crate::{accounts, clock, locks, sampler, settings};
 
 /// A configuration in force, indexed.
 #[derive(Debug)]
@@ -88,6 +88,10 @@
 /// requests a second: the last minute.
 const ACCOUNTS: usize = 600;
 
+/// Successes that are logged in a second. At three times that the lines of successes alone would cost
+/// more than the requests that they tell of on the smallest VMs.
+pub const SUCCESSES_LOGGED: u64 = 20;
+
 /// How long a request waits for the first configuration of this process: a third of the time of the
 /// least patient callers. A group that was stopped as a whole leads within 100 ms of its start.
 const FIRST_ROUTING: std_time::Duration = std_time::Duration::from_millis(200);
@@ -141,7 +145,7 @@
             neighbours,
             metrics: metrics::Metrics::default(),
             accounts: sync::Mutex::new(accounts::Accounts::new(ACCOUNTS)),
-            sampler: sampler::Sampler::default(),
+            sampler: sampler::Sampler::new(SUCCESSES_LOGGED),
             routing: sync::RwLock::new(None),
             core: sync::Mutex::new(core),
             changed: sync::Condvar::new(),
@@ -267,26 +271,28 @@
 
     /// Another start of an endpoint answers at the address of this one: it has gone, and what control
     /// processes still say of it is old.
-    pub fn replaced(&self, id: &str) {
+    pub fn replaced(&self, id: &directory::InstanceId) {
         let now = self.clock.now();
         let mut core = locks::lock(&self.core);
         core.chooser.forget(id);
         if core.directory.gone(now, id) {
-            ::log::info!(endpoint = id; "gateway: another start answers at the endpoint's address");
+            ::log::info!(endpoint:% = id; "gateway: another start answers at the endpoint's address");
         }
     }
 
     fn take_record(&self, core: &mut Core, now: time::Instant, record: directory::Record) -> bool {
         let instance = record.instance.clone();
         match core.directory.merge(now, record) {
-            directory::Offer::Confirmed | directory::Offer::Stale => false,
+            directory::Offer::Confirmed | directory::Offer::Stale | directory::Offer::Full => false,
             offer @ (directory::Offer::New | directory::Offer::Changed) => {
                 core.chooser.know(&instance);
                 let state = instance.state;
-                if state == directory::State::Gone {
+                // Connections that were kept are to a start that has ended: where its VM lost power, what is
+                // sent on them is lost without a word.
+                if instance.has_ended() || offer == directory::Offer::New {
                     self.pool.forget(instance.address);
                 }
-                ::log::info!(endpoint = instance.id.as_str(), offer:? = offer, state:? = state,
+                ::log::info!(endpoint:% = instance.id, offer:? = offer, state:? = state,
                     sequence = instance.sequence; "gateway: endpoint changed");
                 true
             }
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -12,4 +12,5 @@
 pub mod losses;
 pub mod metrics;
 pub mod metrics_port;
+pub mod sampler;
 pub mod settings;
--- a/tests/fleet/endpoints.rs
+++ b/tests/fleet/endpoints.rs
@@ -1,5 +1,7 @@
 //! Endpoints that come, leave and go.
 
+use std::time;
+
 use crate::{fleet::Fleet, standin::caller::Ask};
 
 /// An engine says that it will stop. No entry process sends it new work any more, whichever control
@@ -40,3 +42,23 @@
     }
     assert!(new.runs("new") >= 2);
 }
+
+/// The only engine of a model has run for hours, crashes and is back a second later under the name that
+/// it had, holding nothing. Its words count from one again. Taken for late words of before, it would be
+/// believed to hold its model: each request would be sent there and sent back, and nobody would load it.
+#[test]
+fn an_engine_that_starts_again_under_its_name_is_loaded_anew() {
+    let (fleet, mut engines) = Fleet::ready();
+    engines.remove(1);
+    let engine = &engines[0];
+    engine.count_from(100_000);
+    fleet.until("all have heard its count", || engine.announced() > 100_006);
+    let serves = |id: &str| {
+        let answer = fleet.ask(0, &Ask::new("POST", "/stream/x", id));
+        answer.is_some_and(|it| it.status() == 200)
+    };
+    fleet.until("the engine serves its model", || serves("before"));
+    engine.start_again(time::Duration::from_secs(1));
+    fleet.until("the model is loaded on the new start", || serves("after"));
+    assert!(engine.runs("after") >= 1);
+}
