Tell homes of the pauses of all streams, so that they learn how much may wait

Change: a process tells the homes how a stream paused that has ended whole; what a home advises counts as strain of the engine.

--- a/crates/sageshed-fleet/src/chooser/advice.rs
+++ b/crates/sageshed-fleet/src/chooser/advice.rs
@@ -42,6 +42,9 @@
         if let Some(pace) = word.pace {
             self.learn_pace(key, pace);
         }
+        if let Some(pauses) = word.pauses {
+            self.learn_pauses(now, key, pauses);
+        }
         has_less
     }
 
@@ -72,6 +75,7 @@
             micros: endpoint.unread,
             kept: None,
             pace: None,
+            pauses: None,
             trouble: None,
         };
         Some((word, endpoint.group.clone()))
@@ -113,9 +117,14 @@
         };
         let estimate = super::span(self.estimate(now, key, ask));
         let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
+        let ahead_ms = self.get(key).map_or(0.0, |it| it.unread_by_all(now));
+        let is_strained = self.bounds.is_strain(ask.service, ahead_ms + reading_ms);
         let Some(endpoint) = self.get_mut(key) else {
             return neighbours::Place::Unknown;
         };
+        if is_strained {
+            endpoint.strained_at = Some(now);
+        }
         endpoint.advise(now, to, whole(reading_ms * endpoint::MICROS));
         let place = neighbours::Place::Engine {
             engine: neighbours::instance_key(&endpoint.instance.id),
--- a/crates/sageshed-fleet/src/chooser/ask.rs
+++ b/crates/sageshed-fleet/src/chooser/ask.rs
@@ -123,17 +123,6 @@
     pub estimate: time::Millis,
 }
 
-/// The pauses of a stream that came whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pauses {
-    /// From its first event to its last.
-    pub lasted: time::Millis,
-    /// The longest time between two of its events.
-    pub longest: time::Millis,
-    /// The longest that its callers count as on time.
-    pub limit: time::Millis,
-}
-
 /// How a request at an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -30,8 +30,9 @@
 
 use sageshed_types::{arena, arena::Key, time};
 
-pub use self::ask::{Ask, Choice, Ended, Missing, Pauses, Pick, Policy, Read, Routing};
+pub use self::ask::{Ask, Choice, Ended, Missing, Pick, Policy, Read, Routing};
 use self::endpoint::Endpoint;
+pub use crate::neighbours::Pauses;
 use crate::{config, dialect, directory, neighbours};
 
 /// A request to an engine costs this at least, in milliseconds: one step of its batch.
--- a/crates/sageshed-fleet/src/chooser/outcomes.rs
+++ b/crates/sageshed-fleet/src/chooser/outcomes.rs
@@ -1,6 +1,6 @@
 //! What a chooser learns from the requests that it has sent.
 
-use sageshed_types::time;
+use sageshed_types::{arena, time};
 
 use super::{
     Chooser, DENIAL, Ended, Pauses, Pick, Read, SILENT_EJECTION, STEP_MS, endpoint, reading,
@@ -48,7 +48,17 @@
 
     /// A stream from `pick` has ended whole.
     pub fn paused(&mut self, now: time::Instant, pick: &Pick, pauses: Pauses) {
-        let Some(endpoint) = self.get(pick.key) else {
+        self.learn_pauses(now, pick.key, pauses);
+    }
+
+    /// Learns how much may wait at engines from a stream of the engine `key`.
+    pub(super) fn learn_pauses(
+        &mut self,
+        now: time::Instant,
+        key: arena::EndpointKey,
+        pauses: Pauses,
+    ) {
+        let Some(endpoint) = self.get(key) else {
             return;
         };
         let strained = endpoint.strained_at;
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -141,11 +141,25 @@
     /// How long the answer took whose beginning this tells of.
     #[serde(default)]
     pub pace: Option<Pace>,
+    /// How the stream paused that has just ended there.
+    #[serde(default)]
+    pub pauses: Option<Pauses>,
     /// What has just gone wrong there.
     #[serde(default)]
     pub trouble: Option<Trouble>,
 }
 
+/// The pauses of a stream that came whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pauses {
+    /// From its first event to its last.
+    pub lasted: time::Millis,
+    /// The longest time between two of its events.
+    pub longest: time::Millis,
+    /// The longest that its callers count as on time.
+    pub limit: time::Millis,
+}
+
 /// Parts at the beginning of a prompt that others may share.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beginning {
--- a/crates/sageshed-fleet/tests/homes.rs
+++ b/crates/sageshed-fleet/tests/homes.rs
@@ -66,6 +66,7 @@
         micros,
         kept: None,
         pace: None,
+        pauses: None,
         trouble: None,
     }
 }
@@ -279,3 +280,36 @@
     }
     assert_eq!(counts, [0, 20]);
 }
+
+/// Engines read prompts in pieces, and no stream pauses for long however much waits there. Each process sees two
+/// streams a second; the home hears of all and lets more wait, or engines would stand idle while requests wait.
+#[test]
+fn a_home_learns_from_the_pauses_of_others_how_much_may_wait() {
+    let mut home = home(&["e1"]);
+    let wanted = m0();
+    let from = entries()[9];
+    let pauses = neighbours::Pauses {
+        lasted: time::Millis(500),
+        longest: time::Millis(60),
+        limit: time::Millis(400),
+    };
+    let mut sent = Vec::new();
+    for round in 0..8_u64 {
+        let mut waiting = 0;
+        for number in 0..12 {
+            let now = at(round * 1_000 + number);
+            let place = home.advise(now, from, round * 100 + number, &asks(&wanted, 2_000));
+            if matches!(place, Place::Engine { .. }) {
+                waiting += 1;
+                home.hear(now, from, &word("e1", waiting * 105_000));
+            }
+        }
+        sent.push(waiting);
+        let told = neighbours::Unread {
+            pauses: Some(pauses),
+            ..word("e1", 0)
+        };
+        home.hear(at(round * 1_000 + 500), from, &told);
+    }
+    assert!(sent[0] <= 4 && sent[7] >= 2 * sent[0], "{sent:?}");
+}
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -86,6 +86,7 @@
         micros,
         kept: None,
         pace: None,
+        pauses: None,
         trouble: None,
     };
     let m0 = dialect::Wanted {
@@ -118,6 +119,7 @@
         micros: 3_000_000,
         kept: None,
         pace: None,
+        pauses: None,
         trouble: None,
     };
     chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), &word);
@@ -149,6 +151,7 @@
         micros: 0,
         kept,
         pace: None,
+        pauses: None,
         trouble: None,
     };
     chooser.hear(T0, net::Ipv4Addr::new(10, 0, 1, 2), &word);
--- a/crates/sageshed-fleet/tests/restarts.rs
+++ b/crates/sageshed-fleet/tests/restarts.rs
@@ -270,6 +270,7 @@
         micros: 900_000,
         kept: None,
         pace: None,
+        pauses: None,
         trouble: None,
     };
     let mut gone = start(100, 900, &["m0"]);
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -260,6 +260,15 @@
     });
 }
 
+/// The same after a stream from there has ended whole, with how it paused.
+pub(super) fn tell_pauses<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    pick: &chooser::Pick,
+    pauses: words::Pauses,
+) {
+    tell_with(shared, pick, |word| word.pauses = Some(pauses));
+}
+
 /// The same after something went wrong there.
 pub(super) fn tell_trouble<D: dialect::Dialect>(
     shared: &state::Shared<D>,
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -357,6 +357,7 @@
         };
         self.shared
             .with_core(|core| core.chooser.paused(now, pick, pauses));
+        neighbours::tell_pauses(self.shared, pick, pauses);
     }
 
     pub(super) fn ended(&self, pick: &chooser::Pick, began: bool, how: chooser::Ended) {
