Split streams and homes off the files that carry requests out

Change: pass/stream.rs passes a stream on, pass/home.rs asks the home of a model. Nothing is decided otherwise.

--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -10,7 +10,9 @@
 
 mod attempt;
 mod ending;
+mod home;
 mod story;
+mod stream;
 mod waiting;
 
 use std::{
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -5,22 +5,19 @@
 
 use std::{sync::atomic, time as std_time};
 
-use sageshed_fleet::{backlog, chooser, dialect, directory, messages, neighbours};
+use sageshed_fleet::{backlog, chooser, dialect, directory, messages};
 use sageshed_http::reply;
-use sageshed_types::{refusal, time, verdict};
+use sageshed_types::{time, verdict};
 
-use super::{BACK_SOON, Life, Step};
-use crate::gateway::{
-    self,
-    state::{self, LOOK},
-};
+use super::{BACK_SOON, Life, Step, home};
+use crate::gateway::state::LOOK;
 
 /// What must be left of the time for a late request to let others go first. Callers leave a stream of
 /// which nothing came for two seconds and more.
 const LATE_RESERVE: time::Millis = time::Millis(2_000);
 
 /// What must be left once the requests before it are read, for a request to wait on.
-const READ_RESERVE: time::Millis = time::Millis(800);
+pub(super) const READ_RESERVE: time::Millis = time::Millis(800);
 
 /// Added to the time of a load: room has to be made first, and others may load too.
 const LOAD_SLACK: time::Millis = time::Millis(3_000);
@@ -37,28 +34,6 @@
 /// The part of its objective that a request waits for a place, in hundredths.
 const PLACE_PATIENCE: u64 = 60;
 
-/// Between two questions to the home of a model on behalf of one request that waits.
-const ASK_AGAIN: std_time::Duration = std_time::Duration::from_millis(40);
-
-/// Follows the advice of the home of the model, where it gave one, and else chooses by what is known here.
-fn decide(
-    core: &mut state::Core,
-    now: time::Instant,
-    ask: &chooser::Ask<'_>,
-    place: Option<neighbours::Place>,
-) -> chooser::Choice {
-    let advised = match place {
-        Some(neighbours::Place::Engine {
-            engine, estimate, ..
-        }) => core.chooser.follow(now, engine, estimate, ask),
-        Some(neighbours::Place::Wait { .. }) => {
-            Some(chooser::Choice::Wait(chooser::Missing::Place))
-        }
-        Some(neighbours::Place::Unknown) | None => None,
-    };
-    advised.unwrap_or_else(|| core.chooser.choose(now, ask))
-}
-
 impl<D: dialect::Dialect> Life<'_, D> {
     /// Chooses where to send the request next, and waits as long as that makes sense.
     pub(super) fn next(&mut self, watch: &reply::Watch) -> Step {
@@ -122,7 +97,7 @@
                 let choice = if is_preceded {
                     chooser::Choice::Wait(chooser::Missing::Place)
                 } else {
-                    decide(core, now, &ask, place)
+                    home::decide(core, now, &ask, place)
                 };
                 (choice, core.changes())
             });
@@ -179,34 +154,6 @@
         }
     }
 
-    /// Asks the home of the model where the request is to go, and not again within [`ASK_AGAIN`].
-    fn ask_home(
-        &self,
-        ask: &chooser::Ask<'_>,
-        asked_at: &mut Option<std_time::Instant>,
-    ) -> Option<neighbours::Place> {
-        if asked_at.is_some_and(|at| at.elapsed() < ASK_AGAIN) {
-            return Some(neighbours::Place::Wait { expected: None });
-        }
-        let request = neighbours::key(self.id());
-        let place = gateway::neighbours::ask(self.shared, request, ask);
-        *asked_at = place.map(|_| std_time::Instant::now());
-        place
-    }
-
-    /// Counts what the request asks for, once.
-    fn count(&self, place: Option<neighbours::Place>) {
-        let Some(wanted) = self.wanted.filter(|_| !self.is_counted.replace(true)) else {
-            return;
-        };
-        let kept = match place {
-            Some(neighbours::Place::Engine { kept_tokens, .. }) => Some(kept_tokens),
-            _ => None,
-        };
-        self.shared
-            .with_core(|core| core.ask(self.service, wanted, self.passing, kept));
-    }
-
     /// The second and each further arrival at an endpoint takes from the budget.
     fn may_send(&mut self, pick: chooser::Pick) -> Step {
         if self.arrivals == 0 || self.take_repeat() {
@@ -260,27 +207,6 @@
         (expected + READ_RESERVE > left).then_some(expected)
     }
 
-    /// The refusal of a request that can't be reached in its time, by all that wait for its model anywhere.
-    fn hopeless_by_home(
-        &self,
-        place: Option<neighbours::Place>,
-        left: time::Millis,
-    ) -> Option<refusal::Refusal> {
-        let Some(neighbours::Place::Wait { expected }) = place else {
-            return None;
-        };
-        let expected = expected.unwrap_or_default();
-        if expected + READ_RESERVE <= left {
-            return None;
-        }
-        let detail = format!(
-            "those that wait for the model take {} ms, and {} ms are left",
-            expected.0, left.0
-        );
-        let refusal = self.give_up(verdict::Reason::DeadlineUnmeetable, detail);
-        Some(refusal.retry_after(expected.max(BACK_SOON)))
-    }
-
     /// This request among those that wait for an engine; none where it needs no model.
     fn waiter(&self, now: time::Instant) -> Option<backlog::Waiter> {
         let wanted = self.wanted?;
