--- a/crates/sageshed-fleet/src/directory/instance.rs
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -238,14 +238,6 @@
     Full,
 }
 
-impl Offer {
-    /// Whether something is believed by it that was not before.
-    #[must_use]
-    pub fn is_news(self) -> bool {
-        matches!(self, Self::New | Self::Changed)
-    }
-}
-
 /// The same for lists that differ in their order only.
 fn sum(hashes: impl Iterator<Item = u64>) -> u64 {
     hashes.fold(0, u64::wrapping_add)
