Say once what a request burdens an engine with, and what homes alone hear

Control built and hashed the list of entry processes for every answer, also for the two in three that don't use it.

Ruled out: merging `Trouble::Rejects` and `Trouble::Lacks`, which are handled alike today: tests name both.

Change: `Chooser::burden`, `neighbours::have_homes`, one decision in `tell_with`, and the list only for who takes endpoints. Nothing is decided otherwise; no test changed.

--- a/crates/sageshed-fleet/src/chooser/advice.rs
+++ b/crates/sageshed-fleet/src/chooser/advice.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::{arena, time};
 
-use super::{Ask, Choice, Chooser, Found, Missing, Pick, STEP_MS, endpoint, reading, whole};
+use super::{Ask, Choice, Chooser, Found, Missing, Pick, STEP_MS, endpoint, reading};
 use crate::{dialect, neighbours};
 
 /// The shortest estimate that teaches something, in milliseconds. Below, what came is mostly the way there and
@@ -22,7 +22,7 @@
         from: net::Ipv4Addr,
         word: &neighbours::Unread,
     ) -> bool {
-        let Some(key) = self.by_key.get(&word.engine).copied() else {
+        let Some(key) = self.by_short_name(word.engine) else {
             return false;
         };
         let Some(endpoint) = self.get_mut(key) else {
@@ -89,7 +89,7 @@
     /// engines and 7 entry processes.
     #[must_use]
     pub fn has_homes(&self) -> bool {
-        self.entries.len() > neighbours::GROUP
+        neighbours::have_homes(&self.entries)
     }
 
     /// Whom to ask where requests for `model` go, the first of them first; nobody where this process is to
@@ -127,16 +127,10 @@
             Found::Missing(_) | Found::Fetch(_) => return neighbours::Place::Unknown,
         };
         let estimate = super::span(self.estimate(now, key, ask));
-        let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
-        let ahead_ms = self.get(key).map_or(0.0, |it| it.unread_by_all(now));
-        let is_strained = self.bounds.is_strain(ask.service, ahead_ms + reading_ms);
-        let Some(endpoint) = self.get_mut(key) else {
+        let Some((endpoint, reading)) = self.burden(now, key, ask) else {
             return neighbours::Place::Unknown;
         };
-        if is_strained {
-            endpoint.strained_at = Some(now);
-        }
-        endpoint.advise(now, to, whole(reading_ms * endpoint::MICROS));
+        endpoint.advise(now, to, reading);
         let place = neighbours::Place::Engine {
             engine: neighbours::instance_key(&endpoint.instance.id),
             estimate,
@@ -154,7 +148,7 @@
         estimate: time::Millis,
         ask: &Ask<'_>,
     ) -> Option<Choice> {
-        let key = self.by_key.get(&engine).copied()?;
+        let key = self.by_short_name(engine)?;
         let is_open = self.open(now, ask).is_ok_and(|open| open.contains(&key));
         let holds = ask.wanted.is_some_and(|it| self.holds(now, key, it));
         (is_open && holds).then(|| self.send_by(now, key, ask, estimate))
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -434,17 +434,10 @@
         if self.policy.turn_away && estimate >= ask.left {
             return Choice::TooLate { estimate };
         }
-        let reading_ms = self.get(key).map_or(0.0, |it| self.reading_ms(it, ask));
-        let ahead_ms = self.get(key).map_or(0.0, |it| it.unread_by_all(now));
-        let is_strained = self.bounds.is_strain(ask.service, ahead_ms + reading_ms);
-        let Some(endpoint) = self.get_mut(key) else {
+        let Some((endpoint, reading)) = self.burden(now, key, ask) else {
             return Choice::Wait(Missing::Endpoint);
         };
         let tokens = endpoint.unkept(ask);
-        if is_strained {
-            endpoint.strained_at = Some(now);
-        }
-        let reading = whole(reading_ms * endpoint::MICROS);
         endpoint.in_flight += 1;
         endpoint.unread += reading;
         if endpoint.owed == 0 {
@@ -461,6 +454,25 @@
         })
     }
 
+    /// The endpoint that a request is about to go to, and the microseconds that it takes to read it. Notes
+    /// where that is about as much as its streams bear.
+    fn burden(
+        &mut self,
+        now: time::Instant,
+        key: arena::EndpointKey,
+        ask: &Ask<'_>,
+    ) -> Option<(&mut Endpoint, u64)> {
+        let endpoint = self.get(key)?;
+        let reading_ms = self.reading_ms(endpoint, ask);
+        let ahead_ms = endpoint.unread_by_all(now);
+        let is_strained = self.bounds.is_strain(ask.service, ahead_ms + reading_ms);
+        let endpoint = self.get_mut(key)?;
+        if is_strained {
+            endpoint.strained_at = Some(now);
+        }
+        Some((endpoint, whole(reading_ms * endpoint::MICROS)))
+    }
+
     fn get(&self, key: arena::EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key.index())?.as_ref()
     }
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -219,10 +219,16 @@
     hash(instance)
 }
 
+/// Whether there are so many entry processes that models have homes.
+#[must_use]
+pub fn have_homes(entries: &[net::Ipv4Addr]) -> bool {
+    entries.len() > GROUP
+}
+
 /// The homes of a model among `entries`, the one to be asked first; none where these all tell each other.
 #[must_use]
 pub fn homes(model: u64, entries: &[net::Ipv4Addr]) -> Vec<net::Ipv4Addr> {
-    if entries.len() <= GROUP {
+    if !have_homes(entries) {
         return Vec::new();
     }
     ranked(model, entries, HOMES)
@@ -231,7 +237,7 @@
 /// Whom to tell of an engine: the homes of the models that it holds, or all where these tell each other.
 #[must_use]
 pub fn told(instance: &directory::Instance, entries: &[net::Ipv4Addr]) -> Vec<net::Ipv4Addr> {
-    if entries.len() <= GROUP {
+    if !have_homes(entries) {
         return entries.to_vec();
     }
     let models = instance.models.iter().map(|it| key(&it.model));
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -45,14 +45,14 @@
     req.patience = req.patience.min(PATIENCE);
     let news = shared.hub.news(now, &req);
     let config = (news.config > req.config).then(|| locks::read(&shared.state).fleet().clone());
-    let entries = shared.hub.entries();
-    let entries_number = number(&entries);
-    let tells_entries = req.wants == messages::Wants::News && entries_number != req.entries_known;
+    // Only whoever takes endpoints takes the list of entry processes too.
+    let entries = (req.wants == messages::Wants::News).then(|| shared.hub.entries());
+    let entries_number = entries.as_deref().map_or(req.entries_known, number);
     messages::WatchResp {
         control: control_vms(shared),
         leader: shared.leader().and_then(|it| it.parse().ok()),
         entries_number,
-        entries: tells_entries.then_some(entries),
+        entries: entries.filter(|_| entries_number != req.entries_known),
         config: config.filter(|it| it.version > req.config),
         mark: news.mark,
         digest: news.digest,
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -239,7 +239,7 @@
 
 /// Tells the neighbours after a change at the engine of `pick`.
 pub(super) fn tell<D: dialect::Dialect>(shared: &state::Shared<D>, pick: &chooser::Pick) {
-    tell_with(shared, pick, |_| {});
+    tell_with(shared, pick, |_, _| true);
 }
 
 /// The same after the engine has read a prompt in `took`, with the beginning of it that others may share.
@@ -249,42 +249,50 @@
     read: chooser::Read<'_>,
     took: Millis,
 ) {
-    tell_with(shared, pick, |word| {
+    tell_with(shared, pick, |word, has_homes| {
         let short = |ms: Millis| u32::try_from(ms.0).unwrap_or(u32::MAX);
         word.kept = words::Beginning::of(read.wanted, read.parts);
-        word.pace = Some(words::Pace {
+        word.pace = has_homes.then(|| words::Pace {
             model: words::key(&read.wanted.model),
             took: short(took),
             estimated: short(pick.estimate),
         });
+        true
     });
 }
 
-/// The same after a stream from there has ended whole, with how it paused.
+/// Tells homes how a stream paused that has ended whole.
 pub(super) fn tell_pauses<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     pick: &chooser::Pick,
     pauses: words::Pauses,
 ) {
-    if !shared.with_core(|core| core.chooser.has_homes()) {
-        return;
-    }
-    tell_with(shared, pick, |word| word.pauses = Some(pauses));
+    tell_with(shared, pick, |word, has_homes| {
+        word.pauses = Some(pauses);
+        has_homes
+    });
 }
 
-/// The same after something went wrong there.
-pub(super) fn tell_trouble<D: dialect::Dialect>(
+/// Tells the neighbours that a request has ended whose answer had not begun, and homes of the trouble, if
+/// there was any.
+pub(super) fn tell_ended<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     pick: &chooser::Pick,
+    began: bool,
     trouble: Option<words::Trouble>,
 ) {
-    tell_with(shared, pick, |word| word.trouble = trouble);
+    tell_with(shared, pick, |word, has_homes| {
+        word.trouble = trouble.filter(|_| has_homes);
+        !began || word.trouble.is_some()
+    });
 }
 
+/// Tells what `complete` makes of the word on the engine of `pick`, given whether models have homes, unless it
+/// says that nobody is to be told.
 fn tell_with<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     pick: &chooser::Pick,
-    complete: impl FnOnce(&mut words::Unread),
+    complete: impl FnOnce(&mut words::Unread, bool) -> bool,
 ) {
     let Some(neighbours) = shared.neighbours.as_ref().filter(|_| pick.reading > 0) else {
         return;
@@ -293,13 +301,9 @@
         let chooser = &core.chooser;
         (chooser.word_on(pick), chooser.has_homes())
     });
-    if let Some((mut word, group)) = word {
-        complete(&mut word);
-        if !has_homes {
-            word.pace = None;
-            word.pauses = None;
-            word.trouble = None;
-        }
+    if let Some((mut word, group)) = word
+        && complete(&mut word, has_homes)
+    {
         neighbours.tell(word, &group);
     }
 }
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -256,11 +256,7 @@
         let now = self.shared.clock.now();
         self.shared
             .with_core(|core| core.chooser.ended(now, pick, self.wanted, began, how));
-        let has_homes = self.shared.with_core(|core| core.chooser.has_homes());
-        let trouble = self.trouble(how).filter(|_| has_homes);
-        if !began || trouble.is_some() {
-            neighbours::tell_trouble(self.shared, pick, trouble);
-        }
+        neighbours::tell_ended(self.shared, pick, began, self.trouble(how));
         self.shared.place_freed();
     }
 
