Wait until the stand-in has counted its answers before a test relies on the count

By the entry processes' logs six requests had been answered before the stream was sent (the last at 02:38:11.672, the stream at .673) and the stream was not. The stand-in counts an answer after it has sent it, so the caller can have the last one before it counts, and the test took its count in between.

Change: the test waits until the answers so far are counted. Its assertion is as it was.

Conclusion: the fault was the test's own.

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// The requests of [`Self::wait_served`] that are answered: one of each kind at each entry process.
+    pub fn served(&self) -> u64 {
+        2 * self.plan.vms as u64
+    }
+
     /// Whether an entry process says that it is ready.
     pub fn is_ready(&self, vm: usize) -> bool {
         let url = format!("{}/readyz", self.callers(vm));
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -97,7 +97,11 @@
 fn tokens_pass_through_before_the_last_one_exists() {
     let cluster = cluster::Cluster::start(cluster::Plan::default());
     cluster.wait_served();
-    let answered = answered(&cluster);
+    // The stand-in counts an answer after it has sent it, so the caller may have the last one first.
+    let answered = cluster.served();
+    cluster.until("the answers so far are counted", || {
+        self::answered(&cluster) == answered
+    });
     for engine in ["e1", "e2"] {
         cluster
             .standin
