Name the content of a request in the lines on its tries

Cause: the logs could not tell which lines are on the same request, since each try of a caller has another id. No decision is changed. Before: no key in common between the tries of one request. After: the same content at both processes, another for another body.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`backlog`] | how long what waits for an engine will wait |
 //! | [`budget`] | whether a request may be sent a second time |
+//! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
 //!
@@ -24,6 +25,7 @@
 pub mod config;
 pub mod dialect;
 pub mod directory;
+pub mod fingerprint;
 pub mod links;
 pub mod messages;
 pub mod neighbours;
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -367,7 +367,7 @@
             self.ended(pick, began, chooser::Ended::GivenUp);
             return Sending::Gone(outlet);
         }
-        ::log::info!(request = self.id(), endpoint:% = pick.instance, error:% = failure,
+        ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, error:% = failure,
             runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
         self.story.came_to(verdict::Verdict::MayHaveRun, &self.last);
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -58,7 +58,7 @@
         outlet: Outlet<'_>,
         refusal: &refusal::Refusal,
     ) -> reply::Sent {
-        ::log::info!(request = self.id(), route = self.route.name.as_str(),
+        ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
             config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             waited_for = self.waited_for_word(), arrivals = self.arrivals,
@@ -69,7 +69,7 @@
     }
 
     pub(super) fn left(&mut self, outlet: Outlet<'_>) -> reply::Sent {
-        ::log::info!(request = self.id(), route = self.route.name.as_str(),
+        ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
             model = self.model_name(), waited_for = self.waited_for_word(),
             arrivals = self.arrivals, left_ms = self.left_ms().0,
             took_ms = time::Millis::from(self.req.received.elapsed()).0; "gateway: caller left");
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -21,7 +21,7 @@
     time as std_time,
 };
 
-use sageshed_fleet::{chooser, config, dialect, routes};
+use sageshed_fleet::{chooser, config, dialect, fingerprint, routes};
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
 
@@ -135,6 +135,8 @@
     shared: &'a state::Shared<D>,
     req: &'a request::Request,
     passing: &'a dialect::Passing,
+    /// The same in each try of its caller.
+    content: fingerprint::Fingerprint,
     route: &'a config::Route,
     service: &'a str,
     wanted: Option<&'a dialect::Wanted>,
@@ -219,6 +221,7 @@
             shared,
             req,
             passing,
+            content: content_of(req),
             route,
             service,
             wanted,
@@ -270,3 +273,14 @@
         left.into()
     }
 }
+
+fn content_of(req: &request::Request) -> fingerprint::Fingerprint {
+    let host = req.header("host").unwrap_or_default();
+    fingerprint::Fingerprint::of(
+        &req.method,
+        host,
+        &req.path,
+        req.query.as_deref(),
+        &req.body,
+    )
+}
--- a/tests/fleet/explaining.rs
+++ b/tests/fleet/explaining.rs
@@ -117,6 +117,47 @@
     }
 }
 
+/// A request fails, and its caller sends it again with another id, which another entry process takes. An
+/// engineer on call sees endpoints fail and asks whether it is one request under all of them: the lines on both
+/// tries say so, and those on another request do not.
+#[test]
+fn the_lines_tell_which_tries_are_one_request() {
+    let (fleet, engines) = Fleet::ready();
+    for engine in &engines {
+        engine.does(Does::Closes);
+    }
+    let tries = [
+        (0, "try-1", "prompt"),
+        (1, "try-2", "prompt"),
+        (0, "try-3", "another"),
+    ];
+    let contents = tries.map(|(entry, id, body)| {
+        let ask = Ask {
+            body,
+            ..Ask::new("POST", "/once/x", id)
+        };
+        let answer = fleet.ask(entry, &ask).expect("an answer");
+        assert_eq!(answer.status(), 502, "{id}");
+        let mut content = None;
+        fleet.until("its lines are written", || {
+            let text = explain(&fleet, id);
+            content = content_in(&text);
+            content.is_some()
+        });
+        content
+    });
+    assert_eq!(contents[0], contents[1]);
+    assert_ne!(contents[0], contents[2]);
+}
+
+/// The fingerprint that the line on a failed request names.
+fn content_in(text: &str) -> Option<String> {
+    let line = text.lines().find(|it| it.contains("may have run"))?;
+    let (_, rest) = line.split_once("content=\"")?;
+    let (content, _) = rest.split_once('"')?;
+    Some(content.to_owned())
+}
+
 /// What `sageshed explain` prints of a request when it asks the live entry processes.
 fn account_of(fleet: &Fleet, id: &str) -> String {
     let mut command = process::Command::new(env!("CARGO_BIN_EXE_sageshed"));
