Show that a request which ends endpoints is sent on and on (known red)

Cause: the processes count the endpoints that may have run one try of a caller, and forget them with it. A try under another id, at another entry process, begins at nothing. Ruled out: load (the engines of the test run nothing else) and orders (none was given); both were hypotheses.

--- /dev/null
+++ b/tests/fleet/crashing.rs
@@ -0,0 +1,110 @@
+//! A request that ends each endpoint that runs it.
+
+use std::{thread, time};
+
+use crate::{
+    fleet::Fleet,
+    standin::{
+        caller::Ask,
+        engine::{DEADLY, Engine},
+    },
+};
+
+/// Within this time of the third end all entry processes know of it.
+const KNOWN_WITHIN: time::Duration = time::Duration::from_secs(3);
+
+/// How often such a request may reach an endpoint after that, over all entry processes.
+const MOST_AFTER: usize = 3;
+
+fn deadly<'a>(id: &'a str) -> Ask<'a> {
+    Ask {
+        body: DEADLY,
+        ..Ask::new("POST", "/resumable/x", id)
+    }
+}
+
+/// How often an endpoint was ended so far.
+fn ends(engines: &[Engine]) -> usize {
+    engines.iter().map(|it| it.seen(|seen| seen.ends)).sum()
+}
+
+/// Sends such a request to one entry process after the other until it has ended three endpoints.
+fn end_three(fleet: &Fleet, engines: &[Engine]) {
+    let mut number = 0;
+    fleet.until("it has ended three endpoints", || {
+        number += 1;
+        let id = format!("first-{number}");
+        drop(fleet.ask(number % 2, &deadly(&id)));
+        ends(engines) >= 3
+    });
+}
+
+/// Sends it so many times more, in turn to these entry processes. Returns how many endpoints that ended.
+fn ends_by(fleet: &Fleet, engines: &[Engine], entries: &[usize], tries: usize) -> usize {
+    let before = ends(engines);
+    for number in 0..tries {
+        let id = format!("again-{number}");
+        drop(fleet.ask(entries[number % entries.len()], &deadly(&id)));
+        // Those that were ended are back.
+        thread::sleep(time::Duration::from_millis(500));
+    }
+    ends(engines) - before
+}
+
+/// Waits until an entry process answers requests.
+fn serves(fleet: &Fleet, entry: usize) {
+    fleet.until("it serves", || {
+        let answer = fleet.ask(entry, &Ask::new("GET", "/stream/x", "first"));
+        answer.is_some_and(|it| it.status() == 200)
+    });
+}
+
+/// A request made each engine crash that began to run it. Its caller sent it again under other ids, other entry
+/// processes took it, and each passed it on to as many engines as one try may have: 34 engines were lost in a
+/// day of nine, and for seconds few were left for everybody. The processes counted the engines of one try and
+/// forgot them with it. What settled it, in the lines of two processes on the engines that it ended here:
+/// `content="3b8ed2632894eb26" .. request="first-2" runs="2"` and `content="3b8ed2632894eb26" .. request="again-5"
+/// runs="1"`, one content under all 20 ends, however little ran there.
+#[test]
+fn a_request_that_ends_endpoints_is_not_sent_on_and_on() {
+    let (fleet, engines) = Fleet::ready();
+    end_three(&fleet, &engines);
+    thread::sleep(KNOWN_WITHIN);
+    let after = ends_by(&fleet, &engines, &[0, 1], 8);
+    assert!(after <= MOST_AFTER, "it ended {after} more");
+}
+
+/// The same, and an entry process starts only after the third engine has crashed. It has seen nothing of that,
+/// and would learn it at the cost of three engines of its own.
+#[test]
+fn an_entry_process_that_starts_knows_what_has_ended_endpoints() {
+    let (mut fleet, engines) = Fleet::ready();
+    end_three(&fleet, &engines);
+    thread::sleep(KNOWN_WITHIN);
+    fleet.entries[0].kill();
+    fleet.entries[0].start();
+    serves(&fleet, 0);
+    let after = ends_by(&fleet, &engines, &[0], 6);
+    assert!(after <= MOST_AFTER, "it ended {after} more");
+}
+
+/// The same, and all processes lose their power at once. What was learnt at the cost of three engines must not
+/// be learnt again at that cost after each such loss.
+#[test]
+fn what_has_ended_endpoints_is_known_after_all_processes_were_killed() {
+    let (mut fleet, engines) = Fleet::ready();
+    end_three(&fleet, &engines);
+    thread::sleep(KNOWN_WITHIN);
+    for process in fleet.control.iter_mut().chain(&mut fleet.entries) {
+        process.kill();
+    }
+    for process in fleet.control.iter_mut().chain(&mut fleet.entries) {
+        process.start();
+    }
+    for entry in 0..2 {
+        serves(&fleet, entry);
+    }
+    thread::sleep(KNOWN_WITHIN);
+    let after = ends_by(&fleet, &engines, &[0, 1], 6);
+    assert!(after <= MOST_AFTER, "it ended {after} more");
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 
 mod configuration;
 mod control;
+mod crashing;
 mod endpoints;
 mod explaining;
 mod fleet;
