Hold requests under which endpoints end

Cause: an entry process counted the endpoints of one try and forgot them with it. The next try of the same caller has another id and reaches another entry process, so a request that crashes its endpoints reached as many as came back. Class: what is learnt of a request was kept by the try, in one process, for the length of the try. Ruled out: repeats of others and orders (the engines of the test run nothing else and get no order); a shorter list of tried endpoints or a smaller budget, since each try stays inside both. Change: processes remember which starts of endpoints ended under which request, by what it asks; evidence only grows and is merged in any order, by the watches there are; the log keeps what is held. With three ends it is held: refused before each sending, 503 with when to come back, for an hour. An end is a connection closed inside an answer and nobody at the port, not one of an endpoint that said that it stops. A whole answer clears. Counted in both roles' metrics; reason quarantined; a cause of its own in logs losses. The own interface and loads under which engines end are looked at next.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -359,6 +359,13 @@
         entry.instance.is_present().then_some(&entry.instance)
     }
 
+    /// Whether this start said that it stops.
+    #[must_use]
+    pub fn is_leaving(&self, id: &InstanceId) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|it| matches!(it.instance.state, State::Leaving | State::Gone))
+    }
+
     /// The starts that are there of endpoints that ended and were started again lately.
     #[must_use]
     pub fn restarted(&self) -> Vec<InstanceId> {
--- a/crates/sageshed-fleet/src/fingerprint.rs
+++ b/crates/sageshed-fleet/src/fingerprint.rs
@@ -24,4 +24,16 @@
     pub fn of(method: &str, host: &str, path: &str, query: Option<&str>, body: &[u8]) -> Self {
         Self(neighbours::hash(&(method, host, path, query, body)))
     }
+
+    /// The one that was kept as this number.
+    #[must_use]
+    pub fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// As a number, to be kept.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        self.0
+    }
 }
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`budget`] | whether a request may be sent a second time |
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
+//! | [`quarantine`] | which requests are passed on no more, since endpoints ended under them |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
 //!
 //! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
@@ -30,5 +31,6 @@
 pub mod messages;
 pub mod neighbours;
 pub mod planner;
+pub mod quarantine;
 pub mod routes;
 pub mod tally;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -11,7 +11,7 @@
 use sageshed_types::{document, time};
 use serde::{Deserialize, Serialize};
 
-use crate::directory;
+use crate::{directory, quarantine};
 
 /// Paths on the port of a control process for the system's other processes.
 pub mod paths {
@@ -80,6 +80,13 @@
     /// What callers asked for since the last call that was answered: of an entry process its own callers, of
     /// a control process those of entry processes that told it.
     pub demand: Vec<Demand>,
+    /// Up to where it knows of the one that it asks which requests endpoints have ended under; none if it does
+    /// not take that.
+    #[serde(default)]
+    pub crashes_known: Option<quarantine::Mark>,
+    /// Of an entry process: crashes that the one it asks was not told of.
+    #[serde(default)]
+    pub crashes: Vec<quarantine::Crash>,
 }
 
 /// What callers asked of one model.
@@ -120,6 +127,13 @@
     pub digest: u64,
     /// What changed in it since the mark of the question, as [`directory::Record`].
     pub records: Vec<Packed>,
+    /// Up to where crashes are known with this answer; none from a process that does not tell.
+    #[serde(default)]
+    pub crashes_mark: Option<quarantine::Mark>,
+    /// What was learnt of them since the mark of the question: for an entry process those under requests that are
+    /// held.
+    #[serde(default)]
+    pub crashes: Vec<quarantine::Crash>,
 }
 
 /// Asks the leader to load an adapter for a request that waits.
--- /dev/null
+++ b/crates/sageshed-fleet/tests/quarantine.rs
@@ -0,0 +1,229 @@
+//! Which requests are passed on no more.
+
+use sageshed_fleet::{
+    fingerprint::Fingerprint,
+    quarantine::{Change, Crash, ENDS, KEPT, MOST_REQUESTS, Mark, Quarantine, Telling},
+};
+use sageshed_types::time::{Instant, Millis};
+
+const NOW: Instant = Instant(50_000);
+
+fn content(number: u64) -> Fingerprint {
+    Fingerprint::from_number(number)
+}
+
+fn crash(number: u64, endpoint: u64) -> Crash {
+    Crash {
+        content: content(number),
+        endpoint,
+        age: Millis(0),
+        is_cleared: false,
+    }
+}
+
+/// A process that has seen these crashes.
+fn seen(start: u64, crashes: &[Crash]) -> Quarantine {
+    let mut quarantine = Quarantine::new(start);
+    for it in crashes {
+        quarantine.take(NOW, it);
+    }
+    quarantine
+}
+
+fn holds(quarantine: &Quarantine, number: u64) -> bool {
+    quarantine.held_for(NOW, content(number)).is_some()
+}
+
+/// One step of a story about request 1, and whether it is held after it.
+struct Step {
+    name: &'static str,
+    now: Instant,
+    crash: Crash,
+    change: Change,
+    is_held: bool,
+}
+
+/// A request ends one endpoint after the other. It is held with the third, and one end that several processes
+/// tell of, or one that is told twice, counts once.
+#[test]
+fn a_request_is_held_with_the_third_end() {
+    let step = |name, endpoint, change, is_held| Step {
+        name,
+        now: NOW,
+        crash: crash(1, endpoint),
+        change,
+        is_held,
+    };
+    let steps = [
+        step("the first end", 1, Change::Noted, false),
+        step("told once more", 1, Change::None, false),
+        step("the second end", 2, Change::Noted, false),
+        step("the third end", 3, Change::Held, true),
+        step("a fourth, that was under way", 4, Change::Noted, true),
+    ];
+    let mut quarantine = Quarantine::new(1);
+    for it in &steps {
+        let change = quarantine.take(it.now, &it.crash);
+        assert_eq!(change, it.change, "{}", it.name);
+        assert_eq!(holds(&quarantine, 1), it.is_held, "{}", it.name);
+    }
+    assert!(!holds(&quarantine, 2), "another request goes on");
+}
+
+/// A request of many callers runs at three endpoints that end one after the other, and is answered in between:
+/// it was not the cause. Held, a page that all callers ask for would be refused for an hour.
+#[test]
+fn a_request_that_is_answered_in_between_is_not_held() {
+    let mut quarantine = Quarantine::new(1);
+    for endpoint in 0..10 {
+        quarantine.take(NOW, &crash(1, endpoint));
+        quarantine.take(NOW, &crash(2, endpoint));
+        if endpoint % 2 == 1 {
+            assert!(quarantine.answered(NOW, content(1)));
+        }
+    }
+    assert!(!holds(&quarantine, 1));
+    assert!(holds(&quarantine, 2), "the one that is never answered is");
+    assert!(!quarantine.answered(NOW, content(3)), "nothing to clear");
+}
+
+/// Three entry processes see one end each and tell a control process each. No order in which these tell each
+/// other, nor telling twice, may lose one: the request would go on.
+#[test]
+fn processes_that_tell_each_other_come_to_the_same() {
+    let own = [crash(1, 1), crash(1, 2), crash(1, 3)];
+    for first in 0..3 {
+        for second in 0..3 {
+            let mut control: Vec<_> = (0..3)
+                .map(|at| seen(at as u64 + 1, &own[at..=at]))
+                .collect();
+            let mut known = [[Mark::default(); 3]; 3];
+            let order = [
+                (first, second),
+                (second, first),
+                (0, 1),
+                (1, 2),
+                (2, 0),
+                (0, 2),
+                (1, 0),
+                (2, 1),
+            ];
+            for (to, from) in order.into_iter().filter(|(to, from)| to != from) {
+                let told = control[from].since(NOW, known[to][from], Telling::All);
+                known[to][from] = control[from].mark();
+                for it in told {
+                    control[to].take(NOW, &it);
+                }
+            }
+            for it in &control {
+                assert!(holds(it, 1), "{first} {second}: {it:?}");
+                let quiet = it.since(NOW, it.mark(), Telling::All);
+                assert!(quiet.is_empty(), "nothing is left to tell: {quiet:?}");
+            }
+        }
+    }
+}
+
+/// An entry process is told of held requests only, of all that led to it, and of its end.
+#[test]
+fn an_entry_process_is_told_what_is_held() {
+    let mut control = seen(7, &[crash(1, 1), crash(1, 2), crash(2, 1)]);
+    let mut entry = Quarantine::new(9);
+    let mut known = Mark::default();
+    let tell = |control: &Quarantine, entry: &mut Quarantine, known: &mut Mark| {
+        let told = control.since(NOW, *known, Telling::Held);
+        *known = control.mark();
+        for it in &told {
+            entry.take(NOW, it);
+        }
+        told.len()
+    };
+    assert!(!control.has_news(known, Telling::Held));
+    assert_eq!(tell(&control, &mut entry, &mut known), 0);
+    control.take(NOW, &crash(1, 3));
+    assert!(control.has_news(known, Telling::Held));
+    assert_eq!(tell(&control, &mut entry, &mut known), 3);
+    assert!(holds(&entry, 1));
+    control.take(NOW, &crash(2, 2));
+    assert_eq!(
+        tell(&control, &mut entry, &mut known),
+        0,
+        "not held, not told"
+    );
+    control.answered(NOW, content(1));
+    assert_eq!(tell(&control, &mut entry, &mut known), 3);
+    assert!(!holds(&entry, 1));
+    // One that was just started knows nothing.
+    let mut started = Quarantine::new(11);
+    control.take(NOW, &crash(2, 3));
+    assert_eq!(tell(&control, &mut started, &mut Mark::default()), 6);
+    assert!(holds(&started, 2) && !holds(&started, 1));
+}
+
+/// A clearing that comes before the crash that it is about must not be undone by it.
+#[test]
+fn a_crash_that_is_told_late_stays_cleared() {
+    let mut quarantine = Quarantine::new(1);
+    for endpoint in 1..=3 {
+        let cleared = Crash {
+            is_cleared: true,
+            ..crash(1, endpoint)
+        };
+        quarantine.take(NOW, &cleared);
+        quarantine.take(NOW, &crash(1, endpoint));
+    }
+    assert!(!holds(&quarantine, 1));
+}
+
+/// What a process of a minute ago is told of an hour ago is not kept for an hour more.
+#[test]
+fn crashes_are_forgotten_by_their_age() {
+    let mut quarantine = Quarantine::new(1);
+    for endpoint in 1..=3 {
+        let old = Crash {
+            age: Millis(KEPT.0 - 1_000 * endpoint),
+            ..crash(1, endpoint)
+        };
+        quarantine.take(NOW, &old);
+    }
+    assert_eq!(quarantine.held_for(NOW, content(1)), Some(Millis(1_000)));
+    assert_eq!(quarantine.held_for(NOW + Millis(1_000), content(1)), None);
+    let told = quarantine.since(NOW, Mark::default(), Telling::All);
+    assert!(told.iter().all(|it| it.age.0 >= KEPT.0 - 3_000), "{told:?}");
+    let too_old = Crash {
+        age: KEPT,
+        ..crash(2, 1)
+    };
+    assert_eq!(quarantine.take(NOW, &too_old), Change::None);
+}
+
+/// A flood of requests runs at endpoints that end. What is held stays, and memory stays bounded.
+#[test]
+fn a_flood_of_suspects_pushes_out_none_that_is_held() {
+    let mut quarantine = seen(1, &[crash(1, 1), crash(1, 2), crash(1, 3)]);
+    for number in 10..10 + 2 * MOST_REQUESTS as u64 {
+        quarantine.take(NOW + Millis(number), &crash(number, 4));
+    }
+    assert!(holds(&quarantine, 1));
+    let told = quarantine.since(NOW, Mark::default(), Telling::All);
+    assert!(told.len() <= MOST_REQUESTS + ENDS, "{}", told.len());
+    for endpoint in 10..100 {
+        quarantine.take(NOW, &crash(1, endpoint));
+    }
+    assert!(quarantine.ends(NOW, content(1)) < 10);
+}
+
+/// What the control group has kept is held after all processes were started anew.
+#[test]
+fn what_was_kept_is_held_again() {
+    let before = seen(1, &[crash(1, 1), crash(1, 2), crash(1, 3), crash(2, 1)]);
+    let kept = before.held(NOW);
+    assert_eq!(kept.len(), 1);
+    let mut after = Quarantine::new(2);
+    after.restore(Instant(10), &kept);
+    assert!(holds(&after, 1) && !holds(&after, 2));
+    assert_eq!(after.held(NOW), kept);
+    let mark = after.mark();
+    after.restore(NOW, &kept);
+    assert_eq!(after.mark(), mark, "it is nothing new");
+}
--- a/crates/sageshed-http/src/problem.rs
+++ b/crates/sageshed-http/src/problem.rs
@@ -208,6 +208,7 @@
         | verdict::Reason::EndpointRefused
         | verdict::Reason::NotConfirmed
         | verdict::Reason::ClaimUnavailable
+        | verdict::Reason::Quarantined
         | verdict::Reason::Draining
         | verdict::Reason::TooManyOpen
         | verdict::Reason::Internal => "server_error",
--- a/crates/sageshed-state/src/command.rs
+++ b/crates/sageshed-state/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands that the control group commits, and what applying each gives.
 
-use sageshed_types::{claims, document, endpoints, rules};
+use sageshed_types::{claims, document, endpoints, quarantine, rules};
 use serde::{Deserialize, Serialize};
 
 /// One committed command. Encoded by [`crate::codec`] as the payload of a log entry.
@@ -80,6 +80,8 @@
     },
     /// Replaces the configuration of the fleet, if its number is higher than that of the one held.
     ReplaceFleet(document::Document),
+    /// Replaces the requests that entry processes pass on no more.
+    HoldRequests(Vec<quarantine::Held>),
 }
 
 /// An order as a leader proposes it. Its id and fencing number are assigned when it is applied.
@@ -149,6 +151,8 @@
         /// The number of the configuration that is held now.
         held: u64,
     },
+    /// Of [`Command::HoldRequests`]: it is recorded.
+    RequestsHeld,
     /// The command's log index was applied before; nothing was done.
     AlreadyApplied,
 }
--- a/crates/sageshed-state/src/control.rs
+++ b/crates/sageshed-state/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use sageshed_types::{document, endpoints};
+use sageshed_types::{document, endpoints, quarantine};
 use serde::{Deserialize, Serialize};
 
 use crate::{change_ids, claim_table, command, order_table, rule_log};
@@ -44,6 +44,9 @@
     /// The configuration of the fleet; number zero until there is one.
     #[serde(default)]
     fleet: document::Document,
+    /// The requests that entry processes of the fleet pass on no more.
+    #[serde(default)]
+    held_requests: Vec<quarantine::Held>,
 }
 
 impl Default for ControlState {
@@ -65,6 +68,7 @@
             draining: collections::BTreeSet::new(),
             drain_ids: change_ids::ChangeIds::new(limits.change_ids),
             fleet: document::Document::default(),
+            held_requests: Vec::new(),
         }
     }
 
@@ -105,6 +109,12 @@
         &self.fleet
     }
 
+    /// The requests that entry processes of the fleet pass on no more.
+    #[must_use]
+    pub fn held_requests(&self) -> &[quarantine::Held] {
+        &self.held_requests
+    }
+
     /// The entry VMs that an operator drains.
     pub fn draining(&self) -> impl Iterator<Item = &str> {
         self.draining.iter().map(String::as_str)
@@ -164,6 +174,10 @@
             }
             Command::Unpin { model, place } => self.unpin(&model, &place),
             Command::ReplaceFleet(document) => self.replace_fleet(document),
+            Command::HoldRequests(held) => {
+                self.held_requests = held;
+                Outcome::RequestsHeld
+            }
         }
     }
 
--- a/crates/sageshed-state/tests/control.rs
+++ b/crates/sageshed-state/tests/control.rs
@@ -1,7 +1,7 @@
 //! The whole state: orders, drains, pins, replay, and its bytes.
 
 use sageshed_state::{codec, command, control};
-use sageshed_types::{claims, endpoints, rules, time};
+use sageshed_types::{claims, endpoints, quarantine, rules, time};
 
 fn load(endpoint: &str, incarnation: u64, model: &str) -> command::ProposedOrder {
     command::ProposedOrder {
@@ -381,3 +381,24 @@
     let cut = &good[..good.len() - 1];
     assert!(matches!(read(cut), Err(codec::Error::Read { .. })));
 }
+
+// All control processes are killed. What they knew of requests under which endpoints end has to be in the state
+// that they start from, and a state of an earlier build has none of it.
+#[test]
+fn held_requests_outlive_a_restart() {
+    let mut state = control::ControlState::default();
+    let held = quarantine::Held {
+        content: 7,
+        endpoints: vec![1, 2, 3],
+    };
+    let outcome = apply(
+        &mut state,
+        command::Command::HoldRequests(vec![held.clone()]),
+    );
+    assert_eq!(outcome, command::Outcome::RequestsHeld);
+    let bytes = state.to_bytes().expect("written");
+    let read = control::ControlState::from_bytes(&bytes).expect("read");
+    assert_eq!(read.held_requests(), [held]);
+    apply(&mut state, command::Command::HoldRequests(Vec::new()));
+    assert!(state.held_requests().is_empty());
+}
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -4,7 +4,8 @@
 //! to each other: keys and arenas ([`arena`]), the verdict about a request ([`verdict`]), the
 //! account of a refusal ([`refusal`]), rules as data ([`rules`]), what endpoints say of themselves
 //! ([`endpoints`]), how a sending to one of them fails ([`fault`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
-//! repeated ([`claims`]), what happened to one request ([`account`]), a fleet's configuration as it was sent ([`document`]) and the messages between the
+//! repeated ([`claims`]), what happened to one request ([`account`]), a fleet's configuration as it was sent ([`document`]), requests that
+//! have ended endpoints ([`quarantine`]) and the messages between the
 //! system's own processes ([`messages`]).
 
 pub mod account;
@@ -16,6 +17,7 @@
 pub mod fault;
 pub mod headers;
 pub mod messages;
+pub mod quarantine;
 pub mod refusal;
 pub mod rules;
 pub mod time;
--- a/crates/sageshed-types/src/verdict.rs
+++ b/crates/sageshed-types/src/verdict.rs
@@ -79,6 +79,9 @@
     /// The endpoint failed, and no other try was allowed or left.
     #[display("endpoint_failed")]
     EndpointFailed,
+    /// Endpoints ended under the same request, and it is passed on no more.
+    #[display("quarantined")]
+    Quarantined,
     /// The endpoint answered with an error of its own.
     #[display("endpoint_refused")]
     EndpointRefused,
@@ -126,6 +129,7 @@
             | Self::DeadlineUnmeetable
             | Self::NotConfirmed
             | Self::ClaimUnavailable
+            | Self::Quarantined
             | Self::Draining
             | Self::TooManyOpen => 503,
             Self::DeadlinePassed => 504,
@@ -150,6 +154,7 @@
             Self::DeadlineUnmeetable => "The request could not be finished in time",
             Self::DeadlinePassed => "The request was not finished in time",
             Self::EndpointFailed => "The endpoint failed",
+            Self::Quarantined => "Endpoints ended under this request",
             Self::EndpointRefused => "The endpoint refused the request",
             Self::NotConfirmed => "The configuration in force cannot be confirmed here",
             Self::ClaimUnavailable => "The request cannot be recorded as run once",
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -6,8 +6,8 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{directory, messages, tally};
-use sageshed_types::time;
+use sageshed_fleet::{directory, messages, quarantine, tally};
+use sageshed_types::{quarantine as held, time};
 
 use super::planning;
 use crate::{locks, sampler};
@@ -39,6 +39,7 @@
     control_zones: collections::BTreeMap<net::Ipv4Addr, String>,
     /// What callers asked for and the leader was not told yet.
     tally: tally::Tally,
+    quarantine: quarantine::Quarantine,
     is_stopping: bool,
 }
 
@@ -66,6 +67,7 @@
                 entries_elsewhere: collections::BTreeMap::new(),
                 control_zones: collections::BTreeMap::new(),
                 tally: tally::Tally::default(),
+                quarantine: quarantine::Quarantine::new(start),
                 is_stopping: false,
             }),
             changed: sync::Condvar::new(),
@@ -197,6 +199,10 @@
             records: records.unwrap_or_default(),
             digest: inner.directory.digest(),
             config: inner.config,
+            crashes_mark: inner.quarantine.mark(),
+            crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
+                inner.quarantine.since(now, mark, telling(req))
+            }),
         }
     }
 
@@ -232,6 +238,51 @@
         self.change(|inner| tell(&mut inner.tally))
     }
 
+    /// Takes crashes that another process tells of, and wakes those who are to know.
+    pub fn take_crashes(&self, now: time::Instant, crashes: &[quarantine::Crash]) {
+        if crashes.is_empty() {
+            return;
+        }
+        let changes = self.change(|inner| {
+            let taken = crashes.iter();
+            let taken = taken.map(|it| (it.content, inner.quarantine.take(now, it)));
+            taken.collect::<Vec<_>>()
+        });
+        for (content, change) in &changes {
+            match change {
+                quarantine::Change::None | quarantine::Change::Noted => {}
+                quarantine::Change::Held => {
+                    ::log::warn!(content:% = content, ends = quarantine::ENDS;
+                        "control: request is held, endpoints ended under it");
+                }
+                quarantine::Change::Released => {
+                    ::log::warn!(content:% = content; "control: request is held no more, it was answered");
+                }
+            }
+        }
+        if changes.iter().any(|it| it.1 != quarantine::Change::None) {
+            self.changed.notify_all();
+        }
+    }
+
+    /// Takes which requests are held by the replicated log.
+    pub fn restore_held(&self, now: time::Instant, held: &[held::Held]) {
+        let is_news = self.change(|inner| {
+            let before = inner.quarantine.mark();
+            inner.quarantine.restore(now, held);
+            inner.quarantine.mark() != before
+        });
+        if is_news {
+            ::log::info!(requests = held.len(); "control: requests are held by the log");
+            self.changed.notify_all();
+        }
+    }
+
+    /// Looks at which requests endpoints have ended under.
+    pub fn with_quarantine<T>(&self, look: impl FnOnce(&mut quarantine::Quarantine) -> T) -> T {
+        self.change(|inner| look(&mut inner.quarantine))
+    }
+
     /// Hands a want to the planning thread.
     pub fn want(&self, want: messages::WantReq) {
         self.plan(planning::Input::Want(want));
@@ -270,7 +321,18 @@
     /// Whether there is something for a watcher.
     fn is_newer(&self, req: &messages::WatchReq) -> bool {
         let has_news = req.wants != messages::Wants::Digest && self.directory.has_news(req.mark);
-        has_news || self.config > req.config || self.is_stopping
+        let crashes_known = req.crashes_known;
+        let has_crashes =
+            crashes_known.is_some_and(|it| self.quarantine.has_news(it, telling(req)));
+        has_news || has_crashes || self.config > req.config || self.is_stopping
+    }
+}
+
+/// What of the crashes a watcher is to be told.
+fn telling(req: &messages::WatchReq) -> quarantine::Telling {
+    match req.watcher {
+        messages::Watcher::Control => quarantine::Telling::All,
+        messages::Watcher::Entry => quarantine::Telling::Held,
     }
 }
 
@@ -285,4 +347,8 @@
     pub digest: u64,
     /// The number of the configuration that is held.
     pub config: u64,
+    /// Up to where crashes are known with it.
+    pub crashes_mark: quarantine::Mark,
+    /// What was learnt of them.
+    pub crashes: Vec<quarantine::Crash>,
 }
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -8,7 +8,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{directory, messages, tally};
+use sageshed_fleet::{directory, messages, quarantine, tally};
 use sageshed_types::time;
 
 use crate::{control::shared, locks, records};
@@ -39,6 +39,7 @@
     let now = shared.clock.now();
     shared.hub.heard(now, &req);
     take_demand(shared, &mut req);
+    shared.hub.take_crashes(now, &req.crashes);
     if req.watcher == messages::Watcher::Control {
         shared.hear_of([req.ip]);
     }
@@ -57,6 +58,8 @@
         mark: news.mark,
         digest: news.digest,
         records: records::pack(&news.records),
+        crashes_mark: Some(news.crashes_mark),
+        crashes: news.crashes,
     }
 }
 
@@ -125,6 +128,7 @@
     let address = address.to_string();
     let limit = std_time::Duration::from(PATIENCE) + CALL_MARGIN;
     let mut mark = directory::Mark::default();
+    let mut crashes_known = quarantine::Mark::default();
     let mut heard = std_time::Instant::now();
     while !shared.stopping.load(atomic::Ordering::Relaxed) && heard.elapsed() < LOST {
         let is_leader = shared.leader().and_then(|it| shared.vm_number(&it)) == Some(vm);
@@ -145,6 +149,8 @@
             patience: if is_leader { LEADER_PATIENCE } else { PATIENCE },
             entries: shared.hub.own_entries(),
             demand,
+            crashes_known: Some(crashes_known),
+            crashes: Vec::new(),
         };
         let answer: Result<messages::WatchResp, _> =
             client.call(&address, messages::paths::WATCH, &req, limit);
@@ -159,6 +165,8 @@
                 let records =
                     records::unpack(&resp.records, &shared.hub.misread, shared.clock.now());
                 shared.hub.merge(shared.clock.now(), records);
+                shared.hub.take_crashes(shared.clock.now(), &resp.crashes);
+                crashes_known = resp.crashes_mark.unwrap_or_default();
             }
             Err(e) => {
                 ::log::debug!(error:% = e; "control: another control process is not watched");
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -19,6 +19,7 @@
     entries: metrics::Gauge,
     endpoints: metrics::Gauge,
     misread: metrics::Gauge,
+    held: metrics::Gauge,
 }
 
 impl Default for Metrics {
@@ -49,6 +50,10 @@
                 "sageshed_control_words_misread",
                 "Words of endpoints and of other processes that could not be read",
             ),
+            held: registry.gauge(
+                "sageshed_control_requests_held",
+                "Requests that are passed on no more since endpoints ended under them",
+            ),
             registry,
         }
     }
@@ -81,6 +86,8 @@
         self.entries.set(heard as f64);
         self.endpoints.set(shared.reports().len() as f64);
         self.misread.set(shared.hub.misread.total() as f64);
+        let held = shared.hub.with_quarantine(|it| it.count_held(now));
+        self.held.set(held as f64);
         self.registry.text()
     }
 }
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -55,6 +55,7 @@
     waiting: metrics::Gauge,
     repeats: metrics::Gauge,
     idle: metrics::Gauge,
+    held: metrics::Gauge,
 }
 
 impl Default for Metrics {
@@ -98,6 +99,10 @@
                 "Repeats left in the budget",
             ),
             idle: gauge("sageshed_gateway_idle", "Idle connections to endpoints"),
+            held: gauge(
+                "sageshed_gateway_requests_held",
+                "Requests that are passed on no more since endpoints ended under them",
+            ),
         };
         Self {
             registry,
@@ -144,6 +149,8 @@
         self.now.open_endpoints.set(open as f64);
         self.now.connections.set(shared.pool.opened() as f64);
         self.now.idle.set(shared.pool.idle() as f64);
+        let held = shared.with_core(|core| core.quarantine.count_held(now));
+        self.now.held.set(held as f64);
         self.registry.text()
     }
 }
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -371,6 +371,7 @@
             runs = self.runs, begun = outlet.is_begun(); "gateway: endpoint failed, the request may have run");
         self.last = format!("endpoint {} failed: {failure}", pick.instance);
         self.story.came_to(verdict::Verdict::MayHaveRun, &self.last);
+        self.note_end(pick, failure.cause);
         let is_over = self.left_ms() == time::Millis(0);
         let how = match failure.cause {
             failure::Cause::Silent if !began => chooser::Ended::Silent,
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -89,6 +89,9 @@
         sent_at: std_time::Instant,
     ) {
         let took = self.note(metrics::End::Answered, status);
+        if (200..300).contains(&status) {
+            self.clear_of_ends();
+        }
         let outcome = self.paces.outcome();
         self.story.came_to(verdict::Verdict::Ran, &outcome);
         self.keep_account(account::End::Answered { status, bytes });
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod ending;
+mod held;
 mod home;
 mod story;
 mod stream;
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -71,6 +71,9 @@
                 let detail = "this entry process ends before the request could be answered";
                 return Step::Refuse(self.give_up(verdict::Reason::Draining, detail.to_owned()));
             }
+            if let Some(refusal) = self.refuse_held() {
+                return Step::Refuse(refusal);
+            }
             let now = self.shared.clock.now();
             let ask = chooser::Ask {
                 service: self.service,
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -7,8 +7,8 @@
 };
 
 use sageshed_fleet::{
-    backlog, budget, chooser, config, dialect, directory, messages, neighbours as words, routes,
-    tally,
+    backlog, budget, chooser, config, dialect, directory, messages, neighbours as words,
+    quarantine, routes, tally,
 };
 use sageshed_types::time;
 use sageshed_upstream::pool;
@@ -77,6 +77,8 @@
     pub budget: budget::RetryBudget,
     /// What is known of endpoints.
     pub directory: directory::Directory,
+    /// Under which requests endpoints have ended.
+    pub quarantine: quarantine::Quarantine,
     /// The entry processes, this one included.
     pub entries: Vec<net::Ipv4Addr>,
     /// The number of that list.
@@ -137,6 +139,7 @@
                 window: retries.window_ms,
             }),
             directory: directory::Directory::new(start),
+            quarantine: quarantine::Quarantine::new(start),
             entries: vec![settings.discovery.ip],
             entries_number: 0,
             tally: tally::Tally::default(),
@@ -254,6 +257,31 @@
         }
     }
 
+    /// Takes crashes that control tells of. Requests that wait here and are held now are answered.
+    pub fn take_crashes(&self, crashes: &[quarantine::Crash]) {
+        if crashes.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let changes = self.with_core(|core| {
+            let taken = crashes.iter();
+            let taken = taken.map(|it| (it.content, core.quarantine.take(now, it)));
+            taken.collect::<Vec<_>>()
+        });
+        for (content, change) in changes {
+            match change {
+                quarantine::Change::None | quarantine::Change::Noted => {}
+                quarantine::Change::Held => {
+                    ::log::warn!(content:% = content; "gateway: request is held, endpoints ended under it");
+                    self.place_freed();
+                }
+                quarantine::Change::Released => {
+                    ::log::info!(content:% = content; "gateway: request is held no more, it was answered");
+                }
+            }
+        }
+    }
+
     /// Takes a neighbour's word, and wakes the requests that wait for an engine to have read.
     pub fn hear(&self, from: net::Ipv4Addr, word: &words::Unread) {
         let now = self.clock.now();
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -9,7 +9,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{dialect, directory, links, messages};
+use sageshed_fleet::{dialect, directory, links, messages, quarantine};
 use sageshed_types::time;
 
 use super::state;
@@ -58,9 +58,20 @@
     }
 }
 
+/// What the two ends of one link know of each other.
+#[derive(Debug, Default)]
+struct Known {
+    /// Up to where the directory of the control process is known here.
+    mark: directory::Mark,
+    /// Up to where the crashes that it remembers are known here.
+    crashes: quarantine::Mark,
+    /// Up to where it knows those that this process remembers.
+    crashes_told: quarantine::Mark,
+}
+
 fn run<D: dialect::Dialect>(shared: &state::Shared<D>, watching: &Watching, number: usize) {
     let mut at: Option<net::Ipv4Addr> = None;
-    let mut mark = directory::Mark::default();
+    let mut known = Known::default();
     while !shared.stopping.load(atomic::Ordering::Relaxed) {
         watching.read_seeds(shared);
         let draw = shared.with_core(|core| core.chooser.draw());
@@ -71,7 +82,7 @@
         if at != Some(to) {
             ::log::info!(link = number, control:% = to; "gateway: watches a control process");
             at = Some(to);
-            mark = directory::Mark::default();
+            known = Known::default();
         }
         let (wants, is_source) = {
             let links = locks::lock(&watching.links);
@@ -80,9 +91,11 @@
                 links.source() == Some(number),
             )
         };
-        match watch(shared, to, mark, wants, is_source) {
+        let telling = shared.with_core(|core| core.quarantine.mark());
+        match watch(shared, to, &known, wants, is_source) {
             Ok(resp) => {
-                mark = resp.mark;
+                known.mark = resp.mark;
+                known.take_crashes(telling, resp.crashes_mark);
                 let digest = resp.digest;
                 take(shared, watching, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
@@ -102,7 +115,7 @@
 fn watch<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     to: net::Ipv4Addr,
-    mark: directory::Mark,
+    known: &Known,
     wants: messages::Wants,
     is_source: bool,
 ) -> Result<messages::WatchResp, sageshed_vms::CallError> {
@@ -123,11 +136,17 @@
         availability_zone: shared.settings.availability_zone.clone(),
         wants,
         config: shared.version(),
-        mark,
+        mark: known.mark,
         entries_known: shared.entries_known(),
         patience,
         entries: Vec::new(),
         demand,
+        crashes_known: Some(known.crashes),
+        crashes: shared.with_core(|core| {
+            let now = shared.clock.now();
+            let all = quarantine::Telling::All;
+            core.quarantine.since(now, known.crashes_told, all)
+        }),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
     let limit = std_time::Duration::from(patience) + CALL_MARGIN;
@@ -166,6 +185,21 @@
         shared.take_entries(resp.entries_number, entries);
     }
     shared.take_records(&resp.records);
+    shared.take_crashes(&resp.crashes);
+}
+
+impl Known {
+    /// The control process was told of crashes up to `told`, and has answered with its own mark.
+    fn take_crashes(&mut self, told: quarantine::Mark, answered: Option<quarantine::Mark>) {
+        let answered = answered.unwrap_or_default();
+        // One that was started anew remembers nothing, whatever was told to the start before it.
+        self.crashes_told = if answered.start == self.crashes.start {
+            told
+        } else {
+            quarantine::Mark::default()
+        };
+        self.crashes = answered;
+    }
 }
 
 impl Watching {
--- a/src/sageshed/losses.rs
+++ b/src/sageshed/losses.rs
@@ -72,6 +72,9 @@
     /// The process was stopping.
     #[display("process stops")]
     Stopping,
+    /// Endpoints ended under it, and it was passed on no more.
+    #[display("ends endpoints")]
+    EndsEndpoints,
     /// No route takes it, or it is malformed.
     #[display("not to be served")]
     NotServable,
@@ -279,6 +282,7 @@
         "endpoint_failed" => Cause::EndpointFailed,
         "not_confirmed" => Cause::NoConfiguration,
         "draining" => Cause::Stopping,
+        "quarantined" => Cause::EndsEndpoints,
         _ => waited(record),
     };
     (outcome, cause)
--- a/tests/fleet/crashing.rs
+++ b/tests/fleet/crashing.rs
@@ -6,7 +6,7 @@
     fleet::Fleet,
     standin::{
         caller::Ask,
-        engine::{DEADLY, Engine},
+        engine::{DEADLY, Does, Engine},
     },
 };
 
@@ -16,7 +16,7 @@
 /// How often such a request may reach an endpoint after that, over all entry processes.
 const MOST_AFTER: usize = 3;
 
-fn deadly<'a>(id: &'a str) -> Ask<'a> {
+fn deadly(id: &str) -> Ask<'_> {
     Ask {
         body: DEADLY,
         ..Ask::new("POST", "/resumable/x", id)
@@ -108,3 +108,102 @@
     let after = ends_by(&fleet, &engines, &[0, 1], 6);
     assert!(after <= MOST_AFTER, "it ended {after} more");
 }
+
+/// The caller of such a request has waited for an answer that never comes. It is told that this try was not run,
+/// why, and when it may come back; an engineer on call finds the endpoints that ended in the log.
+#[test]
+fn the_caller_of_a_held_request_is_told_why() {
+    let (fleet, engines) = Fleet::ready();
+    end_three(&fleet, &engines);
+    thread::sleep(KNOWN_WITHIN);
+    for entry in 0..2 {
+        let id = format!("told-{entry}");
+        let answer = fleet.ask(entry, &deadly(&id)).expect("an answer");
+        assert_eq!(answer.status(), 503, "{}", answer.text());
+        assert!(answer.text().contains("quarantined"), "{}", answer.text());
+        assert!(answer.text().contains("not_run"), "{}", answer.text());
+        let after = answer.header("retry-after").expect("when to come back");
+        let after: f64 = after.parse().expect("seconds");
+        assert!(after > 3_000.0, "{after}");
+    }
+    let logs = || fleet.entries.iter().map(crate::fleet::Process::log);
+    fleet.until("the lines are written", || {
+        let ends: usize = logs()
+            .map(|it| it.matches("endpoint ended under the request").count())
+            .sum();
+        ends >= 3 && logs().all(|it| it.contains("request is held"))
+    });
+    let other = Ask {
+        body: "another prompt",
+        ..Ask::new("POST", "/resumable/x", "other")
+    };
+    let answer = fleet.ask(0, &other).expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+}
+
+/// A request that many callers send runs at three engines that crash by something else, one after the other.
+/// Each time it goes on elsewhere and is answered whole. Taken for the cause, it would be refused to all of them.
+#[test]
+fn a_request_that_ran_beside_the_cause_is_served() {
+    let (fleet, engines) = Fleet::ready();
+    let engines = &engines[..2];
+    for round in 0..4 {
+        for engine in engines {
+            engine.does(Does::Hangs);
+        }
+        let id = format!("beside-{round}");
+        let ask = Ask {
+            body: "asked by many",
+            ..Ask::new("POST", "/resumable/x", &id)
+        };
+        let answer = thread::scope(|scope| {
+            let asking = scope.spawn(|| fleet.ask(round % 2, &ask));
+            fleet.until("it runs", || engines.iter().any(|it| it.runs(&id) > 0));
+            for engine in engines {
+                engine.does(Does::Streams(3));
+            }
+            for engine in engines.iter().filter(|it| it.runs(&id) > 0) {
+                engine.crash();
+            }
+            asking.join().expect("it was asked")
+        });
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 200, "{round}: {}", answer.text());
+        // The one that crashed is back.
+        thread::sleep(time::Duration::from_millis(700));
+    }
+    let logs = fleet.entries.iter().map(crate::fleet::Process::log);
+    let ends: usize = logs
+        .map(|it| it.matches("endpoint ended under the request").count())
+        .sum();
+    assert!(ends >= 3, "seen to end: {ends}");
+}
+
+/// Engines fail a request again and again for a reason of their own, and live. It may be served next time.
+#[test]
+fn a_request_that_fails_otherwise_is_not_held() {
+    let (fleet, engines) = Fleet::ready();
+    let ways = [
+        Does::Closes,
+        Does::Fails(500),
+        Does::AnswersShort,
+        Does::CutsAfter(0),
+    ];
+    for (round, does) in ways.into_iter().enumerate() {
+        for engine in &engines {
+            engine.does(does);
+        }
+        for number in 0..3 {
+            let id = format!("fails-{round}-{number}");
+            let answer = fleet.ask(number % 2, &Ask::new("POST", "/resumable/x", &id));
+            assert_ne!(answer.map(|it| it.status()), Some(503), "{does:?}");
+            // Failures are forgiven after a while, so that the next try finds endpoints.
+            thread::sleep(time::Duration::from_millis(700));
+        }
+    }
+    for engine in &engines {
+        engine.does(Does::Answers);
+    }
+    let answer = fleet.ask(0, &Ask::new("POST", "/resumable/x", "at last"));
+    assert_eq!(answer.expect("an answer").status(), 200);
+}
