Show that the own interface sends such a prompt on and on as well (known red)

Cause: the same as in front of a fleet, found by looking for it elsewhere: a request's endpoints are counted by its id alone. Ruled out: that the decider's ejection of failing endpoints helps; they are new starts.

--- a/crates/sageshed-test-support/src/engine.rs
+++ b/crates/sageshed-test-support/src/engine.rs
@@ -34,6 +34,14 @@
     messages: Vec<Message>,
 }
 
+impl Body {
+    /// The prompt, or the last message of a chat.
+    fn prompt(&self) -> &str {
+        let last = self.messages.last().map(|it| it.content.as_str());
+        self.prompt.as_deref().or(last).unwrap_or("")
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Message {
     content: String,
@@ -128,6 +136,11 @@
     if from == 0 && running.wait_until(Instant::now() + first) == Flow::Stop {
         return Ok(After::Close);
     }
+    if body.prompt().contains(fault::DEADLY) {
+        engine.lock().stats.crashes += 1;
+        engine.set_fault(fault::Fault::Crash, None);
+        return Ok(After::Close);
+    }
     if running.fault == fault::Fault::Swap {
         OTHER_REQUEST.clone_into(&mut running.request_id);
     }
@@ -166,8 +179,6 @@
 
 impl Running<'_> {
     fn begin(&self, body: &Body, req: &http::Request) -> endpoint::Run {
-        let last = body.messages.last().map(|message| message.content.as_str());
-        let prompt = body.prompt.as_deref().or(last).unwrap_or("");
         let count = body.max_tokens.unwrap_or(self.engine.cfg.answer_tokens);
         let key = req.header(headers::IDEMPOTENCY_KEY);
         self.engine
@@ -182,7 +193,7 @@
             "{}-{}-{}",
             self.engine.cfg.name, self.incarnation, state.stats.runs
         );
-        let mark = answer_text::mark_of(prompt);
+        let mark = answer_text::mark_of(body.prompt());
         let (named, mark) = match self.fault {
             fault::Fault::Swap => (OTHER_REQUEST, OTHER_MARK),
             _ => (self.request_id.as_str(), mark),
--- a/crates/sageshed-test-support/src/fault.rs
+++ b/crates/sageshed-test-support/src/fault.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A prompt with this in it makes each engine crash that runs it.
+pub const DEADLY: &str = "ends whoever runs it";
+
 /// What an endpoint does wrong. Written as `{"stall": {"after": 3}}` or `"refuse"`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/sageshed-test-support/src/stats.rs
+++ b/crates/sageshed-test-support/src/stats.rs
@@ -39,6 +39,9 @@
     pub most_memory_mib: u64,
     /// Requests that came after it said that it leaves.
     pub after_leaving: u64,
+    /// How often a request has made it crash.
+    #[serde(default)]
+    pub crashes: u64,
     /// How long after saying so the last of them came, in milliseconds.
     pub last_after_leaving_ms: Option<u64>,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod control_cut;
 mod control_disk;
 mod control_kill;
+mod crashing;
 mod drain;
 mod leaving;
 mod lost_connections;
