Hold prompts that make engines crash before listed engines, too

Cause: the same as in front of a fleet: what a process learnt of a request it kept by the id of the try. Ruled out: relying on the ejection of failing endpoints; a later start of an engine is a new one, and is asked again. Change: entry processes remember crashes by method, path and body, tell each other and control with their heartbeats, and refuse what is held at its arrival and before each sending. A break inside an answer is a crash once the engine reports a later start, or if nobody listens at its port. The thread that keeps held requests in the log runs in every control process. The types that travel moved to sageshed-types, the look at a port to sageshed-upstream, one for both. Conclusion: the same class is mended in both places where requests are sent.

--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -262,7 +262,7 @@
 
 /// The same on every process of one build: the standard library's hasher with its fixed keys.
 #[must_use]
-pub(crate) fn hash<T: Hash>(value: &T) -> u64 {
+pub fn hash<T: Hash>(value: &T) -> u64 {
     let mut hasher = hash_map::DefaultHasher::new();
     value.hash(&mut hasher);
     hasher.finish()
--- a/crates/sageshed-fleet/src/quarantine.rs
+++ b/crates/sageshed-fleet/src/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! Some request makes each endpoint crash that runs it. Its caller, who has no answer, sends it again, under
 //! another id and to another entry process. Passed on each time, it takes the whole pool down. So what ended
-//! under which request is remembered by what the request asks ([`fingerprint`]), not by its id, and by all
+//! under which request is remembered by what the request asks ([`crate::fingerprint`]), not by its id, and by all
 //! processes: an entry process tells control what it saw, control processes tell each other, and all entry
 //! processes are told of a request under which [`ENDS`] starts of endpoints have ended. It is *held*: refused at
 //! once, at every entry process, for [`KEPT`].
@@ -28,10 +28,9 @@
 
 use std::{cmp, collections};
 
-use sageshed_types::{quarantine, time};
-use serde::{Deserialize, Serialize};
+use sageshed_types::time;
 
-use crate::fingerprint;
+pub use sageshed_types::quarantine::{Crash, Fingerprint, Held, Mark};
 
 /// Starts of endpoints that end under a request until it is held. One end may be anybody's, and two happen to a
 /// bystander that is sent a second time to the endpoint to which the cause went as well. Each more costs every
@@ -58,28 +57,6 @@
 /// Between two looks for what is past [`KEPT`].
 const SWEEP: time::Millis = time::Millis(10_000);
 
-/// A start of an endpoint ended while it ran a request. This is what processes tell each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// What the request asks.
-    pub content: fingerprint::Fingerprint,
-    /// The start of the endpoint, by [`crate::neighbours::instance_key`].
-    pub endpoint: u64,
-    /// How long ago.
-    pub age: time::Millis,
-    /// The request was answered whole later on: it was not the cause.
-    pub is_cleared: bool,
-}
-
-/// Up to where a peer knows what one process remembers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Mark {
-    /// The start of that process.
-    pub start: u64,
-    /// Its count of changes.
-    pub change: u64,
-}
-
 /// What a peer is to be told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Telling {
@@ -109,7 +86,7 @@
     change: u64,
     /// The change by which something of a held request was learnt last.
     held_change: u64,
-    requests: collections::HashMap<fingerprint::Fingerprint, Suspect>,
+    requests: collections::HashMap<Fingerprint, Suspect>,
     swept: time::Instant,
 }
 
@@ -137,7 +114,7 @@
         !self.is_cleared && now < self.until
     }
 
-    fn told(&self, now: time::Instant, content: fingerprint::Fingerprint) -> Crash {
+    fn told(&self, now: time::Instant, content: Fingerprint) -> Crash {
         Crash {
             content,
             endpoint: self.endpoint,
@@ -160,14 +137,11 @@
     }
 
     /// What the control group keeps of it.
-    fn kept(&self, now: time::Instant, content: fingerprint::Fingerprint) -> quarantine::Held {
+    fn kept(&self, now: time::Instant, content: Fingerprint) -> Held {
         let crashes = self.crashes.iter().filter(|it| it.counts(now));
         let mut endpoints: Vec<_> = crashes.map(|it| it.endpoint).collect();
         endpoints.sort_unstable();
-        quarantine::Held {
-            content: content.number(),
-            endpoints,
-        }
+        Held { content, endpoints }
     }
 
     /// By which change something of it was learnt last.
@@ -295,7 +269,7 @@
 
     /// The request was answered whole: it was the cause of none of the ends so far. Returns whether there were
     /// any to clear.
-    pub fn answered(&mut self, now: time::Instant, content: fingerprint::Fingerprint) -> bool {
+    pub fn answered(&mut self, now: time::Instant, content: Fingerprint) -> bool {
         let Some(suspect) = self.requests.get(&content) else {
             return false;
         };
@@ -314,11 +288,7 @@
 
     /// How much longer a request is held; none if it is not.
     #[must_use]
-    pub fn held_for(
-        &self,
-        now: time::Instant,
-        content: fingerprint::Fingerprint,
-    ) -> Option<time::Millis> {
+    pub fn held_for(&self, now: time::Instant, content: Fingerprint) -> Option<time::Millis> {
         let suspect = self.requests.get(&content)?;
         let crashes = suspect.crashes.iter().filter(|it| it.counts(now));
         let mut until: Vec<_> = crashes.map(|it| it.until).collect();
@@ -331,7 +301,7 @@
 
     /// How many endpoints have ended under a request, as far as it was not cleared of them.
     #[must_use]
-    pub fn ends(&self, now: time::Instant, content: fingerprint::Fingerprint) -> usize {
+    pub fn ends(&self, now: time::Instant, content: Fingerprint) -> usize {
         let suspect = self.requests.get(&content);
         suspect.map_or(0, |it| {
             it.crashes.iter().filter(|it| it.counts(now)).count()
@@ -348,7 +318,7 @@
     /// The requests that are held, in order, to be kept by the control group: [`MOST_HELD_KEPT`] at the most,
     /// those that were held last.
     #[must_use]
-    pub fn held(&self, now: time::Instant) -> Vec<quarantine::Held> {
+    pub fn held(&self, now: time::Instant) -> Vec<Held> {
         let held = self.requests.iter().filter(|(_, it)| it.is_held(now));
         let mut held: Vec<_> = held.collect();
         held.sort_unstable_by_key(|(content, it)| (cmp::Reverse(it.last()), **content));
@@ -362,11 +332,11 @@
     }
 
     /// Takes what the control group has kept. When it happened is not known any more: it counts from now.
-    pub fn restore(&mut self, now: time::Instant, held: &[quarantine::Held]) {
+    pub fn restore(&mut self, now: time::Instant, held: &[Held]) {
         for it in held {
             for endpoint in &it.endpoints {
                 let crash = Crash {
-                    content: fingerprint::Fingerprint::from_number(it.content),
+                    content: it.content,
                     endpoint: *endpoint,
                     age: time::Millis(0),
                     is_cleared: false,
@@ -389,7 +359,7 @@
     }
 
     /// Makes room for one request more, and for some to come: looking for the oldest takes a look at all.
-    fn make_room(&mut self, now: time::Instant, content: fingerprint::Fingerprint) {
+    fn make_room(&mut self, now: time::Instant, content: Fingerprint) {
         if self.requests.len() < MOST_REQUESTS || self.requests.contains_key(&content) {
             return;
         }
--- a/crates/sageshed-fleet/tests/fingerprint.rs
+++ b/crates/sageshed-fleet/tests/fingerprint.rs
@@ -61,8 +61,7 @@
             ..other("a question mark in the path")
         },
     ];
-    let of =
-        |it: &Case| fingerprint::Fingerprint::of(it.method, it.host, it.path, it.query, it.body);
+    let of = |it: &Case| fingerprint::of(it.method, it.host, it.path, it.query, it.body);
     for case in &cases {
         assert_eq!(of(case) == of(&same), case.is_same, "{}", case.name);
     }
--- a/crates/sageshed-fleet/tests/quarantine.rs
+++ b/crates/sageshed-fleet/tests/quarantine.rs
@@ -1,15 +1,14 @@
 //! Which requests are passed on no more.
 
-use sageshed_fleet::{
-    fingerprint::Fingerprint,
-    quarantine::{Change, Crash, ENDS, KEPT, MOST_REQUESTS, Mark, Quarantine, Telling},
+use sageshed_fleet::quarantine::{
+    Change, Crash, ENDS, Fingerprint, KEPT, MOST_REQUESTS, Mark, Quarantine, Telling,
 };
 use sageshed_types::time::{Instant, Millis};
 
 const NOW: Instant = Instant(50_000);
 
 fn content(number: u64) -> Fingerprint {
-    Fingerprint::from_number(number)
+    Fingerprint(number)
 }
 
 fn crash(number: u64, endpoint: u64) -> Crash {
--- a/crates/sageshed-state/tests/control.rs
+++ b/crates/sageshed-state/tests/control.rs
@@ -388,7 +388,7 @@
 fn held_requests_outlive_a_restart() {
     let mut state = control::ControlState::default();
     let held = quarantine::Held {
-        content: 7,
+        content: quarantine::Fingerprint(7),
         endpoints: vec![1, 2, 3],
     };
     let outcome = apply(
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{account, catalog, endpoints, rules, time};
+use crate::{account, catalog, endpoints, quarantine, rules, time};
 
 /// The path of each message.
 pub mod paths {
@@ -73,6 +73,12 @@
     pub draining: bool,
     /// Whether the asker serves callers now.
     pub ready: bool,
+    /// Up to where the asker knows which crashes the receiver remembers; none if it does not take them.
+    #[serde(default)]
+    pub crashes_known: Option<quarantine::Mark>,
+    /// Crashes that the receiver was not told of.
+    #[serde(default)]
+    pub crashes: Vec<quarantine::Crash>,
 }
 
 /// Where in a process's directory a reader stands.
@@ -107,6 +113,12 @@
     /// does not know what it missed, and vouches for nobody.
     #[serde(default)]
     pub was_confirmed: bool,
+    /// Up to where the answerer's crashes are known with this; none if it tells nothing of them.
+    #[serde(default)]
+    pub crashes_mark: Option<quarantine::Mark>,
+    /// What it learnt of them since the asker's mark.
+    #[serde(default)]
+    pub crashes: Vec<quarantine::Crash>,
 }
 
 /// What a control process says to an entry process about the configuration.
--- a/crates/sageshed-upstream/src/lib.rs
+++ b/crates/sageshed-upstream/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod exchange;
 pub mod failure;
 pub mod pool;
+pub mod probe;
 mod socket;
--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     exchange::{Exchange, Patience, Request},
-    failure::{self, Failure},
+    failure::Failure,
     socket::Socket,
 };
 
@@ -16,10 +16,6 @@
 /// moment in which it closes is lost, and may have run or not.
 const MARGIN: time::Duration = time::Duration::from_millis(700);
 
-/// How long an endpoint may take to accept a connection when it is looked whether it is there: some fifty times
-/// the way there and back.
-const LISTENS_WITHIN: time::Duration = time::Duration::from_millis(150);
-
 /// How connections are made and kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -108,15 +104,6 @@
         Exchange::run(socket, req, patience, false)
     }
 
-    /// Whether nobody listens at `address`: the endpoint there has ended, and no other was started yet. Where
-    /// nothing comes back in time that can't be told, and the answer is no.
-    #[must_use]
-    pub fn is_closed(&self, address: net::SocketAddrV4) -> bool {
-        self.shared.opened.fetch_add(1, atomic::Ordering::Relaxed);
-        let connected = Socket::connect(address, LISTENS_WITHIN);
-        connected.is_err_and(|e| e.cause == failure::Cause::Refused)
-    }
-
     /// Takes the connection of a whole answer back.
     pub fn keep(&self, address: net::SocketAddrV4, exchange: Exchange) {
         let Some((socket, promised)) = exchange.into_kept() else {
--- a/examples/measure_slopes/wire.rs
+++ b/examples/measure_slopes/wire.rs
@@ -80,6 +80,8 @@
         demand: Vec::new(),
         draining: false,
         ready: true,
+        crashes_known: None,
+        crashes: Vec::new(),
     };
     let mut resp = messages::SyncResp {
         from: process(),
@@ -90,6 +92,8 @@
         config: None,
         was_confirmed: true,
         hears_leader: true,
+        crashes_mark: None,
+        crashes: Vec::new(),
     };
     let (head, answer_head) = http_heads(&req, &resp)?;
     println!("message http head_bytes={head} answer_head_bytes={answer_head}");
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -7,7 +7,7 @@
 };
 
 use sageshed_fleet::{directory, messages, quarantine, tally};
-use sageshed_types::{quarantine as held, time};
+use sageshed_types::time;
 
 use super::planning;
 use crate::{locks, sampler};
@@ -266,7 +266,7 @@
     }
 
     /// Takes which requests are held by the replicated log.
-    pub fn restore_held(&self, now: time::Instant, held: &[held::Held]) {
+    pub fn restore_held(&self, now: time::Instant, held: &[quarantine::Held]) {
         let is_news = self.change(|inner| {
             let before = inner.quarantine.mark();
             inner.quarantine.restore(now, held);
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -3,11 +3,9 @@
 //! The replicated log, elections and membership are those of any control process. On top of them this
 //! takes the operator's configuration and the endpoints' announcements ([`port`]), tells entry
 //! processes and the other control processes what is new ([`watch`], [`hub`]), and orders engines
-//! while this process leads ([`planning`]). What must outlive all processes besides the configuration stands in the
-//! log, too ([`keeping`]).
+//! while this process leads ([`planning`]).
 
 pub mod hub;
-pub mod keeping;
 pub mod planning;
 pub mod port;
 pub mod watch;
@@ -70,10 +68,6 @@
         };
         move || planning::run(&shared, dialect, policy)
     });
-    spawn("keeping", {
-        let (shared, inputs) = (sync::Arc::clone(shared), inputs.clone());
-        move || keeping::run(&shared, &inputs)
-    });
     spawn("watch-peers", {
         let (shared, client) = (sync::Arc::clone(shared), client.clone());
         move || watch::watch_peers(&shared, &client)
--- a/src/sageshed/control/fleet/keeping.rs
+++ b/src/sageshed/control/keeping.rs
@@ -8,10 +8,8 @@
 use sageshed_state::command;
 use sageshed_types::quarantine;
 
-use crate::{
-    control::{inputs, shared},
-    locks,
-};
+use super::{inputs, shared};
+use crate::locks;
 
 /// Between two looks. The log is to hold what was learnt well before a next loss; it takes some milliseconds.
 const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
--- a/src/sageshed/control/mod.rs
+++ b/src/sageshed/control/mod.rs
@@ -10,6 +10,7 @@
 //! - the port for the other processes ([`vms`]), a pool of threads,
 //! - the port for operators ([`operators`]), another pool,
 //! - a thread for each other control process that sends what the log wants sent ([`links`]),
+//! - a thread that keeps in the log which requests are held ([`keeping`]),
 //! - the [`placing`] thread, which owns the memory ledger and the planner and sends orders.
 //!
 //! A thread that waits for a commit waits with a limit and reports the fate as unknown past it.
@@ -18,6 +19,7 @@
 pub mod fleet;
 pub mod formation;
 pub mod inputs;
+pub mod keeping;
 pub mod links;
 pub mod metrics;
 pub mod operators;
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -13,7 +13,9 @@
 use sageshed_quorum::{config, log, node};
 use sageshed_state::control;
 
-use super::{driver, fleet, formation, inputs, links, metrics, operators, placing, shared, vms};
+use super::{
+    driver, fleet, formation, inputs, keeping, links, metrics, operators, placing, shared, vms,
+};
 use crate::{clock, context, locks, settings};
 
 /// Connections of operators that are open at once.
@@ -217,6 +219,8 @@
                 timeout: OPERATORS_TIMEOUT,
             },
         )?;
+        let keeping = (sync::Arc::clone(&shared), inputs.clone());
+        thread::spawn(move || keeping::run(&keeping.0, &keeping.1));
         ::log::info!(vm = shared.process.vm.as_str(), vms:% = vms.address(),
             operators:% = operators.address(); "control: listens");
         Ok(Self {
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{self, atomic, mpsc};
 
-use sageshed_fleet::messages as fleet;
+use sageshed_fleet::{messages as fleet, quarantine};
 use sageshed_quorum::log;
 use sageshed_state::command;
 use sageshed_types::{claims, messages, time};
@@ -101,6 +101,7 @@
         }
         self.take_reports(now, std::mem::take(&mut req.reports));
         self.take_demand(&req.from.vm, std::mem::take(&mut req.demand));
+        self.shared.hub.take_crashes(now, &req.crashes);
         self.answer(&req)
     }
 
@@ -134,6 +135,12 @@
         let draining = state.draining().map(str::to_owned).collect();
         drop(state);
         let hears_leader = leader.is_some();
+        let now = self.shared.clock.now();
+        let since = req.crashes_known.unwrap_or_default();
+        let (crashes_mark, crashes) = self.shared.hub.with_quarantine(|it| {
+            let news = it.since(now, since, quarantine::Telling::Held);
+            (it.mark(), news)
+        });
         messages::SyncResp {
             from: self.shared.process.clone(),
             reports: Vec::new(),
@@ -143,6 +150,8 @@
             config,
             hears_leader,
             was_confirmed: false,
+            crashes_mark: Some(crashes_mark),
+            crashes,
         }
     }
 
--- a/src/sageshed/entry/completion.rs
+++ b/src/sageshed/entry/completion.rs
@@ -315,6 +315,7 @@
             }
             Err(Broken::Engine(e)) => {
                 open.note_try(order, e.verdict, &e.to_string());
+                open.note_break(order, e.fault, e.verdict);
                 let outcome = event::TryOutcome::Failed {
                     verdict: e.verdict,
                     fault: e.fault,
--- a/src/sageshed/entry/mod.rs
+++ b/src/sageshed/entry/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod claims;
 pub mod completion;
+pub mod crashes;
 pub mod freshness;
 pub mod housekeeping;
 pub mod metrics;
--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -9,7 +9,9 @@
 use sageshed_callers::reply;
 use sageshed_decide::event;
 use sageshed_engines::classify;
-use sageshed_types::{account, arena, claims, fault, refusal, time as types_time, verdict};
+use sageshed_types::{
+    account, arena, claims, endpoints, fault, refusal, time as types_time, verdict,
+};
 
 use super::{completion, service, shared};
 use crate::{clock, locks};
@@ -42,6 +44,8 @@
 pub struct Order {
     /// The endpoint's name.
     pub endpoint: String,
+    /// Its start, as far as it is known.
+    pub incarnation: Option<endpoints::Incarnation>,
     /// `IP:port`.
     pub address: String,
     /// The model to ask for.
@@ -139,7 +143,7 @@
 
     /// Runs it to its end.
     pub fn run(mut self, mut work: Work, mut reply: reply::Reply<'_>) -> reply::Sent {
-        if let Some(refusal) = self.shared.unconfirmed() {
+        if let Some(refusal) = self.may_not_serve() {
             return self.refuse_or_recall(reply, refusal);
         }
         self.shared.step(event::Event::Arrived(self.facts));
@@ -150,7 +154,7 @@
                     Err(denied) => return self.deny(reply, denied),
                 },
                 Next::Send(order) => {
-                    if let Some(refusal) = self.shared.unconfirmed() {
+                    if let Some(refusal) = self.may_not_serve() {
                         return self.take_back(reply, refusal);
                     }
                     match self.send(&order, &mut work, reply) {
@@ -167,6 +171,13 @@
         }
     }
 
+    /// Why this process may not pass the request on now, if it may not.
+    ///
+    /// Looked at before each sending, too: what waited may be held by what was learnt meanwhile.
+    fn may_not_serve(&self) -> Option<refusal::Refusal> {
+        self.shared.unconfirmed().or_else(|| self.refuse_held())
+    }
+
     fn send<'c>(&mut self, order: &Order, work: &mut Work, reply: reply::Reply<'c>) -> Tried<'c> {
         log::debug!(request = self.request_id.as_str(), endpoint = order.endpoint.as_str();
             "entry: request sent");
@@ -209,6 +220,7 @@
     fn order(&self, sending: &Sending, attempt: u32) -> Order {
         let policy = &self.shared.settings.common.routing;
         let decider = locks::lock(&self.shared.decider);
+        let endpoint = decider.endpoint_name(sending.endpoint).to_owned();
         let not_repeatable = self.is_not_repeatable(&decider);
         let overrun = if not_repeatable {
             policy.overrun_share_not_repeatable
@@ -216,12 +228,16 @@
             policy.overrun_share
         };
         let left: time::Duration = sending.deadline_left.into();
+        let address = decider.endpoint_address(sending.endpoint).to_owned();
+        let model = sending
+            .model
+            .map(|key| decider.names().models.name(key).to_owned());
+        drop(decider);
         Order {
-            endpoint: decider.endpoint_name(sending.endpoint).to_owned(),
-            address: decider.endpoint_address(sending.endpoint).to_owned(),
-            model: sending
-                .model
-                .map(|key| decider.names().models.name(key).to_owned()),
+            incarnation: self.shared.known_incarnation(&endpoint),
+            endpoint,
+            address,
+            model,
             priority: sending.priority,
             total: left.mul_f64(1.0 + overrun.max(0.0)),
             first_byte: sending.first_byte_limit.into(),
@@ -238,6 +254,7 @@
 
     fn note_failure(&mut self, order: &Order, e: &classify::CallError) {
         self.note_try(order, e.verdict, &e.to_string());
+        self.note_break(order, e.fault, e.verdict);
         let outcome = event::TryOutcome::Failed {
             verdict: e.verdict,
             fault: e.fault,
@@ -260,6 +277,9 @@
 
     /// Tells the decider that a try ended with an answer.
     pub fn done(&self, outcome: event::TryOutcome) {
+        if matches!(outcome, event::TryOutcome::Done { .. }) {
+            self.clear_of_crashes();
+        }
         self.shared.step(event::Event::Ended {
             req: self.req,
             outcome,
--- a/src/sageshed/entry/run.rs
+++ b/src/sageshed/entry/run.rs
@@ -19,7 +19,8 @@
 use sageshed_types::{endpoints, messages, rules, time as types_time};
 
 use super::{
-    claims, freshness, housekeeping, metrics, serve, shared, sync as heartbeats, vms, waiters,
+    claims, crashes, freshness, housekeeping, metrics, serve, shared, sync as heartbeats, vms,
+    waiters,
 };
 use crate::{accounts, clock, context, directory, locks, settings};
 
@@ -147,6 +148,7 @@
             drift_margin: common.lease.drift_margin_ms,
             heartbeat: types_time::Millis(heartbeat),
         })),
+        crashes: sync::Mutex::new(crashes::Crashes::new(incarnation)),
         config: sync::Mutex::new(shared::Config {
             rules: rules::RuleSet::default(),
             since: types_time::Instant(0),
--- a/src/sageshed/entry/shared.rs
+++ b/src/sageshed/entry/shared.rs
@@ -10,7 +10,7 @@
 use sageshed_state::update;
 use sageshed_types::{arena, endpoints, messages, refusal, rules, time, verdict};
 
-use super::{claims, freshness, housekeeping, metrics, waiters};
+use super::{claims, crashes, freshness, housekeeping, metrics, waiters};
 use crate::{accounts, clock, directory, locks, settings};
 
 /// Shared by all threads of an entry process.
@@ -32,6 +32,8 @@
     pub config: sync::Mutex<Config>,
     /// What is known of endpoints.
     pub directory: sync::Mutex<directory::Directory>,
+    /// Which requests have made endpoints crash.
+    pub crashes: sync::Mutex<crashes::Crashes>,
     /// The latest requests.
     pub accounts: sync::Mutex<accounts::Accounts>,
     /// Figures.
@@ -185,6 +187,7 @@
             if report.leaving {
                 log::info!(endpoint = report.identity.endpoint.as_str(); "entry: endpoint leaves");
             }
+            locks::lock(&self.crashes).reported(now, &report.identity);
             let age = report.age_ms;
             self.step(event::Event::Report(Box::new(report), age));
         }
--- a/src/sageshed/entry/sync.rs
+++ b/src/sageshed/entry/sync.rs
@@ -9,6 +9,7 @@
 
 use std::{net, sync as std_sync, thread, time};
 
+use sageshed_fleet::quarantine;
 use sageshed_types::{messages, rules, time as types_time};
 
 use super::shared;
@@ -36,6 +37,24 @@
     read: messages::DirectoryMark,
     /// How far the peer has confirmed this process's directory.
     sent: messages::DirectoryMark,
+    /// How far this process knows the crashes that the peer remembers.
+    crashes_read: quarantine::Mark,
+    /// How far the peer was told of those that this process remembers.
+    crashes_sent: quarantine::Mark,
+}
+
+impl Marks {
+    /// The peer was told of crashes up to `told`, and has answered with its own mark. One that was started anew
+    /// remembers nothing, whatever was told to the start before it.
+    fn take_crashes(&mut self, told: quarantine::Mark, answered: quarantine::Mark) {
+        let is_known = answered.start == self.crashes_read.start;
+        self.crashes_sent = if is_known {
+            told
+        } else {
+            quarantine::Mark::default()
+        };
+        self.crashes_read = answered;
+    }
 }
 
 /// Starts a thread for each other process in the settings, and for this VM's control process.
@@ -117,6 +136,12 @@
     } else {
         Vec::new()
     };
+    let (crashes_mark, crashes) = {
+        let known = locks::lock(&shared.crashes);
+        let all = quarantine::Telling::All;
+        let news = known.quarantine.since(sent, marks.crashes_sent, all);
+        (known.quarantine.mark(), news)
+    };
     let req = messages::SyncReq {
         from: shared.process.clone(),
         address: own.to_owned(),
@@ -126,6 +151,8 @@
         demand,
         draining: shared.stage.leaves(),
         ready: shared.is_ready(),
+        crashes_known: Some(marks.crashes_read),
+        crashes,
     };
     let resp = client.call(&peer.address, messages::paths::SYNC, &req, CALL_LIMIT);
     let resp: messages::SyncResp = match resp {
@@ -136,6 +163,8 @@
         }
     };
     marks.sent = mark;
+    marks.take_crashes(crashes_mark, resp.crashes_mark.unwrap_or_default());
+    locks::lock(&shared.crashes).take(shared.clock.now(), &resp.crashes);
     marks.read = resp.directory;
     take(shared, peer, sent, resp);
     Ok(())
--- a/src/sageshed/entry/vms.rs
+++ b/src/sageshed/entry/vms.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use sageshed_engines::{paths, reports};
+use sageshed_fleet::quarantine;
 use sageshed_types::{messages, time};
 use sageshed_vms::Answer;
 
@@ -63,6 +64,13 @@
             let freshness = locks::lock(&shared.freshness);
             (freshness.hears_leader(now), freshness.was_confirmed())
         };
+        let (crashes_mark, crashes) = {
+            let mut known = locks::lock(&shared.crashes);
+            known.take(now, &req.crashes);
+            let since = req.crashes_known.unwrap_or_default();
+            let news = known.quarantine.since(now, since, quarantine::Telling::All);
+            (known.quarantine.mark(), news)
+        };
         messages::SyncResp {
             from: shared.process.clone(),
             reports,
@@ -72,6 +80,8 @@
             config,
             hears_leader,
             was_confirmed,
+            crashes_mark: Some(crashes_mark),
+            crashes,
         }
     }
 
--- a/src/sageshed/gateway/pass/held.rs
+++ b/src/sageshed/gateway/pass/held.rs
@@ -2,7 +2,7 @@
 
 use sageshed_fleet::{chooser, dialect, neighbours, quarantine};
 use sageshed_types::{refusal, time, verdict};
-use sageshed_upstream::failure;
+use sageshed_upstream::{failure, probe};
 
 use super::Life;
 
@@ -18,7 +18,7 @@
         );
         let shared = self.shared;
         let is_planned = || shared.with_core(|core| core.directory.is_leaving(&pick.instance));
-        if !is_closed || is_planned() || !shared.pool.is_closed(pick.address) {
+        if !is_closed || is_planned() || !probe::is_closed(pick.address) {
             return;
         }
         let crash = quarantine::Crash {
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -22,7 +22,7 @@
     time as std_time,
 };
 
-use sageshed_fleet::{chooser, config, dialect, fingerprint, routes};
+use sageshed_fleet::{chooser, config, dialect, fingerprint, quarantine, routes};
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
 
@@ -137,7 +137,7 @@
     req: &'a request::Request,
     passing: &'a dialect::Passing,
     /// The same in each try of its caller.
-    content: fingerprint::Fingerprint,
+    content: quarantine::Fingerprint,
     route: &'a config::Route,
     service: &'a str,
     wanted: Option<&'a dialect::Wanted>,
@@ -275,9 +275,9 @@
     }
 }
 
-fn content_of(req: &request::Request) -> fingerprint::Fingerprint {
+fn content_of(req: &request::Request) -> quarantine::Fingerprint {
     let host = req.header("host").unwrap_or_default();
-    fingerprint::Fingerprint::of(
+    fingerprint::of(
         &req.method,
         host,
         &req.path,
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -283,6 +283,8 @@
         demand: Vec::new(),
         draining: false,
         ready: true,
+        crashes_known: None,
+        crashes: Vec::new(),
     };
     locks::write(&shared.roster).heard(shared.clock.now(), &req);
 }
