Take crashes under what is answered all the time for cleared

Cause: what many callers ask at once may run at three endpoints that end together, as with a rack. Evidence of three processes then held it for an hour, for all callers, while it was being answered everywhere else. Ruled out: a higher number of ends, which costs every caller endpoints under a real cause; blaming only what had just begun, since the first events of the cause come before its endpoint ends where that has little to do. Change: a process remembers for half a minute to a minute what was answered whole (two spans, bounded), takes crashes under it for cleared, and tells the others.

--- a/crates/sageshed-fleet/src/quarantine.rs
+++ b/crates/sageshed-fleet/src/quarantine.rs
@@ -17,8 +17,9 @@
 //!
 //! All requests that an endpoint ran end with it, and nobody sees which of them was the cause. One that is
 //! answered whole afterwards, by any endpoint, was not: its crashes are cleared. That is so for most when they
-//! are sent a second time, and for what many callers ask. So a bystander is held only if it was at three
-//! endpoints that ended, and never came through in between.
+//! are sent a second time. What many callers ask at the same time may run at three endpoints that end at once, as
+//! with a rack; a process that has answered it within the last minute takes any crash under it for cleared, and
+//! tells the others. So a bystander is held only if it was at three endpoints that ended, and came through nowhere.
 //!
 //! # Bounds
 //!
@@ -54,6 +55,13 @@
 /// Crashes that are remembered of one request: enough to stay held if all but three were cleared elsewhere.
 const MOST_CRASHES: usize = 2 * ENDS;
 
+/// For how long, at the least, what was answered is known to be sound; at the most for twice that. What is asked so
+/// often that it runs at several endpoints at once is answered many times in it.
+const SOUND_FOR: time::Millis = time::Millis(30_000);
+
+/// What was answered in that time and is remembered: 64 KB with the span before.
+const MOST_SOUND: usize = 4_096;
+
 /// Between two looks for what is past [`KEPT`].
 const SWEEP: time::Millis = time::Millis(10_000);
 
@@ -88,6 +96,41 @@
     held_change: u64,
     requests: collections::HashMap<Fingerprint, Suspect>,
     swept: time::Instant,
+    sound: Sound,
+}
+
+/// What was answered whole lately, in two spans of which the older one is forgotten as a whole.
+#[derive(Debug, Clone, Default)]
+struct Sound {
+    now: collections::HashSet<Fingerprint>,
+    before: collections::HashSet<Fingerprint>,
+    since: time::Instant,
+}
+
+impl Sound {
+    fn answered(&mut self, now: time::Instant, content: Fingerprint) {
+        self.turn(now);
+        if self.now.len() < MOST_SOUND {
+            self.now.insert(content);
+        }
+    }
+
+    fn knows(&mut self, now: time::Instant, content: Fingerprint) -> bool {
+        self.turn(now);
+        self.now.contains(&content) || self.before.contains(&content)
+    }
+
+    fn turn(&mut self, now: time::Instant) {
+        let spans = now.since(self.since).0 / SOUND_FOR.0;
+        if spans == 0 {
+            return;
+        }
+        self.since = now;
+        self.before = std::mem::take(&mut self.now);
+        if spans > 1 {
+            self.before.clear();
+        }
+    }
 }
 
 /// A request under which endpoints ended.
@@ -248,6 +291,10 @@
         }
         self.sweep(now);
         self.make_room(now, crash.content);
+        let crash = &Crash {
+            is_cleared: crash.is_cleared || self.sound.knows(now, crash.content),
+            ..*crash
+        };
         let change = self.change + 1;
         let suspect = self.requests.entry(crash.content).or_default();
         let was_held = suspect.is_held(now);
@@ -270,6 +317,7 @@
     /// The request was answered whole: it was the cause of none of the ends so far. Returns whether there were
     /// any to clear.
     pub fn answered(&mut self, now: time::Instant, content: Fingerprint) -> bool {
+        self.sound.answered(now, content);
         let Some(suspect) = self.requests.get(&content) else {
             return false;
         };
