Keep one copy of marks, of links' books on crashes, and of taking crashes in

Cause: the mend had a second type like the directory's mark, and the books of a link and the taking in of evidence twice and three times. Conclusion: what is told of crashes is read in one place.

--- a/crates/sageshed-fleet/src/directory/instance.rs
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -184,15 +184,6 @@
     }
 }
 
-/// How far a peer knows a directory.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Mark {
-    /// The start of the process that holds the directory: its counts mean nothing after another.
-    pub start: u64,
-    /// Changes of it that are known.
-    pub change: u64,
-}
-
 /// An instance as one directory passes it to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -16,7 +16,9 @@
 
 use sageshed_types::time;
 
-pub use self::instance::{Instance, InstanceId, Mark, Offer, Record, Resident, State};
+pub use sageshed_types::mark::Mark;
+
+pub use self::instance::{Instance, InstanceId, Offer, Record, Resident, State};
 
 /// How long the id of an instance that has ended is remembered. Announcements were seen to arrive
 /// after a cut of the network of about ten seconds; this is several times that.
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -85,7 +85,7 @@
     #[serde(default)]
     pub crashes_known: Option<quarantine::Mark>,
     /// Of an entry process: crashes that the one it asks was not told of.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
 }
 
@@ -132,7 +132,7 @@
     pub crashes_mark: Option<quarantine::Mark>,
     /// What was learnt of them since the mark of the question: for an entry process those under requests that are
     /// held.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
 }
 
--- a/crates/sageshed-fleet/src/quarantine.rs
+++ b/crates/sageshed-fleet/src/quarantine.rs
@@ -31,7 +31,10 @@
 
 use sageshed_types::time;
 
-pub use sageshed_types::quarantine::{Crash, Fingerprint, Held, Mark};
+pub use sageshed_types::{
+    mark::Mark,
+    quarantine::{Crash, Fingerprint, Held},
+};
 
 /// Starts of endpoints that end under a request until it is held. One end may be anybody's, and two happen to a
 /// bystander that is sent a second time to the endpoint to which the cause went as well. Each more costs every
@@ -87,6 +90,36 @@
     Released,
 }
 
+/// What several pieces of evidence changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Taken {
+    /// Whether there was anything new.
+    pub is_news: bool,
+    /// Requests that are held from now on.
+    pub held: Vec<Fingerprint>,
+    /// Requests that are held no more.
+    pub released: Vec<Fingerprint>,
+}
+
+/// What the two ends of a link between processes know of each other's crashes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Up to where those that the peer remembers are known here.
+    pub read: Mark,
+    /// Up to where the peer was told of those that this process remembers.
+    pub told: Mark,
+}
+
+impl Link {
+    /// The peer was told of crashes up to `told`, and has answered with its own mark. One that was started anew
+    /// remembers nothing, whatever was told to the start before it, and is told all the next time.
+    pub fn answered(&mut self, told: Mark, mark: Mark) {
+        let is_known = mark.start == self.read.start;
+        self.told = if is_known { told } else { Mark::default() };
+        self.read = mark;
+    }
+}
+
 /// What one process remembers.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -247,7 +280,7 @@
             Telling::All => self.change,
             Telling::Held => self.held_change,
         };
-        newest > self.known(mark)
+        newest > mark.of(self.start)
     }
 
     /// What a peer is to be told that knows this process's memory up to `mark`.
@@ -256,7 +289,7 @@
         if !self.has_news(mark, telling) {
             return Vec::new();
         }
-        let after = self.known(mark);
+        let after = mark.of(self.start);
         let mut told = Vec::new();
         for (content, suspect) in &self.requests {
             let crashes = suspect.crashes.iter().map(|it| it.told(now, *content));
@@ -275,13 +308,19 @@
         told
     }
 
-    /// The change up to which a peer knows; zero where it knows another start.
-    fn known(&self, mark: Mark) -> u64 {
-        if mark.start == self.start {
-            mark.change
-        } else {
-            0
+    /// Takes what another process tells, or this one has seen.
+    pub fn take_all(&mut self, now: time::Instant, crashes: &[Crash]) -> Taken {
+        let mut taken = Taken::default();
+        for crash in crashes {
+            let change = self.take(now, crash);
+            taken.is_news |= change != Change::None;
+            match change {
+                Change::None | Change::Noted => {}
+                Change::Held => taken.held.push(crash.content),
+                Change::Released => taken.released.push(crash.content),
+            }
         }
+        taken
     }
 
     /// Takes a piece of evidence, one's own or that of another process.
--- a/crates/sageshed-types/src/messages.rs
+++ b/crates/sageshed-types/src/messages.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{account, catalog, endpoints, quarantine, rules, time};
+use crate::{account, catalog, endpoints, mark, quarantine, rules, time};
 
 /// The path of each message.
 pub mod paths {
@@ -75,9 +75,9 @@
     pub ready: bool,
     /// Up to where the asker knows which crashes the receiver remembers; none if it does not take them.
     #[serde(default)]
-    pub crashes_known: Option<quarantine::Mark>,
+    pub crashes_known: Option<mark::Mark>,
     /// Crashes that the receiver was not told of.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
 }
 
@@ -115,9 +115,9 @@
     pub was_confirmed: bool,
     /// Up to where the answerer's crashes are known with this; none if it tells nothing of them.
     #[serde(default)]
-    pub crashes_mark: Option<quarantine::Mark>,
+    pub crashes_mark: Option<mark::Mark>,
     /// What it learnt of them since the asker's mark.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
 }
 
--- a/crates/sageshed-types/src/quarantine.rs
+++ b/crates/sageshed-types/src/quarantine.rs
@@ -26,15 +26,6 @@
     pub is_cleared: bool,
 }
 
-/// Up to where a peer knows what one process remembers of crashes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Mark {
-    /// The start of that process.
-    pub start: u64,
-    /// Its count of changes.
-    pub change: u64,
-}
-
 /// A request that is passed on no more.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Held {
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -243,24 +243,15 @@
         if crashes.is_empty() {
             return;
         }
-        let changes = self.change(|inner| {
-            let taken = crashes.iter();
-            let taken = taken.map(|it| (it.content, inner.quarantine.take(now, it)));
-            taken.collect::<Vec<_>>()
-        });
-        for (content, change) in &changes {
-            match change {
-                quarantine::Change::None | quarantine::Change::Noted => {}
-                quarantine::Change::Held => {
-                    ::log::warn!(content:% = content, ends = quarantine::ENDS;
-                        "control: request is held, endpoints ended under it");
-                }
-                quarantine::Change::Released => {
-                    ::log::warn!(content:% = content; "control: request is held no more, it was answered");
-                }
-            }
+        let taken = self.change(|inner| inner.quarantine.take_all(now, crashes));
+        for content in &taken.held {
+            ::log::warn!(content:% = content, ends = quarantine::ENDS;
+                "control: request is held, endpoints ended under it");
+        }
+        for content in &taken.released {
+            ::log::info!(content:% = content; "control: request is held no more, it was answered");
         }
-        if changes.iter().any(|it| it.1 != quarantine::Change::None) {
+        if taken.is_news {
             self.changed.notify_all();
         }
     }
--- a/src/sageshed/entry/crashes.rs
+++ b/src/sageshed/entry/crashes.rs
@@ -62,11 +62,12 @@
 
     /// Takes crashes that another process tells of.
     pub fn take(&mut self, now: time::Instant, crashes: &[quarantine::Crash]) {
-        for crash in crashes {
-            let change = self.quarantine.take(now, crash);
-            if change == quarantine::Change::Held {
-                log::warn!(content:% = crash.content; "entry: request is held, endpoints ended under it");
-            }
+        let taken = self.quarantine.take_all(now, crashes);
+        for content in taken.held {
+            log::warn!(content:% = content; "entry: request is held, endpoints ended under it");
+        }
+        for content in taken.released {
+            log::info!(content:% = content; "entry: request is held no more, it was answered");
         }
     }
 
--- a/src/sageshed/entry/sync.rs
+++ b/src/sageshed/entry/sync.rs
@@ -37,24 +37,8 @@
     read: messages::DirectoryMark,
     /// How far the peer has confirmed this process's directory.
     sent: messages::DirectoryMark,
-    /// How far this process knows the crashes that the peer remembers.
-    crashes_read: quarantine::Mark,
-    /// How far the peer was told of those that this process remembers.
-    crashes_sent: quarantine::Mark,
-}
-
-impl Marks {
-    /// The peer was told of crashes up to `told`, and has answered with its own mark. One that was started anew
-    /// remembers nothing, whatever was told to the start before it.
-    fn take_crashes(&mut self, told: quarantine::Mark, answered: quarantine::Mark) {
-        let is_known = answered.start == self.crashes_read.start;
-        self.crashes_sent = if is_known {
-            told
-        } else {
-            quarantine::Mark::default()
-        };
-        self.crashes_read = answered;
-    }
+    /// What each knows of the crashes that the other remembers.
+    crashes: quarantine::Link,
 }
 
 /// Starts a thread for each other process in the settings, and for this VM's control process.
@@ -139,7 +123,7 @@
     let (crashes_mark, crashes) = {
         let known = locks::lock(&shared.crashes);
         let all = quarantine::Telling::All;
-        let news = known.quarantine.since(sent, marks.crashes_sent, all);
+        let news = known.quarantine.since(sent, marks.crashes.told, all);
         (known.quarantine.mark(), news)
     };
     let req = messages::SyncReq {
@@ -151,7 +135,7 @@
         demand,
         draining: shared.stage.leaves(),
         ready: shared.is_ready(),
-        crashes_known: Some(marks.crashes_read),
+        crashes_known: Some(marks.crashes.read),
         crashes,
     };
     let resp = client.call(&peer.address, messages::paths::SYNC, &req, CALL_LIMIT);
@@ -163,7 +147,8 @@
         }
     };
     marks.sent = mark;
-    marks.take_crashes(crashes_mark, resp.crashes_mark.unwrap_or_default());
+    let peer_mark = resp.crashes_mark.unwrap_or_default();
+    marks.crashes.answered(crashes_mark, peer_mark);
     locks::lock(&shared.crashes).take(shared.clock.now(), &resp.crashes);
     marks.read = resp.directory;
     take(shared, peer, sent, resp);
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -9,11 +9,13 @@
 //! the caller is still there.
 
 mod answer;
+mod crashes;
 pub mod metrics;
 pub mod neighbours;
 mod pass;
 mod ready;
 mod refuse;
+pub mod routing;
 mod run;
 pub mod state;
 mod watch;
--- /dev/null
+++ b/src/sageshed/gateway/routing.rs
@@ -0,0 +1,93 @@
+//! The configuration in force at an entry process.
+
+use std::{
+    sync::{self, atomic},
+    time as std_time,
+};
+
+use sageshed_fleet::{config, dialect, routes};
+
+use super::state::{LOOK, Shared};
+use crate::locks;
+
+/// How long a request waits for the first configuration of this process: a third of the time of the
+/// least patient callers. A group that was stopped as a whole leads within 100 ms of its start.
+const FIRST_ROUTING: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Requests that wait for it at the most.
+const MOST_WAIT_FOR_ROUTING: usize = 256;
+
+/// A configuration in force, indexed.
+#[derive(Debug)]
+pub struct Routing {
+    /// The configuration.
+    pub config: config::FleetConfig,
+    /// Its routes.
+    pub table: routes::RouteTable,
+}
+
+impl<D: dialect::Dialect> Shared<D> {
+    /// The configuration in force; none until one is known.
+    #[must_use]
+    pub fn routing(&self) -> Option<sync::Arc<Routing>> {
+        locks::read(&self.routing).as_ref().map(sync::Arc::clone)
+    }
+
+    /// The number of the configuration in force; zero if none is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        let routing = locks::read(&self.routing);
+        routing.as_ref().map_or(0, |it| it.config.version)
+    }
+
+    /// Puts a configuration in force, unless one with the same or a higher number is.
+    pub fn put_in_force(&self, config: config::FleetConfig) {
+        let version = config.version;
+        let table = routes::RouteTable::new(&config.routes);
+        let routing = sync::Arc::new(Routing { config, table });
+        let mut current = locks::write(&self.routing);
+        let held = current.as_ref().map_or(0, |it| it.config.version);
+        if version <= held {
+            return;
+        }
+        let count = routing.table.len();
+        *current = Some(routing);
+        drop(current);
+        // Requests that came before the first one wait for it.
+        self.place_freed();
+        ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
+    }
+
+    /// The configuration in force, for a request that came `since` then and may be there before any is
+    /// known. None where it does not come in time, or the caller is `gone`.
+    ///
+    /// After a stop of all processes, entry processes are up some hundred milliseconds before the control
+    /// group can tell them a configuration. Refused at once, callers came back later than they could
+    /// have been served. The wait ends well before a caller of a second's patience would give up, and
+    /// few wait, since each holds a thread.
+    #[must_use]
+    pub fn routing_soon(
+        &self,
+        since: std_time::Instant,
+        gone: impl Fn() -> bool,
+    ) -> Option<sync::Arc<Routing>> {
+        if let Some(routing) = self.routing() {
+            return Some(routing);
+        }
+        let until = since + FIRST_ROUTING;
+        while !gone() {
+            // Read before the look, so that a configuration which comes behind it ends the wait.
+            let seen = self.with_core(|core| core.changes());
+            let routing = self.routing();
+            let left = until.saturating_duration_since(std_time::Instant::now());
+            let is_full = self.waiting.load(atomic::Ordering::Relaxed) >= MOST_WAIT_FOR_ROUTING;
+            if routing.is_some() || left.is_zero() || is_full {
+                return routing;
+            }
+            self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
+            let _changes = self.wait(seen, left.min(LOOK));
+            self.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        }
+        None
+    }
+}
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -7,24 +7,14 @@
 };
 
 use sageshed_fleet::{
-    backlog, budget, chooser, config, dialect, directory, messages, neighbours as words,
-    quarantine, routes, tally,
+    backlog, budget, chooser, dialect, directory, messages, neighbours as words, quarantine, tally,
 };
 use sageshed_types::time;
 use sageshed_upstream::pool;
 
-use super::{metrics, neighbours};
+use super::{metrics, neighbours, routing};
 use crate::{accounts, clock, locks, records, sampler, settings};
 
-/// A configuration in force, indexed.
-#[derive(Debug)]
-pub struct Routing {
-    /// The configuration.
-    pub config: config::FleetConfig,
-    /// Its routes.
-    pub table: routes::RouteTable,
-}
-
 /// Shared by all threads of an entry process.
 #[derive(Debug)]
 pub struct Shared<D> {
@@ -48,7 +38,7 @@
     pub sampler: sampler::Sampler,
     /// Words of other processes that could not be read.
     pub misread: sampler::Sampler,
-    routing: sync::RwLock<Option<sync::Arc<Routing>>>,
+    pub(super) routing: sync::RwLock<Option<sync::Arc<routing::Routing>>>,
     core: sync::Mutex<Core>,
     changed: sync::Condvar,
     /// The control process that leads, as a number; zero if none is known.
@@ -101,13 +91,6 @@
 /// Lines a second on words of other processes that could not be read.
 const MISREAD_LOGGED: u64 = 5;
 
-/// How long a request waits for the first configuration of this process: a third of the time of the
-/// least patient callers. A group that was stopped as a whole leads within 100 ms of its start.
-const FIRST_ROUTING: std_time::Duration = std_time::Duration::from_millis(200);
-
-/// Requests that wait for it at the most.
-const MOST_WAIT_FOR_ROUTING: usize = 256;
-
 /// The longest that a waiting request goes without a look at whether its caller is still there.
 pub const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
 
@@ -169,37 +152,6 @@
         }
     }
 
-    /// The configuration in force; none until one is known.
-    #[must_use]
-    pub fn routing(&self) -> Option<sync::Arc<Routing>> {
-        locks::read(&self.routing).as_ref().map(sync::Arc::clone)
-    }
-
-    /// The number of the configuration in force; zero if none is known.
-    #[must_use]
-    pub fn version(&self) -> u64 {
-        let routing = locks::read(&self.routing);
-        routing.as_ref().map_or(0, |it| it.config.version)
-    }
-
-    /// Puts a configuration in force, unless one with the same or a higher number is.
-    pub fn put_in_force(&self, config: config::FleetConfig) {
-        let version = config.version;
-        let table = routes::RouteTable::new(&config.routes);
-        let routing = sync::Arc::new(Routing { config, table });
-        let mut current = locks::write(&self.routing);
-        let held = current.as_ref().map_or(0, |it| it.config.version);
-        if version <= held {
-            return;
-        }
-        let count = routing.table.len();
-        *current = Some(routing);
-        drop(current);
-        // Requests that came before the first one wait for it.
-        self.place_freed();
-        ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
-    }
-
     /// The control process that leads, as far as is known.
     #[must_use]
     pub fn leader(&self) -> Option<net::Ipv4Addr> {
@@ -257,31 +209,6 @@
         }
     }
 
-    /// Takes crashes that control tells of. Requests that wait here and are held now are answered.
-    pub fn take_crashes(&self, crashes: &[quarantine::Crash]) {
-        if crashes.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        let changes = self.with_core(|core| {
-            let taken = crashes.iter();
-            let taken = taken.map(|it| (it.content, core.quarantine.take(now, it)));
-            taken.collect::<Vec<_>>()
-        });
-        for (content, change) in changes {
-            match change {
-                quarantine::Change::None | quarantine::Change::Noted => {}
-                quarantine::Change::Held => {
-                    ::log::warn!(content:% = content; "gateway: request is held, endpoints ended under it");
-                    self.place_freed();
-                }
-                quarantine::Change::Released => {
-                    ::log::info!(content:% = content; "gateway: request is held no more, it was answered");
-                }
-            }
-        }
-    }
-
     /// Takes a neighbour's word, and wakes the requests that wait for an engine to have read.
     pub fn hear(&self, from: net::Ipv4Addr, word: &words::Unread) {
         let now = self.clock.now();
@@ -340,39 +267,6 @@
         }
     }
 
-    /// The configuration in force, for a request that came `since` then and may be there before any is
-    /// known. None where it does not come in time, or the caller is `gone`.
-    ///
-    /// After a stop of all processes, entry processes are up some hundred milliseconds before the control
-    /// group can tell them a configuration. Refused at once, callers came back later than they could
-    /// have been served. The wait ends well before a caller of a second's patience would give up, and
-    /// few wait, since each holds a thread.
-    #[must_use]
-    pub fn routing_soon(
-        &self,
-        since: std_time::Instant,
-        gone: impl Fn() -> bool,
-    ) -> Option<sync::Arc<Routing>> {
-        if let Some(routing) = self.routing() {
-            return Some(routing);
-        }
-        let until = since + FIRST_ROUTING;
-        while !gone() {
-            // Read before the look, so that a configuration which comes behind it ends the wait.
-            let seen = self.with_core(|core| core.changes());
-            let routing = self.routing();
-            let left = until.saturating_duration_since(std_time::Instant::now());
-            let is_full = self.waiting.load(atomic::Ordering::Relaxed) >= MOST_WAIT_FOR_ROUTING;
-            if routing.is_some() || left.is_zero() || is_full {
-                return routing;
-            }
-            self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
-            let _changes = self.wait(seen, left.min(LOOK));
-            self.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
-        }
-        None
-    }
-
     /// Waits until something changed since `seen`, for `limit` at the most. Returns the count of
     /// changes to wait from next.
     #[must_use]
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -63,10 +63,8 @@
 struct Known {
     /// Up to where the directory of the control process is known here.
     mark: directory::Mark,
-    /// Up to where the crashes that it remembers are known here.
-    crashes: quarantine::Mark,
-    /// Up to where it knows those that this process remembers.
-    crashes_told: quarantine::Mark,
+    /// What each knows of the crashes that the other remembers.
+    crashes: quarantine::Link,
 }
 
 fn run<D: dialect::Dialect>(shared: &state::Shared<D>, watching: &Watching, number: usize) {
@@ -95,7 +93,9 @@
         match watch(shared, to, &known, wants, is_source) {
             Ok(resp) => {
                 known.mark = resp.mark;
-                known.take_crashes(telling, resp.crashes_mark);
+                known
+                    .crashes
+                    .answered(telling, resp.crashes_mark.unwrap_or_default());
                 let digest = resp.digest;
                 take(shared, watching, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
@@ -141,11 +141,11 @@
         patience,
         entries: Vec::new(),
         demand,
-        crashes_known: Some(known.crashes),
+        crashes_known: Some(known.crashes.read),
         crashes: shared.with_core(|core| {
             let now = shared.clock.now();
             let all = quarantine::Telling::All;
-            core.quarantine.since(now, known.crashes_told, all)
+            core.quarantine.since(now, known.crashes.told, all)
         }),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
@@ -188,20 +188,6 @@
     shared.take_crashes(&resp.crashes);
 }
 
-impl Known {
-    /// The control process was told of crashes up to `told`, and has answered with its own mark.
-    fn take_crashes(&mut self, told: quarantine::Mark, answered: Option<quarantine::Mark>) {
-        let answered = answered.unwrap_or_default();
-        // One that was started anew remembers nothing, whatever was told to the start before it.
-        self.crashes_told = if answered.start == self.crashes.start {
-            told
-        } else {
-            quarantine::Mark::default()
-        };
-        self.crashes = answered;
-    }
-}
-
 impl Watching {
     /// Reads the seeds anew from the settings file, now and then.
     fn read_seeds<D: dialect::Dialect>(&self, shared: &state::Shared<D>) {
