--- a/crates/sageshed-fleet/tests/quarantine.rs
+++ b/crates/sageshed-fleet/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which requests are passed on no more.
 
 use sageshed_fleet::quarantine::{
-    Change, Crash, ENDS, Fingerprint, KEPT, MOST_REQUESTS, Mark, Quarantine, Telling,
+    Change, Crash, ENDS, Fingerprint, KEPT, Link, MOST_REQUESTS, Mark, Quarantine, Telling,
 };
 use sageshed_types::time::{Instant, Millis};
 
@@ -190,6 +190,32 @@
     assert!(holds(&started, 2) && !holds(&started, 1));
 }
 
+/// A control process starts anew and remembers nothing. Two ends that an entry process has told the start before
+/// would be lost, and the request held only after three more.
+#[test]
+fn a_control_process_that_starts_anew_is_told_all_again() {
+    let mut entry = seen(9, &[crash(1, 1)]);
+    let mut link = Link::default();
+    let exchange = |entry: &Quarantine, control: &mut Quarantine, link: &mut Link| {
+        let told = entry.mark();
+        let crashes = entry.since(NOW, link.told, Telling::All);
+        control.take_all(NOW, &crashes);
+        link.answered(told, control.mark());
+        crashes.len()
+    };
+    let mut control = Quarantine::new(1);
+    exchange(&entry, &mut control, &mut link);
+    // It was not known before, and is told all once more.
+    assert_eq!(exchange(&entry, &mut control, &mut link), 1);
+    assert_eq!(exchange(&entry, &mut control, &mut link), 0, "all is told");
+    entry.take(NOW, &crash(1, 2));
+    assert_eq!(exchange(&entry, &mut control, &mut link), 1, "what is new");
+    let mut control = Quarantine::new(2);
+    exchange(&entry, &mut control, &mut link);
+    assert_eq!(exchange(&entry, &mut control, &mut link), 2, "all again");
+    assert_eq!(control.ends(NOW, content(1)), 2);
+}
+
 /// A clearing that comes before the crash that it is about must not be undone by it.
 #[test]
 fn a_crash_that_is_told_late_stays_cleared() {
--- a/src/sageshed/entry/mod.rs
+++ b/src/sageshed/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod waiters;
 
 mod claiming;
+mod ending;
 mod run;
 
 pub use run::{StartError, run};
