Open the operators' port of a test fleet at an address of its own

Traced by its logs: control-1 let the system choose its operators' port and got 46761 at 127.51.25.12, the very port that the harness had chosen, at another VM's address, for the endpoints' calls of all control processes; a moment later it could not listen there ('Address already in use') and ended. Ruled out: another process of the machine (the address is this test's own, and both lines are of one process), the code under test. Change: the operators' port is opened at an address on which nothing else listens. The test is unchanged. Conclusion: a race of the harness, mended at its cause.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -232,12 +232,15 @@
     }
 
     /// A control process on a VM that was not there before. Nobody asks its operators' port, so the system
-    /// chooses that when it is opened: one chosen before was taken by another process of the machine once.
+    /// chooses that when it is opened: one chosen before was taken by another process of the machine once. It is
+    /// at an address of its own: at that of the VM the system once chose the port on which the endpoints' calls
+    /// were to be taken next, which is the same on all VMs and was chosen at another's address.
     pub fn new_control(&self, at: u8, bootstrap: bool) -> Process {
         let ip = self.ip(11 + at);
+        let operators = self.ip(111 + at);
         let [metrics] = free_ports(ip, &[self.vms_port, self.control_port]);
         let text = format!(
-            "vm = \"core-{at}\"\navailability_zone = \"z1\"\ndata = \"data-{at}\"\n[listen]\nfleet = \"{ip}:{}\"\nvms = \"{ip}:{}\"\noperators = \"{ip}:0\"\nmetrics = \"{ip}:{metrics}\"\n{}[control]\nelection_timeout_ms = 600\nheartbeat_ms = 80\n[orders]\nlease_ms = 300\n",
+            "vm = \"core-{at}\"\navailability_zone = \"z1\"\ndata = \"data-{at}\"\n[listen]\nfleet = \"{ip}:{}\"\nvms = \"{ip}:{}\"\noperators = \"{operators}:0\"\nmetrics = \"{ip}:{metrics}\"\n{}[control]\nelection_timeout_ms = 600\nheartbeat_ms = 80\n[orders]\nlease_ms = 300\n",
             self.control_port,
             self.vms_port,
             self.discovery(ip, bootstrap),
