Ask who calls: keys, workspaces, open routes

Change: the configuration's workspaces, indexed by digests of their keys (sageshed-fleet::workspaces); a request is known by one look-up, refused with 401 before anything is sent, and asked anew before each sending once another configuration is in force. A key is turned into its digest where it is read, also on the own interface, whose tokens take the same type; nothing that is printed shows one. A doubled Authorization is 401 now in place of 400 (two that differ) or of being taken (two that are equal). Tests: pure tables; real processes under restarts, freezes, two operators, a waiting request, a stream; refusals of all kinds with a search for the keys in all that was written.

--- a/crates/sageshed-decide/src/decider/query.rs
+++ b/crates/sageshed-decide/src/decider/query.rs
@@ -1,6 +1,6 @@
 //! What the daemon asks: names, accounts, demand and gauges.
 
-use sageshed_types::{account as types_account, arena, messages, rules, time};
+use sageshed_types::{account as types_account, arena, messages, rules, secret, time};
 
 use crate::{account, event, fleet, health, learned, names, request, router};
 
@@ -13,10 +13,10 @@
         &self.names
     }
 
-    /// The caller whose token has this SHA-256 (lower-case hexadecimal).
+    /// The caller whose token has this digest.
     #[must_use]
-    pub fn caller_by_token_hash(&self, hash: &str) -> Option<arena::CallerKey> {
-        self.names.caller_by_token_hash(hash)
+    pub fn caller_by_token(&self, digest: secret::KeyDigest) -> Option<arena::CallerKey> {
+        self.names.caller_by_token(digest)
     }
 
     /// The class of this name.
--- a/crates/sageshed-decide/src/names.rs
+++ b/crates/sageshed-decide/src/names.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::{
     arena::{self, Key},
-    catalog, time,
+    catalog, secret, time,
 };
 
 use crate::{event, settings};
@@ -73,7 +73,7 @@
     model_table: Vec<Model>,
     caller_table: Vec<Caller>,
     class_table: Vec<Class>,
-    tokens: collections::HashMap<String, arena::CallerKey>,
+    tokens: collections::HashMap<secret::KeyDigest, arena::CallerKey>,
 }
 
 impl Names {
@@ -122,7 +122,10 @@
             burst: caller.burst,
         };
         put(&mut self.caller_table, key.index(), row, row);
-        self.tokens.insert(caller.token_sha256.clone(), key);
+        // The settings are checked before: what is no digest is met in tests alone, and is nobody's.
+        if let Some(digest) = secret::KeyDigest::from_hex(&caller.token_sha256) {
+            self.tokens.insert(digest, key);
+        }
     }
 
     fn add_model(&mut self, model: &catalog::Model) {
@@ -135,10 +138,10 @@
         put(&mut self.model_table, key.index(), row.clone(), row);
     }
 
-    /// The caller whose token has this SHA-256 (lower-case hexadecimal).
+    /// The caller whose token has this digest.
     #[must_use]
-    pub fn caller_by_token_hash(&self, hash: &str) -> Option<arena::CallerKey> {
-        self.tokens.get(hash).copied()
+    pub fn caller_by_token(&self, digest: secret::KeyDigest) -> Option<arena::CallerKey> {
+        self.tokens.get(&digest).copied()
     }
 
     /// The model or adapter on offer under this name.
--- a/crates/sageshed-decide/tests/admission.rs
+++ b/crates/sageshed-decide/tests/admission.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use sageshed_decide::{event, settings};
-use sageshed_types::{arena, endpoints, time};
+use sageshed_types::{arena, endpoints, secret, time};
 
 const URGENT: Option<arena::ClassKey> = Some(arena::ClassKey(0));
 const IDLE: Option<arena::ClassKey> = Some(arena::ClassKey(2));
@@ -392,10 +392,13 @@
     let bench = one_engine();
     let decider = &bench.decider;
     assert_eq!(
-        decider.caller_by_token_hash("hash-of-council"),
+        decider.caller_by_token(secret::KeyDigest::of(b"council")),
         Some(arena::CallerKey(1))
     );
-    assert_eq!(decider.caller_by_token_hash("other"), None);
+    assert_eq!(
+        decider.caller_by_token(secret::KeyDigest::of(b"other")),
+        None
+    );
     assert_eq!(decider.class("idle"), IDLE);
     let endpoint = decider.endpoint("e1").expect("heard");
     assert_eq!(decider.endpoint_address(endpoint), "127.0.0.1:2");
--- a/crates/sageshed-decide/tests/common/mod.rs
+++ b/crates/sageshed-decide/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses its own part")]
 
 use sageshed_decide::{decider, event, settings};
-use sageshed_types::{arena, catalog, endpoints, refusal, rules, time};
+use sageshed_types::{arena, catalog, endpoints, refusal, rules, secret, time};
 
 pub fn class(name: &str, priority: u8, deadline: u64, queue: u32) -> catalog::Class {
     catalog::Class {
@@ -17,7 +17,7 @@
 pub fn caller(name: &str, class: &str) -> catalog::Caller {
     catalog::Caller {
         name: name.to_owned(),
-        token_sha256: format!("hash-of-{name}"),
+        token_sha256: secret::KeyDigest::of(name.as_bytes()).to_hex(),
         class: class.to_owned(),
         rate: None,
         burst: None,
--- a/crates/sageshed-fleet/src/config.rs
+++ b/crates/sageshed-fleet/src/config.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use derive_more::{Display, Error};
-use sageshed_types::time;
+use sageshed_types::{secret, time};
 
 /// A whole configuration, valid by [`FleetConfig::check`].
 #[derive(Debug, Clone, PartialEq)]
@@ -14,10 +14,55 @@
     pub routes: Vec<Route>,
     /// What can be reached.
     pub services: Vec<Service>,
+    /// Who may ask; none where nobody is asked who he is.
+    pub workspaces: Option<Workspaces>,
     /// Bounds on callers.
     pub limits: CallerLimits,
 }
 
+/// The workspaces of a configuration and the keys that they hold.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Workspaces {
+    /// The workspaces.
+    pub all: Vec<Workspace>,
+    /// Each key with the place of its holder among them, in the order in which they stand.
+    pub keys: Vec<(secret::KeyDigest, usize)>,
+}
+
+/// Callers who are accounted for together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: String,
+    /// The rank of its requests, instead of that of their routes; zero is the most urgent.
+    pub priority: Option<u8>,
+    /// What it may use; none: any amount.
+    pub quota: Option<Quota>,
+}
+
+/// What a workspace may use, over all entry processes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    /// What is counted.
+    pub unit: Unit,
+    /// Units a second.
+    pub per_s: f64,
+    /// Units that may come at once after a pause.
+    pub burst: f64,
+}
+
+/// What a quota counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// Each request as one.
+    Requests,
+    /// The tokens of a request, read and written.
+    Tokens {
+        /// The count of a request that names none.
+        undeclared: u64,
+    },
+}
+
 /// What may be done again with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Repeat {
@@ -69,6 +114,8 @@
     pub targets: Vec<Target>,
     /// Endpoints that one request may be sent to at the most.
     pub attempts: u32,
+    /// Whether it takes requests that show no key.
+    pub is_open: bool,
 }
 
 /// One of the services that a route leads to.
@@ -163,6 +210,14 @@
         /// The route.
         route: String,
     },
+    /// Two workspaces hold the same key, so that nobody could tell who asks.
+    #[display("the workspaces {first} and {second} share a key; give each its own")]
+    SharedKey {
+        /// The one that comes first.
+        first: String,
+        /// The other.
+        second: String,
+    },
     /// A route whose requests are over before they begin.
     #[display("the timeout of route {route} is zero")]
     NoTime {
@@ -191,7 +246,7 @@
                 });
             }
         }
-        Ok(())
+        self.workspaces.as_ref().map_or(Ok(()), check_keys)
     }
 
     /// The service of this name.
@@ -222,3 +277,18 @@
     }
     Ok(())
 }
+
+fn check_keys(workspaces: &Workspaces) -> Result<(), Invalid> {
+    let name = |at: usize| workspaces.all[at].name.clone();
+    let mut holders = collections::HashMap::new();
+    for (key, at) in &workspaces.keys {
+        let first = *holders.entry(key).or_insert(*at);
+        if first != *at {
+            return Err(Invalid::SharedKey {
+                first: name(first),
+                second: name(*at),
+            });
+        }
+    }
+    Ok(())
+}
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -69,6 +69,8 @@
     pub urgency: Option<u8>,
     /// The last event that came, where an answer goes on.
     pub resume_behind: Option<&'a str>,
+    /// The name of the workspace that sends it, where that is known.
+    pub workspace: Option<&'a str>,
 }
 
 /// What the head of an endpoint's answer says.
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`quarantine`] | which requests are passed on no more, since endpoints ended under them |
+//! | [`workspaces`] | who sends a request, by the key that it shows |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
 //!
 //! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
@@ -34,3 +35,4 @@
 pub mod quarantine;
 pub mod routes;
 pub mod tally;
+pub mod workspaces;
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -27,6 +27,7 @@
             weight: 1,
         }],
         attempts: 2,
+        is_open: false,
     }
 }
 
@@ -80,6 +81,7 @@
                 engines: None,
             },
         ],
+        workspaces: None,
         limits: config::CallerLimits {
             head_bytes: 16_384,
             body_bytes: 4_194_304,
--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -226,7 +226,7 @@
             method: head.method,
             path: head.path,
             query: head.query,
-            bearer: head.known.bearer,
+            credential: head.known.credential,
             idempotency_key: head.known.idempotency_key,
             repeatable: head.known.repeatable,
             deadline: head.known.deadline,
--- a/crates/sageshed-http/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -5,7 +5,7 @@
 //! Whatever is ambiguous (a length beside a chunked coding, two lengths, a folded header) is refused
 //! and the connection is closed.
 
-use sageshed_types::{refusal, time, verdict};
+use sageshed_types::{headers, refusal, secret, time, verdict};
 
 use crate::request;
 
@@ -41,7 +41,7 @@
 /// The headers that the system knows.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
-    pub(crate) bearer: Option<String>,
+    pub(crate) credential: request::Credential,
     pub(crate) idempotency_key: Option<String>,
     pub(crate) repeatable: Option<bool>,
     pub(crate) deadline: Option<time::Millis>,
@@ -244,7 +244,7 @@
 
 fn known(headers: &[request::Header]) -> Result<Known, refusal::Refusal> {
     Ok(Known {
-        bearer: bearer(headers)?,
+        credential: credential(headers),
         idempotency_key: single(headers, "Idempotency-Key")?,
         repeatable: repeatable(headers)?,
         deadline: deadline(headers)?,
@@ -253,14 +253,26 @@
     })
 }
 
-fn bearer(headers: &[request::Header]) -> Result<Option<String>, refusal::Refusal> {
-    let value = single(headers, "Authorization")?;
-    let token = value
-        .as_deref()
-        .and_then(|value| value.split_once(' '))
-        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
-        .map(|(_, token)| token.trim().to_owned());
-    Ok(token)
+/// A doubled header leaves open who asks, even where both are the same: a proxy in between may have checked
+/// one and not the other.
+fn credential(list: &[request::Header]) -> request::Credential {
+    let mut found = values(list, headers::TOKEN);
+    let (first, second) = (found.next(), found.next());
+    match (first, second) {
+        (None, _) => request::Credential::Missing,
+        (Some(_), Some(_)) => request::Credential::Malformed("Authorization is given twice"),
+        (Some(value), None) => bearer(value),
+    }
+}
+
+fn bearer(value: &[u8]) -> request::Credential {
+    let end = value.iter().position(|&byte| byte == b' ');
+    let (scheme, key) = value.split_at(end.unwrap_or(value.len()));
+    let key = key.trim_ascii();
+    if !scheme.eq_ignore_ascii_case(b"bearer") || key.is_empty() {
+        return request::Credential::Malformed("Authorization is not `Bearer KEY`");
+    }
+    request::Credential::Bearer(secret::KeyDigest::of(key))
 }
 
 /// What cannot be understood is refused and not ignored: a request that its caller marked as not
--- a/crates/sageshed-http/src/problem.rs
+++ b/crates/sageshed-http/src/problem.rs
@@ -9,6 +9,9 @@
 /// The media type of a refusal.
 pub const CONTENT_TYPE: &str = "application/problem+json";
 
+/// What a refusal with status 401 asks for (RFC 9110, section 15.5.2; RFC 6750, section 3).
+pub const CHALLENGE: (&str, &str) = ("WWW-Authenticate", "Bearer realm=\"sageshed\"");
+
 /// The beginning of the `type` member; the reason follows.
 const TYPE_PREFIX: &str = "urn:sageshed:reason:";
 
@@ -116,7 +119,7 @@
         headers.push(("retry-after-ms", span.0.to_string()));
     }
     if refusal.status == 401 {
-        headers.push(("WWW-Authenticate", "Bearer".to_owned()));
+        headers.push((CHALLENGE.0, CHALLENGE.1.to_owned()));
     }
     match retry(refusal) {
         Retry::Never => headers.push(("x-should-retry", "false".to_owned())),
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -1,8 +1,8 @@
 //! A request as a caller sent it, with the headers that the system knows already typed.
 
-use std::{net, time};
+use std::{fmt, net, time};
 
-use sageshed_types::{headers, time as types_time};
+use sageshed_types::{headers, secret, time as types_time};
 
 /// One whole request.
 #[derive(Debug)]
@@ -13,8 +13,8 @@
     pub path: String,
     /// What follows the `?`, still percent-encoded.
     pub query: Option<String>,
-    /// The token of `Authorization: Bearer`.
-    pub bearer: Option<String>,
+    /// What `Authorization` says of who sends it.
+    pub credential: Credential,
     /// `Idempotency-Key`.
     pub idempotency_key: Option<String>,
     /// `Sageshed-Repeatable`: `yes` or `no`.
@@ -35,8 +35,20 @@
     pub peer: net::SocketAddr,
 }
 
+/// What a request shows of who sends it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Credential {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// The key of `Authorization: Bearer KEY` (RFC 6750, section 2.1), by its digest.
+    Bearer(secret::KeyDigest),
+    /// An `Authorization` that shows no key: why.
+    Malformed(&'static str),
+}
+
 /// One header.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Header {
     /// The name, as sent: an ASCII token.
     pub name: String,
@@ -44,6 +56,24 @@
     pub value: Vec<u8>,
 }
 
+impl Header {
+    /// Whether it shows who sends the request, and is for this system alone.
+    #[must_use]
+    pub fn is_credential(&self) -> bool {
+        self.name.eq_ignore_ascii_case(headers::TOKEN)
+    }
+}
+
+/// Leaves the values of credentials out.
+impl fmt::Debug for Header {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_credential() {
+            return write!(f, "{}: ..", self.name);
+        }
+        write!(f, "{}: {}", self.name, self.value.escape_ascii())
+    }
+}
+
 impl Request {
     /// The first header called `name`, in any case, if its value is UTF-8.
     #[must_use]
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -8,7 +8,8 @@
     time::Duration,
 };
 
-use sageshed_http::limits;
+use sageshed_http::{limits, request};
+use sageshed_types::secret;
 use support::{Client, OK, PATIENCE, echo, listen, start, start_on, wait_for};
 
 struct Case {
@@ -131,7 +132,7 @@
         names.sort_unstable();
         let seen = format!(
             "{:?} {:?} {:?} {:?} {:?} {:?} {names:?}",
-            req.bearer,
+            req.credential == request::Credential::Bearer(secret::KeyDigest::of(b"t k")),
             req.idempotency_key,
             req.repeatable,
             req.deadline.map(|ms| ms.0),
@@ -148,8 +149,7 @@
     );
     assert_eq!(
         client.answer().expect("an answer").text(),
-        r#"Some("t k") Some("k") Some(false) Some(1500) Some("callout") Some("text/x") ["#
-            .to_owned()
+        r#"true Some("k") Some(false) Some(1500) Some("callout") Some("text/x") ["#.to_owned()
             + r#""Content-Type", "Idempotency-Key", "Sageshed-Class", "Sageshed-Deadline-Ms", "#
             + r#""Sageshed-Repeatable", "X-End"]"#,
     );
--- a/crates/sageshed-operators/src/server.rs
+++ b/crates/sageshed-operators/src/server.rs
@@ -178,15 +178,16 @@
         if Route::of(&req.method, &req.path).is_open() {
             return Ok("");
         }
-        let (found, detail) = match &req.bearer {
-            Some(token) => (
-                self.tokens.find(token),
+        let (found, detail) = match req.credential {
+            request::Credential::Bearer(digest) => (
+                self.tokens.find(digest),
                 "the token belongs to no operator; check it against the common settings",
             ),
-            None => (
+            request::Credential::Missing => (
                 None,
                 "send the operator's token as `Authorization: Bearer TOKEN`",
             ),
+            request::Credential::Malformed(why) => (None, why),
         };
         found.ok_or_else(|| Box::new(Problem::new(Kind::Unauthorized, detail)))
     }
--- a/crates/sageshed-operators/tests/port.rs
+++ b/crates/sageshed-operators/tests/port.rs
@@ -6,7 +6,7 @@
 };
 
 use sageshed_operators::{client, tokens, wire};
-use sageshed_types::rules::Revision;
+use sageshed_types::{rules::Revision, secret};
 
 mod support;
 
@@ -247,13 +247,18 @@
 /// A hash that was cut short by a slip, or left empty, must admit nobody.
 #[test]
 fn part_of_a_hash_admits_nobody() {
-    let hash = tokens::sha256_hex(TOKEN);
+    let hash = secret::KeyDigest::of(TOKEN.as_bytes()).to_hex();
     for part in ["", &hash[..1], &hash[..63]] {
         let tokens = tokens::Tokens::default().with("ailsa", part);
-        assert_eq!(tokens.find(TOKEN), None, "{part}");
+        assert_eq!(
+            tokens.find(secret::KeyDigest::of(TOKEN.as_bytes())),
+            None,
+            "{part}"
+        );
     }
     let tokens = tokens::Tokens::default().with("ailsa", &hash);
-    assert_eq!(tokens.find(TOKEN), Some("ailsa"));
+    let digest = secret::KeyDigest::of(TOKEN.as_bytes());
+    assert_eq!(tokens.find(digest), Some("ailsa"));
 }
 
 #[test]
--- a/crates/sageshed-operators/tests/support/mod.rs
+++ b/crates/sageshed-operators/tests/support/mod.rs
@@ -13,7 +13,7 @@
     backend::{Backend, Trouble},
     client, server, tokens, wire,
 };
-use sageshed_types::{account, messages, refusal, rules, verdict};
+use sageshed_types::{account, messages, refusal, rules, secret, verdict};
 
 /// The token that every port of these tests takes, unless it is said otherwise.
 pub const TOKEN: &str = "spade";
@@ -222,7 +222,8 @@
 /// A port in front of `fake` that takes `token`.
 pub fn port(fake: &Arc<Fake>, token: &str) -> server::Server {
     let listen = net::SocketAddr::from(([127, 0, 0, 1], 0));
-    let tokens = tokens::Tokens::default().with("ailsa", &tokens::sha256_hex(token));
+    let tokens =
+        tokens::Tokens::default().with("ailsa", &secret::KeyDigest::of(token.as_bytes()).to_hex());
     let mut options = server::Options::new(listen, tokens);
     options.connections = CONNECTIONS;
     options.timeout = time::Duration::from_secs(2);
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -5,7 +5,7 @@
 //! account of a refusal ([`refusal`]), rules as data ([`rules`]), what endpoints say of themselves
 //! ([`endpoints`]), how a sending to one of them fails ([`fault`]), the catalog of what is offered ([`catalog`]), claims on requests that may not be
 //! repeated ([`claims`]), what happened to one request ([`account`]), a fleet's configuration as it was sent ([`document`]), requests that
-//! have ended endpoints ([`quarantine`]), how far one process knows what another counts ([`mark`]) and the messages between the
+//! have ended endpoints ([`quarantine`]), keys by their digests ([`secret`]), how far one process knows what another counts ([`mark`]) and the messages between the
 //! system's own processes ([`messages`]).
 
 pub mod account;
@@ -21,5 +21,6 @@
 pub mod quarantine;
 pub mod refusal;
 pub mod rules;
+pub mod secret;
 pub mod time;
 pub mod verdict;
--- a/src/sageshed/entry/serve.rs
+++ b/src/sageshed/entry/serve.rs
@@ -1,6 +1,6 @@
 //! From a caller's bytes to a request that can be decided, or to the refusal of one that cannot.
 
-use std::{fmt::Write as _, sync};
+use std::sync;
 
 use sageshed_callers::{handler, openai, reply, request as callers_request, route};
 use sageshed_decide::event;
@@ -191,10 +191,13 @@
         let refuse =
             |detail: &str| refusal::Refusal::not_run(verdict::Reason::Unauthorized, detail);
         let missing = "send the caller's token as `Authorization: Bearer TOKEN`";
-        let token = req.bearer.as_deref().ok_or_else(|| refuse(missing))?;
-        let hash = hex(&sha2::Sha256::digest(token.as_bytes()));
+        let digest = match req.credential {
+            callers_request::Credential::Bearer(digest) => digest,
+            callers_request::Credential::Missing => return Err(refuse(missing)),
+            callers_request::Credential::Malformed(why) => return Err(refuse(why)),
+        };
         let decider = locks::lock(&self.shared.decider);
-        let key = decider.caller_by_token_hash(&hash);
+        let key = decider.caller_by_token(digest);
         let key = key.ok_or_else(|| refuse("the token belongs to no caller"))?;
         Ok(Caller {
             key,
@@ -354,11 +357,3 @@
     let bytes = sha.finalize();
     u64::from_le_bytes(std::array::from_fn(|i| bytes[i]))
 }
-
-fn hex(bytes: &[u8]) -> String {
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        write!(text, "{byte:02x}").expect("a string takes all text");
-    }
-    text
-}
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -1,17 +1,24 @@
 //! Figures of an entry process in front of a fleet.
 
-use std::time;
+use std::{collections, sync, time};
 
 use opentelemetry::{KeyValue, metrics as instruments};
 
 use super::state;
-use crate::metrics;
+use crate::{locks, metrics};
 
 /// Upper bounds of the buckets of times, in seconds.
 const SECONDS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 20.0,
 ];
 
+/// Workspaces that are counted by name, the first that ask. With three ends each they take 200 lines of the
+/// text, as many as all other figures.
+const WORKSPACES_NAMED: usize = 64;
+
+/// What all other workspaces are counted under.
+const OTHERS: &str = "(others)";
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -39,6 +46,9 @@
     registry: metrics::Registry,
     took: instruments::Histogram<f64>,
     ended: instruments::Counter<u64>,
+    by_workspace: instruments::Counter<u64>,
+    /// Workspaces that are counted by name.
+    workspaces: sync::Mutex<collections::HashSet<String>>,
     now: Now,
 }
 
@@ -72,6 +82,10 @@
             .u64_counter("sageshed_gateway_requests")
             .with_description("Requests that ended")
             .build();
+        let by_workspace = meter
+            .u64_counter("sageshed_gateway_workspace_requests")
+            .with_description("Requests that ended, by who sent them")
+            .build();
         let gauge = |name, help| registry.gauge(name, help);
         let now = Now {
             ready: gauge(
@@ -108,6 +122,8 @@
             registry,
             took,
             ended,
+            by_workspace,
+            workspaces: sync::Mutex::default(),
             now,
         }
     }
@@ -126,6 +142,25 @@
         self.took.record(took.as_secs_f64(), &of[..3]);
     }
 
+    /// Counts a request of a workspace that has ended; of none where the name is empty.
+    pub fn of_workspace(&self, name: &str, end: End) {
+        if name.is_empty() {
+            return;
+        }
+        let mut named = locks::lock(&self.workspaces);
+        let is_named = named.contains(name) || {
+            let has_room = named.len() < WORKSPACES_NAMED;
+            has_room && named.insert(name.to_owned())
+        };
+        drop(named);
+        let name = if is_named { name } else { OTHERS };
+        let of = [
+            KeyValue::new("workspace", name.to_owned()),
+            KeyValue::new("end", end.label()),
+        ];
+        self.by_workspace.add(1, &of);
+    }
+
     /// Everything as text.
     #[must_use]
     pub fn text<D: sageshed_fleet::dialect::Dialect>(&self, shared: &state::Shared<D>) -> String {
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -98,8 +98,9 @@
         let onward = dialect::Onward {
             instance: &pick.instance,
             time_left: self.left_ms(),
-            urgency: Some(self.route.priority.min(9)),
+            urgency: Some(self.priority().min(9)),
             resume_behind,
+            workspace: self.workspace.as_ref().map(|it| it.name.as_str()),
         };
         let set = self.shared.dialect.onward(&onward);
         let mut list: Vec<(&str, &[u8])> = Vec::with_capacity(self.req.headers.len() + set.len());
@@ -107,7 +108,9 @@
             let is_set = set
                 .iter()
                 .any(|(name, _)| header.name.eq_ignore_ascii_case(name));
-            if !is_set && self.passes_on(&header.name) {
+            // Whoever gets a key can act as its holder.
+            let is_key = self.asks_for_keys && header.is_credential();
+            if !is_set && !is_key && self.passes_on(&header.name) {
                 list.push((&header.name, &header.value));
             }
         }
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -59,7 +59,7 @@
         refusal: &refusal::Refusal,
     ) -> reply::Sent {
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
-            config = self.shared.version(), model = self.model_name(), status = refusal.status,
+            workspace = self.workspace_name(), config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             waited_for = self.waited_for_word(), arrivals = self.arrivals,
             repeat = if self.lacks_repeat { "none left" } else { "" }, left_ms = self.left_ms().0; "gateway: request refused");
@@ -70,7 +70,7 @@
 
     pub(super) fn left(&mut self, outlet: Outlet<'_>) -> reply::Sent {
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
-            model = self.model_name(), waited_for = self.waited_for_word(),
+            workspace = self.workspace_name(), model = self.model_name(), waited_for = self.waited_for_word(),
             arrivals = self.arrivals, left_ms = self.left_ms().0,
             took_ms = time::Millis::from(self.req.received.elapsed()).0; "gateway: caller left");
         self.note(metrics::End::CallerGone, 0);
@@ -103,8 +103,8 @@
             return;
         }
         let sent = sent_at.duration_since(self.req.received);
-        ::log::info!(request = self.id(), route = self.route.name.as_str(), status,
-            config = self.shared.version(), endpoint:% = pick.instance,
+        ::log::info!(request = self.id(), route = self.route.name.as_str(),
+            workspace = self.workspace_name(), status, config = self.shared.version(), endpoint:% = pick.instance,
             model = self.model_name(), tokens = pick.tokens, estimate_ms = pick.estimate.0,
             waited_for = self.waited_for_word(), objective_ms = self.route.objective.0,
             pause_limit_ms = self.route.pause.map_or(0, |it| it.0), runs = self.runs, sent_ms = time::Millis::from(sent).0,
@@ -133,7 +133,8 @@
         let took = self.req.received.elapsed();
         self.shared
             .metrics
-            .ended(self.service, self.route.priority, end, status, took);
+            .ended(self.service, self.priority(), end, status, took);
+        self.shared.metrics.of_workspace(self.workspace_name(), end);
         took
     }
 }
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -12,6 +12,7 @@
 mod ending;
 mod held;
 mod home;
+mod identity;
 mod story;
 mod stream;
 mod waiting;
@@ -22,11 +23,11 @@
     time as std_time,
 };
 
-use sageshed_fleet::{chooser, config, dialect, fingerprint, quarantine, routes};
+use sageshed_fleet::{chooser, config, dialect, fingerprint, quarantine, routes, workspaces};
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
 
-use super::{answer::Outlet, refuse, state};
+use super::{answer::Outlet, refuse, routing, state};
 
 /// When a request comes back that was turned away since it can't be in time now.
 const BACK_SOON: time::Millis = time::Millis(300);
@@ -80,7 +81,23 @@
             .config
             .service(service)
             .and_then(|it| it.engines.as_ref());
-        Life::new(&self.shared, &req, &passing, route, service, engines).run(reply)
+        let identity = identity::identify(&routing, route, req.credential);
+        let mut life = Life::new(
+            &self.shared,
+            &req,
+            &passing,
+            &routing,
+            route,
+            service,
+            engines,
+        );
+        match identity {
+            Ok(workspace) => {
+                life.workspace = workspace;
+                life.run(reply)
+            }
+            Err(refusal) => life.refused(Outlet::Fresh(reply), &refusal),
+        }
     }
 
     fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
@@ -139,6 +156,12 @@
     /// The same in each try of its caller.
     content: quarantine::Fingerprint,
     route: &'a config::Route,
+    /// Who sends it, as far as the configuration asks.
+    workspace: Option<workspaces::Known>,
+    /// The configuration by which that was found.
+    identified_by: u64,
+    /// Whether that one has workspaces, so that keys are for this system.
+    asks_for_keys: bool,
     service: &'a str,
     wanted: Option<&'a dialect::Wanted>,
     /// The model that it is for, as the configuration offers it.
@@ -208,6 +231,7 @@
         shared: &'a state::Shared<D>,
         req: &'a request::Request,
         passing: &'a dialect::Passing,
+        routing: &'a routing::Routing,
         route: &'a config::Route,
         service: &'a str,
         engines: Option<&'a config::EnginePool>,
@@ -224,6 +248,9 @@
             passing,
             content: content_of(req),
             route,
+            workspace: None,
+            identified_by: routing.config.version,
+            asks_for_keys: routing.workspaces.is_some(),
             service,
             wanted,
             model: named.next(),
--- a/src/sageshed/gateway/pass/story.rs
+++ b/src/sageshed/gateway/pass/story.rs
@@ -55,7 +55,7 @@
         let account = account::Account {
             request_id: self.id().to_owned(),
             arrived_unix_ms: clock::unix_ms().saturating_sub(took.0),
-            caller: None,
+            caller: self.workspace.as_ref().map(|it| it.name.clone()),
             class: Some(self.route.name.clone()),
             target: Some(self.wanted.map_or_else(|| self.service.to_owned(), name_of)),
             rule: Some(format!("route {}", self.route.name)),
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -71,7 +71,7 @@
                 let detail = "this entry process ends before the request could be answered";
                 return Step::Refuse(self.give_up(verdict::Reason::Draining, detail.to_owned()));
             }
-            if let Some(refusal) = self.refuse_held() {
+            if let Some(refusal) = self.refuse_held().or_else(|| self.refuse_withdrawn()) {
                 return Step::Refuse(refusal);
             }
             let now = self.shared.clock.now();
@@ -215,7 +215,7 @@
         let wanted = self.wanted?;
         Some(backlog::Waiter {
             tokens: self.passing.prompt_tokens,
-            priority: self.route.priority,
+            priority: self.priority(),
             on_time_until: now + self.on_time(),
             adapter: wanted.adapter.clone(),
         })
--- a/src/sageshed/gateway/refuse.rs
+++ b/src/sageshed/gateway/refuse.rs
@@ -15,6 +15,9 @@
     if let Some(after) = &after {
         headers.push(("Retry-After", after));
     }
+    if refusal.reason == verdict::Reason::Unauthorized {
+        headers.push(problem::CHALLENGE);
+    }
     let head = reply::Head {
         request_id,
         status: refusal.status,
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -5,7 +5,7 @@
     time as std_time,
 };
 
-use sageshed_fleet::{config, dialect, routes};
+use sageshed_fleet::{config, dialect, routes, workspaces};
 
 use super::state::{LOOK, Shared};
 use crate::locks;
@@ -24,6 +24,20 @@
     pub config: config::FleetConfig,
     /// Its routes.
     pub table: routes::RouteTable,
+    /// Its workspaces; none where nobody is asked who he is.
+    pub workspaces: Option<workspaces::Workspaces>,
+}
+
+impl Routing {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(config: config::FleetConfig) -> Self {
+        Self {
+            table: routes::RouteTable::new(&config.routes),
+            workspaces: config.workspaces.as_ref().map(workspaces::Workspaces::new),
+            config,
+        }
+    }
 }
 
 impl<D: dialect::Dialect> Shared<D> {
@@ -43,8 +57,7 @@
     /// Puts a configuration in force, unless one with the same or a higher number is.
     pub fn put_in_force(&self, config: config::FleetConfig) {
         let version = config.version;
-        let table = routes::RouteTable::new(&config.routes);
-        let routing = sync::Arc::new(Routing { config, table });
+        let routing = sync::Arc::new(Routing::new(config));
         let mut current = locks::write(&self.routing);
         let held = current.as_ref().map_or(0, |it| it.config.version);
         if version <= held {
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -284,6 +284,12 @@
         }
     }
 
+    /// All that its processes have written to their logs.
+    pub fn logs(&self) -> String {
+        let all = self.control.iter().chain(&self.entries);
+        all.map(Process::log).collect()
+    }
+
     /// Takes the disk of a control process that does not run, and lets it start anew.
     pub fn wipe(&mut self, at: u8) {
         let data = self.folder.join(format!("data-{at}"));
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,5 +10,6 @@
 mod endpoints;
 mod explaining;
 mod fleet;
+mod identity;
 mod requests;
 mod stopping;
--- a/tests/gateway_start.rs
+++ b/tests/gateway_start.rs
@@ -30,6 +30,7 @@
         version: 3,
         routes: Vec::new(),
         services: Vec::new(),
+        workspaces: None,
         limits: config::CallerLimits {
             head_bytes: 16_384,
             body_bytes: 1_024,
