--- /dev/null
+++ b/crates/sageshed-fleet/src/allowance/book.rs
@@ -0,0 +1,257 @@
+//! All that one process knows of allowances: its shares, and the pots of which it is the home.
+
+use std::{collections, net};
+
+use sageshed_types::time;
+
+use super::{
+    Answer, Draw, Given, HOMES, Key, LISTED, LOST, PRODUCERS, Pot, Pull, Question, SETTLED, Share,
+    Terms, producers,
+};
+
+/// An answer, and what has to be sent besides.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// To the one that asked.
+    pub answer: Answer,
+    /// To the producers, if the home needs more.
+    pub pull: Option<(Pull, Vec<net::Ipv4Addr>)>,
+}
+
+/// The allowances as one entry process knows them.
+#[derive(Debug, Clone)]
+pub struct Book {
+    own: net::Ipv4Addr,
+    terms: collections::HashMap<Key, Terms>,
+    shares: collections::HashMap<Key, Share>,
+    pots: collections::HashMap<Key, Pot>,
+    /// The entry processes and when each was listed last.
+    listed: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
+    /// Those that are listed now.
+    current: Vec<net::Ipv4Addr>,
+    /// The producers of each allowance that was needed, by that list.
+    ranked: collections::HashMap<Key, Vec<net::Ipv4Addr>>,
+    /// Homes that did not answer, and when.
+    lost: collections::HashMap<net::Ipv4Addr, time::Instant>,
+    /// How many were listed when the list was last unsettled, and when that was.
+    settled: (usize, time::Instant),
+    next_id: u64,
+}
+
+impl Book {
+    /// Of the process at `own`, with a number of its start, so that what was sent to the start before is not taken
+    /// for an answer to this one.
+    #[must_use]
+    pub fn new(own: net::Ipv4Addr, start: u64) -> Self {
+        Self {
+            own,
+            terms: collections::HashMap::new(),
+            shares: collections::HashMap::new(),
+            pots: collections::HashMap::new(),
+            listed: collections::BTreeMap::new(),
+            current: Vec::new(),
+            ranked: collections::HashMap::new(),
+            lost: collections::HashMap::new(),
+            settled: (0, time::Instant(0)),
+            next_id: start,
+        }
+    }
+
+    /// Takes the allowances of a configuration in place of those before.
+    pub fn set_terms(&mut self, terms: impl IntoIterator<Item = (Key, Terms)>) {
+        self.terms = terms.into_iter().collect();
+        let known = &self.terms;
+        self.pots.retain(|key, _| known.contains_key(key));
+        self.shares.retain(|key, _| known.contains_key(key));
+    }
+
+    /// Takes the list of entry processes.
+    pub fn set_entries(&mut self, now: time::Instant, entries: &[net::Ipv4Addr]) {
+        for ip in &self.current {
+            self.listed.insert(*ip, now);
+        }
+        self.current = entries.to_vec();
+        for ip in entries {
+            self.listed.insert(*ip, now);
+        }
+        self.forget_gone(now);
+        let count = self.listed.len();
+        if count * 10 > self.settled.0 * 11 {
+            self.settled = (count, now);
+        }
+        self.ranked.clear();
+    }
+
+    /// Forgets processes that have not been listed for long.
+    fn forget_gone(&mut self, now: time::Instant) {
+        if self.listed.len() == self.current.len() {
+            return;
+        }
+        let before = self.listed.len();
+        let current: collections::HashSet<_> = self.current.iter().collect();
+        self.listed
+            .retain(|ip, at| current.contains(ip) || now.since(*at) <= LISTED);
+        if self.listed.len() != before {
+            self.settled.0 = self.settled.0.min(self.listed.len());
+            self.ranked.clear();
+        }
+    }
+
+    /// What an allowance is, if there is one.
+    #[must_use]
+    pub fn terms(&self, of: Key) -> Option<Terms> {
+        self.terms.get(&of).copied()
+    }
+
+    /// A question to the homes of an allowance, but for those that did not answer lately.
+    pub fn question(&mut self, now: time::Instant, of: Key) -> Question {
+        self.lost.retain(|_, at| now.since(*at) < LOST);
+        let ranked = self.producers(of);
+        let homes = ranked[..ranked.len().min(HOMES)].to_vec();
+        let lost = &self.lost;
+        let there = homes.into_iter().filter(|it| !lost.contains_key(it));
+        Question::new(there.collect())
+    }
+
+    /// A home did not answer.
+    pub fn passed_over(&mut self, now: time::Instant, home: net::Ipv4Addr) {
+        self.lost.insert(home, now);
+    }
+
+    /// A number for a question, which no other of this process has.
+    pub fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn producers(&mut self, of: Key) -> &[net::Ipv4Addr] {
+        let listed = &self.listed;
+        self.ranked.entry(of).or_insert_with(|| {
+            let entries: Vec<_> = listed.keys().copied().collect();
+            producers(of, &entries)
+        })
+    }
+
+    /// Answers a question of `from` as the home.
+    pub fn draw(&mut self, now: time::Instant, from: net::Ipv4Addr, draw: &Draw) -> Reply {
+        let Some(terms) = self.terms(draw.of) else {
+            // By the configuration that is in force here there is no such bound.
+            return Reply {
+                answer: Answer::Granted,
+                pull: None,
+            };
+        };
+        let producers = self.producers(draw.of).len();
+        let pot = self.pots.entry(draw.of);
+        let pot = pot.or_insert_with(|| Pot::empty(now));
+        let answer = pot.draw(now, &terms, producers, from, draw);
+        let needs_more = matches!(answer, Answer::Soon(_)) && pot.may_draw_again(now);
+        let draws = needs_more || pot.draws_now(now, &terms, producers);
+        let pull = draws.then(|| self.begin(now, vec![draw.of]).pop());
+        Reply {
+            answer,
+            pull: pull.flatten(),
+        }
+    }
+
+    fn is_due(&mut self, now: time::Instant, of: Key) -> bool {
+        let Some(terms) = self.terms(of) else {
+            return false;
+        };
+        let producers = self.producers(of).len();
+        let pot = self.pots.entry(of).or_insert_with(|| Pot::empty(now));
+        pot.draws_now(now, &terms, producers)
+    }
+
+    /// Draws for all allowances of which this process is the first home, where it is time. Returns what to send
+    /// to whom.
+    pub fn tick(&mut self, now: time::Instant) -> Vec<(Pull, Vec<net::Ipv4Addr>)> {
+        self.forget_gone(now);
+        let own = self.own;
+        let keys: Vec<Key> = self.terms.keys().copied().collect();
+        let due = keys.into_iter().filter(|of| {
+            let is_first = self.producers(*of).first() == Some(&own);
+            is_first && self.is_due(now, *of)
+        });
+        let due = due.collect();
+        self.begin(now, due)
+    }
+
+    /// Begins a drawing for these allowances: one message to each producer, with all that it has a share of.
+    fn begin(&mut self, now: time::Instant, due: Vec<Key>) -> Vec<(Pull, Vec<net::Ipv4Addr>)> {
+        let id = self.next_id();
+        let mut by_producer: collections::BTreeMap<net::Ipv4Addr, Vec<Key>> =
+            collections::BTreeMap::new();
+        for of in due {
+            let own = self.own;
+            let all = self.producers(of).to_vec();
+            let others: Vec<_> = all.iter().copied().filter(|it| *it != own).collect();
+            if let Some(pot) = self.pots.get_mut(&of) {
+                pot.begin(now, id, &others);
+            }
+            if others.len() < all.len() {
+                self.draw_own(now, of);
+            }
+            for other in others {
+                by_producer.entry(other).or_default().push(of);
+            }
+        }
+        let mut pulls: Vec<(Pull, Vec<net::Ipv4Addr>)> = Vec::new();
+        for (to, of) in by_producer {
+            match pulls.iter_mut().find(|(pull, _)| pull.of == of) {
+                Some((_, group)) => group.push(to),
+                None => pulls.push((Pull { id, of }, vec![to])),
+            }
+        }
+        pulls
+    }
+
+    fn draw_own(&mut self, now: time::Instant, of: Key) {
+        let units = self.take_share(now, of);
+        let producers = self.producers(of).len();
+        let own = self.own;
+        if let (Some(terms), Some(pot)) = (self.terms(of), self.pots.get_mut(&of)) {
+            pot.fill(now, &terms, producers, own, units);
+        }
+    }
+
+    /// What this process yields of an allowance. Nothing until its list of entry processes has settled.
+    fn take_share(&mut self, now: time::Instant, of: Key) -> f64 {
+        let own = self.own;
+        let ranked = self.producers(of);
+        let (count, yields) = (ranked.len(), ranked.contains(&own));
+        let listed = self.listed.len();
+        let is_settled =
+            listed >= PRODUCERS || (listed > 0 && now.since(self.settled.1) >= SETTLED);
+        let Some(terms) = self.terms.get(&of).filter(|_| yields && is_settled) else {
+            return 0.0;
+        };
+        let share = self.shares.entry(of).or_default();
+        share.take(now, terms, count)
+    }
+
+    /// Gives a home what this process has of what it draws.
+    pub fn give(&mut self, now: time::Instant, pull: &Pull) -> Given {
+        let units = pull.of.iter();
+        let units = units.map(|of| (*of, self.take_share(now, *of)));
+        Given {
+            units: units.collect(),
+            id: pull.id,
+        }
+    }
+
+    /// Takes what `from` gives to a drawing.
+    pub fn take(&mut self, now: time::Instant, from: net::Ipv4Addr, given: &Given) {
+        for (of, units) in &given.units {
+            let producers = self.producers(*of).len();
+            if let (Some(terms), Some(pot)) = (self.terms(*of), self.pots.get_mut(of)) {
+                pot.take(now, &terms, producers, (from, given.id, *units));
+            }
+        }
+    }
+
+    /// The allowances of which this process is a home, with what it has of each.
+    pub fn pots(&self) -> impl Iterator<Item = (Key, f64)> {
+        self.pots.iter().map(|(key, pot)| (*key, pot.units()))
+    }
+}
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`backlog`] | how long what waits for an engine will wait |
+//! | [`allowance`] | what may still be used of a bound that holds over all entry processes |
 //! | [`budget`] | whether a request may be sent a second time |
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
@@ -21,6 +22,7 @@
 //! [`messages`] are what control and entry processes tell each other, [`dialect`] is what the fleet
 //! needs to know of the protocol that callers, endpoints and operators speak.
 
+pub mod allowance;
 pub mod backlog;
 pub mod budget;
 pub mod chooser;
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -20,7 +20,7 @@
 use sageshed_types::time;
 use serde::{Deserialize, Serialize};
 
-use crate::{dialect, directory};
+use crate::{allowance, dialect, directory};
 
 /// Entry processes that all tell each other. Among more of them models have homes.
 pub const GROUP: usize = 12;
@@ -29,7 +29,7 @@
 const HOMES: usize = 2;
 
 /// What travels in a datagram.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// A word on an engine.
     Word(Unread),
@@ -37,6 +37,14 @@
     Ask(Ask),
     /// There.
     Advice(Advice),
+    /// May this much of an allowance be used?
+    Draw(allowance::Draw),
+    /// So much for a [`Self::Draw`] of this id.
+    Drawn(u64, allowance::Answer),
+    /// What have you of these allowances?
+    Pull(allowance::Pull),
+    /// This.
+    Given(allowance::Given),
 }
 
 /// Asks the home of a model where a request is to go.
@@ -249,7 +257,7 @@
 
 /// The `count` of `entries` with the highest hash of both (rendezvous hashing), so that all processes find the
 /// same ones, and one that comes or goes changes few.
-fn ranked(key: u64, entries: &[net::Ipv4Addr], count: usize) -> Vec<net::Ipv4Addr> {
+pub(crate) fn ranked(key: u64, entries: &[net::Ipv4Addr], count: usize) -> Vec<net::Ipv4Addr> {
     let mut ranked: Vec<(u64, net::Ipv4Addr)> = entries
         .iter()
         .map(|entry| (hash(&(key, *entry)), *entry))
--- /dev/null
+++ b/crates/sageshed-fleet/tests/allowance.rs
@@ -0,0 +1,316 @@
+//! Allowances that are spent at many entry processes: never over the bound, and little is refused that is allowed.
+
+mod support;
+
+use sageshed_fleet::allowance::{Key, Terms};
+use support::allowances::{Outcome, World, some};
+
+/// Quotas are judged over any span of this length, in milliseconds.
+const WINDOW: u64 = 8_000;
+
+/// What a quota may be exceeded by, as a part of it.
+const OVERAGE: f64 = 0.1;
+
+/// Requests that it may be exceeded by besides.
+const SLACK: f64 = 7.0;
+
+fn key() -> Key {
+    Key::of_workspace("dug")
+}
+
+/// So many requests in a window, and an eighth of that at once.
+fn terms(in_window: f64) -> Terms {
+    let per_s = in_window * 1_000.0 / WINDOW as f64;
+    Terms {
+        per_s,
+        burst: per_s,
+    }
+}
+
+fn bound(terms: &Terms) -> f64 {
+    let within = terms.per_s * WINDOW as f64 / 1_000.0 + terms.burst;
+    within * (1.0 + OVERAGE) + SLACK
+}
+
+/// Asks for `times` the rate over so many seconds, at entry processes that `pick` chooses.
+fn demand(
+    world: &mut World,
+    terms: &Terms,
+    times: f64,
+    seconds: u64,
+    mut pick: impl FnMut(&mut World) -> usize,
+) {
+    let mean_ms = 1_000.0 / (terms.per_s * times);
+    let mut at = 0.0;
+    loop {
+        at -= mean_ms * (1.0 - world.rng.f64()).ln();
+        if at >= seconds as f64 * 1_000.0 {
+            return;
+        }
+        let entry = pick(world);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a time"
+        )]
+        world.ask(at as u64, entry, key(), 1.0);
+    }
+}
+
+fn outcome(world: &World) -> Outcome {
+    world.outcomes.get(&key()).cloned().unwrap_or_default()
+}
+
+/// A size of a fleet, a rate, and how much is asked for.
+struct Case {
+    entries: usize,
+    in_window: f64,
+    times: f64,
+}
+
+/// The sizes and rates that are to be served.
+fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for entries in [7, 73, 195, 860] {
+        for in_window in [2.0, 14.0, 300.0, 5_000.0] {
+            for times in [0.5, 0.9, 3.0] {
+                cases.push(Case {
+                    entries,
+                    in_window,
+                    times,
+                });
+            }
+        }
+    }
+    cases
+}
+
+/// A workspace asks at all entry processes, now less than it may, now three times as much. It gets what one
+/// bucket would give that all of them could see, and is never over.
+#[test]
+fn steady_demand_gets_what_is_allowed_and_no_more() {
+    for (at, case) in cases().iter().enumerate() {
+        let terms = terms(case.in_window);
+        let mut world = World::new(at as u64, case.entries, vec![(key(), terms)]);
+        world.run(3_000);
+        let seconds = if case.in_window < 100.0 { 160 } else { 16 };
+        let entries = case.entries;
+        demand(&mut world, &terms, case.times, seconds, |it| {
+            it.rng.usize(0..entries)
+        });
+        world.run(seconds * 1_000 + 1_000);
+        let outcome = outcome(&world);
+        let (ideal, granted) = outcome.against_one_bucket(&terms, 0);
+        let quota = terms.per_s * seconds as f64;
+        let name = format!(
+            "{entries} processes, {} in a window, {} times",
+            case.in_window, case.times
+        );
+        let most = outcome.most_in(WINDOW);
+        assert!(most <= bound(&terms), "{name}: {most} of {}", bound(&terms));
+        assert!(
+            ideal - granted <= 0.02 * quota + 1.0,
+            "{name}: {granted} of {ideal}, quota {quota}"
+        );
+        assert_eq!(outcome.unanswered, 0, "{name}");
+    }
+}
+
+/// The demand of a workspace moves from one zone's entry processes to another's every few seconds.
+#[test]
+fn demand_that_moves_between_zones_loses_little() {
+    for (at, case) in cases().iter().enumerate() {
+        let terms = terms(case.in_window);
+        let mut world = World::new(at as u64, case.entries, vec![(key(), terms)]);
+        world.run(3_000);
+        let rounds = if case.in_window < 100.0 { 32 } else { 4 };
+        let zone = case.entries.div_ceil(4);
+        for round in 0..rounds {
+            let entries = case.entries;
+            let first = zone * (round % 4);
+            demand(&mut world, &terms, case.times, 5, |it| {
+                (first + it.rng.usize(0..zone)) % entries
+            });
+            world.run(5_000);
+        }
+        let outcome = outcome(&world);
+        let (ideal, granted) = outcome.against_one_bucket(&terms, 0);
+        let quota = terms.per_s * 5.0 * rounds as f64;
+        let most = outcome.most_in(WINDOW);
+        assert!(
+            most <= bound(&terms),
+            "case {at}: {most} of {}",
+            bound(&terms)
+        );
+        assert!(
+            ideal - granted <= 0.05 * quota + 1.0,
+            "case {at}: {granted} of {ideal}, quota {quota}"
+        );
+    }
+}
+
+/// What goes wrong while three times the quota is asked for.
+struct Trouble {
+    name: &'static str,
+    /// Done every second.
+    does: fn(&mut World, u64),
+    /// The part of the quota that has to be served all the same.
+    served: f64,
+}
+
+fn home(world: &mut World) -> usize {
+    world.home(key())
+}
+
+const ENTRIES: usize = 73;
+
+fn troubles() -> Vec<Trouble> {
+    let trouble = |name, does, served| Trouble { name, does, served };
+    vec![
+        trouble("a lossy network", |it, _| it.lost = 40, 0.9),
+        trouble(
+            "the home is killed again and again",
+            |it, second| {
+                if second % 3 == 0 {
+                    let home = home(it);
+                    it.restart(home);
+                }
+            },
+            0.75,
+        ),
+        trouble(
+            "the home stands still for five seconds",
+            |it, second| {
+                let home = home(it);
+                match second % 10 {
+                    0 => it.freeze(home),
+                    5 => it.thaw(home),
+                    _ => {}
+                }
+            },
+            0.75,
+        ),
+        trouble(
+            "one process after the other is killed",
+            |it, second| {
+                it.restart(usize::try_from(second).expect("few") % ENTRIES);
+            },
+            0.85,
+        ),
+        trouble(
+            "the fleet is cut in two",
+            |it, second| {
+                for at in 0..ENTRIES {
+                    it.side[at] = u8::from(second % 12 >= 4 && at % 2 == 0);
+                }
+            },
+            0.7,
+        ),
+        trouble(
+            "the home is cut off",
+            |it, second| {
+                let home = home(it);
+                it.side[home] = u8::from(second % 10 >= 3);
+            },
+            0.75,
+        ),
+        trouble(
+            "processes are cut off one by one",
+            |it, second| {
+                let cut = some(&mut it.rng, 3, ENTRIES);
+                for at in 0..ENTRIES {
+                    it.side[at] = if second % 4 != 0 && cut.contains(&at) {
+                        u8::try_from(at + 1).expect("few")
+                    } else {
+                        0
+                    };
+                }
+            },
+            0.7,
+        ),
+        trouble(
+            "control starts again and lists few",
+            |it, second| {
+                let listed = match second % 6 {
+                    0 => 1,
+                    1 => 20,
+                    _ => ENTRIES,
+                };
+                it.list(&(0..listed).collect::<Vec<_>>());
+            },
+            0.85,
+        ),
+        trouble(
+            "all are killed at once",
+            |it, second| {
+                if second % 12 == 4 {
+                    for at in 0..ENTRIES {
+                        it.restart(at);
+                    }
+                    for at in 0..ENTRIES {
+                        // Each knows few of the others at first.
+                        it.tell_list(at, &[at, (at + 1) % ENTRIES]);
+                    }
+                }
+                if second % 12 == 5 {
+                    it.list(&(0..ENTRIES).collect::<Vec<_>>());
+                }
+            },
+            0.7,
+        ),
+    ]
+}
+
+/// A workspace asks for three times what it may while processes are killed, stand still and are cut off, the home
+/// of its quota among them. In no window does more run than the quota with its overage, and what can be served
+/// then is.
+#[test]
+fn in_trouble_the_bound_holds_and_most_is_served() {
+    for trouble in troubles() {
+        for (seed, in_window) in [(1, 14.0), (2, 300.0), (3, 3_000.0)] {
+            let terms = terms(in_window);
+            let mut world = World::new(seed, ENTRIES, vec![(key(), terms)]);
+            world.run(3_000);
+            let seconds = 120;
+            for second in 0..seconds {
+                (trouble.does)(&mut world, second);
+                demand(&mut world, &terms, 3.0, 1, |it| it.rng.usize(0..ENTRIES));
+                world.run(1_000);
+            }
+            let outcome = outcome(&world);
+            let most = outcome.most_in(WINDOW);
+            let name = format!("{}, {in_window} in a window", trouble.name);
+            assert!(most <= bound(&terms), "{name}: {most} of {}", bound(&terms));
+            let quota = terms.per_s * seconds as f64;
+            let granted: f64 = outcome.granted.iter().map(|(_, amount)| amount).sum();
+            assert!(
+                granted >= trouble.served * quota - 2.0,
+                "{name}: {granted} of {quota}"
+            );
+        }
+    }
+}
+
+/// An operator lowers a quota to a tenth, and raises it again.
+#[test]
+fn a_lowered_quota_holds_from_the_next_window_on() {
+    let (high, low) = (terms(1_000.0), terms(100.0));
+    let mut world = World::new(4, ENTRIES, vec![(key(), high)]);
+    world.run(3_000);
+    for (times, set) in [(3.0, high), (30.0, low), (3.0, high)] {
+        world.set_terms(vec![(key(), set)]);
+        let began = world.now();
+        demand(&mut world, &set, times, 20, |it| it.rng.usize(0..ENTRIES));
+        world.run(20_000);
+        let mut outcome = outcome(&world);
+        outcome.granted.retain(|(at, _)| *at >= began);
+        let most = outcome.most_in(WINDOW);
+        assert!(most <= bound(&set), "{most} of {}", bound(&set));
+        let granted: f64 = outcome.granted.iter().map(|(_, amount)| amount).sum();
+        assert!(
+            granted >= 0.97 * set.per_s * 20.0,
+            "{granted} of {}",
+            set.per_s * 20.0
+        );
+    }
+}
--- /dev/null
+++ b/crates/sageshed-fleet/tests/support/allowances.rs
@@ -0,0 +1,428 @@
+//! Entry processes that spend allowances together, in virtual time: the shipped code, and a network that delays
+//! and loses datagrams, is cut, and freezes and kills processes.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque},
+    net::Ipv4Addr,
+};
+
+use sageshed_fleet::allowance::{Book, Draw, Given, Key, Next, Pull, Question, Terms};
+use sageshed_types::time::{Instant, Millis};
+
+/// How long an entry process waits for an answer, in milliseconds, as the gateway does.
+const ANSWER_LIMIT: u64 = 25;
+
+/// Between two ticks of a process, in milliseconds, as in the gateway.
+const TICK: u64 = 100;
+
+#[derive(Debug, Clone)]
+enum Message {
+    Draw(Draw),
+    Answer(u64, sageshed_fleet::allowance::Answer),
+    Pull(Pull),
+    Given(Given),
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A caller asks for something at an entry process.
+    Arrive {
+        entry: usize,
+        of: Key,
+        amount: f64,
+    },
+    Deliver {
+        to: usize,
+        from: usize,
+        message: Message,
+    },
+    /// A question is put.
+    Ask {
+        request: usize,
+        home: usize,
+    },
+    /// A question was not answered.
+    Late {
+        request: usize,
+        round: u32,
+    },
+    Tick {
+        entry: usize,
+    },
+}
+
+struct Request {
+    entry: usize,
+    of: Key,
+    amount: f64,
+    id: u64,
+    question: Question,
+    round: u32,
+    began: u64,
+}
+
+/// What became of the requests for one allowance.
+#[derive(Debug, Default, Clone)]
+pub struct Outcome {
+    /// When units were granted, and how many.
+    pub granted: Vec<(u64, f64)>,
+    /// When requests came, and for how many units.
+    pub asked: Vec<(u64, f64)>,
+    /// Requests that nobody answered.
+    pub unanswered: usize,
+    /// Milliseconds between the request and its answer.
+    pub waits: Vec<u64>,
+}
+
+pub struct World {
+    now: u64,
+    pub rng: fastrand::Rng,
+    books: Vec<Book>,
+    /// Which processes stand still, and what came for them meanwhile.
+    frozen: HashMap<usize, Vec<Event>>,
+    /// Which side of a cut each process is on.
+    pub side: Vec<u8>,
+    /// Of a thousand datagrams, so many are lost.
+    pub lost: u64,
+    terms: Vec<(Key, Terms)>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    count: u64,
+    requests: Vec<Request>,
+    waiting: HashMap<(usize, u64), usize>,
+    pub outcomes: BTreeMap<Key, Outcome>,
+    /// Datagrams and bytes that each process sent.
+    pub sent: Vec<(u64, u64)>,
+}
+
+fn ip(entry: usize) -> Ipv4Addr {
+    Ipv4Addr::from(0x0a00_0001 + u32::try_from(entry).expect("few"))
+}
+
+fn entry(ip: Ipv4Addr) -> usize {
+    usize::try_from(u32::from(ip) - 0x0a00_0001).expect("few")
+}
+
+impl World {
+    /// So many processes that have known each other for a while.
+    pub fn new(seed: u64, entries: usize, terms: Vec<(Key, Terms)>) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            books: Vec::new(),
+            frozen: HashMap::new(),
+            side: vec![0; entries],
+            lost: 0,
+            terms,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            count: 0,
+            requests: Vec::new(),
+            waiting: HashMap::new(),
+            outcomes: BTreeMap::new(),
+            sent: vec![(0, 0); entries],
+        };
+        for at in 0..entries {
+            let book = world.start(at);
+            world.books.push(book);
+            let first = world.rng.u64(0..TICK);
+            world.push(first, Event::Tick { entry: at });
+        }
+        world.list(&(0..entries).collect::<Vec<_>>());
+        world
+    }
+
+    fn start(&mut self, at: usize) -> Book {
+        let mut book = Book::new(ip(at), self.rng.u64(..) >> 8);
+        book.set_terms(self.terms.clone());
+        book
+    }
+
+    /// All processes are told this list of entry processes.
+    pub fn list(&mut self, entries: &[usize]) {
+        for at in 0..self.books.len() {
+            self.tell_list(at, entries);
+        }
+    }
+
+    /// One process is told a list of entry processes.
+    pub fn tell_list(&mut self, at: usize, entries: &[usize]) {
+        let list: Vec<_> = entries.iter().map(|it| ip(*it)).collect();
+        self.books[at].set_entries(Instant(self.now), &list);
+    }
+
+    /// Another configuration is in force at all of them.
+    pub fn set_terms(&mut self, terms: Vec<(Key, Terms)>) {
+        self.terms = terms;
+        for book in &mut self.books {
+            book.set_terms(self.terms.clone());
+        }
+    }
+
+    /// A process is killed and is back at once, with nothing but the list that control tells.
+    pub fn restart(&mut self, at: usize) {
+        let everybody: Vec<_> = (0..self.books.len()).collect();
+        self.books[at] = self.start(at);
+        self.tell_list(at, &everybody);
+        self.waiting.retain(|(entry, _), _| *entry != at);
+    }
+
+    /// A process stands still; what comes for it is there when it goes on.
+    pub fn freeze(&mut self, at: usize) {
+        self.frozen.insert(at, Vec::new());
+    }
+
+    pub fn thaw(&mut self, at: usize) {
+        for event in self.frozen.remove(&at).unwrap_or_default() {
+            self.push(0, event);
+        }
+    }
+
+    /// The process that is asked first for an allowance.
+    pub fn home(&mut self, of: Key) -> usize {
+        let now = Instant(self.now);
+        let mut fresh = self.start(0);
+        let everybody: Vec<_> = (0..self.books.len()).map(ip).collect();
+        fresh.set_entries(now, &everybody);
+        match fresh.question(now, of).begin() {
+            Next::Ask(home, _) => entry(home),
+            other => panic!("a home: {other:?}"),
+        }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.count += 1;
+        self.events.insert(self.count, event);
+        self.queue.push(Reverse((self.now + after, self.count)));
+    }
+
+    /// A caller asks for units at `entry`, so many milliseconds from now.
+    pub fn ask(&mut self, after: u64, entry: usize, of: Key, amount: f64) {
+        self.push(after, Event::Arrive { entry, of, amount });
+    }
+
+    /// Goes on for so many milliseconds.
+    pub fn run(&mut self, span: u64) {
+        let until = self.now + span;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let event = self.events.remove(&number).expect("it was pushed");
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, event: Event) {
+        let of = match &event {
+            Event::Arrive { entry, .. } | Event::Tick { entry } => *entry,
+            Event::Deliver { to, .. } => *to,
+            Event::Ask { request, .. } | Event::Late { request, .. } => {
+                self.requests[*request].entry
+            }
+        };
+        if let Some(kept) = self.frozen.get_mut(&of) {
+            return kept.push(event);
+        }
+        match event {
+            Event::Arrive { entry, of, amount } => self.arrive(entry, of, amount),
+            Event::Tick { entry } => self.tick(entry),
+            Event::Deliver { to, from, message } => self.deliver(to, from, message),
+            Event::Ask { request, home } => self.put(request, home),
+            Event::Late { request, round } => self.late(request, round),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let bytes = match &message {
+            Message::Draw(_) => 110,
+            Message::Answer(..) => 70,
+            Message::Pull(pull) => 50 + 9 * pull.of.len(),
+            Message::Given(given) => 50 + 19 * given.units.len(),
+        };
+        self.sent[from].0 += 1;
+        self.sent[from].1 += bytes as u64;
+        let is_cut = self.side[from] != self.side[to];
+        if is_cut || self.rng.u64(0..1_000) < self.lost {
+            return;
+        }
+        let after = self.rng.u64(1..4);
+        self.push(after, Event::Deliver { to, from, message });
+    }
+
+    fn pull(&mut self, from: usize, pulls: Vec<(Pull, Vec<Ipv4Addr>)>) {
+        for (pull, group) in pulls {
+            for to in group {
+                self.send(from, entry(to), Message::Pull(pull.clone()));
+            }
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        let pulls = self.books[at].tick(Instant(self.now));
+        self.pull(at, pulls);
+        self.push(TICK, Event::Tick { entry: at });
+    }
+
+    fn arrive(&mut self, entry: usize, of: Key, amount: f64) {
+        let now = Instant(self.now);
+        let outcome = self.outcomes.entry(of).or_default();
+        outcome.asked.push((self.now, amount));
+        let mut question = self.books[entry].question(now, of);
+        let next = question.begin();
+        let id = self.books[entry].next_id();
+        self.requests.push(Request {
+            entry,
+            of,
+            amount,
+            id,
+            question,
+            round: 0,
+            began: self.now,
+        });
+        self.go_on(self.requests.len() - 1, next);
+    }
+
+    fn go_on(&mut self, request: usize, next: Next) {
+        let (of, began) = (self.requests[request].of, self.requests[request].began);
+        let (amount, now) = (self.requests[request].amount, self.now);
+        let outcome = self.outcomes.entry(of).or_default();
+        match next {
+            Next::Ask(home, after) => {
+                let home = entry(home);
+                self.push(after.0, Event::Ask { request, home });
+                return;
+            }
+            Next::Granted => outcome.granted.push((now, amount)),
+            Next::Over(_) => {}
+            Next::Nobody => outcome.unanswered += 1,
+        }
+        outcome.waits.push(now - began);
+    }
+
+    fn put(&mut self, request: usize, home: usize) {
+        let asked = &mut self.requests[request];
+        asked.round += 1;
+        let (from, round) = (asked.entry, asked.round);
+        let draw = Draw {
+            id: asked.id,
+            of: asked.of,
+            amount: asked.amount,
+            returned: 0.0,
+            rank: 0,
+        };
+        if home == from {
+            let answer = self.answer(from, from, &draw);
+            let next = self.requests[request].question.answered(answer);
+            return self.go_on(request, next);
+        }
+        self.waiting.insert((from, draw.id), request);
+        self.send(from, home, Message::Draw(draw));
+        self.push(ANSWER_LIMIT, Event::Late { request, round });
+    }
+
+    fn answer(&mut self, at: usize, from: usize, draw: &Draw) -> sageshed_fleet::allowance::Answer {
+        let now = Instant(self.now);
+        let reply = self.books[at].draw(now, ip(from), draw);
+        self.pull(at, reply.pull.into_iter().collect());
+        reply.answer
+    }
+
+    fn late(&mut self, request: usize, round: u32) {
+        let asked = &mut self.requests[request];
+        if asked.round != round || self.waiting.remove(&(asked.entry, asked.id)).is_none() {
+            return;
+        }
+        let entry = asked.entry;
+        let (next, lost) = asked.question.unanswered();
+        if let Some(lost) = lost {
+            self.books[entry].passed_over(Instant(self.now), lost);
+        }
+        self.go_on(request, next);
+    }
+
+    fn deliver(&mut self, to: usize, from: usize, message: Message) {
+        let now = Instant(self.now);
+        match message {
+            Message::Draw(draw) => {
+                let answer = self.answer(to, from, &draw);
+                self.send(to, from, Message::Answer(draw.id, answer));
+            }
+            Message::Answer(id, answer) => {
+                let Some(request) = self.waiting.remove(&(to, id)) else {
+                    return;
+                };
+                let next = self.requests[request].question.answered(answer);
+                self.go_on(request, next);
+            }
+            Message::Pull(pull) => {
+                let given = self.books[to].give(now, &pull);
+                self.send(to, from, Message::Given(given));
+            }
+            Message::Given(given) => self.books[to].take(now, ip(from), &given),
+        }
+    }
+}
+
+impl Outcome {
+    /// The most that was granted in any span of so many milliseconds.
+    pub fn most_in(&self, span: u64) -> f64 {
+        let mut window: VecDeque<(u64, f64)> = VecDeque::new();
+        let (mut sum, mut most) = (0.0, 0.0_f64);
+        for (at, amount) in &self.granted {
+            window.push_back((*at, *amount));
+            sum += amount;
+            while window.front().is_some_and(|(first, _)| at - first >= span) {
+                sum -= window.pop_front().map_or(0.0, |(_, amount)| amount);
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+
+    /// What one bucket of these terms, which all could see at once, would have granted from `since` on, and what
+    /// was granted.
+    pub fn against_one_bucket(&self, terms: &Terms, since: u64) -> (f64, f64) {
+        let (mut level, mut at, mut ideal) = (terms.burst, 0, 0.0);
+        for (now, amount) in &self.asked {
+            level = (level + terms.grown(Millis(now - at))).min(terms.burst.max(0.0));
+            at = *now;
+            // As the pot does: what is larger than the bucket is granted by a full one.
+            if level > 0.0 && level >= amount.min(terms.burst) {
+                level -= amount;
+                if *now >= since {
+                    ideal += amount;
+                }
+            }
+        }
+        let granted = self.granted.iter().filter(|(at, _)| *at >= since);
+        (ideal, granted.map(|(_, amount)| amount).sum())
+    }
+
+    /// The wait that this part of the requests did not exceed.
+    pub fn wait(&self, part: f64) -> u64 {
+        let mut waits = self.waits.clone();
+        waits.sort_unstable();
+        let last = waits.len().saturating_sub(1) as f64;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "an index"
+        )]
+        let at = (last * part) as usize;
+        waits.get(at).copied().unwrap_or_default()
+    }
+}
+
+/// Processes that no list names twice.
+pub fn some(rng: &mut fastrand::Rng, count: usize, of: usize) -> HashSet<usize> {
+    rng.choose_multiple(0..of, count).into_iter().collect()
+}
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet: one service of engines with four models, one plain service.
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub mod allowances;
+
 use std::net;
 
 use sageshed_fleet::{chooser, config, dialect, directory};
--- /dev/null
+++ b/src/sageshed/gateway/allowances.rs
@@ -0,0 +1,134 @@
+//! Allowances that all entry processes spend together: asking their homes, and being one.
+
+use std::{net, sync, thread, time};
+
+use sageshed_fleet::{allowance, config, dialect};
+
+use super::state;
+
+/// Between two looks at the pots of this process: a part of [`allowance::DRAW_EVERY`].
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// The allowances of a configuration.
+pub(super) fn terms(config: &config::FleetConfig) -> Vec<(allowance::Key, allowance::Terms)> {
+    let workspaces = config.workspaces.iter().flat_map(|it| &it.all);
+    let quota = |workspace: &config::Workspace| {
+        let quota = workspace.quota?;
+        let terms = allowance::Terms {
+            per_s: quota.per_s,
+            burst: quota.burst,
+        };
+        Some((allowance::Key::of_workspace(&workspace.name), terms))
+    };
+    workspaces.filter_map(quota).collect()
+}
+
+/// Asks the homes of an allowance for units. Returns how it ended.
+pub(super) fn ask<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    draw: allowance::Draw,
+) -> allowance::Next {
+    let now = shared.clock.now();
+    let (mut question, id) = shared.with_core(|core| {
+        let book = &mut core.allowances;
+        (book.question(now, draw.of), book.next_id())
+    });
+    let draw = allowance::Draw { id, ..draw };
+    let mut next = question.begin();
+    while let allowance::Next::Ask(home, after) = next {
+        thread::sleep(after.into());
+        next = match put(shared, home, draw) {
+            Some(answer) => question.answered(answer),
+            None => unanswered(shared, &mut question),
+        };
+    }
+    next
+}
+
+fn unanswered<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    question: &mut allowance::Question,
+) -> allowance::Next {
+    let (next, lost) = question.unanswered();
+    if let Some(home) = lost {
+        ::log::debug!(home:% = home; "gateway: home of an allowance does not answer");
+        let now = shared.clock.now();
+        shared.with_core(|core| core.allowances.passed_over(now, home));
+    }
+    next
+}
+
+fn put<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    home: net::Ipv4Addr,
+    question: allowance::Draw,
+) -> Option<allowance::Answer> {
+    let own = shared.settings.discovery.ip;
+    if home == own {
+        return Some(draw(shared, own, &question));
+    }
+    shared.neighbours.as_ref()?.draw(home, question)
+}
+
+/// Answers as the home of an allowance.
+pub(super) fn draw<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    from: net::Ipv4Addr,
+    question: &allowance::Draw,
+) -> allowance::Answer {
+    let now = shared.clock.now();
+    let reply = shared.with_core(|core| core.allowances.draw(now, from, question));
+    if let Some(neighbours) = &shared.neighbours {
+        neighbours.pull(reply.pull.into_iter().collect());
+    }
+    reply.answer
+}
+
+/// Gives units back that were taken and not used. A lost word costs them.
+pub(super) fn give_back<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    of: allowance::Key,
+    units: f64,
+) {
+    let now = shared.clock.now();
+    let (mut question, id) = shared.with_core(|core| {
+        let book = &mut core.allowances;
+        (book.question(now, of), book.next_id())
+    });
+    let word = allowance::Draw {
+        id,
+        of,
+        amount: 0.0,
+        returned: units,
+        rank: 0,
+    };
+    let allowance::Next::Ask(home, _) = question.begin() else {
+        return;
+    };
+    let own = shared.settings.discovery.ip;
+    if home == own {
+        draw(shared, own, &word);
+    } else if let Some(neighbours) = &shared.neighbours {
+        neighbours.give_back(home, word);
+    }
+}
+
+/// Starts the thread that fills the pots of which this process is the home.
+pub(super) fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) {
+    let filling = sync::Arc::clone(shared);
+    let spawned = thread::Builder::new()
+        .name("allowances".to_owned())
+        .spawn(move || {
+            while !filling.is_stopping() {
+                let now = filling.clock.now();
+                let pulls = filling.with_core(|core| core.allowances.tick(now));
+                if let Some(neighbours) = &filling.neighbours {
+                    neighbours.pull(pulls);
+                }
+                thread::sleep(TICK);
+            }
+        });
+    if let Err(e) = spawned {
+        ::log::error!(error:% = e; "gateway: no thread for allowances");
+    }
+}
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! blocks while it waits for a place, a load or an answer, and looks several times a second whether
 //! the caller is still there.
 
+mod allowances;
 mod answer;
 mod crashes;
 pub mod metrics;
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -7,10 +7,10 @@
     thread, time,
 };
 
-use sageshed_fleet::{chooser, dialect, neighbours as words};
+use sageshed_fleet::{allowance, chooser, dialect, neighbours as words};
 use sageshed_types::time::Millis;
 
-use super::state;
+use super::{allowances, state};
 use crate::{locks, sampler};
 
 /// The largest datagram that is read, in bytes. A question with a prompt of eight parts has some 300.
@@ -29,13 +29,18 @@
 /// How often the thread that listens looks whether the process stops.
 const LOOK: time::Duration = time::Duration::from_millis(500);
 
+/// Who waits for which answer.
+type Asked<T> = sync::Mutex<collections::HashMap<u64, mpsc::SyncSender<T>>>;
+
 /// The socket for datagrams.
 #[derive(Debug)]
 pub struct Neighbours {
     socket: net::UdpSocket,
     port: u16,
     /// Questions that wait for their answers, by their ids.
-    asked: sync::Mutex<collections::HashMap<u64, mpsc::SyncSender<words::Place>>>,
+    asked: Asked<words::Place>,
+    /// The same of questions for units of allowances.
+    drawn: Asked<allowance::Answer>,
     next_id: atomic::AtomicU64,
     /// Homes that did not answer, and when.
     lost: sync::Mutex<collections::HashMap<net::Ipv4Addr, time::Instant>>,
@@ -49,7 +54,8 @@
         Ok(Self {
             socket,
             port,
-            asked: sync::Mutex::default(),
+            asked: Asked::default(),
+            drawn: Asked::default(),
             next_id: atomic::AtomicU64::new(0),
             lost: sync::Mutex::default(),
         })
@@ -78,11 +84,7 @@
         let home = self.first_there(homes)?;
         ask.id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
         let id = ask.id;
-        let (tx, rx) = mpsc::sync_channel(1);
-        locks::lock(&self.asked).insert(id, tx);
-        self.send(&words::Datagram::Ask(ask), &[home]);
-        let place = rx.recv_timeout(ANSWER_LIMIT).ok();
-        locks::lock(&self.asked).remove(&id);
+        let place = self.question(&self.asked, id, &words::Datagram::Ask(ask), home);
         if place.is_none() {
             locks::lock(&self.lost).insert(home, time::Instant::now());
             ::log::debug!(home:% = home; "gateway: home of a model does not answer");
@@ -90,17 +92,49 @@
         place
     }
 
+    /// Asks `home` for units of an allowance. None where no answer comes.
+    pub fn draw(&self, home: net::Ipv4Addr, draw: allowance::Draw) -> Option<allowance::Answer> {
+        self.question(&self.drawn, draw.id, &words::Datagram::Draw(draw), home)
+    }
+
+    /// Gives units back to `home`, and waits for no answer.
+    pub fn give_back(&self, home: net::Ipv4Addr, draw: allowance::Draw) {
+        self.send(&words::Datagram::Draw(draw), &[home]);
+    }
+
+    /// Draws what producers of allowances have.
+    pub fn pull(&self, pulls: Vec<(allowance::Pull, Vec<net::Ipv4Addr>)>) {
+        for (pull, producers) in pulls {
+            self.send(&words::Datagram::Pull(pull), &producers);
+        }
+    }
+
+    fn question<T>(
+        &self,
+        asked: &Asked<T>,
+        id: u64,
+        question: &words::Datagram,
+        home: net::Ipv4Addr,
+    ) -> Option<T> {
+        let (tx, rx) = mpsc::sync_channel(1);
+        locks::lock(asked).insert(id, tx);
+        self.send(question, &[home]);
+        let answer = rx.recv_timeout(ANSWER_LIMIT).ok();
+        locks::lock(asked).remove(&id);
+        answer
+    }
+
     fn first_there(&self, homes: &[net::Ipv4Addr]) -> Option<net::Ipv4Addr> {
         let mut lost = locks::lock(&self.lost);
         lost.retain(|_, since| since.elapsed() < LOST);
         homes.iter().copied().find(|it| !lost.contains_key(it))
     }
 
-    fn answered(&self, advice: words::Advice) {
-        let waiting = locks::lock(&self.asked).remove(&advice.id);
-        let is_late = waiting.is_none_or(|tx| tx.try_send(advice.place).is_err());
+    fn answered<T>(asked: &Asked<T>, id: u64, answer: T) {
+        let waiting = locks::lock(asked).remove(&id);
+        let is_late = waiting.is_none_or(|tx| tx.try_send(answer).is_err());
         if is_late {
-            ::log::debug!(question = advice.id; "gateway: advice came too late");
+            ::log::debug!(question = id; "gateway: answer of a neighbour came too late");
         }
     }
 
@@ -126,9 +160,31 @@
         Ok(words::Datagram::Ask(ask)) => advise(shared, *from.ip(), ask),
         Ok(words::Datagram::Advice(advice)) => {
             if let Some(neighbours) = &shared.neighbours {
-                neighbours.answered(advice);
+                Neighbours::answered(&neighbours.asked, advice.id, advice.place);
+            }
+        }
+        Ok(words::Datagram::Drawn(id, answer)) => {
+            if let Some(neighbours) = &shared.neighbours {
+                Neighbours::answered(&neighbours.drawn, id, answer);
+            }
+        }
+        Ok(words::Datagram::Draw(draw)) => {
+            let answer = allowances::draw(shared, *from.ip(), &draw);
+            if let Some(neighbours) = shared.neighbours.as_ref().filter(|_| draw.amount > 0.0) {
+                neighbours.send(&words::Datagram::Drawn(draw.id, answer), &[*from.ip()]);
+            }
+        }
+        Ok(words::Datagram::Pull(pull)) => {
+            let now = shared.clock.now();
+            let given = shared.with_core(|core| core.allowances.give(now, &pull));
+            if let Some(neighbours) = &shared.neighbours {
+                neighbours.send(&words::Datagram::Given(given), &[*from.ip()]);
             }
         }
+        Ok(words::Datagram::Given(given)) => {
+            let now = shared.clock.now();
+            shared.with_core(|core| core.allowances.take(now, *from.ip(), &given));
+        }
         Err(e) => {
             // Anybody can send datagrams without end.
             if shared.misread.line(shared.clock.now()) != sampler::Line::LeaveOut {
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -43,6 +43,7 @@
     ) -> Sending<'c> {
         let sent_at = std_time::Instant::now();
         neighbours::tell(self.shared, pick);
+        self.use_charge();
         let waited = self.req.received.elapsed();
         self.story.sent(pick, waited.into());
         let expected = std_time::Duration::from(pick.estimate) + MOVED_AFTER;
@@ -296,6 +297,7 @@
             pick.instance
         );
         self.story.came_to(verdict::Verdict::NotRun, &self.last);
+        self.unuse_charge();
         let is_replaced = answered.endpoint.is_some_and(|it| it != pick.instance.name);
         if answered.word == dialect::Word::Misdirected && is_replaced {
             self.ended(pick, false, chooser::Ended::GivenUp);
@@ -348,6 +350,7 @@
                 "gateway: endpoint not reached, the request was not sent");
             self.last = format!("endpoint {} was not reached: {failure}", pick.instance);
             self.story.came_to(verdict::Verdict::NotRun, &self.last);
+            self.unuse_charge();
             self.ended(pick, began, chooser::Ended::Unreachable);
             self.shared.pool.forget(pick.address);
             self.tried.push(pick.key);
--- a/src/sageshed/gateway/pass/ending.rs
+++ b/src/sageshed/gateway/pass/ending.rs
@@ -58,6 +58,7 @@
         outlet: Outlet<'_>,
         refusal: &refusal::Refusal,
     ) -> reply::Sent {
+        self.give_charge_back();
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
             workspace = self.workspace_name(), config = self.shared.version(), model = self.model_name(), status = refusal.status,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
@@ -69,6 +70,7 @@
     }
 
     pub(super) fn left(&mut self, outlet: Outlet<'_>) -> reply::Sent {
+        self.give_charge_back();
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
             workspace = self.workspace_name(), model = self.model_name(), waited_for = self.waited_for_word(),
             arrivals = self.arrivals, left_ms = self.left_ms().0,
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -13,6 +13,7 @@
 mod held;
 mod home;
 mod identity;
+mod quota;
 mod story;
 mod stream;
 mod waiting;
@@ -176,6 +177,10 @@
     last: String,
     /// What it asks for was counted for the leader.
     is_counted: cell::Cell<bool>,
+    /// What was taken of its workspace's quota for its next sending.
+    charge: Option<quota::Charge>,
+    /// The same for the sending under way.
+    used: Option<quota::Charge>,
     /// A repeat was taken out of the budget for its next sending.
     repeat_in_hand: bool,
     /// It could have been sent once more, and the budget for repeats was spent.
@@ -260,6 +265,8 @@
             arrivals: 0,
             last: String::new(),
             is_counted: cell::Cell::new(false),
+            charge: None,
+            used: None,
             repeat_in_hand: false,
             lacks_repeat: false,
             waited_for: None,
@@ -275,6 +282,9 @@
         self.shared.with_core(|core| {
             core.budget.request(now, self.service);
         });
+        if let Some(refusal) = self.charge() {
+            return self.refused(outlet, &refusal);
+        }
         loop {
             let pick = match self.next(&watch) {
                 Step::Send(pick) => pick,
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -159,6 +159,10 @@
 
     /// The second and each further arrival at an endpoint takes from the budget.
     fn may_send(&mut self, pick: chooser::Pick) -> Step {
+        if let Some(refusal) = self.charge() {
+            self.ended(&pick, false, chooser::Ended::GivenUp);
+            return Step::Refuse(refusal);
+        }
         if self.arrivals == 0 || self.take_repeat() {
             self.repeat_in_hand = false;
             return Step::Send(pick);
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -7,7 +7,10 @@
 
 use sageshed_fleet::{config, dialect, routes, workspaces};
 
-use super::state::{LOOK, Shared};
+use super::{
+    allowances,
+    state::{LOOK, Shared},
+};
 use crate::locks;
 
 /// How long a request waits for the first configuration of this process: a third of the time of the
@@ -64,6 +67,8 @@
             return;
         }
         let count = routing.table.len();
+        let terms = allowances::terms(&routing.config);
+        self.with_core(|core| core.allowances.set_terms(terms));
         *current = Some(routing);
         drop(current);
         // Requests that came before the first one wait for it.
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -12,7 +12,7 @@
 use sageshed_fleet::dialect;
 use sageshed_http::{handler, limits, server};
 
-use super::{neighbours, pass, ready, state, watch};
+use super::{allowances, neighbours, pass, ready, state, watch};
 use crate::{context, locks, metrics_port, settings};
 
 /// Descriptors that are not for callers: control processes, idle connections to endpoints, ports.
@@ -83,6 +83,7 @@
         .transpose()?;
     watch::start(&shared);
     neighbours::start(&shared);
+    allowances::start(&shared);
     ::log::info!(vm = shared.settings.vm.as_str(), callers:% = callers.local_addr(),
         ready:% = ready.local_addr(); "gateway: listens");
     while !cx.stop.wait_timeout(SWEEP) {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -7,7 +7,8 @@
 };
 
 use sageshed_fleet::{
-    backlog, budget, chooser, dialect, directory, messages, neighbours as words, quarantine, tally,
+    allowance, backlog, budget, chooser, dialect, directory, messages, neighbours as words,
+    quarantine, tally,
 };
 use sageshed_types::time;
 use sageshed_upstream::pool;
@@ -63,6 +64,8 @@
     pub chooser: chooser::Chooser,
     /// What waits here for engines.
     pub backlog: backlog::Backlog,
+    /// What is known of allowances that all entry processes spend together.
+    pub allowances: allowance::Book,
     /// Allows repeats.
     pub budget: budget::RetryBudget,
     /// What is known of endpoints.
@@ -116,6 +119,7 @@
             chooser: chooser::Chooser::new(&settings.availability_zone, seed)
                 .with_policy(settings.routing),
             backlog: backlog::Backlog::default(),
+            allowances: allowance::Book::new(settings.discovery.ip, start),
             budget: budget::RetryBudget::new(budget::Allowance {
                 ratio: retries.ratio,
                 slack: retries.slack,
@@ -233,6 +237,8 @@
         ::log::info!(count = entries.len(); "gateway: entry processes changed");
         let own = self.settings.discovery.ip;
         core.chooser.join_groups(own, &entries);
+        let now = self.clock.now();
+        core.allowances.set_entries(now, &entries);
         core.entries_number = number;
         core.entries = entries;
     }
--- a/src/sageshed/losses.rs
+++ b/src/sageshed/losses.rs
@@ -72,6 +72,9 @@
     /// The process was stopping.
     #[display("process stops")]
     Stopping,
+    /// Its workspace asked for more than its quota.
+    #[display("over the quota")]
+    OverQuota,
     /// Endpoints ended under it, and it was passed on no more.
     #[display("ends endpoints")]
     EndsEndpoints,
@@ -283,6 +286,8 @@
         "not_confirmed" => Cause::NoConfiguration,
         "draining" => Cause::Stopping,
         "quarantined" => Cause::EndsEndpoints,
+        "caller_limit" => Cause::OverQuota,
+        "unauthorized" => Cause::NotServable,
         _ => waited(record),
     };
     (outcome, cause)
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,5 +11,6 @@
 mod explaining;
 mod fleet;
 mod identity;
+mod quota;
 mod requests;
 mod stopping;
--- /dev/null
+++ b/tests/fleet/quota.rs
@@ -0,0 +1,285 @@
+//! What a workspace may use, counted over all entry processes: never more, and the others are not made to pay.
+
+use std::{net, thread, time};
+
+use crate::{
+    fleet::Fleet,
+    standin::{
+        caller::{Ask, Caller},
+        engine::{Does, Engine},
+        operator,
+    },
+};
+
+/// The key of the workspace with a quota, and of the one without.
+const DUG: &str = "Authorization: Bearer kdug5f1a0c77\r\n";
+const PIPE: &str = "Authorization: Bearer kpipe83c6ab0\r\n";
+
+/// What the quota of `dug` allows in a second and at once.
+struct Quota {
+    per_s: u32,
+    burst: u32,
+    unit: &'static str,
+}
+
+const IN_REQUESTS: Quota = Quota {
+    per_s: 4,
+    burst: 4,
+    unit: "request",
+};
+
+/// A request of the stand-in's for a model counts 110 tokens; one that names none counts 50.
+const IN_TOKENS: Quota = Quota {
+    per_s: 440,
+    burst: 440,
+    unit: "token_stream",
+};
+
+fn config(version: u64, quota: &Quota) -> String {
+    let Quota { per_s, burst, unit } = quota;
+    let limited = format!(
+        r#"{{"name":"dug","api_keys":["kdug5f1a0c77"],"unit":"{unit}","uncached_tokens":50,"rate_per_s":{per_s},"burst":{burst}}}"#
+    );
+    let list = format!(
+        "[{limited},{}]",
+        operator::workspace("pipe", &["kpipe83c6ab0"])
+    );
+    operator::with_workspaces(&operator::config(version), &list)
+}
+
+/// Three entry processes with the quota in force, and the endpoints.
+fn fleet(quota: &Quota) -> (Fleet, Vec<Engine>) {
+    let fleet = Fleet::start(3, 3);
+    fleet.replace(&config(20, quota));
+    let engines = vec![
+        fleet.engine("e1", "engines", 31, &["m1"]),
+        fleet.engine("p1", "plain", 33, &[]),
+    ];
+    for entry in 0..3 {
+        for path in ["/again/x", "/stream/x"] {
+            fleet.until("an entry process serves", || {
+                status(&fleet, entry, path, "look", PIPE) == 200
+            });
+        }
+        fleet.until("an entry process knows of quotas", || {
+            status(&fleet, entry, "/again/x", "look", DUG) == 200
+        });
+    }
+    (fleet, engines)
+}
+
+fn status(fleet: &Fleet, entry: usize, path: &str, id: &str, lines: &str) -> u16 {
+    let ask = Ask {
+        lines,
+        ..Ask::new("GET", path, id)
+    };
+    fleet.ask(entry, &ask).map_or(0, |it| it.status())
+}
+
+fn runs_of(engines: &[Engine], prefix: &str) -> usize {
+    let runs = engines.iter().map(|engine| {
+        engine.seen(|seen| {
+            let of = |id: Option<&str>| id.is_some_and(|it| it.starts_with(prefix));
+            seen.ran
+                .iter()
+                .filter(|it| of(it.header("attempt-id")))
+                .count()
+        })
+    });
+    runs.sum()
+}
+
+/// Between two requests of a caller that asks for too much.
+const BETWEEN: time::Duration = time::Duration::from_millis(40);
+
+/// Asks all entry processes at once for a while. Returns the statuses and how long it
+/// took.
+fn flood(fleet: &Fleet, path: &str, prefix: &str, each: usize) -> (Vec<u16>, time::Duration) {
+    let began = time::Instant::now();
+    let statuses = thread::scope(|scope| {
+        let callers: Vec<_> = (0..fleet.entries.len())
+            .map(|entry| {
+                scope.spawn(move || {
+                    let ask = |at| {
+                        thread::sleep(BETWEEN);
+                        status(fleet, entry, path, &format!("{prefix}-{entry}-{at}"), DUG)
+                    };
+                    (0..each).map(ask).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .flat_map(|it| it.join().expect("a thread"))
+            .collect()
+    });
+    (statuses, began.elapsed())
+}
+
+/// The most that may have been allowed in a time: what grew, what was there at once, and what a restart brings.
+fn most(quota: &Quota, per_request: f64, took: time::Duration) -> f64 {
+    let grown = f64::from(quota.per_s) * (took.as_secs_f64() + 1.0);
+    ((grown + f64::from(quota.burst)) / per_request).ceil()
+}
+
+/// One workspace asks for many times its quota at all entry processes at once. It gets its quota, whatever process
+/// it asks; what is over is told so at once and when to come back, and has not run; the other workspace notices
+/// nothing.
+#[test]
+fn a_workspace_gets_its_quota_over_all_entry_processes_together() {
+    for (quota, path, per_request) in [
+        (IN_REQUESTS, "/again/x", 1.0),
+        (IN_TOKENS, "/again/x", 50.0),
+        (IN_TOKENS, "/stream/x", 110.0),
+    ] {
+        let (fleet, engines) = fleet(&quota);
+        let (statuses, took) = flood(&fleet, path, "dug", 60);
+        let allowed = statuses.iter().filter(|it| **it == 200).count();
+        assert!(
+            statuses.iter().all(|it| matches!(it, 200 | 429)),
+            "{statuses:?}"
+        );
+        assert!(allowed > 0, "{statuses:?}");
+        assert!(
+            allowed as f64 <= most(&quota, per_request, took),
+            "{allowed} in {took:?}"
+        );
+        assert_eq!(
+            runs_of(&engines, "dug"),
+            allowed,
+            "what was refused has not run"
+        );
+        for entry in 0..3 {
+            assert_eq!(status(&fleet, entry, path, "other", PIPE), 200);
+        }
+        let ask = Ask {
+            lines: DUG,
+            ..Ask::new("GET", path, "told")
+        };
+        fleet.until("it is over its quota", || {
+            let answer = fleet.ask(0, &ask).expect("an answer");
+            let after = answer.header("retry-after").map(str::to_owned);
+            assert_eq!(after.is_some(), answer.status() == 429, "{after:?}");
+            answer.status() == 429 && answer.text().contains("the quota of workspace dug")
+        });
+    }
+}
+
+/// The processes that keep the count are killed one after the other, and one stands still, while a workspace asks
+/// for more than its quota. The count is lost with each, and what is allowed is not counted twice.
+#[test]
+fn a_quota_holds_while_entry_processes_are_killed_and_stand_still() {
+    let (mut fleet, engines) = fleet(&IN_REQUESTS);
+    let began = time::Instant::now();
+    for round in 0..6 {
+        let at = round % 3;
+        if round % 2 == 0 {
+            fleet.entries[at].kill();
+            fleet.entries[at].start();
+        } else {
+            fleet.entries[at].signal("STOP");
+        }
+        let alive = (at + 1) % 3;
+        for request in 0..40 {
+            let id = format!("dug-{round}-{request}");
+            let status = status(&fleet, alive, "/again/x", &id, DUG);
+            assert!(matches!(status, 200 | 429 | 503), "{status}");
+        }
+        if round % 2 == 1 {
+            fleet.entries[at].signal("CONT");
+        }
+    }
+    let took = began.elapsed();
+    let runs = runs_of(&engines, "dug-");
+    // Each of the kills may bring what a producer yields at its start.
+    let allowed = most(&IN_REQUESTS, 1.0, took) + 3.0 * f64::from(IN_REQUESTS.per_s);
+    assert!(runs as f64 <= allowed, "{runs} ran in {took:?}");
+    fleet.until("the workspace is served again", || {
+        status(&fleet, 0, "/again/x", "after", DUG) == 200
+    });
+}
+
+/// An endpoint says that it has not run the request, or its caller leaves before it is sent: nothing of the quota
+/// is used. An endpoint that fails has used it.
+#[test]
+fn what_has_not_run_is_given_back() {
+    let (fleet, engines) = fleet(&Quota {
+        per_s: 1,
+        burst: 20,
+        unit: "request",
+    });
+    thread::sleep(FILLED);
+    engines[1].does(Does::Rejects);
+    for at in 0..60 {
+        let status = status(&fleet, at % 3, "/once/x", &format!("rejected-{at}"), DUG);
+        assert_eq!(status, 503, "it was not run, and takes nothing: {at}");
+    }
+    engines[1].does(Does::Fails(500));
+    let mut statuses = Vec::new();
+    for at in 0..60 {
+        statuses.push(status(
+            &fleet,
+            at % 3,
+            "/once/x",
+            &format!("failed-{at}"),
+            DUG,
+        ));
+    }
+    assert!(
+        statuses.contains(&429),
+        "what has run is charged: {statuses:?}"
+    );
+}
+
+/// A caller leaves while its request waits for an engine that is not there.
+#[test]
+fn a_caller_that_leaves_while_it_waits_is_not_charged() {
+    let fleet = Fleet::start(3, 1);
+    fleet.replace(&config(
+        20,
+        &Quota {
+            per_s: 1,
+            burst: 8,
+            unit: "request",
+        },
+    ));
+    let plain = fleet.engine("p1", "plain", 33, &[]);
+    fleet.until("it serves", || {
+        status(&fleet, 0, "/again/x", "look", DUG) == 200
+    });
+    thread::sleep(FILLED);
+    let address = fleet.entries[0].address();
+    for at in 0..40 {
+        let id = format!("left-{at}");
+        let mut caller = connect(address);
+        let ask = Ask {
+            lines: DUG,
+            ..Ask::new("POST", "/stream/x", &id)
+        };
+        caller.send(&ask).expect("it is sent");
+        fleet.until("it waits here", || {
+            let figures = operator::call(fleet.entries[0].metrics(), "GET", "/metrics", "");
+            figures.is_ok_and(|it| {
+                it.text()
+                    .contains("sageshed_gateway_waiting{otel_scope_name=\"sageshed\"} 1")
+            })
+        });
+        drop(caller);
+        fleet.until("the process has noticed", || {
+            let figures = operator::call(fleet.entries[0].metrics(), "GET", "/metrics", "");
+            figures.is_ok_and(|it| {
+                it.text()
+                    .contains("sageshed_gateway_waiting{otel_scope_name=\"sageshed\"} 0")
+            })
+        });
+    }
+    assert_eq!(status(&fleet, 0, "/again/x", "after", DUG), 200);
+    assert_eq!(plain.runs("after"), 1);
+}
+
+/// After this a quota of one request a second allows a few at once.
+const FILLED: time::Duration = time::Duration::from_secs(5);
+
+fn connect(address: net::SocketAddrV4) -> Caller {
+    Caller::connect(address).expect("a connection")
+}
