--- a/src/sageshed/gateway/allowances.rs
+++ b/src/sageshed/gateway/allowances.rs
@@ -1,6 +1,6 @@
 //! Allowances that all entry processes spend together: asking their homes, and being one.
 
-use std::{net, sync, thread, time};
+use std::{collections, net, sync, thread, time};
 
 use sageshed_fleet::{allowance, config, dialect};
 
@@ -23,6 +23,21 @@
     workspaces.filter_map(quota).collect()
 }
 
+/// What is left of the quotas that this process keeps, by workspace.
+pub(super) fn pots<D: dialect::Dialect>(shared: &state::Shared<D>) -> Vec<(String, f64)> {
+    let Some(routing) = shared.routing() else {
+        return Vec::new();
+    };
+    let pots: collections::HashMap<_, _> =
+        shared.with_core(|core| core.allowances.pots().collect());
+    let workspaces = routing.workspaces.iter().flat_map(|it| it.iter());
+    let left = workspaces.filter_map(|workspace| {
+        let left = pots.get(&allowance::Key::of_workspace(&workspace.name))?;
+        Some((workspace.name.clone(), *left))
+    });
+    left.collect()
+}
+
 /// Asks the homes of an allowance for units. Returns how it ended.
 pub(super) fn ask<D: dialect::Dialect>(
     shared: &state::Shared<D>,
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::{KeyValue, metrics as instruments};
 
-use super::state;
+use super::{allowances, state};
 use crate::{locks, metrics};
 
 /// Upper bounds of the buckets of times, in seconds.
@@ -64,6 +64,7 @@
     silence: metrics::Gauge,
     waiting: metrics::Gauge,
     repeats: metrics::Gauge,
+    quotas: metrics::Gauge,
     idle: metrics::Gauge,
     held: metrics::Gauge,
 }
@@ -112,6 +113,10 @@
                 "sageshed_gateway_repeats_left",
                 "Repeats left in the budget",
             ),
+            quotas: gauge(
+                "sageshed_gateway_quota_left",
+                "What is left at once of a quota that this process keeps",
+            ),
             idle: gauge("sageshed_gateway_idle", "Idle connections to endpoints"),
             held: gauge(
                 "sageshed_gateway_requests_held",
@@ -174,6 +179,9 @@
         for (service, left) in left {
             self.now.repeats.set_for("service", &service, left);
         }
+        for (workspace, left) in allowances::pots(shared).into_iter().take(WORKSPACES_NAMED) {
+            self.now.quotas.set_for("workspace", &workspace, left);
+        }
         let waiting = shared.waiting.load(std::sync::atomic::Ordering::Relaxed);
         self.now.waiting.set(waiting as f64);
         self.now.silence.set(shared.silence().0 as f64 / 1_000.0);
