Send long prompts where few streams run

An engine reads a prompt between two events of all its streams: one of 7,000 tokens takes 400 ms, which is as long as they bear. Engines were compared by when the answer begins alone, so long prompts were spread over all of them. Hypothesis: fewer streams are stopped where long prompts go to engines that run few. Test: virtual time, one prompt of twelve long, half of eight engines crowded; red without. Change: entry processes pass on how many requests an engine runs by its own answers; each that a prompt of over half a pause would stop counts 20 ms against the engine, growing to that at a whole pause.

--- a/crates/sageshed-fleet/src/chooser/advice.rs
+++ b/crates/sageshed-fleet/src/chooser/advice.rs
@@ -35,6 +35,9 @@
             endpoint.word_at = now;
             endpoint.ejection = time::Millis(0);
         }
+        if let Some(running) = word.running {
+            endpoint.crowd = Some((running, now));
+        }
         let has_less = endpoint.hear(now, from, word.micros);
         if let Some(trouble) = word.trouble {
             endpoint.hear_of(now, from, trouble);
@@ -75,6 +78,7 @@
             micros: endpoint.unread,
             kept: None,
             pace: None,
+            running: None,
             pauses: None,
             trouble: None,
         };
--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -46,6 +46,16 @@
 /// a word comes within some milliseconds, unless a datagram was lost.
 const ADVISED_KEPT: time::Millis = time::Millis(150);
 
+/// The part of the pause that streams bear which a prompt may take without one of them being late: the step that
+/// was under way and what else waits take the rest.
+const BORNE: f64 = 0.5;
+
+/// What each stream that a long prompt stops adds to the engine's estimate.
+const STALL_MS: f64 = 20.0;
+
+/// How long an engine's word on what it runs is used. Most streams last that long.
+const CROWD_KEPT: time::Millis = time::Millis(2_000);
+
 /// An endpoint that can't be reached is left out for this long at first, in milliseconds.
 const FIRST_EJECTION: time::Millis = time::Millis(300);
 
@@ -77,6 +87,8 @@
     /// Microseconds that it takes to read those whose answer has not begun.
     pub(super) unread: u64,
     pub(super) load: Option<(dialect::Load, time::Instant)>,
+    /// Requests that an engine runs, by the latest word of its own that any process passed on.
+    pub(super) crowd: Option<(u32, time::Instant)>,
     /// How many times as long as others it takes to read.
     pub(super) slowness: f64,
     /// Time for an answer, in milliseconds; of plain services.
@@ -114,6 +126,7 @@
             in_flight: 0,
             unread: 0,
             load: None,
+            crowd: None,
             slowness: 1.0,
             answer_ms: FIRST_SERVICE_MS,
             word_at: time::Instant(0),
@@ -263,6 +276,20 @@
         f64::from(running)
     }
 
+    /// What a prompt that takes so many milliseconds to be read costs the streams that run there, in milliseconds of
+    /// its own wait: each of them stands still meanwhile, and counts as late beyond `limit_ms`.
+    pub(super) fn stall_ms(&self, now: time::Instant, reading: f64, limit_ms: f64) -> f64 {
+        let Some((running, at)) = self.crowd else {
+            return 0.0;
+        };
+        if now.since(at) > CROWD_KEPT {
+            return 0.0;
+        }
+        let borne = limit_ms * BORNE;
+        let part = ((reading - borne) / borne).clamp(0.0, 1.0);
+        part * f64::from(running) * STALL_MS
+    }
+
     /// Milliseconds until an engine has read a prompt that takes it `reading` of them.
     pub(super) fn engine_ms(&self, now: time::Instant, reading: f64) -> f64 {
         let stranger = if self.is_in_group { 0.0 } else { STRANGER_MS };
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -317,7 +317,10 @@
     /// By what endpoints are compared; the least is taken.
     fn measure(&self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> f64 {
         match self.policy.choice {
-            Routing::Estimate => self.estimate(now, key, ask) + self.failures(now, key),
+            Routing::Estimate => {
+                let against = self.failures(now, key) + self.stall(now, key, ask);
+                self.estimate(now, key, ask) + against
+            }
             Routing::LeastLoad => self.get(key).map_or(f64::INFINITY, Endpoint::running),
             Routing::Random => 0.0,
         }
@@ -417,6 +420,15 @@
         self.get(key).map_or(0.0, against)
     }
 
+    /// What the streams that an engine runs count against sending it a prompt that stops them for long.
+    fn stall(&self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> f64 {
+        let Some(endpoint) = self.get(key).filter(|_| ask.wanted.is_some()) else {
+            return 0.0;
+        };
+        let limit_ms = self.bounds.limit_ms(ask.service);
+        endpoint.stall_ms(now, self.reading_ms(endpoint, ask), limit_ms)
+    }
+
     fn send(&mut self, now: time::Instant, key: arena::EndpointKey, ask: &Ask<'_>) -> Choice {
         // Failures say that an answer is less likely, not that it comes later.
         let estimate = span(self.estimate(now, key, ask));
--- a/crates/sageshed-fleet/src/chooser/outcomes.rs
+++ b/crates/sageshed-fleet/src/chooser/outcomes.rs
@@ -29,6 +29,7 @@
         endpoint.unread = endpoint.unread.saturating_sub(pick.reading);
         if let Some(load) = load {
             endpoint.load = Some((load, now));
+            endpoint.crowd = Some((load.running, now));
         }
         endpoint.ejection = time::Millis(0);
         let Some(read) = read else {
--- a/crates/sageshed-fleet/src/chooser/pauses.rs
+++ b/crates/sageshed-fleet/src/chooser/pauses.rs
@@ -40,6 +40,8 @@
 /// The bound for the engines of one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Bound {
+    /// The longest pause that is on time, by the route of the stream that ended last.
+    limit_ms: f64,
     ms: f64,
     was_too_high: bool,
 }
@@ -47,6 +49,7 @@
 impl Bound {
     fn first(limit_ms: f64) -> Self {
         Self {
+            limit_ms,
             ms: limit_ms * LEAST,
             was_too_high: false,
         }
@@ -78,6 +81,12 @@
         bound.unwrap_or(Bound::first(FIRST_LIMIT_MS)).ms
     }
 
+    /// The longest pause that callers of `service` count as on time, in milliseconds.
+    pub(super) fn limit_ms(&self, service: &str) -> f64 {
+        let bound = self.by_service.get(service);
+        bound.map_or(FIRST_LIMIT_MS, |it| it.limit_ms)
+    }
+
     /// Whether so many milliseconds to read are near the bound.
     pub(super) fn is_strain(&self, service: &str, reading_ms: f64) -> bool {
         reading_ms >= STRAIN * self.bound_ms(service)
@@ -89,6 +98,7 @@
         let limit_ms = pauses.limit.0 as f64;
         let first = Bound::first(limit_ms);
         let bound = self.by_service.entry(service.to_owned()).or_insert(first);
+        bound.limit_ms = limit_ms;
         if is_strained {
             bound.learn(limit_ms, pauses.longest.0 as f64);
         }
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -149,6 +149,9 @@
     /// How long the answer took whose beginning this tells of.
     #[serde(default)]
     pub pace: Option<Pace>,
+    /// Requests that the engine runs, by its own word in the answer that has just begun.
+    #[serde(default)]
+    pub running: Option<u32>,
     /// How the stream paused that has just ended there.
     #[serde(default)]
     pub pauses: Option<Pauses>,
--- a/crates/sageshed-fleet/tests/homes.rs
+++ b/crates/sageshed-fleet/tests/homes.rs
@@ -66,6 +66,7 @@
         micros,
         kept: None,
         pace: None,
+        running: None,
         pauses: None,
         trouble: None,
     }
--- a/crates/sageshed-fleet/tests/neighbours.rs
+++ b/crates/sageshed-fleet/tests/neighbours.rs
@@ -86,6 +86,7 @@
         micros,
         kept: None,
         pace: None,
+        running: None,
         pauses: None,
         trouble: None,
     };
@@ -119,6 +120,7 @@
         micros: 3_000_000,
         kept: None,
         pace: None,
+        running: None,
         pauses: None,
         trouble: None,
     };
@@ -151,6 +153,7 @@
         micros: 0,
         kept,
         pace: None,
+        running: None,
         pauses: None,
         trouble: None,
     };
--- /dev/null
+++ b/crates/sageshed-fleet/tests/pots.rs
@@ -0,0 +1,271 @@
+//! The home of an allowance: what it gives out, and what it does not count twice.
+
+use std::net;
+
+use sageshed_fleet::allowance::{Answer, Book, Draw, Given, Key, Pull, Terms};
+use sageshed_types::time;
+
+const PER_S: f64 = 100.0;
+
+fn ip(last: u8) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn key() -> Key {
+    Key::of_workspace("dug")
+}
+
+fn at(ms: u64) -> time::Instant {
+    time::Instant(10_000 + ms)
+}
+
+/// A fleet of twenty processes, of which one is the home and hears of the others what the test says.
+struct World {
+    home: Book,
+    others: Vec<net::Ipv4Addr>,
+}
+
+impl World {
+    /// A home that was in touch with all producers for a second, so that its pot is full.
+    fn full() -> Self {
+        let mut world = Self::new();
+        for round in 0..12 {
+            world.draw_all(at(100 * round));
+        }
+        world
+    }
+
+    fn new() -> Self {
+        let entries: Vec<_> = (1..=20).map(ip).collect();
+        let producers = sageshed_fleet::allowance::producers(key(), &entries);
+        let mut home = Book::new(producers[0], 1);
+        let terms = Terms {
+            per_s: PER_S,
+            burst: PER_S,
+        };
+        home.set_terms([(key(), terms)]);
+        home.set_entries(at(0), &entries);
+        Self {
+            home,
+            others: producers[1..].to_vec(),
+        }
+    }
+
+    fn pull(&mut self, now: time::Instant) -> Option<Pull> {
+        self.home.tick(now).pop().map(|(pull, _)| pull)
+    }
+
+    /// All producers give what grows in a tenth of a second, if the home draws.
+    fn draw_all(&mut self, now: time::Instant) {
+        if let Some(pull) = self.pull(now) {
+            for other in self.others.clone() {
+                self.home
+                    .take(now, other, &given(&pull, PER_S / 10.0 / 15.0 * 2.5));
+            }
+        }
+    }
+
+    fn asked(&mut self, now: time::Instant, draw: Draw) -> Answer {
+        self.home.draw(now, ip(99), &draw).answer
+    }
+
+    fn units(&self) -> f64 {
+        self.home.pots().map(|(_, units)| units).sum()
+    }
+}
+
+fn given(pull: &Pull, units: f64) -> Given {
+    Given {
+        id: pull.id,
+        units: vec![(key(), units)],
+    }
+}
+
+fn draw(id: u64, amount: f64) -> Draw {
+    Draw {
+        id,
+        of: key(),
+        amount,
+        returned: 0.0,
+        rank: 0,
+    }
+}
+
+#[test]
+fn a_question_that_is_asked_again_takes_once() {
+    let mut world = World::full();
+    // What has grown at the producers meanwhile has no place in the pot.
+    assert_eq!(world.asked(at(1_200), draw(6, 0.0)), Answer::Granted);
+    let before = world.units();
+    for _ in 0..3 {
+        assert_eq!(world.asked(at(1_200), draw(7, 30.0)), Answer::Granted);
+    }
+    assert!((before - world.units() - 30.0).abs() < 1e-6);
+    // Another's question of the same number is another question.
+    let reply = world.home.draw(at(1_200), ip(98), &draw(7, 30.0));
+    assert_eq!(reply.answer, Answer::Granted);
+    assert!((before - world.units() - 60.0).abs() < 1e-6);
+}
+
+/// The network delivers an answer twice, or after the next drawing has begun. What it carried was spent
+/// already, or will come again.
+#[test]
+fn what_a_producer_gives_counts_once() {
+    let mut world = World::new();
+    let first = world.pull(at(0)).expect("a new home draws");
+    let from = world.others[0];
+    let before = world.units();
+    world.home.take(at(1), from, &given(&first, 1.0));
+    let once = world.units();
+    assert!(once > before);
+    world.home.take(at(2), from, &given(&first, 1.0));
+    assert!((world.units() - once).abs() < 1e-9, "delivered twice");
+    let second = world.pull(at(400)).expect("it draws again");
+    assert_ne!(first.id, second.id);
+    let then = world.units();
+    world
+        .home
+        .take(at(401), world.others[1], &given(&first, 1.0));
+    assert!((world.units() - then).abs() < 1e-9, "of an earlier drawing");
+    world.home.take(at(402), ip(77), &given(&second, 1.0));
+    assert!(
+        (world.units() - then).abs() < 1e-9,
+        "of one that was not asked"
+    );
+}
+
+/// A home stands still, or is cut off, with a full pot. Another is the home meanwhile, so what it has must not be
+/// spent beside.
+#[test]
+fn the_pot_of_a_home_that_is_out_of_touch_is_void() {
+    for (later, is_void) in [(1_000, false), (5_000, true)] {
+        let mut world = World::full();
+        let now = at(1_100 + later);
+        let answer = world.asked(now, draw(1, 40.0));
+        assert_eq!(
+            answer == Answer::Granted,
+            !is_void,
+            "after {later} ms: {answer:?}"
+        );
+    }
+}
+
+#[test]
+fn a_request_larger_than_the_pot_is_granted_by_a_full_one_and_paid_off() {
+    let mut world = World::full();
+    assert_eq!(world.asked(at(1_105), draw(1, 250.0)), Answer::Granted);
+    assert!(world.units() < -100.0);
+    for round in 12..24 {
+        world.draw_all(at(100 * round));
+        let answer = world.asked(at(100 * round + 5), draw(round, 1.0));
+        assert_ne!(answer, Answer::Granted, "round {round}");
+    }
+}
+
+/// A workspace is over its quota. Its urgent requests are served before those that can wait.
+#[test]
+fn the_less_urgent_leave_a_part_to_the_urgent() {
+    let mut world = World::full();
+    let lookup = |id| Draw {
+        rank: 2,
+        ..draw(id, 10.0)
+    };
+    assert_eq!(world.asked(at(1_101), draw(1, 10.0)), Answer::Granted);
+    let mut granted = 0;
+    while world.asked(at(1_101), lookup(10 + granted)) == Answer::Granted {
+        granted += 1;
+    }
+    assert!(granted > 0);
+    assert_eq!(
+        world.asked(at(1_101), draw(2, 10.0)),
+        Answer::Granted,
+        "for the urgent there is some"
+    );
+}
+
+/// A hundred are told when to come back. Each is told a time behind the ones before, so that they do not all come
+/// for the same units.
+#[test]
+fn those_that_are_turned_away_are_told_one_after_the_other() {
+    let mut world = World::full();
+    let now = at(1_130);
+    let mut id = 0;
+    let mut last = time::Millis(0);
+    let mut told = 0;
+    while told < 100 {
+        id += 1;
+        match world.asked(now, draw(id, 5.0)) {
+            Answer::Over(span) => {
+                assert!(span >= last, "{span:?} behind {last:?}");
+                last = span;
+                told += 1;
+            }
+            Answer::Granted => assert_eq!(told, 0),
+            Answer::Soon(_) => {
+                // The producers have nothing either.
+                world.home.draw(now, ip(99), &draw(id, 0.0));
+                for other in world.others.clone() {
+                    let pull = Pull {
+                        id,
+                        of: vec![key()],
+                    };
+                    world.home.take(now, other, &given(&pull, 0.0));
+                }
+                if id > 1_000 {
+                    return;
+                }
+            }
+        }
+    }
+    // A hundred of five units at a hundred a second.
+    assert!(last >= time::Millis(4_000), "{last:?}");
+}
+
+#[test]
+fn what_is_given_back_is_there_again_and_never_more_than_the_burst() {
+    let mut world = World::full();
+    assert_eq!(world.asked(at(1_101), draw(1, 60.0)), Answer::Granted);
+    let after = world.units();
+    let back = Draw {
+        returned: 60.0,
+        ..draw(2, 0.0)
+    };
+    assert_eq!(world.asked(at(1_101), back), Answer::Granted);
+    assert!(world.units() > after + 50.0);
+    for id in 3..50 {
+        let back = Draw {
+            returned: 60.0,
+            ..draw(id, 0.0)
+        };
+        assert_eq!(world.asked(at(1_101), back), Answer::Granted);
+    }
+    assert!(world.units() <= PER_S);
+}
+
+/// Two homes draw from the same producer: together they have what one of them would have.
+#[test]
+fn two_homes_divide_what_a_producer_yields() {
+    let entries: Vec<_> = (1..=20).map(ip).collect();
+    let producers = sageshed_fleet::allowance::producers(key(), &entries);
+    let mut producer = Book::new(producers[3], 1);
+    producer.set_terms([(
+        key(),
+        Terms {
+            per_s: PER_S,
+            burst: PER_S,
+        },
+    )]);
+    producer.set_entries(at(0), &entries);
+    let mut all = 0.0;
+    for ms in (0..10_000).step_by(50) {
+        let pull = Pull {
+            id: ms,
+            of: vec![key()],
+        };
+        all += producer.give(at(ms), &pull).units[0].1;
+        all += producer.give(at(ms), &pull).units[0].1;
+    }
+    let yields = PER_S * (10.0 + 0.6) / 15.0;
+    assert!(all <= yields + 1e-6, "{all} of {yields}");
+    assert!(all >= PER_S * 9.9 / 15.0, "{all}");
+}
--- a/crates/sageshed-fleet/tests/restarts.rs
+++ b/crates/sageshed-fleet/tests/restarts.rs
@@ -270,6 +270,7 @@
         micros: 900_000,
         kept: None,
         pace: None,
+        running: None,
         pauses: None,
         trouble: None,
     };
--- /dev/null
+++ b/crates/sageshed-fleet/tests/stalls.rs
@@ -0,0 +1,168 @@
+//! Long prompts beside streams: an engine reads a prompt between two events of all that it streams.
+
+mod support;
+
+use std::{collections, net};
+
+use sageshed_fleet::{
+    chooser::{Ask, Chooser},
+    dialect,
+    neighbours::{self, Place},
+};
+use sageshed_types::time;
+
+const T0: time::Instant = time::Instant(100_000);
+
+fn at(ms: u64) -> time::Instant {
+    T0 + time::Millis(ms)
+}
+
+fn entries() -> Vec<net::Ipv4Addr> {
+    let ip = |it| net::Ipv4Addr::new(10, 0, 1, it);
+    (1..=73).map(ip).collect()
+}
+
+fn m0() -> dialect::Wanted {
+    dialect::Wanted {
+        model: "m0".to_owned(),
+        adapter: None,
+    }
+}
+
+fn short(id: &str) -> u64 {
+    neighbours::instance_key(&id.into())
+}
+
+/// What an entry process says of an engine whose answer has just begun.
+fn began(id: &str, running: u32, micros: u64) -> neighbours::Unread {
+    neighbours::Unread {
+        engine: short(id),
+        micros,
+        kept: None,
+        pace: None,
+        running: Some(running),
+        pauses: None,
+        trouble: None,
+    }
+}
+
+/// The home of m0, which was told at `T0` how many requests each of these engines runs.
+fn home(engines: &[(&str, u32)]) -> Chooser {
+    let own = neighbours::homes(neighbours::key("m0"), &entries())[0];
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.join_groups(own, &entries());
+    for (id, running) in engines {
+        chooser.know(&support::engine(id, &["m0"]));
+        chooser.hear(T0, entries()[1], &began(id, *running, 0));
+    }
+    chooser
+}
+
+fn asked(chooser: &mut Chooser, now: time::Instant, request: u64, tokens: u64) -> u64 {
+    let wanted = m0();
+    let ask = Ask {
+        patience: time::Millis(300),
+        ..support::ask(&wanted, tokens)
+    };
+    match chooser.advise(now, entries()[2], request, &ask) {
+        Place::Engine { engine, .. } => engine,
+        other => panic!("no engine: {other:?}"),
+    }
+}
+
+/// A prompt and the engines that it may go to.
+struct Case {
+    name: &'static str,
+    tokens: u64,
+    /// Milliseconds since the engines said what they run.
+    later: u64,
+    /// The engine that streams to nobody has so many milliseconds to read already.
+    ahead: u64,
+    /// Whether it goes there.
+    to_the_calm: bool,
+}
+
+#[test]
+fn a_prompt_goes_where_it_stops_the_fewest_streams_for_long() {
+    let case = |name, tokens, later, ahead, to_the_calm| Case {
+        name,
+        tokens,
+        later,
+        ahead,
+        to_the_calm,
+    };
+    let cases = [
+        case("400 ms to read", 7_600, 10, 0, true),
+        case("300 ms to read", 5_700, 10, 0, true),
+        case("a short one does not wait for that", 1_900, 10, 60, false),
+        case(
+            "a long one does not wait for seconds",
+            7_600,
+            10,
+            900,
+            false,
+        ),
+        case(
+            "what an engine said long ago says nothing",
+            7_600,
+            2_500,
+            60,
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut chooser = home(&[("e1", 12), ("e2", 0), ("e3", 14)]);
+        let micros = case.ahead * 1_000;
+        let now = at(case.later);
+        let told = neighbours::Unread {
+            running: None,
+            ..began("e2", 0, micros)
+        };
+        chooser.hear(now, entries()[3], &told);
+        let engine = asked(&mut chooser, now, 1, case.tokens);
+        assert_eq!(engine == short("e2"), case.to_the_calm, "{}", case.name);
+    }
+}
+
+/// Some 26 prompts a second come for a model with eight copies, one of twelve so long that it stops an engine for as
+/// long as its streams bear; half of the engines run many long streams, half few. Sent by what there is to read
+/// alone, the long ones are spread over all engines, and reach as many streams as there are; now they go where
+/// few run.
+#[test]
+fn long_prompts_stay_away_from_crowded_engines_for_a_minute_of_load() {
+    let ids: Vec<String> = (0..8).map(|it| format!("e{it}")).collect();
+    let crowd = |at: usize| if at % 2 == 0 { 10 } else { 2 };
+    let engines: Vec<(&str, u32)> = ids
+        .iter()
+        .enumerate()
+        .map(|(at, id)| (id.as_str(), crowd(at)))
+        .collect();
+    let mut chooser = home(&engines);
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut stopped = collections::BTreeMap::<bool, u32>::new();
+    let (mut long, mut now) = (0, 0);
+    // Microseconds that each engine has to read by the words of the processes.
+    for request in 0..1_560_u64 {
+        now += rng.u64(1..77);
+        for (id, running) in &engines {
+            chooser.hear(at(now), entries()[1], &began(id, *running, 0));
+        }
+        let is_long = rng.u32(0..12) == 0;
+        let tokens = if is_long { 7_600 } else { 1_800 };
+        let engine = asked(&mut chooser, at(now), request, tokens);
+        let index = ids
+            .iter()
+            .position(|id| short(id) == engine)
+            .expect("known");
+        chooser.hear(at(now), entries()[2], &began(&ids[index], crowd(index), 0));
+        if is_long {
+            long += 1;
+            *stopped.entry(crowd(index) > 5).or_default() += 1;
+        }
+    }
+    let at_crowded = stopped.get(&true).copied().unwrap_or_default();
+    assert!(
+        at_crowded * 10 <= long,
+        "{at_crowded} of {long} long prompts"
+    );
+}
--- a/src/sageshed/gateway/allowances.rs
+++ b/src/sageshed/gateway/allowances.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync, thread, time};
 
-use sageshed_fleet::{allowance, config, dialect};
+use sageshed_fleet::{allowance, config, dialect, workspaces};
 
 use super::state;
 
@@ -30,8 +30,11 @@
     };
     let pots: collections::HashMap<_, _> =
         shared.with_core(|core| core.allowances.pots().collect());
-    let workspaces = routing.workspaces.iter().flat_map(|it| it.iter());
-    let left = workspaces.filter_map(|workspace| {
+    let all = routing
+        .workspaces
+        .iter()
+        .flat_map(workspaces::Workspaces::iter);
+    let left = all.filter_map(|workspace| {
         let left = pots.get(&allowance::Key::of_workspace(&workspace.name))?;
         Some((workspace.name.clone(), *left))
     });
--- a/src/sageshed/gateway/neighbours.rs
+++ b/src/sageshed/gateway/neighbours.rs
@@ -304,10 +304,12 @@
     pick: &chooser::Pick,
     read: chooser::Read<'_>,
     took: Millis,
+    load: Option<dialect::Load>,
 ) {
     tell_with(shared, pick, |word, has_homes| {
         let short = |ms: Millis| u32::try_from(ms.0).unwrap_or(u32::MAX);
         word.kept = words::Beginning::of(read.wanted, read.parts);
+        word.running = load.map(|it| it.running);
         word.pace = has_homes.then(|| words::Pace {
             model: words::key(&read.wanted.model),
             took: short(took),
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -250,7 +250,7 @@
             }
         });
         match read {
-            Some(read) => neighbours::tell_read(self.shared, pick, read, took),
+            Some(read) => neighbours::tell_read(self.shared, pick, read, took, load),
             None => neighbours::tell(self.shared, pick),
         }
         self.shared.place_freed();
