Show with each guard of allowances taken out that a test turns red

Cause: of sixteen guards taken out one at a time on a scratch copy, four stayed green (a burst in pot and shares each, a share without its cap, few listed processes, a home asked on and on). Change: a test for each. After: red with each of the four out; the other twelve were red before (pots, allowance).

--- a/crates/sageshed-fleet/tests/pots.rs
+++ b/crates/sageshed-fleet/tests/pots.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use sageshed_fleet::allowance::{Answer, Book, Draw, Given, Key, Pull, Terms};
+use sageshed_fleet::allowance::{Answer, Book, Draw, Given, Key, Next, Pull, Terms};
 use sageshed_types::time;
 
 const PER_S: f64 = 100.0;
@@ -270,3 +270,82 @@
     assert!(all <= yields + 1e-6, "{all} of {yields}");
     assert!(all >= PER_S * 9.9 / 15.0, "{all}");
 }
+
+fn producer(entries: &[net::Ipv4Addr], place: usize) -> Book {
+    let producers = sageshed_fleet::allowance::producers(key(), entries);
+    let mut book = Book::new(producers[place], 1);
+    let terms = Terms {
+        per_s: PER_S,
+        burst: PER_S,
+    };
+    book.set_terms([(key(), terms)]);
+    book.set_entries(at(0), entries);
+    book
+}
+
+fn gives(book: &mut Book, now: time::Instant) -> f64 {
+    let pull = Pull {
+        id: now.0,
+        of: vec![key()],
+    };
+    book.give(now, &pull).units[0].1
+}
+
+/// A producer stood still for ten seconds, or its home was away. It does not come back with the units of all that
+/// time.
+#[test]
+fn a_producer_keeps_what_grows_in_a_moment_and_no_more() {
+    let entries: Vec<_> = (1..=20).map(ip).collect();
+    let mut book = producer(&entries, 3);
+    let most = PER_S * 0.6 / 15.0 + 1e-6;
+    assert!(gives(&mut book, at(10)) <= most);
+    let later = gives(&mut book, at(10_010));
+    assert!(later > 0.0 && later <= most, "{later}");
+}
+
+/// After a start of all, a process that knows one other would yield half of the rate, and so would all the others.
+/// One that knows many yields at once, as its callers are back.
+#[test]
+fn who_knows_few_others_yields_nothing_at_first() {
+    let few: Vec<_> = (1..=2).map(ip).collect();
+    let many: Vec<_> = (1..=20).map(ip).collect();
+    let mut lonely = producer(&few, 0);
+    assert!(gives(&mut lonely, at(300)) <= 0.0);
+    assert!(gives(&mut lonely, at(600)) > 0.0);
+    lonely.set_entries(at(700), &(1..=4).map(ip).collect::<Vec<_>>());
+    assert!(
+        gives(&mut lonely, at(900)) <= 0.0,
+        "the list has just grown"
+    );
+    assert!(gives(&mut producer(&many, 3), at(1)) > 0.0);
+}
+
+/// A workspace pauses. What it may spend at once afterwards is its burst, and not that of the pot and as
+/// much again that its producers keep.
+#[test]
+fn pot_and_producers_hold_one_burst_together() {
+    let mut world = World::full();
+    let later = at(1_100 + 600);
+    assert_eq!(world.asked(later, draw(1, 0.0)), Answer::Granted);
+    let kept_by_producers = PER_S * 0.6;
+    let all = world.units() + kept_by_producers;
+    assert!(all <= PER_S * 1.05, "{all}");
+}
+
+/// A home does not answer. The next question goes to the one after it, and after a while to the first again.
+#[test]
+fn a_home_that_does_not_answer_is_passed_over_for_a_second() {
+    let entries: Vec<_> = (1..=20).map(ip).collect();
+    let producers = sageshed_fleet::allowance::producers(key(), &entries);
+    let mut book = producer(&entries, 9);
+    let first = |book: &mut Book, now| book.question(now, key()).begin();
+    let to = |home| Next::Ask(home, time::Millis(0));
+    assert_eq!(first(&mut book, at(0)), to(producers[0]));
+    book.passed_over(at(0), producers[0]);
+    assert_eq!(first(&mut book, at(500)), to(producers[1]));
+    assert_eq!(first(&mut book, at(1_500)), to(producers[0]));
+    for home in &producers[..3] {
+        book.passed_over(at(2_000), *home);
+    }
+    assert_eq!(first(&mut book, at(2_100)), Next::Nobody);
+}
