Tell entry processes what changed of a configuration, not all of it

Cause: each version went whole to each entry process: 2.3 MB with 100,000 keys, 165 MB for 73 processes, for one key added. Ruled out: keys apart from the rest of the configuration (it has to read back as sent). Change: what lies between the common beginning and end, checked by a digest; whole where the one before is not held.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`config`] | whether a configuration is valid |
 //! | [`routes`] | which route a request takes |
+//! | [`changes`] | what a watcher is told of a configuration that is newer than its own |
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`backlog`] | how long what waits for an engine will wait |
@@ -25,6 +26,7 @@
 pub mod allowance;
 pub mod backlog;
 pub mod budget;
+pub mod changes;
 pub mod chooser;
 pub mod config;
 pub mod dialect;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -69,6 +69,9 @@
     pub wants: Wants,
     /// The version of the configuration that it holds; zero for none.
     pub config: u64,
+    /// The version of which it holds the text, so that a change of that one will do; zero for none.
+    #[serde(default)]
+    pub text_held: u64,
     /// Up to where it knows the directory of the one that it asks.
     pub mark: directory::Mark,
     /// The list of entry processes that it knows, by the number that came with it.
@@ -121,6 +124,9 @@
     pub entries: Option<Vec<net::Ipv4Addr>>,
     /// The configuration, where it is newer.
     pub config: Option<document::Document>,
+    /// The same as a change of the one whose text is held.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_change: Option<document::Change>,
     /// Up to where the directory is known with this answer.
     pub mark: directory::Mark,
     /// The digest of the directory; see [`directory::Directory::digest`].
--- a/crates/sageshed-fleet/tests/stalls.rs
+++ b/crates/sageshed-fleet/tests/stalls.rs
@@ -131,7 +131,7 @@
 #[test]
 fn long_prompts_stay_away_from_crowded_engines_for_a_minute_of_load() {
     let ids: Vec<String> = (0..8).map(|it| format!("e{it}")).collect();
-    let crowd = |at: usize| if at % 2 == 0 { 10 } else { 2 };
+    let crowd = |at: usize| if at.is_multiple_of(2) { 10 } else { 2 };
     let engines: Vec<(&str, u32)> = ids
         .iter()
         .enumerate()
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -46,6 +46,11 @@
     req.patience = req.patience.min(PATIENCE);
     let news = shared.hub.news(now, &req);
     let config = (news.config > req.config).then(|| locks::read(&shared.state).fleet().clone());
+    let config = config.filter(|it| it.version > req.config);
+    let change = config.as_ref().and_then(|newest| {
+        let mut sent = locks::lock(&shared.sent_documents);
+        sent.change(newest, req.text_held)
+    });
     // Only whoever takes endpoints takes the list of entry processes too.
     let entries = (req.wants == messages::Wants::News).then(|| shared.hub.entries());
     let entries_number = entries.as_deref().map_or(req.entries_known, number);
@@ -54,7 +59,8 @@
         leader: shared.leader().and_then(|it| it.parse().ok()),
         entries_number,
         entries: entries.filter(|_| entries_number != req.entries_known),
-        config: config.filter(|it| it.version > req.config),
+        config: config.filter(|_| change.is_none()),
+        config_change: change,
         mark: news.mark,
         digest: news.digest,
         records: records::pack(&news.records),
@@ -144,6 +150,7 @@
             wants: messages::Wants::All,
             // The log brings the configuration.
             config: u64::MAX,
+            text_held: 0,
             mark,
             entries_known: 0,
             patience: if is_leader { LEADER_PATIENCE } else { PATIENCE },
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -5,6 +5,7 @@
     sync::{self, atomic},
 };
 
+use sageshed_fleet::changes;
 use sageshed_quorum::{log, repair, status};
 use sageshed_state::control;
 use sageshed_types::{endpoints, messages, rules, time};
@@ -46,6 +47,8 @@
     pub known: sync::RwLock<collections::BTreeSet<net::Ipv4Addr>>,
     /// What a fleet's endpoints and entry processes say.
     pub hub: hub::Hub,
+    /// Configurations that watchers were told of lately.
+    pub sent_documents: sync::Mutex<changes::Told>,
     /// What the placing thread shows operators.
     pub models: sync::RwLock<Vec<messages::ModelStatus>>,
     /// The voters that the group was formed with, once known.
@@ -115,6 +118,7 @@
             directory: sync::Mutex::new(directory::Directory::new(incarnation)),
             known: sync::RwLock::new(collections::BTreeSet::new()),
             hub: hub::Hub::new(incarnation.0),
+            sent_documents: sync::Mutex::default(),
             models: sync::RwLock::new(Vec::new()),
             formed: sync::RwLock::new(Vec::new()),
             forming,
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -10,7 +10,7 @@
     allowance, backlog, budget, chooser, dialect, directory, messages, neighbours as words,
     quarantine, tally,
 };
-use sageshed_types::time;
+use sageshed_types::{document, time};
 use sageshed_upstream::pool;
 
 use super::{metrics, neighbours, routing};
@@ -40,6 +40,8 @@
     /// Words of other processes that could not be read.
     pub misread: sampler::Sampler,
     pub(super) routing: sync::RwLock<Option<sync::Arc<routing::Routing>>>,
+    /// The newest configuration as its operator sent it, of which control tells changes.
+    pub(super) document: sync::Mutex<document::Document>,
     core: sync::Mutex<Core>,
     changed: sync::Condvar,
     /// The control process that leads, as a number; zero if none is known.
@@ -145,6 +147,7 @@
             sampler: sampler::Sampler::new(SUCCESSES_LOGGED),
             misread: sampler::Sampler::new(MISREAD_LOGGED),
             routing: sync::RwLock::new(None),
+            document: sync::Mutex::default(),
             core: sync::Mutex::new(core),
             changed: sync::Condvar::new(),
             leader: atomic::AtomicU32::new(0),
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -10,7 +10,7 @@
 };
 
 use sageshed_fleet::{dialect, directory, links, messages, quarantine};
-use sageshed_types::time;
+use sageshed_types::{document, time};
 
 use super::state;
 use crate::{locks, settings};
@@ -136,6 +136,7 @@
         availability_zone: shared.settings.availability_zone.clone(),
         wants,
         config: shared.version(),
+        text_held: locks::lock(&shared.document).version,
         mark: known.mark,
         entries_known: shared.entries_known(),
         patience,
@@ -169,12 +170,9 @@
     watching: &Watching,
     resp: messages::WatchResp,
 ) {
-    if let Some(document) = resp.config {
-        match shared.dialect.config(document.text.as_bytes()) {
-            Ok(config) => shared.put_in_force(config),
-            Err(e) => ::log::error!(version = document.version, error:% = e;
-                "gateway: configuration not understood, the one before stays in force"),
-        }
+    let changed = resp.config_change.and_then(|it| change(shared, &it));
+    if let Some(document) = resp.config.or(changed) {
+        take_document(shared, document);
     }
     if resp.leader.is_some() {
         shared.set_leader(resp.leader);
@@ -188,6 +186,42 @@
     shared.take_crashes(&resp.crashes);
 }
 
+/// The configuration that `change` makes of the one whose text is held.
+fn change<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    change: &document::Change,
+) -> Option<document::Document> {
+    let mut held = locks::lock(&shared.document);
+    // Another link may have brought it meanwhile.
+    if held.version >= change.version {
+        return None;
+    }
+    let changed = held.changed_by(change);
+    if changed.is_some() {
+        let bytes = change.middle.len();
+        ::log::info!(version = change.version, bytes; "gateway: configuration came as a change");
+    } else {
+        ::log::warn!(change:? = change, held = held.version;
+            "gateway: change of a configuration does not fit, the whole is asked for");
+        *held = document::Document::default();
+    }
+    changed
+}
+
+fn take_document<D: dialect::Dialect>(shared: &state::Shared<D>, document: document::Document) {
+    match shared.dialect.config(document.text.as_bytes()) {
+        Ok(config) => shared.put_in_force(config),
+        Err(e) => {
+            return ::log::error!(version = document.version, error:% = e;
+                "gateway: configuration not understood, the one before stays in force");
+        }
+    }
+    let mut held = locks::lock(&shared.document);
+    if document.version > held.version {
+        *held = document;
+    }
+}
+
 impl Watching {
     /// Reads the seeds anew from the settings file, now and then.
     fn read_seeds<D: dialect::Dialect>(&self, shared: &state::Shared<D>) {
--- a/tests/fleet/configuration.rs
+++ b/tests/fleet/configuration.rs
@@ -134,3 +134,31 @@
         assert_eq!(status(&fleet, entry, "/r138/x"), 404);
     }
 }
+
+/// A configuration has the keys of many callers, and one of them is added. Entry processes are told what is new and
+/// not all of it; one that starts knows nothing and is told the whole.
+#[test]
+fn an_entry_process_is_told_what_changed_and_the_whole_at_its_start() {
+    let (mut fleet, _engines) = Fleet::ready();
+    let came = "configuration came as a change";
+    for (version, name) in [(20, "first"), (30, "second")] {
+        fleet.replace(&operator::config_with(version, &route(name)));
+        for entry in 0..2 {
+            let path = format!("/{name}/x");
+            fleet.until("the new route is served", || {
+                status(&fleet, entry, &path) == 200
+            });
+        }
+    }
+    for entry in &fleet.entries {
+        assert!(entry.log().contains(came), "{}", entry.log());
+    }
+    let before = fleet.entries[0].log().matches(came).count();
+    fleet.entries[0].kill();
+    fleet.entries[0].start();
+    fleet.until("it serves by the newest", || {
+        status(&fleet, 0, "/second/x") == 200
+    });
+    assert_eq!(status(&fleet, 0, "/first/x"), 404);
+    assert_eq!(fleet.entries[0].log().matches(came).count(), before);
+}
