Have requests wait for the first configuration by their callers' patience

Ruled out: the control group itself (leader 0.45 s after its start, an election timeout of 0.7 s less what it saves). Change: a third of the time that the caller says, up to 800 ms. Test: a caller of five seconds that came half a second ago waits on.

--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -45,9 +45,11 @@
 impl<D: dialect::Dialect> handler::Handler for Port<D> {
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
         let watch = reply.watch();
+        let passing = self.shared.dialect.passing(|name| req.header(name));
+        let deadline = passing.as_ref().ok().and_then(|it| it.deadline);
         let routing = self
             .shared
-            .routing_soon(req.received, || watch.caller_gone());
+            .routing_soon(req.received, deadline, || watch.caller_gone());
         let Some(routing) = routing else {
             let detail = "no configuration is known here yet";
             let refusal = refuse::not_run(verdict::Reason::NotConfirmed, detail, BACK_SOON);
@@ -60,7 +62,7 @@
             let refusal = refuse::not_run(verdict::Reason::Draining, detail, time::Millis(0));
             return self.refuse_unrouted(&req, reply, &refusal);
         }
-        let passing = match self.shared.dialect.passing(|name| req.header(name)) {
+        let passing = match passing {
             Ok(passing) => passing,
             Err(e) => {
                 let refusal = refusal::Refusal::not_run(verdict::Reason::BadRequest, e.to_string());
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -6,6 +6,7 @@
 };
 
 use sageshed_fleet::{config, dialect, routes, workspaces};
+use sageshed_types::time;
 
 use super::{
     allowances,
@@ -13,9 +14,16 @@
 };
 use crate::locks;
 
-/// How long a request waits for the first configuration of this process: a third of the time of the
-/// least patient callers. A group that was stopped as a whole leads within 100 ms of its start.
-const FIRST_ROUTING: std_time::Duration = std_time::Duration::from_millis(200);
+/// How long a request waits for the first configuration of this process, whose caller does not say how long it
+/// waits: a third of the time of the least patient ones.
+const FIRST_ROUTING: time::Millis = time::Millis(200);
+
+/// The longest that a request waits for it, however patient its caller: a group that lost power as a whole leads
+/// and has told entry processes within some 600 ms of its start. One that takes longer may take long.
+const FIRST_ROUTING_MOST: time::Millis = time::Millis(800);
+
+/// The part of its caller's time that a request waits for it.
+const FIRST_ROUTING_PART: u64 = 3;
 
 /// Requests that wait for it at the most.
 const MOST_WAIT_FOR_ROUTING: usize = 256;
@@ -81,18 +89,21 @@
     ///
     /// After a stop of all processes, entry processes are up some hundred milliseconds before the control
     /// group can tell them a configuration. Refused at once, callers came back later than they could
-    /// have been served. The wait ends well before a caller of a second's patience would give up, and
-    /// few wait, since each holds a thread.
+    /// have been served, and some of them only once. The wait ends well before the caller's `deadline`,
+    /// and few wait, since each holds a thread.
     #[must_use]
     pub fn routing_soon(
         &self,
         since: std_time::Instant,
+        deadline: Option<time::Millis>,
         gone: impl Fn() -> bool,
     ) -> Option<sync::Arc<Routing>> {
         if let Some(routing) = self.routing() {
             return Some(routing);
         }
-        let until = since + FIRST_ROUTING;
+        let part = deadline.map(|it| time::Millis(it.0 / FIRST_ROUTING_PART));
+        let span = part.map_or(FIRST_ROUTING, |it| it.min(FIRST_ROUTING_MOST));
+        let until = since + span.into();
         while !gone() {
             // Read before the look, so that a configuration which comes behind it ends the wait.
             let seen = self.with_core(|core| core.changes());
--- a/tests/gateway_start.rs
+++ b/tests/gateway_start.rs
@@ -47,7 +47,7 @@
     let shared = started("held");
     let held = sync::Arc::clone(&shared);
     let request = thread::spawn(move || {
-        let routing = held.routing_soon(time::Instant::now() + LONG, || false);
+        let routing = held.routing_soon(time::Instant::now() + LONG, None, || false);
         routing.map(|it| it.config.version)
     });
     while shared.waiting.load(atomic::Ordering::Relaxed) == 0 {
@@ -63,8 +63,59 @@
 fn a_request_waits_no_longer_than_it_may_and_not_for_a_caller_that_left() {
     let shared = started("past");
     let long_ago = time::Instant::now().checked_sub(time::Duration::from_secs(5));
-    let past = shared.routing_soon(long_ago.expect("the machine is up"), || false);
+    let past = shared.routing_soon(long_ago.expect("the machine is up"), None, || false);
     assert!(past.is_none());
-    let left = shared.routing_soon(time::Instant::now() + LONG, || true);
+    let left = shared.routing_soon(time::Instant::now() + LONG, None, || true);
     assert!(left.is_none());
 }
+
+/// A caller that came half a second ago and says how long it waits: whether its request still waits here for a
+/// configuration.
+struct Patience {
+    name: &'static str,
+    deadline: Option<Millis>,
+    waits: bool,
+}
+
+/// All processes lost power, and the control group needs half a second to lead and to tell. A caller with seconds of
+/// time is served then, though it may come but twice; one whose time is nearly over is told to come back.
+#[test]
+fn a_request_waits_for_the_first_configuration_by_its_callers_patience() {
+    let cases = [
+        Patience {
+            name: "it does not say",
+            deadline: None,
+            waits: false,
+        },
+        Patience {
+            name: "a second",
+            deadline: Some(Millis(1_000)),
+            waits: false,
+        },
+        Patience {
+            name: "five seconds",
+            deadline: Some(Millis(5_000)),
+            waits: true,
+        },
+    ];
+    for case in cases {
+        let shared = started("patience");
+        let held = sync::Arc::clone(&shared);
+        let since = time::Instant::now().checked_sub(time::Duration::from_millis(500));
+        let since = since.expect("the machine is up");
+        // One that waits is seen to do so, and is answered by the configuration that comes then.
+        let request = thread::spawn(move || {
+            let routing = held.routing_soon(since, case.deadline, || false);
+            routing.map(|it| it.config.version)
+        });
+        if case.waits {
+            while shared.waiting.load(atomic::Ordering::Relaxed) == 0 && !request.is_finished() {
+                thread::yield_now();
+            }
+            shared.put_in_force(first_config());
+            assert_eq!(request.join().expect("a thread"), Some(3), "{}", case.name);
+        } else {
+            assert_eq!(request.join().expect("a thread"), None, "{}", case.name);
+        }
+    }
+}
