Divide the drawings of many allowances, and keep numbers that are none out of pots

Cause, found by reading: at 7 processes and 500 workspaces a home would draw 71 allowances in one message, whose answer is longer than the 1,200 bytes that are read; a draw of infinitely many units would leave a pot at minus infinity. Change: 40 a message; such a draw is refused. The thread that fills pots wakes once a second where there is no allowance. Tests: 500 allowances at two processes; spoiled numbers.

--- a/crates/sageshed-fleet/src/allowance/book.rs
+++ b/crates/sageshed-fleet/src/allowance/book.rs
@@ -9,6 +9,10 @@
     Terms, producers,
 };
 
+/// Allowances that one message draws. An answer names each with its units in some 20 bytes, and has to fit into
+/// one datagram of 1,200.
+const MOST_DRAWN: usize = 40;
+
 /// An answer, and what has to be sent besides.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
@@ -97,6 +101,12 @@
         }
     }
 
+    /// Whether there is any allowance.
+    #[must_use]
+    pub fn has_any(&self) -> bool {
+        !self.terms.is_empty()
+    }
+
     /// What an allowance is, if there is one.
     #[must_use]
     pub fn terms(&self, of: Key) -> Option<Terms> {
@@ -197,10 +207,18 @@
             }
         }
         let mut pulls: Vec<(Pull, Vec<net::Ipv4Addr>)> = Vec::new();
-        for (to, of) in by_producer {
-            match pulls.iter_mut().find(|(pull, _)| pull.of == of) {
-                Some((_, group)) => group.push(to),
-                None => pulls.push((Pull { id, of }, vec![to])),
+        for (to, all) in by_producer {
+            for of in all.chunks(MOST_DRAWN) {
+                match pulls.iter_mut().find(|(pull, _)| pull.of == of) {
+                    Some((_, group)) => group.push(to),
+                    None => pulls.push((
+                        Pull {
+                            id,
+                            of: of.to_vec(),
+                        },
+                        vec![to],
+                    )),
+                }
             }
         }
         pulls
--- a/crates/sageshed-fleet/src/allowance/pot.rs
+++ b/crates/sageshed-fleet/src/allowance/pot.rs
@@ -75,6 +75,10 @@
         from: net::Ipv4Addr,
         draw: &Draw,
     ) -> Answer {
+        // A datagram may hold anything, and units that are no number would never be one again.
+        if !draw.amount.is_finite() {
+            return Answer::Over(LONGEST_WAIT);
+        }
         let most = self.most(now, terms, producers);
         self.units = (self.units + draw.returned.max(0.0)).min(most);
         if draw.amount <= 0.0 || self.was_granted(now, from, draw.id) {
--- a/crates/sageshed-fleet/tests/pots.rs
+++ b/crates/sageshed-fleet/tests/pots.rs
@@ -349,3 +349,68 @@
     }
     assert_eq!(first(&mut book, at(2_100)), Next::Nobody);
 }
+
+/// Few processes keep the quotas of many workspaces. What one of them draws and is given has to fit into datagrams.
+#[test]
+fn the_drawings_of_hundreds_of_allowances_are_divided() {
+    let entries: Vec<_> = (1..=2).map(ip).collect();
+    let keys: Vec<_> = (0..500)
+        .map(|at| Key::of_workspace(&format!("w{at}")))
+        .collect();
+    let terms = Terms {
+        per_s: PER_S,
+        burst: PER_S,
+    };
+    let mut home = Book::new(entries[0], 1);
+    home.set_terms(keys.iter().map(|key| (*key, terms)));
+    home.set_entries(at(0), &entries);
+    let pulls = home.tick(at(1));
+    let drawn: usize = pulls.iter().map(|(pull, _)| pull.of.len()).sum();
+    assert!(
+        pulls.len() > 3 && drawn > 150,
+        "{} pulls of {drawn}",
+        pulls.len()
+    );
+    let mut other = Book::new(entries[1], 1);
+    other.set_terms(keys.iter().map(|key| (*key, terms)));
+    other.set_entries(at(0), &entries);
+    for (pull, to) in &pulls {
+        assert_eq!(to, &vec![entries[1]]);
+        assert!(pull.of.len() <= 40, "{}", pull.of.len());
+        home.take(at(1_000), entries[1], &other.give(at(1_000), pull));
+    }
+    let empty = home.pots().filter(|(_, units)| *units <= 0.0).count();
+    assert_eq!(empty, 0, "each was filled");
+}
+
+/// Datagrams can be spoiled, or come from anybody. A number that is none must not stay in the pot.
+#[test]
+fn numbers_that_are_none_spoil_no_pot() {
+    for bad in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -5.0] {
+        let mut world = World::full();
+        let now = at(1_101);
+        let spoiled = Draw {
+            returned: bad,
+            ..draw(1, bad)
+        };
+        world.home.draw(now, ip(99), &spoiled);
+        let pull = Pull {
+            id: 3,
+            of: vec![key()],
+        };
+        world.home.take(now, world.others[0], &given(&pull, bad));
+        for round in 12..20 {
+            let now = at(100 * round);
+            if let Some(pull) = world.pull(now) {
+                world.home.take(now, world.others[0], &given(&pull, bad));
+            }
+        }
+        world.draw_all(at(2_100));
+        assert!(world.units().is_finite(), "{bad}: {}", world.units());
+        assert!(
+            world.units() <= PER_S && world.units() >= 0.0,
+            "{bad}: {}",
+            world.units()
+        );
+    }
+}
--- a/src/sageshed/gateway/allowances.rs
+++ b/src/sageshed/gateway/allowances.rs
@@ -9,6 +9,9 @@
 /// Between two looks at the pots of this process: a part of [`allowance::DRAW_EVERY`].
 const TICK: time::Duration = time::Duration::from_millis(100);
 
+/// The same where the configuration has no allowance.
+const IDLE: time::Duration = time::Duration::from_secs(1);
+
 /// The allowances of a configuration.
 pub(super) fn terms(config: &config::FleetConfig) -> Vec<(allowance::Key, allowance::Terms)> {
     let workspaces = config.workspaces.iter().flat_map(|it| &it.all);
@@ -139,11 +142,14 @@
         .spawn(move || {
             while !filling.is_stopping() {
                 let now = filling.clock.now();
-                let pulls = filling.with_core(|core| core.allowances.tick(now));
+                let (has_any, pulls) = filling.with_core(|core| {
+                    let book = &mut core.allowances;
+                    (book.has_any(), book.tick(now))
+                });
                 if let Some(neighbours) = &filling.neighbours {
                     neighbours.pull(pulls);
                 }
-                thread::sleep(TICK);
+                thread::sleep(if has_any { TICK } else { IDLE });
             }
         });
     if let Err(e) = spawned {
