Refuse requests that no window allows, and charge a moved key's workspace

Cause, found by reading: a caller may declare any number of tokens. Two that wrap around counted as none (a panic in a debug build); one of 1e19 was granted by a full pot, whose debt would never be paid off. A request whose key moved while it waited was charged to the workspace that held the key before. Change: sums saturate; what is larger than a window allows is refused and takes nothing; a charge of another workspace is given back first. Tests: pots, and a caller that declares absurd numbers to real processes.

--- a/crates/sageshed-fleet/src/allowance/mod.rs
+++ b/crates/sageshed-fleet/src/allowance/mod.rs
@@ -70,6 +70,9 @@
 /// lost.
 pub const IN_TOUCH: time::Millis = time::Millis(2_000);
 
+/// The span over which quotas are judged.
+const JUDGED: time::Millis = time::Millis(8_000);
+
 /// How long an entry process counts as one after it was listed last. A group of control processes that starts
 /// again lists few at first; by such a list each of them would produce all. As long as the span over which
 /// quotas are judged.
@@ -118,6 +121,13 @@
         self.per_s * span.0 as f64 / 1_000.0
     }
 
+    /// The most that one request may take. By more the span over which quotas are judged would be exceeded by this
+    /// request alone.
+    #[must_use]
+    pub fn largest(&self) -> f64 {
+        (self.stock() + self.grown(JUDGED)).max(1.0)
+    }
+
     /// The most that pot and shares hold together: the burst, but at least what the shares keep.
     #[must_use]
     pub fn stock(&self) -> f64 {
--- a/crates/sageshed-fleet/src/allowance/pot.rs
+++ b/crates/sageshed-fleet/src/allowance/pot.rs
@@ -75,8 +75,9 @@
         from: net::Ipv4Addr,
         draw: &Draw,
     ) -> Answer {
-        // A datagram may hold anything, and units that are no number would never be one again.
-        if !draw.amount.is_finite() {
+        // A caller may declare anything. A debt of that size would never be paid off, and a debt without end would
+        // leave the pot at no number at all.
+        if !draw.amount.is_finite() || draw.amount > terms.largest() {
             return Answer::Over(LONGEST_WAIT);
         }
         let most = self.most(now, terms, producers);
--- a/crates/sageshed-fleet/tests/pots.rs
+++ b/crates/sageshed-fleet/tests/pots.rs
@@ -415,3 +415,21 @@
         );
     }
 }
+
+/// A caller declares more tokens than its workspace may use in a window. It is told so, and its workspace does not pay
+/// for it.
+#[test]
+fn a_request_that_no_window_allows_takes_nothing() {
+    for (amount, is_over) in [(PER_S * 8.9, false), (PER_S * 9.1, true), (1e300, true)] {
+        let mut world = World::full();
+        let now = at(1_101);
+        let before = world.units();
+        let answer = world.asked(now, draw(1, amount));
+        assert_eq!(
+            matches!(answer, Answer::Over(_)),
+            is_over,
+            "{amount}: {answer:?}"
+        );
+        assert_eq!(world.units() < before - 50.0, !is_over, "{amount}");
+    }
+}
--- a/src/sageshed/gateway/pass/quota.rs
+++ b/src/sageshed/gateway/pass/quota.rs
@@ -32,13 +32,17 @@
     /// Takes what the request needs of its workspace's quota for its next sending, unless it has that. Returns
     /// the refusal if that is used up.
     pub(super) fn charge(&mut self) -> Option<refusal::Refusal> {
-        let is_fresh = |it: &Charge| it.at.elapsed() < RENEWED_AFTER;
-        if self.charge.as_ref().is_some_and(is_fresh) {
-            return None;
-        }
         let workspace = self.workspace.clone()?;
         let units = self.units(workspace.quota?.unit);
         let of = allowance::Key::of_workspace(&workspace.name);
+        if self.charge.is_some_and(|it| it.of != of) {
+            // The key has moved to another workspace while the request waited.
+            self.give_charge_back();
+        }
+        let is_fresh = |it: Charge| it.at.elapsed() < RENEWED_AFTER;
+        if self.charge.is_some_and(is_fresh) {
+            return None;
+        }
         let held = self.charge.take();
         let draw = allowance::Draw {
             id: 0,
@@ -73,7 +77,9 @@
 
     /// What the request takes of a quota in this unit.
     fn units(&self, unit: config::Unit) -> f64 {
-        let declared = self.passing.prompt_tokens + self.passing.output_tokens;
+        let (prompt, output) = (self.passing.prompt_tokens, self.passing.output_tokens);
+        // A caller may declare any number: wrapped around, the largest would count as none.
+        let declared = prompt.saturating_add(output);
         match unit {
             config::Unit::Requests => 1.0,
             config::Unit::Tokens { undeclared } if declared == 0 => undeclared as f64,
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -283,3 +283,26 @@
 fn connect(address: net::SocketAddrV4) -> Caller {
     Caller::connect(address).expect("a connection")
 }
+
+/// A caller declares numbers of tokens that no request has, to be counted as none or to use up what others of its
+/// workspace need.
+#[test]
+fn a_caller_that_declares_absurd_numbers_is_refused_and_costs_nobody() {
+    let (fleet, engines) = fleet(&IN_TOKENS);
+    thread::sleep(FILLED);
+    for tokens in [
+        "18446744073709551615,1",
+        "18446744073709551615,18446744073709551615",
+        "9999999,0",
+    ] {
+        let lines = format!("{DUG}Token-Usage: {tokens}\r\n");
+        let ask = Ask {
+            lines: &lines,
+            ..Ask::new("GET", "/again/x", "absurd")
+        };
+        let answer = fleet.ask(0, &ask).expect("an answer");
+        assert_eq!(answer.status(), 429, "{tokens}: {}", answer.text());
+    }
+    assert_eq!(runs_of(&engines, "absurd"), 0);
+    assert_eq!(status(&fleet, 1, "/again/x", "after", DUG), 200);
+}
