Ask homes of allowances that are listed

Traced by the lines: VMs were exchanged one after the other; those that are gone count as producers for 10 s, and all three homes of a workspace were among them. Ruled out: a cut (nearly all entry processes refused), lost datagrams. Change: homes are the first three producers that are listed now, unless the list lacks half of those known (a control process that has just started). Test: red without.

--- a/crates/sageshed-fleet/src/allowance/book.rs
+++ b/crates/sageshed-fleet/src/allowance/book.rs
@@ -125,10 +125,14 @@
     /// A question to the homes of an allowance, but for those that did not answer lately.
     pub fn question(&mut self, now: time::Instant, of: Key) -> Question {
         self.lost.retain(|_, at| now.since(*at) < LOST);
-        let ranked = self.producers(of);
-        let homes = ranked[..ranked.len().min(HOMES)].to_vec();
-        let lost = &self.lost;
-        let there = homes.into_iter().filter(|it| !lost.contains_key(it));
+        // Processes that are gone count as producers for a while, but answer nobody: while VMs are exchanged one
+        // after the other, all three homes of some workspace were gone for seconds.
+        let ranked = self.producers(of).to_vec();
+        // A list without half of them is that of a control process that has just started: the homes are there.
+        let is_whole = self.current.len() * 2 >= self.listed.len();
+        let is_there = |it: &net::Ipv4Addr| !is_whole || self.current.contains(it);
+        let homes = ranked.into_iter().filter(is_there).take(HOMES);
+        let there = homes.filter(|it| !self.lost.contains_key(it));
         Question::new(there.collect())
     }
 
--- a/crates/sageshed-fleet/tests/pots.rs
+++ b/crates/sageshed-fleet/tests/pots.rs
@@ -433,3 +433,21 @@
         assert_eq!(world.units() < before - 50.0, !is_over, "{amount}");
     }
 }
+
+/// VMs are exchanged for others one after the other. Those that are gone still count as producers, as nobody knows
+/// whether they are only cut off; a question goes to those that are there.
+#[test]
+fn a_question_goes_to_homes_that_are_listed() {
+    let entries: Vec<_> = (1..=20).map(ip).collect();
+    let producers = sageshed_fleet::allowance::producers(key(), &entries);
+    let mut book = producer(&entries, 9);
+    let gone = &producers[..4];
+    let left: Vec<_> = entries
+        .iter()
+        .copied()
+        .filter(|it| !gone.contains(it))
+        .collect();
+    book.set_entries(at(1_000), &left);
+    let first = book.question(at(1_010), key()).begin();
+    assert_eq!(first, Next::Ask(producers[4], time::Millis(0)));
+}
