Log who is told of an endpoint's limit, and how many requests it is sent since

Callers see no difference: no decision reads any of it. The head of an answer is decoded into the limit that it names, if it does; an entry process logs when an endpoint names a limit, another, or none any more, and every four seconds how many requests it has sent there; a control process logs that its call was answered with one. Ruled out as a place to see it: the account of a request, which is kept by the process that has it alone.

--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -21,6 +21,7 @@
 mod ask;
 mod endpoint;
 mod kept;
+mod limits;
 mod lines;
 mod outcomes;
 mod pauses;
@@ -30,8 +31,11 @@
 
 use sageshed_types::{arena, arena::Key, time};
 
-pub use self::ask::{Ask, Choice, Ended, Missing, Pick, Policy, Read, Routing};
 use self::endpoint::Endpoint;
+pub use self::{
+    ask::{Ask, Choice, Ended, Missing, Pick, Policy, Read, Routing},
+    limits::Change,
+};
 pub use crate::neighbours::Pauses;
 use crate::{config, dialect, directory, neighbours};
 
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -74,7 +74,7 @@
 }
 
 /// What the head of an endpoint's answer says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answered<'a> {
     /// The id of the request that it answers.
     pub id: Option<&'a str>,
@@ -84,6 +84,27 @@
     pub load: Option<Load>,
     /// The name of the endpoint that answered, where it tells.
     pub endpoint: Option<&'a str>,
+    /// What it says of itself.
+    pub notice: Notice,
+}
+
+impl Answered<'_> {
+    /// Whether this is the answer of the start `id`, as far as it can be told.
+    #[must_use]
+    pub fn is_of(&self, id: &directory::InstanceId) -> bool {
+        match self.endpoint {
+            Some(name) => name == id.name,
+            // One that was not meant answers so, and need not say who it is.
+            None => self.word != Word::Misdirected,
+        }
+    }
+}
+
+/// What an endpoint says of itself in an answer, whatever it answers to.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Notice {
+    /// Requests a second that it takes from all VMs together. None where it names no limit.
+    pub limit: Option<f64>,
 }
 
 /// What an endpoint's answer says of the request.
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -252,7 +252,10 @@
             // The process may have been frozen since the order was decided.
             let answer = if shared.leads() {
                 match exchange_with(pool, order.address, &dialect.order(&order)) {
-                    Ok((status, _)) => Some(dialect.order_answer(status)),
+                    Ok((head, _)) => {
+                        log_limit(dialect, &order.instance, &head);
+                        Some(dialect.order_answer(head.status))
+                    }
                     Err(e) if !e.is_sent => Some(dialect::OrderAnswer::Refused(0)),
                     Err(_) => None,
                 }
@@ -264,16 +267,9 @@
         planner::Action::AskReport { instance, address } => {
             let answer = exchange_with(pool, address, &dialect.ask_report(&instance));
             let report = match answer {
-                Ok((200, body)) => match dialect.report(&body) {
-                    Ok(report) => Some(report),
-                    Err(e) => {
-                        ::log::warn!(endpoint:% = instance, error:% = e; "control: report not read");
-                        None
-                    }
-                },
-                Ok((status, _)) => {
-                    ::log::info!(endpoint:% = instance, status; "control: no report");
-                    None
+                Ok((head, body)) => {
+                    log_limit(dialect, &instance, &head);
+                    read_report(dialect, &instance, head.status, &body)
                 }
                 Err(e) => {
                     ::log::info!(endpoint:% = instance, error:% = e; "control: no report");
@@ -286,11 +282,42 @@
     }
 }
 
+fn read_report<D: dialect::Dialect>(
+    dialect: D,
+    instance: &directory::InstanceId,
+    status: u16,
+    body: &[u8],
+) -> Option<dialect::Report> {
+    if status != 200 {
+        ::log::info!(endpoint:% = instance, status; "control: no report");
+        return None;
+    }
+    match dialect.report(body) {
+        Ok(report) => Some(report),
+        Err(e) => {
+            ::log::warn!(endpoint:% = instance, error:% = e; "control: report not read");
+            None
+        }
+    }
+}
+
+/// Notes that an engine has named a limit to this process: its calls may count as requests there.
+fn log_limit<D: dialect::Dialect>(
+    dialect: D,
+    instance: &directory::InstanceId,
+    head: &exchange::Head,
+) {
+    let answered = dialect.answered(head.status, |it| head.get(it));
+    if let Some(per_s) = answered.notice.limit {
+        ::log::info!(endpoint:% = instance, per_s; "control: endpoint names a limit");
+    }
+}
+
 fn exchange_with(
     pool: &pool::Pool,
     address: std::net::SocketAddrV4,
     call: &dialect::OutCall,
-) -> Result<(u16, Vec<u8>), failure::Failure> {
+) -> Result<(exchange::Head, Vec<u8>), failure::Failure> {
     let host = address.to_string();
     let mut headers = vec![("Host", host.as_bytes())];
     headers.extend(
@@ -311,8 +338,8 @@
     // A connection that the engine closes in this very moment would leave the fate of an order open.
     let max_age = std_time::Duration::from_secs(1);
     let mut answer = pool.exchange(address, &req, max_age, &patience)?;
-    let status = answer.head.status;
+    let head = answer.head.clone();
     let body = answer.read_whole(ANSWER_BYTES, &patience)?;
     pool.keep(address, answer);
-    Ok((status, body))
+    Ok((head, body))
 }
--- a/src/sageshed/gateway/pass/attempt.rs
+++ b/src/sageshed/gateway/pass/attempt.rs
@@ -43,6 +43,7 @@
     ) -> Sending<'c> {
         let sent_at = std_time::Instant::now();
         neighbours::tell(self.shared, pick);
+        self.count_sending(pick);
         self.use_charge();
         let waited = self.req.received.elapsed();
         self.story.sent(pick, waited.into());
@@ -60,7 +61,7 @@
         };
         let resume = outlet.last_id().map(str::to_owned);
         let answer = self.exchange(pick, resume.as_deref(), &patience);
-        let exchange = match answer.and_then(|it| self.own_answer(it, &patience)) {
+        let exchange = match answer.and_then(|it| self.own_answer(pick, it, &patience)) {
             Ok(exchange) => exchange,
             Err(failure) => return self.failed(pick, outlet, failure, watch),
         };
@@ -147,22 +148,25 @@
     /// Passes over answers to earlier requests on the same connection.
     fn own_answer<S: Fn() -> bool>(
         &self,
+        pick: &chooser::Pick,
         mut exchange: exchange::Exchange,
         patience: &exchange::Patience<'_, S>,
     ) -> Result<exchange::Exchange, failure::Failure> {
-        while self.is_foreign(&exchange) {
+        loop {
+            let head = &exchange.head;
+            let answered = self.shared.dialect.answered(head.status, |it| head.get(it));
+            self.heed(pick, &answered);
+            if !self.is_foreign(&answered) {
+                return Ok(exchange);
+            }
             ::log::warn!(request = self.id(); "gateway: answer to another request passed over");
             exchange = exchange.next_answer(ANSWER_BYTES, patience)?;
         }
-        Ok(exchange)
     }
 
-    fn is_foreign(&self, exchange: &exchange::Exchange) -> bool {
-        let head = &exchange.head;
-        let answered = self.shared.dialect.answered(head.status, |it| head.get(it));
-        answered
-            .id
-            .is_some_and(|id| Some(id) != self.passing.id.as_deref())
+    fn is_foreign(&self, answered: &dialect::Answered<'_>) -> bool {
+        let id = answered.id;
+        id.is_some_and(|id| Some(id) != self.passing.id.as_deref())
     }
 
     /// Decides by the head of an answer what becomes of it.
--- a/src/sageshed/gateway/pass/mod.rs
+++ b/src/sageshed/gateway/pass/mod.rs
@@ -13,6 +13,7 @@
 mod held;
 mod home;
 mod identity;
+mod notice;
 mod quota;
 mod story;
 mod stream;
