Show red that an endpoint's limit is overrun by all processes together

Real entry and control processes before endpoints that name a limit of 1 request a second in each answer: 66 requests in four seconds where 11 are allowed with another endpoint beside it, 132 where it alone holds the model, and no caller is told anything.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod explaining;
 mod fleet;
 mod identity;
+mod limits;
 mod quota;
 mod requests;
 mod stopping;
