Log when an endpoint says in an answer that it leaves, or asks for rest

No decision reads it yet: the head of an answer is decoded into both words, and the entry process that is told writes a line. By the first hypothesis requests go on after such lines; by the second a line that the endpoint is ready stands between; by the third they end within a second. Bounded by the answers of endpoints that leave or turn away.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -105,6 +105,10 @@
 pub struct Notice {
     /// Requests a second that it takes from all VMs together. None where it names no limit.
     pub limit: Option<f64>,
+    /// It will stop and takes no new work.
+    pub leaves: bool,
+    /// It has turned a request away and wants none for so long from the VM that sent it.
+    pub rest: Option<time::Millis>,
 }
 
 /// What an endpoint's answer says of the request.
--- a/src/sageshed/gateway/pass/backpressure.rs
+++ b/src/sageshed/gateway/pass/backpressure.rs
@@ -15,6 +15,14 @@
         if !answered.is_of(&pick.instance) {
             return;
         }
+        let notice = answered.notice;
+        if notice.leaves {
+            ::log::info!(request = self.id(), endpoint:% = pick.instance; "gateway: endpoint says that it leaves");
+        }
+        if let Some(rest) = notice.rest {
+            ::log::info!(request = self.id(), endpoint:% = pick.instance, rest_ms = rest.0;
+                "gateway: endpoint asks for rest");
+        }
         let now = self.shared.clock.now();
         let has_run = answered.word == dialect::Word::Vouched;
         let change = self.shared.with_core(|core| {
