Show red that what endpoints say in answers is heard by nobody

Real processes before an endpoint that says in each answer that it leaves: 135 requests in nine seconds from processes that had been told, none allowed. Before one that turns all away and asks for 3 s of rest: 5 from one process in that time with another endpoint beside it, 4 without, 2 allowed. The load of the tests on limits moved into a module that both use.

--- a/tests/fleet/limits.rs
+++ b/tests/fleet/limits.rs
@@ -1,15 +1,11 @@
 //! Endpoints that name in their answers how many requests a second they take from all VMs together.
 
-use std::{thread, time};
+use std::time;
 
 use crate::{
     fleet::Fleet,
-    standin::{
-        Message,
-        caller::Ask,
-        engine::{Does, Engine},
-        operator,
-    },
+    load::{self, Load},
+    standin::{engine::Arrival, operator},
 };
 
 /// Requests a second that the endpoint in need names.
@@ -25,12 +21,10 @@
 /// From when on requests count, once each process was told.
 const TOLD: time::Duration = time::Duration::from_millis(500);
 
-/// For how long callers ask.
-const LOAD: time::Duration = time::Duration::from_secs(9);
-
 /// The most that arrived within [`SPAN`], of what arrived at or after `from`.
-fn most(arrived: &[time::Instant], from: time::Instant) -> usize {
-    let arrived: Vec<_> = arrived.iter().copied().filter(|at| *at >= from).collect();
+fn most(arrived: &[Arrival], from: time::Instant) -> usize {
+    let arrived: Vec<_> = arrived.iter().map(|it| it.at).collect();
+    let arrived: Vec<_> = arrived.into_iter().filter(|at| *at >= from).collect();
     let begun = arrived.iter().enumerate();
     let counts = begun.map(|(at, begin)| {
         let within = arrived[at..].iter().take_while(|it| **it - *begin < SPAN);
@@ -39,66 +33,6 @@
     counts.max().unwrap_or(0)
 }
 
-/// What callers ask for.
-struct Load {
-    path: &'static str,
-    deadline_ms: u32,
-}
-
-/// Asks with a prompt that no endpoint keeps, so that all are as good.
-fn ask(fleet: &Fleet, entry: usize, load: &Load, id: &str, number: usize) -> Option<Message> {
-    let lines = format!("Model: m1\r\nToken-Usage: 100,10\r\nPrompt-Prefix: {number:x}:100\r\n");
-    let plain = Ask::new("GET", load.path, id);
-    let ask = Ask {
-        lines: if plain.model.is_some() { &lines } else { "" },
-        model: None,
-        deadline_ms: load.deadline_ms,
-        ..plain
-    };
-    fleet.ask(entry, &ask)
-}
-
-/// Asks until each entry process has passed on an answer of `endpoint`, while the one beside it takes nothing.
-fn tell_all(fleet: &Fleet, endpoint: &Engine, beside: &Engine, load: &Load) {
-    beside.does(Does::Rejects);
-    for entry in 0..fleet.entries.len() {
-        let mut number = 0;
-        fleet.until("an entry process has an answer of the endpoint", || {
-            number += 1;
-            let id = format!("tell-{entry}-{number}");
-            let answer = ask(fleet, entry, load, &id, number);
-            answer.is_some_and(|it| it.status() == 200) && endpoint.runs(&id) > 0
-        });
-    }
-    beside.does(Does::Answers);
-}
-
-/// Some 30 requests a second, from two callers an entry process. Returns the answers.
-fn answers(fleet: &Fleet, load: &Load) -> Vec<Message> {
-    let begin = time::Instant::now();
-    thread::scope(|scope| {
-        let caller = |caller: usize| {
-            let mut answers = Vec::new();
-            while begin.elapsed() < LOAD {
-                let id = format!("load-{caller}-{}", answers.len());
-                let number = (caller + 1) * 1_000 + answers.len();
-                let answer = ask(fleet, caller % fleet.entries.len(), load, &id, number);
-                answers.push(answer.expect("each request is answered"));
-                thread::sleep(time::Duration::from_millis(120));
-            }
-            answers
-        };
-        let callers = 2 * fleet.entries.len();
-        let callers: Vec<_> = (0..callers)
-            .map(|it| scope.spawn(move || caller(it)))
-            .collect();
-        let ended = callers
-            .into_iter()
-            .map(|it| it.join().expect("a caller ends"));
-        ended.flatten().collect()
-    })
-}
-
 /// One kind of endpoint.
 struct Case {
     load: Load,
@@ -136,9 +70,9 @@
         let (fleet, engines) = Fleet::ready();
         let endpoint = &engines[case.endpoint];
         endpoint.names_limit(Some(LIMIT));
-        tell_all(&fleet, endpoint, &engines[case.beside], &case.load);
+        load::tell_all(&fleet, endpoint, &engines[case.beside], &case.load);
         let from = time::Instant::now() + TOLD;
-        let answers = answers(&fleet, &case.load);
+        let answers = load::answers(&fleet, &case.load);
         let most = endpoint.seen(|seen| most(&seen.arrived, from));
         assert!(
             most <= MOST,
@@ -165,9 +99,9 @@
         path: "/stream/x",
         deadline_ms: 2_000,
     };
-    tell_all(&fleet, &endpoint, &beside, &load);
+    load::tell_all(&fleet, &endpoint, &beside, &load);
     let from = time::Instant::now() + TOLD;
-    let answers = answers(&fleet, &load);
+    let answers = load::answers(&fleet, &load);
     let most = endpoint.seen(|seen| most(&seen.arrived, from));
     assert!(most <= MOST, "{most} in 4 s, {MOST} allowed");
     let served = answers.iter().filter(|it| it.status() == 200).count();
--- /dev/null
+++ b/tests/fleet/load.rs
@@ -0,0 +1,75 @@
+//! Callers that ask all entry processes at once, with prompts that no endpoint keeps.
+
+use std::{thread, time};
+
+use crate::{
+    fleet::Fleet,
+    standin::{
+        Message,
+        caller::Ask,
+        engine::{Does, Engine},
+    },
+};
+
+/// For how long callers ask.
+const LOAD: time::Duration = time::Duration::from_secs(9);
+
+/// What callers ask for.
+pub struct Load {
+    pub path: &'static str,
+    pub deadline_ms: u32,
+}
+
+/// Asks with a prompt that no endpoint keeps, so that all are as good.
+fn ask(fleet: &Fleet, entry: usize, load: &Load, id: &str, number: usize) -> Option<Message> {
+    let lines = format!("Model: m1\r\nToken-Usage: 100,10\r\nPrompt-Prefix: {number:x}:100\r\n");
+    let plain = Ask::new("GET", load.path, id);
+    let ask = Ask {
+        lines: if plain.model.is_some() { &lines } else { "" },
+        model: None,
+        deadline_ms: load.deadline_ms,
+        ..plain
+    };
+    fleet.ask(entry, &ask)
+}
+
+/// Asks until each entry process has passed on an answer of `endpoint`, while the one beside it takes nothing.
+pub fn tell_all(fleet: &Fleet, endpoint: &Engine, beside: &Engine, load: &Load) {
+    beside.does(Does::Rejects);
+    for entry in 0..fleet.entries.len() {
+        let mut number = 0;
+        fleet.until("an entry process has an answer of the endpoint", || {
+            number += 1;
+            let id = format!("tell-{entry}-{number}");
+            let answer = ask(fleet, entry, load, &id, number);
+            answer.is_some_and(|it| it.status() == 200) && endpoint.runs(&id) > 0
+        });
+    }
+    beside.does(Does::Answers);
+}
+
+/// Some 30 requests a second, from two callers an entry process. Returns the answers.
+pub fn answers(fleet: &Fleet, load: &Load) -> Vec<Message> {
+    let begin = time::Instant::now();
+    thread::scope(|scope| {
+        let caller = |caller: usize| {
+            let mut answers = Vec::new();
+            while begin.elapsed() < LOAD {
+                let id = format!("load-{caller}-{}", answers.len());
+                let number = (caller + 1) * 1_000 + answers.len();
+                let answer = ask(fleet, caller % fleet.entries.len(), load, &id, number);
+                answers.push(answer.expect("each request is answered"));
+                thread::sleep(time::Duration::from_millis(120));
+            }
+            answers
+        };
+        let callers = 2 * fleet.entries.len();
+        let callers: Vec<_> = (0..callers)
+            .map(|it| scope.spawn(move || caller(it)))
+            .collect();
+        let ended = callers
+            .into_iter()
+            .map(|it| it.join().expect("a caller ends"));
+        ended.flatten().collect()
+    })
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,8 @@
 mod fleet;
 mod identity;
 mod limits;
+mod load;
 mod quota;
 mod requests;
+mod said;
 mod stopping;
