Heed what endpoints say in answers: that they leave, that they want rest

What callers saw: requests that ended with an endpoint that had said it was leaving, or were turned away by one engine after the other by engines that had asked for rest. What endpoints saw: 135 requests in nine seconds after the word; 5 in a rest of 3 s from one process, 2 allowed. Cause: as with limits, an answer's word on its endpoint was read by nobody. Class: what a receiver says of itself is lost where the answer is taken for the request's alone. Change: leaving by an answer is the state of leaving by an announcement. It is noted in the directory of the process that was told, for good: a start that has said so takes no work again, whatever number comes later and though it was out of sight; control is told with the next watches and passes it on. A rest closes the endpoint to the process that it asked, as the turn of a limit does; the longest word holds. The home of a model is told which engines take nothing from the process that asks. Why it holds: leaving only ever grows, so that no order of words matters; rest is kept by the start, apart from what is forgotten with an endpoint out of sight. Messages of drawings that name terms hold 14 allowances, or they would not fit into a datagram (test).

--- a/crates/sageshed-fleet/src/allowance/book.rs
+++ b/crates/sageshed-fleet/src/allowance/book.rs
@@ -9,9 +9,12 @@
     Terms, named, producers,
 };
 
-/// Allowances that one message draws. It names each, with its terms where they stand in no configuration, in
-/// some 45 bytes, and has to fit into one datagram of 1,200.
-const MOST_DRAWN: usize = 24;
+/// Allowances that one message draws. An answer names each with its units in some 20 bytes, and has to fit into
+/// one datagram of 1,200.
+const MOST_DRAWN: usize = 40;
+
+/// The same where some stand in no configuration: with its terms each takes some 70 bytes.
+const MOST_DRAWN_NAMED: usize = 14;
 
 /// An answer, and what has to be sent besides.
 #[derive(Debug, Clone, PartialEq)]
@@ -241,7 +244,13 @@
         }
         let mut pulls: Vec<(Pull, Vec<net::Ipv4Addr>)> = Vec::new();
         for (to, all) in by_producer {
-            for of in all.chunks(MOST_DRAWN) {
+            let has_named = all.iter().any(|key| self.named.get(*key).is_some());
+            let most = if has_named {
+                MOST_DRAWN_NAMED
+            } else {
+                MOST_DRAWN
+            };
+            for of in all.chunks(most) {
                 match pulls.iter_mut().find(|(pull, _)| pull.of == of) {
                     Some((_, group)) => group.push(to),
                     None => pulls.push((self.pull(now, id, of), vec![to])),
--- a/crates/sageshed-fleet/src/chooser/backpressure.rs
+++ b/crates/sageshed-fleet/src/chooser/backpressure.rs
@@ -4,6 +4,9 @@
 //! sees all of these, so that the limit is an allowance ([`allowance`](crate::allowance)): whoever was told of
 //! it asks for a unit before each sending, and leaves the endpoint alone for as long as it is told.
 //!
+//! One that turns a request away may want rest from the VM that sent it. That is between these two: no other process
+//! is told.
+//!
 //! It is kept by the start of an endpoint and apart from what else is known of it, since an endpoint that control
 //! loses sight of for a while is forgotten with all that was learnt, and holds others to its word all the same.
 
@@ -54,8 +57,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Said {
     limit: Option<Limit>,
-    /// Nothing goes there before.
+    /// By its limit it is not this process's turn before.
     closed_until: time::Instant,
+    /// It rests from this process until then.
+    rests_until: time::Instant,
     heard: time::Instant,
 }
 
@@ -71,7 +76,8 @@
         if self.by_start.is_empty() {
             return None;
         }
-        let until = self.by_start.get(id)?.closed_until;
+        let said = self.by_start.get(id)?;
+        let until = said.closed_until.max(said.rests_until);
         (now < until).then(|| until.since(now))
     }
 
@@ -117,7 +123,6 @@
         }
         let said = self.backpressure.by_start.get_mut(id)?;
         said.limit.take()?;
-        // By the limit alone was it closed.
         said.closed_until = time::Instant(0);
         Some(Change::Lifted)
     }
@@ -151,6 +156,16 @@
         };
     }
 
+    /// This start has turned a request away and wants none from this process for `span`. Of several such words the
+    /// one holds that lasts longest: it does not take an earlier one back.
+    pub fn rest(&mut self, now: time::Instant, id: &directory::InstanceId, span: time::Millis) {
+        self.forget_said(now);
+        let said = self.backpressure.by_start.entry(id.clone()).or_default();
+        said.heard = now;
+        let until = time::Instant(now.0.saturating_add(span.0));
+        said.rests_until = said.rests_until.max(until);
+    }
+
     /// A request goes to this start. Returns a count where it has a limit and one is due.
     pub fn sends(&mut self, now: time::Instant, id: &directory::InstanceId) -> Option<Change> {
         let limit = self.backpressure.limit(id)?;
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -54,6 +54,8 @@
     /// The change by which there was news of it last.
     news: u64,
     passed_on: time::Instant,
+    /// Whether it has ever said that it leaves. It takes no work again, whatever comes later.
+    leaves: bool,
     /// Of one that another start has replaced: since when it has spoken while the other was silent.
     contends_since: Option<time::Instant>,
 }
@@ -190,8 +192,12 @@
         }
     }
 
-    fn insert(&mut self, now: time::Instant, record: Record) -> Offer {
+    fn insert(&mut self, now: time::Instant, mut record: Record) -> Offer {
         let id = record.instance.id.clone();
+        let leaves = self.is_leaving(&id) || record.instance.state == State::Leaving;
+        if leaves && record.instance.state == State::Ready {
+            record.instance.state = State::Leaving;
+        }
         let entry = Entry {
             amended: record.amended,
             rank: record.rank,
@@ -199,6 +205,7 @@
             changed: 0,
             news: 0,
             passed_on: now,
+            leaves,
             contends_since: None,
             instance: record.instance,
         };
@@ -222,12 +229,22 @@
     }
 
     /// A further word of an instance that has not ended.
-    fn update(&mut self, now: time::Instant, record: Record) -> Offer {
+    fn update(&mut self, now: time::Instant, mut record: Record) -> Offer {
         let id = record.instance.id.clone();
         let Some(entry) = self.entries.get_mut(&id) else {
             return Offer::Stale;
         };
         let known = (entry.instance.sequence, entry.amended);
+        if record.instance.state == State::Leaving && record.number() <= known {
+            // A later word, which went elsewhere, does not undo it: it was said in an answer, and the
+            // announcement of it is still to come.
+            let offer = self.leaves(now, &id);
+            return if offer { Offer::Changed } else { Offer::Stale };
+        }
+        entry.leaves |= record.instance.state == State::Leaving;
+        if entry.leaves && record.instance.state == State::Ready {
+            record.instance.state = State::Leaving;
+        }
         let goes = record.instance.state == State::Gone;
         if record.instance.sequence >= entry.instance.sequence {
             entry.heard = entry.heard.max(heard_at(now, record.age));
@@ -282,6 +299,22 @@
         true
     }
 
+    /// Notes that an instance has said that it leaves, be it in an announcement or in an answer. Returns whether
+    /// that is new.
+    pub fn leaves(&mut self, now: time::Instant, id: &InstanceId) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if entry.leaves || entry.instance.has_ended() {
+            return false;
+        }
+        entry.leaves = true;
+        if entry.instance.state == State::Ready {
+            self.amend(now, id, |it| it.state = State::Leaving);
+        }
+        true
+    }
+
     /// Notes that an instance has gone. Returns false where it is not known, or has ended already.
     pub fn gone(&mut self, now: time::Instant, id: &InstanceId) -> bool {
         self.amend(now, id, |it| it.state = State::Gone)
@@ -361,11 +394,17 @@
         entry.instance.is_present().then_some(&entry.instance)
     }
 
+    /// What is known of this start.
+    #[must_use]
+    pub fn start(&self, id: &InstanceId) -> Option<&Instance> {
+        self.entries.get(id).map(|it| &it.instance)
+    }
+
     /// Whether this start said that it stops.
     #[must_use]
     pub fn is_leaving(&self, id: &InstanceId) -> bool {
         let entry = self.entries.get(id);
-        entry.is_some_and(|it| matches!(it.instance.state, State::Leaving | State::Gone))
+        entry.is_some_and(|it| it.leaves || it.instance.state == State::Gone)
     }
 
     /// The starts that are there of endpoints that ended and were started again lately.
--- a/crates/sageshed-fleet/src/directory/succession.rs
+++ b/crates/sageshed-fleet/src/directory/succession.rs
@@ -174,6 +174,7 @@
             changed: 0,
             news: 0,
             passed_on: now,
+            leaves: record.instance.state == State::Leaving,
             contends_since: Some(now),
         };
         self.entries.insert(id.clone(), entry);
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -90,6 +90,9 @@
     /// Of an entry process: crashes that the one it asks was not told of.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
+    /// Of an entry process: endpoints that have said in answers that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<directory::InstanceId>,
 }
 
 /// What callers asked of one model.
--- a/crates/sageshed-fleet/tests/limits.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -232,3 +232,37 @@
     let named = chooser.limit_of(Instant(0), &engines[0].id);
     assert!(named.is_some_and(|it| it.terms.per_s > 0.0));
 }
+
+/// An engine has turned a request away and wants rest. A shorter word, or the end of its limit, takes nothing back.
+#[test]
+fn an_engine_rests_as_long_as_the_longest_of_its_words() {
+    let (mut chooser, engines) = chooser(&["e1"]);
+    let wanted = wanted();
+    let now = Instant(10_000);
+    let id = &engines[0].id;
+    chooser.limited(now, id, 5.0);
+    chooser.rest(now, id, Millis(3_000));
+    chooser.rest(Instant(10_100), id, Millis(200));
+    chooser.unlimited(id);
+    let none = chooser.choose(Instant(12_000), &ask(&wanted));
+    assert_eq!(none, Choice::Wait(Missing::Allowance(Millis(1_000))));
+    let after = chooser.choose(Instant(13_000), &ask(&wanted));
+    assert_eq!(goes_to(&after), Some("e1"));
+    chooser.rest(now, id, Millis(u64::MAX));
+    assert_eq!(chooser.counts(Instant(13_000)), (1, 0));
+}
+
+/// Among many processes the home of a model says where requests go. It was not told what an engine has said to another
+/// process, which names such engines in its question.
+#[test]
+fn engines_that_take_nothing_from_a_process_are_known_by_their_keys() {
+    let (mut chooser, engines) = chooser(&["e1", "e2"]);
+    let now = Instant(10_000);
+    assert!(chooser.closed(now, "engines").is_empty());
+    chooser.rest(now, &engines[1].id, Millis(500));
+    let closed = chooser.closed(now, "engines");
+    let names: Vec<_> = closed.iter().map(|it| chooser.short_name(*it)).collect();
+    let expected = sageshed_fleet::neighbours::instance_key(&engines[1].id);
+    assert_eq!(names, [Some(expected)]);
+    assert!(chooser.closed(now, "plain").is_empty());
+}
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -39,6 +39,59 @@
     assert!(other.get("e1").is_none());
 }
 
+/// An engine says that it leaves in an answer to an entry process. Announcements that are on their way, words of control
+/// processes that were cut off, and its being out of sight for a while do not bring it back: each of these
+/// comes with a higher number than what was known when it spoke. Another start of it takes work.
+#[test]
+fn an_instance_that_has_said_that_it_leaves_takes_no_work_again() {
+    let mut directory = Directory::new(1);
+    let mut engine = support::engine("e1", &["m0"]);
+    directory.announce(T0, engine.clone());
+    let id = engine.id.clone();
+    assert!(directory.leaves(at(10), &id));
+    assert!(!directory.leaves(at(20), &id), "it is known");
+    let state = |directory: &Directory| directory.start(&id).map(|it| it.state);
+    assert_eq!(state(&directory), Some(State::Leaving));
+    engine.sequence = 7;
+    directory.announce(at(30), engine.clone());
+    assert_eq!(state(&directory), Some(State::Leaving), "announced later");
+    let mut elsewhere = Directory::new(2);
+    engine.sequence = 9;
+    elsewhere.announce(at(40), engine.clone());
+    exchange(&mut directory, &mut elsewhere, at(50));
+    assert_eq!(state(&directory), Some(State::Leaving), "told by another");
+    assert_eq!(state(&elsewhere), Some(State::Leaving), "the other is told");
+    assert_eq!(directory.digest(), elsewhere.digest());
+    directory.expire(at(50) + directory::SILENCE);
+    assert_eq!(state(&directory), Some(State::Silent));
+    engine.sequence = 20;
+    directory.announce(at(60) + directory::SILENCE, engine.clone());
+    assert_eq!(state(&directory), Some(State::Leaving), "out of sight");
+    assert!(directory.is_leaving(&id));
+    engine.id.born = Some(99);
+    engine.sequence = 1;
+    directory.announce(at(70) + directory::SILENCE, engine);
+    let other = directory.get("e1").expect("another start");
+    assert_eq!(other.state, State::Ready);
+}
+
+/// The word that an engine leaves comes behind a later announcement, which went to another control process.
+#[test]
+fn the_word_that_an_instance_leaves_holds_though_a_later_one_came_first() {
+    let mut directory = Directory::new(1);
+    let mut engine = support::engine("e1", &["m0"]);
+    engine.sequence = 8;
+    directory.announce(T0, engine.clone());
+    engine.sequence = 7;
+    engine.state = State::Leaving;
+    assert_eq!(directory.announce(at(10), engine.clone()), Offer::Changed);
+    assert_eq!(
+        directory.start(&engine.id).map(|it| it.state),
+        Some(State::Leaving)
+    );
+    assert!(directory.has_news(directory::Mark::default()));
+}
+
 #[test]
 fn older_words_are_ignored_and_equal_ones_change_nothing() {
     let mut directory = Directory::new(1);
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -91,6 +91,20 @@
         self.change_directory(|it| it.leave(now, id));
     }
 
+    /// Takes what entry processes were told in answers: that these endpoints leave.
+    pub fn leaves(&self, now: time::Instant, ids: &[directory::InstanceId]) {
+        if ids.is_empty() {
+            return;
+        }
+        self.change_directory(|it| {
+            for id in ids {
+                if it.leaves(now, id) {
+                    ::log::info!(endpoint:% = id; "control: endpoint leaves, by its answers");
+                }
+            }
+        });
+    }
+
     /// Takes what the leader's orders did to an engine.
     pub fn amend(
         &self,
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -40,6 +40,7 @@
     shared.hub.heard(now, &req);
     take_demand(shared, &mut req);
     shared.hub.take_crashes(now, &req.crashes);
+    shared.hub.leaves(now, &req.leaving);
     if req.watcher == messages::Watcher::Control {
         shared.hear_of([req.ip]);
     }
@@ -158,6 +159,7 @@
             demand,
             crashes_known: Some(crashes_known),
             crashes: Vec::new(),
+            leaving: Vec::new(),
         };
         let answer: Result<messages::WatchResp, _> =
             client.call(&address, messages::paths::WATCH, &req, limit);
--- a/src/sageshed/gateway/pass/backpressure.rs
+++ b/src/sageshed/gateway/pass/backpressure.rs
@@ -17,13 +17,15 @@
         }
         let notice = answered.notice;
         if notice.leaves {
-            ::log::info!(request = self.id(), endpoint:% = pick.instance; "gateway: endpoint says that it leaves");
+            self.shared.leaves(&pick.instance);
         }
-        if let Some(rest) = notice.rest {
-            ::log::info!(request = self.id(), endpoint:% = pick.instance, rest_ms = rest.0;
+        let now = self.shared.clock.now();
+        if let Some(span) = notice.rest {
+            ::log::info!(request = self.id(), endpoint:% = pick.instance, rest_ms = span.0;
                 "gateway: endpoint asks for rest");
+            self.shared
+                .with_core(|core| core.chooser.rest(now, &pick.instance, span));
         }
-        let now = self.shared.clock.now();
         let has_run = answered.word == dialect::Word::Vouched;
         let change = self.shared.with_core(|core| {
             let chooser = &mut core.chooser;
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -74,6 +74,8 @@
     pub directory: directory::Directory,
     /// Under which requests endpoints have ended.
     pub quarantine: quarantine::Quarantine,
+    /// Endpoints that have said in an answer to this process that they leave, and when.
+    leaving: Vec<(directory::InstanceId, time::Instant)>,
     /// The entry processes, this one included.
     pub entries: Vec<net::Ipv4Addr>,
     /// The number of that list.
@@ -99,6 +101,10 @@
 /// The longest that a waiting request goes without a look at whether its caller is still there.
 pub const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
 
+/// How long control is told that an endpoint leaves: several calls of each link, so that it reaches more than one
+/// control process, and one that was just lost.
+const LEAVING_TOLD: time::Millis = time::Millis(5_000);
+
 /// How long a want is taken to be under way before it is said again.
 const WANT_AGAIN: time::Millis = time::Millis(250);
 
@@ -129,6 +135,7 @@
             }),
             directory: directory::Directory::new(start),
             quarantine: quarantine::Quarantine::new(start),
+            leaving: Vec::new(),
             entries: vec![settings.discovery.ip],
             entries_number: 0,
             tally: tally::Tally::default(),
@@ -258,11 +265,40 @@
         }
     }
 
+    /// An endpoint has said in an answer that it leaves. Control is told with the next calls.
+    pub fn leaves(&self, id: &directory::InstanceId) {
+        let now = self.clock.now();
+        let mut core = locks::lock(&self.core);
+        if !core.directory.leaves(now, id) {
+            return;
+        }
+        if let Some(instance) = core.directory.start(id).cloned() {
+            core.chooser.know(&instance);
+        }
+        core.leaving.push((id.clone(), now));
+        core.changes += 1;
+        drop(core);
+        self.changed.notify_all();
+        ::log::info!(endpoint:% = id; "gateway: endpoint says in an answer that it leaves");
+    }
+
+    /// Endpoints that have said so lately, for control to be told.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<directory::InstanceId> {
+        let now = self.clock.now();
+        let mut core = locks::lock(&self.core);
+        core.leaving.retain(|(_, at)| now.since(*at) < LEAVING_TOLD);
+        core.leaving.iter().map(|(id, _)| id.clone()).collect()
+    }
+
     fn take_record(&self, core: &mut Core, now: time::Instant, record: directory::Record) -> bool {
-        let instance = record.instance.clone();
+        let id = record.instance.id.clone();
         match core.directory.merge(now, record) {
             directory::Offer::Confirmed | directory::Offer::Stale | directory::Offer::Full => false,
             offer @ (directory::Offer::New | directory::Offer::Changed) => {
+                let Some(instance) = core.directory.start(&id).cloned() else {
+                    return false;
+                };
                 core.chooser.know(&instance);
                 let state = instance.state;
                 // Connections that were kept are to a start that has ended: where its VM lost power, what is
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -148,6 +148,7 @@
             let all = quarantine::Telling::All;
             core.quarantine.since(now, known.crashes.told, all)
         }),
+        leaving: shared.leaving(),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
     let limit = std_time::Duration::from(patience) + CALL_MARGIN;
--- /dev/null
+++ b/tests/datagrams.rs
@@ -0,0 +1,51 @@
+//! What entry processes send each other fits into one datagram.
+
+use std::net;
+
+use sageshed_fleet::{allowance, directory, neighbours};
+use sageshed_types::time;
+
+/// The largest datagram that is read.
+const LARGEST: usize = 1_200;
+
+/// Hundreds of endpoints are in need at once and name limits. One entry process keeps them all for another that is the
+/// only one beside it, and asks it for what it has of each.
+#[test]
+fn drawings_of_many_limits_fit_into_datagrams() {
+    let entries: Vec<_> = (1..=2).map(|it| net::Ipv4Addr::new(10, 0, 0, it)).collect();
+    let mut home = allowance::Book::new(entries[0], u64::MAX / 2);
+    home.set_entries(time::Instant(0), &entries);
+    let mut pulls = Vec::new();
+    for number in 0..300 {
+        let id = directory::InstanceId::new(&format!("e{number}"), Some(1));
+        let draw = allowance::Draw {
+            id: u64::MAX,
+            of: allowance::Key::of_endpoint(&id),
+            amount: 1.0,
+            returned: 0.0,
+            rank: 9,
+            named: Some(allowance::Named {
+                terms: allowance::Terms {
+                    per_s: 1.1,
+                    burst: 2.0,
+                },
+                age: time::Millis(100_000),
+            }),
+        };
+        let question = neighbours::Datagram::Draw(draw);
+        assert!(encoded(&question).len() <= LARGEST);
+        let reply = home.draw(time::Instant(1), entries[1], &draw);
+        pulls.extend(reply.pull);
+    }
+    pulls.extend(home.tick(time::Instant(5_000)));
+    let drawn: usize = pulls.iter().map(|(pull, _)| pull.of.len()).sum();
+    assert!(drawn >= 300, "{drawn}");
+    for (pull, _) in pulls {
+        let datagram = encoded(&neighbours::Datagram::Pull(pull));
+        assert!(datagram.len() <= LARGEST, "{} bytes", datagram.len());
+    }
+}
+
+fn encoded(datagram: &neighbours::Datagram) -> Vec<u8> {
+    sageshed_vms::encode(datagram).expect("it can be encoded")
+}
--- a/tests/fleet/load.rs
+++ b/tests/fleet/load.rs
@@ -35,16 +35,21 @@
 
 /// Asks until each entry process has passed on an answer of `endpoint`, while the one beside it takes nothing.
 pub fn tell_all(fleet: &Fleet, endpoint: &Engine, beside: &Engine, load: &Load) {
-    beside.does(Does::Rejects);
     for entry in 0..fleet.entries.len() {
-        let mut number = 0;
-        fleet.until("an entry process has an answer of the endpoint", || {
-            number += 1;
-            let id = format!("tell-{entry}-{number}");
-            let answer = ask(fleet, entry, load, &id, number);
-            answer.is_some_and(|it| it.status() == 200) && endpoint.runs(&id) > 0
-        });
+        tell(fleet, entry, endpoint, beside, load);
     }
+}
+
+/// The same for one entry process.
+pub fn tell(fleet: &Fleet, entry: usize, endpoint: &Engine, beside: &Engine, load: &Load) {
+    beside.does(Does::Rejects);
+    let mut number = 0;
+    fleet.until("an entry process has an answer of the endpoint", || {
+        number += 1;
+        let id = format!("tell-{entry}-{number}");
+        let answer = ask(fleet, entry, load, &id, number);
+        answer.is_some_and(|it| it.status() == 200) && endpoint.runs(&id) > 0
+    });
     beside.does(Does::Answers);
 }
 
--- a/tests/fleet/said.rs
+++ b/tests/fleet/said.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use crate::{
-    fleet::Fleet,
+    fleet::{Fleet, Process},
     load::{self, Load},
     standin::{
         engine::{Arrival, Engine},
@@ -56,8 +56,10 @@
 }
 
 /// An endpoint said in its answers that it leaves, and an entry process that had passed one on sent it requests seven
-/// seconds later: the control processes were cut from each other, and the ones that this process heard did not
-/// know. Here they go on saying that it is ready.
+/// seconds later. Control processes were cut from each other, those that this process heard did not know, and it read the
+/// word of control alone. Here they go on saying that it is ready. What settled it, in one process's lines: `endpoint says
+/// that it leaves .. request="tell-0-1"`, the same for `load-0-0`, `load-0-1` and on for nine seconds, and none between
+/// by which control had said that it is ready.
 #[test]
 fn nothing_goes_to_an_endpoint_that_has_said_in_an_answer_that_it_leaves() {
     for case in CASES {
@@ -76,6 +78,27 @@
     }
 }
 
+/// One entry process was told in an answer that an endpoint leaves, and control has nothing of it. The others hear it from
+/// control, also one that starts only now: nothing goes there from any of them.
+#[test]
+fn all_entry_processes_know_what_one_was_told_in_an_answer() {
+    let (mut fleet, engines) = Fleet::ready();
+    let endpoint = &engines[0];
+    let load = load_of(&CASES[0]);
+    endpoint.says_that_it_leaves();
+    load::tell(&fleet, 0, endpoint, &engines[1], &load);
+    let knows = |entry: &Process| entry.log().contains("\"state\":\"Leaving\"");
+    fleet.until("the other one hears it", || knows(&fleet.entries[1]));
+    fleet.entries[1].kill();
+    fleet.entries[1].start();
+    fleet.until("it is back", || fleet.entries[1].ready() == 200);
+    let from = time::Instant::now();
+    let answers = load::answers(&fleet, &load);
+    let count = since(endpoint, from);
+    assert_eq!(count, 0, "{count} requests");
+    assert!(answers.iter().all(|it| it.status() == 200));
+}
+
 /// The most requests that came from one of so many entry processes between half a second after the endpoint had turned
 /// one of its requests away and the end of the rest that it had asked for. Callers name the process in their ids.
 fn most_in_rest(arrived: &[Arrival], entries: usize) -> usize {
@@ -99,7 +122,9 @@
 }
 
 /// An endpoint turned a request away and asked the process that had sent it for rest. It got three from that process in
-/// the time: for a rejection the process left it alone for half a second, and had not read for how long it was asked to.
+/// the time: after a rejection the process left it alone for half a second, and did not read for how long it was asked
+/// to. What settled it: `endpoint asks for rest .. request="load-0-0" rest_ms="3000"`, and 1.3 s later the same of
+/// `load-0-1`.
 #[test]
 fn an_endpoint_gets_the_rest_that_it_asks_for() {
     for case in CASES {
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -39,6 +39,7 @@
         demand: Vec::new(),
         crashes_known: Some(known),
         crashes: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
