Show red that a listed engine's rest is used by nobody

The same cause in front of listed engines, found by looking: Retry-After of an engine's 503 is decoded into the error of the call and read by nothing. Real processes, an engine that turns all away and asks for 5 s: 4 requests in 4 s, twice, where its first and two more are allowed. The stand-in of engines can be busy now.

--- a/crates/sageshed-test-support/src/engine.rs
+++ b/crates/sageshed-test-support/src/engine.rs
@@ -115,6 +115,11 @@
         chat: req.path == paths::CHAT_COMPLETIONS,
         fault: engine.fault_for_request(),
     };
+    if let fault::Fault::Busy { rest_s } = running.fault {
+        let rest = rest_s.to_string();
+        let headers = [not_run[0], ("Retry-After", rest.as_str())];
+        return endpoint::respond_json(conn, 503, id, &headers, r#"{"error":"busy"}"#);
+    }
     if let fault::Fault::Late { delay_ms } = running.fault {
         thread::sleep(Duration::from_millis(delay_ms));
     }
--- a/crates/sageshed-test-support/src/fault.rs
+++ b/crates/sageshed-test-support/src/fault.rs
@@ -27,6 +27,11 @@
         /// By how much, in milliseconds, not scaled.
         delay_ms: u64,
     },
+    /// Requests are turned away, not run, and so many seconds of rest asked for.
+    Busy {
+        /// How many seconds.
+        rest_s: u32,
+    },
     /// An answer is that of another request, as when two are swapped.
     Swap,
     /// Connections are refused.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod overload;
 mod path;
 mod placement;
+mod resting;
 mod rules;
 mod shutdown;
 mod watch;
