--- a/crates/sageshed-decide/src/decider/ended.rs
+++ b/crates/sageshed-decide/src/decider/ended.rs
@@ -48,6 +48,22 @@
         }
     }
 
+    /// The endpoint of a try wants rest. An earlier start of it says nothing of this one.
+    pub(super) fn asked_to_rest(
+        &mut self,
+        now: time::Instant,
+        req: event::ReqId,
+        span: time::Millis,
+    ) {
+        let Some(request::State::Sent(sent)) = self.requests.get(&req).map(|it| it.state) else {
+            return;
+        };
+        let endpoint = self.router.fleet.get_mut(sent.endpoint);
+        if endpoint.incarnation == sent.incarnation {
+            endpoint.pause(time::Instant(now.0.saturating_add(span.0)));
+        }
+    }
+
     pub(super) fn ended(
         &mut self,
         now: time::Instant,
--- a/crates/sageshed-decide/src/event.rs
+++ b/crates/sageshed-decide/src/event.rs
@@ -68,6 +68,14 @@
         /// How.
         outcome: TryOutcome,
     },
+    /// The endpoint has turned a try away and wants no request from this process for a while. Comes before the try's
+    /// [`Self::Ended`].
+    AskedToRest {
+        /// Of which request.
+        req: ReqId,
+        /// For how long.
+        span: time::Millis,
+    },
     /// The first byte of the answer came. From here on a streamed answer is not sent elsewhere.
     FirstToken {
         /// Of which request.
--- a/src/sageshed/entry/completion.rs
+++ b/src/sageshed/entry/completion.rs
@@ -130,6 +130,7 @@
         sageshed_types::verdict::Verdict::Ran,
         &format!("status {status}"),
     );
+    open.note_rest(status, answer.retry_after);
     open.done(match status {
         400.. => event::TryOutcome::Refused { status },
         _ => event::TryOutcome::Done {
--- a/src/sageshed/entry/request.rs
+++ b/src/sageshed/entry/request.rs
@@ -252,7 +252,20 @@
             .unwrap_or(self.facts.not_repeatable)
     }
 
+    /// An endpoint that turned a request away gets the rest that it asks for.
+    pub fn note_rest(&self, status: u16, retry_after: Option<types_time::Millis>) {
+        if let Some(span) = retry_after.filter(|_| matches!(status, 429 | 503)) {
+            self.shared.step(event::Event::AskedToRest {
+                req: self.req,
+                span,
+            });
+        }
+    }
+
     fn note_failure(&mut self, order: &Order, e: &classify::CallError) {
+        if let fault::Fault::Status(status) = e.fault {
+            self.note_rest(status, e.retry_after);
+        }
         self.note_try(order, e.verdict, &e.to_string());
         self.note_break(order, e.fault, e.verdict);
         let outcome = event::TryOutcome::Failed {
--- a/src/sageshed/entry/service.rs
+++ b/src/sageshed/entry/service.rs
@@ -59,7 +59,9 @@
         open.shared.watched.enter(open.req, reply.watch());
         let answer = open.shared.services.send(&call);
         let limit = open.shared.settings.limits.answer_bytes;
+        let mut rest = None;
         let whole = answer.and_then(|answer| {
+            rest = answer.retry_after;
             let head = (
                 answer.status,
                 answer.content_type.clone(),
@@ -69,7 +71,10 @@
         });
         open.shared.watched.leave(open.req);
         match whole {
-            Ok((head, body)) => Tried::Answered(pass(open, order, &head, &body, reply)),
+            Ok((head, body)) => {
+                open.note_rest(head.0, rest);
+                Tried::Answered(pass(open, order, &head, &body, reply))
+            }
             Err(e) => Tried::Failed(reply, e),
         }
     }
--- a/tests/testsuite/resting.rs
+++ b/tests/testsuite/resting.rs
@@ -17,8 +17,9 @@
 /// on their way or came by an earlier choice.
 const MOST: u64 = 3;
 
-/// An engine turns a request away and asks for five seconds of rest. The entry process had decoded that and used it
-/// nowhere: it left the engine alone for 200 ms, as one that is busy, and asked it again and again.
+/// An engine turns a request away and asks for five seconds of rest. The entry process decoded that into the error of the
+/// call and used it nowhere: it left the engine alone as one that is busy, for 200 ms, and later for as long as its
+/// failures counted, and sent it four requests in four seconds.
 #[test]
 fn an_engine_gets_the_rest_that_it_asks_for() {
     let cluster = cluster::Cluster::start(cluster::Plan::default());
