Decide in the chooser what an answer says of its endpoint

Behaviour as it was: who an answer speaks for, and that a rejection without a limit lifts none, stood in the gateway, where no test reached it. Now a pure step with a table of eight heads (another start, nobody named, unvouched, rejections).

--- a/crates/sageshed-fleet/src/chooser/backpressure.rs
+++ b/crates/sageshed-fleet/src/chooser/backpressure.rs
@@ -15,7 +15,7 @@
 use sageshed_types::{arena, time};
 
 use super::{Ask, Chooser, Missing};
-use crate::{allowance, directory};
+use crate::{allowance, dialect, directory};
 
 /// The smallest limit that is kept to, in requests a second. Of one that names none at all nothing would ever be
 /// heard again.
@@ -94,6 +94,27 @@
 }
 
 impl Chooser {
+    /// Takes what an answer to a request that was sent to the start `id` says of it. Returns what is new of its limit.
+    pub fn heed(
+        &mut self,
+        now: time::Instant,
+        id: &directory::InstanceId,
+        answered: &dialect::Answered<'_>,
+    ) -> Option<Change> {
+        if !answered.is_of(id) {
+            return None;
+        }
+        if let Some(span) = answered.notice.rest {
+            self.rest(now, id, span);
+        }
+        match answered.notice.limit {
+            Some(per_s) => self.limited(now, id, per_s),
+            // A rejection may be too short to say all.
+            None if answered.word != dialect::Word::Vouched => None,
+            None => self.unlimited(id),
+        }
+    }
+
     /// A start of an endpoint has named a limit in an answer. Returns what is new.
     pub fn limited(
         &mut self,
--- a/crates/sageshed-fleet/tests/backpressure.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -266,3 +266,97 @@
     assert_eq!(names, [Some(expected)]);
     assert!(chooser.closed(now, "plain").is_empty());
 }
+
+/// The head of an answer, and whether the engine has its limit and rests after it.
+struct Head {
+    name: &'static str,
+    answered: dialect::Answered<'static>,
+    is_limited: bool,
+    rests: bool,
+}
+
+fn answered(word: dialect::Word, notice: dialect::Notice) -> dialect::Answered<'static> {
+    dialect::Answered {
+        id: None,
+        word,
+        load: None,
+        endpoint: None,
+        notice,
+    }
+}
+
+/// An engine with a limit answers once more. The answer of another engine, which was given its address, is not its own;
+/// and a rejection that names no limit does not say that there is none.
+#[test]
+fn an_answer_says_something_of_the_engine_that_gave_it_alone() {
+    let limit = dialect::Notice {
+        limit: Some(1.0),
+        ..dialect::Notice::default()
+    };
+    let rest = dialect::Notice {
+        rest: Some(Millis(700)),
+        ..dialect::Notice::default()
+    };
+    let none = dialect::Notice::default();
+    let head = |name, answered, is_limited, rests| Head {
+        name,
+        answered,
+        is_limited,
+        rests,
+    };
+    let vouched = dialect::Word::Vouched;
+    let misdirected = dialect::Word::Misdirected;
+    let other = dialect::Answered {
+        endpoint: Some("e9"),
+        ..answered(misdirected, none)
+    };
+    let own = dialect::Answered {
+        endpoint: Some("e1"),
+        ..answered(misdirected, rest)
+    };
+    let cases = [
+        head(
+            "it runs under its limit",
+            answered(vouched, limit),
+            true,
+            false,
+        ),
+        head("it runs without one", answered(vouched, none), false, false),
+        head(
+            "it rejects",
+            answered(dialect::Word::NotRun, none),
+            true,
+            false,
+        ),
+        head(
+            "it rejects and rests",
+            answered(dialect::Word::NotRun, rest),
+            true,
+            true,
+        ),
+        head(
+            "nobody vouches",
+            answered(dialect::Word::Unvouched, none),
+            true,
+            false,
+        ),
+        head("another answers", other, true, false),
+        head(
+            "nobody says who refuses",
+            answered(misdirected, rest),
+            true,
+            false,
+        ),
+        head("it says that it refuses", own, true, true),
+    ];
+    for case in cases {
+        let (mut chooser, engines) = chooser(&["e1"]);
+        let (now, id) = (Instant(10_000), &engines[0].id);
+        chooser.limited(now, id, 1.0);
+        chooser.heed(now, id, &case.answered);
+        let is_limited = chooser.limit_of(now, id).is_some();
+        assert_eq!(is_limited, case.is_limited, "{}", case.name);
+        let rests = !chooser.closed(now, "engines").is_empty();
+        assert_eq!(rests, case.rests, "{}", case.name);
+    }
+}
--- a/src/sageshed/gateway/pass/backpressure.rs
+++ b/src/sageshed/gateway/pass/backpressure.rs
@@ -15,27 +15,17 @@
         if !answered.is_of(&pick.instance) {
             return;
         }
-        let notice = answered.notice;
-        if notice.leaves {
+        if answered.notice.leaves {
             self.shared.leaves(&pick.instance);
         }
-        let now = self.shared.clock.now();
-        if let Some(span) = notice.rest {
+        if let Some(span) = answered.notice.rest {
             ::log::info!(request = self.id(), endpoint:% = pick.instance, rest_ms = span.0;
                 "gateway: endpoint asks for rest");
-            self.shared
-                .with_core(|core| core.chooser.rest(now, &pick.instance, span));
         }
-        let has_run = answered.word == dialect::Word::Vouched;
-        let change = self.shared.with_core(|core| {
-            let chooser = &mut core.chooser;
-            match answered.notice.limit {
-                Some(per_s) => chooser.limited(now, &pick.instance, per_s),
-                // A rejection may be too short to say all.
-                None if !has_run => None,
-                None => chooser.unlimited(&pick.instance),
-            }
-        });
+        let now = self.shared.clock.now();
+        let change = self
+            .shared
+            .with_core(|core| core.chooser.heed(now, &pick.instance, answered));
         self.log_limit(pick, change);
     }
 
