--- a/crates/sageshed-decide/tests/faults.rs
+++ b/crates/sageshed-decide/tests/faults.rs
@@ -473,3 +473,30 @@
         assert_eq!(gauges.ejected, ejected, "answers others: {answers_others}");
     }
 }
+
+/// What an engine would see: it has turned a request away and asked for three seconds of rest, and is sent further ones
+/// after 200 ms. One that has started again since has asked for nothing.
+#[test]
+fn an_engine_that_asks_for_rest_is_left_alone_for_so_long() {
+    for (after, restarts, goes_on) in [
+        (2_900, false, false),
+        (3_100, false, true),
+        (100, true, true),
+    ] {
+        let mut bench = common::Bench::with_engines(common::settings(), &["e1"]);
+        let (req, actions) = bench.arrive(|_| {});
+        assert!(common::sent_to(&actions, req).is_some());
+        if restarts {
+            let mut report = common::report("e1", 1, 4, &["sort"]);
+            report.identity.incarnation = endpoints::Incarnation(2);
+            bench.report(report);
+        }
+        let span = time::Millis(3_000);
+        bench.step(event::Event::AskedToRest { req, span });
+        bench.fail(req, NOT_RUN, event::Fault::Status(503));
+        bench.pass(after);
+        let (next, actions) = bench.arrive(|f| f.deadline = Some(time::Millis(10_000)));
+        let is_sent = common::sent_to(&actions, next).is_some();
+        assert_eq!(is_sent, goes_on, "after {after} ms, restarted: {restarts}");
+    }
+}
