Have a leader keep to what an engine asks for, rest and limits alike

The planner takes the whole notice now; leaving by an answer to a leader's call is noted in its directory too. Test: a second between calls under a limit, none in a rest of 3 s. A start that was replaced keeps the word that it leaves, should it be put back.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -305,7 +305,7 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        if entry.leaves || entry.instance.has_ended() {
+        if entry.leaves || entry.instance.state == State::Gone {
             return false;
         }
         entry.leaves = true;
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -25,9 +25,6 @@
 /// How old a report may be.
 const REPORT_AGE: time::Millis = time::Millis(1_000);
 
-/// Between two calls to an engine that has named a limit.
-const SPARED_FOR: time::Millis = time::Millis(1_000);
-
 /// How long after the time for a load an engine that does not show it is asked for a report.
 const LOAD_PATIENCE: time::Millis = time::Millis(1_500);
 
@@ -105,7 +102,7 @@
     rest_until: time::Instant,
     /// Until then it may carry out what the start before it was ordered.
     unsettled_until: time::Instant,
-    /// It has named a limit: nothing is asked of it before.
+    /// It has named a limit or asked for rest: nothing is asked of it before.
     spared_until: time::Instant,
 }
 
@@ -198,10 +195,10 @@
         !lately && !is_sending && (self.accepted.is_none() || self.open.iter().any(overdue))
     }
 
-    /// It has answered that it takes no more than so many requests from all VMs together. Orders and questions
-    /// count there like requests, and no entry process counts them: one a second leaves the rest to callers.
-    pub(super) fn limited(&mut self, now: time::Instant) {
-        self.spared_until = now + SPARED_FOR;
+    /// Nothing is asked of it for `span`.
+    pub(super) fn spare(&mut self, now: time::Instant, span: time::Millis) {
+        let until = time::Instant(now.0.saturating_add(span.0));
+        self.spared_until = self.spared_until.max(until);
     }
 
     pub(super) fn asked(&mut self, now: time::Instant) {
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -105,6 +105,9 @@
     },
 }
 
+/// Between two calls to an engine that has named a limit.
+const SPARED_FOR: time::Millis = time::Millis(1_000);
+
 /// What a leader sees of one service, for its log.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -260,10 +263,24 @@
         }
     }
 
-    /// An engine has named in an answer how many requests it takes from all VMs together.
-    pub fn limited(&mut self, now: time::Instant, instance: &directory::InstanceId) {
-        if let Some(engine) = self.engines.get_mut(instance) {
-            engine.limited(now);
+    /// Takes what an engine says of itself in an answer.
+    ///
+    /// Of one that takes no more than so many requests from all VMs together, orders and questions count like
+    /// requests, and no entry process counts them: one a second leaves the rest to callers.
+    pub fn heed(
+        &mut self,
+        now: time::Instant,
+        instance: &directory::InstanceId,
+        notice: dialect::Notice,
+    ) {
+        let Some(engine) = self.engines.get_mut(instance) else {
+            return;
+        };
+        if notice.limit.is_some() {
+            engine.spare(now, SPARED_FOR);
+        }
+        if let Some(span) = notice.rest {
+            engine.spare(now, span);
         }
     }
 
--- a/crates/sageshed-fleet/tests/backpressure.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -352,7 +352,8 @@
     for case in cases {
         let (mut chooser, engines) = chooser(&["e1"]);
         let (now, id) = (Instant(10_000), &engines[0].id);
-        chooser.limited(now, id, 1.0);
+        let first = chooser.heed(now, id, &answered(vouched, limit));
+        assert_eq!(first, Some(Change::Named(1.0)));
         chooser.heed(now, id, &case.answered);
         let is_limited = chooser.limit_of(now, id).is_some();
         assert_eq!(is_limited, case.is_limited, "{}", case.name);
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -589,7 +589,7 @@
 #[test]
 fn an_engine_with_a_limit_is_called_once_a_second() {
     let mut world = World::new(&[("e1", &["m1"])]);
-    world.run(1_000);
+    world.run(5_000);
     let id = world.engines["e1"].instance.id.clone();
     let begun = world.now;
     for round in 0..40 {
@@ -603,7 +603,11 @@
         let before = world.orders.len();
         world.run(100);
         if world.orders.len() > before {
-            world.planner.limited(world.now, &id);
+            let notice = dialect::Notice {
+                limit: Some(1.0),
+                ..dialect::Notice::default()
+            };
+            world.planner.heed(world.now, &id, notice);
         }
     }
     let seconds = world.now.since(begun).0 / 1_000;
@@ -612,3 +616,36 @@
     let most = usize::try_from(seconds).expect("few") + 1;
     assert!(orders <= most, "{orders} orders in {seconds} s");
 }
+
+/// An engine turns an order away and wants three seconds of rest. Nothing is asked of it meanwhile.
+#[test]
+fn an_engine_at_rest_is_not_called() {
+    let mut world = World::new(&[("e1", &["m1"])]);
+    world.run(5_000);
+    let id = world.engines["e1"].instance.id.clone();
+    let notice = dialect::Notice {
+        rest: Some(time::Millis(3_000)),
+        ..dialect::Notice::default()
+    };
+    world.planner.heed(world.now, &id, notice);
+    let (rests_until, before) = (world.now + time::Millis(3_000), world.orders.len());
+    for adapter in ["a1", "a2"] {
+        let want = messages::WantReq {
+            service: "engines".to_owned(),
+            model: "m1".to_owned(),
+            adapter: adapter.to_owned(),
+            engine: Some(id.clone()),
+        };
+        world.planner.want(world.now, want.clone());
+        world.run(1_400);
+        assert_eq!(world.orders.len(), before, "{adapter}");
+        world.planner.want(world.now, want);
+    }
+    world.run(1_000);
+    assert!(world.orders.len() > before, "it is asked again");
+    assert!(
+        world.orders[before..]
+            .iter()
+            .all(|(at, _)| *at >= rests_until)
+    );
+}
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -39,8 +39,8 @@
     Answered(Box<dialect::Order>, Option<dialect::OrderAnswer>),
     /// An engine's report, if it gave one.
     Reported(directory::InstanceId, Option<dialect::Report>),
-    /// An engine has named a limit, in requests a second.
-    Limited(directory::InstanceId, f64),
+    /// What an engine says of itself in an answer.
+    Said(directory::InstanceId, dialect::Notice),
 }
 
 /// What the planning thread owns.
@@ -92,9 +92,10 @@
                 Input::Reported(instance, report) => {
                     self.planner.reported(now, &instance, report);
                 }
-                Input::Limited(instance, per_s) => {
-                    ::log::info!(endpoint:% = instance, per_s; "control: endpoint names a limit");
-                    self.planner.limited(now, &instance);
+                Input::Said(instance, notice) => {
+                    ::log::info!(endpoint:% = instance, limit:? = notice.limit, rest:? = notice.rest,
+                        leaves = notice.leaves; "control: endpoint asks for something in an answer");
+                    self.planner.heed(now, &instance, notice);
                 }
                 Input::Answered(order, answer) => {
                     ::log::info!(endpoint:% = order.instance, task:% = order.task,
@@ -315,9 +316,16 @@
     head: &exchange::Head,
 ) {
     let answered = dialect.answered(head.status, |it| head.get(it));
-    if let Some(per_s) = answered.notice.limit.filter(|_| answered.is_of(instance)) {
-        shared.hub.plan(Input::Limited(instance.clone(), per_s));
+    let notice = answered.notice;
+    if !answered.is_of(instance) || notice == dialect::Notice::default() {
+        return;
     }
+    if notice.leaves {
+        shared
+            .hub
+            .leaves(shared.clock.now(), std::slice::from_ref(instance));
+    }
+    shared.hub.plan(Input::Said(instance.clone(), notice));
 }
 
 fn exchange_with(
