Tell a large directory in portions, and encode each record once

Change: an answer has 200 records at most and says whether there is more; a record is encoded once for all watchers; a link whose digest is equal knows up to where; what is known of a control process is kept while another is watched. Why it holds: what a watcher has got stays got, so that a slow answer costs itself alone (test: 3,000 endpoints in answers under 128 KB, a change in between included). Digests are not held against links while there is more to come.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -71,6 +71,26 @@
     entries: collections::BTreeMap<InstanceId, Entry>,
 }
 
+/// A change of a directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Of which instance.
+    pub id: InstanceId,
+    /// Its number, which no other change has.
+    pub number: u64,
+}
+
+/// Some of what a peer does not know yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Portion {
+    /// The changes, in their order.
+    pub changes: Vec<Change>,
+    /// Up to where the directory is known with them.
+    pub mark: Mark,
+    /// Whether there are no more.
+    pub is_last: bool,
+}
+
 /// What a peer is to be passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Passing {
@@ -359,24 +379,53 @@
     /// What changed after `mark`; everything where the mark is of another start.
     #[must_use]
     pub fn since(&self, now: time::Instant, mark: Mark, passing: Passing) -> Vec<Record> {
+        let all = self.portion(mark, passing, usize::MAX).changes;
+        let records = all.iter().filter_map(|it| self.record(now, &it.id));
+        records.collect()
+    }
+
+    /// The first `most` changes after `mark`, and up to where the directory is known with them.
+    #[must_use]
+    pub fn portion(&self, mark: Mark, passing: Passing, most: usize) -> Portion {
         let from = if mark.start == self.start {
             mark.change
         } else {
             0
         };
-        self.entries
-            .values()
-            .filter(|entry| match passing {
-                Passing::All => entry.changed > from,
-                Passing::News => entry.news > from,
-            })
-            .map(|entry| Record {
-                instance: entry.instance.clone(),
-                amended: entry.amended,
-                rank: entry.rank,
-                age: now.since(entry.heard),
-            })
-            .collect()
+        let numbered = self.entries.iter().map(|(id, entry)| match passing {
+            Passing::All => (entry.changed, id),
+            Passing::News => (entry.news, id),
+        });
+        let mut changes: Vec<_> = numbered.filter(|(number, _)| *number > from).collect();
+        changes.sort_unstable();
+        let is_last = changes.len() <= most;
+        changes.truncate(most);
+        let last = changes.last().filter(|_| !is_last);
+        let mark = Mark {
+            start: self.start,
+            change: last.map_or(self.change, |(number, _)| *number),
+        };
+        let changes = changes.into_iter().map(|(number, id)| Change {
+            id: id.clone(),
+            number,
+        });
+        Portion {
+            changes: changes.collect(),
+            mark,
+            is_last,
+        }
+    }
+
+    /// What is passed on of an instance.
+    #[must_use]
+    pub fn record(&self, now: time::Instant, id: &InstanceId) -> Option<Record> {
+        let entry = self.entries.get(id)?;
+        Some(Record {
+            instance: entry.instance.clone(),
+            amended: entry.amended,
+            rank: entry.rank,
+            age: now.since(entry.heard),
+        })
     }
 
     /// The instances that have not gone, with how long each was silent.
--- a/crates/sageshed-fleet/src/links.rs
+++ b/crates/sageshed-fleet/src/links.rs
@@ -109,11 +109,17 @@
         self.each.iter().position(|it| it.has_answered)
     }
 
-    /// A control process has answered, and its digest is that of this process or isn't.
-    pub fn answered(&mut self, now: time::Instant, number: usize, differs: bool) {
+    /// A control process has answered, and its digest is that of this process or isn't. It may have more of the
+    /// endpoints to tell: until that has come, what digests differ by is on its way, and need not come by other
+    /// links too.
+    pub fn answered(&mut self, now: time::Instant, number: usize, differs: bool, has_more: bool) {
         let link = &mut self.each[number];
         link.has_answered = true;
-        if differs {
+        if has_more {
+            for link in &mut self.each {
+                link.differs_since = None;
+            }
+        } else if differs {
             link.differs_since.get_or_insert(now);
         } else {
             link.differs_since = None;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -134,8 +134,15 @@
     pub mark: directory::Mark,
     /// The digest of the directory; see [`directory::Directory::digest`].
     pub digest: u64,
+    /// Up to where the directory is known to one that has this digest too; none from a process that does not
+    /// tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest_mark: Option<directory::Mark>,
     /// What changed in it since the mark of the question, as [`directory::Record`].
     pub records: Vec<Packed>,
+    /// Whether there is more of that, for the next question.
+    #[serde(default)]
+    pub has_more: bool,
     /// Up to where crashes are known with this answer; none from a process that does not tell.
     #[serde(default)]
     pub crashes_mark: Option<quarantine::Mark>,
--- a/crates/sageshed-fleet/tests/backpressure.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
+use std::net;
+
 use sageshed_fleet::{
-    allowance::{Key, Terms},
+    allowance::{self, Key, Terms},
     chooser::{Ask, Change, Choice, Chooser, Missing},
     dialect, directory,
 };
@@ -137,6 +139,54 @@
     assert!(after > 0.5, "{after} a second");
 }
 
+/// Anybody can send a datagram. Terms that are no numbers would leave the allowance at no number for good.
+#[test]
+fn terms_that_are_no_numbers_are_not_taken() {
+    for bad in [f64::NAN, f64::INFINITY, -1.0] {
+        let entries = [net::Ipv4Addr::LOCALHOST];
+        let mut home = allowance::Book::new(entries[0], 1);
+        home.set_entries(Instant(0), &entries);
+        let draw = allowance::Draw {
+            id: 1,
+            of: key(),
+            amount: 1.0,
+            returned: 0.0,
+            rank: 0,
+            named: Some(allowance::Named {
+                terms: terms(bad),
+                age: Millis(0),
+            }),
+        };
+        home.draw(Instant(1_000), entries[0], &draw);
+        assert_eq!(home.terms(key()), None, "{bad}");
+        assert_eq!(home.pots().count(), 0, "{bad}");
+    }
+}
+
+/// What nobody asks by any more is forgotten, with what was drawn of it.
+#[test]
+fn terms_are_forgotten_when_nobody_asks_by_them() {
+    let entries = [net::Ipv4Addr::LOCALHOST];
+    let mut home = allowance::Book::new(entries[0], 1);
+    home.set_entries(Instant(0), &entries);
+    let draw = allowance::Draw {
+        id: 1,
+        of: key(),
+        amount: 1.0,
+        returned: 0.0,
+        rank: 0,
+        named: Some(allowance::Named {
+            terms: terms(1.0),
+            age: Millis(0),
+        }),
+    };
+    home.draw(Instant(1_000), entries[0], &draw);
+    assert!(home.has_any());
+    home.tick(Instant(60_000));
+    assert!(!home.has_any());
+    assert_eq!(home.pots().count(), 0);
+}
+
 const MODEL: &str = "m1";
 
 fn wanted() -> dialect::Wanted {
--- a/crates/sageshed-fleet/tests/links.rs
+++ b/crates/sageshed-fleet/tests/links.rs
@@ -74,12 +74,12 @@
 fn one_link_brings_endpoints_once_one_has_answered() {
     let (mut links, _) = linked("z4");
     assert_eq!(wants(&links, T0), [Wants::News; LINKS]);
-    links.answered(at(5), 2, false);
+    links.answered(at(5), 2, false, false);
     assert_eq!(
         wants(&links, at(5)),
         [Wants::Digest, Wants::Digest, Wants::News]
     );
-    links.answered(at(9), 0, false);
+    links.answered(at(9), 0, false, false);
     assert_eq!(
         wants(&links, at(9)),
         [Wants::News, Wants::Digest, Wants::Digest]
@@ -93,7 +93,7 @@
 fn a_lost_control_process_is_replaced_and_tried_again_later() {
     let (mut links, held) = linked("z4");
     for number in 0..LINKS {
-        links.answered(T0, number, false);
+        links.answered(T0, number, false, false);
     }
     links.avoid(at(100), 0, held[0]);
     assert_eq!(
@@ -114,14 +114,14 @@
 fn links_whose_digest_differs_bring_endpoints_too() {
     let (mut links, _) = linked("z4");
     for number in 0..LINKS {
-        links.answered(T0, number, false);
+        links.answered(T0, number, false, false);
     }
-    links.answered(at(100), 1, true);
+    links.answered(at(100), 1, true, false);
     assert_eq!(links.wants(at(150), 1), Wants::Digest);
-    links.answered(at(300), 1, true);
+    links.answered(at(300), 1, true, false);
     assert_eq!(links.wants(at(300), 1), Wants::News);
     assert_eq!(links.wants(at(300), 2), Wants::Digest);
-    links.answered(at(400), 1, false);
+    links.answered(at(400), 1, false, false);
     assert_eq!(links.wants(at(400), 1), Wants::Digest);
 }
 
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -10,7 +10,7 @@
 use sageshed_types::time;
 
 use super::planning;
-use crate::{locks, sampler};
+use crate::{locks, records, sampler};
 
 /// How long an entry process counts as there after it was heard. It watches without a pause, and a
 /// watch lasts a second at the most.
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 struct Inner {
     directory: directory::Directory,
+    /// Records of the directory as they travel.
+    packed: collections::HashMap<directory::InstanceId, Packed>,
     config: u64,
     /// Entry processes that this process hears itself.
     entries: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
@@ -47,6 +49,23 @@
 /// loaded all over the fleet, and each answer costs some 500 bytes besides what is new.
 const BATCH: std_time::Duration = std_time::Duration::from_millis(30);
 
+/// Records in one answer: some 100 KB. The answers to all watchers that know nothing yet, after a start, have to fit into
+/// the memory of the smallest VMs at once, and each into the time that its watcher waits.
+const MOST_RECORDS: usize = 200;
+
+/// How long a record is passed on as it was encoded. It tells how old the word of its endpoint was at that moment; the
+/// shortest time that is judged by that is several times as long.
+const PACKED_KEPT: time::Millis = time::Millis(500);
+
+/// A record as it travels.
+#[derive(Debug)]
+struct Packed {
+    /// The change that it tells of.
+    number: u64,
+    at: time::Instant,
+    record: messages::Packed,
+}
+
 /// Lines a second on words that could not be read.
 const MISREAD_LOGGED: u64 = 5;
 
@@ -62,6 +81,7 @@
             misread: sampler::Sampler::new(MISREAD_LOGGED),
             inner: sync::Mutex::new(Inner {
                 directory: directory::Directory::new(start),
+                packed: collections::HashMap::new(),
                 config: 0,
                 entries: collections::BTreeMap::new(),
                 entries_elsewhere: collections::BTreeMap::new(),
@@ -142,6 +162,8 @@
             let recent = |at: &time::Instant| now.since(*at) < ENTRY_KEPT;
             inner.entries.retain(|_, at| recent(at));
             inner.entries_elsewhere.retain(|_, at| recent(at));
+            let directory = &inner.directory;
+            inner.packed.retain(|id, _| directory.start(id).is_some());
         });
         self.change_directory(|it| it.expire(now))
     }
@@ -204,14 +226,16 @@
             messages::Wants::News => Some(directory::Passing::News),
             messages::Wants::Digest => None,
         };
-        let records = passing.map(|it| inner.directory.since(now, req.mark, it));
+        let portion = passing.map(|it| inner.directory.portion(req.mark, it, MOST_RECORDS));
+        let changes = portion.as_ref().map_or(&[][..], |it| &it.changes);
+        let records = inner.pack(now, changes);
         News {
             // Without the records nothing more is known than before.
-            mark: records
-                .as_ref()
-                .map_or(req.mark, |_| inner.directory.mark()),
-            records: records.unwrap_or_default(),
+            mark: portion.as_ref().map_or(req.mark, |it| it.mark),
+            records,
+            has_more: portion.is_some_and(|it| !it.is_last),
             digest: inner.directory.digest(),
+            digest_mark: inner.directory.mark(),
             config: inner.config,
             crashes_mark: inner.quarantine.mark(),
             crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
@@ -323,6 +347,35 @@
 }
 
 impl Inner {
+    /// The records of these changes as they travel, each encoded once for all watchers.
+    ///
+    /// Encoded for each of some hundred watchers anew, the records of a fleet took all of the processor, and the watchers
+    /// were answered too late.
+    fn pack(&mut self, now: time::Instant, changes: &[directory::Change]) -> Vec<messages::Packed> {
+        let mut all = Vec::with_capacity(changes.len());
+        for change in changes {
+            let known = self.packed.get(&change.id);
+            let is_fresh =
+                |it: &&Packed| it.number == change.number && now.since(it.at) < PACKED_KEPT;
+            if let Some(packed) = known.filter(is_fresh) {
+                all.push(packed.record.clone());
+                continue;
+            }
+            let record = self.directory.record(now, &change.id);
+            let Some(record) = record.and_then(|it| records::pack(&it)) else {
+                continue;
+            };
+            let packed = Packed {
+                number: change.number,
+                at: now,
+                record: record.clone(),
+            };
+            self.packed.insert(change.id.clone(), packed);
+            all.push(record);
+        }
+        all
+    }
+
     /// Whether there is something for a watcher.
     fn is_newer(&self, req: &messages::WatchReq) -> bool {
         let has_news = req.wants != messages::Wants::Digest && self.directory.has_news(req.mark);
@@ -346,10 +399,14 @@
 pub struct News {
     /// Up to where the directory is known with it.
     pub mark: directory::Mark,
-    /// What changed in the directory.
-    pub records: Vec<directory::Record>,
+    /// What changed in the directory, as far as it goes into one answer.
+    pub records: Vec<messages::Packed>,
+    /// Whether there is more.
+    pub has_more: bool,
     /// The digest of the directory.
     pub digest: u64,
+    /// Up to where the directory has that digest.
+    pub digest_mark: directory::Mark,
     /// The number of the configuration that is held.
     pub config: u64,
     /// Up to where crashes are known with it.
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -64,7 +64,9 @@
         config_change: change,
         mark: news.mark,
         digest: news.digest,
-        records: records::pack(&news.records),
+        digest_mark: Some(news.digest_mark),
+        records: news.records,
+        has_more: news.has_more,
         crashes_mark: Some(news.crashes_mark),
         crashes: news.crashes,
     }
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -4,7 +4,7 @@
 //! The link that brings endpoints also takes along what callers ask for.
 
 use std::{
-    net,
+    collections, net,
     sync::{self, atomic},
     thread, time as std_time,
 };
@@ -69,7 +69,8 @@
 
 fn run<D: dialect::Dialect>(shared: &state::Shared<D>, watching: &Watching, number: usize) {
     let mut at: Option<net::Ipv4Addr> = None;
-    let mut known = Known::default();
+    // By the control process: one that is watched again, after a while elsewhere, need not tell all anew.
+    let mut all_known: collections::HashMap<net::Ipv4Addr, Known> = collections::HashMap::new();
     while !shared.stopping.load(atomic::Ordering::Relaxed) {
         watching.read_seeds(shared);
         let draw = shared.with_core(|core| core.chooser.draw());
@@ -80,8 +81,8 @@
         if at != Some(to) {
             ::log::info!(link = number, control:% = to; "gateway: watches a control process");
             at = Some(to);
-            known = Known::default();
         }
+        let known = all_known.entry(to).or_default();
         let (wants, is_source) = {
             let links = locks::lock(&watching.links);
             (
@@ -90,16 +91,22 @@
             )
         };
         let telling = shared.with_core(|core| core.quarantine.mark());
-        match watch(shared, to, &known, wants, is_source) {
+        match watch(shared, to, known, wants, is_source) {
             Ok(resp) => {
                 known.mark = resp.mark;
                 known
                     .crashes
                     .answered(telling, resp.crashes_mark.unwrap_or_default());
-                let digest = resp.digest;
+                let (digest, digest_mark) = (resp.digest, resp.digest_mark);
+                let has_more = resp.has_more;
                 take(shared, watching, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
-                locks::lock(&watching.links).answered(shared.clock.now(), number, differs);
+                if let Some(mark) = digest_mark.filter(|_| !differs) {
+                    // Whoever has the digest knows what it is of: should this link bring endpoints, it begins here.
+                    known.mark = mark;
+                }
+                let mut links = locks::lock(&watching.links);
+                links.answered(shared.clock.now(), number, differs, has_more);
             }
             Err(e) => {
                 ::log::warn!(link = number, control:% = to, error:% = e;
--- a/src/sageshed/records.rs
+++ b/src/sageshed/records.rs
@@ -5,20 +5,17 @@
 
 use crate::sampler;
 
-/// Packs records one by one.
+/// Packs a record.
 #[must_use]
-pub fn pack(records: &[directory::Record]) -> Vec<messages::Packed> {
-    let packed = records
-        .iter()
-        .filter_map(|record| match sageshed_vms::encode(record) {
-            Ok(bytes) => Some(messages::Packed(bytes)),
-            Err(e) => {
-                ::log::error!(endpoint:% = record.instance.id, error:% = e;
-                    "watch: record not passed on");
-                None
-            }
-        });
-    packed.collect()
+pub fn pack(record: &directory::Record) -> Option<messages::Packed> {
+    match sageshed_vms::encode(record) {
+        Ok(bytes) => Some(messages::Packed(bytes)),
+        Err(e) => {
+            ::log::error!(endpoint:% = record.instance.id, error:% = e;
+                "watch: record not passed on");
+            None
+        }
+    }
 }
 
 /// Reads records. One that can't be read is counted and passed over: it is of another version, or of a
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -43,9 +43,9 @@
         vec![0xc1],
         vec![0xff; 300],
         b"{\"instance\":1}".to_vec(),
-        records::pack(&sound[..1])[0].0[..40].to_vec(),
+        packed(&sound[0]).0[..40].to_vec(),
     ];
-    let mut packed = records::pack(&sound);
+    let mut packed: Vec<_> = sound.iter().map(packed).collect();
     let count = spoilt.len();
     for (at, bytes) in spoilt.into_iter().enumerate() {
         packed.insert(at % 3, messages::Packed(bytes));
@@ -54,3 +54,7 @@
     assert_eq!(read, sound);
     assert_eq!(misread.total(), count as u64);
 }
+
+fn packed(record: &sageshed_fleet::directory::Record) -> messages::Packed {
+    records::pack(record).expect("it can be encoded")
+}
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -122,3 +122,75 @@
     hub.set_config(7);
     assert_eq!(rx.recv_timeout(PATIENCE), Ok(7));
 }
+
+/// How many endpoints a fleet has.
+const MANY: u32 = 3_000;
+
+fn endpoint(number: u32) -> directory::Instance {
+    directory::Instance {
+        id: directory::InstanceId::new(&format!("e{number}"), Some(1)),
+        service: "engines".to_owned(),
+        address: net::SocketAddrV4::new(net::Ipv4Addr::from(0x0a00_0000 + number), 8_000),
+        availability_zone: "z1".to_owned(),
+        slots: 64,
+        state: directory::State::Ready,
+        warming: types_time::Millis(0),
+        remaining: None,
+        sequence: 1,
+        models: (0..3)
+            .map(|model| directory::Resident {
+                model: format!("model-{model}"),
+                version: 1,
+                adapters: vec!["a1".to_owned(), "a2".to_owned()],
+            })
+            .collect(),
+        in_memory: vec!["model-1".to_owned()],
+        on_disk: vec!["model-1".to_owned(), "model-2".to_owned()],
+    }
+}
+
+/// A day with 300 entry processes and 3,000 engines: control processes ran out of 256 MB, were started again, and knew
+/// nothing. Each of some hundred watchers that knows nothing was answered with the whole directory, each answer of
+/// one to three megabytes in three copies; those that came too late were asked for anew. Here one
+/// watcher is told all in answers that each stay small, and a change that comes in between is among them.
+#[test]
+fn a_large_directory_is_told_in_portions() {
+    let hub = hub::Hub::new(1);
+    for number in 0..MANY {
+        hub.announce(NOW, endpoint(number));
+    }
+    let mut req = watch(
+        messages::Watcher::Entry,
+        hub.with_quarantine(|it| it.mark()),
+    );
+    req.wants = messages::Wants::News;
+    let mut known = directory::Directory::new(2);
+    let misread = sageshed::sampler::Sampler::new(1);
+    let mut answers = 0;
+    loop {
+        let news = hub.news(NOW, &req);
+        answers += 1;
+        let bytes: usize = news.records.iter().map(|it| it.0.len()).sum();
+        assert!(bytes <= 128 * 1_024, "{bytes} bytes in one answer");
+        for record in sageshed::records::unpack(&news.records, &misread, NOW) {
+            known.merge(NOW, record);
+        }
+        if answers == 2 {
+            let leaving = directory::Instance {
+                state: directory::State::Leaving,
+                sequence: 2,
+                ..endpoint(0)
+            };
+            hub.announce(NOW, leaving);
+        }
+        req.mark = news.mark;
+        if !news.has_more {
+            assert_eq!(known.digest(), news.digest);
+            assert_eq!(news.mark, news.digest_mark);
+            break;
+        }
+    }
+    assert!(answers > 5, "{answers}");
+    assert_eq!(known.present(NOW).count(), MANY as usize);
+    assert!(known.is_leaving(&endpoint(0).id));
+}
