--- a/crates/sageshed-fleet/src/chooser/advice.rs
+++ b/crates/sageshed-fleet/src/chooser/advice.rs
@@ -89,8 +89,7 @@
     /// trouble.
     ///
     /// Few processes have enough requests to learn from themselves, and one's bad luck with an engine would be held
-    /// against it by all: told to all, worth fell from 0.588 to 0.560, the mean of 23 simulated days at 9
-    /// engines and 7 entry processes.
+    /// against it by all.
     #[must_use]
     pub fn has_homes(&self) -> bool {
         neighbours::have_homes(&self.entries)
--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -50,9 +50,7 @@
 /// was under way and what else waits take the rest.
 const BORNE: f64 = 0.5;
 
-/// What each stream that a long prompt stops adds to the engine's estimate, in milliseconds. With twice as much, or
-/// from a third of the pause on, the gain is the same: worth 0.624 against 0.602 without, the mean of three
-/// simulated days at 60 engines.
+/// What each stream that a long prompt stops adds to the engine's estimate, in milliseconds.
 const STALL_MS: f64 = 20.0;
 
 /// How long an engine's word on what it runs is used. Most streams last that long.
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -406,8 +406,7 @@
     ///
     /// A leader weighs models by this. Counted in whole prompts, shared beginnings that every engine
     /// keeps made models look four to six times as busy as they were, so that each was short of copies
-    /// and copies changed places all the time: worth 0.519 against 0.539, the mean of twenty simulated
-    /// days of trouble at 12 engines whose prompts are shared by two thirds.
+    /// and copies changed places all the time.
     #[must_use]
     pub fn reading_us(
         &self,
--- a/crates/sageshed-fleet/src/chooser/pauses.rs
+++ b/crates/sageshed-fleet/src/chooser/pauses.rs
@@ -8,9 +8,7 @@
 //!
 //! The bound begins where the first kind keeps its pauses and never falls below. It rises by streams
 //! that kept theirs while an engine had about as much to read as the bound allows, quickly until the
-//! first that did not, and falls by each that did not. Worth 0.678 against 0.668 with the bound left at
-//! its beginning, the mean of twenty simulated days at 12 engines that read pieces; at 9 engines that
-//! read all in one step 0.425 against 0.426.
+//! first that did not, and falls by each that did not.
 
 use std::collections;
 
--- a/crates/sageshed-fleet/src/neighbours.rs
+++ b/crates/sageshed-fleet/src/neighbours.rs
@@ -141,9 +141,7 @@
     /// Microseconds that the engine takes to read what the sender has sent there and it has not read yet.
     pub micros: u64,
     /// A beginning that the engine has just read for the sender, and keeps. Without the word of others a
-    /// process of seven knows a seventh of what engines keep: a quarter of all tokens that engines read
-    /// had been read before on some engine. Worth 0.690 against 0.677, the mean of 24 simulated days at
-    /// 12 engines whose prompts are shared by two thirds.
+    /// process of seven knows a seventh of what engines keep, and engines read again what others have read.
     #[serde(default)]
     pub kept: Option<Beginning>,
     /// How long the answer took whose beginning this tells of.
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -151,8 +151,8 @@
     /// The models that it has been told to drop and that its own word shows again.
     ///
     /// An unload waits for the requests that run, for seconds, and the engine announces the model until
-    /// then. Shown to entry processes, it went on to be sent requests for the model and rejected each:
-    /// 391 of 2,454 on a simulated day, which used up the repeats that failed requests needed.
+    /// then. Shown to entry processes, it goes on to be sent requests for the model and rejects each, which uses up
+    /// the repeats that failed requests need.
     pub(super) fn dropped_but_shown(&self, instance: &directory::Instance) -> Vec<dialect::Task> {
         let dropped = self.open.iter().filter(|it| {
             let is_dropped = matches!(it.task, dialect::Task::Unload(_));
--- a/crates/sageshed-fleet/src/planner/moves.rs
+++ b/crates/sageshed-fleet/src/planner/moves.rs
@@ -4,7 +4,7 @@
 //! can begin only then. Meanwhile other models are short as well. Were the room not kept, the next model
 //! that loads quickly would take it, and the first would make room elsewhere: with demand moved to one
 //! model the last copies of seven others were dropped within 20 ms, and loaded again from the store
-//! that the first one needed. Worth 0.673 against 0.650, the mean of 24 simulated days at 12 engines.
+//! that the first one needed.
 
 use std::collections;
 
--- a/src/sageshed/gateway/pass/stream.rs
+++ b/src/sageshed/gateway/pass/stream.rs
@@ -80,8 +80,7 @@
     ///
     /// A stream that is silent for long is left only with a repeat in hand. Most often its engine has much
     /// to read and the stream goes on by itself; left without a repeat it goes on nowhere, and its caller
-    /// loses an answer of which the rest was to come. On a simulated day of scale at 78 engines a fifth of
-    /// all tries ended so.
+    /// loses an answer of which the rest was to come.
     fn next_piece<S: Fn() -> bool>(
         &mut self,
         exchange: &mut exchange::Exchange,
