Have one type for what a request shows, and one way to round a span up

Credential stands beside the digest that it holds, Millis::rounded_up beside Millis. And a test that of several turns at an endpoint the first counts, whose guard had turned nothing red.

--- a/crates/sageshed-decide/src/decider.rs
+++ b/crates/sageshed-decide/src/decider.rs
@@ -204,6 +204,6 @@
             self.policy.overrun_share
         };
         let overrun = request.deadline.0 as f64 * share.max(0.0);
-        request.due() + crate::learned::millis(overrun)
+        request.due() + time::Millis::rounded_up(overrun)
     }
 }
--- a/crates/sageshed-decide/src/decider/admit.rs
+++ b/crates/sageshed-decide/src/decider/admit.rs
@@ -20,7 +20,7 @@
 
 use sageshed_types::{arena, time, verdict};
 
-use crate::{event, fleet, learned, names, queue, request, router};
+use crate::{event, fleet, names, queue, request, router};
 
 use super::{Cause, Decider, Out};
 
@@ -163,7 +163,7 @@
         Cause {
             reason: verdict::Reason::QueueFull,
             detail: format!("{bound} requests of class `{class}` wait here already"),
-            retry_after: Some(learned::millis(wait.max(LEAST_RETRY_AFTER))),
+            retry_after: Some(time::Millis::rounded_up(wait.max(LEAST_RETRY_AFTER))),
         }
     }
 
@@ -231,7 +231,7 @@
                 "no endpoint holds `{target}`; a load takes about {wait:.0} ms more, and \
                  {left:.0} ms are left"
             ),
-            retry_after: Some(learned::millis(wait.max(LEAST_RETRY_AFTER))),
+            retry_after: Some(time::Millis::rounded_up(wait.max(LEAST_RETRY_AFTER))),
         })
     }
 
@@ -279,6 +279,7 @@
             "it would wait about {wait:.0} ms and run about {service:.0} ms, and {left:.0} ms are \
              left"
         ),
-        retry_after: (wait > 0.0).then(|| learned::millis(excess.min(wait.max(LEAST_RETRY_AFTER)))),
+        retry_after: (wait > 0.0)
+            .then(|| time::Millis::rounded_up(excess.min(wait.max(LEAST_RETRY_AFTER)))),
     }
 }
--- a/crates/sageshed-decide/src/decider/dispatch.rs
+++ b/crates/sageshed-decide/src/decider/dispatch.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::{arena, time, verdict};
 
-use crate::{event, learned, queue, request, router};
+use crate::{event, queue, request, router};
 
 use super::{Cause, Decider, Out};
 
@@ -82,7 +82,7 @@
             return self.expiry(req).since(now);
         };
         let usual = (pick.wait + pick.service * stretch) * self.policy.first_byte_factor;
-        learned::millis(usual).max(self.policy.first_byte_min_ms)
+        time::Millis::rounded_up(usual).max(self.policy.first_byte_min_ms)
     }
 
     /// How much longer than the estimate the wait for the first byte may be, by the length of the
--- a/crates/sageshed-decide/src/decider/ended.rs
+++ b/crates/sageshed-decide/src/decider/ended.rs
@@ -60,7 +60,7 @@
         };
         let endpoint = self.router.fleet.get_mut(sent.endpoint);
         if endpoint.incarnation == sent.incarnation {
-            endpoint.pause(time::Instant(now.0.saturating_add(span.0)));
+            endpoint.pause(now + span);
         }
     }
 
--- a/crates/sageshed-decide/src/decider/query.rs
+++ b/crates/sageshed-decide/src/decider/query.rs
@@ -2,7 +2,7 @@
 
 use sageshed_types::{account as types_account, arena, messages, rules, secret, time};
 
-use crate::{account, event, fleet, health, learned, names, request, router};
+use crate::{account, event, fleet, health, names, request, router};
 
 use super::Decider;
 
@@ -135,7 +135,7 @@
 
     fn service_time(&self, target: event::Target) -> time::Millis {
         let learned = self.router.learned(target);
-        learned::millis(learned.service(0, self.policy.initial_service_ms))
+        time::Millis::rounded_up(learned.service(0, self.policy.initial_service_ms))
     }
 
     /// Figures for metrics, as of the last step.
--- a/crates/sageshed-decide/src/health.rs
+++ b/crates/sageshed-decide/src/health.rs
@@ -175,7 +175,7 @@
         let span = doubled.min(policy.eject_max_ms.0 as f64) * (1.0 + JITTER * random.unit());
         self.state = State::Ejected {
             since: now,
-            until: now + crate::learned::millis(span),
+            until: now + time::Millis::rounded_up(span),
         };
         self.ejections = (self.ejections + 1).min(MAX_DOUBLINGS);
         self.in_row = 0;
--- a/crates/sageshed-decide/src/learned.rs
+++ b/crates/sageshed-decide/src/learned.rs
@@ -23,18 +23,6 @@
 /// The least share of the mean service time that a short answer is taken to need.
 const LEAST_LENGTH: f64 = 0.1;
 
-/// A span in whole milliseconds, rounded up.
-#[must_use]
-pub fn millis(span: f64) -> time::Millis {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the value is clamped to what fits, and NaN becomes 0"
-    )]
-    let whole = span.ceil().clamp(0.0, 1e15) as u64;
-    time::Millis(whole)
-}
-
 /// A running mean and deviation.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Mean {
--- a/crates/sageshed-decide/src/limits.rs
+++ b/crates/sageshed-decide/src/limits.rs
@@ -154,5 +154,5 @@
 }
 
 fn wait_for(tokens: f64, share: Share) -> Option<time::Millis> {
-    (share.rate_per_ms > 0.0).then(|| crate::learned::millis(tokens / share.rate_per_ms))
+    (share.rate_per_ms > 0.0).then(|| time::Millis::rounded_up(tokens / share.rate_per_ms))
 }
--- a/crates/sageshed-decide/src/router.rs
+++ b/crates/sageshed-decide/src/router.rs
@@ -351,5 +351,5 @@
 /// The estimate of a pick in whole milliseconds.
 #[must_use]
 pub fn estimate(pick: Pick) -> time::Millis {
-    learned::millis(pick.wait + pick.service)
+    time::Millis::rounded_up(pick.wait + pick.service)
 }
--- a/crates/sageshed-decide/tests/simulation.rs
+++ b/crates/sageshed-decide/tests/simulation.rs
@@ -148,7 +148,7 @@
             && let Some((_, (entry, req))) = engine.waiting.pop_first()
         {
             let span = SERVICE / 2.0 + exponential(&mut self.services, SERVICE / 2.0);
-            let end = self.now + sageshed_decide::learned::millis(span).0;
+            let end = self.now + sageshed_types::time::Millis::rounded_up(span).0;
             engine.running.insert((end, entry, req));
         }
     }
--- a/crates/sageshed-fleet/src/allowance/pot.rs
+++ b/crates/sageshed-fleet/src/allowance/pot.rs
@@ -130,11 +130,11 @@
         if per_ms <= 0.0 {
             return LONGEST_WAIT;
         }
-        let until_grown = millis((needed - self.units).max(0.0) / per_ms);
+        let until_grown = time::Millis::rounded_up((needed - self.units).max(0.0) / per_ms);
         let due = (now + until_grown).max(self.promised_until);
         let wait = due.since(now).min(LONGEST_WAIT);
         if wait < LONGEST_WAIT {
-            self.promised_until = due + millis(amount / per_ms);
+            self.promised_until = due + time::Millis::rounded_up(amount / per_ms);
         }
         wait.max(SOON)
     }
@@ -227,12 +227,3 @@
         self.units
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the value is cut to the range of the target"
-)]
-fn millis(value: f64) -> time::Millis {
-    time::Millis(value.clamp(0.0, 1e9).ceil() as u64)
-}
--- a/crates/sageshed-fleet/src/chooser/backpressure.rs
+++ b/crates/sageshed-fleet/src/chooser/backpressure.rs
@@ -183,8 +183,7 @@
         self.forget_said(now);
         let said = self.backpressure.by_start.entry(id.clone()).or_default();
         said.heard = now;
-        let until = time::Instant(now.0.saturating_add(span.0));
-        said.rests_until = said.rests_until.max(until);
+        said.rests_until = said.rests_until.max(now + span);
     }
 
     /// A request goes to this start. Returns a count where it has a limit and one is due.
--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -197,8 +197,7 @@
 
     /// Nothing is asked of it for `span`.
     pub(super) fn spare(&mut self, now: time::Instant, span: time::Millis) {
-        let until = time::Instant(now.0.saturating_add(span.0));
-        self.spared_until = self.spared_until.max(until);
+        self.spared_until = self.spared_until.max(now + span);
     }
 
     pub(super) fn asked(&mut self, now: time::Instant) {
--- a/crates/sageshed-fleet/src/workspaces.rs
+++ b/crates/sageshed-fleet/src/workspaces.rs
@@ -17,17 +17,6 @@
 
 use crate::config;
 
-/// What a request shows of who sends it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Shown {
-    /// No key.
-    Nothing,
-    /// A key, by its digest.
-    Key(secret::KeyDigest),
-    /// Something that is no key: why.
-    Malformed(&'static str),
-}
-
 /// Why a request is refused for what it shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Stranger {
@@ -74,11 +63,15 @@
     /// # Errors
     ///
     /// If the route asks for a key, and no workspace holds what is shown.
-    pub fn identify(&self, shown: Shown, is_open: bool) -> Result<Option<&Known>, Stranger> {
+    pub fn identify(
+        &self,
+        shown: secret::Credential,
+        is_open: bool,
+    ) -> Result<Option<&Known>, Stranger> {
         let found = match shown {
-            Shown::Nothing => Err(Stranger::NoKey),
-            Shown::Malformed(why) => Err(Stranger::Malformed(why)),
-            Shown::Key(key) => self.holder(key).ok_or(Stranger::UnknownKey),
+            secret::Credential::Missing => Err(Stranger::NoKey),
+            secret::Credential::Malformed(why) => Err(Stranger::Malformed(why)),
+            secret::Credential::Bearer(key) => self.holder(key).ok_or(Stranger::UnknownKey),
         };
         match found {
             Ok(workspace) => Ok(Some(workspace)),
@@ -100,7 +93,7 @@
 /// As [`Workspaces::identify`].
 pub fn identify(
     workspaces: Option<&Workspaces>,
-    shown: Shown,
+    shown: secret::Credential,
     is_open: bool,
 ) -> Result<Option<Known>, Stranger> {
     match workspaces {
--- a/crates/sageshed-fleet/tests/backpressure.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -252,6 +252,18 @@
     assert_eq!(goes_to(&opened), Some("e1"));
 }
 
+/// Two requests of one process ask for a turn at once, and are given one each. The process goes on at the first of them:
+/// waiting for the last, it would leave what the others were given unused.
+#[test]
+fn of_several_turns_the_first_counts() {
+    let (mut chooser, engines) = chooser(&["e1"]);
+    let (now, id) = (Instant(10_000), &engines[0].id);
+    chooser.close(now, id, Millis(400));
+    chooser.close(now, id, Millis(1_400));
+    assert_eq!(chooser.counts(Instant(10_399)), (1, 0));
+    assert_eq!(chooser.counts(Instant(10_400)), (1, 1));
+}
+
 /// What an engine has said holds though control loses sight of it for a while, and not for another start of it.
 #[test]
 fn a_limit_is_kept_by_the_start_that_named_it() {
--- a/crates/sageshed-fleet/tests/workspaces.rs
+++ b/crates/sageshed-fleet/tests/workspaces.rs
@@ -33,21 +33,21 @@
 /// What a request shows on a route that is open or not, and who it is taken for.
 struct Case {
     name: &'static str,
-    shown: workspaces::Shown,
+    shown: secret::Credential,
     is_open: bool,
     known: Result<Option<&'static str>, workspaces::Stranger>,
 }
 
 #[test]
 fn a_request_is_known_by_the_key_that_it_shows() {
-    let key = |key| workspaces::Shown::Key(digest(key));
+    let key = |key| secret::Credential::Bearer(digest(key));
     let case = |name, shown, is_open, known| Case {
         name,
         shown,
         is_open,
         known,
     };
-    let bad = workspaces::Shown::Malformed("twice");
+    let bad = secret::Credential::Malformed("twice");
     let cases = [
         case("its key", key(DUG), false, Ok(Some("dug"))),
         case("its other key", key(OLD), false, Ok(Some("dug"))),
@@ -78,7 +78,7 @@
         ),
         case(
             "no key",
-            workspaces::Shown::Nothing,
+            secret::Credential::Missing,
             false,
             Err(workspaces::Stranger::NoKey),
         ),
@@ -97,7 +97,7 @@
         case("an unknown key on an open route", key("x"), true, Ok(None)),
         case(
             "no key on an open route",
-            workspaces::Shown::Nothing,
+            secret::Credential::Missing,
             true,
             Ok(None),
         ),
--- a/crates/sageshed-http/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -41,7 +41,7 @@
 /// The headers that the system knows.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
-    pub(crate) credential: request::Credential,
+    pub(crate) credential: secret::Credential,
     pub(crate) idempotency_key: Option<String>,
     pub(crate) repeatable: Option<bool>,
     pub(crate) deadline: Option<time::Millis>,
@@ -255,24 +255,24 @@
 
 /// A doubled header leaves open who asks, even where both are the same: a proxy in between may have checked
 /// one and not the other.
-fn credential(list: &[request::Header]) -> request::Credential {
+fn credential(list: &[request::Header]) -> secret::Credential {
     let mut found = values(list, headers::TOKEN);
     let (first, second) = (found.next(), found.next());
     match (first, second) {
-        (None, _) => request::Credential::Missing,
-        (Some(_), Some(_)) => request::Credential::Malformed("Authorization is given twice"),
+        (None, _) => secret::Credential::Missing,
+        (Some(_), Some(_)) => secret::Credential::Malformed("Authorization is given twice"),
         (Some(value), None) => bearer(value),
     }
 }
 
-fn bearer(value: &[u8]) -> request::Credential {
+fn bearer(value: &[u8]) -> secret::Credential {
     let end = value.iter().position(|&byte| byte == b' ');
     let (scheme, key) = value.split_at(end.unwrap_or(value.len()));
     let key = key.trim_ascii();
     if !scheme.eq_ignore_ascii_case(b"bearer") || key.is_empty() {
-        return request::Credential::Malformed("Authorization is not `Bearer KEY`");
+        return secret::Credential::Malformed("Authorization is not `Bearer KEY`");
     }
-    request::Credential::Bearer(secret::KeyDigest::of(key))
+    secret::Credential::Bearer(secret::KeyDigest::of(key))
 }
 
 /// What cannot be understood is refused and not ignored: a request that its caller marked as not
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -14,7 +14,7 @@
     /// What follows the `?`, still percent-encoded.
     pub query: Option<String>,
     /// What `Authorization` says of who sends it.
-    pub credential: Credential,
+    pub credential: secret::Credential,
     /// `Idempotency-Key`.
     pub idempotency_key: Option<String>,
     /// `Sageshed-Repeatable`: `yes` or `no`.
@@ -35,18 +35,6 @@
     pub peer: net::SocketAddr,
 }
 
-/// What a request shows of who sends it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Credential {
-    /// Nothing.
-    #[default]
-    Missing,
-    /// The key of `Authorization: Bearer KEY` (RFC 6750, section 2.1), by its digest.
-    Bearer(secret::KeyDigest),
-    /// An `Authorization` that shows no key: why.
-    Malformed(&'static str),
-}
-
 /// One header.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Header {
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use sageshed_http::{limits, request};
+use sageshed_http::limits;
 use sageshed_types::secret;
 use support::{Client, OK, PATIENCE, echo, listen, start, start_on, wait_for};
 
@@ -132,7 +132,7 @@
         names.sort_unstable();
         let seen = format!(
             "{:?} {:?} {:?} {:?} {:?} {:?} {names:?}",
-            req.credential == request::Credential::Bearer(secret::KeyDigest::of(b"t k")),
+            req.credential == secret::Credential::Bearer(secret::KeyDigest::of(b"t k")),
             req.idempotency_key,
             req.repeatable,
             req.deadline.map(|ms| ms.0),
--- a/crates/sageshed-operators/src/server.rs
+++ b/crates/sageshed-operators/src/server.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use sageshed_http::{handler, limits, reply, request, server as http_server};
-use sageshed_types::{refusal, rules};
+use sageshed_types::{refusal, rules, secret};
 use serde::de;
 
 use crate::{
@@ -179,15 +179,15 @@
             return Ok("");
         }
         let (found, detail) = match req.credential {
-            request::Credential::Bearer(digest) => (
+            secret::Credential::Bearer(digest) => (
                 self.tokens.find(digest),
                 "the token belongs to no operator; check it against the common settings",
             ),
-            request::Credential::Missing => (
+            secret::Credential::Missing => (
                 None,
                 "send the operator's token as `Authorization: Bearer TOKEN`",
             ),
-            request::Credential::Malformed(why) => (None, why),
+            secret::Credential::Malformed(why) => (None, why),
         };
         found.ok_or_else(|| Box::new(Problem::new(Kind::Unauthorized, detail)))
     }
--- a/crates/sageshed-types/src/secret.rs
+++ b/crates/sageshed-types/src/secret.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// What a request shows of who sends it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Credential {
+    /// Nothing.
+    #[default]
+    Missing,
+    /// The key of `Authorization: Bearer KEY` (RFC 6750, section 2.1), by its digest.
+    Bearer(KeyDigest),
+    /// An `Authorization` that shows no key: why.
+    Malformed(&'static str),
+}
+
 /// Tells nothing: a short key could be found by its digest.
 impl fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/sageshed-types/src/time.rs
+++ b/crates/sageshed-types/src/time.rs
@@ -19,6 +19,21 @@
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
+impl Millis {
+    /// A span in whole milliseconds, rounded up. What is less than nothing, or no number, is nothing; the longest are
+    /// some thirty thousand years.
+    #[must_use]
+    pub fn rounded_up(ms: f64) -> Self {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value is clamped to what fits, and NaN becomes 0"
+        )]
+        let whole = ms.ceil().clamp(0.0, 1e15) as u64;
+        Self(whole)
+    }
+}
+
 impl Instant {
     /// The span since `earlier`, or zero if `earlier` is later.
     #[must_use]
--- a/src/sageshed/entry/serve.rs
+++ b/src/sageshed/entry/serve.rs
@@ -4,7 +4,7 @@
 
 use sageshed_callers::{handler, openai, reply, request as callers_request, route};
 use sageshed_decide::event;
-use sageshed_types::{account, arena, refusal, time, verdict};
+use sageshed_types::{account, arena, refusal, secret, time, verdict};
 use sha2::Digest;
 
 use super::{completion, request, service, shared};
@@ -192,9 +192,9 @@
             |detail: &str| refusal::Refusal::not_run(verdict::Reason::Unauthorized, detail);
         let missing = "send the caller's token as `Authorization: Bearer TOKEN`";
         let digest = match req.credential {
-            callers_request::Credential::Bearer(digest) => digest,
-            callers_request::Credential::Missing => return Err(refuse(missing)),
-            callers_request::Credential::Malformed(why) => return Err(refuse(why)),
+            secret::Credential::Bearer(digest) => digest,
+            secret::Credential::Missing => return Err(refuse(missing)),
+            secret::Credential::Malformed(why) => return Err(refuse(why)),
         };
         let decider = locks::lock(&self.shared.decider);
         let key = decider.caller_by_token(digest);
--- a/src/sageshed/gateway/pass/identity.rs
+++ b/src/sageshed/gateway/pass/identity.rs
@@ -1,8 +1,7 @@
 //! Who sends a request, and what becomes of one whose sender is not known.
 
 use sageshed_fleet::{config, dialect, workspaces};
-use sageshed_http::request;
-use sageshed_types::{refusal, verdict};
+use sageshed_types::{refusal, secret, verdict};
 
 use super::Life;
 use crate::gateway::routing;
@@ -15,14 +14,9 @@
 pub(super) fn identify(
     routing: &routing::Routing,
     route: &config::Route,
-    credential: request::Credential,
+    credential: secret::Credential,
 ) -> Result<Option<workspaces::Known>, refusal::Refusal> {
-    let shown = match credential {
-        request::Credential::Missing => workspaces::Shown::Nothing,
-        request::Credential::Bearer(key) => workspaces::Shown::Key(key),
-        request::Credential::Malformed(why) => workspaces::Shown::Malformed(why),
-    };
-    let known = workspaces::identify(routing.workspaces.as_ref(), shown, route.is_open);
+    let known = workspaces::identify(routing.workspaces.as_ref(), credential, route.is_open);
     known.map_err(|stranger| {
         let detail = stranger.to_string();
         refusal::Refusal::not_run(verdict::Reason::Unauthorized, detail)
