Ask the home anew when an engine was not to be sent to

Found by reading: with homes of models, a request whose engine had a limit used up waited up to 100 ms for the next question to the home, though other engines were free, since it asks again only after 40 ms and takes silence for a wait. The function is split where it ends early; no figure was taken.

--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -74,14 +74,7 @@
                 return Step::Gone;
             }
             let left = self.left_ms();
-            if left == time::Millis(0) {
-                return Step::Refuse(self.out_of_time());
-            }
-            if self.shared.ending.load(atomic::Ordering::Relaxed) {
-                let detail = "this entry process ends before the request could be answered";
-                return Step::Refuse(self.give_up(verdict::Reason::Draining, detail.to_owned()));
-            }
-            if let Some(refusal) = self.refuse_held().or_else(|| self.refuse_withdrawn()) {
+            if let Some(refusal) = self.may_wait_no_more(left) {
                 return Step::Refuse(refusal);
             }
             let now = self.shared.clock.now();
@@ -118,7 +111,11 @@
                 chooser::Choice::Send(pick) => match self.may_send(&pick) {
                     Leave::Given => return Step::Send(pick),
                     Leave::Refused(refusal) => return Step::Refuse(refusal),
-                    Leave::Elsewhere => continue,
+                    Leave::Elsewhere => {
+                        // The home is to name another, and not to be waited for.
+                        asked_at = None;
+                        continue;
+                    }
                 },
                 chooser::Choice::TooLate { estimate } => {
                     let detail = format!(
@@ -167,6 +164,18 @@
         }
     }
 
+    /// The refusal of a request that is not to be sent at all any more, whatever it waits for.
+    fn may_wait_no_more(&mut self, left: time::Millis) -> Option<refusal::Refusal> {
+        if left == time::Millis(0) {
+            return Some(self.out_of_time());
+        }
+        if self.shared.ending.load(atomic::Ordering::Relaxed) {
+            let detail = "this entry process ends before the request could be answered";
+            return Some(self.give_up(verdict::Reason::Draining, detail.to_owned()));
+        }
+        self.refuse_held().or_else(|| self.refuse_withdrawn())
+    }
+
     /// Whether the request may be sent to `pick` now, by the bounds that all entry processes keep together.
     fn may_send(&mut self, pick: &chooser::Pick) -> Leave {
         let leave = self.leave_for(pick);
