Tell control processes of all signs of life at once

Cause: the portions, mine: a control process waits for news, and signs of life are none, so it took 200 of them with each wait where some 1,200 a second came, and took endpoints in good order for silent. Ruled out: a busy machine (three sites had 30 s at 300, among them two under other load). Change: portions are for entry processes, which watch by the hundred and need news alone; the four control processes get all. The test was red with 200 of 3,000.

--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -49,7 +49,7 @@
 /// loaded all over the fleet, and each answer costs some 500 bytes besides what is new.
 const BATCH: std_time::Duration = std_time::Duration::from_millis(30);
 
-/// Records in one answer: some 100 KB. The answers to all watchers that know nothing yet, after a start, have to fit into
+/// Records in one answer to an entry process: some 100 KB. The answers to all watchers that know nothing yet, after a start, have to fit into
 /// the memory of the smallest VMs at once, and each into the time that its watcher waits.
 const MOST_RECORDS: usize = 200;
 
@@ -226,7 +226,12 @@
             messages::Wants::News => Some(directory::Passing::News),
             messages::Wants::Digest => None,
         };
-        let portion = passing.map(|it| inner.directory.portion(req.mark, it, MOST_RECORDS));
+        let most = match req.watcher {
+            messages::Watcher::Entry => MOST_RECORDS,
+            // Few, and each needs every sign of life in time: by half of them endpoints seem silent.
+            messages::Watcher::Control => usize::MAX,
+        };
+        let portion = passing.map(|it| inner.directory.portion(req.mark, it, most));
         let changes = portion.as_ref().map_or(&[][..], |it| &it.changes);
         let records = inner.pack(now, changes);
         News {
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -194,3 +194,34 @@
     assert_eq!(known.present(NOW).count(), MANY as usize);
     assert!(known.is_leaving(&endpoint(0).id));
 }
+
+/// Control processes tell each other which endpoints live, each endpoint every two seconds. Told in portions, and with
+/// each wait, they fell behind in a fleet of thousands: endpoints in good order were taken for silent, and after all
+/// processes were killed a fleet of 3,000 did not serve for 30 s.
+#[test]
+fn signs_of_life_of_a_large_fleet_come_in_one_answer() {
+    let hub = hub::Hub::new(1);
+    for number in 0..MANY {
+        hub.announce(NOW, endpoint(number));
+    }
+    let mut req = watch(
+        messages::Watcher::Control,
+        hub.with_quarantine(|it| it.mark()),
+    );
+    req.wants = messages::Wants::All;
+    req.patience = types_time::Millis(1);
+    while hub.news(NOW, &req).mark != req.mark {
+        req.mark = hub.news(NOW, &req).mark;
+    }
+    let later = NOW + directory::REFRESH;
+    for number in 0..MANY {
+        let alive = directory::Instance {
+            sequence: 2,
+            ..endpoint(number)
+        };
+        hub.announce(later, alive);
+    }
+    let news = hub.news(later, &req);
+    assert_eq!(news.records.len(), MANY as usize);
+    assert!(!news.has_more);
+}
