Show red that late requests wait for each other until their time is over

Traced by its logs and by reading: the adapter came behind the request's objective of 2 s. From then on the request's rank is reckoned with "late since now", and what stands in the queue under its own ticket is late since its objective: it stands behind itself, and any two late ones behind each other. Ruled out: the want lost (two more were taken), the engine closed or busy (idle, no limit).

--- a/crates/sageshed-fleet/tests/backlog.rs
+++ b/crates/sageshed-fleet/tests/backlog.rs
@@ -178,3 +178,35 @@
     assert!(!backlog.leave("m0", ticket));
     assert!(!backlog.is_preceded(T0, "m0", &PLAIN, None));
 }
+
+/// A request waits for an engine for longer than its answer would be on time. It was refused when its time was over, six
+/// seconds after an engine that held all it needs stood idle: what it is known by was reckoned anew at each look, so that
+/// it stood behind what it had been known by when it came, and behind every other late one, as each of these behind it.
+#[test]
+fn requests_that_wait_past_their_time_do_not_wait_for_each_other() {
+    let mut backlog = Backlog::default();
+    let waiter = |on_time_until| Waiter {
+        tokens: 100,
+        priority: 1,
+        on_time_until: time::Instant(on_time_until),
+        adapter: None,
+    };
+    let first = backlog.enter(time::Instant(1_000), "m0", waiter(2_000));
+    let second = backlog.enter(time::Instant(1_100), "m0", waiter(2_100));
+    for now in [1_500, 2_500, 5_000] {
+        // As a request reckons it at that moment: once it is late, its time ends now.
+        let of = |until: u64| waiter(until.max(now));
+        let now = time::Instant(now);
+        assert!(
+            !backlog.is_preceded(now, "m0", &of(2_000), Some(first)),
+            "{now:?}"
+        );
+        assert!(
+            backlog.is_preceded(now, "m0", &of(2_100), Some(second)),
+            "{now:?}"
+        );
+    }
+    backlog.leave("m0", first);
+    let now = time::Instant(5_000);
+    assert!(!backlog.is_preceded(now, "m0", &waiter(5_000), Some(second)));
+}
