--- a/crates/sageshed-fleet/src/backlog.rs
+++ b/crates/sageshed-fleet/src/backlog.rs
@@ -108,11 +108,7 @@
         let Some(queue) = self.queues.get(model) else {
             return false;
         };
-        // As it came: reckoned anew, a late one would stand behind itself, and late ones behind each other for good.
-        let known = ticket.and_then(|it| queue.waiting.get(&it));
-        let own = known
-            .unwrap_or(waiter)
-            .rank(now, ticket.unwrap_or(u64::MAX));
+        let own = waiter.rank(now, ticket.unwrap_or(u64::MAX));
         let mut others = queue.waiting.iter();
         others.any(|(at, it)| it.serves_for(waiter) && it.rank(now, *at) < own)
     }
