Tell which entry processes lack a configuration, and how far a call had got

Callers saw requests handled by an old configuration and at endpoints that leave. The logs could not tell a control process that is silent from an answer that takes longer than the call, nor a configuration that came whole from a change, and no metric said that an entry process was behind.

Control processes know from each watch which version is in force at its sender: they log and count those that are behind. A call that runs out of time says how many bytes had come.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`quarantine`] | which requests are passed on no more, since endpoints ended under them |
+//! | [`versions`] | how far a held configuration is behind the newest |
 //! | [`workspaces`] | who sends a request, by the key that it shows |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
 //!
@@ -39,4 +40,5 @@
 pub mod quarantine;
 pub mod routes;
 pub mod tally;
+pub mod versions;
 pub mod workspaces;
--- /dev/null
+++ b/crates/sageshed-fleet/src/versions.rs
@@ -0,0 +1,42 @@
+//! How far the configuration that a process holds is behind the newest one.
+
+use std::collections;
+
+use sageshed_types::time;
+
+/// Versions that are remembered. One that holds an older version than all of them is taken to be behind since the
+/// oldest of them.
+const KEPT: usize = 256;
+
+/// When each of the latest versions became known.
+#[derive(Debug, Default)]
+pub struct Versions {
+    known: collections::VecDeque<(u64, time::Instant)>,
+}
+
+impl Versions {
+    /// Notes that a version exists. An older one than the newest changes nothing.
+    pub fn note(&mut self, now: time::Instant, version: u64) {
+        if version <= self.newest() {
+            return;
+        }
+        if self.known.len() == KEPT {
+            self.known.pop_front();
+        }
+        self.known.push_back((version, now));
+    }
+
+    /// The newest version; zero if none is known.
+    #[must_use]
+    pub fn newest(&self) -> u64 {
+        self.known.back().map_or(0, |(version, _)| *version)
+    }
+
+    /// For how long a newer version than `held` has been known; none if `held` is the newest.
+    #[must_use]
+    pub fn behind(&self, now: time::Instant, held: u64) -> Option<time::Millis> {
+        let first = self.known.partition_point(|(version, _)| *version <= held);
+        let (_, since) = self.known.get(first)?;
+        Some(now.since(*since))
+    }
+}
--- a/crates/sageshed-vms/src/client.rs
+++ b/crates/sageshed-vms/src/client.rs
@@ -93,6 +93,7 @@
         body: &[u8],
         limit: time::Duration,
     ) -> Result<Vec<u8>, CallError> {
+        let begun = time::Instant::now();
         let answer = self
             .agent(address)
             .post(&format!("http://{address}{path}"))
@@ -101,8 +102,13 @@
             .timeout(limit)
             .send_bytes(body)
             .map_err(|e| classify(address, e));
-        let whole =
-            answer.and_then(|answer| read_whole(answer).map_err(|e| no_answer(address, &e)));
+        let whole = answer.and_then(|answer| {
+            let mut buf = Vec::new();
+            match read_whole(answer, &mut buf) {
+                Ok(()) => Ok(buf),
+                Err(e) => Err(cut_short(address, &e, buf.len(), begun.elapsed())),
+            }
+        });
         if let Err(CallError::NoAnswer { .. }) = &whole {
             self.forget(address);
         }
@@ -138,13 +144,10 @@
         .build()
 }
 
-fn read_whole(answer: ureq::Response) -> io::Result<Vec<u8>> {
-    let mut buf = Vec::new();
-    answer
-        .into_reader()
-        .take(crate::BODY_LIMIT)
-        .read_to_end(&mut buf)?;
-    Ok(buf)
+fn read_whole(answer: ureq::Response, buf: &mut Vec<u8>) -> io::Result<()> {
+    let mut body = answer.into_reader().take(crate::BODY_LIMIT);
+    body.read_to_end(buf)?;
+    Ok(())
 }
 
 fn classify(address: &str, error: ureq::Error) -> CallError {
@@ -188,9 +191,11 @@
     false
 }
 
-fn no_answer(address: &str, error: &io::Error) -> CallError {
+/// How much had come tells a peer that is silent from an answer that takes longer than the call may.
+fn cut_short(address: &str, error: &io::Error, read: usize, took: time::Duration) -> CallError {
+    let took = took.as_millis();
     CallError::NoAnswer {
         address: address.to_owned(),
-        problem: error.to_string(),
+        problem: format!("{error}, after {read} bytes of the body in {took} ms"),
     }
 }
--- a/src/sageshed/control/driver/applying.rs
+++ b/src/sageshed/control/driver/applying.rs
@@ -61,7 +61,7 @@
     /// operators that it is in force where it is not.
     pub(super) fn note_restored(&self) {
         let held = locks::read(&self.shared.state).fleet().version;
-        self.shared.hub.set_config(held);
+        self.shared.hub.set_config(self.shared.clock.now(), held);
         let revision = locks::read(&self.shared.state).rules().current().revision;
         let now = self.shared.clock.now();
         locks::write(&self.shared.view).note_commit(revision, now);
@@ -75,7 +75,9 @@
                 ::log::info!(revision:% = revision; "control: rules changed");
             }
             command::Outcome::Pin { changed: true } => self.send_pins(),
-            command::Outcome::Fleet { held } => self.shared.hub.set_config(*held),
+            command::Outcome::Fleet { held } => {
+                self.shared.hub.set_config(self.shared.clock.now(), *held);
+            }
             _ => {}
         }
     }
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -6,7 +6,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{directory, messages, quarantine, tally};
+use sageshed_fleet::{directory, messages, quarantine, tally, versions};
 use sageshed_types::time;
 
 use super::planning;
@@ -32,9 +32,10 @@
     directory: directory::Directory,
     /// Records of the directory as they travel.
     packed: collections::HashMap<directory::InstanceId, Packed>,
-    config: u64,
+    /// Configurations that were held here.
+    versions: versions::Versions,
     /// Entry processes that this process hears itself.
-    entries: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
+    entries: collections::BTreeMap<net::Ipv4Addr, Entry>,
     /// Entry processes that another control process hears.
     entries_elsewhere: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
     /// Where the other control processes are, as they said.
@@ -45,6 +46,28 @@
     is_stopping: bool,
 }
 
+/// An entry process that is heard.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    at: time::Instant,
+    /// The version of the configuration in force there.
+    config: u64,
+    /// Whether it was behind for [`LAGGING`] when it was heard last.
+    is_lagging: bool,
+}
+
+/// Entry processes whose configuration is not the newest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Behind {
+    /// How many.
+    pub count: usize,
+    /// For how long the one that is behind most has been.
+    pub longest: time::Millis,
+}
+
+/// An entry process whose configuration is older than the newest for this long is logged.
+const LAGGING: time::Millis = time::Millis(1_000);
+
 /// News within this time of a question goes into one answer. Demand that moves has adapters and weights
 /// loaded all over the fleet, and each answer costs some 500 bytes besides what is new.
 const BATCH: std_time::Duration = std_time::Duration::from_millis(30);
@@ -82,7 +105,7 @@
             inner: sync::Mutex::new(Inner {
                 directory: directory::Directory::new(start),
                 packed: collections::HashMap::new(),
-                config: 0,
+                versions: versions::Versions::default(),
                 entries: collections::BTreeMap::new(),
                 entries_elsewhere: collections::BTreeMap::new(),
                 control_zones: collections::BTreeMap::new(),
@@ -145,10 +168,10 @@
     }
 
     /// A configuration with this number is held now.
-    pub fn set_config(&self, version: u64) {
+    pub fn set_config(&self, now: time::Instant, version: u64) {
         let is_news = self.change(|inner| {
-            let is_news = inner.config != version;
-            inner.config = version;
+            let is_news = inner.versions.newest() < version;
+            inner.versions.note(now, version);
             is_news
         });
         if is_news {
@@ -160,7 +183,7 @@
     pub fn expire(&self, now: time::Instant) -> Vec<directory::InstanceId> {
         self.change(|inner| {
             let recent = |at: &time::Instant| now.since(*at) < ENTRY_KEPT;
-            inner.entries.retain(|_, at| recent(at));
+            inner.entries.retain(|_, entry| recent(&entry.at));
             inner.entries_elsewhere.retain(|_, at| recent(at));
             let directory = &inner.directory;
             inner.packed.retain(|id, _| directory.start(id).is_some());
@@ -177,7 +200,7 @@
     /// Takes note of who watches.
     pub fn heard(&self, now: time::Instant, req: &messages::WatchReq) {
         self.change(|inner| match req.watcher {
-            messages::Watcher::Entry => drop(inner.entries.insert(req.ip, now)),
+            messages::Watcher::Entry => inner.hear_entry(now, req),
             messages::Watcher::Control => {
                 let zone = req.availability_zone.clone();
                 inner.control_zones.insert(req.ip, zone);
@@ -193,6 +216,18 @@
         locks::lock(&self.inner).entries.keys().copied().collect()
     }
 
+    /// The entry processes heard here whose configuration is not the newest.
+    #[must_use]
+    pub fn behind(&self, now: time::Instant) -> Behind {
+        let inner = locks::lock(&self.inner);
+        let entries = inner.entries.values();
+        let behind = entries.filter_map(|it| inner.versions.behind(now, it.config));
+        behind.fold(Behind::default(), |all, one| Behind {
+            count: all.count + 1,
+            longest: all.longest.max(one),
+        })
+    }
+
     /// The entry processes that are there, in order.
     #[must_use]
     pub fn entries(&self) -> Vec<net::Ipv4Addr> {
@@ -215,7 +250,7 @@
             })
             .unwrap_or_else(sync::PoisonError::into_inner);
         let rest = BATCH.saturating_sub(started.elapsed());
-        if !waited.timed_out() && !rest.is_zero() && inner.config <= req.config {
+        if !waited.timed_out() && !rest.is_zero() && inner.versions.newest() <= req.config {
             drop(inner);
             thread::sleep(rest.min(patience));
             inner = locks::lock(&self.inner);
@@ -241,7 +276,7 @@
             has_more: portion.is_some_and(|it| !it.is_last),
             digest: inner.directory.digest(),
             digest_mark: inner.directory.mark(),
-            config: inner.config,
+            config: inner.versions.newest(),
             crashes_mark: inner.quarantine.mark(),
             crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
                 inner.quarantine.since(now, mark, telling(req))
@@ -381,13 +416,36 @@
         all
     }
 
+    /// Takes note of an entry process, and logs when its configuration becomes or no longer is out of date.
+    fn hear_entry(&mut self, now: time::Instant, req: &messages::WatchReq) {
+        let behind = self.versions.behind(now, req.config);
+        let is_lagging = behind.is_some_and(|it| it >= LAGGING);
+        let entry = Entry {
+            at: now,
+            config: req.config,
+            is_lagging,
+        };
+        let before = self.entries.insert(req.ip, entry);
+        if before.is_some_and(|it| it.is_lagging) == is_lagging {
+            return;
+        }
+        let newest = self.versions.newest();
+        if is_lagging {
+            ::log::warn!(entry:% = req.ip, version = req.config, newest, behind_ms = behind.unwrap_or_default().0;
+                "control: configuration of an entry process is out of date");
+        } else {
+            ::log::info!(entry:% = req.ip, version = req.config;
+                "control: configuration of an entry process is up to date again");
+        }
+    }
+
     /// Whether there is something for a watcher.
     fn is_newer(&self, req: &messages::WatchReq) -> bool {
         let has_news = req.wants != messages::Wants::Digest && self.directory.has_news(req.mark);
         let crashes_known = req.crashes_known;
         let has_crashes =
             crashes_known.is_some_and(|it| self.quarantine.has_news(it, telling(req)));
-        has_news || has_crashes || self.config > req.config || self.is_stopping
+        has_news || has_crashes || self.versions.newest() > req.config || self.is_stopping
     }
 }
 
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -17,6 +17,8 @@
     claims: metrics::Gauge,
     orders: metrics::Gauge,
     entries: metrics::Gauge,
+    entries_behind: metrics::Gauge,
+    behind: metrics::Gauge,
     endpoints: metrics::Gauge,
     misread: metrics::Gauge,
     held: metrics::Gauge,
@@ -45,6 +47,14 @@
             claims: registry.gauge("sageshed_control_claims", "Claims kept"),
             orders: registry.gauge("sageshed_control_orders_open", "Orders in the table"),
             entries: registry.gauge("sageshed_control_entries_heard", "Entry VMs heard lately"),
+            entries_behind: registry.gauge(
+                "sageshed_control_entries_behind",
+                "Entry processes whose configuration is not the newest",
+            ),
+            behind: registry.gauge(
+                "sageshed_control_config_behind",
+                "Seconds for which the one that is behind most has been",
+            ),
             endpoints: registry.gauge("sageshed_control_endpoints", "Endpoints heard of"),
             misread: registry.gauge(
                 "sageshed_control_words_misread",
@@ -84,6 +94,9 @@
         let now = shared.clock.now();
         let heard = locks::read(&shared.roster).entries_heard(now);
         self.entries.set(heard as f64);
+        let behind = shared.hub.behind(now);
+        self.entries_behind.set(behind.count as f64);
+        self.behind.set(behind.longest.0 as f64 / 1_000.0);
         self.endpoints.set(shared.reports().len() as f64);
         self.misread.set(shared.hub.misread.total() as f64);
         let held = shared.hub.with_quarantine(|it| it.count_held(now));
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -292,7 +292,7 @@
     }
 
     fn take_record(&self, core: &mut Core, now: time::Instant, record: directory::Record) -> bool {
-        let id = record.instance.id.clone();
+        let (id, age) = (record.instance.id.clone(), record.age);
         match core.directory.merge(now, record) {
             directory::Offer::Confirmed | directory::Offer::Stale | directory::Offer::Full => false,
             offer @ (directory::Offer::New | directory::Offer::Changed) => {
@@ -307,7 +307,7 @@
                     self.pool.forget(instance.address);
                 }
                 ::log::info!(endpoint:% = instance.id, offer:? = offer, state:? = state,
-                    sequence = instance.sequence; "gateway: endpoint changed");
+                    sequence = instance.sequence, age_ms = age.0; "gateway: endpoint changed");
                 true
             }
         }
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -178,6 +178,10 @@
     watching: &Watching,
     resp: messages::WatchResp,
 ) {
+    if let Some(document) = &resp.config {
+        let bytes = document.text.len();
+        ::log::info!(version = document.version, bytes; "gateway: configuration came whole");
+    }
     let changed = resp.config_change.and_then(|it| change(shared, &it));
     if let Some(document) = resp.config.or(changed) {
         take_document(shared, document);
--- /dev/null
+++ b/tests/fleet/slow_link.rs
@@ -0,0 +1,53 @@
+//! Configurations that are large beside what the link of an entry process's VM carries.
+
+use std::sync;
+
+use sageshed_test_support::relay;
+
+use crate::{
+    fleet::Fleet,
+    standin::{caller::Ask, operator},
+};
+
+/// A link of 10 Mbit/s.
+const BYTES_PER_S: f64 = 1_250_000.0;
+
+/// Routes whose text takes longer on that link than a call may take.
+const ROUTES: u64 = 12_000;
+
+/// A name that has little in common with those of other numbers.
+fn name(number: u64) -> String {
+    let mixed = (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!("r{:016x}", mixed ^ (mixed >> 29))
+}
+
+fn route(number: u64) -> String {
+    let name = name(number);
+    format!(
+        r#"{{"name":"{name}","host":"a.example","path_prefix":"/{name}/","kind":"idempotent","timeout_ms":3000,"latency_target_ms":300,"priority":2,"service":"plain","attempts":1}},"#
+    )
+}
+
+/// A configuration with many routes, without the one numbered `without`.
+fn large(version: u64, without: Option<u64>) -> String {
+    let numbers = (0..ROUTES).filter(|it| Some(*it) != without);
+    let routes: String = numbers.map(route).collect();
+    operator::config_with(version, &routes)
+}
+
+fn status(fleet: &Fleet, route: u64) -> u16 {
+    let path = format!("/{}/x", name(route));
+    let answer = fleet.ask(0, &Ask::new("GET", &path, "look"));
+    answer.map_or(0, |it| it.status())
+}
+
+/// Guards against a configuration that never comes into force because each call that carries it runs out of time.
+#[test]
+fn a_configuration_larger_than_one_call_can_carry_comes_into_force() {
+    let link = sync::Arc::new(relay::Link::new(BYTES_PER_S));
+    let (fleet, _engines) = Fleet::ready_over(&link);
+    fleet.replace(&large(20, None));
+    fleet.until("the last of the new routes is served", || {
+        status(&fleet, ROUTES - 1) == 200
+    });
+}
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -119,7 +119,7 @@
     // What wakes it is the configuration, which comes later.
     let quiet = rx.recv_timeout(time::Duration::from_millis(300));
     assert_eq!(quiet, Err(mpsc::RecvTimeoutError::Timeout));
-    hub.set_config(7);
+    hub.set_config(NOW, 7);
     assert_eq!(rx.recv_timeout(PATIENCE), Ok(7));
 }
 
