Show red that a large configuration never comes into force

An entry process behind a link of 10 Mbit/s is told of a configuration with 12,000 routes, 2.3 MB. Its calls to control are given up after 650 and 1,200 ms and begin anew at another control process; the route is not served after 40 s.

--- a/crates/sageshed-test-support/src/relay.rs
+++ b/crates/sageshed-test-support/src/relay.rs
@@ -2,14 +2,14 @@
 //!
 //! A silent cut drops bytes and keeps connections open, as a network partition does. A relay that
 //! has lost track ([`Relay::lose_track`]) does so for the connections of the moment, for good, while
-//! new ones work.
+//! new ones work. Relays that share a [`Link`] share its bandwidth.
 
 use std::{
     io::{self, Read as _, Write as _},
     net,
     sync::{self, atomic},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// How often a copying thread looks at the state.
@@ -35,6 +35,61 @@
     FromTarget = 1,
 }
 
+/// A network link with a bandwidth, the same in each direction. Bytes queue in the order in which they come.
+#[derive(Debug)]
+pub struct Link {
+    bytes_per_s: f64,
+    ways: [sync::Mutex<Way>; 2],
+}
+
+/// One direction of a link.
+#[derive(Debug)]
+struct Way {
+    /// When all that was sent so far will have passed.
+    free_at: Instant,
+    bytes: u64,
+}
+
+impl Link {
+    /// A link that carries so many bytes a second.
+    #[must_use]
+    pub fn new(bytes_per_s: f64) -> Self {
+        let way = || {
+            sync::Mutex::new(Way {
+                free_at: Instant::now(),
+                bytes: 0,
+            })
+        };
+        Self {
+            bytes_per_s,
+            ways: [way(), way()],
+        }
+    }
+
+    /// Bytes that were sent in one direction so far.
+    #[must_use]
+    pub fn bytes(&self, direction: Direction) -> u64 {
+        self.way(direction).bytes
+    }
+
+    /// Waits until so many more bytes have passed.
+    fn carry(&self, direction: Direction, bytes: usize) {
+        let until = {
+            let mut way = self.way(direction);
+            let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            way.free_at = way.free_at.max(Instant::now()) + takes;
+            way.bytes += bytes as u64;
+            way.free_at
+        };
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
+    fn way(&self, direction: Direction) -> sync::MutexGuard<'_, Way> {
+        let way = self.ways[direction as usize].lock();
+        way.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
 #[derive(Debug)]
 struct State {
     target: net::SocketAddr,
@@ -46,6 +101,7 @@
 #[derive(Debug)]
 struct Shared {
     state: sync::Mutex<State>,
+    link: Option<sync::Arc<Link>>,
     /// Connections that were made in an earlier generation are silent for good.
     generation: atomic::AtomicU64,
     stopping: atomic::AtomicBool,
@@ -65,7 +121,28 @@
     ///
     /// The system's.
     pub fn start(target: net::SocketAddr) -> io::Result<Self> {
-        let listener = net::TcpListener::bind("127.0.0.1:0")?;
+        Self::listen((net::Ipv4Addr::LOCALHOST, 0).into(), target, None)
+    }
+
+    /// Listens on `address`, and passes connections on to `target` over `link`.
+    ///
+    /// # Errors
+    ///
+    /// The system's.
+    pub fn over(
+        link: &sync::Arc<Link>,
+        address: net::SocketAddr,
+        target: net::SocketAddr,
+    ) -> io::Result<Self> {
+        Self::listen(address, target, Some(sync::Arc::clone(link)))
+    }
+
+    fn listen(
+        address: net::SocketAddr,
+        target: net::SocketAddr,
+        link: Option<sync::Arc<Link>>,
+    ) -> io::Result<Self> {
+        let listener = net::TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let shared = sync::Arc::new(Shared {
             state: sync::Mutex::new(State {
@@ -74,6 +151,7 @@
                 refusing: false,
                 sockets: Vec::new(),
             }),
+            link,
             generation: atomic::AtomicU64::new(0),
             stopping: atomic::AtomicBool::new(false),
         });
@@ -213,6 +291,9 @@
     if let Passage::Delayed(time) = passage {
         thread::sleep(time);
     }
+    if let Some(link) = &shared.link {
+        link.carry(direction, bytes.len());
+    }
     to.write_all(bytes)
 }
 
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -1,6 +1,12 @@
 //! Starts processes on loopback addresses of their own, and stops them.
 
-use std::{env, fs, net, path, process, sync::atomic, thread, time};
+use std::{
+    env, fs, net, path, process,
+    sync::{self, atomic},
+    thread, time,
+};
+
+use sageshed_test_support::relay;
 
 use crate::standin::{Message, caller, engine, operator};
 
@@ -134,6 +140,10 @@
     tolerates: u8,
     /// Further settings of its entry processes.
     entry_settings: &'static str,
+    /// The port on which entry processes reach control processes.
+    watch_port: u16,
+    /// What they reach them through, where that is not directly.
+    relays: Vec<relay::Relay>,
     pub control: Vec<Process>,
     pub entries: Vec<Process>,
 }
@@ -155,7 +165,22 @@
         Self::start_with(tolerates, control, entries, "")
     }
 
+    /// As [`Self::ready`], with one entry process, whose calls to control processes all go over `link`.
+    pub fn ready_over(link: &sync::Arc<relay::Link>) -> (Self, Vec<engine::Engine>) {
+        Self::launch(1, 3, 1, "", Some(link)).served()
+    }
+
     fn start_with(tolerates: u8, control: u8, entries: u8, entry_settings: &'static str) -> Self {
+        Self::launch(tolerates, control, entries, entry_settings, None)
+    }
+
+    fn launch(
+        tolerates: u8,
+        control: u8,
+        entries: u8,
+        entry_settings: &'static str,
+        link: Option<&sync::Arc<relay::Link>>,
+    ) -> Self {
         let number = FLEETS.fetch_add(1, atomic::Ordering::SeqCst);
         let own = process::id();
         let octet = |it: u32| u8::try_from(it % 250 + 1).expect("below 251");
@@ -163,7 +188,7 @@
         let folder = env::temp_dir().join(format!("sageshed-fleet-{own}-{number}"));
         fs::create_dir_all(&folder).expect("a folder for the test");
         let first = net::Ipv4Addr::new(net[0], net[1], net[2], 11);
-        let [vms_port, control_port] = free_ports(first, &[]);
+        let [vms_port, control_port, relay_port] = free_ports(first, &[]);
         let mut fleet = Self {
             folder,
             net,
@@ -171,9 +196,19 @@
             control_port,
             tolerates,
             entry_settings,
+            watch_port: link.map_or(vms_port, |_| relay_port),
+            relays: Vec::new(),
             control: Vec::new(),
             entries: Vec::new(),
         };
+        for link in link {
+            for at in 0..control {
+                let ip = fleet.ip(11 + at);
+                let relay =
+                    relay::Relay::over(link, (ip, relay_port).into(), (ip, vms_port).into());
+                fleet.relays.push(relay.expect("a port for a relay"));
+            }
+        }
         for at in 0..control {
             let process = fleet.new_control(at, true);
             fleet.control.push(process);
@@ -203,7 +238,7 @@
             fleet.engine("p1", "plain", 33, &[]),
             fleet.engine("p2", "plain", 34, &[]),
         ];
-        for entry in 0..2 {
+        for entry in 0..fleet.entries.len() {
             for path in ["/stream/x", "/again/x"] {
                 fleet.until("an entry process serves", || {
                     let answer = fleet.ask(entry, &caller::Ask::new("GET", path, "first"));
@@ -218,7 +253,7 @@
         net::Ipv4Addr::new(self.net[0], self.net[1], self.net[2], last)
     }
 
-    fn discovery(&self, ip: net::Ipv4Addr, bootstrap: bool) -> String {
+    fn discovery(&self, ip: net::Ipv4Addr, vms_port: u16, bootstrap: bool) -> String {
         let seeds: Vec<_> = (11..14)
             .map(|last| format!("\"{}:{}\"", self.ip(last), self.control_port))
             .collect();
@@ -226,7 +261,7 @@
             "[discovery]\nip = \"{ip}\"\nseeds = [{}]\nvms_port = {}\nbootstrap = {bootstrap}\n\
              tolerates = {}\n",
             seeds.join(", "),
-            self.vms_port,
+            vms_port,
             self.tolerates,
         )
     }
@@ -243,17 +278,17 @@
             "vm = \"core-{at}\"\navailability_zone = \"z1\"\ndata = \"data-{at}\"\n[listen]\nfleet = \"{ip}:{}\"\nvms = \"{ip}:{}\"\noperators = \"{operators}:0\"\nmetrics = \"{ip}:{metrics}\"\n{}[control]\nelection_timeout_ms = 600\nheartbeat_ms = 80\n[orders]\nlease_ms = 300\n",
             self.control_port,
             self.vms_port,
-            self.discovery(ip, bootstrap),
+            self.discovery(ip, self.vms_port, bootstrap),
         );
         self.process("control", at, ip, self.control_port, metrics, &text)
     }
 
     fn new_entry(&self, at: u8) -> Process {
         let ip = self.ip(21 + at);
-        let [port, ready, metrics] = free_ports(ip, &[self.vms_port]);
+        let [port, ready, metrics] = free_ports(ip, &[self.watch_port]);
         let text = format!(
             "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\nmetrics = \"{ip}:{metrics}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\nformat = \"json\"\noutput = \"stdout\"\n{}",
-            self.discovery(ip, false),
+            self.discovery(ip, self.watch_port, false),
             self.entry_settings
         );
         Process {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -16,4 +16,5 @@
 mod quota;
 mod requests;
 mod said;
+mod slow_link;
 mod stopping;
