--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -201,7 +201,7 @@
             control: Vec::new(),
             entries: Vec::new(),
         };
-        for link in link {
+        if let Some(link) = link {
             for at in 0..control {
                 let ip = fleet.ip(11 + at);
                 let relay =
