Fetch configurations in pieces, by calls apart from the news

Callers saw requests handled by an old configuration and sent to endpoints that leave, and all requests late by some 200 ms for each way.

Cause: a watch answered with the whole configuration beside news of endpoints. Where it took longer than the call (650 and 1,200 ms), all of the answer was dropped, the control process avoided, and the next one asked from the beginning; three links at once kept the VM's link full for good.

Control processes now tell the number of the newest configuration with the news. One thread fetches it, one piece of at most 16 KB at a time. What has come stays when a call runs out of time, another control process sends the rest, and pieces shrink on a link that carries less. A transfer goes on while newer versions come.

--- a/crates/sageshed-fleet/src/changes.rs
+++ b/crates/sageshed-fleet/src/changes.rs
@@ -1,25 +1,29 @@
-//! The configurations that a control process has told watchers of lately, so that it can tell what changed.
+//! The configurations that a control process has sent lately, so that it can send what changed.
 
 use std::collections;
 
 use sageshed_types::document;
 
-/// Configurations that are kept. A watcher holds the newest or, in a storm of changes, one of the last few.
+use crate::transfer;
+
+/// Configurations that are kept. An entry process holds the newest or, in a storm of changes, one of the last few.
 const KEPT: usize = 4;
 
 /// A change of more than this part of the whole is not worth the trouble.
 const MOST_PART: usize = 2;
 
-/// The configurations that were told last.
+/// The configurations that were sent last.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct Sent {
+    /// What is being fetched.
+    pub payloads: transfer::Outgoing,
     documents: collections::VecDeque<document::Document>,
-    /// The change that was worked out last: many watchers hold the same one.
+    /// The change that was worked out last: many entry processes hold the same one.
     latest: Option<document::Change>,
 }
 
-impl Told {
-    /// What makes `newest` of the one whose text a watcher holds. None where that is not known here, or the whole
+impl Sent {
+    /// What makes `newest` of the one whose text an entry process holds. None where that is not known here, or the whole
     /// is as good.
     pub fn change(
         &mut self,
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -8,7 +8,7 @@
 //! |---|---|
 //! | [`config`] | whether a configuration is valid |
 //! | [`routes`] | which route a request takes |
-//! | [`changes`] | what a watcher is told of a configuration that is newer than its own |
+//! | [`changes`] | what an entry process is sent of a configuration that is newer than its own |
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`backlog`] | how long what waits for an engine will wait |
@@ -17,6 +17,7 @@
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`quarantine`] | which requests are passed on no more, since endpoints ended under them |
+//! | [`transfer`] | which pieces of a configuration are fetched, and from whom |
 //! | [`versions`] | how far a held configuration is behind the newest |
 //! | [`workspaces`] | who sends a request, by the key that it shows |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
@@ -40,5 +41,6 @@
 pub mod quarantine;
 pub mod routes;
 pub mod tally;
+pub mod transfer;
 pub mod versions;
 pub mod workspaces;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry process asks a few control processes what is new ([`WatchReq`]) and each keeps the call
 //! until there is something ([`WatchResp`]). One of them, near by, passes endpoints on; the others
-//! tell by a digest whether that one knows what they know, and bring configurations. Control processes
+//! tell by a digest whether that one knows what they know. All tell the number of the newest configuration; the
+//! entry process fetches it by calls of its own ([`ConfigReq`]), so that news does not wait for it. Control processes
 //! watch each other the same way, so an announcement that one of them took is known to all within a
 //! round trip.
 
@@ -11,12 +12,14 @@
 use sageshed_types::{document, time};
 use serde::{Deserialize, Serialize};
 
-use crate::{directory, quarantine};
+use crate::{directory, quarantine, transfer};
 
 /// Paths on the port of a control process for the system's other processes.
 pub mod paths {
     /// [`super::WatchReq`] to [`super::WatchResp`].
     pub const WATCH: &str = "/v1/fleet/watch";
+    /// [`super::ConfigReq`] to [`super::ConfigResp`].
+    pub const CONFIG: &str = "/v1/fleet/config";
     /// [`super::WantReq`] to [`super::WantResp`].
     pub const WANT: &str = "/v1/fleet/want";
 }
@@ -67,11 +70,12 @@
     pub availability_zone: String,
     /// What of the directory it wants.
     pub wants: Wants,
-    /// The version of the configuration that it holds; zero for none.
+    /// The version of the configuration in force there; zero for none.
     pub config: u64,
-    /// The version of which it holds the text, so that a change of that one will do; zero for none.
+    /// The newest version that it was told of, and fetches if it does not hold it. None from a process that takes
+    /// configurations out of the answer.
     #[serde(default)]
-    pub text_held: u64,
+    pub config_told: Option<u64>,
     /// Up to where it knows the directory of the one that it asks.
     pub mark: directory::Mark,
     /// The list of entry processes that it knows, by the number that came with it.
@@ -125,11 +129,12 @@
     pub entries_number: u64,
     /// The entry processes, where the list is not the one that is known.
     pub entries: Option<Vec<net::Ipv4Addr>>,
-    /// The configuration, where it is newer.
-    pub config: Option<document::Document>,
-    /// The same as a change of the one whose text is held.
+    /// The number of the newest configuration that the answering one holds; zero for none.
+    #[serde(default)]
+    pub newest_config: u64,
+    /// That configuration, where it is newer and the watcher does not fetch it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub config_change: Option<document::Change>,
+    pub config: Option<document::Document>,
     /// Up to where the directory is known with this answer.
     pub mark: directory::Mark,
     /// The digest of the directory; see [`directory::Directory::digest`].
@@ -152,6 +157,36 @@
     pub crashes: Vec<quarantine::Crash>,
 }
 
+/// Asks for a piece of the newest configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigReq {
+    /// The version whose text is held; zero for none.
+    pub text_held: u64,
+    /// The transfer that is under way.
+    pub transfer: Option<transfer::Id>,
+    /// Bytes of it that have come.
+    pub offset: u64,
+    /// Bytes of the piece at the most.
+    pub most: usize,
+}
+
+/// A piece of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigResp {
+    /// Of the transfer that is under way, or of another one from its beginning; none where nothing newer is held.
+    pub piece: Option<transfer::Piece>,
+}
+
+/// What the bytes of a transfer are, encoded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Contents {
+    /// The whole configuration.
+    Whole(document::Document),
+    /// What makes it of the one whose text is held.
+    Change(document::Change),
+}
+
 /// Asks the leader to load an adapter for a request that waits.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WantReq {
--- /dev/null
+++ b/crates/sageshed-fleet/src/transfer.rs
@@ -0,0 +1,282 @@
+//! How a configuration gets from a control process to an entry process: in pieces, each by a call of its own.
+//!
+//! A configuration may take longer on the link of an entry process's VM than any call may last, and callers'
+//! requests share that link. So one piece at a time is on its way. A call that runs out of time costs its piece;
+//! what came before stays, and any control process that makes the same bytes can send the rest. The sender keeps
+//! what is being fetched while newer versions come, or a storm of changes would begin each transfer anew.
+
+use std::{collections, net, sync};
+
+use derive_more::{Display, Error};
+use sageshed_types::time;
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+
+/// Bytes of a piece at the most: 13 ms on a link of 10 Mbit/s, by which callers' requests are delayed.
+pub const PIECE: usize = 16 * 1024;
+
+/// Bytes of a piece on a link that carries no more in the time of a call.
+const SMALLEST_PIECE: usize = 1_024;
+
+/// Bytes of a transfer at the most.
+const LARGEST: u64 = 64 * 1024 * 1024;
+
+/// How long a control process that did not answer is asked for no piece while there are others.
+const AVOIDED: time::Millis = time::Millis(500);
+
+/// Payloads that a sender keeps.
+const KEPT: usize = 8;
+
+/// How long a payload is kept that nobody asks for.
+const KEPT_FOR: time::Millis = time::Millis(5_000);
+
+/// Tells one transfer from others. Equal for equal bytes, whoever sends them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Id {
+    /// The version whose text the receiver holds; zero for none.
+    pub from: u64,
+    /// The version that is transferred.
+    pub version: u64,
+    /// Bytes in all.
+    pub length: u64,
+    /// The beginning of the SHA-256 of all bytes.
+    pub check: u64,
+}
+
+impl Id {
+    /// Of the transfer of `bytes`.
+    #[must_use]
+    pub fn new(from: u64, version: u64, bytes: &[u8]) -> Self {
+        Self {
+            from,
+            version,
+            length: bytes.len() as u64,
+            check: check(bytes),
+        }
+    }
+}
+
+/// Some of the bytes of a transfer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Of which transfer.
+    pub id: Id,
+    /// Bytes that come before these.
+    pub offset: u64,
+    /// The bytes.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// All bytes of a transfer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Payload {
+    /// Of which transfer.
+    pub id: Id,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// The payloads that a sender keeps for those that fetch them.
+#[derive(Debug, Default)]
+pub struct Outgoing {
+    /// In the order in which they were asked for last.
+    kept: Vec<Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    id: Id,
+    bytes: sync::Arc<[u8]>,
+    asked: time::Instant,
+}
+
+impl Outgoing {
+    /// Keeps a payload.
+    pub fn keep(&mut self, now: time::Instant, id: Id, bytes: Vec<u8>) {
+        self.kept.retain(|it| now.since(it.asked) < KEPT_FOR);
+        if self.kept.len() >= KEPT {
+            self.kept.remove(0);
+        }
+        let bytes = bytes.into();
+        self.kept.push(Kept {
+            id,
+            bytes,
+            asked: now,
+        });
+    }
+
+    /// The transfer from one version to another, if its payload is kept.
+    #[must_use]
+    pub fn find(&self, from: u64, version: u64) -> Option<Id> {
+        let mut ids = self.kept.iter().map(|it| it.id);
+        ids.find(|it| it.from == from && it.version == version)
+    }
+
+    /// At most `most` bytes of a transfer from `offset` on. None where its payload is not kept, or ends before.
+    pub fn piece(&mut self, now: time::Instant, id: Id, offset: u64, most: usize) -> Option<Piece> {
+        let at = self.kept.iter().position(|it| it.id == id)?;
+        self.kept[at..].rotate_left(1);
+        let kept = self.kept.last_mut()?;
+        kept.asked = now;
+        let begin = usize::try_from(offset).ok()?;
+        let rest = kept.bytes.get(begin..).filter(|it| !it.is_empty())?;
+        let bytes = &rest[..rest.len().min(most)];
+        Some(Piece {
+            id,
+            offset,
+            bytes: bytes.to_vec(),
+        })
+    }
+}
+
+/// What a receiver is to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Ask for a piece.
+    Ask {
+        /// Whom.
+        to: net::Ipv4Addr,
+        /// The transfer that is under way.
+        transfer: Option<Id>,
+        /// Bytes of it that have come.
+        offset: u64,
+        /// Bytes of the piece at the most.
+        most: usize,
+    },
+    /// Wait until a control process tells of a newer version.
+    Wait,
+}
+
+/// What became of a piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Taken {
+    /// There is more to fetch.
+    More,
+    /// It was the last one.
+    Whole(Payload),
+}
+
+/// A piece that is not of the transfer that it was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum PieceError {
+    /// It does not continue what has come.
+    #[display("piece does not continue what has come")]
+    Gap,
+    /// The transfer is larger than any configuration.
+    #[display("transfer of {_0} bytes is too large")]
+    TooLarge(#[error(not(source))] u64),
+    /// The bytes are not those that were announced.
+    #[display("checksum of the transfer does not match")]
+    Spoiled,
+}
+
+/// Fetches the newest configuration that any control process tells of.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The newest version that each control process has told of.
+    told: collections::BTreeMap<net::Ipv4Addr, u64>,
+    avoided: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
+    partial: Option<Payload>,
+    most: usize,
+}
+
+impl Default for Incoming {
+    fn default() -> Self {
+        Self {
+            told: collections::BTreeMap::new(),
+            avoided: collections::BTreeMap::new(),
+            partial: None,
+            most: PIECE,
+        }
+    }
+}
+
+impl Incoming {
+    /// A control process tells that it holds `version`. Returns whether that is the newest so far.
+    pub fn told(&mut self, by: net::Ipv4Addr, version: u64) -> bool {
+        let is_news = version > self.newest();
+        if version > 0 {
+            self.told.insert(by, version);
+        }
+        is_news
+    }
+
+    /// The newest version that any control process has told of; zero if none has.
+    #[must_use]
+    pub fn newest(&self) -> u64 {
+        self.told.values().copied().max().unwrap_or(0)
+    }
+
+    /// Whom to ask for what, where version `held` is there already and `near` is the best reached.
+    pub fn next(&mut self, now: time::Instant, held: u64, near: Option<net::Ipv4Addr>) -> Next {
+        self.avoided.retain(|_, since| now.since(*since) < AVOIDED);
+        if self
+            .partial
+            .as_ref()
+            .is_some_and(|it| it.id.version <= held)
+        {
+            self.partial = None;
+        }
+        let newer = self.told.iter().filter(|(_, version)| **version > held);
+        let best = newer.max_by_key(|(ip, version)| {
+            let is_near = Some(**ip) == near;
+            (!self.avoided.contains_key(ip), **version, is_near)
+        });
+        let Some((to, _)) = best else {
+            return Next::Wait;
+        };
+        let partial = self.partial.as_ref();
+        Next::Ask {
+            to: *to,
+            transfer: partial.map(|it| it.id),
+            offset: partial.map_or(0, |it| it.bytes.len() as u64),
+            most: self.most,
+        }
+    }
+
+    /// A control process has answered with a piece.
+    ///
+    /// Another transfer than the one under way begins anew: its sender no longer has what was being fetched.
+    pub fn take(&mut self, piece: &Piece) -> Result<Taken, PieceError> {
+        self.most = (self.most * 2).min(PIECE);
+        let mut partial = match self.partial.take() {
+            Some(partial) if partial.id == piece.id => partial,
+            _ => Payload {
+                id: piece.id,
+                bytes: Vec::new(),
+            },
+        };
+        if piece.id.length > LARGEST {
+            return Err(PieceError::TooLarge(piece.id.length));
+        }
+        if piece.offset != partial.bytes.len() as u64 || piece.bytes.is_empty() {
+            return Err(PieceError::Gap);
+        }
+        partial.bytes.extend_from_slice(&piece.bytes);
+        if (partial.bytes.len() as u64) < piece.id.length {
+            self.partial = Some(partial);
+            return Ok(Taken::More);
+        }
+        if check(&partial.bytes) != piece.id.check {
+            return Err(PieceError::Spoiled);
+        }
+        Ok(Taken::Whole(partial))
+    }
+
+    /// A control process has nothing newer, though it told so: it was started anew.
+    pub fn has_none(&mut self, ip: net::Ipv4Addr) {
+        self.told.remove(&ip);
+    }
+
+    /// A control process did not answer in time, or not as it should. What has come stays; smaller pieces are asked for.
+    pub fn lost(&mut self, now: time::Instant, ip: net::Ipv4Addr) {
+        self.avoided.insert(ip, now);
+        self.most = (self.most / 2).max(SMALLEST_PIECE);
+    }
+}
+
+fn check(bytes: &[u8]) -> u64 {
+    let digest = sha2::Sha256::digest(bytes);
+    u64::from_le_bytes(std::array::from_fn(|at| digest[at]))
+}
--- /dev/null
+++ b/crates/sageshed-fleet/tests/transfer.rs
@@ -0,0 +1,188 @@
+//! Which pieces of a configuration are fetched, and what becomes of them.
+
+use std::net;
+
+use sageshed_fleet::transfer::{
+    Id, Incoming, Next, Outgoing, PIECE, Payload, Piece, PieceError, Taken,
+};
+use sageshed_types::time::Instant;
+
+const NOW: Instant = Instant(10_000);
+
+fn ip(last: u8) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(10, 0, 0, last)
+}
+
+/// Bytes of a configuration that takes several pieces.
+fn bytes() -> Vec<u8> {
+    let mut random = fastrand::Rng::with_seed(7);
+    (0..PIECE * 5 / 2).map(|_| random.u8(..)).collect()
+}
+
+fn outgoing(from: u64, version: u64, bytes: &[u8]) -> (Outgoing, Id) {
+    let mut outgoing = Outgoing::default();
+    let id = Id::new(from, version, bytes);
+    outgoing.keep(NOW, id, bytes.to_vec());
+    (outgoing, id)
+}
+
+/// What is asked for next: whom, from which byte on, and how many.
+fn asked(next: Next) -> (net::Ipv4Addr, u64, usize) {
+    match next {
+        Next::Ask {
+            to, offset, most, ..
+        } => (to, offset, most),
+        Next::Wait => panic!("nothing is asked for"),
+    }
+}
+
+/// Fetches until nothing is left to do. Returns what came, and how many pieces it took.
+fn fetch(incoming: &mut Incoming, outgoing: &mut Outgoing, id: Id) -> (Payload, usize) {
+    for count in 1.. {
+        let (_, offset, most) = asked(incoming.next(NOW, 0, None));
+        let piece = outgoing.piece(NOW, id, offset, most).expect("a piece");
+        match incoming.take(&piece).expect("it continues what has come") {
+            Taken::More => {}
+            Taken::Whole(payload) => return (payload, count),
+        }
+    }
+    unreachable!("the transfer ends")
+}
+
+#[test]
+fn a_configuration_comes_in_pieces() {
+    let bytes = bytes();
+    let (mut outgoing, id) = outgoing(0, 7, &bytes);
+    let mut incoming = Incoming::default();
+    assert_eq!(incoming.next(NOW, 0, None), Next::Wait);
+    assert!(incoming.told(ip(1), 7), "it is news");
+    assert!(!incoming.told(ip(2), 7), "another tells the same");
+    let (payload, count) = fetch(&mut incoming, &mut outgoing, id);
+    assert_eq!(payload, Payload { id, bytes });
+    assert_eq!(count, 3);
+    assert_eq!(incoming.next(NOW, 7, None), Next::Wait);
+}
+
+/// Guards against a transfer that begins anew whenever a call runs out of time.
+#[test]
+fn what_has_come_stays_when_a_call_runs_out_of_time() {
+    let bytes = bytes();
+    let (mut outgoing, id) = outgoing(0, 7, &bytes);
+    let mut incoming = Incoming::default();
+    incoming.told(ip(1), 7);
+    incoming.told(ip(2), 7);
+    let (first, offset, most) = asked(incoming.next(NOW, 0, Some(ip(1))));
+    assert_eq!(first, ip(1));
+    let piece = outgoing.piece(NOW, id, offset, most).expect("a piece");
+    incoming.take(&piece).expect("the first one");
+    incoming.lost(NOW, ip(1));
+    let (second, offset, fewer) = asked(incoming.next(NOW, 0, Some(ip(1))));
+    assert_eq!((second, offset), (ip(2), PIECE as u64));
+    assert!(fewer < most, "{fewer}");
+    assert_eq!(fetch(&mut incoming, &mut outgoing, id).0.bytes, bytes);
+}
+
+/// Guards against a storm of changes in which each newer version begins the transfer anew.
+#[test]
+fn a_transfer_goes_on_while_newer_versions_come() {
+    let bytes = bytes();
+    let (mut outgoing, id) = outgoing(0, 7, &bytes);
+    let mut incoming = Incoming::default();
+    incoming.told(ip(1), 7);
+    let piece = outgoing.piece(NOW, id, 0, PIECE).expect("a piece");
+    incoming.take(&piece).expect("the first one");
+    for version in 8..=1_000 {
+        incoming.told(ip(1), version);
+        outgoing.keep(NOW, Id::new(7, version, &[1]), vec![1]);
+        assert!(outgoing.piece(NOW, id, 0, 1).is_some(), "it is kept");
+    }
+    let (payload, _) = fetch(&mut incoming, &mut outgoing, id);
+    assert_eq!(payload.id.version, 7);
+    assert_ne!(
+        incoming.next(NOW, 7, None),
+        Next::Wait,
+        "a newer one is there"
+    );
+}
+
+/// A piece that is not what was asked for, and what is said of it.
+struct Case {
+    name: &'static str,
+    spoil: fn(&mut Piece),
+    error: PieceError,
+}
+
+#[test]
+fn a_piece_that_does_not_fit_is_refused() {
+    let cases = [
+        Case {
+            name: "a gap",
+            spoil: |it| it.offset += 1,
+            error: PieceError::Gap,
+        },
+        Case {
+            name: "no bytes",
+            spoil: |it| it.bytes.clear(),
+            error: PieceError::Gap,
+        },
+        Case {
+            name: "too large",
+            spoil: |it| it.id.length = u64::MAX,
+            error: PieceError::TooLarge(u64::MAX),
+        },
+        Case {
+            name: "spoiled",
+            spoil: |it| it.bytes[1] ^= 1,
+            error: PieceError::Spoiled,
+        },
+    ];
+    let bytes = vec![1, 2, 3];
+    for case in cases {
+        let (mut outgoing, id) = outgoing(0, 7, &bytes);
+        let mut incoming = Incoming::default();
+        incoming.told(ip(1), 7);
+        let mut piece = outgoing.piece(NOW, id, 0, PIECE).expect("a piece");
+        (case.spoil)(&mut piece);
+        assert_eq!(incoming.take(&piece), Err(case.error), "{}", case.name);
+        assert_eq!(fetch(&mut incoming, &mut outgoing, id).0.bytes, bytes);
+    }
+}
+
+/// Guards against an entry process that asks on and on for what a control process no longer has.
+#[test]
+fn a_control_process_that_has_nothing_newer_is_asked_no_more() {
+    let mut incoming = Incoming::default();
+    incoming.told(ip(1), 7);
+    incoming.has_none(ip(1));
+    assert_eq!(incoming.next(NOW, 0, None), Next::Wait);
+}
+
+#[test]
+fn whoever_has_the_newest_is_asked_and_of_these_the_near_one() {
+    let mut incoming = Incoming::default();
+    incoming.told(ip(1), 7);
+    incoming.told(ip(2), 8);
+    incoming.told(ip(3), 8);
+    assert_eq!(asked(incoming.next(NOW, 0, Some(ip(2)))).0, ip(2));
+    assert_eq!(asked(incoming.next(NOW, 0, Some(ip(3)))).0, ip(3));
+    let first = asked(incoming.next(NOW, 0, Some(ip(1)))).0;
+    assert_ne!(first, ip(1), "the near one has an older version");
+    incoming.lost(NOW, ip(2));
+    incoming.lost(NOW, ip(3));
+    assert_eq!(asked(incoming.next(NOW, 0, None)).0, ip(1));
+    let later = Instant(NOW.0 + 10_000);
+    assert_ne!(asked(incoming.next(later, 0, None)).0, ip(1));
+}
+
+#[test]
+fn payloads_that_nobody_asks_for_are_forgotten() {
+    let mut outgoing = Outgoing::default();
+    let first = Id::new(0, 1, &[1]);
+    outgoing.keep(NOW, first, vec![1]);
+    assert_eq!(outgoing.find(0, 1), Some(first));
+    for version in 2..100 {
+        outgoing.keep(Instant(NOW.0 + version), Id::new(0, version, &[1]), vec![1]);
+    }
+    assert_eq!(outgoing.find(0, 1), None);
+    assert!(outgoing.piece(NOW, first, 0, 1).is_none());
+}
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -250,7 +250,7 @@
             })
             .unwrap_or_else(sync::PoisonError::into_inner);
         let rest = BATCH.saturating_sub(started.elapsed());
-        if !waited.timed_out() && !rest.is_zero() && inner.versions.newest() <= req.config {
+        if !waited.timed_out() && !rest.is_zero() && !inner.has_config_for(req) {
             drop(inner);
             thread::sleep(rest.min(patience));
             inner = locks::lock(&self.inner);
@@ -439,13 +439,18 @@
         }
     }
 
+    /// Whether a watcher is to be told of a newer configuration. One that was told fetches it, which takes a while.
+    fn has_config_for(&self, req: &messages::WatchReq) -> bool {
+        self.versions.newest() > req.config.max(req.config_told.unwrap_or(0))
+    }
+
     /// Whether there is something for a watcher.
     fn is_newer(&self, req: &messages::WatchReq) -> bool {
         let has_news = req.wants != messages::Wants::Digest && self.directory.has_news(req.mark);
         let crashes_known = req.crashes_known;
         let has_crashes =
             crashes_known.is_some_and(|it| self.quarantine.has_news(it, telling(req)));
-        has_news || has_crashes || self.versions.newest() > req.config || self.is_stopping
+        has_news || has_crashes || self.has_config_for(req) || self.is_stopping
     }
 }
 
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -8,7 +8,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{directory, messages, quarantine, tally};
+use sageshed_fleet::{changes, directory, messages, quarantine, tally, transfer};
 use sageshed_types::{document, time};
 
 use crate::{control::shared, locks, records};
@@ -46,11 +46,7 @@
     }
     req.patience = req.patience.min(PATIENCE);
     let news = shared.hub.news(now, &req);
-    let (config, config_change) = if news.config > req.config {
-        newer_config(shared, &req)
-    } else {
-        (None, None)
-    };
+    let config = newer_config(shared, &req);
     // Only whoever takes endpoints takes the list of entry processes too.
     let entries = (req.wants == messages::Wants::News).then(|| shared.hub.entries());
     let entries_number = entries.as_deref().map_or(req.entries_known, number);
@@ -59,8 +55,8 @@
         leader: shared.leader().and_then(|it| it.parse().ok()),
         entries_number,
         entries: entries.filter(|_| entries_number != req.entries_known),
+        newest_config: news.config,
         config,
-        config_change,
         mark: news.mark,
         digest: news.digest,
         digest_mark: Some(news.digest_mark),
@@ -71,22 +67,63 @@
     }
 }
 
-/// The configuration that is newer than the watcher's, or what makes it of the one whose text the watcher holds.
-///
-/// It may have megabytes: copied for each of some hundred watchers that need but a change of it, it would take the memory
-/// of the smallest VMs.
-fn newer_config(
-    shared: &shared::Shared,
-    req: &messages::WatchReq,
-) -> (Option<document::Document>, Option<document::Change>) {
+/// The configuration that is newer than that of a watcher which does not fetch it.
+fn newer_config(shared: &shared::Shared, req: &messages::WatchReq) -> Option<document::Document> {
+    if req.config_told.is_some() {
+        return None;
+    }
+    let state = locks::read(&shared.state);
+    let newest = state.fleet();
+    (newest.version > req.config).then(|| newest.clone())
+}
+
+/// Answers with a piece of the newest configuration, or of the one that is being fetched.
+#[must_use]
+pub fn piece(shared: &shared::Shared, req: &messages::ConfigReq) -> messages::ConfigResp {
+    let now = shared.clock.now();
     let state = locks::read(&shared.state);
     let newest = state.fleet();
-    if newest.version <= req.config {
-        return (None, None);
+    let mut sent = locks::lock(&shared.sent_documents);
+    let under_way = req
+        .transfer
+        .and_then(|id| sent.payloads.piece(now, id, req.offset, req.most));
+    let piece = under_way.or_else(|| {
+        let id = transfer_to(&mut sent, now, newest, req.text_held)?;
+        sent.payloads.piece(now, id, 0, req.most)
+    });
+    messages::ConfigResp { piece }
+}
+
+/// The transfer that brings `newest` to one that holds the text of another version; none where it holds it already.
+fn transfer_to(
+    sent: &mut changes::Sent,
+    now: time::Instant,
+    newest: &document::Document,
+    text_held: u64,
+) -> Option<transfer::Id> {
+    if newest.version <= text_held {
+        return None;
+    }
+    let change = sent.change(newest, text_held);
+    let from = if change.is_some() { text_held } else { 0 };
+    if let Some(known) = sent.payloads.find(from, newest.version) {
+        return Some(known);
+    }
+    let contents = change.map_or_else(
+        || messages::Contents::Whole(newest.clone()),
+        messages::Contents::Change,
+    );
+    match sageshed_vms::encode(&contents) {
+        Ok(bytes) => {
+            let id = transfer::Id::new(from, newest.version, &bytes);
+            sent.payloads.keep(now, id, bytes);
+            Some(id)
+        }
+        Err(e) => {
+            ::log::error!(version = newest.version, error:% = e; "control: configuration not sent");
+            None
+        }
     }
-    let change = locks::lock(&shared.sent_documents).change(newest, req.text_held);
-    let whole = change.is_none().then(|| newest.clone());
-    (whole, change)
 }
 
 /// Hands what callers asked for to the planner where this process leads, else on to the leader.
@@ -170,7 +207,7 @@
             wants: messages::Wants::All,
             // The log brings the configuration.
             config: u64::MAX,
-            text_held: 0,
+            config_told: None,
             mark,
             entries_known: 0,
             patience: if is_leader { LEADER_PATIENCE } else { PATIENCE },
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -47,8 +47,8 @@
     pub known: sync::RwLock<collections::BTreeSet<net::Ipv4Addr>>,
     /// What a fleet's endpoints and entry processes say.
     pub hub: hub::Hub,
-    /// Configurations that watchers were told of lately.
-    pub sent_documents: sync::Mutex<changes::Told>,
+    /// Configurations that entry processes were sent lately.
+    pub sent_documents: sync::Mutex<changes::Sent>,
     /// What the placing thread shows operators.
     pub models: sync::RwLock<Vec<messages::ModelStatus>>,
     /// The voters that the group was formed with, once known.
--- /dev/null
+++ b/src/sageshed/gateway/fetch.rs
@@ -0,0 +1,191 @@
+//! Fetches the newest configuration from the control processes that tell of it.
+//!
+//! One thread does so, a piece at a time ([`transfer`]): callers' requests share the link of this VM, and the links
+//! that bring news of endpoints ([`super::watch`]) must not wait for a configuration of megabytes.
+
+use std::{net, sync, thread, time as std_time};
+
+use sageshed_fleet::{dialect, messages, transfer};
+use sageshed_types::document;
+
+use super::state;
+use crate::locks;
+
+/// How long a piece may take, on a link that callers fill as well.
+const CALL_LIMIT: std_time::Duration = std_time::Duration::from_secs(1);
+
+/// Between two looks whether the process stops.
+const LOOK: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Between two tries where the answer was of no use.
+const RETRY: std_time::Duration = std_time::Duration::from_millis(30);
+
+/// What the thread that fetches shares with the links.
+#[derive(Debug, Default)]
+pub struct Fetching {
+    inner: sync::Mutex<Inner>,
+    changed: sync::Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    incoming: transfer::Incoming,
+    /// The control process that is reached best.
+    near: Option<net::Ipv4Addr>,
+}
+
+/// Starts the thread, which runs until the process stops.
+pub fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) -> sync::Arc<Fetching> {
+    let fetching = sync::Arc::new(Fetching::default());
+    let (shared, own) = (sync::Arc::clone(shared), sync::Arc::clone(&fetching));
+    let spawned = thread::Builder::new()
+        .name("fetch".to_owned())
+        .spawn(move || run(&shared, &own));
+    if let Err(e) = spawned {
+        ::log::error!(error:% = e; "gateway: no thread to fetch configurations");
+    }
+    fetching
+}
+
+impl Fetching {
+    /// A control process tells that it holds `version`.
+    pub fn told(&self, by: net::Ipv4Addr, version: u64) {
+        if locks::lock(&self.inner).incoming.told(by, version) {
+            self.changed.notify_all();
+        }
+    }
+
+    /// The newest version that any control process has told of; zero if none has.
+    #[must_use]
+    pub fn newest(&self) -> u64 {
+        locks::lock(&self.inner).incoming.newest()
+    }
+
+    /// Notes which control process is reached best.
+    pub fn prefer(&self, near: net::Ipv4Addr) {
+        locks::lock(&self.inner).near = Some(near);
+    }
+}
+
+fn run<D: dialect::Dialect>(shared: &state::Shared<D>, fetching: &Fetching) {
+    while !shared.is_stopping() {
+        let held = locks::lock(&shared.document).version;
+        let next = {
+            let mut inner = locks::lock(&fetching.inner);
+            let near = inner.near;
+            inner.incoming.next(shared.clock.now(), held, near)
+        };
+        match next {
+            transfer::Next::Wait => wait(fetching, held),
+            transfer::Next::Ask {
+                to,
+                transfer,
+                offset,
+                most,
+            } => {
+                let req = messages::ConfigReq {
+                    text_held: held,
+                    transfer,
+                    offset,
+                    most,
+                };
+                ask(shared, fetching, to, &req);
+            }
+        }
+    }
+}
+
+/// Waits until a newer version than `held` is told of, or it is time for a look.
+fn wait(fetching: &Fetching, held: u64) {
+    let inner = locks::lock(&fetching.inner);
+    let (_inner, _timeout) = fetching
+        .changed
+        .wait_timeout_while(inner, LOOK, |it| it.incoming.newest() <= held)
+        .unwrap_or_else(sync::PoisonError::into_inner);
+}
+
+fn ask<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    fetching: &Fetching,
+    to: net::Ipv4Addr,
+    req: &messages::ConfigReq,
+) {
+    let address = net::SocketAddrV4::new(to, shared.settings.discovery.vms_port).to_string();
+    let path = messages::paths::CONFIG;
+    let resp: Result<messages::ConfigResp, _> = shared.client.call(&address, path, req, CALL_LIMIT);
+    let piece = match resp {
+        Ok(resp) => resp.piece,
+        Err(e) => {
+            ::log::warn!(control:% = to, offset = req.offset, error:% = e; "gateway: piece of a configuration not fetched");
+            locks::lock(&fetching.inner)
+                .incoming
+                .lost(shared.clock.now(), to);
+            return thread::sleep(RETRY);
+        }
+    };
+    let Some(piece) = piece else {
+        return locks::lock(&fetching.inner).incoming.has_none(to);
+    };
+    let taken = locks::lock(&fetching.inner).incoming.take(&piece);
+    match taken {
+        Ok(transfer::Taken::More) => {}
+        Ok(transfer::Taken::Whole(payload)) => take_payload(shared, fetching, to, &payload),
+        Err(e) => {
+            ::log::warn!(control:% = to, error:% = e; "gateway: configuration is fetched anew");
+            locks::lock(&fetching.inner)
+                .incoming
+                .lost(shared.clock.now(), to);
+            thread::sleep(RETRY);
+        }
+    }
+}
+
+fn take_payload<D: dialect::Dialect>(
+    shared: &state::Shared<D>,
+    fetching: &Fetching,
+    from: net::Ipv4Addr,
+    payload: &transfer::Payload,
+) {
+    let bytes = payload.bytes.len();
+    let version = payload.id.version;
+    match sageshed_vms::decode(&payload.bytes) {
+        Ok(messages::Contents::Whole(document)) => {
+            ::log::info!(version, bytes; "gateway: configuration came whole");
+            take_document(shared, document);
+        }
+        Ok(messages::Contents::Change(change)) => {
+            let changed = locks::lock(&shared.document).changed_by(&change);
+            if let Some(document) = changed {
+                ::log::info!(version, bytes; "gateway: configuration came as a change");
+                take_document(shared, document);
+            } else {
+                ::log::warn!(change:? = change;
+                    "gateway: change of a configuration does not fit, the whole is asked for");
+                *locks::lock(&shared.document) = document::Document::default();
+            }
+        }
+        Err(e) => {
+            ::log::error!(version, error:% = e; "gateway: configuration not understood");
+            locks::lock(&fetching.inner)
+                .incoming
+                .lost(shared.clock.now(), from);
+            thread::sleep(RETRY);
+        }
+    }
+}
+
+/// Puts a configuration in force, and keeps its text also where it is not understood: changes are made of it, and it is
+/// not fetched again.
+pub fn take_document<D: dialect::Dialect>(shared: &state::Shared<D>, document: document::Document) {
+    match shared.dialect.config(document.text.as_bytes()) {
+        Ok(config) => shared.put_in_force(config),
+        Err(e) => {
+            ::log::error!(version = document.version, error:% = e;
+                "gateway: configuration not understood, the one before stays in force");
+        }
+    }
+    let mut held = locks::lock(&shared.document);
+    if document.version > held.version {
+        *held = document;
+    }
+}
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod allowances;
 mod answer;
 mod crashes;
+mod fetch;
 pub mod metrics;
 pub mod neighbours;
 mod pass;
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -1,7 +1,8 @@
 //! Keeps an entry process up to date by a few control processes.
 //!
 //! Each link ([`sageshed_fleet::links`]) watches one of them: a call that is kept until there is something new.
-//! The link that brings endpoints also takes along what callers ask for.
+//! The link that brings endpoints also takes along what callers ask for. Configurations are fetched by another
+//! thread ([`super::fetch`]), which the links tell of new ones.
 
 use std::{
     collections, net,
@@ -10,9 +11,9 @@
 };
 
 use sageshed_fleet::{dialect, directory, links, messages, quarantine};
-use sageshed_types::{document, time};
+use sageshed_types::time;
 
-use super::state;
+use super::{fetch, state};
 use crate::{locks, settings};
 
 /// How long a watch is kept where nothing is new.
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 struct Watching {
     links: sync::Mutex<links::Links>,
+    fetching: sync::Arc<fetch::Fetching>,
     seeds_read: sync::Mutex<std_time::Instant>,
 }
 
@@ -45,6 +47,7 @@
     let seeds = seeds.iter().map(|it| *it.ip()).collect();
     let watching = sync::Arc::new(Watching {
         links: sync::Mutex::new(links::Links::new(&shared.settings.availability_zone, seeds)),
+        fetching: fetch::start(shared),
         seeds_read: sync::Mutex::new(std_time::Instant::now()),
     });
     for number in 0..links::LINKS {
@@ -91,7 +94,7 @@
             )
         };
         let telling = shared.with_core(|core| core.quarantine.mark());
-        match watch(shared, to, known, wants, is_source) {
+        match watch(shared, watching, to, known, wants, is_source) {
             Ok(resp) => {
                 known.mark = resp.mark;
                 known
@@ -99,7 +102,7 @@
                     .answered(telling, resp.crashes_mark.unwrap_or_default());
                 let (digest, digest_mark) = (resp.digest, resp.digest_mark);
                 let has_more = resp.has_more;
-                take(shared, watching, resp);
+                take(shared, watching, to, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
                 if let Some(mark) = digest_mark.filter(|_| !differs) {
                     // Whoever has the digest knows what it is of: should this link bring endpoints, it begins here.
@@ -107,6 +110,9 @@
                 }
                 let mut links = locks::lock(&watching.links);
                 links.answered(shared.clock.now(), number, differs, has_more);
+                if links.source() == Some(number) {
+                    watching.fetching.prefer(to);
+                }
             }
             Err(e) => {
                 ::log::warn!(link = number, control:% = to, error:% = e;
@@ -121,6 +127,7 @@
 
 fn watch<D: dialect::Dialect>(
     shared: &state::Shared<D>,
+    watching: &Watching,
     to: net::Ipv4Addr,
     known: &Known,
     wants: messages::Wants,
@@ -143,7 +150,7 @@
         availability_zone: shared.settings.availability_zone.clone(),
         wants,
         config: shared.version(),
-        text_held: locks::lock(&shared.document).version,
+        config_told: Some(watching.fetching.newest()),
         mark: known.mark,
         entries_known: shared.entries_known(),
         patience,
@@ -176,15 +183,13 @@
 fn take<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     watching: &Watching,
+    from: net::Ipv4Addr,
     resp: messages::WatchResp,
 ) {
-    if let Some(document) = &resp.config {
-        let bytes = document.text.len();
-        ::log::info!(version = document.version, bytes; "gateway: configuration came whole");
-    }
-    let changed = resp.config_change.and_then(|it| change(shared, &it));
-    if let Some(document) = resp.config.or(changed) {
-        take_document(shared, document);
+    match resp.config {
+        // A control process of an earlier version, from which nothing can be fetched.
+        Some(document) => fetch::take_document(shared, document),
+        None => watching.fetching.told(from, resp.newest_config),
     }
     if resp.leader.is_some() {
         shared.set_leader(resp.leader);
@@ -198,42 +203,6 @@
     shared.take_crashes(&resp.crashes);
 }
 
-/// The configuration that `change` makes of the one whose text is held.
-fn change<D: dialect::Dialect>(
-    shared: &state::Shared<D>,
-    change: &document::Change,
-) -> Option<document::Document> {
-    let mut held = locks::lock(&shared.document);
-    // Another link may have brought it meanwhile.
-    if held.version >= change.version {
-        return None;
-    }
-    let changed = held.changed_by(change);
-    if changed.is_some() {
-        let bytes = change.middle.len();
-        ::log::info!(version = change.version, bytes; "gateway: configuration came as a change");
-    } else {
-        ::log::warn!(change:? = change, held = held.version;
-            "gateway: change of a configuration does not fit, the whole is asked for");
-        *held = document::Document::default();
-    }
-    changed
-}
-
-fn take_document<D: dialect::Dialect>(shared: &state::Shared<D>, document: document::Document) {
-    match shared.dialect.config(document.text.as_bytes()) {
-        Ok(config) => shared.put_in_force(config),
-        Err(e) => {
-            return ::log::error!(version = document.version, error:% = e;
-                "gateway: configuration not understood, the one before stays in force");
-        }
-    }
-    let mut held = locks::lock(&shared.document);
-    if document.version > held.version {
-        *held = document;
-    }
-}
-
 impl Watching {
     /// Reads the seeds anew from the settings file, now and then.
     fn read_seeds<D: dialect::Dialect>(&self, shared: &state::Shared<D>) {
--- a/tests/fleet/slow_link.rs
+++ b/tests/fleet/slow_link.rs
@@ -12,6 +12,9 @@
 /// A link of 10 Mbit/s.
 const BYTES_PER_S: f64 = 1_250_000.0;
 
+/// A link on which the configuration takes several seconds however it is sent.
+const SLOW_BYTES_PER_S: f64 = 100_000.0;
+
 /// Routes whose text takes longer on that link than a call may take.
 const ROUTES: u64 = 12_000;
 
@@ -51,3 +54,19 @@
         status(&fleet, ROUTES - 1) == 200
     });
 }
+
+/// Guards against news of endpoints that waits for a configuration which is still on its way.
+#[test]
+fn an_endpoint_that_leaves_is_known_before_a_large_configuration_has_come() {
+    let link = sync::Arc::new(relay::Link::new(SLOW_BYTES_PER_S));
+    let (fleet, engines) = Fleet::ready_over(&link);
+    fleet.replace(&large(20, None));
+    engines[0].leave();
+    fleet.until("the entry process knows that the endpoint leaves", || {
+        fleet.entries[0].log().contains("\"state\":\"Leaving\"")
+    });
+    assert_eq!(status(&fleet, 0), 404, "the configuration has come already");
+    fleet.until("the configuration comes all the same", || {
+        status(&fleet, ROUTES - 1) == 200
+    });
+}
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -31,7 +31,7 @@
         availability_zone: "z1".to_owned(),
         wants: messages::Wants::Digest,
         config: 0,
-        text_held: 0,
+        config_told: None,
         mark: directory::Mark::default(),
         entries_known: 0,
         patience: KEPT,
