Cut the control group's log by its bytes as well

What callers would see: control processes out of memory, and then changes and endpoints that are not known.

Cause, the class of the incident's: a bound that counts things whose size has no bound.

Test: 40 configurations of 2 MB; before, 17 and more are kept, 16 allowed (an eighth of the memory).

--- a/src/sageshed/control/driver/applying.rs
+++ b/src/sageshed/control/driver/applying.rs
@@ -48,7 +48,12 @@
         Ok(())
     }
 
-    fn apply_command(&self, index: log::Index, bytes: &[u8]) -> Result<Box<command::Outcome>, End> {
+    fn apply_command(
+        &mut self,
+        index: log::Index,
+        bytes: &[u8],
+    ) -> Result<Box<command::Outcome>, End> {
+        self.work.bytes_since_snapshot += bytes.len();
         let command =
             command::Command::from_bytes(bytes).map_err(|source| End::Command { index, source })?;
         let outcome = locks::write(&self.shared.state).apply(index.0, command);
@@ -103,6 +108,7 @@
         self.send_pins();
         self.work.applied = snapshot.index;
         self.work.snapshot = snapshot.index;
+        self.work.bytes_since_snapshot = 0;
         self.work.uncut = None;
         let kept = self.work.proposed.split_off(&snapshot.index.next());
         for (_, reply) in std::mem::replace(&mut self.work.proposed, kept).into_values() {
--- a/src/sageshed/control/driver/work.rs
+++ b/src/sageshed/control/driver/work.rs
@@ -17,6 +17,8 @@
     pub(super) reads: Vec<(log::Index, mpsc::Sender<Fate>)>,
     pub(super) applied: log::Index,
     pub(super) snapshot: log::Index,
+    /// Bytes of the commands applied since the latest snapshot.
+    pub(super) bytes_since_snapshot: usize,
     /// The latest snapshot, on disk, with the log not yet cut behind it.
     pub(super) uncut: Option<log::Snapshot>,
     /// Changes of the rules in the log that are not applied yet.
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -18,12 +18,18 @@
 use sageshed_operators::backend::Backend as _;
 use sageshed_quorum::{config, log, message, node, status};
 use sageshed_state::{command, control};
-use sageshed_types::{claims, endpoints, messages, rules, time as types_time};
+use sageshed_types::{claims, document, endpoints, messages, rules, time as types_time};
 use sageshed_vms::Handler as _;
 
 /// How long anything that is waited for may take. A test that reaches it has failed.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
+/// Bytes of a large configuration.
+const ENTRY_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes that the log may hold: an eighth of the 256 MB of a control process.
+const MOST_LOG_BYTES: usize = 32 * 1024 * 1024;
+
 /// A write that holds this finds no room while the disk is full.
 const MARKER: &str = "finds-no-room";
 
@@ -465,6 +471,23 @@
     assert!(cuts > 0, "no snapshot was made");
 }
 
+/// Guards against a log of large configurations that takes all memory: it was cut by the number of its entries alone.
+#[test]
+fn the_log_is_cut_by_its_bytes() {
+    let running = Running::alone(|_, _| {});
+    let text = "x".repeat(ENTRY_BYTES);
+    for version in 1..=40 {
+        let text = text.clone();
+        let document = document::Document { version, text };
+        let command = command::Command::ReplaceFleet(document);
+        let fate = running.inputs.commit(command);
+        assert!(matches!(fate, inputs::Fate::Applied(_)), "{fate:?}");
+        let status = running.status();
+        let kept = usize::try_from(status.last.0 - status.snapshot.0).expect("few");
+        assert!(kept * ENTRY_BYTES <= MOST_LOG_BYTES, "{kept} entries kept");
+    }
+}
+
 /// The leader gets no acknowledgements, and more claims come than may wait. The one past the bound is
 /// told at once that nothing was done: if it waited too, and those after it, no thread would be left
 /// to take the acknowledgements in.
