Bound answers to entry processes by their bytes as well

What callers would see: endpoints that leave still get requests, and new ones none, where engines hold copies of hundreds of models.

With 500 models on disk each, 100 engines are told in one answer of 520 KB, 0.4 s of a link of 10 Mbit/s; the call is given up after 0.65 s, callers' requests included.

An answer holds 64 KB of records, or one. What is left comes with the next.

Test: failed before with 520,090 bytes in one answer (128 KB allowed, as for the directory of many small engines). Looked at and left: control processes tell each other in one answer (1 Gbit/s between them), the own interface tells rules as changes.

--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -72,10 +72,13 @@
 /// loaded all over the fleet, and each answer costs some 500 bytes besides what is new.
 const BATCH: std_time::Duration = std_time::Duration::from_millis(30);
 
-/// Records in one answer to an entry process: some 100 KB. The answers to all watchers that know nothing yet, after a start, have to fit into
-/// the memory of the smallest VMs at once, and each into the time that its watcher waits.
+/// Records in one answer to an entry process. The answers to all watchers that know nothing yet, after a start, have to
+/// fit into the memory of the smallest VMs at once, and each into the time that its watcher waits.
 const MOST_RECORDS: usize = 200;
 
+/// Bytes of these records, if it is more than one. That of an engine with copies of hundreds of models has 15 KB.
+const MOST_RECORD_BYTES: usize = 64 * 1024;
+
 /// How long a record is passed on as it was encoded. It tells how old the word of its endpoint was at that moment; the
 /// shortest time that is judged by that is several times as long.
 const PACKED_KEPT: time::Millis = time::Millis(500);
@@ -261,19 +264,21 @@
             messages::Wants::News => Some(directory::Passing::News),
             messages::Wants::Digest => None,
         };
-        let most = match req.watcher {
-            messages::Watcher::Entry => MOST_RECORDS,
+        let (most, most_bytes) = match req.watcher {
+            messages::Watcher::Entry => (MOST_RECORDS, MOST_RECORD_BYTES),
             // Few, and each needs every sign of life in time: by half of them endpoints seem silent.
-            messages::Watcher::Control => usize::MAX,
+            messages::Watcher::Control => (usize::MAX, usize::MAX),
         };
         let portion = passing.map(|it| inner.directory.portion(req.mark, it, most));
-        let changes = portion.as_ref().map_or(&[][..], |it| &it.changes);
-        let records = inner.pack(now, changes);
-        News {
+        let told = portion.map_or_else(
             // Without the records nothing more is known than before.
-            mark: portion.as_ref().map_or(req.mark, |it| it.mark),
-            records,
-            has_more: portion.is_some_and(|it| !it.is_last),
+            || Told::nothing(req.mark),
+            |it| inner.pack(now, it, most_bytes),
+        );
+        News {
+            mark: told.mark,
+            records: told.records,
+            has_more: told.has_more,
             digest: inner.directory.digest(),
             digest_mark: inner.directory.mark(),
             config: inner.versions.newest(),
@@ -387,33 +392,49 @@
 }
 
 impl Inner {
-    /// The records of these changes as they travel, each encoded once for all watchers.
+    /// The records of a portion as they travel, as many as so many bytes hold, and one at least.
+    fn pack(&mut self, now: time::Instant, portion: directory::Portion, most_bytes: usize) -> Told {
+        let mut told = Told::nothing(portion.mark);
+        told.has_more = !portion.is_last;
+        let mut bytes = 0;
+        let mut last = None;
+        for change in portion.changes {
+            let record = self.pack_one(now, &change);
+            bytes += record.as_ref().map_or(0, |it| it.0.len());
+            if let Some(number) = last.filter(|_| bytes > most_bytes) {
+                told.mark.change = number;
+                told.has_more = true;
+                break;
+            }
+            last = Some(change.number);
+            told.records.extend(record);
+        }
+        told
+    }
+
+    /// The record of a change as it travels, encoded once for all watchers.
     ///
     /// Encoded for each of some hundred watchers anew, the records of a fleet took all of the processor, and the watchers
     /// were answered too late.
-    fn pack(&mut self, now: time::Instant, changes: &[directory::Change]) -> Vec<messages::Packed> {
-        let mut all = Vec::with_capacity(changes.len());
-        for change in changes {
-            let known = self.packed.get(&change.id);
-            let is_fresh =
-                |it: &&Packed| it.number == change.number && now.since(it.at) < PACKED_KEPT;
-            if let Some(packed) = known.filter(is_fresh) {
-                all.push(packed.record.clone());
-                continue;
-            }
-            let record = self.directory.record(now, &change.id);
-            let Some(record) = record.and_then(|it| records::pack(&it)) else {
-                continue;
-            };
-            let packed = Packed {
-                number: change.number,
-                at: now,
-                record: record.clone(),
-            };
-            self.packed.insert(change.id.clone(), packed);
-            all.push(record);
+    fn pack_one(
+        &mut self,
+        now: time::Instant,
+        change: &directory::Change,
+    ) -> Option<messages::Packed> {
+        let known = self.packed.get(&change.id);
+        let is_fresh = |it: &&Packed| it.number == change.number && now.since(it.at) < PACKED_KEPT;
+        if let Some(packed) = known.filter(is_fresh) {
+            return Some(packed.record.clone());
         }
-        all
+        let record = self.directory.record(now, &change.id);
+        let record = record.and_then(|it| records::pack(&it))?;
+        let packed = Packed {
+            number: change.number,
+            at: now,
+            record: record.clone(),
+        };
+        self.packed.insert(change.id.clone(), packed);
+        Some(record)
     }
 
     /// Takes note of an entry process, and logs when its configuration becomes or no longer is out of date.
@@ -462,6 +483,25 @@
     }
 }
 
+/// What a watcher is told of the directory.
+#[derive(Debug)]
+struct Told {
+    /// Up to where it knows the directory then.
+    mark: directory::Mark,
+    records: Vec<messages::Packed>,
+    has_more: bool,
+}
+
+impl Told {
+    fn nothing(mark: directory::Mark) -> Self {
+        Self {
+            mark,
+            records: Vec::new(),
+            has_more: false,
+        }
+    }
+}
+
 /// What is newer than what a watcher knows.
 #[derive(Debug)]
 pub struct News {
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -195,6 +195,35 @@
     assert!(known.is_leaving(&endpoint(0).id));
 }
 
+/// Guards against answers that take longer than their watcher waits, since the engines in them hold copies of hundreds of
+/// models.
+#[test]
+fn engines_with_copies_of_many_models_are_told_in_small_answers() {
+    let hub = hub::Hub::new(1);
+    for number in 0..100 {
+        let engine = directory::Instance {
+            on_disk: (0..500).map(|it| format!("model-{it}")).collect(),
+            ..endpoint(number)
+        };
+        hub.announce(NOW, engine);
+    }
+    let known = hub.with_quarantine(|it| it.mark());
+    let mut req = watch(messages::Watcher::Entry, known);
+    req.wants = messages::Wants::News;
+    let mut told = 0;
+    loop {
+        let news = hub.news(NOW, &req);
+        let bytes: usize = news.records.iter().map(|it| it.0.len()).sum();
+        assert!(bytes <= 128 * 1_024, "{bytes} bytes in one answer");
+        told += news.records.len();
+        req.mark = news.mark;
+        if !news.has_more {
+            break;
+        }
+    }
+    assert_eq!(told, 100);
+}
+
 /// Control processes tell each other which endpoints live, each endpoint every two seconds. Told in portions, and with
 /// each wait, they fell behind in a fleet of thousands: endpoints in good order were taken for silent, and after all
 /// processes were killed a fleet of 3,000 did not serve for 30 s.
