Compress configurations beside the driver of the log, not in its way

What callers would see: leaders lost while a large configuration is compressed.

Now it is made under a lock of its own, by one thread for all that ask for the same.

A control process that did not send its piece is asked no more until it tells of a version again, in place of a pause: one that had died could be picked by each transfer first, at 400 ms a time.

--- a/crates/sageshed-fleet/src/transfer.rs
+++ b/crates/sageshed-fleet/src/transfer.rs
@@ -29,9 +29,6 @@
 /// Bytes of a transfer at the most.
 const LARGEST: u64 = 64 * 1024 * 1024;
 
-/// How long a control process that did not answer is asked for no piece while there are others.
-const AVOIDED: time::Millis = time::Millis(500);
-
 /// Payloads that a sender keeps.
 const KEPT: usize = 8;
 
@@ -182,10 +179,9 @@
 /// Fetches the newest configuration that any control process tells of.
 #[derive(Debug)]
 pub struct Incoming {
-    /// The newest version that each control process has told of.
+    /// The newest version that each control process has told of, but for those that did not send it.
     told: collections::BTreeMap<net::Ipv4Addr, u64>,
     versions: versions::Versions,
-    avoided: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
     partial: Option<Payload>,
     most: usize,
 }
@@ -195,7 +191,6 @@
         Self {
             told: collections::BTreeMap::new(),
             versions: versions::Versions::default(),
-            avoided: collections::BTreeMap::new(),
             partial: None,
             most: PIECE,
         }
@@ -226,8 +221,7 @@
     }
 
     /// Whom to ask for what, where version `held` is there already and `near` is the best reached.
-    pub fn next(&mut self, now: time::Instant, held: u64, near: Option<net::Ipv4Addr>) -> Next {
-        self.avoided.retain(|_, since| now.since(*since) < AVOIDED);
+    pub fn next(&mut self, held: u64, near: Option<net::Ipv4Addr>) -> Next {
         if self
             .partial
             .as_ref()
@@ -236,10 +230,7 @@
             self.partial = None;
         }
         let newer = self.told.iter().filter(|(_, version)| **version > held);
-        let best = newer.max_by_key(|(ip, version)| {
-            let is_near = Some(**ip) == near;
-            (!self.avoided.contains_key(ip), **version, is_near)
-        });
+        let best = newer.max_by_key(|(ip, version)| (**version, Some(**ip) == near));
         let Some((to, _)) = best else {
             return Next::Wait;
         };
@@ -292,9 +283,10 @@
         self.told.remove(&ip);
     }
 
-    /// A control process did not answer in time, or not as it should. What has come stays; smaller pieces are asked for.
-    pub fn lost(&mut self, now: time::Instant, ip: net::Ipv4Addr) {
-        self.avoided.insert(ip, now);
+    /// A control process did not answer in time, or not as it should: it is asked no more until it tells of a version
+    /// again. What has come stays, and smaller pieces are asked for.
+    pub fn lost(&mut self, ip: net::Ipv4Addr) {
+        self.told.remove(&ip);
         self.most = (self.most / 2).max(SMALLEST_PIECE);
     }
 }
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -8,7 +8,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{directory, messages, quarantine, tally};
+use sageshed_fleet::{changes, directory, messages, quarantine, tally, transfer};
 use sageshed_types::{document, time};
 
 use crate::{control::shared, locks, records};
@@ -80,15 +80,39 @@
 /// Answers with a piece of the newest configuration, or of the one that is being fetched.
 #[must_use]
 pub fn piece(shared: &shared::Shared, req: &messages::ConfigReq) -> messages::ConfigResp {
-    let now = shared.clock.now();
-    let piece = locks::lock(&shared.sent_documents).piece(now, req);
-    let piece = piece.unwrap_or_else(|e| {
-        ::log::error!(error:% = e; "control: configuration not sent");
-        None
-    });
+    let piece = match look(shared, req) {
+        changes::Answer::Piece(piece) => Some(piece),
+        changes::Answer::Nothing => None,
+        changes::Answer::Pack(_) => {
+            // One at a time: many ask for the same at once, and the driver of the log must not wait for it.
+            let _one = locks::lock(&shared.packing);
+            pack(shared, req)
+        }
+    };
     messages::ConfigResp { piece }
 }
 
+fn look(shared: &shared::Shared, req: &messages::ConfigReq) -> changes::Answer {
+    locks::lock(&shared.sent_documents).answer(shared.clock.now(), req)
+}
+
+/// Makes the payload, unless another thread has made it meanwhile, and takes the piece of it.
+fn pack(shared: &shared::Shared, req: &messages::ConfigReq) -> Option<transfer::Piece> {
+    if let changes::Answer::Pack(work) = look(shared, req) {
+        match work.pack() {
+            Ok(bytes) => {
+                let mut sent = locks::lock(&shared.sent_documents);
+                sent.keep_payload(shared.clock.now(), &work, bytes);
+            }
+            Err(e) => ::log::error!(error:% = e; "control: configuration not sent"),
+        }
+    }
+    match look(shared, req) {
+        changes::Answer::Piece(piece) => Some(piece),
+        changes::Answer::Nothing | changes::Answer::Pack(_) => None,
+    }
+}
+
 /// Hands what callers asked for to the planner where this process leads, else on to the leader.
 fn take_demand(shared: &shared::Shared, req: &mut messages::WatchReq) {
     let demand = std::mem::take(&mut req.demand);
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -49,6 +49,8 @@
     pub hub: hub::Hub,
     /// Configurations that entry processes were sent lately.
     pub sent_documents: sync::Mutex<changes::Sent>,
+    /// Held while one of them is compressed.
+    pub packing: sync::Mutex<()>,
     /// What the placing thread shows operators.
     pub models: sync::RwLock<Vec<messages::ModelStatus>>,
     /// The voters that the group was formed with, once known.
@@ -119,6 +121,7 @@
             known: sync::RwLock::new(collections::BTreeSet::new()),
             hub: hub::Hub::new(incarnation.0),
             sent_documents: sync::Mutex::default(),
+            packing: sync::Mutex::default(),
             models: sync::RwLock::new(Vec::new()),
             formed: sync::RwLock::new(Vec::new()),
             forming,
--- a/src/sageshed/gateway/fetch.rs
+++ b/src/sageshed/gateway/fetch.rs
@@ -78,7 +78,7 @@
         let next = {
             let mut inner = locks::lock(&fetching.inner);
             let near = inner.near;
-            inner.incoming.next(shared.clock.now(), held, near)
+            inner.incoming.next(held, near)
         };
         match next {
             transfer::Next::Wait => wait(fetching, held),
@@ -123,9 +123,7 @@
         Ok(resp) => resp.piece,
         Err(e) => {
             ::log::warn!(control:% = to, offset = req.offset, error:% = e; "gateway: piece of a configuration not fetched");
-            locks::lock(&fetching.inner)
-                .incoming
-                .lost(shared.clock.now(), to);
+            locks::lock(&fetching.inner).incoming.lost(to);
             return thread::sleep(RETRY);
         }
     };
@@ -139,9 +137,7 @@
         Ok(transfer::Taken::Whole(payload)) => take_payload(shared, &payload),
         Err(e) => {
             ::log::warn!(control:% = to, error:% = e; "gateway: configuration is fetched anew");
-            locks::lock(&fetching.inner)
-                .incoming
-                .lost(shared.clock.now(), to);
+            locks::lock(&fetching.inner).incoming.lost(to);
             thread::sleep(RETRY);
         }
     }
