Test that watches rest while a configuration is fetched, and what control sends

Guards that no test held: a watcher that was told of a configuration is kept waiting, entry processes that are behind are counted, a control process can send what changed of all that it has applied, and the balancer is sent elsewhere while a change is late. No code is changed.

--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -11,10 +11,11 @@
 };
 
 use sageshed::{
-    control::{driver, inputs, links, metrics, operators, placing, shared, vms},
+    control::{driver, fleet::watch, inputs, links, metrics, operators, placing, shared, vms},
     locks, settings,
 };
 use sageshed_disk::{files, folder, vacant};
+use sageshed_fleet::messages as fleet;
 use sageshed_operators::backend::Backend as _;
 use sageshed_quorum::{config, log, message, node, status};
 use sageshed_state::{command, control};
@@ -471,6 +472,29 @@
     assert!(cuts > 0, "no snapshot was made");
 }
 
+/// Guards against entry processes that are sent the whole of each configuration by a control process which they had not
+/// asked before.
+#[test]
+fn a_control_process_can_send_what_changed_of_all_that_it_has_applied() {
+    let running = Running::alone(|_, _| {});
+    for version in [5, 6] {
+        let text = format!("{{\"version\":{version}}}");
+        let document = document::Document { version, text };
+        let command = command::Command::ReplaceFleet(document);
+        let fate = running.inputs.commit(command);
+        assert!(matches!(fate, inputs::Fate::Applied(_)), "{fate:?}");
+    }
+    let req = fleet::ConfigReq {
+        text_held: 5,
+        transfer: None,
+        offset: 0,
+        most: 1_024,
+    };
+    let piece = watch::piece(&running.shared, &req).piece;
+    let id = piece.expect("there is a newer one").id;
+    assert_eq!((id.from, id.version), (5, 6));
+}
+
 /// Guards against a log of large configurations that takes all memory: it was cut by the number of its entries alone.
 #[test]
 fn the_log_is_cut_by_its_bytes() {
--- a/tests/fleet/slow_link.rs
+++ b/tests/fleet/slow_link.rs
@@ -143,10 +143,14 @@
     thread::scope(|scope| {
         scope.spawn(|| fleet.replace(&config(20, 0..ROUTES / 2)));
         let mut refused = None;
-        fleet.until("a caller is refused", || {
-            refused = fleet.ask(0, &old).filter(|it| it.status() == 503);
-            refused.is_some()
-        });
+        fleet.until(
+            "the balancer is sent elsewhere and a caller refused",
+            || {
+                let is_left = fleet.entries[0].ready() == 503;
+                refused = fleet.ask(0, &old).filter(|it| it.status() == 503);
+                is_left && refused.is_some()
+            },
+        );
         let refused = refused.expect("it was refused");
         assert!(
             refused.text().contains("newer configuration"),
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -123,6 +123,46 @@
     assert_eq!(rx.recv_timeout(PATIENCE), Ok(7));
 }
 
+/// Guards against a watch that is answered at once, on and on, while its watcher fetches a configuration.
+#[test]
+fn a_watcher_that_was_told_of_a_configuration_is_not_woken_by_it_again() {
+    let hub = sync::Arc::new(hub::Hub::new(1));
+    hub.set_config(NOW, 7);
+    let known = hub.with_quarantine(|it| it.mark());
+    let req = messages::WatchReq {
+        config: 5,
+        config_told: Some(7),
+        ..watch(messages::Watcher::Entry, known)
+    };
+    let (tx, rx) = mpsc::channel();
+    let watching = sync::Arc::clone(&hub);
+    thread::spawn(move || tx.send(watching.news(NOW, &req).config));
+    let quiet = rx.recv_timeout(time::Duration::from_millis(300));
+    assert_eq!(quiet, Err(mpsc::RecvTimeoutError::Timeout));
+    hub.set_config(NOW, 9);
+    assert_eq!(rx.recv_timeout(PATIENCE), Ok(9));
+}
+
+/// Guards against entry processes that lack a configuration and that nobody knows of.
+#[test]
+fn entry_processes_that_are_behind_are_counted() {
+    let hub = hub::Hub::new(1);
+    hub.set_config(NOW, 7);
+    let known = hub.with_quarantine(|it| it.mark());
+    for (last, config) in [(1, 7), (2, 5), (3, 0)] {
+        let req = messages::WatchReq {
+            ip: net::Ipv4Addr::new(127, 0, 0, last),
+            config,
+            ..watch(messages::Watcher::Entry, known)
+        };
+        hub.heard(NOW, &req);
+    }
+    let later = NOW + types_time::Millis(400);
+    let behind = hub.behind(later);
+    assert_eq!(behind.count, 2);
+    assert_eq!(behind.longest, types_time::Millis(400));
+}
+
 /// How many endpoints a fleet has.
 const MANY: u32 = 3_000;
 
