Name transfers of configurations by the field's words

Chunk, sender, receiver, history and compression, where the mend had pieces, outgoing, incoming, sent and packing. Names, comments, log lines and pages alone: no decision is changed.

--- a/crates/sageshed-fleet/src/changes.rs
+++ b/crates/sageshed-fleet/src/changes.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::{document, time};
 
-use crate::{messages, packing, transfer};
+use crate::{compression, messages, transfer};
 
 /// Bytes of configurations that are kept beside the newest. In a storm of changes entry processes hold one of the last
 /// few versions, the older the larger they are.
@@ -15,39 +15,39 @@
 
 /// The configurations that were sent last, and what is being fetched of them.
 #[derive(Debug, Default)]
-pub struct Sent {
+pub struct History {
     /// The last one is the newest.
     documents: collections::VecDeque<sync::Arc<document::Document>>,
-    payloads: transfer::Outgoing,
+    payloads: transfer::Sender,
 }
 
 /// What to answer one who fetches.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
-    /// The next piece of its transfer, or of another one to the newest from the beginning.
-    Piece(transfer::Piece),
+    /// The next chunk of its transfer, or of another one to the newest from the beginning.
+    Chunk(transfer::Chunk),
     /// It holds the newest.
     Nothing,
     /// The payload of its transfer has to be made first.
-    Pack(Work),
+    Compress(Job),
 }
 
 /// A payload to be made. That takes a while for a large configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Work {
+pub struct Job {
     newest: sync::Arc<document::Document>,
     /// What its receiver holds; an empty one if that is not known here.
     before: sync::Arc<document::Document>,
 }
 
-impl Work {
+impl Job {
     /// Makes the payload.
-    pub fn pack(&self) -> io::Result<Vec<u8>> {
-        packing::pack(&self.newest, &self.before)
+    pub fn run(&self) -> io::Result<Vec<u8>> {
+        compression::compress(&self.newest, &self.before)
     }
 }
 
-impl Sent {
+impl History {
     /// Keeps the newest configuration.
     pub fn keep(&mut self, newest: &document::Document) {
         let last = self.documents.back().map_or(0, |it| it.version);
@@ -61,8 +61,8 @@
     }
 
     /// Keeps the payload that was made.
-    pub fn keep_payload(&mut self, now: time::Instant, work: &Work, bytes: Vec<u8>) {
-        let id = transfer::Id::new(work.before.version, work.newest.version, &bytes);
+    pub fn keep_payload(&mut self, now: time::Instant, job: &Job, bytes: Vec<u8>) {
+        let id = transfer::Id::new(job.before.version, job.newest.version, &bytes);
         self.payloads.keep(now, id, bytes);
     }
 
@@ -70,9 +70,9 @@
     pub fn answer(&mut self, now: time::Instant, req: &messages::ConfigReq) -> Answer {
         let under_way = req
             .transfer
-            .and_then(|id| self.payloads.piece(now, id, req.offset, req.most));
-        if let Some(piece) = under_way {
-            return Answer::Piece(piece);
+            .and_then(|id| self.payloads.chunk(now, id, req.offset, req.most));
+        if let Some(chunk) = under_way {
+            return Answer::Chunk(chunk);
         }
         let newest = self.documents.back();
         let Some(newest) = newest.filter(|it| it.version > req.text_held) else {
@@ -82,7 +82,7 @@
         let before = documents.find(|it| it.version == req.text_held);
         let from = before.map_or(0, |it| it.version);
         let Some(id) = self.payloads.find(from, newest.version) else {
-            return Answer::Pack(Work {
+            return Answer::Compress(Job {
                 newest: sync::Arc::clone(newest),
                 before: before.map(sync::Arc::clone).unwrap_or_default(),
             });
@@ -93,8 +93,8 @@
         } else {
             0
         };
-        let piece = self.payloads.piece(now, id, offset, req.most);
-        piece.map_or(Answer::Nothing, Answer::Piece)
+        let chunk = self.payloads.chunk(now, id, offset, req.most);
+        chunk.map_or(Answer::Nothing, Answer::Chunk)
     }
 
     /// Bytes of all but the newest.
--- a/crates/sageshed-fleet/src/packing.rs
+++ b/crates/sageshed-fleet/src/compression.rs
@@ -9,7 +9,7 @@
 use sageshed_types::document;
 
 /// Bytes of a configuration's text at the most.
-const LARGEST: u64 = 256 * 1024 * 1024;
+const MAX_BYTES: u64 = 256 * 1024 * 1024;
 
 /// The smallest window that the compression takes, as a power of two.
 const SMALLEST_WINDOW: u32 = 10;
@@ -19,7 +19,7 @@
 
 /// A configuration that cannot be read.
 #[derive(Debug, Display, Error)]
-pub enum UnpackError {
+pub enum DecompressError {
     /// It was made for one who holds another text, or it was spoiled on its way.
     #[display("configuration does not fit the text that is held: {_0}")]
     DoesNotFit(io::Error),
@@ -29,7 +29,7 @@
 }
 
 /// Compresses the text of a configuration for one who holds that of `before`, which is empty if it holds none.
-pub fn pack(newest: &document::Document, before: &document::Document) -> io::Result<Vec<u8>> {
+pub fn compress(newest: &document::Document, before: &document::Document) -> io::Result<Vec<u8>> {
     let (text, held) = (newest.text.as_bytes(), before.text.as_bytes());
     let level = zstd::DEFAULT_COMPRESSION_LEVEL;
     let mut encoder = zstd::Encoder::with_ref_prefix(Vec::new(), level, held)?;
@@ -43,19 +43,21 @@
 }
 
 /// Reads the configuration `version` that was compressed for one who holds the text of `before`.
-pub fn unpack(
+pub fn decompress(
     version: u64,
     bytes: &[u8],
     before: &document::Document,
-) -> Result<document::Document, UnpackError> {
+) -> Result<document::Document, DecompressError> {
     let decoder = zstd::Decoder::with_ref_prefix(bytes, before.text.as_bytes());
-    let mut decoder = decoder.map_err(UnpackError::DoesNotFit)?.take(LARGEST);
+    let mut decoder = decoder
+        .map_err(DecompressError::DoesNotFit)?
+        .take(MAX_BYTES);
     let mut text = String::new();
     decoder
         .read_to_string(&mut text)
-        .map_err(UnpackError::DoesNotFit)?;
+        .map_err(DecompressError::DoesNotFit)?;
     if decoder.limit() == 0 {
-        return Err(UnpackError::TooLarge);
+        return Err(DecompressError::TooLarge);
     }
     Ok(document::Document { version, text })
 }
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -9,7 +9,7 @@
 //! | [`config`] | whether a configuration is valid |
 //! | [`routes`] | which route a request takes |
 //! | [`changes`] | what an entry process is sent of a configuration that is newer than its own |
-//! | [`packing`] | how a configuration is compressed for one who holds another |
+//! | [`compression`] | how a configuration is compressed for one who holds another |
 //! | [`directory`] | what is believed of each endpoint, and what changed since a peer last asked |
 //! | [`chooser`] | which endpoint a request goes to, whether it waits, or is turned away |
 //! | [`backlog`] | how long what waits for an engine will wait |
@@ -18,7 +18,7 @@
 //! | [`fingerprint`] | whether two requests are the same but for their ids |
 //! | [`neighbours`] | which entry processes tell each other what they send to an engine |
 //! | [`quarantine`] | which requests are passed on no more, since endpoints ended under them |
-//! | [`transfer`] | which pieces of a configuration are fetched, and from whom |
+//! | [`transfer`] | which chunks of a configuration are fetched, and from whom |
 //! | [`versions`] | how far a held configuration is behind the newest |
 //! | [`workspaces`] | who sends a request, by the key that it shows |
 //! | [`planner`] | which engine loads or unloads which weights and adapters |
@@ -31,6 +31,7 @@
 pub mod budget;
 pub mod changes;
 pub mod chooser;
+pub mod compression;
 pub mod config;
 pub mod dialect;
 pub mod directory;
@@ -38,7 +39,6 @@
 pub mod links;
 pub mod messages;
 pub mod neighbours;
-pub mod packing;
 pub mod planner;
 pub mod quarantine;
 pub mod routes;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -157,7 +157,7 @@
     pub crashes: Vec<quarantine::Crash>,
 }
 
-/// Asks for a piece of the newest configuration.
+/// Asks for a chunk of the newest configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigReq {
     /// The version whose text is held; zero for none.
@@ -166,15 +166,15 @@
     pub transfer: Option<transfer::Id>,
     /// Bytes of it that have come.
     pub offset: u64,
-    /// Bytes of the piece at the most.
+    /// Bytes of the chunk at the most.
     pub most: usize,
 }
 
-/// A piece of a configuration.
+/// A chunk of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigResp {
     /// Of the transfer that is under way, or of another one from its beginning; none where nothing newer is held.
-    pub piece: Option<transfer::Piece>,
+    pub chunk: Option<transfer::Chunk>,
 }
 
 /// Asks the leader to load an adapter for a request that waits.
--- a/crates/sageshed-fleet/src/transfer.rs
+++ b/crates/sageshed-fleet/src/transfer.rs
@@ -1,7 +1,7 @@
-//! How a configuration gets from a control process to an entry process: in pieces, each by a call of its own.
+//! How a configuration gets from a control process to an entry process: in chunks, each by a call of its own.
 //!
 //! A configuration may take longer on the link of an entry process's VM than any call may last, and callers'
-//! requests share that link. So one piece at a time is on its way. A call that runs out of time costs its piece;
+//! requests share that link. So one chunk at a time is on its way. A call that runs out of time costs its chunk;
 //! what came before stays, and any control process that makes the same bytes can send the rest. The sender keeps
 //! what is being fetched while newer versions come, or a storm of changes would begin each transfer anew.
 
@@ -14,20 +14,20 @@
 
 use crate::versions;
 
-/// Bytes of a piece at the most: 13 ms on a link of 10 Mbit/s, by which callers' requests are delayed.
-pub const PIECE: usize = 16 * 1024;
+/// Bytes of a chunk at the most: 13 ms on a link of 10 Mbit/s, by which callers' requests are delayed.
+pub const CHUNK_BYTES: usize = 16 * 1024;
 
-/// Bytes of a piece on a slow link. With fewer the configuration would come too late.
-const SMALL_PIECE: usize = 4 * 1024;
+/// Bytes of a chunk on a slow link. With fewer the configuration would come too late.
+const SLOW_LINK_CHUNK_BYTES: usize = 4 * 1024;
 
-/// Bytes of a piece where no larger one came within the time of a call.
-const SMALLEST_PIECE: usize = 1_024;
+/// Bytes of a chunk where no larger one came within the time of a call.
+const SMALLEST_CHUNK_BYTES: usize = 1_024;
 
-/// Pieces that take longer become smaller: news of endpoints queues behind them, and is given up after twice as long.
+/// Chunks that take longer become smaller: news of endpoints queues behind them, and is given up after twice as long.
 const SLOW: time::Millis = time::Millis(200);
 
 /// Bytes of a transfer at the most.
-const LARGEST: u64 = 64 * 1024 * 1024;
+const MAX_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Payloads that a sender keeps.
 const KEPT: usize = 8;
@@ -63,7 +63,7 @@
 
 /// Some of the bytes of a transfer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Piece {
+pub struct Chunk {
     /// Of which transfer.
     pub id: Id,
     /// Bytes that come before these.
@@ -84,7 +84,7 @@
 
 /// The payloads that a sender keeps for those that fetch them.
 #[derive(Debug, Default)]
-pub struct Outgoing {
+pub struct Sender {
     /// In the order in which they were asked for last.
     kept: Vec<Kept>,
 }
@@ -96,7 +96,7 @@
     asked: time::Instant,
 }
 
-impl Outgoing {
+impl Sender {
     /// Keeps a payload.
     pub fn keep(&mut self, now: time::Instant, id: Id, bytes: Vec<u8>) {
         self.kept.retain(|it| now.since(it.asked) < KEPT_FOR);
@@ -119,7 +119,7 @@
     }
 
     /// At most `most` bytes of a transfer from `offset` on. None where its payload is not kept, or ends before.
-    pub fn piece(&mut self, now: time::Instant, id: Id, offset: u64, most: usize) -> Option<Piece> {
+    pub fn chunk(&mut self, now: time::Instant, id: Id, offset: u64, most: usize) -> Option<Chunk> {
         let at = self.kept.iter().position(|it| it.id == id)?;
         self.kept[at..].rotate_left(1);
         let kept = self.kept.last_mut()?;
@@ -127,7 +127,7 @@
         let begin = usize::try_from(offset).ok()?;
         let rest = kept.bytes.get(begin..).filter(|it| !it.is_empty())?;
         let bytes = &rest[..rest.len().min(most)];
-        Some(Piece {
+        Some(Chunk {
             id,
             offset,
             bytes: bytes.to_vec(),
@@ -138,7 +138,7 @@
 /// What a receiver is to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
-    /// Ask for a piece.
+    /// Ask for a chunk.
     Ask {
         /// Whom.
         to: net::Ipv4Addr,
@@ -146,14 +146,14 @@
         transfer: Option<Id>,
         /// Bytes of it that have come.
         offset: u64,
-        /// Bytes of the piece at the most.
+        /// Bytes of the chunk at the most.
         most: usize,
     },
     /// Wait until a control process tells of a newer version.
     Wait,
 }
 
-/// What became of a piece.
+/// What became of a chunk.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Taken {
     /// There is more to fetch.
@@ -162,11 +162,11 @@
     Whole(Payload),
 }
 
-/// A piece that is not of the transfer that it was asked for.
+/// A chunk that is not of the transfer that it was asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-pub enum PieceError {
+pub enum ChunkError {
     /// It does not continue what has come.
-    #[display("piece does not continue what has come")]
+    #[display("chunk does not continue what has come")]
     Gap,
     /// The transfer is larger than any configuration.
     #[display("transfer of {_0} bytes is too large")]
@@ -178,7 +178,7 @@
 
 /// Fetches the newest configuration that any control process tells of.
 #[derive(Debug)]
-pub struct Incoming {
+pub struct Receiver {
     /// The newest version that each control process has told of, but for those that did not send it.
     told: collections::BTreeMap<net::Ipv4Addr, u64>,
     versions: versions::Versions,
@@ -186,18 +186,18 @@
     most: usize,
 }
 
-impl Default for Incoming {
+impl Default for Receiver {
     fn default() -> Self {
         Self {
             told: collections::BTreeMap::new(),
             versions: versions::Versions::default(),
             partial: None,
-            most: PIECE,
+            most: CHUNK_BYTES,
         }
     }
 }
 
-impl Incoming {
+impl Receiver {
     /// A control process tells that it holds `version`. Returns whether that is the newest so far.
     pub fn told(&mut self, now: time::Instant, by: net::Ipv4Addr, version: u64) -> bool {
         let is_news = version > self.newest();
@@ -243,51 +243,51 @@
         }
     }
 
-    /// A control process has answered with a piece after so long.
+    /// A control process has answered with a chunk after so long.
     ///
     /// Another transfer than the one under way begins anew: its sender no longer has what was being fetched.
-    pub fn take(&mut self, piece: &Piece, took: time::Millis) -> Result<Taken, PieceError> {
+    pub fn take(&mut self, chunk: &Chunk, took: time::Millis) -> Result<Taken, ChunkError> {
         self.most = if took > SLOW {
-            (self.most / 2).max(SMALL_PIECE.min(self.most))
+            (self.most / 2).max(SLOW_LINK_CHUNK_BYTES.min(self.most))
         } else if took.0 < SLOW.0 / 2 {
-            (self.most * 2).min(PIECE)
+            (self.most * 2).min(CHUNK_BYTES)
         } else {
             self.most
         };
         let mut partial = match self.partial.take() {
-            Some(partial) if partial.id == piece.id => partial,
+            Some(partial) if partial.id == chunk.id => partial,
             _ => Payload {
-                id: piece.id,
+                id: chunk.id,
                 bytes: Vec::new(),
             },
         };
-        if piece.id.length > LARGEST {
-            return Err(PieceError::TooLarge(piece.id.length));
+        if chunk.id.length > MAX_BYTES {
+            return Err(ChunkError::TooLarge(chunk.id.length));
         }
-        if piece.offset != partial.bytes.len() as u64 || piece.bytes.is_empty() {
-            return Err(PieceError::Gap);
+        if chunk.offset != partial.bytes.len() as u64 || chunk.bytes.is_empty() {
+            return Err(ChunkError::Gap);
         }
-        partial.bytes.extend_from_slice(&piece.bytes);
-        if (partial.bytes.len() as u64) < piece.id.length {
+        partial.bytes.extend_from_slice(&chunk.bytes);
+        if (partial.bytes.len() as u64) < chunk.id.length {
             self.partial = Some(partial);
             return Ok(Taken::More);
         }
-        if check(&partial.bytes) != piece.id.check {
-            return Err(PieceError::Spoiled);
+        if check(&partial.bytes) != chunk.id.check {
+            return Err(ChunkError::Spoiled);
         }
         Ok(Taken::Whole(partial))
     }
 
     /// A control process has nothing newer, though it told so: it was started anew.
-    pub fn has_none(&mut self, ip: net::Ipv4Addr) {
+    pub fn has_nothing_newer(&mut self, ip: net::Ipv4Addr) {
         self.told.remove(&ip);
     }
 
     /// A control process did not answer in time, or not as it should: it is asked no more until it tells of a version
-    /// again. What has come stays, and smaller pieces are asked for.
+    /// again. What has come stays, and smaller chunks are asked for.
     pub fn lost(&mut self, ip: net::Ipv4Addr) {
         self.told.remove(&ip);
-        self.most = (self.most / 2).max(SMALLEST_PIECE);
+        self.most = (self.most / 2).max(SMALLEST_CHUNK_BYTES);
     }
 }
 
--- a/crates/sageshed-fleet/tests/changes.rs
+++ b/crates/sageshed-fleet/tests/changes.rs
@@ -1,10 +1,10 @@
 //! What an entry process is sent of a configuration that is newer than its own.
 
 use sageshed_fleet::{
-    changes::{Answer, Sent},
+    changes::{Answer, History},
+    compression,
     messages::ConfigReq,
-    packing,
-    transfer::Piece,
+    transfer::Chunk,
 };
 use sageshed_types::{document::Document, time::Instant};
 
@@ -32,69 +32,69 @@
     }
 }
 
-fn ask(sent: &mut Sent, text_held: u64) -> Option<Piece> {
+fn ask(history: &mut History, text_held: u64) -> Option<Chunk> {
     let req = ConfigReq {
         text_held,
         transfer: None,
         offset: 0,
         most: ALL,
     };
-    answer(sent, &req)
+    answer(history, &req)
 }
 
 /// The answer, once its payload is made.
-fn answer(sent: &mut Sent, req: &ConfigReq) -> Option<Piece> {
-    if let Answer::Pack(work) = sent.answer(NOW, req) {
-        let bytes = work.pack().expect("it can be compressed");
-        sent.keep_payload(NOW, &work, bytes);
+fn answer(history: &mut History, req: &ConfigReq) -> Option<Chunk> {
+    if let Answer::Compress(job) = history.answer(NOW, req) {
+        let bytes = job.run().expect("it can be compressed");
+        history.keep_payload(NOW, &job, bytes);
     }
-    match sent.answer(NOW, req) {
-        Answer::Piece(piece) => Some(piece),
+    match history.answer(NOW, req) {
+        Answer::Chunk(chunk) => Some(chunk),
         Answer::Nothing => None,
-        Answer::Pack(_) => panic!("it was made"),
+        Answer::Compress(_) => panic!("it was made"),
     }
 }
 
 #[test]
 fn whoever_holds_a_recent_text_is_sent_the_change() {
-    let mut sent = Sent::default();
-    assert_eq!(ask(&mut sent, 0), None, "there is none");
-    sent.keep(&document(5, 1_000));
-    let whole = ask(&mut sent, 0).expect("the first one");
+    let mut history = History::default();
+    assert_eq!(ask(&mut history, 0), None, "there is none");
+    history.keep(&document(5, 1_000));
+    let whole = ask(&mut history, 0).expect("the first one");
     assert_eq!((whole.id.from, whole.id.version), (0, 5));
-    let unpacked = packing::unpack(5, &whole.bytes, &Document::default());
-    assert_eq!(unpacked.expect("it is whole"), document(5, 1_000));
-    sent.keep(&document(6, 1_000));
-    let change = ask(&mut sent, 5).expect("the one before is held");
+    let got = compression::decompress(5, &whole.bytes, &Document::default());
+    assert_eq!(got.expect("it is whole"), document(5, 1_000));
+    history.keep(&document(6, 1_000));
+    let change = ask(&mut history, 5).expect("the one before is held");
     assert_eq!(change.id.from, 5);
     assert!(
         change.bytes.len() < MOST_BYTES,
         "{} bytes",
         change.bytes.len()
     );
-    let unpacked = packing::unpack(6, &change.bytes, &document(5, 1_000));
-    assert_eq!(unpacked.expect("it fits"), document(6, 1_000));
+    let got = compression::decompress(6, &change.bytes, &document(5, 1_000));
+    assert_eq!(got.expect("it fits"), document(6, 1_000));
     assert_eq!(
-        ask(&mut sent, 5),
+        ask(&mut history, 5),
         Some(change),
         "another one holds the same"
     );
-    assert_eq!(ask(&mut sent, 6), None, "it holds the newest");
-    assert_eq!(ask(&mut sent, 7), None, "it holds a newer one");
-    let never = ask(&mut sent, 4).expect("one that was never sent");
+    assert_eq!(ask(&mut history, 6), None, "it holds the newest");
+    assert_eq!(ask(&mut history, 7), None, "it holds a newer one");
+    let never = ask(&mut history, 4).expect("one that was never sent");
     assert_eq!(never.id.from, 0);
 }
 
 /// Guards against a storm of changes after which entry processes need the whole configuration.
 #[test]
 fn a_change_of_one_of_the_last_versions_is_enough() {
-    let mut sent = Sent::default();
+    let mut history = History::default();
     for version in 1..=40 {
-        sent.keep(&document(version, 1_000));
+        history.keep(&document(version, 1_000));
     }
     for held in 1..40 {
-        let piece = ask(&mut sent, held).expect("it is older");
-        assert_eq!(piece.id.from, held);
+        let chunk = ask(&mut history, held).expect("it is older");
+        assert_eq!(chunk.id.from, held);
     }
 }
 
@@ -102,18 +102,18 @@
 #[test]
 fn old_configurations_are_forgotten_by_their_size() {
     let large = 500_000;
-    let mut sent = Sent::default();
+    let mut history = History::default();
     for version in 1..=4 {
-        sent.keep(&document(version, large));
+        history.keep(&document(version, large));
     }
-    assert_eq!(ask(&mut sent, 1).expect("it is older").id.from, 0);
-    assert_eq!(ask(&mut sent, 3).expect("it is older").id.from, 3);
+    assert_eq!(ask(&mut history, 1).expect("it is older").id.from, 0);
+    assert_eq!(ask(&mut history, 3).expect("it is older").id.from, 3);
 }
 
 /// Guards against a transfer that begins anew when another control process goes on with it.
 #[test]
 fn another_control_process_goes_on_with_a_transfer() {
-    let (mut first, mut second) = (Sent::default(), Sent::default());
+    let (mut first, mut second) = (History::default(), History::default());
     first.keep(&document(5, 1_000));
     second.keep(&document(5, 1_000));
     let whole = ask(&mut first, 0).expect("the first one");
--- a/crates/sageshed-fleet/tests/packing.rs
+++ b/crates/sageshed-fleet/tests/compression.rs
@@ -1,6 +1,6 @@
 //! Configurations that are compressed for one who holds another.
 
-use sageshed_fleet::packing;
+use sageshed_fleet::compression;
 use sageshed_types::document::Document;
 
 /// Bytes that a change may take: with 44,000 a day one every two seconds, at 3 KB a second for each VM.
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn what_is_packed_unpacks_to_the_same() {
+fn what_is_compressed_decompresses_to_the_same() {
     let case = |name, before: &str, after: &str| Case {
         name,
         before: before.to_owned(),
@@ -47,9 +47,9 @@
     for case in cases {
         let before = document(3, &case.before);
         let after = document(7, &case.after);
-        let bytes = packing::pack(&after, &before).expect(case.name);
-        let unpacked = packing::unpack(7, &bytes, &before).expect(case.name);
-        assert_eq!(unpacked, after, "{}", case.name);
+        let bytes = compression::compress(&after, &before).expect(case.name);
+        let got = compression::decompress(7, &bytes, &before).expect(case.name);
+        assert_eq!(got, after, "{}", case.name);
     }
 }
 
@@ -65,10 +65,10 @@
     };
     let before = document(3, &format!("3 {} end", many(100_000)));
     let after = document(7, &format!("7 {} END", many(150_000)));
-    let bytes = packing::pack(&after, &before).expect("it can be compressed");
+    let bytes = compression::compress(&after, &before).expect("it can be compressed");
     assert!(bytes.len() < MOST_BYTES, "{} bytes", bytes.len());
-    let unpacked = packing::unpack(7, &bytes, &before);
-    assert_eq!(unpacked.expect("it fits"), after);
+    let got = compression::decompress(7, &bytes, &before);
+    assert_eq!(got.expect("it fits"), after);
 }
 
 /// An entry process holds another text than the control process takes it for, or the bytes were spoiled. It must not put
@@ -80,21 +80,28 @@
         format!("{{\"keys\":[{},{last}]}}", keys.join(","))
     };
     let before = document(3, &text("a"));
-    let bytes = packing::pack(&document(7, &text("b")), &before).expect("it can be compressed");
+    let bytes =
+        compression::compress(&document(7, &text("b")), &before).expect("it can be compressed");
     let other = document(3, &text("a").replace("key-7,", "yek-7,"));
-    assert!(packing::unpack(7, &bytes, &other).is_err(), "another text");
+    assert!(
+        compression::decompress(7, &bytes, &other).is_err(),
+        "another text"
+    );
     let none = Document::default();
-    assert!(packing::unpack(7, &bytes, &none).is_err(), "no text");
+    assert!(
+        compression::decompress(7, &bytes, &none).is_err(),
+        "no text"
+    );
     for at in 0..bytes.len() {
         let mut spoiled = bytes.clone();
         spoiled[at] ^= 1;
-        let unpacked = packing::unpack(7, &spoiled, &before);
+        let got = compression::decompress(7, &spoiled, &before);
         assert!(
-            unpacked.is_err() || unpacked.is_ok_and(|it| it.text == text("b")),
+            got.is_err() || got.is_ok_and(|it| it.text == text("b")),
             "byte {at}"
         );
         assert!(
-            packing::unpack(7, &bytes[..at], &before).is_err(),
+            compression::decompress(7, &bytes[..at], &before).is_err(),
             "cut at {at}"
         );
     }
--- a/crates/sageshed-fleet/tests/transfer.rs
+++ b/crates/sageshed-fleet/tests/transfer.rs
@@ -1,29 +1,29 @@
-//! Which pieces of a configuration are fetched, and what becomes of them.
+//! Which chunks of a configuration are fetched, and what becomes of them.
 
 use std::net;
 
 use sageshed_fleet::transfer::{
-    Id, Incoming, Next, Outgoing, PIECE, Payload, Piece, PieceError, Taken,
+    CHUNK_BYTES, Chunk, ChunkError, Id, Next, Payload, Receiver, Sender, Taken,
 };
 use sageshed_types::time::{Instant, Millis};
 
 const NOW: Instant = Instant(10_000);
 
-/// How long a piece takes on an idle link.
+/// How long a chunk takes on an idle link.
 const QUICK: Millis = Millis(13);
 
 fn ip(last: u8) -> net::Ipv4Addr {
     net::Ipv4Addr::new(10, 0, 0, last)
 }
 
-/// Bytes of a configuration that takes several pieces.
+/// Bytes of a configuration that takes several chunks.
 fn bytes() -> Vec<u8> {
     let mut random = fastrand::Rng::with_seed(7);
-    (0..PIECE * 5 / 2).map(|_| random.u8(..)).collect()
+    (0..CHUNK_BYTES * 5 / 2).map(|_| random.u8(..)).collect()
 }
 
-fn outgoing(from: u64, version: u64, bytes: &[u8]) -> (Outgoing, Id) {
-    let mut outgoing = Outgoing::default();
+fn outgoing(from: u64, version: u64, bytes: &[u8]) -> (Sender, Id) {
+    let mut outgoing = Sender::default();
     let id = Id::new(from, version, bytes);
     outgoing.keep(NOW, id, bytes.to_vec());
     (outgoing, id)
@@ -39,13 +39,13 @@
     }
 }
 
-/// Fetches until nothing is left to do. Returns what came, and how many pieces it took.
-fn fetch(incoming: &mut Incoming, outgoing: &mut Outgoing, id: Id) -> (Payload, usize) {
+/// Fetches until nothing is left to do. Returns what came, and how many chunks it took.
+fn fetch(incoming: &mut Receiver, outgoing: &mut Sender, id: Id) -> (Payload, usize) {
     for count in 1.. {
         let (_, offset, most) = asked(incoming.next(0, None));
-        let piece = outgoing.piece(NOW, id, offset, most).expect("a piece");
+        let chunk = outgoing.chunk(NOW, id, offset, most).expect("a chunk");
         match incoming
-            .take(&piece, QUICK)
+            .take(&chunk, QUICK)
             .expect("it continues what has come")
         {
             Taken::More => {}
@@ -59,7 +59,7 @@
 fn a_configuration_comes_in_pieces() {
     let bytes = bytes();
     let (mut outgoing, id) = outgoing(0, 7, &bytes);
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     assert_eq!(incoming.next(0, None), Next::Wait);
     assert!(incoming.told(NOW, ip(1), 7), "it is news");
     assert!(!incoming.told(NOW, ip(2), 7), "another tells the same");
@@ -74,16 +74,16 @@
 fn what_has_come_stays_when_a_call_runs_out_of_time() {
     let bytes = bytes();
     let (mut outgoing, id) = outgoing(0, 7, &bytes);
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     incoming.told(NOW, ip(1), 7);
     incoming.told(NOW, ip(2), 7);
     let (first, offset, most) = asked(incoming.next(0, Some(ip(1))));
     assert_eq!(first, ip(1));
-    let piece = outgoing.piece(NOW, id, offset, most).expect("a piece");
-    incoming.take(&piece, QUICK).expect("the first one");
+    let chunk = outgoing.chunk(NOW, id, offset, most).expect("a chunk");
+    incoming.take(&chunk, QUICK).expect("the first one");
     incoming.lost(ip(1));
     let (second, offset, fewer) = asked(incoming.next(0, Some(ip(1))));
-    assert_eq!((second, offset), (ip(2), PIECE as u64));
+    assert_eq!((second, offset), (ip(2), CHUNK_BYTES as u64));
     assert!(fewer < most, "{fewer}");
     assert_eq!(fetch(&mut incoming, &mut outgoing, id).0.bytes, bytes);
 }
@@ -93,25 +93,25 @@
 fn a_transfer_goes_on_while_newer_versions_come() {
     let bytes = bytes();
     let (mut outgoing, id) = outgoing(0, 7, &bytes);
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     incoming.told(NOW, ip(1), 7);
-    let piece = outgoing.piece(NOW, id, 0, PIECE).expect("a piece");
-    incoming.take(&piece, QUICK).expect("the first one");
+    let chunk = outgoing.chunk(NOW, id, 0, CHUNK_BYTES).expect("a chunk");
+    incoming.take(&chunk, QUICK).expect("the first one");
     for version in 8..=1_000 {
         incoming.told(NOW, ip(1), version);
         outgoing.keep(NOW, Id::new(7, version, &[1]), vec![1]);
-        assert!(outgoing.piece(NOW, id, 0, 1).is_some(), "it is kept");
+        assert!(outgoing.chunk(NOW, id, 0, 1).is_some(), "it is kept");
     }
     let (payload, _) = fetch(&mut incoming, &mut outgoing, id);
     assert_eq!(payload.id.version, 7);
     assert_ne!(incoming.next(7, None), Next::Wait, "a newer one is there");
 }
 
-/// A piece that is not what was asked for, and what is said of it.
+/// A chunk that is not what was asked for, and what is said of it.
 struct Case {
     name: &'static str,
-    spoil: fn(&mut Piece),
-    error: PieceError,
+    spoil: fn(&mut Chunk),
+    error: ChunkError,
 }
 
 #[test]
@@ -120,33 +120,33 @@
         Case {
             name: "a gap",
             spoil: |it| it.offset += 1,
-            error: PieceError::Gap,
+            error: ChunkError::Gap,
         },
         Case {
             name: "no bytes",
             spoil: |it| it.bytes.clear(),
-            error: PieceError::Gap,
+            error: ChunkError::Gap,
         },
         Case {
             name: "too large",
             spoil: |it| it.id.length = u64::MAX,
-            error: PieceError::TooLarge(u64::MAX),
+            error: ChunkError::TooLarge(u64::MAX),
         },
         Case {
             name: "spoiled",
             spoil: |it| it.bytes[1] ^= 1,
-            error: PieceError::Spoiled,
+            error: ChunkError::Spoiled,
         },
     ];
     let bytes = vec![1, 2, 3];
     for case in cases {
         let (mut outgoing, id) = outgoing(0, 7, &bytes);
-        let mut incoming = Incoming::default();
+        let mut incoming = Receiver::default();
         incoming.told(NOW, ip(1), 7);
-        let mut piece = outgoing.piece(NOW, id, 0, PIECE).expect("a piece");
-        (case.spoil)(&mut piece);
+        let mut chunk = outgoing.chunk(NOW, id, 0, CHUNK_BYTES).expect("a chunk");
+        (case.spoil)(&mut chunk);
         assert_eq!(
-            incoming.take(&piece, QUICK),
+            incoming.take(&chunk, QUICK),
             Err(case.error),
             "{}",
             case.name
@@ -158,15 +158,15 @@
 /// Guards against an entry process that asks on and on for what a control process no longer has.
 #[test]
 fn a_control_process_that_has_nothing_newer_is_asked_no_more() {
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     incoming.told(NOW, ip(1), 7);
-    incoming.has_none(ip(1));
+    incoming.has_nothing_newer(ip(1));
     assert_eq!(incoming.next(0, None), Next::Wait);
 }
 
 #[test]
 fn whoever_has_the_newest_is_asked_and_of_these_the_near_one() {
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     incoming.told(NOW, ip(1), 7);
     incoming.told(NOW, ip(2), 8);
     incoming.told(NOW, ip(3), 8);
@@ -183,7 +183,7 @@
 
 #[test]
 fn payloads_that_nobody_asks_for_are_forgotten() {
-    let mut outgoing = Outgoing::default();
+    let mut outgoing = Sender::default();
     let first = Id::new(0, 1, &[1]);
     outgoing.keep(NOW, first, vec![1]);
     assert_eq!(outgoing.find(0, 1), Some(first));
@@ -191,23 +191,23 @@
         outgoing.keep(Instant(NOW.0 + version), Id::new(0, version, &[1]), vec![1]);
     }
     assert_eq!(outgoing.find(0, 1), None);
-    assert!(outgoing.piece(NOW, first, 0, 1).is_none());
+    assert!(outgoing.chunk(NOW, first, 0, 1).is_none());
 }
 
-/// Guards against pieces that fill a slow link for so long that news of endpoints is given up.
+/// Guards against chunks that fill a slow link for so long that news of endpoints is given up.
 #[test]
 fn pieces_that_take_long_become_smaller() {
-    let bytes = vec![1; PIECE * 20];
+    let bytes = vec![1; CHUNK_BYTES * 20];
     let (mut outgoing, id) = outgoing(0, 7, &bytes);
-    let mut incoming = Incoming::default();
+    let mut incoming = Receiver::default();
     incoming.told(NOW, ip(1), 7);
     let mut sizes = Vec::new();
     for took in [Millis(900), Millis(500), Millis(150), QUICK, QUICK, QUICK] {
         let (_, offset, most) = asked(incoming.next(0, None));
-        let piece = outgoing.piece(NOW, id, offset, most).expect("a piece");
-        incoming.take(&piece, took).expect("it continues");
+        let chunk = outgoing.chunk(NOW, id, offset, most).expect("a chunk");
+        incoming.take(&chunk, took).expect("it continues");
         sizes.push(most);
     }
-    let (whole, half, quarter) = (PIECE, PIECE / 2, PIECE / 4);
+    let (whole, half, quarter) = (CHUNK_BYTES, CHUNK_BYTES / 2, CHUNK_BYTES / 4);
     assert_eq!(sizes, [whole, half, quarter, quarter, half, whole]);
 }
--- a/src/sageshed/control/driver/applying.rs
+++ b/src/sageshed/control/driver/applying.rs
@@ -88,7 +88,7 @@
     fn note_config(&self) {
         let state = locks::read(&self.shared.state);
         let newest = state.fleet();
-        locks::lock(&self.shared.sent_documents).keep(newest);
+        locks::lock(&self.shared.config_history).keep(newest);
         let now = self.shared.clock.now();
         self.shared.hub.set_config(now, newest.version);
     }
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -77,39 +77,39 @@
     (newest.version > req.config).then(|| newest.clone())
 }
 
-/// Answers with a piece of the newest configuration, or of the one that is being fetched.
+/// Answers with a chunk of the newest configuration, or of the one that is being fetched.
 #[must_use]
-pub fn piece(shared: &shared::Shared, req: &messages::ConfigReq) -> messages::ConfigResp {
-    let piece = match look(shared, req) {
-        changes::Answer::Piece(piece) => Some(piece),
+pub fn chunk(shared: &shared::Shared, req: &messages::ConfigReq) -> messages::ConfigResp {
+    let chunk = match look_up(shared, req) {
+        changes::Answer::Chunk(chunk) => Some(chunk),
         changes::Answer::Nothing => None,
-        changes::Answer::Pack(_) => {
+        changes::Answer::Compress(_) => {
             // One at a time: many ask for the same at once, and the driver of the log must not wait for it.
-            let _one = locks::lock(&shared.packing);
-            pack(shared, req)
+            let _one = locks::lock(&shared.compressing);
+            compress(shared, req)
         }
     };
-    messages::ConfigResp { piece }
+    messages::ConfigResp { chunk }
 }
 
-fn look(shared: &shared::Shared, req: &messages::ConfigReq) -> changes::Answer {
-    locks::lock(&shared.sent_documents).answer(shared.clock.now(), req)
+fn look_up(shared: &shared::Shared, req: &messages::ConfigReq) -> changes::Answer {
+    locks::lock(&shared.config_history).answer(shared.clock.now(), req)
 }
 
-/// Makes the payload, unless another thread has made it meanwhile, and takes the piece of it.
-fn pack(shared: &shared::Shared, req: &messages::ConfigReq) -> Option<transfer::Piece> {
-    if let changes::Answer::Pack(work) = look(shared, req) {
-        match work.pack() {
+/// Makes the payload, unless another thread has made it meanwhile, and takes the chunk of it.
+fn compress(shared: &shared::Shared, req: &messages::ConfigReq) -> Option<transfer::Chunk> {
+    if let changes::Answer::Compress(job) = look_up(shared, req) {
+        match job.run() {
             Ok(bytes) => {
-                let mut sent = locks::lock(&shared.sent_documents);
-                sent.keep_payload(shared.clock.now(), &work, bytes);
+                let mut history = locks::lock(&shared.config_history);
+                history.keep_payload(shared.clock.now(), &job, bytes);
             }
             Err(e) => ::log::error!(error:% = e; "control: configuration not sent"),
         }
     }
-    match look(shared, req) {
-        changes::Answer::Piece(piece) => Some(piece),
-        changes::Answer::Nothing | changes::Answer::Pack(_) => None,
+    match look_up(shared, req) {
+        changes::Answer::Chunk(chunk) => Some(chunk),
+        changes::Answer::Nothing | changes::Answer::Compress(_) => None,
     }
 }
 
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -47,10 +47,10 @@
     pub known: sync::RwLock<collections::BTreeSet<net::Ipv4Addr>>,
     /// What a fleet's endpoints and entry processes say.
     pub hub: hub::Hub,
-    /// Configurations that entry processes were sent lately.
-    pub sent_documents: sync::Mutex<changes::Sent>,
-    /// Held while one of them is compressed.
-    pub packing: sync::Mutex<()>,
+    /// The last configurations, for entry processes that fetch them.
+    pub config_history: sync::Mutex<changes::History>,
+    /// Held while one is compressed.
+    pub compressing: sync::Mutex<()>,
     /// What the placing thread shows operators.
     pub models: sync::RwLock<Vec<messages::ModelStatus>>,
     /// The voters that the group was formed with, once known.
@@ -120,8 +120,8 @@
             directory: sync::Mutex::new(directory::Directory::new(incarnation)),
             known: sync::RwLock::new(collections::BTreeSet::new()),
             hub: hub::Hub::new(incarnation.0),
-            sent_documents: sync::Mutex::default(),
-            packing: sync::Mutex::default(),
+            config_history: sync::Mutex::default(),
+            compressing: sync::Mutex::default(),
             models: sync::RwLock::new(Vec::new()),
             formed: sync::RwLock::new(Vec::new()),
             forming,
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -50,7 +50,7 @@
             paths::SETTLE => with(body, |settle| self.settle(settle)),
             paths::HELLO => with(body, |hello| self.hello(&hello)),
             fleet::paths::WATCH => with(body, |req| watch::answer(&self.shared, req)),
-            fleet::paths::CONFIG => with(body, |req| watch::piece(&self.shared, &req)),
+            fleet::paths::CONFIG => with(body, |req| watch::chunk(&self.shared, &req)),
             fleet::paths::WANT => with(body, |req| self.want(req)),
             _ => Answer::NotFound,
         }
--- a/src/sageshed/gateway/fetch.rs
+++ b/src/sageshed/gateway/fetch.rs
@@ -1,17 +1,17 @@
 //! Fetches the newest configuration from the control processes that tell of it.
 //!
-//! One thread does so, a piece at a time ([`transfer`]): callers' requests share the link of this VM, and the links
+//! One thread does so, a chunk at a time ([`transfer`]): callers' requests share the link of this VM, and the links
 //! that bring news of endpoints ([`super::watch`]) must not wait for a configuration of megabytes.
 
 use std::{net, sync, thread, time as std_time};
 
-use sageshed_fleet::{dialect, messages, packing, transfer};
+use sageshed_fleet::{compression, dialect, messages, transfer};
 use sageshed_types::{document, time};
 
 use super::state;
 use crate::locks;
 
-/// How long a piece may take, on a link that callers fill as well.
+/// How long a chunk may take, on a link that callers fill as well.
 const CALL_LIMIT: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// Between two looks whether the process stops.
@@ -29,7 +29,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    incoming: transfer::Incoming,
+    incoming: transfer::Receiver,
     /// The control process that is reached best.
     near: Option<net::Ipv4Addr>,
 }
@@ -119,19 +119,19 @@
     let path = messages::paths::CONFIG;
     let begun = shared.clock.now();
     let resp: Result<messages::ConfigResp, _> = shared.client.call(&address, path, req, CALL_LIMIT);
-    let piece = match resp {
-        Ok(resp) => resp.piece,
+    let chunk = match resp {
+        Ok(resp) => resp.chunk,
         Err(e) => {
-            ::log::warn!(control:% = to, offset = req.offset, error:% = e; "gateway: piece of a configuration not fetched");
+            ::log::warn!(control:% = to, offset = req.offset, error:% = e; "gateway: chunk of a configuration not fetched");
             locks::lock(&fetching.inner).incoming.lost(to);
             return thread::sleep(RETRY);
         }
     };
-    let Some(piece) = piece else {
-        return locks::lock(&fetching.inner).incoming.has_none(to);
+    let Some(chunk) = chunk else {
+        return locks::lock(&fetching.inner).incoming.has_nothing_newer(to);
     };
     let took = shared.clock.now().since(begun);
-    let taken = locks::lock(&fetching.inner).incoming.take(&piece, took);
+    let taken = locks::lock(&fetching.inner).incoming.take(&chunk, took);
     match taken {
         Ok(transfer::Taken::More) => {}
         Ok(transfer::Taken::Whole(payload)) => take_payload(shared, &payload),
@@ -146,13 +146,13 @@
 fn take_payload<D: dialect::Dialect>(shared: &state::Shared<D>, payload: &transfer::Payload) {
     let transfer::Id { from, version, .. } = payload.id;
     let bytes = payload.bytes.len();
-    let unpacked = {
+    let text = {
         let held = locks::lock(&shared.document);
         let none = document::Document::default();
         let before = if from == 0 { &none } else { &*held };
-        packing::unpack(version, &payload.bytes, before)
+        compression::decompress(version, &payload.bytes, before)
     };
-    match unpacked {
+    match text {
         Ok(document) => {
             if from == 0 {
                 ::log::info!(version, bytes; "gateway: configuration came whole");
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -490,8 +490,8 @@
         offset: 0,
         most: 1_024,
     };
-    let piece = watch::piece(&running.shared, &req).piece;
-    let id = piece.expect("there is a newer one").id;
+    let chunk = watch::chunk(&running.shared, &req).chunk;
+    let id = chunk.expect("there is a newer one").id;
     assert_eq!((id.from, id.version), (5, 6));
 }
 
