Send a large entry of the log again only once it can have arrived

What callers would see: no change accepted for as long as a large configuration is proposed, leaders lost, control processes out of memory.

One of two causes, of the incident's class: an append without an answer was sent again after two heartbeats, whatever its size, behind the first one on the same connection. Over two seconds 34 appends of 2 MB went out for two.

Test: 34 appends before, 2 now.

--- a/crates/sageshed-quorum/src/config.rs
+++ b/crates/sageshed-quorum/src/config.rs
@@ -28,6 +28,8 @@
     pub promotion_lag: u64,
     /// Heartbeats without an answer to an append after which it is sent again.
     pub append_retry_heartbeats: u32,
+    /// Bytes under way to a peer for which one more heartbeat is waited, of an append or a snapshot.
+    pub bytes_per_heartbeat: usize,
     /// Heartbeats without an answer to a snapshot after which it is sent again. Larger, since the
     /// receiver writes and syncs the whole of it before it answers.
     pub snapshot_retry_heartbeats: u32,
@@ -53,6 +55,7 @@
             max_uncommitted: 10_000,
             promotion_lag: 64,
             append_retry_heartbeats: 2,
+            bytes_per_heartbeat: 32 * 1024,
             snapshot_retry_heartbeats: 20,
             checks_restart: false,
             guards: Guards::default(),
--- a/crates/sageshed-quorum/src/heartbeat.rs
+++ b/crates/sageshed-quorum/src/heartbeat.rs
@@ -1,18 +1,24 @@
 //! Heartbeats: rounds that confirm the leader, and reads that wait for one.
 
-use crate::{event, log, message, node, output, state};
+use crate::{event, log, message, node, output, replication, state};
 
 impl node::Node {
     pub(crate) fn heartbeat_due(&mut self, out: &mut output::Output) {
         let state::Role::Leader(leader) = &mut self.state.role else {
             return;
         };
+        let log = &self.state.log;
+        let of_snapshot = self.state.snapshot.as_ref().map_or(0, |it| it.data.len());
         for peer in leader.peers.values_mut() {
-            let patience = if peer.snapshot {
-                self.cfg.snapshot_retry_heartbeats
+            let (patience, bytes) = if peer.snapshot {
+                (self.cfg.snapshot_retry_heartbeats, of_snapshot)
             } else {
-                self.cfg.append_retry_heartbeats
+                let bytes = replication::bytes_under_way(log, peer);
+                (self.cfg.append_retry_heartbeats, bytes)
             };
+            // Sent again before it can have arrived, a large entry would hold up itself.
+            let more = bytes / self.cfg.bytes_per_heartbeat.max(1);
+            let patience = patience.saturating_add(u32::try_from(more).unwrap_or(u32::MAX));
             peer.unanswered += u32::from(peer.awaits_answer());
             if peer.unanswered > patience {
                 peer.restart_at(peer.matched.next());
--- a/crates/sageshed-quorum/src/replication.rs
+++ b/crates/sageshed-quorum/src/replication.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{event, log, message, node, output, state};
+use crate::{entries, event, log, message, node, output, state};
 
 impl node::Node {
     /// Appends an entry of the leader's own.
@@ -292,6 +292,14 @@
     entries.iter().take_while(fits).cloned().collect()
 }
 
+/// About how many bytes of entries were sent to a peer and are not acknowledged.
+pub(crate) fn bytes_under_way(log: &entries::Entries, peer: &state::Peer) -> usize {
+    let first = peer.matched.next();
+    let sent = log.from(first).iter();
+    let sent = sent.take_while(|entry| entry.index < peer.next);
+    sent.map(size).sum()
+}
+
 /// About how many bytes an entry takes in a message.
 fn size(entry: &log::Entry) -> usize {
     /// Index, term and framing, and what other entries than commands hold.
--- a/crates/sageshed-quorum/tests/testsuite/messages.rs
+++ b/crates/sageshed-quorum/tests/testsuite/messages.rs
@@ -128,3 +128,27 @@
     assert_eq!(terms, [log::Term(2)]);
     assert_eq!(write.truncate_from, Some(log::Index(1)));
 }
+
+/// Guards against a large entry that is sent again and again before it can have arrived, and holds up itself.
+#[test]
+fn a_large_entry_is_not_sent_again_while_it_is_under_way() {
+    let mut sim = Sim::new(7, 3, config::Guards::default());
+    sim.elect(1).unwrap();
+    sim.run(500).unwrap();
+    sim.propose(1, &vec![0; 2 * 1024 * 1024]).unwrap();
+    let mut appends = 0;
+    // Two seconds in which heartbeats pass and the entry is on its way.
+    for _ in 0..200 {
+        sim.now += 10;
+        for vm in [1, 2, 3] {
+            sim.step(vm, event::Event::Tick).unwrap();
+        }
+        let is_append =
+            |message: &message::Message| matches!(message.body, message::Body::Append { .. });
+        appends += sim.wire.iter().filter(|(.., it)| is_append(it)).count();
+        sim.wire.retain(|(.., it)| !is_append(it));
+        sim.deliver().unwrap();
+    }
+    assert_eq!(sim.leader(), Some(1), "heartbeats pass");
+    assert_eq!(appends, 2, "one to each peer");
+}
