Let heartbeats pass large entries of the log

A call takes no more once it is large.

Test: a control process that holds a large call until a heartbeat has come; before, none comes until the call is given up.

--- a/src/sageshed/control/links.rs
+++ b/src/sageshed/control/links.rs
@@ -1,11 +1,12 @@
 //! Sends the log's messages to the other control processes.
 //!
-//! One thread for each, so that a VM that does not answer holds up nobody else. Messages may be
-//! lost: the log sends again what matters. So a full queue drops, and a failed call drops its batch.
+//! Two threads for each, so that a VM that does not answer holds up nobody else, and large entries no heartbeat: a
+//! leader whose heartbeats wait behind one of megabytes is deposed before that is acknowledged, and so is the next.
+//! Messages may be lost: the log sends again what matters. So a full queue drops, and a failed call drops its batch.
 
 use std::{
     collections,
-    sync::{self, mpsc},
+    sync::{self, atomic, mpsc},
     thread, time,
 };
 
@@ -37,11 +38,38 @@
 /// The threads that send.
 #[derive(Debug)]
 pub struct Links {
-    by_vm: collections::BTreeMap<u32, mpsc::SyncSender<Vec<u8>>>,
+    by_vm: collections::BTreeMap<u32, Lanes>,
     shared: sync::Arc<shared::Shared>,
     client: sageshed_vms::Client,
 }
 
+/// The ways to one VM.
+#[derive(Debug)]
+struct Lanes {
+    small: mpsc::SyncSender<Vec<u8>>,
+    large: mpsc::SyncSender<Vec<u8>>,
+    /// Messages on the way of large ones. While there are any, entries that follow go the same way: one that came
+    /// first would be refused.
+    large_waiting: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Lanes {
+    fn send(&self, message: &message::Message, bytes: Vec<u8>) {
+        let has_entries = matches!(
+            message.body,
+            message::Body::Append { .. } | message::Body::Snapshot(_)
+        );
+        let is_behind = self.large_waiting.load(atomic::Ordering::Relaxed) > 0;
+        if !has_entries || (bytes.len() <= LARGE && !is_behind) {
+            return drop(self.small.try_send(bytes));
+        }
+        self.large_waiting.fetch_add(1, atomic::Ordering::Relaxed);
+        if self.large.try_send(bytes).is_err() {
+            self.large_waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        }
+    }
+}
+
 impl Links {
     /// Links that are started when something is to be sent.
     #[must_use]
@@ -53,14 +81,28 @@
         }
     }
 
-    /// Starts the thread that sends to the VM with this number, if there is a way to it.
-    fn link(&self, vm: u32) -> Option<mpsc::SyncSender<Vec<u8>>> {
+    /// Starts the threads that send to the VM with this number, if there is a way to it.
+    fn lanes(&self, vm: u32) -> Option<Lanes> {
+        let large_waiting = sync::Arc::default();
+        Some(Lanes {
+            small: self.link(vm, None)?,
+            large: self.link(vm, Some(sync::Arc::clone(&large_waiting)))?,
+            large_waiting,
+        })
+    }
+
+    fn link(
+        &self,
+        vm: u32,
+        waiting: Option<sync::Arc<atomic::AtomicUsize>>,
+    ) -> Option<mpsc::SyncSender<Vec<u8>>> {
         let (tx, rx) = mpsc::sync_channel(QUEUE);
         let link = Link {
             to: self.shared.vm_name(vm)?,
             address: self.shared.control_address(vm)?.to_string(),
             client: self.client.clone(),
             shared: sync::Arc::clone(&self.shared),
+            waiting,
         };
         let spawned = thread::Builder::new()
             .name(format!("link-{}", link.to))
@@ -77,16 +119,16 @@
     /// Sends `message`, if there is room.
     pub fn send(&mut self, to: log::NodeId, message: &message::Message) {
         if !self.by_vm.contains_key(&to.vm) {
-            let Some(tx) = self.link(to.vm) else {
+            let Some(lanes) = self.lanes(to.vm) else {
                 return;
             };
-            self.by_vm.insert(to.vm, tx);
+            self.by_vm.insert(to.vm, lanes);
         }
-        let Some(tx) = self.by_vm.get(&to.vm) else {
+        let Some(lanes) = self.by_vm.get(&to.vm) else {
             return;
         };
         match sageshed_vms::encode(message) {
-            Ok(bytes) => drop(tx.try_send(bytes)),
+            Ok(bytes) => lanes.send(message, bytes),
             Err(e) => ::log::error!(error:% = e; "control: message not sent"),
         }
     }
@@ -97,15 +139,20 @@
     address: String,
     client: sageshed_vms::Client,
     shared: sync::Arc<shared::Shared>,
+    /// Counts the messages that were put in and not sent, on the way of large ones.
+    waiting: Option<sync::Arc<atomic::AtomicUsize>>,
 }
 
 impl Link {
     fn run(&self, rx: &mpsc::Receiver<Vec<u8>>) {
         let mut reachable = true;
         while let Ok(first) = rx.recv() {
-            let mut batch = vec![first];
-            batch.extend(rx.try_iter().take(BATCH - 1));
+            let batch = gather(first, rx);
+            let count = batch.len();
             let result = self.call(batch);
+            if let Some(waiting) = &self.waiting {
+                waiting.fetch_sub(count, atomic::Ordering::Relaxed);
+            }
             if let Err(e) = &result
                 && reachable
             {
@@ -135,3 +182,17 @@
             .call(&self.address, messages::paths::REPLICATE, &envelope, limit)
     }
 }
+
+/// What goes in one call with `first`: no more behind what is large already.
+fn gather(first: Vec<u8>, rx: &mpsc::Receiver<Vec<u8>>) -> Vec<Vec<u8>> {
+    let mut bytes = first.len();
+    let mut batch = vec![first];
+    while batch.len() < BATCH && bytes <= LARGE {
+        let Ok(next) = rx.try_recv() else {
+            break;
+        };
+        bytes += next.len();
+        batch.push(next);
+    }
+    batch
+}
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -25,6 +25,9 @@
 /// How long anything that is waited for may take. A test that reaches it has failed.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
+/// How long a large call is held: its caller gives it up a second later.
+const HELD: time::Duration = time::Duration::from_secs(4);
+
 /// Bytes of a large configuration.
 const ENTRY_BYTES: usize = 2 * 1024 * 1024;
 
@@ -495,6 +498,66 @@
     assert_eq!((id.from, id.version), (5, 6));
 }
 
+/// Answers a large call once another one has come, or its caller is about to give it up.
+struct Holding {
+    others: mpsc::Sender<()>,
+    rx: sync::Mutex<mpsc::Receiver<()>>,
+    passed: mpsc::Sender<bool>,
+}
+
+impl sageshed_vms::Handler for Holding {
+    fn handle(&self, _path: &str, body: &[u8]) -> sageshed_vms::Answer {
+        if body.len() < ENTRY_BYTES {
+            self.others.send(()).unwrap();
+        } else {
+            let passed = locks::lock(&self.rx).recv_timeout(HELD).is_ok();
+            self.passed.send(passed).unwrap();
+        }
+        sageshed_vms::Answer::message(&())
+    }
+}
+
+/// Guards against leaders that are deposed by a large configuration: their heartbeats waited behind it.
+#[test]
+fn heartbeats_pass_a_large_entry() {
+    let running = Running::alone(|_, _| {});
+    let (others, rx) = mpsc::channel();
+    let (passed, has_passed) = mpsc::channel();
+    let handler = sync::Arc::new(Holding {
+        others,
+        rx: sync::Mutex::new(rx),
+        passed,
+    });
+    let address = running.shared.control_address(OTHER.vm).unwrap();
+    let _server = sageshed_vms::Server::start(&address.to_string(), "", 16, handler).unwrap();
+    let mut links = links::Links::start(&running.shared, &sageshed_vms::Client::new(""));
+    let mut send = |body| {
+        let message = message::Message {
+            to: OTHER,
+            term: log::Term(1),
+            body,
+        };
+        links.send(OTHER, &message);
+    };
+    send(message::Body::Append {
+        prev: log::Position::default(),
+        entries: vec![log::Entry {
+            index: log::Index(1),
+            term: log::Term(1),
+            data: log::EntryData::Command(vec![0; ENTRY_BYTES]),
+        }],
+        commit: log::Index(0),
+    });
+    send(message::Body::Heartbeat {
+        round: message::Round {
+            number: 1,
+            started: types_time::Instant(0),
+        },
+        commit: log::Index(0),
+    });
+    assert_eq!(has_passed.recv_timeout(PATIENCE), Ok(true));
+}
+
 /// Guards against a log of large configurations that takes all memory: it was cut by the number of its entries alone.
 #[test]
 fn the_log_is_cut_by_its_bytes() {
