Hold connections by readiness, and threads by requests at work

Cause: a port ran a thread for each connection, from its first byte to its last, though nearly all of them wait.

Now one thread a port waits for all connections (epoll of `rustix`, one event at a time), and a request is served by a worker that gives the connection back. Handlers may defer an answer, and hold no thread until it is given. Past a settable number, workers are started only for requests that have waited 5 ms.

Weighed: `polling` (its `add` is unsafe, which this workspace forbids); `mio` (needs sockets of its own kind, or two system calls more a request); a smaller stack (address space was never short); `rustix` was a dependency already.

Why it holds: threads grow with requests at work alone. Nothing changes in what is promised at a stop: the tests of connections, bad requests and streams are as they were.

--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -16,10 +16,7 @@
 /// What a caller is told of a handler that panicked.
 const FAULT: &str = "a fault inside the system stopped the request";
 
-/// How long a connection is still read from once idle ones are to end.
-const LAST_CALL: time::Duration = time::Duration::from_millis(100);
-
-/// Everything that one connection's thread needs.
+/// A connection, and everything that a thread needs to serve it.
 #[derive(Debug)]
 pub(crate) struct Connection<H> {
     pub(crate) link: sync::Arc<link::Link>,
@@ -28,6 +25,19 @@
     pub(crate) limits: sync::Arc<limits::Limits>,
     pub(crate) shared: sync::Arc<server::Shared>,
     pub(crate) handler: sync::Arc<H>,
+    /// Dropped with the connection.
+    pub(crate) place: server::Place,
+}
+
+/// What becomes of a connection once its thread has nothing more to do for it.
+#[derive(Debug)]
+pub(crate) enum After<H> {
+    /// It waits for the next request.
+    Idle(Connection<H>),
+    /// It waits for a deferred answer.
+    Deferred(Connection<H>, reply::Manner),
+    /// It has ended.
+    Ended,
 }
 
 /// What the head says of the body and the answer.
@@ -76,11 +86,13 @@
     Close,
     /// Close it at once: the answer is cut, or nobody reads it.
     Cut,
+    /// Keep it until the answer is given.
+    Defer(reply::Manner),
 }
 
 impl<H: handler::Handler> Connection<H> {
-    /// Serves requests until the connection ends.
-    pub(crate) fn serve(mut self) {
+    /// Serves requests until no more has come, an answer is deferred or the connection ends.
+    pub(crate) fn serve(mut self) -> After<H> {
         loop {
             let next = match self.next() {
                 Arrival::Whole(req, manner) => self.answer(*req, manner),
@@ -90,13 +102,43 @@
             };
             match next {
                 Next::Again => self.input.shrink(),
-                Next::Close => return self.link.close_gently(),
+                Next::Close => {
+                    self.link.close_gently();
+                    return After::Ended;
+                }
                 // Dropping the last hold on the socket closes it.
-                Next::Cut => return,
+                Next::Cut => return After::Ended,
+                Next::Defer(manner) => return After::Deferred(self, manner),
+            }
+            if self.input.buf.is_empty() {
+                return After::Idle(self);
             }
         }
     }
 
+    /// The bytes of a deferred answer, and whether the connection is kept after it.
+    pub(crate) fn encode(&self, manner: reply::Manner, answer: &reply::Whole) -> (Vec<u8>, bool) {
+        let mut ex = self.exchange(manner);
+        let bytes = ex.encode(&answer.head(), &answer.body);
+        (bytes, ex.manner.keep)
+    }
+
+    /// Sends the rest of a deferred answer.
+    pub(crate) fn send_rest(mut self, bytes: &[u8], keep: bool) -> After<H> {
+        if self.link.write(bytes).is_err() {
+            return After::Ended;
+        }
+        if !keep {
+            self.link.close_gently();
+            return After::Ended;
+        }
+        self.input.shrink();
+        if self.input.buf.is_empty() {
+            return After::Idle(self);
+        }
+        self.serve()
+    }
+
     fn next(&mut self) -> Arrival {
         if !self.wait_for_first_byte() {
             return Arrival::Ended;
@@ -130,27 +172,12 @@
         })
     }
 
-    /// Waits between two requests. A connection that ends or stays silent here is just closed: no
-    /// request was begun, so there is nothing to refuse.
+    /// Reads the first bytes of a request. A connection that ends here is just closed: no request was
+    /// begun, so there is nothing to refuse.
     fn wait_for_first_byte(&mut self) -> bool {
-        self.fill_while_idle() && !self.shared.is_stopped()
-    }
-
-    fn fill_while_idle(&mut self) -> bool {
-        if !self.input.buf.is_empty() {
-            return true;
-        }
-        self.link.set_idle(true);
-        // A connection that was accepted last may have its request on the way in already: it is not
-        // idle, only not read yet, and ending it would cut that request.
-        let patience = if self.shared.closes_idle() {
-            LAST_CALL
-        } else {
-            self.limits.idle_timeout
-        };
-        let filled = self.input.fill_within(&self.link, patience);
-        self.link.set_idle(false);
-        filled == Fill::More
+        let has_come = !self.input.buf.is_empty()
+            || self.input.fill_within(&self.link, self.limits.head_timeout) == Fill::More;
+        has_come && !self.shared.is_stopped()
     }
 
     fn read_head(&mut self, until: time::Instant) -> Result<head::Head, body::Cut> {
@@ -245,6 +272,8 @@
             draining: sync::Arc::clone(&self.shared.draining),
             manner,
             progress: reply::Progress::Unanswered,
+            deferred: sync::Arc::clone(&self.shared.deferred),
+            connection: self.place.id,
         }
     }
 
@@ -300,10 +329,11 @@
 }
 
 fn after(ex: &reply::Exchange, sent: &reply::Sent) -> Next {
-    match (sent.is_whole(), ex.manner.keep) {
-        (true, true) => Next::Again,
-        (true, false) => Next::Close,
-        (false, _) => Next::Cut,
+    match (sent.outcome(), ex.manner.keep) {
+        (reply::Outcome::Whole, true) => Next::Again,
+        (reply::Outcome::Whole, false) => Next::Close,
+        (reply::Outcome::Cut, _) => Next::Cut,
+        (reply::Outcome::Deferred, _) => Next::Defer(ex.manner),
     }
 }
 
--- a/crates/sageshed-http/src/handler.rs
+++ b/crates/sageshed-http/src/handler.rs
@@ -15,10 +15,11 @@
         Admission::Read
     }
 
-    /// Answers one request, on the thread of its connection.
+    /// Answers one request, on a thread that is its own until it returns.
     ///
-    /// It may block for as long as the request may wait. The answer is given through `reply`, which
-    /// returns the [`reply::Sent`] that has to be handed back.
+    /// It may block for as long as the request may wait; one that waits for long defers its answer
+    /// ([`reply::Reply::defer`]). The answer is given through `reply`, which returns the [`reply::Sent`] that
+    /// has to be handed back.
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent;
 
     /// Gives a refusal that this package decided on its request id, and records it.
--- a/crates/sageshed-http/src/lib.rs
+++ b/crates/sageshed-http/src/lib.rs
@@ -25,10 +25,11 @@
 //!
 //! # Threads
 //!
-//! One thread serves one connection from its first byte to its last ([`server`]). The handler runs
-//! on that thread, and while it waits it may ask [`reply::Reply::caller_gone`]. The number of
-//! connections and the size of each stack are bounded by [`limits::Limits`]. A connection past the
-//! bound is answered 503 with an account by one shared thread, never dropped in silence.
+//! A port has one thread that accepts and that waits for all connections ([`server`]). A request is served by a
+//! worker thread from its first byte to the end of its answer; the handler runs on that thread, and while it
+//! waits it may ask [`reply::Reply::caller_gone`], or defer its answer and give the thread back. Between requests a
+//! connection holds no thread. The number of connections and the size of each stack are bounded by
+//! [`limits::Limits`]. A connection past the bound is answered 503 with an account, never dropped in silence.
 //!
 //! # What a caller can rely on
 //!
@@ -38,12 +39,15 @@
 
 mod body;
 mod connection;
+pub mod deferred;
 pub mod handler;
 mod head;
 pub mod limits;
 mod link;
 mod overflow;
+mod poller;
 pub mod problem;
 pub mod reply;
 pub mod request;
 pub mod server;
+mod workers;
--- a/crates/sageshed-http/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-/// The stack of a connection's thread, in bytes, unless settings say otherwise.
+/// The stack of a thread that serves requests, in bytes, unless settings say otherwise.
 ///
 /// This package's tests overflow 160 KiB in a debug build and 32 KiB in a release build, and pass with
 /// 192 KiB and 48 KiB. The rest is for the handler. It costs address space only: what is not touched
@@ -26,9 +26,13 @@
     /// How long a caller may accept nothing of its answer, or acknowledge nothing of it, before it
     /// counts as gone.
     pub write_timeout: time::Duration,
-    /// How many connections may be open at once. Each holds a thread.
+    /// How many connections may be open at once. Each holds a descriptor, and a thread while a request
+    /// on it is at work.
     pub connections: usize,
-    /// The stack of a connection's thread, in bytes. The handler runs on it.
+    /// Threads that are started as soon as a request finds none idle. Past these one is started only for a
+    /// request that has waited, so that a burst of short requests costs few threads.
+    pub eager_threads: usize,
+    /// The stack of a thread that serves requests, in bytes. The handler runs on it.
     pub stack_bytes: usize,
 }
 
@@ -42,6 +46,7 @@
             idle_timeout: time::Duration::from_mins(1),
             write_timeout: time::Duration::from_secs(20),
             connections: 4_000,
+            eager_threads: usize::MAX,
             stack_bytes: STACK_BYTES,
         }
     }
--- a/crates/sageshed-http/src/link.rs
+++ b/crates/sageshed-http/src/link.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, TcpStream},
+    os::fd,
     sync::atomic,
     time,
 };
@@ -28,7 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     stream: TcpStream,
-    /// Whether its thread waits for the first byte of a request.
+    /// Whether it waits for the first byte of a request.
     idle: atomic::AtomicBool,
 }
 
@@ -83,6 +84,16 @@
             .map_err(|_broken_or_slow| Unwritable)
     }
 
+    /// Writes as much of `bytes` as goes without blocking. Returns how many.
+    pub(crate) fn write_now(&self, bytes: &[u8]) -> Result<usize, Unwritable> {
+        let flags = net::SendFlags::DONTWAIT | net::SendFlags::NOSIGNAL;
+        match net::send(&self.stream, bytes, flags) {
+            Ok(sent) => Ok(sent),
+            Err(e) if is_nothing(e) => Ok(0),
+            Err(_) => Err(Unwritable),
+        }
+    }
+
     /// Whether the caller has closed or reset the connection. Does not block.
     pub(crate) fn is_gone(&self) -> bool {
         let flags = net::RecvFlags::PEEK | net::RecvFlags::DONTWAIT;
@@ -110,12 +121,12 @@
         }
     }
 
-    /// Notes whether the thread waits for the first byte of a request.
+    /// Notes whether the connection waits for the first byte of a request.
     pub(crate) fn set_idle(&self, idle: bool) {
         self.idle.store(idle, atomic::Ordering::SeqCst);
     }
 
-    /// Whether the thread waits for the first byte of a request.
+    /// Whether the connection waits for the first byte of a request.
     pub(crate) fn is_idle(&self) -> bool {
         self.idle.load(atomic::Ordering::SeqCst)
     }
@@ -127,7 +138,7 @@
         }
     }
 
-    /// Wakes the thread of an idle connection, which then sees the end of input.
+    /// Ends the input of an idle connection, which is then served once more and ends.
     pub(crate) fn stop_reading(&self) {
         if let Err(e) = self.stream.shutdown(Shutdown::Read) {
             log::debug!(error:% = e; "http: idle connection was closed already");
@@ -157,6 +168,12 @@
     }
 }
 
+impl fd::AsFd for Link {
+    fn as_fd(&self) -> fd::BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 /// Bytes that came from a caller and are not used yet.
 #[derive(Debug, Default)]
 pub(crate) struct Input {
@@ -234,7 +251,7 @@
     Ok(())
 }
 
-/// Whether a read that does not wait found that there is nothing to read yet.
+/// Whether a read or write that does not block found nothing to read, or no room.
 fn is_nothing(e: rustix::io::Errno) -> bool {
     e == rustix::io::Errno::AGAIN || e == rustix::io::Errno::INTR
 }
--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use sageshed_types::refusal;
 
-use crate::{handler, link, problem};
+use crate::{deferred, handler, link, problem};
 
 /// An answer this large, in bytes, is not copied behind its head but written after it.
 const COPIED_BYTES: usize = 64 * 1024;
@@ -38,23 +38,55 @@
     pub body: Vec<u8>,
 }
 
+impl Whole {
+    pub(crate) fn head(&self) -> Head<'static> {
+        Head {
+            request_id: "",
+            status: self.status,
+            content_type: self.content_type,
+            headers: &[],
+        }
+    }
+}
+
 /// The caller left before the answer was written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("writing to the caller: it has left or does not read")]
 pub struct CallerGone;
 
-/// Proof that a request was answered. Only [`Reply`] and [`Stream`] make one.
+/// Proof that a request was answered, or will be. Only [`Reply`] and [`Stream`] make one.
 #[derive(Debug)]
 #[must_use = "hand it back from Handler::handle"]
 pub struct Sent {
-    whole: bool,
+    outcome: Outcome,
+}
+
+/// What became of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Its last byte was handed to the connection.
+    Whole,
+    /// It broke off.
+    Cut,
+    /// It is given later.
+    Deferred,
 }
 
 impl Sent {
     /// Whether the last byte was handed to the connection. It does not prove that the caller read it.
     #[must_use]
     pub fn is_whole(&self) -> bool {
-        self.whole
+        self.outcome == Outcome::Whole
+    }
+
+    pub(crate) fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
+    fn written(result: Result<(), CallerGone>) -> Self {
+        Self {
+            outcome: result.map_or(Outcome::Cut, |()| Outcome::Whole),
+        }
     }
 }
 
@@ -65,6 +97,9 @@
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
     pub(crate) manner: Manner,
     pub(crate) progress: Progress,
+    /// Where an answer is put that is given later, for this connection.
+    pub(crate) deferred: sync::Arc<deferred::Queue>,
+    pub(crate) connection: u64,
 }
 
 /// What an answer needs to know of its request.
@@ -119,6 +154,32 @@
         }
     }
 
+    /// The whole answer.
+    pub(crate) fn encode(&mut self, head: &Head<'_>, body: &[u8]) -> Vec<u8> {
+        let mut bytes = self.encode_head(head, body.len());
+        bytes.extend_from_slice(self.body_of(head, body));
+        bytes
+    }
+
+    fn encode_head(&mut self, head: &Head<'_>, length: usize) -> Vec<u8> {
+        self.settle_keep();
+        let framing = if is_bodiless(head.status) {
+            String::new()
+        } else {
+            format!("Content-Length: {length}\r\n")
+        };
+        self.head(head, &framing)
+    }
+
+    /// What of a body is sent.
+    fn body_of<'b>(&self, head: &Head<'_>, body: &'b [u8]) -> &'b [u8] {
+        if is_bodiless(head.status) || self.manner.head_only {
+            &[]
+        } else {
+            body
+        }
+    }
+
     fn head(&self, head: &Head<'_>, framing: &str) -> Vec<u8> {
         let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status));
         if !head.request_id.is_empty() {
@@ -173,39 +234,28 @@
     /// Answers with a whole body.
     pub fn whole(self, head: &Head<'_>, body: &[u8]) -> Sent {
         let ex = self.ex;
-        ex.settle_keep();
-        let bodiless = matches!(head.status, 204 | 304);
-        let framing = if bodiless {
-            String::new()
-        } else {
-            format!("Content-Length: {}\r\n", body.len())
-        };
-        let mut bytes = ex.head(head, &framing);
-        let body = if bodiless || ex.manner.head_only {
-            &[]
-        } else {
-            body
-        };
-        let written = if body.len() <= COPIED_BYTES {
-            bytes.extend_from_slice(body);
+        Sent::written(if body.len() <= COPIED_BYTES {
+            let bytes = ex.encode(head, body);
             ex.write(&bytes)
         } else {
+            let bytes = ex.encode_head(head, body.len());
+            let body = ex.body_of(head, body);
             ex.write(&bytes).and_then(|()| ex.write(body))
-        };
-        Sent {
-            whole: written.is_ok(),
-        }
+        })
     }
 
     /// Answers with what was made elsewhere.
     pub fn made(self, answer: &Whole) -> Sent {
-        let head = Head {
-            request_id: "",
-            status: answer.status,
-            content_type: answer.content_type,
-            headers: &[],
+        self.whole(&answer.head(), &answer.body)
+    }
+
+    /// Answers later, from any thread. The connection holds no thread until then.
+    pub fn defer(self) -> (Sent, deferred::Deferred) {
+        let queue = sync::Arc::clone(&self.ex.deferred);
+        let sent = Sent {
+            outcome: Outcome::Deferred,
         };
-        self.whole(&head, &answer.body)
+        (sent, deferred::Deferred::new(queue, self.ex.connection))
     }
 
     /// Refuses, with the account as the body.
@@ -330,9 +380,7 @@
         } else {
             self.ex.write(b"0\r\n\r\n")
         };
-        Sent {
-            whole: written.is_ok(),
-        }
+        Sent::written(written)
     }
 
     /// Ends the connection in the middle of the answer, so that the caller cannot take what it has
@@ -342,7 +390,9 @@
     /// means that the answer is whole, so there the connection is reset.
     pub fn abort(self) -> Sent {
         drop(self);
-        Sent { whole: false }
+        Sent {
+            outcome: Outcome::Cut,
+        }
     }
 }
 
@@ -354,6 +404,11 @@
     }
 }
 
+/// Whether answers with this status have no body.
+fn is_bodiless(status: u16) -> bool {
+    matches!(status, 204 | 304)
+}
+
 /// Whether this package writes the header itself.
 fn is_own(name: &str) -> bool {
     const OWN: [&str; 6] = [
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -16,16 +16,11 @@
 };
 
 use derive_more::{Display, Error};
-use sageshed_types::{refusal, verdict};
 
-use crate::{connection, handler, limits, link, overflow};
+use crate::{deferred, handler, limits, link, poller};
 
-/// How long accepting pauses after it failed, for example because no file descriptor is left. An
-/// accept that fails for want of descriptors fails again at once, and would take a whole processor.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
-
-/// How long the wake-up connection of [`Server::stop_accepting`] may take.
-const WAKE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// How long [`Server::stop_accepting`] waits for the connections to be taken that the kernel has completed.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(1);
 
 /// Why a server did not start.
 #[derive(Debug, Display, Error)]
@@ -36,6 +31,12 @@
         /// What the system said.
         source: io::Error,
     },
+    /// Readiness of connections can't be waited for.
+    #[display("setting up the wait for connections")]
+    Poll {
+        /// What the system said.
+        source: io::Error,
+    },
     /// No thread could be started.
     #[display("starting the thread that accepts connections")]
     Thread {
@@ -45,10 +46,12 @@
 }
 
 /// What the threads of a server share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Shared {
     /// Whether each answer is the last on its connection.
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
+    /// Answers that are given after their handlers have returned; its waker wakes the poller.
+    pub(crate) deferred: sync::Arc<deferred::Queue>,
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
     stopped: atomic::AtomicBool,
@@ -60,10 +63,24 @@
 #[derive(Debug, Default)]
 struct Open {
     next: u64,
+    /// Whether accepting has ended.
+    is_closed: bool,
     links: collections::HashMap<u64, sync::Arc<link::Link>>,
 }
 
 impl Shared {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            draining: sync::Arc::default(),
+            deferred: sync::Arc::new(deferred::Queue::new()?),
+            stopping: atomic::AtomicBool::new(false),
+            closing_idle: atomic::AtomicBool::new(false),
+            stopped: atomic::AtomicBool::new(false),
+            open: sync::Mutex::default(),
+            ended: sync::Condvar::new(),
+        })
+    }
+
     /// Whether a connection without a request has to end.
     pub(crate) fn closes_idle(&self) -> bool {
         self.closing_idle.load(atomic::Ordering::SeqCst)
@@ -74,10 +91,20 @@
         self.stopped.load(atomic::Ordering::SeqCst)
     }
 
-    fn is_stopping(&self) -> bool {
+    pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(atomic::Ordering::SeqCst)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.open().links.is_empty()
+    }
+
+    /// No connection is accepted any more.
+    pub(crate) fn accepting_ended(&self) {
+        self.open().is_closed = true;
+        self.ended.notify_all();
+    }
+
     /// The table is whole after each statement on it, so a panic elsewhere does not spoil it.
     fn open(&self) -> sync::MutexGuard<'_, Open> {
         self.open
@@ -85,7 +112,11 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    fn enter(self: &sync::Arc<Self>, link: sync::Arc<link::Link>, bound: usize) -> Option<Place> {
+    pub(crate) fn enter(
+        self: &sync::Arc<Self>,
+        link: sync::Arc<link::Link>,
+        bound: usize,
+    ) -> Option<Place> {
         let mut open = self.open();
         if open.links.len() >= bound {
             return None;
@@ -102,15 +133,21 @@
 
 /// One connection's place under the bound, given back when dropped, also by a panic.
 #[derive(Debug)]
-struct Place {
+pub(crate) struct Place {
     shared: sync::Arc<Shared>,
-    id: u64,
+    pub(crate) id: u64,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         self.shared.open().links.remove(&self.id);
+        // An answer that is given after its connection has broken.
+        drop(self.shared.deferred.take(self.id));
         self.shared.ended.notify_all();
+        if self.shared.is_stopping() {
+            // The poller ends with the last connection.
+            self.shared.deferred.wake();
+        }
     }
 }
 
@@ -119,7 +156,6 @@
 pub struct Server {
     shared: sync::Arc<Shared>,
     local_addr: net::SocketAddr,
-    accepting: sync::Mutex<Option<thread::JoinHandle<()>>>,
 }
 
 impl Server {
@@ -132,25 +168,16 @@
         let local_addr = listener
             .local_addr()
             .map_err(|source| StartError::Address { source })?;
-        let shared = sync::Arc::new(Shared::default());
-        let overflow = overflow::start(sync::Arc::clone(&handler))
-            .map_err(|source| StartError::Thread { source })?;
-        let acceptor = Acceptor {
-            limits: limits.into(),
-            shared: sync::Arc::clone(&shared),
-            handler,
-            overflow,
-        };
-        let accepting = thread::Builder::new()
-            .name("http-accept".to_owned())
-            .spawn(move || acceptor.run(&listener))
+        let shared = Shared::new().map_err(|source| StartError::Poll { source })?;
+        let shared = sync::Arc::new(shared);
+        let poller = poller::Poller::new(limits, sync::Arc::clone(&shared), handler);
+        let poller = sync::Arc::new(poller.map_err(|source| StartError::Poll { source })?);
+        thread::Builder::new()
+            .name("http-poll".to_owned())
+            .spawn(move || poller.run(listener))
             .map_err(|source| StartError::Thread { source })?;
         log::info!(address:% = local_addr; "http: accepting");
-        Ok(Self {
-            shared,
-            local_addr,
-            accepting: sync::Mutex::new(Some(accepting)),
-        })
+        Ok(Self { shared, local_addr })
     }
 
     /// The address that callers reach.
@@ -175,21 +202,14 @@
     pub fn stop_accepting(&self) {
         self.drain();
         self.shared.stopping.store(true, atomic::Ordering::SeqCst);
-        let accepting = self
-            .accepting
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .take();
-        let Some(thread) = accepting else {
-            return;
-        };
-        // Where no connection can be made, the thread may wait for one for ever, and joining it would
-        // keep the process from ending.
-        if !self.wake() && !ends_soon(&thread) {
-            return log::warn!("http: accepting thread left to its next connection");
-        }
-        if thread.join().is_err() {
-            log::error!("http: accepting thread panicked");
+        self.shared.deferred.wake();
+        let (open, _) = self
+            .shared
+            .ended
+            .wait_timeout_while(self.shared.open(), STOP_LIMIT, |open| !open.is_closed)
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if !open.is_closed {
+            log::warn!("http: accepting goes on until its thread is scheduled");
         }
     }
 
@@ -202,23 +222,6 @@
         self.close_idle();
     }
 
-    /// The accepting thread blocks until a connection comes, so one is made.
-    fn wake(&self) -> bool {
-        let ip = match self.local_addr.ip() {
-            net::IpAddr::V4(ip) if ip.is_unspecified() => net::Ipv4Addr::LOCALHOST.into(),
-            net::IpAddr::V6(ip) if ip.is_unspecified() => net::Ipv6Addr::LOCALHOST.into(),
-            ip => ip,
-        };
-        let address = net::SocketAddr::new(ip, self.local_addr.port());
-        match net::TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
-            Ok(_) => true,
-            Err(e) => {
-                log::debug!(error:% = e; "http: accepting thread was not woken");
-                false
-            }
-        }
-    }
-
     /// Ends the connections that carry no request, now and from now on.
     pub fn close_idle(&self) {
         self.drain();
@@ -243,96 +246,3 @@
         open.links.len()
     }
 }
-
-/// What the accepting thread holds.
-struct Acceptor<H> {
-    limits: sync::Arc<limits::Limits>,
-    shared: sync::Arc<Shared>,
-    handler: sync::Arc<H>,
-    overflow: overflow::Sender,
-}
-
-impl<H: handler::Handler> Acceptor<H> {
-    fn run(&self, listener: &net::TcpListener) {
-        while !self.shared.is_stopping() {
-            match listener.accept() {
-                Ok((stream, peer)) => self.take(stream, peer),
-                Err(e) => pause(&e),
-            }
-        }
-        self.take_waiting(listener);
-    }
-
-    /// Serves the connections that the kernel completed before accepting stopped.
-    fn take_waiting(&self, listener: &net::TcpListener) {
-        if listener.set_nonblocking(true).is_err() {
-            return;
-        }
-        while let Ok((stream, peer)) = listener.accept() {
-            self.take(stream, peer);
-        }
-    }
-
-    fn take(&self, stream: net::TcpStream, peer: net::SocketAddr) {
-        let link = match link::Link::new(stream, self.limits.write_timeout) {
-            Ok(link) => sync::Arc::new(link),
-            Err(e) => return log::debug!(error:% = e; "http: connection broke at once"),
-        };
-        let place = self
-            .shared
-            .enter(sync::Arc::clone(&link), self.limits.connections);
-        match place {
-            Some(place) => self.spawn(link, peer, place),
-            None => self.refuse(link),
-        }
-    }
-
-    fn spawn(&self, link: sync::Arc<link::Link>, peer: net::SocketAddr, place: Place) {
-        let connection = connection::Connection {
-            link: sync::Arc::clone(&link),
-            input: link::Input::default(),
-            peer,
-            limits: sync::Arc::clone(&self.limits),
-            shared: sync::Arc::clone(&self.shared),
-            handler: sync::Arc::clone(&self.handler),
-        };
-        let started = thread::Builder::new()
-            .name("http-conn".to_owned())
-            .stack_size(self.limits.stack_bytes)
-            .spawn(move || {
-                connection.serve();
-                drop(place);
-            });
-        if let Err(e) = started {
-            log::error!(error:% = e; "http: no thread for a connection");
-            self.refuse(link);
-        }
-    }
-
-    fn refuse(&self, link: sync::Arc<link::Link>) {
-        let bound = self.limits.connections;
-        let refusal = refusal::Refusal::not_run(
-            verdict::Reason::TooManyOpen,
-            format!("this process keeps at most {bound} connections open"),
-        )
-        .retry_after(overflow::RETRY_AFTER);
-        self.overflow.refuse(link, refusal);
-    }
-}
-
-/// Waits for a thread that may be ending by itself, as it does after an accept that failed.
-fn ends_soon(thread: &thread::JoinHandle<()>) -> bool {
-    let until = time::Instant::now() + WAKE_TIMEOUT;
-    while !thread.is_finished() && time::Instant::now() < until {
-        thread::sleep(ACCEPT_PAUSE);
-    }
-    thread.is_finished()
-}
-
-fn pause(e: &io::Error) {
-    if e.kind() == io::ErrorKind::Interrupted {
-        return;
-    }
-    log::warn!(error:% = e; "http: accept failed");
-    thread::sleep(ACCEPT_PAUSE);
-}
--- /dev/null
+++ b/crates/sageshed-http/src/workers.rs
@@ -0,0 +1,142 @@
+//! The threads that serve requests: as many as there are requests at work, and a few idle ones.
+
+use std::{
+    collections, io,
+    sync::{self, Arc},
+    thread, time,
+};
+
+/// Idle threads that are kept for the next request.
+const KEPT: usize = 4;
+
+/// How long an idle thread is kept.
+const KEPT_FOR: time::Duration = time::Duration::from_secs(2);
+
+/// How long a job waits for a thread before one more is started for it, where that many are at work already.
+const STALLED_AFTER: time::Duration = time::Duration::from_millis(5);
+
+/// Work for one thread.
+pub(crate) trait Job: Send + 'static {
+    /// Does the work. It may block.
+    fn run(self);
+}
+
+/// A pool of threads that grows with the jobs at work.
+#[derive(Debug)]
+pub(crate) struct Workers<J> {
+    inner: sync::Mutex<Inner<J>>,
+    submitted: sync::Condvar,
+    /// Up to this many threads are started at once; further ones only for jobs that have stalled.
+    eager: usize,
+    stack_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Inner<J> {
+    jobs: collections::VecDeque<(J, time::Instant)>,
+    idle: usize,
+    threads: usize,
+}
+
+impl<J: Job> Workers<J> {
+    pub(crate) fn new(eager: usize, stack_bytes: usize) -> Self {
+        Self {
+            inner: sync::Mutex::new(Inner {
+                jobs: collections::VecDeque::new(),
+                idle: 0,
+                threads: 0,
+            }),
+            submitted: sync::Condvar::new(),
+            eager,
+            stack_bytes,
+        }
+    }
+
+    /// Has `job` run by an idle thread, a new one, or the next that is done.
+    pub(crate) fn submit(self: &Arc<Self>, job: J) {
+        let mut inner = self.lock();
+        inner.jobs.push_back((job, time::Instant::now()));
+        if inner.jobs.len() <= inner.idle {
+            drop(inner);
+            self.submitted.notify_one();
+        } else if inner.threads < self.eager {
+            self.start(&mut inner);
+        }
+    }
+
+    /// Starts threads for jobs that have stalled. Returns when to look again, if any job waits.
+    pub(crate) fn relieve(self: &Arc<Self>) -> Option<time::Duration> {
+        let mut inner = self.lock();
+        let (_, since) = inner.jobs.front()?;
+        let left = STALLED_AFTER.saturating_sub(since.elapsed());
+        if !left.is_zero() {
+            return Some(left);
+        }
+        for _ in inner.idle..inner.jobs.len() {
+            self.start(&mut inner);
+        }
+        Some(STALLED_AFTER)
+    }
+
+    fn start(self: &Arc<Self>, inner: &mut Inner<J>) {
+        match self.spawn() {
+            Ok(()) => inner.threads += 1,
+            Err(e) => {
+                log::error!(error:% = e, threads = inner.threads; "http: no thread for a request");
+            }
+        }
+    }
+
+    fn spawn(self: &Arc<Self>) -> io::Result<()> {
+        let workers = Arc::clone(self);
+        thread::Builder::new()
+            .name("http-worker".to_owned())
+            .stack_size(self.stack_bytes)
+            .spawn(move || {
+                let counted = Counted(workers);
+                while let Some(job) = counted.0.next() {
+                    job.run();
+                }
+            })
+            .map(drop)
+    }
+
+    /// The next job; none where the thread is not needed any more.
+    fn next(&self) -> Option<J> {
+        let mut inner = self.lock();
+        loop {
+            if let Some((job, _)) = inner.jobs.pop_front() {
+                return Some(job);
+            }
+            if inner.idle >= KEPT {
+                return None;
+            }
+            inner.idle += 1;
+            let (woken, waited) = self
+                .submitted
+                .wait_timeout(inner, KEPT_FOR)
+                .unwrap_or_else(sync::PoisonError::into_inner);
+            inner = woken;
+            inner.idle -= 1;
+            if waited.timed_out() && inner.jobs.is_empty() {
+                return None;
+            }
+        }
+    }
+
+    /// Nothing runs under the lock that could panic half way.
+    fn lock(&self) -> sync::MutexGuard<'_, Inner<J>> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// A thread of the pool, taken off the count when it ends, also by a panic.
+struct Counted<J: Job>(Arc<Workers<J>>);
+
+impl<J: Job> Drop for Counted<J> {
+    fn drop(&mut self) {
+        self.0.lock().threads -= 1;
+    }
+}
