Look up changes and addresses of endpoints by an index

Cause: each answer to each watcher walked and sorted all instances to find what is new (watchers x engines), and each announcement walked all to find who else is at its address (announcements x engines).

Now both are looked up: changes by their numbers, instances by their addresses. Instances are shared, so that a look at all of them copies none. The order and content of portions is as before; the tests of the directory are unchanged.

--- /dev/null
+++ b/crates/sageshed-fleet/src/directory/index.rs
@@ -0,0 +1,75 @@
+//! Instances by their changes and by their addresses.
+//!
+//! A control process looks up what is new for each of hundreds of watchers and who else is at an address for each
+//! announcement. Both cost what they find, whatever the number of instances.
+
+use std::{collections, net};
+
+use super::{InstanceId, Passing};
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Index {
+    changes: collections::BTreeMap<u64, InstanceId>,
+    news: collections::BTreeMap<u64, InstanceId>,
+    addresses: collections::HashMap<net::SocketAddrV4, Vec<InstanceId>>,
+}
+
+impl Index {
+    /// The change numbered `after` takes the place of the one numbered `before`, which may be zero for none.
+    pub(super) fn change(&mut self, id: &InstanceId, before: u64, after: u64) {
+        self.changes.remove(&before);
+        self.changes.insert(after, id.clone());
+    }
+
+    /// The same for one that is news.
+    pub(super) fn news(&mut self, id: &InstanceId, before: u64, after: u64) {
+        self.news.remove(&before);
+        self.news.insert(after, id.clone());
+    }
+
+    pub(super) fn arrive(&mut self, id: &InstanceId, address: net::SocketAddrV4) {
+        self.addresses.entry(address).or_default().push(id.clone());
+    }
+
+    pub(super) fn depart(&mut self, id: &InstanceId, address: net::SocketAddrV4) {
+        let Some(there) = self.addresses.get_mut(&address) else {
+            return;
+        };
+        there.retain(|it| it != id);
+        if there.is_empty() {
+            self.addresses.remove(&address);
+        }
+    }
+
+    /// Forgets an instance with these numbers of changes.
+    pub(super) fn forget(
+        &mut self,
+        id: &InstanceId,
+        address: net::SocketAddrV4,
+        changed: u64,
+        news: u64,
+    ) {
+        self.changes.remove(&changed);
+        self.news.remove(&news);
+        self.depart(id, address);
+    }
+
+    /// The instances at an address.
+    pub(super) fn at(&self, address: net::SocketAddrV4) -> &[InstanceId] {
+        self.addresses.get(&address).map_or(&[], Vec::as_slice)
+    }
+
+    /// The instances whose last change comes after the one numbered `from`, in the order of these.
+    pub(super) fn after(
+        &self,
+        from: u64,
+        passing: Passing,
+    ) -> impl Iterator<Item = (u64, &InstanceId)> {
+        let numbered = match passing {
+            Passing::All => &self.changes,
+            Passing::News => &self.news,
+        };
+        let after = numbered.range(from.saturating_add(1)..);
+        after.map(|(number, id)| (*number, id))
+    }
+}
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -9,10 +9,11 @@
 //! A directory counts its changes. A peer that says up to which change it knows this directory gets
 //! what came after ([`Directory::since`]).
 
+mod index;
 mod instance;
 mod succession;
 
-use std::{collections, net};
+use std::{collections, net, sync};
 
 use sageshed_types::time;
 
@@ -45,7 +46,7 @@
 
 #[derive(Debug, Clone)]
 struct Entry {
-    instance: Instance,
+    instance: sync::Arc<Instance>,
     amended: u64,
     rank: u32,
     heard: time::Instant,
@@ -69,6 +70,7 @@
     news: u64,
     digest: u64,
     entries: collections::BTreeMap<InstanceId, Entry>,
+    index: index::Index,
 }
 
 /// A change of a directory.
@@ -174,7 +176,9 @@
             let is_there = other.address == address && !other.has_ended();
             is_there && other.id.name != id.name && (is_first || is_silent)
         };
-        let rivals = self.entries.values().filter(is_rival);
+        let there = self.index.at(address).iter();
+        let there = there.filter_map(|it| self.entries.get(it));
+        let rivals = there.filter(is_rival);
         let rivals: Vec<InstanceId> = rivals.map(|it| it.instance.id.clone()).collect();
         for rival in rivals {
             self.gone(now, &rival);
@@ -227,21 +231,35 @@
             passed_on: now,
             leaves,
             contends_since: None,
-            instance: record.instance,
+            instance: sync::Arc::new(record.instance),
         };
         self.digest ^= entry.instance.digest();
-        if let Some(before) = self.entries.insert(id.clone(), entry) {
+        if let Some(before) = self.put(&id, entry) {
             self.digest ^= before.instance.digest();
         }
         self.note_news(now, &id);
         Offer::New
     }
 
+    /// Keeps an entry that has no number of a change yet.
+    fn put(&mut self, id: &InstanceId, entry: Entry) -> Option<Entry> {
+        let address = entry.instance.address;
+        let before = self.entries.insert(id.clone(), entry);
+        if let Some(it) = &before {
+            let address = it.instance.address;
+            self.index.forget(id, address, it.changed, it.news);
+        }
+        self.index.arrive(id, address);
+        before
+    }
+
     /// Passes an instance on as news.
     fn note_news(&mut self, now: time::Instant, id: &InstanceId) {
         self.change += 1;
         self.news = self.change;
         if let Some(entry) = self.entries.get_mut(id) {
+            self.index.change(id, entry.changed, self.change);
+            self.index.news(id, entry.news, self.change);
             entry.changed = self.change;
             entry.news = self.change;
             entry.passed_on = now;
@@ -284,13 +302,19 @@
         let is_due = now.since(entry.passed_on) >= REFRESH;
         entry.amended = entry.amended.max(record.amended);
         self.digest ^= entry.instance.digest() ^ record.instance.digest();
-        entry.instance = record.instance;
+        let (before, address) = (entry.instance.address, record.instance.address);
+        if before != address {
+            self.index.depart(&id, before);
+            self.index.arrive(&id, address);
+        }
+        entry.instance = sync::Arc::new(record.instance);
         if is_news {
             self.note_news(now, &id);
             return Offer::Changed;
         }
         if is_due {
             self.change += 1;
+            self.index.change(&id, entry.changed, self.change);
             entry.changed = self.change;
             entry.passed_on = now;
         }
@@ -312,7 +336,7 @@
             return false;
         }
         self.digest ^= entry.instance.digest();
-        amend(&mut entry.instance);
+        amend(sync::Arc::make_mut(&mut entry.instance));
         self.digest ^= entry.instance.digest();
         entry.amended += 1;
         self.note_news(now, id);
@@ -372,8 +396,14 @@
 
     /// Forgets the instances that are not there for long.
     pub fn forget_ended(&mut self, now: time::Instant) {
-        self.entries
-            .retain(|_, entry| entry.instance.is_present() || now.since(entry.heard) < GONE_KEPT);
+        let index = &mut self.index;
+        self.entries.retain(|id, entry| {
+            let is_kept = entry.instance.is_present() || now.since(entry.heard) < GONE_KEPT;
+            if !is_kept {
+                index.forget(id, entry.instance.address, entry.changed, entry.news);
+            }
+            is_kept
+        });
     }
 
     /// What changed after `mark`; everything where the mark is of another start.
@@ -392,12 +422,11 @@
         } else {
             0
         };
-        let numbered = self.entries.iter().map(|(id, entry)| match passing {
-            Passing::All => (entry.changed, id),
-            Passing::News => (entry.news, id),
-        });
-        let mut changes: Vec<_> = numbered.filter(|(number, _)| *number > from).collect();
-        changes.sort_unstable();
+        let mut changes: Vec<_> = self
+            .index
+            .after(from, passing)
+            .take(most.saturating_add(1))
+            .collect();
         let is_last = changes.len() <= most;
         changes.truncate(most);
         let last = changes.last().filter(|_| !is_last);
@@ -421,7 +450,7 @@
     pub fn record(&self, now: time::Instant, id: &InstanceId) -> Option<Record> {
         let entry = self.entries.get(id)?;
         Some(Record {
-            instance: entry.instance.clone(),
+            instance: Instance::clone(&entry.instance),
             amended: entry.amended,
             rank: entry.rank,
             age: now.since(entry.heard),
@@ -433,20 +462,28 @@
         self.entries
             .values()
             .filter(|entry| entry.instance.is_present())
-            .map(move |entry| (&entry.instance, now.since(entry.heard)))
+            .map(move |entry| (&*entry.instance, now.since(entry.heard)))
+    }
+
+    /// The instances that have not gone, to be looked at while the directory goes on to change.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<sync::Arc<Instance>> {
+        let instances = self.entries.values().map(|it| &it.instance);
+        let present = instances.filter(|it| it.is_present());
+        present.map(sync::Arc::clone).collect()
     }
 
     /// The start of the endpoint `name` that is there, if one is known.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Instance> {
         let entry = self.current(name)?;
-        entry.instance.is_present().then_some(&entry.instance)
+        entry.instance.is_present().then_some(&*entry.instance)
     }
 
     /// What is known of this start.
     #[must_use]
     pub fn start(&self, id: &InstanceId) -> Option<&Instance> {
-        self.entries.get(id).map(|it| &it.instance)
+        self.entries.get(id).map(|it| &*it.instance)
     }
 
     /// Whether this start said that it stops.
--- a/crates/sageshed-fleet/src/directory/succession.rs
+++ b/crates/sageshed-fleet/src/directory/succession.rs
@@ -18,6 +18,8 @@
 //! cut arrive in one burst, and the living start speaks between them. So a clock that was set back keeps a
 //! restarted endpoint out for some five seconds, and late words never end a start that lives for longer.
 
+use std::sync;
+
 use sageshed_types::time;
 
 use super::{
@@ -123,7 +125,7 @@
         if record.instance.state == State::Gone
             && let Some(entry) = self.entries.get_mut(&id)
         {
-            entry.instance.state = State::Gone;
+            sync::Arc::make_mut(&mut entry.instance).state = State::Gone;
         }
         Offer::Stale
     }
@@ -148,7 +150,7 @@
         let since = entry.contends_since.filter(is_after_rival).unwrap_or(now);
         entry.contends_since = Some(since);
         entry.heard = now;
-        entry.instance.sequence = record.instance.sequence;
+        sync::Arc::make_mut(&mut entry.instance).sequence = record.instance.sequence;
         let is_silent = rival.is_none_or(|heard| now.since(heard) >= RIVAL_SILENCE);
         is_silent && now.since(since) >= CONTENDING
     }
@@ -164,10 +166,10 @@
             return false;
         }
         let entry = Entry {
-            instance: Instance {
+            instance: sync::Arc::new(Instance {
                 state: State::Replaced,
                 ..record.instance.clone()
-            },
+            }),
             amended: record.amended,
             rank: record.rank,
             heard: now,
@@ -177,7 +179,7 @@
             leaves: record.instance.state == State::Leaving,
             contends_since: Some(now),
         };
-        self.entries.insert(id.clone(), entry);
+        self.put(id, entry);
         true
     }
 
