Answer watches in rounds, and bound control's connections by descriptors

Cause: a leader took 1,024 connections of other processes and 1,000 of endpoints, whatever the machine bears, with a thread each. 985 entry processes with three watches each filled that; its own peers and whoever wanted an adapter were refused. Each change woke every waiting thread.

Now a watch waits without a thread and is answered in rounds, 30 ms apart at least, by one thread that computes what the answers have in common once; a configuration and held requests begin a round at once. The bound on connections comes from `resources.descriptors` (half for each port).

--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -20,8 +20,10 @@
     pub const WATCH: &str = "/v1/fleet/watch";
     /// [`super::ConfigReq`] to [`super::ConfigResp`].
     pub const CONFIG: &str = "/v1/fleet/config";
-    /// [`super::WantReq`] to [`super::WantResp`].
+    /// [`super::WantReq`] to [`super::WantResp`], of an entry process. Any control process passes it on to the leader.
     pub const WANT: &str = "/v1/fleet/want";
+    /// The same, of a control process.
+    pub const WANT_OF_LEADER: &str = "/v1/fleet/want-of-leader";
 }
 
 /// Who watches.
--- a/crates/sageshed-vms/src/lib.rs
+++ b/crates/sageshed-vms/src/lib.rs
@@ -12,9 +12,9 @@
 //! of its own and drops the connection on which a call ran out of time, so that the next call makes
 //! a new one. No call is repeated here; the callers of this package know which may be.
 //!
-//! At the other end such a connection would hold its thread, whether it went silent between two calls
-//! or between the head of a call and its body. The server limits both times ([`limits_for`]), so that
-//! silent connections cannot use up the port.
+//! At the other end such a connection would hold its place, and a thread if it went silent between the head of a
+//! call and its body. The server limits both times ([`limits_for`]), so that silent connections cannot use up the
+//! port.
 //!
 //! # Who may call
 //!
@@ -28,7 +28,7 @@
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, encode};
 pub use sageshed_http::limits;
-pub use server::{Answer, Handler, Server, StartError, limits_for};
+pub use server::{Answer, Handler, Later, Server, StartError, limits_for};
 
 /// The header that carries the group's shared token.
 pub const TOKEN_HEADER: &str = "Sageshed-Group-Token";
--- a/crates/sageshed-vms/src/server.rs
+++ b/crates/sageshed-vms/src/server.rs
@@ -3,7 +3,7 @@
 use std::{net, sync, time};
 
 use derive_more::{Display, Error};
-use sageshed_http::{handler, limits, reply, request, server};
+use sageshed_http::{deferred, handler, limits, reply, request, server};
 use sageshed_types::refusal;
 use serde::Serialize;
 
@@ -50,11 +50,33 @@
     }
 }
 
-/// Takes calls. Runs on the thread of each connection; a call that waits holds one.
+/// The means to answer a call later, from any thread. Dropped without an answer, it ends the connection.
+#[derive(Debug)]
+pub struct Later(deferred::Deferred);
+
+impl Later {
+    /// Answers the call. Does not block.
+    pub fn answer(self, answer: Answer) {
+        self.0.answer(answer.into());
+    }
+}
+
+/// Takes calls. A call that blocks holds a thread.
 pub trait Handler: Send + Sync + 'static {
     /// Answers the message `body` that came to `path`.
     fn handle(&self, path: &str, body: &[u8]) -> Answer;
 
+    /// Whether calls of `path` go to [`Handler::handle_later`].
+    fn is_deferred(&self, path: &str) -> bool {
+        let _ = path;
+        false
+    }
+
+    /// Takes the message `body` that came to `path`, to be answered by `later`.
+    fn handle_later(&self, path: &str, body: &[u8], later: Later) {
+        later.answer(self.handle(path, body));
+    }
+
     /// Whether `path` is open to those who do not know the group's token, as endpoints.
     fn is_open(&self, path: &str) -> bool {
         let _ = path;
@@ -79,7 +101,7 @@
 }
 
 impl Server {
-    /// Listens on `address` with at most `connections` open at once, each with a thread.
+    /// Listens on `address` with at most `connections` open at once.
     ///
     /// A peer holds one connection for each of its calls under way, and keeps some of them for the
     /// next ones: give at least four for each process that calls.
@@ -166,12 +188,13 @@
     }
 
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
-        reply.made(&match self.handler.handle(&req.path, &req.body) {
-            Answer::Message(body) => whole(200, "application/msgpack", body),
-            Answer::Json { status, body } => whole(status, "application/json", body.into_bytes()),
-            Answer::NotFound => text(404, "no such path"),
-            Answer::Bad(e) => text(400, e.to_string()),
-        })
+        if self.handler.is_deferred(&req.path) {
+            let (sent, deferred) = reply.defer();
+            self.handler
+                .handle_later(&req.path, &req.body, Later(deferred));
+            return sent;
+        }
+        reply.made(&self.handler.handle(&req.path, &req.body).into())
     }
 
     /// Calls have no ids; the peer's own log names the call that got the refusal.
@@ -184,6 +207,17 @@
     }
 }
 
+impl From<Answer> for reply::Whole {
+    fn from(answer: Answer) -> Self {
+        match answer {
+            Answer::Message(body) => whole(200, "application/msgpack", body),
+            Answer::Json { status, body } => whole(status, "application/json", body.into_bytes()),
+            Answer::NotFound => text(404, "no such path"),
+            Answer::Bad(e) => text(400, e.to_string()),
+        }
+    }
+}
+
 fn text(status: u16, body: impl Into<String>) -> reply::Whole {
     whole(
         status,
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -3,32 +3,34 @@
 use std::{
     collections, net,
     sync::{self, mpsc},
-    thread, time as std_time,
+    time as std_time,
 };
 
 use sageshed_fleet::{directory, messages, quarantine, tally, versions};
 use sageshed_types::time;
 
-use super::planning;
+use super::{planning, watchers};
 use crate::{locks, records, sampler};
 
 /// How long an entry process counts as there after it was heard. It watches without a pause, and a
 /// watch lasts a second at the most.
 const ENTRY_KEPT: time::Millis = time::Millis(3_000);
 
-/// What is known, with a way to wait for a change of it.
+/// What is known, and who waits for a change of it. A watcher is answered by a `W`.
 #[derive(Debug)]
-pub struct Hub {
+pub struct Hub<W = sageshed_vms::Later> {
     /// Words of endpoints and of other processes that could not be read.
     pub misread: sampler::Sampler,
-    inner: sync::Mutex<Inner>,
-    changed: sync::Condvar,
+    inner: sync::Mutex<Inner<W>>,
+    /// A round of answers to watchers is due.
+    due: sync::Condvar,
     planning_tx: mpsc::SyncSender<planning::Input>,
     planning_rx: sync::Mutex<Option<mpsc::Receiver<planning::Input>>>,
 }
 
 #[derive(Debug)]
-struct Inner {
+struct Inner<W> {
+    watchers: watchers::Watchers<W>,
     directory: directory::Directory,
     /// Records of the directory as they travel.
     packed: collections::HashMap<directory::InstanceId, Packed>,
@@ -68,10 +70,6 @@
 /// An entry process whose configuration is older than the newest for this long is logged.
 const LAGGING: time::Millis = time::Millis(1_000);
 
-/// News within this time of a question goes into one answer. Demand that moves has adapters and weights
-/// loaded all over the fleet, and each answer costs some 500 bytes besides what is new.
-const BATCH: std_time::Duration = std_time::Duration::from_millis(30);
-
 /// Records in one answer to an entry process. The answers to all watchers that know nothing yet, after a start, have to
 /// fit into the memory of the smallest VMs at once, and each into the time that its watcher waits.
 const MOST_RECORDS: usize = 200;
@@ -98,7 +96,7 @@
 /// Inputs for planning that may wait. What entry processes report comes again.
 const PLANNING_QUEUE: usize = 4_096;
 
-impl Hub {
+impl<W> Hub<W> {
     /// Knows nothing. `start` tells this start of the process from others.
     #[must_use]
     pub fn new(start: u64) -> Self {
@@ -106,6 +104,7 @@
         Self {
             misread: sampler::Sampler::new(MISREAD_LOGGED),
             inner: sync::Mutex::new(Inner {
+                watchers: watchers::Watchers::default(),
                 directory: directory::Directory::new(start),
                 packed: collections::HashMap::new(),
                 versions: versions::Versions::default(),
@@ -116,7 +115,7 @@
                 quarantine: quarantine::Quarantine::new(start),
                 is_stopping: false,
             }),
-            changed: sync::Condvar::new(),
+            due: sync::Condvar::new(),
             planning_tx,
             planning_rx: sync::Mutex::new(Some(planning_rx)),
         }
@@ -178,7 +177,7 @@
             is_news
         });
         if is_news {
-            self.changed.notify_all();
+            self.announce_news(watchers::Urgency::Now);
         }
     }
 
@@ -197,7 +196,45 @@
     /// The process stops: nobody is kept waiting.
     pub fn stop(&self) {
         self.change(|inner| inner.is_stopping = true);
-        self.changed.notify_all();
+        self.announce_news(watchers::Urgency::Now);
+    }
+
+    fn announce_news(&self, urgency: watchers::Urgency) {
+        if self.change(|inner| inner.watchers.note_news(urgency)) {
+            self.due.notify_one();
+        }
+    }
+
+    /// Has `to` answered once something is newer than what `req` knows, or its patience is over.
+    pub fn watch(&self, req: messages::WatchReq, to: W) {
+        let is_due_sooner = self.change(|inner| {
+            let has_news = inner.is_newer(&req);
+            let was_noted = has_news && inner.watchers.note_news(watchers::Urgency::Collect);
+            inner.watchers.add(std_time::Instant::now(), req, to) || was_noted
+        });
+        if is_due_sooner {
+            self.due.notify_one();
+        }
+    }
+
+    /// Waits for the next round of answers, and takes the watchers that are to be answered in it.
+    #[must_use]
+    pub fn next_round(&self) -> Vec<watchers::Watcher<W>> {
+        let mut inner = locks::lock(&self.inner);
+        loop {
+            let now = std_time::Instant::now();
+            let due = inner.take_due(now);
+            if !due.is_empty() {
+                return due;
+            }
+            inner = if let Some(wait) = inner.watchers.next_round(now) {
+                let woken = self.due.wait_timeout(inner, wait);
+                woken.unwrap_or_else(sync::PoisonError::into_inner).0
+            } else {
+                let woken = self.due.wait(inner);
+                woken.unwrap_or_else(sync::PoisonError::into_inner)
+            };
+        }
     }
 
     /// Takes note of who watches.
@@ -240,25 +277,10 @@
         all.into_iter().copied().collect()
     }
 
-    /// Waits until something is newer than what `req` knows, for its patience at the most, and takes
-    /// out what is.
+    /// What is newer than what `req` knows.
     #[must_use]
     pub fn news(&self, now: time::Instant, req: &messages::WatchReq) -> News {
-        let patience: std_time::Duration = req.patience.into();
-        let started = std_time::Instant::now();
-        let (mut inner, waited) = self
-            .changed
-            .wait_timeout_while(locks::lock(&self.inner), patience, |inner| {
-                !inner.is_newer(req)
-            })
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        let rest = BATCH.saturating_sub(started.elapsed());
-        if !waited.timed_out() && !rest.is_zero() && !inner.has_config_for(req) {
-            drop(inner);
-            thread::sleep(rest.min(patience));
-            inner = locks::lock(&self.inner);
-        }
-        let now = now + started.elapsed().into();
+        let mut inner = locks::lock(&self.inner);
         let passing = match req.wants {
             messages::Wants::All => Some(directory::Passing::All),
             messages::Wants::News => Some(directory::Passing::News),
@@ -297,10 +319,8 @@
 
     /// The instances that are there, and their latest word.
     #[must_use]
-    pub fn present(&self, now: time::Instant) -> Vec<directory::Instance> {
-        let inner = locks::lock(&self.inner);
-        let present = inner.directory.present(now);
-        present.map(|(instance, _)| instance.clone()).collect()
+    pub fn present(&self) -> Vec<sync::Arc<directory::Instance>> {
+        locks::lock(&self.inner).directory.snapshot()
     }
 
     /// The instances that are there and followed another start of their endpoint lately.
@@ -335,7 +355,7 @@
             ::log::info!(content:% = content; "control: request is held no more, it was answered");
         }
         if taken.is_news {
-            self.changed.notify_all();
+            self.announce_news(watchers::Urgency::Now);
         }
     }
 
@@ -348,7 +368,7 @@
         });
         if is_news {
             ::log::info!(requests = held.len(); "control: requests are held by the log");
-            self.changed.notify_all();
+            self.announce_news(watchers::Urgency::Now);
         }
     }
 
@@ -371,9 +391,7 @@
 
     /// Changes the directory, and wakes those who watch it where there is news by that.
     ///
-    /// Signs of life are no news. With a wake for each, 195 entry processes that watched three control
-    /// processes each were answered 40 times a second, mostly with nothing to use: control took 74 KB a
-    /// second on the link of each VM.
+    /// Signs of life are no news: each would cost an answer to each watcher, mostly with nothing to use.
     fn change_directory<T>(&self, change: impl FnOnce(&mut directory::Directory) -> T) -> T {
         let (made, is_news) = self.change(|inner| {
             let before = inner.directory.mark();
@@ -381,17 +399,25 @@
             (made, inner.directory.has_news(before))
         });
         if is_news {
-            self.changed.notify_all();
+            self.announce_news(watchers::Urgency::Collect);
         }
         made
     }
 
-    fn change<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
+    fn change<T>(&self, change: impl FnOnce(&mut Inner<W>) -> T) -> T {
         change(&mut locks::lock(&self.inner))
     }
 }
 
-impl Inner {
+impl<W> Inner<W> {
+    /// Takes the watchers that are to be answered now.
+    fn take_due(&mut self, now: std_time::Instant) -> Vec<watchers::Watcher<W>> {
+        let mut watchers = std::mem::take(&mut self.watchers);
+        let due = watchers.take_due(now, |req| self.is_newer(req));
+        self.watchers = watchers;
+        due
+    }
+
     /// The records of a portion as they travel, as many as so many bytes hold, and one at least.
     fn pack(&mut self, now: time::Instant, portion: directory::Portion, most_bytes: usize) -> Told {
         let mut told = Told::nothing(portion.mark);
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod planning;
 pub mod port;
 pub mod watch;
+pub mod watchers;
 
 use std::{net, sync, thread};
 
@@ -18,12 +19,6 @@
 use super::{inputs, run::StartError, shared};
 use crate::{metrics_port, settings};
 
-/// Connections of endpoints and operators that are open at once, each with a thread.
-const CONNECTIONS: usize = 1_000;
-
-/// The stack of such a thread, in bytes.
-const STACK_BYTES: usize = 192 * 1024;
-
 /// The servers of the fleet's ports; they run for as long as this is kept.
 #[derive(Debug)]
 pub struct Ports {
@@ -31,12 +26,13 @@
     _metrics: Option<server::Server>,
 }
 
-/// Starts the ports and threads.
+/// Starts the ports, within `limits` each, and threads.
 pub(super) fn start<D: dialect::Dialect>(
     shared: &sync::Arc<shared::Shared>,
     inputs: &inputs::Inputs,
     client: &sageshed_vms::Client,
     settings: &settings::FleetControl,
+    limits: &limits::Limits,
     dialect: D,
 ) -> Result<Ports, StartError> {
     let port = port::Port {
@@ -45,7 +41,7 @@
         dialect,
         port: settings.fleet_listen.port(),
     };
-    let fleet = listen(settings.fleet_listen, sync::Arc::new(port))?;
+    let fleet = listen(settings.fleet_listen, limits, sync::Arc::new(port))?;
     let metrics = settings
         .metrics_listen
         .map(|address| {
@@ -55,6 +51,7 @@
             let account = |_: &str| None;
             listen(
                 address,
+                limits,
                 sync::Arc::new(metrics_port::Port { text, account }),
             )
         })
@@ -68,6 +65,10 @@
         };
         move || planning::run(&shared, dialect, policy)
     });
+    spawn("watchers", {
+        let shared = sync::Arc::clone(shared);
+        move || watch::answer_watchers(&shared)
+    });
     spawn("watch-peers", {
         let (shared, client) = (sync::Arc::clone(shared), client.clone());
         move || watch::watch_peers(&shared, &client)
@@ -80,18 +81,14 @@
 
 fn listen<H: sageshed_http::handler::Handler>(
     address: net::SocketAddr,
+    limits: &limits::Limits,
     handler: sync::Arc<H>,
 ) -> Result<server::Server, StartError> {
-    let limits = limits::Limits {
-        connections: CONNECTIONS,
-        stack_bytes: STACK_BYTES,
-        ..limits::Limits::default()
-    };
     let listener = net::TcpListener::bind(address).map_err(|source| StartError::Listen {
         address,
         source: source.to_string(),
     })?;
-    server::Server::start(listener, limits, handler).map_err(|source| StartError::Listen {
+    server::Server::start(listener, limits.clone(), handler).map_err(|source| StartError::Listen {
         address,
         source: source.to_string(),
     })
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -33,9 +33,8 @@
 /// of again.
 const LOST: std_time::Duration = std_time::Duration::from_secs(30);
 
-/// Answers one watch. Kept until there is something new.
-#[must_use]
-pub fn answer(shared: &shared::Shared, mut req: messages::WatchReq) -> messages::WatchResp {
+/// Takes a watch, which is answered by [`answer_watchers`] once there is something new.
+pub fn take(shared: &shared::Shared, mut req: messages::WatchReq, later: sageshed_vms::Later) {
     let now = shared.clock.now();
     shared.hub.heard(now, &req);
     take_demand(shared, &mut req);
@@ -45,25 +44,64 @@
         shared.hear_of([req.ip]);
     }
     req.patience = req.patience.min(PATIENCE);
-    let news = shared.hub.news(now, &req);
-    let config = newer_config(shared, &req);
-    // Only whoever takes endpoints takes the list of entry processes too.
-    let entries = (req.wants == messages::Wants::News).then(|| shared.hub.entries());
-    let entries_number = entries.as_deref().map_or(req.entries_known, number);
-    messages::WatchResp {
-        control: control_vms(shared),
-        leader: shared.leader().and_then(|it| it.parse().ok()),
-        entries_number,
-        entries: entries.filter(|_| entries_number != req.entries_known),
-        newest_config: news.config,
-        config,
-        mark: news.mark,
-        digest: news.digest,
-        digest_mark: Some(news.digest_mark),
-        records: news.records,
-        has_more: news.has_more,
-        crashes_mark: Some(news.crashes_mark),
-        crashes: news.crashes,
+    shared.hub.watch(req, later);
+}
+
+/// Answers watchers in rounds, for as long as the process runs.
+pub fn answer_watchers(shared: &shared::Shared) {
+    loop {
+        let due = shared.hub.next_round();
+        let common = Common::of(shared);
+        for watcher in due {
+            let resp = common.answer(shared, &watcher.req);
+            watcher.to.answer(sageshed_vms::Answer::message(&resp));
+        }
+    }
+}
+
+/// What the answers of one round have in common.
+struct Common {
+    control: Vec<messages::ControlVm>,
+    leader: Option<net::Ipv4Addr>,
+    entries: Vec<net::Ipv4Addr>,
+    entries_number: u64,
+}
+
+impl Common {
+    fn of(shared: &shared::Shared) -> Self {
+        let entries = shared.hub.entries();
+        Self {
+            control: control_vms(shared),
+            leader: shared.leader().and_then(|it| it.parse().ok()),
+            entries_number: number(&entries),
+            entries,
+        }
+    }
+
+    fn answer(&self, shared: &shared::Shared, req: &messages::WatchReq) -> messages::WatchResp {
+        let news = shared.hub.news(shared.clock.now(), req);
+        // Only whoever takes endpoints takes the list of entry processes too.
+        let takes_entries = req.wants == messages::Wants::News;
+        let entries_number = if takes_entries {
+            self.entries_number
+        } else {
+            req.entries_known
+        };
+        messages::WatchResp {
+            control: self.control.clone(),
+            leader: self.leader,
+            entries_number,
+            entries: (entries_number != req.entries_known).then(|| self.entries.clone()),
+            newest_config: news.config,
+            config: newer_config(shared, req),
+            mark: news.mark,
+            digest: news.digest,
+            digest_mark: Some(news.digest_mark),
+            records: news.records,
+            has_more: news.has_more,
+            crashes_mark: Some(news.crashes_mark),
+            crashes: news.crashes,
+        }
     }
 }
 
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -12,6 +12,7 @@
 use sageshed_fleet::dialect;
 use sageshed_quorum::{config, log, node};
 use sageshed_state::control;
+use sageshed_vms::limits;
 
 use super::{
     driver, fleet, formation, inputs, keeping, links, metrics, operators, placing, shared, vms,
@@ -37,6 +38,14 @@
     pub new_group: bool,
 }
 
+/// Descriptors of a fleet's control process that are not for connections to its ports: files, calls to other
+/// processes and to engines.
+const OTHER_DESCRIPTORS: usize = 400;
+
+/// Threads of a port of a fleet's control process that are started at once. Its calls are short, but for those
+/// that wait for a commit.
+const EAGER_THREADS: usize = 6;
+
 /// A control process that could not start, or had to stop.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -80,7 +89,8 @@
     options: Options,
 ) -> Result<(), StartError> {
     let found = open(&settings)?;
-    let process = Process::start(settings, options, found.node())?;
+    let limits = sageshed_vms::limits_for(vms::CONNECTIONS);
+    let process = Process::start(settings, options, limits, found.node())?;
     process.finish(cx, found)
 }
 
@@ -95,18 +105,35 @@
     let options = Options {
         new_group: settings.discovery.bootstrap,
     };
-    let process = Process::start(settings.control.clone(), options, found.node())?;
+    // Half of the descriptors for the system's other processes, half for endpoints and the operator.
+    let connections = settings
+        .resources
+        .descriptors
+        .saturating_sub(OTHER_DESCRIPTORS)
+        / 2;
+    let limits = limits::Limits {
+        eager_threads: EAGER_THREADS,
+        ..sageshed_vms::limits_for(connections)
+    };
+    let process = Process::start(settings.control.clone(), options, limits, found.node())?;
+    let limits = limits::Limits {
+        connections,
+        eager_threads: EAGER_THREADS,
+        ..limits::Limits::default()
+    };
     let ports = fleet::start(
         &process.shared,
         &process.inputs,
         &process.client,
         settings,
+        &limits,
         dialect,
     )?;
     let result = process.finish(cx, found);
     drop(ports);
     result
 }
+
 /// What was found in the data folder.
 enum Found {
     /// A generation, with what it holds.
@@ -184,6 +211,7 @@
     fn start(
         settings: settings::Control,
         options: Options,
+        limits: limits::Limits,
         node: log::NodeId,
     ) -> Result<Self, StartError> {
         let shared = sync::Arc::new(shared::Shared::new(settings, options.new_group, node));
@@ -193,15 +221,16 @@
         let port = vms::Port {
             shared: sync::Arc::clone(&shared),
             inputs: inputs.clone(),
+            client: client.clone(),
             placing: placing_tx.clone(),
             waiting: atomic::AtomicUsize::new(0),
         };
         let listen = shared.settings.listen;
         let token = &shared.settings.common.vms_token;
-        let vms = sageshed_vms::Server::start(
+        let vms = sageshed_vms::Server::start_within(
             &listen.vms.to_string(),
             token,
-            vms::THREADS,
+            limits,
             sync::Arc::new(port),
         )?;
         let desk = operators::Desk {
--- a/src/sageshed/control/vms.rs
+++ b/src/sageshed/control/vms.rs
@@ -16,16 +16,19 @@
 };
 use crate::{directory, locks};
 
-/// Connections of other processes that are open at once, each with a thread that takes its calls.
-pub const THREADS: usize = 1_024;
+/// Connections of other processes that are open at once where a list of VMs is kept.
+pub const CONNECTIONS: usize = 1_024;
 
 /// Calls that may wait for a commit at once.
 ///
-/// Each holds a connection and its thread until its command is committed, and a command is committed
+/// Each holds a connection and a thread until its command is committed, and a command is committed
 /// when the other members' acknowledgements come in, through the same port. Were all of them taken by
 /// calls that wait, a member that connects anew would be refused, and what waits would wait for it. So
 /// most stay free, and a call past the bound is told to come again.
-pub const WAITING: usize = THREADS / 4;
+pub const WAITING: usize = CONNECTIONS / 4;
+
+/// How long the leader may take to answer what is passed on to it.
+const PASS_ON_LIMIT: std::time::Duration = std::time::Duration::from_millis(100);
 
 /// Takes calls of other processes.
 #[derive(Debug)]
@@ -34,6 +37,8 @@
     pub shared: sync::Arc<shared::Shared>,
     /// To the driver.
     pub inputs: inputs::Inputs,
+    /// To other control processes.
+    pub client: sageshed_vms::Client,
     /// To the placing thread.
     pub placing: mpsc::Sender<placing::Input>,
     /// How many calls wait for a commit.
@@ -49,12 +54,23 @@
             paths::CLAIM => with(body, |claim| self.claim(claim)),
             paths::SETTLE => with(body, |settle| self.settle(settle)),
             paths::HELLO => with(body, |hello| self.hello(&hello)),
-            fleet::paths::WATCH => with(body, |req| watch::answer(&self.shared, req)),
             fleet::paths::CONFIG => with(body, |req| watch::chunk(&self.shared, &req)),
-            fleet::paths::WANT => with(body, |req| self.want(req)),
+            fleet::paths::WANT => with(body, |req| self.want(&req)),
+            fleet::paths::WANT_OF_LEADER => with(body, |req| self.plan_want(req)),
             _ => Answer::NotFound,
         }
     }
+
+    fn is_deferred(&self, path: &str) -> bool {
+        path == fleet::paths::WATCH && self.shared.settings.common.discovery.is_some()
+    }
+
+    fn handle_later(&self, _path: &str, body: &[u8], later: sageshed_vms::Later) {
+        match sageshed_vms::decode(body) {
+            Ok(req) => watch::take(&self.shared, req, later),
+            Err(e) => later.answer(Answer::Bad(e)),
+        }
+    }
 }
 
 fn with<M, A>(body: &[u8], handle: impl FnOnce(M) -> A) -> Answer
@@ -212,8 +228,34 @@
         }
     }
 
+    /// Takes the want of an adapter, or passes it on to the leader. Entry processes tell whichever control process is
+    /// near, so that the leader's connections do not grow with their number.
+    fn want(&self, want: &fleet::WantReq) -> fleet::WantResp {
+        let answer = self.plan_want(want.clone());
+        let fleet::WantResp::NotLeader {
+            leader: Some(leader),
+        } = answer
+        else {
+            return answer;
+        };
+        let Some(address) = self.shared.control_address(leader.into()) else {
+            return answer;
+        };
+        let passed_on = self.client.call(
+            &address.to_string(),
+            fleet::paths::WANT_OF_LEADER,
+            want,
+            PASS_ON_LIMIT,
+        );
+        passed_on.unwrap_or_else(|e| {
+            ::log::info!(leader:% = leader, adapter = want.adapter.as_str(), error:% = e;
+                "control: want of an adapter not passed on");
+            answer
+        })
+    }
+
     /// Hands the want of an adapter to the planner, if this process leads.
-    fn want(&self, want: fleet::WantReq) -> fleet::WantResp {
+    fn plan_want(&self, want: fleet::WantReq) -> fleet::WantResp {
         if !self.shared.leads() {
             let leader = self.shared.leader();
             let leader = leader.and_then(|it| it.parse().ok());
--- a/src/sageshed/settings/fleet.rs
+++ b/src/sageshed/settings/fleet.rs
@@ -74,6 +74,8 @@
     pub fleet_listen: net::SocketAddr,
     /// Shows its metrics.
     pub metrics_listen: Option<net::SocketAddr>,
+    /// What it may hold.
+    pub resources: Resources,
     /// How it orders.
     pub orders: Orders,
 }
@@ -249,6 +251,7 @@
     let listen = reader.required::<FleetControlListen>("listen");
     let log = reader.section::<Log>("log").value;
     let group = reader.section::<Group>("control").value;
+    let resources = reader.section::<Resources>("resources").value;
     let orders = reader.section::<Orders>("orders").value;
     problems.extend(reader.finish());
     vm?;
@@ -278,6 +281,7 @@
         discovery,
         fleet_listen: listen.fleet,
         metrics_listen: listen.metrics,
+        resources,
         orders,
     })
 }
--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -586,6 +586,7 @@
     let port = vms::Port {
         shared: sync::Arc::clone(&running.shared),
         inputs,
+        client: sageshed_vms::Client::new(""),
         placing: mpsc::channel().0,
         waiting: atomic::AtomicUsize::new(0),
     };
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -12,6 +12,8 @@
 /// How long anything that is waited for may take. A test that reaches it has failed.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
+type Hub = hub::Hub<()>;
+
 const NOW: types_time::Instant = types_time::Instant(5_000);
 
 fn crash(endpoint: u64) -> quarantine::Crash {
@@ -43,6 +45,20 @@
     }
 }
 
+/// What the watcher of `req` is told, once it is told anything.
+fn told(hub: &sync::Arc<Hub>, req: messages::WatchReq) -> mpsc::Receiver<hub::News> {
+    hub.watch(req, ());
+    let (tx, rx) = mpsc::channel();
+    let hub = sync::Arc::clone(hub);
+    thread::spawn(move || {
+        for watcher in hub.next_round() {
+            tx.send(hub.news(NOW, &watcher.req))
+                .expect("the test waits");
+        }
+    });
+    rx
+}
+
 /// Who watches, how many ends there are, and how many it is told of at once.
 struct Case {
     name: &'static str,
@@ -71,16 +87,13 @@
         },
     ];
     for case in &cases {
-        let hub = sync::Arc::new(hub::Hub::new(1));
+        let hub = sync::Arc::new(Hub::new(1));
         let known = hub.with_quarantine(|it| it.mark());
-        let (tx, rx) = mpsc::channel();
-        let watching = sync::Arc::clone(&hub);
-        let req = watch(case.watcher, known);
-        thread::spawn(move || tx.send(watching.news(NOW, &req).crashes));
+        let rx = told(&hub, watch(case.watcher, known));
         for endpoint in 1..=case.ends {
             hub.take_crashes(NOW, &[crash(endpoint)]);
         }
-        let told = rx.recv_timeout(PATIENCE).expect(case.name);
+        let told = rx.recv_timeout(PATIENCE).expect(case.name).crashes;
         assert_eq!(told.len(), case.told, "{}", case.name);
     }
 }
@@ -88,7 +101,7 @@
 /// An entry process has no use for a request under which two endpoints have ended: it goes on.
 #[test]
 fn an_entry_process_is_not_told_of_what_is_not_held() {
-    let hub = hub::Hub::new(1);
+    let hub = Hub::new(1);
     hub.take_crashes(NOW, &[crash(1), crash(2)]);
     let req = messages::WatchReq {
         patience: types_time::Millis(1),
@@ -106,27 +119,25 @@
 /// it does not know, it would ask without a pause.
 #[test]
 fn an_earlier_version_is_not_woken() {
-    let hub = hub::Hub::new(1);
+    let hub = sync::Arc::new(Hub::new(1));
     hub.take_crashes(NOW, &[crash(1), crash(2), crash(3)]);
-    let (tx, rx) = mpsc::channel();
-    let hub = sync::Arc::new(hub);
-    let watching = sync::Arc::clone(&hub);
     let req = messages::WatchReq {
         crashes_known: None,
         ..watch(messages::Watcher::Entry, quarantine::Mark::default())
     };
-    thread::spawn(move || tx.send(watching.news(NOW, &req).config));
+    let rx = told(&hub, req);
     // What wakes it is the configuration, which comes later.
     let quiet = rx.recv_timeout(time::Duration::from_millis(300));
-    assert_eq!(quiet, Err(mpsc::RecvTimeoutError::Timeout));
+    assert_eq!(quiet.err(), Some(mpsc::RecvTimeoutError::Timeout));
     hub.set_config(NOW, 7);
-    assert_eq!(rx.recv_timeout(PATIENCE), Ok(7));
+    let news = rx.recv_timeout(PATIENCE).expect("the configuration");
+    assert_eq!(news.config, 7);
 }
 
 /// Guards against a watch that is answered at once, on and on, while its watcher fetches a configuration.
 #[test]
 fn a_watcher_that_was_told_of_a_configuration_is_not_woken_by_it_again() {
-    let hub = sync::Arc::new(hub::Hub::new(1));
+    let hub = sync::Arc::new(Hub::new(1));
     hub.set_config(NOW, 7);
     let known = hub.with_quarantine(|it| it.mark());
     let req = messages::WatchReq {
@@ -134,19 +145,18 @@
         config_told: Some(7),
         ..watch(messages::Watcher::Entry, known)
     };
-    let (tx, rx) = mpsc::channel();
-    let watching = sync::Arc::clone(&hub);
-    thread::spawn(move || tx.send(watching.news(NOW, &req).config));
+    let rx = told(&hub, req);
     let quiet = rx.recv_timeout(time::Duration::from_millis(300));
-    assert_eq!(quiet, Err(mpsc::RecvTimeoutError::Timeout));
+    assert_eq!(quiet.err(), Some(mpsc::RecvTimeoutError::Timeout));
     hub.set_config(NOW, 9);
-    assert_eq!(rx.recv_timeout(PATIENCE), Ok(9));
+    let news = rx.recv_timeout(PATIENCE).expect("the configuration");
+    assert_eq!(news.config, 9);
 }
 
 /// Guards against entry processes that lack a configuration and that nobody knows of.
 #[test]
 fn entry_processes_that_are_behind_are_counted() {
-    let hub = hub::Hub::new(1);
+    let hub = Hub::new(1);
     hub.set_config(NOW, 7);
     let known = hub.with_quarantine(|it| it.mark());
     for (last, config) in [(1, 7), (2, 5), (3, 0)] {
@@ -195,7 +205,7 @@
 /// watcher is told all in answers that each stay small, and a change that comes in between is among them.
 #[test]
 fn a_large_directory_is_told_in_portions() {
-    let hub = hub::Hub::new(1);
+    let hub = Hub::new(1);
     for number in 0..MANY {
         hub.announce(NOW, endpoint(number));
     }
@@ -239,7 +249,7 @@
 /// models.
 #[test]
 fn engines_with_copies_of_many_models_are_told_in_small_answers() {
-    let hub = hub::Hub::new(1);
+    let hub = Hub::new(1);
     for number in 0..100 {
         let engine = directory::Instance {
             on_disk: (0..500).map(|it| format!("model-{it}")).collect(),
@@ -269,7 +279,7 @@
 /// processes were killed a fleet of 3,000 did not serve for 30 s.
 #[test]
 fn signs_of_life_of_a_large_fleet_come_in_one_answer() {
-    let hub = hub::Hub::new(1);
+    let hub = Hub::new(1);
     for number in 0..MANY {
         hub.announce(NOW, endpoint(number));
     }
