Send wants of adapters to the nearest control process

What callers saw: requests for adapters waited until their deadline, as the leader refused the connection.

Cause: each entry process opened a connection to the leader for each want, so what one caller's request needs hung on one process that all others call as well.

Now the control process that the entry process watches takes the want and passes it on over its own connection to the leader; the leader is asked itself only where that one is lost or knows none.

--- a/src/sageshed/gateway/fetch.rs
+++ b/src/sageshed/gateway/fetch.rs
@@ -66,6 +66,11 @@
     }
 
     /// Notes which control process is reached best.
+    /// The control process that was near last, if any was.
+    pub fn near(&self) -> Option<net::Ipv4Addr> {
+        locks::lock(&self.inner).near
+    }
+
     pub fn prefer(&self, near: net::Ipv4Addr) {
         locks::lock(&self.inner).near = Some(near);
     }
--- a/src/sageshed/gateway/pass/waiting.rs
+++ b/src/sageshed/gateway/pass/waiting.rs
@@ -3,7 +3,7 @@
 //! A request waits here only while what it waits for can come in its time; see
 //! [`Life`].
 
-use std::{sync::atomic, time as std_time};
+use std::{net, sync::atomic, time as std_time};
 
 use sageshed_fleet::{backlog, chooser, dialect, directory, messages};
 use sageshed_http::reply;
@@ -355,23 +355,30 @@
         if !self.shared.with_core(|core| core.says_want(now, &want)) {
             return;
         }
-        let Some(leader) = self.shared.leader() else {
-            return ::log::info!(request = self.id(), adapter; "gateway: adapter wanted, no leader known");
-        };
-        let port = self.shared.settings.discovery.vms_port;
-        let address = std::net::SocketAddrV4::new(leader, port).to_string();
-        let answer: Result<messages::WantResp, _> =
-            self.shared
-                .client
-                .call(&address, messages::paths::WANT, &want, LOOK * 3);
-        match answer {
-            Ok(messages::WantResp::Taken) => {
-                ::log::debug!(request = self.id(), adapter; "gateway: adapter wanted");
-            }
-            Ok(messages::WantResp::NotLeader { leader }) => self.shared.set_leader(leader),
-            Err(e) => {
-                ::log::info!(request = self.id(), adapter, error:% = e; "gateway: adapter wanted in vain");
+        // The near one passes it on; the leader is asked where that is lost or does not know who leads.
+        let near = self.shared.fetching.near();
+        let leader = self.shared.leader().filter(|it| Some(*it) != near);
+        for control in near.into_iter().chain(leader) {
+            match self.want_of(control, &want) {
+                Ok(messages::WantResp::Taken) => {
+                    return ::log::debug!(request = self.id(), adapter; "gateway: adapter wanted");
+                }
+                Ok(messages::WantResp::NotLeader { leader }) => self.shared.set_leader(leader),
+                Err(e) => {
+                    ::log::info!(request = self.id(), adapter, error:% = e; "gateway: adapter wanted in vain");
+                }
             }
         }
     }
+
+    fn want_of(
+        &self,
+        control: net::Ipv4Addr,
+        want: &messages::WantReq,
+    ) -> Result<messages::WantResp, sageshed_vms::CallError> {
+        let port = self.shared.settings.discovery.vms_port;
+        let address = net::SocketAddrV4::new(control, port).to_string();
+        let client = &self.shared.client;
+        client.call(&address, messages::paths::WANT, want, LOOK * 3)
+    }
 }
