Ask for reports where an order is due first, and never before an order

What callers saw: after a start or a change of leader, adapters and weights came seconds late.

Cause: a new leader queued a question for each of 3,858 engines, and orders stood behind them in one queue; six threads ask some 200 a second. Engines that gave no report were asked again every second, and each held a thread for half a second.

Now orders have threads and a queue of their own; 24 questions are under way at the most, those first whose engine has an order open or holds a model that a request waits for; an engine that stays silent is asked ever more rarely. Planning rests four times as long as a look took, so that it takes a fifth of a processor at the most.

Tests: with 2,000 engines the one that is waited for is asked first, red before; a silent engine is asked some six times in 30 s.

--- a/crates/sageshed-fleet/src/planner/engine.rs
+++ b/crates/sageshed-fleet/src/planner/engine.rs
@@ -18,6 +18,12 @@
 /// Between two questions for a report.
 const REPORT_INTERVAL: time::Millis = time::Millis(1_000);
 
+/// How long a question for a report may be under way.
+const QUESTION_LIMIT: time::Millis = time::Millis(5_000);
+
+/// Between two questions of an engine that gave no report, at the most.
+const SILENT_INTERVAL: time::Millis = time::Millis(8_000);
+
 /// Between two questions for a report while a model is dropped: nothing else tells when its memory is
 /// free, and the load that waits for it is urgent.
 const UNLOAD_INTERVAL: time::Millis = time::Millis(400);
@@ -98,6 +104,10 @@
     /// The models in its latest report.
     reported: Vec<String>,
     asked_at: Option<time::Instant>,
+    /// Whether a question is under way.
+    is_asked: bool,
+    /// Questions in a row that brought no report.
+    unanswered: u32,
     /// It refused, or could not be reached: no order before.
     rest_until: time::Instant,
     /// Until then it may carry out what the start before it was ordered.
@@ -181,6 +191,7 @@
         } else {
             REPORT_INTERVAL
         };
+        let interval = time::Millis(interval.0 << self.unanswered.min(4)).min(SILENT_INTERVAL);
         let lately = self.asked_at.is_some_and(|at| now.since(at) < interval);
         let overdue = |it: &Open| match (it.fate, &it.task) {
             (Fate::Accepted(by), dialect::Task::Load(_)) => now >= by + LOAD_PATIENCE,
@@ -202,12 +213,29 @@
 
     pub(super) fn asked(&mut self, now: time::Instant) {
         self.asked_at = Some(now);
+        self.is_asked = true;
+    }
+
+    /// Whether a question for its report is under way.
+    pub(super) fn is_asked(&self, now: time::Instant) -> bool {
+        let lately = self
+            .asked_at
+            .is_some_and(|at| now.since(at) < QUESTION_LIMIT);
+        self.is_asked && lately
+    }
+
+    /// Whether it has orders whose outcome is not known.
+    pub(super) fn is_at_work(&self) -> bool {
+        !self.open.is_empty()
     }
 
     pub(super) fn reported(&mut self, now: time::Instant, report: Option<dialect::Report>) {
+        self.is_asked = false;
         let Some(report) = report else {
+            self.unanswered += 1;
             return;
         };
+        self.unanswered = 0;
         self.reported = report.models.iter().map(|it| it.model.clone()).collect();
         // What it is doing was ordered by an earlier leader, and shows only once it is done.
         let is_foreign = report.is_busy && !self.open.iter().any(|it| it.task.is_weights());
--- a/crates/sageshed-fleet/src/planner/mod.rs
+++ b/crates/sageshed-fleet/src/planner/mod.rs
@@ -57,6 +57,9 @@
     pub anticipated: f64,
     /// Loads from the store under way at once, beyond which each takes longer.
     pub loads_at_once: usize,
+    /// Engines that are asked for their reports at once. A new leader knows no engine's count of orders, and
+    /// asks first where an order is due.
+    pub questions_at_once: usize,
 }
 
 impl Default for Policy {
@@ -68,6 +71,7 @@
             low: 0.65,
             anticipated: 0.7,
             loads_at_once: 6,
+            questions_at_once: 24,
         }
     }
 }
@@ -378,19 +382,46 @@
         actions
     }
 
+    /// Asks engines whose count of orders is not known, those first from which something is waited for.
     fn ask_reports(&mut self, now: time::Instant, pool: &Pool<'_>) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let under_way = self.engines.values().filter(|it| it.is_asked(now));
+        let room = self
+            .policy
+            .questions_at_once
+            .saturating_sub(under_way.count());
+        let wanted = self.wants.iter().map(|it| &it.req);
+        let wanted: collections::BTreeSet<&str> = wanted
+            .filter(|it| it.service == pool.service)
+            .map(|it| it.model.as_str())
+            .collect();
+        let is_urgent = |instance: &directory::Instance, engine: &engine::Engine| {
+            let mut models = instance.models.iter();
+            engine.is_at_work() || models.any(|it| wanted.contains(it.model.as_str()))
+        };
+        let mut urgent = Vec::new();
+        let mut others = Vec::new();
         for instance in &pool.instances {
-            let Some(engine) = self.engines.get_mut(&instance.id) else {
+            let Some(engine) = self.engines.get(&instance.id) else {
                 continue;
             };
-            if engine.needs_report(now) {
+            if !engine.needs_report(now) {
+                continue;
+            }
+            if is_urgent(instance, engine) {
+                urgent.push(*instance);
+            } else if others.len() < room {
+                others.push(*instance);
+            }
+        }
+        let mut actions = Vec::new();
+        for instance in urgent.into_iter().chain(others).take(room) {
+            if let Some(engine) = self.engines.get_mut(&instance.id) {
                 engine.asked(now);
-                actions.push(Action::AskReport {
-                    instance: instance.id.clone(),
-                    address: instance.address,
-                });
             }
+            actions.push(Action::AskReport {
+                instance: instance.id.clone(),
+                address: instance.address,
+            });
         }
         actions
     }
--- a/crates/sageshed-fleet/tests/planner.rs
+++ b/crates/sageshed-fleet/tests/planner.rs
@@ -643,3 +643,77 @@
     let first = world.orders.get(before).map(|(at, _)| *at);
     assert!(first.is_some_and(|at| at >= rests_until), "{first:?}");
 }
+
+/// Guards against a leader that asks thousands of engines for their reports before it gives the one order that a
+/// request waits for: at some two hundred questions a second that took longer than the request had.
+#[test]
+fn a_new_leader_asks_first_where_a_request_waits() {
+    let mut planner = Planner::new(Policy::default(), "10.0.0.1");
+    let now = time::Instant(100_000);
+    planner.leads(now, 4);
+    let names: Vec<String> = (0..2_000).map(|it| format!("e{it:04}")).collect();
+    let engines: Vec<_> = names
+        .iter()
+        .map(|it| {
+            let model = if it == "e1999" { "m3" } else { "m0" };
+            support::engine(it, &[model])
+        })
+        .collect();
+    let engines: Vec<_> = engines.iter().collect();
+    let config = support::config();
+    let now = now + time::Millis(10_000);
+    planner.want(
+        now,
+        messages::WantReq {
+            service: support::ENGINES.to_owned(),
+            model: "m3".to_owned(),
+            adapter: "a1".to_owned(),
+            engine: None,
+        },
+    );
+    let asked = asked_by(&planner.tick(now, &config, &engines));
+    assert_eq!(asked.first().map(String::as_str), Some("e1999"));
+    assert_eq!(asked.len(), Policy::default().questions_at_once);
+
+    // Nobody else is asked until answers come.
+    assert!(asked_by(&planner.tick(now + STEP, &config, &engines)).is_empty());
+    let report = Report {
+        models: vec![support::resident("m3", &[])],
+        ..Report::default()
+    };
+    planner.reported(now + STEP, &"e1999".into(), Some(report));
+    let actions = planner.tick(now + STEP, &config, &engines);
+    let loads_adapter = |it: &Action| matches!(it, Action::Order(order) if matches!(&order.task, Task::LoadAdapter(..)));
+    assert!(actions.iter().any(loads_adapter), "{actions:?}");
+    assert_eq!(asked_by(&actions).len(), 1);
+}
+
+/// Guards against engines that give no report and take up the questions of all others.
+#[test]
+fn an_engine_that_gives_no_report_is_asked_ever_more_rarely() {
+    let mut planner = Planner::new(Policy::default(), "10.0.0.1");
+    let mut now = time::Instant(100_000);
+    planner.leads(now, 4);
+    let engine = support::engine("e1", &["m0"]);
+    let config = support::config();
+    now = now + Policy::default().lease;
+    let mut asked = 0;
+    for _ in 0..600 {
+        now = now + STEP;
+        for action in planner.tick(now, &config, &[&engine]) {
+            if let Action::AskReport { instance, .. } = action {
+                asked += 1;
+                planner.reported(now, &instance, None);
+            }
+        }
+    }
+    assert!((4..=8).contains(&asked), "{asked} questions in 30 s");
+}
+
+fn asked_by(actions: &[Action]) -> Vec<String> {
+    let asked = actions.iter().filter_map(|it| match it {
+        Action::AskReport { instance, .. } => Some(instance.name.clone()),
+        _ => None,
+    });
+    asked.collect()
+}
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -1,6 +1,7 @@
 //! The thread that plans placement while this process leads, and those that carry its orders out.
 
 use std::{
+    net,
     sync::{self, mpsc},
     thread, time as std_time,
 };
@@ -19,8 +20,15 @@
 /// Inputs taken in before one look.
 const BATCH: usize = 256;
 
-/// Threads that carry out calls to engines.
-const CALLERS: usize = 6;
+/// Threads that give orders to engines.
+const ORDER_THREADS: usize = 6;
+
+/// Threads that ask engines for their reports. An order never waits behind a question.
+const REPORT_THREADS: usize = 6;
+
+/// The part of the time that looks may take: after each, others follow only once so many times its own length
+/// has passed. A look walks all engines.
+const REST_AFTER_LOOK: u32 = 4;
 
 /// How long an engine may take to answer an order or a question.
 const CALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(500);
@@ -43,6 +51,13 @@
     Said(directory::InstanceId, dialect::Notice),
 }
 
+/// A question for the report of an engine.
+#[derive(Debug)]
+struct Question {
+    instance: directory::InstanceId,
+    address: net::SocketAddrV4,
+}
+
 /// What the planning thread owns.
 struct Planning<D> {
     shared: sync::Arc<shared::Shared>,
@@ -50,7 +65,8 @@
     planner: planner::Planner,
     config: Option<config::FleetConfig>,
     term: u64,
-    calls: mpsc::Sender<planner::Action>,
+    orders: mpsc::Sender<dialect::Order>,
+    questions: mpsc::Sender<Question>,
     told: std_time::Instant,
 }
 
@@ -63,14 +79,25 @@
     let Some(inputs) = shared.hub.take_planning() else {
         return ::log::error!("control: planning was started twice");
     };
-    let calls = start_callers(shared, dialect);
+    let pool = pool::Pool::new(pool::Settings::default());
+    let orders = start_callers(shared, "orders", ORDER_THREADS, {
+        let pool = pool.clone();
+        move |shared, order| give(shared, dialect, &pool, order)
+    });
+    let questions = start_callers(
+        shared,
+        "reports",
+        REPORT_THREADS,
+        move |shared, question| ask(shared, dialect, &pool, question),
+    );
     let mut planning = Planning {
         planner: planner::Planner::new(policy, &shared.process.vm),
         shared: sync::Arc::clone(shared),
         dialect,
         config: None,
         term: 0,
-        calls,
+        orders,
+        questions,
         told: std_time::Instant::now(),
     };
     while !shared.is_stopping() {
@@ -78,7 +105,9 @@
         let more = inputs.try_iter().take(BATCH);
         let batch: Vec<_> = first.into_iter().chain(more).collect();
         planning.take(batch);
+        let begun = std_time::Instant::now();
         planning.look();
+        thread::sleep((begun.elapsed() * REST_AFTER_LOOK).min(TICK));
     }
 }
 
@@ -120,8 +149,8 @@
         let Some(config) = &self.config else {
             return;
         };
-        let present = self.shared.hub.present(now);
-        let present: Vec<&directory::Instance> = present.iter().collect();
+        let present = self.shared.hub.present();
+        let present: Vec<&directory::Instance> = present.iter().map(|it| &**it).collect();
         self.planner.know_restarted(self.shared.hub.restarted());
         let actions = self.planner.tick(now, config, &present);
         if self.told.elapsed() >= SUMMARY {
@@ -172,11 +201,16 @@
                 planner::Action::Amend { instance, task } => {
                     self.shared.hub.amend(now, &instance, |it| apply(it, &task));
                 }
-                action => {
-                    if self.calls.send(action).is_err() {
+                planner::Action::Order(order) => {
+                    if self.orders.send(order).is_err() {
                         ::log::error!("control: no thread carries out orders");
                     }
                 }
+                planner::Action::AskReport { instance, address } => {
+                    if self.questions.send(Question { instance, address }).is_err() {
+                        ::log::error!("control: no thread asks for reports");
+                    }
+                }
             }
         }
     }
@@ -216,77 +250,77 @@
     }
 }
 
-fn start_callers<D: dialect::Dialect>(
+/// Starts threads that carry out calls to engines, each by `call`, and hand what came of them to the planner.
+fn start_callers<T: Send + 'static>(
     shared: &sync::Arc<shared::Shared>,
-    dialect: D,
-) -> mpsc::Sender<planner::Action> {
+    name: &str,
+    threads: usize,
+    call: impl Fn(&shared::Shared, T) -> Input + Clone + Send + 'static,
+) -> mpsc::Sender<T> {
     let (tx, rx) = mpsc::channel();
     let rx = sync::Arc::new(sync::Mutex::new(rx));
-    let pool = pool::Pool::new(pool::Settings::default());
-    for _ in 0..CALLERS {
-        let (shared, rx, pool) = (
-            sync::Arc::clone(shared),
-            sync::Arc::clone(&rx),
-            pool.clone(),
-        );
-        let spawned = thread::Builder::new()
-            .name("orders".to_owned())
-            .spawn(move || {
-                loop {
-                    let action = locks::lock(&rx).recv();
-                    let Ok(action) = action else {
-                        return;
-                    };
-                    shared.hub.plan(call(&shared, dialect, &pool, action));
-                }
-            });
+    for _ in 0..threads {
+        let (shared, rx) = (sync::Arc::clone(shared), sync::Arc::clone(&rx));
+        let call = call.clone();
+        let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || {
+            loop {
+                let wanted = locks::lock(&rx).recv();
+                let Ok(wanted) = wanted else {
+                    return;
+                };
+                shared.hub.plan(call(&shared, wanted));
+            }
+        });
         if let Err(e) = spawned {
-            ::log::error!(error:% = e; "control: no thread for orders");
+            ::log::error!(error:% = e, name; "control: no thread for calls to engines");
         }
     }
     tx
 }
 
-/// Carries out one call to an engine.
-fn call<D: dialect::Dialect>(
+/// Gives an order to an engine.
+fn give<D: dialect::Dialect>(
     shared: &shared::Shared,
     dialect: D,
     pool: &pool::Pool,
-    action: planner::Action,
+    order: dialect::Order,
 ) -> Input {
-    match action {
-        planner::Action::Order(order) => {
-            // The process may have been frozen since the order was decided.
-            let answer = if shared.leads() {
-                match exchange_with(pool, order.address, &dialect.order(&order)) {
-                    Ok((head, _)) => {
-                        heed(shared, dialect, &order.instance, &head);
-                        Some(dialect.order_answer(head.status))
-                    }
-                    Err(e) if !e.is_sent => Some(dialect::OrderAnswer::Refused(0)),
-                    Err(_) => None,
-                }
-            } else {
-                Some(dialect::OrderAnswer::Refused(0))
-            };
-            Input::Answered(Box::new(order), answer)
+    // The process may have been frozen since the order was decided.
+    let answer = if shared.leads() {
+        match exchange_with(pool, order.address, &dialect.order(&order)) {
+            Ok((head, _)) => {
+                heed(shared, dialect, &order.instance, &head);
+                Some(dialect.order_answer(head.status))
+            }
+            Err(e) if !e.is_sent => Some(dialect::OrderAnswer::Refused(0)),
+            Err(_) => None,
         }
-        planner::Action::AskReport { instance, address } => {
-            let answer = exchange_with(pool, address, &dialect.ask_report(&instance));
-            let report = match answer {
-                Ok((head, body)) => {
-                    heed(shared, dialect, &instance, &head);
-                    read_report(dialect, &instance, head.status, &body)
-                }
-                Err(e) => {
-                    ::log::info!(endpoint:% = instance, error:% = e; "control: no report");
-                    None
-                }
-            };
-            Input::Reported(instance, report)
+    } else {
+        Some(dialect::OrderAnswer::Refused(0))
+    };
+    Input::Answered(Box::new(order), answer)
+}
+
+/// Asks an engine for its report.
+fn ask<D: dialect::Dialect>(
+    shared: &shared::Shared,
+    dialect: D,
+    pool: &pool::Pool,
+    question: Question,
+) -> Input {
+    let Question { instance, address } = question;
+    let answer = exchange_with(pool, address, &dialect.ask_report(&instance));
+    let report = match answer {
+        Ok((head, body)) => {
+            heed(shared, dialect, &instance, &head);
+            read_report(dialect, &instance, head.status, &body)
         }
-        planner::Action::Amend { instance, .. } => Input::Reported(instance, None),
-    }
+        Err(e) => {
+            ::log::info!(endpoint:% = instance, error:% = e; "control: no report");
+            None
+        }
+    };
+    Input::Reported(instance, report)
 }
 
 fn read_report<D: dialect::Dialect>(
@@ -330,7 +364,7 @@
 
 fn exchange_with(
     pool: &pool::Pool,
-    address: std::net::SocketAddrV4,
+    address: net::SocketAddrV4,
     call: &dialect::OutCall,
 ) -> Result<(exchange::Head, Vec<u8>), failure::Failure> {
     let host = address.to_string();
