Bound the lines on endpoints in the log of an entry process

What an operator saw: each entry process logged each change of each engine, 4,100 lines in the 24 s before traffic, some 4 million over 985 processes.

Cause: lines grew with endpoints x entry processes. The control process that takes a word logs it once; entry processes now log what leaves or ends, ten lines a second at the most, with how many were left out, and the rest at debug.

--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -39,6 +39,8 @@
     pub sampler: sampler::Sampler,
     /// Words of other processes that could not be read.
     pub misread: sampler::Sampler,
+    /// Changes of endpoints that are logged.
+    endpoint_lines: sampler::Sampler,
     pub(super) routing: sync::RwLock<Option<sync::Arc<routing::Routing>>>,
     /// The newest configuration as its operator sent it, of which control tells changes.
     pub(super) document: sync::Mutex<document::Document>,
@@ -99,6 +101,9 @@
 /// Lines a second on words of other processes that could not be read.
 const MISREAD_LOGGED: u64 = 5;
 
+/// Lines a second on endpoints that leave or end. A release of thousands would cost each entry process as many lines.
+const ENDPOINTS_LOGGED: u64 = 10;
+
 /// The longest that a waiting request goes without a look at whether its caller is still there.
 pub const LOOK: std_time::Duration = std_time::Duration::from_millis(100);
 
@@ -154,6 +159,7 @@
             accounts: sync::Mutex::new(accounts::Accounts::new(ACCOUNTS)),
             sampler: sampler::Sampler::new(SUCCESSES_LOGGED),
             misread: sampler::Sampler::new(MISREAD_LOGGED),
+            endpoint_lines: sampler::Sampler::new(ENDPOINTS_LOGGED),
             routing: sync::RwLock::new(None),
             document: sync::Mutex::default(),
             fetching: fetch::Fetching::default(),
@@ -302,19 +308,39 @@
                     return false;
                 };
                 core.chooser.know(&instance);
-                let state = instance.state;
                 // Connections that were kept are to a start that has ended: where its VM lost power, what is
                 // sent on them is lost without a word.
                 if instance.has_ended() || offer == directory::Offer::New {
                     self.pool.forget(instance.address);
                 }
-                ::log::info!(endpoint:% = instance.id, offer:? = offer, state:? = state,
-                    sequence = instance.sequence, age_ms = age.0; "gateway: endpoint changed");
+                self.log_change(now, &instance, offer, age);
                 true
             }
         }
     }
 
+    /// Control processes log each change of an endpoint; what ends or leaves explains refusals here as well.
+    fn log_change(
+        &self,
+        now: time::Instant,
+        instance: &directory::Instance,
+        offer: directory::Offer,
+        age: time::Millis,
+    ) {
+        let state = instance.state;
+        if state == directory::State::Ready {
+            return ::log::debug!(endpoint:% = instance.id, offer:? = offer, sequence = instance.sequence,
+                age_ms = age.0; "gateway: endpoint changed");
+        }
+        let left_out = match self.endpoint_lines.line(now) {
+            sampler::Line::Write => 0,
+            sampler::Line::WriteAfter(left_out) => left_out,
+            sampler::Line::LeaveOut => return,
+        };
+        ::log::info!(endpoint:% = instance.id, offer:? = offer, state:? = state,
+            sequence = instance.sequence, age_ms = age.0, left_out; "gateway: endpoint changed");
+    }
+
     /// Waits until something changed since `seen`, for `limit` at the most. Returns the count of
     /// changes to wait from next.
     #[must_use]
