Leave a silent stream only for an engine that could go on with it

Cause: a resumable stream was left after a second of silence with a repeat in hand, whether or not it could go on anywhere. Ruled out: that the engine broke it off (its run ended a second after each began, as this process closed it).

Now it is left only where another endpoint could begin with it now. Test red before: the only other engine leaves, and a stream that pauses comes whole.

--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -210,6 +210,27 @@
         Choice::Wait(self.missing_or_closed(now, ask, missing))
     }
 
+    /// Whether an endpoint could begin with the request now, as far as is known here.
+    #[must_use]
+    pub fn has_free(&self, now: time::Instant, ask: &Ask<'_>) -> bool {
+        let Ok(open) = self.open(now, ask) else {
+            return false;
+        };
+        let bound_ms = self.bounds.bound_ms(ask.service);
+        open.into_iter().any(|key| {
+            let Some(endpoint) = self.get(key) else {
+                return false;
+            };
+            match ask.wanted {
+                Some(wanted) => {
+                    let reading = self.reading_ms(endpoint, ask);
+                    endpoint.holds(now, wanted) && !endpoint.would_pause(now, reading, bound_ms)
+                }
+                None => endpoint.has_place(),
+            }
+        })
+    }
+
     /// Chooses among endpoints that take work now.
     fn choose_open(
         &mut self,
--- a/src/sageshed/gateway/pass/stream.rs
+++ b/src/sageshed/gateway/pass/stream.rs
@@ -25,7 +25,7 @@
         load: Option<dialect::Load>,
     ) -> Sending<'c> {
         let can_resume = !outlet.is_begun() || outlet.last_id().is_some();
-        let mut piece = match self.next_piece(&mut exchange, stop, can_resume) {
+        let mut piece = match self.next_piece(pick, &mut exchange, stop, can_resume) {
             Ok(piece) => piece,
             Err(failure) => return self.failed_after_run(pick, outlet, false, &failure),
         };
@@ -63,7 +63,7 @@
                 }
             }
             let can_resume = events.last_id.is_some();
-            piece = match self.next_piece(&mut exchange, stop, can_resume) {
+            piece = match self.next_piece(pick, &mut exchange, stop, can_resume) {
                 Ok(piece) => piece,
                 Err(failure) => {
                     events.drop_rest();
@@ -78,11 +78,12 @@
 
     /// The next piece of a stream, which `can_resume` elsewhere.
     ///
-    /// A stream that is silent for long is left only with a repeat in hand. Most often its engine has much
-    /// to read and the stream goes on by itself; left without a repeat it goes on nowhere, and its caller
-    /// loses an answer of which the rest was to come.
+    /// A stream that is silent for long is left only for an engine that could go on with it, and with a repeat in
+    /// hand. Most often its engine has much to read and the stream goes on by itself; left without either it goes on
+    /// nowhere, and its caller loses an answer of which the rest was to come.
     fn next_piece<S: Fn() -> bool>(
         &mut self,
+        pick: &chooser::Pick,
         exchange: &mut exchange::Exchange,
         stop: &S,
         can_resume: bool,
@@ -98,12 +99,33 @@
             let read = exchange.read(&exchange::Patience { until, stop });
             let is_silent = matches!(&read, Err(e) if e.cause == failure::Cause::Silent);
             let is_over = self.left_ms() == time::Millis(0);
-            if !is_silent || is_over || self.take_repeat() {
+            if !is_silent || is_over || (self.has_free_beside(pick) && self.take_repeat()) {
                 return read;
             }
         }
     }
 
+    /// Whether an endpoint other than that of `pick` could begin with the request now.
+    fn has_free_beside(&self, pick: &chooser::Pick) -> bool {
+        let mut tried = self.tried.clone();
+        tried.push(pick.key);
+        let ask = chooser::Ask {
+            service: self.service,
+            wanted: self.wanted,
+            parts: &self.passing.parts,
+            prompt_tokens: self.passing.prompt_tokens,
+            tried: &tried,
+            left: self.left_ms(),
+            patience: time::Millis(0),
+            on_time: time::Millis(0),
+            may_be_late: false,
+            may_fetch: false,
+        };
+        let now = self.shared.clock.now();
+        self.shared
+            .with_core(|core| core.chooser.has_free(now, &ask))
+    }
+
     /// Lets the chooser learn from the pauses of a stream that came whole.
     fn tell_pause(&self, pick: &chooser::Pick) {
         let Some(limit) = self.route.pause else {
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -252,6 +252,24 @@
     assert_eq!(total_runs(&engines, &id), 1);
 }
 
+/// Guards against a stream that is left for a pause while the only other engine leaves: a repeat was in the budget, and
+/// its caller lost an answer of which the rest was to come.
+#[test]
+fn a_stream_that_pauses_is_not_left_while_no_other_engine_is_free() {
+    let (fleet, engines) = Fleet::ready();
+    engines[1].leave();
+    fleet.until("requests go to the other engine alone", || {
+        (0..4).all(|number| {
+            let id = format!("alone-{number}");
+            let answer = fleet.ask(0, &Ask::new("POST", "/resumable/x", &id));
+            answer.is_some_and(|it| it.status() == 200) && engines[1].runs(&id) == 0
+        })
+    });
+    engines[0].does(Does::PausesAfter(3));
+    let id = stream_whole(&fleet, "pauses alone".to_owned(), 6);
+    assert_eq!(total_runs(&engines, &id), 1);
+}
+
 /// The same where the route does not allow it: what has come must not look complete.
 #[test]
 fn a_stream_that_may_not_go_on_is_cut() {
