Tell signs of life between control processes in short words

Cause: each control process passes the whole record of each endpoint on to each other every two seconds, whether or not it heard it itself: control processes squared x engines x 300 bytes, some 43 MB a second by count with ten and 3,858.

Now a record that says nothing new to a peer with that mark is told as a key, its number and its age, some 14 bytes; what changed is told whole, and so is everything to a peer that knows nothing. Keys are hashed by FNV-1a, the same on all versions (pinned by a test); a peer of an earlier version is told whole records, since it does not ask for short words.

Tests: an engine that says nothing new is known alive for longer than the bound on silence by short words alone; one that was taken for gone is back by the next; a late word undoes nothing.

--- a/crates/sageshed-fleet/src/directory/index.rs
+++ b/crates/sageshed-fleet/src/directory/index.rs
@@ -12,6 +12,7 @@
     changes: collections::BTreeMap<u64, InstanceId>,
     news: collections::BTreeMap<u64, InstanceId>,
     addresses: collections::HashMap<net::SocketAddrV4, Vec<InstanceId>>,
+    short_keys: collections::HashMap<u64, InstanceId>,
 }
 
 impl Index {
@@ -27,7 +28,9 @@
         self.news.insert(after, id.clone());
     }
 
+    /// Gets to know an instance, or a new address of it.
     pub(super) fn arrive(&mut self, id: &InstanceId, address: net::SocketAddrV4) {
+        self.short_keys.insert(id.short_key(), id.clone());
         self.addresses.entry(address).or_default().push(id.clone());
     }
 
@@ -51,9 +54,15 @@
     ) {
         self.changes.remove(&changed);
         self.news.remove(&news);
+        self.short_keys.remove(&id.short_key());
         self.depart(id, address);
     }
 
+    /// The instance with a short key.
+    pub(super) fn by_short_key(&self, key: u64) -> Option<&InstanceId> {
+        self.short_keys.get(&key)
+    }
+
     /// The instances at an address.
     pub(super) fn at(&self, address: net::SocketAddrV4) -> &[InstanceId] {
         self.addresses.get(&address).map_or(&[], Vec::as_slice)
--- a/crates/sageshed-fleet/src/directory/instance.rs
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -1,6 +1,10 @@
 //! What an endpoint says of itself, and the record by which directories pass it on.
 
-use std::{fmt, hash, net};
+use std::{
+    fmt,
+    hash::{self, Hasher as _},
+    net,
+};
 
 use sageshed_types::time;
 use serde::{Deserialize, Serialize};
@@ -28,6 +32,19 @@
     }
 }
 
+impl InstanceId {
+    /// A number by which processes name it to each other in few bytes: the same on every version of them.
+    #[must_use]
+    pub fn short_key(&self) -> u64 {
+        let mut hasher = fnv::FnvHasher::default();
+        hasher.write(self.name.as_bytes());
+        // No name holds this byte.
+        hasher.write(&[0xff]);
+        hasher.write(&self.born.unwrap_or(0).to_le_bytes());
+        hasher.finish()
+    }
+}
+
 /// A start of an endpoint that does not say when it was.
 impl From<&str> for InstanceId {
     fn from(name: &str) -> Self {
@@ -214,6 +231,31 @@
     }
 }
 
+/// A word of an instance that says nothing new, as one directory passes it to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+pub struct Alive {
+    /// The instance, by [`InstanceId::short_key`].
+    pub key: u64,
+    /// The number of its latest announcement.
+    pub sequence: u64,
+    /// How old that is.
+    pub age: time::Millis,
+}
+
+impl From<(u64, u64, u64)> for Alive {
+    fn from((key, sequence, age): (u64, u64, u64)) -> Self {
+        let age = time::Millis(age);
+        Self { key, sequence, age }
+    }
+}
+
+impl From<Alive> for (u64, u64, u64) {
+    fn from(it: Alive) -> Self {
+        (it.key, it.sequence, it.age.0)
+    }
+}
+
 /// What an announcement or record was.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Offer {
@@ -238,5 +280,5 @@
 fn fixed_hash<T: hash::Hash>(value: &T) -> u64 {
     let mut hasher = hash::DefaultHasher::new();
     value.hash(&mut hasher);
-    hash::Hasher::finish(&hasher)
+    hasher.finish()
 }
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -19,7 +19,7 @@
 
 pub use sageshed_types::mark::Mark;
 
-pub use self::instance::{Instance, InstanceId, Offer, Record, Resident, State};
+pub use self::instance::{Alive, Instance, InstanceId, Offer, Record, Resident, State};
 
 /// How long the id of an instance that has ended is remembered. Announcements were seen to arrive
 /// after a cut of the network of about ten seconds; this is several times that.
@@ -185,6 +185,54 @@
         }
     }
 
+    /// Takes another directory's word that an instance is alive and has said nothing new.
+    pub fn confirm(&mut self, now: time::Instant, alive: Alive) {
+        let Some(id) = self.index.by_short_key(alive.key).cloned() else {
+            return;
+        };
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if entry.instance.has_ended() || alive.sequence < entry.instance.sequence {
+            return;
+        }
+        if entry.instance.state == State::Silent {
+            return self.confirm_silent(now, &id, alive);
+        }
+        entry.heard = entry.heard.max(heard_at(now, alive.age));
+        if alive.sequence == entry.instance.sequence {
+            return;
+        }
+        sync::Arc::make_mut(&mut entry.instance).sequence = alive.sequence;
+        if now.since(entry.passed_on) >= REFRESH {
+            self.note_alive(now, &id);
+        }
+    }
+
+    /// An instance that was taken for gone lives.
+    fn confirm_silent(&mut self, now: time::Instant, id: &InstanceId, alive: Alive) {
+        let Some(mut record) = self.record(now, id) else {
+            return;
+        };
+        record.instance.state = State::Ready;
+        record.instance.sequence = alive.sequence;
+        record.age = alive.age;
+        self.merge(now, record);
+    }
+
+    /// The word that an instance is alive, for a peer that knows all else of it: one with this mark, if it takes new
+    /// work.
+    #[must_use]
+    pub fn alive(&self, now: time::Instant, id: &InstanceId, mark: Mark) -> Option<Alive> {
+        let entry = self.entries.get(id)?;
+        let is_known = mark.start == self.start && entry.news <= mark.change;
+        (is_known && entry.instance.is_ready()).then(|| Alive {
+            key: id.short_key(),
+            sequence: entry.instance.sequence,
+            age: now.since(entry.heard),
+        })
+    }
+
     /// Takes what another directory passes on.
     pub fn merge(&mut self, now: time::Instant, record: Record) -> Offer {
         let Some(entry) = self.entries.get(&record.instance.id) else {
@@ -266,6 +314,16 @@
         }
     }
 
+    /// Passes on that an instance is alive.
+    fn note_alive(&mut self, now: time::Instant, id: &InstanceId) {
+        self.change += 1;
+        if let Some(entry) = self.entries.get_mut(id) {
+            self.index.change(id, entry.changed, self.change);
+            entry.changed = self.change;
+            entry.passed_on = now;
+        }
+    }
+
     /// A further word of an instance that has not ended.
     fn update(&mut self, now: time::Instant, mut record: Record) -> Offer {
         let id = record.instance.id.clone();
@@ -313,10 +371,7 @@
             return Offer::Changed;
         }
         if is_due {
-            self.change += 1;
-            self.index.change(&id, entry.changed, self.change);
-            entry.changed = self.change;
-            entry.passed_on = now;
+            self.note_alive(now, &id);
         }
         Offer::Confirmed
     }
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -96,6 +96,9 @@
     /// Of an entry process: crashes that the one it asks was not told of.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<quarantine::Crash>,
+    /// Whether it takes [`WatchResp::alive`].
+    #[serde(default)]
+    pub takes_alive: bool,
     /// Of an entry process: endpoints that have said in answers that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<directory::InstanceId>,
@@ -147,6 +150,9 @@
     pub digest_mark: Option<directory::Mark>,
     /// What changed in it since the mark of the question, as [`directory::Record`].
     pub records: Vec<Packed>,
+    /// Instances of which nothing changed but that they were heard since, for one that wants all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alive: Vec<directory::Alive>,
     /// Whether there is more of that, for the next question.
     #[serde(default)]
     pub has_more: bool,
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -335,3 +335,100 @@
     a.expire(far);
     assert_eq!(a.digest(), empty);
 }
+
+/// Two control processes, of which the first hears an engine and tells the second in short words.
+struct Pair {
+    hears: Directory,
+    is_told: Directory,
+    mark: directory::Mark,
+}
+
+impl Pair {
+    /// Tells what is new, and returns how many records and how many short words that took.
+    fn tell(&mut self, now: time::Instant) -> (usize, usize) {
+        let portion = self.hears.portion(self.mark, Passing::All, usize::MAX);
+        let mut told = (0, 0);
+        for change in &portion.changes {
+            if let Some(alive) = self.hears.alive(now, &change.id, self.mark) {
+                self.is_told.confirm(now, alive);
+                told.1 += 1;
+            } else if let Some(record) = self.hears.record(now, &change.id) {
+                self.is_told.merge(now, record);
+                told.0 += 1;
+            }
+        }
+        self.mark = portion.mark;
+        told
+    }
+}
+
+/// Guards against control processes that tell each other each engine's whole record every two seconds: with ten of them
+/// and thousands of engines these were most of the bytes between zones.
+#[test]
+fn an_engine_that_says_nothing_new_is_passed_on_in_a_short_word() {
+    let mut pair = Pair {
+        hears: Directory::new(1),
+        is_told: Directory::new(2),
+        mark: directory::Mark::default(),
+    };
+    let mut now = time::Instant(100_000);
+    let mut engine = support::engine("e1", &["m0"]);
+    pair.hears.announce(now, engine.clone());
+    assert_eq!(pair.tell(now), (1, 0));
+    // For longer than an engine may be silent.
+    for _ in 0..12 {
+        now = now + directory::REFRESH;
+        engine.sequence += 1;
+        pair.hears.announce(now, engine.clone());
+        assert_eq!(pair.tell(now), (0, 1));
+        assert!(pair.is_told.expire(now).is_empty());
+    }
+    // What is new is told whole, and so is everything to one that knows nothing.
+    now = now + directory::REFRESH;
+    engine.sequence += 1;
+    engine.models = vec![support::resident("m1", &["a1"])];
+    pair.hears.announce(now, engine.clone());
+    assert_eq!(pair.tell(now), (1, 0));
+    assert_eq!(pair.is_told.digest(), pair.hears.digest());
+    pair.mark = directory::Mark::default();
+    assert_eq!(pair.tell(now), (1, 0));
+
+    // An engine that was taken for gone is back by its next sign of life.
+    now = now + directory::SILENCE;
+    assert_eq!(pair.is_told.expire(now).len(), 1);
+    engine.sequence += 1;
+    pair.hears.announce(now, engine);
+    assert_eq!(pair.tell(now), (0, 1));
+    assert_eq!(pair.is_told.digest(), pair.hears.digest());
+    assert_eq!(pair.is_told.present(now).count(), 1);
+}
+
+/// Guards against a late sign of life that brings back an engine which has gone, or a word older than what is known.
+#[test]
+fn a_late_sign_of_life_undoes_nothing() {
+    let mut hears = Directory::new(1);
+    let mut is_told = Directory::new(2);
+    let now = time::Instant(100_000);
+    let mut engine = support::engine("e1", &["m0"]);
+    engine.sequence = 7;
+    hears.announce(now, engine.clone());
+    let mark = hears.mark();
+    let late = hears.alive(now, &engine.id, mark).expect("it is alive");
+    engine.sequence = 9;
+    is_told.announce(now, engine.clone());
+    is_told.confirm(now, late);
+    assert_eq!(is_told.start(&engine.id).map(|it| it.sequence), Some(9));
+    is_told.leave(now, &engine.id);
+    is_told.confirm(now, late);
+    assert_eq!(is_told.present(now).count(), 0);
+    // One that is leaving is always told whole.
+    hears.leaves(now, &engine.id);
+    assert_eq!(hears.alive(now, &engine.id, hears.mark()), None);
+}
+
+/// The short keys of two versions that run side by side have to agree.
+#[test]
+fn short_keys_stay() {
+    let id = directory::InstanceId::new("i-7f3a91c2", Some(1_792_159_519_619));
+    assert_eq!(id.short_key(), 17_186_055_922_606_531_057);
+}
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -169,6 +169,18 @@
         });
     }
 
+    /// Takes another control process's word of which endpoints live.
+    pub fn confirm(&self, now: time::Instant, alive: &[directory::Alive]) {
+        if alive.is_empty() {
+            return;
+        }
+        self.change_directory(|it| {
+            for one in alive {
+                it.confirm(now, *one);
+            }
+        });
+    }
+
     /// A configuration with this number is held now.
     pub fn set_config(&self, now: time::Instant, version: u64) {
         let is_news = self.change(|inner| {
@@ -295,11 +307,12 @@
         let told = portion.map_or_else(
             // Without the records nothing more is known than before.
             || Told::nothing(req.mark),
-            |it| inner.pack(now, it, most_bytes),
+            |it| inner.pack(now, req, it, most_bytes),
         );
         News {
             mark: told.mark,
             records: told.records,
+            alive: told.alive,
             has_more: told.has_more,
             digest: inner.directory.digest(),
             digest_mark: inner.directory.mark(),
@@ -419,12 +432,24 @@
     }
 
     /// The records of a portion as they travel, as many as so many bytes hold, and one at least.
-    fn pack(&mut self, now: time::Instant, portion: directory::Portion, most_bytes: usize) -> Told {
+    fn pack(
+        &mut self,
+        now: time::Instant,
+        req: &messages::WatchReq,
+        portion: directory::Portion,
+        most_bytes: usize,
+    ) -> Told {
         let mut told = Told::nothing(portion.mark);
         told.has_more = !portion.is_last;
         let mut bytes = 0;
         let mut last = None;
         for change in portion.changes {
+            let alive = self.directory.alive(now, &change.id, req.mark);
+            if let Some(alive) = alive.filter(|_| req.takes_alive) {
+                last = Some(change.number);
+                told.alive.push(alive);
+                continue;
+            }
             let record = self.pack_one(now, &change);
             bytes += record.as_ref().map_or(0, |it| it.0.len());
             if let Some(number) = last.filter(|_| bytes > most_bytes) {
@@ -515,6 +540,7 @@
     /// Up to where it knows the directory then.
     mark: directory::Mark,
     records: Vec<messages::Packed>,
+    alive: Vec<directory::Alive>,
     has_more: bool,
 }
 
@@ -523,6 +549,7 @@
         Self {
             mark,
             records: Vec::new(),
+            alive: Vec::new(),
             has_more: false,
         }
     }
@@ -535,6 +562,8 @@
     pub mark: directory::Mark,
     /// What changed in the directory, as far as it goes into one answer.
     pub records: Vec<messages::Packed>,
+    /// Of which instances nothing changed but that they were heard.
+    pub alive: Vec<directory::Alive>,
     /// Whether there is more.
     pub has_more: bool,
     /// The digest of the directory.
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -98,6 +98,7 @@
             digest: news.digest,
             digest_mark: Some(news.digest_mark),
             records: news.records,
+            alive: news.alive,
             has_more: news.has_more,
             crashes_mark: Some(news.crashes_mark),
             crashes: news.crashes,
@@ -240,6 +241,7 @@
             demand,
             crashes_known: Some(crashes_known),
             crashes: Vec::new(),
+            takes_alive: true,
             leaving: Vec::new(),
         };
         let answer: Result<messages::WatchResp, _> =
@@ -255,6 +257,7 @@
                 let records =
                     records::unpack(&resp.records, &shared.hub.misread, shared.clock.now());
                 shared.hub.merge(shared.clock.now(), records);
+                shared.hub.confirm(shared.clock.now(), &resp.alive);
                 shared.hub.take_crashes(shared.clock.now(), &resp.crashes);
                 crashes_known = resp.crashes_mark.unwrap_or_default();
             }
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -160,6 +160,7 @@
             let all = quarantine::Telling::All;
             core.quarantine.since(now, known.crashes.told, all)
         }),
+        takes_alive: false,
         leaving: shared.leaving(),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -24,6 +24,7 @@
         demand: Vec::new(),
         crashes_known: None,
         crashes: Vec::new(),
+        takes_alive: false,
         leaving: Vec::new(),
     }
 }
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -41,6 +41,7 @@
         demand: Vec::new(),
         crashes_known: Some(known),
         crashes: Vec::new(),
+        takes_alive: false,
         leaving: Vec::new(),
     }
 }
