Bring endpoints by one link while the nearest control process keeps up

Cause: a link whose digest differed from that of its entry process for 200 ms brought endpoints as well. While endpoints change all the time, as at a start or in a release of thousands, no two digests agree, though each control process has what the others have within some ten milliseconds. So each record went to each entry process three times, twice from other zones.

Now control processes tell up to where they know each other, and a link brings endpoints only where its control process has known something for 200 ms that the nearest one was not told. Digests alone still decide with a control process of an earlier version.

Tests: a near one that stays 100 ms behind keeps the others quiet through 3 s of changes; one that is told nothing more, and another start of the other, are found out after 200 ms as before.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -121,6 +121,15 @@
         }
     }
 
+    /// The last change that was news.
+    #[must_use]
+    pub fn news_mark(&self) -> Mark {
+        Mark {
+            start: self.start,
+            change: self.news,
+        }
+    }
+
     /// Whether there is news for a peer that knows this directory up to `mark`.
     #[must_use]
     pub fn has_news(&self, mark: Mark) -> bool {
--- a/crates/sageshed-fleet/src/links.rs
+++ b/crates/sageshed-fleet/src/links.rs
@@ -4,15 +4,16 @@
 //! one, and the others to any two: with the group cut in two, three links reach the larger part, which is
 //! the one where changes are accepted. All of them bring configurations. Endpoints come by one link alone,
 //! the near one: by each of three, and from whichever zone, their records were the largest part of the
-//! bytes between zones. The others bring a digest of what their control process knows. A link whose
-//! digest differs for [`LAG`] from what this process knows brings endpoints as well, for as long as
-//! it does: its control process knows something that the near one was not told, or the other way round.
+//! bytes between zones. The others bring a digest of what their control process knows, and the near one tells up to
+//! where it knows each of the others. A link whose digest differs, and whose control process has known something for
+//! [`LAG`] that the near one was not told, brings endpoints as well, for as long as that holds. Digests alone do not
+//! tell: while endpoints change all the time, in a release of thousands, no two agree.
 
 use std::{collections, net};
 
 use sageshed_types::time;
 
-use crate::messages;
+use crate::{directory, messages};
 
 /// Links that are kept.
 pub const LINKS: usize = 3;
@@ -28,14 +29,64 @@
 /// processes within the time that news is gathered for one answer.
 const LAG: time::Millis = time::Millis(200);
 
+/// Marks of one control process that are kept until the near one is known to have them.
+const MARKS_KEPT: usize = 64;
+
+/// What a control process has answered.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer<'a> {
+    /// Whether its digest is another than that of this process.
+    pub differs: bool,
+    /// Whether it has more of the endpoints to tell.
+    pub has_more: bool,
+    /// Its last change that was news; none from an earlier version.
+    pub news: Option<directory::Mark>,
+    /// Up to where it knows other control processes.
+    pub peers: &'a [(net::Ipv4Addr, directory::Mark)],
+}
+
 /// One link.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Link {
     held: Option<net::Ipv4Addr>,
     /// Whether the control process has answered since it is held.
     has_answered: bool,
-    /// Since when its digest differs.
+    /// Since when it knows something that the near one was not told, as far as is known.
     differs_since: Option<time::Instant>,
+    /// Its marks while digests differed that the near one is not known to have, and when each was told.
+    untold: collections::VecDeque<(time::Instant, directory::Mark)>,
+}
+
+impl Link {
+    fn agrees(&mut self) {
+        self.differs_since = None;
+        self.untold.clear();
+    }
+
+    /// Its digest differs. It has this mark, and the near one knows it up to `known`.
+    fn differs(
+        &mut self,
+        now: time::Instant,
+        news: Option<directory::Mark>,
+        known: Option<directory::Mark>,
+    ) {
+        let (Some(news), Some(known)) = (news, known) else {
+            self.differs_since.get_or_insert(now);
+            return;
+        };
+        let is_new = self.untold.back().is_none_or(|(_, last)| *last != news);
+        if is_new && self.untold.len() < MARKS_KEPT {
+            self.untold.push_back((now, news));
+        }
+        self.told(known);
+    }
+
+    /// The near one knows it up to `known`.
+    fn told(&mut self, known: directory::Mark) {
+        self.untold
+            .retain(|(_, mark)| mark.start != known.start || mark.change > known.change);
+        self.differs_since = self.untold.front().map(|(at, _)| *at);
+    }
 }
 
 /// The links and the control processes that are known.
@@ -45,6 +96,8 @@
     seeds: Vec<net::Ipv4Addr>,
     known: collections::BTreeMap<net::Ipv4Addr, Option<String>>,
     each: [Link; LINKS],
+    /// Up to where the control process that brings endpoints knows the others.
+    peers: collections::HashMap<net::Ipv4Addr, directory::Mark>,
     avoided: collections::HashMap<net::Ipv4Addr, time::Instant>,
 }
 
@@ -56,7 +109,8 @@
             availability_zone: availability_zone.to_owned(),
             seeds,
             known: collections::BTreeMap::new(),
-            each: [Link::default(); LINKS],
+            each: std::array::from_fn(|_| Link::default()),
+            peers: collections::HashMap::new(),
             avoided: collections::HashMap::new(),
         }
     }
@@ -109,20 +163,34 @@
         self.each.iter().position(|it| it.has_answered)
     }
 
-    /// A control process has answered, and its digest is that of this process or isn't. It may have more of the
-    /// endpoints to tell: until that has come, what digests differ by is on its way, and need not come by other
-    /// links too.
-    pub fn answered(&mut self, now: time::Instant, number: usize, differs: bool, has_more: bool) {
+    /// A control process has answered. It may have more of the endpoints to tell: until that has come, what
+    /// digests differ by is on its way, and need not come by other links too.
+    pub fn answered(&mut self, now: time::Instant, number: usize, answer: &Answer<'_>) {
+        self.each[number].has_answered = true;
+        if answer.has_more {
+            self.each.iter_mut().for_each(Link::agrees);
+            return;
+        }
+        if self.source() == Some(number) {
+            self.learn_peers(answer.peers);
+        }
         let link = &mut self.each[number];
-        link.has_answered = true;
-        if has_more {
-            for link in &mut self.each {
-                link.differs_since = None;
-            }
-        } else if differs {
-            link.differs_since.get_or_insert(now);
+        let known = link.held.and_then(|ip| self.peers.get(&ip)).copied();
+        if answer.differs {
+            link.differs(now, answer.news, known);
         } else {
-            link.differs_since = None;
+            link.agrees();
+        }
+    }
+
+    fn learn_peers(&mut self, peers: &[(net::Ipv4Addr, directory::Mark)]) {
+        self.peers = peers.iter().copied().collect();
+        for link in &mut self.each {
+            let known = link.held.and_then(|ip| self.peers.get(&ip));
+            // One that was not told of by marks differs until its digest agrees.
+            if let Some(known) = known.filter(|_| !link.untold.is_empty()) {
+                link.told(*known);
+            }
         }
     }
 
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -148,6 +148,12 @@
     /// tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest_mark: Option<directory::Mark>,
+    /// The last change of the directory that was news; none from a process that does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub news_mark: Option<directory::Mark>,
+    /// Up to where other control processes are known with this answer, for one that takes endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<(net::Ipv4Addr, directory::Mark)>,
     /// What changed in it since the mark of the question, as [`directory::Record`].
     pub records: Vec<Packed>,
     /// Instances of which nothing changed but that they were heard since, for one that wants all.
--- a/crates/sageshed-fleet/tests/links.rs
+++ b/crates/sageshed-fleet/tests/links.rs
@@ -3,7 +3,8 @@
 use std::{collections, net};
 
 use sageshed_fleet::{
-    links::{LINKS, Links},
+    directory::Mark,
+    links::{Answer, LINKS, Links},
     messages::{ControlVm, Wants},
 };
 use sageshed_types::time;
@@ -18,6 +19,15 @@
     net::Ipv4Addr::new(10, 0, 0, last)
 }
 
+fn answer(differs: bool, has_more: bool) -> Answer<'static> {
+    Answer {
+        differs,
+        has_more,
+        news: None,
+        peers: &[],
+    }
+}
+
 /// Five control processes, one in each of the zones z1 to z5.
 fn control() -> Vec<ControlVm> {
     let vm = |last| ControlVm {
@@ -74,12 +84,12 @@
 fn one_link_brings_endpoints_once_one_has_answered() {
     let (mut links, _) = linked("z4");
     assert_eq!(wants(&links, T0), [Wants::News; LINKS]);
-    links.answered(at(5), 2, false, false);
+    links.answered(at(5), 2, &answer(false, false));
     assert_eq!(
         wants(&links, at(5)),
         [Wants::Digest, Wants::Digest, Wants::News]
     );
-    links.answered(at(9), 0, false, false);
+    links.answered(at(9), 0, &answer(false, false));
     assert_eq!(
         wants(&links, at(9)),
         [Wants::News, Wants::Digest, Wants::Digest]
@@ -93,7 +103,7 @@
 fn a_lost_control_process_is_replaced_and_tried_again_later() {
     let (mut links, held) = linked("z4");
     for number in 0..LINKS {
-        links.answered(T0, number, false, false);
+        links.answered(T0, number, &answer(false, false));
     }
     links.avoid(at(100), 0, held[0]);
     assert_eq!(
@@ -114,14 +124,14 @@
 fn links_whose_digest_differs_bring_endpoints_too() {
     let (mut links, _) = linked("z4");
     for number in 0..LINKS {
-        links.answered(T0, number, false, false);
+        links.answered(T0, number, &answer(false, false));
     }
-    links.answered(at(100), 1, true, false);
+    links.answered(at(100), 1, &answer(true, false));
     assert_eq!(links.wants(at(150), 1), Wants::Digest);
-    links.answered(at(300), 1, true, false);
+    links.answered(at(300), 1, &answer(true, false));
     assert_eq!(links.wants(at(300), 1), Wants::News);
     assert_eq!(links.wants(at(300), 2), Wants::Digest);
-    links.answered(at(400), 1, false, false);
+    links.answered(at(400), 1, &answer(false, false));
     assert_eq!(links.wants(at(400), 1), Wants::Digest);
 }
 
@@ -136,3 +146,56 @@
     let mut none = Links::new("z4", Vec::new());
     assert_eq!(none.pick(T0, 0, 1), None);
 }
+
+/// Guards against endpoints that come by three links, two of them from other zones, for as long as endpoints change:
+/// digests then differ all the time, though the near control process has what the others have within some ten
+/// milliseconds. One that lags, or is cut off, is still found out.
+#[test]
+fn links_stay_quiet_while_the_near_control_process_keeps_up() {
+    let (mut links, held) = linked("z4");
+    for number in 0..LINKS {
+        links.answered(T0, number, &answer(false, false));
+    }
+    let mark = |change| Mark { start: 9, change };
+    let near = |links: &mut Links, ms, change| {
+        let peers = [(held[1], mark(change)), (held[2], mark(change))];
+        let told = Answer {
+            peers: &peers,
+            ..answer(false, false)
+        };
+        links.answered(at(ms), 0, &told);
+    };
+    let other = |links: &mut Links, ms, change| {
+        let told = Answer {
+            news: Some(mark(change)),
+            ..answer(true, false)
+        };
+        links.answered(at(ms), 1, &told);
+    };
+    near(&mut links, 10, 100);
+    for step in 0..100 {
+        let ms = 20 + step * 30;
+        other(&mut links, ms, 101 + step);
+        assert_eq!(links.wants(at(ms), 1), Wants::Digest, "after {ms} ms");
+        // A hundred milliseconds behind.
+        near(&mut links, ms + 10, 101 + step.saturating_sub(3));
+    }
+    // From here on the near one is told nothing more.
+    other(&mut links, 4_000, 300);
+    near(&mut links, 4_050, 200);
+    assert_eq!(links.wants(at(4_100), 1), Wants::Digest);
+    assert_eq!(links.wants(at(4_200), 1), Wants::News);
+    near(&mut links, 4_300, 300);
+    assert_eq!(links.wants(at(4_300), 1), Wants::Digest);
+    // Another start of the other one counts anew.
+    let restarted = Answer {
+        news: Some(Mark {
+            start: 10,
+            change: 5,
+        }),
+        ..answer(true, false)
+    };
+    links.answered(at(5_000), 1, &restarted);
+    near(&mut links, 5_100, 300);
+    assert_eq!(links.wants(at(5_200), 1), Wants::News);
+}
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -40,6 +40,8 @@
     entries: collections::BTreeMap<net::Ipv4Addr, Entry>,
     /// Entry processes that another control process hears.
     entries_elsewhere: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
+    /// Up to where the directories of the other control processes are known here.
+    peers: collections::BTreeMap<net::Ipv4Addr, directory::Mark>,
     /// Where the other control processes are, as they said.
     control_zones: collections::BTreeMap<net::Ipv4Addr, String>,
     /// What callers asked for and the leader was not told yet.
@@ -110,6 +112,7 @@
                 versions: versions::Versions::default(),
                 entries: collections::BTreeMap::new(),
                 entries_elsewhere: collections::BTreeMap::new(),
+                peers: collections::BTreeMap::new(),
                 control_zones: collections::BTreeMap::new(),
                 tally: tally::Tally::default(),
                 quarantine: quarantine::Quarantine::new(start),
@@ -316,6 +319,7 @@
             has_more: told.has_more,
             digest: inner.directory.digest(),
             digest_mark: inner.directory.mark(),
+            news_mark: inner.directory.news_mark(),
             config: inner.versions.newest(),
             crashes_mark: inner.quarantine.mark(),
             crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
@@ -324,6 +328,18 @@
         }
     }
 
+    /// The directory of another control process is known up to `mark`.
+    pub fn know_peer(&self, ip: net::Ipv4Addr, mark: directory::Mark) {
+        self.change(|inner| inner.peers.insert(ip, mark));
+    }
+
+    /// Up to where the directories of the other control processes are known.
+    #[must_use]
+    pub fn peers(&self) -> Vec<(net::Ipv4Addr, directory::Mark)> {
+        let inner = locks::lock(&self.inner);
+        inner.peers.iter().map(|(ip, mark)| (*ip, *mark)).collect()
+    }
+
     /// Where another control process is, if it has said so.
     #[must_use]
     pub fn control_zone(&self, ip: net::Ipv4Addr) -> Option<String> {
@@ -570,6 +586,8 @@
     pub digest: u64,
     /// Up to where the directory has that digest.
     pub digest_mark: directory::Mark,
+    /// Its last change that was news.
+    pub news_mark: directory::Mark,
     /// The number of the configuration that is held.
     pub config: u64,
     /// Up to where crashes are known with it.
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -65,6 +65,8 @@
     leader: Option<net::Ipv4Addr>,
     entries: Vec<net::Ipv4Addr>,
     entries_number: u64,
+    /// Read before what is told of the directory, which then has at least as much.
+    peers: Vec<(net::Ipv4Addr, directory::Mark)>,
 }
 
 impl Common {
@@ -75,6 +77,7 @@
             leader: shared.leader().and_then(|it| it.parse().ok()),
             entries_number: number(&entries),
             entries,
+            peers: shared.hub.peers(),
         }
     }
 
@@ -97,6 +100,12 @@
             mark: news.mark,
             digest: news.digest,
             digest_mark: Some(news.digest_mark),
+            news_mark: Some(news.news_mark),
+            peers: if takes_entries {
+                self.peers.clone()
+            } else {
+                Vec::new()
+            },
             records: news.records,
             alive: news.alive,
             has_more: news.has_more,
@@ -258,6 +267,9 @@
                     records::unpack(&resp.records, &shared.hub.misread, shared.clock.now());
                 shared.hub.merge(shared.clock.now(), records);
                 shared.hub.confirm(shared.clock.now(), &resp.alive);
+                if !resp.has_more {
+                    shared.hub.know_peer(vm.into(), resp.mark);
+                }
                 shared.hub.take_crashes(shared.clock.now(), &resp.crashes);
                 crashes_known = resp.crashes_mark.unwrap_or_default();
             }
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -100,15 +100,21 @@
                     .crashes
                     .answered(telling, resp.crashes_mark.unwrap_or_default());
                 let (digest, digest_mark) = (resp.digest, resp.digest_mark);
-                let has_more = resp.has_more;
-                take(shared, watching, to, resp);
+                let (has_more, news) = (resp.has_more, resp.news_mark);
+                let peers = take(shared, watching, to, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
                 if let Some(mark) = digest_mark.filter(|_| !differs) {
                     // Whoever has the digest knows what it is of: should this link bring endpoints, it begins here.
                     known.mark = mark;
                 }
                 let mut links = locks::lock(&watching.links);
-                links.answered(shared.clock.now(), number, differs, has_more);
+                let answer = links::Answer {
+                    differs,
+                    has_more,
+                    news,
+                    peers: &peers,
+                };
+                links.answered(shared.clock.now(), number, &answer);
                 if links.source() == Some(number) {
                     shared.fetching.prefer(to);
                 }
@@ -179,12 +185,13 @@
     answer
 }
 
+/// Takes an answer. Returns up to where its sender knows other control processes.
 fn take<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     watching: &Watching,
     from: net::Ipv4Addr,
     resp: messages::WatchResp,
-) {
+) -> Vec<(net::Ipv4Addr, directory::Mark)> {
     match resp.config {
         // A control process of an earlier version, from which nothing can be fetched.
         Some(document) => fetch::take_document(shared, document),
@@ -202,6 +209,7 @@
     }
     shared.take_records(&resp.records);
     shared.take_crashes(&resp.crashes);
+    resp.peers
 }
 
 impl Watching {
