Give each round of a test's setup requests of its own

What was seen: with the guard taken out, `a_stream_that_pauses_is_not_left_while_no_other_engine_is_free` failed in its setup after 40 s and not by its assertion.

Cause: the setup asks until no request of a round runs at the engine that leaves, by the same ids each round.

Now each round has its own ids. Passed three times; with the guard out it fails where the stream is to be whole. No assertion is changed.

--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -258,9 +258,11 @@
 fn a_stream_that_pauses_is_not_left_while_no_other_engine_is_free() {
     let (fleet, engines) = Fleet::ready();
     engines[1].leave();
+    let mut round = 0;
     fleet.until("requests go to the other engine alone", || {
+        round += 1;
         (0..4).all(|number| {
-            let id = format!("alone-{number}");
+            let id = format!("alone-{round}-{number}");
             let answer = fleet.ask(0, &Ask::new("POST", "/resumable/x", &id));
             answer.is_some_and(|it| it.status() == 200) && engines[1].runs(&id) == 0
         })
