Log and count the endpoints that can't be connected to

The log of an entry VM that was cut off from all endpoints has a line for each request that could not be sent, and none that says whether the VM connects to any endpoint: a lost path and a failed endpoint look the same.

A process now logs each change of an endpoint between connectable and not, with the number of those that are not and the time since it opened a connection to any, and exports the number as a metric. Requests are handled as before.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`allowance`] | rate limits that hold over all entry processes |
 //! | [`budget`] | the retry budget |
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
+//! | [`paths`] | which endpoints this process can open connections to |
 //! | [`quarantine`] | requests that are no longer forwarded, because endpoints crashed while running them |
 //! | [`fingerprint`] | whether two requests are the same except for their ids |
 //! | [`workspaces`] | the workspace of a request, by its key |
@@ -46,6 +47,7 @@
 pub mod fingerprint;
 pub mod links;
 pub mod messages;
+pub mod paths;
 pub mod planner;
 pub mod quarantine;
 pub mod queue_coordinator;
--- a/crates/sageshed-upstream/src/failure.rs
+++ b/crates/sageshed-upstream/src/failure.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Whether no connection could be opened.
+    #[must_use]
+    pub fn is_connect_failure(&self) -> bool {
+        matches!(self.cause, Cause::Refused | Cause::ConnectTimedOut)
+    }
+
     /// What can be promised of the request.
     #[must_use]
     pub fn verdict(&self) -> verdict::Verdict {
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -62,6 +62,7 @@
     endpoints: metrics::Gauge,
     open_endpoints: metrics::Gauge,
     limited_endpoints: metrics::Gauge,
+    unconnectable: metrics::Gauge,
     connections: metrics::Gauge,
     silence: metrics::Gauge,
     config_wait: metrics::Gauge,
@@ -106,6 +107,10 @@
                 "sageshed_gateway_endpoints_limited",
                 "Endpoints that have named a limit",
             ),
+            unconnectable: gauge(
+                "sageshed_gateway_endpoints_unconnectable",
+                "Endpoints to which no connection can be opened",
+            ),
             connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
             config_wait: gauge(
                 "sageshed_gateway_config_wait",
@@ -283,6 +288,8 @@
         self.gauges.open_endpoints.set(open as f64);
         let limited = shared.with_core(|core| core.chooser.count_limited());
         self.gauges.limited_endpoints.set(limited as f64);
+        let paths = locks::lock(&shared.paths).status(now);
+        self.gauges.unconnectable.set(paths.failing as f64);
         self.gauges.connections.set(shared.pool.opened() as f64);
         self.gauges.idle.set(shared.pool.idle() as f64);
         let quarantined = shared.with_core(|core| core.quarantine.count_quarantined(now));
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod entry_peers;
 mod fetch;
 pub mod metrics;
+mod paths;
 mod proxy;
 mod queues;
 mod ready;
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -132,9 +132,12 @@
         } else {
             MAX_IDLE_NOT_REPEATABLE
         };
-        self.shared
+        let exchanged = self
+            .shared
             .pool
-            .exchange(pick.address, &req, max_age, patience)
+            .exchange(pick.address, &req, max_age, patience);
+        self.shared.record_connection(pick, &exchanged);
+        exchanged
     }
 
     fn forwards_header(&self, name: &str) -> bool {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -8,7 +8,7 @@
 
 use sageshed_fleet::{
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
-    directory, entry_peers as wire, messages, quarantine, queue_coordinator, shared_queue,
+    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator, shared_queue,
     slots::SlotCoordinator,
 };
 use sageshed_types::{document, time};
@@ -28,6 +28,8 @@
     pub clock: clock::Clock,
     /// Pooled connections to endpoints.
     pub pool: pool::Pool,
+    /// Which endpoints this process can open connections to.
+    pub(super) paths: sync::Mutex<paths::PathTable>,
     /// The client for calls to control processes.
     pub client: sageshed_vms::Client,
     /// The client for calls that fetch and check the configuration. Its connections are closed after each call: these
@@ -173,6 +175,7 @@
             dialect,
             clock: clock::Clock::start(),
             pool: pool::Pool::new(pool::Settings::default()),
+            paths: sync::Mutex::default(),
             client: sageshed_vms::Client::new(""),
             config_client: sageshed_vms::Client::unpooled(""),
             entry_peers,
