Add a failing test of an entry process cut off from its endpoints

Callers of an entry VM that has lost its own paths to the endpoints are not served, while the same endpoints serve the callers of the others.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -92,6 +92,10 @@
         assert!(kill.status.success(), "kill -{name}");
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("it runs").id()
+    }
+
     pub fn kill(&mut self) {
         let mut child = self.child.take().expect("it runs");
         child.kill().expect("it can be killed");
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod load;
 mod notices;
+mod paths;
 mod queueing;
 mod quota;
 mod requests;
--- /dev/null
+++ b/tests/fleet/paths.rs
@@ -0,0 +1,107 @@
+//! Entry processes that endpoints can't be reached from, while callers and other entry processes still reach them.
+
+use std::{collections, thread, time};
+
+use crate::{
+    fleet::Fleet,
+    standin::{caller, engine},
+};
+
+/// How long a process may take to stop using a path that was lost.
+const DETECTION_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// The interval between two rounds of requests.
+const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// The rounds of requests that are counted.
+const ROUNDS: usize = 20;
+
+/// The routes of one round.
+const PATHS: [&str; 4] = ["/stream/x", "/resumable/x", "/once/x", "/again/x"];
+
+/// Those whose requests must not run twice.
+const NOT_REPEATABLE: [&str; 2] = ["/stream/", "/once/"];
+
+/// The endpoints that each case cuts one entry process off from, by their index among those of [`Fleet::ready`].
+struct Case {
+    name: &'static str,
+    cut: &'static [usize],
+}
+
+/// Sends one request for each route to an entry process. Returns how many were served.
+fn serve_round(fleet: &Fleet, entry: usize, id: &str) -> usize {
+    let served = PATHS.iter().enumerate().filter(|(at, path)| {
+        let id = format!("{id}-{at}");
+        let answer = fleet.ask(entry, &caller::Request::new("GET", path, &id));
+        answer.is_some_and(|it| it.status() == 200)
+    });
+    served.count()
+}
+
+/// How many requests of [`ROUNDS`] rounds an entry process serves.
+fn serve(fleet: &Fleet, entry: usize, name: &str) -> usize {
+    let round = |number: usize| {
+        thread::sleep(ROUND_INTERVAL);
+        serve_round(fleet, entry, &format!("{name}-{entry}-{number}"))
+    };
+    (0..ROUNDS).map(round).sum()
+}
+
+fn cut_off(fleet: &Fleet, engines: &[engine::Engine], entry: usize, cut: &[usize]) {
+    let pid = fleet.entries[entry].id();
+    for at in cut {
+        engines[*at].cut_off(pid);
+    }
+    let until = time::Instant::now() + DETECTION_TIME;
+    let mut round = 0;
+    while time::Instant::now() < until {
+        round += 1;
+        serve_round(fleet, entry, &format!("lost-{round}"));
+        thread::sleep(ROUND_INTERVAL);
+    }
+}
+
+/// Guards against an entry VM that refuses its callers because it has lost its own paths to the endpoints, which the
+/// other entry VMs still reach.
+#[test]
+fn an_entry_process_cut_off_from_endpoints_serves_its_callers() {
+    let cases = [
+        Case {
+            name: "all",
+            cut: &[0, 1, 2, 3],
+        },
+        Case {
+            name: "engines",
+            cut: &[0, 1],
+        },
+    ];
+    for case in cases {
+        let (fleet, engines) = Fleet::ready();
+        cut_off(&fleet, &engines, 0, case.cut);
+        let cut = serve(&fleet, 0, case.name);
+        let other = serve(&fleet, 1, case.name);
+        assert!(
+            cut * 3 >= other * 2,
+            "cut off from {}: {cut} served, {other} by the other process",
+            case.name
+        );
+        assert_eq!(max_runs(&engines), 1, "cut off from {}", case.name);
+    }
+}
+
+/// The most times that all endpoints together ran one request that must not run twice.
+fn max_runs(engines: &[engine::Engine]) -> usize {
+    let mut runs = collections::HashMap::new();
+    for engine in engines {
+        let ran = engine.log(|log| log.ran.clone());
+        let ran = ran.iter().filter(|it| {
+            NOT_REPEATABLE
+                .iter()
+                .any(|path| it.target().starts_with(path))
+        });
+        for id in ran.filter_map(|it| it.header("attempt-id")) {
+            *runs.entry(id.to_owned()).or_insert(0) += 1;
+        }
+    }
+    runs.into_values().max().unwrap_or(0)
+}
