Open connections through other entry processes where the own path is lost

Cause: a process took each failed connection for a failure of that endpoint, tried one endpoint after another for 400 ms each, and had no other path. 197 failed connections by the three cut-off VMs in 15 s, none by the four others. Ruled out: the queue of the model (no refusal quoted a wait behind others), and connections that live on as the main cause (24 silent requests beside the 197).

Change: a connection that fails is tried through another entry process, which passes bytes on (CONNECT). sageshed_fleet::paths decides when: at once if no endpoint has responded within 450 ms, else at the next connection to that endpoint; for all endpoints once two have failed since the last response and a relay has reached one of them. Lost paths are probed each second. Queue place, quotas, retry budget, allowances and at-most-once stay with the process that has the caller, since only the connection is opened elsewhere.

The request's time left is now read after its connection is open.

--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -1,21 +1,68 @@
-//! Which endpoints this process can open connections to.
+//! How this process opens connections to endpoints: by itself, or through another entry process.
 //!
 //! An entry VM can lose its network paths to endpoints while callers, control processes and other entry VMs still reach
-//! it. A failed connection alone does not tell such a loss from a failed endpoint: what tells them apart is whether
-//! other endpoints can be connected to, and whether other entry processes reach the same endpoint.
+//! it. A failed connection alone does not tell such a loss from a failed endpoint. What tells them apart is whether
+//! another entry process reaches the same endpoint: [`PathTable`] has a connection that failed tried through a relay,
+//! and [`RelayTable`] says through which.
+//!
+//! A lost path is used again once a probe has opened a connection.
 
 use std::{collections, net};
 
 use sageshed_types::time::{Instant, Millis};
 
-/// How long a failed connection is remembered if the endpoint is not tried again, for example because it has ended.
+/// How long a failed connection is remembered if no request is sent to the endpoint again, for example because it has
+/// ended.
 const FAILURE_TTL: Millis = Millis(30_000);
 
+/// The endpoints with failed connections from which on the VM as a whole may be cut off.
+const MIN_FAILED_IF_CUT_OFF: usize = 2;
+
+/// If an endpoint has responded to this process over its own paths within this time, a failed connection to another one
+/// is a failure of that endpoint. Connections that hang fail after 400 ms.
+const RESPONSE_TTL: Millis = Millis(450);
+
+/// The interval between two probes of a path.
+const PROBE_INTERVAL: Millis = Millis(1_000);
+
+/// How long a relay that could not be used is avoided.
+const RELAY_AVOIDANCE: Millis = Millis(1_000);
+
+/// Relays that one connection is tried through.
+pub const MAX_RELAYS: usize = 3;
+
+/// How long no relay may have been usable before callers are better served by another entry process.
+const MAX_ISOLATION: Millis = Millis(1_000);
+
+/// How to open a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// Directly.
+    Direct,
+    /// Through a relay; directly if there is none.
+    Relay,
+}
+
+/// What to do after a direct connection has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AfterFailure {
+    /// Try it through a relay: the path of this process may be lost.
+    TryRelay,
+    /// Report the endpoint as unreachable: other endpoints respond to this process.
+    Report,
+}
+
 /// Failed connections to one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct FailedPath {
     since: Instant,
-    latest: Instant,
+    /// The latest failure.
+    failed_at: Instant,
+    /// The latest failure or relayed connection.
+    used_at: Instant,
+    probed_at: Instant,
+    /// Whether a relay has reached the endpoint since.
+    is_lost: bool,
 }
 
 /// The endpoints that can't be connected to.
@@ -23,41 +70,106 @@
 pub struct PathStatus {
     /// Their number.
     pub failing: usize,
-    /// The time since a new connection to any endpoint was opened; none if there has been none.
-    pub since_connected: Option<Millis>,
+    /// How many of them other entry processes reach.
+    pub lost: usize,
+    /// Whether this process is taken to have lost its paths to all endpoints.
+    pub is_cut_off: bool,
+    /// The time since an endpoint responded over a path of this process; none if none has.
+    pub since_response: Option<Millis>,
 }
 
 /// The outcomes of this process's latest attempts to open connections, by endpoint address.
 #[derive(Debug, Default)]
 pub struct PathTable {
     failed: collections::HashMap<net::SocketAddrV4, FailedPath>,
-    connected_at: Option<Instant>,
+    responded_at: Option<Instant>,
 }
 
 impl PathTable {
-    /// Records that a new connection to `endpoint` was opened. Returns for how long none could be opened, if the latest
-    /// attempt had failed.
-    pub fn record_connected(
+    /// How to open the next connection to `endpoint`.
+    #[must_use]
+    pub fn route(&self, endpoint: net::SocketAddrV4) -> Route {
+        if self.failed.contains_key(&endpoint) || self.is_cut_off() {
+            Route::Relay
+        } else {
+            Route::Direct
+        }
+    }
+
+    /// Records a response over a path of this process. Returns for how long connections to `endpoint` had failed, if
+    /// the response came over a new connection and they had.
+    pub fn record_response(
         &mut self,
         now: Instant,
         endpoint: net::SocketAddrV4,
+        is_new_connection: bool,
     ) -> Option<Millis> {
-        self.connected_at = Some(now);
+        self.responded_at = Some(now);
+        if !is_new_connection {
+            return None;
+        }
         let failed = self.failed.remove(&endpoint)?;
         Some(now.since(failed.since))
     }
 
-    /// Records that no connection to `endpoint` could be opened. Returns whether it could be at the latest attempt.
+    /// Records that a direct connection to `endpoint` failed, or was closed before a response. Returns whether it is the
+    /// first such failure.
     pub fn record_failed(&mut self, now: Instant, endpoint: net::SocketAddrV4) -> bool {
         self.failed
-            .retain(|_, it| now.since(it.latest) < FAILURE_TTL);
+            .retain(|_, it| now.since(it.used_at) < FAILURE_TTL);
+        let count = self.failed.len();
         let first = FailedPath {
             since: now,
-            latest: now,
+            failed_at: now,
+            used_at: now,
+            probed_at: now,
+            is_lost: false,
         };
         let failed = self.failed.entry(endpoint).or_insert(first);
-        failed.latest = now;
-        failed.since == now
+        failed.failed_at = now;
+        failed.used_at = now;
+        self.failed.len() > count
+    }
+
+    /// Forgets failed connections to `endpoint`: another instance has its address, or none.
+    pub fn forget(&mut self, endpoint: net::SocketAddrV4) {
+        self.failed.remove(&endpoint);
+    }
+
+    /// What to do after a direct connection has failed at `now`.
+    #[must_use]
+    pub fn after_failure(&self, now: Instant) -> AfterFailure {
+        let responds = self
+            .responded_at
+            .is_some_and(|it| now.since(it) < RESPONSE_TTL);
+        if responds {
+            AfterFailure::Report
+        } else {
+            AfterFailure::TryRelay
+        }
+    }
+
+    /// Records that a relay has reached `endpoint`. Returns whether this shows for the first time that the path of this
+    /// process is lost.
+    pub fn record_relayed(&mut self, now: Instant, endpoint: net::SocketAddrV4) -> bool {
+        let Some(failed) = self.failed.get_mut(&endpoint) else {
+            return false;
+        };
+        failed.used_at = now;
+        !std::mem::replace(&mut failed.is_lost, true)
+    }
+
+    /// The endpoint to which a connection is to be opened as a probe, if one is due.
+    pub fn next_probe(&mut self, now: Instant) -> Option<net::SocketAddrV4> {
+        self.failed
+            .retain(|_, it| now.since(it.used_at) < FAILURE_TTL);
+        let due = self
+            .failed
+            .iter_mut()
+            .filter(|(_, it)| now.since(it.probed_at) >= PROBE_INTERVAL);
+        let (endpoint, failed) = due.min_by_key(|(endpoint, it)| (it.probed_at, **endpoint))?;
+        failed.probed_at = now;
+        Some(*endpoint)
     }
 
     /// The endpoints that can't be connected to.
@@ -65,7 +177,90 @@
     pub fn status(&self, now: Instant) -> PathStatus {
         PathStatus {
             failing: self.failed.len(),
-            since_connected: self.connected_at.map(|it| now.since(it)),
+            lost: self.failed.values().filter(|it| it.is_lost).count(),
+            is_cut_off: self.is_cut_off(),
+            since_response: self.responded_at.map(|it| now.since(it)),
+        }
+    }
+
+    /// Whether this process is taken to have lost its paths to all endpoints: connections to several have failed since
+    /// any has responded to it, and a relay has reached one of them.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        let is_after = |at: Instant| self.responded_at.is_none_or(|it| at > it);
+        let failed = self.failed.values().filter(|it| is_after(it.failed_at));
+        failed.clone().count() >= MIN_FAILED_IF_CUT_OFF && failed.clone().any(|it| it.is_lost)
+    }
+}
+
+/// How an attempt to open a connection through a relay ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayOutcome {
+    /// The relay has reached the endpoint.
+    Connected,
+    /// The relay has tried and not reached the endpoint.
+    EndpointUnreachable,
+    /// The relay could not be reached, or relays nothing now.
+    Unusable,
+}
+
+/// The entry processes through which connections can be opened.
+#[derive(Debug, Default)]
+pub struct RelayTable {
+    avoided_until: collections::HashMap<net::Ipv4Addr, Instant>,
+    /// Since when no relay has been usable.
+    unusable_since: Option<Instant>,
+}
+
+impl RelayTable {
+    /// The relays to try in turn, out of `entries` without `own`. `draw` spreads the connections over them.
+    #[must_use]
+    pub fn candidates(
+        &self,
+        now: Instant,
+        entries: &[net::Ipv4Addr],
+        own: net::Ipv4Addr,
+        draw: u64,
+    ) -> Vec<net::Ipv4Addr> {
+        let usable: Vec<_> = entries
+            .iter()
+            .copied()
+            .filter(|it| *it != own && self.is_usable(now, *it))
+            .collect();
+        let begin = usize::try_from(draw % usable.len().max(1) as u64).unwrap_or(0);
+        let (before, from) = usable.split_at(begin);
+        from.iter()
+            .chain(before)
+            .copied()
+            .take(MAX_RELAYS)
+            .collect()
+    }
+
+    /// Records how an attempt through `relay` ended.
+    pub fn record(&mut self, now: Instant, relay: net::Ipv4Addr, outcome: RelayOutcome) {
+        match outcome {
+            RelayOutcome::Connected => {
+                self.unusable_since = None;
+                self.avoided_until.remove(&relay);
+            }
+            RelayOutcome::EndpointUnreachable => {}
+            RelayOutcome::Unusable => {
+                self.avoided_until.retain(|_, until| *until > now);
+                self.avoided_until.insert(relay, now + RELAY_AVOIDANCE);
+                self.unusable_since.get_or_insert(now);
+            }
         }
     }
+
+    /// Whether no relay has been usable for so long that a process that is cut off had better get no callers.
+    #[must_use]
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        self.unusable_since
+            .is_some_and(|it| now.since(it) >= MAX_ISOLATION)
+    }
+
+    fn is_usable(&self, now: Instant, relay: net::Ipv4Addr) -> bool {
+        let avoided = self.avoided_until.get(&relay);
+        avoided.is_none_or(|until| now >= *until)
+    }
 }
--- /dev/null
+++ b/crates/sageshed-fleet/tests/paths.rs
@@ -0,0 +1,179 @@
+//! Which connections are opened through other entry processes, by replays of failures.
+
+use std::net;
+
+use sageshed_fleet::paths::{AfterFailure, PathTable, RelayOutcome, RelayTable, Route};
+use sageshed_types::time::{Instant, Millis};
+
+fn endpoint(number: u8) -> net::SocketAddrV4 {
+    net::SocketAddrV4::new(net::Ipv4Addr::new(10, 0, 1, number), 8_080)
+}
+
+fn entry(number: u8) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(10, 0, 0, number)
+}
+
+/// What happens at a process, by the number of the endpoint.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A response over a new connection of its own.
+    NewResponse(u8),
+    /// A response over a connection that was opened before.
+    PooledResponse(u8),
+    /// A connection that failed.
+    Failed(u8),
+    /// A connection that a relay has opened.
+    Relayed(u8),
+}
+
+struct Case {
+    name: &'static str,
+    /// In order, with their times in milliseconds.
+    events: &'static [(u64, Event)],
+    /// The endpoints of 1 to 4 that are connected to through relays after these events.
+    relayed: &'static [u8],
+    is_cut_off: bool,
+}
+
+#[test]
+fn a_failed_path_is_told_from_a_failed_endpoint_and_from_a_vm_that_is_cut_off() {
+    use Event::{Failed, NewResponse, PooledResponse, Relayed};
+    let cases = [
+        Case {
+            name: "one endpoint that others reach",
+            events: &[(0, NewResponse(1)), (400, Failed(2)), (420, Relayed(2))],
+            relayed: &[2],
+            is_cut_off: false,
+        },
+        Case {
+            name: "two endpoints that nobody reaches",
+            events: &[(0, NewResponse(1)), (400, Failed(2)), (500, Failed(3))],
+            relayed: &[2, 3],
+            is_cut_off: false,
+        },
+        Case {
+            name: "all paths lost: the others are not tried one after another",
+            events: &[
+                (0, NewResponse(1)),
+                (400, Failed(2)),
+                (420, Relayed(2)),
+                (500, Failed(3)),
+            ],
+            relayed: &[1, 2, 3, 4],
+            is_cut_off: true,
+        },
+        Case {
+            name: "old connections live on while new ones are refused",
+            events: &[
+                (0, Failed(1)),
+                (10, Failed(2)),
+                (20, Relayed(1)),
+                (30, PooledResponse(2)),
+            ],
+            relayed: &[1, 2],
+            is_cut_off: false,
+        },
+        Case {
+            name: "relayed connections do not count as failures",
+            events: &[
+                (0, Failed(1)),
+                (10, Failed(2)),
+                (20, NewResponse(3)),
+                (30, Relayed(1)),
+                (40, Relayed(2)),
+            ],
+            relayed: &[1, 2],
+            is_cut_off: false,
+        },
+        Case {
+            name: "a path that is back",
+            events: &[
+                (0, Failed(1)),
+                (10, Failed(2)),
+                (20, Relayed(1)),
+                (1_200, NewResponse(1)),
+            ],
+            relayed: &[2],
+            is_cut_off: false,
+        },
+    ];
+    for case in cases {
+        let mut paths = PathTable::default();
+        for (at, event) in case.events {
+            let now = Instant(*at);
+            match *event {
+                NewResponse(it) => drop(paths.record_response(now, endpoint(it), true)),
+                PooledResponse(it) => drop(paths.record_response(now, endpoint(it), false)),
+                Failed(it) => drop(paths.record_failed(now, endpoint(it))),
+                Relayed(it) => drop(paths.record_relayed(now, endpoint(it))),
+            }
+        }
+        let relayed: Vec<_> = (1..=4)
+            .filter(|it| paths.route(endpoint(*it)) == Route::Relay)
+            .collect();
+        assert_eq!(relayed, case.relayed, "{}", case.name);
+        assert_eq!(paths.is_cut_off(), case.is_cut_off, "{}", case.name);
+    }
+}
+
+/// Guards against requests that wait for a relay while the VM's paths work: an engine that is silent for a second, or
+/// down, is no lost path.
+#[test]
+fn a_failure_among_responses_of_others_is_not_tried_through_a_relay() {
+    let mut paths = PathTable::default();
+    paths.record_response(Instant(900), endpoint(1), false);
+    paths.record_failed(Instant(1_000), endpoint(2));
+    assert_eq!(paths.after_failure(Instant(1_000)), AfterFailure::Report);
+    paths.record_failed(Instant(1_500), endpoint(3));
+    assert_eq!(paths.after_failure(Instant(1_500)), AfterFailure::TryRelay);
+}
+
+/// Guards against paths that are never used again, and against probes of endpoints that have ended.
+#[test]
+fn failed_paths_are_probed_in_turn_and_forgotten_when_unused() {
+    let mut paths = PathTable::default();
+    paths.record_failed(Instant(0), endpoint(1));
+    paths.record_failed(Instant(100), endpoint(2));
+    assert_eq!(paths.next_probe(Instant(900)), None);
+    assert_eq!(paths.next_probe(Instant(1_100)), Some(endpoint(1)));
+    assert_eq!(paths.next_probe(Instant(1_100)), Some(endpoint(2)));
+    assert_eq!(paths.next_probe(Instant(1_100)), None);
+    paths.record_relayed(Instant(20_000), endpoint(2));
+    assert_eq!(paths.next_probe(Instant(40_000)), Some(endpoint(2)));
+    assert_eq!(paths.next_probe(Instant(40_000)), None);
+    assert_eq!(paths.status(Instant(40_000)).failing, 1);
+    paths.forget(endpoint(2));
+    assert_eq!(paths.status(Instant(40_000)).failing, 0);
+}
+
+/// Guards against a zone that loses its paths as a whole: its processes stop asking each other.
+#[test]
+fn relays_that_can_not_be_used_are_avoided_for_a_while() {
+    let entries: Vec<_> = (1..=6).map(entry).collect();
+    let mut relays = RelayTable::default();
+    let own = entry(1);
+    let candidates = |relays: &RelayTable, at, draw| {
+        let found = relays.candidates(Instant(at), &entries, own, draw);
+        assert!(!found.contains(&own), "{found:?}");
+        found
+    };
+    assert_eq!(candidates(&relays, 0, 0), [2, 3, 4].map(entry));
+    assert_eq!(candidates(&relays, 0, 4), [6, 2, 3].map(entry));
+    for avoided in [2, 3] {
+        relays.record(Instant(10), entry(avoided), RelayOutcome::Unusable);
+    }
+    relays.record(Instant(10), entry(4), RelayOutcome::EndpointUnreachable);
+    assert_eq!(candidates(&relays, 500, 0), [4, 5, 6].map(entry));
+    assert_eq!(candidates(&relays, 1_010, 0), [2, 3, 4].map(entry));
+}
+
+#[test]
+fn a_process_without_usable_relays_is_isolated_until_one_connects() {
+    let mut relays = RelayTable::default();
+    relays.record(Instant(0), entry(2), RelayOutcome::Unusable);
+    assert!(!relays.is_isolated(Instant(900)));
+    relays.record(Instant(800), entry(3), RelayOutcome::Unusable);
+    assert!(relays.is_isolated(Instant(0) + Millis(1_000)));
+    relays.record(Instant(1_100), entry(3), RelayOutcome::Connected);
+    assert!(!relays.is_isolated(Instant(9_000)));
+}
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -91,6 +91,14 @@
     pub is_reused: bool,
 }
 
+impl Exchange {
+    /// Whether it goes through another process.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.socket.is_relayed
+    }
+}
+
 impl Exchange {
     /// Sends `req` and reads the head of the answer.
     pub(crate) fn run<S: Fn() -> bool>(
@@ -190,7 +198,8 @@
     /// it open.
     pub(crate) fn into_kept(self) -> Option<(Socket, Option<time::Duration>)> {
         let is_whole = self.framing == Framing::Ended || self.framing == Framing::Length(0);
-        if !self.keeps || !is_whole || !self.socket.is_quiet() {
+        // Each relayed exchange has a connection of its own: a process that stops can then wait for those that it relays.
+        if !self.keeps || !is_whole || self.socket.is_relayed || !self.socket.is_quiet() {
             return None;
         }
         let promised = self.head.get("keep-alive").and_then(pool::promised);
@@ -209,6 +218,10 @@
             if head.status / 100 == 1 {
                 continue;
             }
+            if framing == Framing::UntilClose && socket.is_relayed {
+                let detail = "a response without a length can't be relayed: its end can't be told from the relay's";
+                return Err(malformed(detail));
+            }
             return Ok((head, framing));
         }
         if socket.buf.len() > HEAD_BYTES {
--- a/crates/sageshed-upstream/src/lib.rs
+++ b/crates/sageshed-upstream/src/lib.rs
@@ -16,10 +16,14 @@
 //! One that is kept ([`pool::Pool`]) is used again only while the endpoint has promised to keep it,
 //! less a margin, and only if nothing has come on it since its last answer: neither a close nor bytes
 //! that belong to nobody. One on which anything went wrong is dropped.
+//!
+//! Another process of the system can open a connection ([`connection`]) and pass its bytes on ([`relay`]).
 
 mod body;
+pub mod connection;
 pub mod exchange;
 pub mod failure;
 pub mod pool;
 pub mod probe;
+pub mod relay;
 mod socket;
--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::{
+    connection::{self, Connect},
     exchange::{Exchange, Patience, Request},
     failure::Failure,
     socket::Socket,
@@ -57,6 +58,40 @@
     shared: sync::Arc<Shared>,
 }
 
+/// An open connection that a request can be sent on.
+#[derive(Debug)]
+pub struct Opened {
+    socket: Socket,
+    is_reused: bool,
+}
+
+impl Opened {
+    /// Sends `req` and reads the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Where no head comes.
+    pub fn exchange<S: Fn() -> bool>(
+        self,
+        req: &Request<'_>,
+        patience: &Patience<'_, S>,
+    ) -> Result<Exchange, Failure> {
+        Exchange::run(self.socket, req, patience, self.is_reused)
+    }
+
+    /// Whether it has carried another request before.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Whether it goes through a relay.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.socket.is_relayed
+    }
+}
+
 /// The time in the value of a `Keep-Alive` header.
 pub(crate) fn promised(value: &str) -> Option<time::Duration> {
     let option = value
@@ -88,20 +123,37 @@
         max_age: time::Duration,
         patience: &Patience<'_, S>,
     ) -> Result<Exchange, Failure> {
+        self.open(&connection::Direct, address, max_age, patience.until)?
+            .exchange(req, patience)
+    }
+
+    /// Takes a kept connection to `address` that was idle for `max_age` at the most, or has `connector` open one before
+    /// `until`.
+    ///
+    /// # Errors
+    ///
+    /// Where none can be opened.
+    pub fn open<C: Connect>(
+        &self,
+        connector: &C,
+        address: net::SocketAddrV4,
+        max_age: time::Duration,
+        until: time::Instant,
+    ) -> Result<Opened, Failure> {
         if let Some(socket) = self.take(address, max_age) {
-            return Exchange::run(socket, req, patience, true);
+            let is_reused = true;
+            return Ok(Opened { socket, is_reused });
         }
-        let left = patience
-            .until
-            .saturating_duration_since(time::Instant::now());
+        let left = until.saturating_duration_since(time::Instant::now());
         let limit = self
             .settings
             .connect_limit
             .min(left)
             .max(time::Duration::from_millis(1));
         self.shared.opened.fetch_add(1, atomic::Ordering::Relaxed);
-        let socket = Socket::connect(address, limit)?;
-        Exchange::run(socket, req, patience, false)
+        let socket = connector.connect(address, limit)?.socket;
+        let is_reused = false;
+        Ok(Opened { socket, is_reused })
     }
 
     /// Takes the connection of a whole answer back.
@@ -130,6 +182,13 @@
         drop(dropped);
     }
 
+    /// Drops all idle connections.
+    pub fn clear(&self) {
+        let dropped = std::mem::take(&mut *self.lock());
+        // Closed after the lock is free.
+        drop(dropped);
+    }
+
     /// Drops the idle connections that are past their time.
     pub fn sweep(&self) {
         let now = time::Instant::now();
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -54,8 +54,10 @@
 /// An open connection and what was read from it and not used yet.
 #[derive(Debug)]
 pub(crate) struct Socket {
-    stream: net::TcpStream,
+    pub(crate) stream: net::TcpStream,
     pub(crate) buf: Vec<u8>,
+    /// Whether it leads to the endpoint through another process.
+    pub(crate) is_relayed: bool,
 }
 
 impl Socket {
@@ -74,6 +76,7 @@
         Ok(Self {
             stream,
             buf: Vec::new(),
+            is_relayed: false,
         })
     }
 
@@ -158,7 +161,7 @@
     stream.set_write_timeout(Some(SLICE))
 }
 
-fn is_timeout(e: &io::Error) -> bool {
+pub(crate) fn is_timeout(e: &io::Error) -> bool {
     // The socket's own timeout shows as either, by platform.
     matches!(
         e.kind(),
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -3,6 +3,7 @@
 use std::{collections, sync, time};
 
 use opentelemetry::{KeyValue, metrics as instruments};
+use sageshed_upstream::relay;
 
 use super::{allowances, state};
 use crate::{locks, metrics};
@@ -63,6 +64,8 @@
     open_endpoints: metrics::Gauge,
     limited_endpoints: metrics::Gauge,
     unconnectable: metrics::Gauge,
+    lost_paths: metrics::Gauge,
+    relayed: metrics::Gauge,
     connections: metrics::Gauge,
     silence: metrics::Gauge,
     config_wait: metrics::Gauge,
@@ -111,6 +114,14 @@
                 "sageshed_gateway_endpoints_unconnectable",
                 "Endpoints to which no connection can be opened",
             ),
+            lost_paths: gauge(
+                "sageshed_gateway_paths_lost",
+                "Endpoints that only other entry processes reach",
+            ),
+            relayed: gauge(
+                "sageshed_gateway_relayed",
+                "Connections opened for other entry processes",
+            ),
             connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
             config_wait: gauge(
                 "sageshed_gateway_config_wait",
@@ -290,6 +301,9 @@
         self.gauges.limited_endpoints.set(limited as f64);
         let paths = locks::lock(&shared.paths).status(now);
         self.gauges.unconnectable.set(paths.failing as f64);
+        self.gauges.lost_paths.set(paths.lost as f64);
+        let relayed = shared.relay.get().map_or(0, relay::Relay::relayed);
+        self.gauges.relayed.set(relayed as f64);
         self.gauges.connections.set(shared.pool.opened() as f64);
         self.gauges.idle.set(shared.pool.idle() as f64);
         let quarantined = shared.with_core(|core| core.quarantine.count_quarantined(now));
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -1,42 +1,286 @@
-//! Records which endpoints this process can open connections to.
+//! Opens connections to endpoints, through another entry process where the own path is lost, and for other entry
+//! processes.
 
-use sageshed_fleet::{chooser, dialect};
-use sageshed_upstream::{exchange, failure};
+use std::{
+    net,
+    sync::{self, Arc},
+    thread, time as std_time,
+};
+
+use sageshed_fleet::{dialect, paths};
+use sageshed_upstream::{
+    connection::{Connect, Connection, RelayError},
+    failure, pool, relay,
+};
 
 use super::state;
 use crate::locks;
 
+/// The relays that must fail to reach an endpoint before it counts as unreachable. One of them may have lost its own
+/// path, and not know it yet.
+const UNREACHABLE_WITNESSES: usize = 2;
+
+/// How long an attempt through one relay may take.
+const RELAY_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(350);
+
+/// How long a probe may take to connect.
+const PROBE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
+
+/// How long a probe's connection must stay open. Something on the way may accept connections and then reset them.
+const PROBE_HOLD: std_time::Duration = std_time::Duration::from_millis(100);
+
+/// The time that the probes of one pass may take.
+const PROBE_PASS: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// The most connections that are opened for other entry processes at once. Each has a thread and two descriptors.
+const MAX_RELAYED: usize = 256;
+
+/// The descriptors of a process for each connection that it opens for another one at once.
+const DESCRIPTORS_PER_RELAYED: usize = 16;
+
+/// Opens connections to endpoints by the paths that work.
+#[derive(Debug)]
+pub(super) struct Connector<'a, D> {
+    pub(super) shared: &'a state::Shared<D>,
+}
+
+/// How a connection leads to its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PathUse {
+    /// Over a path of this process, on a connection that was just opened.
+    NewDirect,
+    /// Over a path of this process, on a connection that carried other requests.
+    ReusedDirect,
+    /// Through another entry process.
+    Relayed,
+}
+
+impl PathUse {
+    pub(super) fn of(opened: &pool::Opened) -> Self {
+        if opened.is_relayed() {
+            Self::Relayed
+        } else if opened.is_reused() {
+            Self::ReusedDirect
+        } else {
+            Self::NewDirect
+        }
+    }
+}
+
+impl<D: dialect::Dialect> Connect for Connector<'_, D> {
+    fn connect(
+        &self,
+        endpoint: net::SocketAddrV4,
+        limit: std_time::Duration,
+    ) -> Result<Connection, failure::Failure> {
+        let route = locks::lock(&self.shared.paths).route(endpoint);
+        if route == paths::Route::Relay
+            && let Some(relayed) = self.connect_by_relay(endpoint, limit)
+        {
+            return relayed;
+        }
+        let failure = match Connection::direct(endpoint, limit) {
+            Ok(connection) => return Ok(connection),
+            Err(failure) => failure,
+        };
+        let after = self.shared.record_failed_path(endpoint, &failure);
+        if route == paths::Route::Direct
+            && after == paths::AfterFailure::TryRelay
+            && let Some(relayed) = self.connect_by_relay(endpoint, limit)
+        {
+            return relayed;
+        }
+        Err(failure)
+    }
+}
+
+impl<D: dialect::Dialect> Connector<'_, D> {
+    /// Opens a connection through another entry process. None if there is no process to do so.
+    fn connect_by_relay(
+        &self,
+        endpoint: net::SocketAddrV4,
+        limit: std_time::Duration,
+    ) -> Option<Result<Connection, failure::Failure>> {
+        let shared = self.shared;
+        if !shared.settings.relays.enabled {
+            return None;
+        }
+        let discovery = &shared.settings.discovery;
+        let (entries, draw) = shared.with_core(|core| (core.entries.clone(), core.chooser.draw()));
+        let now = shared.clock.now();
+        let relays = locks::lock(&shared.relays).candidates(now, &entries, discovery.ip, draw);
+        let mut witnesses = 0;
+        for relay in relays {
+            let address = net::SocketAddrV4::new(relay, discovery.vms_port);
+            let opened = Connection::through(address, endpoint, limit.min(RELAY_TIMEOUT));
+            let outcome = match &opened {
+                Ok(_) => paths::RelayOutcome::Connected,
+                Err(RelayError::EndpointUnreachable) => paths::RelayOutcome::EndpointUnreachable,
+                Err(RelayError::Unusable(_)) => paths::RelayOutcome::Unusable,
+            };
+            let now = shared.clock.now();
+            locks::lock(&shared.relays).record(now, relay, outcome);
+            match opened {
+                Ok(connection) => {
+                    shared.record_relayed_path(endpoint, relay);
+                    return Some(Ok(connection));
+                }
+                Err(RelayError::EndpointUnreachable) => {
+                    witnesses += 1;
+                    if witnesses == UNREACHABLE_WITNESSES {
+                        break;
+                    }
+                }
+                Err(e) => {
+                    ::log::debug!(relay:% = relay, error:% = e; "gateway: relay can't be used");
+                }
+            }
+        }
+        (witnesses > 0).then(|| Err(RelayError::EndpointUnreachable.into()))
+    }
+}
+
 impl<D: dialect::Dialect> state::Shared<D> {
-    /// Records whether a new connection could be opened for an exchange with the endpoint of `pick`. An exchange over a
-    /// pooled connection tells nothing of that.
-    pub(super) fn record_connection(
+    /// Whether endpoints can be reached neither directly nor through other entry processes.
+    pub(super) fn is_isolated(&self) -> bool {
+        let now = self.clock.now();
+        locks::lock(&self.paths).is_cut_off() && locks::lock(&self.relays).is_isolated(now)
+    }
+
+    /// Records how an exchange over a connection to `endpoint` ended.
+    pub(super) fn record_exchange(
         &self,
-        pick: &chooser::Pick,
-        exchanged: &Result<exchange::Exchange, failure::Failure>,
+        endpoint: net::SocketAddrV4,
+        path: PathUse,
+        failure: Option<&failure::Failure>,
     ) {
+        match (path, failure) {
+            (PathUse::Relayed, _) => {}
+            (_, None) => self.record_response(endpoint, path == PathUse::NewDirect),
+            (PathUse::NewDirect, Some(failure))
+                if failure.cause == failure::Cause::ClosedBeforeAnswer =>
+            {
+                self.record_failed_path(endpoint, failure);
+            }
+            (_, Some(_)) => {}
+        }
+    }
+
+    fn record_response(&self, endpoint: net::SocketAddrV4, is_new_connection: bool) {
+        let now = self.clock.now();
+        let failed_for =
+            self.update_paths(|paths| paths.record_response(now, endpoint, is_new_connection));
+        if let Some(failed_for) = failed_for {
+            ::log::info!(address:% = endpoint, failed_ms = failed_for.0; "gateway: connects to an endpoint again");
+        }
+    }
+
+    fn record_failed_path(
+        &self,
+        endpoint: net::SocketAddrV4,
+        failure: &failure::Failure,
+    ) -> paths::AfterFailure {
         let now = self.clock.now();
-        let (endpoint, address) = (&pick.instance, pick.address);
+        let (is_first, status, after) = self.update_paths(|paths| {
+            let is_first = paths.record_failed(now, endpoint);
+            (is_first, paths.status(now), paths.after_failure(now))
+        });
+        if is_first {
+            // Since the start of this process if no endpoint has responded yet.
+            let responded_ms = status.since_response.map_or(now.0, |it| it.0);
+            ::log::info!(address:% = endpoint, error:% = failure, failing = status.failing, responded_ms;
+                "gateway: cannot connect to an endpoint");
+        }
+        after
+    }
+
+    fn record_relayed_path(&self, endpoint: net::SocketAddrV4, relay: net::Ipv4Addr) {
+        let now = self.clock.now();
+        let (is_first, status) =
+            self.update_paths(|paths| (paths.record_relayed(now, endpoint), paths.status(now)));
+        if is_first {
+            ::log::info!(address:% = endpoint, relay:% = relay, lost = status.lost, failing = status.failing;
+                "gateway: path to an endpoint is lost, another entry process reaches it");
+            // Connections that were opened before may be silent.
+            self.pool.forget(endpoint);
+        }
+    }
+
+    /// Updates the paths of this process, and drops pooled connections if it is cut off from all endpoints since.
+    fn update_paths<T>(&self, update: impl FnOnce(&mut paths::PathTable) -> T) -> T {
         let mut paths = locks::lock(&self.paths);
-        match exchanged {
-            Ok(exchange) if !exchange.is_reused => {
-                let Some(failed_for) = paths.record_connected(now, address) else {
-                    return;
-                };
-                let failing = paths.status(now).failing;
-                ::log::info!(endpoint:% = endpoint, address:% = address, failed_ms = failed_for.0, failing;
-                    "gateway: connects to an endpoint again");
-            }
-            Err(failure) if failure.is_connect_failure() => {
-                if !paths.record_failed(now, address) {
-                    return;
-                }
-                let status = paths.status(now);
-                // Since the start of this process if it has not opened any connection yet.
-                let connected_ms = status.since_connected.map_or(now.0, |it| it.0);
-                ::log::info!(endpoint:% = endpoint, address:% = address, error:% = failure,
-                    failing = status.failing, connected_ms; "gateway: cannot connect to an endpoint");
-            }
-            _ => {}
+        let was_cut_off = paths.is_cut_off();
+        let updated = update(&mut paths);
+        let is_cut_off = paths.is_cut_off();
+        drop(paths);
+        if is_cut_off && !was_cut_off {
+            ::log::warn!(
+                "gateway: cut off from the endpoints, connecting through other entry processes"
+            );
+            self.pool.clear();
+        } else if was_cut_off && !is_cut_off {
+            ::log::info!("gateway: connects to endpoints without relays again");
+        }
+        updated
+    }
+}
+
+/// Opens connections to endpoints whose paths have failed, to learn whether they work again.
+pub(super) fn probe<D: dialect::Dialect>(shared: &state::Shared<D>) {
+    let begun = std_time::Instant::now();
+    while begun.elapsed() < PROBE_PASS {
+        let now = shared.clock.now();
+        let Some(endpoint) = locks::lock(&shared.paths).next_probe(now) else {
+            return;
+        };
+        let Ok(connection) = Connection::direct(endpoint, PROBE_TIMEOUT) else {
+            continue;
+        };
+        thread::sleep(PROBE_HOLD);
+        if connection.is_quiet() {
+            shared.record_response(endpoint, true);
+        }
+    }
+}
+
+/// Admits connections to known endpoints only.
+struct RelayGate<D> {
+    shared: Arc<state::Shared<D>>,
+}
+
+impl<D: dialect::Dialect> relay::Gate for RelayGate<D> {
+    fn admits(&self, endpoint: net::SocketAddrV4) -> bool {
+        let now = self.shared.clock.now();
+        let is_known = self.shared.with_core(|core| {
+            let mut present = core.directory.present(now);
+            present.any(|(it, _)| it.address == endpoint)
+        });
+        // A process that would need a relay itself leaves the connection to another one.
+        is_known && locks::lock(&self.shared.paths).route(endpoint) == paths::Route::Direct
+    }
+
+    fn record_failed(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
+        self.shared.record_failed_path(endpoint, failure);
+    }
+}
+
+/// Starts to open connections for other entry processes.
+pub(super) fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) {
+    if !shared.settings.relays.enabled {
+        return;
+    }
+    let discovery = &shared.settings.discovery;
+    let address = net::SocketAddrV4::new(discovery.ip, discovery.vms_port);
+    let limit = shared.settings.resources.descriptors / DESCRIPTORS_PER_RELAYED;
+    let gate = RelayGate {
+        shared: Arc::clone(shared),
+    };
+    let started = net::TcpListener::bind(address)
+        .and_then(|listener| relay::Relay::start(listener, limit.min(MAX_RELAYED), gate));
+    match started {
+        Ok(relay) => drop(shared.relay.set(relay)),
+        Err(e) => {
+            ::log::warn!(address:% = address, error:% = e; "gateway: cannot open connections for other entry processes");
         }
     }
 }
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -9,7 +9,7 @@
 use sageshed_upstream::{exchange, failure};
 
 use super::{AttemptResult, ProxiedRequest};
-use crate::gateway::{entry_peers, queues, response::ResponseSink};
+use crate::gateway::{entry_peers, paths, queues, response::ResponseSink};
 
 /// The largest response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -97,6 +97,20 @@
         resume_after: Option<&str>,
         patience: &exchange::Patience<'_, S>,
     ) -> Result<exchange::Exchange, failure::Failure> {
+        let max_age = if self.route.kind.is_retryable() {
+            MAX_IDLE_REPEATABLE
+        } else {
+            MAX_IDLE_NOT_REPEATABLE
+        };
+        let connector = paths::Connector {
+            shared: self.shared,
+        };
+        let opened = self
+            .shared
+            .pool
+            .open(&connector, pick.address, max_age, patience.until)?;
+        let path = paths::PathUse::of(&opened);
+        // The time left is read once the connection is open, which may take long.
         let metadata = dialect::UpstreamMetadata {
             instance: &pick.instance,
             time_left: self.time_left(),
@@ -127,16 +141,9 @@
             headers: list,
             body: &self.req.body,
         };
-        let max_age = if self.route.kind.is_retryable() {
-            MAX_IDLE_REPEATABLE
-        } else {
-            MAX_IDLE_NOT_REPEATABLE
-        };
-        let exchanged = self
-            .shared
-            .pool
-            .exchange(pick.address, &req, max_age, patience);
-        self.shared.record_connection(pick, &exchanged);
+        let exchanged = opened.exchange(&req, patience);
+        self.shared
+            .record_exchange(pick.address, path, exchanged.as_ref().err());
         exchanged
     }
 
--- a/src/sageshed/gateway/ready.rs
+++ b/src/sageshed/gateway/ready.rs
@@ -28,6 +28,8 @@
             )
         } else if self.shared.is_out_of_date() {
             (503, "a newer configuration is not known yet\n".to_owned())
+        } else if self.shared.is_isolated() {
+            (503, "no endpoint can be reached\n".to_owned())
         } else {
             (503, "no endpoint is known\n".to_owned())
         };
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -13,7 +13,7 @@
 use sageshed_fleet::dialect;
 use sageshed_http::{handler, limits, server};
 
-use super::{allowances, entry_peers, proxy, queues, ready, slots, state, watch};
+use super::{allowances, entry_peers, paths, proxy, queues, ready, slots, state, watch};
 use crate::{context, locks, metrics_port, settings};
 
 /// File descriptors that are not for callers: control processes, idle connections to endpoints, listeners.
@@ -100,10 +100,12 @@
     allowances::start(&shared);
     queues::start(&shared);
     slots::start(&shared);
+    paths::start(&shared);
     ::log::info!(vm = shared.settings.vm.as_str(), callers:% = callers.local_addr(),
         ready:% = ready.local_addr(); "gateway: listening");
     while !cx.stop.wait_timeout(SWEEP_INTERVAL) {
         shared.pool.sweep();
+        paths::probe(&shared);
     }
     stop(cx, &shared, &callers);
     drop((ready, metrics));
@@ -129,6 +131,9 @@
     shared.refusing.store(true, sync::atomic::Ordering::Relaxed);
     callers.stop_accepting();
     callers.close_idle();
+    if let Some(relay) = shared.relay.get() {
+        relay.stop();
+    }
     let end = grace.saturating_sub(EXIT_MARGIN);
     let last_sends = end.saturating_sub(LAST_SEND_BEFORE_END);
     let open = callers.wait(last_sends.saturating_sub(began.elapsed()));
@@ -138,7 +143,9 @@
     shared.ending.store(true, sync::atomic::Ordering::Relaxed);
     shared.wake_waiting();
     let cut = callers.wait(end.saturating_sub(began.elapsed()));
-    ::log::info!(cut; "gateway: stopped");
+    let relayed = shared.relay.get();
+    let cut_relayed = relayed.map_or(0, |it| it.wait(end.saturating_sub(began.elapsed())));
+    ::log::info!(cut, cut_relayed; "gateway: stopped");
 }
 
 fn start<H: handler::Handler>(
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -12,7 +12,7 @@
     slots::SlotCoordinator,
 };
 use sageshed_types::{document, time};
-use sageshed_upstream::pool;
+use sageshed_upstream::{pool, relay};
 
 use super::{config_check, entry_peers, fetch, metrics, queues, routing, slots};
 use crate::{accounts, clock, locks, records, sampler, settings};
@@ -30,6 +30,10 @@
     pub pool: pool::Pool,
     /// Which endpoints this process can open connections to.
     pub(super) paths: sync::Mutex<paths::PathTable>,
+    /// The entry processes through which connections can be opened.
+    pub(super) relays: sync::Mutex<paths::RelayTable>,
+    /// Opens connections for other entry processes, once it is started.
+    pub(super) relay: sync::OnceLock<relay::Relay>,
     /// The client for calls to control processes.
     pub client: sageshed_vms::Client,
     /// The client for calls that fetch and check the configuration. Its connections are closed after each call: these
@@ -176,6 +180,8 @@
             clock: clock::Clock::start(),
             pool: pool::Pool::new(pool::Settings::default()),
             paths: sync::Mutex::default(),
+            relays: sync::Mutex::default(),
+            relay: sync::OnceLock::new(),
             client: sageshed_vms::Client::new(""),
             config_client: sageshed_vms::Client::unpooled(""),
             entry_peers,
@@ -351,6 +357,7 @@
                 // them would be lost without an error.
                 if instance.has_ended() || offer == directory::MergeOutcome::New {
                     self.pool.forget(instance.address);
+                    locks::lock(&self.paths).forget(instance.address);
                 }
                 self.log_endpoint_change(now, &instance, offer, age);
                 true
@@ -425,6 +432,7 @@
         !self.is_stopping()
             && self.version() > 0
             && !self.is_out_of_date()
+            && !self.is_isolated()
             && self.with_core(|it| it.chooser.has_ready_endpoint())
     }
 }
--- a/src/sageshed/settings/fleet.rs
+++ b/src/sageshed/settings/fleet.rs
@@ -63,6 +63,8 @@
     pub routing: chooser::Policy,
     /// Whether its requests wait in the queues of coordinators.
     pub shared_queue: SharedQueue,
+    /// Connections that entry processes open for each other.
+    pub relays: Relays,
 }
 
 /// The settings of a control process of a fleet, checked.
@@ -207,6 +209,20 @@
     }
 }
 
+/// Connections to endpoints that entry processes open for each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Relays {
+    /// Whether connections that fail are tried through other entry processes, and opened for them.
+    pub enabled: bool,
+}
+
+impl Default for Relays {
+    fn default() -> Self {
+        Self { enabled: true }
+    }
+}
+
 /// How a control process that leads orders engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -256,6 +272,7 @@
     let configuration = reader.section::<FleetConfiguration>("configuration").value;
     let routing = reader.section::<chooser::Policy>("routing").value;
     let shared_queue = reader.section::<SharedQueue>("shared_queue");
+    let relays = reader.section::<Relays>("relays").value;
     problems.extend(reader.finish());
     check_shutdown(&shutdown, problems);
     check_weights(&shared_queue, problems);
@@ -272,6 +289,7 @@
         configuration,
         routing,
         shared_queue: shared_queue.value,
+        relays,
     })
 }
 
--- a/tests/fleet/paths.rs
+++ b/tests/fleet/paths.rs
@@ -99,9 +99,30 @@
                 .iter()
                 .any(|path| it.target().starts_with(path))
         });
-        for id in ran.filter_map(|it| it.header("attempt-id")) {
+        let ids = ran.filter_map(|it| it.header("attempt-id"));
+        // [`Fleet::ready`] sends one id to all entry processes.
+        for id in ids.filter(|it| *it != "first") {
             *runs.entry(id.to_owned()).or_insert(0) += 1;
         }
     }
     runs.into_values().max().unwrap_or(0)
 }
+
+/// Guards against an entry process that sends its requests through another one for good: it connects to the endpoints
+/// by itself again once it can.
+#[test]
+fn an_entry_process_uses_its_own_paths_again_when_they_are_back() {
+    let (fleet, engines) = Fleet::ready();
+    cut_off(&fleet, &engines, 0, &[0, 1, 2, 3]);
+    for engine in &engines {
+        engine.end_cut();
+    }
+    let mut round = 0;
+    fleet.until("a request is sent without a relay", || {
+        round += 1;
+        let id = format!("back-{round}");
+        serve_round(&fleet, 0, &id);
+        let log = fleet.entries[0].log();
+        log.contains("connects to endpoints without relays again")
+    });
+}
