Tell entry peers of an unreachable endpoint only with evidence

On deployments with coordinators (more than 12 entry processes) an engine that two processes report as unreachable is ejected by the coordinators of its models, for the callers of all processes. Two entry VMs that are cut off from all endpoints report every engine that they try.

Found by reading; no process test shows it on this code.

A process that knows of a lost path of its own now reports an endpoint only if relays do not reach it either. A first failure is judged by whether any endpoint has responded since the attempt began, in place of within the last 450 ms, so that a connection that hangs at the moment of the cut is tried through a relay as well.

--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -18,10 +18,6 @@
 /// The endpoints with failed connections from which on the VM as a whole may be cut off.
 const MIN_FAILED_IF_CUT_OFF: usize = 2;
 
-/// If an endpoint has responded to this process over its own paths within this time, a failed connection to another one
-/// is a failure of that endpoint. Connections that hang fail after 400 ms.
-const RESPONSE_TTL: Millis = Millis(450);
-
 /// The interval between two probes of a path.
 const PROBE_INTERVAL: Millis = Millis(1_000);
 
@@ -61,8 +57,18 @@
     /// The latest failure or relayed connection.
     used_at: Instant,
     probed_at: Instant,
-    /// Whether a relay has reached the endpoint since.
-    is_lost: bool,
+    /// What relays have shown since.
+    shown: Shown,
+}
+
+/// What relays have shown of an endpoint that this process can't connect to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Shown {
+    Nothing,
+    /// A relay has reached it: the path of this process is lost.
+    PathLost,
+    /// Relays do not reach it either.
+    Unreachable,
 }
 
 /// The endpoints that can't be connected to.
@@ -123,7 +129,7 @@
             failed_at: now,
             used_at: now,
             probed_at: now,
-            is_lost: false,
+            shown: Shown::Nothing,
         };
         let failed = self.failed.entry(endpoint).or_insert(first);
         failed.failed_at = now;
@@ -136,13 +142,10 @@
         self.failed.remove(&endpoint);
     }
 
-    /// What to do after a direct connection has failed at `now`.
+    /// What to do after a direct connection has failed that was begun at `begun`.
     #[must_use]
-    pub fn after_failure(&self, now: Instant) -> AfterFailure {
-        let responds = self
-            .responded_at
-            .is_some_and(|it| now.since(it) < RESPONSE_TTL);
-        if responds {
+    pub fn after_failure(&self, begun: Instant) -> AfterFailure {
+        if self.responded_at.is_some_and(|it| it > begun) {
             AfterFailure::Report
         } else {
             AfterFailure::TryRelay
@@ -156,7 +159,22 @@
             return false;
         };
         failed.used_at = now;
-        !std::mem::replace(&mut failed.is_lost, true)
+        std::mem::replace(&mut failed.shown, Shown::PathLost) != Shown::PathLost
+    }
+
+    /// Records that relays do not reach `endpoint` either.
+    pub fn record_unreachable(&mut self, endpoint: net::SocketAddrV4) {
+        if let Some(failed) = self.failed.get_mut(&endpoint) {
+            failed.shown = Shown::Unreachable;
+        }
+    }
+
+    /// Whether a failed connection to `endpoint` says something of the endpoint to other processes: relays have not
+    /// reached it either, or this process knows of no lost path of its own.
+    #[must_use]
+    pub fn is_evidence(&self, endpoint: net::SocketAddrV4) -> bool {
+        let failed = self.failed.get(&endpoint);
+        failed.is_some_and(|it| it.shown == Shown::Unreachable) || self.lost().next().is_none()
     }
 
     /// The endpoint to which a connection is to be opened as a probe, if one is due.
@@ -177,19 +195,26 @@
     pub fn status(&self, now: Instant) -> PathStatus {
         PathStatus {
             failing: self.failed.len(),
-            lost: self.failed.values().filter(|it| it.is_lost).count(),
+            lost: self.lost().count(),
             is_cut_off: self.is_cut_off(),
             since_response: self.responded_at.map(|it| now.since(it)),
         }
     }
 
+    /// The endpoints that only relays reach.
+    fn lost(&self) -> impl Iterator<Item = &FailedPath> {
+        let failed = self.failed.values();
+        failed.filter(|it| it.shown == Shown::PathLost)
+    }
+
     /// Whether this process is taken to have lost its paths to all endpoints: connections to several have failed since
     /// any has responded to it, and a relay has reached one of them.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
         let is_after = |at: Instant| self.responded_at.is_none_or(|it| at > it);
         let failed = self.failed.values().filter(|it| is_after(it.failed_at));
-        failed.clone().count() >= MIN_FAILED_IF_CUT_OFF && failed.clone().any(|it| it.is_lost)
+        failed.clone().count() >= MIN_FAILED_IF_CUT_OFF
+            && failed.clone().any(|it| it.shown == Shown::PathLost)
     }
 }
 
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -7,7 +7,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{dialect, paths};
+use sageshed_fleet::{chooser, dialect, paths};
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
     failure, pool, relay,
@@ -79,11 +79,13 @@
         {
             return relayed;
         }
+        let begun = self.shared.clock.now();
         let failure = match Connection::direct(endpoint, limit) {
             Ok(connection) => return Ok(connection),
             Err(failure) => failure,
         };
-        let after = self.shared.record_failed_path(endpoint, &failure);
+        self.shared.record_failed_path(endpoint, &failure);
+        let after = locks::lock(&self.shared.paths).after_failure(begun);
         if route == paths::Route::Direct
             && after == paths::AfterFailure::TryRelay
             && let Some(relayed) = self.connect_by_relay(endpoint, limit)
@@ -136,7 +138,11 @@
                 }
             }
         }
-        (witnesses > 0).then(|| Err(RelayError::EndpointUnreachable.into()))
+        if witnesses == 0 {
+            return None;
+        }
+        locks::lock(&shared.paths).record_unreachable(endpoint);
+        Some(Err(RelayError::EndpointUnreachable.into()))
     }
 }
 
@@ -147,6 +153,19 @@
         locks::lock(&self.paths).is_cut_off() && locks::lock(&self.relays).is_isolated(now)
     }
 
+    /// What other processes are told of an attempt at `endpoint` that ended with `outcome`.
+    pub(super) fn outcome_for_peers(
+        &self,
+        endpoint: net::SocketAddrV4,
+        outcome: chooser::AttemptOutcome,
+    ) -> chooser::AttemptOutcome {
+        let is_unreachable = outcome == chooser::AttemptOutcome::Unreachable;
+        if is_unreachable && !locks::lock(&self.paths).is_evidence(endpoint) {
+            return chooser::AttemptOutcome::GivenUp;
+        }
+        outcome
+    }
+
     /// Records how an exchange over a connection to `endpoint` ended.
     pub(super) fn record_exchange(
         &self,
@@ -175,23 +194,16 @@
         }
     }
 
-    fn record_failed_path(
-        &self,
-        endpoint: net::SocketAddrV4,
-        failure: &failure::Failure,
-    ) -> paths::AfterFailure {
+    fn record_failed_path(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
         let now = self.clock.now();
-        let (is_first, status, after) = self.update_paths(|paths| {
-            let is_first = paths.record_failed(now, endpoint);
-            (is_first, paths.status(now), paths.after_failure(now))
-        });
+        let (is_first, status) =
+            self.update_paths(|paths| (paths.record_failed(now, endpoint), paths.status(now)));
         if is_first {
             // Since the start of this process if no endpoint has responded yet.
             let responded_ms = status.since_response.map_or(now.0, |it| it.0);
             ::log::info!(address:% = endpoint, error:% = failure, failing = status.failing, responded_ms;
                 "gateway: cannot connect to an endpoint");
         }
-        after
     }
 
     fn record_relayed_path(&self, endpoint: net::SocketAddrV4, relay: net::Ipv4Addr) {
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -294,8 +294,9 @@
             core.chooser
                 .record_end(now, pick, self.wanted, began, outcome);
         });
-        entry_peers::report_end(self.shared, pick, began, self.fault_to_report(outcome));
-        self.release_slot(pick, outcome);
+        let told = self.shared.outcome_for_peers(pick.address, outcome);
+        entry_peers::report_end(self.shared, pick, began, self.fault_to_report(told));
+        self.release_slot(pick, told);
         self.shared.wake_waiting();
         queues::serve_pick(self.shared, pick);
     }
