Give up connections sooner while a path is known to be lost

A VM that has lost many paths, and not all, finds each by a request that waits 400 ms for a connection that hangs; callers with a second left go unserved by it.

While a relay has shown a path to be lost, a direct connection may take 120 ms to open, and its failure is tried through a relay at once even if other endpoints respond.

--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -18,6 +18,9 @@
 /// The endpoints with failed connections from which on the VM as a whole may be cut off.
 const MIN_FAILED_IF_CUT_OFF: usize = 2;
 
+/// How long a connection may take to open while a path is known to be lost: several round trips between regions.
+const SUSPICIOUS_CONNECT_TIMEOUT: Millis = Millis(120);
+
 /// The interval between two probes of a path.
 const PROBE_INTERVAL: Millis = Millis(1_000);
 
@@ -44,7 +47,7 @@
 pub enum AfterFailure {
     /// Try it through a relay: the path of this process may be lost.
     TryRelay,
-    /// Report the endpoint as unreachable: other endpoints respond to this process.
+    /// Report the endpoint as unreachable: others respond to this process, and no path of it is known to be lost.
     Report,
 }
 
@@ -102,6 +105,17 @@
         }
     }
 
+    /// How long a direct connection may take to open, where `limit` is the usual time. Shorter while a path is known to
+    /// be lost: then others may be, and relays are at hand.
+    #[must_use]
+    pub fn connect_timeout(&self, limit: Millis) -> Millis {
+        if self.lost().next().is_some() {
+            limit.min(SUSPICIOUS_CONNECT_TIMEOUT)
+        } else {
+            limit
+        }
+    }
+
     /// Records a response over a path of this process. Returns for how long connections to `endpoint` had failed, if
     /// the response came over a new connection and they had.
     pub fn record_response(
@@ -145,7 +159,8 @@
     /// What to do after a direct connection has failed that was begun at `begun`.
     #[must_use]
     pub fn after_failure(&self, begun: Instant) -> AfterFailure {
-        if self.responded_at.is_some_and(|it| it > begun) {
+        let responds = self.responded_at.is_some_and(|it| it > begun);
+        if responds && self.lost().next().is_none() {
             AfterFailure::Report
         } else {
             AfterFailure::TryRelay
--- a/crates/sageshed-fleet/tests/paths.rs
+++ b/crates/sageshed-fleet/tests/paths.rs
@@ -128,6 +128,22 @@
     assert_eq!(paths.after_failure(Instant(1_100)), AfterFailure::TryRelay);
 }
 
+/// Guards against a VM that loses some paths and finds them one after another, each by a request that waits 400 ms.
+#[test]
+fn once_a_path_is_lost_others_are_given_up_sooner_and_tried_through_relays() {
+    let mut paths = PathTable::default();
+    let usual = Millis(400);
+    paths.record_failed(Instant(400), endpoint(1));
+    assert_eq!(paths.connect_timeout(usual), usual);
+    paths.record_relayed(Instant(420), endpoint(1));
+    assert!(paths.connect_timeout(usual) < usual);
+    paths.record_response(Instant(430), endpoint(2), false);
+    assert_eq!(paths.after_failure(Instant(425)), AfterFailure::TryRelay);
+    paths.record_response(Instant(440), endpoint(1), true);
+    assert_eq!(paths.connect_timeout(usual), usual);
+    assert_eq!(paths.after_failure(Instant(425)), AfterFailure::Report);
+}
+
 /// Guards against engines that two VMs without paths report as unreachable to all others, which then avoid them.
 #[test]
 fn a_process_with_lost_paths_tells_others_only_of_endpoints_that_relays_do_not_reach() {
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -80,7 +80,8 @@
             return relayed;
         }
         let begun = self.shared.clock.now();
-        let failure = match Connection::direct(endpoint, limit) {
+        let direct_limit = locks::lock(&self.shared.paths).connect_timeout(limit.into());
+        let failure = match Connection::direct(endpoint, direct_limit.into()) {
             Ok(connection) => return Ok(connection),
             Err(failure) => failure,
         };
