Bound rejections where endpoints report that they fail by them

Endpoints of a service can report in all responses how many requests per second each of them can reject before it fails. Nothing read that, and no process sees what the others have rejected.

While a service reports it, a process has at most its share of an endpoint's slots in flight there (slots divided by entry processes, and at least one), and closes an endpoint that has rejected a request for 0.2 to 2 s, as long as one rejection of each process takes at that rate. A process that reaches the endpoints through others gets the same responses and keeps to the same share.

--- a/crates/sageshed-fleet/src/chooser/backpressure.rs
+++ b/crates/sageshed-fleet/src/chooser/backpressure.rs
@@ -42,6 +42,10 @@
     Cleared,
     /// This process has sent it so many requests in the time since the last count.
     Sent(u64, time::Millis),
+    /// Each endpoint of its service bears this number of rejections per second.
+    Rejections(u32),
+    /// The endpoints of its service no longer report a bound on rejections.
+    RejectionsCleared,
 }
 
 /// A limit that an endpoint reported, and the requests that this process has sent since.
@@ -110,12 +114,14 @@
         if let Some(span) = response.notice.retry_after {
             self.pause_for(now, id, span);
         }
-        match response.notice.limit {
+        let rejections = self.apply_rejection_limit(now, id, response);
+        let limit = match response.notice.limit {
             Some(per_s) => self.set_limit(now, id, per_s),
             // A rejection may be too short to include the limit.
             None if response.execution != dialect::ExecutionStatus::Verified => None,
             None => self.clear_limit(id),
-        }
+        };
+        limit.or(rejections)
     }
 
     /// Records the limit that an instance reported in a response. Returns the change, if any.
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -28,6 +28,7 @@
 mod prefix_cache;
 mod query;
 mod queueing;
+mod rejection_limit;
 mod routing;
 mod slots;
 mod wait_estimates;
@@ -96,6 +97,7 @@
     prefill_limits: prefill_limit::PrefillLimits,
     wait_estimates: wait_estimates::WaitEstimates,
     backpressure: backpressure::Backpressure,
+    rejection_limits: rejection_limit::RejectionLimits,
     policy: Policy,
     /// Whether the slots of plain services are shared among all entry processes.
     has_slot_shares: bool,
@@ -118,6 +120,7 @@
             prefill_limits: prefill_limit::PrefillLimits::default(),
             wait_estimates: wait_estimates::WaitEstimates::default(),
             backpressure: backpressure::Backpressure::default(),
+            rejection_limits: rejection_limit::RejectionLimits::default(),
             policy: Policy::default(),
             has_slot_shares: false,
         }
@@ -279,8 +282,10 @@
         if !query.ignores_slot_share && self.is_slot_share_used(query.service) {
             return Choice::Wait(WaitReason::Place);
         }
-        let has_capacity =
-            |key: &arena::EndpointKey| self.get(*key).is_some_and(Endpoint::has_capacity);
+        let has_capacity = |key: &arena::EndpointKey| {
+            self.get(*key).is_some_and(Endpoint::has_capacity)
+                && !self.is_rejection_share_used(now, *key)
+        };
         let free: Vec<_> = open.into_iter().filter(has_capacity).collect();
         match self.lowest_score(now, query, &free) {
             Some((_, key)) => self.dispatch(now, key, query),
@@ -296,7 +301,14 @@
         with_adapter: &[arena::EndpointKey],
         without_adapter: &[arena::EndpointKey],
     ) -> Choice {
-        match self.select_engine(now, query, with_adapter, without_adapter) {
+        let (with_adapter, without_adapter) = (
+            self.with_rejection_share(now, with_adapter),
+            self.with_rejection_share(now, without_adapter),
+        );
+        if with_adapter.is_empty() && without_adapter.is_empty() {
+            return Choice::Wait(WaitReason::Place);
+        }
+        match self.select_engine(now, query, &with_adapter, &without_adapter) {
             EngineSelection::Engine(key) => self.dispatch(now, key, query),
             EngineSelection::LoadAdapter(instance) => Choice::LoadAdapter { instance },
             EngineSelection::Wait(missing) => Choice::Wait(missing),
--- a/crates/sageshed-fleet/src/chooser/outcomes.rs
+++ b/crates/sageshed-fleet/src/chooser/outcomes.rs
@@ -134,6 +134,9 @@
                 }
             }
         }
+        if outcome == AttemptOutcome::Refused {
+            self.pause_after_rejection(now, pick.key);
+        }
     }
 }
 
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -105,6 +105,8 @@
 pub struct Notice {
     /// Its rate limit in requests a second, over all VMs together; none where it announces none.
     pub limit: Option<f64>,
+    /// Rejections per second that each endpoint of its service can make before it fails; none where they are not bounded.
+    pub max_rejections_per_s: Option<u32>,
     /// It is about to stop and takes no new work.
     pub is_leaving: bool,
     /// It has rejected a request and asks the VM that sent it for a pause of this length.
--- a/src/sageshed/gateway/proxy/backpressure.rs
+++ b/src/sageshed/gateway/proxy/backpressure.rs
@@ -87,6 +87,14 @@
                 ::log::info!(endpoint:% = pick.instance, sent, span_ms = span.0;
                     "gateway: requests sent to an endpoint with a rate limit");
             }
+            Some(chooser::LimitChange::Rejections(per_s)) => {
+                ::log::info!(request = self.id(), endpoint:% = pick.instance, service = self.service, per_s;
+                    "gateway: endpoints of the service report a bound on their rejections");
+            }
+            Some(chooser::LimitChange::RejectionsCleared) => {
+                ::log::info!(request = self.id(), endpoint:% = pick.instance, service = self.service;
+                    "gateway: endpoints of the service no longer report a bound on their rejections");
+            }
             None => {}
         }
     }
