Compute when a response is late from the arrival of its request

A late request whose first attempt fails waits again. When its response would be late was computed as the current time plus what is left, which is nothing, so it ranked behind every late request that had joined before, older and newer ones, and could be refused at its deadline beside them.

What callers gain was not measured: late requests that wait again are few.

--- a/crates/sageshed-fleet/src/backlog.rs
+++ b/crates/sageshed-fleet/src/backlog.rs
@@ -43,6 +43,13 @@
     pub adapter: Option<String>,
 }
 
+/// When the response to a request would be late that arrived `elapsed` ago and is to be answered within `target`. It
+/// does not change while the request waits.
+#[must_use]
+pub fn late_at(now: time::Instant, elapsed: time::Millis, target: time::Millis) -> time::Instant {
+    time::Instant((now + target).0.saturating_sub(elapsed.0))
+}
+
 /// The position of a request among those that wait for its model; the lowest goes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
--- a/crates/sageshed-fleet/tests/backlog.rs
+++ b/crates/sageshed-fleet/tests/backlog.rs
@@ -1,6 +1,6 @@
 //! The queue of requests that wait for an engine, and its estimates.
 
-use sageshed_fleet::backlog::{Backlog, QueuedRequest};
+use sageshed_fleet::backlog::{self, Backlog, QueuedRequest};
 use sageshed_types::time;
 
 const T0: time::Instant = time::Instant(50_000);
@@ -211,3 +211,24 @@
     let now = time::Instant(5_000);
     assert!(!backlog.is_preceded(now, "m0", &request(5_000), Some(second)));
 }
+
+/// Guards against a late request that stands behind all that are late, older ones and newer ones, once its first attempt
+/// has failed and it waits again.
+#[test]
+fn a_request_that_waits_again_keeps_its_place_among_late_ones() {
+    let target = time::Millis(1_000);
+    let arrived_ago = |now, ago| QueuedRequest {
+        on_time_until: backlog::late_at(now, time::Millis(ago), target),
+        ..PLAIN
+    };
+    let mut backlog = Backlog::default();
+    let joined = T0 + time::Millis(1_500);
+    let newer = backlog.push(joined, "m0", arrived_ago(joined, 0));
+    let now = T0 + time::Millis(3_000);
+    let older = arrived_ago(now, 3_000);
+    assert!(!backlog.is_preceded(now, "m0", &older, None));
+    let ticket = backlog.push(now, "m0", older.clone());
+    assert!(!backlog.is_preceded(now, "m0", &older, Some(ticket)));
+    let waiting = arrived_ago(now, 1_500);
+    assert!(backlog.is_preceded(now, "m0", &waiting, Some(newer)));
+}
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -334,7 +334,11 @@
         Some(backlog::QueuedRequest {
             tokens: self.metadata.prompt_tokens,
             priority: self.priority(),
-            on_time_until: now + self.on_time(),
+            on_time_until: backlog::late_at(
+                now,
+                self.req.received.elapsed().into(),
+                self.route.latency_target,
+            ),
             adapter: wanted.adapter.clone(),
         })
     }
