Count only the requests before a queued one within its time slot

The estimate of a queued request's wait sums the work of all requests due within the same 64 ms, also of those behind it. The first of a burst was given the wait of the last, and is refused as hopeless when that exceeds its time, though nothing is before it.

Found by a test of the class of the known failure (a request that counts itself or those behind it among those before it): with two equal requests the first had an expected wait of 100 ms where 0 is right (10 passed, 1 failed). Within its own slot the requests before it are now summed one by one; the test passes (11), as do those of fairness, refusal and the queue coordinator.

--- a/crates/sageshed-fleet/src/shared_queue/flows.rs
+++ b/crates/sageshed-fleet/src/shared_queue/flows.rs
@@ -11,7 +11,7 @@
 use super::waiting::Position;
 
 /// Width of the slots of due times in which the work of waiting requests is summed. With due times at most
-/// 16 s ahead, a sum takes at most 250 additions.
+/// 16 s ahead, a sum takes at most 250 additions, and one for each request of the last slot.
 const SLOT_MS: u64 = 64;
 
 /// How far the counter of a workspace may lag behind the one that was served furthest, in microseconds at
@@ -45,13 +45,11 @@
 
 impl Flow {
     fn work_before(&self, position: &Position) -> u64 {
-        let slots = self.booked.range(..=slot_of(position));
-        let until: u64 = slots.map(|(_, work)| work).sum();
-        if self.waiting.contains(position) {
-            until - position.work_us
-        } else {
-            until
-        }
+        let slots = self.booked.range(..slot_of(position));
+        let earlier: u64 = slots.map(|(_, work)| work).sum();
+        // Those of its own slot that are behind it don't count: a burst has requests of one slot by the hundred.
+        let same_slot = self.waiting.range(slot_start(position)..*position);
+        earlier + same_slot.map(|it| it.work_us).sum::<u64>()
     }
 
     /// The first requests and, in turn, later ones, at most `limit`.
@@ -74,6 +72,18 @@
     (position.is_newcomer, position.due.0 / SLOT_MS)
 }
 
+/// The position before all others of the slot of `position`.
+fn slot_start(position: &Position) -> Position {
+    let (is_newcomer, slot) = slot_of(position);
+    Position {
+        is_newcomer,
+        due: time::Instant(slot * SLOT_MS),
+        ticket: 0,
+        request: 0,
+        work_us: 0,
+    }
+}
+
 fn clamped(weight: f64) -> f64 {
     if weight.is_nan() {
         return 1.0;
--- a/crates/sageshed-fleet/tests/shared_queue.rs
+++ b/crates/sageshed-fleet/tests/shared_queue.rs
@@ -433,3 +433,25 @@
     assert!(granted[0] >= 400, "{granted:?}");
     assert!(granted[1..].iter().all(|it| *it >= 220), "{granted:?}");
 }
+
+/// Guards against a queued request that counts itself, or those behind it, among those before it once it is late.
+#[test]
+fn late_requests_wait_for_those_before_them_only() {
+    let mut queue = queue_of(&[waiting(1), waiting(2)]);
+    let mut refreshed = |queue: &mut SharedQueue<&'static str>, now, request| match queue
+        .join(now, waiting(request))
+    {
+        JoinOutcome::Queued { expected } => expected.map(|it| it.0),
+        JoinOutcome::Refused { .. } => panic!("{request} is refused at {now:?}"),
+    };
+    // Engines complete 100 ms of granted work in each 100 ms.
+    for step in 1..=35 {
+        let now = T0 + time::Millis(step * 100);
+        queue.record_served(now, 100_000);
+        if step > 5 {
+            assert_eq!(refreshed(&mut queue, now, 1), Some(0), "{now:?}");
+            let behind_one = refreshed(&mut queue, now, 2).expect("a rate is known");
+            assert!((90..=150).contains(&behind_one), "{behind_one} at {now:?}");
+        }
+    }
+}
