--- a/crates/sageshed-fleet/tests/shared_queue.rs
+++ b/crates/sageshed-fleet/tests/shared_queue.rs
@@ -438,7 +438,7 @@
 #[test]
 fn late_requests_wait_for_those_before_them_only() {
     let mut queue = queue_of(&[waiting(1), waiting(2)]);
-    let mut refreshed = |queue: &mut SharedQueue<&'static str>, now, request| match queue
+    let refreshed = |queue: &mut SharedQueue<&'static str>, now, request| match queue
         .join(now, waiting(request))
     {
         JoinOutcome::Queued { expected } => expected.map(|it| it.0),
