Let a relay judge an endpoint only while its own paths work

Where most entry VMs of a zone lose their paths at once, those asked as relays in the first moments have lost theirs too and don't know it: two of them answered that an endpoint can't be reached, and it was closed to the asking process and reported to the coordinators of its models.

A relay whose connection fails now says so of the endpoint only if another endpoint has responded to it within 300 ms or since its attempt began, and otherwise that it can't relay.

The case itself was not brought about.

--- a/crates/sageshed-upstream/src/relay.rs
+++ b/crates/sageshed-upstream/src/relay.rs
@@ -1,7 +1,8 @@
 //! Opens connections to endpoints for other processes of this system, which can't reach them by themselves.
 //!
 //! Whoever connects names an endpoint by a `CONNECT` request and gets one of three responses: 200, after which bytes
-//! pass both ways unchanged; 502 if the endpoint can't be reached; 503 if this process relays nothing now. An endpoint's
+//! pass both ways unchanged; 502 if the endpoint can't be reached; 503 if this process relays nothing now, or can't tell
+//! a failure of the endpoint from a lost path of its own. An endpoint's
 //! reset is passed on as a reset, so that a response that ends with its connection does not look complete.
 
 use std::{
@@ -42,8 +43,14 @@
     /// Whether a connection to `endpoint` may be opened.
     fn admits(&self, endpoint: net::SocketAddrV4) -> bool;
 
-    /// Records that no connection to `endpoint` could be opened.
-    fn record_failed(&self, endpoint: net::SocketAddrV4, failure: &Failure);
+    /// Records that no connection to `endpoint` could be opened in an attempt that took `took`. Returns whether that is a
+    /// failure of the endpoint, and not of a path of this process.
+    fn is_failed(
+        &self,
+        endpoint: net::SocketAddrV4,
+        failure: &Failure,
+        took: time::Duration,
+    ) -> bool;
 }
 
 /// Connections that are relayed.
@@ -195,12 +202,13 @@
     if !gate.admits(endpoint) {
         return respond(peer, Status::Unavailable);
     }
+    let begun = time::Instant::now();
     let endpoint_socket = match Socket::connect(endpoint, CONNECT_TIMEOUT) {
         Ok(socket) => socket,
-        Err(failure) => {
-            gate.record_failed(endpoint, &failure);
+        Err(failure) if gate.is_failed(endpoint, &failure, begun.elapsed()) => {
             return respond(peer, Status::Unreachable);
         }
+        Err(_) => return respond(peer, Status::Unavailable),
     };
     open.0.relayed.fetch_add(1, atomic::Ordering::Relaxed);
     respond(peer, Status::Connected);
--- a/crates/sageshed-upstream/tests/relays.rs
+++ b/crates/sageshed-upstream/tests/relays.rs
@@ -15,15 +15,31 @@
 
 const LONG: time::Duration = time::Duration::from_secs(20);
 
-/// Admits all endpoints, or none.
-struct TestGate(bool);
+/// Admits all endpoints, or none, and knows whether its own paths work.
+#[derive(Clone, Copy)]
+struct TestGate {
+    admits: bool,
+    has_paths: bool,
+}
+
+const OPEN: TestGate = TestGate {
+    admits: true,
+    has_paths: true,
+};
 
 impl Gate for TestGate {
     fn admits(&self, _endpoint: net::SocketAddrV4) -> bool {
-        self.0
+        self.admits
     }
 
-    fn record_failed(&self, _endpoint: net::SocketAddrV4, _failure: &Failure) {}
+    fn is_failed(
+        &self,
+        _endpoint: net::SocketAddrV4,
+        _failure: &Failure,
+        _took: time::Duration,
+    ) -> bool {
+        self.has_paths
+    }
 }
 
 fn listen() -> (net::TcpListener, net::SocketAddrV4) {
@@ -34,9 +50,9 @@
     (listener, address)
 }
 
-fn relay(limit: usize, is_open: bool) -> (Relay, net::SocketAddrV4) {
+fn relay(limit: usize, gate: TestGate) -> (Relay, net::SocketAddrV4) {
     let (listener, address) = listen();
-    let relay = Relay::start(listener, limit, TestGate(is_open)).expect("it starts");
+    let relay = Relay::start(listener, limit, gate).expect("it starts");
     (relay, address)
 }
 
@@ -149,7 +165,7 @@
             result: Err(Cause::Malformed),
         },
     ];
-    let (_relay, at) = relay(8, true);
+    let (_relay, at) = relay(8, OPEN);
     for case in cases {
         let endpoint = endpoint(2, case.answer.to_vec(), case.resets);
         let result = ask(at, endpoint, b"hi");
@@ -163,7 +179,7 @@
     let large = vec![b'x'; 3_000_000];
     let mut answer = b"HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n".to_vec();
     answer.extend_from_slice(&large);
-    let (_relay, at) = relay(8, true);
+    let (_relay, at) = relay(8, OPEN);
     let endpoint = endpoint(large.len(), answer, false);
     let body = ask(at, endpoint, &large).expect("a response");
     assert!(body == large, "{} bytes", body.len());
@@ -174,10 +190,19 @@
 fn a_connection_that_can_not_be_relayed_fails_before_anything_is_sent() {
     let (free, nobody) = listen();
     drop(free);
-    let (_open, open) = relay(8, true);
-    let (_closed, closed) = relay(8, false);
-    let (_full, full) = relay(0, true);
-    let (stopped_relay, stopped) = relay(8, true);
+    let (_open, open) = relay(8, OPEN);
+    let closed_gate = TestGate {
+        admits: false,
+        ..OPEN
+    };
+    let (_closed, closed) = relay(8, closed_gate);
+    let cut_off_gate = TestGate {
+        has_paths: false,
+        ..OPEN
+    };
+    let (_cut_off, cut_off) = relay(8, cut_off_gate);
+    let (_full, full) = relay(0, OPEN);
+    let (stopped_relay, stopped) = relay(8, OPEN);
     stopped_relay.stop();
     let limit = time::Duration::from_millis(400);
     let through = |relay| Connection::through(relay, nobody, limit).expect_err("nobody listens");
@@ -186,7 +211,7 @@
         matches!(unreachable, RelayError::EndpointUnreachable),
         "{unreachable}"
     );
-    for relay in [closed, full, stopped, nobody] {
+    for relay in [closed, cut_off, full, stopped, nobody] {
         let unusable = through(relay);
         assert!(matches!(unusable, RelayError::Unusable(_)), "{unusable}");
     }
@@ -197,7 +222,7 @@
 /// Guards against an endpoint that goes on working for a caller that has left.
 #[test]
 fn the_end_of_a_request_ends_the_endpoints_connection() {
-    let (relay, at) = relay(8, true);
+    let (relay, at) = relay(8, OPEN);
     let (listener, address) = listen();
     let connection = Connection::through(at, address, LONG).expect("it connects");
     let (mut stream, _) = listener.accept().expect("a connection");
@@ -209,7 +234,7 @@
 
 #[test]
 fn a_stream_passes_piece_by_piece() {
-    let (_relay, at) = relay(8, true);
+    let (_relay, at) = relay(8, OPEN);
     let (listener, address) = listen();
     let sender = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -8,6 +8,7 @@
 };
 
 use sageshed_fleet::{chooser, dialect, paths};
+use sageshed_types::time;
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
     failure, pool, relay,
@@ -20,6 +21,10 @@
 /// path, and not know it yet.
 const UNREACHABLE_WITNESSES: usize = 2;
 
+/// A relay takes its failed connection for a failure of the endpoint if another endpoint has responded to it within this
+/// time.
+const WITNESS_SPAN: time::Millis = time::Millis(300);
+
 /// How long an attempt through one relay may take.
 const RELAY_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(350);
 
@@ -272,8 +277,17 @@
         is_known && locks::lock(&self.shared.paths).route(endpoint) == paths::Route::Direct
     }
 
-    fn record_failed(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
+    fn is_failed(
+        &self,
+        endpoint: net::SocketAddrV4,
+        failure: &failure::Failure,
+        took: std_time::Duration,
+    ) -> bool {
         self.shared.record_failed_path(endpoint, failure);
+        let span = time::Millis::from(took).max(WITNESS_SPAN);
+        let begun = time::Instant(self.shared.clock.now().0.saturating_sub(span.0));
+        let after = locks::lock(&self.shared.paths).after_failure(begun);
+        after == paths::AfterFailure::Report
     }
 }
 
