--- a/tests/fleet/paths.rs
+++ b/tests/fleet/paths.rs
@@ -126,3 +126,28 @@
         log.contains("connects to endpoints without relays again")
     });
 }
+
+/// Guards against streams that are cut off when the entry process stops through which their endpoint is reached.
+#[test]
+fn a_stopping_entry_process_finishes_what_it_relays() {
+    let (mut fleet, engines) = Fleet::ready();
+    cut_off(&fleet, &engines, 0, &[0, 1, 2, 3]);
+    for engine in &engines {
+        engine.set_behavior(engine::Behavior::PausesAfter(3));
+    }
+    let fleet_ref = &fleet;
+    let answer = thread::scope(|scope| {
+        let request = caller::Request::new("GET", "/stream/x", "relayed");
+        let asked = scope.spawn(move || fleet_ref.ask(0, &request));
+        fleet_ref.until("the stream has begun", || {
+            engines.iter().any(|it| it.runs("relayed") > 0)
+        });
+        fleet_ref.entries[1].signal("TERM");
+        asked.join().expect("the caller ends")
+    });
+    let answer = answer.expect("a response");
+    assert!(answer.whole && answer.status() == 200, "{}", answer.text());
+    assert!(fleet.entries[1].wait().success());
+    let log = fleet.entries[1].log();
+    assert!(log.contains("\"cut_relayed\":\"0\""), "{log}");
+}
