Bound the opening of a connection by its request's deadline and caller

A connection that is tried directly and then through three relays could take over a second to open. A request whose caller had left meanwhile was still sent, and one whose deadline had passed was sent with no time left.

No relay is tried past the deadline, and a request is not sent if its caller has left by the time the connection is open. No test brings it about.

--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -44,6 +44,8 @@
 #[derive(Debug)]
 pub(super) struct Connector<'a, D> {
     pub(super) shared: &'a state::Shared<D>,
+    /// The deadline of the request that the connection is for.
+    pub(super) until: std_time::Instant,
 }
 
 /// How a connection leads to its endpoint.
@@ -116,8 +118,15 @@
         let relays = locks::lock(&shared.relays).candidates(now, &entries, discovery.ip, draw);
         let mut witnesses = 0;
         for relay in relays {
+            let left = self
+                .until
+                .saturating_duration_since(std_time::Instant::now());
+            if left.is_zero() {
+                break;
+            }
             let address = net::SocketAddrV4::new(relay, discovery.vms_port);
-            let opened = Connection::through(address, endpoint, limit.min(RELAY_TIMEOUT));
+            let limit = limit.min(RELAY_TIMEOUT).min(left);
+            let opened = Connection::through(address, endpoint, limit);
             let outcome = match &opened {
                 Ok(_) => paths::RelayOutcome::Connected,
                 Err(RelayError::EndpointUnreachable) => paths::RelayOutcome::EndpointUnreachable,
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -60,7 +60,7 @@
             stop: &stop,
         };
         let resume = sink.last_id().map(str::to_owned);
-        let answer = self.exchange(pick, resume.as_deref(), &patience);
+        let answer = self.exchange(pick, resume.as_deref(), &patience, watch);
         let exchange = match answer.and_then(|it| self.skip_stale_responses(pick, it, &patience)) {
             Ok(exchange) => exchange,
             Err(failure) => return self.handle_missing_response(pick, sink, failure, watch),
@@ -96,6 +96,7 @@
         pick: &chooser::Pick,
         resume_after: Option<&str>,
         patience: &exchange::Patience<'_, S>,
+        watch: &reply::Watch,
     ) -> Result<exchange::Exchange, failure::Failure> {
         let max_age = if self.route.kind.is_retryable() {
             MAX_IDLE_REPEATABLE
@@ -104,11 +105,19 @@
         };
         let connector = paths::Connector {
             shared: self.shared,
+            until: patience.until,
         };
         let opened = self
             .shared
             .pool
             .open(&connector, pick.address, max_age, patience.until)?;
+        if watch.caller_gone() {
+            return Err(failure::Failure {
+                cause: failure::Cause::Interrupted,
+                is_sent: false,
+                detail: "the caller left before a connection was open".to_owned(),
+            });
+        }
         let path = paths::PathUse::of(&opened);
         // The time left is read once the connection is open, which may take long.
         let metadata = dialect::UpstreamMetadata {
