--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -28,7 +28,7 @@
 const RELAY_AVOIDANCE: Millis = Millis(1_000);
 
 /// Relays that one connection is tried through.
-pub const MAX_RELAYS: usize = 3;
+const MAX_RELAYS: usize = 3;
 
 /// How long no relay may have been usable before callers are better served by another entry process.
 const MAX_ISOLATION: Millis = Millis(1_000);
@@ -61,13 +61,13 @@
     used_at: Instant,
     probed_at: Instant,
     /// What relays have shown since.
-    shown: Shown,
+    evidence: RelayEvidence,
 }
 
 /// What relays have shown of an endpoint that this process can't connect to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Shown {
-    Nothing,
+enum RelayEvidence {
+    None,
     /// A relay has reached it: the path of this process is lost.
     PathLost,
     /// Relays do not reach it either.
@@ -143,7 +143,7 @@
             failed_at: now,
             used_at: now,
             probed_at: now,
-            shown: Shown::Nothing,
+            evidence: RelayEvidence::None,
         };
         let failed = self.failed.entry(endpoint).or_insert(first);
         failed.failed_at = now;
@@ -174,13 +174,13 @@
             return false;
         };
         failed.used_at = now;
-        std::mem::replace(&mut failed.shown, Shown::PathLost) != Shown::PathLost
+        std::mem::replace(&mut failed.evidence, RelayEvidence::PathLost) != RelayEvidence::PathLost
     }
 
     /// Records that relays do not reach `endpoint` either.
     pub fn record_unreachable(&mut self, endpoint: net::SocketAddrV4) {
         if let Some(failed) = self.failed.get_mut(&endpoint) {
-            failed.shown = Shown::Unreachable;
+            failed.evidence = RelayEvidence::Unreachable;
         }
     }
 
@@ -189,7 +189,8 @@
     #[must_use]
     pub fn is_evidence(&self, endpoint: net::SocketAddrV4) -> bool {
         let failed = self.failed.get(&endpoint);
-        failed.is_some_and(|it| it.shown == Shown::Unreachable) || self.lost().next().is_none()
+        failed.is_some_and(|it| it.evidence == RelayEvidence::Unreachable)
+            || self.lost().next().is_none()
     }
 
     /// The endpoint to which a connection is to be opened as a probe, if one is due.
@@ -219,7 +220,7 @@
     /// The endpoints that only relays reach.
     fn lost(&self) -> impl Iterator<Item = &FailedPath> {
         let failed = self.failed.values();
-        failed.filter(|it| it.shown == Shown::PathLost)
+        failed.filter(|it| it.evidence == RelayEvidence::PathLost)
     }
 
     /// Whether this process is taken to have lost its paths to all endpoints: connections to several have failed since
@@ -229,7 +230,9 @@
         let is_after = |at: Instant| self.responded_at.is_none_or(|it| at > it);
         let failed = self.failed.values().filter(|it| is_after(it.failed_at));
         failed.clone().count() >= MIN_FAILED_IF_CUT_OFF
-            && failed.clone().any(|it| it.shown == Shown::PathLost)
+            && failed
+                .clone()
+                .any(|it| it.evidence == RelayEvidence::PathLost)
     }
 }
 
