Probe a path less often that fails again after a probe

Beside load, the test with 8 of 13 processes cut off failed: 31 to 42 of 80 served by those cut off, 80 by each other one. The endpoint closed connections more than a second after it had accepted them, so probes again took lost paths for restored ones (25 of 29 in the log of one process), and each time requests were lost on them.

An open connection can't show that requests arrive. A path that fails again within 10 s after a probe is now probed at twice the interval, up to 8 s, so that the requests lost to it become few.

--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -21,9 +21,16 @@
 /// How long a connection may take to open while a path is known to be lost: several round trips between regions.
 const SUSPICIOUS_CONNECT_TIMEOUT: Millis = Millis(120);
 
-/// The interval between two probes of a path.
+/// The interval between two probes of a path. It doubles if the path fails again soon after a probe has restored it: a
+/// connection can be open over a path on which requests are lost.
 const PROBE_INTERVAL: Millis = Millis(1_000);
 
+/// The longest interval between two probes of a path.
+const MAX_PROBE_INTERVAL: Millis = Millis(8_000);
+
+/// How soon a path fails again that was not restored after all.
+const RELAPSE_TIME: Millis = Millis(10_000);
+
 /// How long a relay that could not be used is avoided.
 const RELAY_AVOIDANCE: Millis = Millis(1_000);
 
@@ -60,6 +67,7 @@
     /// The latest failure or relayed connection.
     used_at: Instant,
     probed_at: Instant,
+    probe_interval: Millis,
     /// What relays have shown since.
     evidence: RelayEvidence,
 }
@@ -91,6 +99,8 @@
 #[derive(Debug, Default)]
 pub struct PathTable {
     failed: collections::HashMap<net::SocketAddrV4, FailedPath>,
+    /// The paths that work again, since when, and the interval of their probes before.
+    restored: collections::HashMap<net::SocketAddrV4, (Instant, Millis)>,
     responded_at: Option<Instant>,
 }
 
@@ -129,6 +139,7 @@
             return None;
         }
         let failed = self.failed.remove(&endpoint)?;
+        self.restored.insert(endpoint, (now, failed.probe_interval));
         Some(now.since(failed.since))
     }
 
@@ -137,12 +148,19 @@
     pub fn record_failed(&mut self, now: Instant, endpoint: net::SocketAddrV4) -> bool {
         self.failed
             .retain(|_, it| now.since(it.used_at) < FAILURE_TTL);
+        self.restored
+            .retain(|_, (since, _)| now.since(*since) < RELAPSE_TIME);
         let count = self.failed.len();
+        let relapsed = self.restored.remove(&endpoint);
+        let probe_interval = relapsed.map_or(PROBE_INTERVAL, |(_, interval)| {
+            Millis(interval.0 * 2).min(MAX_PROBE_INTERVAL)
+        });
         let first = FailedPath {
             since: now,
             failed_at: now,
             used_at: now,
             probed_at: now,
+            probe_interval,
             evidence: RelayEvidence::None,
         };
         let failed = self.failed.entry(endpoint).or_insert(first);
@@ -200,7 +218,7 @@
         let due = self
             .failed
             .iter_mut()
-            .filter(|(_, it)| now.since(it.probed_at) >= PROBE_INTERVAL);
+            .filter(|(_, it)| now.since(it.probed_at) >= it.probe_interval);
         let (endpoint, failed) = due.min_by_key(|(endpoint, it)| (it.probed_at, **endpoint))?;
         failed.probed_at = now;
         Some(*endpoint)
--- a/crates/sageshed-fleet/tests/paths.rs
+++ b/crates/sageshed-fleet/tests/paths.rs
@@ -210,3 +210,23 @@
     relays.record(Instant(1_100), entry(3), RelayOutcome::Connected);
     assert!(!relays.is_isolated(Instant(9_000)));
 }
+
+/// Guards against requests that are lost again and again over a path on which connections open and requests do not
+/// arrive.
+#[test]
+fn a_path_that_fails_again_after_a_probe_is_probed_less_often() {
+    let mut paths = PathTable::default();
+    let mut now = Instant(0);
+    for interval in [1_000, 2_000, 4_000, 8_000, 8_000] {
+        paths.record_failed(now, endpoint(1));
+        paths.record_relayed(now, endpoint(1));
+        let too_soon = now + Millis(interval - 1);
+        assert_eq!(paths.next_probe(too_soon), None, "{interval}");
+        now = now + Millis(interval);
+        assert_eq!(paths.next_probe(now), Some(endpoint(1)), "{interval}");
+        paths.record_response(now, endpoint(1), true);
+    }
+    now = now + Millis(10_000);
+    paths.record_failed(now, endpoint(1));
+    assert_eq!(paths.next_probe(now + Millis(1_000)), Some(endpoint(1)));
+}
