Log and count at which software versions streams begin and go on

Callers saw streams that went on at another software version than the one that began them.

The directory keeps the version of each instance. It belongs to the incarnation, so a record without one, of a process that does not know of versions, does not erase it. Lines of endpoints, attempts and answers name it; 'stream resumed' and sageshed_gateway_streams_resumed_total say who resumed a stream and whether the versions are the same. No choice depends on it yet.

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -86,6 +86,8 @@
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub(super) instance: directory::Instance,
+    /// The key of its software version, if that is known.
+    pub(super) software: Option<directory::SoftwareKey>,
     /// Requests of this process in flight.
     pub(super) in_flight: u32,
     /// Prefill time of those whose response has not begun, in microseconds.
@@ -125,6 +127,7 @@
 impl Endpoint {
     pub(super) fn new(instance: directory::Instance) -> Self {
         Self {
+            software: instance.software(),
             instance,
             in_flight: 0,
             pending_prefill_us: 0,
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -40,7 +40,9 @@
 use self::endpoint::Endpoint;
 pub use self::{
     backpressure::LimitChange,
-    query::{AttemptOutcome, Choice, EndpointQuery, Pick, Policy, Prefill, Routing, WaitReason},
+    query::{
+        AttemptOutcome, BeganAt, Choice, EndpointQuery, Pick, Policy, Prefill, Routing, WaitReason,
+    },
 };
 pub use crate::entry_peers::Pauses;
 use crate::{config, dialect, directory, entry_peers};
@@ -157,6 +159,7 @@
         if let Some(key) = self.by_id.get(&instance.id).copied() {
             if let Some(endpoint) = &mut self.endpoints[key.index()] {
                 let before = std::mem::replace(&mut endpoint.instance, instance.clone());
+                endpoint.software = instance.software();
                 endpoint.denied_models.clear();
                 endpoint.prefix_cache.retain_models(&instance.models);
                 if before.models != instance.models {
@@ -209,6 +212,12 @@
         self.unindex_models(key, &endpoint.instance);
     }
 
+    /// The software version of an endpoint, if that is known.
+    #[must_use]
+    pub fn software_version(&self, key: arena::EndpointKey) -> Option<&str> {
+        self.get(key)?.instance.software_version.as_deref()
+    }
+
     /// Whether any known endpoint is ready.
     #[must_use]
     pub fn has_ready_endpoint(&self) -> bool {
@@ -595,6 +604,7 @@
             key,
             instance: endpoint.instance.id.clone(),
             address: endpoint.instance.address,
+            software: endpoint.software,
             uncached_tokens,
             prefill_us,
             estimate,
--- a/crates/sageshed-fleet/src/chooser/query.rs
+++ b/crates/sageshed-fleet/src/chooser/query.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// The software version that began the stream of a request. What two versions write can't be joined.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum BeganAt {
+    /// It has not begun.
+    #[default]
+    NotBegun,
+    /// This version began it.
+    Version(directory::SoftwareKey),
+    /// It has begun at a version that is not known.
+    Unknown,
+}
+
+impl BeganAt {
+    /// The version of the endpoint that begins a stream.
+    #[must_use]
+    pub fn of(software: Option<directory::SoftwareKey>) -> Self {
+        software.map_or(Self::Unknown, Self::Version)
+    }
+}
+
 /// A request to select an endpoint for.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointQuery<'a> {
@@ -130,6 +150,8 @@
     pub instance: directory::InstanceId,
     /// Its address.
     pub address: net::SocketAddrV4,
+    /// Its software version, if that is known.
+    pub software: Option<directory::SoftwareKey>,
     /// Tokens that the engine has to prefill.
     pub uncached_tokens: u64,
     /// Estimated prefill time in microseconds.
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -37,6 +37,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller has received of an earlier response to this request.
     pub resume_after: Option<String>,
+    /// Id of the caller's request whose response brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 /// A reference to a model, or to an adapter of it.
--- a/crates/sageshed-fleet/src/directory/instance.rs
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// Identifies a software version of one service: the responses of endpoints with equal keys can be joined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareKey(pub u64);
+
+impl SoftwareKey {
+    /// The key of `version` of `service`. It is the same in all versions of this system's processes.
+    #[must_use]
+    pub fn new(service: &str, version: &str) -> Self {
+        let mut hasher = fnv::FnvHasher::default();
+        hasher.write(service.as_bytes());
+        // Separates the fields: text does not contain this byte.
+        hasher.write(&[0xff]);
+        hasher.write(version.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
 /// One instance of an endpoint, as it announces itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Instance {
@@ -68,6 +86,9 @@
     pub id: InstanceId,
     /// The service that it belongs to.
     pub service: String,
+    /// The version of its software; none in a record of a process that does not know of versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<String>,
     /// Where it listens for requests.
     pub address: net::SocketAddrV4,
     /// Its availability zone.
@@ -124,6 +145,7 @@
         Self {
             id,
             service: String::new(),
+            software_version: None,
             address: net::SocketAddrV4::new(net::Ipv4Addr::UNSPECIFIED, 0),
             availability_zone: String::new(),
             slots: 0,
@@ -137,6 +159,13 @@
         }
     }
 
+    /// The key of its software version, if that is known.
+    #[must_use]
+    pub fn software(&self) -> Option<SoftwareKey> {
+        let version = self.software_version.as_deref()?;
+        Some(SoftwareKey::new(&self.service, version))
+    }
+
     /// The loaded model of this name, if it is loaded.
     #[must_use]
     pub fn resident(&self, model: &str) -> Option<&Resident> {
@@ -170,8 +199,8 @@
         self.state == State::Ready
     }
 
-    /// A hash of its id, address, slots, state, models and cached weights, regardless of the order of the lists; zero
-    /// for an instance that isn't present.
+    /// A hash of its id, address, slots, state, software version, models and cached weights, regardless of the order of
+    /// the lists; zero for an instance that isn't present.
     pub(super) fn digest(&self) -> u64 {
         if !self.is_present() {
             return 0;
@@ -184,6 +213,7 @@
         fixed_hash(&(
             &self.id,
             (self.address, self.slots, self.state),
+            &self.software_version,
             (
                 unordered_hash(models),
                 cached(&self.in_memory),
@@ -198,6 +228,7 @@
         self.state != other.state
             || self.models != other.models
             || self.address != other.address
+            || self.software_version != other.software_version
             || self.slots != other.slots
             || self.remaining.is_some() != other.remaining.is_some()
             || self.in_memory != other.in_memory
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -21,7 +21,7 @@
 pub use sageshed_types::cursor::SyncCursor as Cursor;
 
 pub use self::instance::{
-    Instance, InstanceId, LivenessRefresh, MergeOutcome, Record, Resident, State,
+    Instance, InstanceId, LivenessRefresh, MergeOutcome, Record, Resident, SoftwareKey, State,
 };
 
 /// How long an instance that has ended is remembered. Announcements have arrived after a network partition of about
@@ -383,6 +383,11 @@
                 MergeOutcome::Stale
             };
         }
+        // A process that does not know of versions passes records on without them. The version of an instance is fixed.
+        if record.instance.software_version.is_none() {
+            let known = &entry.instance.software_version;
+            record.instance.software_version.clone_from(known);
+        }
         let is_update = entry.instance.differs(&record.instance) || record.amended > entry.amended;
         let is_due = now.since(entry.published) >= REFRESH_INTERVAL;
         entry.amended = entry.amended.max(record.amended);
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -117,6 +117,7 @@
     directory::Instance {
         id: id.into(),
         service: service.to_owned(),
+        software_version: Some("v1".to_owned()),
         address: net::SocketAddrV4::new(net::Ipv4Addr::new(10, 0, 0, last), 80),
         availability_zone: "z1".to_owned(),
         slots: 4,
--- a/src/sageshed/control/fleet/port.rs
+++ b/src/sageshed/control/fleet/port.rs
@@ -130,11 +130,12 @@
             Err(e) => return self.refuse_malformed(endpoint, &e),
         };
         let (id, service) = (instance.id.clone(), instance.service.clone());
+        let software = instance.software_version.clone().unwrap_or_default();
         let (address, state, sequence) = (instance.address, instance.state, instance.sequence);
         let offer = self.shared.hub.announce(self.shared.clock.now(), instance);
         match offer {
             directory::MergeOutcome::New | directory::MergeOutcome::Changed => {
-                ::log::info!(endpoint:% = id, service, address:% = address, state:? = state, sequence;
+                ::log::info!(endpoint:% = id, service, software, address:% = address, state:? = state, sequence;
                     "control: endpoint changed");
             }
             directory::MergeOutcome::Stale => {
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -41,6 +41,49 @@
     }
 }
 
+/// Who resumed a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumedBy {
+    /// This process, within one response.
+    Process,
+    /// Its caller, with another request.
+    Caller,
+}
+
+impl ResumedBy {
+    /// Its label in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Process => "process",
+            Self::Caller => "caller",
+        }
+    }
+}
+
+/// The software versions that began and resumed a stream, compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Versions {
+    /// One version did both.
+    Same,
+    /// Two versions did.
+    Different,
+    /// One of them is not known.
+    Unknown,
+}
+
+impl Versions {
+    /// Its label in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Different => "different",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The instruments of an entry process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -48,6 +91,7 @@
     took: instruments::Histogram<f64>,
     ended: instruments::Counter<u64>,
     by_workspace: instruments::Counter<u64>,
+    resumed: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
     gauges: Gauges,
@@ -199,12 +243,17 @@
             .u64_counter("sageshed_gateway_workspace_requests")
             .with_description("Requests that ended, by who sent them")
             .build();
+        let resumed = meter
+            .u64_counter("sageshed_gateway_streams_resumed")
+            .with_description("Streams that were resumed")
+            .build();
         let gauges = Gauges::new(&registry);
         Self {
             registry,
             took,
             ended,
             by_workspace,
+            resumed,
             workspaces: sync::Mutex::default(),
             gauges,
         }
@@ -224,6 +273,15 @@
         self.took.record(took.as_secs_f64(), &of[..3]);
     }
 
+    /// Counts a stream that was resumed.
+    pub fn stream_resumed(&self, by: ResumedBy, versions: Versions) {
+        let of = [
+            KeyValue::new("by", by.label()),
+            KeyValue::new("versions", versions.label()),
+        ];
+        self.resumed.add(1, &of);
+    }
+
     /// Counts a request of a workspace that has ended; does nothing if `name` is empty.
     pub fn workspace_ended(&self, name: &str, end: End) {
         if name.is_empty() {
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -424,8 +424,8 @@
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
             return AttemptResult::CallerGone(sink);
         }
-        ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, error:% = failure,
-            runs = self.possible_runs, begun = sink.has_started();
+        ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, software = self.software_of(pick),
+            error:% = failure, runs = self.possible_runs, begun = sink.has_started();
             "gateway: endpoint failed, the request may have run");
         self.last_failure = format!("endpoint {} failed: {failure}", pick.instance);
         self.attempt_log
--- a/src/sageshed/gateway/proxy/completion.rs
+++ b/src/sageshed/gateway/proxy/completion.rs
@@ -129,7 +129,7 @@
         let sent = sent_at.duration_since(self.req.received);
         ::log::info!(request = self.id(), route = self.route.name.as_str(),
             workspace = self.workspace_name(), status, config = self.shared.version(), endpoint:% = pick.instance,
-            model = self.model_name(), tokens = pick.uncached_tokens, estimate_ms = pick.estimate.0,
+            software = self.software_of(pick), model = self.model_name(), tokens = pick.uncached_tokens, estimate_ms = pick.estimate.0,
             waited_for = self.waited_for_value(), queue, objective_ms = self.route.latency_target.0,
             pause_limit_ms = self.route.event_gap_target.map_or(0, |it| it.0), runs = self.possible_runs,
             sent_ms = time::Millis::from(sent).0,
@@ -150,6 +150,14 @@
         }
     }
 
+    /// The software version of the endpoint of `pick`, for logs; empty if it is not known.
+    pub(super) fn software_of(&self, pick: &chooser::Pick) -> String {
+        self.shared.with_core(|core| {
+            let version = core.chooser.software_version(pick.key);
+            version.unwrap_or_default().to_owned()
+        })
+    }
+
     /// The name of the model that the request asks for; empty if it asks for none.
     pub(super) fn model_name(&self) -> &str {
         self.wanted.map_or("", |it| it.model.as_str())
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -18,6 +18,7 @@
 mod identity;
 mod queue_wait;
 mod quota;
+mod resumption;
 mod slot;
 mod stream;
 mod waiting;
@@ -191,6 +192,8 @@
     /// When its response must be complete.
     deadline: std_time::Instant,
     tried_endpoints: Vec<arena::EndpointKey>,
+    /// The software version that began its stream.
+    began: chooser::BeganAt,
     /// How many endpoints may have run it.
     possible_runs: u32,
     /// How many endpoints have received it.
@@ -298,6 +301,7 @@
             model: named.next(),
             deadline: req.received + span.into(),
             tried_endpoints: Vec::new(),
+            began: chooser::BeganAt::NotBegun,
             possible_runs: 0,
             deliveries: 0,
             last_failure: String::new(),
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -30,6 +30,7 @@
             Err(failure) => return self.handle_failed_run(pick, sink, false, &failure),
         };
         self.record_start(pick, sent_at, load);
+        self.note_resumption(pick, sink.last_id());
         self.timings.record_start(self.req.received);
         let (mut stream, mut events) = sink.start_stream(&exchange.head);
         let mut passed_on: u64 = 0;
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -375,8 +375,9 @@
         age: time::Millis,
     ) {
         let state = instance.state;
+        let software = instance.software_version.as_deref().unwrap_or_default();
         if state == directory::State::Ready {
-            return ::log::debug!(endpoint:% = instance.id, offer:? = offer, sequence = instance.sequence,
+            return ::log::debug!(endpoint:% = instance.id, software, offer:? = offer, sequence = instance.sequence,
                 age_ms = age.0; "gateway: endpoint changed");
         }
         let left_out = match self.endpoint_changes.line(now) {
@@ -384,7 +385,7 @@
             sampler::Line::WriteAfter(left_out) => left_out,
             sampler::Line::LeaveOut => return,
         };
-        ::log::info!(endpoint:% = instance.id, offer:? = offer, state:? = state,
+        ::log::info!(endpoint:% = instance.id, software, offer:? = offer, state:? = state,
             sequence = instance.sequence, age_ms = age.0, left_out; "gateway: endpoint changed");
     }
 
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -14,6 +14,7 @@
         instance: Instance {
             id: name.into(),
             service: "s".to_owned(),
+            software_version: Some("v1".to_owned()),
             address: net::SocketAddrV4::new(net::Ipv4Addr::LOCALHOST, 80),
             availability_zone: "z".to_owned(),
             slots: 4,
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -181,6 +181,7 @@
     directory::Instance {
         id: directory::InstanceId::new(&format!("e{number}"), Some(1)),
         service: "engines".to_owned(),
+        software_version: Some("v1".to_owned()),
         address: net::SocketAddrV4::new(net::Ipv4Addr::from(0x0a00_0000 + number), 8_000),
         availability_zone: "z1".to_owned(),
         slots: 64,
