Resume a stream within a response at the software version that began it

Cause: the choice of an engine had no notion of versions. A stream that broke off was sent with the id of its last event to whatever engine the next choice, or the model's coordinator, named.

The version of the engine that begins the response is part of the query for each further one. It bounds eligibility itself, so the choice here, the coordinator's (RoutingQuery.software), the decision of a coordinator that ignores the field and the check for a free alternative of a stalled stream all keep to it. A version that is not known equals none. Where no endpoint of the version is left the stream ends at once.

Ruled out: an engine that checks the version by itself (they don't), and a comparison after the response has begun (the engine has then done the work).

--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -31,6 +31,7 @@
 mod rejection_limit;
 mod routing;
 mod slots;
+mod software;
 mod wait_estimates;
 
 use std::{collections, net};
@@ -212,12 +213,6 @@
         self.unindex_models(key, &endpoint.instance);
     }
 
-    /// The software version of an endpoint, if that is known.
-    #[must_use]
-    pub fn software_version(&self, key: arena::EndpointKey) -> Option<&str> {
-        self.get(key)?.instance.software_version.as_deref()
-    }
-
     /// Whether any known endpoint is ready.
     #[must_use]
     pub fn has_ready_endpoint(&self) -> bool {
@@ -466,14 +461,16 @@
             .is_some_and(|it| it.instance.service == service)
     }
 
-    /// Whether an endpoint is ready, not ejected and not yet tried for this request.
+    /// Whether an endpoint is ready, not ejected, not yet tried for this request, and of the version that it needs.
     fn is_eligible(
         &self,
         now: time::Instant,
         key: arena::EndpointKey,
         query: &EndpointQuery<'_>,
     ) -> bool {
-        let accepts = |it: &Endpoint| it.instance.is_ready() && now >= it.ejected_until;
+        let accepts = |it: &Endpoint| {
+            it.instance.is_ready() && now >= it.ejected_until && query.began.admits(it.software)
+        };
         !query.tried.contains(&key) && self.get(key).is_some_and(accepts)
     }
 
--- a/crates/sageshed-fleet/src/chooser/query.rs
+++ b/crates/sageshed-fleet/src/chooser/query.rs
@@ -59,6 +59,25 @@
     pub fn of(software: Option<directory::SoftwareKey>) -> Self {
         software.map_or(Self::Unknown, Self::Version)
     }
+
+    /// Whether an endpoint of this software version can run the request.
+    #[must_use]
+    pub fn admits(self, software: Option<directory::SoftwareKey>) -> bool {
+        match self {
+            Self::NotBegun => true,
+            Self::Version(version) => software == Some(version),
+            Self::Unknown => false,
+        }
+    }
+
+    /// The version that began it, if it has begun and the version is known.
+    #[must_use]
+    pub fn version(self) -> Option<directory::SoftwareKey> {
+        match self {
+            Self::Version(version) => Some(version),
+            Self::NotBegun | Self::Unknown => None,
+        }
+    }
 }
 
 /// A request to select an endpoint for.
@@ -87,6 +106,8 @@
     /// Whether it is not held back by the process's share of the slots of a plain service, since the coordinators
     /// of the service don't grant slots.
     pub ignores_slot_share: bool,
+    /// The software version that began its stream: only endpoints of that version can resume it.
+    pub began: BeganAt,
 }
 
 /// The prompt that an engine has prefilled.
--- a/crates/sageshed-fleet/src/chooser/queueing.rs
+++ b/crates/sageshed-fleet/src/chooser/queueing.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{Chooser, EndpointQuery, EngineSelection, endpoint, to_millis, to_u64};
+use super::{BeganAt, Chooser, EndpointQuery, EngineSelection, endpoint, to_millis, to_u64};
 use crate::{dialect, entry_peers, queue_coordinator};
 
 /// Assumed engine time of one output token, in microseconds: a step of 7 to 10 ms yields one token for each of some
@@ -38,6 +38,10 @@
             may_be_late: self.query.may_be_late,
             may_load_adapter: false,
             ignores_slot_share: false,
+            began: self
+                .query
+                .software
+                .map_or(BeganAt::NotBegun, BeganAt::Version),
         }
     }
 }
--- a/crates/sageshed-fleet/src/entry_peers.rs
+++ b/crates/sageshed-fleet/src/entry_peers.rs
@@ -94,6 +94,9 @@
     pub time_until_late: time::Millis,
     /// Whether there is time to keep waiting after the response is late.
     pub may_be_late: bool,
+    /// The software version that began its stream, if it is to be resumed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<directory::SoftwareKey>,
     /// Present if the request is to wait in the coordinator's queue.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub queue: Option<QueueMembership>,
--- a/crates/sageshed-fleet/tests/backpressure.rs
+++ b/crates/sageshed-fleet/tests/backpressure.rs
@@ -7,7 +7,7 @@
 
 use sageshed_fleet::{
     allowance::{self, Key, RateLimit},
-    chooser::{Choice, Chooser, EndpointQuery, LimitChange, WaitReason},
+    chooser::{BeganAt, Choice, Chooser, EndpointQuery, LimitChange, WaitReason},
     dialect, directory,
 };
 use sageshed_types::time::{Instant, Millis};
@@ -211,6 +211,7 @@
         may_be_late: false,
         may_load_adapter: false,
         ignores_slot_share: false,
+        began: BeganAt::NotBegun,
     }
 }
 
--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -4,8 +4,8 @@
 
 use sageshed_fleet::{
     chooser::{
-        AttemptOutcome, Choice, Chooser, EndpointQuery, Pauses, Pick, Policy, Prefill, Routing,
-        WaitReason,
+        AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, Pauses, Pick, Policy, Prefill,
+        Routing, WaitReason,
     },
     dialect, directory,
 };
@@ -33,6 +33,7 @@
         may_be_late: false,
         may_load_adapter: false,
         ignores_slot_share: false,
+        began: BeganAt::NotBegun,
     }
 }
 
--- a/crates/sageshed-fleet/tests/contention.rs
+++ b/crates/sageshed-fleet/tests/contention.rs
@@ -5,7 +5,7 @@
 use std::net;
 
 use sageshed_fleet::{
-    chooser::{AttemptOutcome, Choice, Chooser, EndpointQuery, Pick, Prefill},
+    chooser::{AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, Pick, Prefill},
     dialect, entry_peers,
 };
 use sageshed_types::time;
@@ -37,6 +37,7 @@
         may_be_late: false,
         may_load_adapter: false,
         ignores_slot_share: false,
+        began: BeganAt::NotBegun,
     }
 }
 
--- a/crates/sageshed-fleet/tests/rejection_limit.rs
+++ b/crates/sageshed-fleet/tests/rejection_limit.rs
@@ -6,7 +6,7 @@
 use std::{collections, net};
 
 use sageshed_fleet::{
-    chooser::{AttemptOutcome, Choice, Chooser, EndpointQuery, LimitChange, Pick},
+    chooser::{AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, LimitChange, Pick},
     dialect, directory,
 };
 use sageshed_types::time::{Instant, Millis};
@@ -66,6 +66,7 @@
         may_be_late: false,
         may_load_adapter: false,
         ignores_slot_share: false,
+        began: BeganAt::NotBegun,
     }
 }
 
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -51,6 +51,7 @@
         may_be_late: false,
         may_load_adapter: false,
         ignores_slot_share: false,
+        began: chooser::BeganAt::NotBegun,
     }
 }
 
--- a/crates/sageshed-fleet/tests/support/queues.rs
+++ b/crates/sageshed-fleet/tests/support/queues.rs
@@ -38,6 +38,7 @@
         patience: time::Millis(300),
         time_until_late: time::Millis(600),
         may_be_late: true,
+        software: None,
         queue: Some(entry_peers::QueueMembership {
             priority: 0,
             workspace: 0,
--- a/crates/sageshed-fleet/tests/support/slot_sim/requests.rs
+++ b/crates/sageshed-fleet/tests/support/slot_sim/requests.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use sageshed_fleet::{
-    chooser::{AttemptOutcome, Choice, Chooser, EndpointQuery, Pick},
+    chooser::{AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, Pick},
     dialect, entry_peers,
     entry_peers::Datagram,
     slots,
@@ -92,6 +92,7 @@
             may_be_late: false,
             may_load_adapter: false,
             ignores_slot_share: request.ignores_share,
+            began: BeganAt::NotBegun,
         }
     }
 
--- a/crates/sageshed-http/src/problem.rs
+++ b/crates/sageshed-http/src/problem.rs
@@ -205,6 +205,7 @@
             "rate_limit_error"
         }
         verdict::Reason::NoRoute
+        | verdict::Reason::NotResumable
         | verdict::Reason::DeadlineUnmeetable
         | verdict::Reason::DeadlinePassed
         | verdict::Reason::EndpointFailed
--- a/crates/sageshed-types/src/verdict.rs
+++ b/crates/sageshed-types/src/verdict.rs
@@ -67,6 +67,9 @@
     /// No endpoint that may serve it is known, or no engine has the model and none can load it in time.
     #[display("no_route")]
     NoRoute,
+    /// Its stream began at a software version that is not known, or of which no endpoint is left.
+    #[display("not_resumable")]
+    NotResumable,
     /// The queue of its class is full.
     #[display("queue_full")]
     QueueFull,
@@ -126,6 +129,7 @@
             Self::Internal => 500,
             Self::EndpointFailed | Self::EndpointRefused => 502,
             Self::NoRoute
+            | Self::NotResumable
             | Self::DeadlineUnmeetable
             | Self::NotConfirmed
             | Self::ClaimUnavailable
@@ -150,6 +154,7 @@
             Self::RuleLimit => "A rule's limit is used up",
             Self::CallerLimit => "The caller's limit is used up",
             Self::NoRoute => "No endpoint can serve the request",
+            Self::NotResumable => "The stream can't be resumed",
             Self::QueueFull => "The queue is full",
             Self::DeadlineUnmeetable => "The request could not be finished in time",
             Self::DeadlinePassed => "The request was not finished in time",
--- a/src/sageshed/gateway/proxy/caller_wait.rs
+++ b/src/sageshed/gateway/proxy/caller_wait.rs
@@ -51,6 +51,7 @@
             may_be_late: left > MIN_TIME_LEFT_IF_LATE,
             may_load_adapter: false,
             ignores_slot_share: self.local_limit == slot::LocalLimit::Unshared,
+            began: self.began,
         }
     }
 
--- a/src/sageshed/gateway/proxy/resumption.rs
+++ b/src/sageshed/gateway/proxy/resumption.rs
@@ -1,23 +1,44 @@
 //! Streams that are resumed: by this process at another endpoint, or by their caller with a new request.
 
 use sageshed_fleet::{chooser, dialect};
+use sageshed_types::{refusal, verdict};
 
 use super::ProxiedRequest;
 use crate::gateway::metrics;
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
+    /// Refuses a request whose stream has begun and can't be resumed by any endpoint.
+    pub(super) fn refuse_not_resumable(&self) -> Option<refusal::Refusal> {
+        let detail = match self.began {
+            chooser::BeganAt::NotBegun => return None,
+            chooser::BeganAt::Unknown => "the software version that began the stream is not known",
+            chooser::BeganAt::Version(_) => {
+                let query = self.endpoint_query(self.time_left());
+                if self
+                    .shared
+                    .with_core(|core| core.chooser.can_resume(&query))
+                {
+                    return None;
+                }
+                "no endpoint of the software version that began the stream can resume it"
+            }
+        };
+        Some(self.final_refusal(verdict::Reason::NotResumable, detail.to_owned()))
+    }
+
     /// Logs and counts the stream that begins at the endpoint of `pick` if it is a resumed one. `last_id` is the id of
     /// the last event that this process has sent to the caller.
     pub(super) fn note_resumption(&mut self, pick: &chooser::Pick, last_id: Option<&str>) {
+        let began = self.began;
+        if began == chooser::BeganAt::NotBegun {
+            self.began = chooser::BeganAt::of(pick.software);
+        }
         let (resumed_by, after) = match (last_id, self.metadata.resume_after.as_deref()) {
             (Some(id), _) => (metrics::ResumedBy::Process, id),
             (None, Some(id)) => (metrics::ResumedBy::Caller, id),
-            (None, None) => {
-                self.began = chooser::BeganAt::of(pick.software);
-                return;
-            }
+            (None, None) => return,
         };
-        let versions = compare(self.began, chooser::BeganAt::of(pick.software));
+        let versions = compare(began, chooser::BeganAt::of(pick.software));
         self.shared.metrics.stream_resumed(resumed_by, versions);
         let resumes = self.metadata.resumes.as_deref().unwrap_or_default();
         ::log::info!(request = self.id(), resumes, after, by = resumed_by.label(), endpoint:% = pick.instance,
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -6,7 +6,7 @@
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
 
-use super::{AttemptResult, ProxiedRequest, slot};
+use super::{AttemptResult, ProxiedRequest};
 use crate::gateway::{entry_peers, response::ResponseSink};
 
 /// How long a resumable stream may send nothing before it is moved to another endpoint. Callers abandon a
@@ -115,17 +115,10 @@
         let mut tried = self.tried_endpoints.clone();
         tried.push(pick.key);
         let query = chooser::EndpointQuery {
-            service: self.service,
-            wanted: self.wanted,
-            parts: &self.metadata.parts,
-            prompt_tokens: self.metadata.prompt_tokens,
             tried: &tried,
-            time_left: self.time_left(),
-            patience: time::Millis(0),
             time_until_late: time::Millis(0),
             may_be_late: false,
-            may_load_adapter: false,
-            ignores_slot_share: self.local_limit == slot::LocalLimit::Unshared,
+            ..self.endpoint_query(self.time_left())
         };
         let now = self.shared.clock.now();
         self.shared
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -101,7 +101,10 @@
                 return Some(NextStep::CallerGone);
             }
             let left = self.wait_left();
-            if let Some(refusal) = self.refuse_ended_wait(left) {
+            let refusal = self
+                .refuse_ended_wait(left)
+                .or_else(|| self.refuse_not_resumable());
+            if let Some(refusal) = refusal {
                 return Some(NextStep::Refuse(refusal));
             }
             let now = self.shared.clock.now();
--- a/src/sageshed/gateway/routing_queries.rs
+++ b/src/sageshed/gateway/routing_queries.rs
@@ -81,6 +81,7 @@
         patience: query.patience,
         time_until_late: query.time_until_late,
         may_be_late: query.may_be_late,
+        software: query.began.version(),
         queue: None,
     })
 }
--- a/tests/datagrams.rs
+++ b/tests/datagrams.rs
@@ -89,6 +89,7 @@
         patience: time::Millis(u64::MAX),
         time_until_late: time::Millis(u64::MAX),
         may_be_late: true,
+        software: Some(directory::SoftwareKey(u64::MAX)),
         queue: Some(entry_peers::QueueMembership {
             priority: u8::MAX,
             workspace: u64::MAX,
@@ -105,6 +106,7 @@
     let bytes = sageshed_vms::encode(&read).expect("it can be encoded");
     let without = entry_peers::RoutingQuery {
         queue: None,
+        software: None,
         ..most
     };
     let without = entry_peers::Datagram::RoutingQuery(without);
