Keep a stream that its caller takes up at the software version that began it

Cause: the process that a caller reaches with the rest of its stream is mostly another one, and no process told any other at which version a stream began. 'Resumes' was not read.

The process that passes on the first event of a stream records its version, and sends the record before that event to others: to all of up to 12, else to the three with the highest hash of the stream. A request that takes a stream up is looked up here and, if need be, at five others (two queries of 25 ms). It then goes to the service and the version of the record. Without a record it goes on only if no other version can have begun it: the directory has had one version of the service, present or ended, for as long as a stream lasts, which control processes pass on in WatchResp.reaches_back. Otherwise it is refused at once, as not_resumable. A request without 'Last-Event-Id' and without a record begins anew, since nothing is joined.

Ruled out: a version derived from the id (it changes with the set of versions), a token in the response (passed on byte for byte), the control group (a write for each stream). A process that stops still answers queries, until it ends.

--- a/crates/sageshed-fleet/src/chooser/software.rs
+++ b/crates/sageshed-fleet/src/chooser/software.rs
@@ -4,6 +4,7 @@
 use sageshed_types::arena;
 
 use super::{Chooser, EndpointQuery};
+use crate::directory;
 
 impl Chooser {
     /// The software version of an endpoint, if that is known.
@@ -12,6 +13,13 @@
         self.get(key)?.instance.software_version.as_deref()
     }
 
+    /// Whether an endpoint of a service has this software version.
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: directory::SoftwareKey) -> bool {
+        let mut all = self.by_service.get(service).into_iter().flatten();
+        all.any(|key| self.get(*key).and_then(|it| it.software) == Some(version))
+    }
+
     /// Whether an endpoint is left that could resume the stream of a request, now or once it has room, is reached again
     /// or has loaded the model.
     #[must_use]
--- a/crates/sageshed-fleet/src/directory/instance.rs
+++ b/crates/sageshed-fleet/src/directory/instance.rs
@@ -9,6 +9,8 @@
 use sageshed_types::time;
 use serde::{Deserialize, Serialize};
 
+use crate::fingerprint;
+
 /// Identifies one instance of an endpoint: one run of its process.
 ///
 /// An endpoint that crashes may be started again under the same name. It then holds nothing, and earlier requests and
@@ -67,15 +69,10 @@
 pub struct SoftwareKey(pub u64);
 
 impl SoftwareKey {
-    /// The key of `version` of `service`. It is the same in all versions of this system's processes.
+    /// The key of `version` of `service`.
     #[must_use]
     pub fn new(service: &str, version: &str) -> Self {
-        let mut hasher = fnv::FnvHasher::default();
-        hasher.write(service.as_bytes());
-        // Separates the fields: text does not contain this byte.
-        hasher.write(&[0xff]);
-        hasher.write(version.as_bytes());
-        Self(hasher.finish())
+        Self(fingerprint::stable_hash(&[service, version]))
     }
 }
 
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -80,6 +80,8 @@
     digest: u64,
     entries: collections::BTreeMap<InstanceId, Entry>,
     index: index::Index,
+    /// For how long before the start of this process all instances are known, by the directories merged into this one.
+    known_before_start: time::Millis,
 }
 
 /// A change of a directory.
@@ -585,6 +587,31 @@
         entry.is_some_and(|it| it.leaving || it.instance.state == State::Gone)
     }
 
+    /// For how long back this directory has all instances, up to [`ENDED_RETENTION`].
+    #[must_use]
+    pub fn reaches_back(&self, now: time::Instant) -> time::Millis {
+        let since_start = now.since(time::Instant(0));
+        (since_start + self.known_before_start).min(ENDED_RETENTION)
+    }
+
+    /// Records that another directory, of which this one has all changes, reaches back for `span`.
+    pub fn extend_back(&mut self, now: time::Instant, span: time::Millis) {
+        let since_start = now.since(time::Instant(0));
+        let before = time::Millis(span.0.saturating_sub(since_start.0));
+        self.known_before_start = self.known_before_start.max(before);
+    }
+
+    /// The software version of a service's instances, present or ended, if all have the same one.
+    #[must_use]
+    pub fn sole_version(&self, service: &str) -> Option<SoftwareKey> {
+        let instances = self.entries.values().map(|it| &it.instance);
+        // The service of an instance of which nothing but its end is known may be any.
+        let of_service = instances.filter(|it| it.service == service || it.service.is_empty());
+        let mut versions = of_service.map(|it| it.software());
+        let first = versions.next()??;
+        versions.all(|it| it == Some(first)).then_some(first)
+    }
+
     /// The present instances of endpoints that have recently been restarted.
     #[must_use]
     pub fn restarted(&self) -> Vec<InstanceId> {
--- a/crates/sageshed-fleet/src/entry_peers.rs
+++ b/crates/sageshed-fleet/src/entry_peers.rs
@@ -21,7 +21,7 @@
 use sageshed_types::time;
 use serde::{Deserialize, Serialize};
 
-use crate::{allowance, dialect, directory, slots};
+use crate::{allowance, dialect, directory, slots, stream_origins};
 
 /// Up to this many entry processes send their observations to all others. Among more, models have
 /// coordinators.
@@ -63,6 +63,12 @@
     SlotGrant(slots::SlotGrant),
     /// End of a request that had a slot or waited for one.
     SlotRelease(slots::SlotRelease),
+    /// Record of a stream that begins.
+    StreamOrigin(stream_origins::StreamOrigin),
+    /// Query for the record of a stream.
+    OriginQuery(stream_origins::OriginQuery),
+    /// Reply to an [`Self::OriginQuery`].
+    OriginReply(stream_origins::OriginReply),
 }
 
 /// Asks the coordinator of a model where to send a request.
--- a/crates/sageshed-fleet/src/fingerprint.rs
+++ b/crates/sageshed-fleet/src/fingerprint.rs
@@ -4,6 +4,8 @@
 //! another entry process. What stays the same is the content: method, host, path, query and body. Headers
 //! are left out, since they include the id and the remaining time.
 
+use std::hash::Hasher as _;
+
 use sageshed_types::quarantine;
 
 use crate::entry_peers;
@@ -19,3 +21,15 @@
 ) -> quarantine::Fingerprint {
     quarantine::Fingerprint(entry_peers::hash(&(method, host, path, query, body)))
 }
+
+/// A hash that is the same in all versions of this system's processes.
+#[must_use]
+pub fn stable_hash(fields: &[&str]) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    for field in fields {
+        hasher.write(field.as_bytes());
+        // Separates the fields: text does not contain this byte.
+        hasher.write(&[0xff]);
+    }
+    hasher.finish()
+}
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`allowance`] | rate limits that hold over all entry processes |
 //! | [`budget`] | the retry budget |
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
+//! | [`stream_origins`] | which software version began each stream that callers may still take up |
 //! | [`paths`] | which endpoints this process can open connections to |
 //! | [`quarantine`] | requests that are no longer forwarded, because endpoints crashed while running them |
 //! | [`fingerprint`] | whether two requests are the same except for their ids |
@@ -55,6 +56,7 @@
 pub mod routes;
 pub mod shared_queue;
 pub mod slots;
+pub mod stream_origins;
 pub mod transfer;
 pub mod versions;
 pub mod workspaces;
--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -189,6 +189,10 @@
     /// endpoints.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<(net::Ipv4Addr, directory::Cursor)>,
+    /// For how long back the directory has all endpoints; see [`directory::Directory::reaches_back`]. Zero from a process
+    /// that doesn't send it.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub reaches_back: time::Millis,
     /// The records that changed after the watcher's cursor.
     pub records: Vec<EncodedRecord>,
     /// Refreshes of instances without updates, for a watcher that asks for [`DirectoryDetail::All`].
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -341,6 +341,7 @@
             digest: inner.directory.digest(),
             digest_mark: inner.directory.cursor(),
             news_mark: inner.directory.update_cursor(),
+            reaches_back: inner.directory.reaches_back(now),
             config: inner.versions.newest(),
             crashes_mark: inner.quarantine.cursor(),
             crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
@@ -349,9 +350,19 @@
         }
     }
 
-    /// Records that the directory of another control process is known up to `mark`.
-    pub fn set_peer_cursor(&self, ip: net::Ipv4Addr, mark: directory::Cursor) {
-        self.change(|inner| inner.peers.insert(ip, mark));
+    /// Records that the directory of another control process, which has all endpoints of the time `reaches_back`, is
+    /// known up to `mark`.
+    pub fn set_peer_cursor(
+        &self,
+        now: time::Instant,
+        ip: net::Ipv4Addr,
+        mark: directory::Cursor,
+        reaches_back: time::Millis,
+    ) {
+        self.change(|inner| {
+            inner.directory.extend_back(now, reaches_back);
+            inner.peers.insert(ip, mark);
+        });
     }
 
     /// Up to which change the directories of the other control processes are known.
@@ -622,6 +633,8 @@
     pub digest_mark: directory::Cursor,
     /// The last change of the directory other than a sign of life.
     pub news_mark: directory::Cursor,
+    /// For how long back the directory has all endpoints.
+    pub reaches_back: time::Millis,
     /// The version of the configuration that this process holds.
     pub config: u64,
     /// Up to which change the watcher knows the crashes with them.
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -107,6 +107,7 @@
             digest: updates.digest,
             digest_mark: Some(updates.digest_mark),
             news_mark: Some(updates.news_mark),
+            reaches_back: updates.reaches_back,
             peers: if takes_entries {
                 self.peers.clone()
             } else {
@@ -284,7 +285,9 @@
                 shared.hub.merge(shared.clock.now(), records);
                 shared.hub.confirm(shared.clock.now(), &resp.alive);
                 if !resp.has_more {
-                    shared.hub.set_peer_cursor(vm.into(), resp.mark);
+                    let now = shared.clock.now();
+                    let span = resp.reaches_back;
+                    shared.hub.set_peer_cursor(now, vm.into(), resp.mark, span);
                 }
                 shared.hub.merge_crashes(shared.clock.now(), &resp.crashes);
                 crashes_known = resp.crashes_mark.unwrap_or_default();
--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -7,7 +7,7 @@
     thread, time,
 };
 
-use sageshed_fleet::{allowance, chooser, dialect, entry_peers as wire};
+use sageshed_fleet::{allowance, chooser, dialect, directory, entry_peers as wire, stream_origins};
 use sageshed_types::time::Millis;
 
 use super::{allowances, queues, routing_queries, slots, state};
@@ -35,6 +35,12 @@
 /// A reply to a request in a queue, and the coordinator that it comes from.
 pub(super) type FromCoordinator = (net::Ipv4Addr, wire::RoutingReply);
 
+/// A reply to a query for the record of a stream, and the process that it comes from.
+type OriginFrom = (net::Ipv4Addr, Option<directory::SoftwareKey>);
+
+/// How often the processes that did not reply are queried for the record of a stream. A datagram is lost now and then.
+const ORIGIN_QUERIES: usize = 2;
+
 /// The replies to one queued request that are kept until its thread reads them. Each repeat brings one, and a thread
 /// reads them at least every 100 ms.
 const MAX_UNREAD_REPLIES: usize = 4;
@@ -48,6 +54,8 @@
     pending_routing: PendingReplies<wire::RoutingDecision>,
     /// The requests that wait in queues of coordinators.
     queued: sync::Mutex<collections::HashMap<u64, mpsc::SyncSender<FromCoordinator>>>,
+    /// The queries for records of streams that wait for replies.
+    pending_origins: PendingReplies<OriginFrom>,
     /// The requests for units of allowances that wait for replies.
     pending_acquires: PendingReplies<allowance::AcquireReply>,
     next_id: atomic::AtomicU64,
@@ -65,6 +73,7 @@
             port,
             pending_routing: PendingReplies::default(),
             queued: sync::Mutex::default(),
+            pending_origins: PendingReplies::default(),
             pending_acquires: PendingReplies::default(),
             // A process that is started again at the same address must not take the replies to the queries of its
             // predecessor for its own.
@@ -145,6 +154,44 @@
         }
     }
 
+    /// Asks the processes `holders` which version began a stream. None if none that replies has a record.
+    pub(super) fn query_origin(
+        &self,
+        stream: stream_origins::StreamKey,
+        mut holders: Vec<net::Ipv4Addr>,
+    ) -> Option<directory::SoftwareKey> {
+        let id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
+        let (tx, rx) = mpsc::sync_channel(holders.len() * ORIGIN_QUERIES);
+        locks::lock(&self.pending_origins).insert(id, tx);
+        let query = wire::Datagram::OriginQuery(stream_origins::OriginQuery { id, stream });
+        let mut found = None;
+        for _ in 0..ORIGIN_QUERIES {
+            self.send(&query, &holders);
+            let until = time::Instant::now() + REPLY_TIMEOUT;
+            while found.is_none() && !holders.is_empty() {
+                let left = until.saturating_duration_since(time::Instant::now());
+                let Ok((from, software)) = rx.recv_timeout(left) else {
+                    break;
+                };
+                holders.retain(|it| *it != from);
+                found = software;
+            }
+            if found.is_some() || holders.is_empty() {
+                break;
+            }
+        }
+        locks::lock(&self.pending_origins).remove(&id);
+        found
+    }
+
+    fn deliver_origin(&self, from: net::Ipv4Addr, reply: stream_origins::OriginReply) {
+        let waiting = locks::lock(&self.pending_origins).get(&reply.id).cloned();
+        let is_late = waiting.is_none_or(|tx| tx.try_send((from, reply.software)).is_err());
+        if is_late {
+            ::log::debug!(question = reply.id; "gateway: reply of an entry peer came too late");
+        }
+    }
+
     /// Asks `coordinator` for units of an allowance. None if it does not reply.
     pub fn acquire(
         &self,
@@ -208,7 +255,7 @@
 
     fn listen<D: dialect::Dialect>(&self, shared: &state::Shared<D>) {
         let mut buf = [0; MAX_DATAGRAM_BYTES];
-        while !shared.is_stopping() {
+        while !shared.ending.load(atomic::Ordering::Relaxed) {
             match self.socket.recv_from(&mut buf) {
                 Ok((len, net::SocketAddr::V4(from))) => handle_datagram(shared, from, &buf[..len]),
                 Ok(_) => {}
@@ -227,7 +274,12 @@
     from: net::SocketAddrV4,
     bytes: &[u8],
 ) {
-    match sageshed_vms::decode(bytes) {
+    let decoded = sageshed_vms::decode(bytes);
+    // Others no longer count on this process for anything else.
+    if shared.is_stopping() && !decoded.as_ref().is_ok_and(is_of_stream) {
+        return;
+    }
+    match decoded {
         Ok(wire::Datagram::Observation(seen)) => shared.apply_observation(*from.ip(), &seen),
         Ok(wire::Datagram::RoutingQuery(query)) => {
             routing_queries::answer(shared, *from.ip(), &query);
@@ -269,6 +321,25 @@
         Ok(wire::Datagram::SlotRelease(release)) => {
             slots::serve_release(shared, *from.ip(), &release);
         }
+        Ok(wire::Datagram::StreamOrigin(origin)) => {
+            let now = shared.clock.now();
+            shared.with_core(|core| core.origins.insert(now, origin));
+        }
+        Ok(wire::Datagram::OriginQuery(query)) => {
+            let now = shared.clock.now();
+            let reply = stream_origins::OriginReply {
+                id: query.id,
+                software: shared.with_core(|core| core.origins.get(now, query.stream)),
+            };
+            if let Some(peers) = &shared.entry_peers {
+                peers.send(&wire::Datagram::OriginReply(reply), &[*from.ip()]);
+            }
+        }
+        Ok(wire::Datagram::OriginReply(reply)) => {
+            if let Some(peers) = &shared.entry_peers {
+                peers.deliver_origin(*from.ip(), reply);
+            }
+        }
         Err(e) => {
             // Anyone can send datagrams to the port, so the log is limited.
             if shared.misread.line(shared.clock.now()) != sampler::Line::LeaveOut {
@@ -279,6 +350,16 @@
     }
 }
 
+/// Whether a datagram is about the versions that began streams.
+fn is_of_stream(datagram: &wire::Datagram) -> bool {
+    matches!(
+        datagram,
+        wire::Datagram::StreamOrigin(_)
+            | wire::Datagram::OriginQuery(_)
+            | wire::Datagram::OriginReply(_)
+    )
+}
+
 fn is_timeout(e: &io::Error) -> bool {
     matches!(
         e.kind(),
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -118,6 +118,8 @@
     quotas: metrics::Gauge,
     idle: metrics::Gauge,
     quarantined: metrics::Gauge,
+    stream_records: metrics::Gauge,
+    dropped_stream_records: metrics::Gauge,
     queue_length: metrics::Gauge,
     queue_oldest: metrics::Gauge,
     queue_grants: metrics::Gauge,
@@ -189,6 +191,14 @@
                 "sageshed_gateway_requests_held",
                 "Requests that are passed on no more since endpoints ended under them",
             ),
+            stream_records: gauge(
+                "sageshed_gateway_stream_records",
+                "Streams whose software version is known here",
+            ),
+            dropped_stream_records: gauge(
+                "sageshed_gateway_stream_records_dropped",
+                "Of these, dropped before their time since the start",
+            ),
             queue_length: gauge(
                 "sageshed_gateway_queue_length",
                 "Requests in the queues that this process keeps",
@@ -366,6 +376,10 @@
         self.gauges.idle.set(shared.pool.idle() as f64);
         let quarantined = shared.with_core(|core| core.quarantine.count_quarantined(now));
         self.gauges.quarantined.set(quarantined as f64);
+        let (records, dropped) =
+            shared.with_core(|core| (core.origins.len(), core.origins.dropped()));
+        self.gauges.stream_records.set(records as f64);
+        self.gauges.dropped_stream_records.set(dropped as f64);
         self.set_queues(shared);
         self.set_slots(shared);
         self.registry.text()
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod run;
 pub mod slots;
 pub mod state;
+mod stream_origins;
 mod watch;
 
 pub use run::{StartError, run};
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -29,11 +29,13 @@
     time as std_time,
 };
 
-use sageshed_fleet::{chooser, config, dialect, fingerprint, quarantine, routes, workspaces};
+use sageshed_fleet::{
+    chooser, config, dialect, fingerprint, quarantine, stream_origins::StreamKey, workspaces,
+};
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
 
-use super::{refuse, response::ResponseSink, routing, state};
+use super::{refuse, response::ResponseSink, routing, state, stream_origins};
 
 /// The retry delay that a refusal names if nothing better is known.
 const DEFAULT_RETRY_AFTER: time::Millis = time::Millis(300);
@@ -93,13 +95,16 @@
             let refusal = refusal::Refusal::not_run(verdict::Reason::NotFound, detail);
             return refuse::send(reply, "", &refusal);
         };
-        let draw = self.shared.with_core(|core| core.chooser.draw());
-        let service = routes::pick(&route.targets, draw).map_or("", |it| it.service.as_str());
+        let identity = identity::identify(&routing, route, req.credential);
+        let resumption = match &identity {
+            Ok(_) => stream_origins::find(&self.shared, &metadata, route),
+            Err(_) => stream_origins::Resumption::default(),
+        };
+        let service = stream_origins::pick_service(&self.shared, route, resumption.began);
         let engines = routing
             .config
             .service(service)
             .and_then(|it| it.engines.as_ref());
-        let identity = identity::identify(&routing, route, req.credential);
         let mut proxied = ProxiedRequest::new(
             &self.shared,
             &req,
@@ -112,6 +117,8 @@
         match identity {
             Ok(workspace) => {
                 proxied.workspace = workspace;
+                proxied.stream = resumption.stream;
+                proxied.began = resumption.began;
                 proxied.run(reply)
             }
             Err(refusal) => proxied.refuse(ResponseSink::NotStarted(reply), &refusal),
@@ -192,6 +199,8 @@
     /// When its response must be complete.
     deadline: std_time::Instant,
     tried_endpoints: Vec<arena::EndpointKey>,
+    /// Its stream, until the version that begins or resumes that is recorded; none if no caller can take it up.
+    stream: Option<StreamKey>,
     /// The software version that began its stream.
     began: chooser::BeganAt,
     /// How many endpoints may have run it.
@@ -301,6 +310,7 @@
             model: named.next(),
             deadline: req.received + span.into(),
             tried_endpoints: Vec::new(),
+            stream: None,
             began: chooser::BeganAt::NotBegun,
             possible_runs: 0,
             deliveries: 0,
--- a/src/sageshed/gateway/proxy/resumption.rs
+++ b/src/sageshed/gateway/proxy/resumption.rs
@@ -4,7 +4,7 @@
 use sageshed_types::{refusal, verdict};
 
 use super::ProxiedRequest;
-use crate::gateway::metrics;
+use crate::gateway::{metrics, stream_origins};
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Refuses a request whose stream has begun and can't be resumed by any endpoint.
@@ -26,6 +26,13 @@
         Some(self.final_refusal(verdict::Reason::NotResumable, detail.to_owned()))
     }
 
+    /// Records at which version the stream begins or goes on, before its first event is passed on.
+    pub(super) fn record_origin(&mut self, pick: &chooser::Pick) {
+        if let (Some(stream), Some(software)) = (self.stream.take(), pick.software) {
+            stream_origins::record(self.shared, stream, software, self.route);
+        }
+    }
+
     /// Logs and counts the stream that begins at the endpoint of `pick` if it is a resumed one. `last_id` is the id of
     /// the last event that this process has sent to the caller.
     pub(super) fn note_resumption(&mut self, pick: &chooser::Pick, last_id: Option<&str>) {
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -44,6 +44,9 @@
                         self.shared
                             .with_core(|core| core.chooser.record_activity(now, pick));
                     }
+                    if !whole.is_empty() {
+                        self.record_origin(pick);
+                    }
                     if stream.send(&whole).is_err() {
                         self.end_attempt(pick, true, chooser::AttemptOutcome::GivenUp);
                         return AttemptResult::CallerGone(ResponseSink::Streaming(stream, events));
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -9,7 +9,7 @@
 use sageshed_fleet::{
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
     directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator, shared_queue,
-    slots::SlotCoordinator,
+    slots::SlotCoordinator, stream_origins,
 };
 use sageshed_types::{document, time};
 use sageshed_upstream::{pool, relay};
@@ -93,6 +93,8 @@
     pub slots: SlotCoordinator,
     /// The budget for retries.
     pub budget: budget::RetryBudget,
+    /// Which software version began each stream that callers may still take up.
+    pub origins: stream_origins::StreamOrigins,
     /// The known endpoints.
     pub directory: directory::Directory,
     /// The crashes of endpoints, by the request that they were running.
@@ -165,6 +167,7 @@
             allowances: allowance::AllowanceTable::new(settings.discovery.ip, start),
             slots: SlotCoordinator::new(allowance),
             budget: budget::RetryBudget::new(allowance),
+            origins: stream_origins::StreamOrigins::default(),
             directory: directory::Directory::new(start),
             quarantine: quarantine::Quarantine::new(start),
             leaving: Vec::new(),
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -67,6 +67,8 @@
 struct PeerState {
     /// Up to which change the directory of the control process is known here.
     mark: directory::Cursor,
+    /// Whether changes were skipped since the directories were equal but for instances that have ended.
+    has_skipped: bool,
     /// Up to which change each knows the crashes that the other has recorded.
     crashes: quarantine::PeerSync,
 }
@@ -104,12 +106,19 @@
                     .record_exchange(crashes_sent, resp.crashes_mark.unwrap_or_default());
                 let (digest, digest_mark) = (resp.digest, resp.digest_mark);
                 let (has_more, news) = (resp.has_more, resp.news_mark);
+                let reaches_back = resp.reaches_back;
                 let peers = apply_response(shared, watching, to, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
                 if let Some(mark) = digest_mark.filter(|_| !differs) {
                     // Equal digests mean equal directories, so records may be received from this position on.
+                    known.has_skipped |= known.mark != mark;
                     known.mark = mark;
                 }
+                let has_records = wants != messages::DirectoryDetail::Digest;
+                if has_records && !has_more && !known.has_skipped {
+                    let now = shared.clock.now();
+                    shared.with_core(|core| core.directory.extend_back(now, reaches_back));
+                }
                 let mut links = locks::lock(&watching.links);
                 let answer = links::SyncReply {
                     differs,
