Remember the software versions of endpoints over a restart of all processes

Cause: without a record a stream goes on only if the directory reaches back for as long as a stream lasts, and a directory that starts empty does not.

Each control process writes the versions that it knows to a file beside its log whenever they change, while it knows all of the last minute. After a start it adds them as ended instances, which spread and expire as others do. A process that bootstraps with an empty disk knows that none has served. A file that can't be replaced is removed, since it is out of date.

--- a/crates/sageshed-disk/src/lib.rs
+++ b/crates/sageshed-disk/src/lib.rs
@@ -11,6 +11,7 @@
 //! generation-N/identity      VM, generation, membership of the first start
 //! generation-N/snapshot      the state machine up to some entry
 //! generation-N/log-S         segments of the log, S counts up
+//! software-versions          see `side_file`; may be missing
 //! damaged-N/                 an earlier generation, kept for people to look at
 //! ```
 //!
@@ -52,6 +53,7 @@
 pub mod error;
 pub mod files;
 pub mod folder;
+pub mod side_file;
 pub mod vacant;
 
 mod frame;
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -104,6 +104,9 @@
     pub is_last: bool,
 }
 
+/// Services with the software versions of their instances, none for an unknown one.
+pub type SoftwareVersions = collections::BTreeSet<(String, Option<String>)>;
+
 /// Which changes a peer is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangeFilter {
@@ -601,6 +604,36 @@
         self.known_before_start = self.known_before_start.max(before);
     }
 
+    /// The software versions of all services' instances, present or ended; none while the directory has not all of them.
+    #[must_use]
+    pub fn software_versions(&self, now: time::Instant) -> Option<SoftwareVersions> {
+        if self.reaches_back(now) < ENDED_RETENTION {
+            return None;
+        }
+        let instances = self.entries.values().map(|it| &it.instance);
+        let versions = instances.map(|it| (it.service.clone(), it.software_version.clone()));
+        Some(versions.collect())
+    }
+
+    /// Adds the versions that a process knew at its end, which all of the last instances had, as ended instances. They
+    /// count and are passed on for [`ENDED_RETENTION`] like these.
+    pub fn remember_versions(&mut self, now: time::Instant, versions: SoftwareVersions) {
+        for (service, software_version) in versions {
+            // The name of an endpoint has no space.
+            let name = format!(
+                "{service} {}",
+                software_version.as_deref().unwrap_or_default()
+            );
+            let instance = Instance {
+                service,
+                software_version,
+                ..Instance::tombstone(InstanceId::new(&name, None))
+            };
+            self.merge(now, Record::announced_now(instance));
+        }
+        self.extend_back(now, ENDED_RETENTION);
+    }
+
     /// The software version of a service's instances, present or ended, if all have the same one.
     #[must_use]
     pub fn sole_version(&self, service: &str) -> Option<SoftwareKey> {
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -378,6 +378,17 @@
         locks::lock(&self.inner).control_zones.get(&ip).cloned()
     }
 
+    /// The software versions of endpoints; see [`directory::Directory::software_versions`].
+    #[must_use]
+    pub fn software_versions(&self, now: time::Instant) -> Option<directory::SoftwareVersions> {
+        locks::lock(&self.inner).directory.software_versions(now)
+    }
+
+    /// Adds the software versions that were known before the start; see [`directory::Directory::remember_versions`].
+    pub fn remember_versions(&self, now: time::Instant, versions: directory::SoftwareVersions) {
+        self.change_directory(|it| it.remember_versions(now, versions));
+    }
+
     /// All present instances, as they were announced last.
     #[must_use]
     pub fn present(&self) -> Vec<sync::Arc<directory::Instance>> {
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod planning;
 pub mod planning_queue;
 pub mod port;
+pub(super) mod software_versions;
 pub mod watch;
 pub mod watchers;
 
@@ -36,7 +37,9 @@
     settings: &settings::FleetControl,
     limits: &limits::Limits,
     dialect: D,
+    first: software_versions::Start,
 ) -> Result<Ports, StartError> {
+    software_versions::restore(shared, &settings.control.data, first);
     let handler = port::FleetHandler {
         shared: sync::Arc::clone(shared),
         inputs: inputs.clone(),
@@ -79,6 +82,10 @@
         let shared = sync::Arc::clone(shared);
         move || config_check::run(&shared)
     });
+    spawn("software-versions", {
+        let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
+        move || software_versions::run(&shared, &data)
+    });
     spawn("watchers", {
         let shared = sync::Arc::clone(shared);
         move || watch::answer_watchers(&shared)
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -115,6 +115,10 @@
         eager_threads: EAGER_THREADS,
         ..sageshed_vms::limits_for(connections)
     };
+    let start = match found {
+        Found::Vacant(..) if options.new_group => fleet::software_versions::Start::First,
+        _ => fleet::software_versions::Start::Later,
+    };
     let process = Process::start(settings.control.clone(), options, limits, found.node())?;
     let limits = limits::Limits {
         connections,
@@ -128,6 +132,7 @@
         settings,
         &limits,
         dialect,
+        start,
     )?;
     let result = process.finish(cx, found);
     drop(ports);
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -1,6 +1,6 @@
 //! Streams that are resumed while engines of several software versions serve.
 
-use std::{io::Read, thread, time};
+use std::{io::Read, sync::atomic, thread, time};
 
 use crate::{
     fleet::Fleet,
@@ -99,6 +99,13 @@
 }
 
 impl Stream {
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            ..Self::default()
+        }
+    }
+
     /// Sends one attempt, and leaves after event `until`, or when the response ends.
     fn attempt(&mut self, fleet: &Fleet, entry: usize, until: u32) {
         let id = format!("{}-{}", self.id, self.attempts.len());
@@ -129,6 +136,10 @@
                 Ok(len) if len > 0 => text += &String::from_utf8_lossy(&buf[..len]),
                 _ => return,
             }
+            // A refusal keeps the connection open.
+            if !text.starts_with("HTTP/1.1 200") {
+                return;
+            }
             let ids = text.lines().filter_map(|it| it.strip_prefix("id: "));
             let last = ids.filter_map(|it| it.parse().ok()).next_back();
             self.last = last.unwrap_or(self.last);
@@ -161,28 +172,26 @@
     (fleet, engines)
 }
 
-/// Waits until all entry processes have sent requests to all engines.
+/// Waits until all entry processes serve, and have sent requests to all engines.
 fn until_used(fleet: &Fleet, engines: &[Engine]) {
     let mut number = 0;
     for entry in 0..fleet.entries.len() {
-        fleet.until("all engines serve", || {
+        fleet.until("an entry process serves", || {
             number += 1;
-            let mut stream = Stream {
-                id: format!("used-{entry}-{number}"),
-                ..Stream::default()
-            };
+            let mut stream = Stream::new(format!("used-{number}"));
             stream.attempt(fleet, entry, 1);
-            let is_from = |id: &str| id.starts_with(&format!("used-{entry}-"));
-            let ran = |it: &Engine| {
-                it.log(|log| {
-                    log.ran
-                        .iter()
-                        .any(|it| it.header("attempt-id").is_some_and(is_from))
-                })
-            };
-            engines.iter().all(ran)
+            stream.last > 0
         });
     }
+    let ran = |it: &Engine| it.log(|log| log.ran.len());
+    let before: Vec<_> = engines.iter().map(ran).collect();
+    fleet.until("all engines serve", || {
+        number += 1;
+        let entry = number % fleet.entries.len();
+        Stream::new(format!("used-{number}")).attempt(fleet, entry, 1);
+        let mut all = engines.iter().zip(&before);
+        all.all(|(engine, before)| ran(engine) > *before)
+    });
 }
 
 /// Disturbs the fleet once all streams have begun. Returns the entry processes that may be asked afterwards.
@@ -214,10 +223,7 @@
     let (mut fleet, mut engines) = mixed_fleet(case.entries);
     let mut streams: Vec<_> = (0..STREAMS)
         .map(|number| {
-            let mut stream = Stream {
-                id: format!("s{number}"),
-                ..Stream::default()
-            };
+            let mut stream = Stream::new(format!("s{number}"));
             let until = 3 + u32::try_from(number % 10).expect("small");
             stream.attempt(&fleet, 0, until);
             stream
@@ -270,10 +276,7 @@
     }
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| {
-            let mut stream = Stream {
-                id: format!("s{number}"),
-                ..Stream::default()
-            };
+            let mut stream = Stream::new(format!("s{number}"));
             stream.attempt(&fleet, 0, EVENTS + 1);
             stream
         })
@@ -287,3 +290,104 @@
     assert_eq!(joined, 0);
     assert!(went_on * 2 >= STREAMS);
 }
+
+/// Callers of new streams, each of which asks again at once.
+const CALLERS: usize = 400;
+
+/// Requests that an engine runs at once.
+const SLOTS: usize = 32;
+
+/// Guards against streams that are not resumed under load: behind new ones, which may go to the engines of all versions,
+/// they wait for longer than their callers do, and the work already done is lost.
+#[test]
+fn streams_go_on_as_often_as_new_ones_begin_under_load() {
+    for entries in [3, 14] {
+        let (fleet, engines) = mixed_fleet(entries);
+        let mut streams: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let mut stream = Stream::new(format!("s{number}"));
+                stream.attempt(&fleet, 0, 5);
+                stream
+            })
+            .collect();
+        for engine in &engines {
+            engine.set_max_running(SLOTS);
+        }
+        let is_over = atomic::AtomicBool::new(false);
+        let (tried, begun) = (atomic::AtomicUsize::new(0), atomic::AtomicUsize::new(0));
+        let count = |caller: usize| {
+            let mut number = 0;
+            while !is_over.load(atomic::Ordering::Relaxed) {
+                number += 1;
+                let mut stream = Stream::new(format!("new-{caller}-{number}"));
+                stream.attempt(&fleet, caller % fleet.entries.len(), EVENTS + 1);
+                tried.fetch_add(1, atomic::Ordering::Relaxed);
+                begun.fetch_add(usize::from(stream.last > 0), atomic::Ordering::Relaxed);
+            }
+        };
+        thread::scope(|scope| {
+            for caller in 0..CALLERS {
+                scope.spawn(move || count(caller));
+            }
+            thread::sleep(START_TIME);
+            let take_up = |(number, stream): (usize, &mut Stream)| {
+                stream.attempt(&fleet, (number + 1) % fleet.entries.len(), EVENTS + 1);
+            };
+            thread::scope(|scope| {
+                for it in streams.iter_mut().enumerate() {
+                    thread::sleep(time::Duration::from_millis(100));
+                    scope.spawn(move || take_up(it));
+                }
+            });
+            is_over.store(true, atomic::Ordering::Relaxed);
+        });
+        let went_on = streams.iter().filter(|it| it.is_complete).count();
+        let joined = streams.iter().filter(|it| it.versions(&engines).len() > 1);
+        let (joined, tried, begun) = (joined.count(), tried.into_inner(), begun.into_inner());
+        println!(
+            "{entries}: {went_on} of {STREAMS} went on, {joined} joined; {begun} of {tried} begun"
+        );
+        assert_eq!(joined, 0);
+        assert!(went_on * tried * 2 >= begun * STREAMS);
+    }
+}
+
+/// Guards against streams that are refused after all processes have ended at once, though engines of one version have
+/// served, and against such streams that go on at another version.
+#[test]
+fn streams_outlive_all_processes_only_while_one_version_serves() {
+    for (versions, expected) in [(1, STREAMS), (2, 0)] {
+        let (mut fleet, mut engines) = Fleet::many_ready(2, "");
+        engines.truncate(2);
+        if versions == 2 {
+            engines.push(fleet.engine_of_version("v2", "e4", "engines", 36, &["m1"]));
+        }
+        for engine in &engines {
+            engine.set_behavior(Behavior::Streams(EVENTS));
+        }
+        until_used(&fleet, &engines);
+        let mut streams: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let mut stream = Stream::new(format!("s{number}"));
+                stream.attempt(&fleet, 0, 5);
+                stream
+            })
+            .collect();
+        thread::sleep(START_TIME);
+        let all = fleet.control.iter_mut().chain(&mut fleet.entries);
+        let mut all: Vec<_> = all.collect();
+        for process in &mut all {
+            process.kill();
+        }
+        for process in &mut all {
+            process.start();
+        }
+        until_used(&fleet, &engines[..2]);
+        for stream in &mut streams {
+            stream.attempt(&fleet, 1, EVENTS + 1);
+        }
+        let went_on = streams.iter().filter(|it| it.is_complete).count();
+        assert_eq!(went_on, expected, "{versions} versions");
+        assert!(streams.iter().all(|it| it.versions(&engines).len() == 1));
+    }
+}
