Send a stream that has begun to an engine without queueing it

Callers whose streams broke off under load were refused, however long the rest of their work had taken: with the engines full 0 of 24 streams went on while 192 of 3,282 new ones began.

Cause: a request that takes a stream up joined the queue of its model like a new one. It may go to the engines of one version only and has less time left than they, so the estimate of those before it always exceeded what was left: 'those before it take N ms', arrivals 0. A rejection also closed an engine for it for half a second, and for good after the second.

A stream that has begun was admitted when it began. It is sent to the engine of its version with the shortest estimate, without patience for a less busy one, without a ticket in the local queue or a place in the coordinator's. After a rejection it asks again after an exponential delay (8 to 256 ms) within the retry budget; limits, pauses and rejection shares of endpoints hold for it as for others.

Ruled out: the restriction to one version (by itself it joined no queue), and the lookup of the record (0 joined, all 24 refused with arrivals 0).

Test: 23 of 24 and 24 of 24 (14 entry processes) go on beside 250 of 3,732 and 252 of 2,946; it failed before with the figures above.

--- a/crates/sageshed-fleet/src/chooser/backpressure.rs
+++ b/crates/sageshed-fleet/src/chooser/backpressure.rs
@@ -269,7 +269,7 @@
             self.is_eligible(now, *key, query)
                 && query
                     .wanted
-                    .is_none_or(|wanted| self.holds(now, *key, wanted))
+                    .is_none_or(|wanted| self.holds(now, *key, wanted, query.began))
         });
         let opens = fitting.filter_map(|key| self.closed_for(now, key)).min();
         opens.map_or(missing, WaitReason::Allowance)
--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{BATCH_STEP_MS, EndpointQuery, contention, prefix_cache};
+use super::{BATCH_STEP_MS, BeganAt, EndpointQuery, contention, prefix_cache};
 use crate::{dialect, directory};
 
 /// Assumed response time of a plain service in milliseconds, until some were measured.
@@ -153,15 +153,23 @@
         }
     }
 
-    pub(super) fn holds(&self, now: time::Instant, wanted: &dialect::ModelRef) -> bool {
+    /// Whether it holds the model and adapter of `wanted`, and a request whose stream `began` may try it.
+    pub(super) fn holds(
+        &self,
+        now: time::Instant,
+        wanted: &dialect::ModelRef,
+        began: BeganAt,
+    ) -> bool {
         let is_before = |until: &time::Instant| now < *until;
         let is_denied = self.denied_models.get(wanted).is_some_and(is_before);
         let is_rejected = self
             .rejected_models
             .get(&wanted.model)
             .is_some_and(is_before);
+        // A stream that has begun can go to few engines, and retries a rejection after a delay of its own.
+        let is_resumption = began != BeganAt::NotBegun;
         !is_denied
-            && !is_rejected
+            && (!is_rejected || is_resumption)
             && self
                 .instance
                 .holds(&wanted.model, wanted.adapter.as_deref())
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -379,8 +379,8 @@
         holders
             .copied()
             .filter(|key| self.is_in_service(*key, query.service) && self.is_open(now, *key, query))
-            .filter(|key| self.holds(now, *key, &base))
-            .partition(|key| self.holds(now, *key, wanted))
+            .filter(|key| self.holds(now, *key, &base, query.began))
+            .partition(|key| self.holds(now, *key, wanted, query.began))
     }
 
     /// The endpoint with the lowest score, and that score. Ties are broken at random.
@@ -479,8 +479,9 @@
         now: time::Instant,
         key: arena::EndpointKey,
         wanted: &dialect::ModelRef,
+        began: BeganAt,
     ) -> bool {
-        self.get(key).is_some_and(|it| it.holds(now, wanted))
+        self.get(key).is_some_and(|it| it.holds(now, wanted, began))
     }
 
     fn estimate_ms(
--- a/crates/sageshed-fleet/src/chooser/routing.rs
+++ b/crates/sageshed-fleet/src/chooser/routing.rs
@@ -181,7 +181,9 @@
     ) -> Option<Choice> {
         let key = self.by_instance_key(engine)?;
         let is_open = self.is_in_service(key, query.service) && self.is_open(now, key, query);
-        let holds = query.wanted.is_some_and(|it| self.holds(now, key, it));
+        let holds = query
+            .wanted
+            .is_some_and(|it| self.holds(now, key, it, query.began));
         (is_open && holds).then(|| self.dispatch_with_estimate(now, key, query, estimate))
     }
 
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -33,6 +33,9 @@
 /// The pause after a rejection before the request is sent to another endpoint.
 const REJECTION_DELAY: std_time::Duration = std_time::Duration::from_millis(8);
 
+/// How often that pause doubles for a stream that has begun: up to a quarter of a second.
+const MAX_REJECTION_DOUBLINGS: u32 = 5;
+
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Sends the request to the endpoint of `pick` and passes the response on.
     pub(super) fn send<'c>(
@@ -354,12 +357,24 @@
             self.end_attempt(pick, false, chooser::AttemptOutcome::Misdirected);
         } else {
             self.end_attempt(pick, false, chooser::AttemptOutcome::Refused);
-            self.tried_endpoints.push(pick.key);
-            std::thread::sleep(REJECTION_DELAY);
+            self.delay_after_rejection(pick);
         }
         AttemptResult::Retry(sink)
     }
 
+    /// Pauses after a rejection. A stream that has begun can go to few engines and may ask the same one again, after an
+    /// exponential delay; other requests go to another engine.
+    fn delay_after_rejection(&mut self, pick: &chooser::Pick) {
+        self.rejections += 1;
+        if !self.is_resumption() {
+            self.tried_endpoints.push(pick.key);
+            return std::thread::sleep(REJECTION_DELAY);
+        }
+        let doublings = (self.rejections - 1).min(MAX_REJECTION_DOUBLINGS);
+        let delay = REJECTION_DELAY * (1 << doublings);
+        std::thread::sleep(delay.min(self.time_left().into()));
+    }
+
     /// Handles a response that can't be passed on; the request may have run.
     fn handle_unusable_response<'c>(
         &mut self,
--- a/src/sageshed/gateway/proxy/caller_wait.rs
+++ b/src/sageshed/gateway/proxy/caller_wait.rs
@@ -48,7 +48,7 @@
             time_left: left,
             patience: time::Millis(0),
             time_until_late: self.on_time(),
-            may_be_late: left > MIN_TIME_LEFT_IF_LATE,
+            may_be_late: left > MIN_TIME_LEFT_IF_LATE && !self.is_resumption(),
             may_load_adapter: false,
             ignores_slot_share: self.local_limit == slot::LocalLimit::Unshared,
             began: self.began,
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -207,6 +207,8 @@
     possible_runs: u32,
     /// How many endpoints have received it.
     deliveries: u32,
+    /// How many of these have rejected it.
+    rejections: u32,
     /// Why the latest attempt failed, as the refusal tells the caller.
     last_failure: String,
     /// Its engine time in microseconds, once its demand was counted for the report to the leader.
@@ -314,6 +316,7 @@
             began: chooser::BeganAt::NotBegun,
             possible_runs: 0,
             deliveries: 0,
+            rejections: 0,
             last_failure: String::new(),
             counted_us: cell::Cell::new(None),
             slot: cell::Cell::new(None),
--- a/src/sageshed/gateway/proxy/queue_wait.rs
+++ b/src/sageshed/gateway/proxy/queue_wait.rs
@@ -63,11 +63,13 @@
 }
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
-    /// Prepares to wait in queues. None if they are not enabled, the model has no coordinator, or the request may have
-    /// run: a stream is moved because another engine is free, and a refusal by the queue would cut it off.
+    /// Prepares to wait in queues. None if they are not enabled, the model has no coordinator, the request resumes a
+    /// stream, or it may have run: a stream is moved because another engine is free, and a refusal by the queue would cut
+    /// it off.
     pub(super) fn begin_queue_wait(&self) -> Option<QueueWait> {
         let is_enabled = self.shared.settings.shared_queue.enabled;
-        if !is_enabled || self.possible_runs > 0 || self.coordinators().is_empty() {
+        let may_queue = self.possible_runs == 0 && !self.is_resumption();
+        if !is_enabled || !may_queue || self.coordinators().is_empty() {
             return None;
         }
         let (id, replies) = self.shared.entry_peers.as_ref()?.add_queued();
--- a/src/sageshed/gateway/proxy/resumption.rs
+++ b/src/sageshed/gateway/proxy/resumption.rs
@@ -7,6 +7,15 @@
 use crate::gateway::{metrics, stream_origins};
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
+    /// Whether the stream of the request has begun, here or with an earlier request of its caller.
+    ///
+    /// It was admitted when it began, and the work for it is lost if its caller gives up. It may go to the engines of one
+    /// version only, so behind new requests, which may go to all, it would wait for longer than these. Therefore it does
+    /// not queue.
+    pub(super) fn is_resumption(&self) -> bool {
+        self.began != chooser::BeganAt::NotBegun
+    }
+
     /// Refuses a request whose stream has begun and can't be resumed by any endpoint.
     pub(super) fn refuse_not_resumable(&self) -> Option<refusal::Refusal> {
         let detail = match self.began {
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -108,10 +108,9 @@
                 return Some(NextStep::Refuse(refusal));
             }
             let now = self.shared.clock.now();
+            let patience = self.idle_engine_wait().saturating_sub(arrived.elapsed());
             let query = chooser::EndpointQuery {
-                patience: time::Millis::from(
-                    self.idle_engine_wait().saturating_sub(arrived.elapsed()),
-                ),
+                patience: time::Millis::from(patience),
                 may_load_adapter: adapter_requests < MAX_ADAPTER_REQUESTS,
                 ..self.endpoint_query(left)
             };
@@ -331,9 +330,9 @@
         (expected + PREFILL_RESERVE > left).then_some(expected)
     }
 
-    /// The queue entry of this request; none if it needs no model.
+    /// The queue entry of this request; none if it needs no model, or resumes a stream.
     fn queued_request(&self, now: time::Instant) -> Option<backlog::QueuedRequest> {
-        let wanted = self.wanted?;
+        let wanted = self.wanted.filter(|_| !self.is_resumption())?;
         Some(backlog::QueuedRequest {
             tokens: self.metadata.prompt_tokens,
             priority: self.priority(),
@@ -389,6 +388,9 @@
 
     /// How long a request waits for an engine with little pending prefill before it accepts any engine.
     fn idle_engine_wait(&self) -> std_time::Duration {
+        if self.is_resumption() {
+            return std_time::Duration::ZERO;
+        }
         std_time::Duration::from_millis(
             self.route.latency_target.0 * IDLE_ENGINE_WAIT_PERCENT / 100,
         )
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -19,6 +19,10 @@
 /// The time in which a restarted process learns of the others and of the endpoints.
 const START_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// How long callers wait for a stream, and for the rest of one.
+const FIRST_DEADLINE_MS: u32 = 8_000;
+const LATER_DEADLINE_MS: u32 = 3_000;
+
 /// What happens between the first attempt of each stream and the next ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Disturbance {
@@ -91,6 +95,8 @@
 struct Stream {
     /// The id of its first attempt.
     id: String,
+    /// The tokens of its prompt, if it is a long one.
+    prompt_tokens: Option<u32>,
     /// The ids of all attempts.
     attempts: Vec<String>,
     /// The last event received.
@@ -109,17 +115,23 @@
     /// Sends one attempt, and leaves after event `until`, or when the response ends.
     fn attempt(&mut self, fleet: &Fleet, entry: usize, until: u32) {
         let id = format!("{}-{}", self.id, self.attempts.len());
-        let prompt = "Model: m1\r\nToken-Usage: 100,10\r\n";
+        let tokens = self.prompt_tokens.unwrap_or(100);
+        let prompt = format!("Model: m1\r\nToken-Usage: {tokens},10\r\n");
         let lines = match self.attempts.first() {
             Some(first) => {
                 let last = self.last;
                 format!("{prompt}Resumes: {first}\r\nLast-Event-Id: {last}\r\n")
             }
-            None => prompt.to_owned(),
+            None => prompt,
         };
         let request = Request {
             model: None,
             lines: &lines,
+            deadline_ms: if self.attempts.is_empty() {
+                FIRST_DEADLINE_MS
+            } else {
+                LATER_DEADLINE_MS
+            },
             ..Request::new("POST", "/resumable/x", &id)
         };
         if let Ok(mut caller) = Caller::connect(fleet.entries[entry].address()) {
@@ -291,11 +303,17 @@
     assert!(went_on * 2 >= STREAMS);
 }
 
+/// Tokens of a prompt that an engine takes a tenth of a second to prefill.
+const LONG_PROMPT: Option<u32> = Some(2_000);
+
 /// Callers of new streams, each of which asks again at once.
 const CALLERS: usize = 400;
 
+/// The time after which such a caller asks again if it was refused.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Requests that an engine runs at once.
-const SLOTS: usize = 32;
+const SLOTS: usize = 2;
 
 /// Guards against streams that are not resumed under load: behind new ones, which may go to the engines of all versions,
 /// they wait for longer than their callers do, and the work already done is lost.
@@ -305,7 +323,10 @@
         let (fleet, engines) = mixed_fleet(entries);
         let mut streams: Vec<_> = (0..STREAMS)
             .map(|number| {
-                let mut stream = Stream::new(format!("s{number}"));
+                let mut stream = Stream {
+                    prompt_tokens: LONG_PROMPT,
+                    ..Stream::new(format!("s{number}"))
+                };
                 stream.attempt(&fleet, 0, 5);
                 stream
             })
@@ -319,10 +340,17 @@
             let mut number = 0;
             while !is_over.load(atomic::Ordering::Relaxed) {
                 number += 1;
-                let mut stream = Stream::new(format!("new-{caller}-{number}"));
+                let mut stream = Stream {
+                    prompt_tokens: LONG_PROMPT,
+                    ..Stream::new(format!("new-{caller}-{number}"))
+                };
                 stream.attempt(&fleet, caller % fleet.entries.len(), EVENTS + 1);
                 tried.fetch_add(1, atomic::Ordering::Relaxed);
-                begun.fetch_add(usize::from(stream.last > 0), atomic::Ordering::Relaxed);
+                if stream.last > 0 {
+                    begun.fetch_add(1, atomic::Ordering::Relaxed);
+                } else {
+                    thread::sleep(RETRY_INTERVAL);
+                }
             }
         };
         thread::scope(|scope| {
