--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -419,3 +419,61 @@
         assert!(streams.iter().all(|it| it.versions(&engines).len() == 1));
     }
 }
+
+struct Odd {
+    name: &'static str,
+    path: &'static str,
+    lines: String,
+    /// The status, and the reason of a refusal.
+    expected: (u16, &'static str),
+}
+
+/// Guards against requests that take up a stream which nobody knows and go on at any version, or get no clear answer.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_unless_it_begins_anew() {
+    let (fleet, _engines) = mixed_fleet(2);
+    let refused = (503, "not_resumable");
+    let cases = [
+        Odd {
+            name: "unknown",
+            path: "/resumable/x",
+            lines: "Resumes: nobody\r\nLast-Event-Id: 4\r\n".to_owned(),
+            expected: refused,
+        },
+        Odd {
+            name: "no id",
+            path: "/resumable/x",
+            lines: "Last-Event-Id: 4\r\n".to_owned(),
+            expected: refused,
+        },
+        Odd {
+            name: "a long id",
+            path: "/resumable/x",
+            lines: format!("Resumes: {}\r\nLast-Event-Id: 4\r\n", "x".repeat(9_000)),
+            expected: refused,
+        },
+        Odd {
+            name: "no event",
+            path: "/resumable/x",
+            lines: "Resumes: nobody\r\n".to_owned(),
+            expected: (200, ""),
+        },
+        Odd {
+            name: "a route whose streams can't be resumed",
+            path: "/stream/x",
+            lines: "Resumes: nobody\r\n".to_owned(),
+            expected: (200, ""),
+        },
+    ];
+    for case in cases {
+        let request = Request {
+            lines: &case.lines,
+            ..Request::new("POST", case.path, case.name)
+        };
+        let answer = fleet.ask(1, &request).expect("an answer");
+        let (status, reason) = case.expected;
+        assert_eq!(answer.status(), status, "{}", case.name);
+        assert!(answer.text().contains(reason), "{}", case.name);
+        assert_eq!(answer.header("retry-after").is_some(), status == 503);
+    }
+}
