Compare software versions without hashing each

A take-up without a record looks at all endpoints of the directory, under the lock of an entry process. Hashing service and version of each of 10,000 cost more than comparing the text.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -639,10 +639,11 @@
     pub fn sole_version(&self, service: &str) -> Option<SoftwareKey> {
         let instances = self.entries.values().map(|it| &it.instance);
         // The service of an instance of which nothing but its end is known may be any.
-        let of_service = instances.filter(|it| it.service == service || it.service.is_empty());
-        let mut versions = of_service.map(|it| it.software());
-        let first = versions.next()??;
-        versions.all(|it| it == Some(first)).then_some(first)
+        let mut of_service = instances.filter(|it| it.service == service || it.service.is_empty());
+        let first = of_service.next()?;
+        let software = first.software()?;
+        let is_same = |it: &sync::Arc<Instance>| it.software_version == first.software_version;
+        of_service.all(is_same).then_some(software)
     }
 
     /// The present instances of endpoints that have recently been restarted.
