--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -611,12 +611,19 @@
             return None;
         }
         let instances = self.entries.values().map(|it| &it.instance);
-        let versions = instances.map(|it| (it.service.clone(), it.software_version.clone()));
-        Some(versions.collect())
+        let versions: collections::BTreeSet<_> = instances
+            .map(|it| (&it.service, &it.software_version))
+            .collect();
+        let versions = versions.into_iter();
+        Some(
+            versions
+                .map(|(service, version)| (service.clone(), version.clone()))
+                .collect(),
+        )
     }
 
-    /// Adds the versions that a process knew at its end, which all of the last instances had, as ended instances. They
-    /// count and are passed on for [`ENDED_RETENTION`] like these.
+    /// Adds the software versions that were known before a restart, each as an ended instance. Like other ended instances
+    /// they are passed on and kept for [`ENDED_RETENTION`].
     pub fn remember_versions(&mut self, now: time::Instant, versions: SoftwareVersions) {
         for (service, software_version) in versions {
             // The name of an endpoint has no space.
--- a/crates/sageshed-fleet/src/stream_origins.rs
+++ b/crates/sageshed-fleet/src/stream_origins.rs
@@ -16,7 +16,8 @@
 
 use crate::{directory, entry_peers, fingerprint};
 
-/// Entry processes that are sent a record, besides the one that begins the stream. Two may be lost at the same moment.
+/// Entry processes that are sent a record, so that one has it while the process that begins the stream and two others are
+/// lost.
 pub const HOLDERS: usize = 3;
 
 /// Entry processes that are asked for a record: more than have it, since lists of entry processes differ for a moment
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -37,9 +37,9 @@
     settings: &settings::FleetControl,
     limits: &limits::Limits,
     dialect: D,
-    first: software_versions::Start,
+    start: software_versions::Start,
 ) -> Result<Ports, StartError> {
-    software_versions::restore(shared, &settings.control.data, first);
+    software_versions::restore(shared, &settings.control.data, start);
     let handler = port::FleetHandler {
         shared: sync::Arc::clone(shared),
         inputs: inputs.clone(),
