--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -23,4 +23,5 @@
 mod slow_link;
 mod starting;
 mod stopping;
+mod version_soak;
 mod versions;
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -1,6 +1,6 @@
 //! Streams that are resumed while engines of several software versions serve.
 
-use std::{io::Read, sync::atomic, thread, time};
+use std::{collections, io::Read, net, sync::atomic, thread, time};
 
 use crate::{
     fleet::Fleet,
@@ -11,7 +11,7 @@
 };
 
 /// Events of a whole stream.
-const EVENTS: u32 = 40;
+pub const EVENTS: u32 = 40;
 
 /// Streams of each case.
 const STREAMS: usize = 24;
@@ -95,20 +95,25 @@
 
 /// What a caller has of one stream.
 #[derive(Debug, Default)]
-struct Stream {
-    /// The id of its first attempt.
+pub struct Stream {
+    /// The ids of its attempts begin with it.
     id: String,
     /// The tokens of its prompt, if it is a long one.
     prompt_tokens: Option<u32>,
-    /// The ids of all attempts.
-    attempts: Vec<String>,
+    /// The number of its attempts.
+    pub attempts: usize,
+    /// The id of the one that brought the first event.
+    begun_by: Option<String>,
     /// The last event received.
-    last: u32,
-    is_complete: bool,
+    pub last: u32,
+    /// The software versions that sent its events.
+    pub versions: collections::BTreeSet<String>,
+    /// Whether its last event has arrived.
+    pub is_complete: bool,
 }
 
 impl Stream {
-    fn new(id: String) -> Self {
+    pub fn new(id: String) -> Self {
         Self {
             id,
             ..Self::default()
@@ -116,11 +121,12 @@
     }
 
     /// Sends one attempt, and leaves after event `until`, or when the response ends.
-    fn attempt(&mut self, fleet: &Fleet, entry: usize, until: u32) {
-        let id = format!("{}-{}", self.id, self.attempts.len());
+    pub fn attempt(&mut self, to: net::SocketAddrV4, until: u32) {
+        let id = format!("{}-{}", self.id, self.attempts);
+        self.attempts += 1;
         let tokens = self.prompt_tokens.unwrap_or(SHORT_PROMPT);
         let prompt = format!("Model: m1\r\nToken-Usage: {tokens},10\r\n");
-        let lines = match self.attempts.first() {
+        let lines = match &self.begun_by {
             Some(first) => {
                 let last = self.last;
                 format!("{prompt}Resumes: {first}\r\nLast-Event-Id: {last}\r\n")
@@ -130,18 +136,21 @@
         let request = Request {
             model: None,
             lines: &lines,
-            deadline_ms: if self.attempts.is_empty() {
+            deadline_ms: if self.begun_by.is_none() {
                 FIRST_DEADLINE_MS
             } else {
                 LATER_DEADLINE_MS
             },
             ..Request::new("POST", "/resumable/x", &id)
         };
-        if let Ok(mut caller) = Caller::connect(fleet.entries[entry].address()) {
-            caller.send(&request).expect("the process listens");
+        if let Ok(mut caller) = Caller::connect(to) {
+            // Fails if the process ends now.
+            drop(caller.send(&request));
             self.read(&mut caller, until);
         }
-        self.attempts.push(id);
+        if self.last > 0 {
+            self.begun_by.get_or_insert(id);
+        }
     }
 
     fn read(&mut self, caller: &mut Caller, until: u32) {
@@ -155,25 +164,23 @@
             if !text.starts_with("HTTP/1.1 200") {
                 return;
             }
-            let ids = text.lines().filter_map(|it| it.strip_prefix("id: "));
-            let last = ids.filter_map(|it| it.parse().ok()).next_back();
-            self.last = last.unwrap_or(self.last);
+            let mut version = "v1";
+            let whole = text.split_inclusive('\n').filter(|it| it.ends_with('\n'));
+            for line in whole.map(str::trim_end) {
+                if let Some(id) = line.strip_prefix("id: ") {
+                    self.last = id.parse().unwrap_or(self.last);
+                    self.versions.insert(version.to_owned());
+                    version = "v1";
+                }
+                version = line.strip_prefix(": ").unwrap_or(version);
+            }
             self.is_complete = self.last == EVENTS && text.contains("\r\n0\r\n");
         }
     }
-
-    /// The software versions that ran it, without repetitions.
-    fn versions(&self, engines: &[Engine]) -> Vec<&'static str> {
-        let ran = |it: &&Engine| self.attempts.iter().any(|id| it.runs(id) > 0);
-        let mut versions: Vec<_> = engines.iter().filter(ran).map(Engine::software).collect();
-        versions.sort_unstable();
-        versions.dedup();
-        versions
-    }
 }
 
 /// A fleet before three engines of each of two versions.
-fn mixed_fleet(entries: u8) -> (Fleet, Vec<Engine>) {
+pub fn mixed_fleet(entries: u8) -> (Fleet, Vec<Engine>) {
     let (fleet, mut engines) = Fleet::many_ready(entries, "");
     engines.truncate(2);
     engines.push(fleet.engine("e3", "engines", 35, &["m1"]));
@@ -194,7 +201,7 @@
         fleet.until("an entry process serves", || {
             number += 1;
             let mut stream = Stream::new(format!("known-{entry}-{number}"));
-            stream.attempt(fleet, entry, 1);
+            stream.attempt(fleet.entries[entry].address(), 1);
             stream.last > 0
         });
         fleet.until("it knows all engines", || {
@@ -230,13 +237,13 @@
     others
 }
 
-fn play(case: &Case) -> (Vec<Stream>, Vec<Engine>) {
+fn play(case: &Case) -> Vec<Stream> {
     let (mut fleet, mut engines) = mixed_fleet(case.entries);
     let mut streams: Vec<_> = (0..STREAMS)
         .map(|number| {
             let mut stream = Stream::new(format!("s{number}"));
             let until = 3 + u32::try_from(number % 10).expect("small");
-            stream.attempt(&fleet, 0, until);
+            stream.attempt(fleet.entries[0].address(), until);
             stream
         })
         .collect();
@@ -249,10 +256,10 @@
             } else {
                 stream.last + 5
             };
-            stream.attempt(&fleet, entry, until);
+            stream.attempt(fleet.entries[entry].address(), until);
         }
     }
-    (streams, engines)
+    streams
 }
 
 /// Guards against a stream that another entry process, or the same one after a restart, continues at another software
@@ -261,8 +268,8 @@
 fn a_stream_that_its_caller_takes_up_goes_on_at_its_software_version() {
     let mut failures = Vec::new();
     for case in &CASES {
-        let (streams, engines) = play(case);
-        let joined = streams.iter().filter(|it| it.versions(&engines).len() > 1);
+        let streams = play(case);
+        let joined = streams.iter().filter(|it| it.versions.len() > 1);
         let (joined, went_on) = (
             joined.count(),
             streams.iter().filter(|it| it.is_complete).count(),
@@ -288,11 +295,11 @@
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| {
             let mut stream = Stream::new(format!("s{number}"));
-            stream.attempt(&fleet, 0, EVENTS + 1);
+            stream.attempt(fleet.entries[0].address(), EVENTS + 1);
             stream
         })
         .collect();
-    let joined = streams.iter().filter(|it| it.versions(&engines).len() > 1);
+    let joined = streams.iter().filter(|it| it.versions.len() > 1);
     let (joined, went_on) = (
         joined.count(),
         streams.iter().filter(|it| it.is_complete).count(),
@@ -326,7 +333,7 @@
                     prompt_tokens: LONG_PROMPT,
                     ..Stream::new(format!("s{number}"))
                 };
-                stream.attempt(&fleet, 0, 5);
+                stream.attempt(fleet.entries[0].address(), 5);
                 stream
             })
             .collect();
@@ -343,7 +350,10 @@
                     prompt_tokens: LONG_PROMPT,
                     ..Stream::new(format!("new-{caller}-{number}"))
                 };
-                stream.attempt(&fleet, caller % fleet.entries.len(), EVENTS + 1);
+                stream.attempt(
+                    fleet.entries[caller % fleet.entries.len()].address(),
+                    EVENTS + 1,
+                );
                 tried.fetch_add(1, atomic::Ordering::Relaxed);
                 if stream.last > 0 {
                     begun.fetch_add(1, atomic::Ordering::Relaxed);
@@ -358,7 +368,10 @@
             }
             thread::sleep(START_TIME);
             let take_up = |(number, stream): (usize, &mut Stream)| {
-                stream.attempt(&fleet, (number + 1) % fleet.entries.len(), EVENTS + 1);
+                stream.attempt(
+                    fleet.entries[(number + 1) % fleet.entries.len()].address(),
+                    EVENTS + 1,
+                );
             };
             thread::scope(|scope| {
                 for it in streams.iter_mut().enumerate() {
@@ -369,7 +382,7 @@
             is_over.store(true, atomic::Ordering::Relaxed);
         });
         let went_on = streams.iter().filter(|it| it.is_complete).count();
-        let joined = streams.iter().filter(|it| it.versions(&engines).len() > 1);
+        let joined = streams.iter().filter(|it| it.versions.len() > 1);
         let (joined, tried, begun) = (joined.count(), tried.into_inner(), begun.into_inner());
         println!(
             "{entries}: {went_on} of {STREAMS} went on, {joined} joined; {begun} of {tried} begun"
@@ -396,7 +409,7 @@
         let mut streams: Vec<_> = (0..STREAMS)
             .map(|number| {
                 let mut stream = Stream::new(format!("s{number}"));
-                stream.attempt(&fleet, 0, 5);
+                stream.attempt(fleet.entries[0].address(), 5);
                 stream
             })
             .collect();
@@ -411,11 +424,11 @@
         }
         until_known(&fleet, &engines[..2]);
         for stream in &mut streams {
-            stream.attempt(&fleet, 1, EVENTS + 1);
+            stream.attempt(fleet.entries[1].address(), EVENTS + 1);
         }
         let went_on = streams.iter().filter(|it| it.is_complete).count();
         assert_eq!(went_on, expected, "{versions} versions");
-        assert!(streams.iter().all(|it| it.versions(&engines).len() == 1));
+        assert!(streams.iter().all(|it| it.versions.len() == 1));
     }
 }
 
