Record a stream that begins anew under the id of the request that begins it

A caller that names a stream of which it has no whole event, and which nobody knows, begins anew. Its stream was recorded under the id that it named. When it broke off and the caller took it up, naming the request that had brought its first event, no record was found, and it was refused while two versions served.

Found by reading. The test is red before (503 for 200).

--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -30,19 +30,24 @@
     metadata: &dialect::RequestMetadata,
     route: &config::Route,
 ) -> Resumption {
-    let id = metadata.resumes.as_deref().or(metadata.id.as_deref());
-    let stream = id.map(stream_origins::StreamKey::new);
     if route.kind != config::RequestKind::ResumableStream {
         return Resumption::default();
     }
-    let recorded = stream.filter(|_| metadata.resumes.is_some());
-    let recorded = recorded.and_then(|it| find_record(shared, it));
+    let key = |id: &Option<String>| id.as_deref().map(stream_origins::StreamKey::new);
+    let resumed = key(&metadata.resumes);
+    let recorded = resumed.and_then(|it| find_record(shared, it));
     let began = match (recorded, &metadata.resume_after) {
         (Some(software), _) => chooser::BeganAt::Version(software),
-        // Its caller has no whole event, so nothing is joined.
-        (None, None) => chooser::BeganAt::NotBegun,
         (None, Some(_)) => chooser::BeganAt::of(sole_version(shared, route)),
+        // Its caller has no whole event, so nothing is joined: it begins anew, as a stream of its own.
+        (None, None) => {
+            return Resumption {
+                stream: key(&metadata.id),
+                began: chooser::BeganAt::NotBegun,
+            };
+        }
     };
+    let stream = resumed.or_else(|| key(&metadata.id));
     Resumption { stream, began }
 }
 
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -470,6 +470,12 @@
             lines: "Resumes: nobody\r\n".to_owned(),
             expected: (200, ""),
         },
+        Odd {
+            name: "the one that began anew",
+            path: "/resumable/x",
+            lines: "Resumes: no event\r\nLast-Event-Id: 4\r\n".to_owned(),
+            expected: (200, ""),
+        },
         Odd {
             name: "a route whose streams can't be resumed",
             path: "/stream/x",
