--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -201,7 +201,7 @@
         fleet.until("an entry process serves", || {
             number += 1;
             let mut stream = Stream::new(format!("known-{entry}-{number}"));
-            stream.attempt(fleet.entries[entry].address(), 1);
+            stream.attempt(process.address(), 1);
             stream.last > 0
         });
         fleet.until("it knows all engines", || {
@@ -212,7 +212,7 @@
     }
 }
 
-/// Disturbs the fleet once all streams have begun. Returns the entry processes that may be asked afterwards.
+/// Disturbs the fleet once all streams have begun. Returns the entry processes at which they are taken up.
 fn disturb(fleet: &mut Fleet, engines: &mut Vec<Engine>, disturbance: Disturbance) -> Vec<usize> {
     let others = (1..fleet.entries.len()).collect();
     match disturbance {
