Log and count how old the endpoint records are by which requests are sent

Nothing told how old the records were by which an entry process chose an endpoint: a digest that differs counts as contact, and so does a part of the records.

The age counts from the sending of the latest call whose response completed the records, since a process without processor time handles a response long after it has arrived. No decision reads it yet.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod quarantine;
 pub mod queue_coordinator;
 pub mod queue_holder;
+pub mod records_age;
 pub mod routes;
 pub mod shared_queue;
 pub mod slots;
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -112,6 +112,7 @@
     relayed: metrics::Gauge,
     connections: metrics::Gauge,
     silence: metrics::Gauge,
+    records_age: metrics::Gauge,
     config_wait: metrics::Gauge,
     waiting: metrics::Gauge,
     repeats: metrics::Gauge,
@@ -177,6 +178,10 @@
                 "sageshed_gateway_control_silence",
                 "Since a control process answered",
             ),
+            records_age: gauge(
+                "sageshed_gateway_endpoint_records_age",
+                "Seconds since the endpoint records were complete",
+            ),
             waiting: gauge("sageshed_gateway_waiting", "Requests that wait here"),
             repeats: gauge(
                 "sageshed_gateway_repeats_left",
@@ -354,6 +359,8 @@
         self.gauges
             .silence
             .set(shared.control_silence().0 as f64 / 1_000.0);
+        let records_age = shared.with_core(|core| core.records_age.age(now));
+        self.gauges.records_age.set(records_age.0 as f64 / 1_000.0);
         let wait = shared.config_wait().map(|it| it.waited).unwrap_or_default();
         self.gauges.config_wait.set(wait.0 as f64 / 1_000.0);
         self.gauges
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -153,6 +153,9 @@
             headers: list,
             body: &self.req.body,
         };
+        let now = self.shared.clock.now();
+        let records_age = self.shared.with_core(|core| core.records_age.age(now));
+        self.records_age.set(records_age);
         let exchanged = opened.exchange(&req, patience);
         self.shared
             .record_exchange(pick.address, path, exchanged.as_ref().err());
@@ -339,7 +342,7 @@
         response: &dialect::ResponseMetadata<'_>,
         status: u16,
     ) -> AttemptResult<'c> {
-        ::log::info!(request = self.id(), endpoint:% = pick.instance, status;
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, status, records_ms = self.records_age.get().0;
             "gateway: endpoint rejected the request without running it");
         self.last_failure = format!(
             "endpoint {} rejected it with status {status}",
@@ -440,7 +443,7 @@
             return AttemptResult::CallerGone(sink);
         }
         ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, software = self.software_of(pick),
-            error:% = failure, runs = self.possible_runs, begun = sink.has_started();
+            error:% = failure, runs = self.possible_runs, begun = sink.has_started(), records_ms = self.records_age.get().0;
             "gateway: endpoint failed, the request may have run");
         self.last_failure = format!("endpoint {} failed: {failure}", pick.instance);
         self.attempt_log
--- a/src/sageshed/gateway/proxy/completion.rs
+++ b/src/sageshed/gateway/proxy/completion.rs
@@ -132,7 +132,7 @@
             software = self.software_of(pick), model = self.model_name(), tokens = pick.uncached_tokens, estimate_ms = pick.estimate.0,
             waited_for = self.waited_for_value(), queue, objective_ms = self.route.latency_target.0,
             pause_limit_ms = self.route.event_gap_target.map_or(0, |it| it.0), runs = self.possible_runs,
-            sent_ms = time::Millis::from(sent).0,
+            sent_ms = time::Millis::from(sent).0, records_ms = self.records_age.get().0,
             first_ms = time::Millis::from(self.timings.first_event).0,
             pause_ms = time::Millis::from(self.timings.longest_pause).0,
             took_ms = time::Millis::from(took).0; "gateway: request answered");
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -203,6 +203,8 @@
     stream: Option<StreamKey>,
     /// The software version that began its stream.
     began: chooser::BeganAt,
+    /// The age of the endpoint records when it was sent last.
+    records_age: cell::Cell<time::Millis>,
     /// How many endpoints may have run it.
     possible_runs: u32,
     /// How many endpoints have received it.
@@ -314,6 +316,7 @@
             tried_endpoints: Vec::new(),
             stream: None,
             began: chooser::BeganAt::NotBegun,
+            records_age: cell::Cell::default(),
             possible_runs: 0,
             deliveries: 0,
             rejections: 0,
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -8,8 +8,8 @@
 
 use sageshed_fleet::{
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
-    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator, shared_queue,
-    slots::SlotCoordinator, stream_origins,
+    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator, records_age,
+    shared_queue, slots::SlotCoordinator, stream_origins,
 };
 use sageshed_types::{document, time};
 use sageshed_upstream::{pool, relay};
@@ -97,6 +97,8 @@
     pub origins: stream_origins::StreamOrigins,
     /// The known endpoints.
     pub directory: directory::Directory,
+    /// How old the records of these are.
+    pub records_age: records_age::RecordsAge,
     /// The crashes of endpoints, by the request that they were running.
     pub quarantine: quarantine::Quarantine,
     /// The endpoints that have reported to this process that they are leaving, and when.
@@ -169,6 +171,7 @@
             budget: budget::RetryBudget::new(allowance),
             origins: stream_origins::StreamOrigins::default(),
             directory: directory::Directory::new(start),
+            records_age: records_age::RecordsAge::default(),
             quarantine: quarantine::Quarantine::new(start),
             leaving: Vec::new(),
             entries: vec![settings.discovery.ip],
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -98,6 +98,7 @@
             )
         };
         let crashes_sent = shared.with_core(|core| core.quarantine.cursor());
+        let sent_at = shared.clock.now();
         match watch(shared, to, known, wants, is_source) {
             Ok(resp) => {
                 known.mark = resp.mark;
@@ -115,6 +116,9 @@
                     known.mark = mark;
                 }
                 let has_records = wants != messages::DirectoryDetail::Digest;
+                if !differs || (has_records && !has_more) {
+                    shared.with_core(|core| core.records_age.confirm(sent_at));
+                }
                 if has_records && !has_more && !known.has_skipped {
                     let now = shared.clock.now();
                     shared.with_core(|core| core.directory.extend_back(now, reaches_back));
