Add a failing test of requests by records from before a pause

What it shows on this commit: entry processes are paused for 2.5 s from the acknowledgement that an engine leaves. Of 24 requests that arrived meanwhile at three of them, 13 reached that engine after the pause, later than the 2.5 s that are allowed.

The record itself is not reproduced: its processes were slowed by what the record doesn't show. A pause is the same for the records of a process, which may be of any age when a request is sent, and nothing looks at that age.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod crashing;
 mod demand;
+mod draining;
 mod endpoints;
 mod explaining;
 mod fleet;
