--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -121,6 +121,12 @@
     quarantined: metrics::Gauge,
     stream_records: metrics::Gauge,
     dropped_stream_records: metrics::Gauge,
+    queues: QueueGauges,
+}
+
+/// The gauges of the queues and slots that this process keeps.
+#[derive(Debug)]
+struct QueueGauges {
     queue_length: metrics::Gauge,
     queue_oldest: metrics::Gauge,
     queue_grants: metrics::Gauge,
@@ -204,6 +210,15 @@
                 "sageshed_gateway_stream_records_dropped",
                 "Of these, dropped before their time since the start",
             ),
+            queues: QueueGauges::new(registry),
+        }
+    }
+}
+
+impl QueueGauges {
+    fn new(registry: &metrics::Registry) -> Self {
+        let gauge = |name, help| registry.gauge(name, help);
+        Self {
             queue_length: gauge(
                 "sageshed_gateway_queue_length",
                 "Requests in the queues that this process keeps",
@@ -318,7 +333,7 @@
 
     fn set_slots<D: sageshed_fleet::dialect::Dialect>(&self, shared: &state::Shared<D>) {
         let (waiting, stats) = shared.with_core(|core| (core.slots.waiting(), core.slots.stats()));
-        self.gauges.slot_waiting.set(waiting as f64);
+        self.gauges.queues.slot_waiting.set(waiting as f64);
         let client = &shared.slots;
         for (result, count) in [
             ("granted", &client.granted),
@@ -327,11 +342,15 @@
         ] {
             let count = count.load(std::sync::atomic::Ordering::Relaxed);
             self.gauges
+                .queues
                 .slot_requests
                 .set_for("result", result, count as f64);
         }
         for (end, count) in [("granted", stats.granted), ("expired", stats.expired)] {
-            self.gauges.slot_leases.set_for("what", end, count as f64);
+            self.gauges
+                .queues
+                .slot_leases
+                .set_for("what", end, count as f64);
         }
     }
 
@@ -403,37 +422,46 @@
         });
         let oldest = queues.iter().map(|it| it.oldest_ms).max();
         let gauges = &self.gauges;
-        gauges.queue_length.set(length as f64);
+        gauges.queues.queue_length.set(length as f64);
         gauges
+            .queues
             .queue_oldest
             .set(oldest.unwrap_or_default().0 as f64 / 1_000.0);
         let sets = [
-            (&gauges.queue_grants, "given", counters.granted),
-            (&gauges.queue_grants, "unused", counters.unused),
+            (&gauges.queues.queue_grants, "given", counters.granted),
+            (&gauges.queues.queue_grants, "unused", counters.unused),
             (
-                &gauges.queue_removals,
+                &gauges.queues.queue_removals,
                 "refused_on_arrival",
                 counters.refused_on_arrival,
             ),
             (
-                &gauges.queue_removals,
+                &gauges.queues.queue_removals,
                 "refused_later",
                 counters.refused_later,
             ),
-            (&gauges.queue_removals, "queue_full", counters.overflowed),
-            (&gauges.queue_removals, "abandoned", counters.abandoned),
             (
-                &gauges.queue_removals,
+                &gauges.queues.queue_removals,
+                "queue_full",
+                counters.overflowed,
+            ),
+            (
+                &gauges.queues.queue_removals,
+                "abandoned",
+                counters.abandoned,
+            ),
+            (
+                &gauges.queues.queue_removals,
                 "holder_silent",
                 counters.holder_silent,
             ),
             (
-                &gauges.queue_reservations,
+                &gauges.queues.queue_reservations,
                 "kept",
                 counters.reservations_kept,
             ),
             (
-                &gauges.queue_reservations,
+                &gauges.queues.queue_reservations,
                 "missed",
                 counters.reservations_missed,
             ),
