Send requests only by current endpoint records, checked right before they are written

What callers saw: requests reached endpoints three seconds after they had said that they leave.

Cause, as reproduced: nothing bounds how old the records are by which a request is sent. A process that was paused, or that lacks processor time, serves the requests that have arrived before it handles the response that brings the news.

Change: the records are as of the sending of the latest call that completed them, plus the time for which the control process held it, which responses now tell. Right before a request is written, once its connection is open, it waits until that is at most 1 s ago, looks whether its endpoint has left meanwhile and goes elsewhere if so. After half a second it is refused as not run. While it waits it takes no processor time from the thread that receives records. From 0.5 s on every link asks for records, to be answered at once: before, a lost source was replaced by a link that could be held for 0.8 s. Where three calls in a row failed within their time limits, control can't be reached and requests go on as before; a call that ends later than that was held up here and is no evidence.

What is not bounded: the exchange between control processes, which finds a silent link after 1.2 s.

--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -198,6 +198,9 @@
     /// Refreshes of instances without updates, for a watcher that asks for [`DirectoryDetail::All`].
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub alive: Vec<directory::LivenessRefresh>,
+    /// For how long the call was held; zero from a process that doesn't send it.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub held: time::Millis,
     /// Whether more records or refreshes follow, to be asked for by the next call.
     #[serde(default)]
     pub has_more: bool,
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -57,7 +57,11 @@
         let due = shared.hub.next_round();
         let common = RoundData::of(shared);
         for watcher in due {
-            let resp = common.answer(shared, &watcher.req);
+            let held = watcher.since.elapsed().into();
+            let resp = messages::WatchResp {
+                held,
+                ..common.answer(shared, &watcher.req)
+            };
             watcher
                 .responder
                 .answer(sageshed_vms::Answer::message(&resp));
@@ -115,6 +119,7 @@
             },
             records: updates.records,
             alive: updates.alive,
+            held: time::Millis(0),
             has_more: updates.has_more,
             crashes_mark: Some(updates.crashes_mark),
             crashes: updates.crashes,
--- a/src/sageshed/control/fleet/watchers.rs
+++ b/src/sageshed/control/fleet/watchers.rs
@@ -30,6 +30,8 @@
     pub req: messages::WatchReq,
     /// The handle that answers the call.
     pub responder: W,
+    /// When it was received.
+    pub since: time::Instant,
     until: time::Instant,
 }
 
@@ -61,6 +63,7 @@
         self.waiting.push(Watcher {
             req,
             responder,
+            since: now,
             until,
         });
         let is_sooner = self.next_timeout.is_none_or(|it| until < it);
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -6,9 +6,9 @@
 use sageshed_fleet::{chooser, config, dialect, entry_peers as wire};
 use sageshed_http::reply;
 use sageshed_types::{headers, time, verdict};
-use sageshed_upstream::{exchange, failure};
+use sageshed_upstream::{exchange, failure, pool};
 
-use super::{AttemptResult, ProxiedRequest};
+use super::{AttemptResult, ProxiedRequest, records_check::EndpointCheck};
 use crate::gateway::{entry_peers, paths, queues, response::ResponseSink};
 
 /// The largest response that is not a stream.
@@ -63,7 +63,15 @@
             stop: &stop,
         };
         let resume = sink.last_id().map(str::to_owned);
-        let answer = self.exchange(pick, resume.as_deref(), &patience, watch);
+        let opened = match self.open(pick, self.deadline, watch) {
+            Ok(opened) => opened,
+            Err(failure) => return self.handle_missing_response(pick, sink, failure, watch),
+        };
+        let check = self.check_endpoint(pick, watch);
+        if check != EndpointCheck::Send {
+            return self.withdraw(pick, sink, check);
+        }
+        let answer = self.exchange(pick, opened, resume.as_deref(), &patience);
         let exchange = match answer.and_then(|it| self.skip_stale_responses(pick, it, &patience)) {
             Ok(exchange) => exchange,
             Err(failure) => return self.handle_missing_response(pick, sink, failure, watch),
@@ -94,13 +102,13 @@
         Some((latency_target * factor).max(MIN_SILENCE))
     }
 
-    fn exchange<S: Fn() -> bool>(
+    /// Opens a connection to the endpoint of `pick`, or takes a pooled one.
+    fn open(
         &self,
         pick: &chooser::Pick,
-        resume_after: Option<&str>,
-        patience: &exchange::Patience<'_, S>,
+        until: std_time::Instant,
         watch: &reply::Watch,
-    ) -> Result<exchange::Exchange, failure::Failure> {
+    ) -> Result<pool::Opened, failure::Failure> {
         let max_age = if self.route.kind.is_retryable() {
             MAX_IDLE_REPEATABLE
         } else {
@@ -108,12 +116,12 @@
         };
         let connector = paths::Connector {
             shared: self.shared,
-            until: patience.until,
+            until,
         };
         let opened = self
             .shared
             .pool
-            .open(&connector, pick.address, max_age, patience.until)?;
+            .open(&connector, pick.address, max_age, until)?;
         if watch.caller_gone() {
             return Err(failure::Failure {
                 cause: failure::Cause::Interrupted,
@@ -121,6 +129,16 @@
                 detail: "the caller left before a connection was open".to_owned(),
             });
         }
+        Ok(opened)
+    }
+
+    fn exchange<S: Fn() -> bool>(
+        &self,
+        pick: &chooser::Pick,
+        opened: pool::Opened,
+        resume_after: Option<&str>,
+        patience: &exchange::Patience<'_, S>,
+    ) -> Result<exchange::Exchange, failure::Failure> {
         let path = paths::PathUse::of(&opened);
         // The time left is read once the connection is open, which may take long.
         let metadata = dialect::UpstreamMetadata {
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -18,6 +18,7 @@
 mod identity;
 mod queue_wait;
 mod quota;
+mod records_check;
 mod resumption;
 mod slot;
 mod stream;
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -8,8 +8,11 @@
 
 use sageshed_fleet::{
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
-    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator, records_age,
-    shared_queue, slots::SlotCoordinator, stream_origins,
+    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator,
+    records_age::{Freshness, RecordsAge},
+    shared_queue,
+    slots::SlotCoordinator,
+    stream_origins,
 };
 use sageshed_types::{document, time};
 use sageshed_upstream::{pool, relay};
@@ -98,7 +101,7 @@
     /// The known endpoints.
     pub directory: directory::Directory,
     /// How old the records of these are.
-    pub records_age: records_age::RecordsAge,
+    pub records_age: RecordsAge,
     /// The crashes of endpoints, by the request that they were running.
     pub quarantine: quarantine::Quarantine,
     /// The endpoints that have reported to this process that they are leaving, and when.
@@ -171,7 +174,7 @@
             budget: budget::RetryBudget::new(allowance),
             origins: stream_origins::StreamOrigins::default(),
             directory: directory::Directory::new(start),
-            records_age: records_age::RecordsAge::default(),
+            records_age: RecordsAge::default(),
             quarantine: quarantine::Quarantine::new(start),
             leaving: Vec::new(),
             entries: vec![settings.discovery.ip],
@@ -230,6 +233,35 @@
         self.with_core(|core| core.allowances.heard_control(now));
     }
 
+    /// Records the response to a call that was sent at `sent_at` and held for `held`. Wakes the requests that wait for
+    /// current endpoint records if it has completed them.
+    pub fn record_control_response(
+        &self,
+        sent_at: time::Instant,
+        held: time::Millis,
+        is_complete: bool,
+    ) {
+        let now = self.clock.now();
+        let is_current_again = self.with_core(|core| {
+            let age = &mut core.records_age;
+            let before = age.freshness(now);
+            age.record_response();
+            if is_complete {
+                age.confirm(now, sent_at, held);
+            }
+            before == Freshness::Outdated && age.freshness(now) == Freshness::Current
+        });
+        if is_current_again {
+            self.wake_waiting();
+        }
+    }
+
+    /// Records that a call to a control process that was sent at `sent_at` with this time limit has failed.
+    pub fn record_failed_call(&self, sent_at: time::Instant, limit: time::Millis) {
+        let now = self.clock.now();
+        self.with_core(|core| core.records_age.record_failure(now, sent_at, limit));
+    }
+
     /// The time since a control process responded last, which bounds the age of the known state.
     #[must_use]
     pub fn control_silence(&self) -> time::Millis {
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -10,7 +10,7 @@
     thread, time as std_time,
 };
 
-use sageshed_fleet::{dialect, directory, links, messages, quarantine};
+use sageshed_fleet::{dialect, directory, links, messages, quarantine, records_age};
 use sageshed_types::time;
 
 use super::{config_check, fetch, state};
@@ -90,16 +90,15 @@
             at = Some(to);
         }
         let known = peers_by_ip.entry(to).or_default();
-        let (wants, is_source) = {
+        let sent_at = shared.clock.now();
+        let (crashes_sent, records_age) =
+            shared.with_core(|core| (core.quarantine.cursor(), core.records_age.age(sent_at)));
+        let call = {
             let links = locks::lock(&watching.links);
-            (
-                links.requested_detail(shared.clock.now(), number),
-                links.endpoint_source() == Some(number),
-            )
+            Call::new(&links, sent_at, number, records_age)
         };
-        let crashes_sent = shared.with_core(|core| core.quarantine.cursor());
-        let sent_at = shared.clock.now();
-        match watch(shared, to, known, wants, is_source) {
+        let wants = call.wants;
+        match watch(shared, to, known, call) {
             Ok(resp) => {
                 known.mark = resp.mark;
                 known
@@ -107,7 +106,7 @@
                     .record_exchange(crashes_sent, resp.crashes_mark.unwrap_or_default());
                 let (digest, digest_mark) = (resp.digest, resp.digest_mark);
                 let (has_more, news) = (resp.has_more, resp.news_mark);
-                let reaches_back = resp.reaches_back;
+                let (reaches_back, held) = (resp.reaches_back, resp.held);
                 let peers = apply_response(shared, watching, to, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
                 if let Some(mark) = digest_mark.filter(|_| !differs) {
@@ -116,9 +115,8 @@
                     known.mark = mark;
                 }
                 let has_records = wants != messages::DirectoryDetail::Digest;
-                if !differs || (has_records && !has_more) {
-                    shared.with_core(|core| core.records_age.confirm(sent_at));
-                }
+                let is_complete = !differs || (has_records && !has_more);
+                shared.record_control_response(sent_at, held, is_complete);
                 if has_records && !has_more && !known.has_skipped {
                     let now = shared.clock.now();
                     shared.with_core(|core| core.directory.extend_back(now, reaches_back));
@@ -138,6 +136,7 @@
             Err(e) => {
                 ::log::warn!(link = number, control:% = to, error:% = e;
                     "gateway: lost a control process");
+                shared.record_failed_call(sent_at, call.limit().into());
                 locks::lock(&watching.links).mark_unreachable(shared.clock.now(), number, to);
                 at = None;
                 thread::sleep(match e {
@@ -149,19 +148,57 @@
     }
 }
 
+/// What the next call of a link asks for.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    wants: messages::DirectoryDetail,
+    /// Whether the link delivers endpoint records and reports demand.
+    is_source: bool,
+    /// How long the control process may hold the call.
+    patience: time::Millis,
+}
+
+impl Call {
+    /// The next call of link `number`, which asks for records, to be answered at once, if those held are old.
+    fn new(
+        links: &links::Links,
+        now: time::Instant,
+        number: usize,
+        records_age: time::Millis,
+    ) -> Self {
+        let is_source = links.endpoint_source() == Some(number);
+        if records_age >= records_age::REFRESH_AGE {
+            return Self {
+                wants: messages::DirectoryDetail::News,
+                is_source,
+                patience: time::Millis(0),
+            };
+        }
+        Self {
+            wants: links.requested_detail(now, number),
+            is_source,
+            patience: if is_source {
+                DEMAND_WATCH_TIMEOUT
+            } else {
+                WATCH_TIMEOUT
+            },
+        }
+    }
+
+    /// The time limit of the call.
+    fn limit(&self) -> std_time::Duration {
+        std_time::Duration::from(self.patience) + CALL_MARGIN
+    }
+}
+
 fn watch<D: dialect::Dialect>(
     shared: &state::Shared<D>,
     to: net::Ipv4Addr,
     known: &PeerState,
-    wants: messages::DirectoryDetail,
-    is_source: bool,
+    call: Call,
 ) -> Result<messages::WatchResp, sageshed_vms::CallError> {
     let discovery = &shared.settings.discovery;
-    let patience = if is_source {
-        DEMAND_WATCH_TIMEOUT
-    } else {
-        WATCH_TIMEOUT
-    };
+    let is_source = call.is_source;
     let demand = if is_source {
         shared.with_core(|core| core.unreported_demand.take())
     } else {
@@ -171,12 +208,12 @@
         watcher: messages::Watcher::Entry,
         ip: discovery.ip,
         availability_zone: shared.settings.availability_zone.clone(),
-        wants,
+        wants: call.wants,
         config: shared.version(),
         config_told: Some(shared.config_fetcher.newest()),
         mark: known.mark,
         entries_known: shared.entries_known(),
-        patience,
+        patience: call.patience,
         entries: Vec::new(),
         demand,
         crashes_known: Some(known.crashes.received),
@@ -189,10 +226,9 @@
         leaving: shared.leaving(),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
-    let limit = std_time::Duration::from(patience) + CALL_MARGIN;
     let answer = shared
         .client
-        .call(&address, messages::paths::WATCH, &req, limit);
+        .call(&address, messages::paths::WATCH, &req, call.limit());
     match &answer {
         Ok(_) if is_source => shared.with_core(|core| core.unreported_demand.mark_sent()),
         Ok(_) => {}
--- a/tests/fleet/draining.rs
+++ b/tests/fleet/draining.rs
@@ -5,7 +5,7 @@
 use crate::{
     fleet::{Fleet, Process},
     load::{self, Load},
-    standin::engine::{Behavior, Engine},
+    standin::engine::Engine,
 };
 
 /// How long after its announcement was acknowledged a leaving endpoint may still receive requests.
@@ -51,9 +51,6 @@
     for entries in [3, 30] {
         let (fleet, mut engines) = Fleet::many_ready(entries, "");
         engines.push(fleet.engine("e3", "engines", 35, &["m1"]));
-        engines
-            .iter()
-            .for_each(|it| it.set_behavior(Behavior::Answers));
         let (acknowledged, served) = leave_in_a_pause(&fleet, &engines[0]);
         let late = engines[0].log(|log| {
             let arrived = log.arrived.iter();
