Bound the software version that began a stream by the age of the records

A stream without a record goes on at the sole version that can have begun it, if the versions of the service are known well enough. How old that knowledge is was taken from the latest contact with any control process, also one that brought only a digest that differs. It is the age of the endpoint records now.

--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -74,12 +74,11 @@
         return None;
     };
     let now = shared.clock.now();
-    let age = shared.control_silence();
     let lifetime = route.timeout + TAKE_UP_MARGIN;
     shared.with_core(|core| {
         let knowledge = stream_origins::VersionKnowledge {
             reaches_back: core.directory.reaches_back(now),
-            age,
+            age: core.records_age.age(now),
         };
         stream_origins::sole_version(&core.directory, knowledge, &target.service, lifetime)
     })
