Name the parts of a prompt in the log record of a crash under it

The records of crashes named the content of each request only, so they could not tell whether all crashes had a part of their prompts in common.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -41,6 +41,15 @@
     pub resumes: Option<String>,
 }
 
+impl RequestMetadata {
+    /// The parts of its prompt that other prompts may share: all but the last, which belongs to this request or its
+    /// session.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A reference to a model, or to an adapter of it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ModelRef {
--- a/src/sageshed/gateway/proxy/crash_quarantine.rs
+++ b/src/sageshed/gateway/proxy/crash_quarantine.rs
@@ -6,6 +6,9 @@
 
 use super::ProxiedRequest;
 
+/// The most parts of a prompt that a log record names.
+const MAX_NAMED_PARTS: usize = 8;
+
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Records that the endpoint of `pick` has crashed while it ran this request, if it has.
     ///
@@ -31,10 +34,18 @@
         let now = shared.clock.now();
         shared.merge_crashes(&[crash]);
         let ends = shared.with_core(|core| core.quarantine.crash_count(now, self.content));
-        ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, ends;
+        ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, ends,
+            parts = self.named_parts();
             "gateway: endpoint crashed while running the request");
     }
 
+    /// The ids of the shared parts of its prompt, for logs.
+    fn named_parts(&self) -> String {
+        let parts = self.metadata.shared_parts().iter().take(MAX_NAMED_PARTS);
+        let ids: Vec<_> = parts.map(|it| format!("{:x}", it.id)).collect();
+        ids.join(",")
+    }
+
     /// Clears the request of the crashes counted against it: an endpoint has answered it completely.
     pub(super) fn clear_crash_suspicion(&self) {
         let now = self.shared.clock.now();
