Add a failing test of requests that share a part which crashes engines

What it shows on this commit: five requests a second with one part, no two alike, before 12 engines that crash when they begin to write an answer on it.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod control;
 mod crashing;
+mod crashing_parts;
 mod demand;
 mod draining;
 mod endpoints;
