Quarantine parts of prompts under which engines crash

Cause: what crashes engines is a part of the prompt, and a request is known by its whole content: method, host, path, query, body. Each such request counted as another one, with one or two crashes. Class: identity is taken from the whole where the cause lies in a part.

Change: a crash is also recorded under each shared part of the prompt, all but the last, and a part is quarantined after four. A part that is held wrongly is released by any completion, or by one trial request ten minutes after the last crash, at the entry process that owns the part.

--- a/crates/sageshed-fleet/src/entry_peers.rs
+++ b/crates/sageshed-fleet/src/entry_peers.rs
@@ -322,6 +322,12 @@
     ranked(model, entries, COORDINATORS)
 }
 
+/// The one of `entries` that decides alone on `key`; none if there are no entries.
+#[must_use]
+pub fn owner(key: u64, entries: &[net::Ipv4Addr]) -> Option<net::Ipv4Addr> {
+    ranked(key, entries, 1).first().copied()
+}
+
 /// The `count` of `entries` with the highest hash of key and entry (rendezvous hashing). All processes find
 /// the same ones, and an entry that is added or removed changes few of them.
 pub(crate) fn ranked(key: u64, entries: &[net::Ipv4Addr], count: usize) -> Vec<net::Ipv4Addr> {
--- a/crates/sageshed-fleet/src/fingerprint.rs
+++ b/crates/sageshed-fleet/src/fingerprint.rs
@@ -19,7 +19,13 @@
     query: Option<&str>,
     body: &[u8],
 ) -> quarantine::Fingerprint {
-    quarantine::Fingerprint(entry_peers::hash(&(method, host, path, query, body)))
+    quarantine::Fingerprint::of_request(entry_peers::hash(&(method, host, path, query, body)))
+}
+
+/// The fingerprint of the part of prompts with this id. It is the same in the prompts of all models.
+#[must_use]
+pub fn of_prompt_part(id: u64) -> quarantine::Fingerprint {
+    quarantine::Fingerprint::of_prompt_part(entry_peers::hash(&("prompt part", id)))
 }
 
 /// A hash that is the same in all versions of this system's processes.
--- a/crates/sageshed-fleet/src/quarantine.rs
+++ b/crates/sageshed-fleet/src/quarantine.rs
@@ -24,11 +24,26 @@
 //! takes any crash under it as cleared and tells the others. So a bystander is quarantined only if it ran
 //! on three endpoints that ended and completed nowhere.
 //!
+//! # Parts of prompts
+//!
+//! A part of a prompt may crash each engine that begins to write an answer on it, whatever else the request
+//! holds. Each request with it is then another one, with a single crash. So the crashes under a request are
+//! also recorded under each part of its prompt but the last, which belongs to the request alone, and a part
+//! is quarantined after [`PART_CRASH_LIMIT`] of them: requests with it are refused.
+//!
+//! Most of these parts are shared by requests that are no cause, and some by all that ever run. A part with
+//! which a request completes is cleared, and for [`PART_SUCCESS_WINDOW`] or more no process that has seen
+//! that counts crashes under it: what completes now and then is no cause. A part that is quarantined all the
+//! same, since its requests ran on engines that crashed for another reason and completed nowhere, is
+//! released by the completion of a request that is still running, or of a trial: one request is passed on
+//! [`TRIAL_INTERVAL`] after the last crash or trial.
+//!
 //! # Bounds
 //!
 //! Anyone who sends requests can create entries here, at the price of one crash for each batch that an
-//! endpoint runs. [`MAX_REQUESTS`] requests are remembered. The one with the oldest last crash is evicted
-//! first, and requests that are not quarantined are evicted before those that are.
+//! endpoint runs. [`MAX_SUSPECTS`] requests are remembered, and as many parts of prompts, so that neither
+//! evicts the other. The one with the oldest last crash is evicted first, and those that are not quarantined
+//! before those that are.
 
 use std::{cmp, collections};
 
@@ -36,7 +51,7 @@
 
 pub use sageshed_types::{
     cursor::SyncCursor as Cursor,
-    quarantine::{Crash, Fingerprint, QuarantinedRequest},
+    quarantine::{Crash, Fingerprint, FingerprintKind, QuarantinedRequest},
 };
 
 /// Crashes of endpoint instances after which a request is quarantined. A single crash may have any cause,
@@ -44,29 +59,37 @@
 /// Each further crash costs every caller an endpoint for the seconds of its restart.
 pub const CRASH_LIMIT: usize = 3;
 
+/// The same for a part of prompts, which many requests share.
+pub const PART_CRASH_LIMIT: usize = 4;
+
 /// How long a crash is remembered. Endpoints get new software in hours, not minutes, and callers without a
 /// response retry for minutes. After this time, a poison request costs three endpoints once more.
 pub const RETENTION: time::Millis = time::Millis(3_600_000);
 
-/// Requests that are remembered. One takes some 150 bytes: 1.2 MB in all, of the 160 MB of the smallest
-/// VMs.
-pub const MAX_REQUESTS: usize = 8_192;
+/// Requests that are remembered, and the same number of parts of prompts. One takes some 150 bytes: 1.2 MB of
+/// each, of the 160 MB of the smallest VMs.
+pub const MAX_SUSPECTS: usize = 8_192;
 
-/// Requests that are evicted together when there is no room for another one.
-const EVICTION_BATCH: usize = MAX_REQUESTS / 16;
+/// The parts of one prompt that are recorded and checked.
+pub const MAX_PARTS: usize = 16;
 
-/// Quarantined requests that the control group persists: some 10 KB of its log for each change.
-const MAX_PERSISTED: usize = 256;
+/// Requests, or parts, that are evicted together when there is no room for another one.
+const EVICTION_BATCH: usize = MAX_SUSPECTS / 16;
 
-/// Crashes that are remembered for each request: enough to keep it quarantined if all but three were
-/// cleared elsewhere.
-const MAX_CRASHES: usize = 2 * CRASH_LIMIT;
+/// Quarantined requests, and parts, that the control group persists: some 10 KB of its log for each change.
+const MAX_PERSISTED: usize = 256;
 
 /// How long a completed request is remembered at least; at most it is twice as long. A request that is sent
 /// so often that it runs on several endpoints at once completes many times within that.
 const SUCCESS_WINDOW: time::Millis = time::Millis(30_000);
 
-/// Completed requests that are remembered in one window: some 150 KB together with the window before.
+/// The same for a part of prompts.
+pub const PART_SUCCESS_WINDOW: time::Millis = time::Millis(300_000);
+
+/// The time from the last crash under a quarantined part, or the last trial, to the next trial.
+pub const TRIAL_INTERVAL: time::Millis = time::Millis(600_000);
+
+/// Completed requests, or parts, that are remembered in one window: some 150 KB together with the window before.
 const MAX_SUCCESSES: usize = 4_096;
 
 /// Interval at which crashes older than [`RETENTION`] are removed.
@@ -125,26 +148,40 @@
 }
 
 /// The crashes known to one process.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Quarantine {
     start: u64,
     change: u64,
     /// The last change that concerned a quarantined request.
     last_quarantine_change: u64,
-    requests: collections::HashMap<Fingerprint, Suspect>,
+    requests: Suspects,
+    parts: Suspects,
     swept_at: time::Instant,
-    recent_successes: RecentSuccesses,
+    successes: RecentSuccesses,
+    part_successes: RecentSuccesses,
 }
 
-/// Requests that completed recently, in two windows of which the older one is dropped as a whole.
-#[derive(Debug, Clone, Default)]
+type Suspects = collections::HashMap<Fingerprint, Suspect>;
+
+/// Requests, or parts of prompts, that completed recently, in two windows of which the older one is dropped as a whole.
+#[derive(Debug, Clone)]
 struct RecentSuccesses {
+    window: time::Millis,
     current: collections::HashSet<Fingerprint>,
     previous: collections::HashSet<Fingerprint>,
     since: time::Instant,
 }
 
 impl RecentSuccesses {
+    fn new(window: time::Millis) -> Self {
+        Self {
+            window,
+            current: collections::HashSet::new(),
+            previous: collections::HashSet::new(),
+            since: time::Instant::default(),
+        }
+    }
+
     fn insert(&mut self, now: time::Instant, content: Fingerprint) {
         self.rotate(now);
         if self.current.len() < MAX_SUCCESSES {
@@ -158,7 +195,7 @@
     }
 
     fn rotate(&mut self, now: time::Instant) {
-        let spans = now.since(self.since).0 / SUCCESS_WINDOW.0;
+        let spans = now.since(self.since).0 / self.window.0;
         if spans == 0 {
             return;
         }
@@ -170,12 +207,23 @@
     }
 }
 
-/// A request that endpoints crashed under.
-#[derive(Debug, Clone, Default)]
+/// A request, or a part of prompts, that endpoints crashed under.
+#[derive(Debug, Clone)]
 struct Suspect {
+    kind: FingerprintKind,
     crashes: Vec<KnownCrash>,
     /// Whether it is or was quarantined, so that entry processes were told of it.
     was_quarantined: bool,
+    /// When this process passed on its last trial.
+    tried_at: Option<time::Instant>,
+}
+
+/// The number of crashes after which a request or a part is quarantined.
+fn crash_limit(kind: FingerprintKind) -> usize {
+    match kind {
+        FingerprintKind::Request => CRASH_LIMIT,
+        FingerprintKind::PromptPart => PART_CRASH_LIMIT,
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -198,16 +246,43 @@
         Crash {
             content,
             endpoint: self.endpoint,
-            age: time::Millis(RETENTION.0.saturating_sub(self.expires_at.since(now).0)),
+            age: self.age(now),
             is_cleared: self.is_cleared,
         }
     }
+
+    fn age(&self, now: time::Instant) -> time::Millis {
+        time::Millis(RETENTION.0.saturating_sub(self.expires_at.since(now).0))
+    }
 }
 
 impl Suspect {
+    fn new(kind: FingerprintKind) -> Self {
+        Self {
+            kind,
+            crashes: Vec::new(),
+            was_quarantined: false,
+            tried_at: None,
+        }
+    }
+
     fn is_quarantined(&self, now: time::Instant) -> bool {
         let counting = self.crashes.iter().filter(|it| it.is_counted(now));
-        counting.count() >= CRASH_LIMIT
+        counting.count() >= crash_limit(self.kind)
+    }
+
+    /// Crashes that are remembered: enough to keep it quarantined if as many were cleared elsewhere.
+    fn max_crashes(&self) -> usize {
+        2 * crash_limit(self.kind)
+    }
+
+    /// Whether a trial is due.
+    fn is_trial_due(&self, now: time::Instant) -> bool {
+        let is_recent = |it: &KnownCrash| it.age(now) < TRIAL_INTERVAL;
+        let was_tried = self
+            .tried_at
+            .is_some_and(|at| now.since(at) < TRIAL_INTERVAL);
+        !was_tried && !self.crashes.iter().any(is_recent)
     }
 
     /// When its last crash expires.
@@ -241,7 +316,7 @@
             }
             return has_changes;
         }
-        if self.crashes.len() >= MAX_CRASHES {
+        if self.crashes.len() >= self.max_crashes() {
             let cleared = self.crashes.iter().position(|it| it.is_cleared);
             let Some(at) = cleared.filter(|_| !crash.is_cleared) else {
                 return false;
@@ -264,7 +339,38 @@
     pub fn new(start: u64) -> Self {
         Self {
             start,
-            ..Self::default()
+            change: 0,
+            last_quarantine_change: 0,
+            requests: Suspects::new(),
+            parts: Suspects::new(),
+            swept_at: time::Instant::default(),
+            successes: RecentSuccesses::new(SUCCESS_WINDOW),
+            part_successes: RecentSuccesses::new(PART_SUCCESS_WINDOW),
+        }
+    }
+
+    fn suspects(&self, kind: FingerprintKind) -> &Suspects {
+        match kind {
+            FingerprintKind::Request => &self.requests,
+            FingerprintKind::PromptPart => &self.parts,
+        }
+    }
+
+    fn suspects_mut(&mut self, kind: FingerprintKind) -> &mut Suspects {
+        match kind {
+            FingerprintKind::Request => &mut self.requests,
+            FingerprintKind::PromptPart => &mut self.parts,
+        }
+    }
+
+    fn suspect(&self, content: Fingerprint) -> Option<&Suspect> {
+        self.suspects(content.kind()).get(&content)
+    }
+
+    fn successes(&mut self, kind: FingerprintKind) -> &mut RecentSuccesses {
+        match kind {
+            FingerprintKind::Request => &mut self.successes,
+            FingerprintKind::PromptPart => &mut self.part_successes,
         }
     }
 
@@ -295,7 +401,7 @@
         }
         let after = cursor.position_in(self.start);
         let mut to_send = Vec::new();
-        for (content, suspect) in &self.requests {
+        for (content, suspect) in self.requests.iter().chain(&self.parts) {
             let crashes = suspect.crashes.iter().map(|it| it.evidence(now, *content));
             match scope {
                 // Includes all crashes of the request, since the peer was told none before it was
@@ -338,11 +444,18 @@
         self.sweep(now);
         self.evict_oldest(now, crash.content);
         let crash = &Crash {
-            is_cleared: crash.is_cleared || self.recent_successes.contains(now, crash.content),
+            is_cleared: crash.is_cleared || self.has_succeeded(now, crash.content),
             ..*crash
         };
         let change = self.change + 1;
-        let suspect = self.requests.entry(crash.content).or_default();
+        let kind = crash.content.kind();
+        let suspects = match kind {
+            FingerprintKind::Request => &mut self.requests,
+            FingerprintKind::PromptPart => &mut self.parts,
+        };
+        let suspect = suspects
+            .entry(crash.content)
+            .or_insert_with(|| Suspect::new(kind));
         let was_quarantined = suspect.is_quarantined(now);
         if !suspect.merge(now, crash, change) {
             return Change::None;
@@ -360,11 +473,16 @@
         }
     }
 
-    /// Records that the request completed, so that it caused none of the crashes so far. Returns whether
-    /// there were any to clear.
+    /// Whether the request, or one with this part, has completed here recently.
+    pub fn has_succeeded(&mut self, now: time::Instant, content: Fingerprint) -> bool {
+        self.successes(content.kind()).contains(now, content)
+    }
+
+    /// Records that the request, or one with this part, completed, so that it caused none of the crashes so far. Returns
+    /// whether there were any to clear.
     pub fn record_success(&mut self, now: time::Instant, content: Fingerprint) -> bool {
-        self.recent_successes.insert(now, content);
-        let Some(suspect) = self.requests.get(&content) else {
+        self.successes(content.kind()).insert(now, content);
+        let Some(suspect) = self.suspect(content) else {
             return false;
         };
         let crashes = suspect.crashes.iter().filter(|it| !it.is_cleared);
@@ -380,54 +498,67 @@
         !cleared.is_empty()
     }
 
-    /// How much longer a request is quarantined; none if it is not quarantined.
+    /// Whether one request with this quarantined part may be passed on, to find out whether the part is a cause. True once
+    /// in [`TRIAL_INTERVAL`].
+    pub fn take_trial(&mut self, now: time::Instant, part: Fingerprint) -> bool {
+        let suspect = self.parts.get_mut(&part);
+        let Some(suspect) = suspect.filter(|it| it.is_trial_due(now)) else {
+            return false;
+        };
+        suspect.tried_at = Some(now);
+        true
+    }
+
+    /// How much longer a request or part is quarantined; none if it is not quarantined.
     #[must_use]
     pub fn quarantined_for(
         &self,
         now: time::Instant,
         content: Fingerprint,
     ) -> Option<time::Millis> {
-        let suspect = self.requests.get(&content)?;
+        let suspect = self.suspect(content)?;
         let crashes = suspect.crashes.iter().filter(|it| it.is_counted(now));
         let mut until: Vec<_> = crashes.map(|it| it.expires_at).collect();
         until.sort_unstable();
         until.reverse();
         // The request is quarantined until fewer than that are left.
-        let end = until.get(CRASH_LIMIT - 1)?;
+        let end = until.get(crash_limit(suspect.kind) - 1)?;
         Some(end.since(now))
     }
 
-    /// Number of crashes under a request that are neither cleared nor expired.
+    /// Number of crashes under a request or part that are neither cleared nor expired.
     #[must_use]
     pub fn crash_count(&self, now: time::Instant, content: Fingerprint) -> usize {
-        let suspect = self.requests.get(&content);
+        let suspect = self.suspect(content);
         suspect.map_or(0, |it| {
             it.crashes.iter().filter(|it| it.is_counted(now)).count()
         })
     }
 
-    /// Number of quarantined requests.
+    /// Number of quarantined requests and parts.
     #[must_use]
     pub fn count_quarantined(&self, now: time::Instant) -> usize {
-        let requests = self.requests.values();
-        requests.filter(|it| it.is_quarantined(now)).count()
+        let suspects = self.requests.values().chain(self.parts.values());
+        suspects.filter(|it| it.is_quarantined(now)).count()
     }
 
-    /// The quarantined requests that the control group persists, in order: the [`MAX_PERSISTED`] that
-    /// crashed an endpoint last.
+    /// The quarantined requests and parts that the control group persists, in order: of each the [`MAX_PERSISTED`]
+    /// that crashed an endpoint last.
     #[must_use]
     pub fn quarantined(&self, now: time::Instant) -> Vec<QuarantinedRequest> {
-        let quarantined = self
-            .requests
-            .iter()
-            .filter(|(_, it)| it.is_quarantined(now));
-        let mut quarantined: Vec<_> = quarantined.collect();
-        quarantined.sort_unstable_by_key(|(content, it)| (cmp::Reverse(it.expires()), **content));
-        quarantined.truncate(MAX_PERSISTED);
-        let mut quarantined: Vec<_> = quarantined
-            .into_iter()
-            .map(|(content, it)| it.to_quarantined(now, *content))
-            .collect();
+        let latest = |suspects: &Suspects| {
+            let quarantined = suspects.iter().filter(|(_, it)| it.is_quarantined(now));
+            let mut quarantined: Vec<_> = quarantined.collect();
+            quarantined
+                .sort_unstable_by_key(|(content, it)| (cmp::Reverse(it.expires()), **content));
+            quarantined.truncate(MAX_PERSISTED);
+            let quarantined = quarantined.into_iter();
+            quarantined
+                .map(|(content, it)| it.to_quarantined(now, *content))
+                .collect::<Vec<_>>()
+        };
+        let mut quarantined = latest(&self.requests);
+        quarantined.extend(latest(&self.parts));
         quarantined.sort_unstable();
         quarantined
     }
@@ -454,25 +585,28 @@
             return;
         }
         self.swept_at = now;
-        self.requests.retain(|_, suspect| {
-            suspect.crashes.retain(|it| now < it.expires_at);
-            !suspect.crashes.is_empty()
-        });
+        for suspects in [&mut self.requests, &mut self.parts] {
+            suspects.retain(|_, suspect| {
+                suspect.crashes.retain(|it| now < it.expires_at);
+                !suspect.crashes.is_empty()
+            });
+        }
     }
 
-    /// Makes room for another request if there is none. Evicts [`EVICTION_BATCH`] requests at a time, since
-    /// finding the oldest ones sorts all of them.
+    /// Makes room for another request or part if there is none. Evicts [`EVICTION_BATCH`] at a time, since finding the
+    /// oldest ones sorts all of them.
     fn evict_oldest(&mut self, now: time::Instant, content: Fingerprint) {
-        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(&content) {
+        let suspects = self.suspects_mut(content.kind());
+        if suspects.len() < MAX_SUSPECTS || suspects.contains_key(&content) {
             return;
         }
-        let all = self.requests.iter();
+        let all = suspects.iter();
         let mut all: Vec<_> = all
             .map(|(content, it)| (it.is_quarantined(now), it.expires(), *content))
             .collect();
         all.sort_unstable();
         for (_, _, oldest) in all.iter().take(EVICTION_BATCH) {
-            self.requests.remove(oldest);
+            suspects.remove(oldest);
         }
     }
 }
--- a/crates/sageshed-fleet/tests/quarantine.rs
+++ b/crates/sageshed-fleet/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which requests are quarantined.
 
 use sageshed_fleet::quarantine::{
-    CRASH_LIMIT, Change, Crash, Cursor, Fingerprint, MAX_REQUESTS, PeerSync, Quarantine, RETENTION,
+    CRASH_LIMIT, Change, Crash, Cursor, Fingerprint, MAX_SUSPECTS, PeerSync, Quarantine, RETENTION,
     SyncScope,
 };
 use sageshed_types::time::{Instant, Millis};
@@ -305,13 +305,13 @@
 #[test]
 fn a_flood_of_suspects_evicts_none_that_is_quarantined() {
     let mut quarantine = seen(1, &[crash(1, 1), crash(1, 2), crash(1, 3)]);
-    for number in 10..10 + 2 * MAX_REQUESTS as u64 {
+    for number in 10..10 + 2 * MAX_SUSPECTS as u64 {
         quarantine.merge(NOW + Millis(number), &crash(number, 4));
     }
     assert!(is_quarantined_in(&quarantine, 1));
     let to_send = quarantine.since(NOW, Cursor::default(), SyncScope::All);
     assert!(
-        to_send.len() <= MAX_REQUESTS + CRASH_LIMIT,
+        to_send.len() <= MAX_SUSPECTS + CRASH_LIMIT,
         "{}",
         to_send.len()
     );
--- a/crates/sageshed-fleet/tests/quarantine_spread.rs
+++ b/crates/sageshed-fleet/tests/quarantine_spread.rs
@@ -6,15 +6,33 @@
 };
 use sageshed_types::time::{Instant, Millis};
 
-/// The request that crashes each endpoint that runs it.
-const POISON: Fingerprint = Fingerprint(1);
+/// What crashes each endpoint that runs it, and the crashes after which processes have to learn of it.
+#[derive(Debug, Clone, Copy)]
+struct Poison {
+    fingerprint: Fingerprint,
+    known_after: usize,
+}
+
+/// A request that is sent again and again, and a part of prompts that are all different.
+fn poisons() -> [Poison; 2] {
+    [
+        Poison {
+            fingerprint: Fingerprint::of_request(1),
+            known_after: CRASH_LIMIT,
+        },
+        Poison {
+            fingerprint: Fingerprint::of_prompt_part(1),
+            known_after: 5,
+        },
+    ]
+}
 
 /// An entry process counts as in contact once it has run for this long, and all control processes too, in
 /// milliseconds.
 const CONTACT_AFTER: u64 = 3_000;
 
-/// How often processes in contact may still send the request to an endpoint later than [`CONTACT_AFTER`]
-/// after the third crash.
+/// How often processes in contact may still send it to an endpoint later than [`CONTACT_AFTER`] after the crash that
+/// makes it known.
 const MAX_LATE_ATTEMPTS: usize = 3;
 
 /// Seeds of each case.
@@ -54,6 +72,7 @@
 
 /// A simulation, in virtual time, of entry processes, control processes and the log of these.
 struct World {
+    poison: Poison,
     now: u64,
     rng_state: u64,
     starts: u64,
@@ -70,8 +89,9 @@
 }
 
 impl World {
-    fn new(seed: u64, entries: usize, lost: u64) -> Self {
+    fn new(poison: Poison, seed: u64, entries: usize, lost: u64) -> Self {
         let mut world = Self {
+            poison,
             now: 0,
             rng_state: seed,
             starts: 0,
@@ -197,12 +217,15 @@
         let is_in_contact = self.is_in_contact(entry);
         for _ in 0..2 {
             let quarantine = &mut self.entries[entry].0.quarantine;
-            if quarantine.quarantined_for(now, POISON).is_some() {
+            if quarantine
+                .quarantined_for(now, self.poison.fingerprint)
+                .is_some()
+            {
                 return;
             }
             self.crashes.push(self.now);
             let crash = Crash {
-                content: POISON,
+                content: self.poison.fingerprint,
                 endpoint: self.crashes.len() as u64,
                 age: Millis(0),
                 is_cleared: false,
@@ -243,13 +266,13 @@
         }
     }
 
-    /// Attempts through processes in contact that came too late after the third crash.
+    /// Attempts through processes in contact that came too late after the crash that makes it known.
     fn late_attempts(&self) -> usize {
-        let Some(third) = self.crashes.get(CRASH_LIMIT - 1) else {
+        let Some(known_at) = self.crashes.get(self.poison.known_after - 1) else {
             return 0;
         };
         let late = self.arrivals.iter();
-        late.filter(|at| **at > third + CONTACT_AFTER).count()
+        late.filter(|at| **at > known_at + CONTACT_AFTER).count()
     }
 }
 
@@ -296,9 +319,12 @@
         case("power loss", 7, 0, 0, true, 4_000),
         case("all faults together", 40, 10, 20, true, 1_500),
     ];
-    for case in &cases {
+    for (case, poison) in cases
+        .iter()
+        .flat_map(|it| poisons().map(|poison| (it, poison)))
+    {
         for seed in 0..SEEDS {
-            let mut world = World::new(seed, case.entries, case.lost);
+            let mut world = World::new(poison, seed, case.entries, case.lost);
             while world.now < 60_000 {
                 world.now += STEP;
                 world.call_control();
@@ -320,7 +346,7 @@
             let crashes = world.crashes.len();
             assert!(
                 late <= MAX_LATE_ATTEMPTS,
-                "{}, seed {seed}: {late} of {crashes} crashes",
+                "{}, {poison:?}, seed {seed}: {late} of {crashes} crashes",
                 case.name
             );
         }
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -420,11 +420,11 @@
         }
         let taken = self.change(|inner| inner.quarantine.merge_all(now, crashes));
         for content in &taken.quarantined {
-            ::log::warn!(content:% = content, ends = quarantine::CRASH_LIMIT;
+            ::log::warn!(content:% = content, kind:% = content.kind();
                 "control: request is quarantined, endpoints crashed while running it");
         }
         for content in &taken.released {
-            ::log::info!(content:% = content; "control: request is no longer quarantined, it was answered");
+            ::log::info!(content:% = content, kind:% = content.kind(); "control: request is no longer quarantined, it was answered");
         }
         if taken.has_changes {
             self.notify_watchers(watchers::Urgency::Immediate);
--- a/src/sageshed/entry/crashes.rs
+++ b/src/sageshed/entry/crashes.rs
@@ -150,7 +150,7 @@
     }
 
     fn content(&self) -> quarantine::Fingerprint {
-        quarantine::Fingerprint(self.meta.digest)
+        quarantine::Fingerprint::of_request(self.meta.digest)
     }
 }
 
--- a/src/sageshed/gateway/crashes.rs
+++ b/src/sageshed/gateway/crashes.rs
@@ -14,10 +14,10 @@
         let now = self.clock.now();
         let taken = self.with_core(|core| core.quarantine.merge_all(now, crashes));
         for content in &taken.quarantined {
-            ::log::warn!(content:% = content; "gateway: request is quarantined, endpoints crashed while running it");
+            ::log::warn!(content:% = content, kind:% = content.kind(); "gateway: request is quarantined, endpoints crashed while running it");
         }
         for content in &taken.released {
-            ::log::info!(content:% = content; "gateway: request is no longer quarantined, it was answered");
+            ::log::info!(content:% = content, kind:% = content.kind(); "gateway: request is no longer quarantined, it was answered");
         }
         if !taken.quarantined.is_empty() {
             self.wake_waiting();
--- a/src/sageshed/gateway/proxy/crash_quarantine.rs
+++ b/src/sageshed/gateway/proxy/crash_quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantines requests that crash the endpoints that run them.
 
-use sageshed_fleet::{chooser, dialect, entry_peers, quarantine};
+use sageshed_fleet::{chooser, dialect, entry_peers, fingerprint, quarantine};
 use sageshed_types::{refusal, time, verdict};
 use sageshed_upstream::{failure, probe};
 
@@ -25,20 +25,33 @@
         if !is_closed || is_planned() || !probe::is_closed(pick.address) {
             return;
         }
-        let crash = quarantine::Crash {
-            content: self.content,
+        let now = shared.clock.now();
+        let mut suspects = vec![self.content];
+        shared.with_core(|core| {
+            let parts = self.part_fingerprints();
+            suspects.extend(parts.filter(|it| !core.quarantine.has_succeeded(now, *it)));
+        });
+        let crash = |content| quarantine::Crash {
+            content,
             endpoint: entry_peers::instance_key(&pick.instance),
             age: time::Millis(0),
             is_cleared: false,
         };
-        let now = shared.clock.now();
-        shared.merge_crashes(&[crash]);
+        let crashes: Vec<_> = suspects.into_iter().map(crash).collect();
+        shared.merge_crashes(&crashes);
         let ends = shared.with_core(|core| core.quarantine.crash_count(now, self.content));
         ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, ends,
             parts = self.named_parts();
             "gateway: endpoint crashed while running the request");
     }
 
+    /// The fingerprints of the shared parts of its prompt.
+    fn part_fingerprints(&self) -> impl Iterator<Item = quarantine::Fingerprint> {
+        let parts = self.metadata.shared_parts().iter();
+        let parts = parts.take(quarantine::MAX_PARTS);
+        parts.map(|it| fingerprint::of_prompt_part(it.id))
+    }
+
     /// The ids of the shared parts of its prompt, for logs.
     fn named_parts(&self) -> String {
         let parts = self.metadata.shared_parts().iter().take(MAX_NAMED_PARTS);
@@ -46,11 +59,39 @@
         ids.join(",")
     }
 
-    /// Clears the request of the crashes counted against it: an endpoint has answered it completely.
+    /// Clears the request and the parts of its prompt of the crashes counted against them: an endpoint has answered it
+    /// completely.
     pub(super) fn clear_crash_suspicion(&self) {
         let now = self.shared.clock.now();
-        self.shared
-            .with_core(|core| core.quarantine.record_success(now, self.content));
+        self.shared.with_core(|core| {
+            core.quarantine.record_success(now, self.content);
+            for part in self.part_fingerprints() {
+                core.quarantine.record_success(now, part);
+            }
+        });
+    }
+
+    /// How much longer the request is quarantined, and for what; none if it may be passed on.
+    fn quarantined_for(&self) -> Option<(quarantine::FingerprintKind, time::Millis)> {
+        let now = self.shared.clock.now();
+        self.shared.with_core(|core| {
+            if let Some(left) = core.quarantine.quarantined_for(now, self.content) {
+                return Some((quarantine::FingerprintKind::Request, left));
+            }
+            let quarantined = self.part_fingerprints().find_map(|part| {
+                let left = core.quarantine.quarantined_for(now, part)?;
+                Some((part, left))
+            });
+            let (part, left) = quarantined?;
+            let is_trial = self.deliveries == 0 && self.trial.get() == Some(part);
+            let own = Some(self.shared.settings.discovery.ip);
+            let may_try = || entry_peers::owner(part.0, &core.entries) == own;
+            if is_trial || (may_try() && core.quarantine.take_trial(now, part)) {
+                self.trial.set(Some(part));
+                return None;
+            }
+            Some((quarantine::FingerprintKind::PromptPart, left))
+        })
     }
 
     /// Refuses a request that is quarantined.
@@ -58,15 +99,18 @@
     /// Checked before each attempt, not only on arrival: the request may have been quarantined while it waited here
     /// or between two attempts.
     pub(super) fn refuse_quarantined(&self) -> Option<refusal::Refusal> {
-        let now = self.shared.clock.now();
-        let left = self
-            .shared
-            .with_core(|core| core.quarantine.quarantined_for(now, self.content))?;
-        let detail = format!(
-            "{} endpoints ended while they ran this request; it is passed on no more for {} s",
-            quarantine::CRASH_LIMIT,
-            left.0 / 1_000
-        );
+        let (kind, left) = self.quarantined_for()?;
+        let seconds = left.0 / 1_000;
+        let detail = match kind {
+            quarantine::FingerprintKind::Request => format!(
+                "{} endpoints ended while they ran this request; it is passed on no more for {seconds} s",
+                quarantine::CRASH_LIMIT,
+            ),
+            quarantine::FingerprintKind::PromptPart => format!(
+                "{} endpoints ended while they ran requests with a part of its prompt; it is passed on no more for {seconds} s",
+                quarantine::PART_CRASH_LIMIT,
+            ),
+        };
         let refusal = self.final_refusal(verdict::Reason::Quarantined, detail);
         // A request that may have run gets no `Retry-After`.
         Some(match refusal.retry_after {
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -204,6 +204,8 @@
     stream: Option<StreamKey>,
     /// The software version that began its stream.
     began: chooser::BeganAt,
+    /// The quarantined part of its prompt for which it is passed on as a trial.
+    trial: cell::Cell<Option<quarantine::Fingerprint>>,
     /// The age of the endpoint records when it was sent last.
     records_age: cell::Cell<time::Millis>,
     /// How many endpoints may have run it.
@@ -317,6 +319,7 @@
             tried_endpoints: Vec::new(),
             stream: None,
             began: chooser::BeganAt::NotBegun,
+            trial: cell::Cell::new(None),
             records_age: cell::Cell::default(),
             possible_runs: 0,
             deliveries: 0,
--- a/tests/fleet/crashing_parts.rs
+++ b/tests/fleet/crashing_parts.rs
@@ -23,6 +23,9 @@
 /// The requests with one such part that engines may still receive after that, over all entry processes.
 const MAX_FURTHER_ARRIVALS: usize = 3;
 
+/// The time without a crash after which no further one is expected.
+const QUIET_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// How long requests are sent before the first one with such a part, and after [`CONTACT_TIME`].
 const BEFORE: time::Duration = time::Duration::from_secs(2);
 const AFTER: time::Duration = time::Duration::from_secs(5);
@@ -137,6 +140,15 @@
     }
 }
 
+/// Stops the callers at the end of a scope, also if it panics.
+struct StopOnDrop<'a>(&'a Callers);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.stopped.store(true, atomic::Ordering::SeqCst);
+    }
+}
+
 /// The arrivals of requests with `part`, in order.
 fn arrivals(engines: &[Engine], part: &str) -> Vec<Arrival> {
     let of = |it: &Engine| it.log(|log| log.arrived.clone());
@@ -150,6 +162,19 @@
     engines.iter().map(|it| it.log(|log| log.ends)).sum()
 }
 
+/// Waits for crash number `count`, or until no further one has come for [`QUIET_TIME`]. Returns the time of the last one.
+fn last_counted_crash(fleet: &Fleet, engines: &[Engine], count: usize) -> time::Instant {
+    let (mut seen, mut last) = (0, time::Instant::now());
+    fleet.until("the part is known", || {
+        let crashes = crash_count(engines);
+        if crashes > seen {
+            (seen, last) = (crashes, time::Instant::now());
+        }
+        seen >= count || (seen > 0 && last.elapsed() >= QUIET_TIME)
+    });
+    last
+}
+
 fn disturb(fleet: &mut Fleet, disturbance: Disturbance) {
     let (control, entries) = match disturbance {
         Disturbance::None => return,
@@ -182,6 +207,7 @@
     let callers = Callers::new(&fleet);
     let begun = time::Instant::now();
     let (known_at, from) = thread::scope(|scope| {
+        let _stop = StopOnDrop(&callers);
         for caller in 0..SOUND_CALLERS {
             let callers = &callers;
             scope.spawn(move || callers.send(&format!("sound{caller}"), caller, None));
@@ -191,15 +217,11 @@
             let callers = &callers;
             scope.spawn(move || callers.send(part, SOUND_CALLERS + number, Some(part)));
         }
-        // Of each part, if there are two.
-        let known_after = KNOWN_AFTER * parts.len();
-        fleet.until("the part is known", || crash_count(&engines) >= known_after);
-        let known_at = time::Instant::now();
+        let known_at = last_counted_crash(&fleet, &engines, KNOWN_AFTER * parts.len());
         disturb(&mut fleet, case.disturbance);
-        thread::sleep(CONTACT_TIME);
+        thread::sleep(CONTACT_TIME.saturating_sub(known_at.elapsed()));
         let from = time::Instant::now();
         thread::sleep(AFTER);
-        callers.stopped.store(true, atomic::Ordering::SeqCst);
         (known_at, from)
     });
     let mut further = Vec::new();
