Don't take a stream that ends inside an event for a complete one

What callers saw: streams that were cut came as complete, with a last chunk.

Cause: an engine's response may have neither a length nor chunks and end with its connection. The orderly end of the connection was taken for the end of the stream, whatever had come of it. Ruled out: chunked streams, which were never passed on so, and resets, which are failures.

Change: where the body ends with the connection, a stream that ends inside an event, or before the first one, is handled like a connection that closes in a response: resumed at another engine of the same software version, or broken off for the caller. Line ends after an event belong to none. A stream that ends between two events counts as complete: nothing tells it from a whole one.

Shown by: streams cut after each byte of an event.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -78,6 +78,25 @@
     }
 }
 
+/// What tells that a body is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    /// Its length or its last chunk.
+    Marked,
+    /// The end of the connection.
+    Connection,
+}
+
+impl BodyEnd {
+    fn of(framing: Framing) -> Self {
+        if framing == Framing::UntilClose {
+            Self::Connection
+        } else {
+            Self::Marked
+        }
+    }
+}
+
 /// An exchange of which the head has come.
 #[derive(Debug)]
 pub struct Exchange {
@@ -85,6 +104,7 @@
     /// The head of the answer.
     pub head: Head,
     framing: Framing,
+    body_end: BodyEnd,
     is_head_request: bool,
     keeps: bool,
     /// Whether the connection had carried another request before.
@@ -117,6 +137,7 @@
             socket,
             head,
             framing,
+            body_end: BodyEnd::of(framing),
             is_head_request,
             keeps,
             is_reused,
@@ -130,14 +151,13 @@
     /// Where the body does not come whole. The connection is of no use any more, but for one that was
     /// silent for too long, on which the body may be read on.
     pub fn read<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Result<Piece, Failure> {
-        let until_close = self.framing == Framing::UntilClose;
         let piece = body::read(&mut self.socket, &mut self.framing, patience);
         // One that was only silent may be read on.
         let is_sound = match &piece {
             Ok(_) => true,
             Err(e) => e.cause == Cause::Silent,
         };
-        self.keeps = self.keeps && !until_close && is_sound;
+        self.keeps = self.keeps && !self.ends_with_connection() && is_sound;
         piece
     }
 
@@ -181,9 +201,17 @@
         self.keeps = !head.has_option("connection", "close");
         self.head = head;
         self.framing = framing;
+        self.body_end = BodyEnd::of(framing);
         Ok(self)
     }
 
+    /// Whether the body has neither a length nor chunks and ends with the connection. An orderly end of the connection then
+    /// says nothing of whether the body is whole.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.body_end == BodyEnd::Connection
+    }
+
     /// Whether the body's length is known before it comes, and what it is.
     #[must_use]
     pub fn length(&self) -> Option<u64> {
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -3,11 +3,15 @@
 use std::time as std_time;
 
 use sageshed_fleet::{chooser, dialect};
+use sageshed_http::reply;
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
 
 use super::{AttemptResult, ProxiedRequest};
-use crate::gateway::{entry_peers, response::ResponseSink};
+use crate::gateway::{
+    entry_peers,
+    response::{EventBuffer, ResponseSink},
+};
 
 /// How long a resumable stream may send nothing before it is moved to another endpoint. Callers abandon a
 /// stream after two seconds without data.
@@ -29,6 +33,9 @@
             Ok(chunk) => chunk,
             Err(failure) => return self.handle_failed_run(pick, sink, false, &failure),
         };
+        if chunk == exchange::Piece::End && exchange.ends_with_connection() && !sink.has_started() {
+            return self.handle_failed_run(pick, sink, false, &ended_inside_event());
+        }
         self.record_start(pick, sent_at, load);
         self.note_resumption(pick, sink.last_id());
         self.timings.record_start(self.req.received);
@@ -53,6 +60,11 @@
                     }
                     self.timings.last_sent = Some(std_time::Instant::now());
                 }
+                exchange::Piece::End
+                    if exchange.ends_with_connection() && events.is_broken_off() =>
+                {
+                    return self.break_off(pick, exchange, stream, events, &ended_inside_event());
+                }
                 exchange::Piece::End => {
                     let rest = events.take_rest();
                     let bytes = passed_on + rest.len() as u64;
@@ -70,17 +82,27 @@
             let can_resume = events.last_id.is_some();
             chunk = match self.next_chunk(pick, &mut exchange, stop, can_resume) {
                 Ok(chunk) => chunk,
-                Err(failure) => {
-                    events.drop_rest();
-                    // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
-                    drop(exchange);
-                    let sink = ResponseSink::Streaming(stream, events);
-                    return self.handle_failed_run(pick, sink, true, &failure);
-                }
+                Err(failure) => return self.break_off(pick, exchange, stream, events, &failure),
             };
         }
     }
 
+    /// Handles a stream that the endpoint of `pick` has broken off.
+    fn break_off<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        exchange: exchange::Exchange,
+        stream: reply::Stream<'c>,
+        mut events: EventBuffer,
+        failure: &failure::Failure,
+    ) -> AttemptResult<'c> {
+        events.drop_rest();
+        // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
+        drop(exchange);
+        let sink = ResponseSink::Streaming(stream, events);
+        self.handle_failed_run(pick, sink, true, failure)
+    }
+
     /// Reads the next chunk of a stream. `can_resume` tells whether another endpoint could resume it.
     ///
     /// A stalled stream is abandoned only if a free endpoint can resume it and a retry is available. Otherwise its
@@ -146,3 +168,12 @@
         entry_peers::report_pauses(self.shared, pick, pauses);
     }
 }
+
+/// The failure of a stream whose connection ended in good order, but inside an event or before the first one.
+fn ended_inside_event() -> failure::Failure {
+    failure::Failure {
+        cause: failure::Cause::ClosedInAnswer,
+        is_sent: true,
+        detail: "the connection ended inside an event".to_owned(),
+    }
+}
--- a/src/sageshed/gateway/response.rs
+++ b/src/sageshed/gateway/response.rs
@@ -21,6 +21,8 @@
 pub(super) struct EventBuffer {
     /// The first bytes of an event that is not complete yet.
     pending: Vec<u8>,
+    /// Whether a complete event was sent.
+    has_event: bool,
     /// The id of the last event that was sent.
     pub(super) last_id: Option<String>,
 }
@@ -32,12 +34,19 @@
         self.pending.extend_from_slice(bytes);
         let rest = self.pending.split_off(end_of_last_event(&self.pending));
         let whole = std::mem::replace(&mut self.pending, rest);
+        self.has_event |= !whole.is_empty();
         if let Some(id) = dialect.last_event_id(&whole) {
             self.last_id = Some(id);
         }
         whole
     }
 
+    /// Whether the stream ends here inside an event, or before the first one. Line ends after an event belong to none.
+    pub(super) fn is_broken_off(&self) -> bool {
+        let is_inside_event = self.pending.iter().any(|it| !matches!(it, b'\r' | b'\n'));
+        is_inside_event || !self.has_event
+    }
+
     /// The bytes after the last complete event, at the end of the stream.
     pub(super) fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -25,5 +25,6 @@
 mod slow_link;
 mod starting;
 mod stopping;
+mod unframed;
 mod version_soak;
 mod versions;
