Give a stream that has begun the next retry of the budget

They were refused after 40 ms: an engine rejected them, and no retry was left.

Cause: new requests that full engines reject take each retry as soon as it is left. A stream that has begun can go to the engines of one version only, and its work is lost with it.

Change: it waits for the next retry, as long as it can still be served, and new requests of the same process get none while one waits. What is sent stays within the budget.

Shown by: a replay in virtual time, 3 and 14 entry processes, new requests that take every retry: none of 40 streams gets one before, 36 or more now.

--- a/crates/sageshed-fleet/src/budget.rs
+++ b/crates/sageshed-fleet/src/budget.rs
@@ -4,6 +4,10 @@
 //! So retries are limited, across all entry processes, to a share of the requests plus a constant. Each
 //! entry process uses its part of both: the share of its own requests, and the constant divided by the
 //! number of entry processes.
+//!
+//! Under load, new requests that endpoints reject take each retry as soon as it is left. A stream that has
+//! begun can go to few endpoints, and the work for it is lost with it. So it waits for a retry, and new
+//! requests get none while one waits ([`RetryBudget::begin_wait`]).
 
 use std::collections;
 
@@ -37,6 +41,8 @@
     retries: collections::VecDeque<time::Instant>,
     /// From when on the constant part is used.
     slack_from: time::Instant,
+    /// The streams that have begun and wait for a retry.
+    waiting_streams: usize,
 }
 
 impl RetryBudget {
@@ -61,21 +67,38 @@
         self.window(now, service).slack_from = from;
     }
 
-    /// Whether a retry is left, as one of `entries` processes.
+    /// Whether a retry is left, as one of `entries` processes, that no stream waits for.
     pub fn has_token(&mut self, now: time::Instant, service: &str, entries: usize) -> bool {
-        self.left_for(now, service, entries) >= 1.0
+        let is_awaited = self.window(now, service).waiting_streams > 0;
+        !is_awaited && self.left_for(now, service, entries) >= 1.0
     }
 
     /// Takes one retry from the budget, as one of `entries` processes. Returns false and takes nothing if
-    /// none is left.
+    /// none is left, or a stream waits for it.
     pub fn spend(&mut self, now: time::Instant, service: &str, entries: usize) -> bool {
-        if !self.has_token(now, service, entries) {
+        self.has_token(now, service, entries) && self.spend_for_stream(now, service, entries)
+    }
+
+    /// The same for a stream that has begun, whether it waits or not.
+    pub fn spend_for_stream(&mut self, now: time::Instant, service: &str, entries: usize) -> bool {
+        if self.left_for(now, service, entries) < 1.0 {
             return false;
         }
         self.window(now, service).retries.push_back(now);
         true
     }
 
+    /// Withholds retries of `service` from new requests for a stream that waits for one, until [`Self::end_wait`].
+    pub fn begin_wait(&mut self, now: time::Instant, service: &str) {
+        self.window(now, service).waiting_streams += 1;
+    }
+
+    /// Ends what [`Self::begin_wait`] began.
+    pub fn end_wait(&mut self, now: time::Instant, service: &str) {
+        let window = self.window(now, service);
+        window.waiting_streams = window.waiting_streams.saturating_sub(1);
+    }
+
     /// The retries that are left for each service.
     pub fn left(&mut self, now: time::Instant, entries: usize) -> Vec<(String, f64)> {
         let names: Vec<String> = self.services.keys().cloned().collect();
@@ -104,6 +127,7 @@
                 requests: collections::VecDeque::new(),
                 retries: collections::VecDeque::new(),
                 slack_from: time::Instant(0),
+                waiting_streams: 0,
             };
             self.services.insert(service.to_owned(), window);
         }
--- a/crates/sageshed-fleet/tests/budget.rs
+++ b/crates/sageshed-fleet/tests/budget.rs
@@ -237,3 +237,51 @@
     let retry = slots::SlotAttempt::Retry;
     assert!(!ask(&mut coordinator, time::Instant(60), 2, retry));
 }
+
+/// Streams that have begun, and new requests, are rejected by engines that are full. Each stream waits for a retry for
+/// as long as its caller does, in milliseconds.
+const STREAM_WAIT: u64 = 2_000;
+
+/// Guards against streams that are lost because new requests take each retry as soon as it is left.
+#[test]
+fn a_stream_that_has_begun_gets_the_next_retry() {
+    for entries in [3, 14] {
+        let mut budget = budget();
+        let mut waiting: Vec<u64> = Vec::new();
+        let (mut begun, mut resumed, mut retries) = (0, 0, Vec::new());
+        for ms in (0..40_000).step_by(10) {
+            let now = time::Instant(ms);
+            budget.request(now, "s");
+            if ms >= 20_000 && ms % 500 == 0 {
+                begun += 1;
+                waiting.push(ms);
+                budget.begin_wait(now, "s");
+            }
+            let is_over = |since: &u64| ms - *since >= STREAM_WAIT;
+            for _ in waiting.extract_if(.., |it| is_over(it)) {
+                budget.end_wait(now, "s");
+            }
+            // The new requests are there first.
+            while budget.spend(now, "s", entries) {
+                retries.push(ms);
+            }
+            if !waiting.is_empty() && budget.spend_for_stream(now, "s", entries) {
+                retries.push(ms);
+                resumed += 1;
+                waiting.remove(0);
+                budget.end_wait(now, "s");
+            }
+        }
+        assert!(resumed + 4 >= begun, "{entries}: {resumed} of {begun}");
+        for from in (0..30_000).step_by(500) {
+            let inside = retries
+                .iter()
+                .filter(|at| (from..from + WINDOW.0).contains(*at));
+            let allowed = 0.2 * 1_000.0 + 54.0 / entries as f64;
+            assert!(
+                inside.count() as f64 <= allowed,
+                "{entries}: from {from} ms"
+            );
+        }
+    }
+}
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -38,6 +38,18 @@
 /// plain service. The share is often a single slot, and becomes free with the next response.
 const SLOT_SHARE_WAIT_DIVISOR: u32 = 2;
 
+/// The interval between two checks whether a retry is left for a stream that has begun.
+const RETRY_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(20);
+
+/// How the wait of a stream for a retry ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryWait {
+    /// It holds a retry, needs none, or can't wait any longer.
+    Ended,
+    /// Its caller has disconnected.
+    CallerGone,
+}
+
 /// Whether a request may be sent to the chosen endpoint.
 enum Permission {
     /// It may; quota, retry and rate limit are charged.
@@ -51,6 +63,9 @@
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Chooses the next endpoint, and waits for one while it can still respond in time.
     pub(super) fn next(&mut self, watch: &reply::Watch) -> NextStep {
+        if self.await_retry(watch) == RetryWait::CallerGone {
+            return NextStep::CallerGone;
+        }
         let mut waited = std_time::Duration::ZERO;
         loop {
             if let Some(step) = self.next_by_slot(watch) {
@@ -278,12 +293,40 @@
             let now = self.shared.clock.now();
             self.has_retry_token = self.shared.with_core(|core| {
                 let entries = core.entries.len();
-                core.budget.spend(now, self.service, entries)
+                if self.is_resumption() {
+                    core.budget.spend_for_stream(now, self.service, entries)
+                } else {
+                    core.budget.spend(now, self.service, entries)
+                }
             });
         }
         self.has_retry_token
     }
 
+    /// Waits until a stream that has begun and has to be retried holds a retry, for as long as it can still be served.
+    fn await_retry(&mut self, watch: &reply::Watch) -> RetryWait {
+        if !self.is_resumption() || self.deliveries == 0 || self.acquire_retry() {
+            return RetryWait::Ended;
+        }
+        let shared = self.shared;
+        let now = shared.clock.now();
+        shared.with_core(|core| core.budget.begin_wait(now, self.service));
+        let ended = loop {
+            if watch.caller_gone() {
+                break RetryWait::CallerGone;
+            }
+            let is_over = self.wait_left() <= PREFILL_RESERVE
+                || shared.ending.load(atomic::Ordering::Relaxed);
+            if is_over || self.acquire_retry() {
+                break RetryWait::Ended;
+            }
+            std::thread::sleep(RETRY_CHECK_INTERVAL);
+        };
+        let now = shared.clock.now();
+        shared.with_core(|core| core.budget.end_wait(now, self.service));
+        ended
+    }
+
     /// Whether the request holds a retry or could take one from the budget.
     pub(super) fn can_retry(&self) -> bool {
         let now = self.shared.clock.now();
