Look a stream up here before the processes to ask are ranked

With many entry processes, all of their addresses were hashed for each stream that is taken up, also where its record is here.

--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -58,11 +58,11 @@
 ) -> Option<directory::SoftwareKey> {
     let own = shared.settings.discovery.ip;
     let now = shared.clock.now();
-    let (known, holders) = shared.with_core(|core| {
-        let holders = stream_origins::asked(stream, own, &core.entries);
-        (core.origins.get(now, stream), holders)
-    });
-    known.or_else(|| shared.entry_peers.as_ref()?.query_origin(stream, holders))
+    let known = shared.with_core(|core| core.origins.get(now, stream));
+    known.or_else(|| {
+        let asked = shared.with_core(|core| stream_origins::asked(stream, own, &core.entries));
+        shared.entry_peers.as_ref()?.query_origin(stream, asked)
+    })
 }
 
 /// The only version that can have begun a stream of this route, if there was only one.
