Don't hold requests back while a process receives all records for the first time

At the size aimed for, a process that has started receives the records of all endpoints in fifty portions, for one or two seconds. Since its requests would wait for them and be refused, though what it has is as of then.

--- a/crates/sageshed-fleet/src/records_age.rs
+++ b/crates/sageshed-fleet/src/records_age.rs
@@ -8,7 +8,8 @@
 //!
 //! An endpoint that leaves must get no new requests, so requests wait while the records are older than [`MAX_AGE`]. A
 //! process that can reach no control process goes on by what it knows, since the endpoints may still serve. A call that
-//! ends well after its own time limit was held up in this process, and is no evidence for that.
+//! ends well after its own time limit was held up in this process, and is no evidence for that. Nor do requests wait in a
+//! process that has just started and receives all records, portion by portion: those that it has are as of then.
 
 use sageshed_types::time;
 
@@ -42,7 +43,8 @@
 /// The age of the endpoint records of one process.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RecordsAge {
-    as_of: time::Instant,
+    /// None until the records are complete for the first time.
+    as_of: Option<time::Instant>,
     /// Failed calls since the latest response.
     failures: usize,
 }
@@ -55,7 +57,7 @@
 
     /// Records that the response to a call that was sent at `sent_at` and held for `held` has completed the records.
     pub fn confirm(&mut self, now: time::Instant, sent_at: time::Instant, held: time::Millis) {
-        self.as_of = self.as_of.max(now.min(sent_at + held));
+        self.as_of = self.as_of.max(Some(now.min(sent_at + held)));
     }
 
     /// Records that a call that was sent at `sent_at` with this time limit has failed.
@@ -70,16 +72,16 @@
         }
     }
 
-    /// The age of the records.
+    /// The age of the records; the time since the start until they are complete for the first time.
     #[must_use]
     pub fn age(&self, now: time::Instant) -> time::Millis {
-        now.since(self.as_of)
+        now.since(self.as_of.unwrap_or_default())
     }
 
     /// Whether requests may be sent by the records.
     #[must_use]
     pub fn freshness(&self, now: time::Instant) -> Freshness {
-        if self.age(now) <= MAX_AGE {
+        if self.as_of.is_none() || self.age(now) <= MAX_AGE {
             Freshness::Current
         } else if self.failures >= MAX_FAILURES {
             Freshness::Unconfirmable
