--- a/crates/sageshed-upstream/tests/relays.rs
+++ b/crates/sageshed-upstream/tests/relays.rs
@@ -43,7 +43,11 @@
 }
 
 fn listen() -> (net::TcpListener, net::SocketAddrV4) {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listen_at("127.0.0.1:0")
+}
+
+fn listen_at(address: &str) -> (net::TcpListener, net::SocketAddrV4) {
+    let listener = net::TcpListener::bind(address).expect("a free port");
     let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
         unreachable!("bound to an IPv4 address")
     };
@@ -188,7 +192,8 @@
 /// Guards against requests that are reported as possibly run though no endpoint has received them.
 #[test]
 fn a_connection_that_can_not_be_relayed_fails_before_anything_is_sent() {
-    let (free, nobody) = listen();
+    // On an address of its own, where no other test gets the port that is free again.
+    let (free, nobody) = listen_at("127.0.0.9:0");
     drop(free);
     let (_open, open) = relay(8, OPEN);
     let closed_gate = TestGate {
