Don't pass on a trial of a prompt with two quarantined parts

Only the first quarantined part of a prompt was looked at, so a trial of it would have passed on a request whose second part is quarantined as well. Found by reading; a trial comes ten minutes after the last crash, and no test with processes waits for it.

--- a/src/sageshed/gateway/proxy/crash_quarantine.rs
+++ b/src/sageshed/gateway/proxy/crash_quarantine.rs
@@ -5,6 +5,7 @@
 use sageshed_upstream::{failure, probe};
 
 use super::ProxiedRequest;
+use crate::gateway::state;
 
 /// The most parts of a prompt that a log record names.
 const MAX_NAMED_PARTS: usize = 8;
@@ -78,22 +79,38 @@
             if let Some(left) = core.quarantine.quarantined_for(now, self.content) {
                 return Some((quarantine::FingerprintKind::Request, left));
             }
-            let quarantined = self.part_fingerprints().find_map(|part| {
+            let mut quarantined = self.part_fingerprints().filter_map(|part| {
                 let left = core.quarantine.quarantined_for(now, part)?;
                 Some((part, left))
             });
-            let (part, left) = quarantined?;
-            let is_trial = self.deliveries == 0 && self.trial.get() == Some(part);
-            let own = Some(self.shared.settings.discovery.ip);
-            let may_try = || entry_peers::owner(part.0, &core.entries) == own;
-            if is_trial || (may_try() && core.quarantine.take_trial(now, part)) {
-                self.trial.set(Some(part));
+            let (part, left) = quarantined.next()?;
+            let is_only_one = quarantined.next().is_none();
+            if is_only_one && self.may_try(core, now, part) {
                 return None;
             }
             Some((quarantine::FingerprintKind::PromptPart, left))
         })
     }
 
+    /// Whether the request may be passed on once as a trial of this part.
+    fn may_try(
+        &self,
+        core: &mut state::Core,
+        now: time::Instant,
+        part: quarantine::Fingerprint,
+    ) -> bool {
+        if self.trial.get() == Some(part) {
+            return self.deliveries == 0;
+        }
+        let own = Some(self.shared.settings.discovery.ip);
+        let is_taken = entry_peers::owner(part.0, &core.entries) == own
+            && core.quarantine.take_trial(now, part);
+        if is_taken {
+            self.trial.set(Some(part));
+        }
+        is_taken
+    }
+
     /// Refuses a request that is quarantined.
     ///
     /// Checked before each attempt, not only on arrival: the request may have been quarantined while it waited here
