Show how long requests wait for an entry process, its threads and its unanswered queries

Nothing told whether a crowded process reads more than it gets done, takes coordinators for failed because it is late itself, or starts threads that take the processor. The port for callers counts its connections, refusals and threads and measures the longest wait of a request for its start; queries of coordinators count timeouts and replies that come later. All are metrics, and one line of log a second where requests wait. No logic changes.

--- a/crates/sageshed-fleet/src/slots/holder.rs
+++ b/crates/sageshed-fleet/src/slots/holder.rs
@@ -96,6 +96,12 @@
             .filter(|_| is_overdue)
     }
 
+    /// Whether `from` is the coordinator that was asked last.
+    #[must_use]
+    pub fn is_asked(&self, from: net::Ipv4Addr) -> bool {
+        self.coordinators.get(self.asked) == Some(&from)
+    }
+
     /// Handles a reply that is taken up at `now`.
     pub fn on_reply(
         &mut self,
@@ -103,7 +109,7 @@
         from: net::Ipv4Addr,
         decision: SlotDecision,
     ) -> HolderStep {
-        if self.coordinators.get(self.asked) != Some(&from) {
+        if !self.is_asked(from) {
             // A coordinator that was given up. Its slot is returned when the wait ends.
             return HolderStep::Hold;
         }
--- a/crates/sageshed-http/src/lib.rs
+++ b/crates/sageshed-http/src/lib.rs
@@ -50,4 +50,5 @@
 pub mod reply;
 pub mod request;
 pub mod server;
+pub mod stats;
 mod workers;
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -9,7 +9,7 @@
 
 use std::{
     collections, io, net,
-    sync::{self, Arc},
+    sync::{self, Arc, atomic},
     thread, time,
 };
 
@@ -118,6 +118,7 @@
             workers: Arc::new(workers::Workers::new(
                 limits.eager_threads,
                 limits.stack_bytes,
+                Arc::clone(&shared.counters),
             )),
             limits: limits.into(),
             shared,
@@ -226,6 +227,8 @@
         };
         let place = self.shared.enter(Arc::clone(&link), &self.limits);
         let Some(place) = place else {
+            let refused = &self.shared.counters.refused;
+            refused.fetch_add(1, atomic::Ordering::Relaxed);
             return self
                 .overflow
                 .refuse(link, self.limits.connections, &self.shared);
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -17,7 +17,7 @@
 
 use derive_more::{Display, Error};
 
-use crate::{deferred, handler, limits, link, poller};
+use crate::{deferred, handler, limits, link, poller, stats};
 
 /// How long [`Server::stop_accepting`] waits for the connections to be taken that the kernel has completed.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(1);
@@ -52,6 +52,7 @@
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
     /// Answers that are given after their handlers have returned; its waker wakes the poller.
     pub(crate) deferred: sync::Arc<deferred::Queue>,
+    pub(crate) counters: sync::Arc<stats::Counters>,
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
     stopped: atomic::AtomicBool,
@@ -73,6 +74,7 @@
         Ok(Self {
             draining: sync::Arc::default(),
             deferred: sync::Arc::new(deferred::Queue::new()?),
+            counters: sync::Arc::default(),
             stopping: atomic::AtomicBool::new(false),
             closing_idle: atomic::AtomicBool::new(false),
             stopped: atomic::AtomicBool::new(false),
@@ -196,6 +198,12 @@
         self.shared.open().links.len()
     }
 
+    /// The figures of the port. Resets its longest wait.
+    #[must_use]
+    pub fn stats(&self) -> stats::Stats {
+        self.shared.counters.read(self.connections_open())
+    }
+
     /// Makes each answer from now on the last on its connection.
     pub fn drain(&self) {
         self.shared.draining.store(true, atomic::Ordering::Relaxed);
--- /dev/null
+++ b/crates/sageshed-http/src/stats.rs
@@ -0,0 +1,47 @@
+//! What a port does, for metrics.
+
+use std::{sync::atomic, time};
+
+/// The figures of a port.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Connections that are open.
+    pub open: usize,
+    /// Threads that serve requests or wait for the next one.
+    pub threads: usize,
+    /// Threads that were started since the start of the port.
+    pub threads_started: u64,
+    /// The longest time between the first byte of a request and its start, since the last time that this was read.
+    pub longest_wait: time::Duration,
+    /// Connections that were refused since the start, since too many were open.
+    pub refused: u64,
+}
+
+/// The counters behind [`Stats`].
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) threads: atomic::AtomicUsize,
+    pub(crate) threads_started: atomic::AtomicU64,
+    longest_wait_ms: atomic::AtomicU64,
+    pub(crate) refused: atomic::AtomicU64,
+}
+
+impl Counters {
+    /// Records how long a request has waited for its start.
+    pub(crate) fn record_wait(&self, wait: time::Duration) {
+        let ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        self.longest_wait_ms
+            .fetch_max(ms, atomic::Ordering::Relaxed);
+    }
+
+    pub(crate) fn read(&self, open: usize) -> Stats {
+        let longest_wait_ms = self.longest_wait_ms.swap(0, atomic::Ordering::Relaxed);
+        Stats {
+            open,
+            threads: self.threads.load(atomic::Ordering::Relaxed),
+            threads_started: self.threads_started.load(atomic::Ordering::Relaxed),
+            longest_wait: time::Duration::from_millis(longest_wait_ms),
+            refused: self.refused.load(atomic::Ordering::Relaxed),
+        }
+    }
+}
--- a/crates/sageshed-http/src/workers.rs
+++ b/crates/sageshed-http/src/workers.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections, io,
-    sync::{self, Arc},
+    sync::{self, Arc, atomic},
     thread, time,
 };
 
+use crate::stats;
+
 /// Idle threads that are kept for the next request.
 const KEPT: usize = 4;
 
@@ -29,6 +31,7 @@
     /// Up to this many threads are started at once; further ones only for jobs that have stalled.
     eager: usize,
     stack_bytes: usize,
+    counters: Arc<stats::Counters>,
 }
 
 #[derive(Debug)]
@@ -39,7 +42,7 @@
 }
 
 impl<J: Job> Workers<J> {
-    pub(crate) fn new(eager: usize, stack_bytes: usize) -> Self {
+    pub(crate) fn new(eager: usize, stack_bytes: usize, counters: Arc<stats::Counters>) -> Self {
         Self {
             inner: sync::Mutex::new(Inner {
                 jobs: collections::VecDeque::new(),
@@ -49,6 +52,7 @@
             submitted: sync::Condvar::new(),
             eager,
             stack_bytes,
+            counters,
         }
     }
 
@@ -80,13 +84,23 @@
 
     fn start(self: &Arc<Self>, inner: &mut Inner<J>) {
         match self.spawn() {
-            Ok(()) => inner.threads += 1,
+            Ok(()) => {
+                inner.threads += 1;
+                self.count_threads(inner);
+                let started = &self.counters.threads_started;
+                started.fetch_add(1, atomic::Ordering::Relaxed);
+            }
             Err(e) => {
                 log::error!(error:% = e, threads = inner.threads; "http: no thread for a request");
             }
         }
     }
 
+    fn count_threads(&self, inner: &Inner<J>) {
+        let threads = &self.counters.threads;
+        threads.store(inner.threads, atomic::Ordering::Relaxed);
+    }
+
     fn spawn(self: &Arc<Self>) -> io::Result<()> {
         let workers = Arc::clone(self);
         thread::Builder::new()
@@ -105,7 +119,8 @@
     fn next(&self) -> Option<J> {
         let mut inner = self.lock();
         loop {
-            if let Some((job, _)) = inner.jobs.pop_front() {
+            if let Some((job, since)) = inner.jobs.pop_front() {
+                self.counters.record_wait(since.elapsed());
                 return Some(job);
             }
             if inner.idle >= KEPT {
@@ -137,6 +152,8 @@
 
 impl<J: Job> Drop for Counted<J> {
     fn drop(&mut self) {
-        self.0.lock().threads -= 1;
+        let mut inner = self.0.lock();
+        inner.threads -= 1;
+        self.0.count_threads(&inner);
     }
 }
--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -61,6 +61,10 @@
     next_id: atomic::AtomicU64,
     /// The coordinators that did not reply, and when.
     unresponsive: sync::Mutex<collections::HashMap<net::Ipv4Addr, time::Instant>>,
+    /// How often a coordinator did not reply in time, since the start.
+    timeouts: atomic::AtomicU64,
+    /// The replies that came after that.
+    late_replies: atomic::AtomicU64,
 }
 
 impl EntryPeers {
@@ -79,6 +83,8 @@
             // predecessor for its own.
             next_id: atomic::AtomicU64::new(clock::unix_ms() << ID_BITS_PER_MS),
             unresponsive: sync::Mutex::default(),
+            timeouts: atomic::AtomicU64::new(0),
+            late_replies: atomic::AtomicU64::new(0),
         })
     }
 
@@ -125,9 +131,22 @@
     /// Skips a coordinator that did not reply for a while.
     pub(super) fn mark_unresponsive(&self, coordinator: net::Ipv4Addr) {
         locks::lock(&self.unresponsive).insert(coordinator, time::Instant::now());
+        self.timeouts.fetch_add(1, atomic::Ordering::Relaxed);
         ::log::debug!(home:% = coordinator; "gateway: coordinator of a model does not reply");
     }
 
+    /// Counts a reply that came after its coordinator was given up.
+    pub(super) fn count_late_reply(&self) {
+        self.late_replies.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// How often a coordinator did not reply in time, and how many replies came after that, since the start.
+    #[must_use]
+    pub fn timeouts(&self) -> (u64, u64) {
+        let timeouts = self.timeouts.load(atomic::Ordering::Relaxed);
+        (timeouts, self.late_replies.load(atomic::Ordering::Relaxed))
+    }
+
     /// Registers a request that waits in queues. Returns the id of its queries, and where their replies arrive until
     /// [`Self::remove_queued`].
     pub(super) fn add_queued(&self) -> (u64, mpsc::Receiver<FromCoordinator>) {
@@ -150,7 +169,7 @@
                 ::log::debug!(question = reply.id; "gateway: reply to a queued request was not read");
             }
             Some(_) => {}
-            None => Self::deliver_reply(&self.pending_routing, reply.id, reply.decision),
+            None => self.deliver_reply(&self.pending_routing, reply.id, reply.decision),
         }
     }
 
@@ -245,10 +264,11 @@
         all.filter(|it| !unresponsive.contains_key(it)).collect()
     }
 
-    fn deliver_reply<T>(pending: &PendingReplies<T>, id: u64, reply: T) {
+    fn deliver_reply<T>(&self, pending: &PendingReplies<T>, id: u64, reply: T) {
         let waiting = locks::lock(pending).remove(&id);
         let is_late = waiting.is_none_or(|tx| tx.try_send(reply).is_err());
         if is_late {
+            self.count_late_reply();
             ::log::debug!(question = id; "gateway: reply of an entry peer came too late");
         }
     }
@@ -294,7 +314,7 @@
         }
         Ok(wire::Datagram::Acquired(id, reply)) => {
             if let Some(peers) = &shared.entry_peers {
-                EntryPeers::deliver_reply(&peers.pending_acquires, id, reply);
+                peers.deliver_reply(&peers.pending_acquires, id, reply);
             }
         }
         Ok(wire::Datagram::Acquire(request)) => {
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -3,9 +3,10 @@
 use std::{collections, sync, time};
 
 use opentelemetry::{KeyValue, metrics as instruments};
+use sageshed_http::stats;
 use sageshed_upstream::relay;
 
-use super::{allowances, state};
+use super::{allowances, entry_peers, state};
 use crate::{locks, metrics};
 
 /// The upper bounds of the histogram buckets for durations, in seconds.
@@ -115,6 +116,7 @@
     records_age: metrics::Gauge,
     config_wait: metrics::Gauge,
     waiting: metrics::Gauge,
+    port: PortGauges,
     repeats: metrics::Gauge,
     quotas: metrics::Gauge,
     idle: metrics::Gauge,
@@ -124,6 +126,17 @@
     queues: QueueGauges,
 }
 
+/// The gauges of the port for callers, and of coordinators that did not reply in time.
+#[derive(Debug)]
+struct PortGauges {
+    open: metrics::Gauge,
+    refused: metrics::Gauge,
+    longest_wait: metrics::Gauge,
+    threads: metrics::Gauge,
+    threads_started: metrics::Gauge,
+    timeouts: metrics::Gauge,
+}
+
 /// The gauges of the queues and slots that this process keeps.
 #[derive(Debug)]
 struct QueueGauges {
@@ -189,6 +202,7 @@
                 "Seconds since the endpoint records were complete",
             ),
             waiting: gauge("sageshed_gateway_waiting", "Requests that wait here"),
+            port: PortGauges::new(registry),
             repeats: gauge(
                 "sageshed_gateway_repeats_left",
                 "Repeats left in the budget",
@@ -215,6 +229,48 @@
     }
 }
 
+impl PortGauges {
+    fn new(registry: &metrics::Registry) -> Self {
+        let gauge = |name, help| registry.gauge(name, help);
+        Self {
+            open: gauge(
+                "sageshed_gateway_callers_connected",
+                "Connections of callers",
+            ),
+            refused: gauge(
+                "sageshed_gateway_callers_refused",
+                "Connections refused since the start, since too many were open",
+            ),
+            longest_wait: gauge(
+                "sageshed_gateway_start_wait",
+                "The longest time in seconds that a request has waited for its start in the latest second",
+            ),
+            threads: gauge(
+                "sageshed_gateway_threads",
+                "Threads that serve callers or wait for the next one",
+            ),
+            threads_started: gauge(
+                "sageshed_gateway_threads_started",
+                "Threads started for callers since the start",
+            ),
+            timeouts: gauge(
+                "sageshed_gateway_coordinator_timeouts",
+                "Coordinators that did not reply in time since the start",
+            ),
+        }
+    }
+
+    fn set(&self, port: stats::Stats, (timeouts, late_replies): (u64, u64)) {
+        self.open.set(port.open as f64);
+        self.refused.set(port.refused as f64);
+        self.longest_wait.set(port.longest_wait.as_secs_f64());
+        self.threads.set(port.threads as f64);
+        self.threads_started.set(port.threads_started as f64);
+        self.timeouts.set_for("reply", "none", timeouts as f64);
+        self.timeouts.set_for("reply", "late", late_replies as f64);
+    }
+}
+
 impl QueueGauges {
     fn new(registry: &metrics::Registry) -> Self {
         let gauge = |name, help| registry.gauge(name, help);
@@ -406,6 +462,11 @@
             shared.with_core(|core| (core.origins.len(), core.origins.dropped()));
         self.gauges.stream_records.set(records as f64);
         self.gauges.dropped_stream_records.set(dropped as f64);
+        let peers = shared.entry_peers.as_ref();
+        let timeouts = peers.map_or((0, 0), entry_peers::EntryPeers::timeouts);
+        self.gauges
+            .port
+            .set(*locks::lock(&shared.port_stats), timeouts);
         self.set_queues(shared);
         self.set_slots(shared);
         self.registry.text()
--- a/src/sageshed/gateway/proxy/queue_wait.rs
+++ b/src/sageshed/gateway/proxy/queue_wait.rs
@@ -24,6 +24,8 @@
     holder: queue_holder::QueueHolder,
     unread: Option<entry_peers::FromCoordinator>,
     began: std_time::Instant,
+    /// When the latest query was sent, until its reply is read.
+    queried_at: Option<std_time::Instant>,
     queries: u32,
     /// The coordinator whose grant was accepted.
     granted_by: Option<net::Ipv4Addr>,
@@ -80,6 +82,7 @@
             holder: queue_holder::QueueHolder::default(),
             unread: None,
             began: std_time::Instant::now(),
+            queried_at: None,
             queries: 0,
             granted_by: None,
         })
@@ -113,6 +116,10 @@
             let Some((from, reply)) = reply else {
                 continue;
             };
+            let queried_at = wait.queried_at.take();
+            if queried_at.is_some_and(|it| it.elapsed() > queue_holder::REPLY_TIMEOUT.into()) {
+                peers.count_late_reply();
+            }
             let now = self.shared.clock.now();
             match wait.holder.receive(now, from, &reply) {
                 queue_holder::Received::Decision(decision) => {
@@ -217,6 +224,7 @@
     ) -> Option<()> {
         let message = routing_queries::message(self.shared, wait.request, query)?;
         wait.queries += 1;
+        wait.queried_at = Some(std_time::Instant::now());
         let message = wire::RoutingQuery {
             id: wait.id,
             queue: Some(self.membership()),
--- a/src/sageshed/gateway/proxy/slot.rs
+++ b/src/sageshed/gateway/proxy/slot.rs
@@ -190,6 +190,11 @@
                     }
                     self.has_retry_token |= reply.has_retry;
                     self.has_coordinator_retries.set(reply.retries_left);
+                    if !wait.is_asked(from)
+                        && let Some(peers) = &self.shared.entry_peers
+                    {
+                        peers.count_late_reply();
+                    }
                     wait.on_reply(now, from, reply.decision)
                 }
                 Err(_) if now < wait.wake_at() => slots::HolderStep::Hold,
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -7,7 +7,7 @@
 //! by themselves. After it, requests in progress are finished until shortly before the end of the grace
 //! period, when the process would be killed.
 
-use std::{net, sync, thread, time};
+use std::{mem, net, sync, thread, time};
 
 use derive_more::{Display, Error};
 use sageshed_fleet::dialect;
@@ -39,6 +39,9 @@
 /// The interval between two sweeps of idle pooled connections and probes of lost paths.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// A request that has waited so long for its start is logged.
+const LOGGED_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// An entry process that could not start.
 #[derive(Debug, Display, Error)]
 pub enum StartError {
@@ -107,12 +110,27 @@
     while !cx.stop.wait_timeout(SWEEP_INTERVAL) {
         shared.pool.sweep();
         prober.run(&shared);
+        record_port_stats(&shared, &callers);
     }
     stop(cx, &shared, &callers);
     drop((ready, metrics));
     Ok(())
 }
 
+/// Records the figures of the port for callers, and logs them if requests have waited for long.
+fn record_port_stats<D: dialect::Dialect>(shared: &state::Shared<D>, callers: &server::Server) {
+    let stats = callers.stats();
+    let before = mem::replace(&mut *locks::lock(&shared.port_stats), stats);
+    if stats.longest_wait < LOGGED_WAIT && stats.refused == before.refused {
+        return;
+    }
+    let peers = shared.entry_peers.as_ref();
+    let (timeouts, late_replies) = peers.map_or((0, 0), entry_peers::EntryPeers::timeouts);
+    ::log::warn!(longest_wait_ms = stats.longest_wait.as_millis(), open = stats.open, threads = stats.threads,
+        threads_started = stats.threads_started, refused = stats.refused - before.refused,
+        timeouts, late_replies; "gateway: requests wait for this process");
+}
+
 fn stop<D: dialect::Dialect>(
     cx: &context::Context,
     shared: &state::Shared<D>,
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -14,6 +14,7 @@
     slots::SlotCoordinator,
     stream_origins,
 };
+use sageshed_http::stats;
 use sageshed_types::{document, time};
 use sageshed_upstream::{pool, relay};
 
@@ -52,6 +53,8 @@
     pub started: u64,
     /// The metrics of this process.
     pub metrics: metrics::Metrics,
+    /// The figures of the port for callers in the latest second.
+    pub(super) port_stats: sync::Mutex<stats::Stats>,
     /// The traces of the latest requests, for operators.
     pub traces: sync::Mutex<accounts::Accounts>,
     /// Limits the log records about successful requests.
@@ -198,6 +201,7 @@
             slots: slots::SlotClient::default(),
             started: start,
             metrics: metrics::Metrics::default(),
+            port_stats: sync::Mutex::default(),
             traces: sync::Mutex::new(accounts::Accounts::new(MAX_TRACES)),
             sampler: sampler::Sampler::new(MAX_SUCCESSES_LOGGED_PER_SECOND),
             misread: sampler::Sampler::new(MISREAD_LOGGED_PER_SECOND),
