Add a failing test of a crowd at one entry process

What callers saw: while most new connections go to one entry process, fewer than three quarters as many requests as before are served at the first attempt that is read. The test holds one of three entry processes at a quarter of a core, sends nine of ten requests of five times the load there for ten seconds, each on a connection of its own, and tries an attempt without a response elsewhere. Refused and unread ones count as not served.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -6,6 +6,7 @@
     thread, time,
 };
 
+use rustix::thread::{CpuSet, Pid, sched_setaffinity};
 use sageshed_test_support::relay;
 
 use crate::standin::{Message, caller, engine, operator};
@@ -63,6 +64,13 @@
         operator::call(to, "GET", "/ready", "").map_or(0, |it| it.status())
     }
 
+    /// Like [`Self::ready`]; zero also if the response takes longer than `timeout`.
+    pub fn ready_within(&self, timeout: time::Duration) -> u16 {
+        let to = net::SocketAddrV4::new(self.ip, self.ready);
+        let answer = operator::call_within(timeout, to, "GET", "/ready", "");
+        answer.map_or(0, |it| it.status())
+    }
+
     /// The text of the response to a health check.
     pub fn ready_text(&self) -> String {
         let to = net::SocketAddrV4::new(self.ip, self.ready);
@@ -96,6 +104,19 @@
         self.child.as_ref().expect("it runs").id()
     }
 
+    /// Runs it on one core, with all threads that it starts from now on.
+    pub fn pin(&self) {
+        let mut cores = CpuSet::new();
+        cores.set(0);
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.id())).expect("it runs");
+        for task in tasks {
+            let name = task.expect("an entry").file_name();
+            let id = name.to_str().and_then(|it| it.parse().ok());
+            // A thread that has ended meanwhile is not on any core.
+            let _ = sched_setaffinity(id.and_then(Pid::from_raw), &cores);
+        }
+    }
+
     pub fn kill(&mut self) {
         let mut child = self.child.take().expect("it runs");
         child.kill().expect("it can be killed");
@@ -203,6 +224,11 @@
         Self::start_with(1, 3, entries, entry_settings).served()
     }
 
+    /// Three control processes and many entry processes, without a configuration and endpoints.
+    pub fn with_entries(entries: u8, entry_settings: &'static str) -> Self {
+        Self::start_with(1, 3, entries, entry_settings)
+    }
+
     /// Like [`Self::start`], for a group that tolerates the loss of `tolerates` control VMs at once. The first three
     /// are seeds and form the group.
     pub fn tolerating(tolerates: u8, control: u8, entries: u8) -> Self {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod crashing;
 mod crashing_parts;
+mod crowd;
 mod demand;
 mod departure_soak;
 mod draining;
