Start no more requests at once than the processor bears

What callers saw: while most new connections go to one entry process, what it reads is served less than three quarters as often as before, and many get no response within their deadline.

Cause: the process reads whatever comes, up to one request for each of 640 connections, and each gets a 640th of the processor. Nothing is in time, and the thread that receives datagrams of coordinators is seconds behind, so that requests are refused for want of slots that are free.

Change: `starts` decides which request is started next. Two per core are being read and routed at once; those on connections in use go first, in order of arrival. The first request of a connection waits unread for 50 ms at most, and not at all if by the pace of the latest starts it would wait longer; then its connection is closed unread, and its caller tries another process. A request counts until it is routed, or for 100 ms if its caller is slow. The time that it has waited counts against its deadline and its latency target.

Why it holds: what has been routed needs the processor in short pieces and gets most of it, since only two others compete with it; so the rate of starts follows what the process gets done, on any processor. Below that rate nothing waits.

--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -25,6 +25,10 @@
     pub(crate) limits: sync::Arc<limits::Limits>,
     pub(crate) shared: sync::Arc<server::Shared>,
     pub(crate) handler: sync::Arc<H>,
+    /// Whether no request has begun on it.
+    pub(crate) is_new: bool,
+    /// When its next request has arrived, if that waits for its start.
+    pub(crate) arrived: Option<time::Instant>,
     /// Dropped with the connection.
     pub(crate) place: server::Place,
 }
@@ -100,6 +104,7 @@
                 Arrival::Answered(answer) => self.answer_early(&answer),
                 Arrival::Ended => Next::Cut,
             };
+            self.shared.gate.end_start(self.place.id);
             match next {
                 Next::Again => self.input.shrink(),
                 Next::Close => {
@@ -143,8 +148,9 @@
         if !self.wait_for_first_byte() {
             return Arrival::Ended;
         }
-        let received = time::Instant::now();
-        let head = match self.read_head(received + self.limits.head_timeout) {
+        let received = self.arrived.take().unwrap_or_else(time::Instant::now);
+        self.shared.counters.record_wait(received.elapsed());
+        let head = match self.read_head(time::Instant::now() + self.limits.head_timeout) {
             Ok(head) => head,
             Err(cut) => return cut.into(),
         };
@@ -277,6 +283,7 @@
             progress: reply::Progress::Unanswered,
             deferred: sync::Arc::clone(&self.shared.deferred),
             connection: self.place.id,
+            gate: sync::Arc::clone(&self.shared.gate),
         }
     }
 
--- a/crates/sageshed-http/src/lib.rs
+++ b/crates/sageshed-http/src/lib.rs
@@ -50,5 +50,6 @@
 pub mod reply;
 pub mod request;
 pub mod server;
+pub mod starts;
 pub mod stats;
 mod workers;
--- a/crates/sageshed-http/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::starts;
+
 /// The stack of a thread that serves requests, in bytes, unless settings say otherwise.
 ///
 /// This package's tests overflow 160 KiB in a debug build and 32 KiB in a release build, and pass with
@@ -29,7 +31,9 @@
     /// How many connections may be open at once. Each holds a descriptor, and a thread while a request
     /// on it is at work.
     pub connections: usize,
-    /// How many of these are left to requests for which the handler does not yield.
+    /// Bounds on the requests that are started at once.
+    pub starts: starts::Bounds,
+    /// How many connections are left to requests for which the handler does not yield.
     pub reserved: usize,
     /// Threads that are started as soon as a request finds none idle. Past these one is started only for a
     /// request that has waited, so that a burst of short requests costs few threads.
@@ -48,6 +52,7 @@
             idle_timeout: time::Duration::from_mins(1),
             write_timeout: time::Duration::from_secs(20),
             connections: 4_000,
+            starts: starts::Bounds::NONE,
             reserved: 0,
             eager_threads: usize::MAX,
             stack_bytes: STACK_BYTES,
--- a/crates/sageshed-http/src/overflow.rs
+++ b/crates/sageshed-http/src/overflow.rs
@@ -148,6 +148,7 @@
             progress: reply::Progress::Unanswered,
             deferred: Arc::clone(&self.shared.deferred),
             connection: u64::MAX,
+            gate: Arc::clone(&self.shared.gate),
         };
         let reply = reply::Reply { ex: &mut ex };
         let sent = reply.early(&stamped, &handler.early_body(&stamped));
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -15,7 +15,7 @@
 
 use rustix::{buffer, event, event::epoll};
 
-use crate::{connection, handler, limits, link, overflow, reply, server, workers};
+use crate::{connection, handler, limits, link, overflow, reply, server, starts, workers};
 
 /// How long accepting pauses after it failed, for example because no file descriptor is left. An
 /// accept that fails for want of descriptors fails again at once, and would take a whole processor.
@@ -70,6 +70,8 @@
 enum Until {
     /// The first byte of a request, until then.
     Request(time::Instant),
+    /// The start of a request that has arrived.
+    Start,
     /// A deferred answer.
     Answer(reply::Manner),
 }
@@ -143,6 +145,7 @@
             log::error!(error:% = e; "http: no connection can be accepted");
         }
         let mut events = Vec::with_capacity(EVENTS);
+        let mut start_by = None;
         loop {
             if self.shared.is_stopping()
                 && let Some(it) = accepting.take()
@@ -157,7 +160,7 @@
             if let Some(it) = &mut accepting {
                 it.resume(&self.epoll);
             }
-            self.wait(&mut events, accepting.as_ref());
+            self.wait(&mut events, accepting.as_ref(), start_by);
             for event in events.drain(..) {
                 match event.data.u64() {
                     LISTENER => {
@@ -170,6 +173,7 @@
                 }
             }
             self.close_expired();
+            start_by = self.start_waiting();
         }
     }
 
@@ -179,14 +183,20 @@
     }
 
     /// Waits for events, until a deadline at the longest.
-    fn wait(self: &Arc<Self>, events: &mut Vec<epoll::Event>, accepting: Option<&Accepting>) {
+    fn wait(
+        self: &Arc<Self>,
+        events: &mut Vec<epoll::Event>,
+        accepting: Option<&Accepting>,
+        start_by: Option<time::Instant>,
+    ) {
         let stalled = self.workers.relieve();
         let paused = accepting.and_then(|it| it.paused);
         let deadlines = [paused, self.lock().earliest];
         let now = time::Instant::now();
         let until = deadlines.into_iter().flatten().min();
         let until = until.map(|it| it.saturating_duration_since(now).max(SWEEP));
-        let limit = [stalled, until].into_iter().flatten().min();
+        let start_by = start_by.map(|it| it.saturating_duration_since(now));
+        let limit = [stalled, until, start_by].into_iter().flatten().min();
         // Rounded up, as a wait that ends before its deadline is followed by another.
         let limit = limit.map(|it| it + time::Duration::from_millis(1));
         let limit = limit.and_then(|it| event::Timespec::try_from(it).ok());
@@ -240,6 +250,8 @@
             limits: Arc::clone(&self.limits),
             shared: Arc::clone(&self.shared),
             handler: Arc::clone(&self.handler),
+            is_new: true,
+            arrived: None,
             place,
         };
         let data = epoll::EventData::new_u64(connection.place.id);
@@ -310,15 +322,39 @@
     fn begin(self: &Arc<Self>, id: u64) {
         let mut waiting = self.lock();
         let is_idle = |it: &Held<H>| matches!(it.until, Until::Request(_));
-        if !waiting.connections.get(&id).is_some_and(is_idle) {
-            return;
-        }
-        let Some(held) = waiting.connections.remove(&id) else {
+        let Some(held) = waiting.connections.get_mut(&id).filter(|it| is_idle(it)) else {
             return;
         };
-        drop(waiting);
         held.connection.link.set_idle(false);
-        self.submit(held.connection, Work::Serve);
+        held.until = Until::Start;
+        let is_new = held.connection.is_new;
+        drop(waiting);
+        self.shared.gate.arrive(id, is_new);
+    }
+
+    /// Starts the requests whose turn it is, and closes connections whose requests can't be started in time. Returns when
+    /// to look again.
+    fn start_waiting(self: &Arc<Self>) -> Option<time::Instant> {
+        loop {
+            match self.shared.gate.next() {
+                starts::Next::Start(id, arrived) => {
+                    let Some(held) = self.lock().connections.remove(&id) else {
+                        self.shared.gate.end_start(id);
+                        continue;
+                    };
+                    let mut connection = held.connection;
+                    connection.is_new = false;
+                    connection.arrived = Some(arrived);
+                    self.submit(connection, Work::Serve);
+                }
+                starts::Next::Close(id) => {
+                    let unread = self.lock().connections.remove(&id);
+                    self.shared.counters.count_unread();
+                    drop(unread);
+                }
+                starts::Next::Wait(until) => return until,
+            }
+        }
     }
 
     fn submit(self: &Arc<Self>, connection: connection::Connection<H>, work: Work) {
@@ -344,7 +380,7 @@
                     let answer = self.shared.deferred.take(id);
                     self.send(held.connection, manner, answer);
                 }
-                Until::Request(_) => {
+                Until::Request(_) | Until::Start => {
                     waiting.connections.insert(id, held);
                 }
             }
@@ -380,7 +416,7 @@
         }
         let deadline = |it: &Held<H>| match it.until {
             Until::Request(until) => Some(until),
-            Until::Answer(_) => None,
+            Until::Start | Until::Answer(_) => None,
         };
         let expired = waiting
             .connections
--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use sageshed_types::refusal;
 
-use crate::{deferred, handler, link, problem};
+use crate::{deferred, handler, link, problem, server};
 
 /// An answer this large, in bytes, is not copied behind its head but written after it.
 const COPIED_BYTES: usize = 64 * 1024;
@@ -100,6 +100,7 @@
     /// Where an answer is put that is given later, for this connection.
     pub(crate) deferred: sync::Arc<deferred::Queue>,
     pub(crate) connection: u64,
+    pub(crate) gate: sync::Arc<server::Gate>,
 }
 
 /// What an answer needs to know of its request.
@@ -231,6 +232,12 @@
         }
     }
 
+    /// Tells that the request is started: from now on it mostly waits for others. Until then it counts against the
+    /// requests that are started at once.
+    pub fn end_start(&self) {
+        self.ex.gate.end_start(self.ex.connection);
+    }
+
     /// Answers with a whole body.
     pub fn whole(self, head: &Head<'_>, body: &[u8]) -> Sent {
         let ex = self.ex;
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -17,7 +17,7 @@
 
 use derive_more::{Display, Error};
 
-use crate::{deferred, handler, limits, link, poller, stats};
+use crate::{deferred, handler, limits, link, poller, starts, stats};
 
 /// How long [`Server::stop_accepting`] waits for the connections to be taken that the kernel has completed.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(1);
@@ -53,6 +53,7 @@
     /// Answers that are given after their handlers have returned; its waker wakes the poller.
     pub(crate) deferred: sync::Arc<deferred::Queue>,
     pub(crate) counters: sync::Arc<stats::Counters>,
+    pub(crate) gate: sync::Arc<Gate>,
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
     stopped: atomic::AtomicBool,
@@ -70,10 +71,15 @@
 }
 
 impl Shared {
-    fn new() -> io::Result<Self> {
+    fn new(limits: &limits::Limits) -> io::Result<Self> {
+        let deferred = sync::Arc::new(deferred::Queue::new()?);
         Ok(Self {
             draining: sync::Arc::default(),
-            deferred: sync::Arc::new(deferred::Queue::new()?),
+            gate: sync::Arc::new(Gate {
+                starts: sync::Mutex::new(starts::Starts::new(limits.starts)),
+                deferred: sync::Arc::clone(&deferred),
+            }),
+            deferred,
             counters: sync::Arc::default(),
             stopping: atomic::AtomicBool::new(false),
             closing_idle: atomic::AtomicBool::new(false),
@@ -135,6 +141,38 @@
     }
 }
 
+/// The requests that wait for their start, shared between the poller and the threads that serve.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    starts: sync::Mutex<starts::Starts>,
+    deferred: sync::Arc<deferred::Queue>,
+}
+
+impl Gate {
+    pub(crate) fn arrive(&self, id: u64, is_new: bool) {
+        self.lock().arrive(time::Instant::now(), id, is_new);
+    }
+
+    pub(crate) fn next(&self) -> starts::Next {
+        self.lock().next(time::Instant::now())
+    }
+
+    /// Records that the request on a connection is started, or has ended.
+    pub(crate) fn end_start(&self, id: u64) {
+        let waits = self.lock().end_start(id);
+        if waits {
+            self.deferred.wake();
+        }
+    }
+
+    /// The lists are whole after each statement on them, so a panic elsewhere does not spoil them.
+    fn lock(&self) -> sync::MutexGuard<'_, starts::Starts> {
+        self.starts
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
 /// One connection's place under the bound, given back when dropped, also by a panic.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -174,7 +212,7 @@
         let local_addr = listener
             .local_addr()
             .map_err(|source| StartError::Address { source })?;
-        let shared = Shared::new().map_err(|source| StartError::Poll { source })?;
+        let shared = Shared::new(&limits).map_err(|source| StartError::Poll { source })?;
         let shared = sync::Arc::new(shared);
         let poller = poller::Poller::new(limits, sync::Arc::clone(&shared), handler);
         let poller = sync::Arc::new(poller.map_err(|source| StartError::Poll { source })?);
--- /dev/null
+++ b/crates/sageshed-http/src/starts.rs
@@ -0,0 +1,174 @@
+//! Which requests are started next, and which connections are closed unread.
+//!
+//! Reading a request and finding its route takes processor time only. If as many requests were started as arrive,
+//! then under more load than the processor bears each would get a smaller part of it, and all would be late. So
+//! few are started at once. The others wait unread: those on connections that are in use are started first, in order
+//! of arrival. A new connection whose request can't be started soon is closed unread, so that its caller can
+//! try another process.
+//!
+//! The bound is on requests that are being started, not on those that wait for an endpoint, so it follows what the
+//! process gets done without a measurement of it.
+
+use std::{collections, time};
+
+/// The weight of the latest interval in the mean of the intervals between two starts, as a divisor.
+const PACE_WEIGHT: u32 = 8;
+
+/// Bounds on the requests that are started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// The most requests that are being started at once.
+    pub at_once: usize,
+    /// How long the first request of a connection waits unread.
+    pub patience: time::Duration,
+    /// After this time a request no longer counts as being started: it waits for its caller, for example.
+    pub longest_start: time::Duration,
+}
+
+impl Bounds {
+    /// No bounds.
+    pub const NONE: Self = Self {
+        at_once: usize::MAX,
+        patience: time::Duration::MAX,
+        longest_start: time::Duration::ZERO,
+    };
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Start the request on this connection, which has arrived at this time.
+    Start(u64, time::Instant),
+    /// Close this connection unread.
+    Close(u64),
+    /// Look again at this time at the latest, or once a request has been started or has arrived.
+    Wait(Option<time::Instant>),
+}
+
+/// A request that waits, by the id of its connection.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    id: u64,
+    since: time::Instant,
+}
+
+/// The requests that wait for their start, and those that are being started.
+#[derive(Debug)]
+pub struct Starts {
+    bounds: Bounds,
+    /// On connections that have been used before.
+    on_kept: collections::VecDeque<Waiting>,
+    on_new: collections::VecDeque<Waiting>,
+    /// On connections that are to be closed, since these requests can't be started in time.
+    hopeless: Vec<u64>,
+    /// The requests that are being started, and since when.
+    starting: collections::VecDeque<Waiting>,
+    /// The mean time between two starts while requests wait.
+    pace: Option<time::Duration>,
+    started_at: Option<time::Instant>,
+}
+
+impl Starts {
+    /// No requests yet.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            on_kept: collections::VecDeque::new(),
+            on_new: collections::VecDeque::new(),
+            hopeless: Vec::new(),
+            starting: collections::VecDeque::new(),
+            pace: None,
+            started_at: None,
+        }
+    }
+
+    /// Records that a request has arrived on a connection.
+    pub fn arrive(&mut self, now: time::Instant, id: u64, is_new: bool) {
+        let waiting = Waiting { id, since: now };
+        if !is_new {
+            self.on_kept.push_back(waiting);
+        } else if self.expected_wait() > self.bounds.patience {
+            self.hopeless.push(id);
+        } else {
+            self.on_new.push_back(waiting);
+        }
+    }
+
+    /// Records that the request on a connection is started, or has ended. Returns whether others wait.
+    pub fn end_start(&mut self, id: u64) -> bool {
+        self.starting.retain(|it| it.id != id);
+        self.waits()
+    }
+
+    /// Decides on one request. To be called until nothing is left to do.
+    pub fn next(&mut self, now: time::Instant) -> Next {
+        if let Some(id) = self.hopeless.pop() {
+            return Next::Close(id);
+        }
+        if !self.waits() {
+            return Next::Wait(None);
+        }
+        let longest = self.bounds.longest_start;
+        while self
+            .starting
+            .front()
+            .is_some_and(|it| now >= it.since + longest)
+        {
+            self.starting.pop_front();
+        }
+        if self.starting.len() < self.bounds.at_once {
+            return self.start(now);
+        }
+        let closes_at = self
+            .on_new
+            .front()
+            .map(|it| it.since + self.bounds.patience);
+        if closes_at.is_some_and(|it| now >= it)
+            && let Some(expired) = self.on_new.pop_front()
+        {
+            return Next::Close(expired.id);
+        }
+        let ends_at = self.starting.front().map(|it| it.since + longest);
+        Next::Wait(closes_at.into_iter().chain(ends_at).min())
+    }
+
+    fn start(&mut self, now: time::Instant) -> Next {
+        let waiting = self.on_kept.pop_front().or_else(|| self.on_new.pop_front());
+        let Some(waiting) = waiting else {
+            return Next::Wait(None);
+        };
+        self.record_start(now);
+        if self.bounds.at_once != usize::MAX {
+            let id = waiting.id;
+            self.starting.push_back(Waiting { id, since: now });
+        }
+        Next::Start(waiting.id, waiting.since)
+    }
+
+    /// Keeps the mean interval between two starts, as long as requests wait without a break.
+    fn record_start(&mut self, now: time::Instant) {
+        let before = self.started_at.take();
+        if !self.waits() {
+            self.pace = None;
+            return;
+        }
+        self.started_at = Some(now);
+        let Some(interval) = before.map(|it| now.saturating_duration_since(it)) else {
+            return;
+        };
+        let pace = self.pace.unwrap_or(interval);
+        self.pace = Some((pace * (PACE_WEIGHT - 1) + interval) / PACE_WEIGHT);
+    }
+
+    /// The expected wait of a request that arrives now on a new connection.
+    fn expected_wait(&self) -> time::Duration {
+        let before = u32::try_from(self.on_kept.len() + self.on_new.len()).unwrap_or(u32::MAX);
+        self.pace
+            .map_or(time::Duration::ZERO, |it| it.saturating_mul(before))
+    }
+
+    fn waits(&self) -> bool {
+        !self.on_kept.is_empty() || !self.on_new.is_empty()
+    }
+}
--- a/crates/sageshed-http/src/stats.rs
+++ b/crates/sageshed-http/src/stats.rs
@@ -15,6 +15,8 @@
     pub longest_wait: time::Duration,
     /// Connections that were refused since the start, since too many were open.
     pub refused: u64,
+    /// Connections that were closed unread since the start, since their requests could not be started in time.
+    pub unread: u64,
 }
 
 /// The counters behind [`Stats`].
@@ -24,6 +26,7 @@
     pub(crate) threads_started: atomic::AtomicU64,
     longest_wait_ms: atomic::AtomicU64,
     pub(crate) refused: atomic::AtomicU64,
+    unread: atomic::AtomicU64,
 }
 
 impl Counters {
@@ -34,6 +37,10 @@
             .fetch_max(ms, atomic::Ordering::Relaxed);
     }
 
+    pub(crate) fn count_unread(&self) {
+        self.unread.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
     pub(crate) fn read(&self, open: usize) -> Stats {
         let longest_wait_ms = self.longest_wait_ms.swap(0, atomic::Ordering::Relaxed);
         Stats {
@@ -42,6 +49,7 @@
             threads_started: self.threads_started.load(atomic::Ordering::Relaxed),
             longest_wait: time::Duration::from_millis(longest_wait_ms),
             refused: self.refused.load(atomic::Ordering::Relaxed),
+            unread: self.unread.load(atomic::Ordering::Relaxed),
         }
     }
 }
--- a/crates/sageshed-http/src/workers.rs
+++ b/crates/sageshed-http/src/workers.rs
@@ -119,8 +119,7 @@
     fn next(&self) -> Option<J> {
         let mut inner = self.lock();
         loop {
-            if let Some((job, since)) = inner.jobs.pop_front() {
-                self.counters.record_wait(since.elapsed());
+            if let Some((job, _)) = inner.jobs.pop_front() {
                 return Some(job);
             }
             if inner.idle >= KEPT {
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -131,6 +131,7 @@
 struct PortGauges {
     open: metrics::Gauge,
     refused: metrics::Gauge,
+    unread: metrics::Gauge,
     longest_wait: metrics::Gauge,
     threads: metrics::Gauge,
     threads_started: metrics::Gauge,
@@ -241,6 +242,10 @@
                 "sageshed_gateway_callers_refused",
                 "Connections refused since the start, since too many were open",
             ),
+            unread: gauge(
+                "sageshed_gateway_callers_unread",
+                "Connections closed unread since the start, since their requests could not be started in time",
+            ),
             longest_wait: gauge(
                 "sageshed_gateway_start_wait",
                 "The longest time in seconds that a request has waited for its start in the latest second",
@@ -263,6 +268,7 @@
     fn set(&self, port: stats::Stats, (timeouts, late_replies): (u64, u64)) {
         self.open.set(port.open as f64);
         self.refused.set(port.refused as f64);
+        self.unread.set(port.unread as f64);
         self.longest_wait.set(port.longest_wait.as_secs_f64());
         self.threads.set(port.threads as f64);
         self.threads_started.set(port.threads_started as f64);
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -115,6 +115,7 @@
             service,
             engines,
         );
+        reply.end_start();
         match identity {
             Ok(workspace) => {
                 proxied.workspace = workspace;
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -7,11 +7,11 @@
 //! by themselves. After it, requests in progress are finished until shortly before the end of the grace
 //! period, when the process would be killed.
 
-use std::{mem, net, sync, thread, time};
+use std::{mem, net, num, sync, thread, time};
 
 use derive_more::{Display, Error};
 use sageshed_fleet::dialect;
-use sageshed_http::{handler, limits, server};
+use sageshed_http::{handler, limits, server, starts};
 
 use super::{allowances, entry_peers, paths, proxy, queues, ready, slots, state, watch};
 use crate::{context, locks, metrics_port, settings};
@@ -29,6 +29,16 @@
 /// The stack size of a connection's thread.
 const STACK_BYTES: usize = 192 * 1024;
 
+/// The requests that are started at once on each core: one that uses it, and one that is ready to.
+const STARTS_PER_CORE: usize = 2;
+
+/// How long the first request of a connection waits unread. Its caller can still have a response within 150 ms
+/// elsewhere.
+const START_PATIENCE: time::Duration = time::Duration::from_millis(50);
+
+/// After this time a request that is not read completely waits for its caller.
+const LONGEST_START: time::Duration = time::Duration::from_millis(100);
+
 /// How long before its exit the process refuses the requests that still wait. Most streams take less time, and the
 /// callers of waiting requests still have time to try another entry process.
 const LAST_SEND_BEFORE_END: time::Duration = time::Duration::from_secs(2);
@@ -121,13 +131,14 @@
 fn record_port_stats<D: dialect::Dialect>(shared: &state::Shared<D>, callers: &server::Server) {
     let stats = callers.stats();
     let before = mem::replace(&mut *locks::lock(&shared.port_stats), stats);
-    if stats.longest_wait < LOGGED_WAIT && stats.refused == before.refused {
+    let (refused, unread) = (stats.refused - before.refused, stats.unread - before.unread);
+    if stats.longest_wait < LOGGED_WAIT && refused + unread == 0 {
         return;
     }
     let peers = shared.entry_peers.as_ref();
     let (timeouts, late_replies) = peers.map_or((0, 0), entry_peers::EntryPeers::timeouts);
     ::log::warn!(longest_wait_ms = stats.longest_wait.as_millis(), open = stats.open, threads = stats.threads,
-        threads_started = stats.threads_started, refused = stats.refused - before.refused,
+        threads_started = stats.threads_started, refused, unread,
         timeouts, late_replies; "gateway: requests wait for this process");
 }
 
@@ -190,9 +201,15 @@
 fn caller_limits(settings: &settings::FleetEntry) -> limits::Limits {
     let resources = settings.resources;
     let by_descriptors = resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
+    let cores = thread::available_parallelism().map_or(1, num::NonZero::get);
     let by_memory = resources.memory_mb * 1_024 / 2 / CONNECTION_KB;
     limits::Limits {
         connections: by_descriptors.min(by_memory).max(HEALTH_CHECK_CONNECTIONS),
+        starts: starts::Bounds {
+            at_once: STARTS_PER_CORE * cores,
+            patience: START_PATIENCE,
+            longest_start: LONGEST_START,
+        },
         stack_bytes: STACK_BYTES,
         head_bytes: 32 * 1024,
         head_timeout: time::Duration::from_secs(5),
