Take no new connections while threads wait for the processor

Cause: connections that were accepted once are used on, and bring as many requests as the crowd; nothing gave them back. Each connection that is closed unread had cost ten system calls before.

Change: a process is overloaded while a thread with work has waited for the processor for over 15 ms, for twice as long and at most half a second, or while a request on a connection in use has waited as long for its start. Responses that begin meanwhile end their connections, so that callers spread; new connections that can't be started in time by then are closed as they are accepted, before any socket option is set.

Why it holds: both signs are waits of requests that are there anyway, so they need no clock of their own; the bound on the pause keeps a process that says that it takes connections taking some.

--- a/crates/sageshed-http/src/link.rs
+++ b/crates/sageshed-http/src/link.rs
@@ -63,15 +63,19 @@
 
 impl Link {
     /// Takes over an accepted socket.
-    pub(crate) fn new(stream: TcpStream, write_timeout: time::Duration) -> io::Result<Self> {
-        // Without this a chunk would wait for the acknowledgement of the one before it.
-        stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(write_timeout))?;
-        watch_silence(&stream, write_timeout)?;
-        Ok(Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
             stream,
             idle: atomic::AtomicBool::new(true),
-        })
+        }
+    }
+
+    /// Sets the options of the socket, before its first request is read.
+    pub(crate) fn prepare(&self, write_timeout: time::Duration) -> io::Result<()> {
+        // Without this a chunk would wait for the acknowledgement of the one before it.
+        self.stream.set_nodelay(true)?;
+        self.stream.set_write_timeout(Some(write_timeout))?;
+        watch_silence(&self.stream, write_timeout)
     }
 
     /// Writes all of `bytes`. A write that makes no progress for the write timeout fails.
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -82,6 +82,7 @@
     poller: Arc<Poller<H>>,
     connection: connection::Connection<H>,
     work: Work,
+    submitted: time::Instant,
 }
 
 #[derive(Debug)]
@@ -94,6 +95,7 @@
 
 impl<H: handler::Handler> workers::Job for Job<H> {
     fn run(self) {
+        self.poller.shared.gate.record_lag(self.submitted);
         let next = match self.work {
             Work::Serve => self.connection.serve(),
             Work::Send(bytes, keep) => self.connection.send_rest(&bytes, keep),
@@ -231,10 +233,10 @@
     }
 
     fn take(self: &Arc<Self>, stream: net::TcpStream, peer: net::SocketAddr) {
-        let link = match link::Link::new(stream, self.limits.write_timeout) {
-            Ok(link) => Arc::new(link),
-            Err(e) => return log::debug!(error:% = e; "http: connection broke at once"),
-        };
+        if !self.shared.gate.takes_new() {
+            return self.shared.counters.count_unread();
+        }
+        let link = Arc::new(link::Link::new(stream));
         let place = self.shared.enter(Arc::clone(&link), &self.limits);
         let Some(place) = place else {
             let refused = &self.shared.counters.refused;
@@ -343,6 +345,13 @@
                         continue;
                     };
                     let mut connection = held.connection;
+                    if connection.is_new
+                        && let Err(e) = connection.link.prepare(self.limits.write_timeout)
+                    {
+                        log::debug!(error:% = e; "http: connection broke at once");
+                        self.shared.gate.end_start(id);
+                        continue;
+                    }
                     connection.is_new = false;
                     connection.arrived = Some(arrived);
                     self.submit(connection, Work::Serve);
@@ -362,6 +371,7 @@
             poller: Arc::clone(self),
             connection,
             work,
+            submitted: time::Instant::now(),
         });
     }
 
--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -148,9 +148,10 @@
         Ok(())
     }
 
-    /// Connections melt away while the process drains: each answer is then the last on its own.
+    /// Connections melt away while the process drains or gets too little processor time: each answer is then the last on
+    /// its own.
     fn settle_keep(&mut self) {
-        if self.draining.load(atomic::Ordering::Relaxed) {
+        if self.draining.load(atomic::Ordering::Relaxed) || self.gate.is_overloaded() {
             self.manner.keep = false;
         }
     }
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -153,6 +153,23 @@
         self.lock().arrive(time::Instant::now(), id, is_new);
     }
 
+    /// Records that a thread with work has waited for the processor since `since`.
+    pub(crate) fn record_lag(&self, since: time::Instant) {
+        let now = time::Instant::now();
+        self.lock()
+            .record_lag(now, now.saturating_duration_since(since));
+    }
+
+    /// Whether a request that arrives now on a new connection can be started in time.
+    pub(crate) fn takes_new(&self) -> bool {
+        self.lock().takes_new(time::Instant::now())
+    }
+
+    /// Whether connections are to end with their responses, so that callers spread to other processes.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.lock().is_overloaded(time::Instant::now())
+    }
+
     pub(crate) fn next(&self) -> starts::Next {
         self.lock().next(time::Instant::now())
     }
--- a/crates/sageshed-http/src/starts.rs
+++ b/crates/sageshed-http/src/starts.rs
@@ -7,13 +7,21 @@
 //! try another process.
 //!
 //! The bound is on requests that are being started, not on those that wait for an endpoint, so it follows what the
-//! process gets done without a measurement of it.
+//! process gets done without a measurement of it. What has been started before needs the processor as well, for each
+//! event of a stream. While a thread that has work waits for the processor for too long, no request on a new connection
+//! is started.
 
 use std::{collections, time};
 
 /// The weight of the latest interval in the mean of the intervals between two starts, as a divisor.
 const PACE_WEIGHT: u32 = 8;
 
+/// No request on a new connection is started for the time that a thread has waited for the processor, times this.
+const PAUSE_FACTOR: u32 = 2;
+
+/// The longest of these pauses, so that a process that says that it takes connections does take some.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
+
 /// Bounds on the requests that are started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -21,6 +29,8 @@
     pub at_once: usize,
     /// How long the first request of a connection waits unread.
     pub patience: time::Duration,
+    /// The longest time that a thread with work may wait for the processor.
+    pub max_lag: time::Duration,
     /// After this time a request no longer counts as being started: it waits for its caller, for example.
     pub longest_start: time::Duration,
 }
@@ -30,6 +40,7 @@
     pub const NONE: Self = Self {
         at_once: usize::MAX,
         patience: time::Duration::MAX,
+        max_lag: time::Duration::MAX,
         longest_start: time::Duration::ZERO,
     };
 }
@@ -63,6 +74,8 @@
     hopeless: Vec<u64>,
     /// The requests that are being started, and since when.
     starting: collections::VecDeque<Waiting>,
+    /// Until when no request on a new connection is started.
+    paused_until: Option<time::Instant>,
     /// The mean time between two starts while requests wait.
     pace: Option<time::Duration>,
     started_at: Option<time::Instant>,
@@ -78,6 +91,7 @@
             on_new: collections::VecDeque::new(),
             hopeless: Vec::new(),
             starting: collections::VecDeque::new(),
+            paused_until: None,
             pace: None,
             started_at: None,
         }
@@ -88,19 +102,52 @@
         let waiting = Waiting { id, since: now };
         if !is_new {
             self.on_kept.push_back(waiting);
-        } else if self.expected_wait() > self.bounds.patience {
+        } else if !self.takes_new(now) {
             self.hopeless.push(id);
         } else {
             self.on_new.push_back(waiting);
         }
     }
 
+    /// Whether a request that arrives now on a new connection can be started in time.
+    #[must_use]
+    pub fn takes_new(&self, now: time::Instant) -> bool {
+        let pause = self
+            .paused_until
+            .map(|it| it.saturating_duration_since(now));
+        let wait = self.expected_wait().max(pause.unwrap_or_default());
+        wait <= self.bounds.patience
+    }
+
+    /// Whether more is asked of the process than it gets done: threads with work wait too long for the processor, or
+    /// requests on connections in use for their start.
+    #[must_use]
+    pub fn is_overloaded(&self, now: time::Instant) -> bool {
+        let longest = self
+            .on_kept
+            .front()
+            .map(|it| now.saturating_duration_since(it.since));
+        self.is_paused(now) || longest.is_some_and(|it| it > self.bounds.max_lag)
+    }
+
+    fn is_paused(&self, now: time::Instant) -> bool {
+        self.paused_until.is_some_and(|it| now < it)
+    }
+
     /// Records that the request on a connection is started, or has ended. Returns whether others wait.
     pub fn end_start(&mut self, id: u64) -> bool {
         self.starting.retain(|it| it.id != id);
         self.waits()
     }
 
+    /// Records how long a thread with work has waited for the processor until now.
+    pub fn record_lag(&mut self, now: time::Instant, lag: time::Duration) {
+        if lag > self.bounds.max_lag {
+            let until = now + (lag * PAUSE_FACTOR).min(MAX_PAUSE);
+            self.paused_until = self.paused_until.max(Some(until));
+        }
+    }
+
     /// Decides on one request. To be called until nothing is left to do.
     pub fn next(&mut self, now: time::Instant) -> Next {
         if let Some(id) = self.hopeless.pop() {
@@ -117,7 +164,8 @@
         {
             self.starting.pop_front();
         }
-        if self.starting.len() < self.bounds.at_once {
+        let has_place = self.starting.len() < self.bounds.at_once;
+        if has_place && (!self.is_paused(now) || !self.on_kept.is_empty()) {
             return self.start(now);
         }
         let closes_at = self
@@ -130,7 +178,12 @@
             return Next::Close(expired.id);
         }
         let ends_at = self.starting.front().map(|it| it.since + longest);
-        Next::Wait(closes_at.into_iter().chain(ends_at).min())
+        let may_start_at = if has_place {
+            self.paused_until
+        } else {
+            ends_at
+        };
+        Next::Wait(closes_at.into_iter().chain(may_start_at).min())
     }
 
     fn start(&mut self, now: time::Instant) -> Next {
@@ -161,7 +214,7 @@
         self.pace = Some((pace * (PACE_WEIGHT - 1) + interval) / PACE_WEIGHT);
     }
 
-    /// The expected wait of a request that arrives now on a new connection.
+    /// The expected wait behind the requests that wait already.
     fn expected_wait(&self) -> time::Duration {
         let before = u32::try_from(self.on_kept.len() + self.on_new.len()).unwrap_or(u32::MAX);
         self.pace
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use sageshed_http::limits;
+use sageshed_http::{limits, starts};
 use sageshed_types::secret;
 use support::{Client, OK, PATIENCE, echo, listen, start, start_on, wait_for};
 
@@ -334,3 +334,39 @@
     let server = start(limits, echo);
     assert!(Client::connect(&server).at_end());
 }
+
+/// Guards against a request that is read although it can't be started in time: its caller could not send it elsewhere.
+#[test]
+fn a_request_that_can_not_be_started_is_not_read_unless_its_connection_is_in_use() {
+    let limits = limits::Limits {
+        starts: starts::Bounds {
+            at_once: 1,
+            patience: Duration::from_millis(20),
+            max_lag: Duration::MAX,
+            longest_start: PATIENCE,
+        },
+        ..limits::Limits::default()
+    };
+    let (go_tx, go_rx) = mpsc::channel::<()>();
+    let go_rx = Mutex::new(go_rx);
+    let server = start(limits, move |req, reply| {
+        if req.path == "/slow" {
+            go_rx.lock().expect("one user").recv().expect("a go");
+        }
+        echo(req, reply)
+    });
+    let mut kept = Client::connect(&server);
+    assert_eq!(kept.get("/first").status, 200);
+    let mut slow = Client::connect(&server);
+    slow.send(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_for("the slow one", || server.stats().threads > 0);
+    let mut new = Client::connect(&server);
+    new.send(b"GET /new HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert!(new.head().is_none());
+    assert_eq!(server.stats().unread, 1);
+    kept.send(b"GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    go_tx.send(()).expect("it waits");
+    assert_eq!(slow.answer().expect("an answer").status, 200);
+    assert_eq!(kept.answer().expect("an answer").status, 200);
+    assert_eq!(Client::connect(&server).get("/again").status, 200);
+}
--- a/crates/sageshed-http/tests/starts.rs
+++ b/crates/sageshed-http/tests/starts.rs
@@ -10,6 +10,7 @@
 const BOUNDS: Bounds = Bounds {
     at_once: 2,
     patience: Duration::from_millis(50),
+    max_lag: Duration::from_millis(15),
     longest_start: Duration::from_millis(100),
 };
 
@@ -242,3 +243,36 @@
     assert_eq!(starts.next(now), Next::Wait(Some(ends)));
     assert_eq!(starts.next(ends), Next::Start(2, now));
 }
+
+/// Guards against new work while threads that have work wait for the processor, and against none for ever.
+#[test]
+fn a_process_that_lags_starts_only_requests_on_connections_in_use() {
+    let now = Instant::now();
+    let mut starts = Starts::new(BOUNDS);
+    starts.record_lag(now, BOUNDS.max_lag);
+    assert!(starts.takes_new(now) && !starts.is_overloaded(now));
+    starts.record_lag(now, Duration::from_secs(60));
+    assert!(!starts.takes_new(now) && starts.is_overloaded(now));
+    starts.arrive(now, 0, true);
+    starts.arrive(now, 1, false);
+    assert_eq!(starts.next(now), Next::Close(0));
+    assert_eq!(starts.next(now), Next::Start(1, now));
+    let later = now + Duration::from_millis(500);
+    assert!(starts.takes_new(later) && !starts.is_overloaded(later));
+}
+
+/// Guards against callers that keep connections to a process which is seconds behind with the requests on them.
+#[test]
+fn requests_in_wait_on_connections_in_use_are_an_overload() {
+    let now = Instant::now();
+    let mut starts = Starts::new(BOUNDS);
+    for id in 0..3 {
+        starts.arrive(now, id, false);
+        drop(starts.next(now));
+    }
+    assert!(!starts.is_overloaded(now));
+    let later = now + BOUNDS.max_lag + STEP;
+    assert!(starts.is_overloaded(later));
+    assert!(!starts.end_start(0) || starts.next(later) == Next::Start(2, now));
+    assert!(!starts.is_overloaded(later));
+}
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -36,6 +36,10 @@
 /// elsewhere.
 const START_PATIENCE: time::Duration = time::Duration::from_millis(50);
 
+/// The longest time that a thread may wait for the processor while requests on new connections are started. A request
+/// waits for it some ten times until its response is complete, and has 150 ms where callers expect it soonest.
+const MAX_LAG: time::Duration = time::Duration::from_millis(15);
+
 /// After this time a request that is not read completely waits for its caller.
 const LONGEST_START: time::Duration = time::Duration::from_millis(100);
 
@@ -208,6 +212,7 @@
         starts: starts::Bounds {
             at_once: STARTS_PER_CORE * cores,
             patience: START_PATIENCE,
+            max_lag: MAX_LAG,
             longest_start: LONGEST_START,
         },
         stack_bytes: STACK_BYTES,
