Don't start a thread for a job that another one was started for

What callers saw: an entry process that is stopped for tens of milliseconds at a time, as by a quota, comes to serve almost nothing in a crowd, and its health checks time out.

Cause: a thread is started for each job that has waited for 5 ms, each time the poller looks, whether or not those started before have run. A process that gets no processor time starts the same hundreds again, and these take the time that the jobs wait for.

Change: threads that were started and have not run yet count as threads that will take a job.

--- a/crates/sageshed-http/src/workers.rs
+++ b/crates/sageshed-http/src/workers.rs
@@ -39,6 +39,8 @@
     jobs: collections::VecDeque<(J, time::Instant)>,
     idle: usize,
     threads: usize,
+    /// Threads that were started and have not run yet.
+    starting: usize,
 }
 
 impl<J: Job> Workers<J> {
@@ -48,6 +50,7 @@
                 jobs: collections::VecDeque::new(),
                 idle: 0,
                 threads: 0,
+                starting: 0,
             }),
             submitted: sync::Condvar::new(),
             eager,
@@ -63,7 +66,7 @@
         if inner.jobs.len() <= inner.idle {
             drop(inner);
             self.submitted.notify_one();
-        } else if inner.threads < self.eager {
+        } else if inner.jobs.len() > inner.idle + inner.starting && inner.threads < self.eager {
             self.start(&mut inner);
         }
     }
@@ -76,7 +79,8 @@
         if !left.is_zero() {
             return Some(left);
         }
-        for _ in inner.idle..inner.jobs.len() {
+        // Where the processor is short, threads started before may not have run yet.
+        for _ in inner.idle + inner.starting..inner.jobs.len() {
             self.start(&mut inner);
         }
         Some(STALLED_AFTER)
@@ -86,6 +90,7 @@
         match self.spawn() {
             Ok(()) => {
                 inner.threads += 1;
+                inner.starting += 1;
                 self.count_threads(inner);
                 let started = &self.counters.threads_started;
                 started.fetch_add(1, atomic::Ordering::Relaxed);
@@ -108,6 +113,7 @@
             .stack_size(self.stack_bytes)
             .spawn(move || {
                 let counted = Counted(workers);
+                counted.0.lock().starting -= 1;
                 while let Some(job) = counted.0.next() {
                     job.run();
                 }
--- a/crates/sageshed-http/tests/starts.rs
+++ b/crates/sageshed-http/tests/starts.rs
@@ -251,7 +251,7 @@
     let mut starts = Starts::new(BOUNDS);
     starts.record_lag(now, BOUNDS.max_lag);
     assert!(starts.takes_new(now) && !starts.is_overloaded(now));
-    starts.record_lag(now, Duration::from_secs(60));
+    starts.record_lag(now, Duration::from_mins(1));
     assert!(!starts.takes_new(now) && starts.is_overloaded(now));
     starts.arrive(now, 0, true);
     starts.arrive(now, 1, false);
@@ -268,7 +268,7 @@
     let mut starts = Starts::new(BOUNDS);
     for id in 0..3 {
         starts.arrive(now, id, false);
-        drop(starts.next(now));
+        let _next = starts.next(now);
     }
     assert!(!starts.is_overloaded(now));
     let later = now + BOUNDS.max_lag + STEP;
