Close an idle connection to make room for a new one

What callers saw: after a crowd an entry process went on refusing new connections for ten seconds while it had little to do, and read each request to refuse it.

Cause: the bound of 640 connections counts idle ones, which callers keep for up to 20 s.

Change: past the bound the connection that has been idle longest, and for a second or more, is closed. If there is none, entry processes of a fleet close the new connection unread, so that its caller tries another process; other ports refuse it with an account as before.

--- a/crates/sageshed-http/src/lib.rs
+++ b/crates/sageshed-http/src/lib.rs
@@ -29,7 +29,12 @@
 //! worker thread from its first byte to the end of its answer; the handler runs on that thread, and while it
 //! waits it may ask [`reply::Reply::caller_gone`], or defer its answer and give the thread back. Between requests a
 //! connection holds no thread. The number of connections and the size of each stack are bounded by
-//! [`limits::Limits`]. A connection past the bound is answered 503 with an account, never dropped in silence.
+//! [`limits::Limits`]. For a connection past the bound an idle one is closed; if there is none, it is answered 503 with
+//! an account, or closed unread where callers have other processes to go to ([`limits::Excess`]).
+//!
+//! # More requests than the processor bears
+//!
+//! The requests that are started at once are bounded by [`starts`]. What can't be started in time is closed unread.
 //!
 //! # What a caller can rely on
 //!
--- a/crates/sageshed-http/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -31,6 +31,8 @@
     /// How many connections may be open at once. Each holds a descriptor, and a thread while a request
     /// on it is at work.
     pub connections: usize,
+    /// What becomes of a connection past this number, if none of the others is idle.
+    pub excess: Excess,
     /// Bounds on the requests that are started at once.
     pub starts: starts::Bounds,
     /// How many connections are left to requests for which the handler does not yield.
@@ -42,6 +44,15 @@
     pub stack_bytes: usize,
 }
 
+/// What becomes of a connection past the bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Excess {
+    /// Its request is refused with an account.
+    Refuse,
+    /// It is closed unread, so that its caller can send the request to another process.
+    Close,
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -52,6 +63,7 @@
             idle_timeout: time::Duration::from_mins(1),
             write_timeout: time::Duration::from_secs(20),
             connections: 4_000,
+            excess: Excess::Refuse,
             starts: starts::Bounds::NONE,
             reserved: 0,
             eager_threads: usize::MAX,
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -27,6 +27,9 @@
 /// At least this long between two searches for connections that were idle for too long.
 const SWEEP: time::Duration = time::Duration::from_millis(20);
 
+/// A connection that was used less than this time ago is not closed to make room for a new one.
+const MIN_IDLE: time::Duration = time::Duration::from_secs(1);
+
 /// Events taken at once.
 const EVENTS: usize = 64;
 
@@ -95,7 +98,7 @@
 
 impl<H: handler::Handler> workers::Job for Job<H> {
     fn run(self) {
-        self.poller.shared.gate.record_lag(self.submitted);
+        self.poller.shared.gate.record_lag(self.submitted.elapsed());
         let next = match self.work {
             Work::Serve => self.connection.serve(),
             Work::Send(bytes, keep) => self.connection.send_rest(&bytes, keep),
@@ -237,13 +240,13 @@
             return self.shared.counters.count_unread();
         }
         let link = Arc::new(link::Link::new(stream));
-        let place = self.shared.enter(Arc::clone(&link), &self.limits);
+        let enter = || self.shared.enter(Arc::clone(&link), &self.limits);
+        let place = enter().or_else(|| {
+            self.close_longest_idle();
+            enter()
+        });
         let Some(place) = place else {
-            let refused = &self.shared.counters.refused;
-            refused.fetch_add(1, atomic::Ordering::Relaxed);
-            return self
-                .overflow
-                .refuse(link, self.limits.connections, &self.shared);
+            return self.refuse(link);
         };
         let connection = connection::Connection {
             link,
@@ -265,6 +268,38 @@
         }
     }
 
+    fn refuse(&self, link: Arc<link::Link>) {
+        match self.limits.excess {
+            limits::Excess::Refuse => {
+                let refused = &self.shared.counters.refused;
+                refused.fetch_add(1, atomic::Ordering::Relaxed);
+                self.overflow
+                    .refuse(link, self.limits.connections, &self.shared);
+            }
+            limits::Excess::Close => self.shared.counters.count_unread(),
+        }
+    }
+
+    /// Closes the connection that has waited longest for its next request, to make room for a new one.
+    fn close_longest_idle(&self) {
+        let latest = time::Instant::now() + self.limits.idle_timeout.saturating_sub(MIN_IDLE);
+        let mut waiting = self.lock();
+        let idle = waiting
+            .connections
+            .iter()
+            .filter_map(|(id, held)| match held.until {
+                Until::Request(until) if !held.connection.is_new && until <= latest => {
+                    Some((until, *id))
+                }
+                _ => None,
+            });
+        let longest = idle.min();
+        let closed = longest.and_then(|(_, id)| waiting.connections.remove(&id));
+        // Dropped once the lock is given back, since closing makes system calls.
+        drop(waiting);
+        drop(closed);
+    }
+
     /// Keeps a connection that waits for a request.
     fn hold(&self, connection: connection::Connection<H>) {
         connection.link.set_idle(true);
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -153,11 +153,8 @@
         self.lock().arrive(time::Instant::now(), id, is_new);
     }
 
-    /// Records that a thread with work has waited for the processor since `since`.
-    pub(crate) fn record_lag(&self, since: time::Instant) {
-        let now = time::Instant::now();
-        self.lock()
-            .record_lag(now, now.saturating_duration_since(since));
+    pub(crate) fn record_lag(&self, lag: time::Duration) {
+        self.lock().record_lag(time::Instant::now(), lag);
     }
 
     /// Whether a request that arrives now on a new connection can be started in time.
@@ -190,6 +187,18 @@
     }
 }
 
+/// Tells a port how late its process is.
+#[derive(Debug, Clone)]
+pub struct Load(sync::Arc<Gate>);
+
+impl Load {
+    /// Records that the process has taken up something this long after it was there. While it is late, the port starts
+    /// no requests on new connections.
+    pub fn record_lag(&self, lag: time::Duration) {
+        self.0.record_lag(lag);
+    }
+}
+
 /// One connection's place under the bound, given back when dropped, also by a panic.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -259,6 +268,12 @@
         self.shared.counters.read(self.connections_open())
     }
 
+    /// What the owner of the port tells it of the load on the process.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load(sync::Arc::clone(&self.shared.gate))
+    }
+
     /// Makes each answer from now on the last on its connection.
     pub fn drain(&self) {
         self.shared.draining.store(true, atomic::Ordering::Relaxed);
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -370,3 +370,39 @@
     assert_eq!(kept.answer().expect("an answer").status, 200);
     assert_eq!(Client::connect(&server).get("/again").status, 200);
 }
+
+/// Guards against idle connections that keep all places, so that new callers are refused by a process with nothing to do.
+#[test]
+fn an_idle_connection_makes_room_for_a_new_one() {
+    let limits = limits::Limits {
+        connections: 2,
+        ..limits::Limits::default()
+    };
+    let server = start(limits, echo);
+    let mut idle = Client::connect(&server);
+    assert_eq!(idle.get("/").status, 200);
+    // A connection in use only a moment ago is kept.
+    let mut second = Client::connect(&server);
+    assert_eq!(second.get("/").status, 200);
+    assert_eq!(Client::connect(&server).get("/").status, 503);
+    std::thread::sleep(Duration::from_millis(1_100));
+    assert_eq!(second.get("/").status, 200);
+    assert_eq!(Client::connect(&server).get("/new").status, 200);
+    assert!(idle.at_end());
+    assert_eq!(second.get("/").status, 200);
+}
+
+/// Guards against a request that is read to be refused, though its caller could have sent it to another process.
+#[test]
+fn a_connection_past_the_bound_is_closed_unread_if_there_are_other_processes() {
+    let limits = limits::Limits {
+        connections: 0,
+        excess: limits::Excess::Close,
+        ..limits::Limits::default()
+    };
+    let server = start(limits, echo);
+    let mut client = Client::connect(&server);
+    client.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert!(client.head().is_none());
+    assert_eq!(server.stats().unread, 1);
+}
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -209,6 +209,7 @@
     let by_memory = resources.memory_mb * 1_024 / 2 / CONNECTION_KB;
     limits::Limits {
         connections: by_descriptors.min(by_memory).max(HEALTH_CHECK_CONNECTIONS),
+        excess: limits::Excess::Close,
         starts: starts::Bounds {
             at_once: STARTS_PER_CORE * cores,
             patience: START_PATIENCE,
