Wait longer for replies of peers while this process reads them late

What callers saw: requests read by a crowded entry process are refused for want of slots or engines that are free, since coordinators that don't reply within 25 ms count as failed for a second, and the process falls back on its own share of the slots, a 77th.

Cause: a process that reads replies late, for want of processor time or since its link is full, takes its peers for failed.

Change: `reply_times` keeps the latest reply time of each peer. The timeout of a query is three times that of the faster half of the peers, at least 25 ms as before and at most 150 ms, for which a grant is valid. By how much it exceeds the usual one is the lateness of this process; over 25 ms it counts as lag of the port for callers, which then starts no requests on new connections.

Why it holds: one slow peer, or one of two, changes neither figure; what is slow for good becomes usual, by 1 ms a second.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod queue_holder;
 pub mod records_age;
 pub mod replication;
+pub mod reply_times;
 pub mod routes;
 pub mod shared_queue;
 pub mod slots;
--- a/crates/sageshed-fleet/src/queue_holder.rs
+++ b/crates/sageshed-fleet/src/queue_holder.rs
@@ -9,15 +9,14 @@
 
 use sageshed_types::time;
 
-use crate::entry_peers::{RoutingDecision, RoutingReply};
+use crate::{
+    entry_peers::{RoutingDecision, RoutingReply},
+    reply_times::REPLY_TIMEOUT,
+};
 
 /// How long a grant is valid. What it has reserved at the endpoint goes to another request afterwards.
 pub const GRANT_TTL: time::Millis = time::Millis(150);
 
-/// The timeout for the reply to a query: several round trips between availability zones, and short compared to the
-/// latency targets of routes.
-pub const REPLY_TIMEOUT: time::Millis = time::Millis(25);
-
 /// The interval at which the query of a queued request is repeated.
 pub const REPEAT_INTERVAL: time::Millis = time::Millis(400);
 
@@ -73,6 +72,7 @@
     coordinator: Option<net::Ipv4Addr>,
     /// All coordinators that may have the request in their queues.
     joined: Vec<net::Ipv4Addr>,
+    reply_timeout: time::Millis,
 }
 
 impl Default for QueueHolder {
@@ -81,17 +81,23 @@
             state: State::New,
             coordinator: None,
             joined: Vec::new(),
+            reply_timeout: REPLY_TIMEOUT,
         }
     }
 }
 
 impl QueueHolder {
+    /// Sets the timeout for the reply to the latest query.
+    pub fn set_reply_timeout(&mut self, timeout: time::Millis) {
+        self.reply_timeout = timeout;
+    }
+
     /// The coordinator that has not replied in time, once for each query.
     pub fn take_unanswered(&mut self, now: time::Instant) -> Option<net::Ipv4Addr> {
         let State::Asked { since, is_repeat } = self.state else {
             return None;
         };
-        if now.since(since) < REPLY_TIMEOUT {
+        if now.since(since) < self.reply_timeout {
             return None;
         }
         self.state = if is_repeat {
@@ -109,7 +115,7 @@
             (over < span).then(|| time::Millis(span.0 - over.0))
         };
         let waiting = match self.state {
-            State::Asked { since, .. } => left(since, REPLY_TIMEOUT).map(Action::AwaitReply),
+            State::Asked { since, .. } => left(since, self.reply_timeout).map(Action::AwaitReply),
             State::Queued { since } => left(since, REPEAT_INTERVAL).map(Action::AwaitGrant),
             State::Polling { since } => left(since, POLL_INTERVAL).map(Action::Poll),
             State::Unanswered => {
--- a/crates/sageshed-fleet/src/slots/holder.rs
+++ b/crates/sageshed-fleet/src/slots/holder.rs
@@ -10,10 +10,6 @@
 
 use super::SlotDecision;
 
-/// How long the process waits for a reply: several round trips between availability zones, and short beside
-/// the latency targets of routes.
-pub const REPLY_TIMEOUT: time::Millis = time::Millis(25);
-
 /// How long a request waits for the process's share of the slots before a coordinator is asked again. Coordinators
 /// are responsive again soon after most failures, and know of free slots beyond the share.
 pub const RETURN_INTERVAL: time::Millis = time::Millis(50);
@@ -57,18 +53,25 @@
     /// Number of coordinators that can't tell.
     unknown: usize,
     wake_at: time::Instant,
+    reply_timeout: time::Millis,
 }
 
 impl SlotWait {
-    /// Begins a wait. `coordinators` are the responsive ones, in the order in which they are asked.
+    /// Begins a wait. `coordinators` are the responsive ones, in the order in which they are asked, each of which has
+    /// `reply_timeout` to reply.
     #[must_use]
-    pub fn begin(now: time::Instant, coordinators: Vec<net::Ipv4Addr>) -> (Self, HolderStep) {
+    pub fn begin(
+        now: time::Instant,
+        coordinators: Vec<net::Ipv4Addr>,
+        reply_timeout: time::Millis,
+    ) -> (Self, HolderStep) {
         let mut wait = Self {
             coordinators,
             asked: 0,
             is_reply_due: false,
             unknown: 0,
             wake_at: now,
+            reply_timeout,
         };
         let step = wait.ask(now);
         (wait, step)
@@ -157,7 +160,7 @@
             };
         };
         self.is_reply_due = true;
-        self.wake_at = now + REPLY_TIMEOUT;
+        self.wake_at = now + self.reply_timeout;
         HolderStep::Ask(*coordinator)
     }
 }
--- a/crates/sageshed-fleet/tests/slots.rs
+++ b/crates/sageshed-fleet/tests/slots.rs
@@ -8,6 +8,7 @@
     budget,
     chooser::{Choice, Chooser, EndpointQuery},
     dialect,
+    reply_times::REPLY_TIMEOUT,
     slots::{
         HolderStep, SlotAttempt, SlotCoordinator, SlotDecision, SlotEndpoint, SlotRelease,
         SlotRequest, SlotTable, SlotWait, messages::SlotOutcome,
@@ -400,7 +401,7 @@
 fn a_holder_uses_only_fresh_grants_of_the_coordinator_that_it_asked() {
     let coordinators = vec![HOLDER, OTHER];
     let grant = SlotDecision::Endpoint(3);
-    let (mut wait, step) = SlotWait::begin(T0, coordinators);
+    let (mut wait, step) = SlotWait::begin(T0, coordinators, REPLY_TIMEOUT);
     assert_eq!(step, HolderStep::Ask(HOLDER));
     assert_eq!(wait.on_reply(T0, OTHER, grant), HolderStep::Hold);
     let late = wait.wake_at() + time::Millis(150);
@@ -454,7 +455,7 @@
 /// stayed within one request at a time while the other coordinator could have granted a slot.
 #[test]
 fn a_holder_asks_the_next_coordinator_before_it_decides_by_itself() {
-    let begin = || SlotWait::begin(T0, vec![HOLDER, OTHER]).0;
+    let begin = || SlotWait::begin(T0, vec![HOLDER, OTHER], REPLY_TIMEOUT).0;
     let unknown = SlotDecision::Unknown;
     let mut wait = begin();
     assert_eq!(wait.on_timeout(wait.wake_at()), HolderStep::Ask(OTHER));
--- a/crates/sageshed-fleet/tests/support/slot_sim/requests.rs
+++ b/crates/sageshed-fleet/tests/support/slot_sim/requests.rs
@@ -6,6 +6,7 @@
     chooser::{AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, Pick},
     dialect, entry_peers,
     entry_peers::Datagram,
+    reply_times::REPLY_TIMEOUT,
     slots,
     slots::{
         HolderStep, SlotDecision, SlotGrant, SlotRelease, SlotRequest, SlotWait, holder, messages,
@@ -74,7 +75,7 @@
             .retain(|_, at| now.since(*at) < time::Millis(1_000));
         let mut coordinators = entry.chooser.slot_coordinators(PLAIN);
         coordinators.retain(|it| !entry.unresponsive.contains_key(it));
-        let (wait, step) = SlotWait::begin(now, coordinators);
+        let (wait, step) = SlotWait::begin(now, coordinators, REPLY_TIMEOUT);
         self.requests[request].wait = Some(wait);
         self.step(request, step);
     }
--- a/src/sageshed/gateway/allowances.rs
+++ b/src/sageshed/gateway/allowances.rs
@@ -92,7 +92,10 @@
     if coordinator == own {
         return Some(serve_acquire(shared, own, &request));
     }
-    shared.entry_peers.as_ref()?.acquire(coordinator, request)
+    shared
+        .entry_peers
+        .as_ref()?
+        .acquire(shared.clock.now(), coordinator, request)
 }
 
 /// Serves a request for units as the coordinator of the allowance.
--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -7,8 +7,10 @@
     thread, time,
 };
 
-use sageshed_fleet::{allowance, chooser, dialect, directory, entry_peers as wire, stream_origins};
-use sageshed_types::time::Millis;
+use sageshed_fleet::{
+    allowance, chooser, dialect, directory, entry_peers as wire, reply_times, stream_origins,
+};
+use sageshed_types::time::{Instant, Millis};
 
 use super::{allowances, queues, routing_queries, slots, state};
 use crate::{clock, locks, sampler};
@@ -16,10 +18,6 @@
 /// The largest datagram that is received. A routing query with a prompt of eight parts takes about 300 bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// The timeout for a reply: several round trips between availability zones, and short compared to the latency
-/// targets of routes.
-const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(25);
-
 /// How long a coordinator that did not reply is skipped.
 const UNRESPONSIVE_PERIOD: time::Duration = time::Duration::from_secs(1);
 
@@ -61,6 +59,8 @@
     next_id: atomic::AtomicU64,
     /// The coordinators that did not reply, and when.
     unresponsive: sync::Mutex<collections::HashMap<net::Ipv4Addr, time::Instant>>,
+    /// How long peers take to reply.
+    reply_times: sync::Mutex<reply_times::ReplyTimes>,
     /// How often a coordinator did not reply in time, since the start.
     timeouts: atomic::AtomicU64,
     /// The replies that came after that.
@@ -83,6 +83,7 @@
             // predecessor for its own.
             next_id: atomic::AtomicU64::new(clock::unix_ms() << ID_BITS_PER_MS),
             unresponsive: sync::Mutex::default(),
+            reply_times: sync::Mutex::default(),
             timeouts: atomic::AtomicU64::new(0),
             late_replies: atomic::AtomicU64::new(0),
         })
@@ -110,6 +111,7 @@
     /// Asks the first responsive one of `coordinators` where to send a request. None if it does not reply.
     pub fn query_routing(
         &self,
+        now: Instant,
         coordinators: &[net::Ipv4Addr],
         mut query: wire::RoutingQuery,
     ) -> Option<wire::RoutingDecision> {
@@ -117,6 +119,7 @@
         query.id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
         let id = query.id;
         let decision = self.call(
+            now,
             &self.pending_routing,
             id,
             &wire::Datagram::RoutingQuery(query),
@@ -135,6 +138,25 @@
         ::log::debug!(home:% = coordinator; "gateway: coordinator of a model does not reply");
     }
 
+    /// Records that the query `id` is sent. Returns the timeout for its reply.
+    pub(super) fn begin_query(&self, now: Instant, id: u64) -> Millis {
+        let mut times = locks::lock(&self.reply_times);
+        times.query(now, id);
+        times.timeout(now)
+    }
+
+    /// The timeout for a reply to a query that is sent now.
+    pub(super) fn reply_timeout(&self, now: Instant) -> Millis {
+        locks::lock(&self.reply_times).timeout(now)
+    }
+
+    /// Records the reply of `peer` to the query `id`. Returns by how much this process is late.
+    fn end_query(&self, now: Instant, id: u64, peer: net::Ipv4Addr) -> Millis {
+        let mut times = locks::lock(&self.reply_times);
+        times.reply(now, id, peer);
+        times.lateness(now)
+    }
+
     /// Counts a reply that came after its coordinator was given up.
     pub(super) fn count_late_reply(&self) {
         self.late_replies.fetch_add(1, atomic::Ordering::Relaxed);
@@ -176,6 +198,7 @@
     /// Asks the processes `holders` which version began a stream. None if none that replies has a record.
     pub(super) fn query_origin(
         &self,
+        now: Instant,
         stream: stream_origins::StreamKey,
         mut holders: Vec<net::Ipv4Addr>,
     ) -> Option<directory::SoftwareKey> {
@@ -184,9 +207,10 @@
         locks::lock(&self.pending_origins).insert(id, tx);
         let query = wire::Datagram::OriginQuery(stream_origins::OriginQuery { id, stream });
         let mut found = None;
+        let timeout = time::Duration::from(self.reply_timeout(now));
         for _ in 0..ORIGIN_QUERIES {
             self.send(&query, &holders);
-            let until = time::Instant::now() + REPLY_TIMEOUT;
+            let until = time::Instant::now() + timeout;
             while found.is_none() && !holders.is_empty() {
                 let left = until.saturating_duration_since(time::Instant::now());
                 let Ok((from, software)) = rx.recv_timeout(left) else {
@@ -214,10 +238,12 @@
     /// Asks `coordinator` for units of an allowance. None if it does not reply.
     pub fn acquire(
         &self,
+        now: Instant,
         coordinator: net::Ipv4Addr,
         request: allowance::AcquireRequest,
     ) -> Option<allowance::AcquireReply> {
         self.call(
+            now,
             &self.pending_acquires,
             request.id,
             &wire::Datagram::Acquire(request),
@@ -239,6 +265,7 @@
 
     fn call<T>(
         &self,
+        now: Instant,
         pending: &PendingReplies<T>,
         id: u64,
         query: &wire::Datagram,
@@ -246,8 +273,9 @@
     ) -> Option<T> {
         let (tx, rx) = mpsc::sync_channel(1);
         locks::lock(pending).insert(id, tx);
+        let timeout = self.begin_query(now, id);
         self.send(query, &[coordinator]);
-        let reply = rx.recv_timeout(REPLY_TIMEOUT).ok();
+        let reply = rx.recv_timeout(timeout.into()).ok();
         locks::lock(pending).remove(&id);
         reply
     }
@@ -299,6 +327,9 @@
     if shared.is_stopping() && !decoded.as_ref().is_ok_and(is_of_stream) {
         return;
     }
+    if let Some(id) = decoded.as_ref().ok().and_then(replied_query) {
+        record_reply(shared, id, *from.ip());
+    }
     match decoded {
         Ok(wire::Datagram::Observation(seen)) => shared.apply_observation(*from.ip(), &seen),
         Ok(wire::Datagram::RoutingQuery(query)) => {
@@ -370,6 +401,29 @@
     }
 }
 
+/// The query that a datagram replies to.
+fn replied_query(datagram: &wire::Datagram) -> Option<u64> {
+    match datagram {
+        wire::Datagram::RoutingReply(reply) => Some(reply.id),
+        wire::Datagram::Acquired(id, _) => Some(*id),
+        wire::Datagram::SlotGrant(grant) => Some(grant.request),
+        _ => None,
+    }
+}
+
+/// Records a reply. If this process reads replies late, it takes fewer new connections.
+fn record_reply<D: dialect::Dialect>(shared: &state::Shared<D>, id: u64, from: net::Ipv4Addr) {
+    let Some(peers) = &shared.entry_peers else {
+        return;
+    };
+    let late = peers.end_query(shared.clock.now(), id, from);
+    if late > reply_times::REPLY_TIMEOUT
+        && let Some(load) = shared.callers_load.get()
+    {
+        load.record_lag(late.into());
+    }
+}
+
 /// Whether a datagram is about the versions that began streams.
 fn is_of_stream(datagram: &wire::Datagram) -> bool {
     matches!(
--- a/src/sageshed/gateway/proxy/queue_wait.rs
+++ b/src/sageshed/gateway/proxy/queue_wait.rs
@@ -5,7 +5,7 @@
 use sageshed_fleet::{
     allowance, chooser, dialect,
     entry_peers::{self as wire, RoutingDecision},
-    queue_holder,
+    queue_holder, reply_times,
 };
 use sageshed_types::{refusal, time, verdict};
 
@@ -117,7 +117,7 @@
                 continue;
             };
             let queried_at = wait.queried_at.take();
-            if queried_at.is_some_and(|it| it.elapsed() > queue_holder::REPLY_TIMEOUT.into()) {
+            if queried_at.is_some_and(|it| it.elapsed() > reply_times::REPLY_TIMEOUT.into()) {
                 peers.count_late_reply();
             }
             let now = self.shared.clock.now();
@@ -222,6 +222,7 @@
         wait: &mut QueueWait,
         to: net::Ipv4Addr,
     ) -> Option<()> {
+        let peers = self.shared.entry_peers.as_ref()?;
         let message = routing_queries::message(self.shared, wait.request, query)?;
         wait.queries += 1;
         wait.queried_at = Some(std_time::Instant::now());
@@ -230,6 +231,12 @@
             queue: Some(self.membership()),
             ..message
         };
+        let timeout = if to == self.shared.settings.discovery.ip {
+            reply_times::REPLY_TIMEOUT
+        } else {
+            peers.begin_query(self.shared.clock.now(), wait.id)
+        };
+        wait.holder.set_reply_timeout(timeout);
         queues::send(self.shared, to, wire::Datagram::RoutingQuery(message));
         Some(())
     }
--- a/src/sageshed/gateway/proxy/slot.rs
+++ b/src/sageshed/gateway/proxy/slot.rs
@@ -3,7 +3,7 @@
 
 use std::{net, sync::atomic, sync::mpsc, time as std_time};
 
-use sageshed_fleet::{chooser, dialect, entry_peers as wire, slots};
+use sageshed_fleet::{chooser, dialect, entry_peers as wire, reply_times, slots};
 use sageshed_http::reply;
 use sageshed_types::{time, verdict};
 
@@ -69,7 +69,11 @@
             let client = &self.shared.slots;
             let (id, decisions) = client.register(own, self.shared.started);
             let now = self.shared.clock.now();
-            let (mut wait, step) = slots::SlotWait::begin(now, coordinators);
+            let timeout = match &self.shared.entry_peers {
+                Some(peers) => peers.reply_timeout(now),
+                None => reply_times::REPLY_TIMEOUT,
+            };
+            let (mut wait, step) = slots::SlotWait::begin(now, coordinators, timeout);
             let result = self.wait_for_slot(id, &decisions, &mut wait, step, watch);
             let granted = match result {
                 SlotResult::Granted(by, endpoint) => Some((by, endpoint)),
--- a/src/sageshed/gateway/routing_queries.rs
+++ b/src/sageshed/gateway/routing_queries.rs
@@ -48,7 +48,11 @@
     if coordinators.is_empty() {
         return None;
     }
-    peers.query_routing(&coordinators, message(shared, request, query)?)
+    peers.query_routing(
+        shared.clock.now(),
+        &coordinators,
+        message(shared, request, query)?,
+    )
 }
 
 /// The message that asks where to send a request. None if it is for no model.
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -88,6 +88,7 @@
         shared: sync::Arc::clone(&shared),
     };
     let callers = start(listen.callers, caller_limits(&shared.settings), port)?;
+    shared.callers_load.get_or_init(|| callers.load());
     let metrics = listen
         .metrics
         .map(|address| {
--- a/src/sageshed/gateway/slots.rs
+++ b/src/sageshed/gateway/slots.rs
@@ -120,6 +120,7 @@
     if coordinator == shared.settings.discovery.ip {
         serve_request(shared, coordinator, request);
     } else if let Some(peers) = &shared.entry_peers {
+        peers.begin_query(shared.clock.now(), request.request);
         peers.send(&wire::Datagram::SlotRequest(request), &[coordinator]);
     }
 }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -14,7 +14,7 @@
     slots::SlotCoordinator,
     stream_origins,
 };
-use sageshed_http::stats;
+use sageshed_http::{server, stats};
 use sageshed_types::{document, time};
 use sageshed_upstream::{pool, relay};
 
@@ -53,6 +53,8 @@
     pub started: u64,
     /// The metrics of this process.
     pub metrics: metrics::Metrics,
+    /// The load of the port for callers, once that is open.
+    pub(super) callers_load: sync::OnceLock<server::Load>,
     /// The figures of the port for callers in the latest second.
     pub(super) port_stats: sync::Mutex<stats::Stats>,
     /// The traces of the latest requests, for operators.
@@ -201,6 +203,7 @@
             slots: slots::SlotClient::default(),
             started: start,
             metrics: metrics::Metrics::default(),
+            callers_load: sync::OnceLock::new(),
             port_stats: sync::Mutex::default(),
             traces: sync::Mutex::new(accounts::Accounts::new(MAX_TRACES)),
             sampler: sampler::Sampler::new(MAX_SUCCESSES_LOGGED_PER_SECOND),
--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -61,7 +61,10 @@
     let known = shared.with_core(|core| core.origins.get(now, stream));
     known.or_else(|| {
         let asked = shared.with_core(|core| stream_origins::asked(stream, own, &core.entries));
-        shared.entry_peers.as_ref()?.query_origin(stream, asked)
+        shared
+            .entry_peers
+            .as_ref()?
+            .query_origin(shared.clock.now(), stream, asked)
     })
 }
 
