Start a request on a new connection now and then however late the process is

What callers would see: a process that says that it takes connections, and closes each new one for as long as those in use are too much for it.

Cause: each wait for the processor renews the pause, and requests on connections in use go first without a bound.

Change: half a second after a new connection was turned away the next one is started whatever else waits.

--- a/crates/sageshed-http/src/starts.rs
+++ b/crates/sageshed-http/src/starts.rs
@@ -19,7 +19,8 @@
 /// No request on a new connection is started for the time that a thread has waited for the processor, times this.
 const PAUSE_FACTOR: u32 = 2;
 
-/// The longest of these pauses, so that a process that says that it takes connections does take some.
+/// The longest time for which no request on a new connection is started while some arrive, so that a process that says
+/// that it takes connections does take some.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
 
 /// Bounds on the requests that are started.
@@ -76,6 +77,8 @@
     starting: collections::VecDeque<Waiting>,
     /// Until when no request on a new connection is started.
     paused_until: Option<time::Instant>,
+    /// When a request on a new connection is started whatever else waits, since one was turned away.
+    new_due_at: Option<time::Instant>,
     /// The mean time between two starts while requests wait.
     pace: Option<time::Duration>,
     started_at: Option<time::Instant>,
@@ -92,6 +95,7 @@
             hopeless: Vec::new(),
             starting: collections::VecDeque::new(),
             paused_until: None,
+            new_due_at: None,
             pace: None,
             started_at: None,
         }
@@ -109,14 +113,22 @@
         }
     }
 
-    /// Whether a request that arrives now on a new connection can be started in time.
+    /// Whether a request that arrives now on a new connection can be started in time. If not, it is to be turned away.
     #[must_use]
-    pub fn takes_new(&self, now: time::Instant) -> bool {
+    pub fn takes_new(&mut self, now: time::Instant) -> bool {
         let pause = self
             .paused_until
             .map(|it| it.saturating_duration_since(now));
         let wait = self.expected_wait().max(pause.unwrap_or_default());
-        wait <= self.bounds.patience
+        let is_taken = wait <= self.bounds.patience || self.is_new_due(now);
+        if !is_taken {
+            self.new_due_at.get_or_insert(now + MAX_PAUSE);
+        }
+        is_taken
+    }
+
+    fn is_new_due(&self, now: time::Instant) -> bool {
+        self.new_due_at.is_some_and(|it| now >= it)
     }
 
     /// Whether more is asked of the process than it gets done: threads with work wait too long for the processor, or
@@ -143,7 +155,7 @@
     /// Records how long a thread with work has waited for the processor until now.
     pub fn record_lag(&mut self, now: time::Instant, lag: time::Duration) {
         if lag > self.bounds.max_lag {
-            let until = now + (lag * PAUSE_FACTOR).min(MAX_PAUSE);
+            let until = now + lag.saturating_mul(PAUSE_FACTOR).min(MAX_PAUSE);
             self.paused_until = self.paused_until.max(Some(until));
         }
     }
@@ -165,8 +177,9 @@
             self.starting.pop_front();
         }
         let has_place = self.starting.len() < self.bounds.at_once;
-        if has_place && (!self.is_paused(now) || !self.on_kept.is_empty()) {
-            return self.start(now);
+        let is_new_due = !self.on_new.is_empty() && self.is_new_due(now);
+        if has_place && (is_new_due || !self.is_paused(now) || !self.on_kept.is_empty()) {
+            return self.start(now, is_new_due);
         }
         let closes_at = self
             .on_new
@@ -175,6 +188,7 @@
         if closes_at.is_some_and(|it| now >= it)
             && let Some(expired) = self.on_new.pop_front()
         {
+            self.new_due_at.get_or_insert(now + MAX_PAUSE);
             return Next::Close(expired.id);
         }
         let ends_at = self.starting.front().map(|it| it.since + longest);
@@ -186,9 +200,12 @@
         Next::Wait(closes_at.into_iter().chain(may_start_at).min())
     }
 
-    fn start(&mut self, now: time::Instant) -> Next {
-        let waiting = self.on_kept.pop_front().or_else(|| self.on_new.pop_front());
-        let Some(waiting) = waiting else {
+    fn start(&mut self, now: time::Instant, is_new_due: bool) -> Next {
+        let kept = self.on_kept.pop_front_if(|_| !is_new_due);
+        if kept.is_none() {
+            self.new_due_at = None;
+        }
+        let Some(waiting) = kept.or_else(|| self.on_new.pop_front()) else {
             return Next::Wait(None);
         };
         self.record_start(now);
--- a/crates/sageshed-http/tests/starts.rs
+++ b/crates/sageshed-http/tests/starts.rs
@@ -261,6 +261,35 @@
     assert!(starts.takes_new(later) && !starts.is_overloaded(later));
 }
 
+/// Guards against a process that says that it takes connections and takes none, since those in use are too much for it.
+#[test]
+fn a_process_that_is_overloaded_for_long_starts_a_new_connection_now_and_then() {
+    let begin = Instant::now();
+    let mut starts = Starts::new(BOUNDS);
+    let mut started = Vec::new();
+    for step in 0..400 {
+        let now = begin + Duration::from_millis(10) * step;
+        let id = u64::from(step) * 3;
+        starts.record_lag(now, Duration::from_millis(100));
+        // Two requests on connections in use arrive for each one that is started, and one on a new connection.
+        starts.arrive(now, id, false);
+        starts.arrive(now, id + 1, false);
+        if starts.takes_new(now) {
+            starts.arrive(now, id + 2, true);
+        }
+        if let Next::Start(id, _) = starts.next(now) {
+            starts.end_start(id);
+            if id % 3 == 2 {
+                started.push(now);
+            }
+        }
+    }
+    let intervals = started.windows(2).map(|it| it[1] - it[0]);
+    let longest = intervals.max();
+    assert!(longest <= Some(Duration::from_millis(600)), "{longest:?}");
+    assert!((6..=9).contains(&started.len()), "{}", started.len());
+}
+
 /// Guards against callers that keep connections to a process which is seconds behind with the requests on them.
 #[test]
 fn requests_in_wait_on_connections_in_use_are_an_overload() {
