Make room for new connections also by closing those that never sent a request

Found by reading; a connection is closed only after it has waited for a second, when its place is needed.

--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -27,7 +27,7 @@
 /// At least this long between two searches for connections that were idle for too long.
 const SWEEP: time::Duration = time::Duration::from_millis(20);
 
-/// A connection that was used less than this time ago is not closed to make room for a new one.
+/// A connection that has waited for a request for less than this time is not closed to make room for a new one.
 const MIN_IDLE: time::Duration = time::Duration::from_secs(1);
 
 /// Events taken at once.
@@ -280,7 +280,7 @@
         }
     }
 
-    /// Closes the connection that has waited longest for its next request, to make room for a new one.
+    /// Closes the connection that has waited longest for a request, to make room for a new one.
     fn close_longest_idle(&self) {
         let latest = time::Instant::now() + self.limits.idle_timeout.saturating_sub(MIN_IDLE);
         let mut waiting = self.lock();
@@ -288,9 +288,7 @@
             .connections
             .iter()
             .filter_map(|(id, held)| match held.until {
-                Until::Request(until) if !held.connection.is_new && until <= latest => {
-                    Some((until, *id))
-                }
+                Until::Request(until) if until <= latest => Some((until, *id)),
                 _ => None,
             });
         let longest = idle.min();
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -381,7 +381,7 @@
     let server = start(limits, echo);
     let mut idle = Client::connect(&server);
     assert_eq!(idle.get("/").status, 200);
-    // A connection in use only a moment ago is kept.
+    // A connection that was in use a moment ago is kept.
     let mut second = Client::connect(&server);
     assert_eq!(second.get("/").status, 200);
     assert_eq!(Client::connect(&server).get("/").status, 503);
