Wake the poller only for a start that has freed a place

The end of a start was reported when the request was routed and again when its response had ended, and each report woke the poller while requests waited, though the second frees no place: one useless pass for each response, just when the processor is short. A report that frees nothing wakes nobody now; a place that was freed by time is still looked at when it is due. Ports without a bound need no case of their own, since what they start no longer counts at once.

Found by reading; no figures were measured. What is started, closed or kept waiting is unchanged: the tests of sageshed-http and `crowd::a_process_that_gets_most_new_connections_serves_what_it_reads` (debug build) pass with it.

--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -173,8 +173,8 @@
 
     /// Records that the request on a connection is started, or has ended.
     pub(crate) fn end_start(&self, id: u64) {
-        let waits = self.lock().end_start(id);
-        if waits {
+        let may_start = self.lock().end_start(id);
+        if may_start {
             self.deferred.wake();
         }
     }
--- a/crates/sageshed-http/src/starts.rs
+++ b/crates/sageshed-http/src/starts.rs
@@ -146,10 +146,11 @@
         self.paused_until.is_some_and(|it| now < it)
     }
 
-    /// Records that the request on a connection is started, or has ended. Returns whether others wait.
+    /// Records that the request on a connection is started, or has ended. Returns whether another one may be started.
     pub fn end_start(&mut self, id: u64) -> bool {
+        let before = self.starting.len();
         self.starting.retain(|it| it.id != id);
-        self.waits()
+        self.starting.len() < before && self.waits()
     }
 
     /// Records how long a thread with work has waited for the processor until now.
@@ -209,10 +210,8 @@
             return Next::Wait(None);
         };
         self.record_start(now);
-        if self.bounds.at_once != usize::MAX {
-            let id = waiting.id;
-            self.starting.push_back(Waiting { id, since: now });
-        }
+        let id = waiting.id;
+        self.starting.push_back(Waiting { id, since: now });
         Next::Start(waiting.id, waiting.since)
     }
 
