Log and count what tells the causes of ended responses apart

No line of the log told that a refused request had begun, by which configuration it was routed, or how much of its time was over, and no metric counted the streams that a process cuts or the idle connections that it closes with bytes unread. No logic is changed.

--- a/crates/sageshed-http/src/link.rs
+++ b/crates/sageshed-http/src/link.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether bytes have arrived that were not read. Does not block.
+    pub(crate) fn has_input(&self) -> bool {
+        let flags = net::RecvFlags::PEEK | net::RecvFlags::DONTWAIT;
+        matches!(net::recv(&self.stream, &mut [0], flags), Ok((_, n)) if n > 0)
+    }
+
     /// Reads away what has come. Does not block.
     pub(crate) fn discard(&self) -> Discarded {
         let flags = net::RecvFlags::DONTWAIT;
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -295,7 +295,9 @@
         let closed = longest.and_then(|(_, id)| waiting.connections.remove(&id));
         // Dropped once the lock is given back, since closing makes system calls.
         drop(waiting);
-        drop(closed);
+        if let Some(held) = closed {
+            self.count_expired(&held);
+        }
     }
 
     /// Keeps a connection that waits for a request.
@@ -468,7 +470,18 @@
         let expired: Vec<_> = expired.collect();
         waiting.earliest = waiting.connections.values().filter_map(deadline).min();
         drop(waiting);
-        drop(expired);
+        for (_, held) in expired {
+            self.count_expired(&held);
+        }
+    }
+
+    /// Counts an idle connection that is closed.
+    fn count_expired(&self, held: &Held<H>) {
+        let has_input = held.connection.link.has_input();
+        self.shared.counters.count_expired(has_input);
+        if has_input {
+            log::warn!(peer:% = held.connection.peer; "http: closing an idle connection with a request unread");
+        }
     }
 
     /// The table is whole after each statement on it, so a panic elsewhere does not spoil it.
--- a/crates/sageshed-http/src/stats.rs
+++ b/crates/sageshed-http/src/stats.rs
@@ -17,6 +17,10 @@
     pub refused: u64,
     /// Connections that were closed unread since the start, since their requests could not be started in time.
     pub unread: u64,
+    /// Connections that were closed since the start, since they were idle for too long or made room for others.
+    pub expired: u64,
+    /// Of these, the ones on which bytes had arrived that were not read.
+    pub expired_with_input: u64,
 }
 
 /// The counters behind [`Stats`].
@@ -27,6 +31,8 @@
     longest_wait_ms: atomic::AtomicU64,
     pub(crate) refused: atomic::AtomicU64,
     unread: atomic::AtomicU64,
+    expired: atomic::AtomicU64,
+    expired_with_input: atomic::AtomicU64,
 }
 
 impl Counters {
@@ -41,6 +47,12 @@
         self.unread.fetch_add(1, atomic::Ordering::Relaxed);
     }
 
+    pub(crate) fn count_expired(&self, has_input: bool) {
+        self.expired.fetch_add(1, atomic::Ordering::Relaxed);
+        self.expired_with_input
+            .fetch_add(u64::from(has_input), atomic::Ordering::Relaxed);
+    }
+
     pub(crate) fn read(&self, open: usize) -> Stats {
         let longest_wait_ms = self.longest_wait_ms.swap(0, atomic::Ordering::Relaxed);
         Stats {
@@ -50,6 +62,8 @@
             longest_wait: time::Duration::from_millis(longest_wait_ms),
             refused: self.refused.load(atomic::Ordering::Relaxed),
             unread: self.unread.load(atomic::Ordering::Relaxed),
+            expired: self.expired.load(atomic::Ordering::Relaxed),
+            expired_with_input: self.expired_with_input.load(atomic::Ordering::Relaxed),
         }
     }
 }
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -93,6 +93,7 @@
     ended: instruments::Counter<u64>,
     by_workspace: instruments::Counter<u64>,
     resumed: instruments::Counter<u64>,
+    cut: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
     gauges: Gauges,
@@ -132,6 +133,7 @@
     open: metrics::Gauge,
     refused: metrics::Gauge,
     unread: metrics::Gauge,
+    expired: metrics::Gauge,
     longest_wait: metrics::Gauge,
     threads: metrics::Gauge,
     threads_started: metrics::Gauge,
@@ -246,6 +248,10 @@
                 "sageshed_gateway_callers_unread",
                 "Connections closed unread since the start, since their requests could not be started in time",
             ),
+            expired: gauge(
+                "sageshed_gateway_callers_expired",
+                "Connections closed since the start, since they were idle for too long",
+            ),
             longest_wait: gauge(
                 "sageshed_gateway_start_wait",
                 "The longest time in seconds that a request has waited for its start in the latest second",
@@ -269,6 +275,13 @@
         self.open.set(port.open as f64);
         self.refused.set(port.refused as f64);
         self.unread.set(port.unread as f64);
+        let expired = [
+            ("none", port.expired - port.expired_with_input),
+            ("unread", port.expired_with_input),
+        ];
+        for (input, count) in expired {
+            self.expired.set_for("input", input, count as f64);
+        }
         self.longest_wait.set(port.longest_wait.as_secs_f64());
         self.threads.set(port.threads as f64);
         self.threads_started.set(port.threads_started as f64);
@@ -339,6 +352,10 @@
             .u64_counter("sageshed_gateway_streams_resumed")
             .with_description("Streams that were resumed")
             .build();
+        let cut = meter
+            .u64_counter("sageshed_gateway_streams_cut")
+            .with_description("Streams that had begun and were ended here before their last event")
+            .build();
         let gauges = Gauges::new(&registry);
         Self {
             registry,
@@ -346,6 +363,7 @@
             ended,
             by_workspace,
             resumed,
+            cut,
             workspaces: sync::Mutex::default(),
             gauges,
         }
@@ -374,6 +392,12 @@
         self.resumed.add(1, &of);
     }
 
+    /// Counts a stream that this process ended after its first event and before its last, while its caller was connected.
+    pub fn stream_cut(&self, reason: &str) {
+        self.cut
+            .add(1, &[KeyValue::new("reason", reason.to_owned())]);
+    }
+
     /// Counts a request of a workspace that has ended; does nothing if `name` is empty.
     pub fn workspace_ended(&self, name: &str, end: End) {
         if name.is_empty() {
--- a/src/sageshed/gateway/proxy/completion.rs
+++ b/src/sageshed/gateway/proxy/completion.rs
@@ -71,12 +71,17 @@
     ) -> reply::Sent {
         self.refund_charge();
         self.count_refused_work(refusal.reason);
+        let is_cut = sink.has_started();
+        if is_cut {
+            self.shared.metrics.stream_cut(&refusal.reason.to_string());
+        }
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
-            workspace = self.workspace_name(), config = self.shared.version(),
-            model = self.model_name(), status = refusal.status,
+            workspace = self.workspace_name(), config = self.shared.version(), routed_by = self.routed_by_version,
+            model = self.model_name(), status = refusal.status, begun = is_cut, runs = self.possible_runs,
             reason:% = refusal.reason, detail = refusal.detail.as_str(), verdict:% = refusal.verdict,
             waited_for = self.waited_for_value(), queue = self.attempt_log.latest_queue(), arrivals = self.deliveries,
-            repeat = if self.is_retry_budget_spent { "none left" } else { "" }, left_ms = self.time_left().0;
+            repeat = if self.is_retry_budget_spent { "none left" } else { "" }, left_ms = self.time_left().0,
+            took_ms = time::Millis::from(self.req.received.elapsed()).0, timeout_ms = self.route.timeout.0;
             "gateway: request refused");
         self.record_end(metrics::End::Refused, refusal.status);
         self.keep_trace(request_trace::RequestOutcome::Refused(refusal.clone()));
@@ -91,9 +96,12 @@
     ) -> reply::Sent {
         self.refund_charge();
         let is_silent = self.is_abandoned() && !watch.caller_gone();
+        if is_silent && sink.has_started() {
+            self.shared.metrics.stream_cut("silent");
+        }
         ::log::info!(request = self.id(), content:% = self.content, route = self.route.name.as_str(),
-            workspace = self.workspace_name(), model = self.model_name(), waited_for = self.waited_for_value(),
-            arrivals = self.deliveries, left_ms = self.time_left().0, silent = is_silent,
+            workspace = self.workspace_name(), config = self.shared.version(), routed_by = self.routed_by_version,
+            model = self.model_name(), waited_for = self.waited_for_value(), begun = sink.has_started(), arrivals = self.deliveries, left_ms = self.time_left().0, silent = is_silent,
             took_ms = time::Millis::from(self.req.received.elapsed()).0; "gateway: caller left");
         self.record_end(metrics::End::CallerGone, 0);
         self.keep_trace(request_trace::RequestOutcome::CallerGone);
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -190,6 +190,8 @@
     workspace: Option<workspaces::WorkspaceRef>,
     /// The version of the configuration by which `workspace` was determined.
     identified_by_version: u64,
+    /// The version of the configuration by which it was routed.
+    routed_by_version: u64,
     /// Whether that configuration has workspaces, so that API keys are meant for this system.
     requires_api_keys: bool,
     service: &'a str,
@@ -311,6 +313,7 @@
             route,
             workspace: None,
             identified_by_version: routing.config.version,
+            routed_by_version: routing.config.version,
             requires_api_keys: routing.workspaces.is_some(),
             service,
             engines,
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -17,6 +17,9 @@
 /// stream after two seconds without data.
 const STALL_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 
+/// A silence between two reads of a stream that is logged when it ends.
+const LOGGED_SILENCE: std_time::Duration = std_time::Duration::from_millis(700);
+
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Forwards a stream to the caller event by event.
     pub(super) fn stream<'c>(
@@ -126,7 +129,9 @@
             };
             // A stream that has been silent for as long as its caller waits ends as if the caller had disconnected.
             let stop = &|| stop() || self.is_abandoned();
+            let began = std_time::Instant::now();
             let read = exchange.read(&exchange::Patience { until, stop });
+            self.log_end_of_silence(pick, began.elapsed(), &read);
             let is_silent = matches!(&read, Err(e) if e.cause == failure::Cause::Silent);
             let is_over = self.time_left() == time::Millis(0);
             if !is_silent || is_over || (self.has_free_alternative(pick) && self.acquire_retry()) {
@@ -135,6 +140,21 @@
         }
     }
 
+    /// Logs that an endpoint which was silent for long has sent something. Of a run that was given up before, nothing
+    /// further is heard, so that only the other runs at the endpoint show whether it was down.
+    fn log_end_of_silence(
+        &self,
+        pick: &chooser::Pick,
+        silent: std_time::Duration,
+        read: &Result<exchange::Piece, failure::Failure>,
+    ) {
+        if silent < LOGGED_SILENCE || read.is_err() {
+            return;
+        }
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, silent_ms = time::Millis::from(silent).0;
+            "gateway: endpoint goes on after a silence");
+    }
+
     /// Whether an endpoint other than that of `pick` could start the request now.
     fn has_free_alternative(&self, pick: &chooser::Pick) -> bool {
         let mut tried = self.tried_endpoints.clone();
