--- a/tests/fleet/crowd.rs
+++ b/tests/fleet/crowd.rs
@@ -203,7 +203,8 @@
     }
 }
 
-fn is_whole(text: &[u8]) -> bool {
+/// Whether `text` is a complete response.
+pub fn is_whole(text: &[u8]) -> bool {
     let Some(end) = text.windows(4).position(|it| it == b"\r\n\r\n") else {
         return false;
     };
@@ -424,7 +425,7 @@
 }
 
 /// Counts the refusals that a log names, by their reasons.
-fn count_refusals(log: &str, counts: &mut collections::BTreeMap<String, usize>) {
+pub fn count_refusals(log: &str, counts: &mut collections::BTreeMap<String, usize>) {
     for line in log.lines().filter(|it| it.contains("request refused")) {
         let field = |name: &str| {
             let (_, rest) = line.split_once(name)?;
@@ -493,7 +494,8 @@
     (fleet, engines)
 }
 
-fn start_engine(fleet: &Fleet, at: usize) -> Engine {
+/// Starts an engine with 32 slots whose streams have an event each 20 ms.
+pub fn start_engine(fleet: &Fleet, at: usize) -> Engine {
     let last = 201 + u8::try_from(at).expect("few engines");
     let engine = fleet.engine(&format!("e{at}"), "engines", last, &["m1"]);
     engine.set_slots(32);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod queueing;
 mod quota;
 mod requests;
+mod silence;
 mod slots;
 mod slow_link;
 mod soak;
