--- a/tests/fleet/crowd.rs
+++ b/tests/fleet/crowd.rs
@@ -67,11 +67,11 @@
 const SETTINGS: &str = "[resources]\nmemory_mb = 160\ndescriptors = 4100\n[retries]\nratio = 0.2\nslack = 194.0\nwindow_ms = 10000\n[shared_queue]\nenabled = true\n";
 
 /// One kind of request.
-struct Kind {
-    name: &'static str,
-    path: &'static str,
-    tokens: u32,
-    deadline: time::Duration,
+pub struct Kind {
+    pub name: &'static str,
+    pub path: &'static str,
+    pub tokens: u32,
+    pub deadline: time::Duration,
 }
 
 const KINDS: [Kind; 3] = [
@@ -96,7 +96,8 @@
 ];
 
 impl Kind {
-    fn random(random: &mut Random) -> usize {
+    /// The index of short streams, long ones or lookups.
+    pub fn random(random: &mut Random) -> usize {
         match random.below(100) {
             0..60 => 0,
             60..74 => 1,
@@ -203,8 +204,7 @@
     }
 }
 
-/// Whether `text` is a complete response.
-pub fn is_whole(text: &[u8]) -> bool {
+fn is_whole(text: &[u8]) -> bool {
     let Some(end) = text.windows(4).position(|it| it == b"\r\n\r\n") else {
         return false;
     };
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -5,25 +5,23 @@
 //! configuration) set a run by hand. With `SAGESHED_SILENCE_EVENT=stop`, one entry process is told to stop halfway.
 
 use std::{
-    collections, env, fmt,
-    io::{ErrorKind, Read},
-    net,
+    collections, env, io, net,
     sync::{self, atomic},
     thread, time,
 };
 
 use crate::{
-    crowd,
+    crowd::{self, Kind},
     fleet::{Fleet, Process},
     soak::{self, Random},
     standin::{
+        Message,
         caller::{Caller, Request},
-        engine::{Behavior, Engine},
+        engine::{self, Behavior, Engine},
         operator,
     },
 };
 
-const ENTRIES: u8 = 3;
 const ENGINES: usize = 9;
 const PLAIN_ENDPOINTS: u8 = 5;
 
@@ -38,205 +36,127 @@
 const ONE_RETRY: &str =
     "[retries]\nratio = 0.0\nslack = 2.0\nwindow_ms = 60000\n[shared_queue]\nenabled = true\n";
 
-/// The latency target and the allowed pause of streams in [`config`].
-const LATENCY_TARGET: time::Duration = time::Duration::from_secs(2);
-const MAX_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// The longest of two seconds, four times the latency target and eight times the allowed pause: how long a caller of a
+/// stream waits for data before it closes the connection.
+const PATIENCE: time::Duration = time::Duration::from_secs(8);
 
 /// The time that must be left to a request for which 502 is an error.
 const MIN_TIME_LEFT: time::Duration = time::Duration::from_secs(1);
 
-/// The silence of an endpoint in the tests of one case.
+/// The silence of an endpoint in the tests without a load.
 const SILENCE: time::Duration = time::Duration::from_millis(1_800);
 
-const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
-
-/// The number of lookups that are sent at once. Two endpoints have places for all of them.
-const LOOKUPS: usize = 12;
-
 /// How long a plain endpoint takes for a lookup.
 const LOOKUP_TIME: time::Duration = time::Duration::from_millis(30);
 
-struct Kind {
-    name: &'static str,
-    path: &'static str,
-    events: u32,
-    timeout: time::Duration,
-}
+/// The number of lookups that are sent at once. Two endpoints have places for all of them.
+const LOOKUPS: usize = 12;
 
 const KINDS: [Kind; 3] = [
     Kind {
         name: "short streams",
         path: "/resumable/short",
-        events: 8,
-        timeout: time::Duration::from_secs(8),
+        tokens: 8,
+        deadline: PATIENCE,
     },
     Kind {
         name: "long streams",
         path: "/resumable/long",
-        events: 86,
-        timeout: time::Duration::from_secs(8),
+        tokens: 86,
+        deadline: PATIENCE,
     },
     Kind {
         name: "lookups",
         path: "/again/x",
-        events: 0,
-        timeout: time::Duration::from_secs(3),
+        tokens: 0,
+        deadline: time::Duration::from_secs(3),
     },
 ];
 
-impl Kind {
-    fn random(random: &mut Random) -> usize {
-        match random.below(100) {
-            0..60 => 0,
-            60..74 => 1,
-            _ => 2,
-        }
-    }
-
-    /// How long a caller waits without data before it closes the connection.
-    fn patience(&self) -> time::Duration {
-        if self.events == 0 {
-            return self.timeout;
-        }
-        let shortest = time::Duration::from_secs(2);
-        shortest.max(4 * LATENCY_TARGET).max(8 * MAX_PAUSE)
-    }
-}
-
 /// A configuration whose streams may be sent to three engines, with `more` further routes.
 fn config(version: u64, more: u64) -> String {
-    let routes = (0..more).map(|number| {
+    let route = |number| {
         format!(
-            r#"{{"name":"more{number}","host":"a.example","path_prefix":"/more{number}/","kind":"idempotent","timeout_ms":3000,"latency_target_ms":300,"priority":2,"service":"plain","attempts":2}},"#
+            r#"{{"name":"more{number}","host":"a.example","path_prefix":"/more{number}/","kind":"idempotent","timeout_ms":3000,"service":"plain","attempts":2}},"#
         )
-    });
-    let routes: String = routes.collect();
-    let config = operator::config_with(version, &routes).replace(
-        r#""attempts":2,"resumable":true"#,
-        r#""attempts":3,"itl_target_ms":400,"resumable":true"#,
-    );
-    config.replace("\"slots\":4", "\"slots\":32")
+    };
+    let routes: String = (0..more).map(route).collect();
+    let three = r#""attempts":3,"itl_target_ms":400,"resumable":true"#;
+    operator::config_with(version, &routes)
+        .replace(r#""attempts":2,"resumable":true"#, three)
+        .replace("\"slots\":4", "\"slots\":32")
 }
 
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Outcome {
     Whole,
-    /// A stream with an event missing, out of order or twice.
-    WrongEvents,
     /// A response other than 200.
     Status(u16),
+    /// A stream with an event missing, out of order or twice.
+    WrongEvents,
     /// Closed inside a response.
     Cut,
     /// Closed without any part of a response.
     Closed,
-    /// Given up by its caller at its timeout or after a pause.
+    /// Its caller has closed the connection.
     GivenUp,
     /// No entry process accepted a connection.
     NotSent,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Record {
-    number: usize,
-    kind: usize,
-    sent: time::Duration,
-    took: time::Duration,
-    outcome: Outcome,
-}
-
-impl Record {
-    fn is_violation(&self) -> bool {
-        let left = KINDS[self.kind].timeout.saturating_sub(self.took);
-        match self.outcome {
-            Outcome::WrongEvents | Outcome::Closed | Outcome::NotSent => true,
-            Outcome::Cut => !left.is_zero(),
-            Outcome::Status(status) => status == 502 && left > MIN_TIME_LEFT,
-            Outcome::Whole | Outcome::GivenUp => false,
+impl Outcome {
+    fn of(kind: &Kind, took: time::Duration, response: io::Result<Option<Message>>) -> Self {
+        let events: String = (1..=kind.tokens).map(engine::event).collect();
+        let is_over = took >= kind.deadline;
+        match response {
+            Ok(Some(it)) if it.whole && it.status() != 200 => Self::Status(it.status()),
+            Ok(Some(it)) if kind.tokens > 0 && !events.starts_with(&it.text()) => Self::WrongEvents,
+            Ok(Some(it)) if it.whole && it.text().len() < events.len() => Self::WrongEvents,
+            Ok(Some(it)) if it.whole => Self::Whole,
+            _ if is_over => Self::GivenUp,
+            Ok(Some(_)) => Self::Cut,
+            Ok(None) | Err(_) => Self::Closed,
         }
     }
-}
 
-/// Reads until `is_done`, the connection is closed, or the caller gives up. Returns whether the caller gave up.
-fn read_until(
-    stream: &mut net::TcpStream,
-    text: &mut Vec<u8>,
-    patience: time::Duration,
-    until: time::Instant,
-    is_done: impl Fn(&[u8]) -> bool,
-) -> bool {
-    let mut chunk = [0; 4_096];
-    while !is_done(text) {
-        let left = until.saturating_duration_since(time::Instant::now());
-        let wait = left.min(patience).max(time::Duration::from_millis(1));
-        stream.set_read_timeout(Some(wait)).expect("a timeout");
-        match stream.read(&mut chunk) {
-            Ok(0) => return false,
-            Ok(n) => text.extend_from_slice(&chunk[..n]),
-            Err(e) => match e.kind() {
-                ErrorKind::WouldBlock | ErrorKind::TimedOut => return true,
-                ErrorKind::Interrupted => {}
-                _ => return false,
-            },
+    fn is_allowed(self, left: time::Duration) -> bool {
+        match self {
+            Self::Whole | Self::GivenUp => true,
+            Self::Status(status) => status != 502 || left <= MIN_TIME_LEFT,
+            Self::WrongEvents | Self::Cut | Self::Closed | Self::NotSent => false,
         }
     }
-    false
 }
 
-/// Classifies the bytes that a caller has received for a request for this number of events.
-fn outcome(text: &[u8], events: u32, has_given_up: bool) -> Outcome {
-    let text_of = String::from_utf8_lossy(text);
-    let status = text_of.split(' ').nth(1).and_then(|it| it.parse().ok());
-    let numbers = text_of.lines().filter_map(|it| it.strip_prefix("id: "));
-    let numbers: Vec<u32> = numbers.map(|it| it.parse().unwrap_or(0)).collect();
-    let is_ordered = numbers
-        .iter()
-        .zip(1..)
-        .all(|(it, expected)| *it == expected);
-    match status {
-        _ if !is_ordered => Outcome::WrongEvents,
-        _ if has_given_up => Outcome::GivenUp,
-        _ if text.is_empty() => Outcome::Closed,
-        _ if !crowd::is_whole(text) => Outcome::Cut,
-        Some(200) if numbers.len() == events as usize => Outcome::Whole,
-        Some(200) | None => Outcome::WrongEvents,
-        Some(status) => Outcome::Status(status),
-    }
-}
-
-fn request_lines(events: u32, number: usize) -> String {
-    if events == 0 {
-        return String::new();
-    }
-    format!("Model: m1\r\nToken-Usage: 100,{events}\r\nPrompt-Prefix: aa:60,{number:x}:40\r\n")
-}
-
-/// Sends a request to the first of `addresses` that accepts a connection, and reads the response.
-fn call(addresses: &[net::SocketAddrV4], kind: &Kind, number: usize) -> Outcome {
-    let until = time::Instant::now() + kind.timeout;
-    let id = format!("silence-{number}");
+/// Sends request `number` to the first of `addresses` that accepts a connection.
+fn send(addresses: &[net::SocketAddrV4], kind: &Kind, number: usize) -> Option<Caller> {
+    let mut connected = addresses.iter().filter_map(|it| Caller::connect(*it).ok());
+    let mut caller = connected.next()?;
+    let (tokens, id) = (kind.tokens, format!("silence-{number}"));
+    let lines =
+        format!("Model: m1\r\nToken-Usage: 100,{tokens}\r\nPrompt-Prefix: aa:60,{number:x}:40\r\n");
     let request = Request {
         model: None,
-        lines: &request_lines(kind.events, number),
-        deadline_ms: u32::try_from(kind.timeout.as_millis()).expect("seconds"),
+        lines: if tokens > 0 { &lines } else { "" },
+        deadline_ms: u32::try_from(kind.deadline.as_millis()).expect("seconds"),
         ..Request::new("GET", kind.path, &id)
     };
-    let mut connected = addresses.iter().filter_map(|it| Caller::connect(*it).ok());
-    let Some(mut caller) = connected.next() else {
-        return Outcome::NotSent;
+    caller.stream.set_read_timeout(Some(kind.deadline)).ok()?;
+    // What a caller could not write shows when it reads.
+    drop(caller.send(&request));
+    Some(caller)
+}
+
+/// Sends request `number` and waits for its end. Returns how long that took.
+fn call(addresses: &[net::SocketAddrV4], kind: &Kind, number: usize) -> (time::Duration, Outcome) {
+    let begun = time::Instant::now();
+    let Some(mut caller) = send(addresses, kind, number) else {
+        return (begun.elapsed(), Outcome::NotSent);
     };
-    if caller.send(&request).is_err() {
-        return Outcome::Closed;
-    }
-    let mut text = Vec::new();
-    let has_given_up = read_until(
-        &mut caller.stream,
-        &mut text,
-        kind.patience(),
-        until,
-        crowd::is_whole,
-    );
-    outcome(&text, kind.events, has_given_up)
+    let response = caller.answer();
+    let took = begun.elapsed();
+    (took, Outcome::of(kind, took, response))
 }
 
 /// A load on a fleet whose endpoints are silent in turn.
@@ -244,162 +164,142 @@
     rate: f64,
     time: time::Duration,
     silence: time::Duration,
-    silent_engines: usize,
+    silent_engines: u32,
     changes: bool,
     stops_entry: bool,
 }
 
+struct Record {
+    number: usize,
+    kind: usize,
+    took: time::Duration,
+    outcome: Outcome,
+}
+
 impl Load {
     fn by_environment() -> Self {
         let number = |name: &str, default: u64| {
             soak::number(&format!("SAGESHED_SILENCE_{name}")).unwrap_or(default)
         };
-        let engines = usize::try_from(number("ENGINES", 3)).expect("few engines");
         Self {
             rate: number("RATE", 240) as f64,
             time: time::Duration::from_secs(number("SECONDS", 14)),
             silence: time::Duration::from_millis(number("MS", 1_500)),
-            silent_engines: engines.clamp(1, ENGINES),
+            silent_engines: u32::try_from(number("ENGINES", 3)).expect("few engines"),
             changes: number("CHANGES", 1) > 0,
             stops_entry: env::var("SAGESHED_SILENCE_EVENT").is_ok_and(|it| it == "stop"),
         }
     }
 
-    fn run(&self, seed: u64) {
-        let (fleet, engines, plain) = start();
-        let addresses: Vec<_> = fleet.entries.iter().map(Process::address).collect();
-        let is_over = atomic::AtomicBool::new(false);
-        let records = sync::Mutex::new(Vec::new());
+    /// Runs the load, prints what became of the requests, and returns the number of those that ended wrongly.
+    fn run(&self, fleet: &Fleet, engines: &[Engine], plain: &[Engine], seed: u64) -> usize {
+        let is_over = &atomic::AtomicBool::new(false);
+        let goes_on = || !is_over.load(atomic::Ordering::Relaxed);
         let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
         let first = random.below(ENGINES);
-        let begun = time::Instant::now();
-        thread::scope(|scope| {
-            let (fleet, is_over, records) = (&fleet, &is_over, &records);
-            let addresses = &addresses;
-            scope.spawn(|| self.silence_in_turn(&engines, self.silent_engines, first, is_over));
-            scope.spawn(|| self.silence_in_turn(&plain, 1, first, is_over));
-            if self.changes {
-                scope.spawn(|| {
-                    for more in 1.. {
-                        thread::sleep(time::Duration::from_secs(1));
-                        if is_over.load(atomic::Ordering::Relaxed) {
-                            break;
-                        }
-                        fleet.replace(&config(10 + more, more));
+        let records = thread::scope(|scope| {
+            scope.spawn(move || self.silence_in_turn(engines, first, self.silent_engines, goes_on));
+            scope.spawn(move || self.silence_in_turn(plain, first, 1, goes_on));
+            scope.spawn(move || {
+                for more in 1.. {
+                    thread::sleep(time::Duration::from_secs(1));
+                    if !self.changes || !goes_on() {
+                        break;
                     }
-                });
-            }
-            let mut callers = Vec::new();
-            let mut is_stopped = !self.stops_entry;
-            for number in 0.. {
-                let due = time::Duration::from_secs_f64(number as f64 / self.rate);
-                if due >= self.time {
-                    break;
+                    fleet.replace(&config(10 + more, more));
                 }
-                thread::sleep(due.saturating_sub(begun.elapsed()));
-                if !is_stopped && due >= self.time / 2 {
-                    is_stopped = true;
+            });
+            let records = self.send_requests(fleet, &mut random);
+            is_over.store(true, atomic::Ordering::Relaxed);
+            records
+        });
+        print(fleet, &records);
+        let left = |it: &Record| KINDS[it.kind].deadline.saturating_sub(it.took);
+        let wrong = records.iter().filter(|it| !it.outcome.is_allowed(left(it)));
+        let wrong = wrong.inspect(|it| {
+            let (name, took) = (KINDS[it.kind].name, it.took);
+            println!(
+                "silence-{} ({name}): {:?} after {took:?}",
+                it.number, it.outcome
+            );
+        });
+        wrong.count()
+    }
+
+    /// Has the endpoints be silent one after the other, `at_once` at a time, from number `first` on.
+    fn silence_in_turn(
+        &self,
+        endpoints: &[Engine],
+        first: usize,
+        at_once: u32,
+        goes_on: impl Fn() -> bool,
+    ) {
+        let turns = endpoints.iter().cycle().skip(first);
+        for endpoint in turns.take_while(|_| goes_on()) {
+            endpoint.fall_silent(self.silence);
+            thread::sleep(self.silence / at_once);
+        }
+    }
+
+    fn send_requests(&self, fleet: &Fleet, random: &mut Random) -> Vec<Record> {
+        let addresses: Vec<_> = fleet.entries.iter().map(Process::address).collect();
+        let records = &sync::Mutex::new(Vec::new());
+        let begun = time::Instant::now();
+        let due = |number| time::Duration::from_secs_f64(number as f64 / self.rate);
+        let mut stops_entry = self.stops_entry;
+        thread::scope(|scope| {
+            for number in (0..).take_while(|it| due(*it) < self.time) {
+                thread::sleep(due(number).saturating_sub(begun.elapsed()));
+                if stops_entry && due(number) >= self.time / 2 {
+                    stops_entry = false;
                     fleet.entries[0].signal("TERM");
                 }
-                let kind = Kind::random(&mut random);
+                let kind = Kind::random(random);
                 let mut order = addresses.clone();
                 order.rotate_left(random.below(addresses.len()));
                 let caller = move || {
-                    let sent = begun.elapsed();
-                    let outcome = call(&order, &KINDS[kind], number);
-                    let took = begun.elapsed().saturating_sub(sent);
+                    let (took, outcome) = call(&order, &KINDS[kind], number);
                     let record = Record {
                         number,
                         kind,
-                        sent,
                         took,
                         outcome,
                     };
                     records.lock().expect("no panic").push(record);
                 };
                 let builder = thread::Builder::new().stack_size(128 * 1_024);
-                callers.push(builder.spawn_scoped(scope, caller).expect("a thread"));
+                builder.spawn_scoped(scope, caller).expect("a thread");
             }
-            for caller in callers {
-                caller.join().expect("a caller ends");
-            }
-            is_over.store(true, atomic::Ordering::Relaxed);
         });
-        let mut refusals = collections::BTreeMap::new();
-        for entry in &fleet.entries {
-            crowd::count_refusals(&entry.log(), &mut refusals);
-        }
-        let report = Report {
-            records: records.into_inner().expect("no panic"),
-            refusals,
-        };
-        println!("seed {seed}\n{report}");
-        let violations = report.violations().count();
-        // Fails while the fleet exists, so that its logs are kept.
-        assert_eq!(
-            violations,
-            0,
-            "seed {seed}; see {}",
-            fleet.entries[0].log_file().display()
-        );
-    }
-
-    /// Has the endpoints be silent one after the other, `at_once` at a time at equal intervals.
-    fn silence_in_turn(
-        &self,
-        endpoints: &[Engine],
-        at_once: usize,
-        first: usize,
-        is_over: &atomic::AtomicBool,
-    ) {
-        let interval = self.silence / u32::try_from(at_once).expect("few engines");
-        for endpoint in endpoints.iter().cycle().skip(first) {
-            if is_over.load(atomic::Ordering::Relaxed) {
-                break;
-            }
-            endpoint.fall_silent(self.silence);
-            thread::sleep(interval);
-        }
+        let mut records = records.lock().expect("no panic");
+        std::mem::take(&mut records)
     }
 }
 
-struct Report {
-    records: Vec<Record>,
-    refusals: collections::BTreeMap<String, usize>,
-}
-
-impl Report {
-    fn violations(&self) -> impl Iterator<Item = &Record> {
-        self.records.iter().filter(|it| it.is_violation())
+/// Prints the outcomes of each kind of request, and the refusals by their reasons.
+fn print(fleet: &Fleet, records: &[Record]) {
+    for (at, kind) in KINDS.iter().enumerate() {
+        let outcomes = records.iter().filter(|it| it.kind == at);
+        println!("{}: {:?}", kind.name, count(outcomes.map(|it| it.outcome)));
+    }
+    let mut refusals = collections::BTreeMap::new();
+    for entry in &fleet.entries {
+        crowd::count_refusals(&entry.log(), &mut refusals);
+    }
+    for (reason, count) in refusals {
+        println!("{count} refused: {reason}");
     }
 }
 
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (at, kind) in KINDS.iter().enumerate() {
-            let mut counts = collections::BTreeMap::new();
-            for record in self.records.iter().filter(|it| it.kind == at) {
-                *counts.entry(record.outcome).or_insert(0) += 1;
-            }
-            writeln!(f, "{}: {counts:?}", kind.name)?;
-        }
-        for (reason, count) in &self.refusals {
-            writeln!(f, "{count} refused: {reason}")?;
-        }
-        for it in self.violations() {
-            let name = KINDS[it.kind].name;
-            writeln!(
-                f,
-                "silence-{} ({name}), sent after {:?}: {:?} after {:?}",
-                it.number, it.sent, it.outcome, it.took
-            )?;
-        }
-        Ok(())
-    }
+fn count(outcomes: impl Iterator<Item = Outcome>) -> collections::BTreeMap<Outcome, usize> {
+    outcomes.fold(collections::BTreeMap::new(), |mut counts, it| {
+        *counts.entry(it).or_default() += 1;
+        counts
+    })
 }
 
 fn start() -> (Fleet, Vec<Engine>, Vec<Engine>) {
-    let fleet = Fleet::with_entries(ENTRIES, SETTINGS);
+    let fleet = Fleet::with_entries(3, SETTINGS);
     fleet.replace(&config(10, 0));
     let engines = (0..ENGINES).map(|at| crowd::start_engine(&fleet, at));
     let engines = engines.collect();
@@ -409,7 +309,7 @@
         endpoint.set_behavior(Behavior::AnswersAfter(LOOKUP_TIME));
         endpoint
     });
-    let plain: Vec<_> = plain.collect();
+    let plain = plain.collect();
     for entry in 0..fleet.entries.len() {
         for path in ["/stream/x", "/again/x"] {
             fleet.until("an entry process serves", || {
@@ -427,172 +327,147 @@
 fn a_silence_of_endpoints_that_go_on_costs_no_response() {
     let load = Load::by_environment();
     for seed in soak::seeds(1) {
-        load.run(seed);
+        let (fleet, engines, plain) = start();
+        println!("seed {seed}; {}", fleet.entries[0].log_file().display());
+        let wrong = load.run(&fleet, &engines, &plain, seed);
+        assert_eq!(wrong, 0, "seed {seed}");
     }
 }
 
-/// What meets a stream that leaves its silent engine.
-struct StreamCase {
+/// What meets a request that leaves its silent endpoint.
+struct Case {
     name: &'static str,
     settings: &'static str,
-    /// Sets what the other engine does from then on.
+    /// Sets what the other endpoint does from then on.
     set_other: fn(&Engine),
 }
 
-const STREAM_CASES: [StreamCase; 5] = [
-    StreamCase {
+const STREAM_CASES: [Case; 5] = [
+    Case {
         name: "the other engine rejects it",
         settings: SETTINGS,
         set_other: |it| it.set_behavior(Behavior::Rejects),
     },
-    StreamCase {
+    Case {
         name: "the other engine rejects it, and one retry is left",
         settings: ONE_RETRY,
         set_other: |it| it.set_behavior(Behavior::Rejects),
     },
-    StreamCase {
+    Case {
         name: "the other engine names a time for a retry",
         settings: SETTINGS,
         set_other: |it| it.reject_with_retry_after(1.0),
     },
-    StreamCase {
+    Case {
         name: "the other engine is full",
         settings: SETTINGS,
         set_other: |it| it.set_max_running(0),
     },
-    StreamCase {
+    Case {
         name: "no retry is left",
         settings: NO_RETRY,
         set_other: |_| (),
     },
 ];
 
-impl StreamCase {
-    /// Has the engine of a stream be silent after its fifth event, and returns what its caller received.
-    fn run(&self) -> (Outcome, Fleet) {
-        let (fleet, engines) = Fleet::many_ready(1, self.settings);
-        let engines = &engines[..2];
-        for engine in engines {
-            engine.set_behavior(Behavior::StreamsTokens(EVENT_INTERVAL));
-        }
-        let kind = &KINDS[1];
-        let until = time::Instant::now() + kind.timeout;
-        let request = Request {
-            model: None,
-            lines: &request_lines(kind.events, 1),
-            ..Request::new("GET", kind.path, "silence")
-        };
-        let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
-        caller.send(&request).expect("it is sent");
-        let (stream, mut text) = (&mut caller.stream, Vec::new());
-        let has_begun = |text: &[u8]| String::from_utf8_lossy(text).contains("id: 5\n");
-        read_until(stream, &mut text, kind.patience(), until, has_begun);
-        assert!(has_begun(&text), "{}: the stream begins", self.name);
-        let (own, others): (Vec<_>, Vec<_>) = engines.iter().partition(|it| it.runs("silence") > 0);
-        others.into_iter().for_each(self.set_other);
-        own[0].fall_silent(SILENCE);
-        let is_whole = crowd::is_whole;
-        let has_given_up = read_until(stream, &mut text, kind.patience(), until, is_whole);
-        let outcome = outcome(&text, kind.events, has_given_up);
-        println!(
-            "{}: {outcome:?}; {}",
-            self.name,
-            fleet.entries[0].log_file().display()
-        );
-        (outcome, fleet)
-    }
-}
-
-/// Guards against a begun stream that is cut although its engine goes on: its run is given up after a second of silence, before
-/// another engine has accepted the stream, and none does.
-#[test]
-fn a_stream_whose_engine_is_silent_is_kept_until_another_engine_has_it() {
-    // The logs are kept if the test fails while the fleets exist.
-    let (outcomes, _fleets): (Vec<_>, Vec<_>) = STREAM_CASES.iter().map(StreamCase::run).unzip();
-    assert!(
-        outcomes.iter().all(|it| *it == Outcome::Whole),
-        "{outcomes:?}"
-    );
-}
-
-/// The endpoint beside a silent one.
-struct LookupCase {
-    name: &'static str,
-    set_other: fn(&Engine),
-}
-
-const LOOKUP_CASES: [LookupCase; 3] = [
-    LookupCase {
+const LOOKUP_CASES: [Case; 3] = [
+    Case {
         name: "the other endpoint is silent too",
+        settings: ONE_RETRY,
         set_other: |it| it.fall_silent(SILENCE),
     },
-    LookupCase {
+    Case {
         name: "the other endpoint is slow",
+        settings: ONE_RETRY,
         set_other: |it| it.set_behavior(Behavior::AnswersAfter(SILENCE * 2 / 3)),
     },
-    LookupCase {
+    Case {
         name: "the other endpoint has free places",
+        settings: ONE_RETRY,
         set_other: |_| (),
     },
 ];
 
-impl LookupCase {
+impl Case {
+    /// Has the engine of a stream be silent after its fifth event. Returns what became of the stream, and the fleet.
+    fn run_stream(&self) -> (bool, Fleet) {
+        let (fleet, engines) = Fleet::many_ready(1, self.settings);
+        let engines = &engines[..2];
+        for engine in engines {
+            let interval = time::Duration::from_millis(20);
+            engine.set_behavior(Behavior::StreamsTokens(interval));
+        }
+        let (kind, begun) = (&KINDS[1], time::Instant::now());
+        let caller = send(&[fleet.entries[0].address()], kind, 1);
+        let mut caller = caller.expect("a connection");
+        fleet.until("the stream has begun", || {
+            let mut text = [0; 4_096];
+            let n = caller.stream.peek(&mut text).expect("it is open");
+            String::from_utf8_lossy(&text[..n]).contains("id: 5\n")
+        });
+        for engine in engines {
+            if engine.runs("silence-1") > 0 {
+                engine.fall_silent(SILENCE);
+            } else {
+                (self.set_other)(engine);
+            }
+        }
+        let response = caller.answer();
+        let outcome = Outcome::of(kind, begun.elapsed(), response);
+        let log = fleet.entries[0].log_file();
+        println!("{}: {outcome:?}; {}", self.name, log.display());
+        (outcome == Outcome::Whole, fleet)
+    }
+
     /// Sends lookups to a silent endpoint and another one. Returns whether all were answered, and the fleet.
-    fn run(&self) -> (bool, Fleet) {
-        let (fleet, engines) = Fleet::many_ready(1, ONE_RETRY);
+    fn run_lookups(&self) -> (bool, Fleet) {
+        let (fleet, engines) = Fleet::many_ready(1, self.settings);
         let plain = &engines[2..];
         for endpoint in plain {
             endpoint.set_behavior(Behavior::AnswersAfter(LOOKUP_TIME));
         }
+        let ran = |it: &Engine| it.log(|log| log.ran.len());
         // A lookup at a time goes to one endpoint only.
         fleet.until("lookups are spread over both endpoints", || {
             let before: Vec<_> = plain.iter().map(ran).collect();
             look_up(&fleet);
-            let mut runs = plain
-                .iter()
-                .zip(&before)
-                .map(|(it, before)| ran(it) - before);
-            runs.all(|it| it >= LOOKUPS / 3)
+            let mut after = plain.iter().zip(before);
+            after.all(|(it, before)| ran(it) >= before + LOOKUPS / 3)
         });
-        let before = ran(&plain[0]);
         plain[0].fall_silent(SILENCE);
         (self.set_other)(&plain[1]);
-        let counts = look_up(&fleet);
-        let ran = ran(&plain[0]) - before;
-        println!(
-            "{}: {counts:?}, {ran} runs at the silent endpoint; {}",
-            self.name,
-            fleet.entries[0].log_file().display()
-        );
-        (counts.get(&Outcome::Whole) == Some(&LOOKUPS), fleet)
+        let outcomes = look_up(&fleet);
+        let log = fleet.entries[0].log_file();
+        println!("{}: {outcomes:?}; {}", self.name, log.display());
+        (outcomes.get(&Outcome::Whole) == Some(&LOOKUPS), fleet)
     }
 }
 
-/// Guards against 502 for lookups that a silent endpoint would still answer in time: all that wait there see the one retry that
-/// is left and give up their runs, and one of them gets it.
-#[test]
-fn lookups_at_a_silent_endpoint_are_given_up_only_with_a_retry_at_hand() {
-    // The logs are kept if the test fails while the fleets exist.
-    let (are_whole, _fleets): (Vec<_>, Vec<_>) = LOOKUP_CASES.iter().map(LookupCase::run).unzip();
-    assert!(are_whole.iter().all(|it| *it), "{are_whole:?}");
-}
-
-/// The number of requests that it has run.
-fn ran(endpoint: &Engine) -> usize {
-    endpoint.log(|log| log.ran.len())
-}
-
 /// Sends lookups at once, and counts what became of them.
 fn look_up(fleet: &Fleet) -> collections::BTreeMap<Outcome, usize> {
     let to = fleet.entries[0].address();
-    let mut counts = collections::BTreeMap::new();
     thread::scope(|scope| {
         let one = |number| scope.spawn(move || call(&[to], &KINDS[2], number));
         let lookups: Vec<_> = (0..LOOKUPS).map(one).collect();
-        for lookup in lookups {
-            let outcome = lookup.join().expect("it ends");
-            *counts.entry(outcome).or_insert(0) += 1;
-        }
-    });
-    counts
+        let ended = lookups.into_iter().map(|it| it.join().expect("it ends"));
+        count(ended.map(|it| it.1))
+    })
+}
+
+/// Guards against a begun stream that is cut although its engine goes on: its run is given up after a second of silence, before
+/// another engine has accepted the stream, and none does.
+#[test]
+fn a_stream_whose_engine_is_silent_is_kept_until_another_engine_has_it() {
+    // The logs are kept if the test fails while the fleets exist.
+    let (are_whole, _fleets): (Vec<_>, Vec<_>) = STREAM_CASES.iter().map(Case::run_stream).unzip();
+    assert_eq!(are_whole, [true; STREAM_CASES.len()]);
+}
+
+/// Guards against 502 for lookups that a silent endpoint would still answer in time: all that wait there see the one retry that
+/// is left and give up their runs, and one of them gets it.
+#[test]
+fn lookups_at_a_silent_endpoint_are_given_up_only_with_a_retry_at_hand() {
+    // The logs are kept if the test fails while the fleets exist.
+    let (are_whole, _fleets): (Vec<_>, Vec<_>) = LOOKUP_CASES.iter().map(Case::run_lookups).unzip();
+    assert_eq!(are_whole, [true; LOOKUP_CASES.len()]);
 }
