Test a stream whose engine pauses shortly before its entry process exits

The process leaves the engine for another one, though it sends nothing any more by then, and cuts the stream. The engine would have gone on half a second later.

Fails on: cut with 3.7 s left, 1.3 s before the exit.

--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -236,3 +236,10 @@
 fn a_stream_whose_engine_pauses_goes_on_in_a_stopping_process() {
     check_stream_across_a_stop("pauses", 300);
 }
+
+/// Guards against cutting a stream whose engine falls silent for a while when the process is about to exit. The stream
+/// was left for another engine though the process sends nothing any more from 3.6 s after the signal on.
+#[test]
+fn a_stream_whose_engine_pauses_is_not_left_by_a_process_that_is_about_to_exit() {
+    check_stream_across_a_stop("late", 560);
+}
