Test streams that have begun beside a change of their workspace

A stream whose engine is silent for a second is left for another engine before its quota is charged and its key is looked up again. If a change of the configuration has lowered the quota or dropped the workspace, it is cut.

--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -1,12 +1,12 @@
 //! Quotas of workspaces, which hold over all entry processes together and do not affect other workspaces.
 
-use std::{net, thread, time};
+use std::{net, sync, thread, time};
 
 use crate::{
     fleet::Fleet,
     standin::{
         caller::{Caller, Request},
-        engine::{Behavior, Engine},
+        engine::{Behavior, Engine, event},
         operator,
     },
 };
@@ -49,13 +49,18 @@
 
 /// Starts a fleet of three entry processes with the quota in force, and its endpoints.
 fn fleet(quota: &Quota) -> (Fleet, Vec<Engine>) {
-    let fleet = Fleet::start(3, 3);
+    fleet_of(3, quota)
+}
+
+/// The same with this number of entry processes.
+fn fleet_of(entries: u8, quota: &Quota) -> (Fleet, Vec<Engine>) {
+    let fleet = Fleet::start(3, entries);
     fleet.replace(&config(20, quota));
     let engines = vec![
         fleet.engine("e1", "engines", 31, &["m1"]),
         fleet.engine("p1", "plain", 33, &[]),
     ];
-    for entry in 0..3 {
+    for entry in 0..fleet.entries.len() {
         for path in ["/again/x", "/stream/x"] {
             fleet.until("an entry process serves", || {
                 status(&fleet, entry, path, "look", PIPE) == 200
@@ -304,3 +309,106 @@
     assert_eq!(runs_of(&engines, "absurd"), 0);
     assert_eq!(status(&fleet, 1, "/again/x", "after", DUG), 200);
 }
+
+/// How long an engine that is in order says nothing: longer than an entry process leaves a stream with it.
+const SILENCE: time::Duration = time::Duration::from_millis(1_500);
+
+/// A quota that no test uses up.
+const AMPLE: Quota = Quota {
+    per_s: 400,
+    burst: 400,
+    unit: "request",
+};
+
+/// A change of the configuration while the engine of a stream that has begun says nothing.
+struct Change {
+    name: &'static str,
+    /// The quota of `dug` from then on; none if there is no such workspace.
+    quota: Option<Quota>,
+    /// The status of a new request of the workspace that shows that the change is in force.
+    then: u16,
+}
+
+impl Change {
+    fn config(&self, version: u64) -> String {
+        if let Some(quota) = &self.quota {
+            return config(version, quota);
+        }
+        let others = format!("[{}]", operator::workspace("pipe", &["kpipe83c6ab0"]));
+        operator::with_workspaces(&operator::config(version), &others)
+    }
+
+    /// Makes the change beside a stream. Returns what the entry process has logged of the stream last, if it was cut.
+    fn cuts_stream(&self) -> Option<String> {
+        let (fleet, engines) = fleet(&AMPLE);
+        let second = fleet.engine("e2", "engines", 32, &["m1"]);
+        engines[0].set_behavior(Behavior::Rejects);
+        fleet.until("the second engine serves", || {
+            status(&fleet, 0, "/resumable/x", "second", DUG) == 200
+        });
+        let engines = [&engines[0], &second];
+        for engine in engines {
+            engine.set_behavior(Behavior::PausesFor(100, SILENCE));
+        }
+        let mut caller = connect(fleet.entries[0].address());
+        let ask = Request {
+            lines: DUG,
+            ..Request::new("POST", "/resumable/x", "begun")
+        };
+        caller.send(&ask).expect("it is sent");
+        fleet.until("the stream runs", || {
+            engines.iter().any(|it| it.runs("begun") == 1)
+        });
+        fleet.replace(&self.config(21));
+        fleet.until("the change is in force", || {
+            status(&fleet, 0, "/again/x", "after", DUG) == self.then
+        });
+        let ended = sync::atomic::AtomicBool::new(false);
+        let answer = thread::scope(|scope| {
+            // Uses up what a lower quota yields.
+            scope.spawn(|| {
+                while !ended.load(sync::atomic::Ordering::SeqCst) {
+                    status(&fleet, 1, "/again/x", "further", DUG);
+                    thread::sleep(REQUEST_INTERVAL);
+                }
+            });
+            let answer = caller.answer();
+            ended.store(true, sync::atomic::Ordering::SeqCst);
+            answer
+        });
+        let answer = answer.expect("a response").expect("a head");
+        let events: String = (1..=101).map(event).collect();
+        if answer.status() == 200 && answer.whole && answer.text() == events {
+            return None;
+        }
+        let log = fleet.entries[0].log();
+        let of_stream = |it: &&str| it.contains(r#""request":"begun""#);
+        let last = log.lines().rfind(of_stream).unwrap_or_default();
+        Some(format!("{}: status {}: {last}", self.name, answer.status()))
+    }
+}
+
+/// Guards against cutting a stream that has begun by a change of the configuration. Its engine falls silent for a while,
+/// and the stream was left for another engine before that was refused by the new quota, or by the revoked key.
+#[test]
+fn a_stream_that_has_begun_outlives_a_change_of_its_workspace() {
+    let lower = Quota {
+        per_s: 1,
+        burst: 1,
+        unit: "request",
+    };
+    let changes = [
+        Change {
+            name: "lower quota",
+            quota: Some(lower),
+            then: 429,
+        },
+        Change {
+            name: "no such workspace",
+            quota: None,
+            then: 401,
+        },
+    ];
+    let cut: Vec<_> = changes.iter().filter_map(Change::cuts_stream).collect();
+    assert!(cut.is_empty(), "{cut:#?}");
+}
