Test requests with a quota in the notice period of an entry process

A stopping process drops the replies of the processes that keep quotas, so each charge times out.

Fails on: 503, "no process answers that keeps the quota".

--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -412,3 +412,30 @@
     let cut: Vec<_> = changes.iter().filter_map(Change::cuts_stream).collect();
     assert!(cut.is_empty(), "{cut:#?}");
 }
+
+/// Guards against refusing requests of a workspace with a quota in the notice period of a process that stops. It took
+/// no replies of the processes that keep the quota any more.
+#[test]
+fn a_stopping_process_serves_workspaces_with_quotas() {
+    let (fleet, _engines) = fleet_of(8, &AMPLE);
+    // Of eight processes, three keep the quota.
+    let mut refused = Vec::new();
+    for entry in 0..4 {
+        fleet.entries[entry].signal("TERM");
+        fleet.until("the balancer is told", || {
+            fleet.entries[entry].ready() != 200
+        });
+        for at in 0..4 {
+            let id = format!("notice-{entry}-{at}");
+            let ask = Request {
+                lines: DUG,
+                ..Request::new("GET", "/again/x", &id)
+            };
+            let answer = fleet.ask(entry, &ask).expect("an answer");
+            if answer.status() != 200 {
+                refused.push((entry, answer.status(), answer.text()));
+            }
+        }
+    }
+    assert!(refused.is_empty(), "{refused:#?}");
+}
