--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`allowance`] | rate limits that hold over all entry processes |
 //! | [`budget`] | the retry budget |
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
+//! | [`silence`] | when a request whose endpoint is silent is sent to another one as well |
 //! | [`stream_origins`] | which software version began each stream that callers may still take up |
 //! | [`paths`] | which endpoints this process can open connections to |
 //! | [`quarantine`] | requests that are no longer forwarded, because endpoints crashed while running them |
@@ -61,6 +62,7 @@
 pub mod reply_times;
 pub mod routes;
 pub mod shared_queue;
+pub mod silence;
 pub mod slots;
 pub mod stream_origins;
 pub mod transfer;
--- /dev/null
+++ b/crates/sageshed-fleet/src/silence.rs
@@ -0,0 +1,20 @@
+//! When a request whose endpoint is silent is sent to another endpoint as well.
+//!
+//! A short silence does not tell a sound endpoint from a dead one: a sound one goes on after a second or more. Sending the
+//! request to a second endpoint costs a retry and the prefill of its prompt, so it waits until half of the time is over
+//! for which the caller waits for the next event. The other half is left to the second endpoint.
+
+use sageshed_types::time;
+
+/// The shortest silence of a stream after which another endpoint is tried.
+const MIN_STALL: time::Millis = time::Millis(1_000);
+
+/// The time from the return to a silent endpoint to the next attempt at another one.
+pub const SWITCH_INTERVAL: time::Millis = time::Millis(250);
+
+/// How long the endpoint of a stream may send nothing before another one is tried, if the caller gives the stream up after
+/// a gap of `abandoned_after`; none if it waits until its deadline.
+#[must_use]
+pub fn stall_timeout(abandoned_after: Option<time::Millis>) -> time::Millis {
+    abandoned_after.map_or(MIN_STALL, |it| time::Millis(it.0 / 2).max(MIN_STALL))
+}
--- /dev/null
+++ b/crates/sageshed-fleet/tests/silence.rs
@@ -0,0 +1,42 @@
+//! When a request whose endpoint is silent is sent to another endpoint as well.
+
+use sageshed_fleet::silence;
+use sageshed_types::time;
+
+struct Case {
+    name: &'static str,
+    abandoned_after_ms: Option<u64>,
+    stall_ms: u64,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "the caller waits until its deadline",
+        abandoned_after_ms: None,
+        stall_ms: 1_000,
+    },
+    Case {
+        name: "the least patient caller",
+        abandoned_after_ms: Some(2_000),
+        stall_ms: 1_000,
+    },
+    Case {
+        name: "half of the patience is left to the second endpoint",
+        abandoned_after_ms: Some(4_800),
+        stall_ms: 2_400,
+    },
+    Case {
+        name: "a patience shorter than that of any caller",
+        abandoned_after_ms: Some(500),
+        stall_ms: 1_000,
+    },
+];
+
+/// Guards against second runs for each silence of a second, and against ones that begin too late for the caller.
+#[test]
+fn a_second_endpoint_is_tried_after_half_of_the_caller_s_patience() {
+    for case in &CASES {
+        let stall = silence::stall_timeout(case.abandoned_after_ms.map(time::Millis));
+        assert_eq!(stall, time::Millis(case.stall_ms), "{}", case.name);
+    }
+}
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -111,17 +111,28 @@
     pub is_reused: bool,
 }
 
-impl Exchange {
-    /// Whether it goes through another process.
-    #[must_use]
-    pub fn is_relayed(&self) -> bool {
-        self.socket.is_relayed
-    }
+/// A request that was sent, and whose answer has not begun.
+#[derive(Debug)]
+pub struct Sent {
+    socket: Socket,
+    is_head_request: bool,
+    /// Whether the connection may carry another request, if the head of the answer allows it.
+    keeps: bool,
+    is_reused: bool,
 }
 
-impl Exchange {
-    /// Sends `req` and reads the head of the answer.
-    pub(crate) fn run<S: Fn() -> bool>(
+/// A head that has not come.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// Why the wait for it has ended.
+    pub failure: Failure,
+    /// The request, where the wait has only ended by the patience of whoever waits and can go on.
+    pub sent: Option<Sent>,
+}
+
+impl Sent {
+    /// Sends `req` on a connection.
+    pub(crate) fn write<S: Fn() -> bool>(
         mut socket: Socket,
         req: &Request<'_>,
         patience: &Patience<'_, S>,
@@ -129,33 +140,74 @@
     ) -> Result<Self, Failure> {
         let mut bytes = req.head();
         bytes.extend_from_slice(req.body);
-        let is_read = socket.write(&bytes, patience)?;
-        let is_head_request = req.method == "HEAD";
-        let (head, framing) = read_head(&mut socket, is_head_request, patience)?;
-        let keeps = is_read && !head.has_option("connection", "close");
+        let keeps = socket.write(&bytes, patience)?;
         Ok(Self {
             socket,
-            head,
-            framing,
-            body_end: BodyEnd::of(framing),
-            is_head_request,
+            is_head_request: req.method == "HEAD",
             keeps,
             is_reused,
         })
     }
 
+    /// Whether a part of the answer has arrived that was not read. Does not block.
+    #[must_use]
+    pub fn has_input(&self) -> bool {
+        self.socket.has_input()
+    }
+
+    /// Waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Where no head comes.
+    pub fn head<S: Fn() -> bool>(
+        mut self,
+        patience: &Patience<'_, S>,
+    ) -> Result<Exchange, Unanswered> {
+        match read_head(&mut self.socket, self.is_head_request, patience) {
+            Ok((head, framing)) => Ok(Exchange {
+                keeps: self.keeps && !head.has_option("connection", "close"),
+                socket: self.socket,
+                head,
+                framing,
+                body_end: BodyEnd::of(framing),
+                is_head_request: self.is_head_request,
+                is_reused: self.is_reused,
+            }),
+            Err(failure) => {
+                let can_go_on = matches!(failure.cause, Cause::Silent | Cause::Interrupted);
+                let sent = can_go_on.then_some(self);
+                Err(Unanswered { failure, sent })
+            }
+        }
+    }
+}
+
+impl Exchange {
+    /// Whether it goes through another process.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.socket.is_relayed
+    }
+
+    /// Whether more of the answer has arrived than was read. Does not block.
+    #[must_use]
+    pub fn has_input(&self) -> bool {
+        self.socket.has_input()
+    }
+
     /// Reads on in the body.
     ///
     /// # Errors
     ///
-    /// Where the body does not come whole. The connection is of no use any more, but for one that was
-    /// silent for too long, on which the body may be read on.
+    /// Where the body does not come whole. The connection is of no use any more, unless only the `patience` has ended:
+    /// then the body may be read on.
     pub fn read<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Result<Piece, Failure> {
         let piece = body::read(&mut self.socket, &mut self.framing, patience);
-        // One that was only silent may be read on.
+        // A read that has only ended by the patience of whoever waits may be repeated.
         let is_sound = match &piece {
             Ok(_) => true,
-            Err(e) => e.cause == Cause::Silent,
+            Err(e) => matches!(e.cause, Cause::Silent | Cause::Interrupted),
         };
         self.keeps = self.keeps && !self.ends_with_connection() && is_sound;
         piece
@@ -182,27 +234,27 @@
         Ok(whole)
     }
 
-    /// Passes over this answer, which belongs to an earlier request, to the next on the connection.
+    /// Passes over this answer, which belongs to an earlier request. The answer to the request is still to come.
     ///
     /// # Errors
     ///
-    /// Where no further one comes.
-    pub fn next_answer<S: Fn() -> bool>(
+    /// Where no further one can come.
+    pub fn pass_over<S: Fn() -> bool>(
         mut self,
         most: usize,
         patience: &Patience<'_, S>,
-    ) -> Result<Self, Failure> {
+    ) -> Result<Sent, Failure> {
         self.read_whole(most, patience)?;
         if !self.keeps {
             let detail = "only the answer to another request came";
             return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
         }
-        let (head, framing) = read_head(&mut self.socket, self.is_head_request, patience)?;
-        self.keeps = !head.has_option("connection", "close");
-        self.head = head;
-        self.framing = framing;
-        self.body_end = BodyEnd::of(framing);
-        Ok(self)
+        Ok(Sent {
+            socket: self.socket,
+            is_head_request: self.is_head_request,
+            keeps: true,
+            is_reused: self.is_reused,
+        })
     }
 
     /// Whether the body has neither a length nor chunks and ends with the connection. An orderly end of the connection then
--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     connection::{self, Connect},
-    exchange::{Exchange, Patience, Request},
+    exchange::{Exchange, Patience, Request, Sent},
     failure::Failure,
     socket::Socket,
 };
@@ -66,6 +66,19 @@
 }
 
 impl Opened {
+    /// Sends `req`.
+    ///
+    /// # Errors
+    ///
+    /// Where not all of it can be sent.
+    pub fn send<S: Fn() -> bool>(
+        self,
+        req: &Request<'_>,
+        patience: &Patience<'_, S>,
+    ) -> Result<Sent, Failure> {
+        Sent::write(self.socket, req, patience, self.is_reused)
+    }
+
     /// Sends `req` and reads the head of the answer.
     ///
     /// # Errors
@@ -76,7 +89,9 @@
         req: &Request<'_>,
         patience: &Patience<'_, S>,
     ) -> Result<Exchange, Failure> {
-        Exchange::run(self.socket, req, patience, self.is_reused)
+        self.send(req, patience)?
+            .head(patience)
+            .map_err(|it| it.failure)
     }
 
     /// Whether it has carried another request before.
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -118,7 +118,8 @@
         Ok(true)
     }
 
-    fn has_input(&self) -> bool {
+    /// Whether bytes have arrived that were not read.
+    pub(crate) fn has_input(&self) -> bool {
         let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
         matches!(sys::recv(&self.stream, &mut [0], flags), Ok((_, n)) if n > 0)
     }
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -232,7 +232,8 @@
         .exchange(address, &get(), LONG, &patience)
         .expect("an answer");
     assert_eq!(first.head.get("id"), Some("old"));
-    let mut second = first.next_answer(1_000, &patience).expect("another");
+    let sent = first.pass_over(1_000, &patience).expect("more can come");
+    let mut second = sent.head(&patience).expect("another");
     assert_eq!(second.head.get("id"), Some("new"));
     assert_eq!(second.read_whole(1_000, &patience).expect("whole"), b"new");
 }
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -85,6 +85,29 @@
     }
 }
 
+/// What became of a run whose endpoint was silent when another one was tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceEnd {
+    /// Its endpoint went on.
+    WentOn,
+    /// Another endpoint responded first.
+    Replaced,
+    /// The request ended before.
+    RequestEnded,
+}
+
+impl SilenceEnd {
+    /// Its label in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::WentOn => "went_on",
+            Self::Replaced => "replaced",
+            Self::RequestEnded => "request_ended",
+        }
+    }
+}
+
 /// The instruments of an entry process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -94,6 +117,7 @@
     by_workspace: instruments::Counter<u64>,
     resumed: instruments::Counter<u64>,
     cut: instruments::Counter<u64>,
+    silences: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
     gauges: Gauges,
@@ -356,6 +380,10 @@
             .u64_counter("sageshed_gateway_streams_cut")
             .with_description("Streams that had begun and were ended here before their last event")
             .build();
+        let silences = meter
+            .u64_counter("sageshed_gateway_silent_runs")
+            .with_description("Runs at silent endpoints that were kept while another one was tried")
+            .build();
         let gauges = Gauges::new(&registry);
         Self {
             registry,
@@ -364,6 +392,7 @@
             by_workspace,
             resumed,
             cut,
+            silences,
             workspaces: sync::Mutex::default(),
             gauges,
         }
@@ -392,6 +421,11 @@
         self.resumed.add(1, &of);
     }
 
+    /// Counts a run at a silent endpoint that is kept no longer.
+    pub fn silence_ended(&self, end: SilenceEnd) {
+        self.silences.add(1, &[KeyValue::new("end", end.label())]);
+    }
+
     /// Counts a stream that this process ended after its first event and before its last, while its caller was connected.
     pub fn stream_cut(&self, reason: &str) {
         self.cut
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -3,13 +3,18 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, config, dialect, entry_peers as wire};
+use sageshed_fleet::{chooser, config, dialect, entry_peers as wire, silence};
 use sageshed_http::reply;
 use sageshed_types::{headers, time, verdict};
 use sageshed_upstream::{exchange, failure, pool};
 
-use super::{AttemptResult, ProxiedRequest, records_check::EndpointCheck};
-use crate::gateway::{entry_peers, paths, queues, response::ResponseSink};
+use super::{
+    AttemptResult, ProxiedRequest,
+    records_check::EndpointCheck,
+    silent_runs::{Progress, SentRun},
+    stream::StreamRun,
+};
+use crate::gateway::{entry_peers, metrics, paths, queues, response::ResponseSink};
 
 /// The largest response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -45,24 +50,12 @@
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
         let sent_at = std_time::Instant::now();
+        let resume = sink.last_id().map(str::to_owned);
         entry_peers::report_send(self.shared, pick, self.granted.take());
         self.count_send(pick);
         self.commit_charge();
         let waited = self.req.received.elapsed();
         self.attempt_log.record_attempt(pick, waited.into());
-        let expected = std_time::Duration::from(pick.estimate) + ESTIMATE_MARGIN;
-        let silence = self.silence_limit();
-        let stop = || {
-            let waited = sent_at.elapsed();
-            let is_silent = silence.is_some_and(|longest| waited > longest);
-            let is_late = is_silent || (waited > expected && self.is_suspected(pick));
-            watch.caller_gone() || self.is_abandoned() || (is_late && self.may_switch_endpoint())
-        };
-        let patience = exchange::Patience {
-            until: self.deadline,
-            stop: &stop,
-        };
-        let resume = sink.last_id().map(str::to_owned);
         let opened = match self.open(pick, self.deadline, watch) {
             Ok(opened) => opened,
             Err(failure) => return self.handle_missing_response(pick, sink, failure, watch),
@@ -71,13 +64,89 @@
         if check != EndpointCheck::Send {
             return self.withdraw(pick, sink, check);
         }
-        let answer = self.exchange(pick, opened, resume.as_deref(), &patience);
-        let exchange = match answer.and_then(|it| self.skip_stale_responses(pick, it, &patience)) {
-            Ok(exchange) => exchange,
-            Err(failure) => return self.handle_missing_response(pick, sink, failure, watch),
+        let path = paths::PathUse::of(&opened);
+        let may_give_up = !sink.has_started();
+        let stop = || {
+            self.is_unwanted(watch, may_give_up)
+                || (self.is_late(pick, sent_at) && self.may_switch_endpoint())
         };
-        self.deliveries += 1;
-        self.handle_response(pick, exchange, sink, sent_at, watch)
+        let patience = exchange::Patience {
+            until: self.deadline,
+            stop: &stop,
+        };
+        match self.write_request(pick, opened, resume.as_deref(), &patience) {
+            Ok(sent) => {
+                let run = SentRun {
+                    sent,
+                    path,
+                    sent_at,
+                };
+                self.await_head(pick, run, sink, watch)
+            }
+            Err(failure) => {
+                self.shared
+                    .record_exchange(pick.address, path, Some(&failure));
+                self.handle_missing_response(pick, sink, failure, watch)
+            }
+        }
+    }
+
+    /// Waits for the response to a request that was sent to the endpoint of `pick`, and passes it on.
+    pub(super) fn await_head<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        run: SentRun,
+        sink: ResponseSink<'c>,
+        watch: &reply::Watch,
+    ) -> AttemptResult<'c> {
+        let SentRun {
+            sent,
+            path,
+            sent_at,
+        } = run;
+        let may_give_up = !sink.has_started();
+        let stop = || {
+            self.is_unwanted(watch, may_give_up)
+                || (self.is_late(pick, sent_at) && self.may_switch_endpoint())
+        };
+        let patience = exchange::Patience {
+            until: self.deadline,
+            stop: &stop,
+        };
+        let unanswered = match self.read_head(pick, sent, path, &patience) {
+            Ok(exchange) => {
+                self.deliveries += 1;
+                return self.handle_response(pick, exchange, sink, sent_at, watch);
+            }
+            Err(unanswered) => unanswered,
+        };
+        let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
+        match unanswered.sent {
+            Some(sent) if is_interrupted && !self.is_unwanted(watch, may_give_up) => {
+                let run = SentRun {
+                    sent,
+                    path,
+                    sent_at,
+                };
+                self.keep_silent_run(pick, Progress::Sent(run));
+                AttemptResult::Retry(sink)
+            }
+            _ => self.handle_missing_response(pick, sink, unanswered.failure, watch),
+        }
+    }
+
+    /// Whether the response of the latest endpoint is not needed any more: the caller has disconnected, or does not wait
+    /// for longer if `may_give_up`, or a silent endpoint goes on.
+    fn is_unwanted(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
+        watch.caller_gone() || (may_give_up && self.is_abandoned()) || self.has_resumed_run()
+    }
+
+    /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
+    fn is_late(&self, pick: &chooser::Pick, sent_at: std_time::Instant) -> bool {
+        let waited = sent_at.elapsed();
+        let expected = std_time::Duration::from(pick.estimate) + ESTIMATE_MARGIN;
+        let is_silent = self.silence_limit().is_some_and(|longest| waited > longest);
+        is_silent || (waited > expected && self.is_suspected(pick))
     }
 
     fn is_suspected(&self, pick: &chooser::Pick) -> bool {
@@ -86,10 +155,19 @@
             .with_core(|core| core.chooser.is_suspected(now, pick))
     }
 
-    /// Whether the request may be sent to a second endpoint now, while it may be running at the first.
+    /// Whether the request may be sent to a second endpoint now, while it may be running at the first. Takes the retry that
+    /// this needs, since others wait for the same endpoint.
     fn may_switch_endpoint(&self) -> bool {
-        let is_retryable = self.route.kind.is_retryable();
-        is_retryable && self.possible_runs + 1 < self.route.attempts && self.can_retry()
+        let may_run = self.may_run_after(self.possible_runs + 1);
+        if !may_run || std_time::Instant::now() < self.next_switch {
+            return false;
+        }
+        // A coordinator of slots counts the retry itself.
+        if self.has_slot_coordinators() {
+            self.can_retry()
+        } else {
+            self.acquire_retry()
+        }
     }
 
     /// How long an endpoint may be silent before the request is sent to another one; none if it is not idempotent.
@@ -132,14 +210,13 @@
         Ok(opened)
     }
 
-    fn exchange<S: Fn() -> bool>(
+    fn write_request<S: Fn() -> bool>(
         &self,
         pick: &chooser::Pick,
         opened: pool::Opened,
         resume_after: Option<&str>,
         patience: &exchange::Patience<'_, S>,
-    ) -> Result<exchange::Exchange, failure::Failure> {
-        let path = paths::PathUse::of(&opened);
+    ) -> Result<exchange::Sent, failure::Failure> {
         // The time left is read once the connection is open, which may take long.
         let metadata = dialect::UpstreamMetadata {
             instance: &pick.instance,
@@ -174,10 +251,7 @@
         let now = self.shared.clock.now();
         let records_age = self.shared.with_core(|core| core.records_age.age(now));
         self.records_age.set(records_age);
-        let exchanged = opened.exchange(&req, patience);
-        self.shared
-            .record_exchange(pick.address, path, exchanged.as_ref().err());
-        exchanged
+        opened.send(&req, patience)
     }
 
     fn forwards_header(&self, name: &str) -> bool {
@@ -188,14 +262,19 @@
             && !self.shared.dialect.strips_header(name)
     }
 
-    /// Discards responses to earlier requests on the same connection.
-    fn skip_stale_responses<S: Fn() -> bool>(
+    /// Reads the head of the response, and discards responses to earlier requests on the same connection.
+    fn read_head<S: Fn() -> bool>(
         &self,
         pick: &chooser::Pick,
-        mut exchange: exchange::Exchange,
+        mut sent: exchange::Sent,
+        path: paths::PathUse,
         patience: &exchange::Patience<'_, S>,
-    ) -> Result<exchange::Exchange, failure::Failure> {
+    ) -> Result<exchange::Exchange, exchange::Unanswered> {
         loop {
+            let answer = sent.head(patience);
+            let failure = answer.as_ref().err().map(|it| &it.failure);
+            self.shared.record_exchange(pick.address, path, failure);
+            let exchange = answer?;
             let head = &exchange.head;
             let response = self
                 .shared
@@ -206,7 +285,11 @@
                 return Ok(exchange);
             }
             ::log::warn!(request = self.id(); "gateway: discarded a response to another request");
-            exchange = exchange.next_answer(MAX_RESPONSE_BYTES, patience)?;
+            let passed_over = exchange.pass_over(MAX_RESPONSE_BYTES, patience);
+            sent = passed_over.map_err(|failure| exchange::Unanswered {
+                failure,
+                sent: None,
+            })?;
         }
     }
 
@@ -224,22 +307,17 @@
         sent_at: std_time::Instant,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let stop = &|| watch.caller_gone();
         let head = exchange.head.clone();
         let response = self
             .shared
             .dialect
             .response_metadata(head.status, |it| head.get(it));
-        let patience = exchange::Patience {
-            until: self.deadline,
-            stop,
-        };
         let is_rejected = matches!(
             response.execution,
             dialect::ExecutionStatus::NotRun | dialect::ExecutionStatus::Misdirected
         );
         if is_rejected {
-            if exchange.read_whole(MAX_RESPONSE_BYTES, &patience).is_ok() {
+            if self.read_whole(&mut exchange, watch).is_ok() {
                 self.shared.pool.keep(pick.address, exchange);
             }
             return self.handle_rejection(pick, sink, &response, head.status);
@@ -252,7 +330,7 @@
             return self.handle_unusable_response(pick, sink, detail.to_owned());
         }
         let claims_not_run = matches!(head.status, 408 | 421 | 429 | 503);
-        let may_retry = self.route.kind.is_retryable() && self.possible_runs < self.route.attempts;
+        let may_retry = self.may_run_again();
         if !is_success && (claims_not_run || !is_verified) {
             let detail = format!("the endpoint answered with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
@@ -265,10 +343,17 @@
             .get("content-type")
             .is_some_and(|it| it.starts_with("text/event-stream"));
         if is_success && is_events {
-            return self.stream(pick, exchange, sink, sent_at, stop, response.load);
+            let run = StreamRun {
+                load: response.load,
+                exchange,
+                sent_at,
+                has_begun: false,
+            };
+            return self.stream(pick, run, sink, watch);
         }
-        match exchange.read_whole(MAX_RESPONSE_BYTES, &patience) {
+        match self.read_whole(&mut exchange, watch) {
             Ok(body) => {
+                self.end_silent_runs(metrics::SilenceEnd::Replaced);
                 self.record_start(pick, sent_at, response.load);
                 let failed = head.status >= 500;
                 let outcome = if failed {
@@ -285,6 +370,18 @@
         }
     }
 
+    fn read_whole(
+        &self,
+        exchange: &mut exchange::Exchange,
+        watch: &reply::Watch,
+    ) -> Result<Vec<u8>, failure::Failure> {
+        let patience = exchange::Patience {
+            until: self.deadline,
+            stop: &|| watch.caller_gone() || self.has_resumed_run(),
+        };
+        exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
+    }
+
     /// Records that the endpoint of `pick` has started to respond, so that its prefill is done, and reports this to
     /// entry peers.
     pub(super) fn record_start(
@@ -387,6 +484,11 @@
     /// exponential delay; other requests go to another engine.
     fn delay_after_rejection(&mut self, pick: &chooser::Pick) {
         self.rejections += 1;
+        if !self.silent_runs.is_empty() {
+            // The silent endpoint may go on meanwhile.
+            self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+            return;
+        }
         if !self.is_resumption() {
             self.tried_endpoints.push(pick.key);
             return std::thread::sleep(REJECTION_DELAY);
@@ -421,6 +523,11 @@
     ) -> AttemptResult<'c> {
         let began = false;
         let is_interrupted = failure.cause == failure::Cause::Interrupted;
+        if is_interrupted && self.has_resumed_run() && !watch.caller_gone() {
+            self.deliveries += u32::from(failure.is_sent);
+            self.possible_runs += u32::from(failure.is_sent);
+            return self.leave_run(pick, sink, began);
+        }
         if is_interrupted && (watch.caller_gone() || self.is_abandoned()) {
             // A caller that has given up on the first event may still read the status.
             self.possible_runs += u32::from(failure.is_sent && !watch.caller_gone());
@@ -448,6 +555,21 @@
         self.handle_failed_run(pick, sink, began, &failure)
     }
 
+    /// Leaves an endpoint, since one that was silent goes on.
+    fn leave_run<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        sink: ResponseSink<'c>,
+        began: bool,
+    ) -> AttemptResult<'c> {
+        self.last_failure = format!("endpoint {} was left for an earlier one", pick.instance);
+        self.attempt_log
+            .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
+        self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
+        self.tried_endpoints.push(pick.key);
+        AttemptResult::Retry(sink)
+    }
+
     /// Handles the failure of a request that may have run and got no complete response.
     pub(super) fn handle_failed_run<'c>(
         &mut self,
@@ -456,6 +578,9 @@
         began: bool,
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
+        if failure.cause == failure::Cause::Interrupted && self.has_resumed_run() {
+            return self.leave_run(pick, sink, began);
+        }
         if failure.cause == failure::Cause::Interrupted {
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
             return AttemptResult::CallerGone(sink);
@@ -474,7 +599,7 @@
         };
         self.end_attempt(pick, began, outcome);
         self.tried_endpoints.push(pick.key);
-        let may_retry = self.route.kind.is_retryable() && self.possible_runs < self.route.attempts;
+        let may_retry = self.may_run_again();
         // Without the id of an event, no other endpoint can tell where to resume the stream.
         let can_resume = !sink.has_started() || sink.last_id().is_some();
         if may_retry && can_resume && !is_over {
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -20,6 +20,7 @@
 mod quota;
 mod records_check;
 mod resumption;
+mod silent_runs;
 mod slot;
 mod stream;
 mod waiting;
@@ -31,12 +32,13 @@
 };
 
 use sageshed_fleet::{
-    chooser, config, dialect, fingerprint, quarantine, stream_origins::StreamKey, workspaces,
+    chooser, config, dialect, fingerprint, quarantine, silence, stream_origins::StreamKey,
+    workspaces,
 };
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
 
-use super::{refuse, response::ResponseSink, routing, state, stream_origins};
+use super::{metrics, refuse, response::ResponseSink, routing, state, stream_origins};
 
 /// The retry delay that a refusal names if nothing better is known.
 const DEFAULT_RETRY_AFTER: time::Millis = time::Millis(300);
@@ -160,6 +162,8 @@
 enum NextStep {
     /// Send it to this endpoint.
     Send(chooser::Pick),
+    /// Go on with a run whose endpoint was silent.
+    Return,
     /// Refuse it.
     Refuse(refusal::Refusal),
     /// End it, since its caller has disconnected.
@@ -227,6 +231,10 @@
     granted: cell::Cell<Option<u64>>,
     /// What limits it if this process chooses its endpoint of a plain service.
     local_limit: slot::LocalLimit,
+    /// Its runs at endpoints that are silent, while another endpoint is tried.
+    silent_runs: Vec<silent_runs::SilentRun>,
+    /// When another endpoint may be tried for a silent one.
+    next_switch: std_time::Instant,
     /// The quota charged for its next attempt.
     next_charge: Option<quota::Charge>,
     /// The quota charged for the attempt in progress.
@@ -236,12 +244,14 @@
     /// Whether the coordinator of the service had a retry left when it replied last.
     has_coordinator_retries: cell::Cell<bool>,
     /// Whether a retry was taken from the budget for its next attempt.
-    has_retry_token: bool,
+    has_retry_token: cell::Cell<bool>,
     /// Whether it could have been retried, but the retry budget was spent.
     is_retry_budget_spent: bool,
     /// What it waits for in this process, or waited for last.
     waited_for: Option<chooser::WaitReason>,
     timings: StreamTimings,
+    /// The bytes of events that were passed on.
+    passed_on: u64,
     attempt_log: attempt_log::AttemptLog,
 }
 
@@ -333,14 +343,17 @@
             slot: cell::Cell::new(None),
             granted: cell::Cell::new(None),
             local_limit: slot::LocalLimit::default(),
+            silent_runs: Vec::new(),
+            next_switch: req.received,
             next_charge: None,
             committed_charge: None,
             is_counted_for_retries: cell::Cell::new(false),
             has_coordinator_retries: cell::Cell::new(false),
-            has_retry_token: false,
+            has_retry_token: cell::Cell::new(false),
             is_retry_budget_spent: false,
             waited_for: None,
             timings: StreamTimings::default(),
+            passed_on: 0,
             attempt_log: attempt_log::AttemptLog::default(),
         }
     }
@@ -355,19 +368,31 @@
         if let Some(refusal) = self.charge_quota() {
             return self.refuse(sink, &refusal);
         }
-        loop {
-            let pick = match self.next(&watch) {
-                NextStep::Send(pick) => pick,
-                NextStep::Refuse(refusal) => return self.refuse(sink, &refusal),
-                NextStep::CallerGone => return self.finish_caller_gone(sink, &watch),
+        let sent = loop {
+            let result = match self.next(&watch) {
+                NextStep::Send(pick) => self.send(&pick, sink, &watch),
+                NextStep::Return => self.return_to_silent_run(sink, &watch),
+                NextStep::Refuse(refusal) => AttemptResult::Refuse(sink, refusal),
+                NextStep::CallerGone => AttemptResult::CallerGone(sink),
             };
-            match self.send(&pick, sink, &watch) {
-                AttemptResult::Done(sent) => return sent,
-                AttemptResult::Retry(back) => sink = back,
-                AttemptResult::Refuse(sink, refusal) => return self.refuse(sink, &refusal),
-                AttemptResult::CallerGone(sink) => return self.finish_caller_gone(sink, &watch),
-            }
-        }
+            sink = match result {
+                AttemptResult::Done(sent) => break sent,
+                AttemptResult::Retry(back) => back,
+                AttemptResult::Refuse(back, _) if self.has_silent_run_in_time() => {
+                    self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+                    back
+                }
+                AttemptResult::Refuse(sink, refusal) => break self.refuse(sink, &refusal),
+                AttemptResult::CallerGone(sink) => break self.finish_caller_gone(sink, &watch),
+            };
+        };
+        self.end_silent_runs(metrics::SilenceEnd::RequestEnded);
+        sent
+    }
+
+    /// Whether a silent endpoint may still respond before the deadline.
+    fn has_silent_run_in_time(&self) -> bool {
+        !self.silent_runs.is_empty() && self.time_left() > time::Millis(0)
     }
 
     /// Counts the request in this process's part of the retry budget, unless it is counted already.
--- /dev/null
+++ b/src/sageshed/gateway/proxy/silent_runs.rs
@@ -0,0 +1,156 @@
+//! Runs at endpoints that have fallen silent, kept while another endpoint is tried.
+//!
+//! A sound endpoint may send nothing for a second or more and go on. Closing the connection ends the run there, and
+//! whether another endpoint takes the request shows only later: all may be full, or no retry may be left. So a run is
+//! kept until another endpoint has begun to respond. If the silent one goes on before that, the other is left.
+
+use std::{sync::atomic, time as std_time};
+
+use sageshed_fleet::{chooser, dialect, silence};
+use sageshed_http::reply;
+use sageshed_types::{time, verdict};
+use sageshed_upstream::exchange;
+
+use super::{AttemptResult, ProxiedRequest, quota, slot, stream::StreamRun};
+use crate::gateway::{metrics, paths::PathUse, response::ResponseSink};
+
+/// A run that has sent nothing for long.
+#[derive(Debug)]
+pub(super) struct SilentRun {
+    pick: chooser::Pick,
+    progress: Progress,
+    slot: Option<slot::HeldSlot>,
+    charge: Option<quota::Charge>,
+}
+
+/// How far a run has come.
+#[derive(Debug)]
+pub(super) enum Progress {
+    /// The request was sent.
+    Sent(SentRun),
+    /// The head of a stream has arrived. With the bytes of an event that is not complete.
+    Stream(StreamRun, Vec<u8>),
+}
+
+/// A run whose response has not begun.
+#[derive(Debug)]
+pub(super) struct SentRun {
+    pub(super) sent: exchange::Sent,
+    pub(super) path: PathUse,
+    pub(super) sent_at: std_time::Instant,
+}
+
+impl SilentRun {
+    /// Whether its endpoint has sent something since the run was kept.
+    fn has_input(&self) -> bool {
+        match &self.progress {
+            Progress::Sent(run) => run.sent.has_input(),
+            Progress::Stream(run, _) => run.exchange.has_input(),
+        }
+    }
+
+    fn has_begun(&self) -> bool {
+        matches!(&self.progress, Progress::Stream(run, _) if run.has_begun)
+    }
+}
+
+impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
+    /// Keeps a run whose endpoint is silent. The next attempt is made at another endpoint.
+    pub(super) fn keep_silent_run(&mut self, pick: &chooser::Pick, progress: Progress) {
+        if matches!(progress, Progress::Sent(_)) {
+            self.deliveries += 1;
+            self.possible_runs += 1;
+        }
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, runs = self.possible_runs, left_ms = self.time_left().0;
+            "gateway: endpoint is silent, trying another one");
+        self.last_failure = format!("endpoint {} is silent", pick.instance);
+        self.attempt_log
+            .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
+        self.tried_endpoints.push(pick.key);
+        self.silent_runs.push(SilentRun {
+            pick: pick.clone(),
+            progress,
+            slot: self.slot.take(),
+            charge: self.committed_charge.take(),
+        });
+    }
+
+    /// Whether a silent endpoint has sent something.
+    pub(super) fn has_resumed_run(&self) -> bool {
+        self.silent_runs.iter().any(SilentRun::has_input)
+    }
+
+    /// Whether the request goes on at a silent endpoint instead of at another one: it has sent something, or no other
+    /// endpoint is to be tried now.
+    pub(super) fn returns_to_silent_run(&self) -> bool {
+        let may_switch = self.may_run_again() && std_time::Instant::now() >= self.next_switch;
+        !self.silent_runs.is_empty() && (!may_switch || self.has_resumed_run())
+    }
+
+    /// Goes on with a kept run: one that has sent something, or else the latest one.
+    pub(super) fn return_to_silent_run<'c>(
+        &mut self,
+        sink: ResponseSink<'c>,
+        watch: &reply::Watch,
+    ) -> AttemptResult<'c> {
+        let resumed = self.silent_runs.iter().position(SilentRun::has_input);
+        let at = resumed.unwrap_or(self.silent_runs.len().saturating_sub(1));
+        let run = self.silent_runs.remove(at);
+        self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+        self.tried_endpoints.retain(|it| *it != run.pick.key);
+        self.slot.set(run.slot);
+        self.committed_charge = run.charge;
+        if resumed.is_some() {
+            ::log::info!(request = self.id(), endpoint:% = run.pick.instance; "gateway: silent endpoint goes on");
+            self.shared
+                .metrics
+                .silence_ended(metrics::SilenceEnd::WentOn);
+        }
+        match run.progress {
+            Progress::Sent(sent) => {
+                self.deliveries -= 1;
+                self.possible_runs -= 1;
+                self.await_head(&run.pick, sent, sink, watch)
+            }
+            Progress::Stream(stream, pending) => {
+                let sink = sink.with_pending(pending);
+                self.stream(&run.pick, stream, sink, watch)
+            }
+        }
+    }
+
+    /// Closes the connections of the silent runs, since another endpoint has begun to respond or the request has ended.
+    pub(super) fn end_silent_runs(&mut self, end: metrics::SilenceEnd) {
+        let outcome = match end {
+            metrics::SilenceEnd::Replaced => chooser::AttemptOutcome::Silent,
+            metrics::SilenceEnd::WentOn | metrics::SilenceEnd::RequestEnded => {
+                chooser::AttemptOutcome::GivenUp
+            }
+        };
+        for run in std::mem::take(&mut self.silent_runs) {
+            let has_begun = run.has_begun();
+            drop(run.progress);
+            ::log::info!(request = self.id(), endpoint:% = run.pick.instance, end = end.label(); "gateway: left a silent endpoint");
+            self.shared.metrics.silence_ended(end);
+            let current = self.slot.replace(run.slot);
+            self.end_attempt(&run.pick, has_begun, outcome);
+            self.slot.set(current);
+        }
+    }
+
+    /// Whether the request may run at one more endpoint than the `runs` that may have run it.
+    pub(super) fn may_run_after(&self, runs: u32) -> bool {
+        let is_ending = self.shared.ending.load(atomic::Ordering::Relaxed);
+        self.route.kind.is_retryable() && runs < self.route.attempts && !is_ending
+    }
+
+    /// Whether the request may run at one more endpoint.
+    pub(super) fn may_run_again(&self) -> bool {
+        self.may_run_after(self.possible_runs)
+    }
+
+    /// How long the endpoint of a stream may send nothing before another one is tried as well.
+    pub(super) fn stall_timeout(&self) -> time::Millis {
+        silence::stall_timeout(self.route.abandoned_after)
+    }
+}
--- a/src/sageshed/gateway/proxy/slot.rs
+++ b/src/sageshed/gateway/proxy/slot.rs
@@ -175,8 +175,8 @@
             if let Some(refusal) = self.refuse_ended_wait(left) {
                 return SlotResult::Ended(NextStep::Refuse(refusal));
             }
-            if watch.caller_gone() {
-                return SlotResult::Ended(NextStep::CallerGone);
+            if let Some(step) = self.interruption(watch) {
+                return SlotResult::Ended(step);
             }
             let until_wake = wait.wake_at().since(self.shared.clock.now());
             let limit = CALLER_CHECK_INTERVAL
@@ -192,7 +192,9 @@
                     if reply.decision == slots::SlotDecision::Wait {
                         self.waited_for = Some(chooser::WaitReason::Place);
                     }
-                    self.has_retry_token |= reply.has_retry;
+                    if reply.has_retry {
+                        self.has_retry_token.set(true);
+                    }
                     self.has_coordinator_retries.set(reply.retries_left);
                     if !wait.is_asked(from)
                         && let Some(peers) = &self.shared.entry_peers
@@ -251,7 +253,7 @@
         let is_first = !self.is_counted_for_retries.replace(true);
         if is_first {
             slots::SlotAttempt::First
-        } else if self.deliveries > 0 && !self.has_retry_token {
+        } else if self.deliveries > 0 && !self.has_retry_token.get() {
             slots::SlotAttempt::Retry
         } else {
             slots::SlotAttempt::Again
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -2,53 +2,82 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect};
+use sageshed_fleet::{chooser, dialect, silence};
 use sageshed_http::reply;
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
 
-use super::{AttemptResult, ProxiedRequest};
-use crate::gateway::{
-    entry_peers,
-    response::{EventBuffer, ResponseSink},
-};
-
-/// How long a resumable stream may send nothing before it is moved to another endpoint. Callers abandon a
-/// stream after two seconds without data.
-const STALL_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
+use super::{AttemptResult, ProxiedRequest, silent_runs::Progress};
+use crate::gateway::{entry_peers, metrics, response::ResponseSink};
 
 /// A silence between two reads of a stream that is logged when it ends.
 const LOGGED_SILENCE: std_time::Duration = std_time::Duration::from_millis(700);
 
+/// A stream of an endpoint.
+#[derive(Debug)]
+pub(super) struct StreamRun {
+    pub(super) exchange: exchange::Exchange,
+    pub(super) sent_at: std_time::Instant,
+    /// The load that the endpoint has reported with the head.
+    pub(super) load: Option<dialect::Load>,
+    /// Whether a part of the body has arrived.
+    pub(super) has_begun: bool,
+}
+
+/// How far the response to the caller has come.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    has_started: bool,
+    /// Whether another endpoint could go on from here.
+    can_resume: bool,
+}
+
+/// What follows in a stream.
+enum Next {
+    Chunk(exchange::Piece),
+    /// Nothing for long, and another endpoint can be tried.
+    Silent,
+    Failed(failure::Failure),
+}
+
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Forwards a stream to the caller event by event.
     pub(super) fn stream<'c>(
         &mut self,
         pick: &chooser::Pick,
-        mut exchange: exchange::Exchange,
+        mut run: StreamRun,
         sink: ResponseSink<'c>,
-        sent_at: std_time::Instant,
-        stop: &impl Fn() -> bool,
-        load: Option<dialect::Load>,
+        watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let can_resume = !sink.has_started() || sink.last_id().is_some();
-        let mut chunk = match self.next_chunk(pick, &mut exchange, stop, can_resume) {
-            Ok(chunk) => chunk,
-            Err(failure) => return self.handle_failed_run(pick, sink, false, &failure),
+        let position = Position {
+            has_started: sink.has_started(),
+            can_resume: !sink.has_started() || sink.last_id().is_some(),
+        };
+        let mut chunk = match self.next_chunk(pick, &mut run, watch, position) {
+            Next::Chunk(chunk) => chunk,
+            Next::Silent => return self.try_another(pick, run, sink),
+            Next::Failed(failure) if run.has_begun => {
+                return self.break_off(pick, run, sink, &failure);
+            }
+            Next::Failed(failure) => return self.handle_failed_run(pick, sink, false, &failure),
         };
-        if chunk == exchange::Piece::End && exchange.ends_with_connection() && !sink.has_started() {
+        let is_empty = chunk == exchange::Piece::End && !run.has_begun && !sink.has_started();
+        if is_empty && run.exchange.ends_with_connection() {
             return self.handle_failed_run(pick, sink, false, &ended_inside_event());
         }
-        self.record_start(pick, sent_at, load);
-        self.note_resumption(pick, sink.last_id());
-        self.timings.record_start(self.req.received);
-        let (mut stream, mut events) = sink.start_stream(&exchange.head);
-        let mut passed_on: u64 = 0;
+        self.end_silent_runs(metrics::SilenceEnd::Replaced);
+        if !run.has_begun {
+            run.has_begun = true;
+            self.record_start(pick, run.sent_at, run.load);
+            self.note_resumption(pick, sink.last_id());
+            self.timings.record_start(self.req.received);
+        }
+        let (mut stream, mut events) = sink.start_stream(&run.exchange.head);
         loop {
             match chunk {
                 exchange::Piece::Bytes(bytes) => {
                     let whole = events.push(self.shared.dialect, &bytes);
-                    passed_on += whole.len() as u64;
+                    self.passed_on += whole.len() as u64;
                     if self.timings.record_chunk() {
                         let now = self.shared.clock.now();
                         self.shared
@@ -64,28 +93,39 @@
                     self.timings.last_sent = Some(std_time::Instant::now());
                 }
                 exchange::Piece::End
-                    if exchange.ends_with_connection() && events.is_broken_off() =>
+                    if run.exchange.ends_with_connection() && events.is_broken_off() =>
                 {
-                    return self.break_off(pick, exchange, stream, events, &ended_inside_event());
+                    let sink = ResponseSink::Streaming(stream, events);
+                    return self.break_off(pick, run, sink, &ended_inside_event());
                 }
                 exchange::Piece::End => {
                     let rest = events.take_rest();
-                    let bytes = passed_on + rest.len() as u64;
+                    let bytes = self.passed_on + rest.len() as u64;
                     if stream.send(&rest).is_err() {
                         ::log::info!(request = self.id(); "gateway: caller disconnected at the end of its stream");
                     }
                     self.end_attempt(pick, true, chooser::AttemptOutcome::Answered);
                     self.record_pauses(pick);
-                    let exchange_status = exchange.head.status;
-                    self.shared.pool.keep(pick.address, exchange);
-                    self.finish_answered(pick, exchange_status, bytes, sent_at);
+                    let status = run.exchange.head.status;
+                    self.shared.pool.keep(pick.address, run.exchange);
+                    self.finish_answered(pick, status, bytes, run.sent_at);
                     return AttemptResult::Done(stream.finish());
                 }
             }
-            let can_resume = events.last_id.is_some();
-            chunk = match self.next_chunk(pick, &mut exchange, stop, can_resume) {
-                Ok(chunk) => chunk,
-                Err(failure) => return self.break_off(pick, exchange, stream, events, &failure),
+            let position = Position {
+                has_started: true,
+                can_resume: events.last_id.is_some(),
+            };
+            let next = self.next_chunk(pick, &mut run, watch, position);
+            chunk = match next {
+                Next::Chunk(chunk) => chunk,
+                Next::Silent => {
+                    return self.try_another(pick, run, ResponseSink::Streaming(stream, events));
+                }
+                Next::Failed(failure) => {
+                    let sink = ResponseSink::Streaming(stream, events);
+                    return self.break_off(pick, run, sink, &failure);
+                }
             };
         }
     }
@@ -94,61 +134,72 @@
     fn break_off<'c>(
         &mut self,
         pick: &chooser::Pick,
-        exchange: exchange::Exchange,
-        stream: reply::Stream<'c>,
-        mut events: EventBuffer,
+        run: StreamRun,
+        sink: ResponseSink<'c>,
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
-        events.drop_rest();
+        let (sink, _incomplete) = sink.without_pending();
         // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
-        drop(exchange);
-        let sink = ResponseSink::Streaming(stream, events);
+        drop(run);
         self.handle_failed_run(pick, sink, true, failure)
     }
 
-    /// Reads the next chunk of a stream. `can_resume` tells whether another endpoint could resume it.
+    /// Keeps a run whose endpoint is silent, and has another endpoint tried.
+    fn try_another<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        run: StreamRun,
+        sink: ResponseSink<'c>,
+    ) -> AttemptResult<'c> {
+        let (sink, incomplete) = sink.without_pending();
+        self.keep_silent_run(pick, Progress::Stream(run, incomplete));
+        AttemptResult::Retry(sink)
+    }
+
+    /// Reads the next chunk of a stream.
     ///
-    /// A stalled stream is abandoned only if a free endpoint can resume it and a retry is available. Otherwise its
-    /// caller would lose the rest of the response, while most often the engine is only busy with the prefill of other
-    /// prompts, and the stream continues by itself.
-    fn next_chunk<S: Fn() -> bool>(
+    /// A stream that has begun is not ended when its caller should have given it up: the caller may wait for longer, and
+    /// closes the connection otherwise.
+    fn next_chunk(
         &mut self,
         pick: &chooser::Pick,
-        exchange: &mut exchange::Exchange,
-        stop: &S,
-        can_resume: bool,
-    ) -> Result<exchange::Piece, failure::Failure> {
+        run: &mut StreamRun,
+        watch: &reply::Watch,
+        position: Position,
+    ) -> Next {
+        let began = std_time::Instant::now();
+        let mut next_try = began + self.stall_timeout().into();
         loop {
-            let may_retry =
-                self.route.kind.is_retryable() && self.possible_runs < self.route.attempts;
-            let may_move = may_retry && can_resume;
-            let until = if may_move {
-                self.deadline.min(std_time::Instant::now() + STALL_TIMEOUT)
+            let may_switch = self.may_run_again() && position.can_resume;
+            let until = if may_switch {
+                self.deadline.min(next_try.max(self.next_switch))
             } else {
                 self.deadline
             };
-            // A stream that has been silent for as long as its caller waits ends as if the caller had disconnected.
-            let stop = &|| stop() || self.is_abandoned();
-            let began = std_time::Instant::now();
-            let read = exchange.read(&exchange::Patience { until, stop });
-            self.log_end_of_silence(pick, began.elapsed(), &read);
-            let is_silent = matches!(&read, Err(e) if e.cause == failure::Cause::Silent);
+            let is_given_up = || !position.has_started && self.is_abandoned();
+            let stop = || watch.caller_gone() || is_given_up() || self.has_resumed_run();
+            let patience = exchange::Patience { until, stop: &stop };
+            let failure = match run.exchange.read(&patience) {
+                Ok(chunk) => {
+                    self.log_end_of_silence(pick, began.elapsed());
+                    return Next::Chunk(chunk);
+                }
+                Err(failure) => failure,
+            };
             let is_over = self.time_left() == time::Millis(0);
-            if !is_silent || is_over || (self.has_free_alternative(pick) && self.acquire_retry()) {
-                return read;
+            if failure.cause != failure::Cause::Silent || is_over {
+                return Next::Failed(failure);
+            }
+            if self.has_free_alternative(pick) && self.acquire_retry() {
+                return Next::Silent;
             }
+            next_try = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
         }
     }
 
-    /// Logs that an endpoint which was silent for long has sent something. Of a run that was given up before, nothing
-    /// further is heard, so that only the other runs at the endpoint show whether it was down.
-    fn log_end_of_silence(
-        &self,
-        pick: &chooser::Pick,
-        silent: std_time::Duration,
-        read: &Result<exchange::Piece, failure::Failure>,
-    ) {
-        if silent < LOGGED_SILENCE || read.is_err() {
+    /// Logs that an endpoint which was silent for long has sent something.
+    fn log_end_of_silence(&self, pick: &chooser::Pick, silent: std_time::Duration) {
+        if silent < LOGGED_SILENCE {
             return;
         }
         ::log::info!(request = self.id(), endpoint:% = pick.instance, silent_ms = time::Millis::from(silent).0;
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -48,6 +48,8 @@
     Ended,
     /// No retry is expected before its caller gives the stream up.
     NoneInTime,
+    /// A silent endpoint goes on.
+    Resumed,
     /// Its caller has disconnected.
     CallerGone,
 }
@@ -65,8 +67,12 @@
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Chooses the next endpoint, and waits for one while it can still respond in time.
     pub(super) fn next(&mut self, watch: &reply::Watch) -> NextStep {
+        if self.returns_to_silent_run() {
+            return NextStep::Return;
+        }
         match self.await_retry(watch) {
             RetryWait::Ended => {}
+            RetryWait::Resumed => return NextStep::Return,
             RetryWait::NoneInTime => return NextStep::Refuse(self.refuse_without_retry()),
             RetryWait::CallerGone => return NextStep::CallerGone,
         }
@@ -116,8 +122,8 @@
         // be another one, and the adapter would be loaded on both.
         let mut adapter_engine: Option<directory::InstanceId> = None;
         loop {
-            if watch.caller_gone() {
-                return Some(NextStep::CallerGone);
+            if let Some(step) = self.interruption(watch) {
+                return Some(step);
             }
             let left = self.wait_left();
             let refusal = self
@@ -216,6 +222,14 @@
         }
     }
 
+    /// What ends the wait for another endpoint at once.
+    pub(super) fn interruption(&self, watch: &reply::Watch) -> Option<NextStep> {
+        if watch.caller_gone() {
+            return Some(NextStep::CallerGone);
+        }
+        self.has_resumed_run().then_some(NextStep::Return)
+    }
+
     /// Sends the request to `pick`, or refuses it, by the limits that all entry processes enforce together. None if
     /// it may not be sent to this endpoint for now.
     pub(super) fn send_if_permitted(&mut self, pick: chooser::Pick) -> Option<NextStep> {
@@ -262,7 +276,7 @@
         if !self.is_within_limit(pick) {
             return Permission::OtherEndpoint;
         }
-        self.has_retry_token = false;
+        self.has_retry_token.set(false);
         Permission::Granted
     }
 
@@ -295,10 +309,10 @@
     }
 
     /// Takes a retry from the budget, unless the request holds one. Returns whether it holds one now.
-    pub(super) fn acquire_retry(&mut self) -> bool {
-        if !self.has_retry_token {
+    pub(super) fn acquire_retry(&self) -> bool {
+        if !self.has_retry_token.get() {
             let now = self.shared.clock.now();
-            self.has_retry_token = self.shared.with_core(|core| {
+            let is_left = self.shared.with_core(|core| {
                 let entries = core.entries.len();
                 if self.is_resumption() {
                     core.budget.spend_for_stream(now, self.service, entries)
@@ -306,8 +320,9 @@
                     core.budget.spend(now, self.service, entries)
                 }
             });
+            self.has_retry_token.set(is_left);
         }
-        self.has_retry_token
+        self.has_retry_token.get()
     }
 
     /// Waits until a stream that has begun and has to be retried holds a retry, while one is expected in time.
@@ -323,6 +338,9 @@
             if watch.caller_gone() {
                 break RetryWait::CallerGone;
             }
+            if self.has_resumed_run() {
+                break RetryWait::Resumed;
+            }
             if self.acquire_retry() {
                 break RetryWait::Ended;
             }
@@ -358,7 +376,7 @@
                 core.budget.has_token(now, self.service, entries)
             })
         };
-        self.has_retry_token || self.has_coordinator_retries.get() || is_left()
+        self.has_retry_token.get() || self.has_coordinator_retries.get() || is_left()
     }
 
     /// Refuses a request that can't start before its deadline because of those queued here before it.
--- a/src/sageshed/gateway/response.rs
+++ b/src/sageshed/gateway/response.rs
@@ -51,11 +51,6 @@
     pub(super) fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
     }
-
-    /// Discards an event that will not be completed.
-    pub(super) fn drop_rest(&mut self) {
-        self.pending.clear();
-    }
 }
 
 /// The position after the last complete event. Events end with an empty line.
@@ -89,6 +84,23 @@
         matches!(self, Self::Streaming(..))
     }
 
+    /// Takes out the bytes of an event that is not complete.
+    pub(super) fn without_pending(mut self) -> (Self, Vec<u8>) {
+        let pending = match &mut self {
+            Self::NotStarted(_) => Vec::new(),
+            Self::Streaming(_, events) => events.take_rest(),
+        };
+        (self, pending)
+    }
+
+    /// Puts back what [`Self::without_pending`] has taken out.
+    pub(super) fn with_pending(mut self, pending: Vec<u8>) -> Self {
+        if let Self::Streaming(_, events) = &mut self {
+            events.pending = pending;
+        }
+        self
+    }
+
     /// Starts a stream with the head of an endpoint's response, unless one was started.
     pub(super) fn start_stream(self, head: &exchange::Head) -> (reply::Stream<'c>, EventBuffer) {
         match self {
