Return a retry that was taken and is not used

All requests that wait at a silent endpoint take a retry before they look for another endpoint. One that went back to the silent endpoint, or was answered by it, kept the retry until its end and lost it, while others of the service got none.

The retry goes back to the budget of this process when the request goes back or ends. One that a coordinator granted with a slot is not returned, since the coordinator counts it by the slot.

The test fails without the change: there is nothing to return a retry with.

--- a/crates/sageshed-fleet/src/budget.rs
+++ b/crates/sageshed-fleet/src/budget.rs
@@ -91,6 +91,11 @@
         true
     }
 
+    /// Returns a retry that was taken and is not used.
+    pub fn refund(&mut self, now: time::Instant, service: &str) {
+        self.window(now, service).retries.pop_back();
+    }
+
     /// Withholds retries of `service` from new requests for a stream that waits for one, until [`Self::end_wait`] is called
     /// with the ticket that this returns.
     pub fn begin_wait(&mut self, now: time::Instant, service: &str) -> u64 {
--- a/crates/sageshed-fleet/tests/budget.rs
+++ b/crates/sageshed-fleet/tests/budget.rs
@@ -391,3 +391,17 @@
         );
     }
 }
+
+/// Guards against retries that are lost with requests which have taken one and do not use it.
+#[test]
+fn a_returned_retry_can_be_taken_again() {
+    let (mut budget, now) = (budget(), time::Instant(0));
+    while budget.spend(now, "s", 1) {}
+    budget.refund(now, "s");
+    assert!(budget.spend(now, "s", 1));
+    assert!(!budget.spend(now, "s", 1));
+    let later = now + WINDOW + time::Millis(1);
+    let before = budget.left(later, 1);
+    budget.refund(later, "s");
+    assert_eq!(budget.left(later, 1), before, "it has expired meanwhile");
+}
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -243,8 +243,8 @@
     is_counted_for_retries: cell::Cell<bool>,
     /// Whether the coordinator of the service had a retry left when it replied last.
     has_coordinator_retries: cell::Cell<bool>,
-    /// Whether a retry was taken from the budget for its next attempt.
-    has_retry_token: cell::Cell<bool>,
+    /// The retry that was taken for its next attempt.
+    retry: cell::Cell<waiting::HeldRetry>,
     /// Whether it could have been retried, but the retry budget was spent.
     is_retry_budget_spent: bool,
     /// What it waits for in this process, or waited for last.
@@ -349,7 +349,7 @@
             committed_charge: None,
             is_counted_for_retries: cell::Cell::new(false),
             has_coordinator_retries: cell::Cell::new(false),
-            has_retry_token: cell::Cell::new(false),
+            retry: cell::Cell::new(waiting::HeldRetry::None),
             is_retry_budget_spent: false,
             waited_for: None,
             timings: StreamTimings::default(),
@@ -387,6 +387,7 @@
             };
         };
         self.end_silent_runs(metrics::SilenceEnd::RequestEnded);
+        self.return_retry();
         sent
     }
 
--- a/src/sageshed/gateway/proxy/silent_runs.rs
+++ b/src/sageshed/gateway/proxy/silent_runs.rs
@@ -96,6 +96,7 @@
         let resumed = self.silent_runs.iter().position(SilentRun::has_input);
         let at = resumed.unwrap_or(self.silent_runs.len().saturating_sub(1));
         let run = self.silent_runs.remove(at);
+        self.return_retry();
         self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
         self.tried_endpoints.retain(|it| *it != run.pick.key);
         self.slot.set(run.slot);
--- a/src/sageshed/gateway/proxy/slot.rs
+++ b/src/sageshed/gateway/proxy/slot.rs
@@ -7,7 +7,7 @@
 use sageshed_http::reply;
 use sageshed_types::{time, verdict};
 
-use super::{DEFAULT_RETRY_AFTER, NextStep, ProxiedRequest};
+use super::{DEFAULT_RETRY_AFTER, NextStep, ProxiedRequest, waiting::HeldRetry};
 use crate::gateway::{self, state::CALLER_CHECK_INTERVAL};
 
 /// A slot that an attempt has, and what the attempt has shown of the endpoint.
@@ -193,7 +193,7 @@
                         self.waited_for = Some(chooser::WaitReason::Place);
                     }
                     if reply.has_retry {
-                        self.has_retry_token.set(true);
+                        self.retry.set(HeldRetry::FromCoordinator);
                     }
                     self.has_coordinator_retries.set(reply.retries_left);
                     if !wait.is_asked(from)
@@ -253,7 +253,7 @@
         let is_first = !self.is_counted_for_retries.replace(true);
         if is_first {
             slots::SlotAttempt::First
-        } else if self.deliveries > 0 && !self.has_retry_token.get() {
+        } else if self.deliveries > 0 && self.retry.get() == HeldRetry::None {
             slots::SlotAttempt::Retry
         } else {
             slots::SlotAttempt::Again
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -54,6 +54,16 @@
     CallerGone,
 }
 
+/// The retry that a request holds for its next attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HeldRetry {
+    None,
+    /// From the budget of this process.
+    FromBudget,
+    /// From the coordinator of the service, with a slot.
+    FromCoordinator,
+}
+
 /// Whether a request may be sent to the chosen endpoint.
 enum Permission {
     /// It may; quota, retry and rate limit are charged.
@@ -276,7 +286,7 @@
         if !self.is_within_limit(pick) {
             return Permission::OtherEndpoint;
         }
-        self.has_retry_token.set(false);
+        self.retry.set(HeldRetry::None);
         Permission::Granted
     }
 
@@ -310,7 +320,7 @@
 
     /// Takes a retry from the budget, unless the request holds one. Returns whether it holds one now.
     pub(super) fn acquire_retry(&self) -> bool {
-        if !self.has_retry_token.get() {
+        if self.retry.get() == HeldRetry::None {
             let now = self.shared.clock.now();
             let is_left = self.shared.with_core(|core| {
                 let entries = core.entries.len();
@@ -320,9 +330,21 @@
                     core.budget.spend(now, self.service, entries)
                 }
             });
-            self.has_retry_token.set(is_left);
+            if is_left {
+                self.retry.set(HeldRetry::FromBudget);
+            }
+        }
+        self.retry.get() != HeldRetry::None
+    }
+
+    /// Returns a retry that was taken from the budget of this process and is not used.
+    pub(super) fn return_retry(&self) {
+        if self.retry.get() == HeldRetry::FromBudget {
+            self.retry.set(HeldRetry::None);
+            let now = self.shared.clock.now();
+            self.shared
+                .with_core(|core| core.budget.refund(now, self.service));
         }
-        self.has_retry_token.get()
     }
 
     /// Waits until a stream that has begun and has to be retried holds a retry, while one is expected in time.
@@ -376,7 +398,7 @@
                 core.budget.has_token(now, self.service, entries)
             })
         };
-        self.has_retry_token.get() || self.has_coordinator_retries.get() || is_left()
+        self.retry.get() != HeldRetry::None || self.has_coordinator_retries.get() || is_left()
     }
 
     /// Refuses a request that can't start before its deadline because of those queued here before it.
