Keep the second run until the response of the first has begun

Callers got 502 with 6.5 s left at 330 requests a second: the silent endpoint sent something, the second run was left for it, and what it sent was a rejection. No run was left then, and no retry.

The second run is now kept in the same way as the first one, and is closed when the response of the first has begun; a rejection leads back to it.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -121,14 +121,15 @@
             Err(unanswered) => unanswered,
         };
         let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
+        let is_given_up = watch.caller_gone() || (may_give_up && self.is_abandoned());
         match unanswered.sent {
-            Some(sent) if is_interrupted && !self.is_unwanted(watch, may_give_up) => {
+            Some(sent) if is_interrupted && !is_given_up => {
                 let run = SentRun {
                     sent,
                     path,
                     sent_at,
                 };
-                self.keep_silent_run(pick, Progress::Sent(run));
+                self.keep_run(pick, Progress::Sent(run), self.reason_to_keep());
                 AttemptResult::Retry(sink)
             }
             _ => self.handle_missing_response(pick, sink, unanswered.failure, watch),
--- a/src/sageshed/gateway/proxy/silent_runs.rs
+++ b/src/sageshed/gateway/proxy/silent_runs.rs
@@ -2,7 +2,8 @@
 //!
 //! A sound endpoint may send nothing for a second or more and go on. Closing the connection ends the run there, and
 //! whether another endpoint takes the request shows only later: all may be full, or no retry may be left. So a run is
-//! kept until another endpoint has begun to respond. If the silent one goes on before that, the other is left.
+//! kept until another endpoint has begun to respond. If the silent one goes on before that, the other one is kept until its
+//! response has begun: what it sends may be a rejection.
 
 use std::{sync::atomic, time as std_time};
 
@@ -14,15 +15,26 @@
 use super::{AttemptResult, ProxiedRequest, quota, slot, stream::StreamRun};
 use crate::gateway::{metrics, paths::PathUse, response::ResponseSink};
 
-/// A run that has sent nothing for long.
+/// A run that is kept while another endpoint is tried.
 #[derive(Debug)]
 pub(super) struct SilentRun {
     pick: chooser::Pick,
     progress: Progress,
+    /// Why the request waits for another one.
+    reason: KeptFor,
     slot: Option<slot::HeldSlot>,
     charge: Option<quota::Charge>,
 }
 
+/// Why a run is kept while another one is waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum KeptFor {
+    /// Its endpoint is silent.
+    Silence,
+    /// An endpoint that was silent goes on.
+    ResumedRun,
+}
+
 /// How far a run has come.
 #[derive(Debug)]
 pub(super) enum Progress {
@@ -55,26 +67,38 @@
 }
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
-    /// Keeps a run whose endpoint is silent. The next attempt is made at another endpoint.
-    pub(super) fn keep_silent_run(&mut self, pick: &chooser::Pick, progress: Progress) {
+    /// Keeps a run. The request goes on at another endpoint.
+    pub(super) fn keep_run(&mut self, pick: &chooser::Pick, progress: Progress, reason: KeptFor) {
         if matches!(progress, Progress::Sent(_)) {
             self.deliveries += 1;
             self.possible_runs += 1;
         }
-        ::log::info!(request = self.id(), endpoint:% = pick.instance, runs = self.possible_runs, left_ms = self.time_left().0;
-            "gateway: endpoint is silent, trying another one");
-        self.last_failure = format!("endpoint {} is silent", pick.instance);
-        self.attempt_log
-            .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
+        if reason == KeptFor::Silence {
+            ::log::info!(request = self.id(), endpoint:% = pick.instance, runs = self.possible_runs, left_ms = self.time_left().0;
+                "gateway: endpoint is silent, trying another one");
+            self.last_failure = format!("endpoint {} is silent", pick.instance);
+            self.attempt_log
+                .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
+        }
         self.tried_endpoints.push(pick.key);
         self.silent_runs.push(SilentRun {
             pick: pick.clone(),
             progress,
+            reason,
             slot: self.slot.take(),
             charge: self.committed_charge.take(),
         });
     }
 
+    /// Why the run in progress would be kept.
+    pub(super) fn reason_to_keep(&self) -> KeptFor {
+        if self.has_resumed_run() {
+            KeptFor::ResumedRun
+        } else {
+            KeptFor::Silence
+        }
+    }
+
     /// Whether a silent endpoint has sent something.
     pub(super) fn has_resumed_run(&self) -> bool {
         self.silent_runs.iter().any(SilentRun::has_input)
@@ -122,13 +146,13 @@
 
     /// Closes the connections of the silent runs, since another endpoint has begun to respond or the request has ended.
     pub(super) fn end_silent_runs(&mut self, end: metrics::SilenceEnd) {
-        let outcome = match end {
-            metrics::SilenceEnd::Replaced => chooser::AttemptOutcome::Silent,
-            metrics::SilenceEnd::WentOn | metrics::SilenceEnd::RequestEnded => {
-                chooser::AttemptOutcome::GivenUp
-            }
-        };
         for run in std::mem::take(&mut self.silent_runs) {
+            let is_replaced = end == metrics::SilenceEnd::Replaced;
+            let outcome = if is_replaced && run.reason == KeptFor::Silence {
+                chooser::AttemptOutcome::Silent
+            } else {
+                chooser::AttemptOutcome::GivenUp
+            };
             let has_begun = run.has_begun();
             drop(run.progress);
             ::log::info!(request = self.id(), endpoint:% = run.pick.instance, end = end.label(); "gateway: left a silent endpoint");
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -7,7 +7,10 @@
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
 
-use super::{AttemptResult, ProxiedRequest, silent_runs::Progress};
+use super::{
+    AttemptResult, ProxiedRequest,
+    silent_runs::{KeptFor, Progress},
+};
 use crate::gateway::{entry_peers, metrics, response::ResponseSink};
 
 /// A silence between two reads of a stream that is logged when it ends.
@@ -35,8 +38,8 @@
 /// What follows in a stream.
 enum Next {
     Chunk(exchange::Piece),
-    /// Nothing for long, and another endpoint can be tried.
-    Silent,
+    /// Nothing yet, and another endpoint can be tried or goes on.
+    Keep(KeptFor),
     Failed(failure::Failure),
 }
 
@@ -55,7 +58,7 @@
         };
         let mut chunk = match self.next_chunk(pick, &mut run, watch, position) {
             Next::Chunk(chunk) => chunk,
-            Next::Silent => return self.try_another(pick, run, sink),
+            Next::Keep(reason) => return self.keep_stream(pick, run, sink, reason),
             Next::Failed(failure) if run.has_begun => {
                 return self.break_off(pick, run, sink, &failure);
             }
@@ -119,8 +122,9 @@
             let next = self.next_chunk(pick, &mut run, watch, position);
             chunk = match next {
                 Next::Chunk(chunk) => chunk,
-                Next::Silent => {
-                    return self.try_another(pick, run, ResponseSink::Streaming(stream, events));
+                Next::Keep(reason) => {
+                    let sink = ResponseSink::Streaming(stream, events);
+                    return self.keep_stream(pick, run, sink, reason);
                 }
                 Next::Failed(failure) => {
                     let sink = ResponseSink::Streaming(stream, events);
@@ -144,15 +148,16 @@
         self.handle_failed_run(pick, sink, true, failure)
     }
 
-    /// Keeps a run whose endpoint is silent, and has another endpoint tried.
-    fn try_another<'c>(
+    /// Keeps a stream, and has the request go on at another endpoint.
+    fn keep_stream<'c>(
         &mut self,
         pick: &chooser::Pick,
         run: StreamRun,
         sink: ResponseSink<'c>,
+        reason: KeptFor,
     ) -> AttemptResult<'c> {
         let (sink, incomplete) = sink.without_pending();
-        self.keep_silent_run(pick, Progress::Stream(run, incomplete));
+        self.keep_run(pick, Progress::Stream(run, incomplete), reason);
         AttemptResult::Retry(sink)
     }
 
@@ -187,11 +192,15 @@
                 Err(failure) => failure,
             };
             let is_over = self.time_left() == time::Millis(0);
+            let is_wanted = !watch.caller_gone() && !is_given_up();
+            if failure.cause == failure::Cause::Interrupted && is_wanted {
+                return Next::Keep(KeptFor::ResumedRun);
+            }
             if failure.cause != failure::Cause::Silent || is_over {
                 return Next::Failed(failure);
             }
             if self.has_free_alternative(pick) && self.acquire_retry() {
-                return Next::Silent;
+                return Next::Keep(KeptFor::Silence);
             }
             next_try = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
         }
