Look for an unread request before an idle connection is closed

What callers saw: a request on a kept connection got neither an answer nor a refusal, and the connection was closed, after the process or its VM had been stopped for a while; or, while all connections were taken, beside a new connection.

Cause: `close_expired` and `close_longest_idle` went by the clock alone. After SIGSTOP and SIGCONT `epoll_wait` ends with EINTR and without events, so the search for expired connections ran before the requests that had arrived meanwhile were reported, and the clock had passed all limits. `close_longest_idle` runs among the events of one wait: a connection whose own event came later among them, or had not been fetched yet, was closed with its request unread.

Ruled out: serving the request at once from the search. The event is still armed and reports it with the next wait, which comes after the search; started twice, the second start would hold a thread without a request. So such a connection just stays in the table.

Change: both look once, without blocking, whether bytes have arrived. An expired connection with some is left to the next wait. To make room the next longest idle one is taken, and the limit of the one with a request begins anew, so that it is not looked at again for each new connection. A connection whose caller has only closed it has no bytes and is closed as before.

--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -282,17 +282,26 @@
 
     /// Closes the connection that has waited longest for a request, to make room for a new one.
     fn close_longest_idle(&self) {
-        let latest = time::Instant::now() + self.limits.idle_timeout.saturating_sub(MIN_IDLE);
+        let now = time::Instant::now();
+        let latest = now + self.limits.idle_timeout.saturating_sub(MIN_IDLE);
         let mut waiting = self.lock();
-        let idle = waiting
-            .connections
-            .iter()
-            .filter_map(|(id, held)| match held.until {
-                Until::Request(until) if until <= latest => Some((until, *id)),
-                _ => None,
-            });
-        let longest = idle.min();
-        let closed = longest.and_then(|(_, id)| waiting.connections.remove(&id));
+        let closed = loop {
+            let idle = waiting
+                .connections
+                .iter_mut()
+                .filter_map(|(id, held)| match held.until {
+                    Until::Request(until) if until <= latest => Some((until, *id, held)),
+                    _ => None,
+                });
+            let Some((_, id, held)) = idle.min_by_key(|(until, id, _)| (*until, *id)) else {
+                return;
+            };
+            if !held.connection.link.has_input() {
+                break waiting.connections.remove(&id);
+            }
+            // Its request is reported next.
+            held.until = Until::Request(now + self.limits.idle_timeout);
+        };
         // Dropped once the lock is given back, since closing makes system calls.
         drop(waiting);
         if let Some(held) = closed {
@@ -453,6 +462,9 @@
         }
     }
 
+    /// Closes the connections that have waited for a request for too long. One whose request has arrived since the
+    /// latest wait for events is kept: after a stop of the whole process, by SIGSTOP or of its VM, that wait ends without
+    /// events, and the clock says that all limits have passed. Its request is reported by the next wait.
     fn close_expired(&self) {
         let now = time::Instant::now();
         let mut waiting = self.lock();
@@ -463,9 +475,9 @@
             Until::Request(until) => Some(until),
             Until::Start | Until::Answer(_) => None,
         };
-        let expired = waiting
-            .connections
-            .extract_if(|_, it| deadline(it).is_some_and(|until| until <= now));
+        let expired = waiting.connections.extract_if(|_, it| {
+            deadline(it).is_some_and(|until| until <= now) && !it.connection.link.has_input()
+        });
         // Dropped once the lock is given back, since closing makes system calls.
         let expired: Vec<_> = expired.collect();
         waiting.earliest = waiting.connections.values().filter_map(deadline).min();
