Apply the limits on callers of the configuration in force

What callers saw: after a change of `idle_timeout_ms` from 15 s to 40 s a kept connection that had been idle for 22 s, well within the four fifths of the limit for which callers use it again, was closed under its request. Sizes and the time for a head followed fixed values as well: a body of 1,500 bytes was read though 1,000 were allowed, a head that took 7 of 9 s was refused with 408.

Cause: the limits were parsed into `FleetConfig` and read nowhere; the port for callers had 32 KB, 4 MB, 5 s and 20 s.

Change: `server::CallerLimits` changes the limits on callers of a port while it runs, and `apply_config` sets them where a configuration has other ones than the one before. They stand behind a lock that is taken once for a request, once for a connection that becomes idle and once for a pass of the poller, never for a byte. Until a configuration is in force the values are those of before; ports for health checks, metrics and control processes keep theirs. `idle::Idle`, without clock and I/O, decides: a connection that is idle at a change keeps the longer limit, one that becomes idle later goes by the new one. Limits that are set while the idle connections are to end extend nothing. No reply announces `Keep-Alive: timeout=`, and that of an endpoint is not passed on, so nothing was to be changed there.

Added to the limits: 5 s for an idle connection, 2 s for a head, and 8 KiB beside the headers for the request line. At 15 s and 3 s, as in the examples of the protocol, that is 20 s and 5 s, as before. Bounded by a maximum: 256 KiB, 32 MiB, 60 s, 1 h; a configuration above is logged.

To make room the first to be closed are connections that have been idle for longer than their callers use them; among others still the longest idle one. Weighed: never to close one that its caller may use. A full port would then turn new callers away, each with a request that waits, for connections of which most are not used again; a caller whose idle connection was closed sees that before its next request, unless both cross, and the port looks for a request first.

Ruled out: one long fixed limit (idle connections fill the bound on connections); looking up the limit in force when a connection expires (lowering it closes at once what callers may use); `max_header_bytes` for the request line and headers together (a caller that counts its headers only would be refused).

Why it holds: a connection that becomes idle reads the limit under the lock of the table of connections, and the poller, which alone closes idle connections, takes limits that were set since under the same lock before it looks for expired ones.

Left: callers may go by a lowered limit later than this process for as long as a change takes to be in force (14 s at most). A connection that becomes idle in that time under a new limit below 9 s may be closed while its caller still goes by the old one.

--- a/crates/sageshed-fleet/src/config.rs
+++ b/crates/sageshed-fleet/src/config.rs
@@ -185,6 +185,8 @@
     pub head_timeout: time::Millis,
     /// Maximum time that a connection may be idle.
     pub idle_timeout: time::Millis,
+    /// Callers begin a request on a connection that has been idle for at most this time.
+    pub reuse_timeout: time::Millis,
 }
 
 /// Why a configuration is inconsistent.
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -95,6 +95,7 @@
             body_bytes: 4_194_304,
             head_timeout: time::Millis(3_000),
             idle_timeout: time::Millis(15_000),
+            reuse_timeout: time::Millis(12_000),
         },
     }
 }
--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -23,6 +23,8 @@
     pub(crate) input: link::Input,
     pub(crate) peer: net::SocketAddr,
     pub(crate) limits: sync::Arc<limits::Limits>,
+    /// The limits that its latest request goes by.
+    pub(crate) callers: limits::CallerLimits,
     pub(crate) shared: sync::Arc<server::Shared>,
     pub(crate) handler: sync::Arc<H>,
     /// Whether no request has begun on it.
@@ -145,12 +147,13 @@
     }
 
     fn next(&mut self) -> Arrival {
+        self.callers = self.shared.caller_limits();
         if !self.wait_for_first_byte() {
             return Arrival::Ended;
         }
         let received = self.arrived.take().unwrap_or_else(time::Instant::now);
         self.shared.counters.record_wait(received.elapsed());
-        let head = match self.read_head(time::Instant::now() + self.limits.head_timeout) {
+        let head = match self.read_head(time::Instant::now() + self.callers.head_timeout) {
             Ok(head) => head,
             Err(cut) => return cut.into(),
         };
@@ -160,8 +163,8 @@
             return Arrival::Refused(overflow::refusal(self.limits.connections));
         }
         let most = match self.admit(&req) {
-            Ok(handler::Admission::Read) => self.limits.body_bytes,
-            Ok(handler::Admission::ReadUpTo(most)) => most.min(self.limits.body_bytes),
+            Ok(handler::Admission::Read) => self.callers.body_bytes,
+            Ok(handler::Admission::ReadUpTo(most)) => most.min(self.callers.body_bytes),
             Ok(handler::Admission::Answer(answer)) => return Arrival::Answered(answer),
             Err(refusal) => return Arrival::Refused(refusal),
         };
@@ -185,7 +188,10 @@
     /// begun, so there is nothing to refuse.
     fn wait_for_first_byte(&mut self) -> bool {
         let has_come = !self.input.buf.is_empty()
-            || self.input.fill_within(&self.link, self.limits.head_timeout) == Fill::More;
+            || self
+                .input
+                .fill_within(&self.link, self.callers.head_timeout)
+                == Fill::More;
         has_come && !self.shared.is_stopped()
     }
 
@@ -196,7 +202,7 @@
             // bytes from costing a parse for each.
             if seen == 0 || self.input.buf[seen..].contains(&b'\n') {
                 match head::parse(&self.input.buf)? {
-                    head::Parsed::Head(head, len) if len <= self.limits.head_bytes => {
+                    head::Parsed::Head(head, len) if len <= self.callers.head_bytes => {
                         self.input.consume(len);
                         return Ok(*head);
                     }
@@ -204,7 +210,7 @@
                     head::Parsed::Partial => {}
                 }
             }
-            if self.input.buf.len() >= self.limits.head_bytes {
+            if self.input.buf.len() >= self.callers.head_bytes {
                 return Err(self.large_head().into());
             }
             seen = self.input.buf.len();
@@ -218,7 +224,7 @@
     }
 
     fn large_head(&self) -> refusal::Refusal {
-        let limit = self.limits.head_bytes;
+        let limit = self.callers.head_bytes;
         let line = self.input.buf.iter().position(|&byte| byte == b'\n');
         let (status, what) = match line {
             Some(end) if end < limit => (431, "the head of the request"),
@@ -229,7 +235,7 @@
     }
 
     fn slow_head(&self) -> refusal::Refusal {
-        let limit = self.limits.head_timeout.as_millis();
+        let limit = self.callers.head_timeout.as_millis();
         let detail = format!("the head of the request did not arrive within {limit} ms");
         refusal::Refusal::not_run(verdict::Reason::RequestTimeout, detail)
     }
--- a/crates/sageshed-http/src/lib.rs
+++ b/crates/sageshed-http/src/lib.rs
@@ -21,7 +21,8 @@
 //! Something between the two ends may lose track of a connection: nothing more comes, no close
 //! either. Every wait has its limit here ([`limits::Limits`]): for the first byte, the head, the
 //! body, and the acknowledgement of an answer. A silent connection gives its thread and its place
-//! back, whenever it went silent.
+//! back, whenever it went silent. The limits on callers ([`limits::CallerLimits`]) can be changed while the port runs
+//! ([`server::Server::caller_limits`]); [`idle`] says what becomes of the connections that are open.
 //!
 //! # Threads
 //!
@@ -47,6 +48,7 @@
 pub mod deferred;
 pub mod handler;
 mod head;
+pub mod idle;
 pub mod limits;
 mod link;
 mod overflow;
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -15,7 +15,7 @@
 
 use rustix::{buffer, event, event::epoll};
 
-use crate::{connection, handler, limits, link, overflow, reply, server, starts, workers};
+use crate::{connection, handler, idle, limits, link, overflow, reply, server, starts, workers};
 
 /// How long accepting pauses after it failed, for example because no file descriptor is left. An
 /// accept that fails for want of descriptors fails again at once, and would take a whole processor.
@@ -27,9 +27,6 @@
 /// At least this long between two searches for connections that were idle for too long.
 const SWEEP: time::Duration = time::Duration::from_millis(20);
 
-/// A connection that has waited for a request for less than this time is not closed to make room for a new one.
-const MIN_IDLE: time::Duration = time::Duration::from_secs(1);
-
 /// Events taken at once.
 const EVENTS: usize = 64;
 
@@ -71,8 +68,8 @@
 /// What a connection waits for.
 #[derive(Debug, Clone, Copy)]
 enum Until {
-    /// The first byte of a request, until then.
-    Request(time::Instant),
+    /// The first byte of a request.
+    Request(idle::Idle),
     /// The start of a request that has arrived.
     Start,
     /// A deferred answer.
@@ -253,6 +250,7 @@
             input: link::Input::default(),
             peer,
             limits: Arc::clone(&self.limits),
+            callers: self.shared.caller_limits(),
             shared: Arc::clone(&self.shared),
             handler: Arc::clone(&self.handler),
             is_new: true,
@@ -280,27 +278,27 @@
         }
     }
 
-    /// Closes the connection that has waited longest for a request, to make room for a new one.
+    /// Closes an idle connection to make room for a new one, of those that their callers use no more if there are any.
     fn close_longest_idle(&self) {
         let now = time::Instant::now();
-        let latest = now + self.limits.idle_timeout.saturating_sub(MIN_IDLE);
         let mut waiting = self.lock();
+        self.raise_idle(&mut waiting);
         let closed = loop {
             let idle = waiting
                 .connections
                 .iter_mut()
                 .filter_map(|(id, held)| match held.until {
-                    Until::Request(until) if until <= latest => Some((until, *id, held)),
-                    _ => None,
+                    Until::Request(idle) => Some((idle.room(now)?, *id, held)),
+                    Until::Start | Until::Answer(_) => None,
                 });
-            let Some((_, id, held)) = idle.min_by_key(|(until, id, _)| (*until, *id)) else {
+            let Some((_, id, held)) = idle.min_by_key(|(room, id, _)| (*room, *id)) else {
                 return;
             };
             if !held.connection.link.has_input() {
                 break waiting.connections.remove(&id);
             }
             // Its request is reported next.
-            held.until = Until::Request(now + self.limits.idle_timeout);
+            held.until = Until::Request(idle::Idle::new(now, self.idle_bounds()));
         };
         // Dropped once the lock is given back, since closing makes system calls.
         drop(waiting);
@@ -309,25 +307,49 @@
         }
     }
 
+    /// How long a connection that becomes idle now is kept.
+    ///
+    /// One that was accepted last may have its request on the way in already: it is not idle, only not read yet, and
+    /// ending it would cut that request.
+    fn idle_bounds(&self) -> idle::Bounds {
+        if self.shared.closes_idle() {
+            return idle::Bounds {
+                close_after: LAST_CALL,
+                reuse_within: time::Duration::ZERO,
+            };
+        }
+        self.shared.caller_limits().idle()
+    }
+
+    /// Applies limits that have come into force to the connections that are idle.
+    fn raise_idle(&self, waiting: &mut Waiting<H>) {
+        let Some(bounds) = self.shared.take_raised() else {
+            return;
+        };
+        if self.shared.closes_idle() {
+            return;
+        }
+        for held in waiting.connections.values_mut() {
+            if let Until::Request(idle) = &mut held.until {
+                idle.raise(bounds);
+            }
+        }
+    }
+
     /// Keeps a connection that waits for a request.
     fn hold(&self, connection: connection::Connection<H>) {
         connection.link.set_idle(true);
-        // A connection that was accepted last may have its request on the way in already: it is not
-        // idle, only not read yet, and ending it would cut that request.
-        let patience = if self.shared.closes_idle() {
-            LAST_CALL
-        } else {
-            self.limits.idle_timeout
-        };
-        let until = time::Instant::now() + patience;
         let mut waiting = self.lock();
+        // Read under the lock, so that limits that are set later are applied to it by `raise_idle`.
+        let idle = idle::Idle::new(time::Instant::now(), self.idle_bounds());
+        let until = idle.closes_at();
         let is_earliest = waiting.earliest.is_none_or(|it| until < it);
         if is_earliest {
             waiting.earliest = Some(until);
         }
         let held = Held {
             connection,
-            until: Until::Request(until),
+            until: Until::Request(idle),
         };
         waiting.connections.insert(held.connection.place.id, held);
         drop(waiting);
@@ -468,11 +490,12 @@
     fn close_expired(&self) {
         let now = time::Instant::now();
         let mut waiting = self.lock();
+        self.raise_idle(&mut waiting);
         if waiting.earliest.is_none_or(|it| now < it) {
             return;
         }
         let deadline = |it: &Held<H>| match it.until {
-            Until::Request(until) => Some(until),
+            Until::Request(idle) => Some(idle.closes_at()),
             Until::Start | Until::Answer(_) => None,
         };
         let expired = waiting.connections.extract_if(|_, it| {
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -17,7 +17,7 @@
 
 use derive_more::{Display, Error};
 
-use crate::{deferred, handler, limits, link, poller, starts, stats};
+use crate::{deferred, handler, idle, limits, link, poller, starts, stats};
 
 /// How long [`Server::stop_accepting`] waits for the connections to be taken that the kernel has completed.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(1);
@@ -57,6 +57,7 @@
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
     stopped: atomic::AtomicBool,
+    callers: sync::Mutex<limits::InForce>,
     open: sync::Mutex<Open>,
     ended: sync::Condvar,
 }
@@ -84,11 +85,29 @@
             stopping: atomic::AtomicBool::new(false),
             closing_idle: atomic::AtomicBool::new(false),
             stopped: atomic::AtomicBool::new(false),
+            callers: sync::Mutex::new(limits::InForce::new(limits.callers())),
             open: sync::Mutex::default(),
             ended: sync::Condvar::new(),
         })
     }
 
+    /// The limits on callers that are in force.
+    pub(crate) fn caller_limits(&self) -> limits::CallerLimits {
+        self.callers().current()
+    }
+
+    /// The bounds that apply to the connections that are idle now, if any have come into force since the last call.
+    pub(crate) fn take_raised(&self) -> Option<idle::Bounds> {
+        self.callers().take_raised()
+    }
+
+    /// They are whole after each statement on them, so a panic elsewhere does not spoil them.
+    fn callers(&self) -> sync::MutexGuard<'_, limits::InForce> {
+        self.callers
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Whether a connection without a request has to end.
     pub(crate) fn closes_idle(&self) -> bool {
         self.closing_idle.load(atomic::Ordering::SeqCst)
@@ -199,6 +218,19 @@
     }
 }
 
+/// Changes the limits on callers of a port while it runs.
+#[derive(Debug, Clone)]
+pub struct CallerLimits(sync::Arc<Shared>);
+
+impl CallerLimits {
+    /// Puts `limits` in force.
+    pub fn set(&self, limits: limits::CallerLimits) {
+        self.0.callers().set(limits);
+        // The poller applies them to idle connections.
+        self.0.deferred.wake();
+    }
+}
+
 /// One connection's place under the bound, given back when dropped, also by a panic.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -274,6 +306,12 @@
         Load(sync::Arc::clone(&self.shared.gate))
     }
 
+    /// What changes the limits on callers while the port runs.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        CallerLimits(sync::Arc::clone(&self.shared))
+    }
+
     /// Makes each answer from now on the last on its connection.
     pub fn drain(&self) {
         self.shared.draining.store(true, atomic::Ordering::Relaxed);
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! a second whether the caller is still connected.
 
 mod allowances;
+pub mod caller_limits;
 pub mod config_check;
 mod crashes;
 pub mod entry_peers;
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -9,7 +9,7 @@
 use sageshed_types::time;
 
 use super::{
-    allowances,
+    allowances, caller_limits,
     state::{CALLER_CHECK_INTERVAL, Shared},
 };
 use crate::locks;
@@ -97,6 +97,10 @@
         let count = routing.table.len();
         let terms = allowances::limits(&routing.config);
         self.with_core(|core| core.allowances.set_limits(terms));
+        let limits = routing.config.limits;
+        if current.as_ref().is_none_or(|it| it.config.limits != limits) {
+            self.apply_caller_limits(&limits);
+        }
         *current = Some(routing);
         drop(current);
         // Requests that arrived before the first configuration wait for it.
@@ -104,6 +108,17 @@
         ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
     }
 
+    fn apply_caller_limits(&self, configured: &config::CallerLimits) {
+        let bounded = caller_limits::bounded(configured);
+        if bounded != *configured {
+            ::log::warn!(configured:? = configured, bounded:? = bounded;
+                "gateway: the configuration allows callers more than this process can hold");
+        }
+        if let Some(limits) = self.caller_limits.get() {
+            limits.set(caller_limits::in_force(configured));
+        }
+    }
+
     /// The configuration in force, for a request that arrived at `since`; waits for the first one if none is
     /// known. None if it does not arrive in time or the caller is `gone`.
     ///
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -13,7 +13,9 @@
 use sageshed_fleet::dialect;
 use sageshed_http::{handler, limits, server, starts};
 
-use super::{allowances, entry_peers, paths, proxy, queues, ready, slots, state, watch};
+use super::{
+    allowances, caller_limits, entry_peers, paths, proxy, queues, ready, slots, state, watch,
+};
 use crate::{context, locks, metrics_port, settings};
 
 /// File descriptors that are not for callers: control processes, idle connections to endpoints, listeners.
@@ -87,8 +89,9 @@
     let port = proxy::RequestHandler {
         shared: sync::Arc::clone(&shared),
     };
-    let callers = start(listen.callers, caller_limits(&shared.settings), port)?;
+    let callers = start(listen.callers, callers_port_limits(&shared.settings), port)?;
     shared.callers_load.get_or_init(|| callers.load());
+    shared.caller_limits.get_or_init(|| callers.caller_limits());
     let metrics = listen
         .metrics
         .map(|address| {
@@ -202,8 +205,9 @@
     }
 }
 
-/// The limits for callers by the resources of the VM. Each connection of a caller may need one to an endpoint.
-fn caller_limits(settings: &settings::FleetEntry) -> limits::Limits {
+/// The limits for callers by the resources of the VM, until a configuration is in force. Each connection of a caller may
+/// need one to an endpoint.
+fn callers_port_limits(settings: &settings::FleetEntry) -> limits::Limits {
     let resources = settings.resources;
     let by_descriptors = resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
     let cores = thread::available_parallelism().map_or(1, num::NonZero::get);
@@ -218,9 +222,6 @@
             longest_start: LONGEST_START,
         },
         stack_bytes: STACK_BYTES,
-        head_bytes: 32 * 1024,
-        head_timeout: time::Duration::from_secs(5),
-        idle_timeout: time::Duration::from_secs(20),
-        ..limits::Limits::default()
+        ..limits::Limits::default().with_callers(caller_limits::INITIAL)
     }
 }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -55,6 +55,8 @@
     pub metrics: metrics::Metrics,
     /// The load of the port for callers, once that is open.
     pub(super) callers_load: sync::OnceLock<server::Load>,
+    /// Changes the limits on callers, once their port is open.
+    pub(super) caller_limits: sync::OnceLock<server::CallerLimits>,
     /// The figures of the port for callers in the latest second.
     pub(super) port_stats: sync::Mutex<stats::Stats>,
     /// The traces of the latest requests, for operators.
@@ -204,6 +206,7 @@
             started: start,
             metrics: metrics::Metrics::default(),
             callers_load: sync::OnceLock::new(),
+            caller_limits: sync::OnceLock::new(),
             port_stats: sync::Mutex::default(),
             traces: sync::Mutex::new(accounts::Accounts::new(MAX_TRACES)),
             sampler: sampler::Sampler::new(MAX_SUCCESSES_LOGGED_PER_SECOND),
--- a/tests/gateway_start.rs
+++ b/tests/gateway_start.rs
@@ -36,6 +36,7 @@
             body_bytes: 1_024,
             head_timeout: Millis(3_000),
             idle_timeout: Millis(15_000),
+            reuse_timeout: Millis(12_000),
         },
     }
 }
