Test the use of engines that were silent and have gone on

Each stream that is moved away counts as a failure of its own, and neither a response nor an observation of a peer ends the penalty or the ejection.

--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use std::net;
+
 use sageshed_fleet::{
     chooser::{
         AttemptOutcome, BeganAt, Choice, Chooser, EndpointQuery, Pauses, Pick, Policy, Prefill,
         Routing, WaitReason,
     },
-    dialect, directory,
+    dialect, directory, entry_peers,
 };
 use sageshed_types::{arena, time};
 
@@ -533,3 +535,79 @@
     assert_eq!(choice, Choice::Wait(WaitReason::Model));
     assert!(!chooser.has_free_endpoint(T0, &support::ask(&m1, 100)));
 }
+
+/// Streams that an engine runs when it falls silent.
+const STREAMS: usize = 30;
+
+/// Guards against avoiding an engine for seconds after it was silent for one. Each of the streams that were moved away
+/// from it counted as a failure of its own, and the other engines filled up while it had nothing to do.
+#[test]
+fn an_engine_that_was_silent_is_used_again_once_it_answers() {
+    let m0 = wanted("m0", None);
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.update_instance(&support::engine("e1", &["m0"]));
+    let mut picks = Vec::new();
+    for _ in 0..STREAMS {
+        let pick = sent(chooser.choose(T0, &support::ask(&m0, 0)));
+        chooser.record_response_start(T0, &pick, None, time::Millis(20), None);
+        picks.push(pick);
+    }
+    let silent_until = T0 + time::Millis(1_500);
+    for pick in &picks {
+        let moved = T0 + time::Millis(1_000);
+        chooser.record_end(moved, pick, Some(&m0), true, AttemptOutcome::Failed);
+    }
+    // It goes on, and answers a request in good time.
+    let pick = sent(chooser.choose(silent_until, &support::ask(&m0, 0)));
+    let answered = silent_until + time::Millis(20);
+    chooser.record_response_start(answered, &pick, None, time::Millis(20), None);
+    chooser.record_end(answered, &pick, Some(&m0), true, AttemptOutcome::Answered);
+    // Another engine has a tenth of a second of prefill before it.
+    chooser.update_instance(&support::engine("e2", &["m0"]));
+    let key = entry_peers::instance_key(&"e2".into());
+    let busy = observation(key, 100_000, None);
+    chooser.apply_observation(answered, net::Ipv4Addr::new(10, 0, 1, 2), &busy);
+    let next = sent(chooser.choose(answered, &support::ask(&m0, 100)));
+    assert_eq!(next.instance.name, "e1");
+}
+
+/// Guards against sending nothing for five seconds to an engine that was silent for one and has answered since. Only one
+/// that had sent nothing for long before is left out for so long, such as one without work.
+#[test]
+fn an_idle_engine_that_was_silent_is_used_again_once_it_answers_a_peer() {
+    let m0 = wanted("m0", None);
+    let mut chooser = Chooser::new("z1", 7);
+    chooser.update_instance(&support::engine("e1", &["m0"]));
+    let pick = sent(chooser.choose(T0, &support::ask(&m0, 100)));
+    let left = T0 + time::Millis(1_000);
+    chooser.record_end(left, &pick, Some(&m0), false, AttemptOutcome::Silent);
+    let answered = T0 + time::Millis(1_600);
+    let key = entry_peers::instance_key(&"e1".into());
+    let ttft = entry_peers::TtftSample {
+        model: entry_peers::name_key("m0"),
+        estimated: 40,
+        took: 30,
+    };
+    let seen = observation(key, 0, Some(ttft));
+    chooser.apply_observation(answered, net::Ipv4Addr::new(10, 0, 1, 2), &seen);
+    let next = chooser.choose(answered, &support::ask(&m0, 100));
+    assert!(matches!(next, Choice::Send(_)), "{next:?}");
+}
+
+fn observation(
+    engine: u64,
+    pending_prefill_us: u64,
+    ttft: Option<entry_peers::TtftSample>,
+) -> entry_peers::EngineObservation {
+    entry_peers::EngineObservation {
+        engine,
+        pending_prefill_us,
+        cached_prefix: None,
+        ttft,
+        running: None,
+        slowdown_percent: None,
+        pauses: None,
+        fault: None,
+        granted: None,
+    }
+}
