Treat the silence of an endpoint as its state and not as failures

Callers saw 503s and streams that were cut while an engine had room: after a silence of a second and a half that engine got nothing for seconds, and the others filled up and rejected.

Cause: each request that was moved away counted as a failure of its own (250 ms of penalty, half-life 1.5 s), each report of a peer as another one, and an engine that had been idle before was ejected for 5 s. Nothing that the engine sent afterwards ended this.

Ruled out: a lower penalty or a shorter ejection for all. Announcements as a sign of life: an engine that accepts requests and never responds may go on announcing itself. Telling peers once per silence: the receiver has to merge the reports of several processes anyway, so messages are as before, also between versions.

Change: silence.rs keeps one silence per endpoint. Reports are merged, whether the response had begun or not. What this process sees itself, or two peers report, keeps requests away while another endpoint can take them; one peer alone counts as one failure, since one that is cut off hears from no engine. A response, an event, a rejection or a report of load, here or in an observation of a peer, ends the silence with all that it cost. Reports that arrive within 700 ms after the end belong to it. Until then single requests are sent as probes: 0.5 s after a first report at 1 s, then after 1, 2, 4 and 5 s. A due probe costs 40 ms, so that none is sent where others are idle. From 5 s of silence on an endpoint gets only probes even if there is no other. A request that hangs at an engine that answers others is a failure as before, those within 700 ms count once. The coordinator of slots shares the type. Status 500, resets and refused connections cost what they did.

Until the proxy reports begun streams that are moved as Silent, each of them counts as a failure as before.

--- a/crates/sageshed-fleet/src/chooser/endpoint.rs
+++ b/crates/sageshed-fleet/src/chooser/endpoint.rs
@@ -4,7 +4,7 @@
 
 use sageshed_types::time;
 
-use super::{BATCH_STEP_MS, BeganAt, EndpointQuery, contention, prefix_cache};
+use super::{BATCH_STEP_MS, BeganAt, EndpointQuery, contention, prefix_cache, silence};
 use crate::{dialect, directory};
 
 /// Assumed response time of a plain service in milliseconds, until some were measured.
@@ -29,6 +29,10 @@
 /// Penalty of one failure on the estimate in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 250.0;
 
+/// Penalty on the estimate while a probe of a silent endpoint is due, in milliseconds. Where other engines are idle, no
+/// caller has to take the risk.
+const PROBE_PENALTY_MS: f64 = 40.0;
+
 /// Silence after which an engine with outstanding responses is suspected, in milliseconds. An engine that
 /// is merely busy with prefills still sends events of its streams.
 const SILENCE_THRESHOLD_MS: f64 = 700.0;
@@ -112,6 +116,7 @@
     failed_at: time::Instant,
     pub(super) ejection_time: time::Millis,
     pub(super) ejected_until: time::Instant,
+    pub(super) silence: silence::SilenceState,
     pub(super) denied_models: collections::HashMap<dialect::ModelRef, time::Instant>,
     /// Models for which it rejected requests, and until when it is not selected for them.
     rejected_models: collections::HashMap<String, time::Instant>,
@@ -144,6 +149,7 @@
             failed_at: time::Instant(0),
             ejection_time: time::Millis(0),
             ejected_until: time::Instant(0),
+            silence: silence::SilenceState::default(),
             denied_models: collections::HashMap::new(),
             rejected_models: collections::HashMap::new(),
             prefix_cache: prefix_cache::PrefixCache::default(),
@@ -185,12 +191,16 @@
 
     /// The failure score, decayed to `now`.
     fn decayed_failures(&self, now: time::Instant) -> f64 {
-        let age = now.since(self.failed_at).0 as f64;
-        self.failures * 0.5_f64.powf(age / FAILURE_HALF_LIFE_MS)
+        self.failures * decay(now, self.failed_at)
     }
 
     pub(super) fn failure_penalty_ms(&self, now: time::Instant) -> f64 {
-        self.decayed_failures(now) * FAILURE_PENALTY_MS
+        let silence_ms = match self.silence.cost(now) {
+            silence::Cost::Nothing => 0.0,
+            silence::Cost::Failure(at) => decay(now, at) * FAILURE_PENALTY_MS,
+            silence::Cost::Probe => PROBE_PENALTY_MS,
+        };
+        self.decayed_failures(now) * FAILURE_PENALTY_MS + silence_ms
     }
 
     /// Penalty for its silence.
@@ -370,3 +380,9 @@
         f64::from(self.in_flight) < f64::from(self.instance.slots.max(1)) * MAX_IN_FLIGHT_PER_SLOT
     }
 }
+
+/// Weight of a failure at `at`, between zero and one.
+fn decay(now: time::Instant, at: time::Instant) -> f64 {
+    let age = now.since(at).0 as f64;
+    0.5_f64.powf(age / FAILURE_HALF_LIFE_MS)
+}
--- a/crates/sageshed-fleet/src/chooser/mod.rs
+++ b/crates/sageshed-fleet/src/chooser/mod.rs
@@ -16,7 +16,8 @@
 //!
 //! Each failure adds to a score with a half-life of 1.5 seconds. The score is a penalty on the estimate, so
 //! that an endpoint that fails some of its requests gets fewer of them and recovers its share as the score
-//! decays. An endpoint that can't be reached is ejected for a time that grows with each failure.
+//! decays. An endpoint that can't be reached is ejected for a time that grows with each failure. One that is
+//! silent is left out until it sends something, but for probes.
 
 mod backpressure;
 mod contention;
@@ -30,6 +31,7 @@
 mod queueing;
 mod rejection_limit;
 mod routing;
+mod silence;
 mod slots;
 mod software;
 mod wait_estimates;
@@ -55,10 +57,6 @@
 /// local one of two equal endpoints is preferred.
 const CROSS_ZONE_MS: f64 = 4.0;
 
-/// Ejection time of an endpoint that accepted requests and never responded. Each request that finds it
-/// still silent costs its caller the full timeout.
-const SILENT_EJECTION_TIME: time::Millis = time::Millis(5_000);
-
 /// How long an engine that denied holding a model is not selected for it, unless a new directory record of
 /// it arrives.
 const MODEL_DENIAL_TTL: time::Millis = time::Millis(500);
@@ -225,9 +223,12 @@
     pub fn endpoint_counts(&self, now: time::Instant) -> (usize, usize) {
         let known = self.endpoints.iter().flatten();
         let is_closed = |it: &Endpoint| self.backpressure.is_closed(now, &it.instance.id);
-        let open = known
-            .clone()
-            .filter(|it| it.instance.is_ready() && now >= it.ejected_until && !is_closed(it));
+        let open = known.clone().filter(|it| {
+            it.instance.is_ready()
+                && !it.is_ejected(now)
+                && !it.silence.is_avoided(now)
+                && !is_closed(it)
+        });
         (known.count(), open.count())
     }
 
@@ -269,17 +270,19 @@
             let mut open = self
                 .open_endpoints(now, query)
                 .filter_map(|key| self.get(key));
-            return open.any(Endpoint::has_capacity);
+            return open.any(|it| it.has_capacity() && !it.silence.is_avoided(now));
         };
         let prefill_limit_ms = self.prefill_limits.prefill_limit_ms(query.service);
         let (with_adapter, _) = self.engines_with_model(now, query, wanted);
         let mut with_adapter = with_adapter.into_iter().filter_map(|key| self.get(key));
-        with_adapter
-            .any(|it| !it.exceeds_limit(now, self.prefill_ms(now, it, query), prefill_limit_ms))
+        with_adapter.any(|it| {
+            let prefill_ms = self.prefill_ms(now, it, query);
+            !it.silence.is_avoided(now) && !it.exceeds_limit(now, prefill_ms, prefill_limit_ms)
+        })
     }
 
     fn choose_plain_endpoint(&mut self, now: time::Instant, query: &EndpointQuery<'_>) -> Choice {
-        let open: Vec<_> = self.open_endpoints(now, query).collect();
+        let open = self.without_silent(now, self.open_endpoints(now, query).collect());
         if open.is_empty() {
             return Choice::Wait(WaitReason::Endpoint);
         }
@@ -376,11 +379,45 @@
             adapter: None,
         };
         let holders = self.by_model.get(&wanted.model).into_iter().flatten();
-        holders
+        let open = holders
             .copied()
             .filter(|key| self.is_in_service(*key, query.service) && self.is_open(now, *key, query))
-            .filter(|key| self.holds(now, *key, &base, query.began))
-            .partition(|key| self.holds(now, *key, wanted, query.began))
+            .filter(|key| self.holds(now, *key, &base, query.began));
+        let (with_adapter, without_adapter): (Vec<_>, Vec<_>) =
+            open.partition(|key| self.holds(now, *key, wanted, query.began));
+        (
+            self.without_silent(now, with_adapter),
+            self.without_silent(now, without_adapter),
+        )
+    }
+
+    /// Whether this endpoint is avoided for its silence, and another one could start on the request now.
+    fn has_better_endpoint(
+        &self,
+        now: time::Instant,
+        key: arena::EndpointKey,
+        query: &EndpointQuery<'_>,
+    ) -> bool {
+        let endpoint = self.get(key);
+        let is_avoided = endpoint.is_some_and(|it| it.silence.is_avoided(now));
+        is_avoided && self.has_free_endpoint(now, query)
+    }
+
+    /// Of `keys`, those that are not avoided for their silence, or all if there is no other. A request that has
+    /// nowhere else to go is answered soonest by an endpoint that goes on in a second.
+    fn without_silent(
+        &self,
+        now: time::Instant,
+        keys: Vec<arena::EndpointKey>,
+    ) -> Vec<arena::EndpointKey> {
+        let is_avoided = |key: &arena::EndpointKey| {
+            let endpoint = self.get(*key);
+            endpoint.is_some_and(|it| it.silence.is_avoided(now))
+        };
+        if keys.iter().all(is_avoided) {
+            return keys;
+        }
+        keys.into_iter().filter(|key| !is_avoided(key)).collect()
     }
 
     /// The endpoint with the lowest score, and that score. Ties are broken at random.
@@ -469,7 +506,7 @@
         query: &EndpointQuery<'_>,
     ) -> bool {
         let accepts = |it: &Endpoint| {
-            it.instance.is_ready() && now >= it.ejected_until && query.began.admits(it.software)
+            it.instance.is_ready() && !it.is_ejected(now) && query.began.admits(it.software)
         };
         !query.tried.contains(&key) && self.get(key).is_some_and(accepts)
     }
@@ -624,6 +661,7 @@
             .prefill_limits
             .is_near_limit(query.service, pending_ms + prefill_ms);
         let endpoint = self.get_mut(key)?;
+        endpoint.silence.record_send(now);
         if is_near_limit {
             endpoint.near_limit_at = Some(now);
         }
--- a/crates/sageshed-fleet/src/chooser/outcomes.rs
+++ b/crates/sageshed-fleet/src/chooser/outcomes.rs
@@ -3,8 +3,8 @@
 use sageshed_types::{arena, time};
 
 use super::{
-    AttemptOutcome, BATCH_STEP_MS, Chooser, MODEL_DENIAL_TTL, Pauses, Pick, Prefill,
-    SILENT_EJECTION_TIME, endpoint, prefill_speed,
+    AttemptOutcome, BATCH_STEP_MS, Chooser, MODEL_DENIAL_TTL, Pauses, Pick, Prefill, endpoint,
+    prefill_speed, silence,
 };
 use crate::dialect;
 
@@ -25,7 +25,7 @@
             return;
         };
         endpoint.awaiting = endpoint.awaiting.saturating_sub(1);
-        endpoint.last_activity = now;
+        endpoint.record_activity(now);
         let pending_us = endpoint.pending_prefill_us;
         endpoint.pending_prefill_us = endpoint.pending_prefill_us.saturating_sub(pick.prefill_us);
         if let Some(load) = load {
@@ -83,7 +83,7 @@
     /// Records that the endpoint of `pick` sent something.
     pub fn record_activity(&mut self, now: time::Instant, pick: &Pick) {
         if let Some(endpoint) = self.get_mut(pick.key) {
-            endpoint.last_activity = now;
+            endpoint.record_activity(now);
         }
     }
 
@@ -109,7 +109,7 @@
             outcome,
             AttemptOutcome::Answered | AttemptOutcome::Refused | AttemptOutcome::Misdirected
         ) {
-            endpoint.last_activity = now;
+            endpoint.record_activity(now);
         }
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::GivenUp => {}
@@ -119,13 +119,7 @@
                 endpoint.record_failure(now);
                 endpoint.eject(now);
             }
-            AttemptOutcome::Silent => {
-                endpoint.record_failure(now);
-                let was_active = now.since(endpoint.last_activity) < SILENT_EJECTION_TIME;
-                if !was_active {
-                    endpoint.ejected_until = now + SILENT_EJECTION_TIME;
-                }
-            }
+            AttemptOutcome::Silent => endpoint.record_silence(now, silence::Reporter::This),
             AttemptOutcome::Misdirected => {
                 let until = now + MODEL_DENIAL_TTL;
                 match wanted {
--- a/crates/sageshed-fleet/src/chooser/routing.rs
+++ b/crates/sageshed-fleet/src/chooser/routing.rs
@@ -7,7 +7,7 @@
 
 use super::{
     BATCH_STEP_MS, Choice, Chooser, EndpointQuery, EngineSelection, Pick, WaitReason, endpoint,
-    prefill_speed,
+    prefill_speed, silence,
 };
 use crate::{dialect, entry_peers};
 
@@ -36,8 +36,10 @@
         if let Some(prefix) = &observation.cached_prefix {
             endpoint.prefix_cache.insert_observed(prefix);
         }
+        if shows_response(observation) {
+            endpoint.record_activity(now);
+        }
         if observation.ttft.is_some() {
-            endpoint.last_activity = now;
             endpoint.ejection_time = time::Millis(0);
         }
         if let Some(running) = observation.running {
@@ -184,7 +186,8 @@
         let holds = query
             .wanted
             .is_some_and(|it| self.holds(now, key, it, query.began));
-        (is_open && holds).then(|| self.dispatch_with_estimate(now, key, query, estimate))
+        let is_accepted = is_open && holds && !self.has_better_endpoint(now, key, query);
+        is_accepted.then(|| self.dispatch_with_estimate(now, key, query, estimate))
     }
 
     /// Looks up an endpoint by its [`entry_peers::instance_key`].
@@ -226,8 +229,9 @@
                     self.record_rejection(now, Some(&wanted));
                 }
             }
-            entry_peers::EngineFault::Fails | entry_peers::EngineFault::Silent => {
-                self.record_failure(now);
+            entry_peers::EngineFault::Fails => self.record_failure(now),
+            entry_peers::EngineFault::Silent => {
+                self.record_silence(now, silence::Reporter::Peer(from));
             }
             entry_peers::EngineFault::Unreachable => {
                 self.record_failure(now);
@@ -242,3 +246,18 @@
         }
     }
 }
+
+/// Whether another process has just had a response of the engine, or the end of a stream.
+fn shows_response(observation: &entry_peers::EngineObservation) -> bool {
+    let is_response = |fault: entry_peers::EngineFault| {
+        matches!(
+            fault,
+            entry_peers::EngineFault::Rejects(_) | entry_peers::EngineFault::Lacks(_)
+        )
+    };
+    observation.ttft.is_some()
+        || observation.running.is_some()
+        || observation.slowdown_percent.is_some()
+        || observation.pauses.is_some()
+        || observation.fault.is_some_and(is_response)
+}
--- a/crates/sageshed-fleet/src/chooser/slots.rs
+++ b/crates/sageshed-fleet/src/chooser/slots.rs
@@ -40,8 +40,13 @@
         let open = all
             .copied()
             .filter(|key| self.closed_for(now, *key).is_none());
-        let open = open.filter_map(|key| self.get(key));
-        open.filter(|it| it.instance.is_ready() && now >= it.ejected_until)
+        let is_ready = |key: &arena::EndpointKey| {
+            let endpoint = self.get(*key);
+            endpoint.is_some_and(|it| it.instance.is_ready() && !it.is_ejected(now))
+        };
+        let ready = self.without_silent(now, open.filter(is_ready).collect());
+        let ready = ready.into_iter().filter_map(|key| self.get(key));
+        ready
             .map(|it| slots::SlotEndpoint {
                 key: entry_peers::instance_key(&it.instance.id),
                 slots: it.instance.slots.max(1),
@@ -65,8 +70,11 @@
         endpoint
             .reported_slowdown
             .record(now, seen.slowdown_percent);
+        let is_rejected = matches!(seen.fault, Some(entry_peers::EngineFault::Rejects(_)));
+        if seen.took.is_some() || seen.slowdown_percent.is_some() || is_rejected {
+            endpoint.record_activity(now);
+        }
         if let Some(took) = seen.took {
-            endpoint.last_activity = now;
             endpoint.ejection_time = time::Millis(0);
             outcomes::learn_response_time(endpoint, now, took);
         }
@@ -86,7 +94,8 @@
     ) -> Option<Choice> {
         let key = self.by_instance_key(endpoint)?;
         let is_open = self.is_in_service(key, query.service) && self.is_open(now, key, query);
-        is_open.then(|| self.dispatch(now, key, query))
+        let is_accepted = is_open && !self.has_better_endpoint(now, key, query);
+        is_accepted.then(|| self.dispatch(now, key, query))
     }
 
     /// Whether this process has as many requests at the plain service as it may have by itself: all slots
