Keep watching control processes while an entry process stops

Callers got 503 "the endpoint records are out of date" from an entry process that had been told to stop more than a second ago, after half a second of waiting, and streams that had begun were cut there when they had to be moved. Others got "a newer configuration is in force, and is not known here yet".

Cause: the threads that watch control processes, check and fetch configurations, and advance slots and allowances ended at the stop signal, though requests are accepted for the whole notice period and run until the end of the grace period. Without a call the records count as out of date after a second, and the version that was announced last is never fetched.

Ruled out: using outdated records in a stopping process. A leaving endpoint would get new work there for seconds.

Change: these threads run until the process exits. A call says that its sender is stopping (`WatchReq::is_stopping`). Control then takes the process off the list of entry processes, also where another control process still reports it, until a call without the member arrives from its address or three seconds pass without a call. Peers of the control processes that it watches have the list without it about a second after the signal; before, these gave it up three seconds after its last call. A control process that it does not watch (of five there are two) lists it until three seconds after the others have ceased to report it.

Why it holds: the member has a default, and is not sent while it is false. A long poll that is under way is not broken off, so the first call that names the stop is sent up to 800 ms after the signal.

Not changed: a process off the list still counts its part of the constant of the retry budget by the list without itself, as it did after control had given it up.

--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -104,6 +104,10 @@
     /// Of an entry process: endpoints that have said in responses that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<directory::InstanceId>,
+    /// Of an entry process: whether it has been told to stop. It still routes the requests of its callers, and is no
+    /// longer listed as an entry process.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_stopping: bool,
 }
 
 /// The demand for one model.
@@ -150,6 +154,14 @@
     *value == 0
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde asks for"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "the signature that serde asks for"
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -42,6 +42,9 @@
     versions: versions::VersionHistory,
     /// The entry processes that watch this process.
     entries: collections::BTreeMap<net::Ipv4Addr, Entry>,
+    /// The entry processes that have been told to stop, and when each called last. They are not listed, though other
+    /// control processes may still report them.
+    entries_stopping: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
     /// The entry processes that watch other control processes, and when those reported them.
     entries_elsewhere: collections::BTreeMap<net::Ipv4Addr, time::Instant>,
     /// Up to which change the directories of the other control processes are known here.
@@ -131,6 +134,7 @@
                 packed: collections::HashMap::new(),
                 versions: versions::VersionHistory::default(),
                 entries: collections::BTreeMap::new(),
+                entries_stopping: collections::BTreeMap::new(),
                 entries_elsewhere: collections::BTreeMap::new(),
                 peers: replication::Positions::default(),
                 followers: replication::Positions::default(),
@@ -252,6 +256,7 @@
         self.change(|inner| {
             let recent = |at: &time::Instant| now.since(*at) < ENTRY_TIMEOUT;
             inner.entries.retain(|_, entry| recent(&entry.at));
+            inner.entries_stopping.retain(|_, at| recent(at));
             inner.entries_elsewhere.retain(|_, at| recent(at));
             let directory = &inner.directory;
             inner
@@ -338,13 +343,15 @@
         })
     }
 
-    /// All present entry processes, in the order of their addresses.
+    /// All present entry processes that have not been told to stop, in the order of their addresses.
     #[must_use]
     pub fn entries(&self) -> Vec<net::Ipv4Addr> {
         let inner = locks::lock(&self.inner);
         let own = inner.entries.keys();
         let all: collections::BTreeSet<_> = own.chain(inner.entries_elsewhere.keys()).collect();
-        all.into_iter().copied().collect()
+        let stopping = &inner.entries_stopping;
+        let listed = all.into_iter().filter(|it| !stopping.contains_key(it));
+        listed.copied().collect()
     }
 
     /// The changes that the sender of `req` does not know.
@@ -606,6 +613,10 @@
 
     /// Records an entry process, and logs when its configuration becomes out of date or is up to date again.
     fn record_entry(&mut self, now: time::Instant, req: &messages::WatchReq) {
+        if req.is_stopping {
+            return self.record_stopping_entry(now, req.ip);
+        }
+        self.entries_stopping.remove(&req.ip);
         let behind = self.versions.behind(now, req.config);
         let is_lagging = behind.is_some_and(|it| it >= LAGGING_AFTER);
         let entry = Entry {
@@ -627,6 +638,14 @@
         }
     }
 
+    /// Records an entry process that has been told to stop: the others must not count on it as a coordinator.
+    fn record_stopping_entry(&mut self, now: time::Instant, ip: net::Ipv4Addr) {
+        self.entries.remove(&ip);
+        if self.entries_stopping.insert(ip, now).is_none() {
+            ::log::info!(entry:% = ip; "control: entry process is stopping");
+        }
+    }
+
     /// Whether a watcher has to be told of a newer configuration. One that was told of it needs a while to fetch it.
     fn has_config_for(&self, req: &messages::WatchReq) -> bool {
         self.versions.newest() > req.config.max(req.config_told.unwrap_or(0))
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -272,6 +272,7 @@
             crashes: Vec::new(),
             takes_alive: true,
             leaving: Vec::new(),
+            is_stopping: false,
         };
         let limit = std_time::Duration::from(WATCH_TIMEOUT + margin.get());
         let sent = std_time::Instant::now();
--- a/src/sageshed/gateway/allowances.rs
+++ b/src/sageshed/gateway/allowances.rs
@@ -148,7 +148,7 @@
     let spawned = thread::Builder::new()
         .name("allowances".to_owned())
         .spawn(move || {
-            while !refilled.is_stopping() {
+            loop {
                 let now = refilled.clock.now();
                 let (has_any, requests) = refilled.with_core(|core| {
                     let table = &mut core.allowances;
--- a/src/sageshed/gateway/config_check.rs
+++ b/src/sageshed/gateway/config_check.rs
@@ -25,7 +25,7 @@
     pub waits_for: config_check::WaitsFor,
 }
 
-/// Starts the thread, which runs until the process stops.
+/// Starts the thread, which runs until the process exits.
 pub(super) fn start<D: dialect::Dialect>(
     shared: &sync::Arc<state::Shared<D>>,
     watching: sync::Arc<watch::WatchState>,
@@ -37,7 +37,7 @@
 
 fn run<D: dialect::Dialect>(shared: &state::Shared<D>, watching: &watch::WatchState) {
     let mut schedule = config_check::Schedule::default();
-    while !shared.is_stopping() {
+    loop {
         let is_urgent = shared.version() == 0 || shared.behind().is_some();
         let now = shared.clock.now();
         if let Some(to) = schedule.next(now, is_urgent, &watching.control_vms()) {
--- a/src/sageshed/gateway/fetch.rs
+++ b/src/sageshed/gateway/fetch.rs
@@ -14,8 +14,8 @@
 /// The timeout for a chunk, on a network link that callers may saturate.
 const CHUNK_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(1);
 
-/// The interval between two checks whether the process stops.
-const STOP_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(500);
+/// The longest wait for an announcement before the next step is determined anew.
+const ANNOUNCEMENT_WAIT: std_time::Duration = std_time::Duration::from_millis(500);
 
 /// The delay after a call that failed or returned an unusable chunk.
 const RETRY_INTERVAL: std_time::Duration = std_time::Duration::from_millis(30);
@@ -34,7 +34,7 @@
     preferred: Option<net::Ipv4Addr>,
 }
 
-/// Starts the fetch thread, which runs until the process stops.
+/// Starts the fetch thread, which runs until the process exits.
 pub fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) -> io::Result<()> {
     let shared = sync::Arc::clone(shared);
     let thread = thread::Builder::new().name("fetch".to_owned());
@@ -77,7 +77,7 @@
 
 fn run<D: dialect::Dialect>(shared: &state::Shared<D>) {
     let fetcher = &shared.config_fetcher;
-    while !shared.is_stopping() {
+    loop {
         let held = locks::lock(&shared.document).version;
         let next = {
             let mut inner = locks::lock(&fetcher.inner);
@@ -104,14 +104,12 @@
     }
 }
 
-/// Waits until a newer version than `held` is announced, for [`STOP_CHECK_INTERVAL`] at most.
+/// Waits until a newer version than `held` is announced, for [`ANNOUNCEMENT_WAIT`] at most.
 fn wait_for_newer(fetcher: &ConfigFetcher, held: u64) {
     let inner = locks::lock(&fetcher.inner);
     let (_inner, _timeout) = fetcher
         .changed
-        .wait_timeout_while(inner, STOP_CHECK_INTERVAL, |it| {
-            it.incoming.newest() <= held
-        })
+        .wait_timeout_while(inner, ANNOUNCEMENT_WAIT, |it| it.incoming.newest() <= held)
         .unwrap_or_else(sync::PoisonError::into_inner);
 }
 
--- a/src/sageshed/gateway/slots.rs
+++ b/src/sageshed/gateway/slots.rs
@@ -216,7 +216,7 @@
     let spawned = thread::Builder::new()
         .name("slots".to_owned())
         .spawn(move || {
-            while !ticking.is_stopping() {
+            loop {
                 let now = ticking.clock.now();
                 let (replies, is_active) = ticking.with_core(|core| {
                     let state::Core { slots, chooser, .. } = core;
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -4,11 +4,7 @@
 //! is something new. The link that receives endpoint records also reports the demand of callers. Another thread
 //! ([`super::fetch`]) fetches configurations; the links tell it of new versions.
 
-use std::{
-    collections, io, net,
-    sync::{self, atomic},
-    thread, time as std_time,
-};
+use std::{collections, io, net, sync, thread, time as std_time};
 
 use sageshed_fleet::{call_margin, dialect, directory, links, messages, quarantine, records_age};
 use sageshed_types::time;
@@ -41,7 +37,8 @@
     seeds_read: sync::Mutex<std_time::Instant>,
 }
 
-/// Starts the threads of the links, which run until the process stops.
+/// Starts the threads of the links, which run until the process exits: requests that it has accepted are routed by
+/// current endpoint records and the newest configuration also while it stops.
 pub(super) fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) -> io::Result<()> {
     let seeds = &shared.settings.discovery.seeds;
     let seeds = seeds.iter().map(|it| *it.ip()).collect();
@@ -77,7 +74,7 @@
     // Kept by control process, so that one that is watched again later sends only what has changed since.
     let mut peers_by_ip: collections::HashMap<net::Ipv4Addr, PeerState> =
         collections::HashMap::new();
-    while !shared.stopping.load(atomic::Ordering::Relaxed) {
+    loop {
         watching.read_seeds(shared);
         let draw = shared.with_core(|core| core.chooser.draw());
         let Some(to) = locks::lock(&watching.links).pick(shared.clock.now(), number, draw) else {
@@ -239,6 +236,7 @@
         }),
         takes_alive: false,
         leaving: shared.leaving(),
+        is_stopping: shared.is_stopping(),
     };
     let address = net::SocketAddrV4::new(to, discovery.vms_port).to_string();
     let answer = shared
--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -208,6 +208,39 @@
     assert!(fleet.entries[0].wait().success());
 }
 
+/// Guards against refusing requests in the notice period since a newer configuration is known. The stopping process no
+/// longer fetched configurations.
+#[test]
+fn a_stopping_process_puts_a_newer_configuration_in_force() {
+    let (mut fleet, _engines) = with_long_notice();
+    fleet.entries[0].signal("TERM");
+    fleet.until("the balancer is told", || fleet.entries[0].ready() != 200);
+    let route = r#"{"name":"new","host":"a.example","path_prefix":"/new/","kind":"idempotent","timeout_ms":8000,"latency_target_ms":1000,"priority":1,"service":"plain","attempts":1,"resumable":false},"#;
+    fleet.replace(&operator::config_with(11, route));
+    fleet.until("the new route is in force", || {
+        let answer = fleet.ask(0, &Request::new("GET", "/new/x", "new"));
+        answer.is_some_and(|it| it.status() == 200)
+    });
+    assert!(fleet.entries[0].runs());
+}
+
+/// Guards against entry processes that ask a stopping one as a coordinator until it exits, since it goes on watching
+/// control processes.
+#[test]
+fn a_stopping_process_leaves_the_list_of_entry_processes() {
+    let (mut fleet, _engines) = with_long_notice();
+    let other = fleet.entries[1].metrics();
+    let listed = |count: &str| {
+        let figures = operator::call(other, "GET", "/metrics", "");
+        let is_count = |it: &str| it.starts_with("sageshed_gateway_entries") && it.ends_with(count);
+        figures.is_ok_and(|it| it.text().lines().any(is_count))
+    };
+    fleet.until("both are listed", || listed(" 2"));
+    fleet.entries[0].signal("TERM");
+    fleet.until("one is listed", || listed(" 1"));
+    assert!(fleet.entries[0].runs());
+}
+
 /// Has a stream run at an engine that pauses after `count` events, and stops the entry process once it has begun. The
 /// caller has to get all events.
 fn check_stream_across_a_stop(id: &'static str, count: u32) {
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -26,6 +26,7 @@
         crashes: Vec::new(),
         takes_alive: false,
         leaving: Vec::new(),
+        is_stopping: false,
     }
 }
 
--- a/tests/watching.rs
+++ b/tests/watching.rs
@@ -43,6 +43,7 @@
         crashes: Vec::new(),
         takes_alive: false,
         leaving: Vec::new(),
+        is_stopping: false,
     }
 }
 
@@ -174,6 +175,37 @@
     assert_eq!(behind.longest, types_time::Millis(400));
 }
 
+/// Guards against entry processes that ask a stopping one as a coordinator until it exits. It goes on watching, and
+/// other control processes report it until they are told themselves. A process that starts at its address is listed.
+#[test]
+fn a_stopping_entry_process_is_not_listed() {
+    let hub = Hub::new(1);
+    let known = hub.with_quarantine(|it| it.cursor());
+    let entry = |last| messages::WatchReq {
+        ip: net::Ipv4Addr::new(127, 0, 0, last),
+        ..watch(messages::Watcher::Entry, known)
+    };
+    let stopping = messages::WatchReq {
+        is_stopping: true,
+        ..entry(1)
+    };
+    let elsewhere = messages::WatchReq {
+        ip: net::Ipv4Addr::new(127, 0, 0, 9),
+        entries: vec![stopping.ip, entry(3).ip],
+        ..watch(messages::Watcher::Control, known)
+    };
+    for req in [&entry(1), &entry(2), &elsewhere] {
+        hub.note_watcher(NOW, req);
+    }
+    assert_eq!(hub.entries(), [entry(1).ip, entry(2).ip, entry(3).ip]);
+    hub.note_watcher(NOW, &stopping);
+    hub.note_watcher(NOW, &elsewhere);
+    assert_eq!(hub.entries(), [entry(2).ip, entry(3).ip]);
+    assert_eq!(hub.own_entries(), [entry(2).ip]);
+    hub.note_watcher(NOW, &entry(1));
+    assert_eq!(hub.entries(), [entry(1).ip, entry(2).ip, entry(3).ip]);
+}
+
 /// How many endpoints a fleet has.
 const MANY: u32 = 3_000;
 
