Accept replies to own queries while an entry process stops

Callers of workspaces with a quota got 503 "no process answers that keeps the quota" from a stopping entry process that does not keep the quota itself, each after the time-outs of all coordinators.

Cause: from the stop signal on, `handle_datagram` dropped all datagrams but those about the versions of streams, and with them the replies to this process's own queries, though it goes on accepting requests. Routing queries and requests for slots timed out in the same way, after which the endpoint was chosen by local state.

Ruled out: charging the quota by local state in a stopping process. Each stop would grant units that no coordinator counts.

Change: a stopping process drops only what asks it for a place in a queue or for a slot, and what withdraws these. It accepts replies, observations of engines and what concerns allowances until it exits. So it also serves the quotas that it keeps until the others have the list without it.

Why it holds: units are handed out at once and come out of the shares that the processes accumulate, so two coordinators at a time grant no more than these. Queues and slots last longer than the process may: there others skip it after one time-out, as before. Requests of a stopping process still do not join queues.

--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -24,8 +24,8 @@
 /// Ids count up from the start time in milliseconds, shifted by this: more than a process uses in a millisecond.
 const ID_BITS_PER_MS: u32 = 16;
 
-/// The interval at which the receiving thread checks whether the process stops.
-const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// The delay after datagrams could not be received.
+const RECEIVE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// The threads that wait for replies, by the ids of their requests.
 type PendingReplies<T> = sync::Mutex<collections::HashMap<u64, mpsc::SyncSender<T>>>;
@@ -71,7 +71,6 @@
     /// Opens the socket on `ip` and `port`, which all VMs of the system use for their own traffic.
     pub fn open(ip: net::Ipv4Addr, port: u16) -> io::Result<Self> {
         let socket = net::UdpSocket::bind((ip, port))?;
-        socket.set_read_timeout(Some(STOP_CHECK_INTERVAL))?;
         Ok(Self {
             socket,
             port,
@@ -303,14 +302,14 @@
 
     fn listen<D: dialect::Dialect>(&self, shared: &state::Shared<D>) {
         let mut buf = [0; MAX_DATAGRAM_BYTES];
-        while !shared.ending.load(atomic::Ordering::Relaxed) {
+        loop {
             match self.socket.recv_from(&mut buf) {
                 Ok((len, net::SocketAddr::V4(from))) => handle_datagram(shared, from, &buf[..len]),
                 Ok(_) => {}
-                Err(e) if is_timeout(&e) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => {
                     ::log::warn!(error:% = e; "gateway: cannot receive datagrams");
-                    thread::sleep(STOP_CHECK_INTERVAL);
+                    thread::sleep(RECEIVE_RETRY_INTERVAL);
                 }
             }
         }
@@ -323,8 +322,8 @@
     bytes: &[u8],
 ) {
     let decoded = sageshed_vms::decode(bytes);
-    // Others no longer count on this process for anything else.
-    if shared.is_stopping() && !decoded.as_ref().is_ok_and(is_of_stream) {
+    // Others ask the next coordinator if this one does not reply.
+    if shared.is_stopping() && decoded.as_ref().is_ok_and(needs_running_coordinator) {
         return;
     }
     if let Some(id) = decoded.as_ref().ok().and_then(replied_query) {
@@ -424,24 +423,20 @@
     }
 }
 
-/// Whether a datagram is about the versions that began streams.
-fn is_of_stream(datagram: &wire::Datagram) -> bool {
+/// Whether a datagram asks for a place in a queue or for a slot, which a coordinator keeps for longer than it may run
+/// once it has been told to stop. Units of allowances are handed out at once, and replies concern requests that this
+/// process still has.
+fn needs_running_coordinator(datagram: &wire::Datagram) -> bool {
     matches!(
         datagram,
-        wire::Datagram::StreamOrigin(_)
-            | wire::Datagram::OriginQuery(_)
-            | wire::Datagram::OriginReply(_)
+        wire::Datagram::RoutingQuery(_)
+            | wire::Datagram::Cancel(_)
+            | wire::Datagram::SlotRequest(_)
+            | wire::Datagram::SlotRelease(_)
     )
 }
 
-fn is_timeout(e: &io::Error) -> bool {
-    matches!(
-        e.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
-    )
-}
-
-/// Starts the thread that receives datagrams.
+/// Starts the thread that receives datagrams until the process exits.
 pub(super) fn start<D: dialect::Dialect>(shared: &sync::Arc<state::Shared<D>>) {
     let listening = sync::Arc::clone(shared);
     let spawned = thread::Builder::new()
--- a/src/sageshed/gateway/proxy/queue_wait.rs
+++ b/src/sageshed/gateway/proxy/queue_wait.rs
@@ -265,8 +265,8 @@
         }
     }
 
-    /// The coordinators of the model, this process included; none while it is stopping, since it receives no
-    /// datagrams then.
+    /// The coordinators of the model, this process included; none while it is stopping, since it may exit before a
+    /// queue grants an engine.
     fn coordinators(&self) -> Vec<net::Ipv4Addr> {
         let wanted = self.wanted.filter(|_| !self.shared.is_stopping());
         wanted.map_or_else(Vec::new, |wanted| {
