Refuse requests without a response before an entry process exits

Callers whose endpoint never answered got a closed connection with nothing when their entry process exited after SIGTERM, and no log line named them. Streams that were cut at the exit were not named either, only counted.

Cause: at the end of the grace period the process returned from `stop` while the threads of these requests still waited for their endpoints. The flag `ending`, two seconds earlier, refuses only requests that were not sent.

Ruled out: ending these requests with `ending`. Most endpoints answer in the two seconds that are left, and that response would be lost. Waiting less for them than before would lose some too.

Change: `exiting` is set at the moment at which the process exited before, 400 ms before the end of the grace period. Each request that waits for its endpoint is then refused, with 502 if it may have run and with 503 if it was not sent, and each begun stream is cut and logged with its id. The process exits when all have ended, 250 ms later at the latest.

Why it holds: a wait for an endpoint asks every 100 ms whether to go on, and a stream also before each chunk, since a busy one does not wait. Nothing is sent any more at that time, so no request is retried. A response that arrives before that moment is passed on as before, and nothing is ended earlier than before.

Not covered: a thread that is blocked in a write to a caller that does not read, and a whole response whose body arrives without a pause of 100 ms. They are in the count `cut` of `stopped`.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -121,9 +121,8 @@
             Err(unanswered) => unanswered,
         };
         let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
-        let is_given_up = watch.caller_gone() || (may_give_up && self.is_abandoned());
         match unanswered.sent {
-            Some(sent) if is_interrupted && !is_given_up => {
+            Some(sent) if is_interrupted && !self.is_given_up(watch, may_give_up) => {
                 let run = SentRun {
                     sent,
                     path,
@@ -136,10 +135,17 @@
         }
     }
 
-    /// Whether the response of the latest endpoint is not needed any more: the caller has disconnected, or does not wait
-    /// for longer if `may_give_up`, or a silent endpoint goes on.
-    fn is_unwanted(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
-        watch.caller_gone() || (may_give_up && self.is_abandoned()) || self.has_resumed_run()
+    /// Whether no endpoint is waited for any more: the caller has disconnected, or does not wait for longer if
+    /// `may_give_up`, or this process exits.
+    pub(super) fn is_given_up(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
+        let is_abandoned = may_give_up && self.is_abandoned();
+        watch.caller_gone() || is_abandoned || self.shared.is_exiting()
+    }
+
+    /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_given_up`] or since a silent
+    /// endpoint goes on.
+    pub(super) fn is_unwanted(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
+        self.is_given_up(watch, may_give_up) || self.has_resumed_run()
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
@@ -378,7 +384,7 @@
     ) -> Result<Vec<u8>, failure::Failure> {
         let patience = exchange::Patience {
             until: self.deadline,
-            stop: &|| watch.caller_gone() || self.has_resumed_run(),
+            stop: &|| self.is_unwanted(watch, false),
         };
         exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
     }
@@ -529,7 +535,8 @@
             self.possible_runs += u32::from(failure.is_sent);
             return self.leave_run(pick, sink, began);
         }
-        if is_interrupted && (watch.caller_gone() || self.is_abandoned()) {
+        let is_ended = self.is_abandoned() || self.shared.is_exiting();
+        if is_interrupted && (watch.caller_gone() || is_ended) {
             // A caller that has given up on the first event may still read the status.
             self.possible_runs += u32::from(failure.is_sent && !watch.caller_gone());
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
--- a/src/sageshed/gateway/proxy/completion.rs
+++ b/src/sageshed/gateway/proxy/completion.rs
@@ -94,6 +94,9 @@
         sink: ResponseSink<'_>,
         watch: &reply::Watch,
     ) -> reply::Sent {
+        if self.shared.is_exiting() && !watch.caller_gone() {
+            return self.refuse_at_exit(sink);
+        }
         self.refund_charge();
         let is_silent = self.is_abandoned() && !watch.caller_gone();
         if is_silent && sink.has_started() {
@@ -110,6 +113,14 @@
         sink.refuse("", &refusal)
     }
 
+    /// Ends a request whose response is not complete when the process exits. Its caller would otherwise see its connection
+    /// close and could not know whether the request may have run.
+    fn refuse_at_exit(&mut self, sink: ResponseSink<'_>) -> reply::Sent {
+        let detail = "this entry process exits before the response is complete";
+        let refusal = self.final_refusal(verdict::Reason::Draining, detail.to_owned());
+        self.refuse(sink, &refusal)
+    }
+
     /// Ends a request whose response was passed on, and logs it with the estimates by which its endpoint was chosen.
     pub(super) fn finish_answered(
         &mut self,
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -175,14 +175,18 @@
         let began = std_time::Instant::now();
         let mut next_try = began + self.stall_timeout().into();
         loop {
+            // While events arrive without a pause, `stop` is not asked.
+            if self.shared.is_exiting() {
+                return Next::Failed(cut_at_exit());
+            }
             let may_switch = self.may_run_again() && position.can_resume;
             let until = if may_switch {
                 self.deadline.min(next_try.max(self.next_switch))
             } else {
                 self.deadline
             };
-            let is_given_up = || !position.has_started && self.is_abandoned();
-            let stop = || watch.caller_gone() || is_given_up() || self.has_resumed_run();
+            let may_give_up = !position.has_started;
+            let stop = || self.is_unwanted(watch, may_give_up);
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
                 Ok(chunk) => {
@@ -192,8 +196,8 @@
                 Err(failure) => failure,
             };
             let is_over = self.time_left() == time::Millis(0);
-            let is_wanted = !watch.caller_gone() && !is_given_up();
-            if failure.cause == failure::Cause::Interrupted && is_wanted {
+            let is_interrupted = failure.cause == failure::Cause::Interrupted;
+            if is_interrupted && !self.is_given_up(watch, may_give_up) {
                 return Next::Keep(KeptFor::ResumedRun);
             }
             if failure.cause != failure::Cause::Silent || is_over {
@@ -257,3 +261,12 @@
         detail: "the connection ended inside an event".to_owned(),
     }
 }
+
+/// The failure of a stream that this process cuts since it exits.
+fn cut_at_exit() -> failure::Failure {
+    failure::Failure {
+        cause: failure::Cause::Interrupted,
+        is_sent: true,
+        detail: "this entry process exits".to_owned(),
+    }
+}
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -5,7 +5,7 @@
 //! The load balancer needs some time to stop sending callers here. During this notice period, connections
 //! are still accepted; each response closes its connection, so that callers move to another entry process
 //! by themselves. After it, requests in progress are finished until shortly before the end of the grace
-//! period, when the process would be killed.
+//! period, when the process would be killed. Those that are not finished by then are refused.
 
 use std::{mem, net, num, sync, thread, time};
 
@@ -49,9 +49,13 @@
 /// callers of waiting requests still have time to try another entry process.
 const LAST_SEND_BEFORE_END: time::Duration = time::Duration::from_secs(2);
 
-/// How long before the end of the grace period the process exits by itself.
+/// How long before the end of the grace period the process waits for endpoints no longer.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(400);
 
+/// How long the process then waits until the requests in progress are refused. Each looks every 100 ms whether the
+/// process exits.
+const LAST_RESPONSES_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// The interval between two sweeps of idle pooled connections and probes of lost paths.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -180,9 +184,15 @@
     // that it was not run. One of 3,200 requests in a day was cut off this way, after it had waited for seven seconds.
     shared.ending.store(true, sync::atomic::Ordering::Relaxed);
     shared.wake_waiting();
-    let cut = callers.wait(end.saturating_sub(began.elapsed()));
+    let open = callers.wait(end.saturating_sub(began.elapsed()));
     let relayed = shared.relay.get();
     let cut_relayed = relayed.map_or(0, |it| it.wait(end.saturating_sub(began.elapsed())));
+    if open > 0 {
+        ::log::info!(open; "gateway: exiting, refusing the requests that endpoints have not answered");
+    }
+    shared.exiting.store(true, sync::atomic::Ordering::Relaxed);
+    shared.wake_waiting();
+    let cut = callers.wait(LAST_RESPONSES_TIMEOUT);
     ::log::info!(cut, cut_relayed; "gateway: stopped");
 }
 
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -86,6 +86,8 @@
     pub refusing: atomic::AtomicBool,
     /// Set shortly before the process exits, when no waiting request can be served any more.
     pub ending: atomic::AtomicBool,
+    /// Set when the process exits as soon as the last responses are written.
+    pub exiting: atomic::AtomicBool,
 }
 
 /// The state that routing decisions are based on.
@@ -223,6 +225,7 @@
             stopping: atomic::AtomicBool::new(false),
             refusing: atomic::AtomicBool::new(false),
             ending: atomic::AtomicBool::new(false),
+            exiting: atomic::AtomicBool::new(false),
         }
     }
 
@@ -460,6 +463,12 @@
         self.stopping.load(atomic::Ordering::Relaxed)
     }
 
+    /// Whether the process exits as soon as the last responses are written, so that no endpoint is waited for any more.
+    #[must_use]
+    pub fn is_exiting(&self) -> bool {
+        self.exiting.load(atomic::Ordering::Relaxed)
+    }
+
     /// For how long no configuration has been in force, and what this process waits for; none if one is in force.
     #[must_use]
     pub fn config_wait(&self) -> Option<config_check::ConfigWait> {
--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -276,3 +276,124 @@
 fn a_stream_whose_engine_pauses_is_not_left_by_a_process_that_is_about_to_exit() {
     check_stream_across_a_stop("late", 560);
 }
+
+/// Routes with more time than a process has from the signal to its exit.
+const LONG_ROUTES: &str = r#"{"name":"long-once","host":"a.example","path_prefix":"/long-once/","kind":"non_idempotent","timeout_ms":60000,"latency_target_ms":30000,"priority":1,"service":"plain","attempts":1},
+{"name":"long-again","host":"a.example","path_prefix":"/long-again/","kind":"idempotent","timeout_ms":60000,"latency_target_ms":30000,"priority":1,"service":"plain","attempts":2},
+{"name":"long-stream","host":"a.example","path_prefix":"/long-stream/","kind":"streaming","timeout_ms":60000,"latency_target_ms":30000,"priority":1,"service":"engines","attempts":1,"resumable":false},"#;
+
+/// A fleet with [`LONG_ROUTES`].
+fn with_long_routes() -> (Fleet, Vec<Engine>) {
+    let (fleet, engines) = Fleet::ready();
+    fleet.replace(&operator::config_with(11, LONG_ROUTES));
+    fleet.until("the routes are in force", || {
+        let answer = fleet.ask(0, &Request::new("GET", "/long-once/x", "look"));
+        answer.is_some_and(|it| it.status() == 200)
+    });
+    (fleet, engines)
+}
+
+/// Sends a request to the first entry process from a thread, and waits until an endpoint runs it.
+fn run_long(
+    fleet: &Fleet,
+    engines: &[Engine],
+    path: &'static str,
+    id: &'static str,
+) -> thread::JoinHandle<Option<Message>> {
+    let address = fleet.entries[0].address();
+    let asks = thread::spawn(move || {
+        let mut caller = Caller::connect(address).expect("a connection");
+        let ask = Request {
+            deadline_ms: 60_000,
+            ..Request::new("POST", path, id)
+        };
+        caller
+            .request(&ask)
+            .expect("a connection that is not reset")
+    });
+    fleet.until("it runs", || engines.iter().any(|it| it.runs(id) == 1));
+    asks
+}
+
+/// The log line of a refused request, as text.
+fn refusal_line(log: &str, id: &str) -> Option<String> {
+    let of_request = format!("\"request\":\"{id}\"");
+    let mut lines = log.lines();
+    let line =
+        lines.find(|it| it.contains(&of_request) && it.contains("\"message\":\"request refused\""));
+    line.map(str::to_owned)
+}
+
+/// Guards against connections that are closed with nothing when the process exits, and with no log line that names the
+/// request. An endpoint that never answers had the request until then, so its caller has to be told that it may have
+/// run.
+#[test]
+fn requests_that_no_endpoint_answers_are_refused_before_the_process_exits() {
+    let (mut fleet, engines) = with_long_routes();
+    for engine in &engines[2..] {
+        engine.set_behavior(Behavior::Hangs);
+    }
+    let asked = [
+        ("once", run_long(&fleet, &engines, "/long-once/x", "once")),
+        (
+            "again",
+            run_long(&fleet, &engines, "/long-again/x", "again"),
+        ),
+    ];
+    fleet.entries[0].signal("TERM");
+    for (id, asks) in asked {
+        let answer = asks.join().expect("it asked");
+        let answer = answer.unwrap_or_else(|| panic!("{id}: closed with nothing"));
+        assert_eq!(answer.status(), 502, "{id}: {}", answer.text());
+        assert!(answer.whole, "{id}");
+    }
+    assert!(fleet.entries[0].wait().success());
+    let log = fleet.entries[0].log();
+    for id in ["once", "again"] {
+        assert!(refusal_line(&log, id).is_some(), "no line names {id}");
+    }
+    assert!(log.contains("\"stopped\""), "it did not stop by itself");
+}
+
+/// Guards against streams that are cut when the process exits with no log line that names them, whether their engine is
+/// silent or sends events without a pause.
+#[test]
+fn streams_that_are_cut_at_the_exit_are_logged() {
+    let (mut fleet, engines) = with_long_routes();
+    let mut asked = Vec::new();
+    for (id, behavior) in [
+        ("silent", Behavior::HangsAfter(3)),
+        ("busy", Behavior::Streams(4_000)),
+    ] {
+        for engine in &engines[..2] {
+            engine.set_behavior(behavior);
+        }
+        asked.push((id, run_long(&fleet, &engines, "/long-stream/x", id)));
+    }
+    fleet.entries[0].signal("TERM");
+    for (id, asks) in asked {
+        let answer = asks.join().expect("it asked").expect("it began");
+        assert!(!answer.whole, "{id}");
+    }
+    assert!(fleet.entries[0].wait().success());
+    let log = fleet.entries[0].log();
+    for id in ["silent", "busy"] {
+        let line = refusal_line(&log, id).unwrap_or_else(|| panic!("no line names {id}"));
+        assert!(line.contains("\"begun\":\"true\""), "{line}");
+    }
+}
+
+/// Guards against refusing a request whose endpoint answers late, but before the process exits.
+#[test]
+fn a_response_that_comes_shortly_before_the_exit_is_passed_on() {
+    let (mut fleet, engines) = with_long_routes();
+    for engine in &engines[2..] {
+        engine.set_behavior(Behavior::AnswersAfter(time::Duration::from_millis(4_500)));
+    }
+    let asks = run_long(&fleet, &engines, "/long-once/x", "late");
+    fleet.entries[0].signal("TERM");
+    let answer = asks.join().expect("it asked").expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    assert!(answer.whole);
+    assert!(fleet.entries[0].wait().success());
+}
