--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -602,7 +602,7 @@
         self.note_crash(pick, failure.cause);
         let is_over = self.time_left() == time::Millis(0);
         let outcome = match failure.cause {
-            failure::Cause::Silent if !began => chooser::AttemptOutcome::Silent,
+            failure::Cause::Silent => chooser::AttemptOutcome::Silent,
             _ => chooser::AttemptOutcome::Failed,
         };
         self.end_attempt(pick, began, outcome);
