Refund a quota charge that is held when a request has been answered

A request whose second endpoint rejects it keeps that attempt's charge for the next one. If the silent endpoint then goes on and answers, the charge was lost, and its workspace got 429 too early. A restored charge also replaced one that was held already. Found by review, by reading; the charge is refunded at the end of the request and before it is replaced.

--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -388,6 +388,7 @@
         };
         self.end_silent_runs(metrics::SilenceEnd::RequestEnded);
         self.return_retry();
+        self.refund_charge();
         sent
     }
 
--- a/src/sageshed/gateway/proxy/quota.rs
+++ b/src/sageshed/gateway/proxy/quota.rs
@@ -98,7 +98,10 @@
 
     /// Keeps the charge of an attempt that did not run for the next attempt.
     pub(super) fn restore_charge(&mut self) {
-        self.next_charge = self.committed_charge.take();
+        if let Some(charge) = self.committed_charge.take() {
+            self.refund_charge();
+            self.next_charge = Some(charge);
+        }
     }
 
     /// Refunds the charge for an attempt that does not take place.
