Don't end a begun stream for a failure of the second endpoint

Callers saw a begun stream cut 1.1 s after it began, with its engine going on 0.7 s later: the second engine answered with a signed 500 when all attempts were used, which counted as the response of the request. It closed the kept run, and nothing but an event stream can follow a begun stream. The log called it answered.

A response with a failure no longer takes the place of a run that is kept, nor does any response but an event stream that of a begun stream. A whole response that has begun to arrive is read to its end even if the silent endpoint goes on, since what that sends may be a rejection, and an endpoint that was left for an earlier one may be tried again.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -342,7 +342,7 @@
             let detail = format!("the endpoint answered with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        if head.status >= 500 && may_retry {
+        if head.status >= 500 && (may_retry || !self.silent_runs.is_empty()) {
             let detail = format!("the endpoint failed with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
@@ -358,6 +358,10 @@
             };
             return self.stream(pick, run, sink, watch);
         }
+        if sink.has_started() {
+            let detail = format!("the endpoint resumed a stream with status {}", head.status);
+            return self.handle_unusable_response(pick, sink, detail);
+        }
         match self.read_whole(&mut exchange, watch) {
             Ok(body) => {
                 self.end_silent_runs(metrics::SilenceEnd::Replaced);
@@ -384,7 +388,8 @@
     ) -> Result<Vec<u8>, failure::Failure> {
         let patience = exchange::Patience {
             until: self.deadline,
-            stop: &|| self.is_unwanted(watch, false),
+            // A part of the response has arrived, so it is not left for an endpoint that was silent.
+            stop: &|| self.is_given_up(watch, false),
         };
         exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
     }
@@ -574,7 +579,6 @@
         self.attempt_log
             .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
         self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
-        self.tried_endpoints.push(pick.key);
         AttemptResult::Retry(sink)
     }
 
