Try another endpoint for a silent stream again 250 ms after a rejection

Callers of a dead engine gave their streams up: after one rejection by another engine the stream went back to the dead one and waited there for half of the caller's patience once more, since the silence was counted from the return on. Where that patience is longer than twice the time left, the stream was never sent to another engine at all.

The silence is counted from the last byte of the endpoint, and half of the patience or of the time left counts, whichever is less. A stream without an event waits for a second, as before, since it may be on time elsewhere.

Found by review.

--- a/crates/sageshed-fleet/src/silence.rs
+++ b/crates/sageshed-fleet/src/silence.rs
@@ -2,7 +2,7 @@
 //!
 //! A short silence does not tell a sound endpoint from a dead one: a sound one goes on after a second or more. Sending the
 //! request to a second endpoint costs a retry and the prefill of its prompt, so it waits until half of the time is over
-//! for which the caller waits for the next event. The other half is left to the second endpoint.
+//! for which the caller waits for the next event, or until its deadline. The other half is left to the second endpoint.
 
 use sageshed_types::time;
 
@@ -12,9 +12,9 @@
 /// The time from the return to a silent endpoint to the next attempt at another one.
 pub const SWITCH_INTERVAL: time::Millis = time::Millis(250);
 
-/// How long the endpoint of a stream may send nothing before another one is tried, if the caller gives the stream up after
-/// a gap of `abandoned_after`; none if it waits until its deadline.
+/// How long the endpoint of a stream may send nothing before another one is tried. `patience` is how long the caller waits
+/// for the next event from the latest one on; none if there was no event yet, which may still be on time elsewhere.
 #[must_use]
-pub fn stall_timeout(abandoned_after: Option<time::Millis>) -> time::Millis {
-    abandoned_after.map_or(MIN_STALL, |it| time::Millis(it.0 / 2).max(MIN_STALL))
+pub fn stall_timeout(patience: Option<time::Millis>) -> time::Millis {
+    patience.map_or(MIN_STALL, |it| time::Millis(it.0 / 2).max(MIN_STALL))
 }
--- a/crates/sageshed-fleet/tests/silence.rs
+++ b/crates/sageshed-fleet/tests/silence.rs
@@ -5,29 +5,29 @@
 
 struct Case {
     name: &'static str,
-    abandoned_after_ms: Option<u64>,
+    patience_ms: Option<u64>,
     stall_ms: u64,
 }
 
 const CASES: [Case; 4] = [
     Case {
-        name: "the caller waits until its deadline",
-        abandoned_after_ms: None,
+        name: "no event has arrived",
+        patience_ms: None,
         stall_ms: 1_000,
     },
     Case {
         name: "the least patient caller",
-        abandoned_after_ms: Some(2_000),
+        patience_ms: Some(2_000),
         stall_ms: 1_000,
     },
     Case {
         name: "half of the patience is left to the second endpoint",
-        abandoned_after_ms: Some(4_800),
+        patience_ms: Some(4_800),
         stall_ms: 2_400,
     },
     Case {
         name: "a patience shorter than that of any caller",
-        abandoned_after_ms: Some(500),
+        patience_ms: Some(500),
         stall_ms: 1_000,
     },
 ];
@@ -36,7 +36,7 @@
 #[test]
 fn a_second_endpoint_is_tried_after_half_of_the_caller_s_patience() {
     for case in &CASES {
-        let stall = silence::stall_timeout(case.abandoned_after_ms.map(time::Millis));
+        let stall = silence::stall_timeout(case.patience_ms.map(time::Millis));
         assert_eq!(stall, time::Millis(case.stall_ms), "{}", case.name);
     }
 }
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -355,6 +355,7 @@
                 exchange,
                 sent_at,
                 has_begun: false,
+                silent_since: std_time::Instant::now(),
             };
             return self.stream(pick, run, sink, watch);
         }
--- a/src/sageshed/gateway/proxy/silent_runs.rs
+++ b/src/sageshed/gateway/proxy/silent_runs.rs
@@ -9,7 +9,7 @@
 
 use sageshed_fleet::{chooser, dialect, silence};
 use sageshed_http::reply;
-use sageshed_types::{time, verdict};
+use sageshed_types::verdict;
 use sageshed_upstream::exchange;
 
 use super::{AttemptResult, ProxiedRequest, quota, slot, stream::StreamRun};
@@ -174,8 +174,15 @@
         self.may_run_after(self.possible_runs)
     }
 
-    /// How long the endpoint of a stream may send nothing before another one is tried as well.
-    pub(super) fn stall_timeout(&self) -> time::Millis {
-        silence::stall_timeout(self.route.abandoned_after)
+    /// When another endpoint is tried for a stream that has been silent since `since`. `has_started` tells whether its
+    /// caller has received an event.
+    pub(super) fn stalls_at(
+        &self,
+        since: std_time::Instant,
+        has_started: bool,
+    ) -> std_time::Instant {
+        let left = self.deadline.saturating_duration_since(since).into();
+        let patience = self.route.abandoned_after.map_or(left, |it| it.min(left));
+        since + silence::stall_timeout(has_started.then_some(patience)).into()
     }
 }
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -25,6 +25,8 @@
     pub(super) load: Option<dialect::Load>,
     /// Whether a part of the body has arrived.
     pub(super) has_begun: bool,
+    /// When its endpoint sent something last.
+    pub(super) silent_since: std_time::Instant,
 }
 
 /// How far the response to the caller has come.
@@ -172,8 +174,7 @@
         watch: &reply::Watch,
         position: Position,
     ) -> Next {
-        let began = std_time::Instant::now();
-        let mut next_try = began + self.stall_timeout().into();
+        let mut next_try = self.stalls_at(run.silent_since, position.has_started);
         loop {
             // While events arrive without a pause, `stop` is not asked.
             if self.shared.is_exiting() {
@@ -190,7 +191,8 @@
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
                 Ok(chunk) => {
-                    self.log_end_of_silence(pick, began.elapsed());
+                    self.log_end_of_silence(pick, run.silent_since.elapsed());
+                    run.silent_since = std_time::Instant::now();
                     return Next::Chunk(chunk);
                 }
                 Err(failure) => failure,
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -81,9 +81,10 @@
         )
     };
     let routes: String = (0..more).map(route).collect();
-    let three = r#""attempts":3,"itl_target_ms":400,"resumable":true"#;
-    operator::config_with(version, &routes)
-        .replace(r#""attempts":2,"resumable":true"#, three)
+    let config = operator::config_with(version, &routes);
+    let two = with_latency_target(&config, 400);
+    let three = r#""attempts":3,"itl_target_ms":250,"resumable":true"#;
+    two.replace(r#""attempts":2,"resumable":true"#, three)
         .replace("\"slots\":4", "\"slots\":32")
 }
 
@@ -409,6 +410,7 @@
     /// Has the engine of a stream be silent after its fifth event. Returns what became of the stream, and the fleet.
     fn run_stream(&self) -> (bool, Fleet) {
         let (fleet, engines) = Fleet::many_ready(1, self.settings);
+        set_latency_target(&fleet, 400);
         let engines = &engines[..2];
         for engine in engines {
             let interval = time::Duration::from_millis(20);
@@ -433,6 +435,10 @@
         let outcome = Outcome::of(kind, begun.elapsed(), response);
         let log = fleet.entries[0].log_file();
         println!("{}: {outcome:?}; {}", self.name, log.display());
+        let has_tried =
+            |it: &Engine| it.log(|log| log.arrived.iter().any(|it| it.id == "silence-1"));
+        let is_tried = engines.iter().all(has_tried);
+        assert_eq!(is_tried, self.settings != NO_RETRY, "{}", self.name);
         (outcome == Outcome::Whole, fleet)
     }
 
@@ -488,3 +494,116 @@
     let (are_whole, _fleets): (Vec<_>, Vec<_>) = LOOKUP_CASES.iter().map(Case::run_lookups).unzip();
     assert_eq!(are_whole, [true; LOOKUP_CASES.len()]);
 }
+
+/// `config` with another latency target of its resumable route. Callers wait for the next event for four times as long, two
+/// seconds at least.
+fn with_latency_target(config: &str, ms: u32) -> String {
+    let given = r#""latency_target_ms":2000,"priority":1,"service":"engines","attempts":2,"resumable":true"#;
+    assert!(config.contains(given));
+    config.replace(given, &given.replace("2000", &ms.to_string()))
+}
+
+/// Puts a configuration in force whose resumable route has this latency target.
+fn set_latency_target(fleet: &Fleet, ms: u32) {
+    fleet.replace(&with_latency_target(&operator::config(20), ms));
+    fleet.until("it is in force", || {
+        fleet.entries[0].log().contains("\"version\":\"20\"")
+    });
+}
+
+/// A stream whose engine is silent after its fifth event.
+struct SilentStream {
+    latency_target_ms: u32,
+    silence: time::Duration,
+    /// How long the caller waits for the next event.
+    patience: time::Duration,
+}
+
+impl SilentStream {
+    /// Sends the stream, has `set_other` set the other engine, and returns what became of the stream.
+    fn run(&self, settings: &'static str, set_other: impl Fn(&Fleet, &Engine)) -> (Outcome, Fleet) {
+        let (fleet, engines) = Fleet::many_ready(1, settings);
+        set_latency_target(&fleet, self.latency_target_ms);
+        let engines = &engines[..2];
+        for engine in engines {
+            let interval = time::Duration::from_millis(20);
+            engine.set_behavior(Behavior::StreamsTokens(interval));
+        }
+        let (kind, begun) = (&KINDS[1], time::Instant::now());
+        let caller = send(&[fleet.entries[0].address()], kind, 1);
+        let mut caller = caller.expect("a connection");
+        fleet.until("the stream has begun", || {
+            let mut text = [0; 4_096];
+            let n = caller.stream.peek(&mut text).expect("it is open");
+            String::from_utf8_lossy(&text[..n]).contains("id: 5\n")
+        });
+        let patience = Some(self.patience);
+        caller.stream.set_read_timeout(patience).expect("a socket");
+        let (response, took) = thread::scope(|scope| {
+            let (silent, other): (Vec<_>, Vec<_>) =
+                engines.iter().partition(|it| it.runs("silence-1") > 0);
+            silent[0].fall_silent(self.silence);
+            let reading = scope.spawn(|| {
+                let response = caller.answer();
+                (response, begun.elapsed())
+            });
+            set_other(&fleet, other[0]);
+            reading.join().expect("it ends")
+        });
+        let outcome = Outcome::of(kind, took, response);
+        let log = fleet.entries[0].log_file();
+        println!("{outcome:?} after {took:?}; {}", log.display());
+        (outcome, fleet)
+    }
+}
+
+/// Longer than any request.
+const DEAD: time::Duration = time::Duration::from_mins(1);
+
+/// The shortest time for which callers wait for the next event.
+const CALLERS_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// Guards against a begun stream that is cut although its engine goes on: the second engine responds with a failure, which ends
+/// the run at the silent one.
+#[test]
+fn a_begun_stream_is_not_ended_by_a_failure_of_the_second_engine() {
+    let stream = SilentStream {
+        latency_target_ms: 400,
+        silence: SILENCE,
+        patience: CALLERS_WAIT,
+    };
+    let (outcome, _fleet) = stream.run(SETTINGS, |_, it| it.set_behavior(Behavior::Fails(500)));
+    assert_eq!(outcome, Outcome::Whole);
+}
+
+/// Guards against a stream that its caller gives up since it goes back to a dead engine after one rejection, and waits there
+/// as long as before the first attempt at another engine.
+#[test]
+fn a_stream_of_a_dead_engine_is_sent_again_soon_after_a_rejection() {
+    let stream = SilentStream {
+        latency_target_ms: 400,
+        silence: DEAD,
+        patience: CALLERS_WAIT,
+    };
+    let (outcome, _fleet) = stream.run(SETTINGS, |fleet, it| {
+        it.set_behavior(Behavior::Rejects);
+        fleet.until("it has rejected the stream", || {
+            it.log(|log| log.arrived.iter().any(|it| it.id == "silence-1"))
+        });
+        it.set_behavior(Behavior::StreamsTokens(time::Duration::from_millis(20)));
+    });
+    assert_eq!(outcome, Outcome::Whole);
+}
+
+/// Guards against a stream that stays at a dead engine until its deadline, since its caller waits for the next event for
+/// more than twice the time that is left.
+#[test]
+fn a_stream_of_a_dead_engine_is_moved_before_its_deadline() {
+    let stream = SilentStream {
+        latency_target_ms: 10_000,
+        silence: DEAD,
+        patience: PATIENCE,
+    };
+    let (outcome, _fleet) = stream.run(SETTINGS, |_, _| ());
+    assert_eq!(outcome, Outcome::Whole);
+}
