--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -10,8 +10,8 @@
 
 use super::{
     AttemptResult, ProxiedRequest,
+    kept_runs::{Progress, SentRun},
     records_check::EndpointCheck,
-    silent_runs::{Progress, SentRun},
     stream::StreamRun,
 };
 use crate::gateway::{entry_peers, metrics, paths, queues, response::ResponseSink};
@@ -68,7 +68,7 @@
         let may_give_up = !sink.has_started();
         let stop = || {
             self.is_unwanted(watch, may_give_up)
-                || (self.is_late(pick, sent_at) && self.may_switch_endpoint())
+                || (self.is_late(pick, sent_at) && self.try_acquire_switch())
         };
         let patience = exchange::Patience {
             until: self.deadline,
@@ -107,7 +107,7 @@
         let may_give_up = !sink.has_started();
         let stop = || {
             self.is_unwanted(watch, may_give_up)
-                || (self.is_late(pick, sent_at) && self.may_switch_endpoint())
+                || (self.is_late(pick, sent_at) && self.try_acquire_switch())
         };
         let patience = exchange::Patience {
             until: self.deadline,
@@ -122,7 +122,7 @@
         };
         let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
         match unanswered.sent {
-            Some(sent) if is_interrupted && !self.is_given_up(watch, may_give_up) => {
+            Some(sent) if is_interrupted && !self.is_wait_over(watch, may_give_up) => {
                 let run = SentRun {
                     sent,
                     path,
@@ -137,15 +137,15 @@
 
     /// Whether no endpoint is waited for any more: the caller has disconnected, or does not wait for longer if
     /// `may_give_up`, or this process exits.
-    pub(super) fn is_given_up(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
+    pub(super) fn is_wait_over(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
         let is_abandoned = may_give_up && self.is_abandoned();
         watch.caller_gone() || is_abandoned || self.shared.is_exiting()
     }
 
-    /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_given_up`] or since a silent
+    /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_wait_over`] or since a silent
     /// endpoint goes on.
     pub(super) fn is_unwanted(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
-        self.is_given_up(watch, may_give_up) || self.has_resumed_run()
+        self.is_wait_over(watch, may_give_up) || self.has_kept_run_with_input()
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
@@ -164,7 +164,7 @@
 
     /// Whether the request may be sent to a second endpoint now, while it may be running at the first. Takes the retry that
     /// this needs, since others wait for the same endpoint.
-    fn may_switch_endpoint(&self) -> bool {
+    fn try_acquire_switch(&self) -> bool {
         let may_run = self.may_run_after(self.possible_runs + 1);
         if !may_run || std_time::Instant::now() < self.next_switch {
             return false;
@@ -342,7 +342,7 @@
             let detail = format!("the endpoint answered with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        if head.status >= 500 && (may_retry || !self.silent_runs.is_empty()) {
+        if head.status >= 500 && (may_retry || !self.kept_runs.is_empty()) {
             let detail = format!("the endpoint failed with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
@@ -365,7 +365,7 @@
         }
         match self.read_whole(&mut exchange, watch) {
             Ok(body) => {
-                self.end_silent_runs(metrics::SilenceEnd::Replaced);
+                self.end_kept_runs(metrics::SilenceEnd::Replaced);
                 self.record_start(pick, sent_at, response.load);
                 let failed = head.status >= 500;
                 let outcome = if failed {
@@ -390,7 +390,7 @@
         let patience = exchange::Patience {
             until: self.deadline,
             // A part of the response has arrived, so it is not left for an endpoint that was silent.
-            stop: &|| self.is_given_up(watch, false),
+            stop: &|| self.is_wait_over(watch, false),
         };
         exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
     }
@@ -497,7 +497,7 @@
     /// exponential delay; other requests go to another engine.
     fn delay_after_rejection(&mut self, pick: &chooser::Pick) {
         self.rejections += 1;
-        if !self.silent_runs.is_empty() {
+        if !self.kept_runs.is_empty() {
             // The silent endpoint may go on meanwhile.
             self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
             return;
@@ -536,7 +536,7 @@
     ) -> AttemptResult<'c> {
         let began = false;
         let is_interrupted = failure.cause == failure::Cause::Interrupted;
-        if is_interrupted && self.has_resumed_run() && !watch.caller_gone() {
+        if is_interrupted && self.has_kept_run_with_input() && !watch.caller_gone() {
             self.deliveries += u32::from(failure.is_sent);
             self.possible_runs += u32::from(failure.is_sent);
             return self.leave_run(pick, sink, began);
@@ -591,7 +591,7 @@
         began: bool,
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
-        if failure.cause == failure::Cause::Interrupted && self.has_resumed_run() {
+        if failure.cause == failure::Cause::Interrupted && self.has_kept_run_with_input() {
             return self.leave_run(pick, sink, began);
         }
         if failure.cause == failure::Cause::Interrupted {
--- a/src/sageshed/gateway/proxy/silent_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -1,4 +1,4 @@
-//! Runs at endpoints that have fallen silent, kept while another endpoint is tried.
+//! Runs that are kept while another endpoint is tried, since their own has fallen silent.
 //!
 //! A sound endpoint may send nothing for a second or more and go on. Closing the connection ends the run there, and
 //! whether another endpoint takes the request shows only later: all may be full, or no retry may be left. So a run is
@@ -17,7 +17,7 @@
 
 /// A run that is kept while another endpoint is tried.
 #[derive(Debug)]
-pub(super) struct SilentRun {
+pub(super) struct KeptRun {
     pick: chooser::Pick,
     progress: Progress,
     /// Why the request waits for another one.
@@ -32,7 +32,7 @@
     /// Its endpoint is silent.
     Silence,
     /// An endpoint that was silent goes on.
-    ResumedRun,
+    EarlierRunGoesOn,
 }
 
 /// How far a run has come.
@@ -52,7 +52,7 @@
     pub(super) sent_at: std_time::Instant,
 }
 
-impl SilentRun {
+impl KeptRun {
     /// Whether its endpoint has sent something since the run was kept.
     fn has_input(&self) -> bool {
         match &self.progress {
@@ -81,7 +81,7 @@
                 .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
         }
         self.tried_endpoints.push(pick.key);
-        self.silent_runs.push(SilentRun {
+        self.kept_runs.push(KeptRun {
             pick: pick.clone(),
             progress,
             reason,
@@ -92,34 +92,34 @@
 
     /// Why the run in progress would be kept.
     pub(super) fn reason_to_keep(&self) -> KeptFor {
-        if self.has_resumed_run() {
-            KeptFor::ResumedRun
+        if self.has_kept_run_with_input() {
+            KeptFor::EarlierRunGoesOn
         } else {
             KeptFor::Silence
         }
     }
 
-    /// Whether a silent endpoint has sent something.
-    pub(super) fn has_resumed_run(&self) -> bool {
-        self.silent_runs.iter().any(SilentRun::has_input)
+    /// Whether the endpoint of a kept run has sent something.
+    pub(super) fn has_kept_run_with_input(&self) -> bool {
+        self.kept_runs.iter().any(KeptRun::has_input)
     }
 
     /// Whether the request goes on at a silent endpoint instead of at another one: it has sent something, or no other
     /// endpoint is to be tried now.
-    pub(super) fn returns_to_silent_run(&self) -> bool {
+    pub(super) fn should_return(&self) -> bool {
         let may_switch = self.may_run_again() && std_time::Instant::now() >= self.next_switch;
-        !self.silent_runs.is_empty() && (!may_switch || self.has_resumed_run())
+        !self.kept_runs.is_empty() && (!may_switch || self.has_kept_run_with_input())
     }
 
     /// Goes on with a kept run: one that has sent something, or else the latest one.
-    pub(super) fn return_to_silent_run<'c>(
+    pub(super) fn return_to_kept_run<'c>(
         &mut self,
         sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let resumed = self.silent_runs.iter().position(SilentRun::has_input);
-        let at = resumed.unwrap_or(self.silent_runs.len().saturating_sub(1));
-        let run = self.silent_runs.remove(at);
+        let resumed = self.kept_runs.iter().position(KeptRun::has_input);
+        let at = resumed.unwrap_or(self.kept_runs.len().saturating_sub(1));
+        let run = self.kept_runs.remove(at);
         self.return_retry();
         self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
         self.tried_endpoints.retain(|it| *it != run.pick.key);
@@ -132,6 +132,7 @@
                 .silence_ended(metrics::SilenceEnd::WentOn);
         }
         match run.progress {
+            // Counted as one that may have run while it was kept. Its response says whether it has.
             Progress::Sent(sent) => {
                 self.deliveries -= 1;
                 self.possible_runs -= 1;
@@ -145,8 +146,8 @@
     }
 
     /// Closes the connections of the silent runs, since another endpoint has begun to respond or the request has ended.
-    pub(super) fn end_silent_runs(&mut self, end: metrics::SilenceEnd) {
-        for run in std::mem::take(&mut self.silent_runs) {
+    pub(super) fn end_kept_runs(&mut self, end: metrics::SilenceEnd) {
+        for run in std::mem::take(&mut self.kept_runs) {
             let is_replaced = end == metrics::SilenceEnd::Replaced;
             let outcome = if is_replaced && run.reason == KeptFor::Silence {
                 chooser::AttemptOutcome::Silent
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -16,11 +16,11 @@
 mod coordinator;
 mod crash_quarantine;
 mod identity;
+mod kept_runs;
 mod queue_wait;
 mod quota;
 mod records_check;
 mod resumption;
-mod silent_runs;
 mod slot;
 mod stream;
 mod waiting;
@@ -231,8 +231,8 @@
     granted: cell::Cell<Option<u64>>,
     /// What limits it if this process chooses its endpoint of a plain service.
     local_limit: slot::LocalLimit,
-    /// Its runs at endpoints that are silent, while another endpoint is tried.
-    silent_runs: Vec<silent_runs::SilentRun>,
+    /// Its runs that are kept while another endpoint is tried.
+    kept_runs: Vec<kept_runs::KeptRun>,
     /// When another endpoint may be tried for a silent one.
     next_switch: std_time::Instant,
     /// The quota charged for its next attempt.
@@ -343,7 +343,7 @@
             slot: cell::Cell::new(None),
             granted: cell::Cell::new(None),
             local_limit: slot::LocalLimit::default(),
-            silent_runs: Vec::new(),
+            kept_runs: Vec::new(),
             next_switch: req.received,
             next_charge: None,
             committed_charge: None,
@@ -371,14 +371,14 @@
         let sent = loop {
             let result = match self.next(&watch) {
                 NextStep::Send(pick) => self.send(&pick, sink, &watch),
-                NextStep::Return => self.return_to_silent_run(sink, &watch),
+                NextStep::Return => self.return_to_kept_run(sink, &watch),
                 NextStep::Refuse(refusal) => AttemptResult::Refuse(sink, refusal),
                 NextStep::CallerGone => AttemptResult::CallerGone(sink),
             };
             sink = match result {
                 AttemptResult::Done(sent) => break sent,
                 AttemptResult::Retry(back) => back,
-                AttemptResult::Refuse(back, _) if self.has_silent_run_in_time() => {
+                AttemptResult::Refuse(back, _) if self.has_kept_run_in_time() => {
                     self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
                     back
                 }
@@ -386,15 +386,15 @@
                 AttemptResult::CallerGone(sink) => break self.finish_caller_gone(sink, &watch),
             };
         };
-        self.end_silent_runs(metrics::SilenceEnd::RequestEnded);
+        self.end_kept_runs(metrics::SilenceEnd::RequestEnded);
         self.return_retry();
         self.refund_charge();
         sent
     }
 
     /// Whether a silent endpoint may still respond before the deadline.
-    fn has_silent_run_in_time(&self) -> bool {
-        !self.silent_runs.is_empty() && self.time_left() > time::Millis(0)
+    fn has_kept_run_in_time(&self) -> bool {
+        !self.kept_runs.is_empty() && self.time_left() > time::Millis(0)
     }
 
     /// Counts the request in this process's part of the retry budget, unless it is counted already.
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -9,7 +9,7 @@
 
 use super::{
     AttemptResult, ProxiedRequest,
-    silent_runs::{KeptFor, Progress},
+    kept_runs::{KeptFor, Progress},
 };
 use crate::gateway::{entry_peers, metrics, response::ResponseSink};
 
@@ -70,7 +70,7 @@
         if is_empty && run.exchange.ends_with_connection() {
             return self.handle_failed_run(pick, sink, false, &ended_inside_event());
         }
-        self.end_silent_runs(metrics::SilenceEnd::Replaced);
+        self.end_kept_runs(metrics::SilenceEnd::Replaced);
         if !run.has_begun {
             run.has_begun = true;
             self.record_start(pick, run.sent_at, run.load);
@@ -199,8 +199,8 @@
             };
             let is_over = self.time_left() == time::Millis(0);
             let is_interrupted = failure.cause == failure::Cause::Interrupted;
-            if is_interrupted && !self.is_given_up(watch, may_give_up) {
-                return Next::Keep(KeptFor::ResumedRun);
+            if is_interrupted && !self.is_wait_over(watch, may_give_up) {
+                return Next::Keep(KeptFor::EarlierRunGoesOn);
             }
             if failure.cause != failure::Cause::Silent || is_over {
                 return Next::Failed(failure);
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -77,7 +77,7 @@
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Chooses the next endpoint, and waits for one while it can still respond in time.
     pub(super) fn next(&mut self, watch: &reply::Watch) -> NextStep {
-        if self.returns_to_silent_run() {
+        if self.should_return() {
             return NextStep::Return;
         }
         match self.await_retry(watch) {
@@ -237,7 +237,7 @@
         if watch.caller_gone() {
             return Some(NextStep::CallerGone);
         }
-        self.has_resumed_run().then_some(NextStep::Return)
+        self.has_kept_run_with_input().then_some(NextStep::Return)
     }
 
     /// Sends the request to `pick`, or refuses it, by the limits that all entry processes enforce together. None if
@@ -360,7 +360,7 @@
             if watch.caller_gone() {
                 break RetryWait::CallerGone;
             }
-            if self.has_resumed_run() {
+            if self.has_kept_run_with_input() {
                 break RetryWait::Resumed;
             }
             if self.acquire_retry() {
