End a silent stream a second after its caller should have left

A caller that gives a stream up closes its connection. If that close is lost, the engine works for nobody until the deadline.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -65,9 +65,9 @@
             return self.withdraw(pick, sink, check);
         }
         let path = paths::PathUse::of(&opened);
-        let may_give_up = !sink.has_started();
+        let has_not_begun = !sink.has_started();
         let stop = || {
-            self.is_unwanted(watch, may_give_up)
+            self.is_unwanted(watch, has_not_begun)
                 || (self.is_late(pick, sent_at) && self.try_acquire_switch())
         };
         let patience = exchange::Patience {
@@ -104,9 +104,9 @@
             path,
             sent_at,
         } = run;
-        let may_give_up = !sink.has_started();
+        let has_not_begun = !sink.has_started();
         let stop = || {
-            self.is_unwanted(watch, may_give_up)
+            self.is_unwanted(watch, has_not_begun)
                 || (self.is_late(pick, sent_at) && self.try_acquire_switch())
         };
         let patience = exchange::Patience {
@@ -122,7 +122,7 @@
         };
         let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
         match unanswered.sent {
-            Some(sent) if is_interrupted && !self.is_wait_over(watch, may_give_up) => {
+            Some(sent) if is_interrupted && !self.is_wait_over(watch, has_not_begun) => {
                 let run = SentRun {
                     sent,
                     path,
@@ -135,17 +135,21 @@
         }
     }
 
-    /// Whether no endpoint is waited for any more: the caller has disconnected, or does not wait for longer if
-    /// `may_give_up`, or this process exits.
-    pub(super) fn is_wait_over(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
-        let is_abandoned = may_give_up && self.is_abandoned();
+    /// Whether no endpoint is waited for any more: the caller has disconnected or must have, or this process exits.
+    /// `has_not_begun` tells whether its response has not begun.
+    pub(super) fn is_wait_over(&self, watch: &reply::Watch, has_not_begun: bool) -> bool {
+        let is_abandoned = if has_not_begun {
+            self.is_abandoned()
+        } else {
+            self.is_abandoned_stream()
+        };
         watch.caller_gone() || is_abandoned || self.shared.is_exiting()
     }
 
     /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_wait_over`] or since a silent
     /// endpoint goes on.
-    pub(super) fn is_unwanted(&self, watch: &reply::Watch, may_give_up: bool) -> bool {
-        self.is_wait_over(watch, may_give_up) || self.has_kept_run_with_input()
+    pub(super) fn is_unwanted(&self, watch: &reply::Watch, has_not_begun: bool) -> bool {
+        self.is_wait_over(watch, has_not_begun) || self.has_kept_run_with_input()
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
--- a/src/sageshed/gateway/proxy/caller_wait.rs
+++ b/src/sageshed/gateway/proxy/caller_wait.rs
@@ -10,6 +10,10 @@
 
 use super::{DEFAULT_RETRY_AFTER, ProxiedRequest, slot, waiting::MIN_TIME_LEFT_IF_LATE};
 
+/// How long after its caller should have left a stream that has begun is ended. The caller's wait begins when it receives
+/// an event, and its close takes as long to arrive.
+const ABANDONED_STREAM_MARGIN: std_time::Duration = std_time::Duration::from_secs(1);
+
 /// Microseconds per millisecond.
 const MICROS_PER_MS: u64 = 1_000;
 
@@ -41,6 +45,12 @@
         at.is_some_and(|it| std_time::Instant::now() >= it)
     }
 
+    /// Whether the caller of a stream that has begun has abandoned it for so long that its connection must be lost.
+    pub(super) fn is_abandoned_stream(&self) -> bool {
+        let at = self.abandoned_at();
+        at.is_some_and(|it| std_time::Instant::now() >= it + ABANDONED_STREAM_MARGIN)
+    }
+
     /// The time until which the request may wait before it is sent.
     pub(super) fn wait_left(&self) -> time::Millis {
         match self.abandoned_at() {
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -165,8 +165,8 @@
 
     /// Reads the next chunk of a stream.
     ///
-    /// A stream that has begun is not ended when its caller should have given it up: the caller may wait for longer, and
-    /// closes the connection otherwise.
+    /// A stream that has begun is not ended as soon as its caller should have given it up: the caller closes the connection
+    /// then, and may do so later by its own clock.
     fn next_chunk(
         &mut self,
         pick: &chooser::Pick,
@@ -186,8 +186,8 @@
             } else {
                 self.deadline
             };
-            let may_give_up = !position.has_started;
-            let stop = || self.is_unwanted(watch, may_give_up);
+            let has_not_begun = !position.has_started;
+            let stop = || self.is_unwanted(watch, has_not_begun);
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
                 Ok(chunk) => {
@@ -199,7 +199,7 @@
             };
             let is_over = self.time_left() == time::Millis(0);
             let is_interrupted = failure.cause == failure::Cause::Interrupted;
-            if is_interrupted && !self.is_wait_over(watch, may_give_up) {
+            if is_interrupted && !self.is_wait_over(watch, has_not_begun) {
                 return Next::Keep(KeptFor::EarlierRunGoesOn);
             }
             if failure.cause != failure::Cause::Silent || is_over {
