Decide in one place when a response is left, and when the next endpoint is tried

send and await_head had the same condition to stop waiting, the next try was delayed by the same line in three places, and whether a response has begun was passed as its negation. Each is one function now. No behaviour is changed.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -3,7 +3,7 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, config, dialect, entry_peers as wire, silence};
+use sageshed_fleet::{chooser, config, dialect, entry_peers as wire};
 use sageshed_http::reply;
 use sageshed_types::{headers, time, verdict};
 use sageshed_upstream::{exchange, failure, pool};
@@ -65,11 +65,8 @@
             return self.withdraw(pick, sink, check);
         }
         let path = paths::PathUse::of(&opened);
-        let has_not_begun = !sink.has_started();
-        let stop = || {
-            self.is_unwanted(watch, has_not_begun)
-                || (self.is_late(pick, sent_at) && self.try_acquire_switch())
-        };
+        let has_started = sink.has_started();
+        let stop = || self.should_leave(pick, sent_at, watch, has_started);
         let patience = exchange::Patience {
             until: self.deadline,
             stop: &stop,
@@ -104,11 +101,8 @@
             path,
             sent_at,
         } = run;
-        let has_not_begun = !sink.has_started();
-        let stop = || {
-            self.is_unwanted(watch, has_not_begun)
-                || (self.is_late(pick, sent_at) && self.try_acquire_switch())
-        };
+        let has_started = sink.has_started();
+        let stop = || self.should_leave(pick, sent_at, watch, has_started);
         let patience = exchange::Patience {
             until: self.deadline,
             stop: &stop,
@@ -122,7 +116,7 @@
         };
         let is_interrupted = unanswered.failure.cause == failure::Cause::Interrupted;
         match unanswered.sent {
-            Some(sent) if is_interrupted && !self.is_wait_over(watch, has_not_begun) => {
+            Some(sent) if is_interrupted && !self.is_wait_over(watch, has_started) => {
                 let run = SentRun {
                     sent,
                     path,
@@ -136,20 +130,33 @@
     }
 
     /// Whether no endpoint is waited for any more: the caller has disconnected or must have, or this process exits.
-    /// `has_not_begun` tells whether its response has not begun.
-    pub(super) fn is_wait_over(&self, watch: &reply::Watch, has_not_begun: bool) -> bool {
-        let is_abandoned = if has_not_begun {
-            self.is_abandoned()
-        } else {
+    /// `has_started` tells whether its caller has received a part of the response.
+    pub(super) fn is_wait_over(&self, watch: &reply::Watch, has_started: bool) -> bool {
+        let is_abandoned = if has_started {
             self.is_abandoned_stream()
+        } else {
+            self.is_abandoned()
         };
         watch.caller_gone() || is_abandoned || self.shared.is_exiting()
     }
 
     /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_wait_over`] or since a silent
     /// endpoint goes on.
-    pub(super) fn is_unwanted(&self, watch: &reply::Watch, has_not_begun: bool) -> bool {
-        self.is_wait_over(watch, has_not_begun) || self.has_kept_run_with_input()
+    pub(super) fn is_unwanted(&self, watch: &reply::Watch, has_started: bool) -> bool {
+        self.is_wait_over(watch, has_started) || self.has_kept_run_with_input()
+    }
+
+    /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is not waited for any more, as in
+    /// [`Self::is_unwanted`] or since it is late and another endpoint may be tried.
+    fn should_leave(
+        &self,
+        pick: &chooser::Pick,
+        sent_at: std_time::Instant,
+        watch: &reply::Watch,
+        has_started: bool,
+    ) -> bool {
+        self.is_unwanted(watch, has_started)
+            || (self.is_late(pick, sent_at) && self.try_acquire_switch())
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
@@ -394,7 +401,7 @@
         let patience = exchange::Patience {
             until: self.deadline,
             // A part of the response has arrived, so it is not left for an endpoint that was silent.
-            stop: &|| self.is_wait_over(watch, false),
+            stop: &|| self.is_wait_over(watch, true),
         };
         exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
     }
@@ -503,7 +510,7 @@
         self.rejections += 1;
         if !self.kept_runs.is_empty() {
             // The silent endpoint may go on meanwhile.
-            self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+            self.delay_switch();
             return;
         }
         if !self.is_resumption() {
--- a/src/sageshed/gateway/proxy/kept_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -121,7 +121,7 @@
         let at = resumed.unwrap_or(self.kept_runs.len().saturating_sub(1));
         let run = self.kept_runs.remove(at);
         self.return_retry();
-        self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+        self.delay_switch();
         self.tried_endpoints.retain(|it| *it != run.pick.key);
         self.slot.set(run.slot);
         self.committed_charge = run.charge;
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Has the request wait for a short time before another endpoint is tried for a silent one.
+    pub(super) fn delay_switch(&mut self) {
+        self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+    }
+
     /// Whether the request may run at one more endpoint than the `runs` that may have run it.
     pub(super) fn may_run_after(&self, runs: u32) -> bool {
         let is_ending = self.shared.ending.load(atomic::Ordering::Relaxed);
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -32,8 +32,7 @@
 };
 
 use sageshed_fleet::{
-    chooser, config, dialect, fingerprint, quarantine, silence, stream_origins::StreamKey,
-    workspaces,
+    chooser, config, dialect, fingerprint, quarantine, stream_origins::StreamKey, workspaces,
 };
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
@@ -379,7 +378,7 @@
                 AttemptResult::Done(sent) => break sent,
                 AttemptResult::Retry(back) => back,
                 AttemptResult::Refuse(back, _) if self.has_kept_run_in_time() => {
-                    self.next_switch = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+                    self.delay_switch();
                     back
                 }
                 AttemptResult::Refuse(sink, refusal) => break self.refuse(sink, &refusal),
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -186,8 +186,7 @@
             } else {
                 self.deadline
             };
-            let has_not_begun = !position.has_started;
-            let stop = || self.is_unwanted(watch, has_not_begun);
+            let stop = || self.is_unwanted(watch, position.has_started);
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
                 Ok(chunk) => {
@@ -199,7 +198,7 @@
             };
             let is_over = self.time_left() == time::Millis(0);
             let is_interrupted = failure.cause == failure::Cause::Interrupted;
-            if is_interrupted && !self.is_wait_over(watch, has_not_begun) {
+            if is_interrupted && !self.is_wait_over(watch, position.has_started) {
                 return Next::Keep(KeptFor::EarlierRunGoesOn);
             }
             if failure.cause != failure::Cause::Silent || is_over {
