Start the streams of silence:: in one place

The five cases of a stream whose engine goes on and the three of SilentStream had the same code up to the silence.

--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -409,36 +409,14 @@
 impl Case {
     /// Has the engine of a stream be silent after its fifth event. Returns what became of the stream, and the fleet.
     fn run_stream(&self) -> (bool, Fleet) {
-        let (fleet, engines) = Fleet::many_ready(1, self.settings);
-        set_latency_target(&fleet, 400);
-        let engines = &engines[..2];
-        for engine in engines {
-            let interval = time::Duration::from_millis(20);
-            engine.set_behavior(Behavior::StreamsTokens(interval));
-        }
-        let (kind, begun) = (&KINDS[1], time::Instant::now());
-        let caller = send(&[fleet.entries[0].address()], kind, 1);
-        let mut caller = caller.expect("a connection");
-        fleet.until("the stream has begun", || {
-            let mut text = [0; 4_096];
-            let n = caller.stream.peek(&mut text).expect("it is open");
-            String::from_utf8_lossy(&text[..n]).contains("id: 5\n")
-        });
-        for engine in engines {
-            if engine.runs("silence-1") > 0 {
-                engine.fall_silent(SILENCE);
-            } else {
-                (self.set_other)(engine);
-            }
-        }
-        let response = caller.answer();
-        let outcome = Outcome::of(kind, begun.elapsed(), response);
-        let log = fleet.entries[0].log_file();
-        println!("{}: {outcome:?}; {}", self.name, log.display());
-        let has_tried =
-            |it: &Engine| it.log(|log| log.arrived.iter().any(|it| it.id == "silence-1"));
-        let is_tried = engines.iter().all(has_tried);
+        let stream = SilentStream {
+            latency_target_ms: 400,
+            silence: SILENCE,
+            patience: PATIENCE,
+        };
+        let (outcome, is_tried, fleet) = stream.run(self.settings, |_, it| (self.set_other)(it));
         assert_eq!(is_tried, self.settings != NO_RETRY, "{}", self.name);
+        println!("{}", self.name);
         (outcome == Outcome::Whole, fleet)
     }
 
@@ -511,6 +489,11 @@
     });
 }
 
+/// Whether the engine has received the stream of a [`SilentStream`], whether it has run it or not.
+fn has_received(engine: &Engine) -> bool {
+    engine.log(|log| log.arrived.iter().any(|it| it.id == "silence-1"))
+}
+
 /// A stream whose engine is silent after its fifth event.
 struct SilentStream {
     latency_target_ms: u32,
@@ -520,8 +503,13 @@
 }
 
 impl SilentStream {
-    /// Sends the stream, has `set_other` set the other engine, and returns what became of the stream.
-    fn run(&self, settings: &'static str, set_other: impl Fn(&Fleet, &Engine)) -> (Outcome, Fleet) {
+    /// Sends the stream, and has `set_other` set the other engine. Returns what became of the stream, whether both engines
+    /// have received it, and the fleet.
+    fn run(
+        &self,
+        settings: &'static str,
+        set_other: impl Fn(&Fleet, &Engine),
+    ) -> (Outcome, bool, Fleet) {
         let (fleet, engines) = Fleet::many_ready(1, settings);
         set_latency_target(&fleet, self.latency_target_ms);
         let engines = &engines[..2];
@@ -553,7 +541,7 @@
         let outcome = Outcome::of(kind, took, response);
         let log = fleet.entries[0].log_file();
         println!("{outcome:?} after {took:?}; {}", log.display());
-        (outcome, fleet)
+        (outcome, engines.iter().all(has_received), fleet)
     }
 }
 
@@ -572,7 +560,7 @@
         silence: SILENCE,
         patience: CALLERS_WAIT,
     };
-    let (outcome, _fleet) = stream.run(SETTINGS, |_, it| it.set_behavior(Behavior::Fails(500)));
+    let (outcome, _, _fleet) = stream.run(SETTINGS, |_, it| it.set_behavior(Behavior::Fails(500)));
     assert_eq!(outcome, Outcome::Whole);
 }
 
@@ -585,11 +573,9 @@
         silence: DEAD,
         patience: CALLERS_WAIT,
     };
-    let (outcome, _fleet) = stream.run(SETTINGS, |fleet, it| {
+    let (outcome, _, _fleet) = stream.run(SETTINGS, |fleet, it| {
         it.set_behavior(Behavior::Rejects);
-        fleet.until("it has rejected the stream", || {
-            it.log(|log| log.arrived.iter().any(|it| it.id == "silence-1"))
-        });
+        fleet.until("it has rejected the stream", || has_received(it));
         it.set_behavior(Behavior::StreamsTokens(time::Duration::from_millis(20)));
     });
     assert_eq!(outcome, Outcome::Whole);
@@ -604,6 +590,6 @@
         silence: DEAD,
         patience: PATIENCE,
     };
-    let (outcome, _fleet) = stream.run(SETTINGS, |_, _| ());
+    let (outcome, _, _fleet) = stream.run(SETTINGS, |_, _| ());
     assert_eq!(outcome, Outcome::Whole);
 }
