--- a/crates/sageshed-fleet/tests/chooser.rs
+++ b/crates/sageshed-fleet/tests/chooser.rs
@@ -600,14 +600,8 @@
     ttft: Option<entry_peers::TtftSample>,
 ) -> entry_peers::EngineObservation {
     entry_peers::EngineObservation {
-        engine,
         pending_prefill_us,
-        cached_prefix: None,
         ttft,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(engine)
     }
 }
--- a/crates/sageshed-fleet/tests/contention.rs
+++ b/crates/sageshed-fleet/tests/contention.rs
@@ -187,15 +187,8 @@
     let slow = entry_peers::instance_key(&"e1".into());
     for (percent, is_avoided) in [(Some(250), true), (Some(20_000), false), (None, false)] {
         let observed = entry_peers::EngineObservation {
-            engine: slow,
-            pending_prefill_us: 0,
-            cached_prefix: None,
-            ttft: None,
-            running: None,
             slowdown_percent: percent,
-            pauses: None,
-            fault: None,
-            granted: None,
+            ..support::observation(slow)
         };
         let mut routed = (1..40).map(|seed| {
             let mut chooser = Chooser::new("z1", seed * 7_919);
--- a/crates/sageshed-fleet/tests/coordinators.rs
+++ b/crates/sageshed-fleet/tests/coordinators.rs
@@ -62,15 +62,8 @@
 
 fn observation(id: &str, micros: u64) -> entry_peers::EngineObservation {
     entry_peers::EngineObservation {
-        engine: key_of(id),
         pending_prefill_us: micros,
-        cached_prefix: None,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(key_of(id))
     }
 }
 
--- a/crates/sageshed-fleet/tests/entry_peers.rs
+++ b/crates/sageshed-fleet/tests/entry_peers.rs
@@ -126,15 +126,8 @@
     chooser.set_entries(net::Ipv4Addr::new(10, 0, 1, 1), &entries(7));
     chooser.update_instance(&support::engine("e1", &["m0"]));
     let observation = |micros| entry_peers::EngineObservation {
-        engine: entry_peers::instance_key(&"e1".into()),
         pending_prefill_us: micros,
-        cached_prefix: None,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(entry_peers::instance_key(&"e1".into()))
     };
     let m0 = dialect::ModelRef {
         model: "m0".to_owned(),
@@ -165,15 +158,8 @@
     chooser.set_entries(net::Ipv4Addr::new(10, 0, 1, 1), &entries(7));
     chooser.update_instance(&support::engine("e1", &["m0"]));
     let observation = entry_peers::EngineObservation {
-        engine: entry_peers::instance_key(&"e1".into()),
         pending_prefill_us: 3_000_000,
-        cached_prefix: None,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(entry_peers::instance_key(&"e1".into()))
     };
     chooser.apply_observation(T0, net::Ipv4Addr::new(10, 0, 1, 2), &observation);
     let m0 = dialect::ModelRef {
@@ -200,15 +186,8 @@
     assert_eq!(prefix.as_ref().map(|it| it.parts.clone()), Some(vec![7]));
     assert_eq!(entry_peers::PromptPrefix::of(&m0, &parts[1..]), None);
     let observation = entry_peers::EngineObservation {
-        engine: entry_peers::instance_key(&"e2".into()),
-        pending_prefill_us: 0,
         cached_prefix: prefix,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(entry_peers::instance_key(&"e2".into()))
     };
     chooser.apply_observation(T0, net::Ipv4Addr::new(10, 0, 1, 2), &observation);
     let tokens = |chooser: &mut Chooser, wanted: &dialect::ModelRef| {
--- a/crates/sageshed-fleet/tests/restarts.rs
+++ b/crates/sageshed-fleet/tests/restarts.rs
@@ -302,15 +302,8 @@
         panic!("the engine is present");
     };
     let observation = entry_peers::EngineObservation {
-        engine: entry_peers::instance_key(&pick.instance),
         pending_prefill_us: 900_000,
-        cached_prefix: None,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(entry_peers::instance_key(&pick.instance))
     };
     let mut gone = instance(100, 900, &["m0"]);
     gone.state = State::Replaced;
--- a/crates/sageshed-fleet/tests/silent_endpoints.rs
+++ b/crates/sageshed-fleet/tests/silent_endpoints.rs
@@ -47,17 +47,7 @@
 }
 
 fn observation(engine: &str) -> entry_peers::EngineObservation {
-    entry_peers::EngineObservation {
-        engine: entry_peers::instance_key(&engine.into()),
-        pending_prefill_us: 0,
-        cached_prefix: None,
-        ttft: None,
-        running: None,
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
-    }
+    support::observation(entry_peers::instance_key(&engine.into()))
 }
 
 fn fault(engine: &str, fault: entry_peers::EngineFault) -> entry_peers::EngineObservation {
--- a/crates/sageshed-fleet/tests/stalls.rs
+++ b/crates/sageshed-fleet/tests/stalls.rs
@@ -36,15 +36,9 @@
 /// The observation of an engine whose response has just begun.
 fn observation(id: &str, running: u32, micros: u64) -> entry_peers::EngineObservation {
     entry_peers::EngineObservation {
-        engine: key_of(id),
         pending_prefill_us: micros,
-        cached_prefix: None,
-        ttft: None,
         running: Some(running),
-        slowdown_percent: None,
-        pauses: None,
-        fault: None,
-        granted: None,
+        ..support::observation(key_of(id))
     }
 }
 
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 use std::net;
 
-use sageshed_fleet::{chooser, config, dialect, directory};
+use sageshed_fleet::{chooser, config, dialect, directory, entry_peers};
 use sageshed_types::time;
 
 /// The service of engines.
@@ -37,6 +37,21 @@
     }
 }
 
+/// An observation of another process that shows nothing of the engine with this [`entry_peers::instance_key`].
+pub fn observation(engine: u64) -> entry_peers::EngineObservation {
+    entry_peers::EngineObservation {
+        engine,
+        pending_prefill_us: 0,
+        cached_prefix: None,
+        ttft: None,
+        running: None,
+        slowdown_percent: None,
+        pauses: None,
+        fault: None,
+        granted: None,
+    }
+}
+
 /// A request to the engines with a deadline of ten seconds that waits for nothing.
 pub fn ask(wanted: &dialect::ModelRef, tokens: u64) -> chooser::EndpointQuery<'_> {
     chooser::EndpointQuery {
