Don't wait for the rest of a rejection while the silent endpoint goes on

Callers saw a begun stream without any event until they gave it up, although its engine had gone on after 1.8 s. While an engine is silent, the stream is sent to another one. If that one sends the head of a rejection and falls silent before the body, the process waited for the body until the deadline, or until a second after the caller's patience, and did not look at the first engine. The body is only read to use the connection again.

Evidence: the new test, on: the caller gives up after 2 s (2.107 s after the request); the log has "endpoint rejected the request" 2 ms before "caller left", 0.96 s after the request was sent there. Ruled out: a stream whose second engine falls silent before the head or before its first event, which does look at the first one (`is_unwanted`).

The rest of a rejection is now read for as long as the first engine is silent. What is lost if it ends earlier is the connection; the head says that the request has not run.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -335,7 +335,9 @@
             dialect::ExecutionStatus::NotRun | dialect::ExecutionStatus::Misdirected
         );
         if is_rejected {
-            if self.read_whole(&mut exchange, watch).is_ok() {
+            // The head tells that it has not run. An endpoint that goes on is not left waiting for the rest.
+            let stop = || self.is_unwanted(watch, true);
+            if self.read_whole(&mut exchange, stop).is_ok() {
                 self.shared.pool.keep(pick.address, exchange);
             }
             return self.handle_rejection(pick, sink, &response, head.status);
@@ -374,7 +376,9 @@
             let detail = format!("the endpoint resumed a stream with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        match self.read_whole(&mut exchange, watch) {
+        // A part of the response has arrived, so it is not left for an endpoint that was silent.
+        let stop = || self.is_wait_over(watch, true);
+        match self.read_whole(&mut exchange, stop) {
             Ok(body) => {
                 self.end_kept_runs(metrics::SilenceEnd::Replaced);
                 self.record_start(pick, sent_at, response.load);
@@ -396,12 +400,11 @@
     fn read_whole(
         &self,
         exchange: &mut exchange::Exchange,
-        watch: &reply::Watch,
+        stop: impl Fn() -> bool,
     ) -> Result<Vec<u8>, failure::Failure> {
         let patience = exchange::Patience {
             until: self.deadline,
-            // A part of the response has arrived, so it is not left for an endpoint that was silent.
-            stop: &|| self.is_wait_over(watch, true),
+            stop: &stop,
         };
         exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
     }
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -593,3 +593,18 @@
     let (outcome, _, _fleet) = stream.run(SETTINGS, |_, _| ());
     assert_eq!(outcome, Outcome::Whole);
 }
+
+/// Guards against a begun stream whose caller gives it up although its engine goes on: the second engine has sent the head of a
+/// rejection and falls silent too, and the rest of the rejection is waited for.
+#[test]
+fn a_begun_stream_does_not_wait_for_the_rest_of_a_rejection() {
+    let stream = SilentStream {
+        latency_target_ms: 400,
+        silence: SILENCE,
+        patience: CALLERS_WAIT,
+    };
+    let (outcome, _, _fleet) = stream.run(SETTINGS, |_, it| {
+        it.set_behavior(Behavior::HangsInRejection);
+    });
+    assert_eq!(outcome, Outcome::Whole);
+}
