Keep a retry whose request has not been sent

Callers saw streams of a dead engine that were not moved although a free engine was known: the one retry that was left had been spent on an engine that refused the connection, so that the request had arrived nowhere. The retry was given up when the attempt was permitted, before the connection was open and before the endpoint was checked (leaving, records out of date). The budget counts arrivals only.

Ruled out: that the third engine is avoided or too late, since with the change the stream goes on there.

The retry is now given up right before the request is written.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -13,6 +13,7 @@
     kept_runs::{Progress, SentRun},
     records_check::EndpointCheck,
     stream::StreamRun,
+    waiting::HeldRetry,
 };
 use crate::gateway::{entry_peers, metrics, paths, queues, response::ResponseSink};
 
@@ -71,6 +72,8 @@
             until: self.deadline,
             stop: &stop,
         };
+        // From here on the request may arrive there, so that the retry is used.
+        self.retry.set(HeldRetry::None);
         match self.write_request(pick, opened, resume.as_deref(), &patience) {
             Ok(sent) => {
                 let run = SentRun {
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -286,7 +286,6 @@
         if !self.is_within_limit(pick) {
             return Permission::OtherEndpoint;
         }
-        self.retry.set(HeldRetry::None);
         Permission::Granted
     }
 
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -608,3 +608,26 @@
     });
     assert_eq!(outcome, Outcome::Whole);
 }
+
+/// Guards against a stream of a dead engine that is lost although a third engine is free: the only retry is spent on an engine
+/// that could not be reached, so that the request has not arrived anywhere.
+#[test]
+fn an_engine_that_is_not_reached_uses_no_retry() {
+    let stream = SilentStream {
+        latency_target_ms: 2_000,
+        silence: DEAD,
+        patience: PATIENCE,
+    };
+    let third = sync::Mutex::new(None);
+    let (outcome, _, _fleet) = stream.run(ONE_RETRY, |fleet, it| {
+        fleet.until("an engine could not be reached", || {
+            it.crash();
+            fleet.entries[0].log().contains("the request was not sent")
+        });
+        it.set_behavior(Behavior::Rejects);
+        let engine = fleet.engine("e3", "engines", 35, &["m1"]);
+        engine.set_behavior(Behavior::StreamsTokens(time::Duration::from_millis(20)));
+        *third.lock().expect("no panic") = Some(engine);
+    });
+    assert_eq!(outcome, Outcome::Whole);
+}
