Test a lookup whose second endpoint falls silent inside its response

Fails: a lookup is sent to a second endpoint during a silence of the first. If the second one sends a part of its response and falls silent, the response of the first is not read, and the caller gets 504 at the deadline. `read_whole` does not look at kept runs, since a part of the response has arrived.

--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -631,3 +631,37 @@
     });
     assert_eq!(outcome, Outcome::Whole);
 }
+
+/// Guards against a lookup that gets no response although its endpoint has sent one: it was sent to a second endpoint during a
+/// silence, and that one sends a part of its response and nothing more.
+#[test]
+fn a_lookup_gets_the_response_of_an_endpoint_that_goes_on() {
+    let (fleet, engines) = Fleet::many_ready(1, SETTINGS);
+    let [silent, other] = [&engines[2], &engines[3]];
+    for endpoint in [silent, other] {
+        endpoint.set_behavior(Behavior::AnswersAfter(LOOKUP_TIME));
+    }
+    silent.fall_silent(SILENCE);
+    let to = fleet.entries[0].address();
+    let kind = &KINDS[2];
+    let outcomes: Vec<_> = thread::scope(|scope| {
+        let one = |number| scope.spawn(move || (number, call(&[to], kind, number).1));
+        let lookups: Vec<_> = (0..LOOKUPS).map(one).collect();
+        // Those that were sent to the other endpoint first have their responses.
+        thread::sleep(SILENCE / 4);
+        other.set_behavior(Behavior::HangsInBody);
+        let ended = lookups.into_iter().map(|it| it.join().expect("it ends"));
+        ended.collect()
+    });
+    let has_run = |endpoint: &Engine, number| endpoint.runs(&format!("silence-{number}")) > 0;
+    let at_both: Vec<_> = outcomes
+        .iter()
+        .filter(|it| has_run(silent, it.0) && has_run(other, it.0))
+        .collect();
+    println!("{outcomes:?}; {}", fleet.entries[0].log_file().display());
+    assert!(!at_both.is_empty(), "some were sent to both endpoints");
+    assert!(
+        at_both.iter().all(|it| it.1 == Outcome::Whole),
+        "{at_both:?}"
+    );
+}
