Test a long request to an endpoint that reads nothing during a silence

Fails: a request that is longer than the sockets hold can't be written while its endpoint is silent. When the response would be late, the connection is closed in the middle of the request (`write_request` has no run to keep), before it is known whether another endpoint accepts it.

Measured: 8 MB each, the other endpoint rejects: four of four get 502 after 1.04 s with 1.95 s left; the first endpoint goes on after 1.8 s.

--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -665,3 +665,41 @@
         "{at_both:?}"
     );
 }
+
+/// Guards against a long request that gets no response although its endpoint goes on: the endpoint reads nothing while it is
+/// silent, so that the request can't be written, and its connection is closed before another endpoint has accepted it.
+#[test]
+fn a_long_request_is_not_ended_while_it_is_written() {
+    let (fleet, engines) = Fleet::many_ready(1, SETTINGS);
+    let [silent, other] = [&engines[2], &engines[3]];
+    let limit = |bytes: usize| format!("\"max_body_bytes\":{bytes}");
+    let config = operator::config(20).replace(&limit(1_048_576), &limit(2 * LONG_BODY));
+    fleet.replace(&config);
+    fleet.until("it is in force", || {
+        fleet.entries[0].log().contains("\"version\":\"20\"")
+    });
+    silent.fall_silent(SILENCE);
+    other.set_behavior(Behavior::Rejects);
+    let (to, body) = (fleet.entries[0].address(), "x".repeat(LONG_BODY));
+    let one = |number: usize| {
+        let id = format!("long-{number}");
+        let request = Request {
+            deadline_ms: 3_000,
+            body: &body,
+            ..Request::new("POST", "/again/x", &id)
+        };
+        let response = Caller::connect(to).and_then(|mut it| it.request(&request));
+        response.ok().flatten().map(|it| it.status())
+    };
+    let statuses: Vec<_> = thread::scope(|scope| {
+        let one = &one;
+        let sent: Vec<_> = (0..4).map(|it| scope.spawn(move || one(it))).collect();
+        let ended = sent.into_iter().map(|it| it.join().expect("it ends"));
+        ended.collect()
+    });
+    println!("{statuses:?}; {}", fleet.entries[0].log_file().display());
+    assert_eq!(statuses, [Some(200); 4]);
+}
+
+/// The bytes of a long request: more than the sockets of both ends hold.
+const LONG_BODY: usize = 8 * 1024 * 1024;
