Keep a response that hangs in its body while an earlier endpoint goes on

Callers saw: a lookup whose endpoint is silent for 1.8 s gets 504 at its deadline, although that endpoint has sent its response 1.2 s before. Meanwhile the lookup had been sent to a second endpoint, which sent the head and a part of the body of its response and nothing more.

Cause: once a head that is not a rejection has arrived, only that response is read. The class is that of: the first response is given up before the second one is there. Ruled out: the rejection and the stream, which look at the kept runs.

Change: the read of a body ends when it gets nothing and a kept run has input. What has arrived of it is kept as a run like the others (Progress::Whole), so neither of the two is lost: if the earlier endpoint sends a part and stalls, the body is read on.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -224,14 +224,29 @@
         patience: &Patience<'_, S>,
     ) -> Result<Vec<u8>, Failure> {
         let mut whole = Vec::new();
+        self.read_rest(&mut whole, most, patience)?;
+        Ok(whole)
+    }
+
+    /// Adds the rest of the body to `body`. If only the `patience` has ended, it may be read on with the same `body`.
+    ///
+    /// # Errors
+    ///
+    /// Where it does not come whole, or `body` gets larger than `most` bytes.
+    pub fn read_rest<S: Fn() -> bool>(
+        &mut self,
+        body: &mut Vec<u8>,
+        most: usize,
+        patience: &Patience<'_, S>,
+    ) -> Result<(), Failure> {
         while let Piece::Bytes(bytes) = self.read(patience)? {
-            whole.extend(bytes);
-            if whole.len() > most {
+            body.extend(bytes);
+            if body.len() > most {
                 let detail = format!("the answer is larger than {most} bytes");
                 return Err(Failure::sent(Cause::Malformed, &detail));
             }
         }
-        Ok(whole)
+        Ok(())
     }
 
     /// Passes over this answer, which belongs to an earlier request. The answer to the request is still to come.
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::{
     AttemptResult, ProxiedRequest,
-    kept_runs::{Progress, SentRun},
+    kept_runs::{KeptFor, Progress, SentRun, WholeRun},
     records_check::EndpointCheck,
     stream::StreamRun,
     waiting::HeldRetry,
@@ -379,27 +379,65 @@
             let detail = format!("the endpoint resumed a stream with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        // A part of the response has arrived, so it is not left for an endpoint that was silent.
-        let stop = || self.is_wait_over(watch, true);
-        match self.read_whole(&mut exchange, stop) {
-            Ok(body) => {
-                self.end_kept_runs(metrics::SilenceEnd::Replaced);
-                self.record_start(pick, sent_at, response.load);
-                let failed = head.status >= 500;
-                let outcome = if failed {
-                    chooser::AttemptOutcome::Failed
-                } else {
-                    chooser::AttemptOutcome::Answered
-                };
-                self.end_attempt(pick, true, outcome);
-                self.shared.pool.keep(pick.address, exchange);
-                self.finish_answered(pick, head.status, body.len() as u64, sent_at);
-                AttemptResult::Done(sink.send_whole(&head, &body))
+        let run = WholeRun {
+            load: response.load,
+            exchange,
+            sent_at,
+            body: Vec::new(),
+        };
+        self.receive_whole(pick, run, sink, watch)
+    }
+
+    /// Receives the rest of a response that is not a stream, and passes the response on.
+    pub(super) fn receive_whole<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        mut run: WholeRun,
+        sink: ResponseSink<'c>,
+        watch: &reply::Watch,
+    ) -> AttemptResult<'c> {
+        let stop = || self.is_unwanted(watch, true);
+        let patience = exchange::Patience {
+            until: self.deadline,
+            stop: &stop,
+        };
+        let received = run
+            .exchange
+            .read_rest(&mut run.body, MAX_RESPONSE_BYTES, &patience);
+        match received {
+            Ok(()) => self.finish_whole(pick, run, sink),
+            Err(failure)
+                if failure.cause == failure::Cause::Interrupted
+                    && !self.is_wait_over(watch, true) =>
+            {
+                self.keep_run(pick, Progress::Whole(run), KeptFor::EarlierRunGoesOn);
+                AttemptResult::Retry(sink)
             }
             Err(failure) => self.handle_failed_run(pick, sink, false, &failure),
         }
     }
 
+    /// Passes on a response that has been received.
+    fn finish_whole<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        run: WholeRun,
+        sink: ResponseSink<'c>,
+    ) -> AttemptResult<'c> {
+        self.end_kept_runs(metrics::SilenceEnd::Replaced);
+        self.record_start(pick, run.sent_at, run.load);
+        let head = run.exchange.head.clone();
+        let outcome = if head.status >= 500 {
+            chooser::AttemptOutcome::Failed
+        } else {
+            chooser::AttemptOutcome::Answered
+        };
+        self.end_attempt(pick, true, outcome);
+        self.shared.pool.keep(pick.address, run.exchange);
+        self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
+        AttemptResult::Done(sink.send_whole(&head, &run.body))
+    }
+
     fn read_whole(
         &self,
         exchange: &mut exchange::Exchange,
--- a/src/sageshed/gateway/proxy/kept_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -42,6 +42,8 @@
     Sent(SentRun),
     /// The head of a stream has arrived. With the bytes of an event that is not complete.
     Stream(StreamRun, Vec<u8>),
+    /// The head of another response has arrived.
+    Whole(WholeRun),
 }
 
 /// A run whose response has not begun.
@@ -52,12 +54,24 @@
     pub(super) sent_at: std_time::Instant,
 }
 
+/// A run whose response is not a stream and has begun.
+#[derive(Debug)]
+pub(super) struct WholeRun {
+    pub(super) exchange: exchange::Exchange,
+    pub(super) sent_at: std_time::Instant,
+    /// The load that the endpoint has reported with the head.
+    pub(super) load: Option<dialect::Load>,
+    /// What has arrived of the body.
+    pub(super) body: Vec<u8>,
+}
+
 impl KeptRun {
     /// Whether its endpoint has sent something since the run was kept.
     fn has_input(&self) -> bool {
         match &self.progress {
             Progress::Sent(run) => run.sent.has_input(),
             Progress::Stream(run, _) => run.exchange.has_input(),
+            Progress::Whole(run) => run.exchange.has_input(),
         }
     }
 
@@ -142,6 +156,7 @@
                 let sink = sink.with_pending(pending);
                 self.stream(&run.pick, stream, sink, watch)
             }
+            Progress::Whole(whole) => self.receive_whole(&run.pick, whole, sink, watch),
         }
     }
 
