Keep a request that is partly written to a silent endpoint

Callers saw: 502 for a long idempotent request with two seconds left, although its endpoint went on 0.8 s later. An endpoint that is silent reads nothing, so a request that is longer than the sockets hold can't be written. When its response would have been late, the connection was closed in the middle of the request, and only then another endpoint was asked.

Change: what is not written yet stays with the request that was sent, and is written before its head is awaited. Such a request is kept like any other; its endpoint goes on when more can be written.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -111,10 +111,13 @@
     pub is_reused: bool,
 }
 
-/// A request that was sent, and whose answer has not begun.
+/// A request of which a part or all was sent, and whose answer has not begun.
 #[derive(Debug)]
 pub struct Sent {
     socket: Socket,
+    /// The request, until it is written.
+    bytes: Vec<u8>,
+    written: usize,
     is_head_request: bool,
     /// Whether the connection may carry another request, if the head of the answer allows it.
     keeps: bool,
@@ -131,28 +134,44 @@
 }
 
 impl Sent {
-    /// Sends `req` on a connection.
+    /// Sends `req` on a connection. If the patience ends once a part is written, [`Self::head`] writes the rest.
     pub(crate) fn write<S: Fn() -> bool>(
-        mut socket: Socket,
+        socket: Socket,
         req: &Request<'_>,
         patience: &Patience<'_, S>,
         is_reused: bool,
     ) -> Result<Self, Failure> {
         let mut bytes = req.head();
         bytes.extend_from_slice(req.body);
-        let keeps = socket.write(&bytes, patience)?;
-        Ok(Self {
+        let mut sent = Self {
             socket,
+            bytes,
+            written: 0,
             is_head_request: req.method == "HEAD",
-            keeps,
+            keeps: true,
             is_reused,
-        })
+        };
+        match sent.write_rest(patience) {
+            Err(failure) if !failure.is_sent || !failure.is_wait_over() => Err(failure),
+            Ok(()) | Err(_) => Ok(sent),
+        }
     }
 
-    /// Whether a part of the answer has arrived that was not read. Does not block.
+    fn write_rest<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Result<(), Failure> {
+        let is_read = self
+            .socket
+            .write(&self.bytes, &mut self.written, patience)?;
+        self.keeps = self.keeps && is_read;
+        self.bytes = Vec::new();
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Whether the endpoint has gone on: a part of the answer has arrived, or more of the request can be written. Does
+    /// not block.
     #[must_use]
-    pub fn has_input(&self) -> bool {
-        self.socket.has_input()
+    pub fn goes_on(&self) -> bool {
+        self.socket.has_input() || (!self.bytes.is_empty() && self.socket.is_writable())
     }
 
     /// Waits for the head of the answer.
@@ -164,7 +183,11 @@
         mut self,
         patience: &Patience<'_, S>,
     ) -> Result<Exchange, Unanswered> {
-        match read_head(&mut self.socket, self.is_head_request, patience) {
+        let is_head_request = self.is_head_request;
+        let head = self
+            .write_rest(patience)
+            .and_then(|()| read_head(&mut self.socket, is_head_request, patience));
+        match head {
             Ok((head, framing)) => Ok(Exchange {
                 keeps: self.keeps && !head.has_option("connection", "close"),
                 socket: self.socket,
@@ -175,8 +198,7 @@
                 is_reused: self.is_reused,
             }),
             Err(failure) => {
-                let can_go_on = matches!(failure.cause, Cause::Silent | Cause::Interrupted);
-                let sent = can_go_on.then_some(self);
+                let sent = failure.is_wait_over().then_some(self);
                 Err(Unanswered { failure, sent })
             }
         }
@@ -207,7 +229,7 @@
         // A read that has only ended by the patience of whoever waits may be repeated.
         let is_sound = match &piece {
             Ok(_) => true,
-            Err(e) => matches!(e.cause, Cause::Silent | Cause::Interrupted),
+            Err(e) => e.is_wait_over(),
         };
         self.keeps = self.keeps && !self.ends_with_connection() && is_sound;
         piece
@@ -265,6 +287,8 @@
             return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
         }
         Ok(Sent {
+            bytes: Vec::new(),
+            written: 0,
             socket: self.socket,
             is_head_request: self.is_head_request,
             keeps: true,
--- a/crates/sageshed-upstream/src/failure.rs
+++ b/crates/sageshed-upstream/src/failure.rs
@@ -42,6 +42,11 @@
 }
 
 impl Failure {
+    /// Whether nothing is wrong but that the patience of whoever waits has ended.
+    pub(crate) fn is_wait_over(&self) -> bool {
+        matches!(self.cause, Cause::Silent | Cause::Interrupted)
+    }
+
     /// Of a request of which no byte left.
     pub(crate) fn unsent(cause: Cause, detail: &impl ToString) -> Self {
         Self {
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -5,7 +5,7 @@
     net, time,
 };
 
-use rustix::net as sys;
+use rustix::{event, net as sys};
 
 use crate::failure::{Cause, Failure};
 
@@ -13,6 +13,12 @@
 /// wanted. A caller that leaves is noticed within this time.
 const SLICE: time::Duration = time::Duration::from_millis(100);
 
+/// The time limit of a poll that does not block.
+const NO_WAIT: event::Timespec = event::Timespec {
+    tv_sec: 0,
+    tv_nsec: 0,
+};
+
 /// How much is read at once, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -88,21 +94,18 @@
         self.buf.is_empty() && matches!(peeked, Err(rustix::io::Errno::AGAIN))
     }
 
-    /// Writes `bytes`. Returns false where the endpoint answers before it has read all: the rest is
-    /// then not sent, and the connection must not carry another request.
+    /// Writes `bytes` from position `written` on, which follows what has been written. Returns false where the endpoint
+    /// answers before it has read all: the rest is then not sent, and the connection must not carry another request.
     pub(crate) fn write<S: Fn() -> bool>(
         &mut self,
         bytes: &[u8],
+        written: &mut usize,
         patience: &Patience<'_, S>,
     ) -> Result<bool, Failure> {
-        let mut left = bytes;
-        let mut is_sent = false;
-        while !left.is_empty() {
-            match self.stream.write(left) {
-                Ok(n) => {
-                    is_sent = is_sent || n > 0;
-                    left = &left[n..];
-                }
+        while *written < bytes.len() {
+            let is_sent = *written > 0;
+            match self.stream.write(&bytes[*written..]) {
+                Ok(n) => *written += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) && self.has_input() => return Ok(false),
                 Err(e) if is_timeout(&e) => {
@@ -118,6 +121,12 @@
         Ok(true)
     }
 
+    /// Whether more can be written. Does not block.
+    pub(crate) fn is_writable(&self) -> bool {
+        let mut fds = [event::PollFd::new(&self.stream, event::PollFlags::OUT)];
+        matches!(event::poll(&mut fds, Some(&NO_WAIT)), Ok(n) if n > 0)
+    }
+
     /// Whether bytes have arrived that were not read.
     pub(crate) fn has_input(&self) -> bool {
         let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
--- a/src/sageshed/gateway/proxy/kept_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -69,7 +69,7 @@
     /// Whether its endpoint has sent something since the run was kept.
     fn has_input(&self) -> bool {
         match &self.progress {
-            Progress::Sent(run) => run.sent.has_input(),
+            Progress::Sent(run) => run.sent.goes_on(),
             Progress::Stream(run, _) => run.exchange.has_input(),
             Progress::Whole(run) => run.exchange.has_input(),
         }
