Don't take an empty response of the second engine for the end of a stream

Callers saw a stream that looks complete and lacks its last events. While an engine is silent, the stream is sent to a second one. If that one responds without a length or chunks and its connection ends before the first event, this was passed on as the end of the stream, and the run at the first engine, which would have gone on, was closed. A first attempt with such a response counts as broken off already; a resumed one did not, as the caller had received events.

Ruled out: responses with a length or chunks, whose early end is an error, and ends inside an event, which unframed:: covers.

An end with the connection before the first event now counts as broken off for each run, so that the request goes on at the silent engine or another one. A stream that has really ended there is cut instead, and its caller resumes it.

--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -66,7 +66,7 @@
             }
             Next::Failed(failure) => return self.handle_failed_run(pick, sink, false, &failure),
         };
-        let is_empty = chunk == exchange::Piece::End && !run.has_begun && !sink.has_started();
+        let is_empty = chunk == exchange::Piece::End && !run.has_begun;
         if is_empty && run.exchange.ends_with_connection() {
             return self.handle_failed_run(pick, sink, false, &ended_inside_event());
         }
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -737,3 +737,18 @@
 
 /// The bytes of a long request: more than the sockets of both ends hold.
 const LONG_BODY: usize = 8 * 1024 * 1024;
+
+/// Guards against a stream that looks complete to its caller and is not: the second engine ends its connection before the first
+/// event of a response without a length, while the first engine is silent and goes on.
+#[test]
+fn a_begun_stream_does_not_end_with_an_empty_response_of_the_second_engine() {
+    let stream = SilentStream {
+        latency_target_ms: 400,
+        silence: SILENCE,
+        patience: CALLERS_WAIT,
+    };
+    let (outcome, _, _fleet) = stream.run(SETTINGS, |_, it| {
+        it.set_behavior(Behavior::EndsUnframed(1, 0));
+    });
+    assert_eq!(outcome, Outcome::Whole);
+}
