Keep ports of the testsuite's stand-ins and processes free until they listen

No caller and no product code is concerned.

Cause: lost_connections:: and placement:: chose the port of an endpoint behind a relay on 127.0.0.1, which all tests share, and dropped the listener. While any test of the binary starts a process, the new process has copies of all listening sockets until it executes its program, so the port stays bound after the drop. The tests start processes all the time, since each look at the status runs the command line.

Both copies of the function that puts a relay before an endpoint are one in cluster.rs, and the VMs of a cluster get their ports by the same function. No assertion is changed.

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -3,7 +3,13 @@
 //! Each cluster has a loopback address of its own, so that ports which the system chose for it are
 //! not taken in between by connections of other tests.
 
-use std::{collections, env, fmt::Write as _, fs, net, path, process, sync::atomic, thread, time};
+use std::{
+    collections, env,
+    fmt::Write as _,
+    fs, net, path, process,
+    sync::{self, atomic},
+    thread, time,
+};
 
 use sageshed_test_support::{config, relay, standin};
 use sageshed_types::messages;
@@ -18,6 +24,51 @@
 const BETA: &str = "f44e64e75f3948e9f73f8dfa94721c4ce8cbb4f265c4790c702b2d41cfbf2753";
 const OPERATOR: &str = "06e55b633481f7bb072957eabcf110c972e86691c3cfedabe088024bffe42f23";
 
+/// Held while ports are chosen, and while a process is started. A process that is being started has copies of this
+/// process's listening sockets until it executes its program. A port chosen meanwhile would stay bound after its
+/// listener was dropped, and who it was chosen for could not listen.
+static CHOOSING: sync::Mutex<()> = sync::Mutex::new(());
+
+/// Starts a process. All tests of this binary start processes by this function; see [`CHOOSING`].
+fn spawn(command: &mut process::Command) -> process::Child {
+    let _held = hold_ports();
+    command.spawn().unwrap()
+}
+
+fn hold_ports() -> sync::MutexGuard<'static, ()> {
+    CHOOSING
+        .lock()
+        .unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// A loopback address that nothing else uses, and its number in this process.
+fn next_ip() -> (net::Ipv4Addr, u8) {
+    static NUMBER: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+    let number = NUMBER.fetch_add(1, atomic::Ordering::Relaxed);
+    let [low, high, ..] = process::id().to_le_bytes();
+    (net::Ipv4Addr::new(127, 1 + high % 126, low, number), number)
+}
+
+/// Ports that the system chose a moment ago, on an address that nothing else uses. All are held until the last is
+/// chosen: one that is let go before may be given out again for the next.
+fn free_ports(ip: net::Ipv4Addr, count: usize) -> Vec<net::SocketAddr> {
+    let _choosing = hold_ports();
+    let held: Vec<_> = (0..count)
+        .map(|_| net::TcpListener::bind((ip, 0)).unwrap())
+        .collect();
+    held.iter().map(|it| it.local_addr().unwrap()).collect()
+}
+
+/// Puts a relay before an endpoint that has not been started.
+pub fn put_behind_relay(endpoint: &mut config::Endpoint) -> relay::Relay {
+    let (ip, _) = next_ip();
+    let address = free_ports(ip, 1)[0];
+    let relay = relay::Relay::start(address).unwrap();
+    endpoint.address = address.to_string();
+    endpoint.announced = Some(relay.address().to_string());
+    relay
+}
+
 /// What a cluster is made of.
 pub struct Plan {
     /// VMs; each has an entry process.
@@ -94,10 +145,7 @@
 
     /// Starts everything.
     pub fn start_cold(plan: Plan) -> Self {
-        static CLUSTERS: atomic::AtomicU8 = atomic::AtomicU8::new(1);
-        let nth = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
-        let [low, high, ..] = process::id().to_le_bytes();
-        let ip = net::Ipv4Addr::new(127, 1 + high % 126, low, nth);
+        let (ip, nth) = next_ip();
         let dir = env::temp_dir().join(format!("sageshed-test-{}-{nth}", process::id()));
         fs::create_dir_all(&dir).unwrap();
         let vms = Vm::choose(ip, plan.vms);
@@ -221,12 +269,15 @@
 
     /// Runs the operators' client against these control processes.
     pub fn cli_at(controls: &str, args: &[&str]) -> process::Output {
-        process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_sageshed"));
+        command
             .args(args)
             .env("SAGESHED_CONTROL", controls)
             .env("SAGESHED_TOKEN", "operator")
-            .output()
-            .unwrap()
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::piped());
+        spawn(&mut command).wait_with_output().unwrap()
     }
 
     /// What `sageshed status` shows, if a control process answers.
@@ -284,9 +335,8 @@
     /// Sends a signal by name to a process: `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, role: messages::Role, vm: usize, signal: &str) {
         let pid = self.running[&(role, vm)].id().to_string();
-        let status = process::Command::new("kill")
-            .args([&format!("-{signal}"), &pid])
-            .status();
+        let mut kill = process::Command::new("kill");
+        let status = spawn(kill.args([&format!("-{signal}"), &pid])).wait();
         assert!(status.unwrap().success());
     }
 
@@ -388,14 +438,14 @@
             .append(true)
             .open(log)
             .unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_sageshed"))
+        let mut process = process::Command::new(env!("CARGO_BIN_EXE_sageshed"));
+        process
             .args(command)
             .arg(self.dir.join(format!("{name}-{vm}.toml")))
             .args(further)
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
+            .stderr(log);
+        let child = spawn(&mut process);
         assert!(
             self.running.insert((role, vm), child).is_none(),
             "it runs already"
@@ -516,22 +566,15 @@
 }
 
 impl Vm {
-    /// Ports that the system chose a moment ago, on an address that nothing else uses. All are held
-    /// until the last is chosen: let go one VM at a time, a port was given out again for the next,
-    /// and its processes refused their settings.
+    /// VMs with ports that nothing else uses.
     fn choose(ip: net::Ipv4Addr, count: usize) -> Vec<Self> {
-        let listener = || net::TcpListener::bind((ip, 0)).unwrap();
-        let held: Vec<_> = (0..count).map(|_| [(); 4].map(|()| listener())).collect();
-        let vm = |ports: &[net::TcpListener; 4]| {
-            let chosen = ports.each_ref().map(|port| port.local_addr().unwrap());
-            let [entry, callers, control, operators] = chosen;
-            Self {
-                entry,
-                callers,
-                control,
-                operators,
-            }
+        let ports = free_ports(ip, count * 4);
+        let vm = |ports: &[net::SocketAddr]| Self {
+            entry: ports[0],
+            callers: ports[1],
+            control: ports[2],
+            operators: ports[3],
         };
-        held.iter().map(vm).collect()
+        ports.chunks(4).map(vm).collect()
     }
 }
--- a/tests/testsuite/lost_connections.rs
+++ b/tests/testsuite/lost_connections.rs
@@ -25,7 +25,11 @@
         for endpoint in &mut plan.endpoints {
             endpoint.tokens_per_second = 20.0;
         }
-        let relays = plan.endpoints.iter_mut().map(put_behind_relay).collect();
+        let relays = plan
+            .endpoints
+            .iter_mut()
+            .map(cluster::put_behind_relay)
+            .collect();
         let cluster = cluster::Cluster::start(plan);
         cluster.wait_served();
         Self { cluster, relays }
@@ -36,16 +40,6 @@
     }
 }
 
-fn put_behind_relay(endpoint: &mut config::Endpoint) -> relay::Relay {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
-    let relay = relay::Relay::start(address).unwrap();
-    endpoint.address = address.to_string();
-    endpoint.announced = Some(relay.address().to_string());
-    relay
-}
-
 /// Sends the same request several times at once.
 fn send_at_once(ask: &Ask) -> Vec<Result<ask::Answer, String>> {
     thread::scope(|scope| {
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -1,7 +1,7 @@
 //! Memory is never overcommitted and every model stays reachable, whatever happens to control
 //! processes and engines while models are moved.
 
-use std::{net, sync::atomic, thread, time};
+use std::{sync::atomic, thread, time};
 
 use sageshed_test_support::{config, fault, relay, standin};
 use sageshed_types::messages;
@@ -158,7 +158,8 @@
 /// sent, so the next leader has to reserve its memory until its fate is known.
 #[test]
 fn an_order_arrives_long_after_its_leader_died() {
-    let (mut late, relay) = behind_relay(engine("late", 4_000, &[]));
+    let mut late = engine("late", 4_000, &[]);
+    let relay = cluster::put_behind_relay(&mut late);
     late.checks_fence = false;
     let other = engine("other", 10_000, &[("m1", 3_000), ("m2", 3_000)]);
     let mut cluster = cluster::Cluster::start(plan(&["m1", "m2"], vec![late, other]));
@@ -189,16 +190,6 @@
     wait_answered(&cluster, &["m1", "m2"]);
 }
 
-fn behind_relay(mut endpoint: config::Endpoint) -> (config::Endpoint, relay::Relay) {
-    let free = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
-    let relay = relay::Relay::start(address).unwrap();
-    endpoint.address = address.to_string();
-    endpoint.announced = Some(relay.address().to_string());
-    (endpoint, relay)
-}
-
 /// The only engine with a model dies. A caller who has the time waits until it is loaded elsewhere
 /// and is answered. One who hasn't is told at once that there is no route, that nothing was run, and
 /// when to come back; by then the model is there.
