Wait for a large command to be applied without the limit of a caller

It writes 40 configurations of 2 MB each, and the test used Inputs::commit, which gives a caller up after 2 s. While the data of a build are written back, one sync takes longer. Unknown is the right word to that caller; no product code is at fault.

Change: the test hands the command over and waits for its fate as for everything else that it waits for. Each command must still be applied, and the log is held to the same size after each.

--- a/tests/control_driver.rs
+++ b/tests/control_driver.rs
@@ -135,14 +135,21 @@
         assert!(started, "{outcome:?}");
     }
 
-    /// Hands over a command that finds no room, and waits until it has found none.
-    fn submit_when_full(&self) -> mpsc::Receiver<inputs::Fate> {
-        self.full.0.store(true, atomic::Ordering::SeqCst);
+    /// Hands over a command. Unlike [`inputs::Inputs::commit`], whoever waits for its fate has no limit of 2 s, which the
+    /// sync of a large command can exceed on a busy disk.
+    fn submit(&self, command: command::Command) -> mpsc::Receiver<inputs::Fate> {
         let (tx, rx) = mpsc::channel();
         self.inputs.offer(inputs::Input::Submit {
-            command: Box::new(drain("vm1", MARKER)),
+            command: Box::new(command),
             reply: inputs::Reply::Waiter(tx),
         });
+        rx
+    }
+
+    /// Hands over a command that finds no room, and waits until it has found none.
+    fn submit_when_full(&self) -> mpsc::Receiver<inputs::Fate> {
+        self.full.0.store(true, atomic::Ordering::SeqCst);
+        let rx = self.submit(drain("vm1", MARKER));
         until("the disk is full", || {
             locks::read(&self.shared.view).disk_full
         });
@@ -567,7 +574,7 @@
         let text = text.clone();
         let document = document::Document { version, text };
         let command = command::Command::ReplaceFleet(document);
-        let fate = running.inputs.commit(command);
+        let fate = running.submit(command).recv_timeout(PATIENCE).unwrap();
         assert!(matches!(fate, inputs::Fate::Applied(_)), "{fate:?}");
         let status = running.status();
         let kept = usize::try_from(status.last.0 - status.snapshot.0).expect("few");
