Begin a_resend_after_a_lost_answer_changes_nothing with a leader that takes changes

In trials with slow syncs it waited 40 s in vain for the change whose answer is lost to be accepted.

Cause: a process is shown as leader before its first entry is committed, and refuses changes until then (no_quorum, with 503: nothing was done). While syncs are slow the test sends the change in that gap: in one trial the change came 12 ms after the process began to lead and 9 ms before its first entry was applied. The relay that hides the answer hides the refusal too, and the change is sent only once. The leader kept its term; no election and no lost change were part of it.

Change: an earlier change is accepted before the one whose answer is lost. Base and revision of the latter follow it, and all assertions stand.

--- a/tests/testsuite/control_change.rs
+++ b/tests/testsuite/control_change.rs
@@ -58,20 +58,22 @@
     let leader = cluster.leader();
     let others: Vec<_> = (0..3).filter(|vm| *vm != leader).collect();
     let client = operator::client(&cluster, &others);
+    // A leader refuses changes until it has committed an entry of its own, and the relay would hide the refusal.
+    let earlier = operator::accept(&client, "earlier");
     let address = cluster.operators(leader).replace("http://", "");
     let relay = relay::Relay::start(address.parse().unwrap()).unwrap();
     relay.set(relay::Direction::FromTarget, relay::Passage::Silent);
 
-    let change = operator::add("lost", "alpha", rules::Revision::default());
+    let first = rules::Revision(earlier.0 + 1);
+    let change = operator::add("lost", "alpha", earlier);
     let lost = operator::once(&relay.address().to_string()).change(&change);
     assert!(lost.is_err(), "{lost:?}");
     cluster.until("it is accepted", || {
-        client.rules().is_ok_and(|it| it.revision.0 == 1)
+        client.rules().is_ok_and(|it| it.revision == first)
     });
     let later = operator::accept(&client, "later");
     cluster.kill(messages::Role::Control, leader);
 
-    let first = rules::Revision(1);
     let again = operator::until_known(&client, &change);
     assert_eq!(again, rules::ChangeOutcome::Accepted { revision: first });
     let mut other = operator::add("other", "alpha", later);
