Start the command line in queueing:: under the lock of the fleet's ports

shows_queue started the command line by itself, while all other tests of this binary do it under the lock that guards the choice of ports: the new process holds copies of listening sockets until it executes its program, and a port chosen meanwhile cannot be listened on. Found by reading, not by a failure.

--- a/tests/fleet/queueing.rs
+++ b/tests/fleet/queueing.rs
@@ -122,7 +122,7 @@
         for entry in &fleet.entries {
             all.args(["--entry", &entry.metrics().to_string()]);
         }
-        let out = all.output().expect("the program runs");
+        let out = crate::fleet::output(&mut all);
         String::from_utf8_lossy(&out.stdout).into_owned()
     };
     let trace = run(&["explain", id]);
