Keep the longer idle limit for connections whose request is served during a change

Callers saw: a kept connection is closed without a response to the next request, after a change of the configuration that lowers the idle limit. Callers use a connection for four fifths of the limit that they know, and learn of a new one later than the entry process. A connection that is idle at the change keeps the longer limit; one whose request was being served went by the new one as soon as it became idle.

The new test fails without the change (the read of the second response fails) and passes with it, as do the other tests of sageshed-http.

Change: the longer of the limits at the start of its latest request and at its end holds for a connection that becomes idle.

--- a/crates/sageshed-http/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -49,8 +49,8 @@
 
 /// The limits on callers that can be changed while a port runs. The fields are those of [`Limits`].
 ///
-/// A request goes by the limits that are in force when its first byte is read. A connection that is idle when they change
-/// keeps the longer ones of `idle_timeout` and `reuse_timeout`; one that becomes idle later goes by the new ones.
+/// A request goes by the limits that are in force when its first byte is read. A connection that is idle or serves a request
+/// when they change keeps the longer ones of `idle_timeout` and `reuse_timeout` until its next request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
     /// The largest request line and headers together, in bytes.
--- a/crates/sageshed-http/src/poller.rs
+++ b/crates/sageshed-http/src/poller.rs
@@ -341,7 +341,11 @@
         connection.link.set_idle(true);
         let mut waiting = self.lock();
         // Read under the lock, so that limits that are set later are applied to it by `raise_idle`.
-        let idle = idle::Idle::new(time::Instant::now(), self.idle_bounds());
+        let mut idle = idle::Idle::new(time::Instant::now(), self.idle_bounds());
+        if !self.shared.closes_idle() {
+            // Its caller may not know yet that the limits have changed since its latest request.
+            idle.raise(connection.callers.idle());
+        }
         let until = idle.closes_at();
         let is_earliest = waiting.earliest.is_none_or(|it| until < it);
         if is_earliest {
--- a/crates/sageshed-http/tests/idle.rs
+++ b/crates/sageshed-http/tests/idle.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    sync::{self, mpsc},
     thread,
     time::{Duration, Instant},
 };
@@ -143,6 +144,33 @@
     assert_eq!(server.stats().expired, 1);
 }
 
+/// Guards against a connection that is closed by a limit which came into force during its latest request, and which its caller
+/// may not know yet.
+#[test]
+fn a_limit_that_is_lowered_during_a_request_holds_from_the_next_one_on() {
+    let (lowered, wait) = mpsc::channel();
+    let (begun, has_begun) = mpsc::channel();
+    let channels = sync::Mutex::new((begun, wait));
+    let server = start(limits_with(PATIENCE * 2), move |req, reply| {
+        if req.path == "/first" {
+            let channels = channels.lock().expect("no panic");
+            channels.0.send(()).expect("the test waits");
+            let is_lowered = channels.1.recv_timeout(PATIENCE);
+            is_lowered.expect("it is lowered");
+        }
+        echo(req, reply)
+    });
+    let mut client = Client::connect(&server);
+    client.send(b"GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    has_begun.recv_timeout(PATIENCE).expect("a request");
+    server.caller_limits().set(limits_with(SHORT).callers());
+    lowered.send(()).expect("it waits");
+    assert_eq!(client.answer().expect("an answer").status, 200);
+    thread::sleep(PAST_SHORT);
+    assert_eq!(client.get("/second").text(), "GET /second|");
+    assert!(client.at_end());
+}
+
 /// Guards against a shutdown that waits for the idle connections since a configuration with a longer limit comes into
 /// force meanwhile.
 #[test]
