End the write of a resumed stream by the same clock as its reads

A begun stream ends a second after its caller should have left. An interrupted write to the next endpoint, and the wait after a response to another request, still ended it without that second.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -596,8 +596,7 @@
             self.possible_runs += u32::from(failure.is_sent);
             return self.leave_run(pick, sink, began);
         }
-        let is_ended = self.is_abandoned() || self.shared.is_exiting();
-        if is_interrupted && (watch.caller_gone() || is_ended) {
+        if is_interrupted && self.is_wait_over(watch, sink.has_started()) {
             // A caller that has given up on the first event may still read the status.
             self.possible_runs += u32::from(failure.is_sent && !watch.caller_gone());
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
