Use a lost path to an endpoint again only once it has answered a health check

Callers saw 502 "closed before an answer: the connection ended before the head" for requests that must not run twice, at a process that knew that its paths were lost.

Cause: a probe took a path for working if its connection was open one pass (a second) later. Where something accepts connections and closes them later than that, the path was put to use again, and the next requests were lost on it.

Weighed, without runs: a longer watch of the open connection only moves the limit; a trial by a caller's request loses that request.

Change: a probe sends the service's health check, which the configuration names. Any response shows that the path works. It has 4 s for it, since the endpoint may have no free slot; the endpoint is not probed twice meanwhile. Without a known health check the connection is watched as before. Health checks are priced as probes: at most one a second for each lost path, and only where a connection opens.

--- a/crates/sageshed-fleet/src/config.rs
+++ b/crates/sageshed-fleet/src/config.rs
@@ -134,6 +134,8 @@
 pub struct Service {
     /// Its name.
     pub name: String,
+    /// The path of its endpoints' health check, if they have one.
+    pub health_check: Option<String>,
     /// Maximum number of connections to one of its endpoints, over all callers together.
     pub max_connections: u32,
     /// Present where its endpoints are model engines.
--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -241,7 +241,7 @@
     pub fence: u64,
 }
 
-/// A request that a control process sends to an engine.
+/// A request that a process of this system makes of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutboundRequest {
     /// The method.
@@ -348,6 +348,10 @@
     /// The request for an engine's report.
     fn report_request(&self, instance: &directory::InstanceId) -> OutboundRequest;
 
+    /// The request for a health check of an endpoint, at the path that its service has for it. Any response shows that the
+    /// endpoint can be reached.
+    fn health_check(&self, path: &str, instance: &directory::InstanceId) -> OutboundRequest;
+
     /// Decodes an engine's report.
     ///
     /// # Errors
--- a/crates/sageshed-fleet/tests/support/mod.rs
+++ b/crates/sageshed-fleet/tests/support/mod.rs
@@ -88,6 +88,7 @@
         services: vec![
             config::Service {
                 name: ENGINES.to_owned(),
+                health_check: None,
                 max_connections: 100,
                 engines: Some(config::EnginePool {
                     slots: 64,
@@ -100,6 +101,7 @@
             },
             config::Service {
                 name: PLAIN.to_owned(),
+                health_check: None,
                 max_connections: 100,
                 engines: None,
             },
--- a/crates/sageshed-upstream/src/connection.rs
+++ b/crates/sageshed-upstream/src/connection.rs
@@ -10,6 +10,7 @@
 use derive_more::{Display, Error};
 
 use crate::{
+    exchange::{Patience, Request, Sent},
     failure::{Cause, Failure},
     socket::Socket,
 };
@@ -116,6 +117,19 @@
         }
     }
 
+    /// Sends `req`.
+    ///
+    /// # Errors
+    ///
+    /// Where not all of it can be sent.
+    pub fn send<S: Fn() -> bool>(
+        self,
+        req: &Request<'_>,
+        patience: &Patience<'_, S>,
+    ) -> Result<Sent, Failure> {
+        Sent::write(self.socket, req, patience, false)
+    }
+
     /// Whether the connection is open and nothing has come on it.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -174,6 +174,12 @@
         self.socket.has_input() || (!self.bytes.is_empty() && self.socket.is_writable())
     }
 
+    /// Whether the connection is open and nothing has come on it. Does not block.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.socket.is_quiet()
+    }
+
     /// Waits for the head of the answer.
     ///
     /// # Errors
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -11,7 +11,7 @@
 use sageshed_types::time;
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
-    failure, pool, relay,
+    exchange, failure, pool, relay,
 };
 
 use super::state;
@@ -31,6 +31,9 @@
 /// How long a probe may take to connect.
 const PROBE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// How long an endpoint may take to respond to the health check of a probe: it may wait for a slot there.
+const CHECK_TIMEOUT: std_time::Duration = std_time::Duration::from_secs(4);
+
 /// The time that the probes of one pass may take.
 const PROBE_PASS: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -206,6 +209,19 @@
         }
     }
 
+    /// The health check of the endpoint at this address, if the endpoint and its service are known and it has one.
+    fn health_check(&self, endpoint: net::SocketAddrV4) -> Option<dialect::OutboundRequest> {
+        let now = self.clock.now();
+        let (id, service) = self.with_core(|core| {
+            let mut present = core.directory.present(now);
+            let (found, _) = present.find(|(it, _)| it.address == endpoint)?;
+            Some((found.id.clone(), found.service.clone()))
+        })?;
+        let routing = self.routing()?;
+        let path = routing.config.service(&service)?.health_check.as_deref()?;
+        Some(self.dialect.health_check(path, &id))
+    }
+
     fn record_failed_path(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
         let now = self.clock.now();
         let (is_first, status) =
@@ -249,20 +265,114 @@
     }
 }
 
-/// Opens connections to endpoints whose paths have failed, to learn whether they work again.
+/// Probes endpoints whose paths have failed, to learn whether they work again.
 #[derive(Debug, Default)]
 pub(super) struct Prober {
-    /// The connections of the last pass. Something on the way may accept connections and reset them later, so a path
-    /// works only if its connection is still open a pass later.
-    open: Vec<(net::SocketAddrV4, Connection)>,
+    pending: Vec<Probe>,
+}
+
+/// A connection to an endpoint whose path has failed.
+#[derive(Debug)]
+struct Probe {
+    endpoint: net::SocketAddrV4,
+    opened_at: std_time::Instant,
+    step: ProbeStep,
+}
+
+#[derive(Debug)]
+enum ProbeStep {
+    /// A health check was sent. Something on the way may accept connections and close them later, so only a response
+    /// shows that the path works.
+    Checking(exchange::Sent),
+    /// The endpoint has no health check that this process knows. The path works if the connection is still open a pass
+    /// later.
+    Open(Connection),
+}
+
+/// What a probe has shown so far.
+#[derive(Debug)]
+enum ProbeResult {
+    Works,
+    Failed,
+    Pending(Probe),
+}
+
+impl Probe {
+    /// Connects to `endpoint`, and sends `check` if there is one.
+    fn begin(
+        endpoint: net::SocketAddrV4,
+        check: Option<&dialect::OutboundRequest>,
+    ) -> Result<Self, failure::Failure> {
+        let connection = Connection::direct(endpoint, PROBE_TIMEOUT)?;
+        let step = match check {
+            Some(check) => ProbeStep::Checking(send_check(connection, endpoint, check)?),
+            None => ProbeStep::Open(connection),
+        };
+        Ok(Self {
+            endpoint,
+            opened_at: std_time::Instant::now(),
+            step,
+        })
+    }
+
+    /// Looks what has come since it was opened.
+    fn result(self) -> ProbeResult {
+        match self.step {
+            ProbeStep::Open(connection) if connection.is_quiet() => ProbeResult::Works,
+            ProbeStep::Checking(sent) if sent.goes_on() => {
+                let patience = exchange::Patience {
+                    until: std_time::Instant::now(),
+                    stop: &|| false,
+                };
+                match sent.head(&patience) {
+                    Ok(_) => ProbeResult::Works,
+                    Err(_) => ProbeResult::Failed,
+                }
+            }
+            ProbeStep::Checking(sent)
+                if sent.is_quiet() && self.opened_at.elapsed() < CHECK_TIMEOUT =>
+            {
+                let step = ProbeStep::Checking(sent);
+                ProbeResult::Pending(Self { step, ..self })
+            }
+            ProbeStep::Open(_) | ProbeStep::Checking(_) => ProbeResult::Failed,
+        }
+    }
+}
+
+fn send_check(
+    connection: Connection,
+    endpoint: net::SocketAddrV4,
+    check: &dialect::OutboundRequest,
+) -> Result<exchange::Sent, failure::Failure> {
+    let host = endpoint.to_string();
+    let mut headers = vec![("Host", host.as_bytes())];
+    let own = check.headers.iter();
+    headers.extend(own.map(|(name, value)| (*name, value.as_bytes())));
+    let req = exchange::Request {
+        method: check.method,
+        target: &check.path,
+        headers,
+        body: &check.body,
+    };
+    let patience = exchange::Patience {
+        until: std_time::Instant::now() + PROBE_TIMEOUT,
+        stop: &|| false,
+    };
+    connection.send(&req, &patience)
 }
 
 impl Prober {
-    /// Checks the connections of the last pass, and opens those that are due.
+    /// Looks at the probes that are under way, and begins those that are due.
     pub(super) fn run<D: dialect::Dialect>(&mut self, shared: &state::Shared<D>) {
-        for (endpoint, connection) in self.open.drain(..) {
-            if connection.is_quiet() {
-                shared.record_response(endpoint, true);
+        for probe in std::mem::take(&mut self.pending) {
+            let endpoint = probe.endpoint;
+            match probe.result() {
+                ProbeResult::Works => shared.record_response(endpoint, true),
+                ProbeResult::Failed => {
+                    ::log::debug!(address:% = endpoint; "gateway: path to an endpoint does not work yet");
+                }
+                ProbeResult::Pending(probe) => self.pending.push(probe),
             }
         }
         let begun = std_time::Instant::now();
@@ -271,8 +381,14 @@
             let Some(endpoint) = locks::lock(&shared.paths).next_probe(now) else {
                 return;
             };
-            if let Ok(connection) = Connection::direct(endpoint, PROBE_TIMEOUT) {
-                self.open.push((endpoint, connection));
+            if self.pending.iter().any(|it| it.endpoint == endpoint) {
+                continue;
+            }
+            match Probe::begin(endpoint, shared.health_check(endpoint).as_ref()) {
+                Ok(probe) => self.pending.push(probe),
+                Err(e) => {
+                    ::log::debug!(address:% = endpoint, error:% = e; "gateway: path to an endpoint does not work yet");
+                }
             }
         }
     }
--- a/tests/fleet/paths.rs
+++ b/tests/fleet/paths.rs
@@ -108,6 +108,36 @@
     runs.into_values().max().unwrap_or(0)
 }
 
+/// Longer than the time between two passes of probes.
+const LATE_CLOSE: time::Duration = time::Duration::from_millis(1_200);
+
+/// The rounds in which a process that is cut off probes its paths several times.
+const PROBED_ROUNDS: usize = 60;
+
+/// Guards against requests that are lost on a path that was taken into use since a probe of it was open for a second:
+/// a device on the way accepts the connections of a process that is cut off, and closes them later.
+#[test]
+fn a_path_whose_connections_are_closed_late_is_not_used_again() {
+    let (fleet, engines) = Fleet::ready();
+    for engine in &engines {
+        engine.set_cut_delay(LATE_CLOSE);
+        engine.cut_off(fleet.entries[0].id());
+    }
+    let mut round = 0;
+    fleet.until("all paths of an entry process count as lost", || {
+        round += 1;
+        serve_round(&fleet, 0, &format!("late-{round}"));
+        let log = fleet.entries[0].log();
+        log.contains("cut off from the endpoints")
+    });
+    let rounds = 0..PROBED_ROUNDS;
+    let served = rounds.map(|round| {
+        thread::sleep(ROUND_INTERVAL);
+        serve_round(&fleet, 0, &format!("probed-{round}"))
+    });
+    assert_eq!(served.sum::<usize>(), PROBED_ROUNDS * PATHS.len());
+}
+
 /// Guards against an entry process that sends its requests through another one for good: it connects to the endpoints
 /// by itself again once it can.
 #[test]
