Wait until the port of a stopped engine is closed in requests::

Cause, in the test: processes that other tests of the binary start have copies of the stand-in's listening socket until they execute their program. The port then stays open after the engine was dropped: the kernel accepts a connection and a request on it and resets it when the last copy is closed. The request may have run as far as the entry process can tell, so its 502 is right.

Change: the engine is stopped by a function that returns once all starts that were under way are over. The requests and what is asserted are the same.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -31,6 +31,13 @@
     command.spawn().expect("the program starts")
 }
 
+/// Stops an endpoint and returns once its port is closed: a process that is being started meanwhile keeps the port open
+/// until it executes its program, so that connections are accepted and then reset. See [`CHOOSING`].
+pub fn close(engine: engine::Engine) {
+    drop(engine);
+    drop(CHOOSING.lock().expect("no panic"));
+}
+
 /// Runs a process to its end, and returns what it prints.
 pub fn output(command: &mut process::Command) -> process::Output {
     let piped = command
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -4,7 +4,7 @@
 use std::{net, thread, time};
 
 use crate::{
-    fleet::Fleet,
+    fleet::{self, Fleet},
     standin::{
         caller::{Caller, Request},
         engine::{Behavior, Engine},
@@ -341,7 +341,7 @@
 #[test]
 fn an_engine_that_cannot_be_reached_costs_no_request() {
     let (fleet, mut engines) = Fleet::ready();
-    drop(engines.remove(0));
+    fleet::close(engines.remove(0));
     for number in 0..20 {
         let id = format!("gone-{number}");
         let answer = fleet
