Move the receipt of a whole response to a file of its own

attempt.rs is long already, and what receives, keeps and passes on a response that is not a stream belongs together. No change of behaviour: the functions and the type are moved as they are.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -10,15 +10,16 @@
 
 use super::{
     AttemptResult, ProxiedRequest,
-    kept_runs::{KeptFor, Progress, SentRun, WholeRun},
+    kept_runs::{Progress, SentRun},
     records_check::EndpointCheck,
     stream::StreamRun,
     waiting::HeldRetry,
+    whole_response::WholeRun,
 };
-use crate::gateway::{entry_peers, metrics, paths, queues, response::ResponseSink};
+use crate::gateway::{entry_peers, paths, queues, response::ResponseSink};
 
 /// The largest response that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// How long a pooled connection may have been idle to be used for a request that must not run twice: if
 /// the endpoint closes it at the same moment, the request is lost and can't be retried.
@@ -388,56 +389,6 @@
         self.receive_whole(pick, run, sink, watch)
     }
 
-    /// Receives the rest of a response that is not a stream, and passes the response on.
-    pub(super) fn receive_whole<'c>(
-        &mut self,
-        pick: &chooser::Pick,
-        mut run: WholeRun,
-        sink: ResponseSink<'c>,
-        watch: &reply::Watch,
-    ) -> AttemptResult<'c> {
-        let stop = || self.is_unwanted(watch, true);
-        let patience = exchange::Patience {
-            until: self.deadline,
-            stop: &stop,
-        };
-        let received = run
-            .exchange
-            .read_rest(&mut run.body, MAX_RESPONSE_BYTES, &patience);
-        match received {
-            Ok(()) => self.finish_whole(pick, run, sink),
-            Err(failure)
-                if failure.cause == failure::Cause::Interrupted
-                    && !self.is_wait_over(watch, true) =>
-            {
-                self.keep_run(pick, Progress::Whole(run), KeptFor::EarlierRunGoesOn);
-                AttemptResult::Retry(sink)
-            }
-            Err(failure) => self.handle_failed_run(pick, sink, false, &failure),
-        }
-    }
-
-    /// Passes on a response that has been received.
-    fn finish_whole<'c>(
-        &mut self,
-        pick: &chooser::Pick,
-        run: WholeRun,
-        sink: ResponseSink<'c>,
-    ) -> AttemptResult<'c> {
-        self.end_kept_runs(metrics::SilenceEnd::Replaced);
-        self.record_start(pick, run.sent_at, run.load);
-        let head = run.exchange.head.clone();
-        let outcome = if head.status >= 500 {
-            chooser::AttemptOutcome::Failed
-        } else {
-            chooser::AttemptOutcome::Answered
-        };
-        self.end_attempt(pick, true, outcome);
-        self.shared.pool.keep(pick.address, run.exchange);
-        self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
-        AttemptResult::Done(sink.send_whole(&head, &run.body))
-    }
-
     fn read_whole(
         &self,
         exchange: &mut exchange::Exchange,
--- a/src/sageshed/gateway/proxy/kept_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -12,7 +12,9 @@
 use sageshed_types::verdict;
 use sageshed_upstream::exchange;
 
-use super::{AttemptResult, ProxiedRequest, quota, slot, stream::StreamRun};
+use super::{
+    AttemptResult, ProxiedRequest, quota, slot, stream::StreamRun, whole_response::WholeRun,
+};
 use crate::gateway::{metrics, paths::PathUse, response::ResponseSink};
 
 /// A run that is kept while another endpoint is tried.
@@ -54,17 +56,6 @@
     pub(super) sent_at: std_time::Instant,
 }
 
-/// A run whose response is not a stream and has begun.
-#[derive(Debug)]
-pub(super) struct WholeRun {
-    pub(super) exchange: exchange::Exchange,
-    pub(super) sent_at: std_time::Instant,
-    /// The load that the endpoint has reported with the head.
-    pub(super) load: Option<dialect::Load>,
-    /// What has arrived of the body.
-    pub(super) body: Vec<u8>,
-}
-
 impl KeptRun {
     /// Whether its endpoint has sent something since the run was kept.
     fn has_input(&self) -> bool {
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -24,6 +24,7 @@
 mod slot;
 mod stream;
 mod waiting;
+mod whole_response;
 
 use std::{
     cell,
