--- a/crates/sageshed-upstream/src/connection.rs
+++ b/crates/sageshed-upstream/src/connection.rs
@@ -117,11 +117,11 @@
         }
     }
 
-    /// Sends `req`.
+    /// Sends `req`. If the patience ends once a part is written, [`Sent::head`] writes the rest.
     ///
     /// # Errors
     ///
-    /// Where not all of it can be sent.
+    /// Where nothing of it is written in time, or the connection fails.
     pub fn send<S: Fn() -> bool>(
         self,
         req: &Request<'_>,
