Build the requests of orders, reports and health checks in one place

The health check of a probe repeated the code by which a control process sends an order or asks for a report: the headers with Host, and the members of the outbound request. outbound::request serves both now. No change of behaviour.

--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -9,7 +9,7 @@
 use sageshed_fleet::{config, dialect, directory, messages, planner};
 use sageshed_upstream::{exchange, failure, pool};
 
-use crate::{control::shared, locks};
+use crate::{control::shared, locks, outbound};
 
 /// How long the planning thread waits for an input before it makes a pass without one.
 const PLANNING_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
@@ -368,18 +368,7 @@
     call: &dialect::OutboundRequest,
 ) -> Result<(exchange::Head, Vec<u8>), failure::Failure> {
     let host = address.to_string();
-    let mut headers = vec![("Host", host.as_bytes())];
-    headers.extend(
-        call.headers
-            .iter()
-            .map(|(name, value)| (*name, value.as_bytes())),
-    );
-    let req = exchange::Request {
-        method: call.method,
-        target: &call.path,
-        headers,
-        body: &call.body,
-    };
+    let req = outbound::request(call, &host);
     let patience = exchange::Patience {
         until: std_time::Instant::now() + CALL_TIMEOUT,
         stop: &|| false,
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -15,7 +15,7 @@
 };
 
 use super::state;
-use crate::locks;
+use crate::{locks, outbound};
 
 /// The relays that must fail to reach an endpoint before it counts as unreachable. One of them may have lost its own
 /// path, and not know it yet.
@@ -346,15 +346,7 @@
     check: &dialect::OutboundRequest,
 ) -> Result<exchange::Sent, failure::Failure> {
     let host = endpoint.to_string();
-    let mut headers = vec![("Host", host.as_bytes())];
-    let own = check.headers.iter();
-    headers.extend(own.map(|(name, value)| (*name, value.as_bytes())));
-    let req = exchange::Request {
-        method: check.method,
-        target: &check.path,
-        headers,
-        body: &check.body,
-    };
+    let req = outbound::request(check, &host);
     let patience = exchange::Patience {
         until: std_time::Instant::now() + PROBE_TIMEOUT,
         stop: &|| false,
--- a/src/sageshed/lib.rs
+++ b/src/sageshed/lib.rs
@@ -12,6 +12,7 @@
 pub mod losses;
 pub mod metrics;
 pub mod metrics_port;
+mod outbound;
 pub mod records;
 pub mod sampler;
 pub mod settings;
