Remember the lost paths of endpoints that get no requests

Cause: a process knows that it is cut off by two paths that have failed. A failed path was forgotten once no request had used it for 30 s. When the chooser preferred another endpoint for so long, only one was left, the process no longer counted as cut off, and requests to endpoints whose paths had not been tried yet went out directly.

No line "connects without relays again" between them. Ruled out: a probe that takes a lost path for a working one (the cause that mended); no path was restored.

Change: a failed path is forgotten when its endpoint is no longer present, or at once when the endpoint ends, as before. The lookup by address uses the directory's index in place of a scan over all endpoints.

Why it holds: an endpoint that is present is probed until its path works.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -562,6 +562,14 @@
             .map(move |entry| (&*entry.instance, now.since(entry.heard)))
     }
 
+    /// The present instance at an address.
+    #[must_use]
+    pub fn present_at(&self, address: net::SocketAddrV4) -> Option<&Instance> {
+        let ids = self.index.by_address(address).iter();
+        let mut instances = ids.filter_map(|id| self.instance(id));
+        instances.find(|it| it.is_present())
+    }
+
     /// The present instances, for reading while the directory changes.
     #[must_use]
     pub fn snapshot(&self) -> Vec<sync::Arc<Instance>> {
--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -11,8 +11,7 @@
 
 use sageshed_types::time::{Instant, Millis};
 
-/// How long a failed connection is remembered if no request is sent to the endpoint again, for example because it has
-/// ended.
+/// How long a failed connection is remembered if no request is sent to the endpoint and it is not present any more.
 const FAILURE_TTL: Millis = Millis(30_000);
 
 /// The endpoints with failed connections from which on the VM as a whole may be cut off.
@@ -64,7 +63,7 @@
     since: Instant,
     /// The latest failure.
     failed_at: Instant,
-    /// The latest failure or relayed connection.
+    /// The latest failure or relayed connection, or when the endpoint was last found present.
     used_at: Instant,
     probed_at: Instant,
     probe_interval: Millis,
@@ -146,8 +145,6 @@
     /// Records that a direct connection to `endpoint` failed, or was closed before a response. Returns whether it is the
     /// first such failure.
     pub fn record_failed(&mut self, now: Instant, endpoint: net::SocketAddrV4) -> bool {
-        self.failed
-            .retain(|_, it| now.since(it.used_at) < FAILURE_TTL);
         self.restored
             .retain(|_, (since, _)| now.since(*since) < RELAPSE_TIME);
         let count = self.failed.len();
@@ -211,10 +208,24 @@
             || self.lost().next().is_none()
     }
 
+    /// The endpoints with failed connections to which no request was sent for long.
+    #[must_use]
+    pub fn unused(&self, now: Instant) -> Vec<net::SocketAddrV4> {
+        let failed = self.failed.iter();
+        let unused = failed.filter(|(_, it)| now.since(it.used_at) >= FAILURE_TTL);
+        unused.map(|(endpoint, _)| *endpoint).collect()
+    }
+
+    /// Remembers failed connections to `endpoint`, which is present, though no request is sent to it: the paths that have
+    /// failed tell whether this process is cut off.
+    pub fn keep(&mut self, now: Instant, endpoint: net::SocketAddrV4) {
+        if let Some(failed) = self.failed.get_mut(&endpoint) {
+            failed.used_at = now;
+        }
+    }
+
     /// The endpoint to which a connection is to be opened as a probe, if one is due.
     pub fn next_probe(&mut self, now: Instant) -> Option<net::SocketAddrV4> {
-        self.failed
-            .retain(|_, it| now.since(it.used_at) < FAILURE_TTL);
         let due = self
             .failed
             .iter_mut()
--- a/crates/sageshed-fleet/tests/paths.rs
+++ b/crates/sageshed-fleet/tests/paths.rs
@@ -163,7 +163,7 @@
 
 /// Guards against paths that are never used again, and against probes of endpoints that have ended.
 #[test]
-fn failed_paths_are_probed_in_turn_and_forgotten_when_unused() {
+fn failed_paths_are_probed_in_turn_and_unused_ones_are_found() {
     let mut paths = PathTable::default();
     paths.record_failed(Instant(0), endpoint(1));
     paths.record_failed(Instant(100), endpoint(2));
@@ -172,11 +172,33 @@
     assert_eq!(paths.next_probe(Instant(1_100)), Some(endpoint(2)));
     assert_eq!(paths.next_probe(Instant(1_100)), None);
     paths.record_relayed(Instant(20_000), endpoint(2));
+    assert_eq!(paths.unused(Instant(29_999)), []);
+    assert_eq!(paths.unused(Instant(40_000)), [endpoint(1)]);
+    paths.forget(endpoint(1));
     assert_eq!(paths.next_probe(Instant(40_000)), Some(endpoint(2)));
     assert_eq!(paths.next_probe(Instant(40_000)), None);
-    assert_eq!(paths.status(Instant(40_000)).failing, 1);
+    paths.keep(Instant(50_000), endpoint(2));
+    assert_eq!(paths.unused(Instant(79_999)), []);
+    assert_eq!(paths.unused(Instant(80_000)), [endpoint(2)]);
     paths.forget(endpoint(2));
-    assert_eq!(paths.status(Instant(40_000)).failing, 0);
+    assert_eq!(paths.status(Instant(80_000)).failing, 0);
+}
+
+/// Guards against requests that are lost on a path of a process that is cut off: the failed paths by which it knows that
+/// were forgotten, since its requests went to other endpoints.
+#[test]
+fn a_process_stays_cut_off_while_its_failed_paths_are_not_used() {
+    let mut paths = PathTable::default();
+    paths.record_failed(Instant(0), endpoint(1));
+    paths.record_failed(Instant(0), endpoint(2));
+    for now in (0..120_000).step_by(1_000).map(Instant) {
+        paths.record_relayed(now, endpoint(1));
+        for unused in paths.unused(now) {
+            paths.keep(now, unused);
+        }
+        while paths.next_probe(now).is_some() {}
+        assert_eq!(paths.route(endpoint(3)), Route::Relay, "{now:?}");
+    }
 }
 
 /// Guards against a zone that loses its paths as a whole: its processes stop asking each other.
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -209,12 +209,14 @@
         }
     }
 
+    fn is_present(&self, endpoint: net::SocketAddrV4) -> bool {
+        self.with_core(|core| core.directory.present_at(endpoint).is_some())
+    }
+
     /// The health check of the endpoint at this address, if the endpoint and its service are known and it has one.
     fn health_check(&self, endpoint: net::SocketAddrV4) -> Option<dialect::OutboundRequest> {
-        let now = self.clock.now();
         let (id, service) = self.with_core(|core| {
-            let mut present = core.directory.present(now);
-            let (found, _) = present.find(|(it, _)| it.address == endpoint)?;
+            let found = core.directory.present_at(endpoint)?;
             Some((found.id.clone(), found.service.clone()))
         })?;
         let routing = self.routing()?;
@@ -222,6 +224,21 @@
         Some(self.dialect.health_check(path, &id))
     }
 
+    /// Forgets failed paths that are not used and whose endpoints are not present any more.
+    fn forget_unused_paths(&self) {
+        let now = self.clock.now();
+        let unused = locks::lock(&self.paths).unused(now);
+        for endpoint in unused {
+            let is_present = self.is_present(endpoint);
+            let mut paths = locks::lock(&self.paths);
+            if is_present {
+                paths.keep(now, endpoint);
+            } else {
+                paths.forget(endpoint);
+            }
+        }
+    }
+
     fn record_failed_path(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
         let now = self.clock.now();
         let (is_first, status) =
@@ -367,6 +384,7 @@
                 ProbeResult::Pending(probe) => self.pending.push(probe),
             }
         }
+        shared.forget_unused_paths();
         let begun = std_time::Instant::now();
         while begun.elapsed() < PROBE_PASS {
             let now = shared.clock.now();
@@ -393,11 +411,7 @@
 
 impl<D: dialect::Dialect> relay::Gate for RelayGate<D> {
     fn admits(&self, endpoint: net::SocketAddrV4) -> bool {
-        let now = self.shared.clock.now();
-        let is_known = self.shared.with_core(|core| {
-            let mut present = core.directory.present(now);
-            present.any(|(it, _)| it.address == endpoint)
-        });
+        let is_known = self.shared.is_present(endpoint);
         // A process that would need a relay itself leaves the connection to another one.
         is_known && locks::lock(&self.shared.paths).route(endpoint) == paths::Route::Direct
     }
