Wait in the tests until entry processes know all endpoints of a fleet

The fleet counted as ready once one engine served. Ruled out: the retry budget (100 retries) and the deadline.

A fleet is now ready once each entry process takes all its endpoints for open. The rest of the test is as before.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -107,6 +107,15 @@
         assert!(kill.status.success(), "kill -{name}");
     }
 
+    /// The first value of its metrics whose line starts with `name`; zero if there is none.
+    pub fn metric(&self, name: &str) -> f64 {
+        let text = operator::call(self.metrics(), "GET", "/metrics", "").map(|it| it.text());
+        let text = text.unwrap_or_default();
+        let mut lines = text.lines().filter(|it| it.starts_with(name));
+        let value = lines.next().and_then(|it| it.rsplit(' ').next());
+        value.and_then(|it| it.parse().ok()).unwrap_or(0.0)
+    }
+
     pub fn id(&self) -> u32 {
         self.child.as_ref().expect("it runs").id()
     }
@@ -340,7 +349,10 @@
             fleet.engine("p1", "plain", 33, &[]),
             fleet.engine("p2", "plain", 34, &[]),
         ];
-        for entry in 0..fleet.entries.len() {
+        for (entry, process) in fleet.entries.iter().enumerate() {
+            fleet.until("an entry process knows all endpoints", || {
+                process.metric("sageshed_gateway_endpoints_open{") >= engines.len() as f64
+            });
             for path in ["/stream/x", "/again/x"] {
                 fleet.until("an entry process serves", || {
                     let answer = fleet.ask(entry, &caller::Request::new("GET", path, "first"));
@@ -495,13 +507,11 @@
     pub fn until(&self, what: &str, mut holds: impl FnMut() -> bool) {
         let until = time::Instant::now() + WAIT_TIMEOUT;
         while !holds() {
-            if time::Instant::now() >= until {
-                self.print_logs();
-                panic!(
-                    "timed out waiting until {what}; see {}",
-                    self.folder.display()
-                );
-            }
+            assert!(
+                time::Instant::now() < until,
+                "timed out waiting until {what}; see {}",
+                self.folder.display()
+            );
             thread::sleep(POLL_INTERVAL);
         }
     }
@@ -529,7 +539,9 @@
                 }
             }
         }
-        if !thread::panicking() {
+        if thread::panicking() {
+            self.print_logs();
+        } else {
             drop(fs::remove_dir_all(&self.folder));
         }
     }
--- a/tests/fleet/slots.rs
+++ b/tests/fleet/slots.rs
@@ -3,8 +3,8 @@
 use sageshed_fleet::entry_peers;
 
 use crate::{
-    fleet::{Fleet, Process},
-    standin::{caller::Request, engine::Behavior, operator},
+    fleet::Fleet,
+    standin::{caller::Request, engine::Behavior},
 };
 
 /// The smallest number of entry processes with coordinators.
@@ -13,14 +13,6 @@
 const SETTINGS: &str = "[retries]\nratio = 0.2\nslack = 5.0\nwindow_ms = 10000\n\
                         [shared_queue]\nenabled = true\n";
 
-fn metric(process: &Process, name: &str) -> f64 {
-    let text = operator::call(process.metrics(), "GET", "/metrics", "").map(|it| it.text());
-    let text = text.unwrap_or_default();
-    let mut lines = text.lines().filter(|it| it.starts_with(name));
-    let value = lines.next().and_then(|it| it.rsplit(' ').next());
-    value.and_then(|it| it.parse().ok()).unwrap_or(0.0)
-}
-
 fn serve(fleet: &Fleet, entry: usize, path: &str, id: &str) {
     let answer = fleet.ask(entry, &Request::new("GET", path, id));
     let answer = answer.expect("an answer");
@@ -36,7 +28,7 @@
     let (mut fleet, engines) = Fleet::many_ready(ENTRIES, SETTINGS);
     for process in &fleet.entries {
         fleet.until("all entry processes are known", || {
-            metric(process, "sageshed_gateway_entries{") >= f64::from(ENTRIES)
+            process.metric("sageshed_gateway_entries{") >= f64::from(ENTRIES)
         });
     }
     let ips: Vec<_> = fleet.entries.iter().map(|it| it.ip).collect();
@@ -44,11 +36,11 @@
     let at = |coordinator| ips.iter().position(|it| *it == coordinator).expect("known");
     let (first, second) = (at(coordinators[0]), at(coordinators[1]));
     let granted = "sageshed_gateway_slot_leases{what=\"granted\"";
-    let before = metric(&fleet.entries[first], granted);
+    let before = fleet.entries[first].metric(granted);
     for entry in 0..usize::from(ENTRIES) {
         serve(&fleet, entry, "/once/x", &format!("led-{entry}"));
     }
-    let count = metric(&fleet.entries[first], granted) - before;
+    let count = fleet.entries[first].metric(granted) - before;
     assert!(count >= f64::from(ENTRIES) / 2.0, "{count} grants");
     // The endpoint that is preferred at present.
     let mut plain = engines.iter();
@@ -69,7 +61,7 @@
             serve(&fleet, entry, "/once/x", &id);
         }
     }
-    assert!(metric(&fleet.entries[second], granted) > 0.0);
+    assert!(fleet.entries[second].metric(granted) > 0.0);
     let ran = engines.iter().flat_map(|it| it.log(|log| log.ran.clone()));
     let mut ids: Vec<_> = ran
         .filter_map(|it| it.header("attempt-id").map(str::to_owned))
