--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -706,7 +706,10 @@
     let (fleet, engines) = Fleet::many_ready(1, SETTINGS);
     let [silent, other] = [&engines[2], &engines[3]];
     let limit = |bytes: usize| format!("\"max_body_bytes\":{bytes}");
-    let config = operator::config(20).replace(&limit(1_048_576), &limit(2 * LONG_BODY));
+    let timeout = |ms: u32| format!("\"idempotent\",\"timeout_ms\":{ms}");
+    let config = operator::config(20)
+        .replace(&limit(1_048_576), &limit(2 * LONG_BODY))
+        .replace(&timeout(3_000), &timeout(LONG_DEADLINE_MS));
     fleet.replace(&config);
     fleet.until("it is in force", || {
         fleet.entries[0].log().contains("\"version\":\"20\"")
@@ -717,7 +720,7 @@
     let one = |number: usize| {
         let id = format!("long-{number}");
         let request = Request {
-            deadline_ms: 3_000,
+            deadline_ms: LONG_DEADLINE_MS,
             body: &body,
             ..Request::new("POST", "/again/x", &id)
         };
@@ -737,6 +740,9 @@
 /// The bytes of a long request: more than the sockets of both ends hold.
 const LONG_BODY: usize = 8 * 1024 * 1024;
 
+/// The deadline of a long request: the silence, and the time that a busy host takes to copy it to two endpoints.
+const LONG_DEADLINE_MS: u32 = 15_000;
+
 /// Guards against a stream that looks complete to its caller and is not: the second engine ends its connection before the first
 /// event of a response without a length, while the first engine is silent and goes on.
 #[test]
