Count a process as cut off until an endpoint responds on a path of its own

Callers would see the same 502 for requests that may run once.

- A process that is cut off knows that by two failed paths, since all others go through relays from then on.
If one of these endpoints restarted or ended, its path was forgotten, and the process connected directly to endpoints whose paths it had not tried.
- A failed path without requests was forgotten if its endpoint was silent at the time of the check, though it had not ended.
A probe of it had no health check for the same reason, so that an open connection counted as a response.

Change: that the process is cut off is recorded when it is found, and ends by a response over its own path, as before; if no failed path is left to be probed, one of a present endpoint is. Failed paths are forgotten when their endpoints have ended, and silent endpoints are probed by their health check.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -562,12 +562,13 @@
             .map(move |entry| (&*entry.instance, now.since(entry.heard)))
     }
 
-    /// The present instance at an address.
+    /// The instance at an address that has not ended. If there are several, the present one.
     #[must_use]
-    pub fn present_at(&self, address: net::SocketAddrV4) -> Option<&Instance> {
+    pub fn instance_at(&self, address: net::SocketAddrV4) -> Option<&Instance> {
         let ids = self.index.by_address(address).iter();
-        let mut instances = ids.filter_map(|id| self.instance(id));
-        instances.find(|it| it.is_present())
+        let instances = ids.filter_map(|id| self.instance(id));
+        let instances = instances.filter(|it| !it.has_ended());
+        instances.max_by_key(|it| it.is_present())
     }
 
     /// The present instances, for reading while the directory changes.
--- a/crates/sageshed-fleet/src/paths.rs
+++ b/crates/sageshed-fleet/src/paths.rs
@@ -11,7 +11,7 @@
 
 use sageshed_types::time::{Instant, Millis};
 
-/// How long a failed connection is remembered if no request is sent to the endpoint and it is not present any more.
+/// How long a failed connection is remembered if no request is sent to the endpoint and it has ended.
 const FAILURE_TTL: Millis = Millis(30_000);
 
 /// The endpoints with failed connections from which on the VM as a whole may be cut off.
@@ -63,7 +63,7 @@
     since: Instant,
     /// The latest failure.
     failed_at: Instant,
-    /// The latest failure or relayed connection, or when the endpoint was last found present.
+    /// The latest failure or relayed connection, or when the endpoint was last found not to have ended.
     used_at: Instant,
     probed_at: Instant,
     probe_interval: Millis,
@@ -101,6 +101,8 @@
     /// The paths that work again, since when, and the interval of their probes before.
     restored: collections::HashMap<net::SocketAddrV4, (Instant, Millis)>,
     responded_at: Option<Instant>,
+    /// When this process was last found to be cut off.
+    cut_off_at: Option<Instant>,
 }
 
 impl PathTable {
@@ -163,7 +165,9 @@
         let failed = self.failed.entry(endpoint).or_insert(first);
         failed.failed_at = now;
         failed.used_at = now;
-        self.failed.len() > count
+        let is_first = self.failed.len() > count;
+        self.note_cut_off(now);
+        is_first
     }
 
     /// Forgets failed connections to `endpoint`: another instance has its address, or none.
@@ -189,7 +193,9 @@
             return false;
         };
         failed.used_at = now;
-        std::mem::replace(&mut failed.evidence, RelayEvidence::PathLost) != RelayEvidence::PathLost
+        let evidence = std::mem::replace(&mut failed.evidence, RelayEvidence::PathLost);
+        self.note_cut_off(now);
+        evidence != RelayEvidence::PathLost
     }
 
     /// Records that relays do not reach `endpoint` either.
@@ -216,8 +222,7 @@
         unused.map(|(endpoint, _)| *endpoint).collect()
     }
 
-    /// Remembers failed connections to `endpoint`, which is present, though no request is sent to it: the paths that have
-    /// failed tell whether this process is cut off.
+    /// Remembers failed connections to `endpoint`, which has not ended, though no request is sent to it.
     pub fn keep(&mut self, now: Instant, endpoint: net::SocketAddrV4) {
         if let Some(failed) = self.failed.get_mut(&endpoint) {
             failed.used_at = now;
@@ -252,16 +257,33 @@
         failed.filter(|it| it.evidence == RelayEvidence::PathLost)
     }
 
-    /// Whether this process is taken to have lost its paths to all endpoints: connections to several have failed since
-    /// any has responded to it, and a relay has reached one of them.
+    /// Whether this process is taken to have lost its paths to all endpoints. Holds until an endpoint responds over a path
+    /// of this process.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
+        let responded_at = self.responded_at;
+        self.cut_off_at
+            .is_some_and(|at| responded_at.is_none_or(|it| it <= at))
+    }
+
+    /// Records that this process is cut off if connections to several endpoints have failed since any has responded to it,
+    /// and a relay has reached one of them.
+    fn note_cut_off(&mut self, now: Instant) {
         let is_after = |at: Instant| self.responded_at.is_none_or(|it| at > it);
         let failed = self.failed.values().filter(|it| is_after(it.failed_at));
-        failed.clone().count() >= MIN_FAILED_IF_CUT_OFF
+        let is_cut_off = failed.clone().count() >= MIN_FAILED_IF_CUT_OFF
             && failed
                 .clone()
-                .any(|it| it.evidence == RelayEvidence::PathLost)
+                .any(|it| it.evidence == RelayEvidence::PathLost);
+        if is_cut_off {
+            self.cut_off_at = Some(now);
+        }
+    }
+
+    /// Whether this process is cut off and no failed path is left whose probes could show that it no longer is.
+    #[must_use]
+    pub fn needs_probe(&self) -> bool {
+        self.is_cut_off() && self.failed.is_empty()
     }
 }
 
--- a/crates/sageshed-fleet/tests/paths.rs
+++ b/crates/sageshed-fleet/tests/paths.rs
@@ -201,6 +201,25 @@
     }
 }
 
+/// The same where they were forgotten since their endpoints ended: another path is probed then.
+#[test]
+fn a_process_stays_cut_off_when_the_endpoints_of_its_failed_paths_end() {
+    let mut paths = PathTable::default();
+    paths.record_failed(Instant(0), endpoint(1));
+    paths.record_failed(Instant(10), endpoint(2));
+    paths.record_relayed(Instant(20), endpoint(1));
+    assert!(!paths.needs_probe());
+    paths.forget(endpoint(1));
+    paths.forget(endpoint(2));
+    assert_eq!(paths.route(endpoint(3)), Route::Relay);
+    assert!(paths.needs_probe());
+    paths.record_failed(Instant(100), endpoint(3));
+    assert!(!paths.needs_probe());
+    assert_eq!(paths.next_probe(Instant(1_100)), Some(endpoint(3)));
+    paths.record_response(Instant(1_110), endpoint(3), true);
+    assert_eq!(paths.route(endpoint(4)), Route::Direct);
+}
+
 /// Guards against a zone that loses its paths as a whole: its processes stop asking each other.
 #[test]
 fn relays_that_can_not_be_used_are_avoided_for_a_while() {
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -7,7 +7,7 @@
     time as std_time,
 };
 
-use sageshed_fleet::{chooser, dialect, paths};
+use sageshed_fleet::{chooser, dialect, directory, paths};
 use sageshed_types::time;
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
@@ -210,13 +210,16 @@
     }
 
     fn is_present(&self, endpoint: net::SocketAddrV4) -> bool {
-        self.with_core(|core| core.directory.present_at(endpoint).is_some())
+        self.with_core(|core| {
+            let found = core.directory.instance_at(endpoint);
+            found.is_some_and(directory::Instance::is_present)
+        })
     }
 
     /// The health check of the endpoint at this address, if the endpoint and its service are known and it has one.
     fn health_check(&self, endpoint: net::SocketAddrV4) -> Option<dialect::OutboundRequest> {
         let (id, service) = self.with_core(|core| {
-            let found = core.directory.present_at(endpoint)?;
+            let found = core.directory.instance_at(endpoint)?;
             Some((found.id.clone(), found.service.clone()))
         })?;
         let routing = self.routing()?;
@@ -224,14 +227,14 @@
         Some(self.dialect.health_check(path, &id))
     }
 
-    /// Forgets failed paths that are not used and whose endpoints are not present any more.
+    /// Forgets failed paths that are not used and whose endpoints have ended.
     fn forget_unused_paths(&self) {
         let now = self.clock.now();
         let unused = locks::lock(&self.paths).unused(now);
         for endpoint in unused {
-            let is_present = self.is_present(endpoint);
+            let is_there = self.with_core(|core| core.directory.instance_at(endpoint).is_some());
             let mut paths = locks::lock(&self.paths);
-            if is_present {
+            if is_there {
                 paths.keep(now, endpoint);
             } else {
                 paths.forget(endpoint);
@@ -239,6 +242,23 @@
         }
     }
 
+    /// Has the path to a present endpoint probed if this process is cut off and the endpoints have ended by which it knows
+    /// that.
+    fn suspect_a_path(&self) {
+        if !locks::lock(&self.paths).needs_probe() {
+            return;
+        }
+        let now = self.clock.now();
+        let address = self.with_core(|core| {
+            let mut present = core.directory.present(now);
+            present.next().map(|(it, _)| it.address)
+        });
+        if let Some(address) = address {
+            // Its path is not known to work, and only failed ones are probed.
+            locks::lock(&self.paths).record_failed(now, address);
+        }
+    }
+
     fn record_failed_path(&self, endpoint: net::SocketAddrV4, failure: &failure::Failure) {
         let now = self.clock.now();
         let (is_first, status) =
@@ -385,6 +405,7 @@
             }
         }
         shared.forget_unused_paths();
+        shared.suspect_a_path();
         let begun = std_time::Instant::now();
         while begun.elapsed() < PROBE_PASS {
             let now = shared.clock.now();
