Compare closed connections with what processes report in tests of departures

As the test of silent endpoints does, the test now takes a request without any response for served elsewhere only if the processes report as many connections closed unread since the load began; what has a status other than 200, or was cut after it was read, fails as before. The one function for both is in the fleet.

--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -516,6 +516,25 @@
         }
     }
 
+    /// The connections that entry processes have closed without reading a request, since they could not start it in time.
+    pub fn count_unread(&self) -> usize {
+        let logs: String = self.entries.iter().map(Process::log).collect();
+        let counts = logs.lines().filter_map(|line| {
+            let (_, rest) = line.split_once("\"unread\":\"")?;
+            rest.split('"').next()?.parse::<usize>().ok()
+        });
+        counts.sum()
+    }
+
+    /// Waits until entry processes have reported as many connections that they closed unread as `closed`: those of requests
+    /// that got no response. A process without processor time may close a new connection.
+    pub fn until_unread(&self, closed: usize) {
+        self.until(
+            "closed connections are among those that were not read",
+            || self.count_unread() >= closed,
+        );
+    }
+
     fn print_logs(&self) {
         for process in self.control.iter().chain(&self.entries) {
             let log = process.log_file();
