Count the bytes that endpoints send and those that become responses

The failure of an answer that was not awaited to its end now names the bytes that have arrived, and sageshed_gateway_endpoint_bytes counts bytes received and passed on.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -143,6 +143,10 @@
     ) -> Result<Self, Failure> {
         let mut bytes = req.head();
         bytes.extend_from_slice(req.body);
+        let socket = Socket {
+            received: 0,
+            ..socket
+        };
         let mut sent = Self {
             socket,
             bytes,
--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -49,6 +49,7 @@
 struct Shared {
     idle: sync::Mutex<collections::HashMap<net::SocketAddrV4, Vec<Idle>>>,
     opened: atomic::AtomicU64,
+    received: sync::Arc<atomic::AtomicU64>,
 }
 
 /// Makes, keeps and drops connections. A clone shares the idle ones.
@@ -166,7 +167,10 @@
             .min(left)
             .max(time::Duration::from_millis(1));
         self.shared.opened.fetch_add(1, atomic::Ordering::Relaxed);
-        let socket = connector.connect(address, limit)?.socket;
+        let socket = Socket {
+            counter: sync::Arc::clone(&self.shared.received),
+            ..connector.connect(address, limit)?.socket
+        };
         let is_reused = false;
         Ok(Opened { socket, is_reused })
     }
@@ -219,6 +223,12 @@
         self.shared.opened.load(atomic::Ordering::Relaxed)
     }
 
+    /// The bytes that were read from connections.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.shared.received.load(atomic::Ordering::Relaxed)
+    }
+
     /// How many are idle.
     #[must_use]
     pub fn idle(&self) -> usize {
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io::{self, Read, Write},
-    net, time,
+    net,
+    sync::{Arc, atomic},
+    time,
 };
 
 use rustix::{event, net as sys};
@@ -64,6 +66,10 @@
     pub(crate) buf: Vec<u8>,
     /// Whether it leads to the endpoint through another process.
     pub(crate) is_relayed: bool,
+    /// The bytes that were read since the last request was begun.
+    pub(crate) received: u64,
+    /// Counts the bytes that are read from the connections of a pool.
+    pub(crate) counter: Arc<atomic::AtomicU64>,
 }
 
 impl Socket {
@@ -83,6 +89,8 @@
             stream,
             buf: Vec::new(),
             is_relayed: false,
+            received: 0,
+            counter: Arc::default(),
         })
     }
 
@@ -143,13 +151,15 @@
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Ok(Filled::End),
                 Ok(n) => {
+                    self.received += n as u64;
+                    self.counter.fetch_add(n as u64, atomic::Ordering::Relaxed);
                     self.buf.extend_from_slice(&chunk[..n]);
                     return Ok(Filled::More);
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) => {
                     if let Some(cause) = patience.over() {
-                        return Err(Failure::sent(cause, &"while an answer was awaited"));
+                        return Err(self.ended_wait(cause));
                     }
                 }
                 Err(e) => return Err(Failure::sent(Cause::ClosedBeforeAnswer, &e)),
@@ -157,6 +167,13 @@
         }
     }
 
+    /// The failure of an answer that was not awaited to its end.
+    fn ended_wait(&self, cause: Cause) -> Failure {
+        let received = self.received;
+        let detail = format!("{received} bytes arrived while an answer was awaited");
+        Failure::sent(cause, &detail)
+    }
+
     /// Takes the first `count` bytes out of the buffer.
     pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
         let rest = self.buf.split_off(count);
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -1,6 +1,10 @@
 //! The metrics of an entry process.
 
-use std::{collections, sync, time};
+use std::{
+    collections,
+    sync::{self, atomic},
+    time,
+};
 
 use opentelemetry::{KeyValue, metrics as instruments};
 use sageshed_http::stats;
@@ -120,6 +124,8 @@
     silences: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
+    /// The bytes of endpoints' responses that were passed on to callers.
+    passed_on: atomic::AtomicU64,
     gauges: Gauges,
 }
 
@@ -137,6 +143,7 @@
     lost_paths: metrics::Gauge,
     relayed: metrics::Gauge,
     connections: metrics::Gauge,
+    endpoint_bytes: metrics::Gauge,
     silence: metrics::Gauge,
     records_age: metrics::Gauge,
     config_wait: metrics::Gauge,
@@ -216,6 +223,10 @@
                 "Connections opened for other entry processes",
             ),
             connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
+            endpoint_bytes: gauge(
+                "sageshed_gateway_endpoint_bytes",
+                "Bytes received from endpoints since the start, and those passed on to callers",
+            ),
             config_wait: gauge(
                 "sageshed_gateway_config_wait",
                 "Seconds since the start for which no configuration has been in force",
@@ -394,6 +405,7 @@
             cut,
             silences,
             workspaces: sync::Mutex::default(),
+            passed_on: atomic::AtomicU64::default(),
             gauges,
         }
     }
@@ -426,6 +438,12 @@
         self.silences.add(1, &[KeyValue::new("end", end.label())]);
     }
 
+    /// Counts bytes of a response that were passed on to its caller.
+    pub fn passed_on(&self, bytes: usize) {
+        self.passed_on
+            .fetch_add(bytes as u64, atomic::Ordering::Relaxed);
+    }
+
     /// Counts a stream that this process ended after its first event and before its last, while its caller was connected.
     pub fn stream_cut(&self, reason: &str) {
         self.cut
@@ -520,6 +538,15 @@
         self.gauges.relayed.set(relayed as f64);
         self.gauges.connections.set(shared.pool.opened() as f64);
         self.gauges.idle.set(shared.pool.idle() as f64);
+        let passed_on = self.passed_on.load(atomic::Ordering::Relaxed);
+        for (kind, bytes) in [
+            ("received", shared.pool.received()),
+            ("passed_on", passed_on),
+        ] {
+            self.gauges
+                .endpoint_bytes
+                .set_for("kind", kind, bytes as f64);
+        }
         let quarantined = shared.with_core(|core| core.quarantine.count_quarantined(now));
         self.gauges.quarantined.set(quarantined as f64);
         let (records, dropped) =
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -83,6 +83,7 @@
                 exchange::Piece::Bytes(bytes) => {
                     let whole = events.push(self.shared.dialect, &bytes);
                     self.passed_on += whole.len() as u64;
+                    self.shared.metrics.passed_on(whole.len());
                     if self.timings.record_chunk() {
                         let now = self.shared.clock.now();
                         self.shared
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -71,6 +71,7 @@
         };
         self.end_attempt(pick, true, outcome);
         self.shared.pool.keep(pick.address, run.exchange);
+        self.shared.metrics.passed_on(run.body.len());
         self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
         AttemptResult::Done(sink.send_whole(&head, &run.body))
     }
