End the wait for an answer in time while bytes arrive

Cause: a read looked at the deadline, and at whether anybody still waits, only when it had timed out, after 100 ms without a byte. Whoever sends sooner is read past every deadline. The same held for a write to an endpoint that reads byte by byte, and at control processes, where twelve threads for orders and reports wait with the same code.

Now both are looked at each 100 ms whether bytes arrive or not. What has arrived when the deadline passes is read for another 100 ms, so that a process that was stopped still delivers what is ready.

Evidence: an_answer_without_end_ends_the_wait_in_time_and_when_nobody_waits runs on without the change until it is killed after 30 s, an_answer_that_has_arrived_is_read_after_the_time_is_over fails without the last 100 ms. Ruled out: a shorter read timeout, since no read of such an endpoint ever times out.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -130,7 +130,7 @@
     /// Why the wait for it has ended.
     pub failure: Failure,
     /// The request, where the wait has only ended by the patience of whoever waits and can go on.
-    pub sent: Option<Sent>,
+    pub sent: Option<Box<Sent>>,
 }
 
 impl Sent {
@@ -143,10 +143,8 @@
     ) -> Result<Self, Failure> {
         let mut bytes = req.head();
         bytes.extend_from_slice(req.body);
-        let socket = Socket {
-            received: 0,
-            ..socket
-        };
+        let mut socket = socket;
+        socket.begin_request();
         let mut sent = Self {
             socket,
             bytes,
@@ -208,7 +206,7 @@
                 is_reused: self.is_reused,
             }),
             Err(failure) => {
-                let sent = failure.is_wait_over().then_some(self);
+                let sent = failure.is_wait_over().then(|| Box::new(self));
                 Err(Unanswered { failure, sent })
             }
         }
--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -167,10 +167,8 @@
             .min(left)
             .max(time::Duration::from_millis(1));
         self.shared.opened.fetch_add(1, atomic::Ordering::Relaxed);
-        let socket = Socket {
-            counter: sync::Arc::clone(&self.shared.received),
-            ..connector.connect(address, limit)?.socket
-        };
+        let mut socket = connector.connect(address, limit)?.socket;
+        socket.counter = sync::Arc::clone(&self.shared.received);
         let is_reused = false;
         Ok(Opened { socket, is_reused })
     }
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -28,7 +28,7 @@
 pub struct Patience<'a, S> {
     /// When it ends.
     pub until: time::Instant,
-    /// Asked each time [`SLICE`] has passed; true ends the wait.
+    /// Asked each time [`SLICE`] has passed, whether bytes arrive or not; true ends the wait.
     pub stop: &'a S,
 }
 
@@ -66,8 +66,12 @@
     pub(crate) buf: Vec<u8>,
     /// Whether it leads to the endpoint through another process.
     pub(crate) is_relayed: bool,
+    /// When bytes were first read or written after the patience of whoever waits was looked at.
+    moved_since: Option<time::Instant>,
+    /// Whether the patience has ended, and what has arrived is still read.
+    is_last_slice: bool,
     /// The bytes that were read since the last request was begun.
-    pub(crate) received: u64,
+    received: u64,
     /// Counts the bytes that are read from the connections of a pool.
     pub(crate) counter: Arc<atomic::AtomicU64>,
 }
@@ -89,11 +93,20 @@
             stream,
             buf: Vec::new(),
             is_relayed: false,
+            moved_since: None,
+            is_last_slice: false,
             received: 0,
             counter: Arc::default(),
         })
     }
 
+    /// Forgets what was read for earlier requests.
+    pub(crate) fn begin_request(&mut self) {
+        self.received = 0;
+        self.moved_since = None;
+        self.is_last_slice = false;
+    }
+
     /// Whether nothing came since the last answer. What comes on an idle connection is its close, or
     /// bytes that belong to no request and must not be taken for the next answer.
     pub(crate) fn is_quiet(&self) -> bool {
@@ -112,8 +125,14 @@
     ) -> Result<bool, Failure> {
         while *written < bytes.len() {
             let is_sent = *written > 0;
+            if let Some(cause) = self.over(patience) {
+                return Err(failed(is_sent, cause, "while the request was written"));
+            }
             match self.stream.write(&bytes[*written..]) {
-                Ok(n) => *written += n,
+                Ok(n) => {
+                    *written += n;
+                    self.note_moved();
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) && self.has_input() => return Ok(false),
                 Err(e) if is_timeout(&e) => {
@@ -147,10 +166,14 @@
         patience: &Patience<'_, S>,
     ) -> Result<Filled, Failure> {
         let mut chunk = [0; READ_BYTES];
+        if let Some(cause) = self.over(patience) {
+            return Err(self.ended_wait(cause));
+        }
         loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Ok(Filled::End),
                 Ok(n) => {
+                    self.note_moved();
                     self.received += n as u64;
                     self.counter.fetch_add(n as u64, atomic::Ordering::Relaxed);
                     self.buf.extend_from_slice(&chunk[..n]);
@@ -167,6 +190,26 @@
         }
     }
 
+    /// Why the wait is over, if it is and bytes have moved for [`SLICE`] since that was looked at: an endpoint that sends
+    /// without a pause never lets a read time out. What has arrived by the end of the patience may be read for another
+    /// [`SLICE`].
+    fn over<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Option<Cause> {
+        self.moved_since.filter(|it| it.elapsed() >= SLICE)?;
+        self.moved_since = None;
+        let cause = patience.over();
+        if cause == Some(Cause::Silent) && !self.is_last_slice {
+            self.is_last_slice = true;
+            self.note_moved();
+            return None;
+        }
+        self.is_last_slice = false;
+        cause
+    }
+
+    fn note_moved(&mut self) {
+        self.moved_since.get_or_insert_with(time::Instant::now);
+    }
+
     /// The failure of an answer that was not awaited to its end.
     fn ended_wait(&self, cause: Cause) -> Failure {
         let received = self.received;
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -265,6 +265,120 @@
     assert_eq!((failure.cause, failure.is_sent), (Cause::Interrupted, true));
 }
 
+/// Bytes that an endpoint sends until the connection is closed.
+struct EndlessCase {
+    name: &'static str,
+    head: &'static [u8],
+    bytes: &'static [u8],
+    interval: time::Duration,
+}
+
+/// The time between two parts of an answer without end, if it is not sent as fast as it is read.
+const PART_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// An endpoint that sends `case` on its first connection, and the thread that ends with the connection.
+fn endless(case: &'static EndlessCase) -> (net::SocketAddrV4, thread::JoinHandle<()>) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    let sending = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let mut sent = stream.write_all(case.head);
+        while sent.is_ok() {
+            sent = stream.write_all(case.bytes);
+            thread::sleep(case.interval);
+        }
+    });
+    (address, sending)
+}
+
+/// Asks an endpoint that sends `case`, for a short time or until nobody waits.
+fn ask_endless(case: &'static EndlessCase, is_unwanted: bool) -> Failure {
+    let (address, sending) = endless(case);
+    let patience = Patience {
+        until: time::Instant::now() + time::Duration::from_millis(500),
+        stop: &|| is_unwanted,
+    };
+    let pool = Pool::new(Settings::default());
+    let body = pool
+        .exchange(address, &get(), LONG, &patience)
+        .and_then(|mut it| it.read_whole(usize::MAX, &patience));
+    // The connection is closed by now, so that the endpoint stops.
+    sending.join().expect("the endpoint stops");
+    body.expect_err(case.name)
+}
+
+static ENDLESS: [EndlessCase; 6] = [
+    EndlessCase {
+        name: "a first line",
+        head: b"HTTP/1.1 200 ",
+        bytes: b".",
+        interval: PART_INTERVAL,
+    },
+    EndlessCase {
+        name: "a header",
+        head: b"HTTP/1.1 200 OK\r\nX: ",
+        bytes: b".",
+        interval: PART_INTERVAL,
+    },
+    EndlessCase {
+        name: "a body with a length",
+        head: b"HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\n",
+        bytes: b".",
+        interval: PART_INTERVAL,
+    },
+    EndlessCase {
+        name: "a body without a length, as fast as it is read",
+        head: b"HTTP/1.1 200 OK\r\n\r\n",
+        bytes: &[b'.'; 1_024],
+        interval: time::Duration::ZERO,
+    },
+    EndlessCase {
+        name: "chunks",
+        head: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        bytes: b"1\r\n.\r\n",
+        interval: PART_INTERVAL,
+    },
+    EndlessCase {
+        name: "the size of a chunk",
+        head: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        bytes: b".",
+        interval: PART_INTERVAL,
+    },
+];
+
+/// Guards against a wait that never ends since bytes arrive all the time.
+#[test]
+fn an_answer_without_end_ends_the_wait_in_time_and_when_nobody_waits() {
+    for case in &ENDLESS {
+        let failure = ask_endless(case, false);
+        assert_eq!(failure.cause, Cause::Silent, "{}", case.name);
+        let failure = ask_endless(case, true);
+        assert_eq!(failure.cause, Cause::Interrupted, "{}", case.name);
+    }
+}
+
+/// Guards against a late answer that is dropped although all of it has arrived.
+#[test]
+fn an_answer_that_has_arrived_is_read_after_the_time_is_over() {
+    let mut whole = b"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n".to_vec();
+    whole.resize(whole.len() + 40_000, b'.');
+    let address = endpoint(vec![vec![whole.leak()]]);
+    let pool = Pool::new(Settings::default());
+    let time = time::Duration::from_millis(300);
+    let patience = Patience {
+        until: time::Instant::now() + time,
+        stop: &|| false,
+    };
+    let answer = pool.exchange(address, &get(), LONG, &patience);
+    let mut answer = answer.expect("its head");
+    thread::sleep(time);
+    let body = answer.read_whole(usize::MAX, &patience).expect("its body");
+    assert_eq!(body.len(), 40_000);
+}
+
 /// An endpoint answers before it has read a long body, and reads on later. The rest of the body is
 /// not sent, so the connection must carry nothing else: the endpoint would take it for that rest.
 #[test]
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -122,7 +122,7 @@
         match unanswered.sent {
             Some(sent) if is_interrupted && !self.is_wait_over(watch, has_started) => {
                 let run = SentRun {
-                    sent,
+                    sent: *sent,
                     path,
                     sent_at,
                 };
