Take at most eight interim responses for an answer

Cause: interim responses were passed over without a limit. An answer with more than eight is malformed now, so that the request can go to another endpoint at once; none is asked for.

Evidence: an_answer_that_is_longer_than_any_may_be_is_malformed ends as silent without the change and as malformed with it.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -17,6 +17,9 @@
 /// The largest head of an answer, in bytes.
 const HEAD_BYTES: usize = 64 * 1024;
 
+/// The most interim responses (RFC 9110, section 15.2) before an answer. None is asked for.
+const INTERIM_RESPONSES: usize = 8;
+
 /// A request as it goes out.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
@@ -119,6 +122,8 @@
     bytes: Vec<u8>,
     written: usize,
     is_head_request: bool,
+    /// The interim responses that have come.
+    interim: usize,
     /// Whether the connection may carry another request, if the head of the answer allows it.
     keeps: bool,
     is_reused: bool,
@@ -150,6 +155,7 @@
             bytes,
             written: 0,
             is_head_request: req.method == "HEAD",
+            interim: 0,
             keeps: true,
             is_reused,
         };
@@ -191,10 +197,9 @@
         mut self,
         patience: &Patience<'_, S>,
     ) -> Result<Exchange, Unanswered> {
-        let is_head_request = self.is_head_request;
         let head = self
             .write_rest(patience)
-            .and_then(|()| read_head(&mut self.socket, is_head_request, patience));
+            .and_then(|()| self.read_head(patience));
         match head {
             Ok((head, framing)) => Ok(Exchange {
                 keeps: self.keeps && !head.has_option("connection", "close"),
@@ -211,6 +216,36 @@
             }
         }
     }
+
+    fn read_head<S: Fn() -> bool>(
+        &mut self,
+        patience: &Patience<'_, S>,
+    ) -> Result<(Head, Framing), Failure> {
+        loop {
+            if let Some((head, framing)) = parse(&mut self.socket, self.is_head_request)? {
+                // Says only that the body may be sent, which it is.
+                if head.status / 100 == 1 {
+                    self.interim += 1;
+                    if self.interim > INTERIM_RESPONSES {
+                        return Err(malformed("too many interim responses"));
+                    }
+                    continue;
+                }
+                if framing == Framing::UntilClose && self.socket.is_relayed {
+                    let detail = "a response without a length can't be relayed: its end can't be told from the relay's";
+                    return Err(malformed(detail));
+                }
+                return Ok((head, framing));
+            }
+            if self.socket.buf.len() > HEAD_BYTES {
+                return Err(malformed("the head of the answer is too large"));
+            }
+            if self.socket.fill(patience)? == Filled::End {
+                let detail = "the connection ended before the head";
+                return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
+            }
+        }
+    }
 }
 
 impl Exchange {
@@ -299,6 +334,7 @@
             written: 0,
             socket: self.socket,
             is_head_request: self.is_head_request,
+            interim: 0,
             keeps: true,
             is_reused: self.is_reused,
         })
@@ -334,33 +370,6 @@
     }
 }
 
-fn read_head<S: Fn() -> bool>(
-    socket: &mut Socket,
-    is_head_request: bool,
-    patience: &Patience<'_, S>,
-) -> Result<(Head, Framing), Failure> {
-    loop {
-        if let Some((head, framing)) = parse(socket, is_head_request)? {
-            // Says only that the body may be sent, which it is.
-            if head.status / 100 == 1 {
-                continue;
-            }
-            if framing == Framing::UntilClose && socket.is_relayed {
-                let detail = "a response without a length can't be relayed: its end can't be told from the relay's";
-                return Err(malformed(detail));
-            }
-            return Ok((head, framing));
-        }
-        if socket.buf.len() > HEAD_BYTES {
-            return Err(malformed("the head of the answer is too large"));
-        }
-        if socket.fill(patience)? == Filled::End {
-            let detail = "the connection ended before the head";
-            return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
-        }
-    }
-}
-
 fn parse(socket: &mut Socket, is_head_request: bool) -> Result<Option<(Head, Framing)>, Failure> {
     let mut slots = [httparse::EMPTY_HEADER; HEADERS];
     let mut raw = httparse::Response::new(&mut slots);
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -360,6 +360,22 @@
     }
 }
 
+static TOO_LONG: [EndlessCase; 1] = [EndlessCase {
+    name: "interim responses",
+    head: b"",
+    bytes: b"HTTP/1.1 100 Continue\r\n\r\n",
+    interval: time::Duration::ZERO,
+}];
+
+/// Guards against a wait for an answer of which more has come than an answer may hold.
+#[test]
+fn an_answer_that_is_longer_than_any_may_be_is_malformed() {
+    for case in &TOO_LONG {
+        let failure = ask_endless(case, false);
+        assert_eq!(failure.cause, Cause::Malformed, "{}", case.name);
+    }
+}
+
 /// Guards against a late answer that is dropped although all of it has arrived.
 #[test]
 fn an_answer_that_has_arrived_is_read_after_the_time_is_over() {
