Reject a trailer over 8 KB, and a body whose length is too large, as soon as that is known

Cause: the lines behind the last chunk had no limit, and the length of a body was not compared with the limit on bodies before it was read. Both are malformed now at once.

--- a/crates/sageshed-upstream/src/body.rs
+++ b/crates/sageshed-upstream/src/body.rs
@@ -8,6 +8,9 @@
 /// The longest line that gives the size of a chunk, in bytes.
 const CHUNK_LINE: usize = 1024;
 
+/// The most that may follow the last chunk, in bytes.
+const TRAILER_BYTES: usize = 8 * 1024;
+
 /// How much of the body is still to come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -21,8 +24,8 @@
     ChunkEnd,
     /// The size of the next chunk.
     ChunkSize,
-    /// The lines behind the last chunk.
-    Trailer,
+    /// The lines behind the last chunk, of which this many bytes have come.
+    Trailer(usize),
     /// Everything up to the orderly end of the connection.
     UntilClose,
 }
@@ -103,7 +106,7 @@
                 Ok(httparse::Status::Complete((len, size))) => {
                     socket.take(len);
                     *framing = match size {
-                        0 => Framing::Trailer,
+                        0 => Framing::Trailer(0),
                         size => Framing::Chunk(size),
                     };
                 }
@@ -112,11 +115,16 @@
                     return Err(malformed("a chunk has no size"));
                 }
             },
-            Framing::Trailer => {
-                let Some(end) = socket.buf.windows(2).position(|it| it == b"\r\n") else {
+            Framing::Trailer(before) => {
+                let end = socket.buf.windows(2).position(|it| it == b"\r\n");
+                if before + end.unwrap_or(socket.buf.len()) > TRAILER_BYTES {
+                    return Err(malformed("the trailer is too large"));
+                }
+                let Some(end) = end else {
                     return Ok(None);
                 };
                 let line = socket.take(end + 2);
+                *framing = Framing::Trailer(before + line.len());
                 if line.len() == 2 {
                     *framing = Framing::Ended;
                     return Ok(Some(Piece::End));
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -304,11 +304,17 @@
         most: usize,
         patience: &Patience<'_, S>,
     ) -> Result<(), Failure> {
+        let too_large = || malformed(&format!("the answer is larger than {most} bytes"));
+        let left = self
+            .length()
+            .map_or(0, |it| it.saturating_add(body.len() as u64));
+        if left > most as u64 {
+            return Err(too_large());
+        }
         while let Piece::Bytes(bytes) = self.read(patience)? {
             body.extend(bytes);
             if body.len() > most {
-                let detail = format!("the answer is larger than {most} bytes");
-                return Err(Failure::sent(Cause::Malformed, &detail));
+                return Err(too_large());
             }
         }
         Ok(())
