Split event streams in a decision of its own, with a limit on one event

The splitter searches each byte once, gives an event of over 256 KB up, and says whether complete events hold a field or comments only, which the next change needs. Not used yet.

Evidence: tests/events.rs, all ways to cut eight streams into pieces, and events without end.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod entry_peers;
+pub mod events;
 pub mod fingerprint;
 pub mod links;
 pub mod messages;
