Judge the progress of a stream by its events, not by its bytes

Cause: any bytes counted as progress. They put off the attempt at another engine, began the response, told other processes that the prompt was read, and called a request back from the second engine, which was then never heard: what a silent engine has sent since was taken for its return.

Now a stream begins with its first complete event, and only events end a silence. An engine is left after the same time as a silent one, and as before its run is kept until another one has sent an event. Comments say that an engine is at work: with them three quarters of the caller's patience pass before another one is tried, and half without. Bytes call a request back only from an engine that had sent none for half a second before it was left, so a sound engine that was silent, also inside an event, goes on as before. Comments before the first event are passed on with it. What follows the last event belongs to a run now, so that it need not be taken out of the response and put back.

Ruled out: an earlier attempt elsewhere for all engines that pause, which would leave sound ones sooner.

--- a/crates/sageshed-fleet/src/silence.rs
+++ b/crates/sageshed-fleet/src/silence.rs
@@ -3,12 +3,18 @@
 //! A short silence does not tell a sound endpoint from a dead one: a sound one goes on after a second or more. Sending the
 //! request to a second endpoint costs a retry and the prefill of its prompt, so it waits until half of the time is over
 //! for which the caller waits for the next event, or until its deadline. The other half is left to the second endpoint.
+//!
+//! Bytes that are no event don't end a silence: an endpoint in trouble may send them without end.
 
 use sageshed_types::time;
 
 /// The shortest silence of a stream after which another endpoint is tried.
 const MIN_STALL: time::Millis = time::Millis(1_000);
 
+/// An endpoint that was given up as silent goes on with its next bytes if none had arrived for this time before. If some had,
+/// more of them tell nothing.
+pub const MIN_PAUSE: time::Millis = time::Millis(500);
+
 /// The time from the return to a silent endpoint to the next attempt at another one.
 pub const SWITCH_INTERVAL: time::Millis = time::Millis(250);
 
@@ -18,3 +24,10 @@
 pub fn stall_timeout(patience: Option<time::Millis>) -> time::Millis {
     patience.map_or(MIN_STALL, |it| time::Millis(it.0 / 2).max(MIN_STALL))
 }
+
+/// The same for an endpoint that sends comments, by which it says that it is at work. A quarter of `patience`, for which the
+/// caller waits for the next event, is left to another one.
+#[must_use]
+pub fn kept_alive_stall_timeout(patience: time::Millis) -> time::Millis {
+    time::Millis(patience.0 * 3 / 4).max(MIN_STALL)
+}
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -182,6 +182,12 @@
         self.socket.has_input() || (!self.bytes.is_empty() && self.socket.is_writable())
     }
 
+    /// Whether nothing was read of the answer for `span`.
+    #[must_use]
+    pub fn is_pausing(&self, span: time::Duration) -> bool {
+        self.socket.is_pausing(span)
+    }
+
     /// Whether the connection is open and nothing has come on it. Does not block.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
@@ -255,6 +261,12 @@
         self.socket.is_relayed
     }
 
+    /// Whether nothing was read of the answer for `span`.
+    #[must_use]
+    pub fn is_pausing(&self, span: time::Duration) -> bool {
+        self.socket.is_pausing(span)
+    }
+
     /// Whether more of the answer has arrived than was read. Does not block.
     #[must_use]
     pub fn has_input(&self) -> bool {
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -70,6 +70,8 @@
     moved_since: Option<time::Instant>,
     /// Whether the patience has ended, and what has arrived is still read.
     is_last_slice: bool,
+    /// When bytes were read last for the latest request.
+    received_at: Option<time::Instant>,
     /// The bytes that were read since the last request was begun.
     received: u64,
     /// Counts the bytes that are read from the connections of a pool.
@@ -93,6 +95,7 @@
             stream,
             buf: Vec::new(),
             is_relayed: false,
+            received_at: None,
             moved_since: None,
             is_last_slice: false,
             received: 0,
@@ -103,6 +106,7 @@
     /// Forgets what was read for earlier requests.
     pub(crate) fn begin_request(&mut self) {
         self.received = 0;
+        self.received_at = None;
         self.moved_since = None;
         self.is_last_slice = false;
     }
@@ -154,6 +158,11 @@
         matches!(event::poll(&mut fds, Some(&NO_WAIT)), Ok(n) if n > 0)
     }
 
+    /// Whether nothing was read for `span`.
+    pub(crate) fn is_pausing(&self, span: time::Duration) -> bool {
+        self.received_at.is_none_or(|it| it.elapsed() >= span)
+    }
+
     /// Whether bytes have arrived that were not read.
     pub(crate) fn has_input(&self) -> bool {
         let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
@@ -175,6 +184,7 @@
                 Ok(n) => {
                     self.note_moved();
                     self.received += n as u64;
+                    self.received_at = Some(time::Instant::now());
                     self.counter.fetch_add(n as u64, atomic::Ordering::Relaxed);
                     self.buf.extend_from_slice(&chunk[..n]);
                     return Ok(Filled::More);
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -147,7 +147,7 @@
     /// Whether the response of the latest endpoint is not waited for any more, as in [`Self::is_wait_over`] or since a silent
     /// endpoint goes on.
     pub(super) fn is_unwanted(&self, watch: &reply::Watch, has_started: bool) -> bool {
-        self.is_wait_over(watch, has_started) || self.has_kept_run_with_input()
+        self.is_wait_over(watch, has_started) || self.has_kept_run_that_goes_on()
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is not waited for any more, as in
@@ -367,13 +367,7 @@
             .get("content-type")
             .is_some_and(|it| it.starts_with("text/event-stream"));
         if is_success && is_events {
-            let run = StreamRun {
-                load: response.load,
-                exchange,
-                sent_at,
-                has_begun: false,
-                silent_since: std_time::Instant::now(),
-            };
+            let run = StreamRun::new(exchange, sent_at, response.load);
             return self.stream(pick, run, sink, watch);
         }
         if sink.has_started() {
@@ -542,7 +536,7 @@
     ) -> AttemptResult<'c> {
         let began = false;
         let is_interrupted = failure.cause == failure::Cause::Interrupted;
-        if is_interrupted && self.has_kept_run_with_input() && !watch.caller_gone() {
+        if is_interrupted && self.has_kept_run_that_goes_on() && !watch.caller_gone() {
             self.deliveries += u32::from(failure.is_sent);
             self.possible_runs += u32::from(failure.is_sent);
             return self.leave_run(pick, sink, began);
@@ -596,7 +590,7 @@
         began: bool,
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
-        if failure.cause == failure::Cause::Interrupted && self.has_kept_run_with_input() {
+        if failure.cause == failure::Cause::Interrupted && self.has_kept_run_that_goes_on() {
             return self.leave_run(pick, sink, began);
         }
         if failure.cause == failure::Cause::Interrupted {
--- a/src/sageshed/gateway/proxy/kept_runs.rs
+++ b/src/sageshed/gateway/proxy/kept_runs.rs
@@ -24,6 +24,8 @@
     progress: Progress,
     /// Why the request waits for another one.
     reason: KeptFor,
+    /// Whether its endpoint sent bytes that were no progress when it was kept.
+    is_noisy: bool,
     slot: Option<slot::HeldSlot>,
     charge: Option<quota::Charge>,
 }
@@ -42,8 +44,8 @@
 pub(super) enum Progress {
     /// The request was sent.
     Sent(SentRun),
-    /// The head of a stream has arrived. With the bytes of an event that is not complete.
-    Stream(StreamRun, Vec<u8>),
+    /// The head of a stream has arrived.
+    Stream(StreamRun),
     /// The head of another response has arrived.
     Whole(WholeRun),
 }
@@ -56,18 +58,35 @@
     pub(super) sent_at: std_time::Instant,
 }
 
-impl KeptRun {
-    /// Whether its endpoint has sent something since the run was kept.
+impl Progress {
+    /// Whether the endpoint has sent something that was not read.
     fn has_input(&self) -> bool {
-        match &self.progress {
-            Progress::Sent(run) => run.sent.goes_on(),
-            Progress::Stream(run, _) => run.exchange.has_input(),
-            Progress::Whole(run) => run.exchange.has_input(),
+        match self {
+            Self::Sent(run) => run.sent.goes_on(),
+            Self::Stream(run) => run.exchange.has_input(),
+            Self::Whole(run) => run.exchange.has_input(),
         }
     }
 
+    /// Whether nothing has arrived for so long that the endpoint goes on with its next bytes.
+    fn is_pausing(&self) -> bool {
+        let span = silence::MIN_PAUSE.into();
+        match self {
+            Self::Sent(run) => run.sent.is_pausing(span),
+            Self::Stream(run) => run.exchange.is_pausing(span),
+            Self::Whole(run) => run.exchange.is_pausing(span),
+        }
+    }
+}
+
+impl KeptRun {
+    /// Whether its endpoint has gone on since the run was kept.
+    fn goes_on(&self) -> bool {
+        !self.is_noisy && self.progress.has_input()
+    }
+
     fn has_begun(&self) -> bool {
-        matches!(&self.progress, Progress::Stream(run, _) if run.has_begun)
+        matches!(&self.progress, Progress::Stream(run) if run.has_begun)
     }
 }
 
@@ -88,6 +107,7 @@
         self.tried_endpoints.push(pick.key);
         self.kept_runs.push(KeptRun {
             pick: pick.clone(),
+            is_noisy: reason == KeptFor::Silence && !progress.is_pausing(),
             progress,
             reason,
             slot: self.slot.take(),
@@ -97,33 +117,36 @@
 
     /// Why the run in progress would be kept.
     pub(super) fn reason_to_keep(&self) -> KeptFor {
-        if self.has_kept_run_with_input() {
+        if self.has_kept_run_that_goes_on() {
             KeptFor::EarlierRunGoesOn
         } else {
             KeptFor::Silence
         }
     }
 
-    /// Whether the endpoint of a kept run has sent something.
-    pub(super) fn has_kept_run_with_input(&self) -> bool {
-        self.kept_runs.iter().any(KeptRun::has_input)
+    /// Whether the endpoint of a kept run goes on.
+    pub(super) fn has_kept_run_that_goes_on(&self) -> bool {
+        self.kept_runs.iter().any(KeptRun::goes_on)
     }
 
-    /// Whether the request goes on at a silent endpoint instead of at another one: it has sent something, or no other
-    /// endpoint is to be tried now.
+    /// Whether the request goes on at a silent endpoint instead of at another one: that one goes on, or no other endpoint
+    /// is to be tried now.
     pub(super) fn should_return(&self) -> bool {
         let may_switch = self.may_run_again() && std_time::Instant::now() >= self.next_switch;
-        !self.kept_runs.is_empty() && (!may_switch || self.has_kept_run_with_input())
+        !self.kept_runs.is_empty() && (!may_switch || self.has_kept_run_that_goes_on())
     }
 
-    /// Goes on with a kept run: one that has sent something, or else the latest one.
+    /// Goes on with a kept run: one whose endpoint goes on, or else one whose endpoint sends something, or the latest one.
     pub(super) fn return_to_kept_run<'c>(
         &mut self,
         sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let resumed = self.kept_runs.iter().position(KeptRun::has_input);
-        let at = resumed.unwrap_or(self.kept_runs.len().saturating_sub(1));
+        let runs = &self.kept_runs;
+        let resumed = runs.iter().position(KeptRun::goes_on);
+        let at = resumed
+            .or_else(|| runs.iter().position(|it| it.progress.has_input()))
+            .unwrap_or(runs.len().saturating_sub(1));
         let run = self.kept_runs.remove(at);
         self.return_retry();
         self.delay_switch();
@@ -143,10 +166,7 @@
                 self.possible_runs -= 1;
                 self.await_head(&run.pick, sent, sink, watch)
             }
-            Progress::Stream(stream, pending) => {
-                let sink = sink.with_pending(pending);
-                self.stream(&run.pick, stream, sink, watch)
-            }
+            Progress::Stream(stream) => self.stream(&run.pick, stream, sink, watch),
             Progress::Whole(whole) => self.receive_whole(&run.pick, whole, sink, watch),
         }
     }
@@ -186,15 +206,16 @@
         self.may_run_after(self.possible_runs)
     }
 
-    /// When another endpoint is tried for a stream that has been silent since `since`. `has_started` tells whether its
-    /// caller has received an event.
-    pub(super) fn stalls_at(
-        &self,
-        since: std_time::Instant,
-        has_started: bool,
-    ) -> std_time::Instant {
+    /// When another endpoint is tried for a stream. `has_started` tells whether its caller has received an event.
+    pub(super) fn stalls_at(&self, run: &StreamRun, has_started: bool) -> std_time::Instant {
+        let since = run.silent_since;
         let left = self.deadline.saturating_duration_since(since).into();
         let patience = self.route.abandoned_after.map_or(left, |it| it.min(left));
-        since + silence::stall_timeout(has_started.then_some(patience)).into()
+        let timeout = if run.is_kept_alive() {
+            silence::kept_alive_stall_timeout(patience)
+        } else {
+            silence::stall_timeout(has_started.then_some(patience))
+        };
+        since + timeout.into()
     }
 }
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -1,8 +1,10 @@
 //! Forwards the event stream of an endpoint, and resumes it at another one if it stalls or breaks off.
+//!
+//! Only events are progress. An endpoint whose bytes never become one is left like a silent one.
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect, silence};
+use sageshed_fleet::{chooser, dialect, events, silence};
 use sageshed_http::reply;
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
@@ -22,11 +24,61 @@
     pub(super) exchange: exchange::Exchange,
     pub(super) sent_at: std_time::Instant,
     /// The load that the endpoint has reported with the head.
-    pub(super) load: Option<dialect::Load>,
-    /// Whether a part of the body has arrived.
+    load: Option<dialect::Load>,
+    /// What has arrived after the latest complete event.
+    events: events::Splitter,
+    /// Comments that have arrived before the first event.
+    comments: Vec<u8>,
+    /// Whether an event has arrived.
     pub(super) has_begun: bool,
-    /// When its endpoint sent something last.
+    /// When the latest event arrived, or else the head.
     pub(super) silent_since: std_time::Instant,
+    /// When the latest comment arrived.
+    commented_at: Option<std_time::Instant>,
+}
+
+impl StreamRun {
+    /// A stream of which the head has arrived.
+    pub(super) fn new(
+        exchange: exchange::Exchange,
+        sent_at: std_time::Instant,
+        load: Option<dialect::Load>,
+    ) -> Self {
+        Self {
+            exchange,
+            sent_at,
+            load,
+            events: events::Splitter::default(),
+            comments: Vec::new(),
+            has_begun: false,
+            silent_since: std_time::Instant::now(),
+            commented_at: None,
+        }
+    }
+
+    /// Whether its endpoint has lately sent a comment.
+    pub(super) fn is_kept_alive(&self) -> bool {
+        self.commented_at
+            .is_some_and(|it| it.elapsed() < silence::MIN_PAUSE.into())
+    }
+
+    /// Takes what has arrived. Returns what can be passed on: complete events, and comments after the first event.
+    fn push(&mut self, bytes: &[u8]) -> Result<events::Events, events::TooLarge> {
+        let mut events = self.events.push(bytes)?;
+        if events.content == events::Content::Comments {
+            self.commented_at = Some(std_time::Instant::now());
+        }
+        let is_event = events.content == events::Content::Event;
+        if self.has_begun || is_event {
+            events.bytes.splice(..0, self.comments.drain(..));
+            return Ok(events);
+        }
+        self.comments.append(&mut events.bytes);
+        if self.comments.len() > events::MAX_EVENT_BYTES {
+            return Err(events::TooLarge);
+        }
+        Ok(events)
+    }
 }
 
 /// How far the response to the caller has come.
@@ -39,8 +91,9 @@
 
 /// What follows in a stream.
 enum Next {
-    Chunk(exchange::Piece),
-    /// Nothing yet, and another endpoint can be tried or goes on.
+    Events(events::Events),
+    End,
+    /// No event yet, and another endpoint can be tried or goes on.
     Keep(KeptFor),
     Failed(failure::Failure),
 }
@@ -51,133 +104,127 @@
         &mut self,
         pick: &chooser::Pick,
         mut run: StreamRun,
-        sink: ResponseSink<'c>,
+        mut sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let position = Position {
-            has_started: sink.has_started(),
-            can_resume: !sink.has_started() || sink.last_id().is_some(),
-        };
-        let mut chunk = match self.next_chunk(pick, &mut run, watch, position) {
-            Next::Chunk(chunk) => chunk,
-            Next::Keep(reason) => return self.keep_stream(pick, run, sink, reason),
-            Next::Failed(failure) if run.has_begun => {
-                return self.break_off(pick, run, sink, &failure);
-            }
-            Next::Failed(failure) => return self.handle_failed_run(pick, sink, false, &failure),
-        };
-        let is_empty = chunk == exchange::Piece::End && !run.has_begun;
-        if is_empty && run.exchange.ends_with_connection() {
-            return self.handle_failed_run(pick, sink, false, &ended_inside_event());
-        }
-        self.end_kept_runs(metrics::SilenceEnd::Replaced);
-        if !run.has_begun {
-            run.has_begun = true;
-            self.record_start(pick, run.sent_at, run.load);
-            self.note_resumption(pick, sink.last_id());
-            self.timings.record_start(self.req.received);
-        }
-        let (mut stream, mut events) = sink.start_stream(&run.exchange.head);
         loop {
-            match chunk {
-                exchange::Piece::Bytes(bytes) => {
-                    let whole = events.push(self.shared.dialect, &bytes);
-                    self.passed_on += whole.len() as u64;
-                    self.shared.metrics.passed_on(whole.len());
-                    if self.timings.record_chunk() {
-                        let now = self.shared.clock.now();
-                        self.shared
-                            .with_core(|core| core.chooser.record_activity(now, pick));
-                    }
-                    if !whole.is_empty() {
-                        self.record_origin(pick);
-                    }
-                    if stream.send(&whole).is_err() {
-                        self.end_attempt(pick, true, chooser::AttemptOutcome::GivenUp);
-                        return AttemptResult::CallerGone(ResponseSink::Streaming(stream, events));
-                    }
-                    self.timings.last_sent = Some(std_time::Instant::now());
-                }
-                exchange::Piece::End
-                    if run.exchange.ends_with_connection() && events.is_broken_off() =>
-                {
-                    let sink = ResponseSink::Streaming(stream, events);
-                    return self.break_off(pick, run, sink, &ended_inside_event());
-                }
-                exchange::Piece::End => {
-                    let rest = events.take_rest();
-                    let bytes = self.passed_on + rest.len() as u64;
-                    if stream.send(&rest).is_err() {
-                        ::log::info!(request = self.id(); "gateway: caller disconnected at the end of its stream");
-                    }
-                    self.end_attempt(pick, true, chooser::AttemptOutcome::Answered);
-                    self.record_pauses(pick);
-                    let status = run.exchange.head.status;
-                    self.shared.pool.keep(pick.address, run.exchange);
-                    self.finish_answered(pick, status, bytes, run.sent_at);
-                    return AttemptResult::Done(stream.finish());
-                }
-            }
             let position = Position {
-                has_started: true,
-                can_resume: events.last_id.is_some(),
+                has_started: sink.has_started(),
+                can_resume: !sink.has_started() || sink.last_id().is_some(),
             };
-            let next = self.next_chunk(pick, &mut run, watch, position);
-            chunk = match next {
-                Next::Chunk(chunk) => chunk,
+            let events = match self.next_events(pick, &mut run, watch, position) {
+                Next::Events(events) => events,
+                Next::End => return self.finish_stream(pick, run, sink),
                 Next::Keep(reason) => {
-                    let sink = ResponseSink::Streaming(stream, events);
-                    return self.keep_stream(pick, run, sink, reason);
-                }
-                Next::Failed(failure) => {
-                    let sink = ResponseSink::Streaming(stream, events);
-                    return self.break_off(pick, run, sink, &failure);
+                    self.keep_run(pick, Progress::Stream(run), reason);
+                    return AttemptResult::Retry(sink);
                 }
+                Next::Failed(failure) => return self.break_off(pick, run, sink, &failure),
             };
+            if events.content == events::Content::Event {
+                self.record_events(pick, &mut run, sink.last_id());
+            }
+            let (mut stream, mut last_id) = sink.start_stream(&run.exchange.head);
+            if let Some(id) = self.shared.dialect.last_event_id(&events.bytes) {
+                last_id = Some(id);
+            }
+            let is_sent = self.send_part(&mut stream, &events.bytes);
+            sink = ResponseSink::Streaming(stream, last_id);
+            if !is_sent {
+                self.end_attempt(pick, true, chooser::AttemptOutcome::GivenUp);
+                return AttemptResult::CallerGone(sink);
+            }
         }
     }
 
-    /// Handles a stream that the endpoint of `pick` has broken off.
-    fn break_off<'c>(
+    /// Records that events of a stream have arrived. `last_id` is the id of the last event that was sent to the caller.
+    fn record_events(&mut self, pick: &chooser::Pick, run: &mut StreamRun, last_id: Option<&str>) {
+        self.log_end_of_silence(pick, run.silent_since.elapsed());
+        run.silent_since = std_time::Instant::now();
+        self.end_kept_runs(metrics::SilenceEnd::Replaced);
+        if !run.has_begun {
+            self.begin_stream(pick, run, last_id);
+        }
+        if self.timings.record_chunk() {
+            let now = self.shared.clock.now();
+            self.shared
+                .with_core(|core| core.chooser.record_activity(now, pick));
+        }
+        self.record_origin(pick);
+    }
+
+    fn begin_stream(&mut self, pick: &chooser::Pick, run: &mut StreamRun, last_id: Option<&str>) {
+        run.has_begun = true;
+        self.record_start(pick, run.sent_at, run.load);
+        self.note_resumption(pick, last_id);
+        self.timings.record_start(self.req.received);
+    }
+
+    /// Sends a part of a stream. Returns whether the caller is connected.
+    fn send_part(&mut self, stream: &mut reply::Stream<'_>, bytes: &[u8]) -> bool {
+        self.passed_on += bytes.len() as u64;
+        self.shared.metrics.passed_on(bytes.len());
+        let is_sent = stream.send(bytes).is_ok();
+        self.timings.last_sent = Some(std_time::Instant::now());
+        is_sent
+    }
+
+    /// Ends a stream whose last byte has arrived.
+    fn finish_stream<'c>(
         &mut self,
         pick: &chooser::Pick,
-        run: StreamRun,
+        mut run: StreamRun,
         sink: ResponseSink<'c>,
-        failure: &failure::Failure,
     ) -> AttemptResult<'c> {
-        let (sink, _incomplete) = sink.without_pending();
-        // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
-        drop(run);
-        self.handle_failed_run(pick, sink, true, failure)
+        let is_incomplete = !run.has_begun || run.events.is_inside_event();
+        if run.exchange.ends_with_connection() && is_incomplete {
+            return self.break_off(pick, run, sink, &ended_inside_event());
+        }
+        self.end_kept_runs(metrics::SilenceEnd::Replaced);
+        if !run.has_begun {
+            self.begin_stream(pick, &mut run, sink.last_id());
+        }
+        let (mut stream, _) = sink.start_stream(&run.exchange.head);
+        let rest = [run.comments.as_slice(), run.events.pending()].concat();
+        if !self.send_part(&mut stream, &rest) {
+            ::log::info!(request = self.id(); "gateway: caller disconnected at the end of its stream");
+        }
+        self.end_attempt(pick, true, chooser::AttemptOutcome::Answered);
+        self.record_pauses(pick);
+        let status = run.exchange.head.status;
+        self.shared.pool.keep(pick.address, run.exchange);
+        self.finish_answered(pick, status, self.passed_on, run.sent_at);
+        AttemptResult::Done(stream.finish())
     }
 
-    /// Keeps a stream, and has the request go on at another endpoint.
-    fn keep_stream<'c>(
+    /// Handles a stream that the endpoint of `pick` has broken off.
+    fn break_off<'c>(
         &mut self,
         pick: &chooser::Pick,
         run: StreamRun,
         sink: ResponseSink<'c>,
-        reason: KeptFor,
+        failure: &failure::Failure,
     ) -> AttemptResult<'c> {
-        let (sink, incomplete) = sink.without_pending();
-        self.keep_run(pick, Progress::Stream(run, incomplete), reason);
-        AttemptResult::Retry(sink)
+        let has_begun = run.has_begun;
+        // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
+        drop(run);
+        self.handle_failed_run(pick, sink, has_begun, failure)
     }
 
-    /// Reads the next chunk of a stream.
+    /// Reads the next events of a stream. Bytes that complete none are no reason to wait for longer.
     ///
     /// A stream that has begun is not ended as soon as its caller should have given it up: the caller closes the connection
     /// then, and may do so later by its own clock.
-    fn next_chunk(
+    fn next_events(
         &mut self,
         pick: &chooser::Pick,
         run: &mut StreamRun,
         watch: &reply::Watch,
         position: Position,
     ) -> Next {
-        let mut next_try = self.stalls_at(run.silent_since, position.has_started);
+        let mut next_try = self.stalls_at(run, position.has_started);
         loop {
-            // While events arrive without a pause, `stop` is not asked.
+            // While bytes arrive without a pause, `stop` is asked at intervals only.
             if self.shared.is_exiting() {
                 return Next::Failed(cut_at_exit());
             }
@@ -190,11 +237,15 @@
             let stop = || self.is_unwanted(watch, position.has_started);
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
-                Ok(chunk) => {
-                    self.log_end_of_silence(pick, run.silent_since.elapsed());
-                    run.silent_since = std_time::Instant::now();
-                    return Next::Chunk(chunk);
-                }
+                Ok(exchange::Piece::End) => return Next::End,
+                Ok(exchange::Piece::Bytes(bytes)) => match run.push(&bytes) {
+                    Ok(events) if events.bytes.is_empty() => {
+                        next_try = next_try.max(self.stalls_at(run, position.has_started));
+                        continue;
+                    }
+                    Ok(events) => return Next::Events(events),
+                    Err(e) => return Next::Failed(too_large(e)),
+                },
                 Err(failure) => failure,
             };
             let is_over = self.time_left() == time::Millis(0);
@@ -264,6 +315,15 @@
     }
 }
 
+/// The failure of a stream whose event does not end.
+fn too_large(e: events::TooLarge) -> failure::Failure {
+    failure::Failure {
+        cause: failure::Cause::Malformed,
+        is_sent: true,
+        detail: e.to_string(),
+    }
+}
+
 /// The failure of a stream that this process cuts since it exits.
 fn cut_at_exit() -> failure::Failure {
     failure::Failure {
--- a/src/sageshed/gateway/proxy/waiting.rs
+++ b/src/sageshed/gateway/proxy/waiting.rs
@@ -237,7 +237,7 @@
         if watch.caller_gone() {
             return Some(NextStep::CallerGone);
         }
-        self.has_kept_run_with_input().then_some(NextStep::Return)
+        self.has_kept_run_that_goes_on().then_some(NextStep::Return)
     }
 
     /// Sends the request to `pick`, or refuses it, by the limits that all entry processes enforce together. None if
@@ -359,7 +359,7 @@
             if watch.caller_gone() {
                 break RetryWait::CallerGone;
             }
-            if self.has_kept_run_with_input() {
+            if self.has_kept_run_that_goes_on() {
                 break RetryWait::Resumed;
             }
             if self.acquire_retry() {
