Try another endpoint for a body that will not be complete in time

Cause: once the head of a response that is not a stream had arrived, its body was waited for until the deadline.

Now another endpoint is tried, and the run is kept meanwhile as at a silent endpoint, if the rate so far will not bring the rest of a body with a length in time, or half of the time is over for one without.

Ruled out: the limit by which a request leaves an endpoint without a head (three times the latency target), since a long body takes longer than that.

--- a/crates/sageshed-fleet/src/silence.rs
+++ b/crates/sageshed-fleet/src/silence.rs
@@ -31,3 +31,33 @@
 pub fn kept_alive_stall_timeout(patience: time::Millis) -> time::Millis {
     time::Millis(patience.0 * 3 / 4).max(MIN_STALL)
 }
+
+/// The shortest time after the head of a response for which its body is waited for before the time that it takes is estimated.
+const MIN_BODY_TIME: time::Millis = time::Millis(500);
+
+/// How far the body of a response has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// The bytes that have arrived.
+    pub received: u64,
+    /// The bytes that are to follow, if that is known.
+    pub left: Option<u64>,
+    /// The time since the head arrived.
+    pub elapsed: time::Millis,
+    /// The time until the deadline of the request.
+    pub time_left: time::Millis,
+}
+
+impl BodyProgress {
+    /// Whether another endpoint is tried: at its rate so far the body will not be complete in time, or its length is not
+    /// known and half of the time is over.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        let Some(left) = self.left else {
+            return self.elapsed >= self.time_left;
+        };
+        let needed = u128::from(left) * u128::from(self.elapsed.0);
+        let possible = u128::from(self.received) * u128::from(self.time_left.0);
+        self.elapsed >= MIN_BODY_TIME && needed > possible
+    }
+}
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -160,7 +160,7 @@
         has_started: bool,
     ) -> bool {
         self.is_unwanted(watch, has_started)
-            || (self.is_late(pick, sent_at) && self.try_acquire_switch())
+            || (self.is_late(pick, sent_at) && self.try_acquire_switch(self.possible_runs + 1))
     }
 
     /// Whether the response to what was sent to the endpoint of `pick` at `sent_at` is late.
@@ -177,10 +177,10 @@
             .with_core(|core| core.chooser.is_suspected(now, pick))
     }
 
-    /// Whether the request may be sent to a second endpoint now, while it may be running at the first. Takes the retry that
-    /// this needs, since others wait for the same endpoint.
-    fn try_acquire_switch(&self) -> bool {
-        let may_run = self.may_run_after(self.possible_runs + 1);
+    /// Whether the request may be sent to another endpoint now, while it may be running at `runs` of them. Takes the retry
+    /// that this needs, since others wait for the same endpoint.
+    pub(super) fn try_acquire_switch(&self, runs: u32) -> bool {
+        let may_run = self.may_run_after(runs);
         if !may_run || std_time::Instant::now() < self.next_switch {
             return false;
         }
@@ -374,12 +374,7 @@
             let detail = format!("the endpoint resumed a stream with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        let run = WholeRun {
-            load: response.load,
-            exchange,
-            sent_at,
-            body: Vec::new(),
-        };
+        let run = WholeRun::new(exchange, sent_at, response.load);
         self.receive_whole(pick, run, sink, watch)
     }
 
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -2,8 +2,9 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect};
+use sageshed_fleet::{chooser, dialect, silence};
 use sageshed_http::reply;
+use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
 
 use super::{
@@ -19,13 +20,42 @@
     pub(super) exchange: exchange::Exchange,
     pub(super) sent_at: std_time::Instant,
     /// The load that the endpoint has reported with the head.
-    pub(super) load: Option<dialect::Load>,
+    load: Option<dialect::Load>,
+    /// When the head arrived.
+    began_at: std_time::Instant,
     /// What has arrived of the body.
-    pub(super) body: Vec<u8>,
+    body: Vec<u8>,
+}
+
+impl WholeRun {
+    /// A response of which the head has arrived.
+    pub(super) fn new(
+        exchange: exchange::Exchange,
+        sent_at: std_time::Instant,
+        load: Option<dialect::Load>,
+    ) -> Self {
+        Self {
+            exchange,
+            sent_at,
+            load,
+            began_at: std_time::Instant::now(),
+            body: Vec::new(),
+        }
+    }
+
+    fn progress(&self, time_left: time::Millis) -> silence::BodyProgress {
+        silence::BodyProgress {
+            received: self.body.len() as u64,
+            left: self.exchange.length(),
+            elapsed: self.began_at.elapsed().into(),
+            time_left,
+        }
+    }
 }
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
-    /// Receives the rest of a response, and passes it on. It is kept if nothing comes while a silent endpoint goes on.
+    /// Receives the rest of a response, and passes it on. It is kept while another endpoint is tried, if it will not be
+    /// complete in time or a silent endpoint goes on.
     pub(super) fn receive_whole<'c>(
         &mut self,
         pick: &chooser::Pick,
@@ -33,25 +63,35 @@
         sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let stop = || self.is_unwanted(watch, true);
-        let patience = exchange::Patience {
-            until: self.deadline,
-            stop: &stop,
-        };
-        let received = run
-            .exchange
-            .read_rest(&mut run.body, MAX_RESPONSE_BYTES, &patience);
-        match received {
-            Ok(()) => self.finish_whole(pick, run, sink),
-            Err(failure)
-                if failure.cause == failure::Cause::Interrupted
-                    && !self.is_wait_over(watch, true) =>
-            {
-                self.keep_run(pick, Progress::Whole(run), KeptFor::EarlierRunGoesOn);
-                AttemptResult::Retry(sink)
+        let reason = loop {
+            let stop = || self.is_unwanted(watch, true);
+            let next_look = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
+            let patience = exchange::Patience {
+                until: self.deadline.min(next_look),
+                stop: &stop,
+            };
+            let received = run
+                .exchange
+                .read_rest(&mut run.body, MAX_RESPONSE_BYTES, &patience);
+            let Err(failure) = received else {
+                return self.finish_whole(pick, run, sink);
+            };
+            let time_left = self.time_left();
+            match failure.cause {
+                failure::Cause::Interrupted if !self.is_wait_over(watch, true) => {
+                    break KeptFor::EarlierRunGoesOn;
+                }
+                failure::Cause::Silent if time_left > time::Millis(0) => {
+                    let is_late = run.progress(time_left).is_late();
+                    if is_late && self.try_acquire_switch(self.possible_runs) {
+                        break KeptFor::Silence;
+                    }
+                }
+                _ => return self.handle_failed_run(pick, sink, false, &failure),
             }
-            Err(failure) => self.handle_failed_run(pick, sink, false, &failure),
-        }
+        };
+        self.keep_run(pick, Progress::Whole(run), reason);
+        AttemptResult::Retry(sink)
     }
 
     /// Passes on a response that has been received.
