Bound the memory of incomplete responses over all requests of a process

Cause: limits held for one response, 8 MB for a whole one and none for an event, so that requests at one endpoint in trouble could use up the memory together. Parts of responses that are held until more arrives may take a quarter of resources.memory_mb now. A response may grow while it holds no more than is left to all others (dynamic thresholds, Choudhury and Hahne 1998), so that responses without end leave room for ordinary ones; 16 KB are always accepted. One that may not grow is malformed, and its request goes elsewhere.

Ruled out: a smaller limit on each response, which sound ones would meet first.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod records_age;
 pub mod replication;
 pub mod reply_times;
+pub mod response_memory;
 pub mod routes;
 pub mod shared_queue;
 pub mod silence;
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -300,36 +300,18 @@
         most: usize,
         patience: &Patience<'_, S>,
     ) -> Result<Vec<u8>, Failure> {
-        let mut whole = Vec::new();
-        self.read_rest(&mut whole, most, patience)?;
-        Ok(whole)
-    }
-
-    /// Adds the rest of the body to `body`. If only the `patience` has ended, it may be read on with the same `body`.
-    ///
-    /// # Errors
-    ///
-    /// Where it does not come whole, or `body` gets larger than `most` bytes.
-    pub fn read_rest<S: Fn() -> bool>(
-        &mut self,
-        body: &mut Vec<u8>,
-        most: usize,
-        patience: &Patience<'_, S>,
-    ) -> Result<(), Failure> {
         let too_large = || malformed(&format!("the answer is larger than {most} bytes"));
-        let left = self
-            .length()
-            .map_or(0, |it| it.saturating_add(body.len() as u64));
-        if left > most as u64 {
+        if self.length().is_some_and(|it| it > most as u64) {
             return Err(too_large());
         }
+        let mut body = Vec::new();
         while let Piece::Bytes(bytes) = self.read(patience)? {
             body.extend(bytes);
             if body.len() > most {
                 return Err(too_large());
             }
         }
-        Ok(())
+        Ok(body)
     }
 
     /// Passes over this answer, which belongs to an earlier request. The answer to the request is still to come.
--- a/crates/sageshed-upstream/src/failure.rs
+++ b/crates/sageshed-upstream/src/failure.rs
@@ -57,7 +57,7 @@
     }
 
     /// Of a request that may have run.
-    pub(crate) fn sent(cause: Cause, detail: &impl ToString) -> Self {
+    pub fn sent(cause: Cause, detail: &impl ToString) -> Self {
         Self {
             cause,
             is_sent: true,
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -225,7 +225,7 @@
             connections: gauge("sageshed_gateway_connects", "Connections made to endpoints"),
             endpoint_bytes: gauge(
                 "sageshed_gateway_endpoint_bytes",
-                "Bytes received from endpoints since the start, and those passed on to callers",
+                "Bytes received from endpoints since the start, those passed on to callers, and those held now",
             ),
             config_wait: gauge(
                 "sageshed_gateway_config_wait",
@@ -542,6 +542,7 @@
         for (kind, bytes) in [
             ("received", shared.pool.received()),
             ("passed_on", passed_on),
+            ("held", shared.response_memory.held() as u64),
         ] {
             self.gauges
                 .endpoint_bytes
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -3,7 +3,7 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, config, dialect, entry_peers as wire};
+use sageshed_fleet::{chooser, config, dialect, entry_peers as wire, response_memory};
 use sageshed_http::reply;
 use sageshed_types::{headers, time, verdict};
 use sageshed_upstream::{exchange, failure, pool};
@@ -367,17 +367,21 @@
             .get("content-type")
             .is_some_and(|it| it.starts_with("text/event-stream"));
         if is_success && is_events {
-            let run = StreamRun::new(exchange, sent_at, response.load);
+            let run = StreamRun::new(exchange, sent_at, response.load, self.reserve_memory());
             return self.stream(pick, run, sink, watch);
         }
         if sink.has_started() {
             let detail = format!("the endpoint resumed a stream with status {}", head.status);
             return self.handle_unusable_response(pick, sink, detail);
         }
-        let run = WholeRun::new(exchange, sent_at, response.load);
+        let run = WholeRun::new(exchange, sent_at, response.load, self.reserve_memory());
         self.receive_whole(pick, run, sink, watch)
     }
 
+    fn reserve_memory(&self) -> response_memory::Reservation {
+        response_memory::ResponseMemory::reserve(&self.shared.response_memory)
+    }
+
     fn read_whole(
         &self,
         exchange: &mut exchange::Exchange,
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -4,7 +4,7 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect, events, silence};
+use sageshed_fleet::{chooser, dialect, events, response_memory::Reservation, silence};
 use sageshed_http::reply;
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
@@ -29,6 +29,8 @@
     events: events::Splitter,
     /// Comments that have arrived before the first event.
     comments: Vec<u8>,
+    /// The memory for both.
+    memory: Reservation,
     /// Whether an event has arrived.
     pub(super) has_begun: bool,
     /// When the latest event arrived, or else the head.
@@ -43,6 +45,7 @@
         exchange: exchange::Exchange,
         sent_at: std_time::Instant,
         load: Option<dialect::Load>,
+        memory: Reservation,
     ) -> Self {
         Self {
             exchange,
@@ -50,6 +53,7 @@
             load,
             events: events::Splitter::default(),
             comments: Vec::new(),
+            memory,
             has_begun: false,
             silent_since: std_time::Instant::now(),
             commented_at: None,
@@ -63,20 +67,22 @@
     }
 
     /// Takes what has arrived. Returns what can be passed on: complete events, and comments after the first event.
-    fn push(&mut self, bytes: &[u8]) -> Result<events::Events, events::TooLarge> {
-        let mut events = self.events.push(bytes)?;
+    fn push(&mut self, bytes: &[u8]) -> Result<events::Events, failure::Failure> {
+        let mut events = self.events.push(bytes).map_err(|e| malformed(&e))?;
         if events.content == events::Content::Comments {
             self.commented_at = Some(std_time::Instant::now());
         }
         let is_event = events.content == events::Content::Event;
         if self.has_begun || is_event {
             events.bytes.splice(..0, self.comments.drain(..));
-            return Ok(events);
+        } else {
+            self.comments.append(&mut events.bytes);
         }
-        self.comments.append(&mut events.bytes);
         if self.comments.len() > events::MAX_EVENT_BYTES {
-            return Err(events::TooLarge);
+            return Err(malformed(&events::TooLarge));
         }
+        let held = self.events.pending().len() + self.comments.len();
+        self.memory.resize(held).map_err(|e| malformed(&e))?;
         Ok(events)
     }
 }
@@ -244,7 +250,7 @@
                         continue;
                     }
                     Ok(events) => return Next::Events(events),
-                    Err(e) => return Next::Failed(too_large(e)),
+                    Err(failure) => return Next::Failed(failure),
                 },
                 Err(failure) => failure,
             };
@@ -315,13 +321,9 @@
     }
 }
 
-/// The failure of a stream whose event does not end.
-fn too_large(e: events::TooLarge) -> failure::Failure {
-    failure::Failure {
-        cause: failure::Cause::Malformed,
-        is_sent: true,
-        detail: e.to_string(),
-    }
+/// The failure of a stream whose bytes can't be held.
+fn malformed(e: &impl ToString) -> failure::Failure {
+    failure::Failure::sent(failure::Cause::Malformed, e)
 }
 
 /// The failure of a stream that this process cuts since it exits.
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -2,7 +2,7 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect, silence};
+use sageshed_fleet::{chooser, dialect, response_memory::Reservation, silence};
 use sageshed_http::reply;
 use sageshed_types::time;
 use sageshed_upstream::{exchange, failure};
@@ -25,6 +25,8 @@
     began_at: std_time::Instant,
     /// What has arrived of the body.
     body: Vec<u8>,
+    /// The memory for it.
+    memory: Reservation,
 }
 
 impl WholeRun {
@@ -33,6 +35,7 @@
         exchange: exchange::Exchange,
         sent_at: std_time::Instant,
         load: Option<dialect::Load>,
+        memory: Reservation,
     ) -> Self {
         Self {
             exchange,
@@ -40,9 +43,23 @@
             load,
             began_at: std_time::Instant::now(),
             body: Vec::new(),
+            memory,
         }
     }
 
+    /// Takes what has arrived of the body.
+    fn push(&mut self, bytes: &[u8]) -> Result<(), failure::Failure> {
+        self.body.extend_from_slice(bytes);
+        let left = self.exchange.length().unwrap_or(0);
+        let length = left.saturating_add(self.body.len() as u64);
+        if length > MAX_RESPONSE_BYTES as u64 {
+            let detail = format!("the response is larger than {MAX_RESPONSE_BYTES} bytes");
+            return Err(failure::Failure::sent(failure::Cause::Malformed, &detail));
+        }
+        let held = self.memory.resize(self.body.len());
+        held.map_err(|e| failure::Failure::sent(failure::Cause::Malformed, &e))
+    }
+
     fn progress(&self, time_left: time::Millis) -> silence::BodyProgress {
         silence::BodyProgress {
             received: self.body.len() as u64,
@@ -63,18 +80,21 @@
         sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
+        let mut next_look = std_time::Instant::now();
         let reason = loop {
             let stop = || self.is_unwanted(watch, true);
-            let next_look = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
             let patience = exchange::Patience {
                 until: self.deadline.min(next_look),
                 stop: &stop,
             };
-            let received = run
-                .exchange
-                .read_rest(&mut run.body, MAX_RESPONSE_BYTES, &patience);
-            let Err(failure) = received else {
-                return self.finish_whole(pick, run, sink);
+            let received = run.exchange.read(&patience).and_then(|piece| match piece {
+                exchange::Piece::Bytes(bytes) => run.push(&bytes).map(|()| false),
+                exchange::Piece::End => Ok(true),
+            });
+            let failure = match received {
+                Ok(false) => continue,
+                Ok(true) => return self.finish_whole(pick, run, sink),
+                Err(failure) => failure,
             };
             let time_left = self.time_left();
             match failure.cause {
@@ -86,6 +106,7 @@
                     if is_late && self.try_acquire_switch(self.possible_runs) {
                         break KeptFor::Silence;
                     }
+                    next_look = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
                 }
                 _ => return self.handle_failed_run(pick, sink, false, &failure),
             }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -10,6 +10,7 @@
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
     directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator,
     records_age::{Freshness, RecordsAge},
+    response_memory::ResponseMemory,
     shared_queue,
     slots::SlotCoordinator,
     stream_origins,
@@ -32,6 +33,8 @@
     pub clock: clock::Clock,
     /// Pooled connections to endpoints.
     pub pool: pool::Pool,
+    /// The memory for parts of responses that are held until more arrives.
+    pub(super) response_memory: sync::Arc<ResponseMemory>,
     /// Which endpoints this process can open connections to.
     pub(super) paths: sync::Mutex<paths::PathTable>,
     /// The entry processes through which connections can be opened.
@@ -145,6 +148,11 @@
 /// The longest interval between two checks whether the caller of a waiting request is still connected.
 pub const CALLER_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(100);
 
+/// The share of the memory of this process that parts of responses may take: connections and threads take half of it.
+const RESPONSES_PER_MEMORY: usize = 4;
+
+const BYTES_PER_MB: usize = 1_024 * 1_024;
+
 /// How long control is told that an endpoint is leaving. It covers several calls of each link, so that the report
 /// reaches more than one control process even if one has just failed.
 const LEAVING_REPORT_PERIOD: time::Millis = time::Millis(5_000);
@@ -192,11 +200,13 @@
             requested_adapters: collections::HashMap::new(),
             changes: 0,
         };
+        let response_memory = settings.resources.memory_mb * BYTES_PER_MB / RESPONSES_PER_MEMORY;
         Self {
             settings,
             dialect,
             clock: clock::Clock::start(),
             pool: pool::Pool::new(pool::Settings::default()),
+            response_memory: sync::Arc::new(ResponseMemory::new(response_memory)),
             paths: sync::Mutex::default(),
             relays: sync::Mutex::default(),
             relay: sync::OnceLock::new(),
