Send a rejected request elsewhere without waiting for the end of the rejection

Cause: up to 8 MB of that body were read until the deadline, only to keep the connection. The head tells that the request has not run, so 64 KB are read for 100 ms at most, and the connection is closed otherwise.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -21,6 +21,12 @@
 /// The largest response that is not a stream.
 pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// The largest body of a rejection that is read so that its connection can be kept.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
+
+/// How long the body of a rejection is waited for, so that its connection can be kept.
+const REJECTION_BODY_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(100);
+
 /// How long a pooled connection may have been idle to be used for a request that must not run twice: if
 /// the endpoint closes it at the same moment, the request is lost and can't be retried.
 const MAX_IDLE_NOT_REPEATABLE: std_time::Duration = std_time::Duration::from_millis(1_500);
@@ -339,9 +345,11 @@
             dialect::ExecutionStatus::NotRun | dialect::ExecutionStatus::Misdirected
         );
         if is_rejected {
-            // The head tells that it has not run. An endpoint that goes on is not left waiting for the rest.
+            // The head tells that it has not run. The rest is read for the sake of the connection only.
+            let until = std_time::Instant::now() + REJECTION_BODY_TIMEOUT;
             let stop = || self.is_unwanted(watch, true);
-            if self.read_whole(&mut exchange, stop).is_ok() {
+            let patience = exchange::Patience { until, stop: &stop };
+            if exchange.read_whole(MAX_REJECTION_BYTES, &patience).is_ok() {
                 self.shared.pool.keep(pick.address, exchange);
             }
             return self.handle_rejection(pick, sink, &response, head.status);
@@ -382,18 +390,6 @@
         response_memory::ResponseMemory::reserve(&self.shared.response_memory)
     }
 
-    fn read_whole(
-        &self,
-        exchange: &mut exchange::Exchange,
-        stop: impl Fn() -> bool,
-    ) -> Result<Vec<u8>, failure::Failure> {
-        let patience = exchange::Patience {
-            until: self.deadline,
-            stop: &stop,
-        };
-        exchange.read_whole(MAX_RESPONSE_BYTES, &patience)
-    }
-
     /// Records that the endpoint of `pick` has started to respond, so that its prefill is done, and reports this to
     /// entry peers.
     pub(super) fn record_start(
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -301,6 +301,31 @@
     assert_eq!(unmet, []);
 }
 
+/// Guards against a request that waits until its deadline for the rest of a rejection, which does not end, though another endpoint
+/// is free.
+#[test]
+fn a_request_does_not_wait_for_a_rejection_without_end() {
+    let (fleet, engines) = Fleet::many_ready(1, SETTINGS);
+    engines[0].set_behavior(Behavior::Endless(Endless {
+        head: "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+        rest: "Transfer-Encoding: chunked\r\n\r\n",
+        bytes: "1\r\n.\r\n",
+        interval: INTERVAL,
+    }));
+    engines[1].set_behavior(Behavior::StreamsTokens(INTERVAL));
+    let outcomes = EXPECTATIONS[0].send(&fleet, 0);
+    let rejected = engines[0].log(|log| log.arrived.len());
+    println!(
+        "{outcomes:?}, {rejected} rejected; {}",
+        fleet.entries[0].log_file().display()
+    );
+    assert!(
+        rejected > 0,
+        "some were sent to the engine that rejects them"
+    );
+    assert_eq!(outcomes, [Outcome::Whole; REQUESTS]);
+}
+
 /// When the endpoints get into trouble.
 const BEGIN: time::Duration = time::Duration::from_secs(3);
 
