Count no failure against an engine whose stream is ended at its deadline

Since the wait for an answer ends in time while bytes arrive, a stream that flows is ended at its deadline, and the engine that was at work on it counted as silent: it could be avoided by this and other processes for the deadline of its callers.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -577,6 +577,20 @@
         AttemptResult::Retry(sink)
     }
 
+    /// Ends a stream whose endpoint sends events at its deadline.
+    fn end_at_deadline<'c>(
+        &mut self,
+        pick: &chooser::Pick,
+        sink: ResponseSink<'c>,
+        began: bool,
+    ) -> AttemptResult<'c> {
+        let refusal = self.out_of_time();
+        self.attempt_log
+            .record_outcome(verdict::Verdict::MayHaveRun, &refusal.detail);
+        self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
+        AttemptResult::Refuse(sink, refusal)
+    }
+
     /// Handles the failure of a request that may have run and got no complete response.
     pub(super) fn handle_failed_run<'c>(
         &mut self,
@@ -592,6 +606,10 @@
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
             return AttemptResult::CallerGone(sink);
         }
+        let is_over = self.time_left() == time::Millis(0);
+        if is_over && failure.cause == failure::Cause::Silent && self.timings.is_flowing() {
+            return self.end_at_deadline(pick, sink, began);
+        }
         ::log::info!(request = self.id(), content:% = self.content, endpoint:% = pick.instance, software = self.software_of(pick),
             error:% = failure, runs = self.possible_runs, begun = sink.has_started(), records_ms = self.records_age.get().0;
             "gateway: endpoint failed, the request may have run");
@@ -599,7 +617,6 @@
         self.attempt_log
             .record_outcome(verdict::Verdict::MayHaveRun, &self.last_failure);
         self.note_crash(pick, failure.cause);
-        let is_over = self.time_left() == time::Millis(0);
         let outcome = match failure.cause {
             failure::Cause::Silent => chooser::AttemptOutcome::Silent,
             _ => chooser::AttemptOutcome::Failed,
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -33,7 +33,8 @@
 };
 
 use sageshed_fleet::{
-    chooser, config, dialect, fingerprint, quarantine, stream_origins::StreamKey, workspaces,
+    chooser, config, dialect, fingerprint, quarantine, silence, stream_origins::StreamKey,
+    workspaces,
 };
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
@@ -255,12 +256,12 @@
     attempt_log: attempt_log::AttemptLog,
 }
 
-/// When the chunks of a stream arrived, for the log: one long pause makes a stream late.
+/// When the events of a stream arrived, for the log: one long pause makes a stream late.
 #[derive(Debug, Default)]
 struct StreamTimings {
     first_event: std_time::Duration,
     longest_pause: std_time::Duration,
-    last_chunk: Option<std_time::Instant>,
+    last_event: Option<std_time::Instant>,
     /// When the latest chunk had been passed on to the caller. A slow reader may block that for seconds.
     last_sent: Option<std_time::Instant>,
     activity_recorded: Option<std_time::Instant>,
@@ -269,24 +270,30 @@
 impl StreamTimings {
     /// Records the start of the stream, unless it is resumed at another endpoint.
     fn record_start(&mut self, received: std_time::Instant) {
-        if self.last_chunk.is_none() {
+        if self.last_event.is_none() {
             self.first_event = received.elapsed();
         }
     }
 
+    /// Whether events arrive without a pause that would count as a silence.
+    fn is_flowing(&self) -> bool {
+        self.last_event
+            .is_some_and(|it| it.elapsed() < silence::MIN_PAUSE.into())
+    }
+
     /// Describes the timing of a response for its request trace.
     fn describe(&self) -> String {
-        if self.last_chunk.is_none() {
+        if self.last_event.is_none() {
             return "answered".to_owned();
         }
         let (first, longest) = (self.first_event.as_millis(), self.longest_pause.as_millis());
         format!("answered; its stream began after {first} ms, its longest pause was {longest} ms")
     }
 
-    /// Records the arrival of a chunk. Returns whether it should be recorded as a sign of life of the endpoint.
-    fn record_chunk(&mut self) -> bool {
+    /// Records the arrival of events. Returns whether it should be recorded as a sign of life of the endpoint.
+    fn record_events(&mut self) -> bool {
         let now = std_time::Instant::now();
-        if let Some(last) = self.last_chunk.replace(now) {
+        if let Some(last) = self.last_event.replace(now) {
             self.longest_pause = self.longest_pause.max(now - last);
         }
         let is_due = self
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -151,7 +151,7 @@
         if !run.has_begun {
             self.begin_stream(pick, run, last_id);
         }
-        if self.timings.record_chunk() {
+        if self.timings.record_events() {
             let now = self.shared.clock.now();
             self.shared
                 .with_core(|core| core.chooser.record_activity(now, pick));
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -326,6 +326,40 @@
     assert_eq!(outcomes, [Outcome::Whole; REQUESTS]);
 }
 
+/// Guards against engines that are taken for silent since streams which they send are ended at their deadline.
+#[test]
+fn streams_that_are_ended_at_their_deadline_count_against_no_engine() {
+    let (fleet, engines) = Fleet::many_ready(1, SETTINGS);
+    for engine in &engines[..2] {
+        engine.set_slots(32);
+        engine.set_behavior(Behavior::StreamsTokens(INTERVAL));
+    }
+    let send = |number: usize| {
+        let id = format!("long-{number}");
+        let lines =
+            format!("Model: m1\r\nToken-Usage: 100,400\r\nPrompt-Prefix: {number:x}:100\r\n");
+        let request = Request {
+            model: None,
+            lines: &lines,
+            deadline_ms: 1_500,
+            ..Request::new("POST", "/resumable/x", &id)
+        };
+        fleet.ask(0, &request)
+    };
+    thread::scope(|scope| {
+        let send = &send;
+        (0..REQUESTS).for_each(|it| drop(scope.spawn(move || send(it))));
+    });
+    let log = fleet.entries[0].log();
+    let ended = log.matches("\"reason\":\"deadline_passed\"").count();
+    let failed = log.matches("endpoint failed").count();
+    println!(
+        "{ended} ended, {failed} failed; {}",
+        fleet.entries[0].log_file().display()
+    );
+    assert_eq!((ended, failed), (REQUESTS, 0));
+}
+
 /// When the endpoints get into trouble.
 const BEGIN: time::Duration = time::Duration::from_secs(3);
 
