Refuse a request at its deadline if its body has not arrived

Cause: the time for a body was a constant of the port. It ends with the request's deadline or its route's timeout now: 408, which says that the request has not run. A body that has arrived is read for 100 ms in any case, so that a process that was stopped does not refuse it.

Evidence: a_request_whose_body_does_not_end_is_refused_at_its_deadline, no response two seconds after the head without the change, 408 with it, for a body with a length and one in chunks.

--- a/crates/sageshed-http/src/body.rs
+++ b/crates/sageshed-http/src/body.rs
@@ -5,7 +5,7 @@
 use sageshed_types::{refusal, verdict};
 
 use crate::{
-    head, limits,
+    head,
     link::{self, Fill},
 };
 
@@ -35,7 +35,8 @@
 pub(crate) struct Reader<'c> {
     pub(crate) link: &'c link::Link,
     pub(crate) input: &'c mut link::Input,
-    pub(crate) limits: &'c limits::Limits,
+    /// The time that the body had, for the refusal of one that has not come.
+    pub(crate) timeout: time::Duration,
     pub(crate) until: time::Instant,
     /// The largest body, in bytes.
     pub(crate) most: usize,
@@ -134,7 +135,7 @@
                 verdict::Reason::RequestTimeout,
                 format!(
                     "the body did not arrive within {} ms",
-                    self.limits.body_timeout.as_millis()
+                    self.timeout.as_millis()
                 ),
             )
             .into()),
--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -13,6 +13,9 @@
 /// What a caller that waits for a go-ahead is sent.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// The shortest time in which a body has to arrive.
+const MIN_BODY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// What a caller is told of a handler that panicked.
 const FAULT: &str = "a fault inside the system stopped the request";
 
@@ -168,13 +171,24 @@
             Ok(handler::Admission::Answer(answer)) => return Arrival::Answered(answer),
             Err(refusal) => return Arrival::Refused(refusal),
         };
-        match self.read_body(&incoming, most) {
+        let timeout = self.body_timeout(&req);
+        match self.read_body(&incoming, most, timeout) {
             Ok(body) => req.body = body,
             Err(cut) => return cut.into(),
         }
         Arrival::Whole(req.into(), incoming.manner)
     }
 
+    /// The time from now in which the body of `req` has to arrive. What has arrived already is read in any case.
+    fn body_timeout(&self, req: &request::Request) -> time::Duration {
+        let limit = self.limits.body_timeout;
+        let given = self.handler.body_timeout(req).map(|it| {
+            let left = it.saturating_sub(req.received.elapsed());
+            left.max(MIN_BODY_TIMEOUT)
+        });
+        given.map_or(limit, |it| it.min(limit))
+    }
+
     /// As with an answer, a panic must not leave the caller without a cause.
     fn admit(&self, req: &request::Request) -> Result<handler::Admission, refusal::Refusal> {
         let call = panic::AssertUnwindSafe(|| self.handler.admit(req));
@@ -240,7 +254,12 @@
         refusal::Refusal::not_run(verdict::Reason::RequestTimeout, detail)
     }
 
-    fn read_body(&mut self, incoming: &Incoming, most: usize) -> Result<Vec<u8>, body::Cut> {
+    fn read_body(
+        &mut self,
+        incoming: &Incoming,
+        most: usize,
+        timeout: time::Duration,
+    ) -> Result<Vec<u8>, body::Cut> {
         if let head::Framing::Length(length) = incoming.framing {
             body::within_limit(most, length)?;
         }
@@ -252,8 +271,8 @@
         let mut reader = body::Reader {
             link: &self.link,
             input: &mut self.input,
-            limits: &self.limits,
-            until: time::Instant::now() + self.limits.body_timeout,
+            timeout,
+            until: time::Instant::now() + timeout,
             most,
         };
         match incoming.framing {
--- a/crates/sageshed-http/src/handler.rs
+++ b/crates/sageshed-http/src/handler.rs
@@ -1,5 +1,7 @@
 //! What the daemon behind a port brings: the answer to each request.
 
+use std::time;
+
 use sageshed_types::refusal;
 
 use crate::{problem, reply, request};
@@ -15,6 +17,13 @@
         Admission::Read
     }
 
+    /// The time from the first byte of the request in which its body has to arrive; none for that of the limits. The request
+    /// has no body yet.
+    fn body_timeout(&self, head: &request::Request) -> Option<time::Duration> {
+        let _ = head;
+        None
+    }
+
     /// Whether the request is refused on a connection that was accepted when only reserved ones were left. The
     /// connection ends with the refusal.
     fn yields(&self, head: &request::Request) -> bool {
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -130,6 +130,23 @@
         }
     }
 
+    /// A request that arrives later than its deadline can't be served.
+    fn body_timeout(&self, head: &request::Request) -> Option<std_time::Duration> {
+        let metadata = self
+            .shared
+            .dialect
+            .request_metadata(|name| head.header(name));
+        let deadline = metadata.ok().and_then(|it| it.deadline);
+        let routing = self.shared.routing();
+        let host = head.header("host").unwrap_or_default();
+        let route = routing
+            .as_ref()
+            .and_then(|it| it.table.find(host, &head.path));
+        let timeout = route.map(|it| it.timeout);
+        let shortest = deadline.into_iter().chain(timeout).min();
+        shortest.map(std_time::Duration::from)
+    }
+
     fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
         ::log::info!(reason:% = refusal.reason, detail = refusal.detail.as_str();
             "gateway: request refused before it was read");
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -3,7 +3,7 @@
 //! `SAGESHED_ENDLESS_CASE` (the number of a case), `SAGESHED_ENDLESS_RATE` (requests per second) and `SAGESHED_ENDLESS_ENGINES`
 //! (how many engines are in trouble) set a run of the load by hand.
 
-use std::{sync, thread, time};
+use std::{io, net, sync, thread, time};
 
 use sageshed_test_support::relay;
 
@@ -360,6 +360,44 @@
     assert_eq!((ended, failed), (REQUESTS, 0));
 }
 
+/// Guards against a caller that sends a body without end and holds a thread for half a minute, whatever its deadline is.
+#[test]
+fn a_request_whose_body_does_not_end_is_refused_at_its_deadline() {
+    let (fleet, _engines) = Fleet::many_ready(1, SETTINGS);
+    let cases = [
+        ("Content-Length: 1000000\r\n", "."),
+        ("Transfer-Encoding: chunked\r\n", "1\r\n.\r\n"),
+    ];
+    for (framing, bytes) in cases {
+        let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
+        let request = Request {
+            lines: framing,
+            deadline_ms: 1_000,
+            ..Request::new("POST", "/again/x", "endless")
+        };
+        caller.send(&request).expect("its head is read");
+        let mut sending = caller.stream.try_clone().expect("a second handle");
+        let timeout = time::Duration::from_secs(1) + MARGIN;
+        caller
+            .stream
+            .set_read_timeout(Some(timeout))
+            .expect("a socket");
+        let answer = thread::scope(|scope| {
+            scope.spawn(move || {
+                while io::Write::write_all(&mut sending, bytes.as_bytes()).is_ok() {
+                    thread::sleep(INTERVAL);
+                }
+            });
+            let answer = caller.answer();
+            // Ends the thread that sends.
+            drop(caller.stream.shutdown(net::Shutdown::Both));
+            answer
+        });
+        let status = answer.ok().flatten().map(|it| it.status());
+        assert_eq!(status, Some(408), "{framing}");
+    }
+}
+
 /// When the endpoints get into trouble.
 const BEGIN: time::Duration = time::Duration::from_secs(3);
 
