Give up connections to and from relays whose head does not end

Both sides look at the time before each byte now.

Evidence: two tests of relays.rs in which a head of a byte each 20 ms is not closed within 500 bytes without the change, and is with it.

--- a/crates/sageshed-upstream/src/connection.rs
+++ b/crates/sageshed-upstream/src/connection.rs
@@ -100,10 +100,13 @@
         let mut buf = [0];
         // Read byte by byte: what follows the head belongs to the endpoint.
         while !response.ends_with(b"\r\n\r\n") {
+            if time::Instant::now() >= until {
+                return Err(unusable(&"does not respond in time"));
+            }
             match socket.stream.read(&mut buf) {
                 Ok(1..) if response.len() < RELAY_RESPONSE_BYTES => response.push(buf[0]),
                 Ok(_) => return Err(unusable(&"closed the connection")),
-                Err(e) if crate::socket::is_timeout(&e) && time::Instant::now() < until => {}
+                Err(e) if crate::socket::is_timeout(&e) => {}
                 Err(e) => return Err(unusable(&e)),
             }
         }
--- a/crates/sageshed-upstream/src/relay.rs
+++ b/crates/sageshed-upstream/src/relay.rs
@@ -221,11 +221,15 @@
 fn read_request(peer: &net::TcpStream) -> io::Result<Option<net::SocketAddrV4>> {
     peer.set_nodelay(true)?;
     peer.set_read_timeout(Some(HEAD_TIMEOUT))?;
+    let until = time::Instant::now() + HEAD_TIMEOUT;
     let mut head = Vec::new();
     let mut buf = [0];
     let mut stream = peer;
     // Read byte by byte: what follows the head belongs to the endpoint.
     while !head.ends_with(b"\r\n\r\n") {
+        if time::Instant::now() >= until {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         if head.len() >= HEAD_BYTES || stream.read(&mut buf)? == 0 {
             return Ok(None);
         }
--- a/crates/sageshed-upstream/tests/relays.rs
+++ b/crates/sageshed-upstream/tests/relays.rs
@@ -271,3 +271,37 @@
     drop(answer);
     sender.join().expect("the endpoint sees the end");
 }
+
+/// The most bytes that are sent in a test of a head without end: fewer than a head may have.
+const HEAD_PART: usize = 500;
+
+/// Sends a head byte by byte until the other end closes the connection. Returns whether it does before [`HEAD_PART`] bytes.
+fn is_closed_during_head(mut stream: &net::TcpStream) -> bool {
+    (0..HEAD_PART).any(|_| {
+        thread::sleep(time::Duration::from_millis(20));
+        stream.write_all(b".").is_err()
+    })
+}
+
+/// Guards against a peer that sends the head of its request without end and holds one of the relay's connections.
+#[test]
+fn a_relay_closes_a_connection_whose_request_does_not_end() {
+    let (_relay, address) = relay(4, OPEN);
+    let peer = net::TcpStream::connect(address).expect("it listens");
+    assert!(is_closed_during_head(&peer));
+}
+
+/// Guards against a relay that sends the head of its response without end, for which a request waits past its time.
+#[test]
+fn a_relay_whose_response_does_not_end_is_given_up_in_time() {
+    let (listener, address) = listen();
+    let sending = thread::spawn(move || {
+        let (peer, _) = listener.accept().expect("a connection");
+        is_closed_during_head(&peer)
+    });
+    let (_unused, endpoint) = listen();
+    let limit = time::Duration::from_millis(300);
+    let opened = Connection::through(address, endpoint, limit);
+    assert!(matches!(opened, Err(RelayError::Unusable(_))), "{opened:?}");
+    assert!(sending.join().expect("it ends"));
+}
