Leave a request that is read steadily with its endpoint while it is written

While a request is written, only the deadline ends the attempt again as long as the endpoint reads; one that reads nothing for 100 ms is looked at as before. The first look at the body of a response comes after 250 ms like the others.

--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -66,8 +66,8 @@
     pub(crate) buf: Vec<u8>,
     /// Whether it leads to the endpoint through another process.
     pub(crate) is_relayed: bool,
-    /// When bytes were first read or written after the patience of whoever waits was looked at.
-    moved_since: Option<time::Instant>,
+    /// When bytes were first read after the patience of whoever waits was looked at.
+    arriving_since: Option<time::Instant>,
     /// Whether the patience has ended, and what has arrived is still read.
     is_last_slice: bool,
     /// When bytes were read last for the latest request.
@@ -96,7 +96,7 @@
             buf: Vec::new(),
             is_relayed: false,
             received_at: None,
-            moved_since: None,
+            arriving_since: None,
             is_last_slice: false,
             received: 0,
             counter: Arc::default(),
@@ -107,7 +107,7 @@
     pub(crate) fn begin_request(&mut self) {
         self.received = 0;
         self.received_at = None;
-        self.moved_since = None;
+        self.arriving_since = None;
         self.is_last_slice = false;
     }
 
@@ -129,14 +129,16 @@
     ) -> Result<bool, Failure> {
         while *written < bytes.len() {
             let is_sent = *written > 0;
-            if let Some(cause) = self.over(patience) {
-                return Err(failed(is_sent, cause, "while the request was written"));
+            // A long request to a sound endpoint takes its time: only the deadline ends one that is read.
+            if is_sent && time::Instant::now() >= patience.until {
+                return Err(failed(
+                    is_sent,
+                    Cause::Silent,
+                    "while the request was written",
+                ));
             }
             match self.stream.write(&bytes[*written..]) {
-                Ok(n) => {
-                    *written += n;
-                    self.note_moved();
-                }
+                Ok(n) => *written += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) && self.has_input() => return Ok(false),
                 Err(e) if is_timeout(&e) => {
@@ -182,7 +184,7 @@
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Ok(Filled::End),
                 Ok(n) => {
-                    self.note_moved();
+                    self.note_arrival();
                     self.received += n as u64;
                     self.received_at = Some(time::Instant::now());
                     self.counter.fetch_add(n as u64, atomic::Ordering::Relaxed);
@@ -200,24 +202,24 @@
         }
     }
 
-    /// Why the wait is over, if it is and bytes have moved for [`SLICE`] since that was looked at: an endpoint that sends
+    /// Why the wait is over, if it is and bytes have arrived for [`SLICE`] since that was looked at: an endpoint that sends
     /// without a pause never lets a read time out. What has arrived by the end of the patience may be read for another
     /// [`SLICE`].
     fn over<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Option<Cause> {
-        self.moved_since.filter(|it| it.elapsed() >= SLICE)?;
-        self.moved_since = None;
+        self.arriving_since.filter(|it| it.elapsed() >= SLICE)?;
+        self.arriving_since = None;
         let cause = patience.over();
         if cause == Some(Cause::Silent) && !self.is_last_slice {
             self.is_last_slice = true;
-            self.note_moved();
+            self.note_arrival();
             return None;
         }
         self.is_last_slice = false;
         cause
     }
 
-    fn note_moved(&mut self) {
-        self.moved_since.get_or_insert_with(time::Instant::now);
+    fn note_arrival(&mut self) {
+        self.arriving_since.get_or_insert_with(time::Instant::now);
     }
 
     /// The failure of an answer that was not awaited to its end.
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -80,7 +80,7 @@
         sink: ResponseSink<'c>,
         watch: &reply::Watch,
     ) -> AttemptResult<'c> {
-        let mut next_look = std_time::Instant::now();
+        let mut next_look = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
         let reason = loop {
             let stop = || self.is_unwanted(watch, true);
             let patience = exchange::Patience {
