Give up a head that does not end after a second

A stream got 504 after its caller's two seconds although engines were free: its engine sent lines of a head without end. Its log has no failure and no attempt elsewhere for the request. Cause, by reading: a request whose response has not begun leaves an endpoint only if that has been silent to all requests, and streams that it began before its trouble still flowed. Ruled out: a process without time, since its other requests took as long as before.

An endpoint sends a head at once. One whose bytes have arrived for a second without a pause of half a second and that is not complete is malformed, so that the request goes to another endpoint. A sound endpoint may be silent inside a head as before.

Evidence: a_head_that_does_not_end_is_malformed_before_the_deadline ends as silent after 20 s without the change; an_endpoint_may_pause_inside_a_head passes with and without it.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -17,6 +17,9 @@
 /// The largest head of an answer, in bytes.
 const HEAD_BYTES: usize = 64 * 1024;
 
+/// The longest time for which bytes of a head may arrive without a pause. An endpoint sends a head at once.
+const HEAD_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// The most interim responses (RFC 9110, section 15.2) before an answer. None is asked for.
 const INTERIM_RESPONSES: usize = 8;
 
@@ -246,6 +249,9 @@
             if self.socket.buf.len() > HEAD_BYTES {
                 return Err(malformed("the head of the answer is too large"));
             }
+            if self.socket.flowing_for() >= HEAD_TIME {
+                return Err(malformed("the head of the answer does not end"));
+            }
             if self.socket.fill(patience)? == Filled::End {
                 let detail = "the connection ended before the head";
                 return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -15,6 +15,9 @@
 /// wanted. A caller that leaves is noticed within this time.
 const SLICE: time::Duration = time::Duration::from_millis(100);
 
+/// A time without bytes after which the next ones begin to flow anew. A sound endpoint may pause for longer.
+const PAUSE: time::Duration = time::Duration::from_millis(500);
+
 /// The time limit of a poll that does not block.
 const NO_WAIT: event::Timespec = event::Timespec {
     tv_sec: 0,
@@ -72,6 +75,8 @@
     is_last_slice: bool,
     /// When bytes were read last for the latest request.
     received_at: Option<time::Instant>,
+    /// Since when they have arrived without a pause.
+    flowing_since: Option<time::Instant>,
     /// The bytes that were read since the last request was begun.
     received: u64,
     /// Counts the bytes that are read from the connections of a pool.
@@ -96,6 +101,7 @@
             buf: Vec::new(),
             is_relayed: false,
             received_at: None,
+            flowing_since: None,
             arriving_since: None,
             is_last_slice: false,
             received: 0,
@@ -107,6 +113,7 @@
     pub(crate) fn begin_request(&mut self) {
         self.received = 0;
         self.received_at = None;
+        self.flowing_since = None;
         self.arriving_since = None;
         self.is_last_slice = false;
     }
@@ -186,7 +193,6 @@
                 Ok(n) => {
                     self.note_arrival();
                     self.received += n as u64;
-                    self.received_at = Some(time::Instant::now());
                     self.counter.fetch_add(n as u64, atomic::Ordering::Relaxed);
                     self.buf.extend_from_slice(&chunk[..n]);
                     return Ok(Filled::More);
@@ -211,7 +217,7 @@
         let cause = patience.over();
         if cause == Some(Cause::Silent) && !self.is_last_slice {
             self.is_last_slice = true;
-            self.note_arrival();
+            self.arriving_since = Some(time::Instant::now());
             return None;
         }
         self.is_last_slice = false;
@@ -219,7 +225,18 @@
     }
 
     fn note_arrival(&mut self) {
-        self.arriving_since.get_or_insert_with(time::Instant::now);
+        let now = time::Instant::now();
+        if self.is_pausing(PAUSE) {
+            self.flowing_since = Some(now);
+        }
+        self.received_at = Some(now);
+        self.arriving_since.get_or_insert(now);
+    }
+
+    /// How long bytes have arrived without a pause.
+    pub(crate) fn flowing_for(&self) -> time::Duration {
+        let since = self.flowing_since;
+        since.map_or(time::Duration::ZERO, |it| it.elapsed())
     }
 
     /// The failure of an answer that was not awaited to its end.
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -294,11 +294,14 @@
     (address, sending)
 }
 
-/// Asks an endpoint that sends `case`, for a short time or until nobody waits.
-fn ask_endless(case: &'static EndlessCase, is_unwanted: bool) -> Failure {
+/// A time that is shorter than any limit on the time of a part of an answer.
+const SHORT: time::Duration = time::Duration::from_millis(500);
+
+/// Asks an endpoint that sends `case`, for this time or until nobody waits.
+fn ask_endless(case: &'static EndlessCase, time: time::Duration, is_unwanted: bool) -> Failure {
     let (address, sending) = endless(case);
     let patience = Patience {
-        until: time::Instant::now() + time::Duration::from_millis(500),
+        until: time::Instant::now() + time,
         stop: &|| is_unwanted,
     };
     let pool = Pool::new(Settings::default());
@@ -353,9 +356,9 @@
 #[test]
 fn an_answer_without_end_ends_the_wait_in_time_and_when_nobody_waits() {
     for case in &ENDLESS {
-        let failure = ask_endless(case, false);
+        let failure = ask_endless(case, SHORT, false);
         assert_eq!(failure.cause, Cause::Silent, "{}", case.name);
-        let failure = ask_endless(case, true);
+        let failure = ask_endless(case, LONG, true);
         assert_eq!(failure.cause, Cause::Interrupted, "{}", case.name);
     }
 }
@@ -394,11 +397,43 @@
 #[test]
 fn an_answer_that_is_longer_than_any_may_be_is_malformed() {
     for case in &TOO_LONG {
-        let failure = ask_endless(case, false);
+        let failure = ask_endless(case, SHORT, false);
         assert_eq!(failure.cause, Cause::Malformed, "{}", case.name);
     }
 }
 
+/// Guards against a request that waits at an endpoint which sends a head byte by byte, until its deadline.
+#[test]
+fn a_head_that_does_not_end_is_malformed_before_the_deadline() {
+    for case in &ENDLESS[..2] {
+        let failure = ask_endless(case, LONG, false);
+        assert_eq!(failure.cause, Cause::Malformed, "{}", case.name);
+    }
+}
+
+/// Guards against a sound endpoint that is left since it was silent inside a head.
+#[test]
+fn an_endpoint_may_pause_inside_a_head() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
+        unreachable!("bound to an IPv4 address")
+    };
+    let sending = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let parts = ["HTTP/1.1 200 OK\r\n", "Content-", "Length: 2\r\n\r\nok"];
+        for part in parts {
+            stream.write_all(part.as_bytes()).expect("it is read");
+            thread::sleep(time::Duration::from_millis(800));
+        }
+    });
+    assert_eq!(
+        ask(&Pool::new(Settings::default()), address).expect("whole"),
+        b"ok"
+    );
+    sending.join().expect("it ends");
+}
+
 /// Guards against a late answer that is dropped although all of it has arrived.
 #[test]
 fn an_answer_that_has_arrived_is_read_after_the_time_is_over() {
