--- a/crates/sageshed-upstream/src/pool.rs
+++ b/crates/sageshed-upstream/src/pool.rs
@@ -206,11 +206,12 @@
         drop(dropped);
     }
 
-    /// Drops the idle connections that are past their time.
+    /// Drops the idle connections that are past their time, and those on which something has arrived: bytes that belong to no
+    /// request, which may be without end, or a close.
     pub fn sweep(&self) {
         let now = time::Instant::now();
         self.lock().retain(|_, list| {
-            list.retain(|it| it.until > now);
+            list.retain(|it| it.until > now && it.socket.is_quiet());
             !list.is_empty()
         });
     }
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -202,6 +202,27 @@
     assert_eq!(pool.opened(), 1);
 }
 
+/// Guards against idle connections that fill the link and the memory of a VM: an endpoint goes on sending after its answer.
+#[test]
+fn an_idle_connection_on_which_bytes_arrive_is_closed() {
+    static AFTER_ANSWER: EndlessCase = EndlessCase {
+        name: "bytes after an answer",
+        head: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=60\r\n\r\nok",
+        bytes: b".",
+        interval: time::Duration::from_millis(200),
+    };
+    let (address, sending) = endless(&AFTER_ANSWER);
+    let pool = Pool::new(Settings::default());
+    assert_eq!(ask(&pool, address).expect("answered"), b"ok");
+    let until = time::Instant::now() + LONG;
+    while pool.idle() > 0 && time::Instant::now() < until {
+        pool.sweep();
+        thread::sleep(PART_INTERVAL);
+    }
+    assert_eq!(pool.idle(), 0);
+    sending.join().expect("the endpoint stops");
+}
+
 /// The endpoint closes a kept connection. A request that may run only once must not be put on it: it
 /// would be lost, and could not be sent again.
 #[test]
@@ -287,8 +308,8 @@
         read_request(&mut stream);
         let mut sent = stream.write_all(case.head);
         while sent.is_ok() {
-            sent = stream.write_all(case.bytes);
             thread::sleep(case.interval);
+            sent = stream.write_all(case.bytes);
         }
     });
     (address, sending)
