--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -15,7 +15,7 @@
 };
 use crate::gateway::{entry_peers, metrics, response::ResponseSink};
 
-/// A silence between two reads of a stream that is logged when it ends.
+/// A silence between two events of a stream that is logged when it ends.
 const LOGGED_SILENCE: std_time::Duration = std_time::Duration::from_millis(700);
 
 /// A stream of an endpoint.
