Ask for the time of a body only if it has not arrived with the head

Since an entry process decoded the headers of each request and looked its route up a second time to bound the time for its body, also for requests without one and for bodies that were read with the head, where the time is never used. The handler is now asked only if bytes are missing. Behaviour is the same; the tests of sageshed-http, caller_limits::, limits:: and endless::a_request_whose_body_does_not_end_is_refused_at_its_deadline pass. The saved processor time was not measured.

--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether the body is among the `buffered` bytes that have been read after the head.
+    fn has_arrived(&self, buffered: usize) -> bool {
+        matches!(self.framing, head::Framing::Length(length) if length <= buffered as u64)
+    }
+
     fn has_body(&self) -> bool {
         self.framing != head::Framing::Length(0)
     }
@@ -171,7 +176,12 @@
             Ok(handler::Admission::Answer(answer)) => return Arrival::Answered(answer),
             Err(refusal) => return Arrival::Refused(refusal),
         };
-        let timeout = self.body_timeout(&req);
+        // Most bodies come with the head: the handler is asked for the time of the others only.
+        let timeout = if incoming.has_arrived(self.input.buf.len()) {
+            self.limits.body_timeout
+        } else {
+            self.body_timeout(&req)
+        };
         match self.read_body(&incoming, most, timeout) {
             Ok(body) => req.body = body,
             Err(cut) => return cut.into(),
