Build the failure of an unusable answer in one place

Causes and details are the same; the tests of sageshed-upstream, endless::, requests:: and unframed:: pass.

--- a/crates/sageshed-upstream/src/body.rs
+++ b/crates/sageshed-upstream/src/body.rs
@@ -98,7 +98,7 @@
                     return Ok(None);
                 }
                 if socket.take(2) != b"\r\n" {
-                    return Err(malformed("a chunk is longer than its size"));
+                    return Err(Failure::malformed(&"a chunk is longer than its size"));
                 }
                 *framing = Framing::ChunkSize;
             }
@@ -112,13 +112,13 @@
                 }
                 Ok(httparse::Status::Partial) if socket.buf.len() < CHUNK_LINE => return Ok(None),
                 Ok(httparse::Status::Partial) | Err(_) => {
-                    return Err(malformed("a chunk has no size"));
+                    return Err(Failure::malformed(&"a chunk has no size"));
                 }
             },
             Framing::Trailer(before) => {
                 let end = socket.buf.windows(2).position(|it| it == b"\r\n");
                 if before + end.unwrap_or(socket.buf.len()) > TRAILER_BYTES {
-                    return Err(malformed("the trailer is too large"));
+                    return Err(Failure::malformed(&"the trailer is too large"));
                 }
                 let Some(end) = end else {
                     return Ok(None);
@@ -141,7 +141,3 @@
     let most = usize::try_from(most).unwrap_or(usize::MAX);
     Some(socket.take(socket.buf.len().min(most)))
 }
-
-fn malformed(detail: &str) -> Failure {
-    Failure::sent(Cause::Malformed, &detail)
-}
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -236,21 +236,21 @@
                 if head.status / 100 == 1 {
                     self.interim += 1;
                     if self.interim > INTERIM_RESPONSES {
-                        return Err(malformed("too many interim responses"));
+                        return Err(Failure::malformed(&"too many interim responses"));
                     }
                     continue;
                 }
                 if framing == Framing::UntilClose && self.socket.is_relayed {
                     let detail = "a response without a length can't be relayed: its end can't be told from the relay's";
-                    return Err(malformed(detail));
+                    return Err(Failure::malformed(&detail));
                 }
                 return Ok((head, framing));
             }
             if self.socket.buf.len() > HEAD_BYTES {
-                return Err(malformed("the head of the answer is too large"));
+                return Err(Failure::malformed(&"the head of the answer is too large"));
             }
             if self.socket.flowing_for() >= HEAD_TIME {
-                return Err(malformed("the head of the answer does not end"));
+                return Err(Failure::malformed(&"the head of the answer does not end"));
             }
             if self.socket.fill(patience)? == Filled::End {
                 let detail = "the connection ended before the head";
@@ -306,7 +306,7 @@
         most: usize,
         patience: &Patience<'_, S>,
     ) -> Result<Vec<u8>, Failure> {
-        let too_large = || malformed(&format!("the answer is larger than {most} bytes"));
+        let too_large = || Failure::malformed(&format!("the answer is larger than {most} bytes"));
         if self.length().is_some_and(|it| it > most as u64) {
             return Err(too_large());
         }
@@ -382,7 +382,7 @@
     let len = match raw.parse(&socket.buf) {
         Ok(httparse::Status::Complete(len)) => len,
         Ok(httparse::Status::Partial) => return Ok(None),
-        Err(e) => return Err(malformed(&e.to_string())),
+        Err(e) => return Err(Failure::malformed(&e)),
     };
     let head = Head {
         status: raw.code.unwrap_or(0),
@@ -403,17 +403,13 @@
     }
     let length = head.get("content-length");
     match (head.get("transfer-encoding"), length) {
-        (Some(_), Some(_)) => Err(malformed("the answer has a length and a coding")),
+        (Some(_), Some(_)) => Err(Failure::malformed(&"the answer has a length and a coding")),
         (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::ChunkSize),
-        (Some(_), None) => Err(malformed("the answer has an unknown coding")),
+        (Some(_), None) => Err(Failure::malformed(&"the answer has an unknown coding")),
         (None, Some(length)) => length
             .parse()
             .map(Framing::Length)
-            .map_err(|e| malformed(&format!("Content-Length: {e}"))),
+            .map_err(|e| Failure::malformed(&format!("Content-Length: {e}"))),
         (None, None) => Ok(Framing::UntilClose),
     }
 }
-
-fn malformed(detail: &str) -> Failure {
-    Failure::sent(Cause::Malformed, &detail)
-}
--- a/crates/sageshed-upstream/src/failure.rs
+++ b/crates/sageshed-upstream/src/failure.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Of a request whose answer can't be used.
+    #[must_use]
+    pub fn malformed(detail: &impl ToString) -> Self {
+        Self::sent(Cause::Malformed, detail)
+    }
+
     /// Whether no connection could be opened.
     #[must_use]
     pub fn is_connect_failure(&self) -> bool {
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -359,17 +359,17 @@
         let is_verified = response.execution == dialect::ExecutionStatus::Verified;
         if is_success && !is_verified {
             let detail = "a success that the endpoint does not vouch for";
-            return self.handle_unusable_response(pick, sink, detail.to_owned());
+            return self.handle_unusable_response(pick, sink, detail);
         }
         let claims_not_run = matches!(head.status, 408 | 421 | 429 | 503);
         let may_retry = self.may_run_again();
         if !is_success && (claims_not_run || !is_verified) {
             let detail = format!("the endpoint answered with status {}", head.status);
-            return self.handle_unusable_response(pick, sink, detail);
+            return self.handle_unusable_response(pick, sink, &detail);
         }
         if head.status >= 500 && (may_retry || !self.kept_runs.is_empty()) {
             let detail = format!("the endpoint failed with status {}", head.status);
-            return self.handle_unusable_response(pick, sink, detail);
+            return self.handle_unusable_response(pick, sink, &detail);
         }
         let is_events = head
             .get("content-type")
@@ -380,7 +380,7 @@
         }
         if sink.has_started() {
             let detail = format!("the endpoint resumed a stream with status {}", head.status);
-            return self.handle_unusable_response(pick, sink, detail);
+            return self.handle_unusable_response(pick, sink, &detail);
         }
         let run = WholeRun::new(exchange, sent_at, response.load, self.reserve_memory());
         self.receive_whole(pick, run, sink, watch)
@@ -511,13 +511,9 @@
         &mut self,
         pick: &chooser::Pick,
         sink: ResponseSink<'c>,
-        detail: String,
+        detail: &str,
     ) -> AttemptResult<'c> {
-        let failure = failure::Failure {
-            cause: failure::Cause::Malformed,
-            is_sent: true,
-            detail,
-        };
+        let failure = failure::Failure::malformed(&detail);
         self.handle_failed_run(pick, sink, false, &failure)
     }
 
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -68,7 +68,10 @@
 
     /// Takes what has arrived. Returns what can be passed on: complete events, and comments after the first event.
     fn push(&mut self, bytes: &[u8]) -> Result<events::Events, failure::Failure> {
-        let mut events = self.events.push(bytes).map_err(|e| malformed(&e))?;
+        let mut events = self
+            .events
+            .push(bytes)
+            .map_err(|e| failure::Failure::malformed(&e))?;
         if events.content == events::Content::Comments {
             self.commented_at = Some(std_time::Instant::now());
         }
@@ -79,10 +82,12 @@
             self.comments.append(&mut events.bytes);
         }
         if self.comments.len() > events::MAX_EVENT_BYTES {
-            return Err(malformed(&events::TooLarge));
+            return Err(failure::Failure::malformed(&events::TooLarge));
         }
         let held = self.events.pending().len() + self.comments.len();
-        self.memory.resize(held).map_err(|e| malformed(&e))?;
+        self.memory
+            .resize(held)
+            .map_err(|e| failure::Failure::malformed(&e))?;
         Ok(events)
     }
 }
@@ -314,23 +319,11 @@
 
 /// The failure of a stream whose connection ended in good order, but inside an event or before the first one.
 fn ended_inside_event() -> failure::Failure {
-    failure::Failure {
-        cause: failure::Cause::ClosedInAnswer,
-        is_sent: true,
-        detail: "the connection ended inside an event".to_owned(),
-    }
-}
-
-/// The failure of a stream whose bytes can't be held.
-fn malformed(e: &impl ToString) -> failure::Failure {
-    failure::Failure::sent(failure::Cause::Malformed, e)
+    let detail = "the connection ended inside an event";
+    failure::Failure::sent(failure::Cause::ClosedInAnswer, &detail)
 }
 
 /// The failure of a stream that this process cuts since it exits.
 fn cut_at_exit() -> failure::Failure {
-    failure::Failure {
-        cause: failure::Cause::Interrupted,
-        is_sent: true,
-        detail: "this entry process exits".to_owned(),
-    }
+    failure::Failure::sent(failure::Cause::Interrupted, &"this entry process exits")
 }
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -54,10 +54,10 @@
         let length = left.saturating_add(self.body.len() as u64);
         if length > MAX_RESPONSE_BYTES as u64 {
             let detail = format!("the response is larger than {MAX_RESPONSE_BYTES} bytes");
-            return Err(failure::Failure::sent(failure::Cause::Malformed, &detail));
+            return Err(failure::Failure::malformed(&detail));
         }
         let held = self.memory.resize(self.body.len());
-        held.map_err(|e| failure::Failure::sent(failure::Cause::Malformed, &e))
+        held.map_err(|e| failure::Failure::malformed(&e))
     }
 
     fn progress(&self, time_left: time::Millis) -> silence::BodyProgress {
