--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -14,12 +14,17 @@
 /// What an endpoint does with one connection, request by request.
 type Script = Vec<&'static [u8]>;
 
-/// An endpoint that answers the requests of each connection by its script and then closes it.
-fn endpoint(scripts: Vec<Script>) -> net::SocketAddrV4 {
+fn listen() -> (net::TcpListener, net::SocketAddrV4) {
     let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
         unreachable!("bound to an IPv4 address")
     };
+    (listener, address)
+}
+
+/// An endpoint that answers the requests of each connection by its script and then closes it.
+fn endpoint(scripts: Vec<Script>) -> net::SocketAddrV4 {
+    let (listener, address) = listen();
     thread::spawn(move || {
         for script in scripts {
             let (mut stream, _) = listener.accept().expect("a connection");
@@ -182,10 +187,7 @@
 /// Nobody listens: the request was certainly not run, and another endpoint may have it.
 #[test]
 fn a_refused_connection_means_that_nothing_was_sent() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
-        unreachable!("bound to an IPv4 address")
-    };
+    let (listener, address) = listen();
     drop(listener);
     let failure = ask(&Pool::new(Settings::default()), address).expect_err("nobody listens");
     assert_eq!((failure.cause, failure.is_sent), (Cause::Refused, false));
@@ -263,10 +265,7 @@
 /// longer wanted.
 #[test]
 fn a_silent_endpoint_ends_the_wait_in_time_and_when_nobody_waits() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
-        unreachable!("bound to an IPv4 address")
-    };
+    let (_silent, address) = listen();
     let pool = Pool::new(Settings::default());
     let soon = Patience {
         until: time::Instant::now() + time::Duration::from_millis(250),
@@ -299,10 +298,7 @@
 
 /// An endpoint that sends `case` on its first connection, and the thread that ends with the connection.
 fn endless(case: &'static EndlessCase) -> (net::SocketAddrV4, thread::JoinHandle<()>) {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
-        unreachable!("bound to an IPv4 address")
-    };
+    let (listener, address) = listen();
     let sending = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         read_request(&mut stream);
@@ -435,10 +431,7 @@
 /// Guards against a sound endpoint that is left since it was silent inside a head.
 #[test]
 fn an_endpoint_may_pause_inside_a_head() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
-        unreachable!("bound to an IPv4 address")
-    };
+    let (listener, address) = listen();
     let sending = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         read_request(&mut stream);
@@ -478,10 +471,7 @@
 /// not sent, so the connection must carry nothing else: the endpoint would take it for that rest.
 #[test]
 fn an_answer_before_the_end_of_the_request_ends_the_connection() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let net::SocketAddr::V4(address) = listener.local_addr().expect("bound") else {
-        unreachable!("bound to an IPv4 address")
-    };
+    let (listener, address) = listen();
     let early = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         read_request(&mut stream);
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -470,8 +470,7 @@
         last: u8,
         models: &[&str],
     ) -> engine::Engine {
-        let control = self.control.iter().map(Process::address).collect();
-        engine::Engine::start(id, service, software, self.ip(last), models, control, None)
+        self.start_engine(None, software, id, service, last, models)
     }
 
     /// Like [`Self::engine`], reached by all entry processes over `link`.
@@ -482,17 +481,21 @@
         service: &str,
         last: u8,
         models: &[&str],
+    ) -> engine::Engine {
+        self.start_engine(Some(link), "v1", id, service, last, models)
+    }
+
+    fn start_engine(
+        &self,
+        link: Option<&sync::Arc<relay::Link>>,
+        software: &'static str,
+        id: &str,
+        service: &str,
+        last: u8,
+        models: &[&str],
     ) -> engine::Engine {
         let control = self.control.iter().map(Process::address).collect();
-        engine::Engine::start(
-            id,
-            service,
-            "v1",
-            self.ip(last),
-            models,
-            control,
-            Some(link),
-        )
+        engine::Engine::start(id, service, software, self.ip(last), models, control, link)
     }
 
     /// Three control processes and one entry process whose calls to them all go over `link`, without a configuration and
