--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -259,10 +259,8 @@
         for node in self.control.iter_mut().chain(&mut self.entries) {
             node.kill();
         }
-        if std::env::var_os("KEEP").is_none() {
-            // What cannot be removed stays in the temporary folder.
-            drop(fs::remove_dir_all(&self.dir));
-        }
+        // What cannot be removed stays in the temporary folder.
+        drop(fs::remove_dir_all(&self.dir));
     }
 }
 
