--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -159,6 +159,18 @@
         is_open
     }
 
+    /// The answer of a sound server on a streaming route.
+    pub fn stream(&self, req: &Message, stream: &mut TcpStream) -> io::Result<()> {
+        let id = req.header("attempt-id").unwrap_or_default();
+        let signature = signature(id, EVENT);
+        let headers = [
+            ("Attempt-Id", id),
+            ("Response-Signature", signature.as_str()),
+            ("Content-Type", "text/event-stream"),
+        ];
+        http::respond(stream, "200 OK", &headers, EVENT)
+    }
+
     /// The answer of a sound server.
     pub fn answer(&self, req: &Message, stream: &mut TcpStream, body: &[u8]) -> io::Result<()> {
         let id = req.header("attempt-id").unwrap_or_default();
@@ -172,6 +184,9 @@
     }
 }
 
+/// The one event of a stream.
+const EVENT: &[u8] = b"id: 1\ndata: kept\n\n";
+
 /// Binds an answer to its request and body, as the bench's signature does.
 pub fn signature(id: &str, body: &[u8]) -> String {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
