Refuse an answer whose head leaves open where its body ends

Cause: the fields that delimit a body were read by `Head::get`, which returns the first of a name, if it is text. A second value was not looked at, and what could not be understood counted as absent: a length with a byte that is no text became "until the connection ends", a coding of that kind left the length in force, and "+2" was accepted as a number.

Ruled out: the reading of the body itself, which ends where the head says; the pool, which closes a connection with bytes left over; requests, for which sageshed-http refuses the same forms.

Change: `sageshed_types::framing` judges all values of both fields, for requests and answers alike (the code of sageshed-http, moved). An answer that contradicts itself is malformed, so an idempotent request is sent elsewhere and any other gets 502. Also judged: HTTP/1.0 with a coding, and the heads of answers without a body and of interim responses.

--- a/crates/sageshed-http/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -5,7 +5,7 @@
 //! Whatever is ambiguous (a length beside a chunked coding, two lengths, a folded header) is refused
 //! and the connection is closed.
 
-use sageshed_types::{headers, refusal, secret, time, verdict};
+use sageshed_types::{framing, headers, refusal, secret, time, verdict};
 
 use crate::request;
 
@@ -152,27 +152,26 @@
     old: bool,
     method: &str,
 ) -> Result<Framing, refusal::Refusal> {
-    let length = content_length(headers)?;
-    let mut codings = values(headers, "transfer-encoding");
-    let Some(coding) = codings.next() else {
-        return length_framing(length, old, method);
-    };
-    if old {
-        return Err(bad("HTTP/1.0 has no Transfer-Encoding"));
+    let (lengths, codings) = (
+        values(headers, "content-length"),
+        values(headers, "transfer-encoding"),
+    );
+    match framing::of_fields(lengths, codings, old) {
+        Ok(framing::Framing::None) => length_framing(None, old, method),
+        Ok(framing::Framing::Length(length)) => length_framing(Some(length), old, method),
+        Ok(framing::Framing::Chunked) => Ok(Framing::Chunked),
+        Err(e) => Err(unframed(e)),
     }
-    if length.is_some() {
-        return Err(bad(
-            "Content-Length and Transfer-Encoding exclude each other",
-        ));
-    }
-    if codings.next().is_some() || !coding.eq_ignore_ascii_case(b"chunked") {
-        return Err(with_status(
-            501,
-            verdict::Reason::BadRequest,
-            "the only transfer coding known here is chunked",
-        ));
+}
+
+/// The refusal of a request whose end can't be told.
+pub(crate) fn unframed(e: framing::FramingError) -> refusal::Refusal {
+    match e {
+        framing::FramingError::Coding => {
+            with_status(501, verdict::Reason::BadRequest, e.to_string())
+        }
+        e => bad(e.to_string()),
     }
-    Ok(Framing::Chunked)
 }
 
 /// A missing length means an empty body in HTTP/1.1, and usual clients rely on it. In HTTP/1.0 it may
@@ -192,29 +191,6 @@
     Ok(Framing::Length(length.unwrap_or(0)))
 }
 
-fn content_length(headers: &[request::Header]) -> Result<Option<u64>, refusal::Refusal> {
-    let mut found = None;
-    for value in values(headers, "content-length") {
-        for part in value.split(|&byte| byte == b',') {
-            let length = digits(part.trim_ascii())
-                .ok_or_else(|| bad("Content-Length is not a number of bytes"))?;
-            if found.is_some_and(|earlier| earlier != length) {
-                return Err(bad("the request gives two lengths that differ"));
-            }
-            found = Some(length);
-        }
-    }
-    Ok(found)
-}
-
-/// Digits only: `str::parse` would take a sign too.
-fn digits(value: &[u8]) -> Option<u64> {
-    if !value.iter().all(u8::is_ascii_digit) {
-        return None;
-    }
-    str::from_utf8(value).ok()?.parse().ok()
-}
-
 fn keep_alive(headers: &[request::Header], old: bool) -> bool {
     let option = |wanted: &[u8]| {
         values(headers, "connection")
@@ -290,7 +266,7 @@
     let Some(value) = single(headers, "Sageshed-Deadline-Ms")? else {
         return Ok(None);
     };
-    digits(value.as_bytes())
+    framing::digits(value.as_bytes())
         .map(|ms| Some(time::Millis(ms)))
         .ok_or_else(|| bad("Sageshed-Deadline-Ms is not a number of milliseconds"))
 }
--- /dev/null
+++ b/crates/sageshed-types/src/framing.rs
@@ -0,0 +1,86 @@
+//! Where the body of an HTTP/1.1 message ends (RFC 9112, section 6).
+//!
+//! Requests and responses are judged alike, and strictly. If a body ended elsewhere for this process than for its
+//! sender, a part of it would pass for the whole, or its rest for the next message. So a field that is given twice
+//! with different values, or that can't be understood, is an error and never counts as absent.
+
+use derive_more::{Display, Error};
+
+/// Why it can't be told where a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum FramingError {
+    /// A `Content-Length` that is not a number.
+    #[display("Content-Length is not a number of bytes")]
+    Length,
+    /// Two values of `Content-Length` differ.
+    #[display("two lengths are given that differ")]
+    Lengths,
+    /// Both `Content-Length` and `Transfer-Encoding` are given.
+    #[display("Content-Length and Transfer-Encoding exclude each other")]
+    LengthAndCoding,
+    /// A `Transfer-Encoding` other than a single `chunked`.
+    #[display("the only transfer coding known here is chunked")]
+    Coding,
+    /// HTTP/1.0 has no transfer codings.
+    #[display("HTTP/1.0 has no Transfer-Encoding")]
+    CodingOfOldVersion,
+}
+
+/// How the fields of a head delimit the body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By neither a length nor chunks.
+    None,
+    /// By its length, in bytes.
+    Length(u64),
+    /// By chunks.
+    Chunked,
+}
+
+/// How a head delimits its body, by all its values of `Content-Length` and of `Transfer-Encoding`.
+///
+/// # Errors
+///
+/// If the values contradict each other or can't be understood.
+pub fn of_fields<'h>(
+    lengths: impl Iterator<Item = &'h [u8]>,
+    mut codings: impl Iterator<Item = &'h [u8]>,
+    is_old_version: bool,
+) -> Result<Framing, FramingError> {
+    let length = content_length(lengths)?;
+    let Some(coding) = codings.next() else {
+        return Ok(length.map_or(Framing::None, Framing::Length));
+    };
+    if is_old_version {
+        return Err(FramingError::CodingOfOldVersion);
+    }
+    if length.is_some() {
+        return Err(FramingError::LengthAndCoding);
+    }
+    if codings.next().is_some() || !coding.eq_ignore_ascii_case(b"chunked") {
+        return Err(FramingError::Coding);
+    }
+    Ok(Framing::Chunked)
+}
+
+/// The one length that all `values` give, each of which may be a list.
+fn content_length<'h>(values: impl Iterator<Item = &'h [u8]>) -> Result<Option<u64>, FramingError> {
+    let mut found = None;
+    for part in values.flat_map(|it| it.split(|&byte| byte == b',')) {
+        let length = digits(part.trim_ascii()).ok_or(FramingError::Length)?;
+        if found.is_some_and(|earlier| earlier != length) {
+            return Err(FramingError::Lengths);
+        }
+        found = Some(length);
+    }
+    Ok(found)
+}
+
+/// A number of digits only: `str::parse` would accept a sign too.
+#[must_use]
+pub fn digits(value: &[u8]) -> Option<u64> {
+    if !value.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    str::from_utf8(value).ok()?.parse().ok()
+}
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`document`] | a fleet's configuration as the operator submitted it |
 //! | [`endpoints`] | registration and reports of endpoints, orders to engines |
 //! | [`attempt_error`] | how an attempt to send a request to an endpoint failed |
+//! | [`framing`] | where the body of an HTTP message ends |
 //! | [`headers`] | names of HTTP headers |
 //! | [`messages`] | messages between the system's own processes |
 //! | [`quarantine`] | requests that crashed endpoints |
@@ -28,6 +29,7 @@
 pub mod cursor;
 pub mod document;
 pub mod endpoints;
+pub mod framing;
 pub mod headers;
 pub mod messages;
 pub mod quarantine;
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use sageshed_types::framing;
+
 use crate::{
     body::{self, Framing},
     failure::{Cause, Failure},
@@ -75,6 +77,12 @@
         str::from_utf8(&found.1).ok()
     }
 
+    /// The values of all headers of this name, in any case.
+    fn values<'h>(&'h self, name: &'h str) -> impl Iterator<Item = &'h [u8]> {
+        let named = move |it: &&(String, Vec<u8>)| it.0.eq_ignore_ascii_case(name);
+        self.headers.iter().filter(named).map(|it| it.1.as_slice())
+    }
+
     fn has_option(&self, header: &str, option: &str) -> bool {
         self.get(header).is_some_and(|value| {
             value
@@ -392,24 +400,24 @@
             .map(|it| (it.name.to_owned(), it.value.trim_ascii().to_vec()))
             .collect(),
     };
-    let framing = framing(&head, is_head_request)?;
+    let framing = framing(&head, raw.version == Some(0), is_head_request)?;
     socket.take(len);
     Ok(Some((head, framing)))
 }
 
-fn framing(head: &Head, is_head_request: bool) -> Result<Framing, Failure> {
+fn framing(head: &Head, is_old_version: bool, is_head_request: bool) -> Result<Framing, Failure> {
+    let (lengths, codings) = (
+        head.values("content-length"),
+        head.values("transfer-encoding"),
+    );
+    let declared =
+        framing::of_fields(lengths, codings, is_old_version).map_err(|e| Failure::malformed(&e))?;
     if is_head_request || matches!(head.status, 100..=199 | 204 | 304) {
         return Ok(Framing::Ended);
     }
-    let length = head.get("content-length");
-    match (head.get("transfer-encoding"), length) {
-        (Some(_), Some(_)) => Err(Failure::malformed(&"the answer has a length and a coding")),
-        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::ChunkSize),
-        (Some(_), None) => Err(Failure::malformed(&"the answer has an unknown coding")),
-        (None, Some(length)) => length
-            .parse()
-            .map(Framing::Length)
-            .map_err(|e| Failure::malformed(&format!("Content-Length: {e}"))),
-        (None, None) => Ok(Framing::UntilClose),
-    }
+    Ok(match declared {
+        framing::Framing::None => Framing::UntilClose,
+        framing::Framing::Length(length) => Framing::Length(length),
+        framing::Framing::Chunked => Framing::ChunkSize,
+    })
 }
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -170,6 +170,11 @@
             kept: true,
         },
     ];
+    check(&cases);
+}
+
+fn check(cases: &[Case]) {
+    let mut failures = Vec::new();
     for case in cases {
         let address = endpoint(vec![vec![case.answer]]);
         let pool = Pool::new(Settings::default());
@@ -177,11 +182,84 @@
             assert!(e.is_sent, "{}: it may have run", case.name);
             e.cause
         });
-        assert_eq!(body, case.body.map(<[u8]>::to_vec), "{}", case.name);
-        if !case.kept {
-            assert_eq!(pool.idle(), 0, "{}", case.name);
+        let is_kept = pool.idle() > 0;
+        if body != case.body.map(<[u8]>::to_vec) || (is_kept && !case.kept) {
+            failures.push((case.name, body, is_kept));
         }
     }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a part of a body that passes for the whole since only one of the fields that delimit it was read.
+#[test]
+fn an_answer_whose_end_cannot_be_told_is_malformed() {
+    let malformed = |name, answer| Case {
+        name,
+        answer,
+        body: Err(Cause::Malformed),
+        kept: false,
+    };
+    let cases = [
+        malformed(
+            "two lengths, the first too short",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed(
+            "two lengths, the last too short",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\ncontent-length: 2\r\n\r\nhello",
+        ),
+        malformed(
+            "two lengths in one field",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2, 5\r\n\r\nhello",
+        ),
+        malformed(
+            "a length and no number",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: x\r\n\r\nhello",
+        ),
+        malformed(
+            "a sign",
+            b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhello",
+        ),
+        malformed(
+            "an empty length",
+            b"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhello",
+        ),
+        malformed(
+            "a length that is not text",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\xff\r\n\r\nhe",
+        ),
+        malformed(
+            "a length and a coding that is not text",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\xff\r\n\r\nhello",
+        ),
+        malformed(
+            "a coding that is not text",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\xff\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        ),
+        malformed(
+            "a second coding",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
+        ),
+        malformed(
+            "a coding in HTTP/1.0",
+            b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ),
+        malformed(
+            "two lengths without a body",
+            b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n",
+        ),
+        malformed(
+            "two lengths in an interim response",
+            b"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ),
+        Case {
+            name: "the same length twice",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5, 5\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: true,
+        },
+    ];
+    check(&cases);
 }
 
 /// Nobody listens: the request was certainly not run, and another endpoint may have it.
