Don't take a chunk without a size for the last chunk

Callers could get a part of a chunked answer as the whole, and endpoints a part of a caller's chunked request: a line without digits where a chunk's size belongs (an empty line, or one that begins with an extension) was read as a size of zero, which ends the body.

Cause: httparse::parse_chunk_size returns zero for a line without digits. Both readers, of answers and of requests, relied on it.

Change: `framing::chunk_size` asks for a digit first; it replaces the two copies of the reader of such a line and its limit.

Tests, which fail before: three rows of the answers (two of them delivered "he" of "hello" as whole), two rows of the bad requests (accepted, no refusal).

--- a/crates/sageshed-http/src/body.rs
+++ b/crates/sageshed-http/src/body.rs
@@ -2,16 +2,13 @@
 
 use std::time;
 
-use sageshed_types::{refusal, verdict};
+use sageshed_types::{framing, refusal, verdict};
 
 use crate::{
     head,
     link::{self, Fill},
 };
 
-/// The longest line with a chunk's size and extensions, in bytes.
-const CHUNK_LINE: usize = 1024;
-
 /// The most that may follow the last chunk, in bytes.
 const TRAILER: usize = 8 * 1024;
 
@@ -69,19 +66,13 @@
 
     fn chunk_size(&mut self) -> Result<u64, Cut> {
         loop {
-            match httparse::parse_chunk_size(&self.input.buf) {
-                Ok(httparse::Status::Complete((line, size))) => {
-                    self.input.consume(line);
-                    return Ok(size);
-                }
-                Ok(httparse::Status::Partial) if self.input.buf.len() < CHUNK_LINE => {
-                    self.fill()?;
-                }
-                Ok(httparse::Status::Partial) => {
-                    return Err(head::bad("the line with a chunk's size does not end").into());
-                }
-                Err(_) => return Err(head::bad("a chunk's size is not a number").into()),
+            if let Some((line, size)) =
+                framing::chunk_size(&self.input.buf).map_err(head::unframed)?
+            {
+                self.input.consume(line);
+                return Ok(size);
             }
+            self.fill()?;
         }
     }
 
--- a/crates/sageshed-http/tests/bad_requests.rs
+++ b/crates/sageshed-http/tests/bad_requests.rs
@@ -82,6 +82,16 @@
         b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
         400,
     ),
+    case(
+        "a chunk without a size",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n\r\n\r\n",
+        400,
+    ),
+    case(
+        "a chunk with an extension and no size",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n;a=1\r\n\r\n",
+        400,
+    ),
     case(
         "a chunk longer than its size",
         b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n0\r\n\r\n",
--- a/crates/sageshed-types/src/framing.rs
+++ b/crates/sageshed-types/src/framing.rs
@@ -1,4 +1,4 @@
-//! Where the body of an HTTP/1.1 message ends (RFC 9112, section 6).
+//! Where the body of an HTTP/1.1 message ends (RFC 9112, sections 6 and 7).
 //!
 //! Requests and responses are judged alike, and strictly. If a body ended elsewhere for this process than for its
 //! sender, a part of it would pass for the whole, or its rest for the next message. So a field that is given twice
@@ -6,6 +6,9 @@
 
 use derive_more::{Display, Error};
 
+/// The longest line that gives the size of a chunk, in bytes.
+const CHUNK_LINE_BYTES: usize = 1024;
+
 /// Why it can't be told where a body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum FramingError {
@@ -24,6 +27,12 @@
     /// HTTP/1.0 has no transfer codings.
     #[display("HTTP/1.0 has no Transfer-Encoding")]
     CodingOfOldVersion,
+    /// A chunk's line does not begin with a size.
+    #[display("a chunk's size is not a number")]
+    ChunkSize,
+    /// A chunk's line is too long.
+    #[display("the line with a chunk's size does not end")]
+    ChunkLine,
 }
 
 /// How the fields of a head delimit the body.
@@ -84,3 +93,22 @@
     }
     str::from_utf8(value).ok()?.parse().ok()
 }
+
+/// The length of the line at the beginning of `buf` that gives the size of a chunk, and that size, both in bytes. None
+/// if more of the line is needed.
+///
+/// # Errors
+///
+/// If it gives no size.
+pub fn chunk_size(buf: &[u8]) -> Result<Option<(usize, u64)>, FramingError> {
+    // The parser reads a line without digits as a size of zero, the end of the body.
+    if buf.first().is_some_and(|it| !it.is_ascii_hexdigit()) {
+        return Err(FramingError::ChunkSize);
+    }
+    match httparse::parse_chunk_size(buf) {
+        Ok(httparse::Status::Complete(line)) => Ok(Some(line)),
+        Ok(httparse::Status::Partial) if buf.len() < CHUNK_LINE_BYTES => Ok(None),
+        Ok(httparse::Status::Partial) => Err(FramingError::ChunkLine),
+        Err(_) => Err(FramingError::ChunkSize),
+    }
+}
--- a/crates/sageshed-upstream/src/body.rs
+++ b/crates/sageshed-upstream/src/body.rs
@@ -1,13 +1,12 @@
 //! Where the body of an answer ends.
 
+use sageshed_types::framing;
+
 use crate::{
     failure::{Cause, Failure},
     socket::{Filled, Patience, Socket},
 };
 
-/// The longest line that gives the size of a chunk, in bytes.
-const CHUNK_LINE: usize = 1024;
-
 /// The most that may follow the last chunk, in bytes.
 const TRAILER_BYTES: usize = 8 * 1024;
 
@@ -102,19 +101,17 @@
                 }
                 *framing = Framing::ChunkSize;
             }
-            Framing::ChunkSize => match httparse::parse_chunk_size(&socket.buf) {
-                Ok(httparse::Status::Complete((len, size))) => {
-                    socket.take(len);
-                    *framing = match size {
-                        0 => Framing::Trailer(0),
-                        size => Framing::Chunk(size),
-                    };
-                }
-                Ok(httparse::Status::Partial) if socket.buf.len() < CHUNK_LINE => return Ok(None),
-                Ok(httparse::Status::Partial) | Err(_) => {
-                    return Err(Failure::malformed(&"a chunk has no size"));
-                }
-            },
+            Framing::ChunkSize => {
+                let line = framing::chunk_size(&socket.buf).map_err(|e| Failure::malformed(&e))?;
+                let Some((len, size)) = line else {
+                    return Ok(None);
+                };
+                socket.take(len);
+                *framing = match size {
+                    0 => Framing::Trailer(0),
+                    size => Framing::Chunk(size),
+                };
+            }
             Framing::Trailer(before) => {
                 let end = socket.buf.windows(2).position(|it| it == b"\r\n");
                 if before + end.unwrap_or(socket.buf.len()) > TRAILER_BYTES {
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -252,6 +252,18 @@
             "two lengths in an interim response",
             b"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         ),
+        malformed(
+            "a chunk without a size",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n\r\n3\r\nllo\r\n0\r\n\r\n",
+        ),
+        malformed(
+            "a chunk without a size before the end",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n\r\n\r\n",
+        ),
+        malformed(
+            "a chunk with an extension and no size",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n;a=1\r\n\r\n",
+        ),
         Case {
             name: "the same length twice",
             answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5, 5\r\n\r\nhello",
