Check what follows the last chunk of an answer

Lines behind the last chunk were passed over unread until an empty one. A next answer's head, or chunks behind a size of zero, thus counted as a trailer: the caller got the chunks before it as a whole answer, and the connection was kept in a state in which the next answer was partly consumed.

Cause: as with lengths and chunk sizes, what can't be understood counted as absent. sageshed-http parses the trailers of requests, the reader of answers did not.

Change: `framing::trailer` is the one reader of both sides. A trailer that is no list of fields, has over 64 of them (before 16 for requests, any number for answers) or over 8 KB makes an answer malformed and a request refused.

Two rows of the test fail before the change: "he" was delivered as whole where "llo" follows, and an answer was used whose trailer is another answer's head.

--- a/crates/sageshed-http/src/body.rs
+++ b/crates/sageshed-http/src/body.rs
@@ -9,9 +9,6 @@
     link::{self, Fill},
 };
 
-/// The most that may follow the last chunk, in bytes.
-const TRAILER: usize = 8 * 1024;
-
 /// Why there is no whole body.
 #[derive(Debug)]
 pub(crate) enum Cut {
@@ -92,28 +89,11 @@
 
     fn trailer(&mut self) -> Result<(), Cut> {
         loop {
-            let mut slots = [httparse::EMPTY_HEADER; 16];
-            match httparse::parse_headers(&self.input.buf, &mut slots) {
-                Ok(httparse::Status::Complete((len, _))) => {
-                    self.input.consume(len);
-                    return Ok(());
-                }
-                Ok(httparse::Status::Partial) if self.input.buf.len() < TRAILER => {
-                    self.fill()?;
-                }
-                Ok(httparse::Status::Partial) => {
-                    return Err(head::with_status(
-                        431,
-                        verdict::Reason::TooLarge,
-                        format!("what follows the last chunk is larger than {TRAILER} bytes"),
-                    )
-                    .into());
-                }
-                Err(e) => {
-                    let detail = format!("what follows the last chunk cannot be parsed: {e}");
-                    return Err(head::bad(detail).into());
-                }
+            if let Some(len) = framing::trailer(&self.input.buf).map_err(head::unframed)? {
+                self.input.consume(len);
+                return Ok(());
             }
+            self.fill()?;
         }
     }
 
--- a/crates/sageshed-http/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -170,6 +170,9 @@
         framing::FramingError::Coding => {
             with_status(501, verdict::Reason::BadRequest, e.to_string())
         }
+        framing::FramingError::TrailerSize => {
+            with_status(431, verdict::Reason::TooLarge, e.to_string())
+        }
         e => bad(e.to_string()),
     }
 }
--- a/crates/sageshed-types/src/framing.rs
+++ b/crates/sageshed-types/src/framing.rs
@@ -9,6 +9,12 @@
 /// The longest line that gives the size of a chunk, in bytes.
 const CHUNK_LINE_BYTES: usize = 1024;
 
+/// The most that may follow the last chunk, in bytes.
+const TRAILER_BYTES: usize = 8 * 1024;
+
+/// The most fields of a trailer.
+const TRAILER_FIELDS: usize = 64;
+
 /// Why it can't be told where a body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum FramingError {
@@ -33,6 +39,14 @@
     /// A chunk's line is too long.
     #[display("the line with a chunk's size does not end")]
     ChunkLine,
+    /// The trailer is too large.
+    #[display(
+        "what follows the last chunk is larger than {TRAILER_BYTES} bytes or {TRAILER_FIELDS} fields"
+    )]
+    TrailerSize,
+    /// The trailer is not a list of fields.
+    #[display("what follows the last chunk cannot be parsed")]
+    Trailer,
 }
 
 /// How the fields of a head delimit the body.
@@ -112,3 +126,18 @@
         Err(_) => Err(FramingError::ChunkSize),
     }
 }
+
+/// The length in bytes of the trailer at the beginning of `buf`, which follows the last chunk. None if more is needed.
+///
+/// # Errors
+///
+/// If it is not a list of fields, or too large.
+pub fn trailer(buf: &[u8]) -> Result<Option<usize>, FramingError> {
+    let mut fields = [httparse::EMPTY_HEADER; TRAILER_FIELDS];
+    match httparse::parse_headers(buf, &mut fields) {
+        Ok(httparse::Status::Complete((len, _))) if len <= TRAILER_BYTES => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if buf.len() < TRAILER_BYTES => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(FramingError::TrailerSize),
+        Err(_) => Err(FramingError::Trailer),
+    }
+}
--- a/crates/sageshed-upstream/src/body.rs
+++ b/crates/sageshed-upstream/src/body.rs
@@ -7,9 +7,6 @@
     socket::{Filled, Patience, Socket},
 };
 
-/// The most that may follow the last chunk, in bytes.
-const TRAILER_BYTES: usize = 8 * 1024;
-
 /// How much of the body is still to come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -23,8 +20,8 @@
     ChunkEnd,
     /// The size of the next chunk.
     ChunkSize,
-    /// The lines behind the last chunk, of which this many bytes have come.
-    Trailer(usize),
+    /// The fields behind the last chunk.
+    Trailer,
     /// Everything up to the orderly end of the connection.
     UntilClose,
 }
@@ -108,24 +105,18 @@
                 };
                 socket.take(len);
                 *framing = match size {
-                    0 => Framing::Trailer(0),
+                    0 => Framing::Trailer,
                     size => Framing::Chunk(size),
                 };
             }
-            Framing::Trailer(before) => {
-                let end = socket.buf.windows(2).position(|it| it == b"\r\n");
-                if before + end.unwrap_or(socket.buf.len()) > TRAILER_BYTES {
-                    return Err(Failure::malformed(&"the trailer is too large"));
-                }
-                let Some(end) = end else {
+            Framing::Trailer => {
+                let trailer = framing::trailer(&socket.buf).map_err(|e| Failure::malformed(&e))?;
+                let Some(len) = trailer else {
                     return Ok(None);
                 };
-                let line = socket.take(end + 2);
-                *framing = Framing::Trailer(before + line.len());
-                if line.len() == 2 {
-                    *framing = Framing::Ended;
-                    return Ok(Some(Piece::End));
-                }
+                socket.take(len);
+                *framing = Framing::Ended;
+                return Ok(Some(Piece::End));
             }
         }
     }
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -264,6 +264,20 @@
             "a chunk with an extension and no size",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n;a=1\r\n\r\n",
         ),
+        malformed(
+            "a trailer that is the head of the next answer",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ),
+        malformed(
+            "a trailer that is a chunk",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n3\r\nllo\r\n0\r\n\r\n",
+        ),
+        Case {
+            name: "a trailer",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n\r\n",
+            body: Ok(b"hello"),
+            kept: true,
+        },
         Case {
             name: "the same length twice",
             answer: b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5, 5\r\n\r\nhello",
@@ -464,9 +478,9 @@
 fn an_answer_without_end_ends_the_wait_in_time_and_when_nobody_waits() {
     for case in &ENDLESS {
         let failure = ask_endless(case, SHORT, false);
-        assert_eq!(failure.cause, Cause::Silent, "{}", case.name);
+        assert_eq!(failure.cause, Cause::Silent, "{}: {failure}", case.name);
         let failure = ask_endless(case, LONG, true);
-        assert_eq!(failure.cause, Cause::Interrupted, "{}", case.name);
+        assert_eq!(failure.cause, Cause::Interrupted, "{}: {failure}", case.name);
     }
 }
 
