Don't use an answer or a request by one of two values of a header

- a response whose first `Attempt-Id` or `Instance-Id` is right passed as the answer to this request, from this endpoint, whatever the second one said;
- one with a `Content-Encoding` that is not text passed as the engine's body;
- one with two signatures passed as verified;
- a `Connection: close` in a second line, or beside an option that is not text, was not seen, and the next request was sent on a connection that closes;
- a request with two deadlines, ids, prefixes or `Last-Event-Id`s was served by the first, while both were passed on and its engine may act on the other.

Change: `headers::Value` tells a header that is absent from one that is ambiguous. A response that is ambiguous in a header by which it is identified or vouched for is not verified, and its notices don't count; other headers that are ambiguous are ignored like invalid values. A request is refused with 400, as sageshed-http does for the headers that it knows. Options of `Connection` are looked for in all its values. The same value twice is no contradiction.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -6,7 +6,7 @@
 use std::{fmt, net};
 
 use derive_more::{Display, Error};
-use sageshed_types::time;
+use sageshed_types::{headers, time};
 
 use crate::{config, directory};
 
@@ -292,10 +292,10 @@
     ///
     /// # Errors
     ///
-    /// If the value of a header is invalid.
+    /// If the value of a header is invalid or ambiguous.
     fn request_metadata<'h>(
         &self,
-        get: impl Fn(&str) -> Option<&'h str>,
+        get: impl Fn(&str) -> headers::Value<'h>,
     ) -> Result<RequestMetadata, DecodeError>;
 
     /// Whether a header of this name is removed from a caller's request, because only the system may set it.
@@ -304,11 +304,12 @@
     /// The headers that the system adds to a request to an endpoint.
     fn upstream_headers(&self, metadata: &UpstreamMetadata<'_>) -> Vec<(&'static str, String)>;
 
-    /// Decodes the head of an endpoint's response.
+    /// Decodes the head of an endpoint's response. One that is ambiguous in a header by which it is identified or vouched
+    /// for counts as [`ExecutionStatus::Unverified`], and says nothing else.
     fn response_metadata<'h>(
         &self,
         status: u16,
-        get: impl Fn(&str) -> Option<&'h str>,
+        get: impl Fn(&str) -> headers::Value<'h>,
     ) -> ResponseMetadata<'h>;
 
     /// The id of the last event in `events`, which consist of complete events only.
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -73,6 +73,20 @@
         str::from_utf8(&found.value).ok()
     }
 
+    /// The value of the header called `name`, in any case.
+    #[must_use]
+    pub fn value(&self, name: &str) -> headers::Value<'_> {
+        headers::Value::of(self.values(name))
+    }
+
+    fn values<'h>(&'h self, name: &str) -> impl Iterator<Item = &'h [u8]> {
+        let named = move |it: &&Header| it.name.eq_ignore_ascii_case(name);
+        self.headers
+            .iter()
+            .filter(named)
+            .map(|it| it.value.as_slice())
+    }
+
     /// The headers to pass on to a plain service.
     ///
     /// Left out are those of the connection, those named by a `Connection` header, those that the
--- a/crates/sageshed-types/src/headers.rs
+++ b/crates/sageshed-types/src/headers.rs
@@ -1,4 +1,4 @@
-//! Names of HTTP headers that are used by more than one package.
+//! Names and values of HTTP headers that are used by more than one package.
 
 /// Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that each sender of a message sets
 /// itself. In lower case.
@@ -20,3 +20,37 @@
 /// The header with the caller's bearer token. It is never forwarded, since whoever receives the token
 /// could act as the caller. In lower case.
 pub const AUTHORIZATION: &str = "authorization";
+
+/// The value of a header that belongs once into a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Value<'h> {
+    /// It is not given.
+    Absent,
+    /// It is given, once or several times alike.
+    Given(&'h str),
+    /// It is given with values that differ, or that are not text.
+    Ambiguous,
+}
+
+impl<'h> Value<'h> {
+    /// The value of a header that is given with `values`.
+    #[must_use]
+    pub fn of(mut values: impl Iterator<Item = &'h [u8]>) -> Self {
+        let Some(first) = values.next() else {
+            return Self::Absent;
+        };
+        if values.any(|it| it != first) {
+            return Self::Ambiguous;
+        }
+        str::from_utf8(first).map_or(Self::Ambiguous, Self::Given)
+    }
+
+    /// The value, if there is exactly one.
+    #[must_use]
+    pub fn given(self) -> Option<&'h str> {
+        match self {
+            Self::Given(value) => Some(value),
+            Self::Absent | Self::Ambiguous => None,
+        }
+    }
+}
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use sageshed_types::framing;
+use sageshed_types::{framing, headers};
 
 use crate::{
     body::{self, Framing},
@@ -67,28 +67,22 @@
 }
 
 impl Head {
-    /// The first header of this name, in any case, if its value is text.
+    /// The value of the header of this name, in any case.
     #[must_use]
-    pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(it, _)| it.eq_ignore_ascii_case(name))?;
-        str::from_utf8(&found.1).ok()
+    pub fn value(&self, name: &str) -> headers::Value<'_> {
+        headers::Value::of(self.values(name))
     }
 
     /// The values of all headers of this name, in any case.
-    fn values<'h>(&'h self, name: &'h str) -> impl Iterator<Item = &'h [u8]> {
+    fn values<'h>(&'h self, name: &str) -> impl Iterator<Item = &'h [u8]> {
         let named = move |it: &&(String, Vec<u8>)| it.0.eq_ignore_ascii_case(name);
         self.headers.iter().filter(named).map(|it| it.1.as_slice())
     }
 
     fn has_option(&self, header: &str, option: &str) -> bool {
-        self.get(header).is_some_and(|value| {
-            value
-                .split(',')
-                .any(|it| it.trim().eq_ignore_ascii_case(option))
-        })
+        self.values(header)
+            .flat_map(|value| value.split(|&byte| byte == b','))
+            .any(|it| it.trim_ascii().eq_ignore_ascii_case(option.as_bytes()))
     }
 }
 
@@ -379,7 +373,11 @@
         if !self.keeps || !is_whole || self.socket.is_relayed || !self.socket.is_quiet() {
             return None;
         }
-        let promised = self.head.get("keep-alive").and_then(pool::promised);
+        let promised = self
+            .head
+            .value("keep-alive")
+            .given()
+            .and_then(pool::promised);
         Some((self.socket, promised))
     }
 }
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -190,6 +190,24 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against a request that is sent on a connection which its endpoint closes, and is lost there.
+#[test]
+fn a_connection_that_the_endpoint_will_close_is_not_kept() {
+    let cases: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nConnection: x, Close\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nConnection: x\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nConnection: \xff, close\r\nContent-Length: 2\r\n\r\nok",
+    ];
+    for (number, answer) in cases.into_iter().enumerate() {
+        // The endpoint waits for a second request, so the connection is open.
+        let address = endpoint(vec![vec![answer, b""]]);
+        let pool = Pool::new(Settings::default());
+        assert_eq!(ask(&pool, address).expect("whole"), b"ok");
+        assert_eq!(pool.idle(), 0, "case {number}");
+    }
+}
+
 /// Guards against a part of a body that passes for the whole since only one of the fields that delimit it was read.
 #[test]
 fn an_answer_whose_end_cannot_be_told_is_malformed() {
@@ -358,10 +376,10 @@
     let first = pool
         .exchange(address, &get(), LONG, &patience)
         .expect("an answer");
-    assert_eq!(first.head.get("id"), Some("old"));
+    assert_eq!(first.head.value("id").given(), Some("old"));
     let sent = first.pass_over(1_000, &patience).expect("more can come");
     let mut second = sent.head(&patience).expect("another");
-    assert_eq!(second.head.get("id"), Some("new"));
+    assert_eq!(second.head.value("id").given(), Some("new"));
     assert_eq!(second.read_whole(1_000, &patience).expect("whole"), b"new");
 }
 
--- a/src/sageshed/control/fleet/planning.rs
+++ b/src/sageshed/control/fleet/planning.rs
@@ -349,7 +349,7 @@
     instance: &directory::InstanceId,
     head: &exchange::Head,
 ) {
-    let answered = dialect.response_metadata(head.status, |it| head.get(it));
+    let answered = dialect.response_metadata(head.status, |it| head.value(it));
     let notice = answered.notice;
     if !answered.is_of(instance) || notice == dialect::Notice::default() {
         return;
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -307,7 +307,7 @@
             let response = self
                 .shared
                 .dialect
-                .response_metadata(head.status, |it| head.get(it));
+                .response_metadata(head.status, |it| head.value(it));
             self.apply_notice(pick, &response);
             if !self.is_for_another_request(&response) {
                 return Ok(exchange);
@@ -339,7 +339,7 @@
         let response = self
             .shared
             .dialect
-            .response_metadata(head.status, |it| head.get(it));
+            .response_metadata(head.status, |it| head.value(it));
         let is_rejected = matches!(
             response.execution,
             dialect::ExecutionStatus::NotRun | dialect::ExecutionStatus::Misdirected
@@ -372,7 +372,8 @@
             return self.handle_unusable_response(pick, sink, &detail);
         }
         let is_events = head
-            .get("content-type")
+            .value("content-type")
+            .given()
             .is_some_and(|it| it.starts_with("text/event-stream"));
         if is_success && is_events {
             let run = StreamRun::new(exchange, sent_at, response.load, self.reserve_memory());
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -56,10 +56,7 @@
 impl<D: dialect::Dialect> handler::Handler for RequestHandler<D> {
     fn handle(&self, req: request::Request, reply: reply::Reply<'_>) -> reply::Sent {
         let watch = reply.watch();
-        let metadata = self
-            .shared
-            .dialect
-            .request_metadata(|name| req.header(name));
+        let metadata = self.shared.dialect.request_metadata(|name| req.value(name));
         let deadline = metadata.as_ref().ok().and_then(|it| it.deadline);
         let routing = self
             .shared
@@ -135,7 +132,7 @@
         let metadata = self
             .shared
             .dialect
-            .request_metadata(|name| head.header(name));
+            .request_metadata(|name| head.value(name));
         let deadline = metadata.ok().and_then(|it| it.deadline);
         let routing = self.shared.routing();
         let host = head.header("host").unwrap_or_default();
@@ -165,10 +162,7 @@
         reply: reply::Reply<'_>,
         refusal: &refusal::Refusal,
     ) -> reply::Sent {
-        let metadata = self
-            .shared
-            .dialect
-            .request_metadata(|name| req.header(name));
+        let metadata = self.shared.dialect.request_metadata(|name| req.value(name));
         let id = metadata.ok().and_then(|it| it.id).unwrap_or_default();
         ::log::info!(request = id.as_str(), status = refusal.status, reason:% = refusal.reason,
             detail = refusal.detail.as_str(); "gateway: request refused before it was routed");
--- a/src/sageshed/gateway/response.rs
+++ b/src/sageshed/gateway/response.rs
@@ -65,7 +65,7 @@
     reply::Head {
         request_id: "",
         status: head.status,
-        content_type: head.get("content-type").unwrap_or_default(),
+        content_type: head.value("content-type").given().unwrap_or_default(),
         headers,
     }
 }
