Refuse ambiguous lengths in answers on the system's own interface

Engines and plain services behind `sageshed entry` are read through ureq, which takes the first `Content-Length`, a sign before it included, ignores one that it can't parse, and takes any `Transfer-Encoding` for chunked.

Change: the head is judged by `framing::of_fields` before the body is read; an answer that leaves open where it ends is corrupt, as one that is no HTTP.

Ruled out for calls between the system's own processes, which use ureq as well: a message that is cut does not decode, and a document is sent with its size.

Four cases of the table of faults (two_lengths, signed_length, two_codings, length_and_chunks) fail before, all with no failure where one was expected.

--- a/crates/sageshed-engines/src/answer.rs
+++ b/crates/sageshed-engines/src/answer.rs
@@ -1,8 +1,8 @@
 //! The answer to one request: its head, and its body read with a check that it is whole.
 
-use std::{fmt, io::Read, time::Duration};
+use std::{fmt, io::Read, iter, time::Duration};
 
-use sageshed_types::time;
+use sageshed_types::{framing, time};
 
 use crate::{classify, connection, headers, transport};
 
@@ -56,6 +56,9 @@
         connection: connection::Connection,
         keep: Option<transport::Transport>,
     ) -> Result<Self, classify::CallError> {
+        check_framing(&resp).map_err(|e| {
+            classify::CallError::new(req.address, classify::Failure::Malformed, e.to_string())
+        })?;
         let echo = resp.header(headers::REQUEST_ID).map(str::to_owned);
         let echoed = echo.as_deref() == Some(req.request_id);
         // An error may come from a part of the endpoint that never saw the id. It is an error all
@@ -121,6 +124,25 @@
     }
 }
 
+/// The library reads the first length and ignores one that it can't parse.
+fn check_framing(resp: &ureq::Response) -> Result<(), framing::FramingError> {
+    let (lengths, codings) = (
+        field_values(resp, "content-length"),
+        field_values(resp, "transfer-encoding"),
+    );
+    let is_old_version = resp.http_version() == "HTTP/1.0";
+    framing::of_fields(lengths, codings, is_old_version).map(drop)
+}
+
+/// The values of a header; those that are not text, which the library leaves out, as values that can't be parsed.
+fn field_values<'r>(resp: &'r ureq::Response, name: &str) -> impl Iterator<Item = &'r [u8]> {
+    let text = resp.all(name);
+    let count = resp.headers_names().iter().filter(|it| *it == name).count();
+    let not_text = count.saturating_sub(text.len());
+    let text = text.into_iter().map(str::as_bytes);
+    text.chain(iter::repeat_n(&b"\xff"[..], not_text))
+}
+
 fn all_headers(resp: &ureq::Response) -> Vec<(String, String)> {
     let mut all = Vec::new();
     let mut names = resp.headers_names();
