Don't resume a stream at a service to which its route has moved

Cause: after all entry processes have ended at once, no record of a stream is left, and it goes on if one version can have begun it. `sole_version` asked that of the service to which the route leads now; that the stream may have begun when the route led elsewhere was asked nowhere, and a process that has just started does not know the earlier configuration.

Ruled out: the records. They name the version, and hold in the same cases while one entry process lives.

Change: control processes, which outlive entry processes, compare each configuration with the routes of the last minute (`RouteHistory`). A service that gets streams of routes that led elsewhere is marked in the directory like one with a second version, so that the mark is passed on and kept over a restart as these are. The routes are kept in a file: if all processes end as soon as a change is committed, it is noticed after the start. Versions from before a start are trusted only once that was compared. Entry processes compare as well.

Why it holds: a stream without a record goes on only if the one service and the one version have been the only ones for longer than its route lets it last.

None of the streams goes on after the loss, though, also where engines of their version serve; that is the next fault.

--- a/crates/sageshed-fleet/src/config_history.rs
+++ b/crates/sageshed-fleet/src/config_history.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// The configurations that are newer than `version`, the newest last.
+    #[must_use]
+    pub fn newer_than(&self, version: u64) -> Vec<sync::Arc<document::Document>> {
+        let newer = self.documents.iter().filter(|it| it.version > version);
+        newer.map(sync::Arc::clone).collect()
+    }
+
     /// Keeps the payload of a job for the receivers that fetch it.
     pub fn keep_payload(&mut self, now: time::Instant, job: &CompressionJob, bytes: Vec<u8>) {
         let id = transfer::TransferId::new(job.before.version, job.newest.version, &bytes);
--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -650,6 +650,19 @@
         self.extend_back(now, ENDED_RETENTION);
     }
 
+    /// Records that streams which the configuration `version` leads to `service` may have begun at another service: for as
+    /// long as ended instances are kept, the service counts as one of several software versions.
+    pub fn mark_mixed(&mut self, now: time::Instant, service: &str, version: u64) {
+        // The name of an endpoint has no space.
+        let name = format!("{service} before configuration {version}");
+        let instance = Instance {
+            service: service.to_owned(),
+            software_version: Some(name.clone()),
+            ..Instance::tombstone(InstanceId::new(&name, None))
+        };
+        self.merge(now, Record::announced_now(instance));
+    }
+
     /// The software version of a service's instances, present or ended, if all have the same one.
     #[must_use]
     pub fn sole_version(&self, service: &str) -> Option<SoftwareKey> {
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | [`config`] | the configuration and its consistency check |
 //! | [`routes`] | which route a request takes |
+//! | [`route_history`] | to which services routes have led lately |
 //! | [`config_history`] | recent configurations, against which newer ones are compressed |
 //! | [`compression`] | compression of a configuration for a process that holds another one |
 //! | [`transfer`] | transfer of a configuration in chunks |
@@ -62,6 +63,7 @@
 pub mod replication;
 pub mod reply_times;
 pub mod response_memory;
+pub mod route_history;
 pub mod routes;
 pub mod shared_queue;
 pub mod silence;
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -430,6 +430,21 @@
         locks::lock(&self.inner).control_zones.get(&ip).cloned()
     }
 
+    /// Records that a configuration leads streams of other services to `services`; see
+    /// [`directory::Directory::mark_mixed`].
+    pub fn mark_mixed<'s>(
+        &self,
+        now: time::Instant,
+        services: impl IntoIterator<Item = &'s String>,
+        version: u64,
+    ) {
+        self.change_directory(|it| {
+            for service in services {
+                it.mark_mixed(now, service, version);
+            }
+        });
+    }
+
     /// The software versions of endpoints; see [`directory::Directory::software_versions`].
     #[must_use]
     pub fn software_versions(&self, now: time::Instant) -> Option<directory::SoftwareVersions> {
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod planning;
 pub mod planning_queue;
 pub mod port;
+mod route_changes;
 pub(super) mod software_versions;
 pub mod watch;
 pub mod watchers;
@@ -39,7 +40,6 @@
     dialect: D,
     start: software_versions::Start,
 ) -> Result<Ports, StartError> {
-    software_versions::restore(shared, &settings.control.data, start);
     let handler = port::FleetHandler {
         shared: sync::Arc::clone(shared),
         inputs: inputs.clone(),
@@ -82,6 +82,11 @@
         let shared = sync::Arc::clone(shared);
         move || config_check::run(&shared)
     });
+    spawn("route-changes", {
+        let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
+        let before = route_changes::BeforeStart::read(&data, start);
+        move || route_changes::run(&shared, &data, dialect, before)
+    });
     spawn("software-versions", {
         let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
         move || software_versions::run(&shared, &data)
--- /dev/null
+++ b/src/sageshed/control/fleet/route_changes.rs
@@ -0,0 +1,118 @@
+//! Follows which services routes lead to, over restarts as well.
+//!
+//! A stream of which no record is left may go on only if no other version can have begun it, under this configuration or an
+//! earlier one. Each change of a route is compared with the routes before it, which are kept in a file, so that a change is
+//! noticed even if all processes end as soon as it is committed.
+
+use std::{path, sync, thread, time};
+
+use sageshed_disk::side_file;
+use sageshed_fleet::{dialect, directory, route_history};
+
+use super::{shared, software_versions};
+use crate::locks;
+
+const FILE: &str = "route-history";
+
+/// The interval between two checks for a new configuration.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// What is known of the time before the start.
+#[derive(Debug)]
+pub(super) struct BeforeStart {
+    /// The software versions of endpoints; none if they are not known.
+    versions: Option<directory::SoftwareVersions>,
+    routes: route_history::RouteHistory,
+}
+
+impl BeforeStart {
+    /// Reads what an earlier process has left in `data`.
+    pub(super) fn read(data: &path::Path, start: software_versions::Start) -> Self {
+        let versions = software_versions::read(data, start);
+        let unread = match (start, &versions) {
+            // An earlier release keeps versions without routes.
+            (software_versions::Start::Later, Some(_)) => route_history::RouteHistory::unknown(),
+            _ => route_history::RouteHistory::default(),
+        };
+        Self {
+            routes: read(data).unwrap_or(unread),
+            versions,
+        }
+    }
+}
+
+fn read(data: &path::Path) -> Option<route_history::RouteHistory> {
+    let content = match side_file::SideFile::new(data, FILE).read() {
+        Ok(content) => content?,
+        Err(e) => {
+            ::log::warn!(error:% = e; "control: cannot read the earlier routes");
+            return None;
+        }
+    };
+    let routes = sageshed_vms::decode(&content);
+    routes
+        .inspect_err(|e| ::log::warn!(error:% = e; "control: cannot decode the earlier routes"))
+        .ok()
+}
+
+/// Follows the configuration for as long as the process runs. The software versions from before the start are trusted from
+/// the first configuration on.
+pub(super) fn run<D: dialect::Dialect>(
+    shared: &sync::Arc<shared::Shared>,
+    data: &path::Path,
+    dialect: D,
+    before: BeforeStart,
+) {
+    let file = side_file::SideFile::new(data, FILE);
+    let BeforeStart {
+        mut versions,
+        mut routes,
+    } = before;
+    routes.restore(shared.clock.now());
+    let mut read_up_to = 0;
+    while !shared.is_stopping() {
+        let documents = locks::lock(&shared.config_history).newer_than(read_up_to);
+        for document in &documents {
+            read_up_to = document.version;
+            apply(shared, dialect, &mut routes, &document.text);
+        }
+        if !documents.is_empty() {
+            write(&file, &routes);
+            if let Some(versions) = versions.take() {
+                software_versions::restore(shared, versions);
+            }
+        }
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
+
+fn apply<D: dialect::Dialect>(
+    shared: &shared::Shared,
+    dialect: D,
+    routes: &mut route_history::RouteHistory,
+    text: &str,
+) {
+    let config = match dialect.config(text.as_bytes()) {
+        Ok(config) => config,
+        Err(e) => {
+            return ::log::error!(error:% = e; "control: cannot decode a committed configuration");
+        }
+    };
+    if config.version <= routes.version() {
+        return;
+    }
+    let now = shared.clock.now();
+    let mixed = routes.replace(now, &config);
+    if !mixed.is_empty() {
+        ::log::info!(version = config.version, services:? = mixed; "control: routes lead streams of other services here");
+        shared.hub.mark_mixed(now, &mixed, config.version);
+    }
+}
+
+fn write(file: &side_file::SideFile, routes: &route_history::RouteHistory) {
+    let content = sageshed_vms::encode(routes).map_err(|e| e.to_string());
+    let replaced = content.and_then(|it| file.replace(&it).map_err(|e| e.to_string()));
+    if let Err(e) = replaced {
+        ::log::warn!(error = e; "control: cannot write the routes");
+    }
+}
--- a/src/sageshed/control/fleet/software_versions.rs
+++ b/src/sageshed/control/fleet/software_versions.rs
@@ -26,20 +26,18 @@
     Later,
 }
 
-/// Adds what is known of the time before the start to the directory.
-pub(super) fn restore(shared: &shared::Shared, data: &path::Path, start: Start) {
-    let versions = match start {
-        Start::First => Some(directory::SoftwareVersions::new()),
-        Start::Later => read(data),
-    };
-    if let Some(versions) = versions {
-        ::log::info!(versions = versions.len(); "control: software versions of endpoints restored");
-        let now = shared.clock.now();
-        shared.hub.remember_versions(now, versions);
-    }
+/// Adds the versions from before the start to the directory.
+pub(super) fn restore(shared: &shared::Shared, versions: directory::SoftwareVersions) {
+    ::log::info!(versions = versions.len(); "control: software versions of endpoints restored");
+    let now = shared.clock.now();
+    shared.hub.remember_versions(now, versions);
 }
 
-fn read(data: &path::Path) -> Option<directory::SoftwareVersions> {
+/// The versions that served before the start, if they are known.
+pub(super) fn read(data: &path::Path, start: Start) -> Option<directory::SoftwareVersions> {
+    if start == Start::First {
+        return Some(directory::SoftwareVersions::new());
+    }
     let content = match side_file::SideFile::new(data, FILE).read() {
         Ok(content) => content?,
         Err(e) => {
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -96,7 +96,13 @@
         }
         let count = routing.table.len();
         let terms = allowances::limits(&routing.config);
-        self.with_core(|core| core.allowances.set_limits(terms));
+        let now = self.clock.now();
+        self.with_core(|core| {
+            core.allowances.set_limits(terms);
+            for service in core.routes.replace(now, &routing.config) {
+                core.directory.mark_mixed(now, &service, version);
+            }
+        });
         let limits = routing.config.limits;
         if current.as_ref().is_none_or(|it| it.config.limits != limits) {
             self.apply_caller_limits(&limits);
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -11,7 +11,7 @@
     directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator,
     records_age::{Freshness, RecordsAge},
     response_memory::ResponseMemory,
-    shared_queue,
+    route_history, shared_queue,
     slots::SlotCoordinator,
     stream_origins,
 };
@@ -110,6 +110,8 @@
     pub budget: budget::RetryBudget,
     /// Which software version began each stream that callers may still take up.
     pub origins: stream_origins::StreamOrigins,
+    /// The services that routes have led to lately.
+    pub routes: route_history::RouteHistory,
     /// The known endpoints.
     pub directory: directory::Directory,
     /// How old the records of these are.
@@ -190,6 +192,7 @@
             slots: SlotCoordinator::new(allowance),
             budget: budget::RetryBudget::new(allowance),
             origins: stream_origins::StreamOrigins::default(),
+            routes: route_history::RouteHistory::default(),
             directory: directory::Directory::new(start),
             records_age: RecordsAge::default(),
             quarantine: quarantine::Quarantine::new(start),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -24,6 +24,7 @@
 mod paths;
 mod queueing;
 mod quota;
+mod rejoined;
 mod requests;
 mod silence;
 mod slots;
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -195,7 +195,7 @@
 }
 
 /// Waits until all entry processes serve and know all engines.
-fn until_known(fleet: &Fleet, engines: &[Engine]) {
+pub fn until_known(fleet: &Fleet, engines: &[Engine]) {
     for (entry, process) in fleet.entries.iter().enumerate() {
         let mut number = 0;
         fleet.until("an entry process serves", || {
