Keep records of streams at control processes while versions may be confused

Cause: records of streams were in the memory of entry processes only.

Ruled out: a write to the log for each stream (140,000 a second at the size aimed for); the files of entry VMs, which have none; a version derived from the id; the time at which a stream began, which no caller can be believed.

Change: an entry process also sends a record to three control processes before the first event leaves, where more than one version can have begun the stream (`contested_versions`). When a second version arrives or a route is split, it sends those of the streams that began before; for a process that has ended, the first other holder does. Whoever has no record asks five control processes beside its peers, from the seeds on. They hold 524,288 records at most, in memory.

Why it holds: only a record that is found counts. A control process that is new, lost or of an earlier release has none to give, and the stream is refused as before; so what is joined does not change.

If all control processes are lost too, none is resumed and none joined.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -675,6 +675,22 @@
         of_service.all(is_same).then_some(software)
     }
 
+    /// The software versions of the instances of `services`, present or ended.
+    #[must_use]
+    pub fn software_of(
+        &self,
+        services: &collections::BTreeSet<&str>,
+    ) -> collections::BTreeSet<SoftwareKey> {
+        let instances = self.entries.values().map(|it| &it.instance);
+        let of_services = instances.filter(|it| services.contains(it.service.as_str()));
+        let versions: collections::BTreeSet<_> = of_services
+            .filter_map(|it| Some((it.service.as_str(), it.software_version.as_deref()?)))
+            .collect();
+        let keys = versions.into_iter();
+        keys.map(|(service, version)| SoftwareKey::new(service, version))
+            .collect()
+    }
+
     /// The present instances of endpoints that have recently been restarted.
     #[must_use]
     pub fn restarted(&self) -> Vec<InstanceId> {
--- a/crates/sageshed-fleet/src/entry_peers.rs
+++ b/crates/sageshed-fleet/src/entry_peers.rs
@@ -69,6 +69,8 @@
     OriginQuery(stream_origins::OriginQuery),
     /// Reply to an [`Self::OriginQuery`].
     OriginReply(stream_origins::OriginReply),
+    /// Records of streams, for a control process.
+    StreamOrigins(Vec<stream_origins::StreamOrigin>),
 }
 
 /// Asks the coordinator of a model where to send a request.
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
 //! | [`silence`] | when a request whose endpoint is silent is sent to another one as well |
 //! | [`stream_origins`] | which software version began each stream that callers may still take up |
+//! | [`origin_backup`] | which of these are copied to control processes |
 //! | [`paths`] | which endpoints this process can open connections to |
 //! | [`quarantine`] | requests that are no longer forwarded, because endpoints crashed while running them |
 //! | [`fingerprint`] | whether two requests are the same except for their ids |
@@ -54,6 +55,7 @@
 pub mod fingerprint;
 pub mod links;
 pub mod messages;
+pub mod origin_backup;
 pub mod paths;
 pub mod planner;
 pub mod quarantine;
--- a/crates/sageshed-fleet/src/stream_origins.rs
+++ b/crates/sageshed-fleet/src/stream_origins.rs
@@ -7,6 +7,9 @@
 //! [`entry_peers::MAX_BROADCAST_ENTRIES`], and among more to the [`HOLDERS`] with the highest hash of the stream and the
 //! entry process. A process without a record of a stream asks those that should have it.
 //!
+//! All entry processes may end at once. Control processes keep copies of the records that are needed then
+//! ([`origin_backup`](crate::origin_backup)).
+//!
 //! A stream without a record may be resumed only if no other version can have begun it: [`sole_version`].
 
 use std::{collections, net};
@@ -14,7 +17,7 @@
 use sageshed_types::time;
 use serde::{Deserialize, Serialize};
 
-use crate::{directory, entry_peers, fingerprint};
+use crate::{config, directory, entry_peers, fingerprint};
 
 /// Entry processes that are sent a record, so that one has it while the process that begins the stream and two others are
 /// lost.
@@ -28,6 +31,13 @@
 /// six hundred for each second that streams last.
 pub const MAX_RECORDS: usize = 1 << 17;
 
+/// A caller takes a stream up within its own deadline, which is unknown here where its later requests name what is left,
+/// and is a small multiple of the time of the route.
+const LIFETIMES_KEPT: u64 = 2;
+
+/// Added to the time of a route for how long one of its streams lasts: the caller comes back after it has broken off.
+const TAKE_UP_MARGIN: time::Millis = time::Millis(5_000);
+
 /// The longest time for which a record is kept.
 const MAX_LIFETIME: time::Millis = time::Millis(600_000);
 
@@ -73,21 +83,51 @@
     pub software: Option<directory::SoftwareKey>,
 }
 
+/// How long a stream of `route` may last before its caller takes it up.
+#[must_use]
+pub fn lifetime(route: &config::Route) -> time::Millis {
+    route.timeout + TAKE_UP_MARGIN
+}
+
+/// How long the record of a stream of `route` is kept.
+#[must_use]
+pub fn record_lifetime(route: &config::Route) -> time::Millis {
+    time::Millis(route.timeout.0 * LIFETIMES_KEPT) + TAKE_UP_MARGIN
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Held {
     software: directory::SoftwareKey,
     until: time::Instant,
 }
 
-/// The records that one entry process holds.
-#[derive(Debug, Default)]
+/// The records that one process holds.
+#[derive(Debug)]
 pub struct StreamOrigins {
     by_stream: collections::HashMap<StreamKey, Held>,
     by_expiry: collections::BTreeSet<(time::Instant, StreamKey)>,
+    most: usize,
     dropped: u64,
 }
 
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self::with_limit(MAX_RECORDS)
+    }
+}
+
 impl StreamOrigins {
+    /// Holds no records yet, and never more than `most`.
+    #[must_use]
+    pub fn with_limit(most: usize) -> Self {
+        Self {
+            by_stream: collections::HashMap::new(),
+            by_expiry: collections::BTreeSet::new(),
+            most,
+            dropped: 0,
+        }
+    }
+
     /// Adds a record, or replaces the one of the same stream. Drops the record that ends first if there are too many.
     pub fn insert(&mut self, now: time::Instant, origin: StreamOrigin) {
         self.expire(now);
@@ -99,7 +139,7 @@
             self.by_expiry.remove(&(before.until, origin.stream));
         }
         self.by_expiry.insert((held.until, origin.stream));
-        if self.by_stream.len() > MAX_RECORDS
+        if self.by_stream.len() > self.most
             && let Some((_, stream)) = self.by_expiry.pop_first()
         {
             self.by_stream.remove(&stream);
@@ -107,11 +147,21 @@
         }
     }
 
+    /// The record of a stream, with the lifetime that is left.
+    #[must_use]
+    pub fn record(&self, now: time::Instant, stream: StreamKey) -> Option<StreamOrigin> {
+        let held = self.by_stream.get(&stream)?;
+        (now < held.until).then(|| StreamOrigin {
+            stream,
+            software: held.software,
+            lifetime: held.until.since(now),
+        })
+    }
+
     /// The version that began a stream, if there is a record of it.
     #[must_use]
     pub fn get(&self, now: time::Instant, stream: StreamKey) -> Option<directory::SoftwareKey> {
-        let held = self.by_stream.get(&stream)?;
-        (now < held.until).then_some(held.software)
+        self.record(now, stream).map(|it| it.software)
     }
 
     /// Number of records.
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod port;
 mod route_changes;
 pub(super) mod software_versions;
+mod stream_origins;
 pub mod watch;
 pub mod watchers;
 
@@ -91,6 +92,10 @@
         let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
         move || software_versions::run(&shared, &data)
     });
+    spawn("stream-origins", {
+        let shared = sync::Arc::clone(shared);
+        move || stream_origins::run(&shared)
+    });
     spawn("watchers", {
         let shared = sync::Arc::clone(shared);
         move || watch::answer_watchers(&shared)
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -1,5 +1,7 @@
 //! Figures of a control process.
 
+use std::sync::atomic;
+
 use super::shared;
 use crate::{locks, metrics};
 
@@ -24,6 +26,7 @@
     peer_silence: metrics::Gauge,
     misread: metrics::Gauge,
     held: metrics::Gauge,
+    origins: metrics::Gauge,
 }
 
 impl Default for Metrics {
@@ -74,6 +77,10 @@
                 "sageshed_control_requests_held",
                 "Requests that are passed on no more since endpoints ended under them",
             ),
+            origins: registry.gauge(
+                "sageshed_control_stream_records",
+                "Records of streams that are kept for entry processes",
+            ),
             registry,
         }
     }
@@ -119,6 +126,8 @@
         self.misread.set(shared.hub.misread.total() as f64);
         let held = shared.hub.with_quarantine(|it| it.count_quarantined(now));
         self.held.set(held as f64);
+        let origins = shared.origins.load(atomic::Ordering::Relaxed);
+        self.origins.set(origins as f64);
         self.registry.text()
     }
 }
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -54,6 +54,8 @@
     pub waiting_entries: config_check::WaitingEntries,
     /// The last configurations, for entry processes that fetch them.
     pub config_history: sync::Mutex<config_history::ConfigHistory>,
+    /// The number of records of streams that are kept for entry processes.
+    pub origins: atomic::AtomicUsize,
     /// Held while one is compressed.
     pub compressing: sync::Mutex<()>,
     /// What the placing thread shows operators.
@@ -127,6 +129,7 @@
             hub: hub::Hub::new(incarnation.0),
             waiting_entries: config_check::WaitingEntries::default(),
             config_history: sync::Mutex::default(),
+            origins: atomic::AtomicUsize::new(0),
             compressing: sync::Mutex::default(),
             models: sync::RwLock::new(Vec::new()),
             formed: sync::RwLock::new(Vec::new()),
--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Asks the processes `holders` which version began a stream. None if none that replies has a record.
+    /// Asks the entry and control processes `holders` which version began a stream. None if none that replies has a record.
     pub(super) fn query_origin(
         &self,
         now: Instant,
@@ -372,9 +372,10 @@
             slots::serve_release(shared, *from.ip(), &release);
         }
         Ok(wire::Datagram::StreamOrigin(origin)) => {
-            let now = shared.clock.now();
-            shared.with_core(|core| core.origins.insert(now, origin));
+            shared.insert_origin(origin);
         }
+        // Sent to control processes only.
+        Ok(wire::Datagram::StreamOrigins(_)) => {}
         Ok(wire::Datagram::OriginQuery(query)) => {
             let now = shared.clock.now();
             let reply = stream_origins::OriginReply {
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -14,7 +14,8 @@
 use sageshed_http::{handler, limits, server, starts};
 
 use super::{
-    allowances, caller_limits, entry_peers, paths, proxy, queues, ready, slots, state, watch,
+    allowances, caller_limits, entry_peers, paths, proxy, queues, ready, slots, state,
+    stream_origins, watch,
 };
 use crate::{context, locks, metrics_port, settings};
 
@@ -122,6 +123,7 @@
     // Without one of these threads the process would run, and lack the configuration or endpoints for good.
     watch::start(&shared).map_err(|e| StartError::Thread(e.to_string()))?;
     entry_peers::start(&shared);
+    stream_origins::start(&shared).map_err(|e| StartError::Thread(e.to_string()))?;
     allowances::start(&shared);
     queues::start(&shared);
     slots::start(&shared);
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -8,7 +8,7 @@
 
 use sageshed_fleet::{
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
-    directory, entry_peers as wire, messages, paths, quarantine, queue_coordinator,
+    directory, entry_peers as wire, messages, origin_backup, paths, quarantine, queue_coordinator,
     records_age::{Freshness, RecordsAge},
     response_memory::ResponseMemory,
     route_history, shared_queue,
@@ -110,6 +110,12 @@
     pub budget: budget::RetryBudget,
     /// Which software version began each stream that callers may still take up.
     pub origins: stream_origins::StreamOrigins,
+    /// Those of its records that control processes do not have.
+    pub unsent_origins: origin_backup::UnsentOrigins,
+    /// The software versions whose records control processes need.
+    pub contested: collections::BTreeSet<directory::SoftwareKey>,
+    /// The known control processes.
+    pub control: Vec<net::Ipv4Addr>,
     /// The services that routes have led to lately.
     pub routes: route_history::RouteHistory,
     /// The known endpoints.
@@ -192,6 +198,9 @@
             slots: SlotCoordinator::new(allowance),
             budget: budget::RetryBudget::new(allowance),
             origins: stream_origins::StreamOrigins::default(),
+            unsent_origins: origin_backup::UnsentOrigins::default(),
+            contested: collections::BTreeSet::new(),
+            control: settings.discovery.seeds.iter().map(|it| *it.ip()).collect(),
             routes: route_history::RouteHistory::default(),
             directory: directory::Directory::new(start),
             records_age: RecordsAge::default(),
--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -1,19 +1,24 @@
 //! Records which software version began a stream at other entry processes, and finds it for a caller that takes the stream
 //! up.
 
+use std::{collections, io, net, sync, thread, time as std_time};
+
 use sageshed_fleet::{
-    chooser, config, dialect, directory, entry_peers as wire, routes, stream_origins,
+    chooser, config, dialect, directory, entry_peers as wire, origin_backup, routes, stream_origins,
 };
 use sageshed_types::time;
 
 use super::state::Shared;
 
-/// A caller takes a stream up within its own deadline, which is unknown here where its later requests name what is left,
-/// and is a small multiple of the time of the route.
-const LIFETIMES_KEPT: u64 = 2;
+/// The interval between two checks for records that control processes need.
+const BACKUP_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
+
+/// The most records that are sent to control processes in that interval.
+const MAX_SENT: usize = 100;
 
-/// Added to the time of a route for how long one of its streams lasts: the caller comes back after it has broken off.
-const TAKE_UP_MARGIN: time::Millis = time::Millis(5_000);
+/// The versions whose records are sent are determined anew after this time also if nothing has changed: endpoints that ended
+/// long ago are forgotten.
+const CHECK_INTERVAL: time::Millis = time::Millis(2_000);
 
 /// How a request continues a stream that has begun.
 #[derive(Debug, Clone, Copy, Default)]
@@ -60,7 +65,11 @@
     let now = shared.clock.now();
     let known = shared.with_core(|core| core.origins.get(now, stream));
     known.or_else(|| {
-        let asked = shared.with_core(|core| stream_origins::asked(stream, own, &core.entries));
+        let asked = shared.with_core(|core| {
+            let entries = stream_origins::asked(stream, own, &core.entries);
+            let control = origin_backup::asked(stream, &core.control);
+            entries.into_iter().chain(control).collect()
+        });
         shared
             .entry_peers
             .as_ref()?
@@ -77,7 +86,7 @@
         return None;
     };
     let now = shared.clock.now();
-    let lifetime = route.timeout + TAKE_UP_MARGIN;
+    let lifetime = stream_origins::lifetime(route);
     shared.with_core(|core| {
         let knowledge = stream_origins::VersionKnowledge {
             reaches_back: core.directory.reaches_back(now),
@@ -114,15 +123,117 @@
     let origin = stream_origins::StreamOrigin {
         stream,
         software,
-        lifetime: time::Millis(route.timeout.0 * LIFETIMES_KEPT) + TAKE_UP_MARGIN,
+        lifetime: stream_origins::record_lifetime(route),
     };
     let own = shared.settings.discovery.ip;
     let now = shared.clock.now();
     let holders = shared.with_core(|core| {
         core.origins.insert(now, origin);
-        stream_origins::holders(stream, own, &core.entries)
+        let mut holders = stream_origins::holders(stream, own, &core.entries);
+        if core.contested.contains(&software) {
+            holders.extend(origin_backup::holders(stream, &core.control));
+        } else {
+            let source = origin_backup::Source::Own;
+            core.unsent_origins
+                .insert(now, origin, source, &core.origins);
+        }
+        holders
     });
     if let Some(peers) = &shared.entry_peers {
         peers.send(&wire::Datagram::StreamOrigin(origin), &holders);
     }
 }
+
+impl<D: dialect::Dialect> Shared<D> {
+    /// Adds the record of a stream that began at another entry process.
+    pub(super) fn insert_origin(&self, origin: stream_origins::StreamOrigin) {
+        let now = self.clock.now();
+        let source = origin_backup::Source::Peer;
+        self.with_core(|core| {
+            core.origins.insert(now, origin);
+            core.unsent_origins
+                .insert(now, origin, source, &core.origins);
+        });
+    }
+}
+
+/// Starts the thread that sends records to control processes.
+pub(super) fn start<D: dialect::Dialect>(shared: &sync::Arc<Shared<D>>) -> io::Result<()> {
+    let shared = sync::Arc::clone(shared);
+    let thread = thread::Builder::new().name("origin-backup".to_owned());
+    thread.spawn(move || run(&shared))?;
+    Ok(())
+}
+
+fn run<D: dialect::Dialect>(shared: &Shared<D>) {
+    let mut determined = Determined::default();
+    loop {
+        thread::sleep(BACKUP_INTERVAL);
+        determined.update(shared);
+        send_unsent(shared);
+    }
+}
+
+/// By what the contested versions were determined last.
+#[derive(Debug, Default)]
+struct Determined {
+    at: time::Instant,
+    directory: directory::Cursor,
+    config: u64,
+    reaches_back: time::Millis,
+}
+
+impl Determined {
+    /// Determines the contested versions anew if something has changed.
+    fn update<D: dialect::Dialect>(&mut self, shared: &Shared<D>) {
+        let Some(routing) = shared.routing() else {
+            return;
+        };
+        let now = shared.clock.now();
+        shared.with_core(|core| {
+            let next = Self {
+                at: now,
+                directory: core.directory.update_cursor(),
+                config: routing.config.version,
+                reaches_back: core.directory.reaches_back(now),
+            };
+            let is_changed = next.directory != self.directory
+                || next.config != self.config
+                || next.reaches_back != self.reaches_back
+                || now.since(self.at) >= CHECK_INTERVAL;
+            if is_changed {
+                core.directory.forget_ended(now);
+                core.contested = origin_backup::contested_versions(
+                    &core.directory,
+                    next.reaches_back,
+                    &routing.config.routes,
+                );
+                *self = next;
+            }
+        });
+    }
+}
+
+fn send_unsent<D: dialect::Dialect>(shared: &Shared<D>) {
+    let Some(peers) = &shared.entry_peers else {
+        return;
+    };
+    let own = shared.settings.discovery.ip;
+    let now = shared.clock.now();
+    let (origins, control) = shared.with_core(|core| {
+        let (unsent, contested) = (&mut core.unsent_origins, &core.contested);
+        let taken = unsent.take(now, contested, own, &core.entries, &core.origins, MAX_SENT);
+        (taken, core.control.clone())
+    });
+    let mut by_holder = collections::BTreeMap::<net::Ipv4Addr, Vec<_>>::new();
+    for origin in origins {
+        for holder in origin_backup::holders(origin.stream, &control) {
+            by_holder.entry(holder).or_default().push(origin);
+        }
+    }
+    for (holder, origins) in by_holder {
+        for batch in origins.chunks(origin_backup::BATCH) {
+            peers.send(&wire::Datagram::StreamOrigins(batch.to_vec()), &[holder]);
+        }
+    }
+}
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -271,7 +271,9 @@
         shared.set_leader(resp.leader);
     }
     shared.record_control_contact();
-    locks::lock(&watching.links).add_control_vms(resp.control);
+    watching.add_control_vms(resp.control);
+    let control = watching.control_vms().into_iter().collect();
+    shared.with_core(|core| core.control = control);
     if let Some(entries) = resp.entries {
         shared.set_entries(resp.entries_number, entries);
     }
