Kill all entry processes at once in the soak of software versions

The soak killed them one by one, so that one of them always had the records of streams that callers take up.

--- a/tests/fleet/version_soak.rs
+++ b/tests/fleet/version_soak.rs
@@ -48,7 +48,7 @@
     random: &mut Random,
 ) {
     let entry = random.below(fleet.entries.len());
-    match random.below(6) {
+    match random.below(7) {
         0 if !stopping.contains(&entry) => {
             fleet.entries[entry].kill();
             thread::sleep(random.millis(0, 300));
@@ -58,6 +58,18 @@
             fleet.entries[entry].signal("TERM");
             stopping.push(entry);
         }
+        6 => {
+            let running = |(entry, process)| (!stopping.contains(&entry)).then_some(process);
+            let all = fleet.entries.iter_mut().enumerate().filter_map(running);
+            let mut all: Vec<_> = all.collect();
+            for process in &mut all {
+                process.kill();
+            }
+            thread::sleep(random.millis(0, 300));
+            for process in &mut all {
+                process.start();
+            }
+        }
         2 => engines[random.below(engines.len())].crash(),
         3 => {
             let control = random.below(fleet.control.len());
@@ -85,8 +97,8 @@
     });
 }
 
-/// Guards against streams that are joined of two versions while processes are killed, stopped and restarted, engines
-/// crash, cut streams and start with other versions, and callers leave, all at once.
+/// Guards against streams that are joined of two versions while processes are killed one by one or together, stopped and
+/// restarted, engines crash, cut streams and start with other versions, and callers leave, all at once.
 #[test]
 fn no_stream_is_joined_of_two_versions_while_disturbances_overlap() {
     for seed in soak::seeds(1) {
