Tell a caller that has ended its sending side that its request may have run

Cause: the end of a caller's input counts as a caller that has left, and a run that was interrupted for it was left out of those that may have run, since nobody was thought to read the status.

Ruled out: to go on for such callers. By RFC 9112, section 9.6, a server may take the end of input for the end of the exchange; most proxies do, and an engine that works on for a caller who has left takes the place of another one.

Change: what was sent counts, whoever reads. Other ways to end with bytes sent on already counted: a stream before its first event, a run kept while another endpoint is tried, a process that stops.

The new test fails before in its first case (503), and passes with all five: no head from a plain service or an engine, with each kind of route, and a body that does not come.

--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -534,8 +534,9 @@
             return self.leave_run(pick, sink, began);
         }
         if is_interrupted && self.is_wait_over(watch, sink.has_started()) {
-            // A caller that has given up on the first event may still read the status.
-            self.possible_runs += u32::from(failure.is_sent && !watch.caller_gone());
+            // A caller that has given up, or has ended only its sending side, may still read the status.
+            self.deliveries += u32::from(failure.is_sent);
+            self.possible_runs += u32::from(failure.is_sent);
             self.end_attempt(pick, began, chooser::AttemptOutcome::GivenUp);
             return AttemptResult::CallerGone(sink);
         }
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -316,6 +316,30 @@
     }
 }
 
+/// Guards against telling a caller that has ended only its sending side that its request was not run, though an endpoint
+/// runs it.
+#[test]
+fn a_caller_that_has_ended_its_sending_side_is_told_whether_its_request_may_have_run() {
+    let (fleet, engines) = Fleet::ready();
+    for (id, does, path) in [
+        ("half-1", Behavior::Hangs, "/once/x"),
+        ("half-2", Behavior::Hangs, "/again/x"),
+        ("half-3", Behavior::Hangs, "/stream/x"),
+        ("half-4", Behavior::Hangs, "/resumable/x"),
+        ("half-5", Behavior::HangsInBody, "/once/x"),
+    ] {
+        all_do(&engines, does);
+        let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
+        caller.send(&Request::new("POST", path, id)).expect("sent");
+        fleet.until("it runs", || total_runs(&engines, id) == 1);
+        caller.stream.shutdown(net::Shutdown::Write).expect("open");
+        let answer = caller.answer().expect("it can be read");
+        // A connection that is closed promises nothing.
+        let status = answer.map_or(502, |it| it.status());
+        assert!([502, 504].contains(&status), "{id}: {status}");
+    }
+}
+
 /// Guards against refusing a request for an adapter that no engine holds. The adapter has to be loaded, and only once.
 #[test]
 fn a_request_for_an_adapter_that_nobody_holds_has_it_loaded() {
