Say by its tries whether a request of a caller who has left may have run

Change: the refusal says what the tries of the request say, as the one of a request that is taken back. The claim was settled by the tries already.

The new test fails before the change where the engine cuts its answers; where it runs one for the caller who leaves, it passes before and after.

--- a/src/sageshed/entry/ending.rs
+++ b/src/sageshed/entry/ending.rs
@@ -56,9 +56,7 @@
 
     /// Ends it with a caller who has left; whether it ran is as the tries show.
     pub fn left(&mut self) {
-        let tries = self.account.tries.iter().map(|it| it.verdict);
-        let verdict = tries.max().unwrap_or(verdict::Verdict::NotRun);
-        let end = match verdict {
+        let end = match self.verdict() {
             verdict::Verdict::NotRun => claims::ExecutionOutcome::NotRun,
             verdict::Verdict::MayHaveRun | verdict::Verdict::Ran => {
                 claims::ExecutionOutcome::Unknown
@@ -86,19 +84,27 @@
         refusal: refusal::Refusal,
     ) -> reply::Sent {
         self.shared.step(event::Event::CallerGone(self.req));
-        let ran = self.account.tries.iter().map(|it| it.verdict).max();
-        let verdict = ran.map_or(refusal.verdict, |ran| refusal.verdict.and(ran));
+        let verdict = refusal.verdict.and(self.verdict());
         self.refuse(reply, refusal::Refusal { verdict, ..refusal })
     }
 
     pub(super) fn caller_gone(&mut self, reply: reply::Reply<'_>) -> reply::Sent {
         self.shared.step(event::Event::CallerGone(self.req));
+        // Read by a caller that has ended only its sending side. The connection ends with it.
+        let gone = refusal::Refusal {
+            verdict: self.verdict(),
+            ..refusal::Refusal::not_run(verdict::Reason::Internal, "the caller has left")
+        };
         self.left();
-        // Nobody reads it; the connection ends with it.
-        let gone = refusal::Refusal::not_run(verdict::Reason::Internal, "the caller has left");
         reply.refusal(&self.request_id, &gone)
     }
 
+    /// Whether the request may have run, by its tries.
+    fn verdict(&self) -> verdict::Verdict {
+        let tries = self.account.tries.iter().map(|it| it.verdict);
+        tries.max().unwrap_or(verdict::Verdict::NotRun)
+    }
+
     fn end(&mut self, end: request_trace::RequestOutcome, claim: claims::ExecutionOutcome) {
         if std::mem::replace(&mut self.ended, true) {
             return;
--- a/tests/testsuite/callers_leaving.rs
+++ b/tests/testsuite/callers_leaving.rs
@@ -1,8 +1,11 @@
 //! A caller who has left costs nobody else anything.
 
-use std::io::{BufRead as _, BufReader};
+use std::{
+    io::{BufRead as _, BufReader, Read as _},
+    net,
+};
 
-use sageshed_test_support::{config, stats};
+use sageshed_test_support::{config, fault, stats};
 
 use crate::{
     ask::{self, Ask},
@@ -134,3 +137,29 @@
     });
     assert_eq!(of(&cluster, "crews-1").requests, before + 1);
 }
+
+/// Guards against telling a caller that has ended only its sending side that its request was not run, while an endpoint runs
+/// it, or while it waits for another endpoint after one that may have run it.
+#[test]
+fn a_caller_that_has_ended_its_sending_side_is_told_that_its_request_may_have_run() {
+    let cluster = start();
+    let runs = || of(&cluster, "e1").runs;
+    let cut = fault::Fault::Cut { after: 2 };
+    for (fault, tokens) in [(fault::Fault::None, ENDLESS), (cut, 50)] {
+        cluster.standin.fault("e1", fault, None);
+        for _ in 0..5 {
+            let before = runs();
+            let ask = Ask::completion(&cluster.callers(0), "m1", tokens);
+            let mut socket = ask.send_only();
+            cluster.until("it runs, or is refused", || {
+                runs() > before || ask::has_response(&socket)
+            });
+            let has_run = runs() > before;
+            socket.shutdown(net::Shutdown::Write).unwrap();
+            let mut answer = String::new();
+            // A connection that is reset promises nothing.
+            drop(socket.read_to_string(&mut answer));
+            assert!(!has_run || !answer.contains("not_run"), "{answer}");
+        }
+    }
+}
