Give a new disk a random generation, without an order between those of a VM

A control VM that lost its disk twice, while its clock jumped back in between, never got its vote back: it runs, is reached by all, and the leader ignores its requests to join.

Cause: a generation was the wall clock at the start of the disk, and the smaller of two of one VM counted as the older one.

Ruled out: a number that counts up, which an emptied folder can't know; an order kept in the log, which needs a way to tell a late request from a new disk as well. That way alone is enough.

Change: a generation is random. A request to join is ignored while another generation of the VM answers heartbeats; the old one is removed once the new one has caught up and has answered at least as recently. Why it holds: a VM runs one process on its folder, and progress of a member is forgotten when it is removed, so that only a process that runs can catch up.

Rows of `the_next_change` and a test of their own fail before.

--- a/crates/sageshed-disk/src/vacant.rs
+++ b/crates/sageshed-disk/src/vacant.rs
@@ -49,9 +49,9 @@
 pub enum Start {
     /// A node of its own, which no membership holds yet and which waits to be added.
     New {
-        /// The wall clock, in milliseconds since 1970: greater than at any earlier start, or a
-        /// generation could be used twice where the folder has been emptied.
-        unix_ms: u64,
+        /// A random number, since a folder that was emptied does not show which ones it has held. A greater one is taken
+        /// if the folder shows this one or a greater one.
+        generation: u64,
     },
     /// A voter of the first membership. Refused where the folder has held a generation: that may
     /// have voted. Where the folder was emptied only the operator knows, who must not ask for it.
@@ -77,8 +77,8 @@
     pub fn start_generation(self, start: Start) -> Result<folder::Opened<F>, error::Error> {
         let greatest = self.greatest()?;
         let identity = match start {
-            Start::New { unix_ms } => self.identity(
-                greatest.map_or(unix_ms, |greatest| unix_ms.max(greatest + 1)),
+            Start::New { generation } => self.identity(
+                greatest.map_or(generation, |greatest| generation.max(greatest + 1)),
                 log::Membership::default(),
             ),
             Start::First { .. } if greatest.is_some() => {
--- a/crates/sageshed-disk/tests/faults.rs
+++ b/crates/sageshed-disk/tests/faults.rs
@@ -340,7 +340,7 @@
     let Ok(folder::Opened::Lost { vacant, .. }) = opened else {
         panic!("{opened:?}");
     };
-    let start = vacant::Start::New { unix_ms: 5_000 };
+    let start = vacant::Start::New { generation: 5_000 };
     vacant.start_generation(start).expect("started");
     let renamed = ["rename", "sync_dir", "rename", "sync_dir"];
     let opening = ["sync_dir", "sync_dir"];
--- a/crates/sageshed-disk/tests/folder.rs
+++ b/crates/sageshed-disk/tests/folder.rs
@@ -266,26 +266,26 @@
 }
 
 // A disk is replaced. The VM must not vote under its old generation, nor take one that it has used
-// before, though its clock may have gone back meanwhile.
+// before.
 #[test]
 fn a_lost_disk_starts_a_generation_that_was_never_used() {
     struct Case {
-        unix_ms: u64,
+        drawn: u64,
         generation: u64,
     }
     let scratch = Scratch::new();
     open(&scratch, LONG, Faulty::default());
     let cases = [
         Case {
-            unix_ms: 5_000,
+            drawn: 5_000,
             generation: 5_000,
         },
         Case {
-            unix_ms: 4_000,
+            drawn: 4_000,
             generation: 5_001,
         },
         Case {
-            unix_ms: 5_001,
+            drawn: 5_001,
             generation: 5_002,
         },
     ];
@@ -299,7 +299,7 @@
             Err(error::Error::UsedBefore { .. })
         ));
         let start = vacant::Start::New {
-            unix_ms: case.unix_ms,
+            generation: case.drawn,
         };
         let opened = lost(&scratch).start_generation(start).expect("started");
         let folder::Opened::Ready(folder, restored) = opened else {
@@ -319,7 +319,7 @@
     let old = scratch.path().join(format!("generation-{generation}"));
     fs::rename(old, scratch.path().join(format!("damaged-{generation}"))).expect("renamed");
     assert_eq!(reopen(&scratch), Err(damage::Damage::NoGeneration));
-    let start = vacant::Start::New { unix_ms: 1 };
+    let start = vacant::Start::New { generation: 1 };
     let opened = lost(&scratch).start_generation(start).expect("started");
     let folder::Opened::Ready(folder, _) = opened else {
         panic!("{opened:?}");
--- a/crates/sageshed-quorum/src/repair.rs
+++ b/crates/sageshed-quorum/src/repair.rs
@@ -7,6 +7,8 @@
 //! leader makes it a voter by separate membership changes: it adds the node as a learner, removes the
 //! member that the node replaces, and promotes the node.
 //!
+//! * Disk generations of one VM have no order: they are random numbers. The current one is the one that answers, since a VM
+//!   runs one at a time. A generation that was added because of an old request never catches up, and is removed as lost.
 //! * The replaced member is removed before the new one is promoted. In the other order there would be
 //!   four voters of which one is lost, and the loss of another disk would leave two of four, which is no
 //!   majority.
@@ -28,6 +30,10 @@
 
 use crate::{event, log, status};
 
+/// A request to join counts as outdated while another generation of its VM has answered within the timeout of a silent voter
+/// divided by this.
+const REQUESTS_PER_SILENCE: u64 = 3;
+
 /// The policy by which a leader repairs its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
@@ -90,11 +96,14 @@
     /// The next change that `joiner` needs to become a voter, if one is due.
     fn next_change_for(&self, view: GroupView<'_>, joiner: log::NodeId) -> Option<event::Change> {
         let members = &view.status.membership;
-        if members.voters.contains(&joiner) || has_newer_generation(members, joiner) {
+        if members.voters.contains(&joiner) {
             return None;
         }
+        let mut same_vm = members.members().filter(|id| id.vm == joiner.vm);
+        let old = same_vm.find(|id| *id != joiner);
         if !members.learners.contains(&joiner) {
-            return Some(event::Change::AddLearner(joiner));
+            let is_outdated = old.is_some_and(|it| self.is_running(view, it));
+            return (!is_outdated).then_some(event::Change::AddLearner(joiner));
         }
         let matched = view.status.matched.get(&joiner).copied();
         let last = view.status.last.0;
@@ -102,9 +111,8 @@
         if lacks > self.max_lag {
             return None;
         }
-        let mut same_vm = members.members().filter(|id| id.vm == joiner.vm);
-        if let Some(old) = same_vm.find(|id| *id != joiner) {
-            return Some(event::Change::Remove(old));
+        if let Some(old) = old {
+            return is_replaced(view, old, joiner).then_some(event::Change::Remove(old));
         }
         if members.voters.len() < self.target_voters {
             return Some(event::Change::Promote(joiner));
@@ -113,6 +121,15 @@
         Some(event::Change::Remove(silent))
     }
 
+    /// Whether `member` runs as far as is known, so that a request to join of another disk generation of its VM is outdated.
+    fn is_running(&self, view: GroupView<'_>, member: log::NodeId) -> bool {
+        let answered = view.status.answered.get(&member);
+        let is_recent = |at: &time::Instant| {
+            view.now.since(*at).0 * REQUESTS_PER_SILENCE < self.silence_timeout.0
+        };
+        member == view.status.id || answered.is_some_and(is_recent)
+    }
+
     /// The first of `members` that has sent no reply for [`Self::silence_timeout`].
     #[must_use]
     pub fn find_silent(
@@ -133,9 +150,9 @@
     2 * losses + 1
 }
 
-/// Whether a later disk generation of the same VM is already a member, so that the request of `joiner` to
-/// join is outdated.
-fn has_newer_generation(members: &log::Membership, joiner: log::NodeId) -> bool {
-    let mut same_vm = members.members().filter(|id| id.vm == joiner.vm);
-    same_vm.any(|id| id > joiner)
+/// Whether `joiner` is the disk generation that its VM runs now, and not `old`. A VM runs one of them at a time, so the other
+/// one answers no later heartbeat.
+fn is_replaced(view: GroupView<'_>, old: log::NodeId, joiner: log::NodeId) -> bool {
+    let answered = |id| view.status.answered.get(&id).copied().unwrap_or_default();
+    old != view.status.id && answered(joiner) >= answered(old)
 }
--- a/crates/sageshed-quorum/tests/testsuite/repair.rs
+++ b/crates/sageshed-quorum/tests/testsuite/repair.rs
@@ -98,6 +98,35 @@
             expected: Some(Change::Remove(id(3, 1))),
             ..idle
         },
+        Case {
+            name: "a generation with a lower number than the one that lost its disk is added",
+            voters: &[(1, 1), (2, 1), (3, 5)],
+            joiners: &[(3, 2)],
+            silent: &[3],
+            expected: Some(Change::AddLearner(id(3, 2))),
+            ..idle
+        },
+        Case {
+            name: "a generation with a lower number replaces the one that lost its disk",
+            voters: &[(1, 1), (2, 1), (3, 5)],
+            learners: &[(3, 2)],
+            joiners: &[(3, 2)],
+            silent: &[3],
+            expected: Some(Change::Remove(id(3, 5))),
+            ..idle
+        },
+        Case {
+            name: "a request to join of another generation of the leader's VM is ignored",
+            voters: &[(1, 1), (2, 1), (3, 1)],
+            joiners: &[(1, 2)],
+            ..idle
+        },
+        Case {
+            name: "a request to join of a replaced generation with a greater number is ignored",
+            voters: &[(1, 1), (2, 1), (3, 2)],
+            joiners: &[(3, 7)],
+            ..idle
+        },
         Case {
             name: "a request to join of a replaced generation is ignored",
             voters: &[(1, 1), (2, 1), (3, 2)],
@@ -136,6 +165,39 @@
     }
 }
 
+/// Guards against a voter that is removed for an earlier disk generation of its VM, which has been added once more by an old
+/// request and no longer answers.
+#[test]
+fn a_generation_that_answers_is_not_replaced_by_one_that_does_not() {
+    let members = log::Membership {
+        voters: ids(&[(1, 1), (2, 1), (3, 2)]),
+        learners: ids(&[(3, 1)]),
+    };
+    let all = members.members();
+    let matched = all.map(|it| (it, log::Index(100))).collect();
+    for (learner_answered, expected) in [(9_000, None), (10_000, Some(Change::Remove(id(3, 2))))] {
+        let answered = [
+            (id(3, 2), time::Instant(9_500)),
+            (id(3, 1), time::Instant(learner_answered)),
+        ];
+        let status = status::Status {
+            role: status::Role::Leader,
+            last: log::Index(100),
+            matched: collections::BTreeMap::clone(&matched),
+            answered: answered.into(),
+            membership: members.clone(),
+            ..status::Status::outside(id(1, 1))
+        };
+        let view = GroupView {
+            now: NOW,
+            led_since: time::Instant(0),
+            status: &status,
+            joiners: &ids(&[(3, 1)]),
+        };
+        assert_eq!(POLICY.next_change(view), expected);
+    }
+}
+
 /// Checks for each number of voters whether a command may be acknowledged while the group is growing, and
 /// after it was complete.
 #[test]
--- a/examples/measure_slopes/control.rs
+++ b/examples/measure_slopes/control.rs
@@ -272,7 +272,7 @@
     let folder::Opened::Fresh(vacant) = folder::Folder::open(&dir, 1)? else {
         return Err("the data folder is not fresh".into());
     };
-    let start = vacant::Start::New { unix_ms: 1 };
+    let start = vacant::Start::New { generation: 1 };
     let folder::Opened::Ready(mut folder, _) = vacant.start_generation(start)? else {
         return Err("the data folder is not ready".into());
     };
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -74,12 +74,10 @@
     /// The replicated log.
     #[display("{_0}")]
     Driver(driver::End),
-    /// The clock went back.
-    #[display(
-        "the clock of this VM is behind an earlier start of its disk: set it right and start again"
-    )]
+    /// The data folder holds another generation than the one that others were told of.
+    #[display("the data folder was changed while the process started: start it again")]
     #[from(skip)]
-    ClockBehind,
+    OtherGeneration,
 }
 
 /// Runs a control process until it is told to stop.
@@ -156,9 +154,12 @@
     }
 }
 
+/// The greatest number of a new disk generation. Numbers count up from it where a folder has held damaged ones.
+const MAX_GENERATION: u64 = u64::MAX / 2;
+
 fn open(settings: &settings::Control) -> Result<Found, StartError> {
     let number = settings.vm.number;
-    let generation = clock::unix_ms();
+    let generation = fastrand::u64(1..=MAX_GENERATION);
     match folder::Folder::open(&settings.data, number)? {
         folder::Opened::Ready(folder, restored) => Ok(Found::Member(folder, restored)),
         folder::Opened::Fresh(vacant) => {
@@ -181,12 +182,7 @@
 
 /// Starts a generation that waits to be added.
 fn join(vacant: vacant::Vacant, generation: u64) -> Result<Found, StartError> {
-    start(
-        vacant,
-        vacant::Start::New {
-            unix_ms: generation,
-        },
-    )
+    start(vacant, vacant::Start::New { generation })
 }
 
 fn start(vacant: vacant::Vacant, start: vacant::Start) -> Result<Found, StartError> {
@@ -303,7 +299,7 @@
             },
         };
         if folder.node() != self.shared.node {
-            return Err(StartError::ClockBehind);
+            return Err(StartError::OtherGeneration);
         }
         // On disk by now: others write it down on our word.
         self.shared.settled.store(true, atomic::Ordering::Relaxed);
