Keep the generation of a fresh disk from before others are told of it

Cause: a process with a fresh disk drew its generation at each start and told it to others before it was on its disk. The first member wrote a membership of generations that nobody had any more after the kill, and could not be elected alone, so that nobody added the others.

Ruled out: that disks count as lost; no process says so.

Change: the generation, and that the process is to form a group, are in a file that is synced before the ports open and removed once the disk holds a generation. Why it holds: a disk without a generation has cast no vote that could be contradicted; one that is lost later draws a new number, since the file is gone before the first vote.

The new test kills five control processes 20 to 240 ms after their first start, with `bootstrap` true or false at the second one; it fails before at 20 ms.

--- a/crates/sageshed-disk/src/side_file.rs
+++ b/crates/sageshed-disk/src/side_file.rs
@@ -35,10 +35,23 @@
     /// If it can't be written; the old content is removed then, since it is out of date.
     pub fn replace(&self, content: &[u8]) -> Result<(), error::Error> {
         let replaced = layout::replace(&files::Disk, &self.dir, self.name, content);
-        if replaced.is_err() && self.dir.join(self.name).exists() {
-            layout::remove(&files::Disk, &self.dir.join(self.name))?;
-            layout::sync_dir(&files::Disk, &self.dir)?;
+        if replaced.is_err() {
+            self.remove()?;
         }
         replaced
     }
+
+    /// Removes the file, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be removed.
+    pub fn remove(&self) -> Result<(), error::Error> {
+        let path = self.dir.join(self.name);
+        if !path.exists() {
+            return Ok(());
+        }
+        layout::remove(&files::Disk, &path)?;
+        layout::sync_dir(&files::Disk, &self.dir)
+    }
 }
--- a/src/sageshed/control/mod.rs
+++ b/src/sageshed/control/mod.rs
@@ -16,6 +16,7 @@
 //! A thread that waits for a commit waits with a limit and reports the fate as unknown past it.
 
 pub mod driver;
+mod first_start;
 pub mod fleet;
 pub mod formation;
 pub mod inputs;
--- a/src/sageshed/control/run.rs
+++ b/src/sageshed/control/run.rs
@@ -15,7 +15,9 @@
 use sageshed_vms::limits;
 
 use super::{
-    driver, fleet, formation, inputs, keeping, links, metrics, operators, placing, shared, vms,
+    driver,
+    first_start::{self, FirstStart},
+    fleet, formation, inputs, keeping, links, metrics, operators, placing, shared, vms,
 };
 use crate::{clock, context, locks, settings};
 
@@ -86,9 +88,9 @@
     settings: settings::Control,
     options: Options,
 ) -> Result<(), StartError> {
-    let found = open(&settings)?;
+    let found = open(&settings, options)?;
     let limits = sageshed_vms::limits_for(vms::CONNECTIONS);
-    let process = Process::start(settings, options, limits, found.node())?;
+    let process = Process::start(settings, limits, &found)?;
     process.finish(cx, found)
 }
 
@@ -99,10 +101,10 @@
     settings: &settings::FleetControl,
     dialect: D,
 ) -> Result<(), StartError> {
-    let found = open(&settings.control)?;
     let options = Options {
         new_group: settings.discovery.bootstrap,
     };
+    let found = open(&settings.control, options)?;
     // Half of the descriptors for the system's other processes, half for endpoints and the operator.
     let connections = settings
         .resources
@@ -114,10 +116,10 @@
         ..sageshed_vms::limits_for(connections)
     };
     let start = match found {
-        Found::Vacant(..) if options.new_group => fleet::software_versions::Start::First,
+        Found::Vacant(_, _, first) if first.forming => fleet::software_versions::Start::First,
         _ => fleet::software_versions::Start::Later,
     };
-    let process = Process::start(settings.control.clone(), options, limits, found.node())?;
+    let process = Process::start(settings.control.clone(), limits, &found)?;
     let limits = limits::Limits {
         connections,
         eager_threads: EAGER_THREADS,
@@ -142,40 +144,41 @@
     /// A generation, with what it holds.
     Member(Box<folder::Folder>, log::PersistedState),
     /// Nothing yet. The node is what this disk would be.
-    Vacant(vacant::Vacant, log::NodeId),
+    Vacant(vacant::Vacant, log::NodeId, FirstStart),
 }
 
 impl Found {
+    /// Whether the process is to form a new group, if there is none yet.
+    fn is_forming(&self) -> bool {
+        matches!(self, Self::Vacant(_, _, first) if first.forming)
+    }
+
     fn node(&self) -> log::NodeId {
         match self {
             Self::Member(folder, _) => folder.node(),
-            Self::Vacant(_, node) => *node,
+            Self::Vacant(_, node, _) => *node,
         }
     }
 }
 
-/// The greatest number of a new disk generation. Numbers count up from it where a folder has held damaged ones.
-const MAX_GENERATION: u64 = u64::MAX / 2;
-
-fn open(settings: &settings::Control) -> Result<Found, StartError> {
-    let number = settings.vm.number;
-    let generation = fastrand::u64(1..=MAX_GENERATION);
-    match folder::Folder::open(&settings.data, number)? {
-        folder::Opened::Ready(folder, restored) => Ok(Found::Member(folder, restored)),
+fn open(settings: &settings::Control, options: Options) -> Result<Found, StartError> {
+    let (data, vm) = (&settings.data, settings.vm.number);
+    match folder::Folder::open(data, vm)? {
+        folder::Opened::Ready(folder, restored) => {
+            FirstStart::forget(data)?;
+            Ok(Found::Member(folder, restored))
+        }
         folder::Opened::Fresh(vacant) => {
-            ::log::info!(generation; "control: fresh disk");
-            Ok(Found::Vacant(
-                vacant,
-                log::NodeId {
-                    vm: number,
-                    generation,
-                },
-            ))
+            let first = FirstStart::open(data, options.new_group)?;
+            let generation = first.generation;
+            ::log::info!(generation, forming = first.forming; "control: fresh disk");
+            Ok(Found::Vacant(vacant, log::NodeId { vm, generation }, first))
         }
         folder::Opened::Lost { damage, vacant } => {
             ::log::error!(damage:% = damage;
                 "control: data is damaged and set aside, this disk starts anew");
-            join(vacant, generation)
+            FirstStart::forget(data)?;
+            join(vacant, first_start::draw_generation())
         }
     }
 }
@@ -211,11 +214,11 @@
     /// operator must be able to see one that waits.
     fn start(
         settings: settings::Control,
-        options: Options,
         limits: limits::Limits,
-        node: log::NodeId,
+        found: &Found,
     ) -> Result<Self, StartError> {
-        let shared = sync::Arc::new(shared::Shared::new(settings, options.new_group, node));
+        let (node, forming) = (found.node(), found.is_forming());
+        let shared = sync::Arc::new(shared::Shared::new(settings, forming, node));
         let client = sageshed_vms::Client::new(&shared.settings.common.vms_token);
         let (inputs, rx) = inputs::Inputs::new();
         let (placing_tx, placing_rx) = mpsc::channel();
@@ -293,7 +296,7 @@
     fn drive(&self, found: Found) -> Result<(), StartError> {
         let (folder, restored) = match found {
             Found::Member(folder, restored) => (folder, restored),
-            Found::Vacant(vacant, node) => match self.settle(vacant, node)? {
+            Found::Vacant(vacant, node, _) => match self.settle(vacant, node)? {
                 Some(Found::Member(folder, restored)) => (folder, restored),
                 Some(Found::Vacant(..)) | None => return Ok(()),
             },
@@ -301,6 +304,7 @@
         if folder.node() != self.shared.node {
             return Err(StartError::OtherGeneration);
         }
+        FirstStart::forget(&self.shared.settings.data)?;
         // On disk by now: others write it down on our word.
         self.shared.settled.store(true, atomic::Ordering::Relaxed);
         let formed = restored
--- a/tests/fleet/control.rs
+++ b/tests/fleet/control.rs
@@ -1,5 +1,7 @@
 //! Control processes that are killed, lose their disks or are replaced, and the changes they have acknowledged.
 
+use std::{thread, time};
+
 use crate::{
     fleet::{Fleet, Process},
     standin::{caller::Request, operator},
@@ -157,3 +159,31 @@
     });
     fleet.replace(&operator::config(20));
 }
+
+/// Milliseconds after the first start of all control processes at which they are killed.
+const KILLED_AFTER_MS: [u64; 6] = [20, 60, 100, 140, 180, 240];
+
+/// Guards against a group that never forms since its processes, killed while it formed, came back as others than those that
+/// its first member has written down.
+#[test]
+fn a_group_that_was_killed_while_it_formed_forms_after_the_restart() {
+    for (number, after) in KILLED_AFTER_MS.into_iter().enumerate() {
+        let mut fleet = Fleet::tolerating(2, 5, 0);
+        thread::sleep(time::Duration::from_millis(after));
+        fleet.control.iter_mut().for_each(Process::kill);
+        let is_first_start = number % 2 == 0;
+        for process in &mut fleet.control {
+            if !is_first_start {
+                process.replace_setting("bootstrap = true", "bootstrap = false");
+            }
+            process.start();
+        }
+        let config = operator::config(7);
+        fleet.until(&format!("the group killed after {after} ms forms"), || {
+            fleet
+                .control
+                .iter()
+                .any(|it| Fleet::try_replace(it, &config) == 200)
+        });
+    }
+}
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -189,11 +189,16 @@
         self.child = Some(spawn(unread));
     }
 
+    /// Replaces `from` in its settings by `to`, for its next start.
+    pub fn replace_setting(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.settings).expect("its settings");
+        fs::write(&self.settings, text.replace(from, to)).expect("settings are written");
+    }
+
     /// Starts it anew with `from` in its settings replaced by `to`.
     pub fn restart_with(&mut self, from: &str, to: &str) {
         self.kill();
-        let text = fs::read_to_string(&self.settings).expect("its settings");
-        fs::write(&self.settings, text.replace(from, to)).expect("settings are written");
+        self.replace_setting(from, to);
         self.start();
     }
 
