Bound the memory of request bodies, and send them from where they were read

Cause: nothing bounded the bodies of all requests together, and each body was copied behind the head of its request and held there until it was written.

Ruled out: reading a body only once there is room. It would hold the connection, and its caller could not go to another process meanwhile.

Change: a body is shared by all runs of its request and written from where it was read. The bodies of all requests take at most a quarter of the memory, by the mechanism that bounds parts of responses, which moves to sageshed-types as `SharedMemory`, with a budget of its own: each at most what it leaves to others, less for routes that are less urgent, and up to 16 KB always. What does not fit is refused at once: 503 with Retry-After, or 413 if it never could.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -64,7 +64,6 @@
 pub mod records_age;
 pub mod replication;
 pub mod reply_times;
-pub mod response_memory;
 pub mod route_history;
 pub mod routes;
 pub mod shared_queue;
--- a/crates/sageshed-http/src/body.rs
+++ b/crates/sageshed-http/src/body.rs
@@ -2,11 +2,12 @@
 
 use std::time;
 
-use sageshed_types::{framing, refusal, verdict};
+use sageshed_types::{body::Body, framing, refusal, shared_memory::Reservation, verdict};
 
 use crate::{
     head,
     link::{self, Fill},
+    overflow,
 };
 
 /// Why there is no whole body.
@@ -34,33 +35,60 @@
     pub(crate) until: time::Instant,
     /// The largest body, in bytes.
     pub(crate) most: usize,
+    /// The memory that the bodies of all requests share, as far as this one holds it.
+    pub(crate) memory: Reservation,
+    /// The priority by which it may hold more; zero is the most urgent.
+    pub(crate) priority: u8,
 }
 
 impl Reader<'_> {
     /// Reads a body of `length` bytes.
-    pub(crate) fn by_length(&mut self, length: u64) -> Result<Vec<u8>, Cut> {
+    pub(crate) fn by_length(mut self, length: u64) -> Result<Body, Cut> {
         let length = within_limit(self.most, length)?;
+        self.hold(length)?;
+        let missing = length.saturating_sub(self.input.buf.len());
+        self.input.buf.reserve_exact(missing);
         while self.input.buf.len() < length {
             self.fill()?;
         }
-        Ok(self.input.take(length))
+        Ok(Body::counted(self.input.take(length), self.memory))
     }
 
     /// Reads a chunked body. Trailers are checked and dropped.
-    pub(crate) fn by_chunks(&mut self) -> Result<Vec<u8>, Cut> {
+    pub(crate) fn by_chunks(mut self) -> Result<Body, Cut> {
         let mut body = Vec::new();
         loop {
             let size = self.chunk_size()?;
             if size == 0 {
                 self.trailer()?;
-                return Ok(body);
+                // Fits, since it shrinks.
+                self.hold(body.len())?;
+                return Ok(Body::counted(body, self.memory));
             }
             let total = (body.len() as u64).saturating_add(size);
-            let size = within_limit(self.most, total)? - body.len();
+            let total = within_limit(self.most, total)?;
+            let size = total - body.len();
+            // The chunk is held twice while it is copied.
+            self.hold(total + size)?;
+            body.reserve_exact(size);
             self.chunk(size, &mut body)?;
         }
     }
 
+    /// Counts `bytes` as held for this body, or refuses it if too little memory is left.
+    fn hold(&mut self, bytes: usize) -> Result<(), refusal::Refusal> {
+        let held = self.memory.resize_with_priority(bytes, self.priority);
+        held.map_err(|_exhausted| {
+            if !self.memory.could_hold(bytes, self.priority) {
+                let detail = "the body is larger than this process may hold for one request";
+                return refusal::Refusal::not_run(verdict::Reason::TooLarge, detail);
+            }
+            let detail = "this process holds as many bodies of requests as fit into its memory";
+            let refusal = refusal::Refusal::not_run(verdict::Reason::TooManyOpen, detail);
+            refusal.with_retry_after(overflow::RETRY_AFTER)
+        })
+    }
+
     fn chunk_size(&mut self) -> Result<u64, Cut> {
         loop {
             if let Some((line, size)) =
--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{net, panic, sync, time};
 
-use sageshed_types::{refusal, verdict};
+use sageshed_types::{body::Body, refusal, shared_memory::SharedMemory, verdict};
 
 use crate::{
     body, handler, head, limits,
@@ -182,7 +182,8 @@
         } else {
             self.body_timeout(&req)
         };
-        match self.read_body(&incoming, most, timeout) {
+        let priority = self.handler.body_priority(&req);
+        match self.read_body(&incoming, most, timeout, priority) {
             Ok(body) => req.body = body,
             Err(cut) => return cut.into(),
         }
@@ -269,7 +270,8 @@
         incoming: &Incoming,
         most: usize,
         timeout: time::Duration,
-    ) -> Result<Vec<u8>, body::Cut> {
+        priority: u8,
+    ) -> Result<Body, body::Cut> {
         if let head::Framing::Length(length) = incoming.framing {
             body::within_limit(most, length)?;
         }
@@ -278,12 +280,14 @@
                 .write(CONTINUE)
                 .map_err(|_unwritable| body::Cut::Broken)?;
         }
-        let mut reader = body::Reader {
+        let reader = body::Reader {
             link: &self.link,
             input: &mut self.input,
             timeout,
             until: time::Instant::now() + timeout,
             most,
+            memory: SharedMemory::reserve(&self.shared.bodies),
+            priority,
         };
         match incoming.framing {
             head::Framing::Length(length) => reader.by_length(length),
@@ -304,7 +308,7 @@
             class: head.known.class,
             content_type: head.known.content_type,
             headers: head.headers,
-            body: Vec::new(),
+            body: Body::default(),
             received,
             peer: self.peer,
         }
--- a/crates/sageshed-http/src/handler.rs
+++ b/crates/sageshed-http/src/handler.rs
@@ -24,6 +24,12 @@
         None
     }
 
+    /// The priority of the request for the memory that bodies share; zero is the most urgent. The request has no body yet.
+    fn body_priority(&self, head: &request::Request) -> u8 {
+        let _ = head;
+        0
+    }
+
     /// Whether the request is refused on a connection that was accepted when only reserved ones were left. The
     /// connection ends with the refusal.
     fn yields(&self, head: &request::Request) -> bool {
--- a/crates/sageshed-http/src/limits.rs
+++ b/crates/sageshed-http/src/limits.rs
@@ -19,6 +19,8 @@
     pub head_bytes: usize,
     /// The largest request body, in bytes.
     pub body_bytes: usize,
+    /// What the bodies of all requests may hold together, in bytes. A request whose body does not fit is refused.
+    pub bodies_bytes: usize,
     /// From the first byte of a request to the end of its headers.
     pub head_timeout: time::Duration,
     /// From the end of the headers to the end of the body.
@@ -149,6 +151,7 @@
         Self {
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
+            bodies_bytes: usize::MAX,
             head_timeout: time::Duration::from_secs(10),
             body_timeout: time::Duration::from_secs(30),
             idle_timeout: time::Duration::from_mins(1),
--- a/crates/sageshed-http/src/overflow.rs
+++ b/crates/sageshed-http/src/overflow.rs
@@ -16,7 +16,7 @@
 use crate::{handler, link, reply, server};
 
 /// When coming back can help.
-const RETRY_AFTER: types_time::Millis = types_time::Millis(1_000);
+pub(crate) const RETRY_AFTER: types_time::Millis = types_time::Millis(1_000);
 
 /// How many connections are kept for a refusal at once.
 const KEPT: usize = 256;
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net, time};
 
-use sageshed_types::{headers, secret, time as types_time};
+use sageshed_types::{body::Body, headers, secret, time as types_time};
 
 /// One whole request.
 #[derive(Debug)]
@@ -28,7 +28,7 @@
     /// Every header, in the order sent.
     pub headers: Vec<Header>,
     /// The body, with any chunked coding taken off.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// When the first byte was read. Deadlines count from here.
     pub received: time::Instant,
     /// The other end of the connection: the platform's balancer, as a rule.
--- a/crates/sageshed-http/src/server.rs
+++ b/crates/sageshed-http/src/server.rs
@@ -16,6 +16,7 @@
 };
 
 use derive_more::{Display, Error};
+use sageshed_types::shared_memory::SharedMemory;
 
 use crate::{deferred, handler, idle, limits, link, poller, starts, stats};
 
@@ -54,6 +55,8 @@
     pub(crate) deferred: sync::Arc<deferred::Queue>,
     pub(crate) counters: sync::Arc<stats::Counters>,
     pub(crate) gate: sync::Arc<Gate>,
+    /// The memory for the bodies of requests.
+    pub(crate) bodies: sync::Arc<SharedMemory>,
     stopping: atomic::AtomicBool,
     closing_idle: atomic::AtomicBool,
     stopped: atomic::AtomicBool,
@@ -82,6 +85,7 @@
             }),
             deferred,
             counters: sync::Arc::default(),
+            bodies: sync::Arc::new(SharedMemory::new(limits.bodies_bytes)),
             stopping: atomic::AtomicBool::new(false),
             closing_idle: atomic::AtomicBool::new(false),
             stopped: atomic::AtomicBool::new(false),
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -19,11 +19,14 @@
 //! | [`request_trace`] | what is recorded of one request for `sageshed explain` |
 //! | [`rules`] | routing rules as data, and changes of them |
 //! | [`secret`] | API keys, stored as digests |
+//! | [`body`] | bodies of requests, shared without copies |
+//! | [`shared_memory`] | memory that all requests of a process share |
 //! | [`time`] | instants and durations in milliseconds |
 //! | [`verdict`] | whether a request may have run, and why it was refused |
 
 pub mod arena;
 pub mod attempt_error;
+pub mod body;
 pub mod catalog;
 pub mod claims;
 pub mod cursor;
@@ -37,5 +40,6 @@
 pub mod request_trace;
 pub mod rules;
 pub mod secret;
+pub mod shared_memory;
 pub mod time;
 pub mod verdict;
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use sageshed_types::{framing, headers};
+use sageshed_types::{body::Body, framing, headers};
 
 use crate::{
     body::{self, Framing},
@@ -25,6 +25,9 @@
 /// The most interim responses (RFC 9110, section 15.2) before an answer. None is asked for.
 const INTERIM_RESPONSES: usize = 8;
 
+/// A body this large, in bytes, is written after its head, and a smaller one with it.
+const COPIED_BYTES: usize = 16 * 1024;
+
 /// A request as it goes out.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
@@ -35,7 +38,7 @@
     /// Every header but those of the connection and of the body's length.
     pub headers: Vec<(&'a str, &'a [u8])>,
     /// The body. An empty one is sent without a length where the method usually has none.
-    pub body: &'a [u8],
+    pub body: Body,
 }
 
 impl Request<'_> {
@@ -124,8 +127,7 @@
 pub struct Sent {
     socket: Socket,
     /// The request, until it is written.
-    bytes: Vec<u8>,
-    written: usize,
+    unwritten: Unwritten,
     is_head_request: bool,
     /// The interim responses that have come.
     interim: usize,
@@ -134,6 +136,51 @@
     is_reused: bool,
 }
 
+/// The part of a request that is not written.
+#[derive(Debug, Default)]
+struct Unwritten {
+    /// The head, with the body behind it if that is small.
+    head: Vec<u8>,
+    /// The body, if it is not behind the head.
+    body: Body,
+    /// The bytes of the head that are written, and of the body.
+    written: (usize, usize),
+}
+
+impl Unwritten {
+    fn new(req: &Request<'_>) -> Self {
+        let mut head = req.head();
+        let mut body = req.body.clone();
+        if body.len() <= COPIED_BYTES {
+            head.extend_from_slice(&body);
+            body = Body::default();
+        }
+        Self {
+            head,
+            body,
+            written: (0, 0),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.head.is_empty()
+    }
+
+    /// Writes the rest. Returns whether the endpoint has read all of it.
+    fn write<S: Fn() -> bool>(
+        &mut self,
+        socket: &mut Socket,
+        patience: &Patience<'_, S>,
+    ) -> Result<bool, Failure> {
+        if !socket.write(&self.head, &mut self.written.0, patience)? {
+            return Ok(false);
+        }
+        // The head is written, so whatever fails now, something was sent.
+        let written = socket.write(&self.body, &mut self.written.1, patience);
+        written.map_err(|e| Failure { is_sent: true, ..e })
+    }
+}
+
 /// A head that has not come.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -151,14 +198,12 @@
         patience: &Patience<'_, S>,
         is_reused: bool,
     ) -> Result<Self, Failure> {
-        let mut bytes = req.head();
-        bytes.extend_from_slice(req.body);
+        let unwritten = Unwritten::new(req);
         let mut socket = socket;
         socket.begin_request();
         let mut sent = Self {
             socket,
-            bytes,
-            written: 0,
+            unwritten,
             is_head_request: req.method == "HEAD",
             interim: 0,
             keeps: true,
@@ -171,12 +216,9 @@
     }
 
     fn write_rest<S: Fn() -> bool>(&mut self, patience: &Patience<'_, S>) -> Result<(), Failure> {
-        let is_read = self
-            .socket
-            .write(&self.bytes, &mut self.written, patience)?;
+        let is_read = self.unwritten.write(&mut self.socket, patience)?;
         self.keeps = self.keeps && is_read;
-        self.bytes = Vec::new();
-        self.written = 0;
+        self.unwritten = Unwritten::default();
         Ok(())
     }
 
@@ -184,7 +226,7 @@
     /// not block.
     #[must_use]
     pub fn goes_on(&self) -> bool {
-        self.socket.has_input() || (!self.bytes.is_empty() && self.socket.is_writable())
+        self.socket.has_input() || (!self.unwritten.is_empty() && self.socket.is_writable())
     }
 
     /// Whether nothing was read of the answer for `span`.
@@ -338,8 +380,7 @@
             return Err(Failure::sent(Cause::ClosedBeforeAnswer, &detail));
         }
         Ok(Sent {
-            bytes: Vec::new(),
-            written: 0,
+            unwritten: Unwritten::default(),
             socket: self.socket,
             is_head_request: self.is_head_request,
             interim: 0,
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -5,6 +5,7 @@
     net, thread, time,
 };
 
+use sageshed_types::body::Body;
 use sageshed_upstream::{
     exchange::{Patience, Piece, Request},
     failure::{Cause, Failure},
@@ -56,7 +57,7 @@
         method: "GET",
         target: "/x?y=1",
         headers: vec![("Host", b"a.example")],
-        body: b"",
+        body: Body::default(),
     }
 }
 
@@ -628,7 +629,7 @@
     let body = vec![b'x'; 64 << 20];
     let req = Request {
         method: "POST",
-        body: &body,
+        body: body.into(),
         ..get()
     };
     let pool = Pool::new(Settings::default());
--- a/crates/sageshed-upstream/tests/relays.rs
+++ b/crates/sageshed-upstream/tests/relays.rs
@@ -5,6 +5,7 @@
     net, thread, time,
 };
 
+use sageshed_types::body::Body;
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
     exchange::{Patience, Piece, Request},
@@ -122,7 +123,7 @@
         method: "POST",
         target: "/x",
         headers: vec![("Host", b"a.example")],
-        body,
+        body: body.to_vec().into(),
     };
     let opened = pool.open(&Through(relay), endpoint, LONG, patience.until)?;
     assert!(opened.is_relayed() && !opened.is_reused());
@@ -260,7 +261,7 @@
         method: "GET",
         target: "/x",
         headers: vec![],
-        body: b"",
+        body: Body::default(),
     };
     let opened = pool.open(&Through(at), address, LONG, patience.until);
     let mut answer = opened
--- a/src/sageshed/entry/completion.rs
+++ b/src/sageshed/entry/completion.rs
@@ -13,7 +13,7 @@
 use sageshed_callers::{openai, problem, reply};
 use sageshed_decide::event;
 use sageshed_engines::{answer, classify, client, events, paths};
-use sageshed_types::attempt_error;
+use sageshed_types::{attempt_error, body::Body};
 
 use super::request::{self, Tried};
 
@@ -32,7 +32,7 @@
     /// What was read of the body.
     pub parsed: openai::Completion,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Work {
@@ -60,7 +60,7 @@
             return;
         }
         if let Ok(body) = openai::with_model(&self.body, model) {
-            self.body = body;
+            self.body = body.into();
             self.parsed.model.clone_from(model);
         }
     }
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -3,9 +3,9 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, config, dialect, entry_peers as wire, response_memory};
+use sageshed_fleet::{chooser, config, dialect, entry_peers as wire};
 use sageshed_http::reply;
-use sageshed_types::{headers, time, verdict};
+use sageshed_types::{headers, shared_memory, time, verdict};
 use sageshed_upstream::{exchange, failure, pool};
 
 use super::{
@@ -274,7 +274,7 @@
             method: &self.req.method,
             target: &target,
             headers: list,
-            body: &self.req.body,
+            body: self.req.body.clone(),
         };
         let now = self.shared.clock.now();
         let records_age = self.shared.with_core(|core| core.records_age.age(now));
@@ -387,8 +387,8 @@
         self.receive_whole(pick, run, sink, watch)
     }
 
-    fn reserve_memory(&self) -> response_memory::Reservation {
-        response_memory::ResponseMemory::reserve(&self.shared.response_memory)
+    fn reserve_memory(&self) -> shared_memory::Reservation {
+        shared_memory::SharedMemory::reserve(&self.shared.response_memory)
     }
 
     /// Records that the endpoint of `pick` has started to respond, so that its prefill is done, and reports this to
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -144,6 +144,15 @@
         shortest.map(std_time::Duration::from)
     }
 
+    fn body_priority(&self, head: &request::Request) -> u8 {
+        let host = head.header("host").unwrap_or_default();
+        let routing = self.shared.routing();
+        let route = routing
+            .as_ref()
+            .and_then(|it| it.table.find(host, &head.path));
+        route.map_or(0, |it| it.priority)
+    }
+
     fn refuse_early(&self, refusal: refusal::Refusal) -> handler::Stamped {
         ::log::info!(reason:% = refusal.reason, detail = refusal.detail.as_str();
             "gateway: request refused before it was read");
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -4,9 +4,9 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect, events, response_memory::Reservation, silence};
+use sageshed_fleet::{chooser, dialect, events, silence};
 use sageshed_http::reply;
-use sageshed_types::time;
+use sageshed_types::{shared_memory::Reservation, time};
 use sageshed_upstream::{exchange, failure};
 
 use super::{
--- a/src/sageshed/gateway/run.rs
+++ b/src/sageshed/gateway/run.rs
@@ -19,6 +19,12 @@
 };
 use crate::{context, locks, metrics_port, settings};
 
+/// The share of the memory of this process that the bodies of requests may take: connections and threads take half of it,
+/// and parts of responses as much as these.
+const BODIES_PER_MEMORY: usize = 4;
+
+const BYTES_PER_MB: usize = 1_024 * 1_024;
+
 /// File descriptors that are not for callers: control processes, idle connections to endpoints, listeners.
 const RESERVED_DESCRIPTORS: usize = 400;
 
@@ -234,6 +240,7 @@
             longest_start: LONGEST_START,
         },
         stack_bytes: STACK_BYTES,
+        bodies_bytes: resources.memory_mb * BYTES_PER_MB / BODIES_PER_MEMORY,
         ..limits::Limits::default().with_callers(caller_limits::INITIAL)
     }
 }
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -10,13 +10,12 @@
     allowance, backlog, budget, chooser, config_check as wire_check, demand_counter, dialect,
     directory, entry_peers as wire, messages, origin_backup, paths, quarantine, queue_coordinator,
     records_age::{Freshness, RecordsAge},
-    response_memory::ResponseMemory,
     route_history, shared_queue,
     slots::SlotCoordinator,
     stream_origins,
 };
 use sageshed_http::{server, stats};
-use sageshed_types::{document, time};
+use sageshed_types::{document, shared_memory::SharedMemory, time};
 use sageshed_upstream::{pool, relay};
 
 use super::{config_check, entry_peers, fetch, metrics, queues, routing, slots};
@@ -34,7 +33,7 @@
     /// Pooled connections to endpoints.
     pub pool: pool::Pool,
     /// The memory for parts of responses that are held until more arrives.
-    pub(super) response_memory: sync::Arc<ResponseMemory>,
+    pub(super) response_memory: sync::Arc<SharedMemory>,
     /// Which endpoints this process can open connections to.
     pub(super) paths: sync::Mutex<paths::PathTable>,
     /// The entry processes through which connections can be opened.
@@ -218,7 +217,7 @@
             dialect,
             clock: clock::Clock::start(),
             pool: pool::Pool::new(pool::Settings::default()),
-            response_memory: sync::Arc::new(ResponseMemory::new(response_memory)),
+            response_memory: sync::Arc::new(SharedMemory::new(response_memory)),
             paths: sync::Mutex::default(),
             relays: sync::Mutex::default(),
             relay: sync::OnceLock::new(),
--- a/src/sageshed/outbound.rs
+++ b/src/sageshed/outbound.rs
@@ -15,6 +15,6 @@
         method: call.method,
         target: &call.path,
         headers,
-        body: &call.body,
+        body: call.body.clone().into(),
     }
 }
--- a/tests/fleet/caller_limits.rs
+++ b/tests/fleet/caller_limits.rs
@@ -6,6 +6,7 @@
     fleet::Fleet,
     standin::{
         caller::{Caller, Request},
+        engine::Behavior,
         operator,
     },
 };
@@ -141,3 +142,59 @@
         assert_eq!(answer.status(), case.status, "{}", case.name);
     }
 }
+
+/// Callers whose requests with large bodies are held, and the size of each body.
+const LARGE_BODIES: usize = 80;
+const LARGE_BODY_BYTES: usize = 1_000_000;
+
+/// The memory of an entry process.
+const MEMORY_MB: u64 = 64;
+const MEMORY: &str = "[resources]\nmemory_mb = 64\n";
+
+/// Guards against an entry process that is killed since it holds more bodies than fit into its memory, and against small
+/// requests that are not served beside them.
+#[test]
+fn bodies_that_are_held_for_long_leave_memory_to_other_requests() {
+    let (fleet, engines) = Fleet::ready_with(MEMORY);
+    engines[..2]
+        .iter()
+        .for_each(|it| it.set_behavior(Behavior::Hangs));
+    let body = "x".repeat(LARGE_BODY_BYTES);
+    let send = |number: usize| {
+        let id = format!("large-{number}");
+        let request = Request {
+            body: &body,
+            ..Request::new("POST", "/stream/x", &id)
+        };
+        let mut caller = Caller::connect(fleet.entries[0].address()).expect("a connection");
+        // Fails if the request is refused before its body is read.
+        drop(caller.send(&request));
+        caller
+    };
+    let callers: Vec<_> = thread::scope(|scope| {
+        let all: Vec<_> = (0..LARGE_BODIES)
+            .map(|number| scope.spawn(move || send(number)))
+            .collect();
+        all.into_iter().map(|it| it.join().expect("sent")).collect()
+    });
+    for number in 0..20 {
+        let id = format!("small-{number}");
+        let request = Request {
+            body: "small",
+            ..Request::new("POST", "/again/x", &id)
+        };
+        let answer = fleet.ask(0, &request).expect("an answer");
+        assert_eq!(answer.status(), 200, "{id}");
+    }
+    let refused = fleet.entries[0]
+        .log()
+        .matches("as many bodies of requests as fit")
+        .count();
+    println!(
+        "{refused} of {LARGE_BODIES} refused, {} KB at most",
+        fleet.entries[0].peak_memory_kb()
+    );
+    assert!(refused > 0 && refused < LARGE_BODIES, "{refused}");
+    assert!(fleet.entries[0].peak_memory_kb() < MEMORY_MB * 1_024);
+    drop(callers);
+}
