--- a/crates/sageshed-quorum/src/repair.rs
+++ b/crates/sageshed-quorum/src/repair.rs
@@ -30,9 +30,8 @@
 
 use crate::{event, log, status};
 
-/// A request to join counts as outdated while another generation of its VM has answered within the timeout of a silent voter
-/// divided by this.
-const REQUESTS_PER_SILENCE: u64 = 3;
+/// A member is running if it has answered within the timeout of a silent voter divided by this.
+const RUNNING_PER_SILENCE: u64 = 3;
 
 /// The policy by which a leader repairs its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,7 +124,7 @@
     fn is_running(&self, view: GroupView<'_>, member: log::NodeId) -> bool {
         let answered = view.status.answered.get(&member);
         let is_recent = |at: &time::Instant| {
-            view.now.since(*at).0 * REQUESTS_PER_SILENCE < self.silence_timeout.0
+            view.now.since(*at).0 * RUNNING_PER_SILENCE < self.silence_timeout.0
         };
         member == view.status.id || answered.is_some_and(is_recent)
     }
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -9,6 +9,7 @@
     failure::{Cause, Failure},
     pool,
     socket::{Filled, Socket},
+    unwritten::Unwritten,
 };
 
 pub use crate::{body::Piece, socket::Patience};
@@ -25,9 +26,6 @@
 /// The most interim responses (RFC 9110, section 15.2) before an answer. None is asked for.
 const INTERIM_RESPONSES: usize = 8;
 
-/// A body this large, in bytes, is written after its head, and a smaller one with it.
-const COPIED_BYTES: usize = 16 * 1024;
-
 /// A request as it goes out.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
@@ -42,7 +40,7 @@
 }
 
 impl Request<'_> {
-    fn head(&self) -> Vec<u8> {
+    pub(crate) fn head(&self) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target).into_bytes();
         for (name, value) in &self.headers {
             head.extend_from_slice(name.as_bytes());
@@ -136,51 +134,6 @@
     is_reused: bool,
 }
 
-/// The part of a request that is not written.
-#[derive(Debug, Default)]
-struct Unwritten {
-    /// The head, with the body behind it if that is small.
-    head: Vec<u8>,
-    /// The body, if it is not behind the head.
-    body: Body,
-    /// The bytes of the head that are written, and of the body.
-    written: (usize, usize),
-}
-
-impl Unwritten {
-    fn new(req: &Request<'_>) -> Self {
-        let mut head = req.head();
-        let mut body = req.body.clone();
-        if body.len() <= COPIED_BYTES {
-            head.extend_from_slice(&body);
-            body = Body::default();
-        }
-        Self {
-            head,
-            body,
-            written: (0, 0),
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.head.is_empty()
-    }
-
-    /// Writes the rest. Returns whether the endpoint has read all of it.
-    fn write<S: Fn() -> bool>(
-        &mut self,
-        socket: &mut Socket,
-        patience: &Patience<'_, S>,
-    ) -> Result<bool, Failure> {
-        if !socket.write(&self.head, &mut self.written.0, patience)? {
-            return Ok(false);
-        }
-        // The head is written, so whatever fails now, something was sent.
-        let written = socket.write(&self.body, &mut self.written.1, patience);
-        written.map_err(|e| Failure { is_sent: true, ..e })
-    }
-}
-
 /// A head that has not come.
 #[derive(Debug)]
 pub struct Unanswered {
--- a/crates/sageshed-upstream/src/lib.rs
+++ b/crates/sageshed-upstream/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod probe;
 pub mod relay;
 mod socket;
+mod unwritten;
--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -151,8 +151,11 @@
         let source = origin_backup::Source::Peer;
         self.with_core(|core| {
             core.origins.insert(now, origin);
-            core.unsent_origins
-                .insert(now, origin, source, &core.origins);
+            // The process that sends a record of a contested version here sends it to control processes as well.
+            if !core.contested.contains(&origin.software) {
+                core.unsent_origins
+                    .insert(now, origin, source, &core.origins);
+            }
         });
     }
 }
