Keep marks of moved routes over a restart, and trust versions by what was compared

The routes were on disk as compared, and the mark of the service was not: it is written with the software versions, up to 0.3 s later. After the start nothing had changed, so no mark was made. Versions from before the start were trusted only after the first configuration had been compared and written, and callers came before.

Change: marks are part of the route history, in the same file, and are made anew at the start. Versions are trusted from the start again; instead control processes pass on up to which configuration they have compared routes, and an entry process trusts a sole version only if that covers the configuration in force there. A change that was not compared delays only itself.

Ruled out: comparing before a configuration is passed on; the driver of the log would have to parse it, or wait.

A new case kills all processes as soon as the move is acknowledged. The test of the route history checks the marks it returns.

--- a/crates/sageshed-fleet/src/messages.rs
+++ b/crates/sageshed-fleet/src/messages.rs
@@ -205,6 +205,10 @@
     /// that doesn't send it.
     #[serde(default, skip_serializing_if = "is_none")]
     pub reaches_back: time::Millis,
+    /// The version of the configuration up to which the marks of services with streams of other ones are in the directory;
+    /// see [`crate::route_history`]. Zero from a process that doesn't send it.
+    #[serde(default)]
+    pub routes_compared: u64,
     /// The records that changed after the watcher's cursor.
     pub records: Vec<EncodedRecord>,
     /// Refreshes of instances without updates, for a watcher that asks for [`DirectoryDetail::All`].
--- a/crates/sageshed-fleet/src/route_history.rs
+++ b/crates/sageshed-fleet/src/route_history.rs
@@ -44,12 +44,24 @@
     replaced: time::Instant,
 }
 
+/// A service to which a configuration has led streams that may have begun at another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MixedService {
+    /// The service.
+    pub service: String,
+    /// The version of the configuration.
+    pub version: u64,
+    #[serde(skip)]
+    since: time::Instant,
+}
+
 /// The routes of the configuration in force and, for as long as ended endpoints are kept, those of earlier ones.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RouteHistory {
     version: u64,
     current: Vec<RouteTargets>,
     former: Vec<FormerRoute>,
+    mixed: Vec<MixedService>,
     /// Whether configurations before the current one may be missing.
     is_unknown: bool,
 }
@@ -70,12 +82,16 @@
         self.version
     }
 
-    /// Counts the former routes as replaced at `now`, after the history was read from disk: for how long it was there is not
-    /// known.
-    pub fn restore(&mut self, now: time::Instant) {
+    /// Counts everything as changed at `now`, after the history was read from disk: for how long it was there is not known.
+    /// Returns the services that were mixed by then.
+    pub fn restore(&mut self, now: time::Instant) -> &[MixedService] {
         for former in &mut self.former {
             former.replaced = now;
         }
+        for mixed in &mut self.mixed {
+            mixed.since = now;
+        }
+        &self.mixed
     }
 
     /// Puts a configuration in force. Returns the services to which it leads streams that may have begun at another one.
@@ -90,11 +106,18 @@
         self.version = config.version;
         self.former
             .retain(|it| now.since(it.replaced) < directory::ENDED_RETENTION);
-        let mixed = if std::mem::take(&mut self.is_unknown) {
+        self.mixed
+            .retain(|it| now.since(it.since) < directory::ENDED_RETENTION);
+        let mixed: collections::BTreeSet<_> = if std::mem::take(&mut self.is_unknown) {
             config.routes.iter().filter_map(sole_service).collect()
         } else {
             self.mixed_services(&before, config)
         };
+        self.mixed.extend(mixed.iter().map(|it| MixedService {
+            service: it.clone(),
+            version: config.version,
+            since: now,
+        }));
         let is_replaced = |it: &RouteTargets| self.current.binary_search(it).is_err();
         let replaced = before.into_iter().filter(is_replaced);
         self.former.extend(replaced.map(|route| FormerRoute {
--- a/crates/sageshed-fleet/tests/route_history.rs
+++ b/crates/sageshed-fleet/tests/route_history.rs
@@ -139,9 +139,14 @@
     let written = serde_json::to_string(&history).expect("it can be written");
     let mut read: RouteHistory = serde_json::from_str(&written).expect("it can be read");
     let restarted = time::Instant(10);
-    read.restore(restarted);
+    assert!(read.restore(restarted).is_empty());
     let moved = config(3, &[("/a/", &["s2"]), ("/b/", &["s1"])]);
     assert_eq!(read.replace(restarted, &moved), ["s2".to_owned()].into());
+    let written = serde_json::to_string(&read).expect("it can be written");
+    let mut again: RouteHistory = serde_json::from_str(&written).expect("it can be read");
+    let mixed: Vec<_> = again.restore(restarted).iter().collect();
+    assert_eq!(mixed.len(), 1);
+    assert_eq!((mixed[0].service.as_str(), mixed[0].version), ("s2", 3));
     let unread = RouteHistory::unknown().replace(restarted, &moved);
     assert_eq!(unread, ["s1".to_owned(), "s2".to_owned()].into());
 }
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -56,6 +56,8 @@
     /// The demand of callers that was not reported to the leader yet.
     unreported_demand: demand_counter::DemandCounter,
     quarantine: quarantine::Quarantine,
+    /// The version of the configuration up to which routes were compared.
+    routes_compared: u64,
     is_stopping: bool,
 }
 
@@ -141,6 +143,7 @@
                 control_zones: collections::BTreeMap::new(),
                 unreported_demand: demand_counter::DemandCounter::default(),
                 quarantine: quarantine::Quarantine::new(start),
+                routes_compared: 0,
                 is_stopping: false,
             }),
             due: sync::Condvar::new(),
@@ -384,6 +387,7 @@
             digest_mark: inner.directory.cursor(),
             news_mark: inner.directory.update_cursor(),
             reaches_back: inner.directory.reaches_back(now),
+            routes_compared: inner.routes_compared,
             config: inner.versions.newest(),
             crashes_mark: inner.quarantine.cursor(),
             crashes: req.crashes_known.map_or_else(Vec::new, |mark| {
@@ -430,7 +434,7 @@
         locks::lock(&self.inner).control_zones.get(&ip).cloned()
     }
 
-    /// Records that a configuration leads streams of other services to `services`; see
+    /// Records that the configuration `version` leads streams of other services to `services`; see
     /// [`directory::Directory::mark_mixed`].
     pub fn mark_mixed<'s>(
         &self,
@@ -443,6 +447,12 @@
                 it.mark_mixed(now, service, version);
             }
         });
+        self.set_routes_compared(version);
+    }
+
+    /// Records that the routes of the configuration `version` were compared with those before.
+    pub fn set_routes_compared(&self, version: u64) {
+        self.change(|inner| inner.routes_compared = version);
     }
 
     /// The software versions of endpoints; see [`directory::Directory::software_versions`].
@@ -725,6 +735,8 @@
     pub news_mark: directory::Cursor,
     /// For how long back the directory has all endpoints.
     pub reaches_back: time::Millis,
+    /// The version of the configuration up to which routes were compared.
+    pub routes_compared: u64,
     /// The version of the configuration that this process holds.
     pub config: u64,
     /// Up to which change the watcher knows the crashes with them.
--- a/src/sageshed/control/fleet/mod.rs
+++ b/src/sageshed/control/fleet/mod.rs
@@ -41,6 +41,12 @@
     dialect: D,
     start: software_versions::Start,
 ) -> Result<Ports, StartError> {
+    spawn("route-changes", {
+        let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
+        let mut before = route_changes::BeforeStart::read(&data, start);
+        route_changes::restore(&shared, &mut before);
+        move || route_changes::run(&shared, &data, dialect, before)
+    });
     let handler = port::FleetHandler {
         shared: sync::Arc::clone(shared),
         inputs: inputs.clone(),
@@ -83,11 +89,6 @@
         let shared = sync::Arc::clone(shared);
         move || config_check::run(&shared)
     });
-    spawn("route-changes", {
-        let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
-        let before = route_changes::BeforeStart::read(&data, start);
-        move || route_changes::run(&shared, &data, dialect, before)
-    });
     spawn("software-versions", {
         let (shared, data) = (sync::Arc::clone(shared), settings.control.data.clone());
         move || software_versions::run(&shared, &data)
--- a/src/sageshed/control/fleet/route_changes.rs
+++ b/src/sageshed/control/fleet/route_changes.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// Adds what is known of the time before the start to the directory.
+pub(super) fn restore(shared: &shared::Shared, before: &mut BeforeStart) {
+    let now = shared.clock.now();
+    for mixed in before.routes.restore(now) {
+        shared.hub.mark_mixed(now, [&mixed.service], mixed.version);
+    }
+    shared.hub.set_routes_compared(before.routes.version());
+    if let Some(versions) = before.versions.take() {
+        software_versions::restore(shared, versions);
+    }
+}
+
 fn read(data: &path::Path) -> Option<route_history::RouteHistory> {
     let content = match side_file::SideFile::new(data, FILE).read() {
         Ok(content) => content?,
@@ -55,8 +67,7 @@
         .ok()
 }
 
-/// Follows the configuration for as long as the process runs. The software versions from before the start are trusted from
-/// the first configuration on.
+/// Follows the configuration for as long as the process runs.
 pub(super) fn run<D: dialect::Dialect>(
     shared: &sync::Arc<shared::Shared>,
     data: &path::Path,
@@ -64,11 +75,7 @@
     before: BeforeStart,
 ) {
     let file = side_file::SideFile::new(data, FILE);
-    let BeforeStart {
-        mut versions,
-        mut routes,
-    } = before;
-    routes.restore(shared.clock.now());
+    let mut routes = before.routes;
     let mut read_up_to = 0;
     while !shared.is_stopping() {
         let documents = locks::lock(&shared.config_history).newer_than(read_up_to);
@@ -78,9 +85,6 @@
         }
         if !documents.is_empty() {
             write(&file, &routes);
-            if let Some(versions) = versions.take() {
-                software_versions::restore(shared, versions);
-            }
         }
         thread::sleep(CHECK_INTERVAL);
     }
@@ -105,8 +109,8 @@
     let mixed = routes.replace(now, &config);
     if !mixed.is_empty() {
         ::log::info!(version = config.version, services:? = mixed; "control: routes lead streams of other services here");
-        shared.hub.mark_mixed(now, &mixed, config.version);
     }
+    shared.hub.mark_mixed(now, &mixed, config.version);
 }
 
 fn write(file: &side_file::SideFile, routes: &route_history::RouteHistory) {
--- a/src/sageshed/control/fleet/watch.rs
+++ b/src/sageshed/control/fleet/watch.rs
@@ -111,6 +111,7 @@
             digest_mark: Some(updates.digest_mark),
             news_mark: Some(updates.news_mark),
             reaches_back: updates.reaches_back,
+            routes_compared: updates.routes_compared,
             peers: if takes_entries {
                 self.peers.clone()
             } else {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -115,6 +115,8 @@
     pub contested: collections::BTreeSet<directory::SoftwareKey>,
     /// The known control processes.
     pub control: Vec<net::Ipv4Addr>,
+    /// The version of the configuration up to which control processes have compared routes.
+    pub routes_compared: u64,
     /// The services that routes have led to lately.
     pub routes: route_history::RouteHistory,
     /// The known endpoints.
@@ -200,6 +202,7 @@
             unsent_origins: origin_backup::UnsentOrigins::default(),
             contested: collections::BTreeSet::new(),
             control: settings.discovery.seeds.iter().map(|it| *it.ip()).collect(),
+            routes_compared: 0,
             routes: route_history::RouteHistory::default(),
             directory: directory::Directory::new(start),
             records_age: RecordsAge::default(),
--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -87,7 +87,12 @@
     };
     let now = shared.clock.now();
     let lifetime = stream_origins::lifetime(route);
+    let version = shared.version();
     shared.with_core(|core| {
+        // Whether the route has led elsewhere before is not known yet.
+        if core.routes_compared < version {
+            return None;
+        }
         let knowledge = stream_origins::VersionKnowledge {
             reaches_back: core.directory.reaches_back(now),
             age: core.records_age.age(now),
--- a/src/sageshed/gateway/watch.rs
+++ b/src/sageshed/gateway/watch.rs
@@ -109,6 +109,7 @@
                 let (digest, digest_mark) = (resp.digest, resp.digest_mark);
                 let (has_more, news) = (resp.has_more, resp.news_mark);
                 let (reaches_back, held) = (resp.reaches_back, resp.held);
+                let routes_compared = resp.routes_compared;
                 let peers = apply_response(shared, watching, to, resp);
                 let differs = shared.with_core(|core| core.directory.digest()) != digest;
                 if let Some(mark) = digest_mark.filter(|_| !differs) {
@@ -121,7 +122,10 @@
                 shared.record_control_response(sent_at, held, is_complete);
                 if has_records && !has_more && !known.has_skipped {
                     let now = shared.clock.now();
-                    shared.with_core(|core| core.directory.extend_back(now, reaches_back));
+                    shared.with_core(|core| {
+                        core.directory.extend_back(now, reaches_back);
+                        core.routes_compared = core.routes_compared.max(routes_compared);
+                    });
                 }
                 let mut links = locks::lock(&watching.links);
                 let answer = links::SyncReply {
--- a/tests/fleet/rejoined.rs
+++ b/tests/fleet/rejoined.rs
@@ -34,6 +34,8 @@
     VersionArrives,
     /// The route moves to another service.
     RouteMoves,
+    /// The same, just before.
+    RouteMovesLast,
     /// The route is removed, and added again with another service.
     RouteIsMadeAnew,
     /// The route is split between two services.
@@ -61,7 +63,7 @@
     resumed: usize,
 }
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 12] = [
     Case {
         name: "two versions",
         entries: 3,
@@ -133,6 +135,13 @@
         loss: Loss::All,
         resumed: 0,
     },
+    Case {
+        name: "the route has just moved, all processes lost",
+        entries: 3,
+        change: Change::RouteMovesLast,
+        loss: Loss::All,
+        resumed: 0,
+    },
     Case {
         name: "the route has moved, all processes lost",
         entries: 3,
@@ -191,6 +200,7 @@
             engines.push(new);
         }
         Change::RouteMoves => fleet.replace(&with_services(12, MOVED)),
+        Change::RouteMovesLast => return fleet.replace(&with_services(12, MOVED)),
         Change::RouteIsMadeAnew => {
             let config = with_services(12, RESUMABLE);
             let is_kept = |it: &&str| !it.contains(r#""name":"resumable""#);
