Write the head and the body of a request as one sequence of bytes

Since a large body is written after its head, the bytes written were counted for each of them. Between the two the count of the body is zero, as if nothing had been sent: an endpoint that answers and closes there counted as one that closed before an answer, and its answer was not read. Found by reading the change once more; not brought about by a test, as the two writes follow each other at once.

`Socket::write` takes both parts and one count, as it took one slice before. The correction of the failure in `Unwritten` is gone with it.

The tests of sageshed-upstream pass, clippy has no warning.

--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -130,11 +130,16 @@
     /// answers before it has read all: the rest is then not sent, and the connection must not carry another request.
     pub(crate) fn write<S: Fn() -> bool>(
         &mut self,
-        bytes: &[u8],
+        parts: [&[u8]; 2],
         written: &mut usize,
         patience: &Patience<'_, S>,
     ) -> Result<bool, Failure> {
-        while *written < bytes.len() {
+        let [first, second] = parts;
+        while *written < first.len() + second.len() {
+            let unwritten = match written.checked_sub(first.len()) {
+                None => &first[*written..],
+                Some(of_second) => &second[of_second..],
+            };
             let is_sent = *written > 0;
             // A long request to a sound endpoint takes its time: only the deadline ends one that is read.
             if is_sent && time::Instant::now() >= patience.until {
@@ -144,7 +149,7 @@
                     "while the request was written",
                 ));
             }
-            match self.stream.write(&bytes[*written..]) {
+            match self.stream.write(unwritten) {
                 Ok(n) => *written += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if is_timeout(&e) && self.has_input() => return Ok(false),
--- a/crates/sageshed-upstream/src/unwritten.rs
+++ b/crates/sageshed-upstream/src/unwritten.rs
@@ -18,8 +18,8 @@
     head: Vec<u8>,
     /// The body, if it is not behind the head.
     body: Body,
-    /// The bytes of the head that are written, and of the body.
-    written: (usize, usize),
+    /// The bytes of both that are written.
+    written: usize,
 }
 
 impl Unwritten {
@@ -33,7 +33,7 @@
         Self {
             head,
             body,
-            written: (0, 0),
+            written: 0,
         }
     }
 
@@ -47,11 +47,6 @@
         socket: &mut Socket,
         patience: &Patience<'_, S>,
     ) -> Result<bool, Failure> {
-        if !socket.write(&self.head, &mut self.written.0, patience)? {
-            return Ok(false);
-        }
-        // The head is written, so whatever fails now, something was sent.
-        let written = socket.write(&self.body, &mut self.written.1, patience);
-        written.map_err(|e| Failure { is_sent: true, ..e })
+        socket.write([&self.head, &self.body], &mut self.written, patience)
     }
 }
