Look header values up in one place, and ask for a priority only where it counts

`Request` had a second copy of the lookup of a header's values, and the handler was asked for the priority of each request, which finds its route once more, though a body that has come with its head is small and accepted in any case.

--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -176,13 +176,12 @@
             Ok(handler::Admission::Answer(answer)) => return Arrival::Answered(answer),
             Err(refusal) => return Arrival::Refused(refusal),
         };
-        // Most bodies come with the head: the handler is asked for the time of the others only.
-        let timeout = if incoming.has_arrived(self.input.buf.len()) {
-            self.limits.body_timeout
+        // Most bodies come with the head: the handler is asked for the time and priority of the others only.
+        let (timeout, priority) = if incoming.has_arrived(self.input.buf.len()) {
+            (self.limits.body_timeout, 0)
         } else {
-            self.body_timeout(&req)
+            (self.body_timeout(&req), self.handler.body_priority(&req))
         };
-        let priority = self.handler.body_priority(&req);
         match self.read_body(&incoming, most, timeout, priority) {
             Ok(body) => req.body = body,
             Err(cut) => return cut.into(),
--- a/crates/sageshed-http/src/head.rs
+++ b/crates/sageshed-http/src/head.rs
@@ -293,7 +293,11 @@
     }
 }
 
-fn values<'h>(headers: &'h [request::Header], name: &'h str) -> impl Iterator<Item = &'h [u8]> {
+/// The values of all headers called `name`, in any case.
+pub(crate) fn values<'h>(
+    headers: &'h [request::Header],
+    name: &str,
+) -> impl Iterator<Item = &'h [u8]> {
     headers
         .iter()
         .filter(move |header| header.name.eq_ignore_ascii_case(name))
--- a/crates/sageshed-http/src/request.rs
+++ b/crates/sageshed-http/src/request.rs
@@ -4,6 +4,8 @@
 
 use sageshed_types::{body::Body, headers, secret, time as types_time};
 
+use crate::head;
+
 /// One whole request.
 #[derive(Debug)]
 pub struct Request {
@@ -76,15 +78,7 @@
     /// The value of the header called `name`, in any case.
     #[must_use]
     pub fn value(&self, name: &str) -> headers::Value<'_> {
-        headers::Value::of(self.values(name))
-    }
-
-    fn values<'h>(&'h self, name: &str) -> impl Iterator<Item = &'h [u8]> {
-        let named = move |it: &&Header| it.name.eq_ignore_ascii_case(name);
-        self.headers
-            .iter()
-            .filter(named)
-            .map(|it| it.value.as_slice())
+        headers::Value::of(head::values(&self.headers, name))
     }
 
     /// The headers to pass on to a plain service.
