Compare routes apart from the locks that requests take

An entry process compared a configuration with earlier routes under the locks of routing and of its core, which each request takes. It has a lock of its own now. The check for an older configuration is in `RouteHistory::replace`, for both callers, and marking a service no longer sets as a side effect up to which configuration routes were compared.

--- a/crates/sageshed-fleet/src/route_history.rs
+++ b/crates/sageshed-fleet/src/route_history.rs
@@ -94,12 +94,16 @@
         &self.mixed
     }
 
-    /// Puts a configuration in force. Returns the services to which it leads streams that may have begun at another one.
+    /// Puts a configuration in force, unless one with the same or a higher version is. Returns the services to which it leads
+    /// streams that may have begun at another one.
     pub fn replace(
         &mut self,
         now: time::Instant,
         config: &config::FleetConfig,
     ) -> collections::BTreeSet<String> {
+        if config.version <= self.version {
+            return collections::BTreeSet::new();
+        }
         let before = std::mem::take(&mut self.current);
         self.current = config.routes.iter().map(RouteTargets::new).collect();
         self.current.sort_unstable();
--- a/src/sageshed/control/fleet/hub.rs
+++ b/src/sageshed/control/fleet/hub.rs
@@ -447,7 +447,6 @@
                 it.mark_mixed(now, service, version);
             }
         });
-        self.set_routes_compared(version);
     }
 
     /// Records that the routes of the configuration `version` were compared with those before.
--- a/src/sageshed/control/fleet/route_changes.rs
+++ b/src/sageshed/control/fleet/route_changes.rs
@@ -102,15 +102,13 @@
             return ::log::error!(error:% = e; "control: cannot decode a committed configuration");
         }
     };
-    if config.version <= routes.version() {
-        return;
-    }
     let now = shared.clock.now();
     let mixed = routes.replace(now, &config);
     if !mixed.is_empty() {
         ::log::info!(version = config.version, services:? = mixed; "control: routes lead streams of other services here");
     }
     shared.hub.mark_mixed(now, &mixed, config.version);
+    shared.hub.set_routes_compared(routes.version());
 }
 
 fn write(file: &side_file::SideFile, routes: &route_history::RouteHistory) {
--- a/src/sageshed/gateway/routing.rs
+++ b/src/sageshed/gateway/routing.rs
@@ -96,24 +96,30 @@
         }
         let count = routing.table.len();
         let terms = allowances::limits(&routing.config);
-        let now = self.clock.now();
-        self.with_core(|core| {
-            core.allowances.set_limits(terms);
-            for service in core.routes.replace(now, &routing.config) {
-                core.directory.mark_mixed(now, &service, version);
-            }
-        });
+        self.with_core(|core| core.allowances.set_limits(terms));
         let limits = routing.config.limits;
         if current.as_ref().is_none_or(|it| it.config.limits != limits) {
             self.apply_caller_limits(&limits);
         }
-        *current = Some(routing);
+        *current = Some(sync::Arc::clone(&routing));
         drop(current);
+        self.mark_mixed(&routing.config);
         // Requests that arrived before the first configuration wait for it.
         self.wake_waiting();
         ::log::info!(version, before = held, routes = count; "gateway: configuration in force");
     }
 
+    /// Marks the services to which a configuration leads streams of other ones, apart from the locks that requests take.
+    fn mark_mixed(&self, config: &config::FleetConfig) {
+        let now = self.clock.now();
+        let mixed = locks::lock(&self.routes).replace(now, config);
+        self.with_core(|core| {
+            for service in &mixed {
+                core.directory.mark_mixed(now, service, config.version);
+            }
+        });
+    }
+
     fn apply_caller_limits(&self, configured: &config::CallerLimits) {
         let bounded = caller_limits::bounded(configured);
         if bounded != *configured {
--- a/src/sageshed/gateway/state.rs
+++ b/src/sageshed/gateway/state.rs
@@ -70,6 +70,8 @@
     /// Limits the log records about endpoint changes.
     endpoint_changes: sampler::Sampler,
     pub(super) routing: sync::RwLock<Option<sync::Arc<routing::Routing>>>,
+    /// The services that routes have led to lately.
+    pub(super) routes: sync::Mutex<route_history::RouteHistory>,
     /// The newest configuration as the operator sent it, the base of the deltas that control sends.
     pub(super) document: sync::Mutex<document::Document>,
     pub(super) config_fetcher: fetch::ConfigFetcher,
@@ -117,8 +119,6 @@
     pub control: Vec<net::Ipv4Addr>,
     /// The version of the configuration up to which control processes have compared routes.
     pub routes_compared: u64,
-    /// The services that routes have led to lately.
-    pub routes: route_history::RouteHistory,
     /// The known endpoints.
     pub directory: directory::Directory,
     /// How old the records of these are.
@@ -203,7 +203,6 @@
             contested: collections::BTreeSet::new(),
             control: settings.discovery.seeds.iter().map(|it| *it.ip()).collect(),
             routes_compared: 0,
-            routes: route_history::RouteHistory::default(),
             directory: directory::Directory::new(start),
             records_age: RecordsAge::default(),
             quarantine: quarantine::Quarantine::new(start),
@@ -239,6 +238,7 @@
             misread: sampler::Sampler::new(MISREAD_LOGGED_PER_SECOND),
             endpoint_changes: sampler::Sampler::new(ENDPOINT_CHANGES_LOGGED_PER_SECOND),
             routing: sync::RwLock::new(None),
+            routes: sync::Mutex::default(),
             document: sync::Mutex::default(),
             config_fetcher: fetch::ConfigFetcher::default(),
             core: sync::Mutex::new(core),
