Know quarantined requests of the log before entry processes have a configuration

Traced by its logs: the configuration was in force at all entry processes at 27:00.381, when the leader was elected; what the log holds of quarantined requests was restored at 00.468. A thread looked for it every 100 ms, and the caller sent the part in between.

The thread only writes them.

The window within one batch of the log is not measured.

--- a/src/sageshed/control/driver/applying.rs
+++ b/src/sageshed/control/driver/applying.rs
@@ -65,6 +65,8 @@
     /// take a change that was accepted a moment ago elsewhere for older than every lease, and tell
     /// operators that it is in force where it is not.
     pub(super) fn note_restored(&self) {
+        // Entry processes serve as soon as they have a configuration, and must not pass these requests on then.
+        self.shared.restore_held();
         self.shared.note_config();
         let revision = locks::read(&self.shared.state).rules().current().revision;
         let now = self.shared.clock.now();
@@ -80,6 +82,7 @@
             }
             command::Outcome::Pin { changed: true } => self.send_pins(),
             command::Outcome::Fleet { .. } => self.shared.note_config(),
+            command::Outcome::RequestsHeld => self.shared.restore_held(),
             _ => {}
         }
     }
--- a/src/sageshed/control/keeping.rs
+++ b/src/sageshed/control/keeping.rs
@@ -19,13 +19,8 @@
 
 /// Runs until the process stops.
 pub fn run(shared: &sync::Arc<shared::Shared>, inputs: &inputs::Inputs) {
-    let mut restored = Vec::new();
     while !shared.is_stopping() {
         let kept = locks::read(&shared.state).held_requests().to_vec();
-        if kept != restored {
-            restore(shared, &kept);
-            restored.clone_from(&kept);
-        }
         let pause = if shared.leads() {
             keep(shared, inputs, &kept)
         } else {
@@ -35,12 +30,6 @@
     }
 }
 
-/// Takes what the log holds, so that nothing of it is lost by what this process keeps next.
-fn restore(shared: &shared::Shared, kept: &[quarantine::QuarantinedRequest]) {
-    let now = shared.clock.now();
-    shared.hub.restore_held(now, kept);
-}
-
 /// Has the log hold what this process knows. Returns how long to pause.
 fn keep(
     shared: &shared::Shared,
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -210,6 +210,13 @@
         }
     }
 
+    /// Applies the quarantined requests that the log holds.
+    pub fn restore_held(&self) {
+        let state = locks::read(&self.state);
+        self.hub
+            .restore_held(self.clock.now(), state.held_requests());
+    }
+
     /// Notes the newest configuration: entry processes are told of it, and of later ones what changed.
     pub fn note_config(&self) {
         let state = locks::read(&self.state);
