Read and write values of side files in one place

Three files of the data folder (software versions, earlier routes, the first start) were read, decoded and written by the same lines each. `control::stored` does it once; its log lines name the file.

--- a/src/sageshed/control/first_start.rs
+++ b/src/sageshed/control/first_start.rs
@@ -9,6 +9,8 @@
 use sageshed_disk::{error as disk, side_file};
 use serde::{Deserialize, Serialize};
 
+use super::stored;
+
 const FILE: &str = "first-start";
 
 /// The greatest number of a new disk generation. Numbers count up from it where a folder has held damaged ones.
@@ -37,7 +39,7 @@
     pub(super) fn open(data: &path::Path, forming: bool) -> Result<Self, disk::Error> {
         let file = side_file::SideFile::new(data, FILE);
         let content = file.read()?;
-        let known = content.and_then(|it| decode(&it));
+        let known: Option<Self> = content.and_then(|it| stored::decode(&file, &it));
         let generation = known.map_or_else(draw_generation, |it| it.generation);
         let first = Self {
             generation,
@@ -58,11 +60,3 @@
         side_file::SideFile::new(data, FILE).remove()
     }
 }
-
-fn decode(content: &[u8]) -> Option<FirstStart> {
-    sageshed_vms::decode(content)
-        .inspect_err(
-            |e| ::log::warn!(error:% = e; "control: cannot decode the file of the first start"),
-        )
-        .ok()
-}
--- a/src/sageshed/control/fleet/route_changes.rs
+++ b/src/sageshed/control/fleet/route_changes.rs
@@ -10,7 +10,7 @@
 use sageshed_fleet::{dialect, directory, route_history};
 
 use super::{shared, software_versions};
-use crate::locks;
+use crate::{control::stored, locks};
 
 const FILE: &str = "route-history";
 
@@ -35,7 +35,7 @@
             _ => route_history::RouteHistory::default(),
         };
         Self {
-            routes: read(data).unwrap_or(unread),
+            routes: stored::read(&side_file::SideFile::new(data, FILE)).unwrap_or(unread),
             versions,
         }
     }
@@ -53,20 +53,6 @@
     }
 }
 
-fn read(data: &path::Path) -> Option<route_history::RouteHistory> {
-    let content = match side_file::SideFile::new(data, FILE).read() {
-        Ok(content) => content?,
-        Err(e) => {
-            ::log::warn!(error:% = e; "control: cannot read the earlier routes");
-            return None;
-        }
-    };
-    let routes = sageshed_vms::decode(&content);
-    routes
-        .inspect_err(|e| ::log::warn!(error:% = e; "control: cannot decode the earlier routes"))
-        .ok()
-}
-
 /// Follows the configuration for as long as the process runs.
 pub(super) fn run<D: dialect::Dialect>(
     shared: &sync::Arc<shared::Shared>,
@@ -84,7 +70,7 @@
             apply(shared, dialect, &mut routes, &document.text);
         }
         if !documents.is_empty() {
-            write(&file, &routes);
+            stored::write(&file, &routes);
         }
         thread::sleep(CHECK_INTERVAL);
     }
@@ -110,11 +96,3 @@
     shared.hub.mark_mixed(now, &mixed, config.version);
     shared.hub.set_routes_compared(routes.version());
 }
-
-fn write(file: &side_file::SideFile, routes: &route_history::RouteHistory) {
-    let content = sageshed_vms::encode(routes).map_err(|e| e.to_string());
-    let replaced = content.and_then(|it| file.replace(&it).map_err(|e| e.to_string()));
-    if let Err(e) = replaced {
-        ::log::warn!(error = e; "control: cannot write the routes");
-    }
-}
--- a/src/sageshed/control/fleet/software_versions.rs
+++ b/src/sageshed/control/fleet/software_versions.rs
@@ -10,6 +10,7 @@
 use sageshed_fleet::directory;
 
 use super::shared;
+use crate::control::stored;
 
 const FILE: &str = "software-versions";
 
@@ -38,19 +39,7 @@
     if start == Start::First {
         return Some(directory::SoftwareVersions::new());
     }
-    let content = match side_file::SideFile::new(data, FILE).read() {
-        Ok(content) => content?,
-        Err(e) => {
-            ::log::warn!(error:% = e; "control: cannot read the software versions of endpoints");
-            return None;
-        }
-    };
-    let versions = sageshed_vms::decode(&content);
-    versions
-        .inspect_err(
-            |e| ::log::warn!(error:% = e; "control: cannot decode the software versions of endpoints"),
-        )
-        .ok()
+    stored::read(&side_file::SideFile::new(data, FILE))
 }
 
 /// Writes the versions whenever they have changed, for as long as the process runs.
@@ -60,15 +49,7 @@
     while !shared.is_stopping() {
         let versions = shared.hub.software_versions(shared.clock.now());
         if let Some(versions) = versions.filter(|it| written.as_ref() != Some(it)) {
-            let content = sageshed_vms::encode(&versions).map_err(|e| e.to_string());
-            let replaced = content.and_then(|it| file.replace(&it).map_err(|e| e.to_string()));
-            written = match replaced {
-                Ok(()) => Some(versions),
-                Err(e) => {
-                    ::log::warn!(error = e; "control: cannot write the software versions of endpoints");
-                    None
-                }
-            };
+            written = stored::write(&file, &versions).then_some(versions);
         }
         thread::sleep(CHECK_INTERVAL);
     }
--- a/src/sageshed/control/mod.rs
+++ b/src/sageshed/control/mod.rs
@@ -27,6 +27,7 @@
 pub mod placing;
 pub mod roster;
 pub mod shared;
+mod stored;
 pub mod vms;
 
 mod run;
