Keep the run at its engine by events in the test of a planned stop

Cause, by the log of that run: the engine never responds, so the entry process took it for silent and sent the request to the other engine after 740 ms, which answered. The notice that the engine stops reached this process 19 ms later, 0.7 s after it was given (2 s are allowed). At the crash the request no longer ran there, so no failure was logged. The wait was for a thing that rightly didn't happen.

Ruled out: the change of the request's write; the log shows the request sent, answered with 200 by the other engine and counted as two runs.

Change: both engines stream 120 events, one each 50 ms, so that the request is at its engine for 6 s and no silence takes it away; the crash strikes a stream that has begun, and the answer is now compared event by event. The check that no crash is counted stays.

--- a/tests/fleet/crashing.rs
+++ b/tests/fleet/crashing.rs
@@ -6,7 +6,7 @@
     fleet::Fleet,
     standin::{
         caller::Request,
-        engine::{Behavior, CRASH_BODY, Engine},
+        engine::{Behavior, CRASH_BODY, Engine, event},
     },
 };
 
@@ -228,9 +228,14 @@
     let (fleet, engines) = Fleet::ready();
     let engines = &engines[..2];
     for engine in engines {
-        engine.set_behavior(Behavior::Hangs);
+        // Events keep the request at its engine: one that is silent may be left before it is known to stop.
+        engine.set_behavior(Behavior::StreamsTokens(time::Duration::from_millis(50)));
     }
-    let ask = Request::new("POST", "/resumable/x", "outlasted");
+    let ask = Request {
+        model: None,
+        lines: "Model: m1\r\nToken-Usage: 100,120\r\nPrompt-Prefix: aa:60,bb:40\r\n",
+        ..Request::new("POST", "/resumable/x", "outlasted")
+    };
     let answer = thread::scope(|scope| {
         let asking = scope.spawn(|| fleet.ask(0, &ask));
         fleet.until("it runs", || {
@@ -238,9 +243,6 @@
         });
         let at = engines.iter().find(|it| it.runs("outlasted") > 0);
         let at = at.expect("it runs there");
-        for engine in engines {
-            engine.set_behavior(Behavior::Streams(3));
-        }
         at.leave();
         fleet.until("the entry process knows that it stops", || {
             let log = fleet.entries[0].log();
@@ -252,6 +254,8 @@
     });
     let answer = answer.expect("an answer");
     assert_eq!(answer.status(), 200, "{}", answer.text());
+    let events: String = (1..=120).map(event).collect();
+    assert_eq!(answer.text(), events);
     fleet.until("the failure is in the log", || {
         fleet.entries[0].log().contains("the request may have run")
     });
