Acknowledge a configuration that is committed without committing it again

What operators saw: a large configuration was in force at the entry processes, and each repeat of the call was answered 503, "it is not known whether the change was accepted", for as long as they repeated it (36 s and more).

In the logs of `an_endpoint_that_leaves_is_known_before_a_large_configuration_has_come` one control process led in term 1 throughout, so no term was lost; 17 calls with version 20 in 48 s were answered "unknown", and from 20 s on version 20 was in force.

Cause: a call committed its configuration to the log whatever the group held. Each repeat was another entry of 1.3 MB, which took longer than the two seconds that a call waits, and was itself held up by the repeats before it.

Ruled out: a lost term in these runs (see above).

Change: a control process, leader or not, that holds this version or a newer one acknowledges the call at once. Such a call changes nothing by the interface, and what is applied is committed and on the disks of a majority, so the acknowledgement rests on the same copies as before. The check that the group is large enough is unchanged.

The test fails before: the process without a majority answers 503 for ever.

--- a/src/sageshed/control/fleet/port.rs
+++ b/src/sageshed/control/fleet/port.rs
@@ -208,7 +208,7 @@
         Outcome::Invalid(e.to_string())
     }
 
-    /// Commits a configuration to the replicated log.
+    /// Commits a configuration to the replicated log, unless this one or a newer one is committed.
     ///
     /// It is acknowledged only if the group is large enough: of three voters two would acknowledge it, and
     /// both might then lose their disks ([`sageshed_quorum::repair`]).
@@ -223,6 +223,13 @@
         let Ok(text) = String::from_utf8(body.to_vec()) else {
             return refuse_config("it is not UTF-8".to_owned());
         };
+        let version = config.version;
+        let held = locks::read(&self.shared.state).fleet().version;
+        if held >= version && self.is_large_enough() {
+            // It would change nothing, so it is not sent to the others again: a large one takes them seconds.
+            ::log::info!(version, held; "control: configuration acknowledged, held already");
+            return Outcome::Ok("{}".to_owned());
+        }
         if let Some(outcome) = self.redirect_unless_leader() {
             return outcome;
         }
@@ -231,7 +238,6 @@
                 "too few control processes have joined to keep a change safe",
             );
         }
-        let version = config.version;
         let document = document::Document { version, text };
         match self.inputs.commit(command::Command::ReplaceFleet(document)) {
             Fate::Applied(Some(outcome)) => {
--- a/tests/fleet/configuration.rs
+++ b/tests/fleet/configuration.rs
@@ -67,6 +67,29 @@
     }
 }
 
+/// Guards against a configuration that is in force and whose repeats are never acknowledged: each was committed anew, which
+/// takes longer than a call where the configuration is large or the group slow.
+#[test]
+fn a_configuration_that_is_held_is_acknowledged_without_another_commit() {
+    let (mut fleet, _engines) = Fleet::ready();
+    let held = operator::config_with(20, &route("new"));
+    fleet.replace(&held);
+    fleet.until("the first control process holds it", || {
+        let is_acknowledged = Fleet::try_replace(&fleet.control[0], &held) == 200;
+        is_acknowledged && fleet.control[0].log().contains("held already")
+    });
+    for control in &mut fleet.control[1..] {
+        control.kill();
+    }
+    // The other two may still be known as leaders when they have ended.
+    for (version, status) in [(21, 503), (20, 200), (10, 200)] {
+        let config = operator::config_with(version, &route("new"));
+        fleet.until("it is answered", || {
+            Fleet::try_replace(&fleet.control[0], &config) == status
+        });
+    }
+}
+
 #[test]
 fn an_invalid_configuration_is_refused_and_changes_nothing() {
     let (fleet, _engines) = Fleet::ready();
