Wait for the line of a configuration in the test of a departure over a slow link

Cause, by the logs of one run: the line is there, 15 ms or more after the first request was served by the configuration; the test read the log once, in between. The process puts a configuration in force and logs it then, which is right.

Change: the test waits for the line, then compares the order as before.

--- a/tests/fleet/slow_link.rs
+++ b/tests/fleet/slow_link.rs
@@ -87,9 +87,14 @@
             status(&fleet, ROUTES / 2 - 1) == 200
         });
     });
+    // Requests are served by a configuration shortly before it is logged.
+    let in_force = "\"before\":\"10\"";
+    fleet.until("the configuration is logged", || {
+        entry.log().contains(in_force)
+    });
     let log = entry.log();
     let left = log.find("\"state\":\"Leaving\"").expect("it was logged");
-    let came = log.find("\"before\":\"10\"").expect("it was logged");
+    let came = log.find(in_force).expect("it was logged");
     assert!(left < came, "the configuration came first");
 }
 
