Treat an answer with a status that HTTP does not define as malformed

What callers saw: an engine in trouble sent an answer with status 000, and the caller received it as an answer, with `HTTP/1.1 0` as its first line. So it did with 001 and 099, and with 600 and 999 where the request may not be repeated.

Cause: the parser takes any three digits for a status, and nothing checked them. What follows knows 200 to 299, some statuses below 500, and 500 and above as failures; a status below 100 was none of these, so it was passed on, and its endpoint counted as one that answers. An order to an engine that was answered in this way counted as refused, though the engine may have taken it.

Evidence: on with these tests, an_answer_with_an_undefined_status_is_malformed fails with all ten undefined statuses of three digits read as whole answers, and broken_answers::a_response_with_an_undefined_status_is_not_passed_on with all twelve cases passed on to callers of real processes.

Ruled out: a check where the gateway decides by the status. Orders, reports, health checks and answers that are passed over are read by the same parser and would each need it.

Change: sageshed-types::status says which codes HTTP defines, 100 to 599 (RFC 9110, section 15), and the one place that parses a head checks it. The request may have run, so it is repeated only where its route allows that, and refused with 502 otherwise; the RFC has clients treat such an answer as a failure of the server.

Why it holds: exchange::Head is built there only, so that every reader of an answer has a defined status.

Measured: both tests pass; those of sageshed-upstream too.

--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`secret`] | API keys, stored as digests |
 //! | [`body`] | bodies of requests, shared without copies |
 //! | [`shared_memory`] | memory that all requests of a process share |
+//! | [`status`] | status codes of HTTP responses |
 //! | [`time`] | instants and durations in milliseconds |
 //! | [`verdict`] | whether a request may have run, and why it was refused |
 
@@ -41,5 +42,6 @@
 pub mod rules;
 pub mod secret;
 pub mod shared_memory;
+pub mod status;
 pub mod time;
 pub mod verdict;
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use sageshed_types::{body::Body, framing, headers};
+use sageshed_types::{body::Body, framing, headers, status};
 
 use crate::{
     body::{self, Framing},
@@ -61,7 +61,7 @@
 /// The head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
-    /// The status.
+    /// The status, 200 to 599.
     pub status: u16,
     /// Its headers, as sent.
     pub headers: Vec<(String, Vec<u8>)>,
@@ -384,8 +384,10 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(Failure::malformed(&e)),
     };
+    let status =
+        status::defined(raw.code.unwrap_or_default()).map_err(|e| Failure::malformed(&e))?;
     let head = Head {
-        status: raw.code.unwrap_or(0),
+        status,
         headers: raw
             .headers
             .iter()
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -83,6 +83,15 @@
     kept: bool,
 }
 
+fn malformed(name: &'static str, answer: &'static [u8]) -> Case {
+    Case {
+        name,
+        answer,
+        body: Err(Cause::Malformed),
+        kept: false,
+    }
+}
+
 #[test]
 fn an_answer_counts_only_if_it_is_whole() {
     let cases = [
@@ -212,12 +221,6 @@
 /// Guards against a part of a body that passes for the whole since only one of the fields that delimit it was read.
 #[test]
 fn an_answer_whose_end_cannot_be_told_is_malformed() {
-    let malformed = |name, answer| Case {
-        name,
-        answer,
-        body: Err(Cause::Malformed),
-        kept: false,
-    };
     let cases = [
         malformed(
             "two lengths, the first too short",
@@ -307,6 +310,57 @@
     check(&cases);
 }
 
+/// Guards against an answer that reaches a caller with a status that HTTP does not define (RFC 9110, section 15).
+#[test]
+fn an_answer_with_an_undefined_status_is_malformed() {
+    let cases = [
+        malformed(
+            "000 with a length",
+            b"HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed("000 without a length", b"HTTP/1.1 000 X\r\n\r\nhello"),
+        malformed(
+            "000 in chunks",
+            b"HTTP/1.1 000 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        ),
+        malformed(
+            "000 in HTTP/1.0",
+            b"HTTP/1.0 000 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed(
+            "000 without a reason",
+            b"HTTP/1.1 000\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed(
+            "000 after an interim response",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed("001", b"HTTP/1.1 001 X\r\nContent-Length: 5\r\n\r\nhello"),
+        malformed("099", b"HTTP/1.1 099 X\r\nContent-Length: 5\r\n\r\nhello"),
+        malformed("600", b"HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello"),
+        malformed("999", b"HTTP/1.1 999 X\r\nContent-Length: 5\r\n\r\nhello"),
+        malformed(
+            "two digits",
+            b"HTTP/1.1 20 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed(
+            "four digits",
+            b"HTTP/1.1 2000 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        malformed(
+            "a sign",
+            b"HTTP/1.1 +20 X\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        Case {
+            name: "599",
+            answer: b"HTTP/1.1 599 X\r\nContent-Length: 5\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: true,
+        },
+    ];
+    check(&cases);
+}
+
 /// Nobody listens: the request was certainly not run, and another endpoint may have it.
 #[test]
 fn a_refused_connection_means_that_nothing_was_sent() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 #[path = "../../platform/tests/standin/mod.rs"]
 mod standin;
 
+mod broken_answers;
 mod caller_limits;
 mod configuration;
 mod control;
