Treat an answer over the system's own interface with an undefined status as corrupt

What callers saw: without a fleet, an engine or a plain service that answered with status 000 or 099 was passed on as an answer.

Cause: sageshed-engines reads heads through its HTTP library, which hands out any three digits, and the peers know error statuses from 400 on only. 600 and 999 counted as statuses that refuse.

Evidence: before the change the cases status_000 and status_099 of sageshed-engines::faults give whole answers, and status_600 and status_999 the faults status_600 and status_999.

Change: the head of each answer is checked by sageshed-types::status where the answer is built, for engines and services alike. The fault is `corrupt`, and the request may have run, as for any answer that is not HTTP.

--- a/crates/sageshed-engines/src/answer.rs
+++ b/crates/sageshed-engines/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io::Read, iter, time::Duration};
 
-use sageshed_types::{framing, time};
+use sageshed_types::{framing, status, time};
 
 use crate::{classify, connection, headers, transport};
 
@@ -14,7 +14,7 @@
 /// The head of an answer, and its body yet to be read.
 #[derive(Debug)]
 pub struct Answer {
-    /// HTTP status.
+    /// HTTP status, 100 to 599.
     pub status: u16,
     /// The `Content-Type`, or empty.
     pub content_type: String,
@@ -56,9 +56,11 @@
         connection: connection::Connection,
         keep: Option<transport::Transport>,
     ) -> Result<Self, classify::CallError> {
-        check_framing(&resp).map_err(|e| {
-            classify::CallError::new(req.address, classify::Failure::Malformed, e.to_string())
-        })?;
+        let malformed = |detail: String| {
+            classify::CallError::new(req.address, classify::Failure::Malformed, detail)
+        };
+        status::defined(resp.status()).map_err(|e| malformed(e.to_string()))?;
+        check_framing(&resp).map_err(|e| malformed(e.to_string()))?;
         let echo = resp.header(headers::REQUEST_ID).map(str::to_owned);
         let echoed = echo.as_deref() == Some(req.request_id);
         // An error may come from a part of the endpoint that never saw the id. It is an error all
