Never take an interim response or a switch of protocols for an answer

What callers saw: a response 101, which no request asks for, counted as one more interim response, and what followed it was read as the answer. Without a fleet it was worse: an endpoint's 100 or 101 was itself passed on as the answer, with the beginning of the answer behind it as its body.

Cause: sageshed-upstream took all of 100 to 199 for interim responses; after 101 the bytes belong to another protocol (RFC 9110, section 15.2.2). The HTTP library of sageshed-engines hands out the first response of any status.

Ruled out: an answer behind an interim response in the second path. The library can't read on behind a head; no endpoint is asked for an interim response there, and such an answer is refused as corrupt, as one with an undefined status is.

Change: sageshed-types::status::class says what a response is by its status: interim, final or neither, which 101 and the undefined ones are. Both parsers follow it.

Why it holds: an answer is built from a final status only, in either place.

--- a/crates/sageshed-engines/src/answer.rs
+++ b/crates/sageshed-engines/src/answer.rs
@@ -14,7 +14,7 @@
 /// The head of an answer, and its body yet to be read.
 #[derive(Debug)]
 pub struct Answer {
-    /// HTTP status, 100 to 599.
+    /// HTTP status, 200 to 599.
     pub status: u16,
     /// The `Content-Type`, or empty.
     pub content_type: String,
@@ -59,7 +59,11 @@
         let malformed = |detail: String| {
             classify::CallError::new(req.address, classify::Failure::Malformed, detail)
         };
-        status::defined(resp.status()).map_err(|e| malformed(e.to_string()))?;
+        let class = status::class(resp.status()).map_err(|e| malformed(e.to_string()))?;
+        if class == status::Class::Interim {
+            // The library takes it for the answer, and what follows it for a body.
+            return Err(malformed("an interim response came first".to_owned()));
+        }
         check_framing(&resp).map_err(|e| malformed(e.to_string()))?;
         let echo = resp.header(headers::REQUEST_ID).map(str::to_owned);
         let echoed = echo.as_deref() == Some(req.request_id);
--- a/crates/sageshed-services/tests/client.rs
+++ b/crates/sageshed-services/tests/client.rs
@@ -1,6 +1,10 @@
 //! Requests to a stand-in service.
 
-use std::time::Duration;
+use std::{
+    io::{Read as _, Write as _},
+    net, thread,
+    time::Duration,
+};
 
 use sageshed_engines::{classify, connection, transport};
 use sageshed_services::client;
@@ -9,6 +13,12 @@
 
 const LIMIT: Duration = Duration::from_secs(1);
 
+const LIMITS: connection::Limits = connection::Limits {
+    first_byte: LIMIT,
+    gap: LIMIT,
+    total: Duration::from_secs(20),
+};
+
 fn service() -> standin::Standin {
     let cfg = config::Config {
         time_scale: 50.0,
@@ -33,11 +43,7 @@
         body,
         request_id: "r1",
         fresh: true,
-        limits: connection::Limits {
-            first_byte: LIMIT,
-            gap: LIMIT,
-            total: Duration::from_secs(20),
-        },
+        limits: LIMITS,
     })?;
     let status = answer.status;
     let body = answer.body.read_all(100_000)?;
@@ -129,11 +135,40 @@
         let address = standin.address("s1");
         standin.fault("s1", case.fault, None);
         if case.fault == fault::Fault::Refuse {
-            while std::net::TcpStream::connect(&address).is_ok() {
-                std::thread::sleep(Duration::from_millis(5));
+            while net::TcpStream::connect(&address).is_ok() {
+                thread::sleep(Duration::from_millis(5));
             }
         }
         let e = send(&address, "POST", &[], Some(b"send a crew")).expect_err("a failure");
         assert_eq!((e.fault, e.verdict), case.expected, "{:?}", case.fault);
     }
 }
+
+/// Guards against an interim response that is passed on as a service's answer, with the beginning of the answer as its body.
+#[test]
+fn an_interim_response_is_no_answer() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let serving = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = stream.read(&mut [0; 4_096]).expect("a request");
+        let bytes = b"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        stream.write_all(bytes).expect("the other end reads");
+        read
+    });
+    let call = client::Call {
+        address: &address,
+        method: "GET",
+        path: "/crews/7",
+        headers: &[],
+        body: None,
+        request_id: "r1",
+        fresh: true,
+        limits: LIMITS,
+    };
+    let answer =
+        client::Client::new(transport::Transport::new(transport::Settings::default())).send(&call);
+    let answer = answer.map(|it| it.status).map_err(|e| (e.fault, e.verdict));
+    assert_eq!(answer, Err((AttemptError::Corrupt, Verdict::MayHaveRun)));
+    assert!(serving.join().expect("it responded") > 0);
+}
--- a/crates/sageshed-types/src/status.rs
+++ b/crates/sageshed-types/src/status.rs
@@ -2,24 +2,32 @@
 
 use derive_more::{Display, Error};
 
-/// A status code that HTTP does not define.
+/// A status code that no response to a request of this system may have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("status {code:03} is not between 100 and 599")]
-pub struct UndefinedStatus {
+#[display("a response can't have the status {code:03}")]
+pub struct InvalidStatus {
     /// The code.
     pub code: u16,
 }
 
-/// Returns `code` if it belongs to one of the five classes that HTTP defines (RFC 9110, section 15). A response with another
-/// one is a failure of its server, whatever its body holds.
+/// What a response is by its status code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// One before the response that the request gets.
+    Interim,
+    /// The response that the request gets, with a status of 200 to 599.
+    Final,
+}
+
+/// What a response with the status `code` is (RFC 9110, section 15).
 ///
 /// # Errors
 ///
-/// If it belongs to none.
-pub fn defined(code: u16) -> Result<u16, UndefinedStatus> {
-    if matches!(code, 100..=599) {
-        Ok(code)
-    } else {
-        Err(UndefinedStatus { code })
+/// If HTTP does not define `code`, or it is 101: no request asks for another protocol.
+pub fn class(code: u16) -> Result<Class, InvalidStatus> {
+    match code {
+        100 | 102..=199 => Ok(Class::Interim),
+        200..=599 => Ok(Class::Final),
+        _ => Err(InvalidStatus { code }),
     }
 }
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -228,20 +228,21 @@
         patience: &Patience<'_, S>,
     ) -> Result<(Head, Framing), Failure> {
         loop {
-            if let Some((head, framing)) = parse(&mut self.socket, self.is_head_request)? {
+            match parse(&mut self.socket, self.is_head_request)? {
                 // Says only that the body may be sent, which it is.
-                if head.status / 100 == 1 {
+                Some(Parsed::Interim) => {
                     self.interim += 1;
                     if self.interim > INTERIM_RESPONSES {
                         return Err(Failure::malformed(&"too many interim responses"));
                     }
                     continue;
                 }
-                if framing == Framing::UntilClose && self.socket.is_relayed {
+                Some(Parsed::Final(_, Framing::UntilClose)) if self.socket.is_relayed => {
                     let detail = "a response without a length can't be relayed: its end can't be told from the relay's";
                     return Err(Failure::malformed(&detail));
                 }
-                return Ok((head, framing));
+                Some(Parsed::Final(head, framing)) => return Ok((head, framing)),
+                None => {}
             }
             if self.socket.buf.len() > HEAD_BYTES {
                 return Err(Failure::malformed(&"the head of the answer is too large"));
@@ -376,7 +377,14 @@
     }
 }
 
-fn parse(socket: &mut Socket, is_head_request: bool) -> Result<Option<(Head, Framing)>, Failure> {
+/// A head that has arrived.
+enum Parsed {
+    Interim,
+    Final(Head, Framing),
+}
+
+/// Takes a head out of the buffer, once all of it has arrived.
+fn parse(socket: &mut Socket, is_head_request: bool) -> Result<Option<Parsed>, Failure> {
     let mut slots = [httparse::EMPTY_HEADER; HEADERS];
     let mut raw = httparse::Response::new(&mut slots);
     let len = match raw.parse(&socket.buf) {
@@ -384,10 +392,10 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(Failure::malformed(&e)),
     };
-    let status =
-        status::defined(raw.code.unwrap_or_default()).map_err(|e| Failure::malformed(&e))?;
+    let code = raw.code.unwrap_or_default();
+    let class = status::class(code).map_err(|e| Failure::malformed(&e))?;
     let head = Head {
-        status,
+        status: code,
         headers: raw
             .headers
             .iter()
@@ -396,7 +404,10 @@
     };
     let framing = framing(&head, raw.version == Some(0), is_head_request)?;
     socket.take(len);
-    Ok(Some((head, framing)))
+    Ok(Some(match class {
+        status::Class::Interim => Parsed::Interim,
+        status::Class::Final => Parsed::Final(head, framing),
+    }))
 }
 
 fn framing(head: &Head, is_old_version: bool, is_head_request: bool) -> Result<Framing, Failure> {
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -310,6 +310,27 @@
     check(&cases);
 }
 
+/// Guards against bytes of another protocol that are read as the answer, after a switch that no request asks for.
+#[test]
+fn a_switch_to_another_protocol_is_malformed() {
+    check(&[
+        malformed(
+            "alone",
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        ),
+        malformed(
+            "before an answer",
+            b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        ),
+        Case {
+            name: "another interim response",
+            answer: b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            body: Ok(b"hello"),
+            kept: true,
+        },
+    ]);
+}
+
 /// Guards against an answer that reaches a caller with a status that HTTP does not define (RFC 9110, section 15).
 #[test]
 fn an_answer_with_an_undefined_status_is_malformed() {
