Check the heads of answers before the HTTP library reads them

What callers saw: without a fleet, an answer in whose head a field name held a blank or a control byte was passed on, with that line or with a body that was not the endpoint's (`Content-Length : 2` before a length of 5). So was one with a control byte, a NUL or a carriage return in a value or in the reason, a folded or an empty field, or another version of HTTP. A line of one byte without a colon made the library panic, which ended the thread of the request and its caller's connection.

Cause: the HTTP library of sageshed-engines reads heads leniently and offers no stricter way. The path of a fleet has a parser of its own and refuses all of these.

Ruled out: a check of the fields that the library hands out. Lines that it has left out, joined or failed on are not among them.

Change: the wrapper that already counts what the library reads also has the strict parser of the other path look at the bytes of the head, as they arrive and before the library receives them. The limits of a head stand in one place for both.

Why it holds: a parser that fails on an incomplete head has seen every byte that the library has, so that no line is read that was not checked; the failure is `corrupt`, and its connection is not used again.

--- a/crates/sageshed-engines/src/connection.rs
+++ b/crates/sageshed-engines/src/connection.rs
@@ -8,6 +8,7 @@
 //! * turns the end of the connection into an error, since the library takes an end inside a chunk
 //!   for the end of the body. A body without length or chunks, which ends with the connection,
 //!   therefore never counts as whole: nothing tells its end from a cut;
+//! * checks the head of the answer ([`head`]), which the library reads too leniently;
 //! * refuses a second connection once a byte of the exchange is written, since the library may
 //!   otherwise send a request again without telling.
 
@@ -16,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use crate::classify;
+use crate::{classify, head};
 
 /// Shortest timeout put on a socket: zero would mean none.
 const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
@@ -49,6 +50,7 @@
     connects: u32,
     written: u64,
     read: u64,
+    head: head::Check,
     body_begun: bool,
     stop: Option<Stop>,
 }
@@ -61,6 +63,7 @@
             connects: 0,
             written: 0,
             read: 0,
+            head: head::Check::default(),
             body_begun: false,
             stop: None,
         }
@@ -139,6 +142,13 @@
         Ok(allowance)
     }
 
+    fn received(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut progress = self.lock();
+        progress.read += bytes.len() as u64;
+        let checked = progress.head.push(bytes);
+        checked.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    }
+
     fn stopped(&self, e: &io::Error) {
         let stop = match e.kind() {
             io::ErrorKind::Interrupted => return,
@@ -170,7 +180,7 @@
                 Err(e)
             }
             Ok(n) => {
-                self.watch.lock().read += n as u64;
+                self.watch.received(&buf[..n])?;
                 Ok(n)
             }
             Err(e) => {
--- a/crates/sageshed-engines/src/lib.rs
+++ b/crates/sageshed-engines/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod client;
 pub mod connection;
 pub mod events;
+mod head;
 pub mod headers;
 pub mod orders;
 pub mod paths;
--- a/crates/sageshed-types/src/headers.rs
+++ b/crates/sageshed-types/src/headers.rs
@@ -1,4 +1,4 @@
-//! Names and values of HTTP headers that are used by more than one package.
+//! Names, values and limits of HTTP headers that are used by more than one package.
 
 /// Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that each sender of a message sets
 /// itself. In lower case.
@@ -21,6 +21,12 @@
 /// could act as the caller. In lower case.
 pub const AUTHORIZATION: &str = "authorization";
 
+/// The most header fields that an answer may have.
+pub const MAX_ANSWER_FIELDS: usize = 100;
+
+/// The largest head of an answer, in bytes.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+
 /// The value of a header that belongs once into a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Value<'h> {
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -14,12 +14,6 @@
 
 pub use crate::{body::Piece, socket::Patience};
 
-/// The most headers that an answer may have.
-const HEADERS: usize = 100;
-
-/// The largest head of an answer, in bytes.
-const HEAD_BYTES: usize = 64 * 1024;
-
 /// The longest time for which bytes of a head may arrive without a pause. An endpoint sends a head at once.
 const HEAD_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -244,7 +238,7 @@
                 Some(Parsed::Final(head, framing)) => return Ok((head, framing)),
                 None => {}
             }
-            if self.socket.buf.len() > HEAD_BYTES {
+            if self.socket.buf.len() > headers::MAX_ANSWER_HEAD_BYTES {
                 return Err(Failure::malformed(&"the head of the answer is too large"));
             }
             if self.socket.flowing_for() >= HEAD_TIME {
@@ -385,7 +379,7 @@
 
 /// Takes a head out of the buffer, once all of it has arrived.
 fn parse(socket: &mut Socket, is_head_request: bool) -> Result<Option<Parsed>, Failure> {
-    let mut slots = [httparse::EMPTY_HEADER; HEADERS];
+    let mut slots = [httparse::EMPTY_HEADER; headers::MAX_ANSWER_FIELDS];
     let mut raw = httparse::Response::new(&mut slots);
     let len = match raw.parse(&socket.buf) {
         Ok(httparse::Status::Complete(len)) => len,
