--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -68,3 +68,45 @@
         case("999", "HTTP/1.1 999 X\r\n", WITH_LENGTH),
     ]);
 }
+
+/// Guards against a response that reaches a caller with a line in its head that is no field, or with a body that such a line
+/// delimits.
+#[test]
+fn a_response_whose_head_is_no_list_of_fields_is_not_passed_on() {
+    check(&[
+        case("blank", "HTTP/1.1 200 OK\r\nX Y: z\r\n", WITH_LENGTH),
+        case(
+            "blank before the colon",
+            "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+            WITH_LENGTH,
+        ),
+        case(
+            "control byte",
+            "HTTP/1.1 200 OK\r\nX\u{1}Y: z\r\n",
+            WITH_LENGTH,
+        ),
+        case("NUL", "HTTP/1.1 200 OK\r\nX\0Y: z\r\n", WITHOUT_LENGTH),
+        case("no colon", "HTTP/1.1 200 OK\r\nX\r\n", IN_CHUNKS),
+        case(
+            "folded",
+            "HTTP/1.1 200 OK\r\nX: y\r\n z: a\r\n",
+            WITH_LENGTH,
+        ),
+        case(
+            "interim",
+            "HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n",
+            WITH_LENGTH,
+        ),
+        case(
+            "trailer",
+            "HTTP/1.1 200 OK\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Y: z\r\n\r\n",
+        ),
+        case("101", "HTTP/1.1 101 X\r\n", WITHOUT_LENGTH),
+        case(
+            "101 first",
+            "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n",
+            WITH_LENGTH,
+        ),
+    ]);
+}
