Remember that a write has met the end of a connection when its answer is read

What callers saw: an engine answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was written. The part was passed on as a whole answer.

Cause: the system reports a reset to one call. Where that was the write of the request, its error was dropped since an answer had arrived, and the read behind the last byte ended as if the endpoint had closed the connection in good order, which is what delimits such an answer.

Evidence: an_answer_that_is_reset_while_the_request_is_written_is_not_whole failed before the change, three times of three, with 'hel' for a whole body. The endpoint in it resets the connection while a write waits for it, which the writer itself tells the test, so that the test rests on no size of buffers.

Ruled out: refusing all answers without a length to a request that was not written to its end. An endpoint that rejects a long request, ends its side and reads on, as RFC 9112, section 9.6 has it do, answers in good order; an_answer_that_ends_before_the_request_is_written_is_whole, which passed before, guards this. Nor does the kind of the error tell more: an endpoint that ends its side and then resets has not read the request, and may have ended inside its answer.

Change: the socket keeps the error of the write, and the end of the bytes that arrive is then that failure.

Why it holds: the error is reported once, and the two calls that can take it there are the write and the read. An answer with a length or chunks is read to its own end as before, so that an early rejection with a length is still passed on.

Measured: the tests pass with a reset, with a close before the request is read, and with an end in good order before the reset; all of sageshed-upstream pass.

--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -69,6 +69,9 @@
     pub(crate) buf: Vec<u8>,
     /// Whether it leads to the endpoint through another process.
     pub(crate) is_relayed: bool,
+    /// What has ended the connection for a write. The system reports it to one call only: reads that follow end as if the
+    /// endpoint had closed the connection in good order.
+    write_error: Option<io::Error>,
     /// When bytes were first read after the patience of whoever waits was looked at.
     arriving_since: Option<time::Instant>,
     /// Whether the patience has ended, and what has arrived is still read.
@@ -100,6 +103,7 @@
             stream,
             buf: Vec::new(),
             is_relayed: false,
+            write_error: None,
             received_at: None,
             flowing_since: None,
             arriving_since: None,
@@ -159,7 +163,10 @@
                     }
                 }
                 // The endpoint may have answered and then closed.
-                Err(_) if is_sent && self.has_input() => return Ok(false),
+                Err(e) if is_sent && self.has_input() => {
+                    self.write_error = Some(e);
+                    return Ok(false);
+                }
                 Err(e) => return Err(failed(is_sent, Cause::ClosedBeforeAnswer, &e.to_string())),
             }
         }
@@ -194,7 +201,12 @@
         }
         loop {
             match self.stream.read(&mut chunk) {
-                Ok(0) => return Ok(Filled::End),
+                Ok(0) => {
+                    let error = self.write_error.take();
+                    return error.map_or(Ok(Filled::End), |e| {
+                        Err(Failure::sent(Cause::ClosedBeforeAnswer, &e))
+                    });
+                }
                 Ok(n) => {
                     self.note_arrival();
                     self.received += n as u64;
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -1,10 +1,13 @@
 //! Exchanges with endpoints that answer well, late, wrong or not at all, over real sockets.
 
 use std::{
+    cell,
     io::{Read, Write},
     net, thread, time,
 };
 
+use rustix::net::sockopt;
+
 use sageshed_types::body::Body;
 use sageshed_upstream::{
     exchange::{Patience, Piece, Request},
@@ -759,6 +762,100 @@
     assert_eq!(body.len(), 40_000);
 }
 
+/// A body that no buffers of two sockets hold.
+const LONG_BODY: usize = 64 << 20;
+
+fn post<'a>() -> Request<'a> {
+    Request {
+        method: "POST",
+        body: vec![b'x'; LONG_BODY].into(),
+        ..get()
+    }
+}
+
+/// Ends a connection by a reset.
+fn reset(stream: net::TcpStream) {
+    let linger = Some(time::Duration::ZERO);
+    sockopt::set_socket_linger(&stream, linger).expect("an open socket");
+    drop(stream);
+}
+
+/// How an endpoint ends a connection of which it has not read a whole request.
+#[derive(Debug, Clone, Copy)]
+enum Ending {
+    Reset,
+    /// It closes the connection, so that its system resets it.
+    Close,
+    /// It ends its side in good order before the reset.
+    EndAndReset,
+}
+
+/// Guards against a part of an answer that passes for the whole: the write of a long request meets the reset of the connection,
+/// and a read after it an orderly end.
+#[test]
+fn an_answer_that_is_reset_while_the_request_is_written_is_not_whole() {
+    for ending in [Ending::Reset, Ending::Close, Ending::EndAndReset] {
+        let (listener, address) = listen();
+        let endpoint = cell::Cell::new(Some(listener));
+        let has_waited = cell::Cell::new(false);
+        // Called while a write waits for the endpoint, so that the next call which meets the reset is a write.
+        let answer_and_end = || {
+            if let Some(listener) = endpoint.take() {
+                let (mut stream, _) = listener.accept().expect("a connection");
+                let part = b"HTTP/1.1 200 OK\r\n\r\nhel";
+                stream.write_all(part).expect("the other end is open");
+                if matches!(ending, Ending::EndAndReset) {
+                    stream.shutdown(net::Shutdown::Write).expect("it is open");
+                }
+                match ending {
+                    Ending::Close => drop(stream),
+                    Ending::Reset | Ending::EndAndReset => reset(stream),
+                }
+                has_waited.set(true);
+            }
+            false
+        };
+        let patience = Patience {
+            until: time::Instant::now() + LONG,
+            stop: &answer_and_end,
+        };
+        let pool = Pool::new(Settings::default());
+        let body = pool
+            .exchange(address, &post(), LONG, &patience)
+            .and_then(|mut it| it.read_whole(1_000, &patience));
+        assert!(has_waited.get(), "a write waits for the endpoint");
+        assert_eq!(
+            body.map_err(|e| (e.cause, e.is_sent)),
+            Err((Cause::ClosedInAnswer, true)),
+            "{ending:?}"
+        );
+    }
+}
+
+/// Guards against an early answer that is dropped though its endpoint has ended it in good order, and reads no more.
+#[test]
+fn an_answer_that_ends_before_the_request_is_written_is_whole() {
+    let (listener, address) = listen();
+    let early = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let answer = b"HTTP/1.1 413 Too Large\r\n\r\nno";
+        stream.write_all(answer).expect("the other end reads");
+        stream.shutdown(net::Shutdown::Write).expect("it is open");
+        stream
+    });
+    let pool = Pool::new(Settings::default());
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let body = pool
+        .exchange(address, &post(), LONG, &patience)
+        .and_then(|mut it| it.read_whole(1_000, &patience));
+    assert_eq!(body.expect("whole"), b"no");
+    drop(early.join().expect("it answered"));
+}
+
 /// An endpoint answers before it has read a long body, and reads on later. The rest of the body is
 /// not sent, so the connection must carry nothing else: the endpoint would take it for that rest.
 #[test]
@@ -771,19 +868,13 @@
         stream.write_all(answer).expect("the other end reads");
         stream
     });
-    let body = vec![b'x'; 64 << 20];
-    let req = Request {
-        method: "POST",
-        body: body.into(),
-        ..get()
-    };
     let pool = Pool::new(Settings::default());
     let patience = Patience {
         until: time::Instant::now() + LONG,
         stop: &|| false,
     };
     let mut answer = pool
-        .exchange(address, &req, LONG, &patience)
+        .exchange(address, &post(), LONG, &patience)
         .expect("an answer");
     assert_eq!(answer.head.status, 413);
     assert_eq!(
