Look for more of an answer without taking the error of its connection

What callers saw: nothing was reported. An answer without a length whose endpoint falls silent is kept while another endpoint is tried. If the endpoint then resets the connection and the request returns to it, the part that had arrived was passed on as a whole answer.

Cause: whether more has arrived was asked by a peek, which takes the error of a reset where no bytes are left, and the read after it ends in good order. The kept runs of a request are asked in this way each time a wait ends.

Evidence: an_answer_that_is_reset_while_nobody_reads_it_is_not_whole read the end of a whole body before the change. That callers received such an answer was not measured.

Change: has_input asks for the number of bytes that wait (FIONREAD), which leaves the error to the read. is_quiet still peeks: a connection that is not quiet is closed, or its probe fails, and nothing is read from it.

Measured: the test passes, and all of sageshed-upstream.

--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -186,8 +186,8 @@
 
     /// Whether bytes have arrived that were not read.
     pub(crate) fn has_input(&self) -> bool {
-        let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
-        matches!(sys::recv(&self.stream, &mut [0], flags), Ok((_, n)) if n > 0)
+        // Peeking would take the error of a reset, and the next read would end in good order.
+        rustix::io::ioctl_fionread(&self.stream).is_ok_and(|count| count > 0)
     }
 
     /// Reads more into the buffer. The request was sent.
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -832,6 +832,38 @@
     }
 }
 
+/// How often it is looked whether more of an answer has arrived.
+const LOOKS: usize = 10;
+
+/// Guards against a part of an answer that passes for the whole: looking whether more has arrived meets the reset of the
+/// connection, and a read after it an orderly end.
+#[test]
+fn an_answer_that_is_reset_while_nobody_reads_it_is_not_whole() {
+    let (listener, address) = listen();
+    let answering = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let part = b"HTTP/1.1 200 OK\r\n\r\nhel";
+        stream.write_all(part).expect("the other end reads");
+        stream
+    });
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let answer = Pool::new(Settings::default()).exchange(address, &get(), LONG, &patience);
+    let mut answer = answer.expect("its head");
+    let part = answer.read(&patience).expect("a part of its body");
+    assert_eq!(part, Piece::Bytes(b"hel".to_vec()));
+    reset(answering.join().expect("it answers"));
+    for _ in 0..LOOKS {
+        assert!(!answer.has_input());
+        thread::sleep(PART_INTERVAL);
+    }
+    let rest = answer.read(&patience).map_err(|e| e.cause);
+    assert_eq!(rest, Err(Cause::ClosedInAnswer));
+}
+
 /// Guards against an early answer that is dropped though its endpoint has ended it in good order, and reads no more.
 #[test]
 fn an_answer_that_ends_before_the_request_is_written_is_whole() {
