Check the status of answers of the system's own processes

What operators saw: nothing was reported.

Cause: the HTTP library hands out any status below 400 as a success, and the clients of sageshed-vms and sageshed-operators decoded the body behind it.

Evidence: an_answer_without_a_final_status_does_not_count failed in both packages before the change, with the change accepted and the message decoded for status 000.

Change: both ask status::check_final, which the client of sageshed-engines now does too. A call between processes has no answer then, and the outcome of a change is unknown.

What was looked at and needs nothing: a part of a body does not decode in either, whatever ends it; statuses from 400 on are errors there.

Measured: the tests pass, and all of the four packages.

--- a/crates/sageshed-engines/src/answer.rs
+++ b/crates/sageshed-engines/src/answer.rs
@@ -59,11 +59,8 @@
         let malformed = |detail: String| {
             classify::CallError::new(req.address, classify::Failure::Malformed, detail)
         };
-        let class = status::class(resp.status()).map_err(|e| malformed(e.to_string()))?;
-        if class == status::Class::Interim {
-            // The library takes it for the answer, and what follows it for a body.
-            return Err(malformed("an interim response came first".to_owned()));
-        }
+        // The library takes an interim response for the answer, and what follows it for a body.
+        status::check_final(resp.status()).map_err(|e| malformed(e.to_string()))?;
         check_framing(&resp).map_err(|e| malformed(e.to_string()))?;
         let echo = resp.header(headers::REQUEST_ID).map(str::to_owned);
         let echoed = echo.as_deref() == Some(req.request_id);
--- a/crates/sageshed-operators/src/client.rs
+++ b/crates/sageshed-operators/src/client.rs
@@ -10,7 +10,7 @@
 use std::{collections, io::Read, thread, time};
 
 use derive_more::{Display, Error};
-use sageshed_types::{endpoints, messages, request_trace, rules};
+use sageshed_types::{endpoints, messages, request_trace, rules, status};
 use serde::{Serialize, de};
 
 use crate::wire::{self, paths};
@@ -339,7 +339,8 @@
     resp: ureq::Response,
     lost: wire::Fate,
 ) -> Next<T> {
-    let bytes = match read(resp) {
+    let checked = status::check_final(resp.status()).map_err(|e| e.to_string());
+    let bytes = match checked.and_then(|()| read(resp)) {
         Ok(bytes) => bytes,
         Err(said) => return Next::Another { said, fate: lost },
     };
--- a/crates/sageshed-operators/tests/changes.rs
+++ b/crates/sageshed-operators/tests/changes.rs
@@ -1,5 +1,10 @@
 //! Changes of the rules between the client and the port: races, resends, lost answers, leaders.
 
+use std::{
+    io::{Read as _, Write as _},
+    net, thread,
+};
+
 use sageshed_operators::{backend::Trouble, client, wire};
 use sageshed_types::rules::{ChangeOutcome, Revision};
 
@@ -92,6 +97,29 @@
     assert_eq!(fake.revision(), Revision(1));
 }
 
+/// Guards against an operator who is told that a change has taken hold by an answer whose status HTTP does not define.
+#[test]
+fn an_answer_without_a_final_status_does_not_count() {
+    for status in ["000", "099", "100", "101"] {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound").to_string();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let body = r#"{"accepted":{"revision":1}}"#;
+                let length = body.len();
+                let answer =
+                    format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
+                // The client closes the connection of an answer that does not count.
+                let _ = stream.read(&mut [0; 4_096]);
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        });
+        let client = support::client(&[address], TOKEN);
+        let outcome = client.change(&add("a", 0, "night"));
+        assert_eq!(seen(outcome), Expected::Unknown, "{status}");
+    }
+}
+
 struct Ending {
     name: &'static str,
     acts: Vec<Act>,
--- a/crates/sageshed-types/src/status.rs
+++ b/crates/sageshed-types/src/status.rs
@@ -2,9 +2,9 @@
 
 use derive_more::{Display, Error};
 
-/// A status code that no response to a request of this system may have.
+/// A status code that no answer to a request of this system may have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("a response can't have the status {code:03}")]
+#[display("no answer can have the status {code:03}")]
 pub struct InvalidStatus {
     /// The code.
     pub code: u16,
@@ -31,3 +31,15 @@
         _ => Err(InvalidStatus { code }),
     }
 }
+
+/// Checks that a response with the status `code` is the one that its request gets.
+///
+/// # Errors
+///
+/// If it is an interim response, or none.
+pub fn check_final(code: u16) -> Result<(), InvalidStatus> {
+    match class(code)? {
+        Class::Final => Ok(()),
+        Class::Interim => Err(InvalidStatus { code }),
+    }
+}
--- a/crates/sageshed-vms/src/client.rs
+++ b/crates/sageshed-vms/src/client.rs
@@ -7,6 +7,7 @@
 };
 
 use derive_more::{Display, Error};
+use sageshed_types::status;
 use serde::{Serialize, de};
 
 use crate::codec;
@@ -113,7 +114,8 @@
             .set("Content-Type", "application/msgpack")
             .timeout(limit)
             .send_bytes(body)
-            .map_err(|e| classify(address, e));
+            .map_err(|e| classify(address, e))
+            .and_then(|answer| check_status(address, answer));
         let whole = answer.and_then(|answer| {
             let mut buf = Vec::new();
             match read_whole(answer, &mut buf) {
@@ -158,6 +160,14 @@
         .build()
 }
 
+fn check_status(address: &str, answer: ureq::Response) -> Result<ureq::Response, CallError> {
+    status::check_final(answer.status()).map_err(|e| CallError::NoAnswer {
+        address: address.to_owned(),
+        problem: e.to_string(),
+    })?;
+    Ok(answer)
+}
+
 fn read_whole(answer: ureq::Response, buf: &mut Vec<u8>) -> io::Result<()> {
     let mut body = answer.into_reader().take(crate::BODY_LIMIT);
     body.read_to_end(buf)?;
--- a/crates/sageshed-vms/tests/port.rs
+++ b/crates/sageshed-vms/tests/port.rs
@@ -209,6 +209,29 @@
     closing.join().expect("it closes what it accepts");
 }
 
+/// Guards against an answer of another process that counts though HTTP does not define its status, or it is an interim one.
+#[test]
+fn an_answer_without_a_final_status_does_not_count() {
+    for status in ["000", "099", "100", "101"] {
+        let listener = listen();
+        let address = listener.local_addr().expect("an address").to_string();
+        let answering = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let read = stream.read(&mut [0; 4_096]).expect("a call");
+            let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 1\r\n\r\n\u{2}");
+            let written = stream.write_all(answer.as_bytes());
+            written.expect("the other end reads");
+            read
+        });
+        let answer = Client::new(TOKEN).call::<_, u64>(&address, "/double", &1_u64, PATIENCE);
+        assert!(
+            matches!(answer, Err(CallError::NoAnswer { .. })),
+            "{status}: {answer:?}"
+        );
+        assert!(answering.join().expect("it answers") > 0);
+    }
+}
+
 /// Something between two VMs loses track of connections just after the heads of their requests went
 /// out. The peers' new connections work, but each of the old ones waits for a body that never comes.
 /// If they held their places for good, this port would answer nobody again: no heartbeat, no claim.
