Test that responses without end to orders and reports bound what control processes keep

No change of the product. For the report of another operator, whose machine kept bytes without end until it ran out of memory: ten kinds of bytes that are no response, sent to the calls of control processes by both engines of a model, for reports and, which no test did before, for orders.

--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -66,23 +66,23 @@
 }
 
 impl Case {
-    fn response(&self, head: &'static str) -> Behavior {
-        Behavior::Endless(Endless {
+    fn response(&self, head: &'static str) -> Endless {
+        Endless {
             head: if self.has_head { head } else { "" },
             rest: self.rest,
             bytes: self.bytes,
             interval: self.interval,
-        })
+        }
     }
 
     /// Has an engine send this from now on.
     fn begin_at_engine(&self, engine: &Engine) {
-        engine.set_behavior(self.response(STREAM_HEAD));
+        engine.set_behavior(Behavior::Endless(self.response(STREAM_HEAD)));
     }
 
     /// Has a plain endpoint send this from now on.
     fn begin_at_plain(&self, endpoint: &Engine) {
-        endpoint.set_behavior(self.response(WHOLE_HEAD));
+        endpoint.set_behavior(Behavior::Endless(self.response(WHOLE_HEAD)));
     }
 }
 
@@ -326,6 +326,56 @@
     assert_eq!(outcomes, [Outcome::Whole; REQUESTS]);
 }
 
+/// The memory of a control process's VM, in kilobytes.
+const CONTROL_MEMORY_KB: u64 = 256 * 1_024;
+
+/// Guards against a control process that fills its memory and its threads with bytes that are no response, so that it gives no
+/// orders to engines in order either.
+fn check_calls(path: &'static str) {
+    for case in &CASES {
+        let (mut fleet, engines) = Fleet::ready();
+        let engines = &engines[..2];
+        for engine in engines {
+            engine.set_call_response(Some((path, case.response(WHOLE_HEAD))));
+        }
+        let mut number = 0;
+        let mut ask = || {
+            number += 1;
+            let id = format!("adapter-{number}");
+            let request = Request {
+                model: Some("m1/a2"),
+                deadline_ms: 1_000,
+                ..Request::new("POST", "/stream/x", &id)
+            };
+            fleet.ask(0, &request).map_or(0, |it| it.status())
+        };
+        fleet.until("calls are answered without end", || {
+            let status = ask();
+            assert!(matches!(status, 502..=504), "{}: {status}", case.name);
+            let unanswered = engines.iter().map(|it| it.log(|log| log.unanswered));
+            unanswered.sum::<usize>() > 1
+        });
+        engines[1].set_call_response(None);
+        fleet.until("the adapter is loaded at an engine in order", || {
+            ask() == 200
+        });
+        let most = fleet.control.iter().map(Process::peak_memory_kb).max();
+        println!("{path}: {}: {most:?} kB, {number} requests", case.name);
+        assert!(most < Some(CONTROL_MEMORY_KB), "{}: {most:?} kB", case.name);
+        assert!(fleet.control.iter_mut().all(Process::runs), "{}", case.name);
+    }
+}
+
+#[test]
+fn reports_without_end_cost_no_order_and_no_memory() {
+    check_calls("/report");
+}
+
+#[test]
+fn responses_without_end_to_orders_cost_no_order_and_no_memory() {
+    check_calls("/order");
+}
+
 /// Guards against engines that are taken for silent since streams which they send are ended at their deadline.
 #[test]
 fn streams_that_are_ended_at_their_deadline_count_against_no_engine() {
