Test that requests of a stopping process which have reached an endpoint are answered

No change of the product. For the report of another operator, whose machine passed requests on late in the grace of a planned stop and cut them at its end: 60 callers send requests of seven routes, on open and new connections, a third with bodies that arrive byte by byte, to a process that is stopped, to one that reaches endpoints through another process, and to one whose relay is stopped. Endpoints answer after 0.3 to 9 s with 6 s of grace, hang, reject, cut streams or run only eight at once, and change that at random.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -32,6 +32,7 @@
 mod slow_link;
 mod soak;
 mod starting;
+mod stop_soak;
 mod stopping;
 mod unframed;
 mod version_soak;
--- a/tests/fleet/stopping.rs
+++ b/tests/fleet/stopping.rs
@@ -283,7 +283,7 @@
 {"name":"long-stream","host":"a.example","path_prefix":"/long-stream/","kind":"streaming","timeout_ms":60000,"latency_target_ms":30000,"priority":1,"service":"engines","attempts":1,"resumable":false},"#;
 
 /// A fleet with [`LONG_ROUTES`].
-fn with_long_routes() -> (Fleet, Vec<Engine>) {
+pub fn with_long_routes() -> (Fleet, Vec<Engine>) {
     let (fleet, engines) = Fleet::ready();
     fleet.replace(&operator::config_with(11, LONG_ROUTES));
     fleet.until("the routes are in force", || {
