--- a/tests/fleet/stop_soak.rs
+++ b/tests/fleet/stop_soak.rs
@@ -42,8 +42,8 @@
 const PLAIN_BEHAVIORS: [Behavior; 6] = [
     Behavior::AnswersAfter(time::Duration::from_millis(300)),
     Behavior::AnswersAfter(time::Duration::from_millis(2_500)),
-    Behavior::AnswersAfter(time::Duration::from_millis(5_000)),
-    Behavior::AnswersAfter(time::Duration::from_millis(9_000)),
+    Behavior::AnswersAfter(time::Duration::from_secs(5)),
+    Behavior::AnswersAfter(time::Duration::from_secs(9)),
     Behavior::Hangs,
     Behavior::Rejects,
 ];
@@ -183,7 +183,9 @@
             }
             if case.is_cut_off {
                 let pid = fleet.entries[0].id();
-                engines.iter().for_each(|it| it.cut_off(pid));
+                for engine in &engines {
+                    engine.cut_off(pid);
+                }
             }
             let address = fleet.entries[0].address();
             let is_over = atomic::AtomicBool::new(false);
