Trust a sole software version only if most control processes reply

Cause: a process without a record of a stream resumes it if it knows one version only, by records of up to two seconds. An entry process that is cut off from all others does not learn in that time that engines of a new version have joined, nor receives the records of the streams that began there, and nobody replies to its question.

Ruled out: a process that is stopped by a signal. A shorter age of records: it would only shorten the time, and a process in touch has records of some hundred milliseconds. Replies of all control processes: with one that is lost for long, streams of a single version would be refused after a restart of all entry processes.

Change: the question for the record tells who did not reply, and without a record a sole version counts only if most of the control processes that were asked have replied that they have none. A process that is cut off refuses the request, as not_resumable. A request that does not name its stream asks too, for the replies.

Why it holds: control processes hold the records of streams of versions in competition, and most of them are on one side of a cut.

--- a/crates/sageshed-fleet/src/stream_origins.rs
+++ b/crates/sageshed-fleet/src/stream_origins.rs
@@ -10,7 +10,9 @@
 //! All entry processes may end at once. Control processes keep copies of the records that are needed then
 //! ([`origin_backup`](crate::origin_backup)).
 //!
-//! A stream without a record may be resumed only if no other version can have begun it: [`sole_version`].
+//! A stream without a record may be resumed only if no other version can have begun it ([`sole_version`]), and if most control
+//! processes reply that they have no record ([`Lookup`]): a process that is cut off may not know of a version that has joined
+//! since, nor of the streams that it has begun.
 
 use std::{collections, net};
 
@@ -228,6 +230,29 @@
     chosen.into_iter().filter(|it| *it != own).collect()
 }
 
+/// What a process that asked others for the record of a stream has learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lookup {
+    /// This version began it.
+    Found(directory::SoftwareKey),
+    /// Nobody has a record.
+    Absent,
+    /// Too few replied to know.
+    Unconfirmed,
+}
+
+impl Lookup {
+    /// What follows where nobody who replied has a record: `replied` of the `asked` control processes.
+    #[must_use]
+    pub fn without_record(asked: usize, replied: usize) -> Self {
+        if replied * 2 > asked {
+            Self::Absent
+        } else {
+            Self::Unconfirmed
+        }
+    }
+}
+
 /// What a process knows of the versions of a service's endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct VersionKnowledge {
--- a/crates/sageshed-fleet/tests/stream_origins.rs
+++ b/crates/sageshed-fleet/tests/stream_origins.rs
@@ -6,7 +6,9 @@
 
 use sageshed_fleet::{
     directory::{self, SoftwareKey},
-    stream_origins::{self, MAX_RECORDS, StreamKey, StreamOrigin, StreamOrigins, VersionKnowledge},
+    stream_origins::{
+        self, Lookup, MAX_RECORDS, StreamKey, StreamOrigin, StreamOrigins, VersionKnowledge,
+    },
 };
 use sageshed_types::time;
 
@@ -207,3 +209,19 @@
         directory::ENDED_RETENTION
     );
 }
+
+/// Guards against a process that is cut off and takes its own records for those of all.
+#[test]
+fn a_record_is_absent_only_if_most_control_processes_say_so() {
+    let absent = |asked, replied| Lookup::without_record(asked, replied) == Lookup::Absent;
+    let cases = [(0, 0), (1, 0), (2, 1), (3, 0), (3, 1), (5, 2)];
+    assert_eq!(
+        cases.map(|(asked, replied)| absent(asked, replied)),
+        [false; 6]
+    );
+    let cases = [(1, 1), (2, 2), (3, 2), (3, 3), (5, 3)];
+    assert_eq!(
+        cases.map(|(asked, replied)| absent(asked, replied)),
+        [true; 5]
+    );
+}
--- a/src/sageshed/gateway/entry_peers.rs
+++ b/src/sageshed/gateway/entry_peers.rs
@@ -194,13 +194,17 @@
         }
     }
 
-    /// Asks the entry and control processes `holders` which version began a stream. None if none that replies has a record.
+    /// Asks the entry and control processes `holders` which version began a stream.
+    ///
+    /// # Errors
+    ///
+    /// If none that replies has a record; with those that did not reply.
     pub(super) fn query_origin(
         &self,
         now: Instant,
         stream: stream_origins::StreamKey,
         mut holders: Vec<net::Ipv4Addr>,
-    ) -> Option<directory::SoftwareKey> {
+    ) -> Result<directory::SoftwareKey, Vec<net::Ipv4Addr>> {
         let id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
         let (tx, rx) = mpsc::sync_channel(holders.len() * ORIGIN_QUERIES);
         locks::lock(&self.pending_origins).insert(id, tx);
@@ -223,7 +227,7 @@
             }
         }
         locks::lock(&self.pending_origins).remove(&id);
-        found
+        found.ok_or(holders)
     }
 
     fn deliver_origin(&self, from: net::Ipv4Addr, reply: stream_origins::OriginReply) {
--- a/src/sageshed/gateway/stream_origins.rs
+++ b/src/sageshed/gateway/stream_origins.rs
@@ -4,7 +4,8 @@
 use std::{collections, io, net, sync, thread, time as std_time};
 
 use sageshed_fleet::{
-    chooser, config, dialect, directory, entry_peers as wire, origin_backup, routes, stream_origins,
+    chooser, config, dialect, directory, entry_peers as wire, origin_backup, routes,
+    stream_origins::{self, Lookup, StreamKey},
 };
 use sageshed_types::time;
 
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Resumption {
     /// The stream; none if its events can't be taken up by a caller, or it has no id.
-    pub(super) stream: Option<stream_origins::StreamKey>,
+    pub(super) stream: Option<StreamKey>,
     /// The version that began it.
     pub(super) began: chooser::BeganAt,
 }
@@ -38,43 +39,51 @@
     if route.kind != config::RequestKind::ResumableStream {
         return Resumption::default();
     }
-    let key = |id: &Option<String>| id.as_deref().map(stream_origins::StreamKey::new);
+    let key = |id: &Option<String>| id.as_deref().map(StreamKey::new);
     let resumed = key(&metadata.resumes);
-    let recorded = resumed.and_then(|it| find_record(shared, it));
-    let began = match (recorded, &metadata.resume_after) {
-        (Some(software), _) => chooser::BeganAt::Version(software),
-        (None, Some(_)) => chooser::BeganAt::of(sole_version(shared, route)),
+    let stream = resumed.or_else(|| key(&metadata.id));
+    let lookup = match (resumed, &metadata.resume_after) {
+        (None, None) => Lookup::Absent,
+        // Nobody has a record of a stream that is not named, but whether they reply counts.
+        _ => find_record(shared, stream.unwrap_or(StreamKey::new(""))),
+    };
+    let began = match (lookup, &metadata.resume_after) {
+        (Lookup::Found(software), _) => chooser::BeganAt::Version(software),
+        (Lookup::Absent, Some(_)) => chooser::BeganAt::of(sole_version(shared, route)),
+        (Lookup::Unconfirmed, Some(_)) => chooser::BeganAt::Unknown,
         // Its caller has no whole event, so nothing is joined: it begins anew, as a stream of its own.
-        (None, None) => {
+        (_, None) => {
             return Resumption {
                 stream: key(&metadata.id),
                 began: chooser::BeganAt::NotBegun,
             };
         }
     };
-    let stream = resumed.or_else(|| key(&metadata.id));
     Resumption { stream, began }
 }
 
 /// Looks a record up here, and at the other processes that should have it.
-fn find_record<D: dialect::Dialect>(
-    shared: &Shared<D>,
-    stream: stream_origins::StreamKey,
-) -> Option<directory::SoftwareKey> {
+fn find_record<D: dialect::Dialect>(shared: &Shared<D>, stream: StreamKey) -> Lookup {
     let own = shared.settings.discovery.ip;
     let now = shared.clock.now();
-    let known = shared.with_core(|core| core.origins.get(now, stream));
-    known.or_else(|| {
-        let asked = shared.with_core(|core| {
-            let entries = stream_origins::asked(stream, own, &core.entries);
-            let control = origin_backup::asked(stream, &core.control);
-            entries.into_iter().chain(control).collect()
-        });
-        shared
-            .entry_peers
-            .as_ref()?
-            .query_origin(shared.clock.now(), stream, asked)
-    })
+    if let Some(software) = shared.with_core(|core| core.origins.get(now, stream)) {
+        return Lookup::Found(software);
+    }
+    let Some(peers) = &shared.entry_peers else {
+        return Lookup::Unconfirmed;
+    };
+    let (entries, control) = shared.with_core(|core| {
+        let entries = stream_origins::asked(stream, own, &core.entries);
+        (entries, origin_backup::asked(stream, &core.control))
+    });
+    let asked = [entries, control.clone()].concat();
+    match peers.query_origin(shared.clock.now(), stream, asked) {
+        Ok(software) => Lookup::Found(software),
+        Err(silent) => {
+            let replied = control.iter().filter(|it| !silent.contains(it));
+            Lookup::without_record(control.len(), replied.count())
+        }
+    }
 }
 
 /// The only version that can have begun a stream of this route, if there was only one.
@@ -121,7 +130,7 @@
 /// Records here and at other processes that `software` begins a stream of `route`, or goes on with it.
 pub(super) fn record<D: dialect::Dialect>(
     shared: &Shared<D>,
-    stream: stream_origins::StreamKey,
+    stream: StreamKey,
     software: directory::SoftwareKey,
     route: &config::Route,
 ) {
--- a/tests/fleet/draining.rs
+++ b/tests/fleet/draining.rs
@@ -219,7 +219,7 @@
     let link = sync::Arc::new(relay::Link::new(FAST_LINK));
     let (fleet, mut engines) = Fleet::ready_over(&link, "");
     engines.push(fleet.engine("e3", "engines", 35, &["m1"]));
-    fleet.delay_control(LINK_DELAY);
+    fleet.set_passage(relay::Passage::Delayed(LINK_DELAY));
     let mut acknowledged = time::Instant::now();
     let (sent, failed) = under_load(&fleet, 0, || {
         thread::sleep(DRAIN_TIME);
--- a/tests/fleet/fleet.rs
+++ b/tests/fleet/fleet.rs
@@ -229,9 +229,9 @@
     entry_settings: &'static str,
     /// Additional settings of its control processes.
     control_settings: &'static str,
-    /// The port on which entry processes reach control processes.
-    watch_port: u16,
-    /// The relays through which they reach them; empty if they connect directly.
+    /// The port of the relays.
+    relay_port: u16,
+    /// The relays through which the first entry process reaches control processes; empty if it connects directly.
     relays: Vec<relay::Relay>,
     pub control: Vec<Process>,
     pub entries: Vec<Process>,
@@ -277,11 +277,17 @@
         Self::over(link, entry_settings).served()
     }
 
-    /// Delays what entry processes and control processes send each other by this time each way.
-    pub fn delay_control(&self, delay: time::Duration) {
+    /// Two entry processes, of which the first exchanges no datagrams with others and reaches control processes over `link`,
+    /// so that it can be cut off from all ([`Self::set_passage`]).
+    pub fn with_a_separate_entry(link: &sync::Arc<relay::Link>) -> (Self, Vec<engine::Engine>) {
+        Self::launch(1, 3, 2, "", "", Some(link)).served()
+    }
+
+    /// Sets how what the first entry process and control processes send each other passes the relays between them.
+    pub fn set_passage(&self, passage: relay::Passage) {
         for relay in &self.relays {
             for direction in [relay::Direction::ToTarget, relay::Direction::FromTarget] {
-                relay.set(direction, relay::Passage::Delayed(delay));
+                relay.set(direction, passage);
             }
         }
     }
@@ -320,7 +326,7 @@
             tolerates,
             entry_settings,
             control_settings,
-            watch_port: link.map_or(vms_port, |_| relay_port),
+            relay_port,
             relays: Vec::new(),
             control: Vec::new(),
             entries: Vec::new(),
@@ -415,10 +421,16 @@
 
     fn new_entry(&self, at: u8) -> Process {
         let ip = self.ip(21 + at);
-        let [port, ready, metrics] = free_ports(ip, &[self.watch_port]);
+        let is_relayed = at == 0 && !self.relays.is_empty();
+        let vms_port = if is_relayed {
+            self.relay_port
+        } else {
+            self.vms_port
+        };
+        let [port, ready, metrics] = free_ports(ip, &[vms_port]);
         let text = format!(
             "vm = \"edge-{at}\"\navailability_zone = \"z1\"\n[listen]\ncallers = \"{ip}:{port}\"\nready = \"{ip}:{ready}\"\nmetrics = \"{ip}:{metrics}\"\n{}[shutdown]\ngrace_ms = 6000\nnotice_ms = 800\n[log]\nlevel = \"debug\"\nformat = \"json\"\noutput = \"stdout\"\n{}",
-            self.discovery(ip, self.watch_port, false),
+            self.discovery(ip, vms_port, false),
             self.entry_settings
         );
         Process {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -22,6 +22,7 @@
 mod limits;
 mod load;
 mod notices;
+mod out_of_step;
 mod paths;
 mod queueing;
 mod quota;
