Give the requests of the stop soak a deadline that their callers wait for

The logs show that their callers left after 20 s, the time limit of the stand-in, while the process, which was not stopped, waited for an endpoint for up to 60 s. With a deadline of 12 s each request must have its response, there too.

--- a/tests/fleet/stop_soak.rs
+++ b/tests/fleet/stop_soak.rs
@@ -22,6 +22,10 @@
 /// How long requests are sent before an entry process is told to stop.
 const BEFORE_STOP: time::Duration = time::Duration::from_secs(1);
 
+/// The deadline of each request, after which a process that is not stopped has responded too. It is later than the exit of one
+/// that is stopped.
+const DEADLINE_MS: u32 = 12_000;
+
 /// How long a caller waits before it connects again to a process that refuses connections.
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -136,7 +140,7 @@
         let path = PATHS[random.below(PATHS.len())];
         let id = format!("stop-{number}-{}", records.len());
         let request = Request {
-            deadline_ms: 60_000,
+            deadline_ms: DEADLINE_MS,
             ..Request::new("POST", path, &id)
         };
         let response = send(&mut caller, &request, &mut random);
