Read the answers of the tests of resets as all others are read, and name what two tests guard

No change of the product, nor of what is asserted. In the tests of exchanges the exchange that `ask` makes was written again for a request with a body and for a stop of one's own; both now call one function. The ending of a connection is one match. The two tests of calls that are answered without end each have the line that says which failure they guard against, which stood on the function that they share.

--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -67,11 +67,21 @@
 const LONG: time::Duration = time::Duration::from_secs(20);
 
 fn ask(pool: &Pool, address: net::SocketAddrV4) -> Result<Vec<u8>, Failure> {
+    send(pool, address, &get(), &|| false)
+}
+
+/// Sends a request and reads its answer, unless `stop` ends the wait.
+fn send<S: Fn() -> bool>(
+    pool: &Pool,
+    address: net::SocketAddrV4,
+    req: &Request<'_>,
+    stop: &S,
+) -> Result<Vec<u8>, Failure> {
     let patience = Patience {
         until: time::Instant::now() + LONG,
-        stop: &|| false,
+        stop,
     };
-    let mut answer = pool.exchange(address, &get(), LONG, &patience)?;
+    let mut answer = pool.exchange(address, req, LONG, &patience)?;
     let body = answer.read_whole(1_000, &patience)?;
     pool.keep(address, answer);
     Ok(body)
@@ -804,25 +814,20 @@
                 let (mut stream, _) = listener.accept().expect("a connection");
                 let part = b"HTTP/1.1 200 OK\r\n\r\nhel";
                 stream.write_all(part).expect("the other end is open");
-                if matches!(ending, Ending::EndAndReset) {
-                    stream.shutdown(net::Shutdown::Write).expect("it is open");
-                }
                 match ending {
+                    Ending::Reset => reset(stream),
                     Ending::Close => drop(stream),
-                    Ending::Reset | Ending::EndAndReset => reset(stream),
+                    Ending::EndAndReset => {
+                        stream.shutdown(net::Shutdown::Write).expect("it is open");
+                        reset(stream);
+                    }
                 }
                 has_waited.set(true);
             }
             false
         };
-        let patience = Patience {
-            until: time::Instant::now() + LONG,
-            stop: &answer_and_end,
-        };
         let pool = Pool::new(Settings::default());
-        let body = pool
-            .exchange(address, &post(), LONG, &patience)
-            .and_then(|mut it| it.read_whole(1_000, &patience));
+        let body = send(&pool, address, &post(), &answer_and_end);
         assert!(has_waited.get(), "a write waits for the endpoint");
         assert_eq!(
             body.map_err(|e| (e.cause, e.is_sent)),
@@ -877,13 +882,7 @@
         stream
     });
     let pool = Pool::new(Settings::default());
-    let patience = Patience {
-        until: time::Instant::now() + LONG,
-        stop: &|| false,
-    };
-    let body = pool
-        .exchange(address, &post(), LONG, &patience)
-        .and_then(|mut it| it.read_whole(1_000, &patience));
+    let body = send(&pool, address, &post(), &|| false);
     assert_eq!(body.expect("whole"), b"no");
     drop(early.join().expect("it answered"));
 }
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -329,8 +329,8 @@
 /// The memory of a control process's VM, in kilobytes.
 const CONTROL_MEMORY_KB: u64 = 256 * 1_024;
 
-/// Guards against a control process that fills its memory and its threads with bytes that are no response, so that it gives no
-/// orders to engines in order either.
+/// Has both engines of a model respond without end to calls of `path`, and checks that an adapter is loaded as soon as one of
+/// them is in order, and how much memory control processes have used.
 fn check_calls(path: &'static str) {
     for case in &CASES {
         let (mut fleet, engines) = Fleet::ready();
@@ -366,11 +366,14 @@
     }
 }
 
+/// Guards against a control process that fills its memory and its threads with reports without end, so that it gives no orders
+/// to engines in order either.
 #[test]
 fn reports_without_end_cost_no_order_and_no_memory() {
     check_calls("/report");
 }
 
+/// The same for responses to its orders.
 #[test]
 fn responses_without_end_to_orders_cost_no_order_and_no_memory() {
     check_calls("/order");
