Count and log how the bodies of responses end and what delimits them

What callers saw: answers that ended early and were complete. Afterwards nothing told such an answer from a short one: the line of an answered request says neither how its endpoint delimited it, nor how its connection ended, nor what the caller was told.

Change: `sageshed_gateway_responses_total` counts responses of endpoints by what delimits their body (nothing, a length, chunks, the connection), how the body ended, and by what it was delimited for the caller. A response that failed inside its body, or that only its connection delimits, has a line in the log with the same values and its bytes. `Delimiter` stands in sageshed-types, since the packages of callers and of endpoints both speak of it.

--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -6,7 +6,7 @@
 };
 
 use derive_more::{Display, Error};
-use sageshed_types::refusal;
+use sageshed_types::{framing, refusal};
 
 use crate::{deferred, handler, link, problem, server};
 
@@ -380,6 +380,18 @@
         self.ex.progress == Progress::Gone || self.ex.link.is_gone()
     }
 
+    /// What tells the caller where the answer ends.
+    #[must_use]
+    pub fn delimiter(&self) -> framing::Delimiter {
+        if self.ex.manner.head_only {
+            framing::Delimiter::NoBody
+        } else if self.ex.manner.old {
+            framing::Delimiter::Connection
+        } else {
+            framing::Delimiter::Chunks
+        }
+    }
+
     /// Ends the answer: the caller has it whole.
     pub fn finish(mut self) -> Sent {
         self.ended = true;
--- a/crates/sageshed-types/src/framing.rs
+++ b/crates/sageshed-types/src/framing.rs
@@ -49,6 +49,33 @@
     Trailer,
 }
 
+/// What tells the receiver of a message where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delimiter {
+    /// There is no body.
+    NoBody,
+    /// Its length.
+    Length,
+    /// Its last chunk.
+    Chunks,
+    /// The end of the connection in good order, which does not tell whether the body is whole: the system of a sender that
+    /// has died ends its connections in the same way.
+    Connection,
+}
+
+impl Delimiter {
+    /// Its label in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoBody => "none",
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// How the fields of a head delimit the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -81,21 +81,14 @@
     }
 }
 
-/// What tells that a body is whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BodyEnd {
-    /// Its length or its last chunk.
-    Marked,
-    /// The end of the connection.
-    Connection,
-}
-
-impl BodyEnd {
-    fn of(framing: Framing) -> Self {
-        if framing == Framing::UntilClose {
-            Self::Connection
-        } else {
-            Self::Marked
+/// What delimits a body of which nothing was read.
+fn delimiter_of(framing: Framing) -> framing::Delimiter {
+    match framing {
+        Framing::Ended => framing::Delimiter::NoBody,
+        Framing::Length(_) => framing::Delimiter::Length,
+        Framing::UntilClose => framing::Delimiter::Connection,
+        Framing::ChunkSize | Framing::Chunk(_) | Framing::ChunkEnd | Framing::Trailer => {
+            framing::Delimiter::Chunks
         }
     }
 }
@@ -107,7 +100,7 @@
     /// The head of the answer.
     pub head: Head,
     framing: Framing,
-    body_end: BodyEnd,
+    delimiter: framing::Delimiter,
     is_head_request: bool,
     keeps: bool,
     /// Whether the connection had carried another request before.
@@ -206,7 +199,7 @@
                 socket: self.socket,
                 head,
                 framing,
-                body_end: BodyEnd::of(framing),
+                delimiter: delimiter_of(framing),
                 is_head_request: self.is_head_request,
                 is_reused: self.is_reused,
             }),
@@ -337,11 +330,16 @@
         })
     }
 
-    /// Whether the body has neither a length nor chunks and ends with the connection. An orderly end of the connection then
-    /// says nothing of whether the body is whole.
+    /// By what the endpoint delimits the body.
+    #[must_use]
+    pub fn delimiter(&self) -> framing::Delimiter {
+        self.delimiter
+    }
+
+    /// Whether the body has neither a length nor chunks and ends with the connection.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
-        self.body_end == BodyEnd::Connection
+        self.delimiter == framing::Delimiter::Connection
     }
 
     /// Whether the body's length is known before it comes, and what it is.
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -8,7 +8,8 @@
 
 use opentelemetry::{KeyValue, metrics as instruments};
 use sageshed_http::stats;
-use sageshed_upstream::relay;
+use sageshed_types::framing;
+use sageshed_upstream::{failure, relay};
 
 use super::{allowances, entry_peers, state};
 use crate::{locks, metrics};
@@ -112,6 +113,51 @@
     }
 }
 
+/// How the body of a response has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// As its endpoint delimits it.
+    Complete,
+    /// Early, by this failure.
+    Failed(failure::Cause),
+}
+
+impl BodyEnd {
+    /// Its label in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Failed(failure::Cause::ClosedInAnswer | failure::Cause::ClosedBeforeAnswer) => {
+                "closed"
+            }
+            Self::Failed(failure::Cause::Silent) => "silent",
+            Self::Failed(failure::Cause::Malformed) => "malformed",
+            Self::Failed(_) => "left",
+        }
+    }
+}
+
+/// How a response has ended, and what its caller was told of that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseEnd {
+    /// By what the endpoint delimits its body.
+    pub delimiter: framing::Delimiter,
+    /// How the body has ended.
+    pub end: BodyEnd,
+    /// By what the body is delimited for the caller; none if the caller has received nothing of it.
+    pub passed_by: Option<framing::Delimiter>,
+}
+
+impl ResponseEnd {
+    /// The label of what delimits the body for the caller.
+    #[must_use]
+    pub fn framing(self) -> &'static str {
+        self.passed_by
+            .map_or("not_passed_on", framing::Delimiter::label)
+    }
+}
+
 /// The instruments of an entry process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -122,6 +168,7 @@
     resumed: instruments::Counter<u64>,
     cut: instruments::Counter<u64>,
     silences: instruments::Counter<u64>,
+    responses: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
     /// The bytes of endpoints' responses that were passed on to callers.
@@ -395,6 +442,10 @@
             .u64_counter("sageshed_gateway_silent_runs")
             .with_description("Runs at silent endpoints that were kept while another one was tried")
             .build();
+        let responses = meter
+            .u64_counter("sageshed_gateway_responses")
+            .with_description("Responses of endpoints whose body has ended")
+            .build();
         let gauges = Gauges::new(&registry);
         Self {
             registry,
@@ -404,6 +455,7 @@
             resumed,
             cut,
             silences,
+            responses,
             workspaces: sync::Mutex::default(),
             passed_on: atomic::AtomicU64::default(),
             gauges,
@@ -438,6 +490,16 @@
         self.silences.add(1, &[KeyValue::new("end", end.label())]);
     }
 
+    /// Counts a response whose body has ended.
+    pub fn response_ended(&self, response: ResponseEnd) {
+        let of = [
+            KeyValue::new("delimiter", response.delimiter.label()),
+            KeyValue::new("end", response.end.label()),
+            KeyValue::new("framing", response.framing()),
+        ];
+        self.responses.add(1, &of);
+    }
+
     /// Counts bytes of a response that were passed on to its caller.
     pub fn passed_on(&self, bytes: usize) {
         self.passed_on
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -20,6 +20,7 @@
 mod queue_wait;
 mod quota;
 mod records_check;
+mod response_end;
 mod resumption;
 mod slot;
 mod stream;
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -25,6 +25,8 @@
     pub(super) sent_at: std_time::Instant,
     /// The load that the endpoint has reported with the head.
     load: Option<dialect::Load>,
+    /// The bytes of its body that have arrived.
+    received: u64,
     /// What has arrived after the latest complete event.
     events: events::Splitter,
     /// Comments that have arrived before the first event.
@@ -51,6 +53,7 @@
             exchange,
             sent_at,
             load,
+            received: 0,
             events: events::Splitter::default(),
             comments: Vec::new(),
             memory,
@@ -68,6 +71,7 @@
 
     /// Takes what has arrived. Returns what can be passed on: complete events, and comments after the first event.
     fn push(&mut self, bytes: &[u8]) -> Result<events::Events, failure::Failure> {
+        self.received += bytes.len() as u64;
         let mut events = self
             .events
             .push(bytes)
@@ -202,6 +206,8 @@
         }
         self.end_attempt(pick, true, chooser::AttemptOutcome::Answered);
         self.record_pauses(pick);
+        let passed_by = Some(stream.delimiter());
+        self.record_response_end(pick, &run.exchange, run.received, passed_by, None);
         let status = run.exchange.head.status;
         self.shared.pool.keep(pick.address, run.exchange);
         self.finish_answered(pick, status, self.passed_on, run.sent_at);
@@ -217,6 +223,8 @@
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
         let has_begun = run.has_begun;
+        let passed_by = sink.delimiter();
+        self.record_response_end(pick, &run.exchange, run.received, passed_by, Some(failure));
         // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
         drop(run);
         self.handle_failed_run(pick, sink, has_begun, failure)
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -4,7 +4,7 @@
 
 use sageshed_fleet::{chooser, dialect, silence};
 use sageshed_http::reply;
-use sageshed_types::{shared_memory::Reservation, time};
+use sageshed_types::{framing, shared_memory::Reservation, time};
 use sageshed_upstream::{exchange, failure};
 
 use super::{
@@ -108,7 +108,11 @@
                     }
                     next_look = std_time::Instant::now() + silence::SWITCH_INTERVAL.into();
                 }
-                _ => return self.handle_failed_run(pick, sink, false, &failure),
+                _ => {
+                    let bytes = run.body.len() as u64;
+                    self.record_response_end(pick, &run.exchange, bytes, None, Some(&failure));
+                    return self.handle_failed_run(pick, sink, false, &failure);
+                }
             }
         };
         self.keep_run(pick, Progress::Whole(run), reason);
@@ -131,6 +135,12 @@
             chooser::AttemptOutcome::Answered
         };
         self.end_attempt(pick, true, outcome);
+        let passed_by = match run.exchange.delimiter() {
+            framing::Delimiter::NoBody => framing::Delimiter::NoBody,
+            _ => framing::Delimiter::Length,
+        };
+        let bytes = run.body.len() as u64;
+        self.record_response_end(pick, &run.exchange, bytes, Some(passed_by), None);
         self.shared.pool.keep(pick.address, run.exchange);
         self.shared.metrics.passed_on(run.body.len());
         self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
--- a/src/sageshed/gateway/response.rs
+++ b/src/sageshed/gateway/response.rs
@@ -1,7 +1,7 @@
 //! Sends responses to callers: as a whole, or event by event.
 
 use sageshed_http::reply;
-use sageshed_types::refusal;
+use sageshed_types::{framing, refusal};
 use sageshed_upstream::exchange;
 
 use super::refuse;
@@ -32,6 +32,14 @@
         }
     }
 
+    /// What tells the caller where the response ends; none if the caller has received nothing of it.
+    pub(super) fn delimiter(&self) -> Option<framing::Delimiter> {
+        match self {
+            Self::NotStarted(_) => None,
+            Self::Streaming(stream, _) => Some(stream.delimiter()),
+        }
+    }
+
     /// Whether the caller has received a part of the response.
     pub(super) fn has_started(&self) -> bool {
         matches!(self, Self::Streaming(..))
