--- /dev/null
+++ b/tests/fleet/cut_answers.rs
@@ -0,0 +1,143 @@
+//! Responses with neither a length nor chunks, which end with their connection and may do so early.
+
+use crate::{
+    fleet::Fleet,
+    standin::{
+        Delimiter, Message,
+        caller::Request,
+        engine::{Behavior, ConnectionEnd, Engine, Extent, UNFRAMED_EVENTS, Unframed, event},
+    },
+};
+
+/// Requests that an endpoint runs in each case.
+const RUNS: usize = 4;
+
+/// The routes: to plain endpoints and to engines, each for requests that may run once only, or again.
+const PATHS: [&str; 4] = ["/once/x", "/again/x", "/stream/x", "/resumable/x"];
+
+struct Case {
+    path: &'static str,
+    unframed: Unframed,
+}
+
+impl Case {
+    fn all(extent: Extent, end: ConnectionEnd) -> impl Iterator<Item = Self> {
+        PATHS.into_iter().map(move |path| Self {
+            path,
+            unframed: Unframed { extent, end },
+        })
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(self.path, "/stream/x" | "/resumable/x")
+    }
+
+    /// Whether `answer` holds all of the response.
+    fn is_complete(&self, answer: &Message) -> bool {
+        if self.is_stream() {
+            answer.text() == (1..=UNFRAMED_EVENTS).map(event).collect::<String>()
+        } else {
+            let text = answer.text();
+            text.ends_with(" by p1") || text.ends_with(" by p2")
+        }
+    }
+}
+
+/// The responses of a case that reached callers.
+fn answers(fleet: &Fleet, engines: &[Engine], case: &Case) -> Vec<Message> {
+    for engine in engines {
+        engine.set_behavior(Behavior::Unframed(case.unframed));
+    }
+    let mut answers = Vec::new();
+    let mut number = 0;
+    // An endpoint that has failed gets no requests for a while.
+    fleet.until("endpoints have run the requests", || {
+        number += 1;
+        let id = format!("{:?}{}-{number}", case.unframed, case.path).replace(' ', "");
+        let request = Request {
+            body: &id,
+            ..Request::new("POST", case.path, &id)
+        };
+        let answer = fleet.ask(0, &request).expect("an answer");
+        if engines.iter().any(|it| it.runs(&id) > 0) {
+            answers.push(answer);
+        }
+        answers.len() == RUNS
+    });
+    answers
+}
+
+/// What is wrong with the responses of a case.
+fn describe(case: &Case, wrong: &[Message]) -> Option<String> {
+    let first = wrong.first()?;
+    Some(format!(
+        "{} {:?}: {} of {RUNS}, by {:?}, {}",
+        case.path,
+        case.unframed,
+        wrong.len(),
+        first.delimiter,
+        first.text(),
+    ))
+}
+
+/// Guards against a response which may have ended early and that reaches its caller as complete: with a length or a last
+/// chunk that its endpoint has not sent.
+#[test]
+fn a_response_that_only_its_connection_delimits_is_not_passed_on_as_complete() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut wrong = Vec::new();
+    for end in [ConnectionEnd::Close, ConnectionEnd::HalfClose] {
+        for case in Case::all(Extent::Part, end) {
+            let mut answers = answers(&fleet, &engines, &case);
+            answers.retain(|it| it.status() == 200 && it.delimiter != Delimiter::Connection);
+            wrong.extend(describe(&case, &answers));
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
+/// Guards against a complete response that does not reach its caller, since only its connection delimits it.
+#[test]
+fn a_complete_response_that_only_its_connection_delimits_is_passed_on() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut wrong = Vec::new();
+    for end in [ConnectionEnd::Close, ConnectionEnd::HalfClose] {
+        for case in Case::all(Extent::Whole, end) {
+            let mut answers = answers(&fleet, &engines, &case);
+            answers.retain(|it| !it.whole || !case.is_complete(it));
+            wrong.extend(describe(&case, &answers));
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
+/// Guards against a part of a response that reaches its caller as complete after the connection to its endpoint was reset.
+#[test]
+fn a_response_cut_by_a_reset_is_not_complete() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut wrong = Vec::new();
+    for extent in [Extent::Part, Extent::PartOnce] {
+        for case in Case::all(extent, ConnectionEnd::Reset) {
+            let mut answers = answers(&fleet, &engines, &case);
+            answers.retain(|it| it.status() == 200 && it.whole && !case.is_complete(it));
+            wrong.extend(describe(&case, &answers));
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
+/// Guards against a part of a response that reaches its caller as complete though its endpoint has crashed: the system of a
+/// process that ends closes its connections in good order.
+#[test]
+fn a_response_cut_by_a_crash_of_its_endpoint_is_not_complete() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut wrong = Vec::new();
+    for extent in [Extent::Part, Extent::PartOnce] {
+        for case in Case::all(extent, ConnectionEnd::Crash) {
+            let mut answers = answers(&fleet, &engines, &case);
+            answers.retain(|it| it.status() == 200 && it.whole && !case.is_complete(it));
+            wrong.extend(describe(&case, &answers));
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod crashing;
 mod crashing_parts;
 mod crowd;
+mod cut_answers;
 mod demand;
 mod departure_soak;
 mod draining;
