Reset connections whose body only their end delimits if the process is killed inside it

What callers saw: a stream to a caller of HTTP/1.0, which knows no chunks, ends with its connection. If the entry process is killed inside it, its system closes the connection in good order, and the caller takes the part that it has received for the whole.

Cause: the connection was made to end in a reset only where the process itself broke a stream off. Nobody does that for a process that is killed.

Change: such a connection is set to end in a reset from the head of the answer on, and in good order again only behind its last byte. So whatever closes it before resets it: a kill, a panic, a write that fails, the exit of the process. The `Drop` of a stream is no longer needed for that.

--- a/crates/sageshed-http/src/connection.rs
+++ b/crates/sageshed-http/src/connection.rs
@@ -319,6 +319,7 @@
             draining: sync::Arc::clone(&self.shared.draining),
             manner,
             progress: reply::Progress::Unanswered,
+            until_close: false,
             deferred: sync::Arc::clone(&self.shared.deferred),
             connection: self.place.id,
             gate: sync::Arc::clone(&self.shared.gate),
--- a/crates/sageshed-http/src/link.rs
+++ b/crates/sageshed-http/src/link.rs
@@ -124,10 +124,17 @@
         }
     }
 
-    /// Has the connection end in a reset and not in an orderly close, once nobody holds it.
+    /// Has the connection end in a reset and not in an orderly close, once nobody holds it or the process ends.
     pub(crate) fn reset_on_close(&self) {
         if let Err(e) = net::sockopt::set_socket_linger(&self.stream, Some(time::Duration::ZERO)) {
-            log::warn!(error:% = e; "http: cut answer may look whole to an HTTP/1.0 caller");
+            log::warn!(error:% = e; "http: cut answer may look whole to its caller");
+        }
+    }
+
+    /// Undoes [`Link::reset_on_close`].
+    pub(crate) fn close_in_good_order(&self) {
+        if let Err(e) = net::sockopt::set_socket_linger(&self.stream, None) {
+            log::debug!(error:% = e; "http: connection ends in a reset behind its answer");
         }
     }
 
--- a/crates/sageshed-http/src/overflow.rs
+++ b/crates/sageshed-http/src/overflow.rs
@@ -146,6 +146,7 @@
             draining: Arc::default(),
             manner: reply::Manner::LAST,
             progress: reply::Progress::Unanswered,
+            until_close: false,
             deferred: Arc::clone(&self.shared.deferred),
             connection: u64::MAX,
             gate: Arc::clone(&self.shared.gate),
--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -97,6 +97,8 @@
     pub(crate) draining: sync::Arc<atomic::AtomicBool>,
     pub(crate) manner: Manner,
     pub(crate) progress: Progress,
+    /// Whether only the end of the connection delimits the body.
+    pub(crate) until_close: bool,
     /// Where an answer is put that is given later, for this connection.
     pub(crate) deferred: sync::Arc<deferred::Queue>,
     pub(crate) connection: u64,
@@ -148,6 +150,23 @@
         Ok(())
     }
 
+    /// Has only the end of the connection delimit the body. Until [`Exchange::end_until_close`], whatever closes the connection
+    /// resets it: the system of a process that is killed would otherwise end it in good order, and the caller would take the
+    /// part that it has received for the whole.
+    fn begin_until_close(&mut self) {
+        self.until_close = true;
+        self.manner.keep = false;
+        self.link.reset_on_close();
+    }
+
+    /// Ends a body that only the end of the connection delimits.
+    fn end_until_close(&self) {
+        if self.until_close && self.progress != Progress::Gone {
+            self.link.stop_writing();
+            self.link.close_in_good_order();
+        }
+    }
+
     /// Connections melt away while the process drains or gets too little processor time: each answer is then the last on
     /// its own.
     fn settle_keep(&mut self) {
@@ -317,15 +336,17 @@
     pub fn stream(self, head: &Head<'_>) -> Stream<'c> {
         let ex = self.ex;
         ex.settle_keep();
-        // HTTP/1.0 has no chunks: there the end of the connection ends the body.
-        let framing = if ex.manner.old {
-            ex.manner.keep = false;
+        // HTTP/1.0 has no chunks.
+        if ex.manner.old {
+            ex.begin_until_close();
+        }
+        let framing = if ex.until_close {
             ""
         } else {
             "Transfer-Encoding: chunked\r\n"
         };
         let bytes = ex.head(head, framing);
-        let stream = Stream { ex, ended: false };
+        let stream = Stream { ex };
         if stream.ex.write(&bytes).is_err() {
             log::debug!("http: caller left before its stream began");
         }
@@ -353,7 +374,6 @@
 #[derive(Debug)]
 pub struct Stream<'c> {
     ex: &'c mut Exchange,
-    ended: bool,
 }
 
 impl Stream<'_> {
@@ -365,7 +385,7 @@
         if bytes.is_empty() || self.ex.manner.head_only {
             return Ok(());
         }
-        if self.ex.manner.old {
+        if self.ex.until_close {
             return self.ex.write(bytes);
         }
         let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
@@ -385,7 +405,7 @@
     pub fn delimiter(&self) -> framing::Delimiter {
         if self.ex.manner.head_only {
             framing::Delimiter::NoBody
-        } else if self.ex.manner.old {
+        } else if self.ex.until_close {
             framing::Delimiter::Connection
         } else {
             framing::Delimiter::Chunks
@@ -393,37 +413,28 @@
     }
 
     /// Ends the answer: the caller has it whole.
-    pub fn finish(mut self) -> Sent {
-        self.ended = true;
-        let written = if self.ex.manner.old || self.ex.manner.head_only {
+    pub fn finish(self) -> Sent {
+        let written = if self.ex.until_close || self.ex.manner.head_only {
             self.ex.write(b"")
         } else {
             self.ex.write(b"0\r\n\r\n")
         };
+        self.ex.end_until_close();
         Sent::written(written)
     }
 
     /// Ends the connection in the middle of the answer, so that the caller cannot take what it has
     /// for the whole.
     ///
-    /// In HTTP/1.1 the last chunk is missing, which every client reports. In HTTP/1.0 an orderly close
-    /// means that the answer is whole, so there the connection is reset.
+    /// The last chunk is missing, which every client reports. Where only the end of the connection delimits the answer,
+    /// an orderly close means that it is whole, so there the connection is reset.
     pub fn abort(self) -> Sent {
-        drop(self);
         Sent {
             outcome: Outcome::Cut,
         }
     }
 }
 
-impl Drop for Stream<'_> {
-    fn drop(&mut self) {
-        if !self.ended && self.ex.manner.old {
-            self.ex.link.reset_on_close();
-        }
-    }
-}
-
 /// Whether answers with this status have no body.
 fn is_bodiless(status: u16) -> bool {
     matches!(status, 204 | 304)
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -1,10 +1,12 @@
 //! Responses with neither a length nor chunks, which end with their connection and may do so early.
 
+use std::{io::Read as _, time};
+
 use crate::{
     fleet::Fleet,
     standin::{
         Delimiter, Message,
-        caller::Request,
+        caller::{Caller, Request},
         engine::{Behavior, ConnectionEnd, Engine, Extent, UNFRAMED_EVENTS, Unframed, event},
     },
 };
@@ -141,3 +143,50 @@
     }
     assert_eq!(wrong, Vec::<String>::new());
 }
+
+/// A stream that its caller can't tell from a complete one if it ends with its connection in good order.
+struct OpenEnd {
+    name: &'static str,
+    /// The version of HTTP that the caller uses.
+    version: &'static str,
+    behavior: Behavior,
+}
+
+/// Guards against a part of a stream that is complete for its caller, since the entry process was killed and its system has
+/// closed the connection in good order.
+#[test]
+fn a_stream_cut_by_the_end_of_its_entry_process_is_not_complete() {
+    let cases = [OpenEnd {
+        name: "a caller of HTTP/1.0",
+        version: "HTTP/1.0",
+        behavior: Behavior::HangsAfter(UNFRAMED_EVENTS),
+    }];
+    let (mut fleet, engines) = Fleet::ready();
+    for case in cases {
+        for engine in &engines {
+            engine.set_behavior(case.behavior);
+        }
+        let mut caller = Caller::connect(fleet.entries[0].address()).expect("it accepts");
+        let request = Request {
+            body: "part",
+            ..Request::new("POST", "/stream/x", case.version)
+        };
+        caller.send_as(case.version, &request).expect("it reads");
+        let mut received = Vec::new();
+        let last = event(UNFRAMED_EVENTS);
+        while !String::from_utf8_lossy(&received).ends_with(&last) {
+            let mut buf = [0; 1024];
+            let n = caller.stream.read(&mut buf).expect("an event");
+            assert_ne!(n, 0, "{}", String::from_utf8_lossy(&received));
+            received.extend_from_slice(&buf[..n]);
+        }
+        fleet.entries[0].kill();
+        let rest = caller.stream.read_to_end(&mut received);
+        assert!(rest.is_err(), "{}: {rest:?}", case.name);
+        fleet.entries[0].start();
+        let process = &fleet.entries[0];
+        fleet.until("it serves again", || {
+            process.ready_within(time::Duration::from_secs(1)) == 200
+        });
+    }
+}
