Delimit answers for callers as their endpoint has delimited them

What callers saw: an answer that ended early was complete by its length, and a stream by its last chunk.

Cause: an answer with neither a length nor chunks ends with its connection. The system of an endpoint that dies closes its connections in the same good order as one that is done, so that such an end promises nothing (RFC 9112, section 8). The entry process gave the answer a `Content-Length` of what had arrived, or chunks with a last one, and so made a promise out of it that the caller could not doubt any more. The class of fault: a framing that promises nothing is replaced by one that promises that the answer is complete.

Change: what only its connection delimits is delimited in the same way for its caller, with `Connection: close`. The connection ends in a reset unless the endpoint's one has ended in good order. A stream that its caller receives in chunks and that is resumed at an engine which delimits it by its connection gets no last chunk: it is resumed once more, or cut. One that began without chunks may end with its connection. The costs are a new connection of the caller after each such answer.

Why it holds: a last chunk or a length is only written for an answer that was complete by a last chunk or a length.

--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -184,7 +184,7 @@
 
     fn encode_head(&mut self, head: &Head<'_>, length: usize) -> Vec<u8> {
         self.settle_keep();
-        let framing = if is_bodiless(head.status) {
+        let framing = if is_bodiless(head.status) || self.until_close {
             String::new()
         } else {
             format!("Content-Length: {length}\r\n")
@@ -258,17 +258,26 @@
         self.ex.gate.end_start(self.ex.connection);
     }
 
+    /// As [`Reply::whole`], for a body that the endpoint has delimited by the end of its connection only. It is delimited
+    /// in the same way for the caller: a length would say that it is whole, which nobody knows.
+    pub fn whole_until_close(self, head: &Head<'_>, body: &[u8]) -> Sent {
+        self.ex.begin_until_close();
+        self.whole(head, body)
+    }
+
     /// Answers with a whole body.
     pub fn whole(self, head: &Head<'_>, body: &[u8]) -> Sent {
         let ex = self.ex;
-        Sent::written(if body.len() <= COPIED_BYTES {
+        let sent = Sent::written(if body.len() <= COPIED_BYTES {
             let bytes = ex.encode(head, body);
             ex.write(&bytes)
         } else {
             let bytes = ex.encode_head(head, body.len());
             let body = ex.body_of(head, body);
             ex.write(&bytes).and_then(|()| ex.write(body))
-        })
+        });
+        ex.end_until_close();
+        sent
     }
 
     /// Answers with what was made elsewhere.
@@ -352,6 +361,13 @@
         }
         stream
     }
+
+    /// As [`Reply::stream`], delimited as in [`Reply::whole_until_close`].
+    #[must_use]
+    pub fn stream_until_close(self, head: &Head<'_>) -> Stream<'c> {
+        self.ex.begin_until_close();
+        self.stream(head)
+    }
 }
 
 /// A look at a caller's connection from another thread.
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -6,7 +6,7 @@
 
 use sageshed_fleet::{chooser, dialect, events, silence};
 use sageshed_http::reply;
-use sageshed_types::{shared_memory::Reservation, time};
+use sageshed_types::{framing, shared_memory::Reservation, time};
 use sageshed_upstream::{exchange, failure};
 
 use super::{
@@ -139,7 +139,7 @@
             if events.content == events::Content::Event {
                 self.record_events(pick, &mut run, sink.last_id());
             }
-            let (mut stream, mut last_id) = sink.start_stream(&run.exchange.head);
+            let (mut stream, mut last_id) = sink.start_stream(&run.exchange);
             if let Some(id) = self.shared.dialect.last_event_id(&events.bytes) {
                 last_id = Some(id);
             }
@@ -191,15 +191,14 @@
         mut run: StreamRun,
         sink: ResponseSink<'c>,
     ) -> AttemptResult<'c> {
-        let is_incomplete = !run.has_begun || run.events.is_inside_event();
-        if run.exchange.ends_with_connection() && is_incomplete {
-            return self.break_off(pick, run, sink, &ended_inside_event());
+        if let Some(failure) = early_end(&run, sink.delimiter()) {
+            return self.break_off(pick, run, sink, &failure);
         }
         self.end_kept_runs(metrics::SilenceEnd::Replaced);
         if !run.has_begun {
             self.begin_stream(pick, &mut run, sink.last_id());
         }
-        let (mut stream, _) = sink.start_stream(&run.exchange.head);
+        let (mut stream, _) = sink.start_stream(&run.exchange);
         let rest = [run.comments.as_slice(), run.events.pending()].concat();
         if !self.send_part(&mut stream, &rest) {
             ::log::info!(request = self.id(); "gateway: caller disconnected at the end of its stream");
@@ -325,10 +324,23 @@
     }
 }
 
-/// The failure of a stream whose connection ended in good order, but inside an event or before the first one.
-fn ended_inside_event() -> failure::Failure {
-    let detail = "the connection ended inside an event";
-    failure::Failure::sent(failure::Cause::ClosedInAnswer, &detail)
+/// Why a stream whose body has ended can't be passed on as complete, if it can't. `passed_by` is what delimits the response
+/// for its caller, if that has begun.
+fn early_end(run: &StreamRun, passed_by: Option<framing::Delimiter>) -> Option<failure::Failure> {
+    if !run.exchange.ends_with_connection() {
+        return None;
+    }
+    let detail = if !run.has_begun || run.events.is_inside_event() {
+        "the connection ended inside an event"
+    } else if passed_by == Some(framing::Delimiter::Chunks) {
+        "nothing but the end of the connection tells that the stream is complete"
+    } else {
+        return None;
+    };
+    Some(failure::Failure::sent(
+        failure::Cause::ClosedInAnswer,
+        &detail,
+    ))
 }
 
 /// The failure of a stream that this process cuts since it exits.
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -136,14 +136,14 @@
         };
         self.end_attempt(pick, true, outcome);
         let passed_by = match run.exchange.delimiter() {
-            framing::Delimiter::NoBody => framing::Delimiter::NoBody,
-            _ => framing::Delimiter::Length,
+            framing::Delimiter::Chunks => framing::Delimiter::Length,
+            delimiter => delimiter,
         };
         let bytes = run.body.len() as u64;
         self.record_response_end(pick, &run.exchange, bytes, Some(passed_by), None);
         self.shared.pool.keep(pick.address, run.exchange);
         self.shared.metrics.passed_on(run.body.len());
         self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
-        AttemptResult::Done(sink.send_whole(&head, &run.body))
+        AttemptResult::Done(sink.send_whole(&head, passed_by, &run.body))
     }
 }
--- a/src/sageshed/gateway/response.rs
+++ b/src/sageshed/gateway/response.rs
@@ -45,24 +45,41 @@
         matches!(self, Self::Streaming(..))
     }
 
-    /// Starts a stream with the head of an endpoint's response, unless one was started.
-    pub(super) fn start_stream(self, head: &exchange::Head) -> (reply::Stream<'c>, Option<String>) {
+    /// Starts a stream with the head of an endpoint's response, unless one was started. It is delimited as by the endpoint.
+    pub(super) fn start_stream(
+        self,
+        response: &exchange::Exchange,
+    ) -> (reply::Stream<'c>, Option<String>) {
         match self {
             Self::NotStarted(reply) => {
-                let headers = headers(head);
-                let stream = reply.stream(&reply_head(head, &headers));
+                let headers = headers(&response.head);
+                let head = reply_head(&response.head, &headers);
+                let stream = if response.ends_with_connection() {
+                    reply.stream_until_close(&head)
+                } else {
+                    reply.stream(&head)
+                };
                 (stream, None)
             }
             Self::Streaming(stream, last_id) => (stream, last_id),
         }
     }
 
-    /// Sends the complete response of an endpoint.
-    pub(super) fn send_whole(self, head: &exchange::Head, body: &[u8]) -> reply::Sent {
+    /// Sends the response of an endpoint whose body has ended, delimited by `delimiter`.
+    pub(super) fn send_whole(
+        self,
+        head: &exchange::Head,
+        delimiter: framing::Delimiter,
+        body: &[u8],
+    ) -> reply::Sent {
         match self {
             Self::NotStarted(reply) => {
                 let headers = headers(head);
-                reply.whole(&reply_head(head, &headers), body)
+                let head = reply_head(head, &headers);
+                match delimiter {
+                    framing::Delimiter::Connection => reply.whole_until_close(&head, body),
+                    _ => reply.whole(&head, body),
+                }
             }
             Self::Streaming(stream, _) => stream.abort(),
         }
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -7,7 +7,9 @@
     standin::{
         Delimiter, Message,
         caller::{Caller, Request},
-        engine::{Behavior, ConnectionEnd, Engine, Extent, UNFRAMED_EVENTS, Unframed, event},
+        engine::{
+            Behavior, ConnectionEnd, Endless, Engine, Extent, UNFRAMED_EVENTS, Unframed, event,
+        },
     },
 };
 
@@ -144,6 +146,64 @@
     assert_eq!(wrong, Vec::<String>::new());
 }
 
+/// What two engines do, of which the one that gets a stream first breaks it off and the other one resumes it.
+struct Resumption {
+    behaviors: [Behavior; 2],
+    /// By what the response of the engine that breaks the stream off is delimited.
+    first: Delimiter,
+    /// Whether its caller can know that the resumed stream is complete.
+    is_complete: bool,
+}
+
+/// Guards against a resumed stream that its caller receives as complete by a last chunk, though the connection of the engine
+/// that resumed it has just ended; and against a complete one that is cut.
+#[test]
+fn a_resumed_stream_has_a_last_chunk_only_if_its_engine_has_sent_one() {
+    let unframed = |extent, end| Behavior::Unframed(Unframed { extent, end });
+    let cases = [
+        Resumption {
+            behaviors: [
+                Behavior::CutsAfter(2),
+                unframed(Extent::Whole, ConnectionEnd::Close),
+            ],
+            first: Delimiter::Chunks,
+            is_complete: false,
+        },
+        Resumption {
+            behaviors: [
+                unframed(Extent::Part, ConnectionEnd::Reset),
+                Behavior::Streams(UNFRAMED_EVENTS),
+            ],
+            first: Delimiter::Connection,
+            is_complete: true,
+        },
+    ];
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let all: String = (1..=UNFRAMED_EVENTS).map(event).collect();
+    for (number, case) in cases.into_iter().enumerate() {
+        let mut resumed = 0;
+        let mut requests = 0;
+        fleet.until("streams are resumed", || {
+            // The engine that is preferred would get all of them otherwise.
+            let behaviors = case.behaviors.iter().cycle().skip(requests % 2);
+            for (engine, behavior) in engines[..2].iter().zip(behaviors) {
+                engine.set_behavior(*behavior);
+            }
+            requests += 1;
+            let id = format!("resumed-{number}-{requests}");
+            let answer = fleet.ask(0, &Request::new("POST", "/resumable/x", &id));
+            let answer = answer.expect("an answer");
+            if engines[..2].iter().all(|it| it.runs(&id) > 0) {
+                resumed += 1;
+                assert_eq!(answer.text(), all, "{id}");
+                assert_eq!(answer.delimiter, case.first, "{id}");
+                assert_eq!(answer.whole, case.is_complete, "{id}");
+            }
+            resumed == RUNS
+        });
+    }
+}
+
 /// A stream that its caller can't tell from a complete one if it ends with its connection in good order.
 struct OpenEnd {
     name: &'static str,
@@ -152,15 +212,30 @@
     behavior: Behavior,
 }
 
+/// A stream with neither a length nor chunks that pauses after the event [`UNFRAMED_EVENTS`].
+const UNFRAMED_WITHOUT_END: Endless = Endless {
+    head: "HTTP/1.1 200 OK\r\nResponse-Signature: s1.g\r\nContent-Type: text/event-stream\r\n",
+    rest: "\r\nid: 1\ndata: event 1\n\nid: 4\ndata: event 4\n\n",
+    bytes: "",
+    interval: time::Duration::from_millis(50),
+};
+
 /// Guards against a part of a stream that is complete for its caller, since the entry process was killed and its system has
 /// closed the connection in good order.
 #[test]
 fn a_stream_cut_by_the_end_of_its_entry_process_is_not_complete() {
-    let cases = [OpenEnd {
-        name: "a caller of HTTP/1.0",
-        version: "HTTP/1.0",
-        behavior: Behavior::HangsAfter(UNFRAMED_EVENTS),
-    }];
+    let cases = [
+        OpenEnd {
+            name: "a caller of HTTP/1.0",
+            version: "HTTP/1.0",
+            behavior: Behavior::HangsAfter(UNFRAMED_EVENTS),
+        },
+        OpenEnd {
+            name: "a stream without chunks",
+            version: "HTTP/1.1",
+            behavior: Behavior::Endless(UNFRAMED_WITHOUT_END),
+        },
+    ];
     let (mut fleet, engines) = Fleet::ready();
     for case in cases {
         for engine in &engines {
