Treat a response that ends with its crashing endpoint as cut

What callers saw: a part of an answer that ended in good order. Delimited by its connection it is no longer called complete, but an endpoint that has crashed is known at that moment, and a request that may be repeated can still get its whole answer.

Cause: the end of the connection was the only thing that was looked at. The system of a process that ends closes its port first, as the descriptor that was opened first, and then its connections; nobody looked at the port before the answer was passed on.

Change: `body_end` (pure, in sageshed-fleet) says what to do with a response whose connection has ended in good order: pass it on, handle it as cut, or look at the port of its endpoint. If that is closed and the endpoint has not announced that it stops, the response is cut: sent again or resumed where that may be, else 502 or a reset. An endpoint that stops as announced may close its port before its last answers end, so there the port tells nothing. The cost is a connection that is opened and closed for each answer that only its connection delimits.

--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`allowance`] | rate limits that hold over all entry processes |
 //! | [`budget`] | the retry budget |
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
+//! | [`body_end`] | whether a response is complete that only the end of its connection delimits |
 //! | [`silence`] | when a request whose endpoint is silent is sent to another one as well |
 //! | [`stream_origins`] | which software version began each stream that callers may still take up |
 //! | [`origin_backup`] | which of these are copied to control processes |
@@ -40,6 +41,7 @@
 
 pub mod allowance;
 pub mod backlog;
+pub mod body_end;
 pub mod budget;
 pub mod call_margin;
 pub mod chooser;
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -1,13 +1,44 @@
-//! Records how the bodies of responses end, so that a response which was cut can be told from a short one.
+//! Judges and records how the bodies of responses end, so that a response which was cut can be told from a short one.
 
-use sageshed_fleet::{chooser, dialect};
+use sageshed_fleet::{body_end, chooser, dialect};
 use sageshed_types::framing;
-use sageshed_upstream::{exchange, failure};
+use sageshed_upstream::{exchange, failure, probe};
 
 use super::ProxiedRequest;
-use crate::gateway::metrics::{BodyEnd, ResponseEnd};
+use crate::gateway::{
+    metrics::{BodyEnd, ResponseEnd},
+    state,
+};
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
+    /// Why a response of the endpoint of `pick` whose body has ended is not passed on as complete, if it isn't. `passed_by` is
+    /// what delimits it for its caller, if that has received a part.
+    pub(super) fn early_end(
+        &self,
+        pick: &chooser::Pick,
+        exchange: &exchange::Exchange,
+        is_inside_event: bool,
+        passed_by: Option<framing::Delimiter>,
+    ) -> Option<failure::Failure> {
+        if !exchange.ends_with_connection() {
+            return None;
+        }
+        let directory = |core: &mut state::Core| core.directory.is_leaving(&pick.instance);
+        let end = body_end::ConnectionEnd {
+            is_inside_event,
+            needs_last_chunk: passed_by == Some(framing::Delimiter::Chunks),
+            is_leaving: self.shared.with_core(directory),
+        };
+        let early = match end.next_step() {
+            body_end::NextStep::Fail(early) => Some(early),
+            body_end::NextStep::CheckPort if probe::is_closed(pick.address) => {
+                Some(body_end::EarlyEnd::EndpointCrashed)
+            }
+            body_end::NextStep::PassOn | body_end::NextStep::CheckPort => None,
+        };
+        early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
+    }
+
     /// Counts a response of the endpoint of `pick` whose body has ended, of which `bytes` have arrived. Logs those that did
     /// not end by a length or a last chunk.
     pub(super) fn record_response_end(
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -6,7 +6,7 @@
 
 use sageshed_fleet::{chooser, dialect, events, silence};
 use sageshed_http::reply;
-use sageshed_types::{framing, shared_memory::Reservation, time};
+use sageshed_types::{shared_memory::Reservation, time};
 use sageshed_upstream::{exchange, failure};
 
 use super::{
@@ -191,7 +191,9 @@
         mut run: StreamRun,
         sink: ResponseSink<'c>,
     ) -> AttemptResult<'c> {
-        if let Some(failure) = early_end(&run, sink.delimiter()) {
+        let is_inside_event = !run.has_begun || run.events.is_inside_event();
+        let passed_by = sink.delimiter();
+        if let Some(failure) = self.early_end(pick, &run.exchange, is_inside_event, passed_by) {
             return self.break_off(pick, run, sink, &failure);
         }
         self.end_kept_runs(metrics::SilenceEnd::Replaced);
@@ -324,25 +326,6 @@
     }
 }
 
-/// Why a stream whose body has ended can't be passed on as complete, if it can't. `passed_by` is what delimits the response
-/// for its caller, if that has begun.
-fn early_end(run: &StreamRun, passed_by: Option<framing::Delimiter>) -> Option<failure::Failure> {
-    if !run.exchange.ends_with_connection() {
-        return None;
-    }
-    let detail = if !run.has_begun || run.events.is_inside_event() {
-        "the connection ended inside an event"
-    } else if passed_by == Some(framing::Delimiter::Chunks) {
-        "nothing but the end of the connection tells that the stream is complete"
-    } else {
-        return None;
-    };
-    Some(failure::Failure::sent(
-        failure::Cause::ClosedInAnswer,
-        &detail,
-    ))
-}
-
 /// The failure of a stream that this process cuts since it exits.
 fn cut_at_exit() -> failure::Failure {
     failure::Failure::sent(failure::Cause::Interrupted, &"this entry process exits")
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -93,7 +93,10 @@
             });
             let failure = match received {
                 Ok(false) => continue,
-                Ok(true) => return self.finish_whole(pick, run, sink),
+                Ok(true) => match self.early_end(pick, &run.exchange, false, None) {
+                    None => return self.finish_whole(pick, run, sink),
+                    Some(failure) => failure,
+                },
                 Err(failure) => failure,
             };
             let time_left = self.time_left();
