Treat an operator's answer that is not whole JSON as lost

What callers saw: an operator whose change was answered, and whose answer ended early inside a chunk or with neither a length nor chunks, was told that "the answer is not understood: the two programs may be of different versions". The call ended there: the change was not sent again to the next control process, which knows its id, and the operator was not told that it may have taken hold.

Cause: ureq reports no error if the connection ends inside a chunk, or inside an answer with neither a length nor chunks. The client took what had come for the whole answer and blamed its content. The control processes themselves answer by length, so this needs something between.

Change: JSON that ends early counts as an answer that broke off. The call goes on with the next process, and ends as "the outcome is not known" if none answers. Why it holds: every answer of the port is an object or a list, and no proper part of one is valid JSON. Answers that are whole and of another shape are still reported as not understood.

--- a/crates/sageshed-operators/src/client.rs
+++ b/crates/sageshed-operators/src/client.rs
@@ -7,7 +7,7 @@
 //! Each call opens a connection of its own: a pooled one may have gone silent, and the call would
 //! wait its whole timeout on it.
 
-use std::{collections, io::Read, thread, time};
+use std::{collections, fmt, io::Read, thread, time};
 
 use derive_more::{Display, Error};
 use sageshed_types::{endpoints, messages, request_trace, rules, status};
@@ -346,6 +346,12 @@
     };
     match serde_json::from_slice(&bytes) {
         Ok(value) => Next::Done(value),
+        // ureq reports no error if the connection ends inside a chunk, or inside an answer without a length. Every answer
+        // is an object or a list, so no part of one is valid JSON.
+        Err(e) if e.is_eof() => Next::Another {
+            said: broke_off(&e),
+            fate: lost,
+        },
         Err(e) => Next::Failed(Error::Garbled {
             address: address.to_owned(),
             reason: e.to_string(),
@@ -388,10 +394,14 @@
     let mut reader = resp.into_reader().take(MAX_ANSWER);
     match reader.read_to_end(&mut buf) {
         Ok(_) => Ok(buf),
-        Err(e) => Err(format!("the answer broke off: {e}")),
+        Err(e) => Err(broke_off(&e)),
     }
 }
 
+fn broke_off<E: fmt::Display>(e: &E) -> String {
+    format!("the answer broke off: {e}")
+}
+
 fn plain_address(text: &str) -> String {
     let text = text.trim();
     let text = text.strip_prefix("http://").unwrap_or(text);
--- a/crates/sageshed-operators/tests/changes.rs
+++ b/crates/sageshed-operators/tests/changes.rs
@@ -120,6 +120,87 @@
     }
 }
 
+/// An answer to a change, and what the client makes of it if a control process sends this each time.
+struct Sent {
+    name: &'static str,
+    answer: &'static [u8],
+    expected: Expected,
+}
+
+/// Guards against an operator who is told that a change failed, though only the end of the answer to it is lost.
+#[test]
+fn an_answer_that_is_cut_leaves_the_outcome_unknown() {
+    let cut = |name, answer| Sent {
+        name,
+        answer,
+        expected: Expected::Unknown,
+    };
+    let whole = |name, answer| Sent {
+        name,
+        answer,
+        expected: Expected::Accepted,
+    };
+    let cases = [
+        whole(
+            "whole by its length",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{\"accepted\":{\"revision\":1}}",
+        ),
+        whole(
+            "whole with neither a length nor chunks",
+            b"HTTP/1.1 200 OK\r\n\r\n{\"accepted\":{\"revision\":1}}",
+        ),
+        cut(
+            "inside its length",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{\"accepted\":{\"revi",
+        ),
+        cut(
+            "before its body",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n",
+        ),
+        cut(
+            "inside a chunk",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n{\"accepted\":{\"revi",
+        ),
+        cut(
+            "between two chunks",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"acc\r\n",
+        ),
+        cut(
+            "with neither a length nor chunks",
+            b"HTTP/1.1 200 OK\r\n\r\n{\"accepted\":{\"revi",
+        ),
+        cut(
+            "before its body, with neither a length nor chunks",
+            b"HTTP/1.1 200 OK\r\n\r\n",
+        ),
+        cut(
+            "in HTTP/1.0",
+            b"HTTP/1.0 200 OK\r\n\r\n{\"accepted\":{\"revi",
+        ),
+        cut(
+            "a refusal with neither a length nor chunks",
+            b"HTTP/1.1 409 Conflict\r\n\r\n{\"type\":\"urn:sage",
+        ),
+    ];
+    for case in cases {
+        let client = support::client(&[support::answering(case.answer)], TOKEN);
+        let outcome = client.change(&add("a", 0, "night"));
+        assert_eq!(seen(outcome), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a change that is not sent again after the answer to it was cut.
+#[test]
+fn a_change_whose_answer_was_cut_is_sent_to_the_next_process() {
+    let fake = Fake::with([]);
+    let port = support::port(&fake, TOKEN);
+    let cut = support::answering(b"HTTP/1.1 200 OK\r\n\r\n{\"accepted\":{\"revi");
+    let client = support::client(&[cut, port.address().to_string()], TOKEN);
+    let outcome = client.change(&add("a", 0, "night"));
+    assert_eq!(seen(outcome), Expected::Accepted);
+    assert_eq!(fake.calls(), ["a"]);
+}
+
 struct Ending {
     name: &'static str,
     acts: Vec<Act>,
@@ -133,6 +214,7 @@
     Unreachable,
     Unknown,
     Refused(wire::Kind),
+    Garbled,
 }
 
 fn seen(result: Result<ChangeOutcome, client::Error>) -> Expected {
@@ -141,6 +223,7 @@
         Err(client::Error::Unreachable { .. }) => Expected::Unreachable,
         Err(client::Error::Unknown { .. }) => Expected::Unknown,
         Err(client::Error::Refused(problem)) => Expected::Refused(problem.kind),
+        Err(client::Error::Garbled { .. }) => Expected::Garbled,
         other => panic!("not expected here: {other:?}"),
     }
 }
--- a/crates/sageshed-operators/tests/support/mod.rs
+++ b/crates/sageshed-operators/tests/support/mod.rs
@@ -270,6 +270,24 @@
     address
 }
 
+/// A process that reads each request, sends these bytes and closes the connection.
+pub fn answering(answer: &'static [u8]) -> String {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buf = vec![0; 64 * 1024];
+            let mut seen = Vec::new();
+            while !whole(&seen) {
+                let n = stream.read(&mut buf).unwrap();
+                seen.extend_from_slice(&buf[..n]);
+            }
+            stream.write_all(answer).unwrap();
+        }
+    });
+    address
+}
+
 /// Whether a request is there with its body.
 fn whole(seen: &[u8]) -> bool {
     let text = String::from_utf8_lossy(seen);
