Test responses that end early on the interface for engines and plain services

Test code only; nothing was found to mend. On this interface the end of a connection is an error at every byte of a response, so a response with neither a length nor chunks is never complete, and none reaches a caller with a length or a last chunk of this system's own.

Services get a table with answers to HEAD, 204 and 304, which have no body and are whole.

--- a/crates/sageshed-engines/tests/faults.rs
+++ b/crates/sageshed-engines/tests/faults.rs
@@ -22,6 +22,10 @@
     Absent,
     /// It closes.
     Close,
+    /// It ends its sending side and waits until the other end has closed.
+    HalfClose,
+    /// It resets the connection.
+    Reset,
     /// It keeps the connection open.
     Hold,
 }
@@ -139,8 +143,19 @@
     for bytes in late {
         let _gone = socket.write_all(bytes.as_bytes());
     }
-    if server == Server::Hold {
-        let _closed = socket.read(&mut buf);
+    match server {
+        Server::Absent | Server::Close => {}
+        Server::Hold => drop(socket.read(&mut buf)),
+        Server::HalfClose => {
+            socket.shutdown(net::Shutdown::Write).expect("a socket");
+            drop(socket.read(&mut buf));
+        }
+        Server::Reset => {
+            // The answer is read before the reset destroys it.
+            thread::sleep(LIMIT / 10);
+            let linger = Some(Duration::ZERO);
+            rustix::net::sockopt::set_socket_linger(&socket, linger).expect("a socket");
+        }
     }
 }
 
--- a/crates/sageshed-services/tests/client.rs
+++ b/crates/sageshed-services/tests/client.rs
@@ -172,3 +172,142 @@
     assert_eq!(answer, Err((AttemptError::Corrupt, Verdict::MayHaveRun)));
     assert!(serving.join().expect("it responded") > 0);
 }
+
+/// A response of a service that closes the connection after it, and what is made of it.
+struct Ending {
+    name: &'static str,
+    method: &'static str,
+    response: &'static [u8],
+    body: Result<&'static [u8], AttemptError>,
+}
+
+const fn ending(
+    name: &'static str,
+    method: &'static str,
+    response: &'static [u8],
+    body: Result<&'static [u8], AttemptError>,
+) -> Ending {
+    Ending {
+        name,
+        method,
+        response,
+        body,
+    }
+}
+
+const CUT: Result<&[u8], AttemptError> = Err(AttemptError::Cut);
+
+const ENDINGS: [Ending; 13] = [
+    ending(
+        "neither a length nor chunks",
+        "GET",
+        b"HTTP/1.1 200 OK\r\n\r\n{}",
+        CUT,
+    ),
+    ending(
+        "neither, and nothing of a body",
+        "GET",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        CUT,
+    ),
+    ending(
+        "neither, and the endpoint says that it closes",
+        "POST",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
+        CUT,
+    ),
+    ending(
+        "neither, in HTTP/1.0",
+        "GET",
+        b"HTTP/1.0 200 OK\r\n\r\n{}",
+        CUT,
+    ),
+    ending(
+        "neither, and an error",
+        "GET",
+        b"HTTP/1.1 404 Not Found\r\n\r\n{}",
+        CUT,
+    ),
+    ending(
+        "cut in the length",
+        "GET",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
+        CUT,
+    ),
+    ending(
+        "by length",
+        "GET",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        Ok(b"{}"),
+    ),
+    ending(
+        "no content",
+        "GET",
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+        Ok(b""),
+    ),
+    ending(
+        "not modified",
+        "GET",
+        b"HTTP/1.1 304 Not Modified\r\n\r\n",
+        Ok(b""),
+    ),
+    ending(
+        "not modified, with the length that a body would have",
+        "GET",
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+        Ok(b""),
+    ),
+    ending(
+        "to HEAD, with the length that a body would have",
+        "HEAD",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        Ok(b""),
+    ),
+    ending(
+        "to HEAD, with chunks",
+        "HEAD",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        Ok(b""),
+    ),
+    ending(
+        "to HEAD, with neither",
+        "HEAD",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        Ok(b""),
+    ),
+];
+
+/// Guards against a response that is passed on as complete though only a part of it has come, and against one without a body
+/// that is taken for cut.
+#[test]
+fn a_response_that_ends_with_its_connection_is_complete_only_if_it_has_no_body() {
+    for case in ENDINGS {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound").to_string();
+        let serving = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let read = stream.read(&mut [0; 4_096]).expect("a request");
+            stream
+                .write_all(case.response)
+                .expect("the other end reads");
+            read
+        });
+        let call = client::Call {
+            address: &address,
+            method: case.method,
+            path: "/crews/7",
+            headers: &[],
+            body: None,
+            request_id: "r1",
+            fresh: false,
+            limits: LIMITS,
+        };
+        let transport = transport::Transport::new(transport::Settings::default());
+        let answer = client::Client::new(transport).send(&call);
+        let body = answer.and_then(|it| it.body.read_all(100));
+        let body = body.as_deref().map_err(|e| e.fault);
+        assert_eq!(body, case.body, "{}", case.name);
+        assert!(serving.join().expect("it responded") > 0);
+    }
+}
