Test answers that end early with their connection through real processes

Test code only. The stand-ins get a fault that sends an answer with neither a length nor chunks and closes its connection in good order after so many tokens, or after half of a plain body. The mixed load through faulty endpoints shows it beside the other faults, and a test of its own looks at what a caller gets: a stream without its last chunk and with an event that names the failure, and 502 for a completion and for a service.

--- a/crates/sageshed-test-support/src/engine.rs
+++ b/crates/sageshed-test-support/src/engine.rs
@@ -254,14 +254,18 @@
         run: &endpoint::Run,
         from: usize,
     ) -> io::Result<After> {
-        conn.begin_chunks(
-            200,
-            &[
-                ("Content-Type", "text/event-stream"),
-                (headers::REQUEST_ID, &self.request_id),
-                (headers::RUN, &run.id),
-            ],
-        )?;
+        let sent = [
+            ("Content-Type", "text/event-stream"),
+            (headers::REQUEST_ID, self.request_id.as_str()),
+            (headers::RUN, &run.id),
+        ];
+        if let fault::Fault::EndsUnframed { after } = self.fault {
+            let tokens = run.tokens.iter().take(after as usize).skip(from);
+            let events: String = tokens.map(|it| self.event(run, it)).collect();
+            conn.respond_unframed(200, &sent, events.as_bytes())?;
+            return Ok(After::Close);
+        }
+        conn.begin_chunks(200, &sent)?;
         let begun = Instant::now();
         for (i, token) in run.tokens.iter().enumerate().skip(from) {
             let due = self.pace() * (i - from) as f64;
@@ -329,6 +333,10 @@
             }
             return Ok(After::Close);
         }
+        if let fault::Fault::EndsUnframed { .. } = self.fault {
+            conn.respond_unframed(200, &sent, &body.as_bytes()[..body.len() / 2])?;
+            return Ok(After::Close);
+        }
         conn.respond(200, &sent, body.as_bytes())?;
         self.engine.lock().stats.tokens += run.tokens.len() as u64;
         self.finish();
--- a/crates/sageshed-test-support/src/fault.rs
+++ b/crates/sageshed-test-support/src/fault.rs
@@ -22,6 +22,11 @@
         /// How many tokens.
         after: u32,
     },
+    /// An answer has neither a length nor chunks, and its connection is closed in good order after so many tokens.
+    EndsUnframed {
+        /// How many tokens.
+        after: u32,
+    },
     /// An answer begins late.
     Late {
         /// By how much, in milliseconds, not scaled.
--- a/crates/sageshed-test-support/src/http.rs
+++ b/crates/sageshed-test-support/src/http.rs
@@ -123,6 +123,22 @@
         self.writer.write_all(&out)
     }
 
+    /// Writes the head of an answer with neither a length nor chunks, and some bytes of its body.
+    ///
+    /// # Errors
+    ///
+    /// The system's.
+    pub fn respond_unframed(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        let mut out = head_of(status, headers, ("Connection", "close"));
+        out.extend_from_slice(body);
+        self.writer.write_all(&out)
+    }
+
     /// Writes the head of an answer whose body follows in chunks.
     ///
     /// # Errors
--- a/crates/sageshed-test-support/src/service.rs
+++ b/crates/sageshed-test-support/src/service.rs
@@ -57,6 +57,10 @@
             conn.respond_short(200, &sent, body.as_bytes(), body.len() / 2)?;
             Ok(After::Close)
         }
+        fault::Fault::EndsUnframed { .. } => {
+            conn.respond_unframed(200, &sent, &body.as_bytes()[..body.len() / 2])?;
+            Ok(After::Close)
+        }
         _ => {
             conn.respond(200, &sent, body.as_bytes())?;
             service.lock().stats.answered += 1;
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -1,6 +1,7 @@
 //! Every answer is whole and the caller's own, or there is an account of why there is none.
 
 use std::{
+    io::Read as _,
     sync::atomic::{AtomicBool, Ordering},
     thread, time,
 };
@@ -79,6 +80,8 @@
         fault::Fault::Stall { after: 1 },
         fault::Fault::Late { delay_ms: 400 },
         fault::Fault::Cut { after: 0 },
+        fault::Fault::EndsUnframed { after: 2 },
+        fault::Fault::EndsUnframed { after: 0 },
     ];
     let endpoints = ["e1", "crews-1", "e2"];
     for (nth, fault) in faults.iter().cycle().enumerate() {
@@ -90,6 +93,40 @@
     }
 }
 
+/// Guards against a part of an answer that reaches its caller with a length or a last chunk of this system's own.
+#[test]
+fn an_answer_that_ends_early_with_its_connection_is_not_complete_for_its_caller() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default());
+    cluster.wait_served();
+    let fault = fault::Fault::EndsUnframed { after: 2 };
+    let set = |fault| {
+        for endpoint in ["e1", "e2", "crews-1"] {
+            cluster.standin.fault(endpoint, fault, None);
+        }
+    };
+    set(fault);
+    let callers = cluster.callers(0);
+    let stream = Ask::stream(&callers, "m1", 6).with("Connection", "close");
+    let mut part = String::new();
+    stream.send_only().read_to_string(&mut part).unwrap();
+    assert!(part.starts_with("HTTP/1.1 200 "), "{part}");
+    assert_eq!(
+        part.matches("\ndata: ").count(),
+        3,
+        "two tokens and an error: {part}"
+    );
+    assert!(!part.ends_with("0\r\n\r\n"), "{part}");
+    let whole = Ask::completion(&callers, "m1", 6).send().unwrap();
+    assert_eq!(whole.status, 502, "{}", whole.body);
+    let service = Ask::service(&callers, "crews", &serde_json::json!({}))
+        .send()
+        .unwrap();
+    assert_eq!(service.status, 502, "{}", service.body);
+    set(fault::Fault::None);
+    let whole = Ask::completion(&callers, "m1", 6).send().unwrap();
+    ask::check_whole(&whole).unwrap();
+}
+
 // The engine generates two tokens and then stops for good on this connection. A caller of a gateway
 // that gathers the answer first would see nothing. Here the caller reads both while the engine has
 // yet to finish; then the same run goes on, on another connection, and the whole is of one run.
