Test uploads that end early at more places, and by close and reset

Test code only. A request that is cut has been tested at three places, by a half-close. Now at thirteen: inside the head, by length in HTTP/1.1 and 1.0, and inside a chunk, its size, the line end after it and each byte of the last chunk, each ended by a half-close, a close and a reset. None reaches the handler.

--- a/crates/sageshed-http/tests/bad_requests.rs
+++ b/crates/sageshed-http/tests/bad_requests.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::{self, atomic},
+    time::Duration,
+};
 
 use sageshed_http::limits;
-use support::{Client, echo, start};
+use support::{Client, PATIENCE, echo, start};
 
 struct Case {
     name: &'static str,
@@ -250,29 +253,63 @@
     }
 }
 
+/// How a caller ends its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    HalfClose,
+    Close,
+    Reset,
+}
+
 /// A visitor centre's connection breaks in the middle of a request. The entry cannot know the rest,
 /// so it must not run the part that came: it says so to whoever still reads.
 #[test]
 fn a_request_cut_short_is_refused_and_not_run() {
-    let server = start(limits(), |_, _| unreachable!("half a request was handled"));
-    let cases: [&[u8]; 3] = [
+    let handled = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counter = sync::Arc::clone(&handled);
+    let server = start(limits(), move |req, reply| {
+        counter.fetch_add(1, atomic::Ordering::SeqCst);
+        echo(req, reply)
+    });
+    let cases: [&[u8]; 13] = [
         b"POST / HTTP/1.1\r\nHost: h\r\nConte",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n",
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc",
+        b"POST / HTTP/1.0\r\nContent-Length: 9\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc",
         b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r",
     ];
-    for input in cases {
+    let ends = [End::HalfClose, End::Close, End::Reset];
+    for (input, end) in cases.iter().flat_map(|it| ends.map(|end| (it, end))) {
         let mut client = Client::connect(&server);
         client.send(input);
-        client
-            .stream
-            .shutdown(std::net::Shutdown::Write)
-            .expect("a socket");
-        let answer = client.answer().expect("an answer");
-        assert_eq!(
-            (answer.status, &answer.json()["reason"]),
-            (400, &"bad_request".into())
-        );
+        match end {
+            End::HalfClose => {
+                let ended = client.stream.shutdown(std::net::Shutdown::Write);
+                ended.expect("a socket");
+                let answer = client.answer().expect("an answer");
+                assert_eq!(
+                    (answer.status, &answer.json()["reason"]),
+                    (400, &"bad_request".into())
+                );
+            }
+            End::Close => {}
+            End::Reset => {
+                let linger = Some(Duration::ZERO);
+                rustix::net::sockopt::set_socket_linger(&client.stream, linger).expect("a socket");
+            }
+        }
     }
+    server.stop_accepting();
+    assert_eq!(server.wait(PATIENCE), 0);
+    assert_eq!(handled.load(atomic::Ordering::SeqCst), 0);
 }
 
 /// A caller sends a byte every few milliseconds. Each read succeeds, so a timeout over single reads
