Test that an answer which ends inside its head is never taken for a whole one

No change of the product. Other operators report of systems like this one that an endpoint stopped in the middle of its answer's head and closed, and that callers got a 200 with an empty or short body, framed as whole.

Ruled out here, on the code as it is: a table of 7 heads (a length first and last, chunks, neither, HTTP/1.0, a status without a body, an interim response first) is cut at each of their 336 offsets, by a close, a half-close and a reset, and 0 of 1,008 parts are an answer. Over real processes 69 parts of 5 heads, inside lines and between them, go to callers of requests that may run once or twice and of streams that may be resumed or not: all get a 502.

The check of broken responses now takes any behavior of an endpoint, and covers streams too for the cases that it had.

--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -790,14 +790,34 @@
     drop(stream);
 }
 
-/// How an endpoint ends a connection of which it has not read a whole request.
+/// How an endpoint ends a connection.
 #[derive(Debug, Clone, Copy)]
 enum Ending {
     Reset,
-    /// It closes the connection, so that its system resets it.
+    /// It closes the connection. Its system resets it where a part of the request is unread.
     Close,
     /// It ends its side in good order before the reset.
     EndAndReset,
+    /// It ends its side in good order, and waits until the other end has closed the connection.
+    HalfClose,
+}
+
+impl Ending {
+    fn end(self, mut stream: net::TcpStream) {
+        let end_side = |it: &net::TcpStream| it.shutdown(net::Shutdown::Write);
+        match self {
+            Self::Reset => reset(stream),
+            Self::Close => drop(stream),
+            Self::EndAndReset => {
+                end_side(&stream).expect("it is open");
+                reset(stream);
+            }
+            Self::HalfClose => {
+                end_side(&stream).expect("it is open");
+                while stream.read(&mut [0; 64]).is_ok_and(|n| n > 0) {}
+            }
+        }
+    }
 }
 
 /// Guards against a part of an answer that passes for the whole: the write of a long request meets the reset of the connection,
@@ -814,14 +834,7 @@
                 let (mut stream, _) = listener.accept().expect("a connection");
                 let part = b"HTTP/1.1 200 OK\r\n\r\nhel";
                 stream.write_all(part).expect("the other end is open");
-                match ending {
-                    Ending::Reset => reset(stream),
-                    Ending::Close => drop(stream),
-                    Ending::EndAndReset => {
-                        stream.shutdown(net::Shutdown::Write).expect("it is open");
-                        reset(stream);
-                    }
-                }
+                ending.end(stream);
                 has_waited.set(true);
             }
             false
@@ -837,6 +850,80 @@
     }
 }
 
+/// An endpoint that ends each of its connections inside `head`, as [`cuts`] says.
+fn ends_inside(head: &'static [u8]) -> net::SocketAddrV4 {
+    let (listener, address) = listen();
+    thread::spawn(move || {
+        for (offset, ending) in cuts(head) {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            read_request(&mut stream);
+            stream.write_all(&head[..offset]).expect("it is open");
+            ending.end(stream);
+        }
+    });
+    address
+}
+
+/// Each offset inside `head`, with each ending.
+fn cuts(head: &[u8]) -> impl Iterator<Item = (usize, Ending)> + use<> {
+    let endings = [Ending::Close, Ending::HalfClose, Ending::Reset];
+    (0..head.len()).flat_map(move |offset| endings.map(|it| (offset, it)))
+}
+
+/// The head of an answer.
+struct HeadCase {
+    name: &'static str,
+    head: &'static [u8],
+}
+
+static HEADS: [HeadCase; 7] = [
+    HeadCase {
+        name: "a length first",
+        head: b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: a\r\n\r\n",
+    },
+    HeadCase {
+        name: "a length last",
+        head: b"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 12\r\n\r\n",
+    },
+    HeadCase {
+        name: "chunks",
+        head: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n",
+    },
+    HeadCase {
+        name: "neither a length nor chunks",
+        head: b"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\n",
+    },
+    HeadCase {
+        name: "HTTP/1.0",
+        head: b"HTTP/1.0 200 OK\r\nId: a\r\nContent-Type: text/plain\r\n\r\n",
+    },
+    HeadCase {
+        name: "no body",
+        head: b"HTTP/1.1 204 No Content\r\nId: a\r\nDate: x\r\n\r\n",
+    },
+    HeadCase {
+        name: "an interim response first",
+        head: b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+    },
+];
+
+/// Guards against an answer that passes for a whole one with an empty or short body though its head has not come whole.
+#[test]
+fn an_answer_that_ends_inside_its_head_is_none() {
+    let mut taken = Vec::new();
+    for HeadCase { name, head } in &HEADS {
+        let address = ends_inside(head);
+        for (offset, ending) in cuts(head) {
+            let body = ask(&Pool::new(Settings::default()), address);
+            let failure = body.as_ref().map_err(|e| (e.cause, e.is_sent));
+            if failure != Err((Cause::ClosedBeforeAnswer, true)) {
+                taken.push((name, offset, ending, body));
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{taken:?}");
+}
+
 /// How often it is looked whether more of an answer has arrived.
 const LOOKS: usize = 10;
 
--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -4,7 +4,7 @@
     fleet::Fleet,
     standin::{
         caller::Request,
-        engine::{Behavior, Raw},
+        engine::{Behavior, ConnectionEnd, HeadPart, Raw},
     },
 };
 
@@ -16,38 +16,30 @@
 const WITHOUT_LENGTH: &str = "\r\nbroken";
 const IN_CHUNKS: &str = "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n";
 
-struct Case {
-    name: &'static str,
-    response: Raw,
+fn case(name: &'static str, line: &'static str, rest: &'static str) -> (&'static str, Behavior) {
+    (name, Behavior::Sends(Raw { line, rest }))
 }
 
-const fn case(name: &'static str, line: &'static str, rest: &'static str) -> Case {
-    Case {
-        name,
-        response: Raw { line, rest },
-    }
-}
-
-/// Has all endpoints respond as in each case, and checks that the callers of requests which may run once or twice are told
-/// that the endpoint failed.
-fn check(cases: &[Case]) {
+/// Has all endpoints handle requests as each of these, and checks that the callers of requests which may run once or twice are
+/// told that the endpoint failed.
+fn check(cases: impl IntoIterator<Item = (&'static str, Behavior)>) {
     let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 100\n");
     let mut passed_on = Vec::new();
-    for case in cases {
+    for (case, (name, behavior)) in cases.into_iter().enumerate() {
         for engine in &engines {
-            engine.set_behavior(Behavior::Sends(case.response));
+            engine.set_behavior(behavior);
         }
-        for path in ["/once/x", "/again/x"] {
+        for path in ["/once/x", "/again/x", "/stream/x", "/resumable/x"] {
             let mut number = 0;
             // An endpoint that has failed gets no requests for a while.
             fleet.until("an endpoint has responded", || {
                 number += 1;
-                let id = format!("{}{path}-{number}", case.name.replace(' ', "-"));
+                let id = format!("{case}{path}-{number}");
                 let answer = fleet.ask(0, &Request::new("POST", path, &id));
                 let answer = answer.expect("an answer");
                 let has_run = engines.iter().any(|it| it.runs(&id) > 0);
                 if has_run && (answer.status() != 502 || answer.text().contains(BODY)) {
-                    passed_on.push((case.name, path, answer.status(), answer.text()));
+                    passed_on.push((name, behavior, path, answer.status(), answer.text()));
                 }
                 has_run
             });
@@ -56,10 +48,86 @@
     assert_eq!(passed_on, []);
 }
 
+/// The head of a response, and the number of its lines with the empty one.
+struct Head {
+    name: &'static str,
+    response: Raw,
+    lines: usize,
+}
+
+const fn head(name: &'static str, line: &'static str, rest: &'static str, lines: usize) -> Head {
+    let response = Raw { line, rest };
+    Head {
+        name,
+        response,
+        lines,
+    }
+}
+
+/// The bytes of a line that are sent: none, some, and all but the line feed.
+const BYTES: [usize; 3] = [0, 9, usize::MAX];
+
+/// How an endpoint ends the connection, in turn.
+const ENDS: [ConnectionEnd; 3] = [
+    ConnectionEnd::Close,
+    ConnectionEnd::HalfClose,
+    ConnectionEnd::Reset,
+];
+
+impl Head {
+    /// A part of it for each line and number of bytes, with the endings in turn.
+    fn parts(&self) -> impl Iterator<Item = HeadPart> {
+        let head = self.response;
+        (0..self.lines).flat_map(move |lines| {
+            let turns = ENDS.into_iter().cycle().skip(lines);
+            BYTES
+                .into_iter()
+                .zip(turns)
+                .map(move |(bytes, end)| HeadPart {
+                    head,
+                    lines,
+                    bytes,
+                    end,
+                })
+        })
+    }
+}
+
+/// Guards against a caller that gets a part of a head as a response with an empty or short body.
+#[test]
+fn a_response_that_ends_inside_its_head_is_not_passed_on() {
+    let heads = [
+        head(
+            "length first",
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+            "\r\n",
+            5,
+        ),
+        head(
+            "length last",
+            "HTTP/1.1 200 OK\r\n",
+            "Content-Length: 6\r\n\r\n",
+            5,
+        ),
+        head(
+            "chunked",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+            "\r\n",
+            5,
+        ),
+        head("neither", "HTTP/1.1 200 OK\r\n", "\r\n", 4),
+        head("HTTP/1.0", "HTTP/1.0 200 OK\r\n", "\r\n", 4),
+    ];
+    let parts = heads
+        .iter()
+        .flat_map(|head| head.parts().map(|it| (head.name, Behavior::EndsInHead(it))));
+    check(parts);
+}
+
 /// Guards against a response that reaches a caller with a status that HTTP does not define.
 #[test]
 fn a_response_with_an_undefined_status_is_not_passed_on() {
-    check(&[
+    check([
         case("000", "HTTP/1.1 000 X\r\n", WITH_LENGTH),
         case("000 without a length", "HTTP/1.1 000 X\r\n", WITHOUT_LENGTH),
         case("000 in chunks", "HTTP/1.1 000 X\r\n", IN_CHUNKS),
@@ -73,7 +141,7 @@
 /// delimits.
 #[test]
 fn a_response_whose_head_is_no_list_of_fields_is_not_passed_on() {
-    check(&[
+    check([
         case("blank", "HTTP/1.1 200 OK\r\nX Y: z\r\n", WITH_LENGTH),
         case(
             "blank before the colon",
