Verify no response that repeats a header which identifies it or vouches for it

What callers saw: a 200 made up of two responses. An endpoint broke off inside its head and sent a whole response on the same connection; where it broke off inside a value, the second status line became part of that value, and the caller got all fields of both.

Cause: a header that is given several times with the same value counted as given once, so that the id and the signature of such a response, which stand in both heads, passed as those of one.

Ruled out: a break inside a name, between two lines or inside the signature, which were refused before (no list of fields; two values that differ).

Change: the value of a header says whether it is repeated. A response that repeats its id, its signature, the id of its endpoint, or the statement that it has not run or is encoded, is not verified and says nothing else, so that its endpoint counts as failing. Requests of callers may repeat a header with the same value as before, and a notice of an endpoint may be repeated.

Why it holds: a part of a head that brought the id or the signature is followed by a head that brings it again. What broke off before both is not covered by this.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -305,7 +305,7 @@
     fn upstream_headers(&self, metadata: &UpstreamMetadata<'_>) -> Vec<(&'static str, String)>;
 
     /// Decodes the head of an endpoint's response. One that is ambiguous in a header by which it is identified or vouched
-    /// for counts as [`ExecutionStatus::Unverified`], and says nothing else.
+    /// for, or repeats it, counts as [`ExecutionStatus::Unverified`], and says nothing else.
     fn response_metadata<'h>(
         &self,
         status: u16,
--- a/crates/sageshed-types/src/headers.rs
+++ b/crates/sageshed-types/src/headers.rs
@@ -32,8 +32,10 @@
 pub enum Value<'h> {
     /// It is not given.
     Absent,
-    /// It is given, once or several times alike.
+    /// It is given once.
     Given(&'h str),
+    /// It is given several times alike.
+    Repeated(&'h str),
     /// It is given with values that differ, or that are not text.
     Ambiguous,
 }
@@ -45,17 +47,25 @@
         let Some(first) = values.next() else {
             return Self::Absent;
         };
-        if values.any(|it| it != first) {
-            return Self::Ambiguous;
+        let mut is_repeated = false;
+        for other in values {
+            if other != first {
+                return Self::Ambiguous;
+            }
+            is_repeated = true;
+        }
+        match str::from_utf8(first) {
+            Ok(value) if is_repeated => Self::Repeated(value),
+            Ok(value) => Self::Given(value),
+            Err(_) => Self::Ambiguous,
         }
-        str::from_utf8(first).map_or(Self::Ambiguous, Self::Given)
     }
 
-    /// The value, if there is exactly one.
+    /// The value, if there is exactly one, given once or several times alike.
     #[must_use]
     pub fn given(self) -> Option<&'h str> {
         match self {
-            Self::Given(value) => Some(value),
+            Self::Given(value) | Self::Repeated(value) => Some(value),
             Self::Absent | Self::Ambiguous => None,
         }
     }
--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -124,6 +124,43 @@
     check(parts);
 }
 
+/// A response whose first line, id and signature are followed by further fields.
+const WITH_FIELDS: Raw = Raw {
+    line: "HTTP/1.1 200 OK\r\n",
+    rest: "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nbroken",
+};
+
+/// The part of [`WITH_FIELDS`] with these lines and bytes of the next one, and then all of it.
+const fn joined(lines: usize, bytes: usize) -> Behavior {
+    let part = HeadPart {
+        head: WITH_FIELDS,
+        lines,
+        bytes,
+        end: ConnectionEnd::Close,
+    };
+    Behavior::BeginsTwice(part, WITH_FIELDS)
+}
+
+/// Guards against a caller that gets two responses as one, the first of which ended inside its head.
+#[test]
+fn two_responses_that_are_joined_inside_a_head_are_not_passed_on() {
+    check([
+        ("before a value", joined(3, "Content-Type: ".len())),
+        ("in a value", joined(3, "Content-Type: tex".len())),
+        (
+            "behind a value",
+            joined(3, "Content-Type: text/plain".len()),
+        ),
+        ("in a signature", joined(2, "Response-Signature: s1".len())),
+        (
+            "behind a signature",
+            joined(2, "Response-Signature: s1.g".len()),
+        ),
+        ("in a name", joined(3, "Content-Ty".len())),
+        ("between two lines", joined(3, 0)),
+    ]);
+}
+
 /// Guards against a response that reaches a caller with a status that HTTP does not define.
 #[test]
 fn a_response_with_an_undefined_status_is_not_passed_on() {
