Refuse an answer inside whose head another one begins

What callers saw: the body of a 500 with the status 200. An endpoint broke off inside its head, before the id and the signature, and sent a whole response on the same connection.

Cause: a break inside a value or the reason phrase leaves valid HTTP. The status line of the second response is then the end of that value, and its fields are further fields of the first.

Change: a head is malformed if its reason phrase contains a status line, or a value ends in one right behind a letter or digit, or elsewhere if the field, or a single field before it, stands again later. Both parsers of answers of endpoints check this: the gateway's and the one of the system's own interface.

Ways weighed: a single field that is given twice is no sign by itself, since servers that pass on the fields of others add a second Date or Server. Neither is any status line in a value, as in X-Upstream: HTTP/1.1 502 Bad Gateway. Both stay allowed, with a test.

What remains: a break right before the value of a field, or behind a blank in it, where nothing of the first head stands again in the second.

--- a/crates/sageshed-engines/src/head.rs
+++ b/crates/sageshed-engines/src/head.rs
@@ -4,7 +4,7 @@
 //! could read such a head in another way than this process.
 
 use derive_more::{Display, Error};
-use sageshed_types::headers;
+use sageshed_types::{headers, joined_heads};
 
 /// Why a head is not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -12,6 +12,9 @@
     /// It breaks the rules of HTTP.
     #[display("{_0}")]
     Malformed(#[error(not(source))] httparse::Error),
+    /// It is made up of two.
+    #[display("{_0}")]
+    Joined(joined_heads::JoinedHeads),
     /// It does not end.
     #[display("the head of the answer is too large")]
     TooLarge,
@@ -37,8 +40,12 @@
         }
         self.buf.extend_from_slice(bytes);
         let mut slots = [httparse::EMPTY_HEADER; headers::MAX_ANSWER_FIELDS];
-        match httparse::Response::new(&mut slots).parse(&self.buf) {
+        let mut raw = httparse::Response::new(&mut slots);
+        match raw.parse(&self.buf) {
             Ok(httparse::Status::Complete(_)) => {
+                let fields = raw.headers.iter().map(|it| (it.name, it.value));
+                joined_heads::check(raw.reason.unwrap_or_default(), &fields)
+                    .map_err(HeadError::Joined)?;
                 self.is_complete = true;
                 self.buf = Vec::new();
                 Ok(())
--- a/crates/sageshed-types/src/lib.rs
+++ b/crates/sageshed-types/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`attempt_error`] | how an attempt to send a request to an endpoint failed |
 //! | [`framing`] | where the body of an HTTP message ends |
 //! | [`headers`] | names of HTTP headers |
+//! | [`joined_heads`] | heads of responses that are made up of two |
 //! | [`messages`] | messages between the system's own processes |
 //! | [`quarantine`] | requests that crashed endpoints |
 //! | [`refusal`] | the body of a refused request's response |
@@ -35,6 +36,7 @@
 pub mod endpoints;
 pub mod framing;
 pub mod headers;
+pub mod joined_heads;
 pub mod messages;
 pub mod quarantine;
 pub mod refusal;
--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use sageshed_types::{body::Body, framing, headers, status};
+use sageshed_types::{body::Body, framing, headers, joined_heads, status};
 
 use crate::{
     body::{self, Framing},
@@ -384,6 +384,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(Failure::malformed(&e)),
     };
+    let fields = raw.headers.iter().map(|it| (it.name, it.value));
+    joined_heads::check(raw.reason.unwrap_or_default(), &fields)
+        .map_err(|e| Failure::malformed(&e))?;
     let code = raw.code.unwrap_or_default();
     let class = status::class(code).map_err(|e| Failure::malformed(&e))?;
     let head = Head {
--- a/crates/sageshed-upstream/tests/exchanges.rs
+++ b/crates/sageshed-upstream/tests/exchanges.rs
@@ -924,6 +924,63 @@
     assert!(taken.is_empty(), "{taken:?}");
 }
 
+/// Heads of which a part is followed by a whole answer.
+static BROKEN_HEADS: [HeadCase; 3] = [
+    HeadCase {
+        name: "a type and a date",
+        head: b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; a=b\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\n\r\n",
+    },
+    HeadCase {
+        name: "fields that the answer does not have",
+        head: b"HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nX: \"a b\"\r\nEmpty: \r\n\r\n",
+    },
+    HeadCase {
+        name: "an interim response first",
+        head: b"HTTP/1.1 103 Early Hints\r\nDate: x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nDate: x\r\n\r\n",
+    },
+];
+
+/// Guards against two answers that are taken for one with the status of the first and the body of the second.
+#[test]
+fn an_answer_that_begins_inside_the_head_of_another_is_malformed() {
+    const ANSWER: &[u8] =
+        b"HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nContent-Length: 2\r\n\r\nno";
+    let mut taken = Vec::new();
+    for HeadCase { name, head } in &BROKEN_HEADS {
+        for offset in 1..head.len() {
+            if head[..offset].ends_with(b"\r\n\r\n") {
+                continue;
+            }
+            let joined = [&head[..offset], ANSWER].concat();
+            let address = endpoint(vec![vec![joined.leak()]]);
+            let body = ask(&Pool::new(Settings::default()), address);
+            if !matches!(&body, Err(e) if e.cause == Cause::Malformed) {
+                let part = String::from_utf8_lossy(&head[..offset]);
+                taken.push((name, part, body));
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{}: {taken:#?}", taken.len());
+}
+
+/// Guards against a sound endpoint whose answers are refused since a field tells of an answer or is given twice.
+#[test]
+fn an_answer_with_fields_that_tell_of_another_answer_is_passed_on() {
+    let cases: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\nX-Upstream: HTTP/1.1 502 Bad Gateway\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX-Upstream: got HTTP/1.1 502 Bad Gateway\r\nVary: a\r\nVary: b\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nWarning: 199 - \"HTTP/1.1 404 Not Found\"\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nDate: a\r\nServer: a\r\nDate: a\r\nServer: b\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX: zHTTP/1.1 2 00\r\nContent-Length: 2\r\n\r\nok",
+    ];
+    for (number, answer) in cases.into_iter().enumerate() {
+        let address = endpoint(vec![vec![answer]]);
+        let body = ask(&Pool::new(Settings::default()), address);
+        assert_eq!(body.expect("whole"), b"ok", "case {number}");
+    }
+}
+
 /// How often it is looked whether more of an answer has arrived.
 const LOOKS: usize = 10;
 
--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -161,6 +161,46 @@
     ]);
 }
 
+/// A response whose first line and first field come before its id and signature.
+const WITH_FIELD_FIRST: Raw = Raw {
+    line: "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+    rest: "Content-Length: 6\r\n\r\nbroken",
+};
+
+/// The part of [`WITH_FIELD_FIRST`] with these lines and bytes of the next one, and then a failure.
+const fn joined_early(lines: usize, bytes: usize) -> Behavior {
+    let part = HeadPart {
+        head: WITH_FIELD_FIRST,
+        lines,
+        bytes,
+        end: ConnectionEnd::Close,
+    };
+    let failure = Raw {
+        line: "HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n",
+        ..WITH_FIELD_FIRST
+    };
+    Behavior::BeginsTwice(part, failure)
+}
+
+/// Guards against a caller that gets the body of one response with the status of another, of which neither the id nor the
+/// signature has come.
+#[test]
+fn two_responses_that_are_joined_before_the_id_are_not_passed_on() {
+    check([
+        (
+            "in a reason phrase",
+            joined_early(0, "HTTP/1.1 200 O".len()),
+        ),
+        ("before a value", joined_early(1, "Content-Type: ".len())),
+        ("in a value", joined_early(1, "Content-Type: tex".len())),
+        (
+            "behind a value",
+            joined_early(1, "Content-Type: text/plain".len()),
+        ),
+        ("in a name", joined_early(1, "Content-Ty".len())),
+    ]);
+}
+
 /// Guards against a response that reaches a caller with a status that HTTP does not define.
 #[test]
 fn a_response_with_an_undefined_status_is_not_passed_on() {
