Refuse answers that name their request, run or refusal more than once

On the system's own interface, of several values of Sageshed-Request-Id, Sageshed-Run and Sageshed-Ran only the first was read. An answer that named this request and another one was taken, a stream went on with an answer that named the expected run and another one, and one of two contradicting statements counted as the promise that a request had not run.

This is the cause of the joined heads of the gateway's responses on the other interface. Such an answer is malformed now, whether the values are alike or not.

--- a/crates/sageshed-engines/src/answer.rs
+++ b/crates/sageshed-engines/src/answer.rs
@@ -62,6 +62,7 @@
         // The library takes an interim response for the answer, and what follows it for a body.
         status::check_final(resp.status()).map_err(|e| malformed(e.to_string()))?;
         check_framing(&resp).map_err(|e| malformed(e.to_string()))?;
+        check_single(&resp).map_err(malformed)?;
         let echo = resp.header(headers::REQUEST_ID).map(str::to_owned);
         let echoed = echo.as_deref() == Some(req.request_id);
         // An error may come from a part of the endpoint that never saw the id. It is an error all
@@ -137,6 +138,16 @@
     framing::of_fields(lengths, codings, is_old_version).map(drop)
 }
 
+/// Two answers that are joined inside a head may repeat what names or vouches for one, alike or not.
+fn check_single(resp: &ureq::Response) -> Result<(), String> {
+    let names = [headers::REQUEST_ID, headers::RUN, headers::RAN];
+    let is_repeated = |name: &&str| field_values(resp, &name.to_ascii_lowercase()).count() > 1;
+    match names.iter().find(|it| is_repeated(it)) {
+        Some(name) => Err(format!("the answer has more than one {name}")),
+        None => Ok(()),
+    }
+}
+
 /// The values of a header; those that are not text, which the library leaves out, as values that can't be parsed.
 fn field_values<'r>(resp: &'r ureq::Response, name: &str) -> impl Iterator<Item = &'r [u8]> {
     let text = resp.all(name);
