Log and count responses behind which their endpoint sends more bytes

What callers saw: a 200 that is complete by its length, but of which only the beginning is the body. An endpoint broke off inside the body and sent a whole response on the same connection, whose head fills the rest of the length.

Cause, and why it stays: the rest of the second response comes behind the end of the first, and endpoints may send bytes behind a sound response, which belong to no request. So such a response can't be refused. Its connection was dropped already, without a word, and nothing told it from others afterwards.

Bytes that arrive later than the end of the response are not counted; their connection is closed as before.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -352,12 +352,22 @@
         }
     }
 
+    /// Whether all of the body was read.
+    fn is_whole(&self) -> bool {
+        matches!(self.framing, Framing::Ended | Framing::Length(0))
+    }
+
+    /// Whether the endpoint has sent bytes right behind the whole body. They belong to no request. Does not block.
+    #[must_use]
+    pub fn has_surplus(&self) -> bool {
+        self.is_whole() && self.socket.has_surplus()
+    }
+
     /// Takes the connection out, if it may carry another request, with how long the endpoint keeps
     /// it open.
     pub(crate) fn into_kept(self) -> Option<(Socket, Option<time::Duration>)> {
-        let is_whole = self.framing == Framing::Ended || self.framing == Framing::Length(0);
         // Each relayed exchange has a connection of its own: a process that stops can then wait for those that it relays.
-        if !self.keeps || !is_whole || self.socket.is_relayed || !self.socket.is_quiet() {
+        if !self.keeps || !self.is_whole() || self.socket.is_relayed || !self.socket.is_quiet() {
             return None;
         }
         let promised = self
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -130,6 +130,13 @@
         self.buf.is_empty() && matches!(peeked, Err(rustix::io::Errno::AGAIN))
     }
 
+    /// Whether bytes came since the last answer. Does not block.
+    pub(crate) fn has_surplus(&self) -> bool {
+        let flags = sys::RecvFlags::PEEK | sys::RecvFlags::DONTWAIT;
+        let peeked = sys::recv(&self.stream, &mut [0], flags);
+        !self.buf.is_empty() || matches!(peeked, Ok((1.., _)))
+    }
+
     /// Writes `bytes` from position `written` on, which follows what has been written. Returns false where the endpoint
     /// answers before it has read all: the rest is then not sent, and the connection must not carry another request.
     pub(crate) fn write<S: Fn() -> bool>(
--- a/src/sageshed/gateway/metrics.rs
+++ b/src/sageshed/gateway/metrics.rs
@@ -169,6 +169,7 @@
     cut: instruments::Counter<u64>,
     silences: instruments::Counter<u64>,
     responses: instruments::Counter<u64>,
+    surplus: instruments::Counter<u64>,
     /// The workspaces that are counted by name.
     workspaces: sync::Mutex<collections::HashSet<String>>,
     /// The bytes of endpoints' responses that were passed on to callers.
@@ -446,6 +447,10 @@
             .u64_counter("sageshed_gateway_responses")
             .with_description("Responses of endpoints whose body has ended")
             .build();
+        let surplus = meter
+            .u64_counter("sageshed_gateway_responses_with_surplus")
+            .with_description("Responses behind whose end their endpoint sent more bytes")
+            .build();
         let gauges = Gauges::new(&registry);
         Self {
             registry,
@@ -456,6 +461,7 @@
             cut,
             silences,
             responses,
+            surplus,
             workspaces: sync::Mutex::default(),
             passed_on: atomic::AtomicU64::default(),
             gauges,
@@ -500,6 +506,12 @@
         self.responses.add(1, &of);
     }
 
+    /// Counts a response behind whose end the endpoint sent more bytes.
+    pub fn surplus_received(&self, service: &str) {
+        let of = [KeyValue::new("service", service.to_owned())];
+        self.surplus.add(1, &of);
+    }
+
     /// Counts bytes of a response that were passed on to its caller.
     pub fn passed_on(&self, bytes: usize) {
         self.passed_on
--- a/src/sageshed/gateway/proxy/attempt.rs
+++ b/src/sageshed/gateway/proxy/attempt.rs
@@ -350,7 +350,7 @@
             let stop = || self.is_unwanted(watch, true);
             let patience = exchange::Patience { until, stop: &stop };
             if exchange.read_whole(MAX_REJECTION_BYTES, &patience).is_ok() {
-                self.shared.pool.keep(pick.address, exchange);
+                self.keep_connection(pick, exchange);
             }
             return self.handle_rejection(pick, sink, &response, head.status);
         }
@@ -387,6 +387,17 @@
         self.receive_whole(pick, run, sink, watch)
     }
 
+    /// Keeps the connection of a whole response for another request, unless the endpoint has sent more than the response.
+    pub(super) fn keep_connection(&self, pick: &chooser::Pick, exchange: exchange::Exchange) {
+        if exchange.has_surplus() {
+            ::log::warn!(request = self.id(), endpoint:% = pick.instance, status = exchange.head.status;
+                "gateway: endpoint sent bytes after the end of its response, connection dropped");
+            self.shared.metrics.surplus_received(self.service);
+            return;
+        }
+        self.shared.pool.keep(pick.address, exchange);
+    }
+
     fn reserve_memory(&self) -> shared_memory::Reservation {
         shared_memory::SharedMemory::reserve(&self.shared.response_memory)
     }
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -210,7 +210,7 @@
         let passed_by = Some(stream.delimiter());
         self.record_response_end(pick, &run.exchange, run.received, passed_by, None);
         let status = run.exchange.head.status;
-        self.shared.pool.keep(pick.address, run.exchange);
+        self.keep_connection(pick, run.exchange);
         self.finish_answered(pick, status, self.passed_on, run.sent_at);
         AttemptResult::Done(stream.finish())
     }
--- a/src/sageshed/gateway/proxy/whole_response.rs
+++ b/src/sageshed/gateway/proxy/whole_response.rs
@@ -144,7 +144,7 @@
         };
         let bytes = run.body.len() as u64;
         self.record_response_end(pick, &run.exchange, bytes, Some(passed_by), None);
-        self.shared.pool.keep(pick.address, run.exchange);
+        self.keep_connection(pick, run.exchange);
         self.shared.metrics.passed_on(run.body.len());
         self.finish_answered(pick, head.status, run.body.len() as u64, run.sent_at);
         AttemptResult::Done(sink.send_whole(&head, passed_by, &run.body))
--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -201,6 +201,49 @@
     ]);
 }
 
+/// Guards against a part of a response that cannot be told from a whole one afterwards: a second response has filled its
+/// length, and the rest of it came behind.
+#[test]
+fn bytes_behind_a_response_are_logged_and_counted() {
+    let (fleet, engines) = Fleet::ready();
+    let set = |behavior| {
+        for engine in &engines {
+            engine.set_behavior(behavior);
+        }
+    };
+    let counter = "sageshed_gateway_responses_with_surplus_total";
+    let count = || fleet.entries[0].metric(counter);
+    let ask = |path, id: &str| {
+        let answer = fleet.ask(0, &Request::new("POST", path, id));
+        answer.expect("an answer").status()
+    };
+    let with_surplus = [
+        ("length", "Content-Length: 6\r\n\r\nbroHTTP/1.1 200 OK\r\n"),
+        ("chunked", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nx"),
+        (
+            "stream",
+            "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\nx",
+        ),
+    ];
+    for (number, (name, rest)) in with_surplus.into_iter().enumerate() {
+        let line = "HTTP/1.1 200 OK\r\n";
+        set(Behavior::Sends(Raw { line, rest }));
+        assert_eq!(ask("/once/x", name), 200);
+        fleet.until("it is counted", || count() >= (number + 1) as f64);
+        let log = fleet.entries[0].log();
+        let told = |line: &str| line.contains("after the end of its response");
+        let lines: Vec<_> = log.lines().filter(|it| told(it)).collect();
+        assert_eq!(lines.len(), number + 1, "{lines:?}");
+        let has_names = |it: &str| it.contains(name) && it.contains("@1764700000000");
+        assert!(has_names(lines[number]), "{name}: {lines:?}");
+    }
+    set(Behavior::Answers);
+    assert_eq!(ask("/once/x", "sound"), 200);
+    set(Behavior::Streams(2));
+    assert_eq!(ask("/stream/x", "sound stream"), 200);
+    assert_eq!(count().to_string(), with_surplus.len().to_string());
+}
+
 /// Guards against a response that reaches a caller with a status that HTTP does not define.
 #[test]
 fn a_response_with_an_undefined_status_is_not_passed_on() {
