Break off a stream at the first event whose id does not increase

What callers saw: events twice, and ids that went back, in one answer or over a resumption. An engine that resumed a stream and began it anew at event 1 was passed on, and so was one that sent an event twice or an older one inside a run, all in good order and with the last chunk.

Cause: the ids of a stream were read to resume it after the last one, and never compared.

Change: each event's id is compared with the highest one that the caller has, from this request or, where the route's streams can be resumed, from the id that the caller names in its own. At one that is not higher the run fails before the event; what came before it, also in the same read, is passed on. The endpoint counts as failed, and the stream is resumed at another one if the route and the retry budget allow it; else the response is cut, or refused with 502 if nothing was passed on. An event at the end of a stream that no empty line follows is compared too. A line names the request, the endpoint and both ids; the failure's detail has the ids.

Why it holds: the ids are added where events are handed over to be sent, and nothing drops events after that, so the state is what the caller has for every run of the request. Runs that are kept while another is tried are closed at the first event of that one.

What has no order: - Ids that are no decimal numbers, or larger than 64 bits: the same one twice in a row is a repeated event, all else passes. Numbers are compared with earlier numbers across such ids. - Events without an id, or with an empty one: they can't be told apart and pass. - Routes that are not declared as streams: nothing is promised of their ids, so that an event stream there passes unchanged. - The id that a caller names on a route whose streams can't be resumed: no endpoint has to regard it. - Streams of the system's own interface carry no ids. They are resumed by a count of events at the engine of the same run, which is checked by its name; unchanged.

--- a/crates/sageshed-fleet/src/dialect.rs
+++ b/crates/sageshed-fleet/src/dialect.rs
@@ -312,8 +312,9 @@
         get: impl Fn(&str) -> headers::Value<'h>,
     ) -> ResponseMetadata<'h>;
 
-    /// The id of the last event in `events`, which consist of complete events only.
-    fn last_event_id(&self, events: &[u8]) -> Option<String>;
+    /// The last id in `events`, which consist of complete events only; none if no event has an id, or the last one is not
+    /// text.
+    fn last_event_id<'e>(&self, events: &'e [u8]) -> Option<&'e str>;
 
     /// The request to a control process that this method and path stand for, if any.
     fn control_request(&self, method: &str, path: &str) -> Option<ControlRequest>;
--- a/crates/sageshed-fleet/src/events.rs
+++ b/crates/sageshed-fleet/src/events.rs
@@ -33,6 +33,41 @@
     pub bytes: Vec<u8>,
     /// What they hold.
     pub content: Content,
+    /// The end of each in `bytes`, and what it holds.
+    parts: Vec<(usize, Content)>,
+}
+
+impl Events {
+    /// The bytes of each of them.
+    pub fn iter(&self) -> impl Iterator<Item = &[u8]> {
+        let mut begin = 0;
+        self.parts
+            .iter()
+            .map(move |&(end, _)| &self.bytes[std::mem::replace(&mut begin, end)..end])
+    }
+
+    /// Moves complete comments in front of them.
+    pub fn prepend_comments(&mut self, comments: &mut Vec<u8>) {
+        let len = comments.len();
+        if len == 0 {
+            return;
+        }
+        self.bytes.splice(..0, comments.drain(..));
+        for (end, _) in &mut self.parts {
+            *end += len;
+        }
+        self.parts.insert(0, (len, Content::Comments));
+        self.content = self.content.max(Content::Comments);
+    }
+
+    /// Keeps the first `count` of them.
+    pub fn truncate(&mut self, count: usize) {
+        self.parts.truncate(count);
+        self.bytes
+            .truncate(self.parts.last().map_or(0, |&(end, _)| end));
+        let contents = self.parts.iter().map(|&(_, content)| content);
+        self.content = contents.max().unwrap_or_default();
+    }
 }
 
 /// The part of a stream that follows its last complete event.
@@ -65,7 +100,9 @@
             match self.pending[self.line..newline].first() {
                 None | Some(b'\r') => {
                     end = newline + 1;
-                    events.content = events.content.max(std::mem::take(&mut self.content));
+                    let content = std::mem::take(&mut self.content);
+                    events.content = events.content.max(content);
+                    events.parts.push((end, content));
                 }
                 Some(b':') => self.content = self.content.max(Content::Comments),
                 Some(_) => self.content = Content::Event,
--- a/crates/sageshed-fleet/src/lib.rs
+++ b/crates/sageshed-fleet/src/lib.rs
@@ -24,6 +24,8 @@
 //! | [`budget`] | the retry budget |
 //! | [`entry_peers`] | what entry processes tell each other about the engines that they use |
 //! | [`body_end`] | whether a response is complete that only the end of its connection delimits |
+//! | [`events`] | the complete events of a stream that arrives in pieces |
+//! | [`event_order`] | whether the ids of a stream's events increase |
 //! | [`silence`] | when a request whose endpoint is silent is sent to another one as well |
 //! | [`stream_origins`] | which software version began each stream that callers may still take up |
 //! | [`origin_backup`] | which of these are copied to control processes |
@@ -53,6 +55,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod entry_peers;
+pub mod event_order;
 pub mod events;
 pub mod fingerprint;
 pub mod links;
--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -34,8 +34,8 @@
 };
 
 use sageshed_fleet::{
-    chooser, config, dialect, fingerprint, quarantine, silence, stream_origins::StreamKey,
-    workspaces,
+    chooser, config, dialect, event_order, fingerprint, quarantine, silence,
+    stream_origins::StreamKey, workspaces,
 };
 use sageshed_http::{handler, reply, request};
 use sageshed_types::{arena, refusal, time, verdict};
@@ -272,6 +272,8 @@
     /// What it waits for in this process, or waited for last.
     waited_for: Option<chooser::WaitReason>,
     timings: StreamTimings,
+    /// The order of the events of its stream that have reached its caller, with this request or an earlier one.
+    event_order: event_order::EventOrder,
     /// The bytes of events that were passed on.
     passed_on: u64,
     attempt_log: attempt_log::AttemptLog,
@@ -381,6 +383,7 @@
             is_retry_budget_spent: false,
             waited_for: None,
             timings: StreamTimings::default(),
+            event_order: received_events(metadata, route),
             passed_on: 0,
             attempt_log: attempt_log::AttemptLog::default(),
         }
@@ -445,6 +448,19 @@
     }
 }
 
+/// The order of the events that the caller has received with an earlier request, if it resumes a stream.
+fn received_events(
+    metadata: &dialect::RequestMetadata,
+    route: &config::Route,
+) -> event_order::EventOrder {
+    match &metadata.resume_after {
+        Some(id) if route.kind == config::RequestKind::ResumableStream => {
+            event_order::EventOrder::after(id)
+        }
+        _ => event_order::EventOrder::default(),
+    }
+}
+
 fn content_of(req: &request::Request) -> quarantine::Fingerprint {
     let host = req.header("host").unwrap_or_default();
     fingerprint::of(
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -4,7 +4,7 @@
 
 use std::time as std_time;
 
-use sageshed_fleet::{chooser, dialect, events, silence};
+use sageshed_fleet::{chooser, dialect, event_order, events, silence};
 use sageshed_http::reply;
 use sageshed_types::{shared_memory::Reservation, time};
 use sageshed_upstream::{exchange, failure};
@@ -39,6 +39,8 @@
     pub(super) silent_since: std_time::Instant,
     /// When the latest comment arrived.
     commented_at: Option<std_time::Instant>,
+    /// What is wrong with the event that follows those that were passed on.
+    failure: Option<failure::Failure>,
 }
 
 impl StreamRun {
@@ -60,6 +62,7 @@
             has_begun: false,
             silent_since: std_time::Instant::now(),
             commented_at: None,
+            failure: None,
         }
     }
 
@@ -81,9 +84,9 @@
         }
         let is_event = events.content == events::Content::Event;
         if self.has_begun || is_event {
-            events.bytes.splice(..0, self.comments.drain(..));
+            events.prepend_comments(&mut self.comments);
         } else {
-            self.comments.append(&mut events.bytes);
+            self.comments.append(&mut std::mem::take(&mut events).bytes);
         }
         if self.comments.len() > events::MAX_EVENT_BYTES {
             return Err(failure::Failure::malformed(&events::TooLarge));
@@ -106,7 +109,8 @@
 
 /// What follows in a stream.
 enum Next {
-    Events(events::Events),
+    /// With the last id among them.
+    Events(events::Events, Option<String>),
     End,
     /// No event yet, and another endpoint can be tried or goes on.
     Keep(KeptFor),
@@ -127,8 +131,8 @@
                 has_started: sink.has_started(),
                 can_resume: !sink.has_started() || sink.last_id().is_some(),
             };
-            let events = match self.next_events(pick, &mut run, watch, position) {
-                Next::Events(events) => events,
+            let (events, id) = match self.next_events(pick, &mut run, watch, position) {
+                Next::Events(events, id) => (events, id),
                 Next::End => return self.finish_stream(pick, run, sink),
                 Next::Keep(reason) => {
                     self.keep_run(pick, Progress::Stream(run), reason);
@@ -140,9 +144,7 @@
                 self.record_events(pick, &mut run, sink.last_id());
             }
             let (mut stream, mut last_id) = sink.start_stream(&run.exchange);
-            if let Some(id) = self.shared.dialect.last_event_id(&events.bytes) {
-                last_id = Some(id);
-            }
+            last_id = id.or(last_id);
             let is_sent = self.send_part(&mut stream, &events.bytes);
             sink = ResponseSink::Streaming(stream, last_id);
             if !is_sent {
@@ -242,6 +244,9 @@
         watch: &reply::Watch,
         position: Position,
     ) -> Next {
+        if let Some(failure) = run.failure.take() {
+            return Next::Failed(failure);
+        }
         let mut next_try = self.stalls_at(run, position.has_started);
         loop {
             // While bytes arrive without a pause, `stop` is asked at intervals only.
@@ -257,13 +262,13 @@
             let stop = || self.is_unwanted(watch, position.has_started);
             let patience = exchange::Patience { until, stop: &stop };
             let failure = match run.exchange.read(&patience) {
-                Ok(exchange::Piece::End) => return Next::End,
+                Ok(exchange::Piece::End) => return self.check_rest(pick, run),
                 Ok(exchange::Piece::Bytes(bytes)) => match run.push(&bytes) {
                     Ok(events) if events.bytes.is_empty() => {
                         next_try = next_try.max(self.stalls_at(run, position.has_started));
                         continue;
                     }
-                    Ok(events) => return Next::Events(events),
+                    Ok(events) => return self.check_events(pick, run, events),
                     Err(failure) => return Next::Failed(failure),
                 },
                 Err(failure) => failure,
@@ -283,6 +288,69 @@
         }
     }
 
+    /// Drops the first event that is out of order and those that follow it. The stream fails once the ones before it are
+    /// passed on.
+    fn check_events(
+        &mut self,
+        pick: &chooser::Pick,
+        run: &mut StreamRun,
+        mut events: events::Events,
+    ) -> Next {
+        let (mut last_id, mut found) = (None, None);
+        for (at, event) in events.iter().enumerate() {
+            let Some(id) = self.shared.dialect.last_event_id(event) else {
+                continue;
+            };
+            if let Err(e) = self.push_id(id) {
+                found = Some((at, e));
+                break;
+            }
+            last_id = Some(id);
+        }
+        let last_id = last_id.map(str::to_owned);
+        let Some((at, error)) = found else {
+            return Next::Events(events, last_id);
+        };
+        let failure = self.out_of_order(pick, &error);
+        events.truncate(at);
+        if events.content != events::Content::Event {
+            return Next::Failed(failure);
+        }
+        run.failure = Some(failure);
+        Next::Events(events, last_id)
+    }
+
+    /// Adds the id of an event that is passed on, where ids are known to increase.
+    fn push_id(&mut self, id: &str) -> Result<(), event_order::OutOfOrder> {
+        if self.route.kind.is_stream() {
+            self.event_order.push(id)?;
+        }
+        Ok(())
+    }
+
+    /// Checks the event that a stream ends with, if no empty line follows it. It may not be passed on.
+    fn check_rest(&self, pick: &chooser::Pick, run: &StreamRun) -> Next {
+        let id = self.shared.dialect.last_event_id(run.events.pending());
+        match id.filter(|_| self.route.kind.is_stream()) {
+            Some(id) => match self.event_order.check(id) {
+                Ok(()) => Next::End,
+                Err(e) => Next::Failed(self.out_of_order(pick, &e)),
+            },
+            None => Next::End,
+        }
+    }
+
+    /// Logs that the endpoint of `pick` has sent an event out of order.
+    fn out_of_order(
+        &self,
+        pick: &chooser::Pick,
+        error: &event_order::OutOfOrder,
+    ) -> failure::Failure {
+        ::log::warn!(request = self.id(), endpoint:% = pick.instance, last = error.last.as_str(), event = error.id.as_str();
+            "gateway: endpoint sent an event out of order");
+        failure::Failure::malformed(error)
+    }
+
     /// Logs that an endpoint which was silent for long has sent something.
     fn log_end_of_silence(&self, pick: &chooser::Pick, silent: std_time::Duration) {
         if silent < LOGGED_SILENCE {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod draining;
 mod endless;
 mod endpoints;
+mod event_ids;
 mod explaining;
 mod fleet;
 mod identity;
