Ask other entry processes before an endpoint counts as crashed

What callers saw: nothing so far. Where an entry process has lost its path to an endpoint, new connections may be refused while open ones live on. A complete response that only its connection delimits would then be called cut, and a crash be counted against its request, at all entry processes. Found by the review.

Change: a refused connection is tried through other entry processes, as a request is whose path is lost. If one of them opens it, the endpoint is there. If none can tell, the refusal counts unless this process is cut off from endpoints.

Evidence: 19 fleet tests of crashing, crashing_parts, cut_answers and paths pass. That a refusal on a lost path is no crash is not shown by a test of its own: the stand-ins can't refuse connections of one process only.

--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -11,7 +11,7 @@
 use sageshed_types::time;
 use sageshed_upstream::{
     connection::{Connect, Connection, RelayError},
-    exchange, failure, pool, relay,
+    exchange, failure, pool, probe, relay,
 };
 
 use super::state;
@@ -162,6 +162,22 @@
 }
 
 impl<D: dialect::Dialect> state::Shared<D> {
+    /// Whether the endpoint at this address has ended: connections to it are refused, and no other entry process opens one. A
+    /// path that is lost may refuse connections too, while those that are open live on.
+    pub(super) fn has_ended(&self, endpoint: net::SocketAddrV4) -> bool {
+        if !probe::is_closed(endpoint) {
+            return false;
+        }
+        let connector = Connector {
+            shared: self,
+            until: std_time::Instant::now() + RELAY_TIMEOUT,
+        };
+        match connector.connect_by_relay(endpoint, RELAY_TIMEOUT) {
+            Some(opened) => opened.is_err(),
+            None => !locks::lock(&self.paths).is_cut_off(),
+        }
+    }
+
     /// Whether endpoints can be reached neither directly nor through other entry processes.
     pub(super) fn is_isolated(&self) -> bool {
         let now = self.clock.now();
--- a/src/sageshed/gateway/proxy/crash_quarantine.rs
+++ b/src/sageshed/gateway/proxy/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use sageshed_fleet::{chooser, dialect, entry_peers, fingerprint, quarantine};
 use sageshed_types::{refusal, time, verdict};
-use sageshed_upstream::{failure, probe};
+use sageshed_upstream::failure;
 
 use super::ProxiedRequest;
 use crate::gateway::state;
@@ -14,8 +14,7 @@
     /// Records that the endpoint of `pick` has crashed while it ran this request, if it has.
     ///
     /// A connection closed before the end of a response is no proof of that: networks fail, and endpoints send
-    /// malformed responses. An endpoint whose port no longer accepts connections, and which did not announce that it
-    /// stops, has crashed.
+    /// malformed responses. An endpoint that has ended, and which did not announce that it stops, has crashed.
     pub(super) fn note_crash(&self, pick: &chooser::Pick, cause: failure::Cause) {
         let is_closed = matches!(
             cause,
@@ -23,7 +22,7 @@
         );
         let shared = self.shared;
         let is_planned = || shared.with_core(|core| core.directory.is_leaving(&pick.instance));
-        if !is_closed || is_planned() || !probe::is_closed(pick.address) {
+        if !is_closed || is_planned() || !shared.has_ended(pick.address) {
             return;
         }
         let now = shared.clock.now();
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -2,7 +2,7 @@
 
 use sageshed_fleet::{body_end, chooser, dialect};
 use sageshed_types::framing;
-use sageshed_upstream::{exchange, failure, probe};
+use sageshed_upstream::{exchange, failure};
 
 use super::ProxiedRequest;
 use crate::gateway::{
@@ -31,7 +31,7 @@
         };
         let early = match end.next_step() {
             body_end::NextStep::Fail(early) => Some(early),
-            body_end::NextStep::CheckPort if probe::is_closed(pick.address) => {
+            body_end::NextStep::CheckPort if self.shared.has_ended(pick.address) => {
                 Some(body_end::EarlyEnd::EndpointCrashed)
             }
             body_end::NextStep::PassOn | body_end::NextStep::CheckPort => None,
