Soak test answers that end early while processes come and go

Test code only. Thirty callers on new and kept connections, with HTTP/1.1 and 1.0, send requests of four routes to three entry processes. Six endpoints change in a seeded order between sound answers by length, in chunks and by the end of the connection, and answers that end early by a close, a half-close, a reset or a crash; endpoints crash besides, and entry processes are stopped, killed, started again and get SIGHUP.

Each answer that is complete for its caller must be the whole answer to its request, unless only its connection delimits it and its endpoint ended that in good order, after just this part. Requests that may run once run once at most, none runs that is answered by 408, 421, 429 or 503, and none gets bytes of another. The run prints how often each delimiter and each ending was seen and fails if one is missing.

The stand-in endpoints can send a response in pieces with pauses, with the request's id in each, by length, in chunks or by the end of the connection, and log how they handled each request.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod crashing_parts;
 mod crowd;
 mod cut_answers;
+mod cut_soak;
 mod demand;
 mod departure_soak;
 mod draining;
