Pass on the length in an endpoint's answer to HEAD

What callers saw: Content-Length: 0 in each answer to HEAD, also where the endpoint gives the length of the answer to GET, or none.

Cause: the length of the body that came, which an answer to HEAD doesn't have, replaced the endpoint's.

Change: an answer to HEAD without a body tells the length that is passed on with its headers, or none (RFC 9110, sections 8.6 and 9.3.2). Answers that are made here tell the length of their body as before. Those of plain services on the system's own interface, whose length is filtered out, have none.

Ruled out: an answer with status 204 or 304 whose endpoint sends body bytes. The answer has no body, and the next request on both connections gets its own answer, in 8 of 8 cases with this change.

Evidence: an_answer_to_head_tells_the_length_that_is_passed_on (0 instead of 100) and, over real processes, a_response_to_head_has_the_length_that_its_endpoint_gives failed before.

--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -22,8 +22,7 @@
     pub status: u16,
     /// `Content-Type`; none is sent if it is empty.
     pub content_type: &'a str,
-    /// Further headers. Those about framing and connection are left out, and so is one that holds
-    /// a control character: it could start an answer of its own.
+    /// Further headers. Those about framing and connection are left out, but for the length in an answer to HEAD, and so is one that holds a control character: it could start an answer of its own.
     pub headers: &'a [(&'a str, &'a str)],
 }
 
@@ -184,12 +183,19 @@
 
     fn encode_head(&mut self, head: &Head<'_>, length: usize) -> Vec<u8> {
         self.settle_keep();
-        let framing = if is_bodiless(head.status) || self.until_close {
-            String::new()
-        } else {
-            format!("Content-Length: {length}\r\n")
-        };
-        self.head(head, &framing)
+        let length = self.told_length(head, length as u64);
+        let framing = length.map(|it| format!("Content-Length: {it}\r\n"));
+        self.head(head, &framing.unwrap_or_default())
+    }
+
+    /// The length that is sent with a body of `length` bytes. An answer to HEAD may tell the length of the answer to
+    /// GET (RFC 9110, section 8.6).
+    fn told_length(&self, head: &Head<'_>, length: u64) -> Option<u64> {
+        match head.status {
+            status if is_bodiless(status) || self.until_close => None,
+            _ if self.manner.head_only && length == 0 => passed_length(head),
+            _ => Some(length),
+        }
     }
 
     /// What of a body is sent.
@@ -451,6 +457,13 @@
     }
 }
 
+/// The length among the further headers of an answer.
+fn passed_length(head: &Head<'_>) -> Option<u64> {
+    let lengths = |it: &&(&str, &str)| it.0.eq_ignore_ascii_case("content-length");
+    let (_, length) = head.headers.iter().find(lengths)?;
+    framing::digits(length.as_bytes())
+}
+
 /// Whether answers with this status have no body.
 fn is_bodiless(status: u16) -> bool {
     matches!(status, 204 | 304)
--- a/crates/sageshed-http/tests/connections.rs
+++ b/crates/sageshed-http/tests/connections.rs
@@ -125,6 +125,70 @@
     assert_eq!(client.get("/next").text(), "GET /next|");
 }
 
+/// What a handler passes on of an answer, and the length that its caller is told.
+struct HeadCase {
+    method: &'static str,
+    status: u16,
+    length: &'static str,
+    body: &'static [u8],
+    told: Option<&'static str>,
+}
+
+/// Guards against an answer to HEAD that tells the length of a body which it doesn't have (RFC 9110, section 8.6).
+#[test]
+fn an_answer_to_head_tells_the_length_that_is_passed_on() {
+    let case = |method, status, length, body, told| HeadCase {
+        method,
+        status,
+        length,
+        body,
+        told,
+    };
+    let cases = [
+        case("HEAD", 200, "100", b"" as &[u8], Some("100")),
+        case("HEAD", 200, "", b"", None),
+        case("HEAD", 200, "", b"body", Some("4")),
+        case("HEAD", 404, "0", b"", Some("0")),
+        case("HEAD", 200, "1x", b"", None),
+        case("HEAD", 204, "100", b"", None),
+        case("GET", 304, "100", b"", None),
+        case("HEAD", 304, "100", b"", None),
+        case("GET", 304, "", b"", None),
+        case("GET", 204, "100", b"", None),
+        case("GET", 200, "100", b"body", Some("4")),
+        case("GET", 200, "100", b"", Some("0")),
+    ];
+    for case in &cases {
+        let (status, length, body) = (case.status, case.length, case.body);
+        let server = start(limits::Limits::default(), move |req, reply| {
+            let headers = [("Content-Length", length)];
+            let head = sageshed_http::reply::Head {
+                status: if req.path == "/" { status } else { 200 },
+                headers: if length.is_empty() { &[] } else { &headers },
+                ..OK
+            };
+            reply.whole(&head, body)
+        });
+        let mut client = Client::connect(&server);
+        client.send(format!("{} / HTTP/1.1\r\nHost: h\r\n\r\n", case.method).as_bytes());
+        let head = client.head().expect("an answer");
+        let lengths: Vec<_> = head
+            .lines()
+            .filter_map(|it| it.strip_prefix("Content-Length: "))
+            .collect();
+        assert_eq!(
+            lengths,
+            Vec::from_iter(case.told),
+            "{} {status} {length:?}: {head}",
+            case.method
+        );
+        if case.method == "HEAD" || matches!(status, 204 | 304) {
+            let next = client.get("/next");
+            assert_eq!((next.status, next.body.as_slice()), (200, body), "{head}");
+        }
+    }
+}
+
 #[test]
 fn known_headers_come_typed_and_the_rest_can_be_forwarded() {
     let server = start(limits::Limits::default(), |req, reply| {
--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -3,7 +3,7 @@
 use crate::{
     fleet::Fleet,
     standin::{
-        caller::Request,
+        caller::{Caller, Request},
         engine::{Behavior, ConnectionEnd, HeadPart, Raw},
     },
 };
@@ -244,6 +244,79 @@
     assert_eq!(count().to_string(), with_surplus.len().to_string());
 }
 
+/// Guards against a caller of HEAD that is told another length than its endpoint gives.
+#[test]
+fn a_response_to_head_has_the_length_that_its_endpoint_gives() {
+    let (fleet, engines) = Fleet::ready();
+    for (number, (rest, length)) in [
+        ("Content-Length: 100\r\n\r\n", Some("100")),
+        ("Content-Length: 0\r\n\r\n", Some("0")),
+        ("Transfer-Encoding: chunked\r\n\r\n", None),
+        ("\r\n", None),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let line = "HTTP/1.1 200 OK\r\n";
+        for engine in &engines {
+            engine.set_behavior(Behavior::Sends(Raw { line, rest }));
+        }
+        let id = format!("head-{number}");
+        let answer = fleet.ask(
+            0,
+            &Request {
+                lines: "Connection: close\r\n",
+                ..Request::new("HEAD", "/again/x", &id)
+            },
+        );
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 200, "{}", answer.head);
+        assert_eq!(answer.header("content-length"), length, "{}", answer.head);
+        assert_eq!(answer.text(), "");
+    }
+}
+
+/// Guards against the body of a response which has none by its status, and which is taken for the next response.
+#[test]
+fn bytes_behind_a_response_without_a_body_are_dropped() {
+    let (fleet, engines) = Fleet::ready();
+    let set = |behavior| {
+        for engine in &engines {
+            engine.set_behavior(behavior);
+        }
+    };
+    let rests = [
+        WITH_LENGTH,
+        WITHOUT_LENGTH,
+        IN_CHUNKS,
+        "\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken",
+    ];
+    for line in [
+        "HTTP/1.1 204 No Content\r\n",
+        "HTTP/1.1 304 Not Modified\r\n",
+    ] {
+        for rest in rests {
+            let address = fleet.entries[0].address();
+            let mut caller = Caller::connect(address).expect("it listens");
+            let mut ask = |id: &str| {
+                let answer = caller.request(&Request::new("GET", "/again/x", id));
+                answer.expect("a connection").expect("an answer")
+            };
+            set(Behavior::Sends(Raw { line, rest }));
+            let answer = ask("without");
+            let status = if line.contains("204") { 204 } else { 304 };
+            assert_eq!(answer.status(), status, "{rest}: {}", answer.head);
+            assert_eq!(answer.header("content-length"), None, "{rest}");
+            assert_eq!(answer.header("transfer-encoding"), None, "{rest}");
+            assert_eq!(answer.text(), "", "{rest}");
+            set(Behavior::Answers);
+            let next = ask("next");
+            assert_eq!(next.status(), 200, "{rest}: {}", next.head);
+            assert!(next.text().starts_with("next /again/x"), "{}", next.text());
+        }
+    }
+}
+
 /// Guards against a response that reaches a caller with a status that HTTP does not define.
 #[test]
 fn a_response_with_an_undefined_status_is_not_passed_on() {
