Let the test of bytes behind a response wait for the line in the log

Test code only. bytes_behind_a_response_are_logged_and_counted failed in 2 of 15 runs at load 32: the second line was not in the file yet. A thread of its own writes the log, so the counter can be read before the line. The file of a failed run has both lines.

--- a/tests/fleet/broken_answers.rs
+++ b/tests/fleet/broken_answers.rs
@@ -230,9 +230,13 @@
         set(Behavior::Sends(Raw { line, rest }));
         assert_eq!(ask("/once/x", name), 200);
         fleet.until("it is counted", || count() >= (number + 1) as f64);
-        let log = fleet.entries[0].log();
-        let told = |line: &str| line.contains("after the end of its response");
-        let lines: Vec<_> = log.lines().filter(|it| told(it)).collect();
+        let told = |line: &&str| line.contains("after the end of its response");
+        let mut log = String::new();
+        fleet.until("it is logged", || {
+            log = fleet.entries[0].log();
+            log.lines().filter(told).count() > number
+        });
+        let lines: Vec<_> = log.lines().filter(told).collect();
         assert_eq!(lines.len(), number + 1, "{lines:?}");
         let has_names = |it: &str| it.contains(name) && it.contains("@1764700000000");
         assert!(has_names(lines[number]), "{name}: {lines:?}");
