Test relayed responses that end with the relay's process, and a stop of the relay

Test code only. The table of relayed responses gets a reset inside a length, an end inside the last chunk, and responses with neither a length nor chunks: in HTTP/1.0, with a reset, and with a status that has no body. Further tests: a relay whose process ends before and inside a response, with each framing, and a relay that is stopped inside a response and passes it on to its end.

A response with neither a length nor chunks is refused behind a relay, whole or not, since its end can't be told from the relay's.

--- a/crates/sageshed-upstream/tests/relays.rs
+++ b/crates/sageshed-upstream/tests/relays.rs
@@ -163,12 +163,42 @@
             resets: true,
             result: Err(Cause::ClosedInAnswer),
         },
+        Case {
+            name: "reset inside its length",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+            resets: true,
+            result: Err(Cause::ClosedInAnswer),
+        },
+        Case {
+            name: "ended inside its chunks",
+            answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+            resets: false,
+            result: Err(Cause::ClosedInAnswer),
+        },
         Case {
             name: "without a length",
             answer: b"HTTP/1.1 200 OK\r\n\r\nabc",
             resets: false,
             result: Err(Cause::Malformed),
         },
+        Case {
+            name: "without a length, in HTTP/1.0",
+            answer: b"HTTP/1.0 200 OK\r\n\r\nabc",
+            resets: false,
+            result: Err(Cause::Malformed),
+        },
+        Case {
+            name: "without a length, reset",
+            answer: b"HTTP/1.1 200 OK\r\n\r\nabc",
+            resets: true,
+            result: Err(Cause::Malformed),
+        },
+        Case {
+            name: "without a length, and no body by its status",
+            answer: b"HTTP/1.1 204 No Content\r\n\r\n",
+            resets: false,
+            result: Ok(b""),
+        },
     ];
     let (_relay, at) = relay(8, OPEN);
     for case in cases {
@@ -179,6 +209,94 @@
     }
 }
 
+/// A relay whose process ends once it has passed on `answer`: its system closes both connections in good order.
+fn dying_relay(answer: &'static [u8]) -> net::SocketAddrV4 {
+    let (listener, address) = listen();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 4_096];
+        assert!(stream.read(&mut buf).expect("a request to connect") > 0);
+        stream
+            .write_all(b"HTTP/1.1 200 Connected\r\n\r\n")
+            .expect("a reader");
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\nhi") {
+            let read = stream.read(&mut buf).expect("a request");
+            assert!(read > 0, "the request ends early");
+            request.extend_from_slice(&buf[..read]);
+        }
+        stream.write_all(answer).expect("a reader");
+    });
+    address
+}
+
+/// Guards against a response that looks complete since the relay's process has ended inside it.
+#[test]
+fn a_response_does_not_end_with_the_process_of_its_relay() {
+    let cases: [(&'static [u8], Cause); 7] = [
+        (b"", Cause::ClosedBeforeAnswer),
+        (b"HTTP/1.1 200 OK\r\nConte", Cause::ClosedBeforeAnswer),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+            Cause::ClosedInAnswer,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            Cause::ClosedInAnswer,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+            Cause::ClosedInAnswer,
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nabc", Cause::Malformed),
+        (
+            b"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nabc",
+            Cause::Malformed,
+        ),
+    ];
+    let (_unused, endpoint) = listen();
+    for (answer, cause) in cases {
+        let result = ask(dying_relay(answer), endpoint, b"hi");
+        let result = result.map_err(|e| e.cause);
+        assert_eq!(result, Err(cause), "{}", answer.escape_ascii());
+    }
+}
+
+/// Guards against a stop of the relay that cuts the responses that it passes on.
+#[test]
+fn a_stopped_relay_passes_a_response_on_to_its_end() {
+    let (relay, at) = relay(8, OPEN);
+    let (listener, address) = listen();
+    let connection = Connection::through(at, address, LONG).expect("it connects");
+    let (mut stream, _) = listener.accept().expect("a connection");
+    relay.stop();
+    let refused = Connection::through(at, address, LONG);
+    assert!(
+        matches!(refused, Err(RelayError::Unusable(_))),
+        "{refused:?}"
+    );
+    let patience = Patience {
+        until: time::Instant::now() + LONG,
+        stop: &|| false,
+    };
+    let req = Request {
+        method: "GET",
+        target: "/x",
+        headers: vec![],
+        body: Body::default(),
+    };
+    let sent = connection.send(&req, &patience).expect("it is sent");
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    stream.write_all(head).expect("a reader");
+    let mut answer = sent.head(&patience).expect("a head");
+    let piece = answer.read(&patience).expect("a piece");
+    assert_eq!(piece, Piece::Bytes(b"abc".to_vec()));
+    stream.write_all(b"0\r\n\r\n").expect("a reader");
+    assert_eq!(answer.read(&patience).expect("its end"), Piece::End);
+    drop(answer);
+    assert_eq!(relay.wait(LONG), 0);
+}
+
 #[test]
 fn large_bodies_pass_both_ways() {
     let large = vec![b'x'; 3_000_000];
