Test answers to callers that read too slowly

Test code only. A caller that does not read has its answer cut at the write timeout. By length in HTTP/1.1 and 1.0, on a kept connection too, the answer is shorter than its length; in chunks it has no last chunk. Streams to callers of HTTP/1.0, which end with their connection, are not part of the test.

--- a/crates/sageshed-http/tests/streams.rs
+++ b/crates/sageshed-http/tests/streams.rs
@@ -187,3 +187,45 @@
         drop(kept);
     }
 }
+
+/// Guards against a part of an answer that looks whole to a caller which reads so slowly that writing to it fails.
+#[test]
+fn an_answer_that_can_not_be_written_is_shorter_than_it_says() {
+    let (tx, rx) = mpsc::channel();
+    let limits = limits::Limits {
+        write_timeout: Duration::from_millis(200),
+        ..limits::Limits::default()
+    };
+    let server = start(limits, move |req, reply| {
+        let body = vec![b'x'; 64 << 20];
+        let sent = if req.path == "/whole" {
+            reply.whole(&OK, &body)
+        } else {
+            let mut stream = reply.stream(&OK);
+            let failed = stream.send(&body).is_err();
+            assert!(failed, "the caller does not read");
+            stream.finish()
+        };
+        tx.send(sent.is_whole()).expect("the test listens");
+        sent
+    });
+    let requests = [
+        "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /whole HTTP/1.0\r\n\r\n",
+        "GET /whole HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+        "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n",
+    ];
+    for request in requests {
+        let mut client = Client::connect(&server);
+        client.send(request.as_bytes());
+        assert_eq!(rx.recv_timeout(PATIENCE), Ok(false), "{request}");
+        assert_eq!(server.wait(PATIENCE), 0);
+        let has_ended = if request.contains("whole") {
+            client.answer().is_some()
+        } else {
+            client.head().expect("a head");
+            client.chunk().is_some()
+        };
+        assert!(!has_ended, "{request}");
+    }
+}
