Resume a stream only if its last event has an id

What callers could see: an event without an id twice, if the stream broke off, or its engine fell silent, right after it. No report names this; it was found while the order of ids was checked.

Cause: the stream was resumed after the last id among all its events, so that an engine which goes on behind that one sends what followed it again. The same holds for an id that is not text, and an empty id was sent as `Last-Event-Id`; both were read in the code, not run.

Change: the position of a stream is the id of its last event. After one without an id the stream is not resumed at another engine; it is cut if it breaks off, and its caller decides. With the next id it can be resumed again. Comments and empty lines are no events and change nothing.

What it costs: a stream that breaks off right after an event without an id is cut where it was resumed before. By the protocol, events have ids.

Evidence, red before: `event_ids::a_stream_is_not_resumed_after_an_event_without_an_id`, events 1, 2 and one without an id, then a cut; the second engine sends one without an id and 3: 200, whole: 1, 2, none, none, 3; expected 1, 2, none and a cut Green after, with a stream that breaks off at an event with an id behind one without, which is resumed. Fleet event_ids::, unframed::, silence::, versions:: and the streams of requests::, 34 tests, two at a time; all tests of sageshed-platform, events.rs and event_order.rs of sageshed-fleet.

--- a/crates/sageshed-fleet/src/events.rs
+++ b/crates/sageshed-fleet/src/events.rs
@@ -38,12 +38,13 @@
 }
 
 impl Events {
-    /// The bytes of each of them.
-    pub fn iter(&self) -> impl Iterator<Item = &[u8]> {
+    /// The bytes of each of them, and what it holds.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], Content)> {
         let mut begin = 0;
-        self.parts
-            .iter()
-            .map(move |&(end, _)| &self.bytes[std::mem::replace(&mut begin, end)..end])
+        self.parts.iter().map(move |&(end, content)| {
+            let begin = std::mem::replace(&mut begin, end);
+            (&self.bytes[begin..end], content)
+        })
     }
 
     /// Moves complete comments in front of them.
--- a/crates/sageshed-fleet/tests/event_order.rs
+++ b/crates/sageshed-fleet/tests/event_order.rs
@@ -233,7 +233,9 @@
             let mut comments = case.comments.as_bytes().to_vec();
             events.prepend_comments(&mut comments);
             assert_eq!(comments, b"", "{}", case.name);
-            let all: Vec<_> = events.iter().map(<[u8]>::to_vec).collect();
+            let all: Vec<_> = events.iter().map(|(bytes, _)| bytes.to_vec()).collect();
+            let contents = events.iter().map(|(_, content)| content);
+            assert_eq!(contents.max().unwrap_or_default(), events.content);
             assert_eq!(all.len() + 1, case.kept.len(), "{}", case.name);
             assert_eq!(all.concat(), events.bytes, "{}", case.name);
             events.truncate(count);
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -109,7 +109,7 @@
 
 /// What follows in a stream.
 enum Next {
-    /// With the last id among them.
+    /// With the id of the last event, if it has one.
     Events(events::Events, Option<String>),
     End,
     /// No event yet, and another endpoint can be tried or goes on.
@@ -144,7 +144,10 @@
                 self.record_events(pick, &mut run, sink.last_id());
             }
             let (mut stream, mut last_id) = sink.start_stream(&run.exchange);
-            last_id = id.or(last_id);
+            // An endpoint that resumes the stream after an earlier event would repeat one without an id.
+            if events.content == events::Content::Event {
+                last_id = id;
+            }
             let is_sent = self.send_part(&mut stream, &events.bytes);
             sink = ResponseSink::Streaming(stream, last_id);
             if !is_sent {
@@ -297,15 +300,16 @@
         mut events: events::Events,
     ) -> Next {
         let (mut last_id, mut found) = (None, None);
-        for (at, event) in events.iter().enumerate() {
-            let Some(id) = self.shared.dialect.last_event_id(event) else {
+        for (at, (event, content)) in events.iter().enumerate() {
+            if content != events::Content::Event {
                 continue;
-            };
-            if let Err(e) = self.push_id(id) {
+            }
+            let id = self.shared.dialect.last_event_id(event);
+            if let Err(e) = id.map_or(Ok(()), |it| self.push_id(it)) {
                 found = Some((at, e));
                 break;
             }
-            last_id = Some(id);
+            last_id = id.filter(|it| !it.is_empty());
         }
         let last_id = last_id.map(str::to_owned);
         let Some((at, error)) = found else {
--- a/tests/fleet/event_ids.rs
+++ b/tests/fleet/event_ids.rs
@@ -217,6 +217,26 @@
     ]);
 }
 
+/// Guards against an event without an id that reaches a caller twice, since the engine that resumes its stream goes on after
+/// the last event that has one.
+#[test]
+fn a_stream_is_not_resumed_after_an_event_without_an_id() {
+    let cut = |case: Case| Case {
+        runs: 1,
+        ..case.broken()
+    };
+    check(&[
+        cut(Case::resumed(
+            "none last",
+            &["1", "2", ""],
+            &["", "3"],
+            &["1", "2", ""],
+        )),
+        cut(Case::resumed("none only", &["", ""], &["", "1"], &["", ""])),
+        Case::resumed("none before", &["1", "", "2"], &["3"], &["1", "", "2", "3"]),
+    ]);
+}
+
 /// Guards against a caller that can't resume its stream because one of the engines begins it anew.
 #[test]
 fn a_stream_that_its_caller_resumes_goes_on_at_a_sound_engine() {
