Test answers between processes that are cut at each byte

Test code only. An answer of another process is a MessagePack value, which tells its own end, so no proper part of one decodes. A test cuts an answer after each of its bytes, by length, inside a chunk, and with neither in HTTP/1.1 and 1.0. No part counts; the whole counts where nothing of its framing is missing.

Result: passes on the code as it was.

--- a/crates/sageshed-vms/tests/port.rs
+++ b/crates/sageshed-vms/tests/port.rs
@@ -232,6 +232,57 @@
     }
 }
 
+/// Answers one call, of the number 1, with these bytes and closes the connection.
+fn answer_once(answer: Vec<u8>) -> (String, thread::JoinHandle<()>) {
+    let listener = listen();
+    let address = listener.local_addr().expect("an address").to_string();
+    let answering = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut call = Vec::new();
+        while !call.ends_with(b"\r\n\r\n\x01") {
+            let mut buf = [0; 4_096];
+            let read = stream.read(&mut buf).expect("a call");
+            assert!(read > 0, "the call ends early");
+            call.extend_from_slice(&buf[..read]);
+        }
+        stream.write_all(&answer).expect("the other end reads");
+    });
+    (address, answering)
+}
+
+/// Guards against a part of another process's answer that counts as the whole, however the answer tells where it ends.
+#[test]
+fn an_answer_that_is_cut_does_not_count() {
+    let answer = (7_u64, vec!["vm1".to_owned(), String::new()], Some(300_u16));
+    let whole = sageshed_vms::encode(&answer).expect("plain data");
+    let length = whole.len();
+    let heads = [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n"),
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        "HTTP/1.0 200 OK\r\n\r\n".to_owned(),
+    ];
+    for (head, bytes) in heads
+        .iter()
+        .flat_map(|it| (0..=length).map(move |n| (it, n)))
+    {
+        let (address, answering) = answer_once([head.as_bytes(), &whole[..bytes]].concat());
+        let called: Result<(u64, Vec<String>, Option<u16>), _> =
+            Client::new(TOKEN).call(&address, "/double", &1_u64, PATIENCE);
+        answering.join().expect("it answers");
+        match called {
+            Ok(seen) => assert!(
+                seen == answer && bytes == length,
+                "{bytes} bytes after {head}"
+            ),
+            Err(e) => assert!(
+                bytes < length || head.contains("chunked"),
+                "{e} after {head}"
+            ),
+        }
+    }
+}
+
 /// Something between two VMs loses track of connections just after the heads of their requests went
 /// out. The peers' new connections work, but each of the old ones waits for a body that never comes.
 /// If they held their places for good, this port would answer nobody again: no heartbeat, no claim.
