--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -355,9 +355,7 @@
         if ex.manner.old {
             ex.begin_until_close();
         }
-        let framing = if ex.until_close {
-            ""
-        } else if is_bodiless(head.status) {
+        let framing = if ex.until_close || is_bodiless(head.status) {
             ""
         } else {
             "Transfer-Encoding: chunked\r\n"
