Treat the timeout of a connection as its failure, and not as that of one read

What callers saw: nothing so far. A part of a body that ends with its connection counted as the whole if the connection to its endpoint had timed out.

Cause: `TimedOut` was taken for the time limit of a read, as `WouldBlock` is. On Linux it means that the other end has acknowledged nothing for too long. Found by the review.

Change: only `WouldBlock` is the time limit of a read or a write.

--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -285,11 +285,9 @@
 }
 
 pub(crate) fn is_timeout(e: &io::Error) -> bool {
-    // The socket's own timeout shows as either, by platform.
-    matches!(
-        e.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-    )
+    // `TimedOut` is the end of the connection: its other end acknowledges nothing. The system reports that to one call only,
+    // and reads after it end in good order.
+    e.kind() == io::ErrorKind::WouldBlock
 }
 
 fn failed(is_sent: bool, cause: Cause, detail: &str) -> Failure {
