Serve a response anew that ends with a leaving endpoint, where another one can

What callers saw: a part of a response with neither a length nor chunks, as complete by the end of its connection, though its endpoint had ended inside it. Endpoints that announced their stop were never looked at: they may close their port before their last responses end. They may also be ended inside them, if the time for which they stop is over.

Change: the port is looked at in any case. If the endpoint has ended and had announced that, the response counts as cut where another endpoint can serve the request or resume the stream, and is passed on where none can: it may be complete. No crash is counted then, as before.

--- a/crates/sageshed-fleet/src/body_end.rs
+++ b/crates/sageshed-fleet/src/body_end.rs
@@ -13,8 +13,16 @@
     /// Whether its caller receives it in chunks, the last of which says that it is complete. A stream can be resumed by a
     /// response that is delimited in another way.
     pub needs_last_chunk: bool,
-    /// Whether its endpoint has announced that it stops. Its port may be closed before its last responses end.
+}
+
+/// What is known of an endpoint that has ended when its response had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndedEndpoint {
+    /// Whether it has announced that it stops. It may close its port before its last responses end, and may also be ended inside
+    /// them.
     pub is_leaving: bool,
+    /// Whether the request may run at another endpoint.
+    pub may_run_again: bool,
 }
 
 /// Why a response has ended early, or counts as such.
@@ -26,20 +34,18 @@
     /// Its caller would be told more than its endpoint has said.
     #[display("only the end of the connection tells that the stream is complete")]
     NotTold,
-    /// Its endpoint has crashed.
-    #[display("the connection ended with its endpoint, which no longer accepts others")]
-    EndpointCrashed,
+    /// Its endpoint has ended, and the request can be served by another one.
+    #[display("the connection ended with its endpoint")]
+    EndpointEnded,
 }
 
 /// What to do with a response whose connection has ended in good order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextStep {
-    /// Pass it on, delimited as by its endpoint.
-    PassOn,
     /// Handle it as cut.
     Fail(EarlyEnd),
-    /// Look whether the port of its endpoint is open: if it is closed, the endpoint has crashed ([`EarlyEnd::EndpointCrashed`]).
-    CheckPort,
+    /// Look whether its endpoint has ended too: if so, [`EndedEndpoint::early_end`] decides, else it is passed on.
+    CheckEndpoint,
 }
 
 impl ConnectionEnd {
@@ -50,10 +56,18 @@
             NextStep::Fail(EarlyEnd::InsideEvent)
         } else if self.needs_last_chunk {
             NextStep::Fail(EarlyEnd::NotTold)
-        } else if self.is_leaving {
-            NextStep::PassOn
         } else {
-            NextStep::CheckPort
+            NextStep::CheckEndpoint
         }
     }
 }
+
+impl EndedEndpoint {
+    /// Why its response counts as cut, if it does. If it stops as announced, its response may be complete, and is better than
+    /// none.
+    #[must_use]
+    pub fn early_end(self) -> Option<EarlyEnd> {
+        let is_passed_on = self.is_leaving && !self.may_run_again;
+        (!is_passed_on).then_some(EarlyEnd::EndpointEnded)
+    }
+}
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -23,22 +23,28 @@
         if !exchange.ends_with_connection() {
             return None;
         }
-        let directory = |core: &mut state::Core| core.directory.is_leaving(&pick.instance);
         let end = body_end::ConnectionEnd {
             is_inside_event,
             needs_last_chunk: passed_by == Some(framing::Delimiter::Chunks),
-            is_leaving: self.shared.with_core(directory),
         };
         let early = match end.next_step() {
             body_end::NextStep::Fail(early) => Some(early),
-            body_end::NextStep::CheckPort if self.shared.has_ended(pick.address) => {
-                Some(body_end::EarlyEnd::EndpointCrashed)
+            body_end::NextStep::CheckEndpoint if self.shared.has_ended(pick.address) => {
+                self.ended_endpoint(pick).early_end()
             }
-            body_end::NextStep::PassOn | body_end::NextStep::CheckPort => None,
+            body_end::NextStep::CheckEndpoint => None,
         };
         early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
     }
 
+    fn ended_endpoint(&self, pick: &chooser::Pick) -> body_end::EndedEndpoint {
+        let is_leaving = |core: &mut state::Core| core.directory.is_leaving(&pick.instance);
+        body_end::EndedEndpoint {
+            is_leaving: self.shared.with_core(is_leaving),
+            may_run_again: self.may_run_again(),
+        }
+    }
+
     /// Counts a response of the endpoint of `pick` whose body has ended, of which `bytes` have arrived. Logs those that did
     /// not end by a length or a last chunk.
     pub(super) fn record_response_end(
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -146,6 +146,43 @@
     assert_eq!(wrong, Vec::<String>::new());
 }
 
+/// Guards against a part of a response that reaches its caller as complete, since its endpoint has announced that it stops and
+/// was ended inside the response, though another one could serve the request.
+#[test]
+fn a_response_cut_by_the_end_of_a_leaving_endpoint_is_served_by_another_one() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let unframed = |extent, end| Unframed { extent, end };
+    let cut = unframed(Extent::Part, ConnectionEnd::Crash);
+    let whole = unframed(Extent::Whole, ConnectionEnd::Close);
+    for (path, pair) in [("/again/x", &engines[2..]), ("/resumable/x", &engines[..2])] {
+        let case = Case {
+            path,
+            unframed: cut,
+        };
+        let mut requests = 0;
+        fleet.until("an endpoint that leaves is ended", || {
+            // The endpoint that is preferred would get all of them otherwise.
+            let [leaving, other] = [&pair[requests % 2], &pair[(requests + 1) % 2]];
+            leaving.set_behavior(Behavior::Unframed(cut));
+            leaving.set_leaving_header();
+            other.set_behavior(Behavior::Unframed(whole));
+            other.set_limit(None);
+            requests += 1;
+            let id = format!("leaving-{}-{requests}", path.len());
+            let answer = fleet.ask(0, &Request::new("POST", path, &id));
+            let answer = answer.expect("an answer");
+            let is_cut = leaving.runs(&id) > 0;
+            assert!(!is_cut || answer.whole, "{id}");
+            assert!(
+                !is_cut || case.is_complete(&answer),
+                "{id}: {}",
+                answer.text()
+            );
+            is_cut
+        });
+    }
+}
+
 /// What two engines do, of which the one that gets a stream first breaks it off and the other one resumes it.
 struct Resumption {
     behaviors: [Behavior; 2],
