Cut a stream that broke off inside an event and is resumed without one

What callers saw: a stream that ends as complete after its second event of four, in chunks: the users' words, by another way than the framing. An engine broke it off inside an event, and the one that resumed it sent no event and a last chunk.

Cause: the end of a resumed run counted by itself. That another event had begun was forgotten with the first run.

Change: if a run was broken off inside an event, a later one that ends without any event counts as failed: it is resumed once more where that may be, or cut. A run that was broken off between two events may have been at its end, so there nothing is changed.

--- a/src/sageshed/gateway/proxy/mod.rs
+++ b/src/sageshed/gateway/proxy/mod.rs
@@ -274,6 +274,8 @@
     timings: StreamTimings,
     /// The order of the events of its stream that have reached its caller, with this request or an earlier one.
     event_order: event_order::EventOrder,
+    /// Whether its stream was broken off inside an event, so that another run has to bring one at least.
+    misses_event: bool,
     /// The bytes of events that were passed on.
     passed_on: u64,
     attempt_log: attempt_log::AttemptLog,
@@ -384,6 +386,7 @@
             waited_for: None,
             timings: StreamTimings::default(),
             event_order: received_events(metadata, route),
+            misses_event: false,
             passed_on: 0,
             attempt_log: attempt_log::AttemptLog::default(),
         }
--- a/src/sageshed/gateway/proxy/stream.rs
+++ b/src/sageshed/gateway/proxy/stream.rs
@@ -196,6 +196,11 @@
         mut run: StreamRun,
         sink: ResponseSink<'c>,
     ) -> AttemptResult<'c> {
+        if self.misses_event && !run.has_begun {
+            let detail = "the stream was broken off inside an event, and no event followed";
+            let failure = failure::Failure::malformed(&detail);
+            return self.break_off(pick, run, sink, &failure);
+        }
         let is_inside_event = !run.has_begun || run.events.is_inside_event();
         let passed_by = sink.delimiter();
         if let Some(failure) = self.early_end(pick, &run.exchange, is_inside_event, passed_by) {
@@ -229,6 +234,9 @@
         failure: &failure::Failure,
     ) -> AttemptResult<'c> {
         let has_begun = run.has_begun;
+        let is_comment = run.events.pending().first() == Some(&b':');
+        let begins_event = run.events.is_inside_event() && !is_comment;
+        self.misses_event = begins_event || (self.misses_event && !run.has_begun);
         let passed_by = sink.delimiter();
         self.record_response_end(pick, &run.exchange, run.received, passed_by, Some(failure));
         // Close the connection before the stream is resumed elsewhere, so that this endpoint stops.
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -241,6 +241,34 @@
     }
 }
 
+/// Guards against a stream that its caller receives as complete by a last chunk, though the engine that resumed it has sent
+/// none of the missing events.
+#[test]
+fn a_stream_resumed_without_an_event_is_not_complete() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut resumed = 0;
+    let mut requests = 0;
+    let mut wrong = 0;
+    fleet.until("streams are resumed", || {
+        let behaviors = [Behavior::CutsAfter(2), Behavior::Streams(2)];
+        let behaviors = behaviors.iter().cycle().skip(requests % 2);
+        for (engine, behavior) in engines[..2].iter().zip(behaviors) {
+            engine.set_behavior(*behavior);
+        }
+        requests += 1;
+        let id = format!("resumed-{requests}");
+        let answer = fleet
+            .ask(0, &Request::new("POST", "/resumable/x", &id))
+            .expect("an answer");
+        if engines[..2].iter().all(|it| it.runs(&id) > 0) {
+            resumed += 1;
+            wrong += usize::from(answer.whole && answer.delimiter == Delimiter::Chunks);
+        }
+        resumed == RUNS
+    });
+    assert_eq!(wrong, 0);
+}
+
 /// A stream that its caller can't tell from a complete one if it ends with its connection in good order.
 struct OpenEnd {
     name: &'static str,
