Unset the reset of a connection before its last byte is followed by its end

All bytes are with the system by then, so that a connection which ends in good order is whole in either case. cut_answers and unframed pass.

--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -161,8 +161,8 @@
     /// Ends a body that only the end of the connection delimits.
     fn end_until_close(&self) {
         if self.until_close && self.progress != Progress::Gone {
-            self.link.stop_writing();
             self.link.close_in_good_order();
+            self.link.stop_writing();
         }
     }
 
