--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -84,66 +84,59 @@
     ))
 }
 
-/// Guards against a response which may have ended early and that reaches its caller as complete: with a length or a last
-/// chunk that its endpoint has not sent.
-#[test]
-fn a_response_that_only_its_connection_delimits_is_not_passed_on_as_complete() {
+/// Plays all `cases`, and checks that no response is wrong.
+fn check(cases: impl Iterator<Item = Case>, is_wrong: impl Fn(&Case, &Message) -> bool) {
     let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
     let mut wrong = Vec::new();
-    for end in [ConnectionEnd::Close, ConnectionEnd::HalfClose] {
-        for case in Case::all(Extent::Part, end) {
-            let mut answers = answers(&fleet, &engines, &case);
-            answers.retain(|it| it.status() == 200 && it.delimiter != Delimiter::Connection);
-            wrong.extend(describe(&case, &answers));
-        }
+    for case in cases {
+        let mut answers = answers(&fleet, &engines, &case);
+        answers.retain(|it| is_wrong(&case, it));
+        wrong.extend(describe(&case, &answers));
     }
     assert_eq!(wrong, Vec::<String>::new());
 }
 
+/// Whether a part of a response is complete for its caller.
+fn is_complete_part(case: &Case, answer: &Message) -> bool {
+    answer.status() == 200 && answer.whole && !case.is_complete(answer)
+}
+
+/// Guards against a response which may have ended early and that reaches its caller as complete: with a length or a last
+/// chunk that its endpoint has not sent.
+#[test]
+fn a_response_that_only_its_connection_delimits_is_not_passed_on_as_complete() {
+    let ends = [ConnectionEnd::Close, ConnectionEnd::HalfClose];
+    let cases = ends.map(|end| Case::all(Extent::Part, end));
+    check(cases.into_iter().flatten(), |_, it| {
+        it.status() == 200 && it.delimiter != Delimiter::Connection
+    });
+}
+
 /// Guards against a complete response that does not reach its caller, since only its connection delimits it.
 #[test]
 fn a_complete_response_that_only_its_connection_delimits_is_passed_on() {
-    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
-    let mut wrong = Vec::new();
-    for end in [ConnectionEnd::Close, ConnectionEnd::HalfClose] {
-        for case in Case::all(Extent::Whole, end) {
-            let mut answers = answers(&fleet, &engines, &case);
-            answers.retain(|it| !it.whole || !case.is_complete(it));
-            wrong.extend(describe(&case, &answers));
-        }
-    }
-    assert_eq!(wrong, Vec::<String>::new());
+    let ends = [ConnectionEnd::Close, ConnectionEnd::HalfClose];
+    let cases = ends.map(|end| Case::all(Extent::Whole, end));
+    check(cases.into_iter().flatten(), |case, it| {
+        !it.whole || !case.is_complete(it)
+    });
 }
 
 /// Guards against a part of a response that reaches its caller as complete after the connection to its endpoint was reset.
 #[test]
 fn a_response_cut_by_a_reset_is_not_complete() {
-    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
-    let mut wrong = Vec::new();
-    for extent in [Extent::Part, Extent::PartOnce] {
-        for case in Case::all(extent, ConnectionEnd::Reset) {
-            let mut answers = answers(&fleet, &engines, &case);
-            answers.retain(|it| it.status() == 200 && it.whole && !case.is_complete(it));
-            wrong.extend(describe(&case, &answers));
-        }
-    }
-    assert_eq!(wrong, Vec::<String>::new());
+    let extents = [Extent::Part, Extent::PartOnce];
+    let cases = extents.map(|extent| Case::all(extent, ConnectionEnd::Reset));
+    check(cases.into_iter().flatten(), is_complete_part);
 }
 
 /// Guards against a part of a response that reaches its caller as complete though its endpoint has crashed: the system of a
 /// process that ends closes its connections in good order.
 #[test]
 fn a_response_cut_by_a_crash_of_its_endpoint_is_not_complete() {
-    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
-    let mut wrong = Vec::new();
-    for extent in [Extent::Part, Extent::PartOnce] {
-        for case in Case::all(extent, ConnectionEnd::Crash) {
-            let mut answers = answers(&fleet, &engines, &case);
-            answers.retain(|it| it.status() == 200 && it.whole && !case.is_complete(it));
-            wrong.extend(describe(&case, &answers));
-        }
-    }
-    assert_eq!(wrong, Vec::<String>::new());
+    let extents = [Extent::Part, Extent::PartOnce];
+    let cases = extents.map(|extent| Case::all(extent, ConnectionEnd::Crash));
+    check(cases.into_iter().flatten(), is_complete_part);
 }
 
 /// Guards against a part of a response that reaches its caller as complete, since its endpoint has announced that it stops and
