--- a/crates/sageshed-http/src/reply.rs
+++ b/crates/sageshed-http/src/reply.rs
@@ -22,7 +22,8 @@
     pub status: u16,
     /// `Content-Type`; none is sent if it is empty.
     pub content_type: &'a str,
-    /// Further headers. Those about framing and connection are left out, but for the length in an answer to HEAD, and so is one that holds a control character: it could start an answer of its own.
+    /// Further headers. Those about framing and connection are left out, but for the length in an answer to HEAD, and
+    /// so is one that holds a control character: it could start an answer of its own.
     pub headers: &'a [(&'a str, &'a str)],
 }
 
