Wait for the log in the test of streams that are ended at their deadline

The log of that run has what the test asserts, eight ends at the deadline and no failed endpoint: a thread of its own writes the log, and the test read it when the callers had their responses. It waits for the eight lines now, and asserts the same counts.

--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -403,9 +403,11 @@
         let send = &send;
         (0..REQUESTS).for_each(|it| drop(scope.spawn(move || send(it))));
     });
-    let log = fleet.entries[0].log();
-    let ended = log.matches("\"reason\":\"deadline_passed\"").count();
-    let failed = log.matches("endpoint failed").count();
+    let count = |text: &str| fleet.entries[0].log().matches(text).count();
+    let count_ended = || count("\"reason\":\"deadline_passed\"");
+    // A thread of its own writes the log, after callers have their responses.
+    fleet.until("the ends are logged", || count_ended() >= REQUESTS);
+    let (ended, failed) = (count_ended(), count("endpoint failed"));
     println!(
         "{ended} ended, {failed} failed; {}",
         fleet.entries[0].log_file().display()
