Log and export members that lack entries and acknowledge none

`sageshed_control_lag` shows how many it lacks, not for how long, nor whether they were sent.

The leader now notes for each member since when it has lacked entries without acknowledging one, logs that once after 3 s with the number of entries sent, the appends in flight and the age of the last heartbeat reply, and its end; the metric `sageshed_control_stalled` has the seconds. Entries that were sent and never again, a full window with nothing sent, and a lost link then look different.

--- a/crates/sageshed-quorum/src/lib.rs
+++ b/crates/sageshed-quorum/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`log`] | persistent data: terms, entries, memberships and snapshots |
 //! | [`config`] | settings of a node |
 //! | [`repair`] | when a group adds, promotes and removes members by itself |
+//! | [`stalls`] | members that lack entries and acknowledge none |
 //! | [`state`] | the state that a model checker compares |
 //! | [`status`] | the status shown to operators |
 
@@ -21,6 +22,7 @@
 pub mod message;
 pub mod node;
 pub mod repair;
+pub mod stalls;
 pub mod state;
 pub mod status;
 
--- a/crates/sageshed-quorum/tests/testsuite/main.rs
+++ b/crates/sageshed-quorum/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod same_start;
 mod scenarios;
 mod sim;
+mod stalls;
--- a/src/sageshed/control/driver/leading.rs
+++ b/src/sageshed/control/driver/leading.rs
@@ -2,7 +2,7 @@
 //! clock, and the repair of the membership.
 
 use sageshed_disk::files;
-use sageshed_quorum::{event, log, repair, status};
+use sageshed_quorum::{event, log, repair, stalls, status};
 use sageshed_state::command;
 use sageshed_types::time;
 
@@ -18,6 +18,10 @@
 /// How long the word of a process that wants to join counts. It says so several times a second.
 const JOINER_KEPT: time::Millis = time::Millis(2_000);
 
+/// A member that lacks entries and acknowledges none for this long is logged. Longer than a lost append or snapshot takes to
+/// be sent again.
+const STALL_TIMEOUT: time::Millis = time::Millis(3_000);
+
 impl<F: files::Files> Driver<F> {
     pub(super) fn became_leader(&mut self, term: log::Term) {
         ::log::info!(term:% = term; "control: leads");
@@ -111,6 +115,28 @@
         })
     }
 
+    /// Logs members that lack entries and acknowledge none.
+    pub(super) fn report_stalls(&mut self) {
+        let now = self.shared.clock.now();
+        let progress = self.node.progress();
+        let reports = self.work.stalls.update(now, STALL_TIMEOUT, progress);
+        for report in reports {
+            match report {
+                stalls::Report::Stalled(it, span) => {
+                    let vm = self.shared.voter(it.id).vm;
+                    let answered_ms = it.answered.map(|at| now.since(at).0);
+                    ::log::warn!(vm = vm.as_str(), stalled_ms = span.0, lag = it.lag, sent = it.sent,
+                        in_flight = it.in_flight, answered_ms:? = answered_ms;
+                        "control: a member acknowledges no entries");
+                }
+                stalls::Report::Resumed(id, span) => {
+                    let vm = self.shared.voter(id).vm;
+                    ::log::info!(vm = vm.as_str(), stalled_ms = span.0; "control: a member acknowledges entries again");
+                }
+            }
+        }
+    }
+
     /// A learner that is gone for good: messages to it would be made and dropped for ever.
     fn lost_learner(
         &self,
--- a/src/sageshed/control/driver/mod.rs
+++ b/src/sageshed/control/driver/mod.rs
@@ -116,6 +116,7 @@
             events.extend(self.own_events());
             let actions = self.node.step_all(self.shared.clock.now(), events);
             self.carry_out(actions)?;
+            self.report_stalls();
             self.publish();
             self.take_snapshot()?;
         }
@@ -303,6 +304,7 @@
         let required = rules::Revision(current.0 + pending);
         let mut view = locks::write(&self.shared.view);
         view.status = status;
+        view.stalled = self.work.stalls.since().collect();
         view.voters = voters;
         view.required = required;
     }
--- a/src/sageshed/control/driver/work.rs
+++ b/src/sageshed/control/driver/work.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync::mpsc};
 
-use sageshed_quorum::{event, log};
+use sageshed_quorum::{event, log, stalls};
 use sageshed_state::command;
 use sageshed_types::{endpoints, time};
 
@@ -25,6 +25,8 @@
     pub(super) changes: collections::BTreeSet<log::Index>,
     /// Processes that said lately that they are no voters, and when.
     pub(super) joiners: collections::BTreeMap<log::NodeId, time::Instant>,
+    /// Members that lack entries and acknowledge none.
+    pub(super) stalls: stalls::Stalls,
     /// When this process began to lead.
     pub(super) led_since: time::Instant,
     /// No change of membership is proposed before.
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic;
 
+use sageshed_types::time;
+
 use super::shared;
 use crate::{locks, metrics};
 
@@ -15,6 +17,7 @@
     revision: metrics::Gauge,
     committed: metrics::Gauge,
     lag: metrics::Gauge,
+    stalled: metrics::Gauge,
     disk_full: metrics::Gauge,
     claims: metrics::Gauge,
     orders: metrics::Gauge,
@@ -48,6 +51,10 @@
                 "sageshed_control_lag",
                 "On the leader: entries that a member lacks",
             ),
+            stalled: registry.gauge(
+                "sageshed_control_stalled",
+                "On the leader: seconds since a member that lacks entries acknowledged one",
+            ),
             disk_full: registry.gauge("sageshed_control_disk_full", "1 while the disk is full"),
             claims: registry.gauge("sageshed_control_claims", "Claims kept"),
             orders: registry.gauge("sageshed_control_orders_open", "Orders in the table"),
@@ -100,8 +107,11 @@
         self.disk_full.set(f64::from(u8::from(view.disk_full)));
         for (member, matched) in &status.matched {
             let lag = status.last.0.saturating_sub(matched.0);
-            self.lag
-                .set_for("vm", &shared.voter(*member).vm, lag as f64);
+            let vm = shared.voter(*member).vm;
+            self.lag.set_for("vm", &vm, lag as f64);
+            let since = view.stalled.get(member);
+            let stalled = since.map_or(time::Millis(0), |at| shared.clock.now().since(*at));
+            self.stalled.set_for("vm", &vm, stalled.0 as f64 / 1_000.0);
         }
         let state = locks::read(&shared.state);
         self.revision.set(state.rules().current().revision.0 as f64);
--- a/src/sageshed/control/shared.rs
+++ b/src/sageshed/control/shared.rs
@@ -75,6 +75,8 @@
 pub struct View {
     /// Role, term, leader, members.
     pub status: status::Status,
+    /// On the leader: since when each member that lacks entries has acknowledged none.
+    pub stalled: collections::BTreeMap<log::NodeId, time::Instant>,
     /// The voters by the newest membership in the log, committed or not.
     pub voters: Vec<messages::Voter>,
     /// The newest revision that the log may hold, committed or not.
@@ -90,6 +92,7 @@
     fn outside(id: log::NodeId) -> Self {
         Self {
             status: status::Status::outside(id),
+            stalled: collections::BTreeMap::new(),
             voters: Vec::new(),
             required: rules::Revision::default(),
             committed: collections::BTreeMap::new(),
