Send lost entries again however often reads arrive

Hypotheses: (1) the timer on which retries are counted is moved by reads; (2) appends whose replies were lost fill the window; (3) the link to that process is down. (3) is out, since heartbeats are answered; (2) is out, since entries were sent and are not acknowledged. With pauses of 60 ms and more between reads the case is sound, as (1) expects and (2) doesn't.

Each batch of reads begins a round of heartbeats, and each round restarted that timer, which never expired while reads came more often than every 100 ms.

Change: only the expiry of the timer restarts it. Rounds for reads begin besides; that is one round more in each 100 ms at most.

--- a/crates/sageshed-quorum/src/heartbeat.rs
+++ b/crates/sageshed-quorum/src/heartbeat.rs
@@ -3,10 +3,15 @@
 use crate::{event, log, message, node, output, replication, state};
 
 impl node::Node {
+    /// Sends again what was not acknowledged in time, and begins a round of heartbeats.
+    ///
+    /// Only this moves the timer: rounds for reads begin besides, however many there are, since the retries are counted in
+    /// intervals of it.
     pub(crate) fn heartbeat_due(&mut self, out: &mut output::Output) {
         let state::Role::Leader(leader) = &mut self.state.role else {
             return;
         };
+        self.timers.heartbeat_due = self.timers.now + self.cfg.heartbeat_interval;
         let log = &self.state.log;
         let snapshot_bytes = self.state.snapshot.as_ref().map_or(0, |it| it.data.len());
         for peer in leader.peers.values_mut() {
@@ -32,7 +37,6 @@
     /// Begins a round of heartbeats.
     fn begin_round(&mut self, out: &mut output::Output) {
         let started = self.timers.now;
-        self.timers.heartbeat_due = started + self.cfg.heartbeat_interval;
         let state::Role::Leader(leader) = &mut self.state.role else {
             return;
         };
--- a/crates/sageshed-quorum/tests/testsuite/scenarios.rs
+++ b/crates/sageshed-quorum/tests/testsuite/scenarios.rs
@@ -133,6 +133,56 @@
     assert_eq!(sim.vms[&3].applied.0, sim.last_committed());
 }
 
+/// Guards against a voter that gets no entries for as long as reads arrive more often than heartbeats are due: each
+/// read began a round of heartbeats, and with it put off the retry of lost appends and snapshots.
+#[test]
+fn lost_entries_are_sent_again_while_reads_keep_arriving() {
+    struct Case {
+        name: &'static str,
+        is_compacted: bool,
+        proposes: bool,
+    }
+    let case = |name, is_compacted, proposes| Case {
+        name,
+        is_compacted,
+        proposes,
+    };
+    let cases = [
+        case("an append", false, false),
+        case("an append, with proposals", false, true),
+        case("a snapshot", true, false),
+    ];
+    for Case {
+        name,
+        is_compacted,
+        proposes,
+    } in cases
+    {
+        let mut sim = group(3);
+        sim.crash(3);
+        for entry in 0..10u64 {
+            sim.propose(1, &entry.to_le_bytes()).unwrap();
+        }
+        sim.run(50).unwrap();
+        if is_compacted {
+            random::compact(&mut sim, 1).unwrap();
+            sim.propose(1, b"after").unwrap();
+        }
+        sim.run(50).unwrap();
+        sim.start(3);
+        for correlation_id in 0..200 {
+            sim.step(1, event::Event::ReadIndex { correlation_id })
+                .unwrap();
+            if proposes && correlation_id % 20 == 0 {
+                sim.propose(1, b"more").unwrap();
+            }
+            sim.run(10).unwrap();
+        }
+        assert_eq!(sim.status(1).unwrap().role, status::Role::Leader, "{name}");
+        assert_eq!(sim.vms[&3].applied.0, sim.last_committed(), "{name}");
+    }
+}
+
 /// Guards against disturbances by a removed VM that was partitioned during its removal and requests votes:
 /// the leader must stay, and the VM must stop campaigning.
 #[test]
