--- a/crates/sageshed-quorum/tests/testsuite/stalls.rs
+++ b/crates/sageshed-quorum/tests/testsuite/stalls.rs
@@ -63,7 +63,8 @@
     {
         let members = [progress(matched, lag)];
         let reports = stalls.update(time::Instant(at), TIMEOUT, members);
-        assert_eq!(reports, Vec::from_iter(expected), "at {at}");
+        let expected: Vec<_> = expected.into_iter().collect();
+        assert_eq!(reports, expected, "at {at}");
     }
     let reports = stalls.update(time::Instant(20_000), TIMEOUT, []);
     assert_eq!(reports, [], "a node that doesn't lead has no members");
--- a/src/sageshed/control/driver/leading.rs
+++ b/src/sageshed/control/driver/leading.rs
@@ -124,9 +124,10 @@
             match report {
                 stalls::Report::Stalled(it, span) => {
                     let vm = self.shared.voter(it.id).vm;
-                    let answered_ms = it.answered.map(|at| now.since(at).0);
+                    // Since the start of this process if it has answered no heartbeat yet.
+                    let answered_ms = it.answered.map_or(now.0, |at| now.since(at).0);
                     ::log::warn!(vm = vm.as_str(), stalled_ms = span.0, lag = it.lag, sent = it.sent,
-                        in_flight = it.in_flight, answered_ms:? = answered_ms;
+                        in_flight = it.in_flight, answered_ms;
                         "control: a member acknowledges no entries");
                 }
                 stalls::Report::Resumed(id, span) => {
