Retry failed settlements of claims while new ones keep arriving

Where requests that may not be repeated end more often than that, claims that failed during an outage of control stay running, and callers that return under their keys are told so for as long as traffic lasts.

Retries and new settlements now take turns (`sageshed_decide::retries`, pure). The settlement that finds no room is logged; before, it was dropped without a line.

--- a/crates/sageshed-decide/src/lib.rs
+++ b/crates/sageshed-decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod random;
 pub mod request;
 pub mod request_trace;
+pub mod retries;
 pub mod router;
 pub mod rules;
 pub mod settings;
--- a/src/sageshed/entry/claims.rs
+++ b/src/sageshed/entry/claims.rs
@@ -20,6 +20,7 @@
     thread, time,
 };
 
+use sageshed_decide::retries;
 use sageshed_types::{claims, messages};
 
 use super::shared;
@@ -159,20 +160,32 @@
 
 /// Sends settlements until the process stops and none is left.
 pub fn run(shared: &shared::Shared, rx: &mpsc::Receiver<claims::Settle>) {
-    let mut again = std::collections::VecDeque::new();
+    let mut failed = retries::Retries::new(PAUSE.into(), SETTLE_QUEUE);
     loop {
-        let next = rx.recv_timeout(PAUSE).ok().or_else(|| again.pop_front());
+        let next = match failed.next(shared.clock.now()) {
+            retries::Next::Retry(settle) => Some(settle),
+            retries::Next::New => rx.recv_timeout(PAUSE).ok(),
+        };
         match next {
             Some(settle) if try_settle(shared, &settle) => {}
-            Some(settle) => again.push_back(settle),
-            None if shared.stage.stops() => return,
+            Some(settle) => retry_later(&mut failed, shared.clock.now(), settle),
+            None if shared.stage.stops() && failed.is_empty() => return,
             None => {}
         }
-        if shared.stage.stops() && !again.is_empty() {
-            log::warn!(count = again.len(); "entry: claims left unsettled");
+        if shared.stage.stops() && !failed.is_empty() {
+            log::warn!(count = failed.len(); "entry: claims left unsettled");
             return;
         }
-        again.truncate(SETTLE_QUEUE);
+    }
+}
+
+fn retry_later(
+    failed: &mut retries::Retries<claims::Settle>,
+    now: sageshed_types::time::Instant,
+    settle: claims::Settle,
+) {
+    if failed.add(now, settle).is_some() {
+        log::error!("entry: too many claims wait to be settled, one stays running");
     }
 }
 
