Order endpoints at one address by their start times

Hypotheses: (1) the late announcement ends the running instance in the directory; (2) both count as running, and requests go to the id that the engine refuses; (3) the route is not in force. 503 at once and no request at the engine: (1).

Cause: an announcement with a sequence number up to 3 was taken for the start of its instance, and each other instance at its address for ended. The end was inferred and yet final for 60 s.

Change: instances at one address that tell their start times are ordered by them, as instances of one name are; an earlier one that announces itself is only a contender. Where one of them tells none, its first announcements still count. Who is taken for ended in this way is `Replaced`, and is reinstated if it goes on for two seconds while its successor is silent for five. Processes take over from each other that an instance was replaced, or one that hears it would never learn that it has to reinstate it for the others. An instance that was replaced and deregisters is gone. Contenders count among the instances that are kept at most.

Why it holds: a running engine announces itself every 1.2 s, and what has ended announces nothing more, so in the end the one that goes on is the one that is present at all processes; until then start times decide without a wait. A successor is still taken at its first announcement.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -163,7 +163,7 @@
         let is_first = instance.sequence <= FIRST_ANNOUNCEMENTS;
         let outcome = self.apply_announcement(now, instance);
         if !matches!(outcome, MergeOutcome::Stale | MergeOutcome::Full) {
-            self.end_rivals_at(now, &id, address, is_first);
+            self.replace_rivals_at(now, &id, address, is_first);
         }
         outcome
     }
@@ -174,40 +174,17 @@
             record.amended = entry.amended;
             record.rank = entry.rank;
         }
-        let outcome = self.merge(now, record.clone());
+        let outcome = if self.is_preceded_at_address(&record) {
+            MergeOutcome::Stale
+        } else {
+            self.merge(now, record.clone())
+        };
         if outcome == MergeOutcome::Stale && self.has_outlived(now, &record) {
             return self.reinstate(now, record);
         }
         outcome
     }
 
-    /// Marks the other endpoints at `address` as gone. An endpoint that crashed and was started again at its address
-    /// under another name doesn't deregister the old name.
-    ///
-    /// A late announcement of an instance that ended long ago must not end the one that runs there now. So the
-    /// announcement must be among the first ones of its instance, or the other instance must have been silent.
-    fn end_rivals_at(
-        &mut self,
-        now: time::Instant,
-        id: &InstanceId,
-        address: net::SocketAddrV4,
-        is_first: bool,
-    ) {
-        let is_rival = |it: &&Entry| {
-            let other = &it.instance;
-            let is_silent = now.since(it.heard) >= RIVAL_SILENCE;
-            let is_at_address = other.address == address && !other.has_ended();
-            is_at_address && other.id.name != id.name && (is_first || is_silent)
-        };
-        let there = self.index.by_address(address).iter();
-        let there = there.filter_map(|it| self.entries.get(it));
-        let rivals = there.filter(is_rival);
-        let rivals: Vec<InstanceId> = rivals.map(|it| it.instance.id.clone()).collect();
-        for rival in rivals {
-            self.mark_gone(now, &rival);
-        }
-    }
-
     /// Applies another directory's refresh of an instance.
     pub fn apply_refresh(&mut self, now: time::Instant, refresh: LivenessRefresh) {
         let Some(id) = self.index.by_short_key(refresh.key).cloned() else {
@@ -369,6 +346,14 @@
                 MergeOutcome::Stale
             };
         }
+        if record.instance.state == State::Replaced && record.rank < entry.rank {
+            return MergeOutcome::Stale;
+        }
+        if record.instance.state == State::Replaced && record.version() <= known {
+            // Another process receives the announcements of the instance that runs at its address now.
+            self.replace(now, &id);
+            return MergeOutcome::Changed;
+        }
         entry.leaving |= record.instance.state == State::Leaving;
         if entry.leaving && record.instance.state == State::Ready {
             record.instance.state = State::Leaving;
@@ -465,7 +450,9 @@
         let record = Record::announced_now(Instance::tombstone(id.clone()));
         match self.deregistered_instance(now, &record) {
             Some(meant) => drop(self.mark_gone(now, &meant)),
-            None if self.entries.contains_key(id) => {}
+            None if self
+                .instance(id)
+                .is_some_and(|it| it.state != State::Replaced) => {}
             None => drop(self.merge(now, record)),
         }
     }
--- a/crates/sageshed-fleet/src/directory/succession.rs
+++ b/crates/sageshed-fleet/src/directory/succession.rs
@@ -18,14 +18,21 @@
 //! up by a network partition arrive in one burst, and the running instance announces itself between them. So a clock
 //! that was set back excludes a restarted endpoint for some five seconds, and late announcements never exclude a
 //! running instance for longer.
+//!
+//! # Endpoints at one address
+//!
+//! An endpoint may also be started again under another name, or another one at its address. Instances of several names at one
+//! address are ordered in the same way if both tell their start times. Otherwise nothing orders them: the one that begins to
+//! announce itself is taken for the later one. Either way the other one is marked as replaced and not as gone, since it hasn't
+//! said that it ends, and is reinstated as above if it outlives its successor.
 
-use std::sync;
+use std::{cmp, net, sync};
 
 use sageshed_types::time;
 
 use super::{
-    Directory, Entry, FIRST_ANNOUNCEMENTS, Instance, InstanceId, MergeOutcome, RIVAL_SILENCE,
-    Record, State, heard_at,
+    Directory, Entry, FIRST_ANNOUNCEMENTS, Instance, InstanceId, MAX_INSTANCES, MergeOutcome,
+    RIVAL_SILENCE, Record, State, heard_at,
 };
 
 /// How long an instance must announce itself before it takes the place of a silent one that seems later: two
@@ -160,7 +167,8 @@
         if !record.instance.is_present() || !self.track_contender(now, record) {
             return false;
         }
-        let rival = self.current(&id.name).map(|it| it.heard);
+        let address = record.instance.address;
+        let rival = self.rivals(id, address).map(|it| it.heard).max();
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
@@ -185,7 +193,8 @@
         if self.entries.contains_key(id) {
             return true;
         }
-        if self.instances_of(&id.name).count() >= MAX_INSTANCES_PER_ENDPOINT {
+        let is_full = self.entries.len() >= MAX_INSTANCES;
+        if is_full || self.instances_of(&id.name).count() >= MAX_INSTANCES_PER_ENDPOINT {
             return false;
         }
         let entry = Entry {
@@ -208,18 +217,88 @@
 
     /// Makes a replaced instance the running one again, with a rank by which all peers accept it.
     pub(super) fn reinstate(&mut self, now: time::Instant, record: Record) -> MergeOutcome {
-        let name = record.instance.id.name.clone();
-        let highest = self
-            .instances_of(&name)
-            .map(|it| it.rank)
-            .max()
-            .unwrap_or(0);
-        if let Some(rival) = self.current(&name).map(|it| it.instance.id.clone()) {
+        let (id, address) = (&record.instance.id, record.instance.address);
+        let at_address = self.others_at(id, address);
+        let highest = self.instances_of(&id.name).chain(at_address);
+        let highest = highest.map(|it| it.rank).max().unwrap_or(0);
+        let rivals = self.rivals(id, address);
+        let rivals: Vec<InstanceId> = rivals.map(|it| it.instance.id.clone()).collect();
+        for rival in rivals {
             self.replace(now, &rival);
         }
         let rank = highest.saturating_add(1);
         self.insert(now, Record { rank, ..record })
     }
+
+    /// The instances of other endpoints at an address.
+    fn others_at(
+        &self,
+        id: &InstanceId,
+        address: net::SocketAddrV4,
+    ) -> impl Iterator<Item = &Entry> {
+        let there = self.index.by_address(address).iter();
+        let there = there.filter_map(|it| self.entries.get(it));
+        there.filter(|it| it.instance.id.name != id.name)
+    }
+
+    /// The other instances that may be running in the place of `id`: of the same endpoint, or at the same address.
+    fn rivals(&self, id: &InstanceId, address: net::SocketAddrV4) -> impl Iterator<Item = &Entry> {
+        let at_address = self.others_at(id, address);
+        let at_address = at_address.filter(|it| !it.instance.has_ended());
+        let same_name = self.current(&id.name).filter(|it| it.instance.id != *id);
+        same_name.into_iter().chain(at_address)
+    }
+
+    /// Whether an instance that is not known yet is an earlier one than that which runs at its address. Its announcement may
+    /// have been held up until after its end.
+    pub(super) fn is_preceded_at_address(&self, record: &Record) -> bool {
+        let id = &record.instance.id;
+        if record.instance.has_ended() || self.entries.contains_key(id) {
+            return false;
+        }
+        let rivals = self.others_at(id, record.instance.address);
+        let mut rivals = rivals.filter(|it| it.instance.is_present());
+        let order = |rival: &Entry| order_at_address((record.rank, id), rival);
+        rivals.any(|rival| order(rival) == Some(cmp::Ordering::Less))
+    }
+
+    /// Marks the other endpoints at `address` as replaced. An endpoint that crashed and was started again at its address
+    /// under another name doesn't deregister the old name.
+    ///
+    /// The start times tell which instance is the later one. Where one of them is not told, the announcement must be among the
+    /// first ones of its instance, since a late announcement of an instance that ended long ago must not replace the one that
+    /// runs there now. The latter is also replaced if it has been silent.
+    pub(super) fn replace_rivals_at(
+        &mut self,
+        now: time::Instant,
+        id: &InstanceId,
+        address: net::SocketAddrV4,
+        is_first: bool,
+    ) {
+        let Some(rank) = self.entries.get(id).map(|it| it.rank) else {
+            return;
+        };
+        let is_replaced = |it: &&Entry| {
+            let is_silent = now.since(it.heard) >= RIVAL_SILENCE;
+            let is_earlier = match order_at_address((rank, id), it) {
+                Some(order) => order == cmp::Ordering::Greater,
+                None => is_first,
+            };
+            !it.instance.has_ended() && (is_earlier || is_silent)
+        };
+        let replaced = self.others_at(id, address).filter(is_replaced);
+        let replaced: Vec<InstanceId> = replaced.map(|it| it.instance.id.clone()).collect();
+        for rival in replaced {
+            self.replace(now, &rival);
+        }
+    }
+}
+
+/// The order of an instance with this rank and id and another one at the same address. None where it can't be told, since
+/// one of them doesn't tell its start time.
+fn order_at_address((rank, id): (u32, &InstanceId), rival: &Entry) -> Option<cmp::Ordering> {
+    let (born, rival_born) = (id.born?, rival.instance.id.born?);
+    Some((rank, born).cmp(&(rival.rank, rival_born)))
 }
 
 /// Whether the instance of `record` comes after a known one in the order of instances.
--- a/crates/sageshed-fleet/tests/directory.rs
+++ b/crates/sageshed-fleet/tests/directory.rs
@@ -266,6 +266,135 @@
     assert!(directory.current_instance("e1").is_some());
 }
 
+/// The announcements of two endpoints at one address.
+struct AddressCase {
+    name: &'static str,
+    /// The start times of e1 and f1, if they tell them.
+    born: [Option<u64>; 2],
+    /// Milliseconds, the endpoint, its sequence number.
+    announcements: Vec<(u64, &'static str, u64)>,
+    /// How long no instance, or the wrong one, may be present after the announcement of f1 arrives.
+    recovers_within: u64,
+    running: &'static str,
+}
+
+/// Every 1.2 s from `first` up to 10 s.
+fn regularly(first: u64, name: &'static str, sequence: u64) -> Vec<(u64, &'static str, u64)> {
+    let nth = |n| (first + n * 1_200, name, sequence + n);
+    (0..9).map(nth).filter(|it| it.0 < 10_000).collect()
+}
+
+/// Guards against a running endpoint that is shut out for a minute since a late announcement, one of the first of the endpoint
+/// that ran at its address before, seemed to be that of its successor.
+#[test]
+fn a_late_first_announcement_does_not_shut_out_the_endpoint_at_its_address() {
+    let with = |mut a: Vec<(u64, &'static str, u64)>, b: &[(u64, &'static str, u64)]| {
+        a.extend_from_slice(b);
+        a.sort_unstable();
+        a
+    };
+    let cases = [
+        AddressCase {
+            name: "late, of an earlier start",
+            born: [Some(200), Some(100)],
+            announcements: with(regularly(0, "e1", 1), &[(3_000, "f1", 1)]),
+            recovers_within: 0,
+            running: "e1",
+        },
+        AddressCase {
+            name: "several late ones, of an earlier start",
+            born: [Some(200), Some(100)],
+            announcements: with(
+                regularly(0, "e1", 1),
+                &[
+                    (3_000, "f1", 1),
+                    (3_001, "f1", 2),
+                    (3_002, "f1", 3),
+                    (5_500, "f1", 9),
+                ],
+            ),
+            recovers_within: 0,
+            running: "e1",
+        },
+        AddressCase {
+            name: "late, without start times",
+            born: [None, None],
+            announcements: with(regularly(0, "e1", 1), &[(3_000, "f1", 1)]),
+            recovers_within: 6_200,
+            running: "e1",
+        },
+        AddressCase {
+            name: "a successor",
+            born: [Some(200), Some(300)],
+            announcements: with(
+                vec![(0, "e1", 7), (1_200, "e1", 8)],
+                &regularly(3_000, "f1", 1),
+            ),
+            recovers_within: 0,
+            running: "f1",
+        },
+        AddressCase {
+            name: "a successor without start times",
+            born: [None, None],
+            announcements: with(
+                vec![(0, "e1", 7), (1_200, "e1", 8), (6_000, "e1", 9)],
+                &regularly(3_000, "f1", 1),
+            ),
+            recovers_within: 0,
+            running: "f1",
+        },
+        AddressCase {
+            name: "a successor whose clock was set back",
+            born: [Some(200), Some(100)],
+            announcements: with(
+                vec![(0, "e1", 7), (1_200, "e1", 8)],
+                &regularly(3_000, "f1", 1),
+            ),
+            recovers_within: 4_800,
+            running: "f1",
+        },
+    ];
+    for case in cases {
+        let mut directories = [Directory::new(1), Directory::new(2)];
+        for (nth, (ms, name, sequence)) in case.announcements.iter().copied().enumerate() {
+            let mut instance = support::engine(name, &["m0"]);
+            instance.address = support::engine("e1", &[]).address;
+            instance.id.born = case.born[usize::from(name == "f1")];
+            instance.sequence = sequence;
+            let to = if name == "e1" { 0 } else { nth % 2 };
+            directories[to].announce(at(ms), instance);
+            let [a, b] = &mut directories;
+            exchange(a, b, at(ms));
+            let is_settled = ms >= 3_000 + case.recovers_within;
+            for directory in directories.iter().filter(|_| is_settled) {
+                let present: Vec<&str> = ["e1", "f1"]
+                    .into_iter()
+                    .filter(|it| directory.current_instance(it).is_some())
+                    .collect();
+                assert_eq!(present, [case.running], "{} at {ms}", case.name);
+            }
+        }
+    }
+}
+
+/// Guards against an instance that deregisters after it was taken for replaced, and is brought back by announcements that it had
+/// sent before.
+#[test]
+fn a_replaced_instance_that_deregisters_does_not_come_back() {
+    let mut directory = Directory::new(1);
+    let mut old = support::engine("e1", &["m0"]);
+    directory.announce(T0, old.clone());
+    let mut new = support::engine("f1", &[]);
+    new.address = old.address;
+    directory.announce(at(1_000), new);
+    directory.deregister(at(1_500), &old.id);
+    for round in 1..=6 {
+        old.sequence += 1;
+        directory.announce(at(1_500 + round * 1_200), old.clone());
+    }
+    assert!(directory.current_instance("e1").is_none());
+}
+
 /// An engine is cut off from the control processes for a while and goes on serving. It is removed for its silence, and
 /// its next announcement makes it present again: otherwise it would be idle until it is restarted.
 #[test]
--- a/crates/sageshed-fleet/tests/restarts.rs
+++ b/crates/sageshed-fleet/tests/restarts.rs
@@ -499,7 +499,24 @@
 /// of three directories, which pass them on to each other. In the end each directory must have the running instance.
 #[test]
 fn after_announcements_in_any_order_all_directories_have_the_running_instance() {
-    for seed in 1..=40_u64 {
+    type Naming = fn(u64) -> InstanceId;
+    let namings: [(&str, Naming); 3] = [
+        ("one name", |born| InstanceId::new("e1", Some(born))),
+        ("names of their own", |born| {
+            InstanceId::new(&format!("e{born}"), Some(born))
+        }),
+        ("names of their own, without start times", |born| {
+            InstanceId::new(&format!("e{born}"), None)
+        }),
+    ];
+    for ((naming, id), seed) in namings
+        .into_iter()
+        .flat_map(|naming| (1..=40_u64).map(move |seed| (naming, seed)))
+    {
+        let instance = |born, sequence| Instance {
+            id: id(born),
+            ..instance(born, sequence, &["m0"])
+        };
         let mut random = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
         let mut draw = |below: u64| {
             random ^= random << 13;
@@ -517,7 +534,7 @@
                 let late = if draw(4) == 0 { draw(8_000) } else { draw(20) };
                 let heard = now + n * 1_200 + late;
                 let to = usize::try_from(draw(3)).expect("small");
-                announcements.insert((heard, draw(1 << 40)), (to, instance(last, n, &["m0"])));
+                announcements.insert((heard, draw(1 << 40)), (to, instance(last, n)));
             }
             now += lives_for + draw(3_000);
         }
@@ -525,7 +542,7 @@
         for n in 1..=end / 1_200 {
             let to = usize::try_from(draw(3)).expect("small");
             let heard = now + n * 1_200;
-            announcements.insert((heard, 0), (to, instance(last, 20 + n, &["m0"])));
+            announcements.insert((heard, 0), (to, instance(last, 20 + n)));
         }
         let mut all = [Directory::new(1), Directory::new(2), Directory::new(3)];
         for ((ms, _), (to, instance)) in announcements {
@@ -547,7 +564,8 @@
             }
         }
         for directory in &all {
-            assert_eq!(current_start(directory), Some(last), "seed {seed}");
+            let present: Vec<_> = directory.present(at(end)).map(|(it, _)| &it.id).collect();
+            assert_eq!(present, [&id(last)], "{naming}, seed {seed}");
         }
     }
 }
