Cut responses that end with a leaving endpoint

Hypotheses: (1) its end is not noticed; (2) it is, and the response is passed on because the engine had announced that it leaves. An engine that crashes unannounced is noticed, so (1) is out.

Cause: such a response counted as possibly complete and was passed on where no other endpoint could serve it.

Change: if the endpoint has ended, the response is cut, announced or not.

Why it holds: the port is looked at after the end of the connection, so it is open for a response that is complete while its endpoint runs. Cost: the last responses of an endpoint that closes its port before they end are cut though complete.

--- a/crates/sageshed-fleet/src/body_end.rs
+++ b/crates/sageshed-fleet/src/body_end.rs
@@ -15,16 +15,6 @@
     pub needs_last_chunk: bool,
 }
 
-/// What is known of an endpoint that has ended when its response had.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EndedEndpoint {
-    /// Whether it has announced that it stops. It may close its port before its last responses end, and may also be ended inside
-    /// them.
-    pub is_leaving: bool,
-    /// Whether the request may run at another endpoint.
-    pub may_run_again: bool,
-}
-
 /// Why a response has ended early, or counts as such.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum EarlyEnd {
@@ -34,7 +24,7 @@
     /// Its caller would be told more than its endpoint has said.
     #[display("only the end of the connection tells that the stream is complete")]
     NotTold,
-    /// Its endpoint has ended, and the request can be served by another one.
+    /// Its endpoint has ended, be it announced or not: it may have ended inside the response.
     #[display("the connection ended with its endpoint")]
     EndpointEnded,
 }
@@ -44,7 +34,7 @@
 pub enum NextStep {
     /// Handle it as cut.
     Fail(EarlyEnd),
-    /// Look whether its endpoint has ended too: if so, [`EndedEndpoint::early_end`] decides, else it is passed on.
+    /// Look whether its endpoint has ended too: if so, it counts as [`EarlyEnd::EndpointEnded`], else it is passed on.
     CheckEndpoint,
 }
 
@@ -61,13 +51,3 @@
         }
     }
 }
-
-impl EndedEndpoint {
-    /// Why its response counts as cut, if it does. If it stops as announced, its response may be complete, and is better than
-    /// none.
-    #[must_use]
-    pub fn early_end(self) -> Option<EarlyEnd> {
-        let is_passed_on = self.is_leaving && !self.may_run_again;
-        (!is_passed_on).then_some(EarlyEnd::EndpointEnded)
-    }
-}
--- a/crates/sageshed-fleet/tests/body_end.rs
+++ b/crates/sageshed-fleet/tests/body_end.rs
@@ -1,6 +1,6 @@
 //! Whether a response is complete that only the end of its connection delimits.
 
-use sageshed_fleet::body_end::{ConnectionEnd, EarlyEnd, EndedEndpoint, NextStep};
+use sageshed_fleet::body_end::{ConnectionEnd, EarlyEnd, NextStep};
 
 struct Case {
     name: &'static str,
@@ -43,52 +43,3 @@
         assert_eq!(case.end.next_step(), case.next, "{}", case.name);
     }
 }
-
-struct EndedCase {
-    name: &'static str,
-    endpoint: EndedEndpoint,
-    early_end: Option<EarlyEnd>,
-}
-
-/// Guards against a part of a response that is passed on though its endpoint has ended and another one could serve the
-/// request, and against a complete response of an endpoint that stops as announced which no other one may make again.
-#[test]
-fn a_response_of_an_endpoint_that_has_ended_is_cut_unless_it_may_be_the_only_one() {
-    let cases = [
-        EndedCase {
-            name: "a crash, and the request may run again",
-            endpoint: EndedEndpoint {
-                is_leaving: false,
-                may_run_again: true,
-            },
-            early_end: Some(EarlyEnd::EndpointEnded),
-        },
-        EndedCase {
-            name: "a crash, and the request may run once",
-            endpoint: EndedEndpoint {
-                is_leaving: false,
-                may_run_again: false,
-            },
-            early_end: Some(EarlyEnd::EndpointEnded),
-        },
-        EndedCase {
-            name: "an announced stop, and the request may run again",
-            endpoint: EndedEndpoint {
-                is_leaving: true,
-                may_run_again: true,
-            },
-            early_end: Some(EarlyEnd::EndpointEnded),
-        },
-        EndedCase {
-            name: "an announced stop, and the request may run once",
-            endpoint: EndedEndpoint {
-                is_leaving: true,
-                may_run_again: false,
-            },
-            early_end: None,
-        },
-    ];
-    for case in cases {
-        assert_eq!(case.endpoint.early_end(), case.early_end, "{}", case.name);
-    }
-}
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -5,10 +5,7 @@
 use sageshed_upstream::{exchange, failure};
 
 use super::ProxiedRequest;
-use crate::gateway::{
-    metrics::{BodyEnd, ResponseEnd},
-    state,
-};
+use crate::gateway::metrics::{BodyEnd, ResponseEnd};
 
 impl<D: dialect::Dialect> ProxiedRequest<'_, D> {
     /// Why a response of the endpoint of `pick` whose body has ended is not passed on as complete, if it isn't. `passed_by` is
@@ -29,22 +26,14 @@
         };
         let early = match end.next_step() {
             body_end::NextStep::Fail(early) => Some(early),
-            body_end::NextStep::CheckEndpoint if self.shared.has_ended(pick.address) => {
-                self.ended_endpoint(pick).early_end()
+            body_end::NextStep::CheckEndpoint => {
+                let has_ended = self.shared.has_ended(pick.address);
+                has_ended.then_some(body_end::EarlyEnd::EndpointEnded)
             }
-            body_end::NextStep::CheckEndpoint => None,
         };
         early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
     }
 
-    fn ended_endpoint(&self, pick: &chooser::Pick) -> body_end::EndedEndpoint {
-        let is_leaving = |core: &mut state::Core| core.directory.is_leaving(&pick.instance);
-        body_end::EndedEndpoint {
-            is_leaving: self.shared.with_core(is_leaving),
-            may_run_again: self.may_run_again(),
-        }
-    }
-
     /// Counts a response of the endpoint of `pick` whose body has ended, of which `bytes` have arrived. Logs those that did
     /// not end by a length or a last chunk.
     pub(super) fn record_response_end(
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -176,6 +176,69 @@
     }
 }
 
+/// How long before the end of a leaving endpoint its last response is complete.
+const BEFORE_END: time::Duration = time::Duration::from_millis(100);
+
+/// Guards against a part of a response that reaches its caller as complete, since its endpoint has announced that it stops, was
+/// ended inside the response, and no other one may serve the request; and against a complete one that is cut, since its
+/// endpoint ends soon after it.
+#[test]
+fn a_response_of_a_leaving_endpoint_is_complete_only_if_it_ends_before_its_endpoint() {
+    let cut = Unframed {
+        extent: Extent::Part,
+        end: ConnectionEnd::Crash,
+    };
+    let in_time = Unframed {
+        extent: Extent::Whole,
+        end: ConnectionEnd::Close,
+    };
+    let cases = ["/once/x", "/stream/x"]
+        .into_iter()
+        .flat_map(|path| [cut, in_time].map(|unframed| Case { path, unframed }));
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let mut wrong = Vec::new();
+    for case in cases {
+        let Case { path, unframed } = case;
+        let mut answers = 0;
+        let mut number = 0;
+        fleet.until("leaving endpoints have run the requests", || {
+            number += 1;
+            for engine in &engines {
+                engine.set_behavior(Behavior::Unframed(unframed));
+                engine.set_leaving_header();
+            }
+            let id = format!("{:?}{path}-{number}", unframed.extent).replace(' ', "");
+            let answer = std::thread::scope(|scope| {
+                let asked = scope.spawn(|| fleet.ask(0, &Request::new("POST", path, &id)));
+                let is_run = || engines.iter().any(|it| it.runs(&id) > 0);
+                while !asked.is_finished() && !is_run() {
+                    std::thread::sleep(time::Duration::from_millis(1));
+                }
+                std::thread::sleep(BEFORE_END);
+                // Those that have not crashed by themselves: another one may be known to leave too.
+                let crashes = unframed.end == ConnectionEnd::Crash;
+                for engine in engines.iter().filter(|it| !crashes || it.runs(&id) == 0) {
+                    engine.crash();
+                }
+                asked.join().expect("a thread").expect("an answer")
+            });
+            if engines.iter().any(|it| it.runs(&id) > 0) {
+                answers += 1;
+                let is_right = if unframed.extent == Extent::Whole {
+                    answer.whole && case.is_complete(&answer)
+                } else {
+                    !is_complete_part(&case, &answer)
+                };
+                if !is_right {
+                    wrong.push(format!("{path} {unframed:?}: {}", answer.text()));
+                }
+            }
+            answers == RUNS
+        });
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
 /// What two engines do, of which the one that gets a stream first breaks it off and the other one resumes it.
 struct Resumption {
     behaviors: [Behavior; 2],
