Ask which instance listens where the end of a response was read late

Hypotheses: (1) the end of the engine is not looked for; (2) it is looked for when another instance listens already. Without the suspension, or while the engine is down, its end is noticed: (2).

Cause: a crash was judged by the port at the time at which the end of the connection was read, however old that end was.

Change: a connection whose end delimits a response keeps when it was last known to be open with nothing to read, on a clock that goes on while the VM is suspended. If that is 0.5 s ago or more, whoever listens is asked for its report, else by the health check, and the response is passed on only if the instance that sent it responds. The decisions are pure (`body_end`); a log line has the time and the answer.

Why it holds: an end can't be older than that time, and an instance that responds now has not crashed before. Costs a call of the system for each wait before a head and inside such bodies, and a request or two for each end that was read late; an endpoint that doesn't tell who it is counts as ended.

--- a/crates/sageshed-upstream/src/exchange.rs
+++ b/crates/sageshed-upstream/src/exchange.rs
@@ -193,6 +193,9 @@
         let head = self
             .write_rest(patience)
             .and_then(|()| self.read_head(patience));
+        if let Ok((_, framing)) = &head {
+            self.socket.observes_end = *framing == Framing::UntilClose;
+        }
         match head {
             Ok((head, framing)) => Ok(Exchange {
                 keeps: self.keeps && !head.has_option("connection", "close"),
@@ -342,6 +345,12 @@
         self.delimiter == framing::Delimiter::Connection
     }
 
+    /// For how long its connection may have been ended before that was read, if only that delimits the body.
+    #[must_use]
+    pub fn unobserved(&self) -> time::Duration {
+        self.socket.unobserved()
+    }
+
     /// Whether the body's length is known before it comes, and what it is.
     #[must_use]
     pub fn length(&self) -> Option<u64> {
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -82,6 +82,10 @@
     flowing_since: Option<time::Instant>,
     /// The bytes that were read since the last request was begun.
     received: u64,
+    /// Whether [`Self::unobserved`] is wanted, which costs a call of the system for each read that waits.
+    pub(crate) observes_end: bool,
+    /// When the connection was last known to be open with nothing to read, on the clock of [`since_boot`].
+    open_at: time::Duration,
     /// Counts the bytes that are read from the connections of a pool.
     pub(crate) counter: Arc<atomic::AtomicU64>,
 }
@@ -109,6 +113,8 @@
             arriving_since: None,
             is_last_slice: false,
             received: 0,
+            observes_end: false,
+            open_at: since_boot(),
             counter: Arc::default(),
         })
     }
@@ -120,6 +126,17 @@
         self.flowing_since = None;
         self.arriving_since = None;
         self.is_last_slice = false;
+        self.observes_end = true;
+        self.open_at = since_boot();
+    }
+
+    /// For how long the connection may have been ended without this process having read that: the time since it was known to be
+    /// open with nothing to read, or since the request was begun.
+    ///
+    /// A process that reads all the time knows that within [`SLICE`]. One that was suspended, or waited for something else,
+    /// finds an end that may be as old as that.
+    pub(crate) fn unobserved(&self) -> time::Duration {
+        since_boot().saturating_sub(self.open_at)
     }
 
     /// Whether nothing came since the last answer. What comes on an idle connection is its close, or
@@ -207,7 +224,7 @@
             return Err(self.ended_wait(cause));
         }
         loop {
-            match self.stream.read(&mut chunk) {
+            match self.receive(&mut chunk) {
                 Ok(0) => {
                     let error = self.write_error.take();
                     return error.map_or(Ok(Filled::End), |e| {
@@ -232,6 +249,19 @@
         }
     }
 
+    fn receive(&mut self, chunk: &mut [u8]) -> io::Result<usize> {
+        if !self.observes_end {
+            return self.stream.read(chunk);
+        }
+        let begun = since_boot();
+        match sys::recv(&self.stream, &mut *chunk, sys::RecvFlags::DONTWAIT) {
+            Ok((count, _)) => return Ok(count),
+            Err(rustix::io::Errno::AGAIN) => self.open_at = begun,
+            Err(e) => return Err(e.into()),
+        }
+        self.stream.read(chunk)
+    }
+
     /// Why the wait is over, if it is and bytes have arrived for [`SLICE`] since that was looked at: an endpoint that sends
     /// without a pause never lets a read time out. What has arrived by the end of the patience may be read for another
     /// [`SLICE`].
@@ -277,6 +307,14 @@
     }
 }
 
+/// The time since the system was started. Unlike the clock of the standard library, it goes on while the VM is suspended.
+fn since_boot() -> time::Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+    time::Duration::new(seconds, nanos)
+}
+
 fn prepare(stream: &net::TcpStream) -> io::Result<()> {
     // Without this the body would wait for the acknowledgement of the head.
     stream.set_nodelay(true)?;
--- a/src/sageshed/gateway/mod.rs
+++ b/src/sageshed/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod crashes;
 pub mod entry_peers;
 mod fetch;
+mod listener;
 pub mod metrics;
 mod paths;
 mod proxy;
--- a/src/sageshed/gateway/paths.rs
+++ b/src/sageshed/gateway/paths.rs
@@ -234,13 +234,19 @@
 
     /// The health check of the endpoint at this address, if the endpoint and its service are known and it has one.
     fn health_check(&self, endpoint: net::SocketAddrV4) -> Option<dialect::OutboundRequest> {
-        let (id, service) = self.with_core(|core| {
-            let found = core.directory.instance_at(endpoint)?;
-            Some((found.id.clone(), found.service.clone()))
-        })?;
+        let found = self.with_core(|core| core.directory.instance_at(endpoint).cloned());
+        self.health_check_of(&found?)
+    }
+
+    /// The health check of an instance, if its service is known and has one.
+    pub(super) fn health_check_of(
+        &self,
+        instance: &directory::Instance,
+    ) -> Option<dialect::OutboundRequest> {
         let routing = self.routing()?;
-        let path = routing.config.service(&service)?.health_check.as_deref()?;
-        Some(self.dialect.health_check(path, &id))
+        let service = routing.config.service(&instance.service)?;
+        let path = service.health_check.as_deref()?;
+        Some(self.dialect.health_check(path, &instance.id))
     }
 
     /// Forgets failed paths that are not used and whose endpoints have ended.
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -23,6 +23,7 @@
         let end = body_end::ConnectionEnd {
             is_inside_event,
             needs_last_chunk: passed_by == Some(framing::Delimiter::Chunks),
+            unobserved: exchange.unobserved().into(),
         };
         let early = match end.next_step() {
             body_end::NextStep::Fail(early) => Some(early),
@@ -30,6 +31,12 @@
                 let has_ended = self.shared.has_ended(pick.address);
                 has_ended.then_some(body_end::EarlyEnd::EndpointEnded)
             }
+            body_end::NextStep::CheckInstance => {
+                let listener = self.shared.listener(&pick.instance, pick.address);
+                ::log::info!(request = self.id(), endpoint:% = pick.instance, listener:? = listener,
+                    unobserved_ms = end.unobserved.0; "gateway: end of a response was read late");
+                listener.early_end()
+            }
         };
         early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
     }
--- a/tests/fleet/cut_answers.rs
+++ b/tests/fleet/cut_answers.rs
@@ -8,7 +8,8 @@
         Delimiter, Message,
         caller::{Caller, Request},
         engine::{
-            Behavior, ConnectionEnd, Endless, Engine, Extent, UNFRAMED_EVENTS, Unframed, event,
+            Behavior, ConnectionEnd, Endless, Engine, Extent, Paced, UNFRAMED_EVENTS, Unframed,
+            event, paced_event, paced_lines,
         },
     },
 };
@@ -239,6 +240,72 @@
     assert_eq!(wrong, Vec::<String>::new());
 }
 
+/// The interval between the pieces of a response that ends while its entry process is suspended.
+const PIECE_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Guards against a part of a response that reaches its caller as complete, since its entry process was suspended while its
+/// endpoint crashed and was started again; and against a whole one that ended meanwhile and is cut.
+#[test]
+fn a_response_that_ends_while_its_entry_process_is_suspended_is_complete_only_if_it_is_whole() {
+    let (fleet, engines) = Fleet::ready_with("[retries]\nslack = 1000\n");
+    let paced = Paced {
+        delimiter: Delimiter::Connection,
+        extent: Extent::Whole,
+        end: ConnectionEnd::Close,
+        interval: PIECE_INTERVAL,
+    };
+    for engine in &engines {
+        engine.set_behavior(Behavior::Paced(paced));
+    }
+    let mut wrong = Vec::new();
+    let paths = ["/once/x", "/stream/x"];
+    for (path, crashes) in paths.into_iter().flat_map(|it| [(it, true), (it, false)]) {
+        for number in 0..RUNS {
+            let id = format!("suspended{path}-{crashes}-{number}");
+            let answer = std::thread::scope(|scope| {
+                let asked = scope.spawn(|| fleet.ask(0, &Request::new("POST", path, &id)));
+                let is_run = || engines.iter().any(|it| it.runs(&id) > 0);
+                fleet.until("an endpoint runs the request", || {
+                    is_run() || asked.is_finished()
+                });
+                std::thread::sleep(PIECE_INTERVAL * 3 / 2);
+                fleet.entries[0].signal("STOP");
+                for engine in engines.iter().filter(|it| crashes && it.runs(&id) > 0) {
+                    engine.crash();
+                    fleet.until("it was started again", || engine.is_listening());
+                }
+                std::thread::sleep(PIECE_INTERVAL * (UNFRAMED_EVENTS + 1));
+                fleet.entries[0].signal("CONT");
+                asked.join().expect("a thread").expect("an answer")
+            });
+            let is_right = if crashes {
+                answer.status() != 200 || !answer.whole
+            } else {
+                answer.whole && has_all_pieces(path, &id, &answer)
+            };
+            if !is_right {
+                wrong.push(format!("{id}: {} bytes", answer.text().len()));
+            }
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+}
+
+/// Whether `answer` to the request `id` has all pieces of a paced response.
+fn has_all_pieces(path: &str, id: &str, answer: &Message) -> bool {
+    let text = answer.text();
+    (1..=UNFRAMED_EVENTS).all(|number| {
+        let mut pieces = match path {
+            "/stream/x" => vec![paced_event(id, number)],
+            _ => ["p1", "p2"]
+                .map(|by| paced_lines(id, path, by, number))
+                .into(),
+        };
+        pieces.retain(|it| text.contains(it.as_str()));
+        !pieces.is_empty()
+    })
+}
+
 /// What two engines do, of which the one that gets a stream first breaks it off and the other one resumes it.
 struct Resumption {
     behaviors: [Behavior; 2],
