--- a/crates/sageshed-fleet/src/body_end.rs
+++ b/crates/sageshed-fleet/src/body_end.rs
@@ -3,9 +3,9 @@
 //! A connection that ends in good order says nothing of that: the system of an endpoint that has crashed closes its
 //! connections in the same way. What else is known tells some of the responses that ended early.
 //!
-//! An endpoint that has crashed listens no longer, until it is started again. So the port tells nothing of an end that was read
-//! long after it came: by a process that was suspended, or that waited for its caller. Who listens there is asked for its
-//! identity then.
+//! An endpoint that has crashed no longer listens, until it is started again. So the port tells nothing of an end that was read
+//! long after it arrived: by a process that was suspended, or that waited for its caller. Who listens there is then asked for
+//! its identity.
 
 use derive_more::Display;
 use sageshed_types::time;
--- a/crates/sageshed-upstream/src/lib.rs
+++ b/crates/sageshed-upstream/src/lib.rs
@@ -20,6 +20,7 @@
 //! Another process of the system can open a connection ([`connection`]) and pass its bytes on ([`relay`]).
 
 mod body;
+pub mod boot_time;
 pub mod connection;
 pub mod exchange;
 pub mod failure;
--- a/crates/sageshed-upstream/src/socket.rs
+++ b/crates/sageshed-upstream/src/socket.rs
@@ -9,7 +9,10 @@
 
 use rustix::{event, net as sys};
 
-use crate::failure::{Cause, Failure};
+use crate::{
+    boot_time,
+    failure::{Cause, Failure},
+};
 
 /// How long a read or write may block before the deadline is looked at, and whether it is still
 /// wanted. A caller that leaves is noticed within this time.
@@ -84,7 +87,7 @@
     received: u64,
     /// Whether [`Self::unobserved`] is wanted, which costs a call of the system for each read that waits.
     pub(crate) observes_end: bool,
-    /// When the connection was last known to be open with nothing to read, on the clock of [`since_boot`].
+    /// When the connection was last known to be open with nothing to read, since the system was started.
     open_at: time::Duration,
     /// Counts the bytes that are read from the connections of a pool.
     pub(crate) counter: Arc<atomic::AtomicU64>,
@@ -114,7 +117,7 @@
             is_last_slice: false,
             received: 0,
             observes_end: false,
-            open_at: since_boot(),
+            open_at: boot_time::since_boot(),
             counter: Arc::default(),
         })
     }
@@ -127,7 +130,7 @@
         self.arriving_since = None;
         self.is_last_slice = false;
         self.observes_end = true;
-        self.open_at = since_boot();
+        self.open_at = boot_time::since_boot();
     }
 
     /// For how long the connection may have been ended without this process having read that: the time since it was known to be
@@ -136,7 +139,7 @@
     /// A process that reads all the time knows that within [`SLICE`]. One that was suspended, or waited for something else,
     /// finds an end that may be as old as that.
     pub(crate) fn unobserved(&self) -> time::Duration {
-        since_boot().saturating_sub(self.open_at)
+        boot_time::since_boot().saturating_sub(self.open_at)
     }
 
     /// Whether nothing came since the last answer. What comes on an idle connection is its close, or
@@ -253,7 +256,7 @@
         if !self.observes_end {
             return self.stream.read(chunk);
         }
-        let begun = since_boot();
+        let begun = boot_time::since_boot();
         match sys::recv(&self.stream, &mut *chunk, sys::RecvFlags::DONTWAIT) {
             Ok((count, _)) => return Ok(count),
             Err(rustix::io::Errno::AGAIN) => self.open_at = begun,
@@ -307,14 +310,6 @@
     }
 }
 
-/// The time since the system was started. Unlike the clock of the standard library, it goes on while the VM is suspended.
-fn since_boot() -> time::Duration {
-    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
-    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
-    time::Duration::new(seconds, nanos)
-}
-
 fn prepare(stream: &net::TcpStream) -> io::Result<()> {
     // Without this the body would wait for the acknowledgement of the head.
     stream.set_nodelay(true)?;
--- a/src/sageshed/clock.rs
+++ b/src/sageshed/clock.rs
@@ -2,8 +2,8 @@
 
 use std::time;
 
-use rustix::time as sys;
 use sageshed_types::time::{Instant, Millis};
+use sageshed_upstream::boot_time;
 
 /// A monotonic clock that counts from the start of the process.
 ///
@@ -19,14 +19,14 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            start: since_boot(),
+            start: boot_time::since_boot(),
         }
     }
 
     /// Now, on this clock. Goes on while the process is frozen or the VM suspended.
     #[must_use]
     pub fn now(self) -> Instant {
-        Instant(0) + Millis::from(since_boot().saturating_sub(self.start))
+        Instant(0) + Millis::from(boot_time::since_boot().saturating_sub(self.start))
     }
 
     /// The point on this clock of an instant of the standard library.
@@ -37,13 +37,6 @@
     }
 }
 
-fn since_boot() -> time::Duration {
-    let now = sys::clock_gettime(sys::ClockId::Boottime);
-    let secs = u64::try_from(now.tv_sec).unwrap_or_default();
-    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
-    time::Duration::new(secs, nanos)
-}
-
 /// The wall clock, in milliseconds since 1970. May jump; nothing is decided by it alone.
 #[must_use]
 pub fn unix_ms() -> u64 {
