Look at the time of an end once more after the port was looked at

A process that is suspended between the read of an end and the look at the port finds a later instance listening all the same. If the port is open, the time for which the connection may have been ended is compared again, and the instance is asked if that has become too long.

--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -1,7 +1,7 @@
 //! Judges and records how the bodies of responses end, so that a response which was cut can be told from a short one.
 
 use sageshed_fleet::{body_end, chooser, dialect};
-use sageshed_types::framing;
+use sageshed_types::{framing, time};
 use sageshed_upstream::{exchange, failure};
 
 use super::ProxiedRequest;
@@ -20,27 +20,41 @@
         if !exchange.ends_with_connection() {
             return None;
         }
-        let end = body_end::ConnectionEnd {
+        let end = || body_end::ConnectionEnd {
             is_inside_event,
             needs_last_chunk: passed_by == Some(framing::Delimiter::Chunks),
             unobserved: exchange.unobserved().into(),
         };
-        let early = match end.next_step() {
-            body_end::NextStep::Fail(early) => Some(early),
-            body_end::NextStep::CheckEndpoint => {
-                let has_ended = self.shared.has_ended(pick.address);
-                has_ended.then_some(body_end::EarlyEnd::EndpointEnded)
-            }
-            body_end::NextStep::CheckInstance => {
-                let listener = self.shared.listener(&pick.instance, pick.address);
-                ::log::info!(request = self.id(), endpoint:% = pick.instance, listener:? = listener,
-                    unobserved_ms = end.unobserved.0; "gateway: end of a response was read late");
-                listener.early_end()
+        let mut next = end().next_step();
+        if next == body_end::NextStep::CheckEndpoint {
+            if self.shared.has_ended(pick.address) {
+                next = body_end::NextStep::Fail(body_end::EarlyEnd::EndpointEnded);
+            } else {
+                // This process may have been suspended before it looked.
+                next = end().next_step();
             }
+        }
+        let early = match next {
+            body_end::NextStep::Fail(early) => Some(early),
+            body_end::NextStep::CheckEndpoint => None,
+            body_end::NextStep::CheckInstance => self.check_instance(pick, exchange),
         };
         early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
     }
 
+    /// Why a response whose end was read late is not passed on as complete, if it isn't.
+    fn check_instance(
+        &self,
+        pick: &chooser::Pick,
+        exchange: &exchange::Exchange,
+    ) -> Option<body_end::EarlyEnd> {
+        let unobserved = time::Millis::from(exchange.unobserved());
+        let listener = self.shared.listener(&pick.instance, pick.address);
+        ::log::info!(request = self.id(), endpoint:% = pick.instance, listener:? = listener,
+            unobserved_ms = unobserved.0; "gateway: end of a response was read late");
+        listener.early_end()
+    }
+
     /// Counts a response of the endpoint of `pick` whose body has ended, of which `bytes` have arrived. Logs those that did
     /// not end by a length or a last chunk.
     pub(super) fn record_response_end(
