--- a/crates/sageshed-quorum/src/stalls.rs
+++ b/crates/sageshed-quorum/src/stalls.rs
@@ -1,7 +1,7 @@
 //! Members that lack entries of the leader and acknowledge none.
 //!
-//! Such a member may answer heartbeats all the time, and so count as a voter that is there, while each further loss of
-//! another voter takes a majority nearer to its end.
+//! Such a member may answer heartbeats all the time. It counts as a voter then, but commits nothing, so the group
+//! tolerates one loss less than its membership shows.
 
 use std::collections;
 
--- a/crates/sageshed-quorum/tests/testsuite/scenarios.rs
+++ b/crates/sageshed-quorum/tests/testsuite/scenarios.rs
@@ -133,7 +133,7 @@
     assert_eq!(sim.vms[&3].applied.0, sim.last_committed());
 }
 
-/// Guards against a voter that gets no entries for as long as reads arrive more often than heartbeats are due: each
+/// Guards against a voter that receives no entries for as long as reads arrive more often than heartbeats are due: each
 /// read began a round of heartbeats, and with it put off the retry of lost appends and snapshots.
 #[test]
 fn lost_entries_are_sent_again_while_reads_keep_arriving() {
--- a/crates/sageshed-upstream/src/boot_time.rs
+++ b/crates/sageshed-upstream/src/boot_time.rs
@@ -4,8 +4,8 @@
 
 use rustix::time as sys;
 
-/// The time since the system was started. It goes on while the process is stopped or the VM suspended, which the
-/// standard library's clock does not.
+/// The time since the system was started. It advances while the VM is suspended, which the standard
+/// library's clock does not.
 #[must_use]
 pub fn since_boot() -> time::Duration {
     let now = sys::clock_gettime(sys::ClockId::Boottime);
