Decide the end of a response by one match, and look at the clock once for the metrics of members

The end of a response was decided by nested ifs over a mutable step; the metrics read the clock for each member and then again; the line on a settlement without room stood twice; two checks of one state follow each other.

Ruled out: no test or bound changes.

--- a/crates/sageshed-fleet/src/directory/mod.rs
+++ b/crates/sageshed-fleet/src/directory/mod.rs
@@ -346,13 +346,15 @@
                 MergeOutcome::Stale
             };
         }
-        if record.instance.state == State::Replaced && record.rank < entry.rank {
-            return MergeOutcome::Stale;
-        }
-        if record.instance.state == State::Replaced && record.version() <= known {
-            // Another process receives the announcements of the instance that runs at its address now.
-            self.replace(now, &id);
-            return MergeOutcome::Changed;
+        if record.instance.state == State::Replaced {
+            if record.rank < entry.rank {
+                return MergeOutcome::Stale;
+            }
+            if record.version() <= known {
+                // Another process receives the announcements of the instance that runs at its address now.
+                self.replace(now, &id);
+                return MergeOutcome::Changed;
+            }
         }
         entry.leaving |= record.instance.state == State::Leaving;
         if entry.leaving && record.instance.state == State::Ready {
--- a/src/sageshed/control/metrics.rs
+++ b/src/sageshed/control/metrics.rs
@@ -105,12 +105,13 @@
         self.term.set(status.term.0 as f64);
         self.committed.set(status.commit.0 as f64);
         self.disk_full.set(f64::from(u8::from(view.disk_full)));
+        let now = shared.clock.now();
         for (member, matched) in &status.matched {
             let lag = status.last.0.saturating_sub(matched.0);
             let vm = shared.voter(*member).vm;
             self.lag.set_for("vm", &vm, lag as f64);
             let since = view.stalled.get(member);
-            let stalled = since.map_or(time::Millis(0), |at| shared.clock.now().since(*at));
+            let stalled = since.map_or(time::Millis(0), |at| now.since(*at));
             self.stalled.set_for("vm", &vm, stalled.0 as f64 / 1_000.0);
         }
         let state = locks::read(&shared.state);
@@ -118,7 +119,6 @@
         self.claims.set(state.claims().len() as f64);
         self.orders.set(state.orders().open().count() as f64);
         drop(state);
-        let now = shared.clock.now();
         let heard = locks::read(&shared.roster).entries_heard(now);
         self.entries.set(heard as f64);
         let behind = shared.hub.outdated_entries(now);
--- a/src/sageshed/entry/claims.rs
+++ b/src/sageshed/entry/claims.rs
@@ -102,7 +102,7 @@
     /// Has a claim settled, in the background.
     pub fn settle(&self, settle: claims::Settle) {
         if self.settlements.try_send(settle).is_err() {
-            log::error!("entry: too many claims wait to be settled, one stays running");
+            report_dropped();
         }
     }
 
@@ -168,7 +168,7 @@
         };
         match next {
             Some(settle) if try_settle(shared, &settle) => {}
-            Some(settle) => retry_later(&mut failed, shared.clock.now(), settle),
+            Some(settle) => retry_later(shared, &mut failed, settle),
             None if shared.stage.stops() && failed.is_empty() => return,
             None => {}
         }
@@ -180,15 +180,20 @@
 }
 
 fn retry_later(
+    shared: &shared::Shared,
     failed: &mut retries::Retries<claims::Settle>,
-    now: sageshed_types::time::Instant,
     settle: claims::Settle,
 ) {
-    if failed.add(now, settle).is_some() {
-        log::error!("entry: too many claims wait to be settled, one stays running");
+    if failed.add(shared.clock.now(), settle).is_some() {
+        report_dropped();
     }
 }
 
+/// Logs a settlement for which there is no room.
+fn report_dropped() {
+    log::error!("entry: too many claims wait to be settled, one stays running");
+}
+
 fn try_settle(shared: &shared::Shared, settle: &claims::Settle) -> bool {
     for _ in 0..SETTLE_TRIES {
         let until = time::Instant::now() + CALL_LIMIT;
--- a/src/sageshed/gateway/proxy/response_end.rs
+++ b/src/sageshed/gateway/proxy/response_end.rs
@@ -25,19 +25,20 @@
             needs_last_chunk: passed_by == Some(framing::Delimiter::Chunks),
             unobserved: exchange.unobserved().into(),
         };
-        let mut next = end().next_step();
-        if next == body_end::NextStep::CheckEndpoint {
-            if self.shared.has_ended(pick.address) {
-                next = body_end::NextStep::Fail(body_end::EarlyEnd::EndpointEnded);
-            } else {
-                // This process may have been suspended before it looked.
-                next = end().next_step();
-            }
-        }
-        let early = match next {
+        let early = match end().next_step() {
             body_end::NextStep::Fail(early) => Some(early),
-            body_end::NextStep::CheckEndpoint => None,
-            body_end::NextStep::CheckInstance => self.check_instance(pick, exchange),
+            body_end::NextStep::CheckEndpoint if self.shared.has_ended(pick.address) => {
+                Some(body_end::EarlyEnd::EndpointEnded)
+            }
+            // Looked at again, since this process may have been suspended before it looked at the port.
+            body_end::NextStep::CheckEndpoint
+                if end().next_step() == body_end::NextStep::CheckEndpoint =>
+            {
+                None
+            }
+            body_end::NextStep::CheckEndpoint | body_end::NextStep::CheckInstance => {
+                self.check_instance(pick, exchange)
+            }
         };
         early.map(|it| failure::Failure::sent(failure::Cause::ClosedInAnswer, &it))
     }
